Add checked types, wire messages, the burst planner and its bench

Cause: an empty repository. Change: workspace of packages; types with TryFrom at the border; gRPC messages generated with protox; a pull swarm with draw tickets and domain imports; a bench in virtual time.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,6 @@
+//! Load and experiment tools of headlatch.
+//!
+//! Small fakes in virtual time drive the real decision logic; the same seed gives the same run.
+
+pub mod burst;
+pub mod queue;
--- /dev/null
+++ b/crates/core/src/burst/imports.rs
@@ -0,0 +1,132 @@
+//! Chunks that this box should bring into its domain: offers, and what to do when none comes.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use headlatch_types::ChunkIndex;
+
+use super::{PeerKey, SeatMap};
+use crate::time::Moment;
+
+/// Boxes of a domain that feel responsible for a chunk, one after the other.
+const IMPORTER_RANKS: usize = 3;
+
+/// How long a box waits for each rank above it.
+const RANK_PATIENCE: Duration = Duration::from_secs(2);
+
+/// How long the lack of a chunk is borne before it is looked for elsewhere.
+const SEEK_PATIENCE: Duration = Duration::from_millis(1500);
+
+/// Pause between two searches for the same chunk.
+const SEEK_PAUSE: Duration = Duration::from_secs(2);
+
+/// A chunk that its domain lacks although others should have it.
+#[derive(Debug, Clone, Copy)]
+struct Overdue {
+    since: Moment,
+    sought: Option<Moment>,
+}
+
+/// What is to be done about an overdue chunk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Remedy {
+    /// Ask other domains.
+    Seek(ChunkIndex),
+    /// Draw it, whoever should have.
+    Draw(ChunkIndex),
+}
+
+/// Offers at hand and chunks overdue.
+#[derive(Debug, Clone, Default)]
+pub(super) struct ImportDesk {
+    offers: BTreeMap<ChunkIndex, VecDeque<PeerKey>>,
+    /// Chunks this box answers for, with its rank and its domain's.
+    duties: Vec<(ChunkIndex, usize, usize)>,
+    overdue: BTreeMap<ChunkIndex, Overdue>,
+    /// Boxes that look for a chunk which this box does not hold yet.
+    seekers: BTreeMap<ChunkIndex, BTreeSet<PeerKey>>,
+}
+
+impl ImportDesk {
+    /// Works out anew which chunks this box answers for.
+    pub(super) fn assign(&mut self, seats: &SeatMap, chunks: u32) {
+        let duty = |chunk| {
+            let rank = seats.importer_rank(chunk, IMPORTER_RANKS)?;
+            Some((chunk, rank, seats.domain_rank(chunk)))
+        };
+        self.duties = (0..chunks).map(ChunkIndex).filter_map(duty).collect();
+    }
+
+    /// Takes in an offer.
+    pub(super) fn offer(&mut self, chunk: ChunkIndex, from: PeerKey) {
+        let offers = self.offers.entry(chunk).or_default();
+        if !offers.contains(&from) {
+            offers.push_back(from);
+        }
+    }
+
+    /// The first offer for a chunk that `wanted` accepts.
+    pub(super) fn accept(
+        &mut self,
+        wanted: impl Fn(ChunkIndex, PeerKey) -> bool,
+    ) -> Option<(ChunkIndex, PeerKey)> {
+        let pairs = self.offers.iter().flat_map(|(chunk, peers)| {
+            peers.iter().map(move |peer| (*chunk, *peer))
+        });
+        let (chunk, peer) = pairs.into_iter().find(|(chunk, peer)| wanted(*chunk, *peer))?;
+        if let Some(offers) = self.offers.get_mut(&chunk) {
+            offers.retain(|other| *other != peer);
+        }
+        Some((chunk, peer))
+    }
+
+    /// Whether anyone has offered the chunk.
+    pub(super) fn is_offered(&self, chunk: ChunkIndex) -> bool {
+        self.offers.get(&chunk).is_some_and(|offers| !offers.is_empty())
+    }
+
+    /// A box looks for a chunk that is not here yet.
+    pub(super) fn remember_seeker(&mut self, chunk: ChunkIndex, from: PeerKey) {
+        self.seekers.entry(chunk).or_default().insert(from);
+    }
+
+    /// The chunk has come: forgets it and returns who was looking for it.
+    pub(super) fn settle(&mut self, chunk: ChunkIndex) -> BTreeSet<PeerKey> {
+        self.offers.remove(&chunk);
+        self.overdue.remove(&chunk);
+        self.seekers.remove(&chunk).unwrap_or_default()
+    }
+
+    /// Remedies that are due, for chunks that `lacking` reports as overdue in this domain.
+    pub(super) fn remedies(
+        &mut self,
+        now: Moment,
+        draw_patience: Duration,
+        lacking: impl Fn(ChunkIndex) -> bool,
+    ) -> Vec<Remedy> {
+        let mut due = Vec::new();
+        for (chunk, rank, domain_rank) in &self.duties {
+            if !lacking(*chunk) {
+                self.overdue.remove(chunk);
+                continue;
+            }
+            let fresh = Overdue { since: now, sought: None };
+            let overdue = self.overdue.entry(*chunk).or_insert(fresh);
+            let waited = now.since(overdue.since);
+            let own_turn = RANK_PATIENCE * *rank as u32;
+            let domain_turn = draw_patience * (*domain_rank as u32 + 1);
+            if waited >= own_turn + domain_turn {
+                overdue.since = now;
+                due.push(Remedy::Draw(*chunk));
+            } else if waited >= own_turn + SEEK_PATIENCE
+                && overdue.sought.is_none_or(|at| now.since(at) >= SEEK_PAUSE)
+            {
+                overdue.sought = Some(now);
+                due.push(Remedy::Seek(*chunk));
+            }
+        }
+        due
+    }
+}
--- /dev/null
+++ b/crates/core/src/burst/mod.rs
@@ -0,0 +1,247 @@
+//! The transfer of one manifest's weights to many boxes: who fetches which chunk from whom.
+//!
+//! Each box runs one [`SwarmPlanner`] per manifest. It knows only what it was told: the list of
+//! boxes that take part, which may lag, and notes from other boxes, which may be late or lost.
+//! How the parts act together, and what was weighed, stands in `docs/decisions/0002-burst.md`.
+
+mod chunks;
+mod draws;
+mod imports;
+mod peers;
+mod planner;
+mod seats;
+mod uploads;
+
+use std::time::Duration;
+
+use headlatch_types::{ChunkIndex, fleet::BurstPreference};
+
+pub use chunks::ChunkSet;
+pub use planner::{SwarmPlanner, SwarmProgress};
+pub use seats::{PeerKey, PeerSeat, SeatMap};
+
+/// Where a chunk is fetched from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum ChunkSource {
+    /// The origin of weights.
+    Origin,
+    /// The rate-limited weight store.
+    Store,
+    /// Another box.
+    Peer(PeerKey),
+}
+
+/// Why a fetch did not bring its chunk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum FetchFailure {
+    /// The bytes did not match their digest.
+    Corrupt,
+    /// The source has too much to do at the moment.
+    Busy,
+    /// The source does not have the chunk.
+    Absent,
+    /// The source could not be reached, or broke off.
+    Unreachable,
+}
+
+/// A note from one box to another about one manifest's weights.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SwarmNote {
+    /// The sender holds these chunks as well.
+    Have(Vec<ChunkIndex>),
+    /// All chunks that the sender holds.
+    Field(ChunkSet),
+    /// The receiver may draw the chunk at this position from this source.
+    Ticket(DrawTicket),
+    /// The sender holds this chunk, which the receiver should bring into its domain.
+    Offer(ChunkIndex),
+    /// The sender's domain lacks this chunk; whoever holds it should offer it.
+    Seek(ChunkIndex),
+}
+
+/// Leave to draw one chunk from the origin or the store.
+///
+/// Tickets keep the order of draws: a few travel from drawer to drawer, so that chunks leave a
+/// source one after another at its full rate instead of all at once and slowly.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct DrawTicket {
+    /// Chunk to draw; origin tickets travel upwards, store tickets downwards.
+    pub chunk: ChunkIndex,
+    /// Which source it is for.
+    pub pool: DrawPool,
+}
+
+/// A source that is drawn from by ticket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum DrawPool {
+    /// The origin.
+    Origin,
+    /// The weight store.
+    Store,
+}
+
+impl DrawPool {
+    /// The source behind the pool.
+    pub fn source(self) -> ChunkSource {
+        match self {
+            Self::Origin => ChunkSource::Origin,
+            Self::Store => ChunkSource::Store,
+        }
+    }
+}
+
+/// What a planner is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SwarmEvent {
+    /// The boxes that take part, this one among them, as far as is known.
+    Seats(Vec<PeerSeat>),
+    /// A note came, with the length of the sender's queue.
+    Note {
+        /// Who sent it.
+        from: PeerKey,
+        /// What it says.
+        note: SwarmNote,
+        /// Requests that wait at the sender.
+        queue: u32,
+    },
+    /// A box asks for a chunk.
+    Asked {
+        /// Who asks.
+        from: PeerKey,
+        /// For what.
+        chunk: ChunkIndex,
+        /// Chunks that it holds.
+        held: u32,
+    },
+    /// A box no longer wants what it asked for.
+    Withdrawn {
+        /// Who asked.
+        from: PeerKey,
+        /// For what.
+        chunk: ChunkIndex,
+    },
+    /// A granted chunk has gone out, or its transfer has broken off.
+    Sent {
+        /// Who asked.
+        to: PeerKey,
+        /// For what.
+        chunk: ChunkIndex,
+    },
+    /// The first bytes of a fetch came.
+    Started {
+        /// The chunk.
+        chunk: ChunkIndex,
+        /// Its source.
+        source: ChunkSource,
+    },
+    /// A fetch brought a chunk, and its digest fits.
+    Verified {
+        /// The chunk.
+        chunk: ChunkIndex,
+        /// Its source.
+        source: ChunkSource,
+    },
+    /// A fetch failed.
+    Failed {
+        /// The chunk.
+        chunk: ChunkIndex,
+        /// Its source.
+        source: ChunkSource,
+        /// Why.
+        failure: FetchFailure,
+    },
+    /// A box could not be reached with a note.
+    Lost(PeerKey),
+    /// Some time has passed; due about every [`TICK`].
+    Tick,
+}
+
+/// How often a planner wants [`SwarmEvent::Tick`].
+pub const TICK: Duration = Duration::from_millis(200);
+
+/// What a planner wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SwarmAction {
+    /// Fetch a chunk.
+    Fetch {
+        /// The chunk.
+        chunk: ChunkIndex,
+        /// From where.
+        source: ChunkSource,
+    },
+    /// Break off a fetch; no event about it is due any more.
+    Cancel {
+        /// The chunk.
+        chunk: ChunkIndex,
+        /// From where.
+        source: ChunkSource,
+    },
+    /// Begin to send a chunk that was asked for.
+    Grant {
+        /// To whom.
+        to: PeerKey,
+        /// What.
+        chunk: ChunkIndex,
+    },
+    /// Tell an asker that it will not get the chunk from here now.
+    Refuse {
+        /// Whom.
+        to: PeerKey,
+        /// What.
+        chunk: ChunkIndex,
+        /// Why.
+        failure: FetchFailure,
+    },
+    /// Hand over a note.
+    Tell {
+        /// To whom.
+        to: PeerKey,
+        /// What.
+        note: SwarmNote,
+    },
+    /// Every chunk is here and verified.
+    Complete,
+}
+
+/// Settings of one planner.
+#[derive(Debug, Clone)]
+pub struct SwarmSettings {
+    /// What to spare.
+    pub prefer: BurstPreference,
+    /// Chunks in the manifest.
+    pub chunks: u32,
+    /// Time one chunk takes over this box's link.
+    pub chunk_time: Duration,
+    /// Time one chunk takes over the origin's link.
+    pub origin_chunk_time: Duration,
+    /// Whether there is a weight store.
+    pub store: bool,
+    /// Chunks sent at the same time.
+    pub uploads: usize,
+    /// Chunks asked for at the same time.
+    pub pipeline: usize,
+    /// Boxes of its own domain that this box keeps informed, roughly.
+    pub neighbours: usize,
+    /// Requests that may wait for an upload.
+    pub queue: usize,
+    /// Seed of every random choice.
+    pub seed: u64,
+}
+
+impl SwarmSettings {
+    /// Settings that did best in the bench, for `chunks` chunks that take the given times.
+    pub fn new(chunks: u32, chunk_time: Duration, origin_chunk_time: Duration) -> Self {
+        Self {
+            prefer: BurstPreference::default(),
+            chunks,
+            chunk_time,
+            origin_chunk_time,
+            store: false,
+            uploads: 2,
+            pipeline: 8,
+            neighbours: 32,
+            queue: 8,
+            seed: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/burst/peers.rs
@@ -0,0 +1,238 @@
+//! What this box knows of its neighbours.
+
+use std::{collections::HashMap, time::Duration};
+
+use headlatch_types::ChunkIndex;
+use rand::{Rng, rngs::SmallRng};
+
+use super::{ChunkSet, PeerKey};
+use crate::time::Moment;
+
+/// Corrupt chunks after which a box is not asked again.
+const MOST_STRIKES: u32 = 2;
+
+/// First pause after a box proved slow or out of reach; it doubles each time.
+const FIRST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_secs(30);
+
+/// Pause after a box said that it is busy.
+const BUSY_PAUSE: Duration = Duration::from_millis(150);
+
+#[derive(Debug, Clone)]
+struct PeerState {
+    key: PeerKey,
+    held: ChunkSet,
+    /// Chunks asked of it that have not come.
+    asked: u32,
+    /// Requests that waited at it when it last said so.
+    queue: u32,
+    strikes: u32,
+    troubles: u32,
+    paused_until: Moment,
+}
+
+impl PeerState {
+    fn is_usable(&self, now: Moment, most_asked: u32, most_load: u32) -> bool {
+        self.strikes < MOST_STRIKES
+            && self.paused_until <= now
+            && self.asked < most_asked
+            && self.load() < most_load
+    }
+
+    fn load(&self) -> u32 {
+        self.asked + self.queue
+    }
+}
+
+/// Neighbours, what they hold, and how they have behaved.
+#[derive(Debug, Clone)]
+pub(super) struct PeerTable {
+    chunks: u32,
+    peers: Vec<PeerState>,
+    index: HashMap<PeerKey, usize>,
+    /// Neighbours that hold each chunk.
+    copies: Vec<u32>,
+    /// Boxes known to corrupt chunks, neighbours or not.
+    corrupters: Vec<PeerKey>,
+}
+
+impl PeerTable {
+    pub(super) fn new(chunks: u32) -> Self {
+        Self {
+            chunks,
+            peers: Vec::new(),
+            index: HashMap::new(),
+            copies: vec![0; chunks as usize],
+            corrupters: Vec::new(),
+        }
+    }
+
+    /// Takes over a list of neighbours; returns those that are new.
+    pub(super) fn replace(&mut self, neighbours: &[PeerKey]) -> Vec<PeerKey> {
+        let gone = |peer: &PeerState| !neighbours.contains(&peer.key);
+        let leaving: Vec<PeerKey> =
+            self.peers.iter().filter(|peer| gone(peer)).map(|peer| peer.key).collect();
+        leaving.into_iter().for_each(|key| self.remove(key));
+        let is_new = |key: &&PeerKey| !self.index.contains_key(key);
+        let new: Vec<PeerKey> = neighbours.iter().filter(is_new).copied().collect();
+        new.iter().for_each(|key| self.add(*key));
+        new
+    }
+
+    fn add(&mut self, key: PeerKey) {
+        self.index.insert(key, self.peers.len());
+        self.peers.push(PeerState {
+            key,
+            held: ChunkSet::new(self.chunks),
+            asked: 0,
+            queue: 0,
+            strikes: 0,
+            troubles: 0,
+            paused_until: Moment::ZERO,
+        });
+    }
+
+    /// Forgets a neighbour.
+    pub(super) fn remove(&mut self, key: PeerKey) {
+        let Some(at) = self.index.remove(&key) else { return };
+        let gone = self.peers.swap_remove(at);
+        gone.held.iter().for_each(|chunk| self.copies[chunk.0 as usize] -= 1);
+        if let Some(moved) = self.peers.get(at) {
+            self.index.insert(moved.key, at);
+        }
+    }
+
+    fn get_mut(&mut self, key: PeerKey) -> Option<&mut PeerState> {
+        self.index.get(&key).map(|at| &mut self.peers[*at])
+    }
+
+    /// Keys of all neighbours.
+    pub(super) fn keys(&self) -> impl Iterator<Item = PeerKey> + '_ {
+        self.peers.iter().map(|peer| peer.key)
+    }
+
+    /// Neighbours that hold `chunk`.
+    pub(super) fn copies(&self, chunk: ChunkIndex) -> u32 {
+        self.copies.get(chunk.0 as usize).copied().unwrap_or(0)
+    }
+
+    /// The most a box has said about its queue.
+    pub(super) fn set_queue(&mut self, key: PeerKey, queue: u32) {
+        if let Some(peer) = self.get_mut(key) {
+            peer.queue = queue;
+        }
+    }
+
+    /// A neighbour holds one more chunk; false if that was known, or it is no neighbour.
+    pub(super) fn add_chunk(&mut self, key: PeerKey, chunk: ChunkIndex) -> bool {
+        let Some(peer) = self.get_mut(key) else { return false };
+        if peer.strikes >= MOST_STRIKES || !peer.held.insert(chunk) {
+            return false;
+        }
+        self.copies[chunk.0 as usize] += 1;
+        true
+    }
+
+    /// A neighbour turns out not to hold a chunk.
+    pub(super) fn drop_chunk(&mut self, key: PeerKey, chunk: ChunkIndex) {
+        let Some(peer) = self.get_mut(key) else { return };
+        if peer.held.remove(chunk) {
+            self.copies[chunk.0 as usize] -= 1;
+        }
+    }
+
+    /// A chunk was asked of a box.
+    pub(super) fn ask(&mut self, key: PeerKey) {
+        if let Some(peer) = self.get_mut(key) {
+            peer.asked += 1;
+        }
+    }
+
+    /// A request to a box has ended.
+    pub(super) fn end(&mut self, key: PeerKey) {
+        if let Some(peer) = self.get_mut(key) {
+            peer.asked = peer.asked.saturating_sub(1);
+        }
+    }
+
+    /// A box has sent a good chunk.
+    pub(super) fn praise(&mut self, key: PeerKey) {
+        if let Some(peer) = self.get_mut(key) {
+            peer.troubles = 0;
+        }
+    }
+
+    /// A box is busy; it is left alone for a moment.
+    pub(super) fn note_busy(&mut self, now: Moment, key: PeerKey) {
+        if let Some(peer) = self.get_mut(key) {
+            peer.paused_until = now + BUSY_PAUSE;
+        }
+    }
+
+    /// A box is slow or out of reach; it is left alone for longer each time.
+    pub(super) fn note_trouble(&mut self, now: Moment, key: PeerKey) {
+        if let Some(peer) = self.get_mut(key) {
+            let pause = FIRST_PAUSE.saturating_mul(1 << peer.troubles.min(4)).min(LONGEST_PAUSE);
+            peer.troubles += 1;
+            peer.paused_until = now + pause;
+        }
+    }
+
+    /// A box has sent corrupt bytes; after a few it is not believed any more.
+    pub(super) fn note_corrupt(&mut self, key: PeerKey) {
+        let Some(at) = self.index.get(&key).copied() else {
+            self.corrupters.push(key);
+            return;
+        };
+        let peer = &mut self.peers[at];
+        peer.strikes += 1;
+        if peer.strikes < MOST_STRIKES {
+            return;
+        }
+        let held = std::mem::replace(&mut peer.held, ChunkSet::new(self.chunks));
+        held.iter().for_each(|chunk| self.copies[chunk.0 as usize] -= 1);
+        self.corrupters.push(key);
+    }
+
+    /// Whether a box is known to corrupt chunks.
+    pub(super) fn is_corrupter(&self, key: PeerKey) -> bool {
+        self.corrupters.contains(&key)
+    }
+
+    /// Chunks held by neighbours that can be asked now, as a field of words.
+    pub(super) fn on_offer(&self, now: Moment, limits: AskLimits) -> Vec<u64> {
+        let mut union = Vec::new();
+        self.peers
+            .iter()
+            .filter(|peer| peer.is_usable(now, limits.asked, limits.load))
+            .for_each(|peer| peer.held.add_to(&mut union));
+        union
+    }
+
+    /// The least busy neighbour that holds `chunk` and can be asked now.
+    pub(super) fn pick(
+        &self,
+        now: Moment,
+        chunk: ChunkIndex,
+        limits: AskLimits,
+        rng: &mut SmallRng,
+    ) -> Option<PeerKey> {
+        self.peers
+            .iter()
+            .filter(|peer| peer.is_usable(now, limits.asked, limits.load))
+            .filter(|peer| peer.held.contains(chunk))
+            .min_by_key(|peer| (peer.load(), rng.random::<u32>()))
+            .map(|peer| peer.key)
+    }
+}
+
+/// How much one box may ask of another.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct AskLimits {
+    /// Most chunks asked of one box at a time.
+    pub(super) asked: u32,
+    /// Longest queue that a request is added to.
+    pub(super) load: u32,
+}
--- /dev/null
+++ b/crates/core/src/burst/planner.rs
@@ -0,0 +1,615 @@
+//! The planner of one box for one manifest.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use headlatch_types::{ChunkIndex, fleet::BurstPreference};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use super::{
+    ChunkSet, ChunkSource, DrawPool, DrawTicket, FetchFailure, PeerKey, PeerSeat, SeatMap,
+    SwarmAction, SwarmEvent, SwarmNote, SwarmSettings,
+    draws::{DrawLedger, ORIGIN_TICKETS},
+    imports::{ImportDesk, Remedy},
+    peers::{AskLimits, PeerTable},
+    seats::ImportOrigin,
+    uploads::UploadQueue,
+};
+use crate::time::Moment;
+
+/// How often the whole field is sent again, against lost notes.
+const FIELD_PAUSE: Duration = Duration::from_secs(5);
+
+/// How long fresh chunks wait to be told of together.
+const HAVE_PAUSE: Duration = Duration::from_millis(200);
+
+/// A chunk with fewer copies nearby is told of at once.
+const TELL_AT_ONCE: u32 = 3;
+
+/// Added to every limit on waiting, whatever the chunk's size.
+const LEAST_WAIT: Duration = Duration::from_secs(2);
+
+/// Copies that may leave the origin under [`BurstPreference::Time`].
+const MOST_COPIES: u32 = 4;
+
+/// One fetch in progress.
+#[derive(Debug, Clone, Copy)]
+struct OpenFetch {
+    source: ChunkSource,
+    asked: Moment,
+    started: Option<Moment>,
+}
+
+/// How far a transfer is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SwarmProgress {
+    /// Chunks held and verified.
+    pub held: u32,
+    /// Chunks in the manifest.
+    pub chunks: u32,
+    /// Fetches in progress.
+    pub open: usize,
+    /// Requests of other boxes that wait here.
+    pub queue: u32,
+}
+
+/// Decides for one box which chunks to fetch from whom, and whom to send chunks.
+#[derive(Debug, Clone)]
+pub struct SwarmPlanner {
+    settings: SwarmSettings,
+    seats: SeatMap,
+    peers: PeerTable,
+    held: ChunkSet,
+    open: BTreeMap<ChunkIndex, OpenFetch>,
+    draws: DrawLedger,
+    imports: ImportDesk,
+    uploads: UploadQueue,
+    rng: SmallRng,
+    begun: Moment,
+    fresh: Vec<ChunkIndex>,
+    told: Moment,
+    field_due: Moment,
+    /// Doubles when fetches time out one after another: then this box's own link is slow.
+    patience: u32,
+    complete: bool,
+}
+
+impl SwarmPlanner {
+    /// A planner that begins `now` with the chunks in `held`, which are verified.
+    pub fn begin(
+        settings: SwarmSettings,
+        salt: u64,
+        me: PeerSeat,
+        held: ChunkSet,
+        now: Moment,
+    ) -> Self {
+        let seed = settings.seed ^ me.key.0 ^ salt;
+        let uploads = UploadQueue::new(settings.uploads, settings.queue);
+        Self {
+            seats: SeatMap::new(salt, me),
+            peers: PeerTable::new(settings.chunks),
+            held,
+            open: BTreeMap::new(),
+            draws: DrawLedger::default(),
+            imports: ImportDesk::default(),
+            uploads,
+            rng: SmallRng::seed_from_u64(seed),
+            begun: now,
+            fresh: Vec::new(),
+            told: now,
+            field_due: now + FIELD_PAUSE,
+            patience: 1,
+            complete: false,
+            settings,
+        }
+    }
+
+    /// How far the transfer is.
+    pub fn progress(&self) -> SwarmProgress {
+        SwarmProgress {
+            held: self.held.count(),
+            chunks: self.settings.chunks,
+            open: self.open.len(),
+            queue: self.uploads.length(),
+        }
+    }
+
+    /// Chunks held.
+    pub fn held(&self) -> &ChunkSet {
+        &self.held
+    }
+
+    /// Whether every chunk is here and verified.
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    /// Length of the queue here, for notes to others.
+    pub fn queue(&self) -> u32 {
+        self.uploads.length()
+    }
+
+    /// Takes in an event and returns what is to be done.
+    pub fn handle(&mut self, now: Moment, event: SwarmEvent) -> Vec<SwarmAction> {
+        let mut actions = Vec::new();
+        match event {
+            SwarmEvent::Seats(seats) => self.reseat(now, &seats, &mut actions),
+            SwarmEvent::Note { from, note, queue } => {
+                self.peers.set_queue(from, queue);
+                self.read(now, from, note, &mut actions);
+            }
+            SwarmEvent::Asked { from, chunk, held } => {
+                self.receive_ask(now, from, chunk, held, &mut actions);
+            }
+            SwarmEvent::Withdrawn { from, chunk } | SwarmEvent::Sent { to: from, chunk } => {
+                self.uploads.end(from, chunk);
+                self.grant(&mut actions);
+            }
+            SwarmEvent::Started { chunk, source } => self.mark_started(now, chunk, source),
+            SwarmEvent::Verified { chunk, source } => {
+                self.accept(now, chunk, source, &mut actions);
+            }
+            SwarmEvent::Failed { chunk, source, failure } => {
+                self.fail(now, chunk, source, failure, &mut actions);
+            }
+            SwarmEvent::Lost(peer) => self.lose(now, peer, &mut actions),
+            SwarmEvent::Tick => self.tick(now, &mut actions),
+        }
+        actions
+    }
+
+    fn reseat(&mut self, now: Moment, seats: &[PeerSeat], actions: &mut Vec<SwarmAction>) {
+        let first_time = self.seats.count() == 1;
+        self.seats.replace(seats);
+        self.imports.assign(&self.seats, self.settings.chunks);
+        let neighbours = self.seats.neighbours(self.settings.neighbours);
+        let new = self.peers.replace(&neighbours);
+        if !self.held.is_empty() {
+            let field = || SwarmNote::Field(self.held.clone());
+            actions.extend(new.into_iter().map(|to| SwarmAction::Tell { to, note: field() }));
+        }
+        if first_time {
+            let mine = |ticket: &DrawTicket| self.seats.drawer(ticket.chunk) == self.seats.me().key;
+            let tickets = DrawLedger::first(self.settings.chunks, self.settings.store);
+            tickets.into_iter().filter(mine).for_each(|ticket| self.draws.take(now, ticket));
+            let spread = self.settings.origin_chunk_time * self.seats.count() as u32;
+            self.draws.delay_extras(now + spread.mul_f64(self.rng.random::<f64>()));
+        }
+        self.check_complete(actions);
+        self.pursue(now, actions);
+    }
+
+    fn read(
+        &mut self,
+        now: Moment,
+        from: PeerKey,
+        note: SwarmNote,
+        actions: &mut Vec<SwarmAction>,
+    ) {
+        match note {
+            SwarmNote::Have(chunks) => {
+                chunks.into_iter().for_each(|chunk| self.learn(now, from, chunk));
+            }
+            SwarmNote::Field(field) => field.iter().for_each(|chunk| self.learn(now, from, chunk)),
+            SwarmNote::Ticket(ticket) if ticket.chunk.0 < self.settings.chunks => {
+                self.draws.take(now, ticket);
+            }
+            SwarmNote::Offer(chunk) if chunk.0 < self.settings.chunks => {
+                self.draws.advance(now, chunk);
+                if !self.held.contains(chunk) {
+                    self.imports.offer(chunk, from);
+                }
+            }
+            SwarmNote::Seek(chunk) if self.held.contains(chunk) => {
+                actions.push(SwarmAction::Tell { to: from, note: SwarmNote::Offer(chunk) });
+            }
+            SwarmNote::Seek(chunk) if chunk.0 < self.settings.chunks => {
+                self.imports.remember_seeker(chunk, from);
+            }
+            SwarmNote::Ticket(_) | SwarmNote::Offer(_) | SwarmNote::Seek(_) => {}
+        }
+        self.pursue(now, actions);
+    }
+
+    fn learn(&mut self, now: Moment, from: PeerKey, chunk: ChunkIndex) {
+        if self.peers.add_chunk(from, chunk) {
+            self.draws.advance(now, chunk);
+        }
+    }
+
+    fn receive_ask(
+        &mut self,
+        now: Moment,
+        from: PeerKey,
+        chunk: ChunkIndex,
+        held: u32,
+        actions: &mut Vec<SwarmAction>,
+    ) {
+        if !self.held.contains(chunk) {
+            actions.push(SwarmAction::Refuse { to: from, chunk, failure: FetchFailure::Absent });
+            return;
+        }
+        let far = !self.seats.is_near(from);
+        self.uploads.ask(now, (from, chunk), held, far, actions);
+        self.grant(actions);
+    }
+
+    fn grant(&mut self, actions: &mut Vec<SwarmAction>) {
+        let peers = &self.peers;
+        self.uploads.grant(|chunk| peers.copies(chunk), actions);
+    }
+
+    fn mark_started(&mut self, now: Moment, chunk: ChunkIndex, source: ChunkSource) {
+        let fetch = self.open.get_mut(&chunk).filter(|fetch| fetch.source == source);
+        if let Some(fetch) = fetch {
+            fetch.started.get_or_insert(now);
+        }
+    }
+
+    /// Takes a verified chunk in and tells those who need to know.
+    fn accept(
+        &mut self,
+        now: Moment,
+        chunk: ChunkIndex,
+        source: ChunkSource,
+        actions: &mut Vec<SwarmAction>,
+    ) {
+        self.close(chunk, source);
+        self.patience = (self.patience / 2).max(1);
+        if let ChunkSource::Peer(peer) = source {
+            self.peers.praise(peer);
+        }
+        if self.held.insert(chunk) {
+            self.draws.advance(now, chunk);
+            self.announce(now, chunk, source, actions);
+        }
+        self.check_complete(actions);
+        self.pursue(now, actions);
+    }
+
+    fn announce(
+        &mut self,
+        now: Moment,
+        chunk: ChunkIndex,
+        source: ChunkSource,
+        actions: &mut Vec<SwarmAction>,
+    ) {
+        let seekers = self.imports.settle(chunk);
+        let onward = self.import_origin(source).map(|from| self.seats.onward(chunk, from));
+        let offer = |to| SwarmAction::Tell { to, note: SwarmNote::Offer(chunk) };
+        actions.extend(onward.into_iter().flatten().chain(seekers).map(offer));
+        self.fresh.push(chunk);
+        if self.peers.copies(chunk) < TELL_AT_ONCE {
+            self.tell_fresh(now, actions);
+        }
+    }
+
+    /// How a chunk entered this domain; none if it was in it already.
+    fn import_origin(&self, source: ChunkSource) -> Option<ImportOrigin> {
+        let ChunkSource::Peer(peer) = source else { return Some(ImportOrigin::Outside) };
+        let seat = self.seats.seat(peer)?;
+        let me = self.seats.me();
+        match (seat.domain == me.domain, seat.region == me.region) {
+            (true, _) => None,
+            (false, true) => Some(ImportOrigin::Sibling),
+            (false, false) => Some(ImportOrigin::OtherRegion),
+        }
+    }
+
+    fn tell_fresh(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        if self.fresh.is_empty() {
+            return;
+        }
+        self.told = now;
+        let fresh = std::mem::take(&mut self.fresh);
+        let note = || SwarmNote::Have(fresh.clone());
+        actions.extend(self.peers.keys().map(|to| SwarmAction::Tell { to, note: note() }));
+    }
+
+    fn check_complete(&mut self, actions: &mut Vec<SwarmAction>) {
+        if self.complete || !self.held.is_full() {
+            return;
+        }
+        self.complete = true;
+        let open = std::mem::take(&mut self.open);
+        actions.extend(open.into_iter().map(|(chunk, fetch)| SwarmAction::Cancel {
+            chunk,
+            source: fetch.source,
+        }));
+        actions.push(SwarmAction::Complete);
+    }
+
+    fn fail(
+        &mut self,
+        now: Moment,
+        chunk: ChunkIndex,
+        source: ChunkSource,
+        failure: FetchFailure,
+        actions: &mut Vec<SwarmAction>,
+    ) {
+        self.close(chunk, source);
+        match source {
+            ChunkSource::Peer(peer) => self.blame(now, peer, chunk, failure),
+            ChunkSource::Origin => self.postpone(now, chunk, DrawPool::Origin, failure),
+            ChunkSource::Store => self.postpone(now, chunk, DrawPool::Store, failure),
+        }
+        self.pursue(now, actions);
+    }
+
+    fn blame(&mut self, now: Moment, peer: PeerKey, chunk: ChunkIndex, failure: FetchFailure) {
+        match failure {
+            FetchFailure::Corrupt => self.peers.note_corrupt(peer),
+            FetchFailure::Busy => self.peers.note_busy(now, peer),
+            FetchFailure::Absent => self.peers.drop_chunk(peer, chunk),
+            FetchFailure::Unreachable => self.peers.note_trouble(now, peer),
+        }
+    }
+
+    /// Corrupt bytes are fetched again at once; any other failure waits.
+    fn postpone(&mut self, now: Moment, chunk: ChunkIndex, pool: DrawPool, failure: FetchFailure) {
+        if failure != FetchFailure::Corrupt {
+            self.draws.postpone(now, DrawTicket { chunk, pool });
+        }
+    }
+
+    fn close(&mut self, chunk: ChunkIndex, source: ChunkSource) {
+        if self.open.get(&chunk).is_none_or(|fetch| fetch.source != source) {
+            return;
+        }
+        self.open.remove(&chunk);
+        if let ChunkSource::Peer(peer) = source {
+            self.peers.end(peer);
+        }
+    }
+
+    fn lose(&mut self, now: Moment, peer: PeerKey, actions: &mut Vec<SwarmAction>) {
+        self.peers.note_trouble(now, peer);
+        self.uploads.forget(peer);
+        self.grant(actions);
+        self.pursue(now, actions);
+    }
+
+    fn tick(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        if now.since(self.told) >= HAVE_PAUSE {
+            self.tell_fresh(now, actions);
+        }
+        if now >= self.field_due && !self.held.is_empty() {
+            self.field_due = now + FIELD_PAUSE;
+            let note = || SwarmNote::Field(self.held.clone());
+            actions.extend(self.peers.keys().map(|to| SwarmAction::Tell { to, note: note() }));
+        }
+        self.drop_slow(now, actions);
+        self.apply_remedies(now, actions);
+        self.pursue(now, actions);
+    }
+
+    /// Gives up fetches that take too long.
+    fn drop_slow(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        let slow: Vec<(ChunkIndex, OpenFetch)> = self
+            .open
+            .iter()
+            .filter(|(_, fetch)| self.is_slow(now, fetch))
+            .map(|(chunk, fetch)| (*chunk, *fetch))
+            .collect();
+        if slow.is_empty() {
+            return;
+        }
+        self.patience = (self.patience * 2).min(16);
+        for (chunk, fetch) in slow {
+            actions.push(SwarmAction::Cancel { chunk, source: fetch.source });
+            self.close(chunk, fetch.source);
+            match fetch.source {
+                ChunkSource::Peer(peer) => self.peers.note_trouble(now, peer),
+                ChunkSource::Origin => {
+                    self.postpone(now, chunk, DrawPool::Origin, FetchFailure::Unreachable);
+                }
+                ChunkSource::Store => {
+                    self.postpone(now, chunk, DrawPool::Store, FetchFailure::Unreachable);
+                }
+            }
+        }
+    }
+
+    fn is_slow(&self, now: Moment, fetch: &OpenFetch) -> bool {
+        let chunk_time = self.settings.chunk_time.max(self.settings.origin_chunk_time);
+        let since = fetch.started.unwrap_or(fetch.asked);
+        let (queue, share) = match fetch.source {
+            ChunkSource::Peer(_) => (self.settings.queue as u32, 4 * self.settings.uploads as u32),
+            ChunkSource::Origin | ChunkSource::Store => (4 * ORIGIN_TICKETS, 4 * ORIGIN_TICKETS),
+        };
+        let factor = if fetch.started.is_some() { share } else { queue + share };
+        now.since(since) > (chunk_time * factor + LEAST_WAIT) * self.patience
+    }
+
+    /// Looks after chunks that should have come into this domain and have not.
+    fn apply_remedies(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        if self.complete {
+            return;
+        }
+        let stalled = self.draws.stalled(now, self.begun) > self.stall_patience();
+        let end = self.draws.frontier().map_or(0, |chunk| chunk.0 + 1) + 2 * ORIGIN_TICKETS;
+        let (held, peers, open) = (&self.held, &self.peers, &self.open);
+        let (draws, imports) = (&self.draws, &self.imports);
+        let lacking: Vec<ChunkIndex> = (0..self.settings.chunks)
+            .map(ChunkIndex)
+            .filter(|chunk| !held.contains(*chunk) && peers.copies(*chunk) == 0)
+            .filter(|chunk| !open.contains_key(chunk) && !imports.is_offered(*chunk))
+            .filter(|chunk| draws.is_passed(*chunk) || (stalled && chunk.0 < end))
+            .collect();
+        let patience = self.draw_patience();
+        let remedies =
+            self.imports.remedies(now, patience, |chunk| lacking.binary_search(&chunk).is_ok());
+        for remedy in remedies {
+            self.apply(now, remedy, actions);
+        }
+    }
+
+    fn apply(&mut self, now: Moment, remedy: Remedy, actions: &mut Vec<SwarmAction>) {
+        match remedy {
+            Remedy::Seek(chunk) => {
+                let to = self.seats.far_importers(chunk, 2);
+                let seek = |to| SwarmAction::Tell { to, note: SwarmNote::Seek(chunk) };
+                actions.extend(to.into_iter().map(seek));
+            }
+            Remedy::Draw(chunk) => {
+                self.draws.take(now, DrawTicket { chunk, pool: DrawPool::Origin });
+            }
+        }
+    }
+
+    /// How long a domain bears the lack of a chunk before it draws the chunk again.
+    fn draw_patience(&self) -> Duration {
+        match self.settings.prefer {
+            BurstPreference::Time => Duration::from_secs(3),
+            BurstPreference::OriginBytes => Duration::from_secs(6),
+        }
+    }
+
+    /// How long the draw order may stand still before it is taken to have been lost.
+    fn stall_patience(&self) -> Duration {
+        self.draw_patience() + self.settings.origin_chunk_time * (8 * ORIGIN_TICKETS)
+    }
+
+    /// Starts whatever can be started now.
+    fn pursue(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        self.use_tickets(now, actions);
+        if self.complete {
+            return;
+        }
+        self.use_offers(now, actions);
+        self.use_neighbours(now, actions);
+        self.use_extras(now, actions);
+    }
+
+    fn is_known(&self, chunk: ChunkIndex) -> bool {
+        self.held.contains(chunk)
+            || self.peers.copies(chunk) > 0
+            || self.imports.is_offered(chunk)
+    }
+
+    fn use_tickets(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        if self.draws.is_empty() {
+            return;
+        }
+        for (ticket, ready) in self.draws.tickets(now) {
+            let source = ticket.pool.source();
+            let open = self.open.get(&ticket.chunk).map(|fetch| fetch.source);
+            if open == Some(source) {
+                continue;
+            }
+            if open.is_some() || self.is_known(ticket.chunk) {
+                self.pass_on(now, ticket, actions);
+            } else if ready {
+                self.fetch(now, ticket.chunk, source, actions);
+            }
+        }
+    }
+
+    /// Hands a ticket to the drawer of the next chunk that is not known to be drawn.
+    fn pass_on(&mut self, now: Moment, ticket: DrawTicket, actions: &mut Vec<SwarmAction>) {
+        if !self.draws.give(ticket) {
+            return;
+        }
+        let chunks = self.settings.chunks;
+        let order = std::iter::successors(DrawLedger::next(ticket, chunks), |ticket| {
+            DrawLedger::next(*ticket, chunks)
+        });
+        let next = order.into_iter().find(|ticket| !self.is_known(ticket.chunk));
+        let Some(next) = next else { return };
+        let drawer = self.seats.drawer(next.chunk);
+        if drawer != self.seats.me().key {
+            actions.push(SwarmAction::Tell { to: drawer, note: SwarmNote::Ticket(next) });
+            return;
+        }
+        self.draws.take(now, next);
+        if !self.open.contains_key(&next.chunk) {
+            self.fetch(now, next.chunk, next.pool.source(), actions);
+        }
+    }
+
+    fn use_offers(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        loop {
+            let (held, open, peers) = (&self.held, &self.open, &self.peers);
+            let wanted = |chunk: ChunkIndex, from: PeerKey| {
+                !held.contains(chunk)
+                    && !open.contains_key(&chunk)
+                    && peers.copies(chunk) == 0
+                    && !peers.is_corrupter(from)
+            };
+            let Some((chunk, from)) = self.imports.accept(wanted) else { return };
+            self.fetch(now, chunk, ChunkSource::Peer(from), actions);
+        }
+    }
+
+    fn use_neighbours(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        let limits = AskLimits { asked: 2, load: self.settings.queue as u32 };
+        while self.open.len() < self.settings.pipeline {
+            let on_offer = self.peers.on_offer(now, limits);
+            let Some(chunk) = self.rarest(&on_offer) else { return };
+            let Some(peer) = self.peers.pick(now, chunk, limits, &mut self.rng) else { return };
+            self.fetch(now, chunk, ChunkSource::Peer(peer), actions);
+        }
+    }
+
+    /// A random one of the rarest chunks on offer that are neither held nor on their way.
+    fn rarest(&mut self, on_offer: &[u64]) -> Option<ChunkIndex> {
+        let mut best: Option<(u32, ChunkIndex)> = None;
+        let mut ties = 0u32;
+        for chunk in self.held.missing_in(on_offer) {
+            if self.open.contains_key(&chunk) {
+                continue;
+            }
+            let copies = self.peers.copies(chunk);
+            let fewest = best.map_or(u32::MAX, |(copies, _)| copies);
+            if copies < fewest {
+                ties = 1;
+                best = Some((copies, chunk));
+            } else if copies == fewest {
+                ties += 1;
+                if self.rng.random_range(0..ties) == 0 {
+                    best = Some((copies, chunk));
+                }
+            }
+        }
+        best.map(|(_, chunk)| chunk)
+    }
+
+    /// Under [`BurstPreference::Time`], lets an idle origin help once every chunk has left it.
+    fn use_extras(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        let last = self.settings.chunks.saturating_sub(1);
+        let drawn = self.draws.frontier().is_some_and(|chunk| chunk.0 >= last);
+        if self.settings.prefer != BurstPreference::Time || !drawn {
+            return;
+        }
+        let boxes = self.seats.count() as u32;
+        let most = (MOST_COPIES - 1) * self.settings.chunks / boxes;
+        let gap = self.settings.origin_chunk_time * boxes;
+        if !self.draws.is_extra_due(now, most) {
+            return;
+        }
+        let missing = |chunk: &ChunkIndex| {
+            !self.held.contains(*chunk) && !self.open.contains_key(chunk)
+        };
+        let wanted: Vec<ChunkIndex> =
+            (0..self.settings.chunks).map(ChunkIndex).filter(missing).collect();
+        if wanted.is_empty() {
+            return;
+        }
+        self.draws.take_extra(now, gap);
+        let chunk = wanted[self.rng.random_range(0..wanted.len())];
+        self.fetch(now, chunk, ChunkSource::Origin, actions);
+    }
+
+    fn fetch(
+        &mut self,
+        now: Moment,
+        chunk: ChunkIndex,
+        source: ChunkSource,
+        actions: &mut Vec<SwarmAction>,
+    ) {
+        if let ChunkSource::Peer(peer) = source {
+            self.peers.ask(peer);
+        }
+        self.open.insert(chunk, OpenFetch { source, asked: now, started: None });
+        actions.push(SwarmAction::Fetch { chunk, source });
+    }
+}
--- /dev/null
+++ b/crates/core/src/burst/seats.rs
@@ -0,0 +1,191 @@
+//! Who takes part, and who is responsible for which chunk.
+//!
+//! Every box ranks domains and boxes by rendezvous hashing, so that boxes with the same list
+//! agree without a word, and boxes whose lists differ a little disagree about few chunks.
+
+use std::collections::BTreeMap;
+
+use headlatch_types::ChunkIndex;
+
+use crate::hash::{ranking, score, winner};
+
+/// Key of a box, from its id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PeerKey(pub u64);
+
+/// A box and where it stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PeerSeat {
+    /// Key of the box.
+    pub key: PeerKey,
+    /// Key of its failure domain.
+    pub domain: u64,
+    /// Key of its region.
+    pub region: u64,
+}
+
+/// The boxes that take part in one transfer.
+#[derive(Debug, Clone)]
+pub struct SeatMap {
+    salt: u64,
+    me: PeerSeat,
+    seats: BTreeMap<PeerKey, PeerSeat>,
+    /// Domain to its region and its boxes.
+    domains: BTreeMap<u64, (u64, Vec<u64>)>,
+}
+
+impl SeatMap {
+    /// A map with this box alone; `salt` keeps transfers from burdening the same boxes.
+    pub fn new(salt: u64, me: PeerSeat) -> Self {
+        let mut map = Self { salt, me, seats: BTreeMap::new(), domains: BTreeMap::new() };
+        map.replace(&[me]);
+        map
+    }
+
+    /// Takes over a new list; this box is always in it.
+    pub fn replace(&mut self, seats: &[PeerSeat]) {
+        self.seats = seats.iter().map(|seat| (seat.key, *seat)).collect();
+        self.seats.insert(self.me.key, self.me);
+        self.index();
+    }
+
+    /// Leaves out a box until the next list.
+    pub fn remove(&mut self, peer: PeerKey) {
+        if peer != self.me.key && self.seats.remove(&peer).is_some() {
+            self.index();
+        }
+    }
+
+    fn index(&mut self) {
+        self.domains.clear();
+        for seat in self.seats.values() {
+            let entry = self.domains.entry(seat.domain).or_insert((seat.region, Vec::new()));
+            entry.1.push(seat.key.0);
+        }
+    }
+
+    /// This box.
+    pub fn me(&self) -> PeerSeat {
+        self.me
+    }
+
+    /// Boxes that take part.
+    pub fn count(&self) -> usize {
+        self.seats.len()
+    }
+
+    /// Where a box stands.
+    pub fn seat(&self, peer: PeerKey) -> Option<PeerSeat> {
+        self.seats.get(&peer).copied()
+    }
+
+    /// Whether a box stands in this box's domain.
+    pub fn is_near(&self, peer: PeerKey) -> bool {
+        self.seat(peer).is_some_and(|seat| seat.domain == self.me.domain)
+    }
+
+    fn subject(&self, chunk: ChunkIndex) -> u64 {
+        score(self.salt, u64::from(chunk.0))
+    }
+
+    /// The domain whose importer draws `chunk` from the origin.
+    pub fn first_domain(&self, chunk: ChunkIndex) -> u64 {
+        let domains = self.domains.keys().copied();
+        winner(self.subject(chunk), domains).unwrap_or(self.me.domain)
+    }
+
+    /// Rank of this box's domain for `chunk`, 0 for the one that draws it.
+    pub fn domain_rank(&self, chunk: ChunkIndex) -> usize {
+        let ranked = ranking(self.subject(chunk), self.domains.keys().copied());
+        ranked.iter().position(|domain| *domain == self.me.domain).unwrap_or(0)
+    }
+
+    /// The box that draws `chunk` from the origin or the store.
+    pub fn drawer(&self, chunk: ChunkIndex) -> PeerKey {
+        self.importer(self.first_domain(chunk), chunk).unwrap_or(self.me.key)
+    }
+
+    /// The box that brings `chunk` into `domain`.
+    pub fn importer(&self, domain: u64, chunk: ChunkIndex) -> Option<PeerKey> {
+        let boxes = &self.domains.get(&domain)?.1;
+        winner(self.subject(chunk), boxes.iter().copied()).map(PeerKey)
+    }
+
+    /// Rank of this box among its domain's importers of `chunk`, below `most`, if it has one.
+    pub fn importer_rank(&self, chunk: ChunkIndex, most: usize) -> Option<usize> {
+        let subject = self.subject(chunk);
+        let boxes = &self.domains.get(&self.me.domain)?.1;
+        let own = score(subject, self.me.key.0);
+        let above = boxes.iter().filter(|other| score(subject, **other) > own).take(most).count();
+        (above < most).then_some(above)
+    }
+
+    /// The first `most` importers of `chunk` in every domain but this box's own.
+    pub fn far_importers(&self, chunk: ChunkIndex, most: usize) -> Vec<PeerKey> {
+        let subject = self.subject(chunk);
+        let others = self.domains.iter().filter(|(domain, _)| **domain != self.me.domain);
+        let first = |boxes: &[u64]| {
+            ranking(subject, boxes.iter().copied()).into_iter().take(most).collect::<Vec<_>>()
+        };
+        others.flat_map(|(_, (_, boxes))| first(boxes)).map(PeerKey).collect()
+    }
+
+    /// To whom a chunk that has just entered this box's domain from `source_region` is offered:
+    /// one importer in each other region, and one in each other domain of this region. A chunk
+    /// that came from within the region is offered to nobody, since its sender has done so.
+    pub fn onward(&self, chunk: ChunkIndex, source: ImportOrigin) -> Vec<PeerKey> {
+        let siblings = self
+            .domains
+            .iter()
+            .filter(|(domain, (region, _))| {
+                **domain != self.me.domain && *region == self.me.region
+            })
+            .map(|(domain, _)| *domain);
+        let targets: Vec<u64> = match source {
+            ImportOrigin::Sibling => Vec::new(),
+            ImportOrigin::OtherRegion => siblings.collect(),
+            ImportOrigin::Outside => siblings.chain(self.region_heads(chunk)).collect(),
+        };
+        targets.into_iter().filter_map(|domain| self.importer(domain, chunk)).collect()
+    }
+
+    /// For each other region, the domain that takes `chunk` in for all of it.
+    fn region_heads(&self, chunk: ChunkIndex) -> impl Iterator<Item = u64> {
+        let subject = self.subject(chunk);
+        let mut heads: BTreeMap<u64, u64> = BTreeMap::new();
+        for (domain, (region, _)) in &self.domains {
+            let head = heads.entry(*region).or_insert(*domain);
+            if score(subject, *domain) > score(subject, *head) {
+                *head = *domain;
+            }
+        }
+        heads.remove(&self.me.region);
+        heads.into_values()
+    }
+
+    /// The boxes of this domain that this box exchanges notes with.
+    ///
+    /// The choice is symmetric: a pair of boxes belongs together if the score of the pair is
+    /// below a threshold that gives each box about `wanted` neighbours.
+    pub fn neighbours(&self, wanted: usize) -> Vec<PeerKey> {
+        let Some((_, boxes)) = self.domains.get(&self.me.domain) else { return Vec::new() };
+        let others = boxes.len().saturating_sub(1);
+        let own = self.me.key.0;
+        let near = |other: &&u64| {
+            let pair = score(own.min(**other), own.max(**other));
+            others <= wanted || pair < (u64::MAX / others as u64).saturating_mul(wanted as u64)
+        };
+        boxes.iter().filter(|other| **other != own).filter(near).copied().map(PeerKey).collect()
+    }
+}
+
+/// Where a chunk came from, seen from the domain that it has entered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ImportOrigin {
+    /// The origin or the store.
+    Outside,
+    /// A box of another region.
+    OtherRegion,
+    /// A box of another domain in this region.
+    Sibling,
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,19 @@
+//! Checked types shared by every package of headlatch.
+//!
+//! Raw input is turned into these types once, at the border, by `TryFrom`;
+//! nothing past the border checks again.
+
+pub mod digest;
+pub mod fleet;
+pub mod id;
+pub mod manifest;
+pub mod quantity;
+pub mod reading;
+pub mod settings;
+pub mod verdict;
+
+pub use digest::Digest;
+pub use fleet::FleetPlan;
+pub use manifest::{ChunkIndex, Manifest};
+pub use reading::InputError;
+pub use verdict::RunVerdict;
