--- a/crates/bench/src/burst/baseline.rs
+++ b/crates/bench/src/burst/baseline.rs
@@ -4,9 +4,7 @@
 
 use clap::ValueEnum;
 use headlatch_core::{
-    burst::{
-        ChunkSource, PeerKey, SwarmAction, SwarmEvent, SwarmNote, SwarmPlanner,
-    },
+    burst::{ChunkSource, PeerKey, SwarmAction, SwarmEvent, SwarmNote, SwarmPlanner},
     time::Moment,
 };
 use headlatch_types::ChunkIndex;
@@ -68,7 +66,8 @@
                 [2 * nth + 1, 2 * nth + 2].iter().filter_map(|at| keys.get(*at)).copied().collect()
             }
         };
-        let ready = if parent.is_none() { (0..chunks).map(ChunkIndex).collect() } else { VecDeque::new() };
+        let ready =
+            if parent.is_none() { (0..chunks).map(ChunkIndex).collect() } else { VecDeque::new() };
         let source = parent.map_or(ChunkSource::Origin, ChunkSource::Peer);
         Self { source, children, chunks, ready, open: BTreeSet::new(), held: BTreeSet::new() }
     }
--- a/crates/bench/src/burst/faults.rs
+++ b/crates/bench/src/burst/faults.rs
@@ -141,7 +141,8 @@
         let mut boxes: Vec<usize> = (0..options.boxes as usize).collect();
         boxes.shuffle(&mut rng);
         let mut plan = Self { lag: Some(USUAL_LAG), loss: USUAL_LOSS, ..Self::default() };
-        let mut faults: Vec<Fault> = options.faults.iter().flat_map(|fault| fault.parts()).collect();
+        let mut faults: Vec<Fault> =
+            options.faults.iter().flat_map(|fault| fault.parts()).collect();
         faults.sort();
         faults.dedup();
         for fault in faults {
--- a/crates/bench/src/burst/options.rs
+++ b/crates/bench/src/burst/options.rs
@@ -61,6 +61,9 @@
     /// Chunks a box sends at the same time
     #[arg(long)]
     pub uploads: Option<usize>,
+    /// Chunks a box receives at the same time
+    #[arg(long)]
+    pub downloads: Option<usize>,
     /// Chunks a box asks for at the same time
     #[arg(long)]
     pub pipeline: Option<usize>,
@@ -73,6 +76,9 @@
     /// Run a naive scheme instead: direct or tree
     #[arg(long, value_enum)]
     pub baseline: Option<Baseline>,
+    /// Write how far the boxes are, five times a second of virtual time, to standard error
+    #[arg(long)]
+    pub timeline: bool,
     /// Print one line of JSON
     #[arg(long)]
     pub json: bool,
--- a/crates/bench/src/burst/world.rs
+++ b/crates/bench/src/burst/world.rs
@@ -1,6 +1,9 @@
 //! The fake world of a burst: boxes, links, notes and faults around the planners.
 
-use std::{collections::HashMap, time::{Duration, Instant}};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use headlatch_core::{
     burst::{
@@ -47,6 +50,9 @@
 /// Bytes of a message of notes or a request, with the headers below it.
 const MESSAGE_BYTES: u64 = 130;
 
+/// Bytes of a step on the stream of a fetch that is open already.
+const STEP_BYTES: u64 = 60;
+
 /// No run goes on for longer than this.
 const HORIZON: Duration = Duration::from_secs(3 * 3600);
 
@@ -108,6 +114,10 @@
     Withdrawn { at: usize, by: usize, transfer: usize, chunk: ChunkIndex },
     Failed { at: usize, transfer: usize, chunk: ChunkIndex, fetch: u64, failure: FetchFailure },
     Lost { at: usize, transfer: usize, peer: PeerKey },
+    Turn { at: usize, transfer: usize, chunk: ChunkIndex, source: ChunkSource },
+    Take { at: usize, by: usize, transfer: usize, chunk: ChunkIndex },
+    Passed { at: usize, by: usize, transfer: usize, chunk: ChunkIndex },
+    Resumed { at: usize, by: usize, transfer: usize, chunk: ChunkIndex },
     Block { flow: usize, hop: usize },
     Ack { flow: usize },
     Die(usize),
@@ -338,6 +348,21 @@
             WorldEvent::Lost { at, transfer, peer } => {
                 self.handle(now, at, transfer, SwarmEvent::Lost(peer));
             }
+            WorldEvent::Turn { at, transfer, chunk, source } => {
+                self.handle(now, at, transfer, SwarmEvent::Turn { chunk, source });
+            }
+            WorldEvent::Take { at, by, transfer, chunk } => {
+                let to = self.boxes[by].seat.key;
+                self.send_chunk(now, at, transfer, to, chunk);
+            }
+            WorldEvent::Passed { at, by, transfer, chunk } => {
+                let from = self.boxes[by].seat.key;
+                self.handle(now, at, transfer, SwarmEvent::Passed { from, chunk });
+            }
+            WorldEvent::Resumed { at, by, transfer, chunk } => {
+                let from = self.boxes[by].seat.key;
+                self.handle(now, at, transfer, SwarmEvent::Resumed { from, chunk });
+            }
             WorldEvent::Block { flow, hop } => self.move_block(now, flow, hop),
             WorldEvent::Ack { flow } => self.send_block(now, flow),
             WorldEvent::Die(nth) => self.die(now, nth),
@@ -357,6 +382,10 @@
             | WorldEvent::Asked { at: nth, .. }
             | WorldEvent::Withdrawn { at: nth, .. }
             | WorldEvent::Failed { at: nth, .. }
+            | WorldEvent::Turn { at: nth, .. }
+            | WorldEvent::Take { at: nth, .. }
+            | WorldEvent::Passed { at: nth, .. }
+            | WorldEvent::Resumed { at: nth, .. }
             | WorldEvent::Lost { at: nth, .. } => *nth,
             _ => return None,
         };
@@ -373,6 +402,7 @@
         settings.seed = options.seed;
         settings.store = options.store_copies > 0.0;
         settings.uploads = options.uploads.unwrap_or(settings.uploads);
+        settings.downloads = options.downloads.unwrap_or(settings.downloads);
         settings.pipeline = options.pipeline.unwrap_or(settings.pipeline);
         settings.neighbours = options.neighbours.unwrap_or(settings.neighbours);
         settings.queue = options.queue.unwrap_or(settings.queue);
@@ -437,6 +467,9 @@
         if !self.boxes[nth].alive {
             return;
         }
+        if nth == 0 && self.options.timeline {
+            self.print_progress(now);
+        }
         for transfer in 0..self.transfers.len() {
             self.handle(now, nth, transfer, SwarmEvent::Tick);
         }
@@ -513,10 +546,12 @@
         let mut notes: Vec<(PeerKey, Vec<SwarmNote>)> = Vec::new();
         for action in actions {
             match action {
-                SwarmAction::Tell { to, note } => match notes.iter_mut().find(|(key, _)| *key == to) {
-                    Some((_, list)) => list.push(note),
-                    None => notes.push((to, vec![note])),
-                },
+                SwarmAction::Tell { to, note } => {
+                    match notes.iter_mut().find(|(key, _)| *key == to) {
+                        Some((_, list)) => list.push(note),
+                        None => notes.push((to, vec![note])),
+                    }
+                }
                 other => self.act(now, nth, transfer, other),
             }
         }
@@ -529,7 +564,27 @@
         match action {
             SwarmAction::Fetch { chunk, source } => self.fetch(now, nth, transfer, chunk, source),
             SwarmAction::Cancel { chunk, .. } => self.cancel(now, nth, transfer, chunk),
-            SwarmAction::Grant { to, chunk } => self.grant(now, nth, transfer, to, chunk),
+            SwarmAction::Grant { to, chunk } => {
+                let (at, source) = (self.index[&to], ChunkSource::Peer(self.boxes[nth].seat.key));
+                self.boxes[nth].control_bytes += STEP_BYTES;
+                let event = WorldEvent::Turn { at, transfer, chunk, source };
+                self.queue.after(self.latency(nth, at), event);
+            }
+            SwarmAction::Take { chunk, source: ChunkSource::Peer(from) } => {
+                self.step_back(nth, from, |at| WorldEvent::Take { at, by: nth, transfer, chunk });
+            }
+            SwarmAction::Pass { chunk, source: ChunkSource::Peer(from) } => {
+                self.step_back(nth, from, |at| WorldEvent::Passed { at, by: nth, transfer, chunk });
+            }
+            SwarmAction::Resume { chunk, source: ChunkSource::Peer(from) } => {
+                self.step_back(nth, from, |at| WorldEvent::Resumed {
+                    at,
+                    by: nth,
+                    transfer,
+                    chunk,
+                });
+            }
+            SwarmAction::Take { .. } | SwarmAction::Pass { .. } | SwarmAction::Resume { .. } => {}
             SwarmAction::Refuse { to, chunk, failure } => {
                 self.refuse(nth, transfer, to, chunk, failure);
             }
@@ -538,6 +593,13 @@
         }
     }
 
+    /// Answers a sender on the stream of a fetch.
+    fn step_back(&mut self, nth: usize, from: PeerKey, event: impl Fn(usize) -> WorldEvent) {
+        let at = self.index[&from];
+        self.boxes[nth].control_bytes += STEP_BYTES;
+        self.queue.after(self.latency(nth, at), event(at));
+    }
+
     fn send_notes(
         &mut self,
         now: Moment,
@@ -586,7 +648,14 @@
         self.faults.cut.as_ref().is_some_and(here)
     }
 
-    fn fetch(&mut self, now: Moment, nth: usize, transfer: usize, chunk: ChunkIndex, source: ChunkSource) {
+    fn fetch(
+        &mut self,
+        now: Moment,
+        nth: usize,
+        transfer: usize,
+        chunk: ChunkIndex,
+        source: ChunkSource,
+    ) {
         self.next_fetch += 1;
         let id = self.next_fetch;
         let open = OpenFetch { id, source, flow: None };
@@ -605,14 +674,21 @@
                 let event = WorldEvent::Asked { at, by: nth, transfer, chunk, held, fetch: id };
                 self.queue.after(latency, event);
             }
-            ChunkSource::Origin | ChunkSource::Store => match self.outside_failure(now, nth, source) {
-                Some(failure) => self.queue.after(REFUSAL_TIME, failed(failure)),
-                None => self.start_flow(now, None, nth, transfer, chunk, id),
-            },
+            ChunkSource::Origin | ChunkSource::Store => {
+                match self.outside_failure(now, nth, source) {
+                    Some(failure) => self.queue.after(REFUSAL_TIME, failed(failure)),
+                    None => self.start_flow(now, None, nth, transfer, chunk, id),
+                }
+            }
         }
     }
 
-    fn outside_failure(&mut self, now: Moment, nth: usize, source: ChunkSource) -> Option<FetchFailure> {
+    fn outside_failure(
+        &mut self,
+        now: Moment,
+        nth: usize,
+        source: ChunkSource,
+    ) -> Option<FetchFailure> {
         if self.is_cut(now, nth) {
             return Some(FetchFailure::Unreachable);
         }
@@ -649,7 +725,14 @@
         self.handle(now, at, transfer, SwarmEvent::Asked { from, chunk, held });
     }
 
-    fn refuse(&mut self, nth: usize, transfer: usize, to: PeerKey, chunk: ChunkIndex, failure: FetchFailure) {
+    fn refuse(
+        &mut self,
+        nth: usize,
+        transfer: usize,
+        to: PeerKey,
+        chunk: ChunkIndex,
+        failure: FetchFailure,
+    ) {
         let by = self.index[&to];
         let Some(open) = self.boxes[by].fetches.get(&(transfer, chunk)) else { return };
         let event = WorldEvent::Failed { at: by, transfer, chunk, fetch: open.id, failure };
@@ -657,7 +740,14 @@
         self.queue.after(self.latency(nth, by), event);
     }
 
-    fn grant(&mut self, now: Moment, nth: usize, transfer: usize, to: PeerKey, chunk: ChunkIndex) {
+    fn send_chunk(
+        &mut self,
+        now: Moment,
+        nth: usize,
+        transfer: usize,
+        to: PeerKey,
+        chunk: ChunkIndex,
+    ) {
         let by = self.index[&to];
         let own = ChunkSource::Peer(self.boxes[nth].seat.key);
         let open = self.boxes[by].fetches.get(&(transfer, chunk));
@@ -703,7 +793,9 @@
         let mut path = match (source, sender) {
             (ChunkSource::Origin, _) => vec![self.origin_link],
             (ChunkSource::Store, _) => vec![self.store_link],
-            (ChunkSource::Peer(_), nth) => vec![nth.map_or(self.origin_link, |nth| self.boxes[nth].up)],
+            (ChunkSource::Peer(_), nth) => {
+                vec![nth.map_or(self.origin_link, |nth| self.boxes[nth].up)]
+            }
         };
         if let Some(from) = sender.map(|nth| &self.boxes[nth]) {
             if from.region != to.region {
@@ -816,13 +908,8 @@
     fn arrive(&mut self, now: Moment, id: usize) {
         let flow = &mut self.flows[id];
         flow.arrived += 1;
-        let (first, done) = (flow.arrived == 1, flow.arrived == BLOCKS);
-        let (receiver, transfer, chunk) = (flow.receiver, flow.transfer, flow.chunk);
-        let (source, latency) = (flow.source, flow.latency);
-        if first {
-            self.handle(now, receiver, transfer, SwarmEvent::Started { chunk, source });
-        }
-        if done {
+        let latency = flow.latency;
+        if flow.arrived == BLOCKS {
             self.deliver(now, id);
             self.end_flow(now, id);
         } else {
@@ -865,9 +952,8 @@
         }
         self.boxes[nth].fetches.remove(&(transfer, chunk));
         let truth = self.transfers[transfer].contents[chunk.0 as usize];
-        let held = sender.map_or(Some(truth), |from| {
-            self.boxes[from].stored[transfer][chunk.0 as usize]
-        });
+        let held =
+            sender.map_or(Some(truth), |from| self.boxes[from].stored[transfer][chunk.0 as usize]);
         let spoilt = sender.is_some() && sender == self.faults.corrupter
             || self.rng.random::<f64>() < self.faults.corrupt_part;
         let content = held.map_or(0, |content| if spoilt { content ^ 1 } else { content });
@@ -918,6 +1004,32 @@
         }
     }
 
+    /// Writes a line about how far the boxes are and how busy their links have been.
+    fn print_progress(&self, now: Moment) {
+        let held = |one: &FakeBox| {
+            one.wanted
+                .iter()
+                .filter_map(|at| one.planners[*at].as_ref())
+                .map(|one| one.held())
+                .sum()
+        };
+        let counts: Vec<u32> = self.boxes.iter().filter(|one| one.alive).map(held).collect();
+        let mean = f64::from(counts.iter().sum::<u32>()) / counts.len() as f64;
+        let (least, most) = (counts.iter().min(), counts.iter().max());
+        let waiting: u32 = self
+            .boxes
+            .iter()
+            .filter_map(|one| one.planners[0].as_ref())
+            .map(|one| one.queue())
+            .sum();
+        let flows = self.flows.len() - self.free_flows.len();
+        eprintln!(
+            "{now} held {:?} to {:?}, {mean:.1} on average; {flows} flows, {waiting} waiting",
+            least.unwrap_or(&0),
+            most.unwrap_or(&0),
+        );
+    }
+
     /// What the run came to.
     pub fn report(&self) -> BurstReport {
         let awake = |one: &&FakeBox| one.alive && one.paused_until.is_none();
@@ -941,7 +1053,9 @@
             corrupt_accepted: self.corrupt_accepted,
             mixed_served: self.mixed_served,
             unfinished: living.filter(|one| one.served_at.is_none()).count() as u64,
-            control_bytes_per_box_second: round(control as f64 / f64::from(self.options.boxes) / end),
+            control_bytes_per_box_second: round(
+                control as f64 / f64::from(self.options.boxes) / end,
+            ),
             agent_peak_bytes: 0,
             wall_seconds: round(self.begun.elapsed().as_secs_f64()),
         }
--- a/crates/core/src/burst/draws.rs
+++ b/crates/core/src/burst/draws.rs
@@ -118,7 +118,8 @@
         let origin = (0..ORIGIN_TICKETS.min(chunks))
             .map(|chunk| DrawTicket { chunk: ChunkIndex(chunk), pool: DrawPool::Origin });
         let last = chunks.checked_sub(1).filter(|_| store);
-        let store = last.map(|chunk| DrawTicket { chunk: ChunkIndex(chunk), pool: DrawPool::Store });
+        let store =
+            last.map(|chunk| DrawTicket { chunk: ChunkIndex(chunk), pool: DrawPool::Store });
         origin.chain(store).collect()
     }
 }
--- a/crates/core/src/burst/imports.rs
+++ b/crates/core/src/burst/imports.rs
@@ -72,9 +72,10 @@
         &mut self,
         wanted: impl Fn(ChunkIndex, PeerKey) -> bool,
     ) -> Option<(ChunkIndex, PeerKey)> {
-        let pairs = self.offers.iter().flat_map(|(chunk, peers)| {
-            peers.iter().map(move |peer| (*chunk, *peer))
-        });
+        let pairs = self
+            .offers
+            .iter()
+            .flat_map(|(chunk, peers)| peers.iter().map(move |peer| (*chunk, *peer)));
         let (chunk, peer) = pairs.into_iter().find(|(chunk, peer)| wanted(*chunk, *peer))?;
         if let Some(offers) = self.offers.get_mut(&chunk) {
             offers.retain(|other| *other != peer);
--- a/crates/core/src/burst/mod.rs
+++ b/crates/core/src/burst/mod.rs
@@ -120,6 +120,20 @@
         /// For what.
         chunk: ChunkIndex,
     },
+    /// A box that was granted a chunk has no room for it now.
+    Passed {
+        /// Who asked.
+        from: PeerKey,
+        /// For what.
+        chunk: ChunkIndex,
+    },
+    /// A box that passed has room again.
+    Resumed {
+        /// Who asked.
+        from: PeerKey,
+        /// For what.
+        chunk: ChunkIndex,
+    },
     /// A granted chunk has gone out, or its transfer has broken off.
     Sent {
         /// Who asked.
@@ -127,8 +141,8 @@
         /// For what.
         chunk: ChunkIndex,
     },
-    /// The first bytes of a fetch came.
-    Started {
+    /// A box is ready to send a chunk that was asked of it.
+    Turn {
         /// The chunk.
         chunk: ChunkIndex,
         /// Its source.
@@ -176,7 +190,28 @@
         /// From where.
         source: ChunkSource,
     },
-    /// Begin to send a chunk that was asked for.
+    /// Let a box begin to send a chunk whose turn has come.
+    Take {
+        /// The chunk.
+        chunk: ChunkIndex,
+        /// From where.
+        source: ChunkSource,
+    },
+    /// Let a box know that there is no room for a chunk whose turn has come.
+    Pass {
+        /// The chunk.
+        chunk: ChunkIndex,
+        /// From where.
+        source: ChunkSource,
+    },
+    /// Let a box know that there is room again for a chunk that was passed.
+    Resume {
+        /// The chunk.
+        chunk: ChunkIndex,
+        /// From where.
+        source: ChunkSource,
+    },
+    /// Tell an asker that its turn has come; it takes the chunk or passes.
     Grant {
         /// To whom.
         to: PeerKey,
@@ -218,7 +253,9 @@
     pub store: bool,
     /// Chunks sent at the same time.
     pub uploads: usize,
-    /// Chunks asked for at the same time.
+    /// Chunks received at the same time.
+    pub downloads: usize,
+    /// Chunks asked for at the same time, whether they have begun to come or not.
     pub pipeline: usize,
     /// Boxes of its own domain that this box keeps informed, roughly.
     pub neighbours: usize,
@@ -237,7 +274,8 @@
             chunk_time,
             origin_chunk_time,
             store: false,
-            uploads: 2,
+            uploads: 4,
+            downloads: 4,
             pipeline: 8,
             neighbours: 32,
             queue: 8,
--- a/crates/core/src/burst/planner.rs
+++ b/crates/core/src/burst/planner.rs
@@ -28,6 +28,10 @@
 /// Added to every limit on waiting, whatever the chunk's size.
 const LEAST_WAIT: Duration = Duration::from_secs(2);
 
+/// A box sends one chunk at a time until it holds this many, then two, and so on: few boxes hold
+/// anything at first, and what they hold spreads fastest one chunk after another.
+const EARLY_CHUNKS: usize = 8;
+
 /// Copies that may leave the origin under [`BurstPreference::Time`].
 const MOST_COPIES: u32 = 4;
 
@@ -37,6 +41,7 @@
     source: ChunkSource,
     asked: Moment,
     started: Option<Moment>,
+    passed: bool,
 }
 
 /// How far a transfer is.
@@ -83,7 +88,7 @@
         now: Moment,
     ) -> Self {
         let seed = settings.seed ^ me.key.0 ^ salt;
-        let uploads = UploadQueue::new(settings.uploads, settings.queue);
+        let uploads = UploadQueue::new(settings.queue);
         Self {
             seats: SeatMap::new(salt, me),
             peers: PeerTable::new(settings.chunks),
@@ -144,7 +149,15 @@
                 self.uploads.end(from, chunk);
                 self.grant(&mut actions);
             }
-            SwarmEvent::Started { chunk, source } => self.mark_started(now, chunk, source),
+            SwarmEvent::Passed { from, chunk } => {
+                self.uploads.pass(from, chunk);
+                self.grant(&mut actions);
+            }
+            SwarmEvent::Resumed { from, chunk } => {
+                self.uploads.resume(from, chunk);
+                self.grant(&mut actions);
+            }
+            SwarmEvent::Turn { chunk, source } => self.take_turn(now, chunk, source, &mut actions),
             SwarmEvent::Verified { chunk, source } => {
                 self.accept(now, chunk, source, &mut actions);
             }
@@ -235,13 +248,48 @@
 
     fn grant(&mut self, actions: &mut Vec<SwarmAction>) {
         let peers = &self.peers;
-        self.uploads.grant(|chunk| peers.copies(chunk), actions);
+        let most = self.settings.uploads.min(1 + self.held.count() as usize / EARLY_CHUNKS);
+        self.uploads.grant(most, |chunk| peers.copies(chunk), actions);
     }
 
-    fn mark_started(&mut self, now: Moment, chunk: ChunkIndex, source: ChunkSource) {
-        let fetch = self.open.get_mut(&chunk).filter(|fetch| fetch.source == source);
-        if let Some(fetch) = fetch {
+    /// Takes a chunk whose turn has come, unless as many are coming in as this box wants.
+    ///
+    /// The limit keeps the numbers of chunks on each link alike; without it some boxes receive
+    /// many at once while others receive none, and a quarter of all uplinks stands idle.
+    fn take_turn(
+        &mut self,
+        now: Moment,
+        chunk: ChunkIndex,
+        source: ChunkSource,
+        actions: &mut Vec<SwarmAction>,
+    ) {
+        let coming = self.coming();
+        let far = matches!(source, ChunkSource::Peer(peer) if !self.seats.is_near(peer));
+        let Some(fetch) = self.open.get_mut(&chunk).filter(|fetch| fetch.source == source) else {
+            return;
+        };
+        if coming < self.settings.downloads || far {
             fetch.started.get_or_insert(now);
+            actions.push(SwarmAction::Take { chunk, source });
+        } else {
+            fetch.passed = true;
+            actions.push(SwarmAction::Pass { chunk, source });
+        }
+    }
+
+    /// Chunks that are coming in.
+    fn coming(&self) -> usize {
+        self.open.values().filter(|fetch| fetch.started.is_some()).count()
+    }
+
+    /// Once there is room, tells boxes whose turn was passed.
+    fn resume(&mut self, actions: &mut Vec<SwarmAction>) {
+        if self.coming() >= self.settings.downloads {
+            return;
+        }
+        for (chunk, fetch) in self.open.iter_mut().filter(|(_, fetch)| fetch.passed) {
+            fetch.passed = false;
+            actions.push(SwarmAction::Resume { chunk: *chunk, source: fetch.source });
         }
     }
 
@@ -311,10 +359,10 @@
         }
         self.complete = true;
         let open = std::mem::take(&mut self.open);
-        actions.extend(open.into_iter().map(|(chunk, fetch)| SwarmAction::Cancel {
-            chunk,
-            source: fetch.source,
-        }));
+        actions.extend(
+            open.into_iter()
+                .map(|(chunk, fetch)| SwarmAction::Cancel { chunk, source: fetch.source }),
+        );
         actions.push(SwarmAction::Complete);
     }
 
@@ -475,15 +523,14 @@
         if self.complete {
             return;
         }
+        self.resume(actions);
         self.use_offers(now, actions);
         self.use_neighbours(now, actions);
         self.use_extras(now, actions);
     }
 
     fn is_known(&self, chunk: ChunkIndex) -> bool {
-        self.held.contains(chunk)
-            || self.peers.copies(chunk) > 0
-            || self.imports.is_offered(chunk)
+        self.held.contains(chunk) || self.peers.copies(chunk) > 0 || self.imports.is_offered(chunk)
     }
 
     fn use_tickets(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
@@ -586,9 +633,8 @@
         if !self.draws.is_extra_due(now, most) {
             return;
         }
-        let missing = |chunk: &ChunkIndex| {
-            !self.held.contains(*chunk) && !self.open.contains_key(chunk)
-        };
+        let missing =
+            |chunk: &ChunkIndex| !self.held.contains(*chunk) && !self.open.contains_key(chunk);
         let wanted: Vec<ChunkIndex> =
             (0..self.settings.chunks).map(ChunkIndex).filter(missing).collect();
         if wanted.is_empty() {
@@ -609,7 +655,7 @@
         if let ChunkSource::Peer(peer) = source {
             self.peers.ask(peer);
         }
-        self.open.insert(chunk, OpenFetch { source, asked: now, started: None });
+        self.open.insert(chunk, OpenFetch { source, asked: now, started: None, passed: false });
         actions.push(SwarmAction::Fetch { chunk, source });
     }
 }
--- a/crates/core/src/burst/seats.rs
+++ b/crates/core/src/burst/seats.rs
@@ -137,9 +137,7 @@
         let siblings = self
             .domains
             .iter()
-            .filter(|(domain, (region, _))| {
-                **domain != self.me.domain && *region == self.me.region
-            })
+            .filter(|(domain, (region, _))| **domain != self.me.domain && *region == self.me.region)
             .map(|(domain, _)| *domain);
         let targets: Vec<u64> = match source {
             ImportOrigin::Sibling => Vec::new(),
--- a/crates/core/src/burst/uploads.rs
+++ b/crates/core/src/burst/uploads.rs
@@ -12,6 +12,8 @@
     chunk: ChunkIndex,
     held: u32,
     far: bool,
+    /// Its turn came when it had no room; it will say when it has.
+    passed: bool,
     since: Moment,
 }
 
@@ -19,14 +21,13 @@
 #[derive(Debug, Clone)]
 pub(super) struct UploadQueue {
     waiting: Vec<WaitingAsk>,
-    active: Vec<(PeerKey, ChunkIndex)>,
-    most_active: usize,
+    active: Vec<WaitingAsk>,
     most_waiting: usize,
 }
 
 impl UploadQueue {
-    pub(super) fn new(most_active: usize, most_waiting: usize) -> Self {
-        Self { waiting: Vec::new(), active: Vec::new(), most_active, most_waiting }
+    pub(super) fn new(most_waiting: usize) -> Self {
+        Self { waiting: Vec::new(), active: Vec::new(), most_waiting }
     }
 
     /// Requests that wait, for others to know.
@@ -34,8 +35,7 @@
         self.waiting.len() as u32
     }
 
-    /// Takes in a request; refuses it if too many wait. Requests from other domains always fit,
-    /// since each chunk is imported only once.
+    /// Takes in a request; refuses it if too many wait.
     pub(super) fn ask(
         &mut self,
         now: Moment,
@@ -44,46 +44,73 @@
         far: bool,
         actions: &mut Vec<SwarmAction>,
     ) {
-        let known = |ask: &WaitingAsk| ask.from == from && ask.chunk == chunk;
-        if self.waiting.iter().any(known) || self.active.contains(&(from, chunk)) {
+        if self.waiting.iter().chain(&self.active).any(|ask| ask.is(from, chunk)) {
             return;
         }
-        let room = self.waiting.len() < self.most_waiting;
-        if !room && !(far && self.waiting.len() < self.most_waiting * 4) {
+        let most = if far { self.most_waiting * FAR_ROOM } else { self.most_waiting };
+        if self.waiting.len() >= most {
             actions.push(SwarmAction::Refuse { to: from, chunk, failure: FetchFailure::Busy });
             return;
         }
-        self.waiting.push(WaitingAsk { from, chunk, held, far, since: now });
+        self.waiting.push(WaitingAsk { from, chunk, held, far, passed: false, since: now });
     }
 
     /// Forgets a request, be it waiting or on its way.
     pub(super) fn end(&mut self, from: PeerKey, chunk: ChunkIndex) {
-        self.waiting.retain(|ask| ask.from != from || ask.chunk != chunk);
-        self.active.retain(|active| *active != (from, chunk));
+        self.waiting.retain(|ask| !ask.is(from, chunk));
+        self.active.retain(|ask| !ask.is(from, chunk));
     }
 
     /// Forgets everything a box asked for.
     pub(super) fn forget(&mut self, from: PeerKey) {
         self.waiting.retain(|ask| ask.from != from);
-        self.active.retain(|(peer, _)| *peer != from);
+        self.active.retain(|ask| ask.from != from);
     }
 
-    /// Grants requests while there is room: other domains first, then the rarest chunk, then the
-    /// box that holds least, then the longest wait.
-    pub(super) fn grant(&mut self, rarity: impl Fn(ChunkIndex) -> u32, actions: &mut Vec<SwarmAction>) {
-        while self.active.len() < self.most_active {
-            let busy = |ask: &WaitingAsk| self.active.iter().any(|(peer, _)| *peer == ask.from);
+    /// The box whose turn had come has no room; its request waits until it has.
+    pub(super) fn pass(&mut self, from: PeerKey, chunk: ChunkIndex) {
+        let Some(at) = self.active.iter().position(|ask| ask.is(from, chunk)) else { return };
+        let ask = self.active.swap_remove(at);
+        self.waiting.push(WaitingAsk { passed: true, ..ask });
+    }
+
+    /// The box has room again.
+    pub(super) fn resume(&mut self, from: PeerKey, chunk: ChunkIndex) {
+        let ask = self.waiting.iter_mut().find(|ask| ask.is(from, chunk));
+        ask.into_iter().for_each(|ask| ask.passed = false);
+    }
+
+    /// Grants requests until `most` are on their way: other domains first, then boxes that are
+    /// not being sent anything, then the rarest chunk, then the box that holds least, then the
+    /// longest wait.
+    pub(super) fn grant(
+        &mut self,
+        most: usize,
+        rarity: impl Fn(ChunkIndex) -> u32,
+        actions: &mut Vec<SwarmAction>,
+    ) {
+        while self.active.len() < most {
+            let busy = |ask: &WaitingAsk| self.active.iter().any(|other| other.from == ask.from);
             let order = |ask: &WaitingAsk| {
                 (!ask.far, busy(ask), rarity(ask.chunk).min(RARE), ask.held, ask.since)
             };
-            let waiting = self.waiting.iter().enumerate();
-            let Some((at, _)) = waiting.min_by_key(|(_, ask)| order(ask)) else { return };
+            let ready = self.waiting.iter().enumerate().filter(|(_, ask)| !ask.passed);
+            let Some((at, _)) = ready.min_by_key(|(_, ask)| order(ask)) else { return };
             let ask = self.waiting.swap_remove(at);
-            self.active.push((ask.from, ask.chunk));
             actions.push(SwarmAction::Grant { to: ask.from, chunk: ask.chunk });
+            self.active.push(ask);
         }
     }
 }
 
+impl WaitingAsk {
+    fn is(&self, from: PeerKey, chunk: ChunkIndex) -> bool {
+        self.from == from && self.chunk == chunk
+    }
+}
+
+/// How much longer the queue may be for other domains, since each chunk is imported only once.
+const FAR_ROOM: usize = 4;
+
 /// A chunk with this many copies nearby or more is not rare.
 const RARE: u32 = 6;
--- /dev/null
+++ b/crates/daemon/src/agent/hub.rs
@@ -0,0 +1,230 @@
+//! The transfers of one box, and its part in those of others.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use bytes::Bytes;
+use headlatch_core::burst::{FetchFailure, PeerKey, SwarmEvent};
+use headlatch_http::pace::{LinkPacer, TURN_BYTES};
+use headlatch_types::{ChunkIndex, Digest, id::BoxId};
+use headlatch_wire::{ChunkPiece, FetchChunkRequest, FetchStep, SwarmNotes, fetch_step::Step};
+use tokio::sync::mpsc;
+use tonic::{Status, Streaming};
+
+use super::{
+    swarm::{DriverInput, SessionStep, SwarmHandle, manifest_digest, peer_key},
+    vault::ChunkVault,
+};
+use crate::{
+    metrics::NodeMetrics,
+    node::{
+        codec,
+        service::{PieceStream, SwarmHost},
+    },
+};
+
+/// The transfers that run on this box.
+#[derive(Debug)]
+pub struct SwarmHub {
+    swarms: Mutex<HashMap<Digest, SwarmHandle>>,
+    vault: Arc<ChunkVault>,
+    up: Arc<LinkPacer>,
+    metrics: NodeMetrics,
+}
+
+impl SwarmHub {
+    /// A hub without transfers, whose chunks go out over `up`.
+    pub fn new(vault: Arc<ChunkVault>, up: Arc<LinkPacer>, metrics: NodeMetrics) -> Self {
+        Self { swarms: Mutex::default(), vault, up, metrics }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Digest, SwarmHandle>> {
+        self.swarms.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    /// A transfer, if it runs here.
+    pub fn get(&self, manifest: &Digest) -> Option<SwarmHandle> {
+        self.lock().get(manifest).cloned()
+    }
+
+    /// Adds a transfer.
+    pub fn add(&self, handle: SwarmHandle) {
+        self.lock().insert(handle.manifest.digest(), handle);
+    }
+
+    /// Ends every transfer but those in `wanted`, and drops chunks that none of them has.
+    pub fn retain(&self, wanted: impl Fn(&Digest) -> bool) {
+        let mut swarms = self.lock();
+        let before = swarms.len();
+        swarms.retain(|digest, _| wanted(digest));
+        if swarms.len() != before {
+            self.vault.retain(swarms.values().map(|handle| &*handle.manifest));
+        }
+    }
+
+    /// Every transfer.
+    pub fn all(&self) -> Vec<SwarmHandle> {
+        self.lock().values().cloned().collect()
+    }
+}
+
+impl SwarmHost for SwarmHub {
+    fn take_notes(&self, notes: SwarmNotes) -> bool {
+        let Some(handle) = manifest_digest(&notes.manifest).and_then(|digest| self.get(&digest))
+        else {
+            return false;
+        };
+        let Ok(id) = notes.box_id.parse::<BoxId>() else { return false };
+        let from = peer_key(&id);
+        let chunks = handle.manifest.chunks().len() as u32;
+        for message in notes.notes {
+            let Ok(note) = codec::decode_note(message, chunks) else { continue };
+            let event = SwarmEvent::Note { from, note, queue: notes.queue };
+            handle.tell(DriverInput::Event(event));
+        }
+        true
+    }
+
+    fn serve_chunk(&self, steps: Streaming<FetchStep>) -> PieceStream {
+        let server = ChunkServer {
+            handles: self.lock().clone(),
+            vault: self.vault.clone(),
+            up: self.up.clone(),
+            metrics: self.metrics.clone(),
+        };
+        Box::pin(server.serve(steps))
+    }
+
+    fn manifest(&self, digest: Digest) -> Option<Bytes> {
+        self.get(&digest).map(|handle| handle.text)
+    }
+}
+
+/// Serves one fetch of a chunk.
+struct ChunkServer {
+    handles: HashMap<Digest, SwarmHandle>,
+    vault: Arc<ChunkVault>,
+    up: Arc<LinkPacer>,
+    metrics: NodeMetrics,
+}
+
+/// Tells the driver that a box no longer wants what it asked for, however the stream ends.
+struct AskGuard {
+    inputs: mpsc::Sender<DriverInput>,
+    from: PeerKey,
+    chunk: ChunkIndex,
+}
+
+impl Drop for AskGuard {
+    fn drop(&mut self) {
+        let event = SwarmEvent::Withdrawn { from: self.from, chunk: self.chunk };
+        let inputs = self.inputs.clone();
+        tokio::spawn(async move {
+            // The driver may have ended; then nobody needs to know.
+            let _ = inputs.send(DriverInput::Event(event)).await;
+        });
+    }
+}
+
+impl ChunkServer {
+    fn serve(
+        self,
+        mut steps: Streaming<FetchStep>,
+    ) -> impl futures_util::Stream<Item = Result<ChunkPiece, Status>> + Send {
+        async_stream::try_stream! {
+            let ask = first_ask(&mut steps).await?;
+            let (handle, from) = self.find(&ask)?;
+            let chunk = ChunkIndex(ask.chunk);
+            let place = handle.manifest.chunk(chunk).cloned();
+            let place = place.ok_or_else(|| Status::invalid_argument("no such chunk"))?;
+            let (session, mut answers) = mpsc::channel(4);
+            let inputs = handle.inputs();
+            let input = DriverInput::Ask { from, chunk, held: ask.held, session };
+            inputs.send(input).await.map_err(|_| Status::not_found("the transfer has ended"))?;
+            let _guard = AskGuard { inputs: inputs.clone(), from, chunk };
+            // Held in the handle so that the driver lives as long as its sessions.
+            let _handle = handle;
+            loop {
+                match next_word(&mut answers, &mut steps).await? {
+                    StreamWord::Turn => yield ChunkPiece { turn: true, ..ChunkPiece::default() },
+                    StreamWord::Step(Step::Take(_)) => break,
+                    StreamWord::Step(Step::Pass(_)) => {
+                        tell(&inputs, SwarmEvent::Passed { from, chunk }).await;
+                    }
+                    StreamWord::Step(Step::Resume(_)) => {
+                        tell(&inputs, SwarmEvent::Resumed { from, chunk }).await;
+                    }
+                    StreamWord::Step(Step::Ask(_)) => {
+                        Err(Status::invalid_argument("asked twice"))?;
+                    }
+                    StreamWord::Closed => return,
+                }
+            }
+            let data = self.vault.get(&place.digest);
+            let mut rest = data.ok_or_else(|| Status::not_found("the chunk is gone"))?;
+            while !rest.is_empty() {
+                let piece = rest.split_to(rest.len().min(TURN_BYTES));
+                self.up.send(piece.len()).await;
+                self.metrics.count_chunk("up", piece.len() as u64);
+                yield ChunkPiece { data: piece, turn: false };
+            }
+        }
+    }
+
+    fn find(&self, ask: &FetchChunkRequest) -> Result<(SwarmHandle, PeerKey), Status> {
+        let digest = manifest_digest(&ask.manifest);
+        let handle = digest.and_then(|digest| self.handles.get(&digest).cloned());
+        let handle = handle.ok_or_else(|| Status::not_found("no such transfer here"))?;
+        let id: BoxId =
+            ask.box_id.parse().map_err(|_| Status::invalid_argument("box_id is no name"))?;
+        Ok((handle, peer_key(&id)))
+    }
+}
+
+/// What comes next on the stream of a fetch.
+enum StreamWord {
+    /// The driver says that the turn has come.
+    Turn,
+    /// The asker says something.
+    Step(Step),
+    /// The asker is gone.
+    Closed,
+}
+
+async fn next_word(
+    answers: &mut mpsc::Receiver<SessionStep>,
+    steps: &mut Streaming<FetchStep>,
+) -> Result<StreamWord, Status> {
+    tokio::select! {
+        answer = answers.recv() => match answer {
+            Some(SessionStep::Turn) => Ok(StreamWord::Turn),
+            Some(SessionStep::Refuse(failure)) => Err(refusal(failure)),
+            None => Err(Status::not_found("the transfer has ended")),
+        },
+        step = steps.message() => {
+            let step = step?.and_then(|step| step.step);
+            Ok(step.map_or(StreamWord::Closed, StreamWord::Step))
+        }
+    }
+}
+
+async fn tell(inputs: &mpsc::Sender<DriverInput>, event: SwarmEvent) {
+    // The driver may have ended; the stream then ends at its next step.
+    let _ = inputs.send(DriverInput::Event(event)).await;
+}
+
+async fn first_ask(steps: &mut Streaming<FetchStep>) -> Result<FetchChunkRequest, Status> {
+    match steps.message().await?.and_then(|step| step.step) {
+        Some(Step::Ask(ask)) => Ok(ask),
+        _ => Err(Status::invalid_argument("the first step must be an ask")),
+    }
+}
+
+fn refusal(failure: FetchFailure) -> Status {
+    match failure {
+        FetchFailure::Busy => Status::resource_exhausted("busy"),
+        _ => Status::not_found("the chunk is not here"),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/mod.rs
@@ -0,0 +1,223 @@
+//! The agent: one small process beside each endpoint.
+
+pub mod desk;
+pub mod engine;
+pub mod fetch;
+pub mod hub;
+pub mod loader;
+pub mod serve;
+pub mod swarm;
+pub mod vault;
+pub mod watch;
+pub mod weights;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use error_stack::{Report, ResultExt};
+use headlatch_core::membership::{EndpointState, NodeKind};
+use headlatch_http::{HttpLimits, HttpServer, StopHandle, StopSignal, pace::LinkPacer};
+use headlatch_types::settings::{AgentSettings, LinkDuplex};
+use headlatch_wire::{endpoint_server::EndpointServer, node_server::NodeServer};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio_stream::wrappers::TcpListenerStream;
+use volo_http::server::Router;
+
+use crate::{
+    error::DaemonError,
+    node::{
+        NodeContext,
+        admin::{self, ReadyFlag},
+        gossip,
+        service::{MOST_MESSAGE, NodeService, SwarmHost},
+        sync,
+    },
+    platform::SharedStore,
+    timer::SharedTimer,
+    trace::SpanMaker,
+};
+
+use self::{
+    desk::EndpointDesk,
+    engine::HttpEngine,
+    fetch::OutsideFetcher,
+    hub::SwarmHub,
+    loader::{LoaderState, WeightLoader},
+    serve::EndpointService,
+    vault::ChunkVault,
+};
+
+/// Time after the word that a box leaves in which requests already on their way still come.
+const LEAVE_TIME: Duration = Duration::from_secs(3);
+
+/// How often a stop looks whether requests are still in progress.
+const DRAIN_LOOK: Duration = Duration::from_millis(100);
+
+/// Binds one port for TCP and UDP.
+pub async fn bind_control(
+    address: SocketAddr,
+) -> Result<(TcpListener, UdpSocket), Report<DaemonError>> {
+    let failure = || DaemonError::Bind(address);
+    let listener = TcpListener::bind(address).await.change_context_lazy(failure)?;
+    let bound = listener.local_addr().change_context_lazy(failure)?;
+    let socket = UdpSocket::bind(bound).await.change_context_lazy(failure)?;
+    Ok((listener, socket))
+}
+
+/// An agent that runs.
+#[derive(Debug)]
+pub struct RunningAgent {
+    /// What its parts share.
+    pub node: Arc<NodeContext>,
+    /// What runs at its endpoint.
+    pub desk: Arc<EndpointDesk>,
+    /// Where it answers health checks.
+    pub admin: SocketAddr,
+    stop: StopHandle,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl RunningAgent {
+    /// Starts an agent.
+    pub async fn start(
+        settings: AgentSettings,
+        timer: SharedTimer,
+        store: SharedStore,
+        spans: SpanMaker,
+    ) -> Result<Self, Report<DaemonError>> {
+        let (listener, socket) = bind_control(settings.node.control).await?;
+        let bind_failure = || DaemonError::Bind(settings.node.admin);
+        let control = listener.local_addr().change_context_lazy(bind_failure)?;
+        let admin_server = HttpServer::bind(settings.node.admin, HttpLimits::default())
+            .await
+            .change_context_lazy(bind_failure)?;
+        let admin = admin_server.address().change_context_lazy(bind_failure)?;
+        let kind = NodeKind::Agent;
+        let node = NodeContext::new(settings.node.clone(), kind, control, timer, store, spans);
+        let parts = AgentParts::new(settings, node, admin);
+        let (stop, signal) = StopHandle::new();
+        let tasks = parts.spawn(listener, socket, admin_server, &signal);
+        log::info!("agent: {} listens on {control}", parts.node.settings.box_id);
+        Ok(Self { node: parts.node, desk: parts.desk, admin, stop, tasks })
+    }
+
+    /// Leaves: takes no new work, finishes what is in progress, and stops.
+    pub async fn leave(self) {
+        log::info!("agent: leaving");
+        self.node.update_record(true, |record| record.leaving = true);
+        // Entries need a moment to hear of it; what they send until then is refused as not run.
+        self.desk.lock().leaving = true;
+        tokio::time::sleep(LEAVE_TIME).await;
+        let drained = async {
+            while self.desk.lock().in_progress > 0 {
+                tokio::time::sleep(DRAIN_LOOK).await;
+            }
+        };
+        if tokio::time::timeout(self.node.settings.drain, drained).await.is_err() {
+            log::error!("agent: requests were still in progress at the end of the drain");
+        }
+        self.stop.stop();
+        for task in self.tasks {
+            // Its connections may outlast it; what matters has ended above.
+            let _ = tokio::time::timeout(Duration::from_secs(1), task).await;
+        }
+    }
+
+    /// Ends at once, as if the box had died.
+    pub fn kill(self) {
+        self.stop.stop();
+        self.tasks.iter().for_each(|task| task.abort());
+    }
+}
+
+/// The parts of an agent before they run.
+struct AgentParts {
+    settings: AgentSettings,
+    node: Arc<NodeContext>,
+    desk: Arc<EndpointDesk>,
+    hub: Arc<SwarmHub>,
+    vault: Arc<ChunkVault>,
+    down: Arc<LinkPacer>,
+    admin: SocketAddr,
+}
+
+impl AgentParts {
+    fn new(settings: AgentSettings, node: Arc<NodeContext>, admin: SocketAddr) -> Self {
+        let endpoint = settings.endpoint.clone();
+        node.update_record(false, |record| {
+            record.endpoint = Some(EndpointState {
+                service: endpoint.service.clone(),
+                slots: endpoint.slots,
+                ..EndpointState::default()
+            });
+        });
+        let desk = Arc::new(EndpointDesk::new(endpoint, settings.node.box_id.to_string()));
+        let vault = Arc::new(ChunkVault::new(settings.chunk_memory));
+        let down = Arc::new(LinkPacer::new(settings.link.usable()));
+        let up = match settings.link.duplex {
+            LinkDuplex::Full => Arc::new(LinkPacer::new(settings.link.usable())),
+            LinkDuplex::Shared => down.clone(),
+        };
+        let hub = Arc::new(SwarmHub::new(vault.clone(), up, node.metrics.clone()));
+        Self { settings, node, desk, hub, vault, down, admin }
+    }
+
+    fn spawn(
+        &self,
+        listener: TcpListener,
+        socket: UdpSocket,
+        admin_server: HttpServer,
+        signal: &StopSignal,
+    ) -> Vec<tokio::task::JoinHandle<()>> {
+        let ready = ReadyFlag::default();
+        let router = admin::add_routes(Router::new(), &self.node, &ready);
+        let router = weights::add_routes(router, &self.hub, &self.vault);
+        let mut tasks = vec![
+            tokio::spawn(gossip::run(self.node.clone(), socket, signal.clone())),
+            tokio::spawn(sync::run(self.node.clone(), signal.clone())),
+            tokio::spawn(admin_server.serve(router, signal.clone())),
+            tokio::spawn(self.serve_control(listener, signal.clone())),
+        ];
+        let watcher = watch::EndpointWatcher::new(self.node.clone(), self.desk.clone(), ready);
+        tasks.push(tokio::spawn(watcher.run(signal.clone())));
+        if self.settings.endpoint.service.is_none() {
+            tasks.push(tokio::spawn(self.loader().run(signal.clone())));
+        }
+        tasks
+    }
+
+    fn serve_control(
+        &self,
+        listener: TcpListener,
+        mut signal: StopSignal,
+    ) -> impl Future<Output = ()> + use<> {
+        let host: Arc<dyn SwarmHost> = self.hub.clone();
+        let node_service = NodeService::new(self.node.clone(), Some(host));
+        let node_service = NodeServer::new(node_service).max_decoding_message_size(MOST_MESSAGE);
+        let endpoint = EndpointService::new(self.node.clone(), self.desk.clone());
+        let endpoint = EndpointServer::new(endpoint).max_decoding_message_size(MOST_MESSAGE);
+        let incoming = TcpListenerStream::new(listener);
+        let served = crate::node::service::server()
+            .add_service(node_service)
+            .add_service(endpoint)
+            .serve_with_incoming_shutdown(incoming, async move { signal.stopped().await });
+        async move {
+            if let Err(error) = served.await {
+                log::error!("agent: the control listener failed, {error}");
+            }
+        }
+    }
+
+    fn loader(&self) -> WeightLoader {
+        WeightLoader {
+            settings: self.settings.clone(),
+            node: self.node.clone(),
+            desk: self.desk.clone(),
+            hub: self.hub.clone(),
+            vault: self.vault.clone(),
+            engine: Arc::new(HttpEngine::new(self.settings.endpoint.address)),
+            fetcher: OutsideFetcher::new(self.down.clone()),
+            weights_url: format!("http://{}", self.admin),
+            state: LoaderState::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/serve.rs
@@ -0,0 +1,270 @@
+//! The endpoint service: takes a request from an entry and runs it at the endpoint.
+
+use std::{pin::Pin, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::Stream;
+use headlatch_http::{CallError, HttpCaller};
+use headlatch_types::RunVerdict;
+use headlatch_wire::{
+    Data, End, Head, Header, LoadReport, RefusalCause, Refused, ServeFrame, ServeRequest,
+    endpoint_server::Endpoint, serve_frame::Part,
+};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use http_body_util::BodyExt;
+use opentelemetry::trace::SpanKind;
+use tonic::{Request, Response, Status};
+
+use super::desk::{EndpointDesk, RunPermit};
+use crate::{
+    node::{NodeContext, codec},
+    trace::{HopSpan, TRACEPARENT},
+};
+
+/// When it is worth asking a busy endpoint again.
+const BUSY_RETRY: Duration = Duration::from_millis(200);
+
+/// The last event of a streamed completion; without it a stream is not whole.
+const STREAM_END: &[u8] = b"data: [DONE]";
+
+/// Headers that belong to one connection and are not passed on.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+];
+
+type FrameStream = Pin<Box<dyn Stream<Item = Result<ServeFrame, Status>> + Send>>;
+
+/// Runs requests at the endpoint of this box.
+pub struct EndpointService {
+    node: Arc<NodeContext>,
+    desk: Arc<EndpointDesk>,
+    pooled: HttpCaller,
+    fresh: HttpCaller,
+}
+
+impl EndpointService {
+    /// The service of `desk`'s endpoint.
+    pub fn new(node: Arc<NodeContext>, desk: Arc<EndpointDesk>) -> Self {
+        Self { node, desk, pooled: HttpCaller::pooled(), fresh: HttpCaller::fresh() }
+    }
+}
+
+#[tonic::async_trait]
+impl Endpoint for EndpointService {
+    type ServeStream = FrameStream;
+
+    async fn serve(&self, request: Request<ServeRequest>) -> Result<Response<FrameStream>, Status> {
+        let request = request.into_inner();
+        let parent = Some(request.traceparent.as_str());
+        let run = EndpointRun {
+            span: self.node.spans.begin("agent", SpanKind::Server, parent),
+            node: self.node.clone(),
+            desk: self.desk.clone(),
+            caller: if request.repeatable { self.pooled.clone() } else { self.fresh.clone() },
+            frames: FrameMaker { request_id: request.request_id.clone(), sequence: 0 },
+            request,
+        };
+        Ok(Response::new(Box::pin(run.stream())))
+    }
+}
+
+/// Makes the frames of one answer.
+struct FrameMaker {
+    request_id: String,
+    sequence: u64,
+}
+
+impl FrameMaker {
+    fn frame(&mut self, part: Part, load: Option<LoadReport>) -> ServeFrame {
+        let sequence = self.sequence;
+        self.sequence += 1;
+        ServeFrame { request_id: self.request_id.clone(), sequence, part: Some(part), load }
+    }
+}
+
+/// One request at the endpoint.
+struct EndpointRun {
+    span: HopSpan,
+    node: Arc<NodeContext>,
+    desk: Arc<EndpointDesk>,
+    caller: HttpCaller,
+    frames: FrameMaker,
+    request: ServeRequest,
+}
+
+impl EndpointRun {
+    fn stream(mut self) -> impl Stream<Item = Result<ServeFrame, Status>> + Send {
+        async_stream::stream! {
+            let desk = self.desk.clone();
+            let permit = match desk.admit(self.node.now(), &self.request) {
+                Ok(permit) => permit,
+                Err(cause) => {
+                    yield Ok(self.refuse(cause));
+                    return;
+                }
+            };
+            let span = self.node.spans.child("endpoint", SpanKind::Client, &self.span);
+            let deadline = Duration::from_millis(self.request.deadline_ms);
+            let deadline = tokio::time::Instant::now() + deadline;
+            let sent = tokio::time::timeout_at(deadline, self.send(&span)).await;
+            let response = match sent {
+                Ok(Ok(response)) => response,
+                Ok(Err(error)) if error.verdict == RunVerdict::NotRun => {
+                    log::warn!("serve: {} did not reach its endpoint, {error}", self.request.request_id);
+                    permit.unrun();
+                    yield Ok(self.refuse(RefusalCause::Unreachable));
+                    return;
+                }
+                Ok(Err(error)) => {
+                    yield Ok(self.end(RunVerdict::MayHaveRun, 0, error.message));
+                    return;
+                }
+                Err(_) => {
+                    let message = "the deadline passed before the endpoint answered";
+                    yield Ok(self.end(RunVerdict::MayHaveRun, 0, message.to_owned()));
+                    return;
+                }
+            };
+            let (parts, mut body) = response.into_parts();
+            let streams = is_event_stream(&parts.headers);
+            yield Ok(self.head(&permit, parts.status.as_u16(), &parts.headers));
+            let mut tail = StreamTail::default();
+            let mut sent_bytes = 0;
+            loop {
+                let piece = match tokio::time::timeout_at(deadline, body.frame()).await {
+                    Ok(None) => break,
+                    Ok(Some(Ok(frame))) => match frame.into_data() {
+                        Ok(piece) => piece,
+                        Err(_) => continue,
+                    },
+                    Ok(Some(Err(error))) => {
+                        yield Ok(self.end(RunVerdict::MayHaveRun, sent_bytes, error.to_string()));
+                        return;
+                    }
+                    Err(_) => {
+                        let message = "the deadline passed in the middle of the answer";
+                        yield Ok(self.end(RunVerdict::MayHaveRun, sent_bytes, message.to_owned()));
+                        return;
+                    }
+                };
+                tail.push(&piece);
+                sent_bytes += piece.len() as u64;
+                yield Ok(self.frames.frame(Part::Data(Data { body: piece }), None));
+            }
+            let must_end = streams && parts.status.is_success() && permit.set.is_some();
+            if must_end && !tail.is_ended() {
+                let message = "the engine's stream lacks its last event";
+                yield Ok(self.end(RunVerdict::MayHaveRun, sent_bytes, message.to_owned()));
+                return;
+            }
+            drop(permit);
+            yield Ok(self.end(RunVerdict::Ran, sent_bytes, String::new()));
+        }
+    }
+
+    async fn send(&self, span: &HopSpan) -> Result<volo_http::response::Response, CallError> {
+        let not_run = |message: String| CallError { verdict: RunVerdict::NotRun, message };
+        let request = &self.request;
+        let method = Method::from_bytes(request.method.as_bytes())
+            .map_err(|error| not_run(error.to_string()))?;
+        let mut headers = decode_headers(&request.headers);
+        if let Ok(value) = HeaderValue::from_str(&span.traceparent()) {
+            headers.insert(TRACEPARENT, value);
+        }
+        if let Ok(value) = HeaderValue::from_str(&request.priority.to_string()) {
+            headers.insert("x-priority", value);
+        }
+        let address = self.desk.endpoint().address;
+        self.caller.send(address, method, &request.path, headers, request.body.clone()).await
+    }
+
+    fn load(&self) -> Option<LoadReport> {
+        let in_progress = self.desk.lock().in_progress;
+        Some(LoadReport { in_progress, slots: self.desk.endpoint().slots, queued: 0 })
+    }
+
+    fn refuse(&mut self, cause: RefusalCause) -> ServeFrame {
+        self.node.metrics.count_refusal(cause.as_str_name());
+        let retry = if cause == RefusalCause::Busy { BUSY_RETRY } else { Duration::ZERO };
+        let retry_after_ms = retry.as_millis() as u64;
+        let refused = Refused { cause: cause.into(), retry_after_ms };
+        let load = self.load();
+        self.frames.frame(Part::Refused(refused), load)
+    }
+
+    fn head(&mut self, permit: &RunPermit<'_>, status: u16, headers: &HeaderMap) -> ServeFrame {
+        let head = Head {
+            status: status.into(),
+            headers: encode_headers(headers),
+            set_key: permit.set.map_or(0, |set| set.0),
+        };
+        let load = self.load();
+        self.frames.frame(Part::Head(head), load)
+    }
+
+    fn end(&mut self, verdict: RunVerdict, body_bytes: u64, error: String) -> ServeFrame {
+        self.node.metrics.count_request(verdict);
+        if !error.is_empty() {
+            log::warn!("serve: {} was broken off, {error}", self.request.request_id);
+        }
+        let verdict = codec::encode_verdict(verdict).into();
+        let load = self.load();
+        self.frames.frame(Part::End(End { verdict, body_bytes, error }), load)
+    }
+}
+
+/// The end of a stream, to see whether its last event came.
+#[derive(Debug, Default)]
+struct StreamTail(Vec<u8>);
+
+impl StreamTail {
+    fn push(&mut self, piece: &Bytes) {
+        const KEPT: usize = 64;
+        self.0.extend_from_slice(&piece[piece.len().saturating_sub(KEPT)..]);
+        let surplus = self.0.len().saturating_sub(KEPT);
+        self.0.drain(..surplus);
+    }
+
+    fn is_ended(&self) -> bool {
+        let text = self.0.trim_ascii_end();
+        text.ends_with(STREAM_END)
+    }
+}
+
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(http::header::CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+}
+
+/// Headers as messages, without those of one connection.
+pub fn encode_headers(headers: &HeaderMap) -> Vec<Header> {
+    let passed = headers.iter().filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()));
+    passed
+        .map(|(name, value)| Header {
+            name: name.to_string(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
+
+/// Headers from messages, without those of one connection or that are malformed.
+pub fn decode_headers(headers: &[Header]) -> HeaderMap {
+    let decoded = headers.iter().filter_map(|header| {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        let value = HeaderValue::from_bytes(&header.value).ok()?;
+        (!HOP_HEADERS.contains(&name.as_str())).then_some((name, value))
+    });
+    let mut map = HeaderMap::new();
+    for (name, value) in decoded.filter(|(name, _)| *name != http::header::CONTENT_LENGTH) {
+        map.append(name, value);
+    }
+    map
+}
--- /dev/null
+++ b/crates/daemon/src/agent/swarm.rs
@@ -0,0 +1,450 @@
+//! Carries out what the planner of one transfer decides.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use headlatch_core::burst::{
+    ChunkSet, ChunkSource, FetchFailure, PeerKey, PeerSeat, SwarmAction, SwarmEvent, SwarmNote,
+    SwarmPlanner, SwarmSettings, TICK,
+};
+use headlatch_http::pace::LinkPacer;
+use headlatch_types::{ChunkIndex, Digest, Manifest, fleet::WeightPart};
+use headlatch_wire::{SwarmNotes, fetch_step::Step};
+use tokio::{sync::mpsc, task::AbortHandle};
+
+use super::{
+    fetch::{OutsideFetcher, OutsideSource, PeerAsk, fetch_from_peer},
+    vault::ChunkVault,
+};
+use crate::node::{NodeContext, codec};
+
+/// Events that wait for a driver; notes beyond are lost, which the protocol bears.
+const MOST_INPUTS: usize = 8192;
+
+/// What a driver is told.
+#[derive(Debug)]
+pub enum DriverInput {
+    /// Something for the planner.
+    Event(SwarmEvent),
+    /// A box asks for a chunk; what becomes of it is told over `session`.
+    Ask {
+        /// Who asks.
+        from: PeerKey,
+        /// For what.
+        chunk: ChunkIndex,
+        /// Chunks that it holds.
+        held: u32,
+        /// Where to tell.
+        session: mpsc::Sender<SessionStep>,
+    },
+    /// The boxes that take part, with their addresses.
+    Seats(Vec<(PeerSeat, SocketAddr)>),
+}
+
+/// What becomes of a box's ask.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SessionStep {
+    /// Its turn has come.
+    Turn,
+    /// It will not be served now.
+    Refuse(FetchFailure),
+}
+
+/// A transfer that runs.
+#[derive(Debug, Clone)]
+pub struct SwarmHandle {
+    /// What is transferred.
+    pub manifest: Arc<Manifest>,
+    /// The manifest's text, for others.
+    pub text: Bytes,
+    inputs: mpsc::Sender<DriverInput>,
+    state: Arc<SwarmState>,
+    _task: Arc<StopOnDrop>,
+}
+
+/// Figures that a driver keeps up to date.
+#[derive(Debug, Default)]
+struct SwarmState {
+    held: AtomicU64,
+    bytes: AtomicU64,
+    complete: AtomicBool,
+}
+
+/// Ends a task when the last handle to it is gone.
+#[derive(Debug)]
+struct StopOnDrop(AbortHandle);
+
+impl Drop for StopOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl SwarmHandle {
+    /// Chunks that are here.
+    pub fn held(&self) -> u64 {
+        self.state.held.load(Ordering::Relaxed)
+    }
+
+    /// Bytes that this transfer has brought in.
+    pub fn bytes(&self) -> u64 {
+        self.state.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Whether every chunk is here and verified.
+    pub fn is_complete(&self) -> bool {
+        self.state.complete.load(Ordering::Relaxed)
+    }
+
+    /// Tells the driver something; false if it has too much to do to listen.
+    pub fn tell(&self, input: DriverInput) -> bool {
+        self.inputs.try_send(input).is_ok()
+    }
+
+    /// Where to tell the driver something and wait until it listens.
+    pub fn inputs(&self) -> mpsc::Sender<DriverInput> {
+        self.inputs.clone()
+    }
+}
+
+/// What a driver works with.
+#[derive(Debug, Clone)]
+pub struct SwarmTools {
+    /// This node.
+    pub node: Arc<NodeContext>,
+    /// Chunks.
+    pub vault: Arc<ChunkVault>,
+    /// This box's link inwards.
+    pub down: Arc<LinkPacer>,
+    /// Reads from origin and store.
+    pub fetcher: OutsideFetcher,
+    /// The origin.
+    pub origin: Option<OutsideSource>,
+    /// The store.
+    pub store: Option<OutsideSource>,
+}
+
+/// Carries out what one planner decides.
+struct SwarmDriver {
+    tools: SwarmTools,
+    part: WeightPart,
+    manifest: Arc<Manifest>,
+    planner: SwarmPlanner,
+    inputs: mpsc::Receiver<DriverInput>,
+    own_inputs: mpsc::Sender<DriverInput>,
+    state: Arc<SwarmState>,
+    addresses: HashMap<PeerKey, SocketAddr>,
+    fetches: HashMap<ChunkIndex, OpenFetch>,
+    sessions: HashMap<(PeerKey, ChunkIndex), mpsc::Sender<SessionStep>>,
+}
+
+#[derive(Debug)]
+struct OpenFetch {
+    source: ChunkSource,
+    steps: mpsc::Sender<Step>,
+    _task: StopOnDrop,
+}
+
+/// Starts the transfer of `manifest`.
+pub fn start(
+    tools: SwarmTools,
+    part: WeightPart,
+    (text, manifest): (Bytes, Arc<Manifest>),
+    settings: SwarmSettings,
+    me: PeerSeat,
+) -> SwarmHandle {
+    let (sender, inputs) = mpsc::channel(MOST_INPUTS);
+    let state = Arc::new(SwarmState::default());
+    let mut held = ChunkSet::new(settings.chunks);
+    tools.vault.held(&manifest).into_iter().for_each(|chunk| {
+        held.insert(chunk);
+    });
+    let salt = part.manifest.key();
+    let planner = SwarmPlanner::begin(settings, salt, me, held, tools.node.now());
+    let driver = SwarmDriver {
+        tools,
+        part,
+        manifest: manifest.clone(),
+        planner,
+        inputs,
+        own_inputs: sender.clone(),
+        state: state.clone(),
+        addresses: HashMap::new(),
+        fetches: HashMap::new(),
+        sessions: HashMap::new(),
+    };
+    let task = tokio::spawn(driver.run());
+    let task = Arc::new(StopOnDrop(task.abort_handle()));
+    SwarmHandle { manifest, text, inputs: sender, state, _task: task }
+}
+
+impl SwarmDriver {
+    async fn run(mut self) {
+        let mut ticks = self.tools.node.timer.subscribe(TICK);
+        loop {
+            tokio::select! {
+                input = self.inputs.recv() => match input {
+                    Some(input) => self.take(input),
+                    None => return,
+                },
+                tick = ticks.next() => match tick {
+                    Some(_) => self.handle(SwarmEvent::Tick),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn take(&mut self, input: DriverInput) {
+        match input {
+            DriverInput::Event(event) => self.handle(event),
+            DriverInput::Ask { from, chunk, held, session } => {
+                self.sessions.insert((from, chunk), session);
+                self.handle(SwarmEvent::Asked { from, chunk, held });
+            }
+            DriverInput::Seats(seats) => {
+                self.addresses = seats.iter().map(|(seat, address)| (seat.key, *address)).collect();
+                let seats = seats.into_iter().map(|(seat, _)| seat).collect();
+                self.handle(SwarmEvent::Seats(seats));
+            }
+        }
+    }
+
+    fn handle(&mut self, event: SwarmEvent) {
+        self.forget_ended(&event);
+        let actions = self.planner.handle(self.tools.node.now(), event);
+        let mut notes: HashMap<PeerKey, Vec<SwarmNote>> = HashMap::new();
+        for action in actions {
+            match action {
+                SwarmAction::Tell { to, note } => notes.entry(to).or_default().push(note),
+                other => self.act(other),
+            }
+        }
+        notes.into_iter().for_each(|(to, notes)| self.send_notes(to, notes));
+        self.state.held.store(self.planner.progress().held.into(), Ordering::Relaxed);
+    }
+
+    fn forget_ended(&mut self, event: &SwarmEvent) {
+        match event {
+            SwarmEvent::Verified { chunk, source } | SwarmEvent::Failed { chunk, source, .. } => {
+                self.fetches.retain(|open, fetch| open != chunk || fetch.source != *source);
+            }
+            SwarmEvent::Withdrawn { from, chunk } | SwarmEvent::Sent { to: from, chunk } => {
+                self.sessions.remove(&(*from, *chunk));
+            }
+            _ => {}
+        }
+    }
+
+    fn act(&mut self, action: SwarmAction) {
+        match action {
+            SwarmAction::Fetch { chunk, source } => self.fetch(chunk, source),
+            SwarmAction::Cancel { chunk, .. } => {
+                self.fetches.remove(&chunk);
+            }
+            SwarmAction::Take { chunk, .. } => self.answer_turn(chunk, Step::Take(true)),
+            SwarmAction::Pass { chunk, .. } => self.answer_turn(chunk, Step::Pass(true)),
+            SwarmAction::Resume { chunk, .. } => self.answer_turn(chunk, Step::Resume(true)),
+            SwarmAction::Grant { to, chunk } => self.answer_ask(to, chunk, SessionStep::Turn),
+            SwarmAction::Refuse { to, chunk, failure } => {
+                self.answer_ask(to, chunk, SessionStep::Refuse(failure));
+                self.sessions.remove(&(to, chunk));
+            }
+            SwarmAction::Complete => self.complete(),
+            SwarmAction::Tell { .. } => {}
+        }
+    }
+
+    fn complete(&mut self) {
+        log::info!("burst: {} is whole", self.part.location);
+        self.state.complete.store(true, Ordering::Relaxed);
+    }
+
+    fn answer_turn(&mut self, chunk: ChunkIndex, step: Step) {
+        if let Some(fetch) = self.fetches.get(&chunk) {
+            // The fetch may have ended just now; then nobody waits for the step.
+            let _ = fetch.steps.try_send(step);
+        }
+    }
+
+    fn answer_ask(&mut self, to: PeerKey, chunk: ChunkIndex, step: SessionStep) {
+        let session = self.sessions.get(&(to, chunk));
+        let told = session.is_some_and(|session| session.try_send(step).is_ok());
+        if !told && step == SessionStep::Turn {
+            self.sessions.remove(&(to, chunk));
+            let event = SwarmEvent::Withdrawn { from: to, chunk };
+            self.send_later(DriverInput::Event(event));
+        }
+    }
+
+    fn send_later(&self, input: DriverInput) {
+        let inputs = self.own_inputs.clone();
+        tokio::spawn(async move {
+            // The driver may have ended; then nobody needs to know.
+            let _ = inputs.send(input).await;
+        });
+    }
+
+    fn fetch(&mut self, chunk: ChunkIndex, source: ChunkSource) {
+        let (steps, answers) = mpsc::channel(4);
+        let fetch = ChunkFetch {
+            tools: self.tools.clone(),
+            manifest: self.manifest.clone(),
+            chunk,
+            source,
+            address: match source {
+                ChunkSource::Peer(peer) => self.addresses.get(&peer).copied(),
+                ChunkSource::Origin | ChunkSource::Store => None,
+            },
+            held: self.planner.progress().held,
+            inputs: self.own_inputs.clone(),
+            state: self.state.clone(),
+        };
+        let task = tokio::spawn(fetch.run(answers));
+        let task = StopOnDrop(task.abort_handle());
+        self.fetches.insert(chunk, OpenFetch { source, steps, _task: task });
+    }
+
+    fn send_notes(&self, to: PeerKey, notes: Vec<SwarmNote>) {
+        let Some(address) = self.addresses.get(&to).copied() else { return };
+        let node = self.tools.node.clone();
+        let message = SwarmNotes {
+            manifest: Bytes::copy_from_slice(self.part.manifest.as_bytes()),
+            box_id: node.settings.box_id.to_string(),
+            notes: notes.iter().map(codec::encode_note).collect(),
+            queue: self.planner.queue(),
+        };
+        let inputs = self.own_inputs.clone();
+        tokio::spawn(async move {
+            if node.channels.node(address).tell(message).await.is_err() {
+                // The driver may have ended; then nobody needs to know.
+                let _ = inputs.send(DriverInput::Event(SwarmEvent::Lost(to))).await;
+            }
+        });
+    }
+}
+
+/// One fetch.
+struct ChunkFetch {
+    tools: SwarmTools,
+    manifest: Arc<Manifest>,
+    chunk: ChunkIndex,
+    source: ChunkSource,
+    address: Option<SocketAddr>,
+    held: u32,
+    inputs: mpsc::Sender<DriverInput>,
+    state: Arc<SwarmState>,
+}
+
+impl ChunkFetch {
+    async fn run(self, answers: mpsc::Receiver<Step>) {
+        let (chunk, source) = (self.chunk, self.source);
+        let event = match self.bring_in(answers).await {
+            Ok(()) => SwarmEvent::Verified { chunk, source },
+            Err(failure) => SwarmEvent::Failed { chunk, source, failure },
+        };
+        if let SwarmEvent::Failed { failure, .. } = &event {
+            self.tools.node.metrics.count_chunk_failure(failure_name(*failure));
+        }
+        // The driver may have ended; then nobody needs to know.
+        let _ = self.inputs.send(DriverInput::Event(event)).await;
+    }
+
+    async fn bring_in(&self, answers: mpsc::Receiver<Step>) -> Result<(), FetchFailure> {
+        let place = self.manifest.chunk(self.chunk).ok_or(FetchFailure::Absent)?;
+        let data = self.read(place.length as usize, answers).await?;
+        let bytes = data.len() as u64;
+        match self.tools.vault.put(place.digest, data) {
+            Some(Ok(())) => {
+                self.state.bytes.fetch_add(bytes, Ordering::Relaxed);
+                self.tools.node.metrics.count_chunk(source_name(self.source), bytes);
+                Ok(())
+            }
+            Some(Err(full)) => {
+                log::error!("burst: chunk {} has no room, {full}", self.chunk);
+                Err(FetchFailure::Busy)
+            }
+            None => {
+                let source = source_name(self.source);
+                log::warn!("burst: chunk {} from {source} failed its hash", self.chunk);
+                Err(FetchFailure::Corrupt)
+            }
+        }
+    }
+
+    async fn read(
+        &self,
+        length: usize,
+        answers: mpsc::Receiver<Step>,
+    ) -> Result<Bytes, FetchFailure> {
+        let outside = match self.source {
+            ChunkSource::Origin => self.tools.origin.as_ref(),
+            ChunkSource::Store => self.tools.store.as_ref(),
+            ChunkSource::Peer(_) => return self.read_from_peer(length, answers).await,
+        };
+        let outside = outside.ok_or(FetchFailure::Absent)?;
+        let place = self.manifest.chunk(self.chunk).ok_or(FetchFailure::Absent)?;
+        self.tools.fetcher.chunk(outside, &self.manifest, place).await
+    }
+
+    async fn read_from_peer(
+        &self,
+        length: usize,
+        answers: mpsc::Receiver<Step>,
+    ) -> Result<Bytes, FetchFailure> {
+        let ask = PeerAsk {
+            address: self.address.ok_or(FetchFailure::Unreachable)?,
+            manifest: self.manifest.digest(),
+            chunk: self.chunk,
+            length,
+            box_id: self.tools.node.settings.box_id.to_string(),
+            held: self.held,
+        };
+        let (turns, mut told) = mpsc::channel(1);
+        let pass_on = async {
+            while told.recv().await == Some(()) {
+                let event = SwarmEvent::Turn { chunk: self.chunk, source: self.source };
+                // The driver may have ended; then this task ends as well.
+                let _ = self.inputs.send(DriverInput::Event(event)).await;
+            }
+        };
+        let channels = &self.tools.node.channels;
+        let fetch = fetch_from_peer(channels, ask, answers, turns, &self.tools.down);
+        let (fetched, ()) = tokio::join!(fetch, pass_on);
+        fetched
+    }
+}
+
+fn source_name(source: ChunkSource) -> &'static str {
+    match source {
+        ChunkSource::Origin => "origin",
+        ChunkSource::Store => "store",
+        ChunkSource::Peer(_) => "peer",
+    }
+}
+
+fn failure_name(failure: FetchFailure) -> &'static str {
+    match failure {
+        FetchFailure::Corrupt => "corrupt",
+        FetchFailure::Busy => "busy",
+        FetchFailure::Absent => "absent",
+        FetchFailure::Unreachable => "unreachable",
+    }
+}
+
+/// Key of a box in a transfer.
+pub fn peer_key(id: &headlatch_types::id::BoxId) -> PeerKey {
+    PeerKey(id.key())
+}
+
+/// Digest of the manifest that a message is about.
+pub fn manifest_digest(bytes: &[u8]) -> Option<Digest> {
+    Digest::try_from(bytes).ok()
+}
--- /dev/null
+++ b/crates/daemon/src/agent/vault.rs
@@ -0,0 +1,89 @@
+//! Verified chunks in bounded memory, by digest.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::{Mutex, MutexGuard},
+};
+
+use bytes::Bytes;
+use headlatch_types::{ChunkIndex, Digest, Manifest, quantity::ByteSize};
+
+/// There is no room for a chunk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("chunk_memory is full; raise it in the settings to hold a whole version")]
+pub struct VaultFull;
+
+#[derive(Debug, Default)]
+struct VaultState {
+    chunks: HashMap<Digest, Bytes>,
+    used: u64,
+}
+
+/// Chunks that this box holds; each has been verified before it came in.
+#[derive(Debug)]
+pub struct ChunkVault {
+    state: Mutex<VaultState>,
+    limit: ByteSize,
+}
+
+impl ChunkVault {
+    /// An empty vault for `limit` bytes.
+    pub fn new(limit: ByteSize) -> Self {
+        Self { state: Mutex::default(), limit }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, VaultState> {
+        self.state.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    /// Most bytes it holds.
+    pub fn limit(&self) -> ByteSize {
+        self.limit
+    }
+
+    /// Bytes it holds.
+    pub fn used(&self) -> ByteSize {
+        ByteSize::from_bytes(self.lock().used)
+    }
+
+    /// Takes a chunk in if its digest fits; `None` if it does not.
+    pub fn put(&self, digest: Digest, data: Bytes) -> Option<Result<(), VaultFull>> {
+        if Digest::of(&data) != digest {
+            return None;
+        }
+        let mut state = self.lock();
+        if state.chunks.contains_key(&digest) {
+            return Some(Ok(()));
+        }
+        if state.used + data.len() as u64 > self.limit.bytes() {
+            return Some(Err(VaultFull));
+        }
+        state.used += data.len() as u64;
+        state.chunks.insert(digest, data);
+        Some(Ok(()))
+    }
+
+    /// A chunk, if it is here.
+    pub fn get(&self, digest: &Digest) -> Option<Bytes> {
+        self.lock().chunks.get(digest).cloned()
+    }
+
+    /// The chunks of a manifest that are here.
+    pub fn held(&self, manifest: &Manifest) -> Vec<ChunkIndex> {
+        let state = self.lock();
+        let chunks = manifest.chunks().iter().zip(0u32..);
+        chunks
+            .filter(|(place, _)| state.chunks.contains_key(&place.digest))
+            .map(|(_, index)| ChunkIndex(index))
+            .collect()
+    }
+
+    /// Drops every chunk that no manifest in `wanted` has.
+    pub fn retain<'a>(&self, wanted: impl Iterator<Item = &'a Manifest>) {
+        let digests: HashSet<Digest> =
+            wanted.flat_map(|one| one.chunks()).map(|place| place.digest).collect();
+        let mut state = self.lock();
+        state.chunks.retain(|digest, _| digests.contains(digest));
+        state.used = state.chunks.values().map(|data| data.len() as u64).sum();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/answer.rs
@@ -0,0 +1,136 @@
+//! Answers to callers, each with the request's id and a verdict.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use headlatch_core::admission::RefusalReason;
+use headlatch_types::{RunVerdict, id::RequestId};
+use headlatch_wire::Head;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use volo_http::{body::Body, response::Response};
+
+use super::{
+    dispatch::{DispatchFailure, NOTHING_SERVES_RETRY},
+    openai::ApiError,
+};
+use crate::agent::serve::decode_headers;
+
+/// Header with the request's id.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
+/// Header with the verdict.
+///
+/// On a stream the head goes out before the end is known: the header then says `may-have-run`,
+/// and a comment line at the stream's end gives the last word.
+pub const VERDICT: HeaderName = HeaderName::from_static("x-headlatch-verdict");
+
+/// When callers that were refused for load are told to come back.
+const LOAD_RETRY: Duration = Duration::from_secs(1);
+
+/// Adds the request's id and the verdict.
+pub fn stamp(response: &mut Response, id: &RequestId, verdict: RunVerdict) {
+    let headers = response.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(id.as_str()) {
+        headers.insert(REQUEST_ID, value);
+    }
+    headers.insert(VERDICT, HeaderValue::from_static(verdict.as_str()));
+}
+
+/// An answer in JSON.
+pub fn json(status: StatusCode, value: &serde_json::Value) -> Response {
+    let mut response = Response::new(Body::from(value.to_string()));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// An answer that says what is wrong.
+pub fn error(error: &ApiError, retry: Option<Duration>) -> Response {
+    let mut response = json(error.status, &error.body());
+    if let Some(retry) = retry {
+        let seconds = retry.as_secs().max(1);
+        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+/// An endpoint's answer with a given body.
+pub fn from_head(head: &Head, body: Body) -> Response {
+    let mut response = Response::new(body);
+    let status = u16::try_from(head.status).ok().and_then(|code| StatusCode::from_u16(code).ok());
+    *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers: HeaderMap = decode_headers(&head.headers);
+    response.headers_mut().extend(headers);
+    response
+}
+
+/// The error for a request that was refused before it was sent anywhere.
+pub fn refusal(reason: RefusalReason) -> (ApiError, Option<Duration>) {
+    let message = match reason {
+        RefusalReason::QueueFull => "Too many requests wait already. Try again later.",
+        RefusalReason::WaitedTooLong => "No endpoint became free in time. Try again later.",
+    };
+    let error = ApiError {
+        status: StatusCode::TOO_MANY_REQUESTS,
+        kind: "rate_limit_error",
+        param: None,
+        code: Some("overloaded"),
+        message: message.to_owned(),
+    };
+    (error, Some(LOAD_RETRY))
+}
+
+/// The error for a request that has no answer.
+pub fn failure(failure: &DispatchFailure) -> (ApiError, Option<Duration>) {
+    let server = |status: StatusCode, code: &'static str, message: String| ApiError {
+        status,
+        kind: "server_error",
+        param: None,
+        code: Some(code),
+        message,
+    };
+    match failure {
+        DispatchFailure::NothingServes => {
+            let message = "No endpoint serves this at the moment. Try again later.".to_owned();
+            let error = server(StatusCode::SERVICE_UNAVAILABLE, "not_serving", message);
+            (error, Some(NOTHING_SERVES_RETRY))
+        }
+        DispatchFailure::Busy => refusal(RefusalReason::QueueFull),
+        DispatchFailure::KeyInProgress => {
+            let message = "A request with this key is in progress. Ask again for its result.";
+            let error = server(StatusCode::CONFLICT, "key_in_progress", message.to_owned());
+            (error, Some(LOAD_RETRY))
+        }
+        DispatchFailure::KeySpent => {
+            let message = "A request with this key has run, or may have run; this one did not.";
+            (server(StatusCode::CONFLICT, "key_spent", message.to_owned()), None)
+        }
+        DispatchFailure::Failed(failure) if failure.verdict == RunVerdict::NotRun => {
+            let message = format!("The request did not run: {}. Try again later.", failure.message);
+            let error = server(StatusCode::SERVICE_UNAVAILABLE, "not_run", message);
+            (error, Some(LOAD_RETRY))
+        }
+        DispatchFailure::Failed(failure) => {
+            let message = format!("The answer was lost; the request may have run: {failure}.");
+            (server(StatusCode::BAD_GATEWAY, "answer_lost", message), None)
+        }
+    }
+}
+
+/// The last event of a stream that cannot be completed.
+pub fn error_event(message: &str) -> Bytes {
+    let error = ApiError {
+        status: StatusCode::BAD_GATEWAY,
+        kind: "server_error",
+        param: None,
+        code: Some("stream_broken"),
+        message: format!("The answer broke off and is not whole: {message}."),
+    };
+    Bytes::from(format!("data: {}\n\n", error.body()))
+}
+
+/// The comment that tells a stream's verdict at its end.
+pub fn verdict_comment(verdict: RunVerdict) -> Bytes {
+    Bytes::from(format!(": verdict {verdict}\n\n"))
+}
--- /dev/null
+++ b/crates/daemon/src/entry/gatekeeper.rs
@@ -0,0 +1,150 @@
+//! Lets requests in by fair shares, and makes the others wait or refuses them.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use headlatch_core::{
+    admission::{Admission, FairQueue, RefusalReason, ShareTerms, TicketNumber},
+    time::Moment,
+};
+use headlatch_types::id::OrganisationName;
+use tokio::sync::oneshot;
+
+/// Share of an organisation that the fleet file no longer names.
+const NO_TERMS: ShareTerms = ShareTerms { share: 1, most_in_progress: None };
+
+#[derive(Debug)]
+struct GateState {
+    queue: FairQueue,
+    terms: HashMap<OrganisationName, ShareTerms>,
+    waiting: HashMap<TicketNumber, oneshot::Sender<Result<(), RefusalReason>>>,
+    last: u64,
+}
+
+/// The queue in front of an entry's dispatcher.
+#[derive(Debug)]
+pub struct RequestGate {
+    state: Mutex<GateState>,
+}
+
+/// Leave for one request to go on; its place is given to another when this is dropped.
+#[derive(Debug)]
+pub struct EntryPermit {
+    gate: Arc<RequestGate>,
+    organisation: OrganisationName,
+}
+
+impl RequestGate {
+    /// A gate in front of `queue`.
+    pub fn new(queue: FairQueue) -> Arc<Self> {
+        let state = GateState { queue, terms: HashMap::new(), waiting: HashMap::new(), last: 0 };
+        Arc::new(Self { state: Mutex::new(state) })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GateState> {
+        self.state.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    /// Requests that run and that wait.
+    pub fn counts(&self) -> (u32, usize) {
+        self.lock().queue.counts()
+    }
+
+    /// Changes how many requests may run.
+    pub fn resize(&self, most_running: u32) {
+        let mut state = self.lock();
+        state.queue.resize(most_running);
+        state.release();
+    }
+
+    /// Refuses what has waited too long.
+    pub fn expire(&self, now: Moment) {
+        let mut state = self.lock();
+        for number in state.queue.expire(now) {
+            state.tell(number, Err(RefusalReason::WaitedTooLong));
+        }
+    }
+
+    /// Waits for a place.
+    pub async fn enter(
+        self: &Arc<Self>,
+        now: Moment,
+        organisation: &OrganisationName,
+        terms: ShareTerms,
+    ) -> Result<EntryPermit, RefusalReason> {
+        let (number, told) = {
+            let mut state = self.lock();
+            state.last += 1;
+            let number = TicketNumber(state.last);
+            state.terms.insert(organisation.clone(), terms);
+            match state.queue.arrive(now, number, organisation, terms) {
+                Admission::Run => return Ok(self.permit(organisation)),
+                Admission::Refuse(reason) => return Err(reason),
+                Admission::Wait => {}
+            }
+            let (sender, told) = oneshot::channel();
+            state.waiting.insert(number, sender);
+            (number, told)
+        };
+        let mut place = WaitingPlace { gate: self, organisation, number, settled: false };
+        let answer = told.await;
+        place.settled = true;
+        drop(place);
+        answer.unwrap_or(Err(RefusalReason::WaitedTooLong)).map(|()| self.permit(organisation))
+    }
+
+    fn permit(self: &Arc<Self>, organisation: &OrganisationName) -> EntryPermit {
+        EntryPermit { gate: self.clone(), organisation: organisation.clone() }
+    }
+}
+
+impl GateState {
+    fn release(&mut self) {
+        let terms = &self.terms;
+        let released = self.queue.release(|name| terms.get(name).copied().unwrap_or(NO_TERMS));
+        for number in released {
+            self.tell(number, Ok(()));
+        }
+    }
+
+    fn tell(&mut self, number: TicketNumber, answer: Result<(), RefusalReason>) {
+        if let Some(sender) = self.waiting.remove(&number) {
+            // A caller that has gone away gives its place back by itself.
+            let _ = sender.send(answer);
+        }
+    }
+}
+
+impl Drop for EntryPermit {
+    fn drop(&mut self) {
+        let mut state = self.gate.lock();
+        state.queue.end(&self.organisation);
+        state.release();
+    }
+}
+
+/// A place in the queue, given back if its caller goes away while it waits.
+struct WaitingPlace<'a> {
+    gate: &'a RequestGate,
+    organisation: &'a OrganisationName,
+    number: TicketNumber,
+    settled: bool,
+}
+
+impl Drop for WaitingPlace<'_> {
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
+        let mut state = self.gate.lock();
+        if state.waiting.remove(&self.number).is_some() {
+            state.queue.leave(self.organisation, self.number);
+        } else {
+            // It was let in just as its caller went away.
+            state.queue.end(self.organisation);
+            state.release();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/mod.rs
@@ -0,0 +1,151 @@
+//! The entry: takes requests in from callers and sends each to an endpoint that can answer it.
+
+pub mod answer;
+pub mod attempt;
+pub mod callers;
+pub mod directory;
+pub mod dispatch;
+pub mod gatekeeper;
+pub mod openai;
+pub mod status;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use error_stack::{Report, ResultExt};
+use headlatch_core::membership::NodeKind;
+use headlatch_http::{HttpLimits, HttpServer, StopHandle};
+use headlatch_types::settings::EntrySettings;
+use headlatch_wire::node_server::NodeServer;
+use tokio_stream::wrappers::TcpListenerStream;
+use volo_http::server::Router;
+
+use crate::{
+    agent::bind_control,
+    error::DaemonError,
+    node::{
+        NodeContext,
+        admin::{self, ReadyFlag},
+        gossip, service, sync,
+    },
+    platform::SharedStore,
+    timer::SharedTimer,
+    trace::SpanMaker,
+};
+
+use self::{callers::CallerDesk, directory::EndpointDirectory, status::StatusWriter};
+
+/// Time after which the balancer in front has noticed that an entry is not ready.
+const LEAVE_TIME: Duration = Duration::from_secs(3);
+
+/// An entry that runs.
+#[derive(Debug)]
+pub struct RunningEntry {
+    /// What its parts share.
+    pub node: Arc<NodeContext>,
+    /// Where it takes requests in.
+    pub listen: SocketAddr,
+    /// Where it answers health checks.
+    pub admin: SocketAddr,
+    ready: ReadyFlag,
+    /// Stops taking requests in.
+    stop_callers: StopHandle,
+    callers: tokio::task::JoinHandle<()>,
+    /// Stops the rest.
+    stop: StopHandle,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl RunningEntry {
+    /// Starts an entry.
+    pub async fn start(
+        settings: EntrySettings,
+        timer: SharedTimer,
+        store: SharedStore,
+        spans: SpanMaker,
+    ) -> Result<Self, Report<DaemonError>> {
+        let (listener, socket) = bind_control(settings.node.control).await?;
+        let control_failure = || DaemonError::Bind(settings.node.control);
+        let control = listener.local_addr().change_context_lazy(control_failure)?;
+        let callers_server = bind_http(settings.listen, caller_limits(&settings)).await?;
+        let admin_server = bind_http(settings.node.admin, HttpLimits::default()).await?;
+        let failure = || DaemonError::Bind(settings.listen);
+        let listen = callers_server.address().change_context_lazy(failure)?;
+        let admin = admin_server.address().change_context_lazy(failure)?;
+
+        let kind = NodeKind::Entry;
+        let node = NodeContext::new(settings.node.clone(), kind, control, timer, store, spans);
+        let directory = Arc::new(EndpointDirectory::new(node.clone()));
+        let desk = CallerDesk::new(node.clone(), directory.clone(), settings.limits.clone());
+        let ready = ReadyFlag::default();
+        let (stop, signal) = StopHandle::new();
+        let (stop_callers, caller_signal) = StopHandle::new();
+        let callers_router = admin::add_routes(desk.router(), &node, &ready);
+        let callers = tokio::spawn(callers_server.serve(callers_router, caller_signal));
+        let writer = StatusWriter::new(node.clone());
+        let admin_router = admin::add_routes(Router::new(), &node, &ready);
+        let admin_router = writer.add_routes(admin_router);
+        let control_service = NodeServer::new(service::NodeService::new(node.clone(), None))
+            .max_decoding_message_size(service::MOST_MESSAGE);
+        let mut control_signal = signal.clone();
+        let served = service::server()
+            .add_service(control_service)
+            .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
+                control_signal.stopped().await
+            });
+        let tasks = vec![
+            tokio::spawn(gossip::run(node.clone(), socket, signal.clone())),
+            tokio::spawn(sync::run(node.clone(), signal.clone())),
+            tokio::spawn(admin_server.serve(admin_router, signal.clone())),
+            tokio::spawn(writer.run(signal.clone())),
+            tokio::spawn(directory.run(ready.clone(), signal.clone())),
+            tokio::spawn(desk.run(signal)),
+            tokio::spawn(async move {
+                if let Err(error) = served.await {
+                    log::error!("entry: the control listener failed, {error}");
+                }
+            }),
+        ];
+        log::info!("entry: {} takes requests at {listen}", node.settings.box_id);
+        Ok(Self { node, listen, admin, ready, stop_callers, callers, stop, tasks })
+    }
+
+    /// Leaves: finishes what is in progress and stops.
+    pub async fn leave(self) {
+        log::info!("entry: leaving");
+        self.ready.set(false);
+        self.node.update_record(true, |record| record.leaving = true);
+        tokio::time::sleep(LEAVE_TIME).await;
+        self.stop_callers.stop();
+        // The server itself ends once its requests have, or the drain is over.
+        let _ = self.callers.await;
+        self.stop.stop();
+        for task in self.tasks {
+            // Nothing of a caller's is left in these.
+            let _ = tokio::time::timeout(Duration::from_secs(1), task).await;
+        }
+    }
+
+    /// Ends at once, as if the box had died.
+    pub fn kill(self) {
+        self.stop_callers.stop();
+        self.stop.stop();
+        self.callers.abort();
+        self.tasks.iter().for_each(|task| task.abort());
+    }
+}
+
+async fn bind_http(
+    address: SocketAddr,
+    limits: HttpLimits,
+) -> Result<HttpServer, Report<DaemonError>> {
+    HttpServer::bind(address, limits).await.change_context_lazy(|| DaemonError::Bind(address))
+}
+
+fn caller_limits(settings: &EntrySettings) -> HttpLimits {
+    HttpLimits {
+        head: settings.limits.head,
+        head_time: Duration::from_secs(settings.limits.head_seconds),
+        connections: settings.limits.connections as usize,
+        drain: settings.node.drain,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/openai.rs
@@ -0,0 +1,138 @@
+//! The completions API that model servers share: what callers send and expect.
+
+use bytes::Bytes;
+use headlatch_types::{digest::key_of, fleet::ModelPlan};
+use http::StatusCode;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+/// Bytes of the prompt that decide where it is likely to be cached.
+const AFFINITY_BYTES: usize = 512;
+
+/// Which of the two calls a completion is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CompletionKind {
+    /// `/v1/completions`.
+    Text,
+    /// `/v1/chat/completions`.
+    Chat,
+}
+
+impl CompletionKind {
+    /// Its path, here and at engines.
+    pub fn path(self) -> &'static str {
+        match self {
+            Self::Text => "/v1/completions",
+            Self::Chat => "/v1/chat/completions",
+        }
+    }
+}
+
+/// What an entry reads of a completion call; the rest is the engine's.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CompletionCall {
+    /// The model or adapter asked for.
+    pub model: String,
+    /// Whether the answer is to be streamed.
+    pub stream: bool,
+    /// Hash of the prompt's beginning.
+    pub affinity: u64,
+}
+
+/// An error in the form that client libraries of model servers read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ApiError {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Kind of error.
+    pub kind: &'static str,
+    /// The parameter that is wrong.
+    pub param: Option<&'static str>,
+    /// Code for programs.
+    pub code: Option<&'static str>,
+    /// Sentence for people.
+    pub message: String,
+}
+
+impl ApiError {
+    /// A call that is wrong in itself.
+    pub fn invalid(param: Option<&'static str>, message: impl Into<String>) -> Self {
+        Self {
+            status: StatusCode::BAD_REQUEST,
+            kind: "invalid_request_error",
+            param,
+            code: None,
+            message: message.into(),
+        }
+    }
+
+    /// A call for a model that does not exist.
+    pub fn no_model(name: &str) -> Self {
+        Self {
+            status: StatusCode::NOT_FOUND,
+            kind: "invalid_request_error",
+            param: Some("model"),
+            code: Some("model_not_found"),
+            message: format!(
+                "The model `{name}` does not exist. See /v1/models for those that do."
+            ),
+        }
+    }
+
+    /// The error as JSON.
+    pub fn body(&self) -> Value {
+        json!({
+            "error": {
+                "message": self.message,
+                "type": self.kind,
+                "param": self.param,
+                "code": self.code,
+            }
+        })
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct RawCall {
+    model: Option<Value>,
+    stream: Option<Value>,
+    prompt: Option<Value>,
+    messages: Option<Value>,
+}
+
+/// Reads a completion call.
+pub fn read_call(kind: CompletionKind, body: &Bytes) -> Result<CompletionCall, ApiError> {
+    let raw: RawCall = serde_json::from_slice(body).map_err(|error| {
+        ApiError::invalid(None, format!("The body is not such a call: {error}."))
+    })?;
+    let Some(Value::String(model)) = raw.model else {
+        return Err(ApiError::invalid(Some("model"), "You must give a model, as a string."));
+    };
+    let stream = match raw.stream {
+        None | Some(Value::Null) => false,
+        Some(Value::Bool(stream)) => stream,
+        Some(_) => {
+            return Err(ApiError::invalid(Some("stream"), "`stream` must be true or false."));
+        }
+    };
+    let prompt = match kind {
+        CompletionKind::Text => {
+            raw.prompt.ok_or_else(|| ApiError::invalid(Some("prompt"), "You must give a prompt."))
+        }
+        CompletionKind::Chat => raw.messages.filter(Value::is_array).ok_or_else(|| {
+            ApiError::invalid(Some("messages"), "You must give messages, as a list.")
+        }),
+    }?;
+    let text = prompt.to_string();
+    let beginning = &text.as_bytes()[..text.len().min(AFFINITY_BYTES)];
+    Ok(CompletionCall { affinity: key_of(beginning) ^ key_of(model.as_bytes()), model, stream })
+}
+
+/// The answer to `/v1/models`.
+pub fn model_list(models: &[&ModelPlan]) -> Value {
+    let names = models.iter().flat_map(|model| model.caller_names());
+    let rows: Vec<Value> = names
+        .map(|name| json!({ "id": name, "object": "model", "created": 0, "owned_by": "headlatch" }))
+        .collect();
+    json!({ "object": "list", "data": rows })
+}
--- /dev/null
+++ b/crates/daemon/src/entry/status.rs
@@ -0,0 +1,144 @@
+//! Status for operators: one object per failure domain, written by one of its entries.
+
+use std::{sync::Arc, time::Duration};
+
+use headlatch_core::{
+    hash::winner,
+    membership::{EndpointState, NodeKind, NodeRecord},
+    time::Moment,
+};
+use headlatch_http::StopSignal;
+use headlatch_types::status::{DomainStatus, EndpointStatus, NodeStatus, STATUS_PREFIX};
+use http::StatusCode;
+use volo_http::server::{Router, route::get};
+
+use super::answer;
+use crate::{node::NodeContext, platform::WriteCondition};
+
+/// How often status is looked at.
+const LOOK_PAUSE: Duration = Duration::from_secs(1);
+
+/// Looks after which status is written even if nothing has changed, so that readers can tell a
+/// quiet domain from one that is cut off.
+const WRITE_EVERY: u32 = 10;
+
+/// Writes the status of this entry's domain.
+#[derive(Debug, Clone)]
+pub struct StatusWriter {
+    node: Arc<NodeContext>,
+}
+
+impl StatusWriter {
+    /// A writer for the domain of `node`.
+    pub fn new(node: Arc<NodeContext>) -> Self {
+        Self { node }
+    }
+
+    /// Adds `/status`.
+    pub fn add_routes(&self, router: Router) -> Router {
+        let writer = self.clone();
+        router.route(
+            "/status",
+            get(move || async move {
+                let status = serde_json::to_value(writer.status());
+                answer::json(StatusCode::OK, &status.unwrap_or_default())
+            }),
+        )
+    }
+
+    /// Runs until the stop.
+    pub async fn run(self, mut signal: StopSignal) {
+        let mut ticks = self.node.timer.subscribe(LOOK_PAUSE);
+        let mut last: Vec<NodeStatus> = Vec::new();
+        let mut looks = 0;
+        loop {
+            let now = tokio::select! {
+                tick = ticks.next() => match tick { Some(now) => now, None => return },
+                () = signal.stopped() => return,
+            };
+            looks += 1;
+            if !self.is_writer(now) {
+                continue;
+            }
+            let status = self.status();
+            let settled: Vec<NodeStatus> = status.nodes.iter().map(without_pulse).collect();
+            if settled == last && looks % WRITE_EVERY != 0 {
+                continue;
+            }
+            last = settled;
+            self.write(&status).await;
+        }
+    }
+
+    async fn write(&self, status: &DomainStatus) {
+        let key = format!("{STATUS_PREFIX}{}", status.domain);
+        let text = serde_json::to_string(status).expect("status has only string keys");
+        // Two writers for a moment do no harm: each writes the whole of what it sees.
+        if let Err(error) = self.node.store.write(&key, WriteCondition::Always, text).await {
+            log::debug!("status: {error}");
+        }
+    }
+
+    /// Whether this entry is the one of its domain that writes.
+    fn is_writer(&self, now: Moment) -> bool {
+        let table = self.node.table();
+        let own = table.own();
+        let near = table.living(now).filter(|record| {
+            record.kind == NodeKind::Entry && record.domain == own.domain && !record.leaving
+        });
+        let keys = near.map(|record| record.id.key()).chain([own.id.key()]);
+        winner(own.domain.key(), keys) == Some(own.id.key())
+    }
+
+    /// The status of this domain as this entry sees it.
+    pub fn status(&self) -> DomainStatus {
+        let now = self.node.now();
+        let table = self.node.table();
+        let own = table.own();
+        let near = table.known().filter(|known| known.record.domain == own.domain);
+        let others = near.map(|known| node_status(&known.record, now.since(known.heard)));
+        let mut nodes: Vec<NodeStatus> = others.chain([node_status(own, Duration::ZERO)]).collect();
+        nodes.sort_by(|a, b| a.id.cmp(&b.id));
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        DomainStatus {
+            domain: own.domain.clone(),
+            writer: own.id.clone(),
+            written_ms: since.map_or(0, |since| since.as_millis() as u64),
+            nodes,
+        }
+    }
+}
+
+/// A node's status without what changes all the time.
+fn without_pulse(status: &NodeStatus) -> NodeStatus {
+    let mut settled = status.clone();
+    settled.silent_ms = 0;
+    if let Some(endpoint) = settled.endpoint.as_mut() {
+        endpoint.in_progress = 0;
+        endpoint.fetch_rate = 0;
+    }
+    settled
+}
+
+fn node_status(record: &NodeRecord, silent: Duration) -> NodeStatus {
+    NodeStatus {
+        id: record.id.clone(),
+        revision: record.revision,
+        leaving: record.leaving,
+        silent_ms: silent.as_millis() as u64,
+        endpoint: record.endpoint.as_ref().map(endpoint_status),
+    }
+}
+
+fn endpoint_status(state: &EndpointState) -> EndpointStatus {
+    EndpointStatus {
+        service: state.service.clone(),
+        serving: state.serving,
+        fetching: state.fetching,
+        fetched_permille: state.fetched_permille,
+        fetch_rate: state.fetch_rate,
+        in_progress: state.in_progress,
+        slots: state.slots,
+        healthy: state.healthy,
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,14 @@
-//! x
+//! The daemons of headlatch: entries, which take requests in, and agents, which look after the
+//! endpoint on their box.
+
+pub mod agent;
+pub mod cli;
+pub mod entry;
+pub mod error;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod platform;
+pub mod run;
+pub mod timer;
+pub mod trace;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,13 @@
-//! x
-fn main() {}
+//! `headlatchd`: runs an entry or an agent.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match headlatch_daemon::run::run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("Error: {failure}");
+            failure.exit_code()
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,139 @@
+//! Metrics in Prometheus' text form.
+
+use headlatch_types::RunVerdict;
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+
+/// Bounds of latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.33, 0.5, 1.0, 2.5, 10.0, 60.0];
+
+/// Metrics of one node.
+#[derive(Debug, Clone)]
+pub struct NodeMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    refusals: IntCounterVec,
+    first_byte: HistogramVec,
+    chunk_bytes: IntCounterVec,
+    chunk_failures: IntCounterVec,
+    control_bytes: IntCounterVec,
+    revision: IntGauge,
+    nodes: IntGaugeVec,
+    in_progress: IntGauge,
+}
+
+impl Default for NodeMetrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels);
+            register(&registry, counter.expect("names of metrics are fixed and valid"))
+        };
+        let requests = counter("headlatch_requests_total", "Requests by verdict.", &["verdict"]);
+        let refusals = counter("headlatch_refusals_total", "Refusals by cause.", &["cause"]);
+        let chunk_bytes =
+            counter("headlatch_chunk_bytes_total", "Bytes of chunks by way.", &["way"]);
+        let chunk_failures =
+            counter("headlatch_chunk_failures_total", "Failed fetches by cause.", &["cause"]);
+        let control_bytes =
+            counter("headlatch_gossip_bytes_total", "Bytes of gossip by way.", &["way"]);
+        let latency = HistogramOpts::new("headlatch_first_byte_seconds", "Time to the first byte.")
+            .buckets(LATENCY_BUCKETS.to_vec());
+        let first_byte = HistogramVec::new(latency, &["kind"]);
+        let first_byte = register(&registry, first_byte.expect("the name is fixed and valid"));
+        let nodes = IntGaugeVec::new(Opts::new("headlatch_nodes", "Nodes known."), &["state"]);
+        let nodes = register(&registry, nodes.expect("the name is fixed and valid"));
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("names of metrics are fixed and valid");
+            register(&registry, gauge)
+        };
+        let revision = gauge("headlatch_revision", "Revision of the configuration in force.");
+        let in_progress = gauge("headlatch_in_progress", "Requests in progress.");
+        Self {
+            registry,
+            requests,
+            refusals,
+            first_byte,
+            chunk_bytes,
+            chunk_failures,
+            control_bytes,
+            revision,
+            nodes,
+            in_progress,
+        }
+    }
+}
+
+fn register<C: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: C) -> C {
+    let registered = registry.register(Box::new(metric.clone()));
+    registered.expect("every metric is registered once");
+    metric
+}
+
+impl NodeMetrics {
+    /// Counts a request by its verdict.
+    pub fn count_request(&self, verdict: RunVerdict) {
+        self.requests.with_label_values(&[verdict.as_str()]).inc();
+    }
+
+    /// Counts a refusal by its cause.
+    pub fn count_refusal(&self, cause: &str) {
+        self.refusals.with_label_values(&[cause]).inc();
+    }
+
+    /// Notes the time to the first byte of an answer.
+    pub fn observe_first_byte(&self, kind: &str, seconds: f64) {
+        self.first_byte.with_label_values(&[kind]).observe(seconds);
+    }
+
+    /// Counts bytes of chunks, from `origin`, `store` or `peer`, or `up` to peers.
+    pub fn count_chunk(&self, way: &str, bytes: u64) {
+        self.chunk_bytes.with_label_values(&[way]).inc_by(bytes);
+    }
+
+    /// Counts a failed fetch.
+    pub fn count_chunk_failure(&self, cause: &str) {
+        self.chunk_failures.with_label_values(&[cause]).inc();
+    }
+
+    /// Counts bytes of gossip, `in` or `out`.
+    pub fn count_gossip(&self, way: &str, bytes: usize) {
+        self.control_bytes.with_label_values(&[way]).inc_by(bytes as u64);
+    }
+
+    /// Sets the revision in force.
+    pub fn set_revision(&self, revision: u64) {
+        self.revision.set(revision as i64);
+    }
+
+    /// Sets the number of nodes in a state.
+    pub fn set_nodes(&self, state: &str, count: usize) {
+        self.nodes.with_label_values(&[state]).set(count as i64);
+    }
+
+    /// Sets the number of requests in progress.
+    pub fn set_in_progress(&self, count: usize) {
+        self.in_progress.set(count as i64);
+    }
+
+    /// Requests counted with a verdict so far.
+    pub fn requests(&self, verdict: RunVerdict) -> u64 {
+        self.requests.with_label_values(&[verdict.as_str()]).get()
+    }
+
+    /// Bytes of chunks counted for a way so far.
+    pub fn chunk_bytes(&self, way: &str) -> u64 {
+        self.chunk_bytes.with_label_values(&[way]).get()
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        let mut out = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut out);
+        encoded
+            .map_or_else(|error| error.to_string(), |()| String::from_utf8_lossy(&out).into_owned())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node/codec.rs
@@ -0,0 +1,146 @@
+//! Wire messages to checked types and back.
+
+use headlatch_core::{
+    burst::{ChunkSet, DrawPool, DrawTicket, SwarmNote},
+    membership::{EndpointState, NodeKind, NodeRecord},
+};
+use headlatch_types::{ChunkIndex, RunVerdict, fleet::SetKey, quantity::ConfigRevision};
+use headlatch_wire as wire;
+
+/// A message that is not what it should be.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("field {field} of a message is missing or wrong")]
+pub struct DecodeError {
+    /// The field.
+    pub field: &'static str,
+}
+
+fn wrong(field: &'static str) -> DecodeError {
+    DecodeError { field }
+}
+
+/// A record as a message.
+pub fn encode_record(record: &NodeRecord) -> wire::NodeRecord {
+    let kind = match record.kind {
+        NodeKind::Entry => wire::NodeKind::Entry,
+        NodeKind::Agent => wire::NodeKind::Agent,
+    };
+    wire::NodeRecord {
+        box_id: record.id.to_string(),
+        domain: record.domain.to_string(),
+        region: record.region.to_string(),
+        kind: kind.into(),
+        control: record.control.to_string(),
+        incarnation: record.incarnation,
+        beat: record.beat,
+        revision: record.revision.number(),
+        leaving: record.leaving,
+        endpoint: record.endpoint.as_ref().map(encode_endpoint),
+    }
+}
+
+fn encode_endpoint(state: &EndpointState) -> wire::EndpointState {
+    wire::EndpointState {
+        service: state.service.as_ref().map(ToString::to_string).unwrap_or_default(),
+        serving: state.serving.map_or(0, |set| set.0),
+        fetching: state.fetching.map_or(0, |set| set.0),
+        fetched_permille: state.fetched_permille,
+        fetch_rate: state.fetch_rate,
+        in_progress: state.in_progress,
+        slots: state.slots,
+        healthy: state.healthy,
+    }
+}
+
+/// A record from a message.
+pub fn decode_record(message: wire::NodeRecord) -> Result<NodeRecord, DecodeError> {
+    let kind = match message.kind() {
+        wire::NodeKind::Entry => NodeKind::Entry,
+        wire::NodeKind::Agent => NodeKind::Agent,
+        wire::NodeKind::Unspecified => return Err(wrong("kind")),
+    };
+    Ok(NodeRecord {
+        id: message.box_id.parse().map_err(|_| wrong("box_id"))?,
+        domain: message.domain.parse().map_err(|_| wrong("domain"))?,
+        region: message.region.parse().map_err(|_| wrong("region"))?,
+        kind,
+        control: message.control.parse().map_err(|_| wrong("control"))?,
+        incarnation: message.incarnation,
+        beat: message.beat,
+        revision: ConfigRevision::new(message.revision),
+        leaving: message.leaving,
+        endpoint: message.endpoint.map(decode_endpoint).transpose()?,
+    })
+}
+
+fn decode_endpoint(message: wire::EndpointState) -> Result<EndpointState, DecodeError> {
+    let set = |key: u64| (key != 0).then_some(SetKey(key));
+    let service = match message.service.as_str() {
+        "" => None,
+        name => Some(name.parse().map_err(|_| wrong("service"))?),
+    };
+    Ok(EndpointState {
+        service,
+        serving: set(message.serving),
+        fetching: set(message.fetching),
+        fetched_permille: message.fetched_permille.min(1000),
+        fetch_rate: message.fetch_rate,
+        in_progress: message.in_progress,
+        slots: message.slots,
+        healthy: message.healthy,
+    })
+}
+
+/// A note as a message.
+pub fn encode_note(note: &SwarmNote) -> wire::SwarmNote {
+    use wire::swarm_note::Note;
+    let note = match note {
+        SwarmNote::Have(chunks) => {
+            Note::Have(wire::ChunkList { chunks: chunks.iter().map(|chunk| chunk.0).collect() })
+        }
+        SwarmNote::Field(field) => Note::Field(field.to_bytes().into()),
+        SwarmNote::Ticket(ticket) => Note::Ticket(wire::DrawTicket {
+            position: ticket.chunk.0,
+            store: ticket.pool == DrawPool::Store,
+        }),
+        SwarmNote::Offer(chunk) => Note::Offer(chunk.0),
+        SwarmNote::Seek(chunk) => Note::Seek(chunk.0),
+    };
+    wire::SwarmNote { note: Some(note) }
+}
+
+/// A note from a message about a manifest of `chunks` chunks.
+pub fn decode_note(message: wire::SwarmNote, chunks: u32) -> Result<SwarmNote, DecodeError> {
+    use wire::swarm_note::Note;
+    let checked = |chunk: u32| (chunk < chunks).then_some(ChunkIndex(chunk)).ok_or(wrong("chunk"));
+    Ok(match message.note.ok_or(wrong("note"))? {
+        Note::Have(list) => {
+            SwarmNote::Have(list.chunks.into_iter().map(checked).collect::<Result<_, _>>()?)
+        }
+        Note::Field(field) => SwarmNote::Field(ChunkSet::from_bytes(chunks, &field)),
+        Note::Ticket(ticket) => SwarmNote::Ticket(DrawTicket {
+            chunk: checked(ticket.position)?,
+            pool: if ticket.store { DrawPool::Store } else { DrawPool::Origin },
+        }),
+        Note::Offer(chunk) => SwarmNote::Offer(checked(chunk)?),
+        Note::Seek(chunk) => SwarmNote::Seek(checked(chunk)?),
+    })
+}
+
+/// A verdict as a message.
+pub fn encode_verdict(verdict: RunVerdict) -> wire::Verdict {
+    match verdict {
+        RunVerdict::Ran => wire::Verdict::Ran,
+        RunVerdict::NotRun => wire::Verdict::NotRun,
+        RunVerdict::MayHaveRun => wire::Verdict::MayHaveRun,
+    }
+}
+
+/// A verdict from a message; what is not known may have run.
+pub fn decode_verdict(verdict: wire::Verdict) -> RunVerdict {
+    match verdict {
+        wire::Verdict::Ran => RunVerdict::Ran,
+        wire::Verdict::NotRun => RunVerdict::NotRun,
+        wire::Verdict::MayHaveRun | wire::Verdict::Unspecified => RunVerdict::MayHaveRun,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/platform/http.rs
@@ -0,0 +1,174 @@
+//! The object API over HTTP.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use headlatch_http::HttpCaller;
+use headlatch_types::{RunVerdict, quantity::ByteSize, settings::ServiceUrl};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use serde::Deserialize;
+
+use super::{
+    ListedMember, ObjectStore, ObjectValue, StoreError, StoreFuture, WriteCondition, WriteOutcome,
+};
+
+/// Time for a call that does not wait.
+const CALL_TIME: Duration = Duration::from_secs(3);
+
+/// Largest answer: a list of objects of up to 1 MiB each.
+const MOST_ANSWER: ByteSize = ByteSize::from_mib(64);
+
+/// The object API at one address.
+#[derive(Debug)]
+pub struct HttpStore {
+    url: ServiceUrl,
+    caller: HttpCaller,
+}
+
+#[derive(Debug, Deserialize)]
+struct ListedObject {
+    key: String,
+    version: u64,
+    value: String,
+}
+
+impl HttpStore {
+    /// The object API at `url`.
+    pub fn new(url: ServiceUrl) -> Self {
+        Self { url, caller: HttpCaller::pooled() }
+    }
+
+    async fn get(
+        &self,
+        path: &str,
+        time: Duration,
+    ) -> Result<(StatusCode, HeaderMap, Bytes), StoreError> {
+        let path = self.path(path);
+        let target = (Method::GET, &*path);
+        let limits = (MOST_ANSWER, time);
+        let call =
+            self.caller.call(self.url.address(), target, HeaderMap::new(), Bytes::new(), limits);
+        call.await.map_err(|error| StoreError(error.message))
+    }
+
+    /// The path of the URL below the base.
+    fn path(&self, path: &str) -> String {
+        let url = self.url.join(path);
+        let rest = url.trim_start_matches("http://");
+        rest.find('/').map_or_else(String::new, |at| rest[at..].to_owned())
+    }
+
+    async fn get_object(
+        &self,
+        path: &str,
+        time: Duration,
+    ) -> Result<Option<ObjectValue>, StoreError> {
+        let (status, headers, body) = self.get(path, time).await?;
+        match status {
+            StatusCode::OK => Ok(Some(ObjectValue {
+                version: version(&headers).ok_or_else(|| StoreError("no version".to_owned()))?,
+                text: String::from_utf8(body.to_vec())
+                    .map_err(|_| StoreError("a value is not text".to_owned()))?,
+            })),
+            StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED => Ok(None),
+            other => Err(StoreError(format!("{path} gave {other}"))),
+        }
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        condition: WriteCondition,
+        text: String,
+    ) -> Result<WriteOutcome, StoreError> {
+        let mut headers = HeaderMap::new();
+        match condition {
+            WriteCondition::Absent => {
+                headers.insert(header::IF_NONE_MATCH, HeaderValue::from_static("*"));
+            }
+            WriteCondition::Version(version) => {
+                let tag = HeaderValue::from_str(&format!("\"{version}\""));
+                headers.insert(header::IF_MATCH, tag.expect("digits in quotes make a header"));
+            }
+            WriteCondition::Always => {}
+        }
+        let path = self.path(&format!("v1/objects/{key}"));
+        let target = (Method::PUT, &*path);
+        let limits = (MOST_ANSWER, CALL_TIME);
+        let call = self.caller.call(self.url.address(), target, headers, Bytes::from(text), limits);
+        match call.await {
+            Ok((StatusCode::OK, headers, _)) => {
+                Ok(version(&headers).map_or(WriteOutcome::Unknown, WriteOutcome::Written))
+            }
+            Ok((StatusCode::PRECONDITION_FAILED, ..)) => Ok(WriteOutcome::Conflict),
+            Ok((status, ..)) if status.is_client_error() => {
+                Err(StoreError(format!("{key} was refused with {status}")))
+            }
+            // A server's error may have come after the write.
+            Ok(_) => Ok(WriteOutcome::Unknown),
+            Err(error) if error.verdict == RunVerdict::NotRun => Err(StoreError(error.message)),
+            Err(_) => Ok(WriteOutcome::Unknown),
+        }
+    }
+}
+
+fn version(headers: &HeaderMap) -> Option<u64> {
+    headers.get(header::ETAG)?.to_str().ok()?.trim_matches('"').parse().ok()
+}
+
+fn read_list<'a, T: Deserialize<'a>>(status: StatusCode, body: &'a [u8]) -> Result<T, StoreError> {
+    if status != StatusCode::OK {
+        return Err(StoreError(format!("a list gave {status}")));
+    }
+    serde_json::from_slice(body).map_err(|error| StoreError(error.to_string()))
+}
+
+impl ObjectStore for HttpStore {
+    fn read<'a>(
+        &'a self,
+        key: &'a str,
+    ) -> StoreFuture<'a, Result<Option<ObjectValue>, StoreError>> {
+        Box::pin(async move { self.get_object(&format!("v1/objects/{key}"), CALL_TIME).await })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        key: &'a str,
+        after: u64,
+        wait: Duration,
+    ) -> StoreFuture<'a, Result<Option<ObjectValue>, StoreError>> {
+        let path = format!("v1/objects/{key}?after={after}&wait_ms={}", wait.as_millis());
+        Box::pin(async move { self.get_object(&path, wait + CALL_TIME).await })
+    }
+
+    fn write<'a>(
+        &'a self,
+        key: &'a str,
+        condition: WriteCondition,
+        text: String,
+    ) -> StoreFuture<'a, Result<WriteOutcome, StoreError>> {
+        Box::pin(self.put(key, condition, text))
+    }
+
+    fn list<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> StoreFuture<'a, Result<Vec<(String, ObjectValue)>, StoreError>> {
+        let path = format!("v1/objects?prefix={prefix}");
+        Box::pin(async move {
+            let (status, _, body) = self.get(&path, CALL_TIME).await?;
+            let rows: Vec<ListedObject> = read_list(status, &body)?;
+            let value = |row: ListedObject| {
+                (row.key, ObjectValue { version: row.version, text: row.value })
+            };
+            Ok(rows.into_iter().map(value).collect())
+        })
+    }
+
+    fn members(&self) -> StoreFuture<'_, Result<Vec<ListedMember>, StoreError>> {
+        Box::pin(async move {
+            let (status, _, body) = self.get("v1/members", CALL_TIME).await?;
+            read_list(status, &body)
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,130 @@
+//! What `headlatchd` does.
+
+use std::{fs, path::Path, sync::Arc};
+
+use clap::Parser;
+use error_stack::{Report, ResultExt};
+use headlatch_types::settings::{DaemonSettings, NodeSettings};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::{
+    agent::RunningAgent,
+    cli::{CommandLine, DaemonCommand, SettingsArgs},
+    entry::RunningEntry,
+    error::{DaemonError, Failure},
+    logging,
+    platform::{HttpStore, SharedStore},
+    timer::{SharedTimer, SystemTimer},
+    trace::SpanMaker,
+};
+
+/// Reads the command line and does what it says.
+pub fn run() -> Result<(), Failure> {
+    let command = CommandLine::parse().command;
+    let (args, wanted) = match &command {
+        DaemonCommand::Entry(args) => (args, Some(DaemonKind::Entry)),
+        DaemonCommand::Agent(args) => (args, Some(DaemonKind::Agent)),
+        DaemonCommand::Check(args) => (args, None),
+    };
+    let settings = read_settings(args)?;
+    match wanted {
+        None => {
+            println!("{}: {}", args.settings.display(), describe(&settings));
+            Ok(())
+        }
+        Some(wanted) => {
+            check_kind(&args.settings, wanted, &settings)?;
+            Ok(run_daemon(settings)?)
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DaemonKind {
+    Entry,
+    Agent,
+}
+
+fn read_settings(args: &SettingsArgs) -> Result<DaemonSettings, Report<DaemonError>> {
+    let name = args.settings.display();
+    let failure = |message: String| Report::new(DaemonError::Settings(message));
+    let text = fs::read_to_string(&args.settings)
+        .map_err(|error| failure(format!("{name}: cannot be read, {error}; check --settings")))?;
+    DaemonSettings::parse(&text).map_err(|error| failure(format!("{name}: {error}")))
+}
+
+fn check_kind(
+    path: &Path,
+    wanted: DaemonKind,
+    settings: &DaemonSettings,
+) -> Result<(), Report<DaemonError>> {
+    let message = match (wanted, settings) {
+        (DaemonKind::Entry, DaemonSettings::Entry(_))
+        | (DaemonKind::Agent, DaemonSettings::Agent(_)) => return Ok(()),
+        (DaemonKind::Entry, _) => "these are an agent's settings; run headlatchd agent with them",
+        (DaemonKind::Agent, _) => "these are an entry's settings; run headlatchd entry with them",
+    };
+    Err(Report::new(DaemonError::Settings(format!("{}: {message}", path.display()))))
+}
+
+fn describe(settings: &DaemonSettings) -> String {
+    match settings {
+        DaemonSettings::Entry(entry) => {
+            format!("settings of entry {} at {} are good", entry.node.box_id, entry.listen)
+        }
+        DaemonSettings::Agent(agent) => {
+            let endpoint = &agent.endpoint;
+            format!("settings of agent {} beside {} are good", agent.node.box_id, endpoint.address)
+        }
+    }
+}
+
+fn run_daemon(settings: DaemonSettings) -> Result<(), Report<DaemonError>> {
+    let node = match &settings {
+        DaemonSettings::Entry(entry) => &entry.node,
+        DaemonSettings::Agent(agent) => &agent.node,
+    };
+    logging::start(&node.log)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .change_context(DaemonError::Telemetry("the runtime"))?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: DaemonSettings) -> Result<(), Report<DaemonError>> {
+    let timer: SharedTimer = Arc::new(SystemTimer::default());
+    match settings {
+        DaemonSettings::Entry(settings) => {
+            let (store, spans) = tools(&settings.node, "headlatch-entry")?;
+            let entry = RunningEntry::start(*settings, timer, store, spans.clone()).await?;
+            wait_for_stop().await?;
+            entry.leave().await;
+            spans.flush();
+        }
+        DaemonSettings::Agent(settings) => {
+            let (store, spans) = tools(&settings.node, "headlatch-agent")?;
+            let agent = RunningAgent::start(*settings, timer, store, spans.clone()).await?;
+            wait_for_stop().await?;
+            agent.leave().await;
+            spans.flush();
+        }
+    }
+    Ok(())
+}
+
+fn tools(node: &NodeSettings, name: &str) -> Result<(SharedStore, SpanMaker), Report<DaemonError>> {
+    let store: SharedStore = Arc::new(HttpStore::new(node.platform.clone()));
+    Ok((store, SpanMaker::new(name, node.traces.as_ref())?))
+}
+
+async fn wait_for_stop() -> Result<(), Report<DaemonError>> {
+    let failure = || DaemonError::Telemetry("signals");
+    let mut terminate = signal(SignalKind::terminate()).change_context_lazy(failure)?;
+    let mut interrupt = signal(SignalKind::interrupt()).change_context_lazy(failure)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,112 @@
+//! A client that says whether a failed call may have run.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use headlatch_types::{RunVerdict, quantity::ByteSize};
+use http::{HeaderMap, Method, StatusCode};
+use volo_http::{
+    body::Body, client::Client, error::client::ErrorKind, request::Request, response::Response,
+};
+
+use crate::server::{BodyError, read_body};
+
+/// Time to connect to an address.
+const CONNECT_TIME: Duration = Duration::from_secs(2);
+
+/// A call that brought no answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{message}")]
+pub struct CallError {
+    /// Whether it may have run.
+    pub verdict: RunVerdict,
+    /// What happened.
+    pub message: String,
+}
+
+/// Calls HTTP services by IP number.
+#[derive(Clone)]
+pub struct HttpCaller {
+    client: Client,
+}
+
+impl std::fmt::Debug for HttpCaller {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("HttpCaller")
+    }
+}
+
+impl HttpCaller {
+    /// A caller that keeps connections for further calls.
+    pub fn pooled() -> Self {
+        Self::build(true)
+    }
+
+    /// A caller that opens a connection for every call.
+    ///
+    /// A kept connection may be closed by the other side just as a call is sent on it, and then
+    /// nobody can tell whether the call ran. A fresh one fails before anything is sent.
+    pub fn fresh() -> Self {
+        Self::build(false)
+    }
+
+    fn build(pooled: bool) -> Self {
+        let mut builder = Client::builder();
+        builder.set_connect_timeout(CONNECT_TIME);
+        if !pooled {
+            builder.set_max_idle_per_host(0);
+        }
+        let client = builder.build().expect("a client without settings of its own builds");
+        Self { client }
+    }
+
+    /// Sends a request to `address` and returns the head of the answer with its body to come.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> Result<Response, CallError> {
+        let not_built = |message: String| CallError { verdict: RunVerdict::NotRun, message };
+        let uri = format!("http://{address}{path}");
+        let mut request = Request::builder()
+            .method(method.clone())
+            .uri(&uri)
+            .body(Body::from(body))
+            .map_err(|error| not_built(format!("{method} {uri}: {error}")))?;
+        request.headers_mut().extend(headers);
+        let (parts, body) = request.into_parts();
+        let mut builder = self.client.request(parts.method, parts.uri);
+        builder.headers_mut().extend(parts.headers);
+        builder.body(body).send().await.map_err(|error| {
+            let verdict = match error.kind() {
+                ErrorKind::Connect | ErrorKind::Builder | ErrorKind::Context => RunVerdict::NotRun,
+                _ => RunVerdict::MayHaveRun,
+            };
+            CallError { verdict, message: format!("{method} {uri}: {error}") }
+        })
+    }
+
+    /// Sends a request and reads the whole answer, within `time` and up to `most` bytes.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        (method, path): (Method, &str),
+        headers: HeaderMap,
+        body: Bytes,
+        (most, time): (ByteSize, Duration),
+    ) -> Result<(StatusCode, HeaderMap, Bytes), CallError> {
+        let late = |verdict| CallError { verdict, message: format!("{path}: no answer in time") };
+        let sent = self.send(address, method, path, headers, body);
+        let response =
+            tokio::time::timeout(time, sent).await.map_err(|_| late(RunVerdict::MayHaveRun))??;
+        let (parts, body) = response.into_parts();
+        let body = read_body(body, most, time).await.map_err(|error: BodyError| CallError {
+            verdict: RunVerdict::MayHaveRun,
+            message: format!("{path}: {error}"),
+        })?;
+        Ok((parts.status, parts.headers, body))
+    }
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,10 @@
+//! HTTP shells of headlatch: a server that drains and limits, a client that tells what ran.
+
+pub mod client;
+pub mod pace;
+pub mod server;
+pub mod stop;
+
+pub use client::{CallError, HttpCaller};
+pub use server::{BodyError, HttpLimits, HttpServer, read_body};
+pub use stop::{StopHandle, StopSignal};
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,168 @@
+//! A server around a `volo_http` router: limits, and stops that cut nothing off.
+//!
+//! `volo_http::server::Server` takes signals itself, has no stop of its own and gives up on
+//! busy connections after half a minute; this loop hands the same router its requests instead.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use headlatch_types::quantity::ByteSize;
+use http_body_util::{BodyExt, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use motore::service::Service;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore},
+};
+use volo::net::Address;
+use volo_http::{
+    body::Body, context::ServerContext, request::Request, response::Response, server::Router,
+};
+
+use crate::stop::StopSignal;
+
+/// Pause after a failed `accept`, so that a lack of file descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Limits of one listener.
+#[derive(Debug, Clone)]
+pub struct HttpLimits {
+    /// Largest head of a request; raised to 8 KiB, the least that hyper takes.
+    pub head: ByteSize,
+    /// Time a caller has to send its head.
+    pub head_time: Duration,
+    /// Connections held at the same time; further ones wait to be accepted.
+    pub connections: usize,
+    /// Time a stop waits for requests in progress.
+    pub drain: Duration,
+}
+
+impl Default for HttpLimits {
+    fn default() -> Self {
+        Self {
+            head: ByteSize::from_bytes(32 << 10),
+            head_time: Duration::from_secs(10),
+            connections: 4096,
+            drain: Duration::from_secs(600),
+        }
+    }
+}
+
+/// A bound listener and its limits.
+#[derive(Debug)]
+pub struct HttpServer {
+    listener: TcpListener,
+    limits: HttpLimits,
+}
+
+impl HttpServer {
+    /// Binds `address`; port 0 takes a free port.
+    pub async fn bind(address: SocketAddr, limits: HttpLimits) -> std::io::Result<Self> {
+        Ok(Self { listener: TcpListener::bind(address).await?, limits })
+    }
+
+    /// The address that was bound.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves `router` until `signal`, then until no request is in progress or the drain ends.
+    pub async fn serve(self, router: Router, mut signal: StopSignal) {
+        let router = Arc::new(router);
+        let permits = Arc::new(Semaphore::new(self.limits.connections));
+        let shutdown = GracefulShutdown::new();
+        loop {
+            let accepted = tokio::select! {
+                accepted = accept(&self.listener, &permits) => accepted,
+                () = signal.stopped() => break,
+            };
+            let Some((stream, peer, permit)) = accepted else { continue };
+            let connection = connect(stream, peer, router.clone(), &self.limits);
+            let watched = shutdown.watch(connection);
+            tokio::spawn(async move {
+                let _permit = permit;
+                // A caller that goes away is no error of ours.
+                let _ = watched.await;
+            });
+        }
+        drop(self.listener);
+        // Past the drain whatever is left has had its time.
+        let _ = tokio::time::timeout(self.limits.drain, shutdown.shutdown()).await;
+    }
+}
+
+async fn accept(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+) -> Option<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
+    let permit = permits.clone().acquire_owned().await.ok()?;
+    match listener.accept().await {
+        Ok((stream, peer)) => {
+            // Without it small frames wait for acknowledgements; a failure only costs time.
+            let _ = stream.set_nodelay(true);
+            Some((stream, peer, permit))
+        }
+        Err(error) => {
+            log::warn!("http: accept failed, {error}");
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
+
+fn connect(
+    stream: TcpStream,
+    peer: SocketAddr,
+    router: Arc<Router>,
+    limits: &HttpLimits,
+) -> impl hyper_util::server::graceful::GracefulConnection<Error = hyper::Error> + Send + use<> {
+    let service = service_fn(move |request: http::Request<Incoming>| {
+        let router = router.clone();
+        async move { Ok::<Response, Infallible>(answer(&router, peer, request).await) }
+    });
+    http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_time)
+        .max_buf_size(limits.head.bytes().max(8192) as usize)
+        .keep_alive(true)
+        .serve_connection(TokioIo::new(stream), service)
+}
+
+async fn answer(router: &Router, peer: SocketAddr, request: http::Request<Incoming>) -> Response {
+    let request: Request = request.map(Body::from_incoming);
+    let mut context = ServerContext::new(Address::from(peer));
+    match router.call(&mut context, request).await {
+        Ok(response) => response,
+        Err(never) => match never {},
+    }
+}
+
+/// Why a body was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum BodyError {
+    /// It is longer than allowed, announced or not.
+    #[error("the body is longer than allowed")]
+    TooLong,
+    /// It did not come in time.
+    #[error("the body did not come in time")]
+    TooSlow,
+    /// The sender broke off.
+    #[error("the body broke off")]
+    Broken,
+}
+
+/// Reads a whole body of at most `most` bytes within `time`.
+pub async fn read_body(body: Body, most: ByteSize, time: Duration) -> Result<Bytes, BodyError> {
+    let limited = Limited::new(body, most.bytes() as usize);
+    let collected = tokio::time::timeout(time, limited.collect());
+    match collected.await {
+        Err(_) => Err(BodyError::TooSlow),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLong),
+        Ok(Err(_)) => Err(BodyError::Broken),
+    }
+}
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -259,7 +259,8 @@
 
     /// Names under which callers may ask for it: the model's own and one per adapter.
     pub fn caller_names(&self) -> Vec<String> {
-        let adapters = self.adapters.iter().map(|adapter| format!("{}:{}", self.name, adapter.name));
+        let adapters =
+            self.adapters.iter().map(|adapter| format!("{}:{}", self.name, adapter.name));
         std::iter::once(self.name.to_string()).chain(adapters).collect()
     }
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod quantity;
 pub mod reading;
 pub mod settings;
+pub mod status;
 pub mod verdict;
 
 pub use digest::Digest;
--- a/crates/types/src/settings.rs
+++ b/crates/types/src/settings.rs
@@ -441,7 +441,10 @@
     };
     let origin = url("agent.origin", &raw.origin)?;
     if endpoint.service.is_none() && origin.is_none() {
-        return Err(InputError::new("agent.origin", "an engine needs an origin of weights; add it"));
+        return Err(InputError::new(
+            "agent.origin",
+            "an engine needs an origin of weights; add it",
+        ));
     }
     Ok(AgentSettings {
         node,
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -133,12 +133,40 @@
     pub chunk: u32,
     #[prost(string, tag = "3")]
     pub box_id: ::prost::alloc::string::String,
+    /// Chunks that the asker holds: those who hold least are served first.
+    #[prost(uint32, tag = "4")]
+    pub held: u32,
+}
+/// What the asker of a chunk says, in order: an ask, then a take, or a pass and later a resume.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FetchStep {
+    #[prost(oneof = "fetch_step::Step", tags = "1, 2, 3, 4")]
+    pub step: ::core::option::Option<fetch_step::Step>,
+}
+/// Nested message and enum types in `FetchStep`.
+pub mod fetch_step {
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum Step {
+        #[prost(message, tag = "1")]
+        Ask(super::FetchChunkRequest),
+        /// The chunk's turn has come and there is room for it.
+        #[prost(bool, tag = "2")]
+        Take(bool),
+        /// The chunk's turn has come and there is no room for it.
+        #[prost(bool, tag = "3")]
+        Pass(bool),
+        /// There is room again.
+        #[prost(bool, tag = "4")]
+        Resume(bool),
+    }
 }
-/// A part of a chunk's bytes.
+/// What the sender of a chunk says: that its turn has come, then its bytes.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ChunkPiece {
     #[prost(bytes = "bytes", tag = "1")]
     pub data: ::prost::bytes::Bytes,
+    #[prost(bool, tag = "2")]
+    pub turn: bool,
 }
 /// Asks for a manifest by its digest.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -202,6 +230,9 @@
     pub box_id: ::prost::alloc::string::String,
     #[prost(message, repeated, tag = "3")]
     pub notes: ::prost::alloc::vec::Vec<SwarmNote>,
+    /// Requests for chunks that wait at the sender.
+    #[prost(uint32, tag = "4")]
+    pub queue: u32,
 }
 /// Receipt of notes.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -807,10 +838,11 @@
             self.inner = self.inner.max_encoding_message_size(limit);
             self
         }
-        /// Sends one chunk that this box holds and has verified.
+        /// Sends one chunk that this box holds and has verified, once its turn has come and the asker
+        /// has room for it.
         pub async fn fetch_chunk(
             &mut self,
-            request: impl tonic::IntoRequest<super::FetchChunkRequest>,
+            request: impl tonic::IntoStreamingRequest<Message = super::FetchStep>,
         ) -> std::result::Result<
             tonic::Response<tonic::codec::Streaming<super::ChunkPiece>>,
             tonic::Status,
@@ -827,10 +859,10 @@
             let path = http::uri::PathAndQuery::from_static(
                 "/headlatch.v1.Node/FetchChunk",
             );
-            let mut req = request.into_request();
+            let mut req = request.into_streaming_request();
             req.extensions_mut()
                 .insert(GrpcMethod::new("headlatch.v1.Node", "FetchChunk"));
-            self.inner.server_streaming(req, path, codec).await
+            self.inner.streaming(req, path, codec).await
         }
         /// Hands over notes about the transfer of weights.
         pub async fn tell(
@@ -922,10 +954,11 @@
             >
             + std::marker::Send
             + 'static;
-        /// Sends one chunk that this box holds and has verified.
+        /// Sends one chunk that this box holds and has verified, once its turn has come and the asker
+        /// has room for it.
         async fn fetch_chunk(
             &self,
-            request: tonic::Request<super::FetchChunkRequest>,
+            request: tonic::Request<tonic::Streaming<super::FetchStep>>,
         ) -> std::result::Result<tonic::Response<Self::FetchChunkStream>, tonic::Status>;
         /// Hands over notes about the transfer of weights.
         async fn tell(
@@ -1026,9 +1059,7 @@
                 "/headlatch.v1.Node/FetchChunk" => {
                     #[allow(non_camel_case_types)]
                     struct FetchChunkSvc<T: Node>(pub Arc<T>);
-                    impl<
-                        T: Node,
-                    > tonic::server::ServerStreamingService<super::FetchChunkRequest>
+                    impl<T: Node> tonic::server::StreamingService<super::FetchStep>
                     for FetchChunkSvc<T> {
                         type Response = super::ChunkPiece;
                         type ResponseStream = T::FetchChunkStream;
@@ -1038,7 +1069,7 @@
                         >;
                         fn call(
                             &mut self,
-                            request: tonic::Request<super::FetchChunkRequest>,
+                            request: tonic::Request<tonic::Streaming<super::FetchStep>>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
                             let fut = async move {
@@ -1064,7 +1095,7 @@
                                 max_decoding_message_size,
                                 max_encoding_message_size,
                             );
-                        let res = grpc.server_streaming(method, req).await;
+                        let res = grpc.streaming(method, req).await;
                         Ok(res)
                     };
                     Box::pin(fut)
