--- a/crates/bench/src/burst/baseline.rs
+++ b/crates/bench/src/burst/baseline.rs
@@ -1,6 +1,9 @@
 //! Naive schemes, to compare with.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Duration,
+};
 
 use clap::ValueEnum;
 use headlatch_core::{
@@ -51,11 +54,15 @@
     ready: VecDeque<ChunkIndex>,
     open: BTreeSet<ChunkIndex>,
     held: BTreeSet<ChunkIndex>,
+    repeat_due: Moment,
 }
 
 /// Chunks a fixed route fetches at the same time.
 const FIXED_PIPELINE: usize = 4;
 
+/// How often a fixed route says again what it holds.
+const REPEAT_PAUSE: Duration = Duration::from_secs(5);
+
 impl FixedRoute {
     /// The route of box `nth` of `keys` in `baseline`.
     pub fn new(baseline: Baseline, nth: usize, keys: &[PeerKey], chunks: u32) -> Self {
@@ -69,7 +76,15 @@
         let ready =
             if parent.is_none() { (0..chunks).map(ChunkIndex).collect() } else { VecDeque::new() };
         let source = parent.map_or(ChunkSource::Origin, ChunkSource::Peer);
-        Self { source, children, chunks, ready, open: BTreeSet::new(), held: BTreeSet::new() }
+        Self {
+            source,
+            children,
+            chunks,
+            ready,
+            open: BTreeSet::new(),
+            held: BTreeSet::new(),
+            repeat_due: Moment::ZERO,
+        }
     }
 
     fn fill(&mut self, actions: &mut Vec<SwarmAction>) {
@@ -80,6 +95,24 @@
         }
     }
 
+    fn learn(&mut self, chunks: Vec<ChunkIndex>) {
+        let fresh = chunks.into_iter().filter(|chunk| {
+            !self.held.contains(chunk) && !self.open.contains(chunk) && !self.ready.contains(chunk)
+        });
+        let fresh: Vec<ChunkIndex> = fresh.collect();
+        self.ready.extend(fresh);
+    }
+
+    /// Tells the children again what is here, since notes may be lost.
+    fn repeat(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        if now < self.repeat_due || self.held.is_empty() {
+            return;
+        }
+        self.repeat_due = now + REPEAT_PAUSE;
+        let note = || SwarmNote::Have(self.held.iter().copied().collect());
+        actions.extend(self.children.iter().map(|to| SwarmAction::Tell { to: *to, note: note() }));
+    }
+
     fn accept(&mut self, chunk: ChunkIndex, actions: &mut Vec<SwarmAction>) {
         self.open.remove(&chunk);
         self.held.insert(chunk);
@@ -92,14 +125,18 @@
 }
 
 impl ChunkLogic for FixedRoute {
-    fn handle(&mut self, _: Moment, event: SwarmEvent) -> Vec<SwarmAction> {
+    fn handle(&mut self, now: Moment, event: SwarmEvent) -> Vec<SwarmAction> {
         let mut actions = Vec::new();
         match event {
-            SwarmEvent::Note { note: SwarmNote::Have(chunks), .. } => self.ready.extend(chunks),
+            SwarmEvent::Note { note: SwarmNote::Have(chunks), .. } => self.learn(chunks),
             SwarmEvent::Asked { from, chunk, .. } => {
                 actions.push(SwarmAction::Grant { to: from, chunk });
             }
+            SwarmEvent::Turn { chunk, source } => {
+                actions.push(SwarmAction::Take { chunk, source });
+            }
             SwarmEvent::Verified { chunk, .. } => self.accept(chunk, &mut actions),
+            SwarmEvent::Tick => self.repeat(now, &mut actions),
             SwarmEvent::Failed { chunk, .. } => {
                 self.open.remove(&chunk);
                 self.ready.push_back(chunk);
--- a/crates/bench/src/burst/world.rs
+++ b/crates/bench/src/burst/world.rs
@@ -1079,7 +1079,7 @@
     match note {
         SwarmNote::Have(chunks) => 4 + 3 * chunks.len() as u64,
         SwarmNote::Field(field) => 4 + u64::from(field.chunks().div_ceil(8)),
-        SwarmNote::Ticket(_) | SwarmNote::Offer(_) | SwarmNote::Seek(_) => 8,
+        SwarmNote::Ticket(_) | SwarmNote::Took(_) | SwarmNote::Offer(_) | SwarmNote::Seek(_) => 8,
     }
 }
 
--- a/crates/core/src/burst/draws.rs
+++ b/crates/core/src/burst/draws.rs
@@ -1,16 +1,23 @@
 //! Draws from the origin and the store: tickets held here, retries, and the limit on extras.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use headlatch_types::ChunkIndex;
 
-use super::{DrawPool, DrawTicket};
+use super::{DrawPool, DrawTicket, PeerKey};
 use crate::time::Moment;
 
 /// Tickets that travel for the origin: as many chunks leave it at the same time.
 ///
-/// Two fill an origin of twice a box's rate; the third covers the hand-over.
-pub(super) const ORIGIN_TICKETS: u32 = 3;
+/// Two would fill an origin of twice a box's rate, but a drawer's link is shared with what comes
+/// in from peers, so that a draw takes several times as long as the chunk alone would.
+pub(super) const ORIGIN_TICKETS: u32 = 6;
+
+/// Tickets that a transfer begins with; more only keep the first chunks from coming soon.
+const FIRST_TICKETS: u32 = 2;
 
 /// First pause after the origin or the store refused or failed; it doubles each time.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
@@ -24,10 +31,45 @@
     failures: u32,
 }
 
-/// Tickets that this box holds.
+/// How long a ticket's receipt is waited for before the ticket is handed over again.
+const RECEIPT_TIME: Duration = Duration::from_millis(400);
+
+/// How long a chunk whose ticket was received may stay unknown here, besides the time of the
+/// draws themselves, before the ticket is given to another box.
+const DRAW_TIME: Duration = Duration::from_secs(2);
+
+/// Draws that may pass until news of a chunk has come around.
+const DRAWS_UNTIL_NEWS: u32 = 64;
+
+/// Times that one ticket is handed over.
+const MOST_HANDOVERS: u32 = 6;
+
+/// A ticket that was handed over, until its chunk is known to exist.
+#[derive(Debug, Clone)]
+struct Handover {
+    to: Vec<PeerKey>,
+    since: Moment,
+    received: bool,
+    tries: u32,
+}
+
+/// A ticket to hand over once more.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Reminder {
+    pub(super) ticket: DrawTicket,
+    /// Boxes that had it and did not draw; the last one may just not have received it.
+    pub(super) failed: Vec<PeerKey>,
+    /// Whether the last of them should have it again.
+    pub(super) again: bool,
+}
+
+/// Tickets that this box holds or has handed over.
 #[derive(Debug, Clone, Default)]
 pub(super) struct DrawLedger {
     held: BTreeMap<DrawTicket, HeldTicket>,
+    /// Tickets that were here once: a repeated one must not start a second row of draws.
+    seen: BTreeSet<DrawTicket>,
+    handed: BTreeMap<DrawTicket, Handover>,
     /// Highest chunk known to have left the origin, and when that was learnt.
     frontier: Option<(ChunkIndex, Moment)>,
     extras: u32,
@@ -35,11 +77,60 @@
 }
 
 impl DrawLedger {
-    /// Takes a ticket.
+    /// Takes a ticket, unless it was here before.
     pub(super) fn take(&mut self, now: Moment, ticket: DrawTicket) {
+        if self.seen.insert(ticket) {
+            self.retake(now, ticket);
+        }
+    }
+
+    /// Takes a ticket although it may have been here before.
+    pub(super) fn retake(&mut self, now: Moment, ticket: DrawTicket) {
         self.held.entry(ticket).or_insert(HeldTicket { not_before: now, failures: 0 });
     }
 
+    /// A ticket goes to another box.
+    pub(super) fn hand_over(&mut self, now: Moment, ticket: DrawTicket, to: PeerKey) {
+        let fresh = Handover { to: Vec::new(), since: now, received: false, tries: 0 };
+        let handover = self.handed.entry(ticket).or_insert(fresh);
+        if handover.to.last() != Some(&to) {
+            handover.to.push(to);
+        }
+        handover.since = now;
+        handover.received = false;
+        handover.tries += 1;
+    }
+
+    /// A box has received a ticket.
+    pub(super) fn note_receipt(&mut self, now: Moment, ticket: DrawTicket, from: PeerKey) {
+        let handover = self.handed.get_mut(&ticket).filter(|one| one.to.last() == Some(&from));
+        if let Some(handover) = handover {
+            handover.received = true;
+            handover.since = now;
+        }
+    }
+
+    /// Tickets that have to be handed over once more.
+    pub(super) fn reminders(
+        &mut self,
+        now: Moment,
+        draw_time: Duration,
+        is_known: impl Fn(ChunkIndex) -> bool,
+    ) -> Vec<Reminder> {
+        self.handed.retain(|ticket, one| !is_known(ticket.chunk) && one.tries < MOST_HANDOVERS);
+        let patience = |one: &Handover| match one.received {
+            true => DRAW_TIME + draw_time * DRAWS_UNTIL_NEWS,
+            false => RECEIPT_TIME,
+        };
+        let due = self.handed.iter().filter(|(_, one)| now.since(one.since) >= patience(one));
+        due.map(|(ticket, one)| Reminder {
+            ticket: *ticket,
+            failed: one.to.clone(),
+            again: !one.received && one.tries % 2 == 1,
+        })
+        .collect()
+    }
+
     /// Gives a ticket up, to be passed on; false if it was not held.
     pub(super) fn give(&mut self, ticket: DrawTicket) -> bool {
         self.held.remove(&ticket).is_some()
@@ -113,9 +204,16 @@
         Some(DrawTicket { chunk: ChunkIndex(chunk), pool: ticket.pool })
     }
 
+    /// The further ticket that the end of an early draw sets off, until all are on their way.
+    pub(super) fn multiply(ticket: DrawTicket, chunks: u32) -> Option<DrawTicket> {
+        let chunk = ticket.chunk.0 + FIRST_TICKETS;
+        let early = ticket.pool == DrawPool::Origin && chunk < ORIGIN_TICKETS && chunk < chunks;
+        early.then_some(DrawTicket { chunk: ChunkIndex(chunk), pool: ticket.pool })
+    }
+
     /// The tickets that a transfer of `chunks` chunks begins with.
     pub(super) fn first(chunks: u32, store: bool) -> Vec<DrawTicket> {
-        let origin = (0..ORIGIN_TICKETS.min(chunks))
+        let origin = (0..FIRST_TICKETS.min(chunks))
             .map(|chunk| DrawTicket { chunk: ChunkIndex(chunk), pool: DrawPool::Origin });
         let last = chunks.checked_sub(1).filter(|_| store);
         let store =
--- a/crates/core/src/burst/imports.rs
+++ b/crates/core/src/burst/imports.rs
@@ -13,11 +13,15 @@
 /// Boxes of a domain that feel responsible for a chunk, one after the other.
 const IMPORTER_RANKS: usize = 3;
 
-/// How long a box waits for each rank above it.
-const RANK_PATIENCE: Duration = Duration::from_secs(2);
+/// How long a box waits for each rank above it, besides the time that chunks take.
+const RANK_PATIENCE: Duration = Duration::from_secs(1);
 
-/// How long the lack of a chunk is borne before it is looked for elsewhere.
-const SEEK_PATIENCE: Duration = Duration::from_millis(1500);
+/// How long the lack of a chunk is borne before it is looked for elsewhere, besides the time that
+/// chunks take.
+const SEEK_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Chunks that may have to go out before one that is to be imported.
+const CHUNKS_BEFORE: u32 = 16;
 
 /// Pause between two searches for the same chunk.
 const SEEK_PAUSE: Duration = Duration::from_secs(2);
@@ -104,10 +108,11 @@
     pub(super) fn remedies(
         &mut self,
         now: Moment,
-        draw_patience: Duration,
+        (chunk_time, draw_patience): (Duration, Duration),
         lacking: impl Fn(ChunkIndex) -> bool,
     ) -> Vec<Remedy> {
         let mut due = Vec::new();
+        let others = chunk_time * CHUNKS_BEFORE;
         for (chunk, rank, domain_rank) in &self.duties {
             if !lacking(*chunk) {
                 self.overdue.remove(chunk);
@@ -116,12 +121,12 @@
             let fresh = Overdue { since: now, sought: None };
             let overdue = self.overdue.entry(*chunk).or_insert(fresh);
             let waited = now.since(overdue.since);
-            let own_turn = RANK_PATIENCE * *rank as u32;
+            let own_turn = (RANK_PATIENCE + others) * *rank as u32;
             let domain_turn = draw_patience * (*domain_rank as u32 + 1);
-            if waited >= own_turn + domain_turn {
+            if waited >= own_turn + others + domain_turn {
                 overdue.since = now;
                 due.push(Remedy::Draw(*chunk));
-            } else if waited >= own_turn + SEEK_PATIENCE
+            } else if waited >= own_turn + others + SEEK_PATIENCE
                 && overdue.sought.is_none_or(|at| now.since(at) >= SEEK_PAUSE)
             {
                 overdue.sought = Some(now);
--- a/crates/core/src/burst/mod.rs
+++ b/crates/core/src/burst/mod.rs
@@ -53,6 +53,8 @@
     Field(ChunkSet),
     /// The receiver may draw the chunk at this position from this source.
     Ticket(DrawTicket),
+    /// The sender has received this ticket.
+    Took(DrawTicket),
     /// The sender holds this chunk, which the receiver should bring into its domain.
     Offer(ChunkIndex),
     /// The sender's domain lacks this chunk; whoever holds it should offer it.
@@ -276,8 +278,8 @@
             store: false,
             uploads: 4,
             downloads: 4,
-            pipeline: 8,
-            neighbours: 32,
+            pipeline: 12,
+            neighbours: 24,
             queue: 8,
             seed: 0,
         }
--- a/crates/core/src/burst/peers.rs
+++ b/crates/core/src/burst/peers.rs
@@ -18,7 +18,10 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(30);
 
 /// Pause after a box said that it is busy.
-const BUSY_PAUSE: Duration = Duration::from_millis(150);
+const BUSY_PAUSE: Duration = Duration::from_millis(60);
+
+/// A box that says nothing for this long may be gone.
+const SILENCE: Duration = Duration::from_secs(8);
 
 #[derive(Debug, Clone)]
 struct PeerState {
@@ -28,6 +31,7 @@
     asked: u32,
     /// Requests that waited at it when it last said so.
     queue: u32,
+    heard: Moment,
     strikes: u32,
     troubles: u32,
     paused_until: Moment,
@@ -88,6 +92,7 @@
             held: ChunkSet::new(self.chunks),
             asked: 0,
             queue: 0,
+            heard: Moment::ZERO,
             strikes: 0,
             troubles: 0,
             paused_until: Moment::ZERO,
@@ -118,13 +123,20 @@
         self.copies.get(chunk.0 as usize).copied().unwrap_or(0)
     }
 
-    /// The most a box has said about its queue.
-    pub(super) fn set_queue(&mut self, key: PeerKey, queue: u32) {
+    /// A box has said something, with the length of its queue.
+    pub(super) fn hear(&mut self, now: Moment, key: PeerKey, queue: u32) {
         if let Some(peer) = self.get_mut(key) {
             peer.queue = queue;
+            peer.heard = now;
         }
     }
 
+    /// Whether a box has said something lately; all say something every few seconds.
+    pub(super) fn is_heard(&self, now: Moment, key: PeerKey) -> bool {
+        let peer = self.index.get(&key).map(|at| &self.peers[*at]);
+        peer.is_some_and(|peer| now.since(peer.heard) < SILENCE)
+    }
+
     /// A neighbour holds one more chunk; false if that was known, or it is no neighbour.
     pub(super) fn add_chunk(&mut self, key: PeerKey, chunk: ChunkIndex) -> bool {
         let Some(peer) = self.get_mut(key) else { return false };
@@ -143,6 +155,22 @@
         }
     }
 
+    /// Chunks asked of a box and requests of others that wait there.
+    pub(super) fn load(&self, key: PeerKey) -> u32 {
+        self.index.get(&key).map_or(0, |at| self.peers[*at].load())
+    }
+
+    /// Whether a box can be asked and has nothing to send, as far as is known.
+    pub(super) fn is_idle(&self, now: Moment, key: PeerKey) -> bool {
+        let peer = self.index.get(&key).map(|at| &self.peers[*at]);
+        peer.is_some_and(|peer| peer.is_usable(now, 1, 1))
+    }
+
+    /// Whether a neighbour holds a chunk.
+    pub(super) fn holds(&self, key: PeerKey, chunk: ChunkIndex) -> bool {
+        self.index.get(&key).is_some_and(|at| self.peers[*at].held.contains(chunk))
+    }
+
     /// A chunk was asked of a box.
     pub(super) fn ask(&mut self, key: PeerKey) {
         if let Some(peer) = self.get_mut(key) {
--- a/crates/core/src/burst/planner.rs
+++ b/crates/core/src/burst/planner.rs
@@ -1,9 +1,12 @@
 //! The planner of one box for one manifest.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use headlatch_types::{ChunkIndex, fleet::BurstPreference};
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 
 use super::{
     ChunkSet, ChunkSource, DrawPool, DrawTicket, FetchFailure, PeerKey, PeerSeat, SeatMap,
@@ -25,12 +28,27 @@
 /// A chunk with fewer copies nearby is told of at once.
 const TELL_AT_ONCE: u32 = 3;
 
+/// A box tells of its first chunks at once: waiting would add to every doubling of their copies.
+const EARLY_TELLS: u32 = 32;
+
 /// Added to every limit on waiting, whatever the chunk's size.
 const LEAST_WAIT: Duration = Duration::from_secs(2);
 
 /// A box sends one chunk at a time until it holds this many, then two, and so on: few boxes hold
 /// anything at first, and what they hold spreads fastest one chunk after another.
-const EARLY_CHUNKS: usize = 8;
+const EARLY_CHUNKS: usize = 2;
+
+/// A queue from which an ask is moved to an idle box.
+const LONG_QUEUE: u32 = 3;
+
+/// Random chunks of which the rarest is asked for.
+const SAMPLE: usize = 16;
+
+/// Chunks over whose time the rate of arrivals is taken.
+const RATE_CHUNKS: usize = 32;
+
+/// A box that gets less than this part of what its link could carry may draw extra chunks.
+const UNDERFED_PERCENT: usize = 85;
 
 /// Copies that may leave the origin under [`BurstPreference::Time`].
 const MOST_COPIES: u32 = 4;
@@ -70,6 +88,8 @@
     uploads: UploadQueue,
     rng: SmallRng,
     begun: Moment,
+    /// When the last chunks came in, newest last.
+    arrivals: VecDeque<Moment>,
     fresh: Vec<ChunkIndex>,
     told: Moment,
     field_due: Moment,
@@ -99,6 +119,7 @@
             uploads,
             rng: SmallRng::seed_from_u64(seed),
             begun: now,
+            arrivals: VecDeque::new(),
             fresh: Vec::new(),
             told: now,
             field_due: now + FIELD_PAUSE,
@@ -139,7 +160,7 @@
         match event {
             SwarmEvent::Seats(seats) => self.reseat(now, &seats, &mut actions),
             SwarmEvent::Note { from, note, queue } => {
-                self.peers.set_queue(from, queue);
+                self.peers.hear(now, from, queue);
                 self.read(now, from, note, &mut actions);
             }
             SwarmEvent::Asked { from, chunk, held } => {
@@ -201,11 +222,17 @@
         match note {
             SwarmNote::Have(chunks) => {
                 chunks.into_iter().for_each(|chunk| self.learn(now, from, chunk));
+                self.move_ask(now, from, actions);
+            }
+            SwarmNote::Field(field) => {
+                field.iter().for_each(|chunk| self.learn(now, from, chunk));
+                self.move_ask(now, from, actions);
             }
-            SwarmNote::Field(field) => field.iter().for_each(|chunk| self.learn(now, from, chunk)),
             SwarmNote::Ticket(ticket) if ticket.chunk.0 < self.settings.chunks => {
+                actions.push(SwarmAction::Tell { to: from, note: SwarmNote::Took(ticket) });
                 self.draws.take(now, ticket);
             }
+            SwarmNote::Took(ticket) => self.draws.note_receipt(now, ticket, from),
             SwarmNote::Offer(chunk) if chunk.0 < self.settings.chunks => {
                 self.draws.advance(now, chunk);
                 if !self.held.contains(chunk) {
@@ -218,6 +245,7 @@
             SwarmNote::Seek(chunk) if chunk.0 < self.settings.chunks => {
                 self.imports.remember_seeker(chunk, from);
             }
+            // A chunk that does not exist.
             SwarmNote::Ticket(_) | SwarmNote::Offer(_) | SwarmNote::Seek(_) => {}
         }
         self.pursue(now, actions);
@@ -229,6 +257,30 @@
         }
     }
 
+    /// Moves an ask that waits in a long queue to a box that has nothing to send.
+    ///
+    /// Early on everybody asks the first holders of a chunk; without this the holders that come
+    /// after them would stand idle until those queues had been worked off.
+    fn move_ask(&mut self, now: Moment, idle: PeerKey, actions: &mut Vec<SwarmAction>) {
+        if !self.peers.is_idle(now, idle) {
+            return;
+        }
+        let load = |fetch: &OpenFetch| match fetch.source {
+            ChunkSource::Peer(peer) => self.peers.load(peer),
+            ChunkSource::Origin | ChunkSource::Store => 0,
+        };
+        let movable = self.open.iter().filter(|(chunk, fetch)| {
+            fetch.started.is_none() && !fetch.passed && self.peers.holds(idle, **chunk)
+        });
+        let longest = movable.map(|(chunk, fetch)| (load(fetch), *chunk, fetch.source)).max();
+        let Some((_, chunk, source)) = longest.filter(|(load, ..)| *load >= LONG_QUEUE) else {
+            return;
+        };
+        actions.push(SwarmAction::Cancel { chunk, source });
+        self.close(chunk, source);
+        self.fetch(now, chunk, ChunkSource::Peer(idle), actions);
+    }
+
     fn receive_ask(
         &mut self,
         now: Moment,
@@ -263,12 +315,12 @@
         source: ChunkSource,
         actions: &mut Vec<SwarmAction>,
     ) {
-        let coming = self.coming();
+        let room = self.coming() < self.most_downloads();
         let far = matches!(source, ChunkSource::Peer(peer) if !self.seats.is_near(peer));
         let Some(fetch) = self.open.get_mut(&chunk).filter(|fetch| fetch.source == source) else {
             return;
         };
-        if coming < self.settings.downloads || far {
+        if room || far {
             fetch.started.get_or_insert(now);
             actions.push(SwarmAction::Take { chunk, source });
         } else {
@@ -277,6 +329,11 @@
         }
     }
 
+    /// Chunks that may come in at the same time; few at first, as with uploads.
+    fn most_downloads(&self) -> usize {
+        self.settings.downloads.min(1 + self.held.count() as usize / EARLY_CHUNKS)
+    }
+
     /// Chunks that are coming in.
     fn coming(&self) -> usize {
         self.open.values().filter(|fetch| fetch.started.is_some()).count()
@@ -284,7 +341,7 @@
 
     /// Once there is room, tells boxes whose turn was passed.
     fn resume(&mut self, actions: &mut Vec<SwarmAction>) {
-        if self.coming() >= self.settings.downloads {
+        if self.coming() >= self.most_downloads() {
             return;
         }
         for (chunk, fetch) in self.open.iter_mut().filter(|(_, fetch)| fetch.passed) {
@@ -307,6 +364,10 @@
             self.peers.praise(peer);
         }
         if self.held.insert(chunk) {
+            self.arrivals.push_back(now);
+            if self.arrivals.len() > RATE_CHUNKS {
+                self.arrivals.pop_front();
+            }
             self.draws.advance(now, chunk);
             self.announce(now, chunk, source, actions);
         }
@@ -326,7 +387,8 @@
         let offer = |to| SwarmAction::Tell { to, note: SwarmNote::Offer(chunk) };
         actions.extend(onward.into_iter().flatten().chain(seekers).map(offer));
         self.fresh.push(chunk);
-        if self.peers.copies(chunk) < TELL_AT_ONCE {
+        let early = self.held.count() < EARLY_TELLS;
+        if early || self.peers.copies(chunk) < TELL_AT_ONCE {
             self.tell_fresh(now, actions);
         }
     }
@@ -426,6 +488,7 @@
             actions.extend(self.peers.keys().map(|to| SwarmAction::Tell { to, note: note() }));
         }
         self.drop_slow(now, actions);
+        self.remind(now, actions);
         self.apply_remedies(now, actions);
         self.pursue(now, actions);
     }
@@ -446,6 +509,12 @@
             actions.push(SwarmAction::Cancel { chunk, source: fetch.source });
             self.close(chunk, fetch.source);
             match fetch.source {
+                // A box that was heard of lately is only busy, however long it takes.
+                ChunkSource::Peer(peer)
+                    if fetch.started.is_none() && self.peers.is_heard(now, peer) =>
+                {
+                    self.peers.note_busy(now, peer);
+                }
                 ChunkSource::Peer(peer) => self.peers.note_trouble(now, peer),
                 ChunkSource::Origin => {
                     self.postpone(now, chunk, DrawPool::Origin, FetchFailure::Unreachable);
@@ -483,7 +552,7 @@
             .filter(|chunk| !open.contains_key(chunk) && !imports.is_offered(*chunk))
             .filter(|chunk| draws.is_passed(*chunk) || (stalled && chunk.0 < end))
             .collect();
-        let patience = self.draw_patience();
+        let patience = (self.settings.chunk_time, self.draw_patience());
         let remedies =
             self.imports.remedies(now, patience, |chunk| lacking.binary_search(&chunk).is_ok());
         for remedy in remedies {
@@ -499,11 +568,41 @@
                 actions.extend(to.into_iter().map(seek));
             }
             Remedy::Draw(chunk) => {
-                self.draws.take(now, DrawTicket { chunk, pool: DrawPool::Origin });
+                self.draws.retake(now, DrawTicket { chunk, pool: DrawPool::Origin });
             }
         }
     }
 
+    /// Hands tickets over again whose receipt or whose chunk has not been heard of.
+    fn remind(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        let (held, peers, imports) = (&self.held, &self.peers, &self.imports);
+        let is_known = |chunk: ChunkIndex| {
+            held.contains(chunk) || peers.copies(chunk) > 0 || imports.is_offered(chunk)
+        };
+        let reminders = self.draws.reminders(now, self.settings.origin_chunk_time, is_known);
+        for reminder in reminders {
+            let last = reminder.failed.last().copied().filter(|_| reminder.again);
+            let next = || self.seats.next_drawer(reminder.ticket.chunk, &reminder.failed);
+            let drawer = last.unwrap_or_else(next);
+            self.give_ticket(now, reminder.ticket, drawer, actions);
+        }
+    }
+
+    fn give_ticket(
+        &mut self,
+        now: Moment,
+        ticket: DrawTicket,
+        drawer: PeerKey,
+        actions: &mut Vec<SwarmAction>,
+    ) {
+        if drawer == self.seats.me().key {
+            self.draws.take(now, ticket);
+            return;
+        }
+        self.draws.hand_over(now, ticket, drawer);
+        actions.push(SwarmAction::Tell { to: drawer, note: SwarmNote::Ticket(ticket) });
+    }
+
     /// How long a domain bears the lack of a chunk before it draws the chunk again.
     fn draw_patience(&self) -> Duration {
         match self.settings.prefer {
@@ -557,18 +656,17 @@
             return;
         }
         let chunks = self.settings.chunks;
+        if let Some(extra) = DrawLedger::multiply(ticket, chunks) {
+            self.give_ticket(now, extra, self.seats.drawer(extra.chunk), actions);
+        }
         let order = std::iter::successors(DrawLedger::next(ticket, chunks), |ticket| {
             DrawLedger::next(*ticket, chunks)
         });
         let next = order.into_iter().find(|ticket| !self.is_known(ticket.chunk));
         let Some(next) = next else { return };
         let drawer = self.seats.drawer(next.chunk);
-        if drawer != self.seats.me().key {
-            actions.push(SwarmAction::Tell { to: drawer, note: SwarmNote::Ticket(next) });
-            return;
-        }
-        self.draws.take(now, next);
-        if !self.open.contains_key(&next.chunk) {
+        self.give_ticket(now, next, drawer, actions);
+        if drawer == self.seats.me().key && !self.open.contains_key(&next.chunk) {
             self.fetch(now, next.chunk, next.pool.source(), actions);
         }
     }
@@ -597,34 +695,25 @@
         }
     }
 
-    /// A random one of the rarest chunks on offer that are neither held nor on their way.
+    /// The rarest of a few random chunks on offer that are neither held nor on their way.
+    ///
+    /// The rarest of all would send every box of a domain to the one or two that hold it, while
+    /// the others have nothing to send.
     fn rarest(&mut self, on_offer: &[u64]) -> Option<ChunkIndex> {
-        let mut best: Option<(u32, ChunkIndex)> = None;
-        let mut ties = 0u32;
-        for chunk in self.held.missing_in(on_offer) {
-            if self.open.contains_key(&chunk) {
-                continue;
-            }
-            let copies = self.peers.copies(chunk);
-            let fewest = best.map_or(u32::MAX, |(copies, _)| copies);
-            if copies < fewest {
-                ties = 1;
-                best = Some((copies, chunk));
-            } else if copies == fewest {
-                ties += 1;
-                if self.rng.random_range(0..ties) == 0 {
-                    best = Some((copies, chunk));
-                }
-            }
-        }
-        best.map(|(_, chunk)| chunk)
+        let open = &self.open;
+        let candidates = self.held.missing_in(on_offer).filter(|chunk| !open.contains_key(chunk));
+        let sample = candidates.choose_multiple(&mut self.rng, SAMPLE);
+        sample.into_iter().min_by_key(|chunk| self.peers.copies(*chunk))
     }
 
-    /// Under [`BurstPreference::Time`], lets an idle origin help once every chunk has left it.
+    /// Under [`BurstPreference::Time`], lets an idle origin help boxes that peers cannot fill.
+    ///
+    /// The origin is idle once every chunk has left it. A box whose own link is full has no use
+    /// for a further source, so that this costs nothing where it would gain nothing.
     fn use_extras(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
         let last = self.settings.chunks.saturating_sub(1);
         let drawn = self.draws.frontier().is_some_and(|chunk| chunk.0 >= last);
-        if self.settings.prefer != BurstPreference::Time || !drawn {
+        if self.settings.prefer != BurstPreference::Time || !drawn || !self.is_underfed(now) {
             return;
         }
         let boxes = self.seats.count() as u32;
@@ -637,7 +726,8 @@
             |chunk: &ChunkIndex| !self.held.contains(*chunk) && !self.open.contains_key(chunk);
         let wanted: Vec<ChunkIndex> =
             (0..self.settings.chunks).map(ChunkIndex).filter(missing).collect();
-        if wanted.is_empty() {
+        // Near the end a draw that shares the origin with many others would be the last to come.
+        if wanted.len() <= 2 * self.settings.pipeline {
             return;
         }
         self.draws.take_extra(now, gap);
@@ -645,6 +735,16 @@
         self.fetch(now, chunk, ChunkSource::Origin, actions);
     }
 
+    /// Whether chunks have lately come in clearly more slowly than this box's link could carry.
+    fn is_underfed(&self, now: Moment) -> bool {
+        let window = self.settings.chunk_time * RATE_CHUNKS as u32;
+        if now.since(self.begun) < window * 2 {
+            return false;
+        }
+        let lately = self.arrivals.iter().filter(|at| now.since(**at) < window).count();
+        lately * 100 < RATE_CHUNKS * UNDERFED_PERCENT
+    }
+
     fn fetch(
         &mut self,
         now: Moment,
--- a/crates/core/src/burst/seats.rs
+++ b/crates/core/src/burst/seats.rs
@@ -105,6 +105,17 @@
         self.importer(self.first_domain(chunk), chunk).unwrap_or(self.me.key)
     }
 
+    /// The box that draws `chunk` if those in `failed` do not.
+    pub fn next_drawer(&self, chunk: ChunkIndex, failed: &[PeerKey]) -> PeerKey {
+        let domain = self.first_domain(chunk);
+        let near = self.domains.get(&domain).map(|(_, boxes)| boxes.as_slice()).unwrap_or(&[]);
+        let fits = |key: &u64| !failed.contains(&PeerKey(*key));
+        let subject = self.subject(chunk);
+        let drawer = winner(subject, near.iter().copied().filter(fits));
+        let anyone = || winner(subject, self.seats.keys().map(|key| key.0).filter(fits));
+        drawer.or_else(anyone).map_or(self.me.key, PeerKey)
+    }
+
     /// The box that brings `chunk` into `domain`.
     pub fn importer(&self, domain: u64, chunk: ChunkIndex) -> Option<PeerKey> {
         let boxes = &self.domains.get(&domain)?.1;
--- a/crates/core/src/burst/uploads.rs
+++ b/crates/core/src/burst/uploads.rs
@@ -32,7 +32,13 @@
 
     /// Requests that wait, for others to know.
     pub(super) fn length(&self) -> u32 {
-        self.waiting.len() as u32
+        self.ready() as u32
+    }
+
+    /// Requests whose boxes have room. Those that passed do not count: they would keep out boxes
+    /// that have room while this one has nothing to send.
+    fn ready(&self) -> usize {
+        self.waiting.iter().filter(|ask| !ask.passed).count()
     }
 
     /// Takes in a request; refuses it if too many wait.
@@ -48,7 +54,7 @@
             return;
         }
         let most = if far { self.most_waiting * FAR_ROOM } else { self.most_waiting };
-        if self.waiting.len() >= most {
+        if self.ready() >= most || self.waiting.len() >= most * PASSED_ROOM {
             actions.push(SwarmAction::Refuse { to: from, chunk, failure: FetchFailure::Busy });
             return;
         }
@@ -109,6 +115,9 @@
     }
 }
 
+/// How much longer the queue may be with requests that passed.
+const PASSED_ROOM: usize = 8;
+
 /// How much longer the queue may be for other domains, since each chunk is imported only once.
 const FAR_ROOM: usize = 4;
 
--- a/crates/daemon/src/node/codec.rs
+++ b/crates/daemon/src/node/codec.rs
@@ -99,16 +99,24 @@
             Note::Have(wire::ChunkList { chunks: chunks.iter().map(|chunk| chunk.0).collect() })
         }
         SwarmNote::Field(field) => Note::Field(field.to_bytes().into()),
-        SwarmNote::Ticket(ticket) => Note::Ticket(wire::DrawTicket {
-            position: ticket.chunk.0,
-            store: ticket.pool == DrawPool::Store,
-        }),
+        SwarmNote::Ticket(ticket) => Note::Ticket(encode_ticket(*ticket)),
+        SwarmNote::Took(ticket) => Note::Took(encode_ticket(*ticket)),
         SwarmNote::Offer(chunk) => Note::Offer(chunk.0),
         SwarmNote::Seek(chunk) => Note::Seek(chunk.0),
     };
     wire::SwarmNote { note: Some(note) }
 }
 
+fn encode_ticket(ticket: DrawTicket) -> wire::DrawTicket {
+    wire::DrawTicket { position: ticket.chunk.0, store: ticket.pool == DrawPool::Store }
+}
+
+fn decode_ticket(message: &wire::DrawTicket, chunks: u32) -> Result<DrawTicket, DecodeError> {
+    let chunk = ChunkIndex(message.position);
+    let pool = if message.store { DrawPool::Store } else { DrawPool::Origin };
+    (chunk.0 < chunks).then_some(DrawTicket { chunk, pool }).ok_or(wrong("ticket"))
+}
+
 /// A note from a message about a manifest of `chunks` chunks.
 pub fn decode_note(message: wire::SwarmNote, chunks: u32) -> Result<SwarmNote, DecodeError> {
     use wire::swarm_note::Note;
@@ -118,10 +126,8 @@
             SwarmNote::Have(list.chunks.into_iter().map(checked).collect::<Result<_, _>>()?)
         }
         Note::Field(field) => SwarmNote::Field(ChunkSet::from_bytes(chunks, &field)),
-        Note::Ticket(ticket) => SwarmNote::Ticket(DrawTicket {
-            chunk: checked(ticket.position)?,
-            pool: if ticket.store { DrawPool::Store } else { DrawPool::Origin },
-        }),
+        Note::Ticket(ticket) => SwarmNote::Ticket(decode_ticket(&ticket, chunks)?),
+        Note::Took(ticket) => SwarmNote::Took(decode_ticket(&ticket, chunks)?),
         Note::Offer(chunk) => SwarmNote::Offer(checked(chunk)?),
         Note::Seek(chunk) => SwarmNote::Seek(checked(chunk)?),
     })
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -183,7 +183,7 @@
 /// One note about the transfer of one manifest's weights.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SwarmNote {
-    #[prost(oneof = "swarm_note::Note", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "swarm_note::Note", tags = "1, 2, 3, 4, 5, 6")]
     pub note: ::core::option::Option<swarm_note::Note>,
 }
 /// Nested message and enum types in `SwarmNote`.
@@ -205,6 +205,9 @@
         /// The sender lacks this chunk in its whole domain.
         #[prost(uint32, tag = "5")]
         Seek(u32),
+        /// The sender has received this ticket.
+        #[prost(message, tag = "6")]
+        Took(super::DrawTicket),
     }
 }
 /// Leave to draw from a source.
