Carry the burst through every fault and their mixtures

Cause: lost tickets, chunks that only silent boxes held, offers of corrupting boxes and crowds of make-up draws each left boxes waiting for ever or drained the origin. Change: numbered tickets that come back to their giver, progress told by tickets, credible copies, room for imports, one make-up draw at a time, per-source patience.

--- a/crates/core/src/burst/chunks.rs
+++ b/crates/core/src/burst/chunks.rs
@@ -76,6 +76,11 @@
         self.count
     }
 
+    /// Memory that the field takes, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.words.len() * size_of::<u64>()
+    }
+
     /// Whether every chunk of the manifest is in the set.
     pub fn is_full(&self) -> bool {
         self.count == self.chunks
--- a/crates/core/src/burst/draws.rs
+++ b/crates/core/src/burst/draws.rs
@@ -16,11 +16,14 @@
 /// in from peers, so that a draw takes several times as long as the chunk alone would.
 pub(super) const ORIGIN_TICKETS: u32 = 6;
 
+/// Lane of a draw that makes up for a lost one; it ends with its chunk.
+pub(super) const LONE_LANE: u32 = u32::MAX;
+
 /// Tickets that a transfer begins with; more only keep the first chunks from coming soon.
 const FIRST_TICKETS: u32 = 2;
 
 /// First pause after the origin or the store refused or failed; it doubles each time.
-const FIRST_PAUSE: Duration = Duration::from_millis(500);
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
 /// Longest such pause.
 const LONGEST_PAUSE: Duration = Duration::from_secs(8);
@@ -61,6 +64,8 @@
     pub(super) failed: Vec<PeerKey>,
     /// Whether the last of them should have it again.
     pub(super) again: bool,
+    /// Whether nobody seems to be there to take it, as in a domain that is cut off.
+    pub(super) hopeless: bool,
 }
 
 /// Tickets that this box holds or has handed over.
@@ -70,8 +75,9 @@
     /// Tickets that were here once: a repeated one must not start a second row of draws.
     seen: BTreeSet<DrawTicket>,
     handed: BTreeMap<DrawTicket, Handover>,
-    /// Highest chunk known to have left the origin, and when that was learnt.
-    frontier: Option<(ChunkIndex, Moment)>,
+    drawn: u32,
+    /// When the draws last got on.
+    advanced: Option<Moment>,
     extras: u32,
     next_extra: Moment,
 }
@@ -79,18 +85,40 @@
 impl DrawLedger {
     /// Takes a ticket, unless it was here before.
     pub(super) fn take(&mut self, now: Moment, ticket: DrawTicket) {
+        self.note_turn(now, ticket);
         if self.seen.insert(ticket) {
             self.retake(now, ticket);
         }
     }
 
+    fn note_turn(&mut self, now: Moment, ticket: DrawTicket) {
+        if ticket.pool == DrawPool::Origin {
+            self.advance(now, ticket.chunk.0 + 1);
+        }
+    }
+
+    /// Takes a ticket that this box makes itself, in place of one that was lost.
+    pub(super) fn revive(&mut self, now: Moment, ticket: DrawTicket) {
+        if ticket.lane != LONE_LANE {
+            self.note_turn(now, ticket);
+        }
+        self.retake(now, ticket);
+    }
+
+    /// Takes back a ticket that nobody else would have.
+    pub(super) fn take_back(&mut self, now: Moment, ticket: DrawTicket) {
+        self.handed.remove(&ticket);
+        self.retake(now, ticket);
+    }
+
     /// Takes a ticket although it may have been here before.
-    pub(super) fn retake(&mut self, now: Moment, ticket: DrawTicket) {
+    fn retake(&mut self, now: Moment, ticket: DrawTicket) {
         self.held.entry(ticket).or_insert(HeldTicket { not_before: now, failures: 0 });
     }
 
     /// A ticket goes to another box.
     pub(super) fn hand_over(&mut self, now: Moment, ticket: DrawTicket, to: PeerKey) {
+        self.note_turn(now, ticket);
         let fresh = Handover { to: Vec::new(), since: now, received: false, tries: 0 };
         let handover = self.handed.entry(ticket).or_insert(fresh);
         if handover.to.last() != Some(&to) {
@@ -117,7 +145,7 @@
         draw_time: Duration,
         is_known: impl Fn(ChunkIndex) -> bool,
     ) -> Vec<Reminder> {
-        self.handed.retain(|ticket, one| !is_known(ticket.chunk) && one.tries < MOST_HANDOVERS);
+        self.handed.retain(|ticket, _| !is_known(ticket.chunk));
         let patience = |one: &Handover| match one.received {
             true => DRAW_TIME + draw_time * DRAWS_UNTIL_NEWS,
             false => RECEIPT_TIME,
@@ -127,6 +155,7 @@
             ticket: *ticket,
             failed: one.to.clone(),
             again: !one.received && one.tries % 2 == 1,
+            hopeless: one.tries >= MOST_HANDOVERS,
         })
         .collect()
     }
@@ -146,35 +175,39 @@
         self.held.iter().map(|(ticket, held)| (*ticket, held.not_before <= now)).collect()
     }
 
-    /// The source failed; the ticket stays here for a later try.
-    pub(super) fn postpone(&mut self, now: Moment, ticket: DrawTicket) {
-        if let Some(held) = self.held.get_mut(&ticket) {
+    /// A draw failed; its tickets stay here for a later try.
+    pub(super) fn postpone(&mut self, now: Moment, chunk: ChunkIndex, pool: DrawPool) {
+        let tickets = self.held.iter_mut();
+        for (_, held) in tickets.filter(|(one, _)| one.chunk == chunk && one.pool == pool) {
             let pause = FIRST_PAUSE.saturating_mul(1 << held.failures.min(6)).min(LONGEST_PAUSE);
             held.not_before = now + pause;
             held.failures += 1;
         }
     }
 
-    /// Notes that a chunk is known to exist among the boxes.
-    pub(super) fn advance(&mut self, now: Moment, chunk: ChunkIndex) {
-        if self.frontier.is_none_or(|(highest, _)| chunk > highest) {
-            self.frontier = Some((chunk, now));
+    /// Notes that the draws have come to `drawn` chunks.
+    pub(super) fn advance(&mut self, now: Moment, drawn: u32) {
+        if drawn > self.drawn {
+            self.drawn = drawn;
+            self.advanced = Some(now);
         }
     }
 
-    /// Whether `chunk` should have left the origin by now, judging by chunks after it.
-    pub(super) fn is_passed(&self, chunk: ChunkIndex) -> bool {
-        self.frontier.is_some_and(|(highest, _)| highest.0 >= chunk.0 + 2 * ORIGIN_TICKETS)
+    /// Chunks that have had their turn to be drawn, as far as is known.
+    ///
+    /// Only tickets tell: that a chunk exists says nothing where versions share chunks.
+    pub(super) fn drawn(&self) -> u32 {
+        self.drawn
     }
 
-    /// Time since the frontier last moved, counted from `begun` if it never has.
-    pub(super) fn stalled(&self, now: Moment, begun: Moment) -> Duration {
-        now.since(self.frontier.map_or(begun, |(_, at)| at))
+    /// Whether `chunk` should have come by now, judging by draws after it.
+    pub(super) fn is_passed(&self, chunk: ChunkIndex) -> bool {
+        self.drawn > chunk.0 + 2 * ORIGIN_TICKETS
     }
 
-    /// Highest chunk known to have left the origin.
-    pub(super) fn frontier(&self) -> Option<ChunkIndex> {
-        self.frontier.map(|(chunk, _)| chunk)
+    /// Time since the draws last got on, counted from `begun` if they never have.
+    pub(super) fn stalled(&self, now: Moment, begun: Moment) -> Duration {
+        now.since(self.advanced.unwrap_or(begun))
     }
 
     /// Whether one more draw beyond the first copy is due, of `most` in all.
@@ -196,28 +229,36 @@
     /// The ticket after `ticket` in its pool's order, if there is one.
     pub(super) fn next(ticket: DrawTicket, chunks: u32) -> Option<DrawTicket> {
         let chunk = match ticket.pool {
-            DrawPool::Origin => {
-                ticket.chunk.0.checked_add(ORIGIN_TICKETS).filter(|chunk| *chunk < chunks)
-            }
+            _ if ticket.lane == LONE_LANE => None,
+            DrawPool::Origin => Some(ticket.chunk.0 + 1).filter(|chunk| *chunk < chunks),
             DrawPool::Store => ticket.chunk.0.checked_sub(1),
         }?;
-        Some(DrawTicket { chunk: ChunkIndex(chunk), pool: ticket.pool })
+        Some(DrawTicket { chunk: ChunkIndex(chunk), ..ticket })
     }
 
     /// The further ticket that the end of an early draw sets off, until all are on their way.
     pub(super) fn multiply(ticket: DrawTicket, chunks: u32) -> Option<DrawTicket> {
+        let lane = ticket.lane.saturating_add(FIRST_TICKETS);
         let chunk = ticket.chunk.0 + FIRST_TICKETS;
-        let early = ticket.pool == DrawPool::Origin && chunk < ORIGIN_TICKETS && chunk < chunks;
-        early.then_some(DrawTicket { chunk: ChunkIndex(chunk), pool: ticket.pool })
+        let early = ticket.pool == DrawPool::Origin && ticket.chunk.0 == ticket.lane;
+        (early && lane < ORIGIN_TICKETS && chunk < chunks).then_some(DrawTicket {
+            chunk: ChunkIndex(chunk),
+            pool: ticket.pool,
+            lane,
+        })
     }
 
     /// The tickets that a transfer of `chunks` chunks begins with.
     pub(super) fn first(chunks: u32, store: bool) -> Vec<DrawTicket> {
-        let origin = (0..FIRST_TICKETS.min(chunks))
-            .map(|chunk| DrawTicket { chunk: ChunkIndex(chunk), pool: DrawPool::Origin });
+        let pool = DrawPool::Origin;
+        let origin = (0..FIRST_TICKETS.min(chunks)).map(|lane| DrawTicket {
+            chunk: ChunkIndex(lane),
+            pool,
+            lane,
+        });
         let last = chunks.checked_sub(1).filter(|_| store);
-        let store =
-            last.map(|chunk| DrawTicket { chunk: ChunkIndex(chunk), pool: DrawPool::Store });
+        let pool = DrawPool::Store;
+        let store = last.map(|chunk| DrawTicket { chunk: ChunkIndex(chunk), pool, lane: 0 });
         origin.chain(store).collect()
     }
 }
--- a/crates/core/src/burst/imports.rs
+++ b/crates/core/src/burst/imports.rs
@@ -74,22 +74,28 @@
     /// The first offer for a chunk that `wanted` accepts.
     pub(super) fn accept(
         &mut self,
-        wanted: impl Fn(ChunkIndex, PeerKey) -> bool,
+        wanted: impl Fn(ChunkIndex) -> bool,
     ) -> Option<(ChunkIndex, PeerKey)> {
-        let pairs = self
-            .offers
-            .iter()
-            .flat_map(|(chunk, peers)| peers.iter().map(move |peer| (*chunk, *peer)));
-        let (chunk, peer) = pairs.into_iter().find(|(chunk, peer)| wanted(*chunk, *peer))?;
-        if let Some(offers) = self.offers.get_mut(&chunk) {
-            offers.retain(|other| *other != peer);
+        let chunk = self.offers.keys().copied().find(|chunk| wanted(*chunk))?;
+        let offers = self.offers.get_mut(&chunk)?;
+        let peer = offers.pop_front();
+        if offers.is_empty() {
+            self.offers.remove(&chunk);
         }
-        Some((chunk, peer))
+        peer.map(|peer| (chunk, peer))
+    }
+
+    /// Drops every offer of a box.
+    pub(super) fn forget(&mut self, from: PeerKey) {
+        self.offers.retain(|_, offers| {
+            offers.retain(|other| *other != from);
+            !offers.is_empty()
+        });
     }
 
     /// Whether anyone has offered the chunk.
     pub(super) fn is_offered(&self, chunk: ChunkIndex) -> bool {
-        self.offers.get(&chunk).is_some_and(|offers| !offers.is_empty())
+        self.offers.contains_key(&chunk)
     }
 
     /// A box looks for a chunk that is not here yet.
@@ -124,7 +130,6 @@
             let own_turn = (RANK_PATIENCE + others) * *rank as u32;
             let domain_turn = draw_patience * (*domain_rank as u32 + 1);
             if waited >= own_turn + others + domain_turn {
-                overdue.since = now;
                 due.push(Remedy::Draw(*chunk));
             } else if waited >= own_turn + others + SEEK_PATIENCE
                 && overdue.sought.is_none_or(|at| now.since(at) >= SEEK_PAUSE)
--- a/crates/core/src/burst/mod.rs
+++ b/crates/core/src/burst/mod.rs
@@ -44,6 +44,15 @@
     Unreachable,
 }
 
+/// What a box says of itself with every note.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SwarmPulse {
+    /// Requests that wait at it.
+    pub queue: u32,
+    /// Chunks that have had their turn to be drawn from the origin, as far as it knows.
+    pub drawn: u32,
+}
+
 /// A note from one box to another about one manifest's weights.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SwarmNote {
@@ -71,6 +80,8 @@
     pub chunk: ChunkIndex,
     /// Which source it is for.
     pub pool: DrawPool,
+    /// Number of the ticket among those of its pool, by which a repeated one is known.
+    pub lane: u32,
 }
 
 /// A source that is drawn from by ticket.
@@ -97,14 +108,14 @@
 pub enum SwarmEvent {
     /// The boxes that take part, this one among them, as far as is known.
     Seats(Vec<PeerSeat>),
-    /// A note came, with the length of the sender's queue.
+    /// A note came.
     Note {
         /// Who sent it.
         from: PeerKey,
         /// What it says.
         note: SwarmNote,
-        /// Requests that wait at the sender.
-        queue: u32,
+        /// What the sender says besides.
+        pulse: SwarmPulse,
     },
     /// A box asks for a chunk.
     Asked {
--- a/crates/core/src/burst/peers.rs
+++ b/crates/core/src/burst/peers.rs
@@ -8,9 +8,12 @@
 use super::{ChunkSet, PeerKey};
 use crate::time::Moment;
 
-/// Corrupt chunks after which a box is not asked again.
+/// Corrupt chunks after which a box is not asked again, if it has not sent many good ones.
 const MOST_STRIKES: u32 = 2;
 
+/// Good chunks that make up for a corrupt one: links spoil a chunk now and then.
+const GOOD_FOR_A_STRIKE: u32 = 8;
+
 /// First pause after a box proved slow or out of reach; it doubles each time.
 const FIRST_PAUSE: Duration = Duration::from_secs(2);
 
@@ -20,6 +23,9 @@
 /// Pause after a box said that it is busy.
 const BUSY_PAUSE: Duration = Duration::from_millis(60);
 
+/// With more copies than this, one of them is surely at a box that lives.
+const MANY_COPIES: u32 = 4;
+
 /// A box that says nothing for this long may be gone.
 const SILENCE: Duration = Duration::from_secs(8);
 
@@ -33,13 +39,14 @@
     queue: u32,
     heard: Moment,
     strikes: u32,
+    good: u32,
     troubles: u32,
     paused_until: Moment,
 }
 
 impl PeerState {
     fn is_usable(&self, now: Moment, most_asked: u32, most_load: u32) -> bool {
-        self.strikes < MOST_STRIKES
+        !self.is_corrupter()
             && self.paused_until <= now
             && self.asked < most_asked
             && self.load() < most_load
@@ -48,6 +55,10 @@
     fn load(&self) -> u32 {
         self.asked + self.queue
     }
+
+    fn is_corrupter(&self) -> bool {
+        self.strikes >= MOST_STRIKES && self.strikes * GOOD_FOR_A_STRIKE > self.good
+    }
 }
 
 /// Neighbours, what they hold, and how they have behaved.
@@ -94,6 +105,7 @@
             queue: 0,
             heard: Moment::ZERO,
             strikes: 0,
+            good: 0,
             troubles: 0,
             paused_until: Moment::ZERO,
         });
@@ -113,6 +125,18 @@
         self.index.get(&key).map(|at| &mut self.peers[*at])
     }
 
+    /// Memory that the table takes, in bytes.
+    pub(super) fn memory_bytes(&self) -> usize {
+        let peer = |peer: &PeerState| size_of::<PeerState>() + peer.held.memory_bytes();
+        let index = self.index.len() * size_of::<(PeerKey, usize)>();
+        self.peers.iter().map(peer).sum::<usize>() + index + self.copies.len() * size_of::<u32>()
+    }
+
+    /// Whether a box is a neighbour.
+    pub(super) fn contains(&self, key: PeerKey) -> bool {
+        self.index.contains_key(&key)
+    }
+
     /// Keys of all neighbours.
     pub(super) fn keys(&self) -> impl Iterator<Item = PeerKey> + '_ {
         self.peers.iter().map(|peer| peer.key)
@@ -123,6 +147,18 @@
         self.copies.get(chunk.0 as usize).copied().unwrap_or(0)
     }
 
+    /// Whether some neighbour that has been heard of lately holds `chunk`.
+    ///
+    /// What a box held that has gone silent may be out of reach for good.
+    pub(super) fn is_near(&self, now: Moment, chunk: ChunkIndex) -> bool {
+        let copies = self.copies(chunk);
+        if copies == 0 || copies > MANY_COPIES {
+            return copies > 0;
+        }
+        let holds = |peer: &PeerState| peer.held.contains(chunk) && now.since(peer.heard) < SILENCE;
+        self.peers.iter().any(holds)
+    }
+
     /// A box has said something, with the length of its queue.
     pub(super) fn hear(&mut self, now: Moment, key: PeerKey, queue: u32) {
         if let Some(peer) = self.get_mut(key) {
@@ -137,14 +173,12 @@
         peer.is_some_and(|peer| now.since(peer.heard) < SILENCE)
     }
 
-    /// A neighbour holds one more chunk; false if that was known, or it is no neighbour.
-    pub(super) fn add_chunk(&mut self, key: PeerKey, chunk: ChunkIndex) -> bool {
-        let Some(peer) = self.get_mut(key) else { return false };
-        if peer.strikes >= MOST_STRIKES || !peer.held.insert(chunk) {
-            return false;
+    /// A neighbour holds one more chunk.
+    pub(super) fn add_chunk(&mut self, key: PeerKey, chunk: ChunkIndex) {
+        let Some(peer) = self.get_mut(key) else { return };
+        if !peer.is_corrupter() && peer.held.insert(chunk) {
+            self.copies[chunk.0 as usize] += 1;
         }
-        self.copies[chunk.0 as usize] += 1;
-        true
     }
 
     /// A neighbour turns out not to hold a chunk.
@@ -189,6 +223,7 @@
     pub(super) fn praise(&mut self, key: PeerKey) {
         if let Some(peer) = self.get_mut(key) {
             peer.troubles = 0;
+            peer.good += 1;
         }
     }
 
@@ -216,7 +251,7 @@
         };
         let peer = &mut self.peers[at];
         peer.strikes += 1;
-        if peer.strikes < MOST_STRIKES {
+        if !peer.is_corrupter() {
             return;
         }
         let held = std::mem::replace(&mut peer.held, ChunkSet::new(self.chunks));
--- a/crates/core/src/burst/planner.rs
+++ b/crates/core/src/burst/planner.rs
@@ -10,8 +10,8 @@
 
 use super::{
     ChunkSet, ChunkSource, DrawPool, DrawTicket, FetchFailure, PeerKey, PeerSeat, SeatMap,
-    SwarmAction, SwarmEvent, SwarmNote, SwarmSettings,
-    draws::{DrawLedger, ORIGIN_TICKETS},
+    SwarmAction, SwarmEvent, SwarmNote, SwarmPulse, SwarmSettings,
+    draws::{DrawLedger, LONE_LANE, ORIGIN_TICKETS},
     imports::{ImportDesk, Remedy},
     peers::{AskLimits, PeerTable},
     seats::ImportOrigin,
@@ -31,6 +31,9 @@
 /// A box tells of its first chunks at once: waiting would add to every doubling of their copies.
 const EARLY_TELLS: u32 = 32;
 
+/// How much longer a sender bears a slow transfer than its receiver does.
+const UPLOAD_PATIENCE: u32 = 3;
+
 /// Added to every limit on waiting, whatever the chunk's size.
 const LEAST_WAIT: Duration = Duration::from_secs(2);
 
@@ -149,9 +152,17 @@
         self.complete
     }
 
-    /// Length of the queue here, for notes to others.
-    pub fn queue(&self) -> u32 {
-        self.uploads.length()
+    /// What this box says with every note.
+    pub fn pulse(&self) -> SwarmPulse {
+        SwarmPulse { queue: self.uploads.length(), drawn: self.draws.drawn() }
+    }
+
+    /// Memory that the state takes, in bytes, from the sizes of its parts.
+    pub fn memory_bytes(&self) -> u64 {
+        let seats = self.seats.count() * (2 * size_of::<PeerSeat>() + size_of::<u64>());
+        let open = self.open.len() * size_of::<(ChunkIndex, OpenFetch)>();
+        let parts = seats + open + self.peers.memory_bytes() + self.held.memory_bytes();
+        (size_of::<Self>() + parts) as u64
     }
 
     /// Takes in an event and returns what is to be done.
@@ -159,8 +170,9 @@
         let mut actions = Vec::new();
         match event {
             SwarmEvent::Seats(seats) => self.reseat(now, &seats, &mut actions),
-            SwarmEvent::Note { from, note, queue } => {
-                self.peers.hear(now, from, queue);
+            SwarmEvent::Note { from, note, pulse } => {
+                self.peers.hear(now, from, pulse.queue);
+                self.draws.advance(now, pulse.drawn);
                 self.read(now, from, note, &mut actions);
             }
             SwarmEvent::Asked { from, chunk, held } => {
@@ -168,15 +180,15 @@
             }
             SwarmEvent::Withdrawn { from, chunk } | SwarmEvent::Sent { to: from, chunk } => {
                 self.uploads.end(from, chunk);
-                self.grant(&mut actions);
+                self.grant(now, &mut actions);
             }
             SwarmEvent::Passed { from, chunk } => {
                 self.uploads.pass(from, chunk);
-                self.grant(&mut actions);
+                self.grant(now, &mut actions);
             }
             SwarmEvent::Resumed { from, chunk } => {
                 self.uploads.resume(from, chunk);
-                self.grant(&mut actions);
+                self.grant(now, &mut actions);
             }
             SwarmEvent::Turn { chunk, source } => self.take_turn(now, chunk, source, &mut actions),
             SwarmEvent::Verified { chunk, source } => {
@@ -208,10 +220,24 @@
             let spread = self.settings.origin_chunk_time * self.seats.count() as u32;
             self.draws.delay_extras(now + spread.mul_f64(self.rng.random::<f64>()));
         }
+        if first_time {
+            self.offer_held(actions);
+        }
         self.check_complete(actions);
         self.pursue(now, actions);
     }
 
+    /// Offers chunks kept from an earlier version to those who would import them: they may not
+    /// be among this box's neighbours, and would fetch from afar what is near.
+    fn offer_held(&self, actions: &mut Vec<SwarmAction>) {
+        let me = self.seats.me();
+        let offer = |chunk| {
+            let to = self.seats.importer(me.domain, chunk).filter(|key| *key != me.key)?;
+            Some(SwarmAction::Tell { to, note: SwarmNote::Offer(chunk) })
+        };
+        actions.extend(self.held.iter().filter_map(offer));
+    }
+
     fn read(
         &mut self,
         now: Moment,
@@ -221,11 +247,11 @@
     ) {
         match note {
             SwarmNote::Have(chunks) => {
-                chunks.into_iter().for_each(|chunk| self.learn(now, from, chunk));
+                chunks.into_iter().for_each(|chunk| self.learn(from, chunk));
                 self.move_ask(now, from, actions);
             }
             SwarmNote::Field(field) => {
-                field.iter().for_each(|chunk| self.learn(now, from, chunk));
+                field.iter().for_each(|chunk| self.learn(from, chunk));
                 self.move_ask(now, from, actions);
             }
             SwarmNote::Ticket(ticket) if ticket.chunk.0 < self.settings.chunks => {
@@ -234,8 +260,7 @@
             }
             SwarmNote::Took(ticket) => self.draws.note_receipt(now, ticket, from),
             SwarmNote::Offer(chunk) if chunk.0 < self.settings.chunks => {
-                self.draws.advance(now, chunk);
-                if !self.held.contains(chunk) {
+                if !self.held.contains(chunk) && !self.peers.is_corrupter(from) {
                     self.imports.offer(chunk, from);
                 }
             }
@@ -251,10 +276,8 @@
         self.pursue(now, actions);
     }
 
-    fn learn(&mut self, now: Moment, from: PeerKey, chunk: ChunkIndex) {
-        if self.peers.add_chunk(from, chunk) {
-            self.draws.advance(now, chunk);
-        }
+    fn learn(&mut self, from: PeerKey, chunk: ChunkIndex) {
+        self.peers.add_chunk(from, chunk);
     }
 
     /// Moves an ask that waits in a long queue to a box that has nothing to send.
@@ -293,15 +316,16 @@
             actions.push(SwarmAction::Refuse { to: from, chunk, failure: FetchFailure::Absent });
             return;
         }
-        let far = !self.seats.is_near(from);
+        // Only imports are asked of boxes that are no neighbours.
+        let far = !self.peers.contains(from);
         self.uploads.ask(now, (from, chunk), held, far, actions);
-        self.grant(actions);
+        self.grant(now, actions);
     }
 
-    fn grant(&mut self, actions: &mut Vec<SwarmAction>) {
+    fn grant(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
         let peers = &self.peers;
         let most = self.settings.uploads.min(1 + self.held.count() as usize / EARLY_CHUNKS);
-        self.uploads.grant(most, |chunk| peers.copies(chunk), actions);
+        self.uploads.grant(now, most, |chunk| peers.copies(chunk), actions);
     }
 
     /// Takes a chunk whose turn has come, unless as many are coming in as this box wants.
@@ -316,7 +340,7 @@
         actions: &mut Vec<SwarmAction>,
     ) {
         let room = self.coming() < self.most_downloads();
-        let far = matches!(source, ChunkSource::Peer(peer) if !self.seats.is_near(peer));
+        let far = matches!(source, ChunkSource::Peer(peer) if !self.peers.contains(peer));
         let Some(fetch) = self.open.get_mut(&chunk).filter(|fetch| fetch.source == source) else {
             return;
         };
@@ -368,7 +392,6 @@
             if self.arrivals.len() > RATE_CHUNKS {
                 self.arrivals.pop_front();
             }
-            self.draws.advance(now, chunk);
             self.announce(now, chunk, source, actions);
         }
         self.check_complete(actions);
@@ -447,7 +470,12 @@
 
     fn blame(&mut self, now: Moment, peer: PeerKey, chunk: ChunkIndex, failure: FetchFailure) {
         match failure {
-            FetchFailure::Corrupt => self.peers.note_corrupt(peer),
+            FetchFailure::Corrupt => {
+                self.peers.note_corrupt(peer);
+                if self.peers.is_corrupter(peer) {
+                    self.imports.forget(peer);
+                }
+            }
             FetchFailure::Busy => self.peers.note_busy(now, peer),
             FetchFailure::Absent => self.peers.drop_chunk(peer, chunk),
             FetchFailure::Unreachable => self.peers.note_trouble(now, peer),
@@ -457,7 +485,7 @@
     /// Corrupt bytes are fetched again at once; any other failure waits.
     fn postpone(&mut self, now: Moment, chunk: ChunkIndex, pool: DrawPool, failure: FetchFailure) {
         if failure != FetchFailure::Corrupt {
-            self.draws.postpone(now, DrawTicket { chunk, pool });
+            self.draws.postpone(now, chunk, pool);
         }
     }
 
@@ -474,7 +502,7 @@
     fn lose(&mut self, now: Moment, peer: PeerKey, actions: &mut Vec<SwarmAction>) {
         self.peers.note_trouble(now, peer);
         self.uploads.forget(peer);
-        self.grant(actions);
+        self.grant(now, actions);
         self.pursue(now, actions);
     }
 
@@ -483,10 +511,16 @@
             self.tell_fresh(now, actions);
         }
         if now >= self.field_due && !self.held.is_empty() {
+            if self.field_due == self.begun + FIELD_PAUSE && !self.complete {
+                // Once more, for those who began after this box.
+                self.offer_held(actions);
+            }
             self.field_due = now + FIELD_PAUSE;
             let note = || SwarmNote::Field(self.held.clone());
             actions.extend(self.peers.keys().map(|to| SwarmAction::Tell { to, note: note() }));
         }
+        self.uploads.expire(now, self.longest_transfer() * UPLOAD_PATIENCE);
+        self.grant(now, actions);
         self.drop_slow(now, actions);
         self.remind(now, actions);
         self.apply_remedies(now, actions);
@@ -516,25 +550,29 @@
                     self.peers.note_busy(now, peer);
                 }
                 ChunkSource::Peer(peer) => self.peers.note_trouble(now, peer),
-                ChunkSource::Origin => {
-                    self.postpone(now, chunk, DrawPool::Origin, FetchFailure::Unreachable);
-                }
-                ChunkSource::Store => {
-                    self.postpone(now, chunk, DrawPool::Store, FetchFailure::Unreachable);
-                }
+                ChunkSource::Origin | ChunkSource::Store => {}
             }
         }
     }
 
-    fn is_slow(&self, now: Moment, fetch: &OpenFetch) -> bool {
+    /// Longest time that a chunk on its way between two boxes should take.
+    fn longest_transfer(&self) -> Duration {
         let chunk_time = self.settings.chunk_time.max(self.settings.origin_chunk_time);
-        let since = fetch.started.unwrap_or(fetch.asked);
-        let (queue, share) = match fetch.source {
-            ChunkSource::Peer(_) => (self.settings.queue as u32, 4 * self.settings.uploads as u32),
-            ChunkSource::Origin | ChunkSource::Store => (4 * ORIGIN_TICKETS, 4 * ORIGIN_TICKETS),
+        chunk_time * (4 * self.settings.uploads as u32) + LEAST_WAIT
+    }
+
+    /// Whether a fetch takes too long. Draws are left alone: a crowded origin is slow to all, and
+    /// to break off and begin again would make it slower; one that stands still fails by itself.
+    fn is_slow(&self, now: Moment, fetch: &OpenFetch) -> bool {
+        if !matches!(fetch.source, ChunkSource::Peer(_)) {
+            return false;
+        }
+        let queue = self.settings.chunk_time * self.settings.queue as u32;
+        let limit = match fetch.started {
+            Some(_) => self.longest_transfer(),
+            None => self.longest_transfer() + queue,
         };
-        let factor = if fetch.started.is_some() { share } else { queue + share };
-        now.since(since) > (chunk_time * factor + LEAST_WAIT) * self.patience
+        now.since(fetch.started.unwrap_or(fetch.asked)) > limit * self.patience
     }
 
     /// Looks after chunks that should have come into this domain and have not.
@@ -543,12 +581,12 @@
             return;
         }
         let stalled = self.draws.stalled(now, self.begun) > self.stall_patience();
-        let end = self.draws.frontier().map_or(0, |chunk| chunk.0 + 1) + 2 * ORIGIN_TICKETS;
+        let end = self.draws.drawn() + 2 * ORIGIN_TICKETS;
         let (held, peers, open) = (&self.held, &self.peers, &self.open);
         let (draws, imports) = (&self.draws, &self.imports);
         let lacking: Vec<ChunkIndex> = (0..self.settings.chunks)
             .map(ChunkIndex)
-            .filter(|chunk| !held.contains(*chunk) && peers.copies(*chunk) == 0)
+            .filter(|chunk| !held.contains(*chunk) && !peers.is_near(now, *chunk))
             .filter(|chunk| !open.contains_key(chunk) && !imports.is_offered(*chunk))
             .filter(|chunk| draws.is_passed(*chunk) || (stalled && chunk.0 < end))
             .collect();
@@ -563,12 +601,18 @@
     fn apply(&mut self, now: Moment, remedy: Remedy, actions: &mut Vec<SwarmAction>) {
         match remedy {
             Remedy::Seek(chunk) => {
-                let to = self.seats.far_importers(chunk, 2);
+                let to = self.seats.other_importers(chunk, 2);
                 let seek = |to| SwarmAction::Tell { to, note: SwarmNote::Seek(chunk) };
                 actions.extend(to.into_iter().map(seek));
             }
+            // One at a time: a crowd of draws would only take each other's rate.
+            Remedy::Draw(_) if !self.draws.is_empty() => {}
             Remedy::Draw(chunk) => {
-                self.draws.retake(now, DrawTicket { chunk, pool: DrawPool::Origin });
+                // A draw past the others' front takes the place of a ticket that has been lost.
+                let lost = !self.draws.is_passed(chunk);
+                let lane = if lost { chunk.0 % ORIGIN_TICKETS } else { LONE_LANE };
+                let ticket = DrawTicket { chunk, pool: DrawPool::Origin, lane };
+                self.draws.revive(now, ticket);
             }
         }
     }
@@ -577,10 +621,14 @@
     fn remind(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
         let (held, peers, imports) = (&self.held, &self.peers, &self.imports);
         let is_known = |chunk: ChunkIndex| {
-            held.contains(chunk) || peers.copies(chunk) > 0 || imports.is_offered(chunk)
+            held.contains(chunk) || peers.is_near(now, chunk) || imports.is_offered(chunk)
         };
         let reminders = self.draws.reminders(now, self.settings.origin_chunk_time, is_known);
         for reminder in reminders {
+            if reminder.hopeless {
+                self.draws.take_back(now, reminder.ticket);
+                continue;
+            }
             let last = reminder.failed.last().copied().filter(|_| reminder.again);
             let next = || self.seats.next_drawer(reminder.ticket.chunk, &reminder.failed);
             let drawer = last.unwrap_or_else(next);
@@ -628,23 +676,26 @@
         self.use_extras(now, actions);
     }
 
-    fn is_known(&self, chunk: ChunkIndex) -> bool {
-        self.held.contains(chunk) || self.peers.copies(chunk) > 0 || self.imports.is_offered(chunk)
+    fn is_known(&self, now: Moment, chunk: ChunkIndex) -> bool {
+        self.held.contains(chunk)
+            || self.peers.is_near(now, chunk)
+            || self.imports.is_offered(chunk)
     }
 
     fn use_tickets(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
         if self.draws.is_empty() {
             return;
         }
+        let mut drawing = Vec::new();
         for (ticket, ready) in self.draws.tickets(now) {
             let source = ticket.pool.source();
             let open = self.open.get(&ticket.chunk).map(|fetch| fetch.source);
-            if open == Some(source) {
-                continue;
-            }
-            if open.is_some() || self.is_known(ticket.chunk) {
+            if open == Some(source) && !drawing.contains(&ticket.chunk) {
+                drawing.push(ticket.chunk);
+            } else if open.is_some() || self.is_known(now, ticket.chunk) {
                 self.pass_on(now, ticket, actions);
             } else if ready {
+                drawing.push(ticket.chunk);
                 self.fetch(now, ticket.chunk, source, actions);
             }
         }
@@ -662,23 +713,25 @@
         let order = std::iter::successors(DrawLedger::next(ticket, chunks), |ticket| {
             DrawLedger::next(*ticket, chunks)
         });
-        let next = order.into_iter().find(|ticket| !self.is_known(ticket.chunk));
-        let Some(next) = next else { return };
+        let next = order.into_iter().find(|ticket| !self.is_known(now, ticket.chunk));
+        let Some(next) = next else {
+            if ticket.pool == DrawPool::Origin && ticket.lane != LONE_LANE {
+                self.draws.advance(now, chunks);
+            }
+            return;
+        };
         let drawer = self.seats.drawer(next.chunk);
         self.give_ticket(now, next, drawer, actions);
-        if drawer == self.seats.me().key && !self.open.contains_key(&next.chunk) {
-            self.fetch(now, next.chunk, next.pool.source(), actions);
+        if drawer == self.seats.me().key {
+            self.use_tickets(now, actions);
         }
     }
 
     fn use_offers(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
         loop {
             let (held, open, peers) = (&self.held, &self.open, &self.peers);
-            let wanted = |chunk: ChunkIndex, from: PeerKey| {
-                !held.contains(chunk)
-                    && !open.contains_key(&chunk)
-                    && peers.copies(chunk) == 0
-                    && !peers.is_corrupter(from)
+            let wanted = |chunk: ChunkIndex| {
+                !held.contains(chunk) && !open.contains_key(&chunk) && !peers.is_near(now, chunk)
             };
             let Some((chunk, from)) = self.imports.accept(wanted) else { return };
             self.fetch(now, chunk, ChunkSource::Peer(from), actions);
@@ -711,8 +764,7 @@
     /// The origin is idle once every chunk has left it. A box whose own link is full has no use
     /// for a further source, so that this costs nothing where it would gain nothing.
     fn use_extras(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
-        let last = self.settings.chunks.saturating_sub(1);
-        let drawn = self.draws.frontier().is_some_and(|chunk| chunk.0 >= last);
+        let drawn = self.draws.drawn() >= self.settings.chunks;
         if self.settings.prefer != BurstPreference::Time || !drawn || !self.is_underfed(now) {
             return;
         }
--- a/crates/core/src/burst/seats.rs
+++ b/crates/core/src/burst/seats.rs
@@ -79,11 +79,6 @@
         self.seats.get(&peer).copied()
     }
 
-    /// Whether a box stands in this box's domain.
-    pub fn is_near(&self, peer: PeerKey) -> bool {
-        self.seat(peer).is_some_and(|seat| seat.domain == self.me.domain)
-    }
-
     fn subject(&self, chunk: ChunkIndex) -> u64 {
         score(self.salt, u64::from(chunk.0))
     }
@@ -131,14 +126,14 @@
         (above < most).then_some(above)
     }
 
-    /// The first `most` importers of `chunk` in every domain but this box's own.
-    pub fn far_importers(&self, chunk: ChunkIndex, most: usize) -> Vec<PeerKey> {
+    /// The first `most` importers of `chunk` in every domain, but for this box.
+    pub fn other_importers(&self, chunk: ChunkIndex, most: usize) -> Vec<PeerKey> {
         let subject = self.subject(chunk);
-        let others = self.domains.iter().filter(|(domain, _)| **domain != self.me.domain);
         let first = |boxes: &[u64]| {
             ranking(subject, boxes.iter().copied()).into_iter().take(most).collect::<Vec<_>>()
         };
-        others.flat_map(|(_, (_, boxes))| first(boxes)).map(PeerKey).collect()
+        let keys = self.domains.values().flat_map(|(_, boxes)| first(boxes)).map(PeerKey);
+        keys.filter(|key| *key != self.me.key).collect()
     }
 
     /// To whom a chunk that has just entered this box's domain from `source_region` is offered:
--- a/crates/core/src/burst/uploads.rs
+++ b/crates/core/src/burst/uploads.rs
@@ -1,5 +1,7 @@
 //! Requests for chunks that this box sends to others.
 
+use std::time::Duration;
+
 use headlatch_types::ChunkIndex;
 
 use super::{FetchFailure, PeerKey, SwarmAction};
@@ -14,6 +16,7 @@
     far: bool,
     /// Its turn came when it had no room; it will say when it has.
     passed: bool,
+    /// When it came, or when it was granted.
     since: Moment,
 }
 
@@ -73,6 +76,11 @@
         self.active.retain(|ask| ask.from != from);
     }
 
+    /// Forgets chunks that should have gone out long ago: whoever asked does not take them in.
+    pub(super) fn expire(&mut self, now: Moment, time: Duration) {
+        self.active.retain(|ask| now.since(ask.since) < time);
+    }
+
     /// The box whose turn had come has no room; its request waits until it has.
     pub(super) fn pass(&mut self, from: PeerKey, chunk: ChunkIndex) {
         let Some(at) = self.active.iter().position(|ask| ask.is(from, chunk)) else { return };
@@ -91,6 +99,7 @@
     /// longest wait.
     pub(super) fn grant(
         &mut self,
+        now: Moment,
         most: usize,
         rarity: impl Fn(ChunkIndex) -> u32,
         actions: &mut Vec<SwarmAction>,
@@ -102,7 +111,7 @@
             };
             let ready = self.waiting.iter().enumerate().filter(|(_, ask)| !ask.passed);
             let Some((at, _)) = ready.min_by_key(|(_, ask)| order(ask)) else { return };
-            let ask = self.waiting.swap_remove(at);
+            let ask = WaitingAsk { since: now, ..self.waiting.swap_remove(at) };
             actions.push(SwarmAction::Grant { to: ask.from, chunk: ask.chunk });
             self.active.push(ask);
         }
--- a/crates/daemon/src/agent/fetch.rs
+++ b/crates/daemon/src/agent/fetch.rs
@@ -1,6 +1,6 @@
 //! Fetches of single chunks and of manifests.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use headlatch_core::burst::FetchFailure;
@@ -12,13 +12,18 @@
 };
 use headlatch_wire::{FetchChunkRequest, FetchManifestRequest, FetchStep, fetch_step::Step};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use http_body::Frame;
 use http_body_util::BodyExt;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use tokio::sync::mpsc;
 use tonic::Code;
+use volo_http::{body::Body, error::BoxError};
 
 use crate::node::channels::ChannelCache;
 
+/// Time after which a source that sends nothing is given up.
+const STALL_TIME: Duration = Duration::from_secs(20);
+
 /// Characters of a path that need no escape.
 const PATH: &AsciiSet =
     &NON_ALPHANUMERIC.remove(b'/').remove(b'.').remove(b'-').remove(b'_').remove(b'~');
@@ -97,11 +102,12 @@
         let address = source.url.address();
         let start = format!("http://{address}").len();
         let call = self.caller.send(address, Method::GET, &url[start..], headers, Bytes::new());
-        let response = call.await.map_err(|_| FetchFailure::Unreachable)?;
+        let answered = tokio::time::timeout(STALL_TIME, call).await;
+        let response = answered.ok().and_then(Result::ok).ok_or(FetchFailure::Unreachable)?;
         check_status(response.status(), range.is_some())?;
         let mut body = response.into_body();
         let mut data = BytesMut::new();
-        while let Some(frame) = body.frame().await {
+        while let Some(frame) = next_frame(&mut body).await? {
             let frame = frame.map_err(|_| FetchFailure::Unreachable)?;
             let Ok(piece) = frame.into_data() else { continue };
             self.down.send(piece.len()).await;
@@ -114,6 +120,14 @@
     }
 }
 
+/// The next frame of a body, unless nothing comes for long.
+async fn next_frame(
+    body: &mut Body,
+) -> Result<Option<Result<Frame<Bytes>, BoxError>>, FetchFailure> {
+    let next = tokio::time::timeout(STALL_TIME, body.frame()).await;
+    next.map_err(|_| FetchFailure::Unreachable)
+}
+
 fn check_status(status: StatusCode, ranged: bool) -> Result<(), FetchFailure> {
     match status {
         StatusCode::PARTIAL_CONTENT if ranged => Ok(()),
--- a/crates/daemon/src/agent/hub.rs
+++ b/crates/daemon/src/agent/hub.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use headlatch_core::burst::{FetchFailure, PeerKey, SwarmEvent};
+use headlatch_core::burst::{FetchFailure, PeerKey, SwarmEvent, SwarmPulse};
 use headlatch_http::pace::{LinkPacer, TURN_BYTES};
 use headlatch_types::{ChunkIndex, Digest, id::BoxId};
 use headlatch_wire::{ChunkPiece, FetchChunkRequest, FetchStep, SwarmNotes, fetch_step::Step};
@@ -79,9 +79,10 @@
         let Ok(id) = notes.box_id.parse::<BoxId>() else { return false };
         let from = peer_key(&id);
         let chunks = handle.manifest.chunks().len() as u32;
+        let pulse = SwarmPulse { queue: notes.queue, drawn: notes.drawn.min(chunks) };
         for message in notes.notes {
             let Ok(note) = codec::decode_note(message, chunks) else { continue };
-            let event = SwarmEvent::Note { from, note, queue: notes.queue };
+            let event = SwarmEvent::Note { from, note, pulse };
             handle.tell(DriverInput::Event(event));
         }
         true
--- a/crates/daemon/src/agent/swarm.rs
+++ b/crates/daemon/src/agent/swarm.rs
@@ -315,11 +315,13 @@
     fn send_notes(&self, to: PeerKey, notes: Vec<SwarmNote>) {
         let Some(address) = self.addresses.get(&to).copied() else { return };
         let node = self.tools.node.clone();
+        let pulse = self.planner.pulse();
         let message = SwarmNotes {
             manifest: Bytes::copy_from_slice(self.part.manifest.as_bytes()),
             box_id: node.settings.box_id.to_string(),
             notes: notes.iter().map(codec::encode_note).collect(),
-            queue: self.planner.queue(),
+            queue: pulse.queue,
+            drawn: pulse.drawn,
         };
         let inputs = self.own_inputs.clone();
         tokio::spawn(async move {
--- a/crates/daemon/src/node/codec.rs
+++ b/crates/daemon/src/node/codec.rs
@@ -108,13 +108,19 @@
 }
 
 fn encode_ticket(ticket: DrawTicket) -> wire::DrawTicket {
-    wire::DrawTicket { position: ticket.chunk.0, store: ticket.pool == DrawPool::Store }
+    wire::DrawTicket {
+        position: ticket.chunk.0,
+        store: ticket.pool == DrawPool::Store,
+        lane: ticket.lane,
+    }
 }
 
 fn decode_ticket(message: &wire::DrawTicket, chunks: u32) -> Result<DrawTicket, DecodeError> {
     let chunk = ChunkIndex(message.position);
     let pool = if message.store { DrawPool::Store } else { DrawPool::Origin };
-    (chunk.0 < chunks).then_some(DrawTicket { chunk, pool }).ok_or(wrong("ticket"))
+    (chunk.0 < chunks)
+        .then_some(DrawTicket { chunk, pool, lane: message.lane })
+        .ok_or(wrong("ticket"))
 }
 
 /// A note from a message about a manifest of `chunks` chunks.
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -217,6 +217,9 @@
     pub position: u32,
     #[prost(bool, tag = "2")]
     pub store: bool,
+    /// Number of the ticket among those of its source.
+    #[prost(uint32, tag = "3")]
+    pub lane: u32,
 }
 /// Indices of chunks.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -236,6 +239,9 @@
     /// Requests for chunks that wait at the sender.
     #[prost(uint32, tag = "4")]
     pub queue: u32,
+    /// Chunks that have had their turn to be drawn from the origin.
+    #[prost(uint32, tag = "5")]
+    pub drawn: u32,
 }
 /// Receipt of notes.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
