Tell of life by beats instead of whole records

Cause: with 28 nodes the demo sometimes waited a minute for nodes to know each other; records of 100 bytes were passed on ten at a time, each seldom. Change: packets carry news as records and life as 8-byte beats, freshest first; a node that reads of one it does not know asks for the record.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -1,6 +1,10 @@
 //! What a node knows of the others, from their own words passed on by gossip.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use headlatch_types::{
     fleet::SetKey,
@@ -11,17 +15,32 @@
 
 use crate::time::Moment;
 
-/// A node that has not been heard of for this long gets no new work.
-pub const SUSPECT_AFTER: Duration = Duration::from_secs(6);
+/// A node of the own domain that has not been heard of for this long gets no new work.
+///
+/// News of a beat takes a few packets to come around; whoever sends requests notices sooner, by
+/// their failure.
+pub const SUSPECT_AFTER: Duration = Duration::from_secs(12);
+
+/// The same for nodes of other domains, whose beats come in more seldom.
+pub const FAR_SUSPECT_AFTER: Duration = Duration::from_secs(45);
 
 /// A node that has not been heard of for this long is forgotten.
-pub const FORGET_AFTER: Duration = Duration::from_secs(60);
+pub const FORGET_AFTER: Duration = Duration::from_secs(120);
 
 /// How often a node sends a packet.
 pub const GOSSIP_PAUSE: Duration = Duration::from_secs(1);
 
-/// Records in one packet.
-pub const PACKET_RECORDS: usize = 10;
+/// Full records in one packet, this node's own among them.
+pub const PACKET_RECORDS: usize = 6;
+
+/// Beats in one packet.
+pub const PACKET_BEATS: usize = 100;
+
+/// Records asked for in one packet.
+pub const PACKET_WANTS: usize = 40;
+
+/// Packets in which news is passed on.
+const NEWS_PACKETS: u32 = 6;
 
 /// What a node is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,8 +87,10 @@
     pub control: SocketAddr,
     /// Start of its process; a later start replaces an earlier one.
     pub incarnation: u64,
-    /// Rises with every change and every packet of its own.
-    pub beat: u64,
+    /// Rises with every change.
+    pub version: u64,
+    /// Seconds on the node's own clock when it said this.
+    pub beat: u32,
     /// Revision in force there.
     pub revision: ConfigRevision,
     /// Whether it is about to leave.
@@ -78,20 +99,73 @@
     pub endpoint: Option<EndpointState>,
 }
 
+/// Short key of a node, for beats; two nodes rarely share one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ShortKey(pub u32);
+
+impl ShortKey {
+    /// The short key of a box.
+    pub fn of(id: &BoxId) -> Self {
+        Self(id.key() as u32)
+    }
+}
+
+/// That a node was alive at some second of its own clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NodeBeat {
+    /// The node.
+    pub key: ShortKey,
+    /// The second.
+    pub beat: u32,
+}
+
+/// A datagram between nodes.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct GossipPacket {
+    /// News, with the sender's own record first; none in an answer.
+    pub records: Vec<NodeRecord>,
+    /// Beats of nodes that need no full record.
+    pub beats: Vec<NodeBeat>,
+    /// Nodes whose records the sender lacks.
+    pub wants: Vec<ShortKey>,
+}
+
+/// What a packet brought.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct MergeOutcome {
+    /// Something that everybody should hear of soon.
+    pub urgent: bool,
+    /// A node that has a newer configuration than any known before, and its revision.
+    pub newest: Option<(ConfigRevision, SocketAddr)>,
+    /// Nodes that the sender knows and this node does not.
+    pub unknown: Vec<ShortKey>,
+}
+
 impl NodeRecord {
     fn age(&self) -> (u64, u64) {
-        (self.incarnation, self.beat)
+        (self.incarnation, self.version)
+    }
+
+    fn serving(&self) -> Option<SetKey> {
+        self.endpoint.as_ref().and_then(|state| state.serving)
+    }
+
+    /// Whether everybody should hear soon that this has taken the place of `before`.
+    fn is_urgent_after(&self, before: &Self) -> bool {
+        self.leaving != before.leaving
+            || self.revision != before.revision
+            || self.serving() != before.serving()
     }
 }
 
-/// A record and when it was news here.
+/// A record and when its node was last heard of.
 #[derive(Debug, Clone)]
 pub struct KnownNode {
     /// The newest record.
     pub record: NodeRecord,
-    /// When it came.
+    /// When a new beat of the node came.
     pub heard: Moment,
-    /// Packets it has been passed on in since.
+    /// Packets the record has been passed on in since it was news.
     passed_on: u32,
 }
 
@@ -100,6 +174,7 @@
 pub struct NodeTable {
     own: NodeRecord,
     nodes: BTreeMap<BoxId, KnownNode>,
+    short: HashMap<ShortKey, BoxId>,
     /// Addresses to try when nobody is known.
     seeds: Vec<SocketAddr>,
 }
@@ -107,7 +182,7 @@
 impl NodeTable {
     /// A table with this node alone.
     pub fn new(own: NodeRecord) -> Self {
-        Self { own, nodes: BTreeMap::new(), seeds: Vec::new() }
+        Self { own, nodes: BTreeMap::new(), short: HashMap::new(), seeds: Vec::new() }
     }
 
     /// This node's own record.
@@ -120,7 +195,7 @@
         let before = self.own.clone();
         change(&mut self.own);
         if self.own != before {
-            self.own.beat += 1;
+            self.own.version += 1;
         }
     }
 
@@ -129,34 +204,79 @@
         self.seeds = seeds;
     }
 
-    /// Takes in a record; true if it was news.
-    pub fn merge(&mut self, now: Moment, record: NodeRecord) -> bool {
+    /// Takes in a packet.
+    pub fn merge(&mut self, now: Moment, packet: GossipPacket) -> MergeOutcome {
+        let mut outcome = MergeOutcome::default();
+        for record in packet.records {
+            if record.revision > outcome.newest.map_or(self.own.revision, |(newest, _)| newest) {
+                outcome.newest = Some((record.revision, record.control));
+            }
+            outcome.urgent |= self.merge_record(now, record);
+        }
+        for beat in packet.beats {
+            if !self.merge_beat(now, beat) && outcome.unknown.len() < PACKET_WANTS {
+                outcome.unknown.push(beat.key);
+            }
+        }
+        outcome
+    }
+
+    /// Takes in a record; true if everybody should hear of it soon.
+    fn merge_record(&mut self, now: Moment, record: NodeRecord) -> bool {
         if record.id == self.own.id {
             // An older start of this box, still on its way around.
             return false;
         }
-        match self.nodes.get_mut(&record.id) {
-            Some(known) if known.record.age() >= record.age() => false,
-            Some(known) => {
-                *known = KnownNode { record, heard: now, passed_on: 0 };
-                true
-            }
-            None => {
-                let known = KnownNode { record, heard: now, passed_on: 0 };
-                self.nodes.insert(known.record.id.clone(), known);
-                true
-            }
+        let Some(known) = self.nodes.get_mut(&record.id) else {
+            self.short.insert(ShortKey::of(&record.id), record.id.clone());
+            let known = KnownNode { record, heard: now, passed_on: 0 };
+            self.nodes.insert(known.record.id.clone(), known);
+            return true;
+        };
+        if record.beat > known.record.beat {
+            known.heard = now;
+            known.record.beat = record.beat;
+        }
+        if record.age() <= known.record.age() {
+            return false;
+        }
+        let urgent = record.is_urgent_after(&known.record);
+        let beat = known.record.beat;
+        known.record = NodeRecord { beat, ..record };
+        known.passed_on = 0;
+        urgent
+    }
+
+    /// Takes in a beat; false if its node is not known.
+    fn merge_beat(&mut self, now: Moment, beat: NodeBeat) -> bool {
+        if beat.key == ShortKey::of(&self.own.id) {
+            return true;
+        }
+        let known = self.short.get(&beat.key).and_then(|id| self.nodes.get_mut(id));
+        let Some(known) = known else { return false };
+        if beat.beat > known.record.beat {
+            known.record.beat = beat.beat;
+            known.heard = now;
         }
+        true
     }
 
     /// Forgets nodes that have been silent for long.
     pub fn expire(&mut self, now: Moment) {
         self.nodes.retain(|_, known| now.since(known.heard) < FORGET_AFTER);
+        let nodes = &self.nodes;
+        self.short.retain(|_, id| nodes.contains_key(id));
+    }
+
+    fn is_living(&self, now: Moment, known: &KnownNode) -> bool {
+        let near = known.record.domain == self.own.domain;
+        let limit = if near { SUSPECT_AFTER } else { FAR_SUSPECT_AFTER };
+        now.since(known.heard) < limit
     }
 
     /// Nodes heard of lately, not counting this one.
     pub fn living(&self, now: Moment) -> impl Iterator<Item = &NodeRecord> {
-        let lately = move |known: &&KnownNode| now.since(known.heard) < SUSPECT_AFTER;
+        let lately = move |known: &&KnownNode| self.is_living(now, known);
         self.nodes.values().filter(lately).map(|known| &known.record)
     }
 
@@ -165,31 +285,60 @@
         self.nodes.values()
     }
 
-    /// One node, if it was heard of lately.
-    pub fn get(&self, now: Moment, id: &BoxId) -> Option<&NodeRecord> {
-        let known = self.nodes.get(id)?;
-        (now.since(known.heard) < SUSPECT_AFTER).then_some(&known.record)
-    }
-
-    /// The records of the next packet: this node's own first, then those that have been passed
-    /// on least often since they were news.
-    pub fn packet(&mut self) -> Vec<NodeRecord> {
-        self.own.beat += 1;
-        let mut others: Vec<&mut KnownNode> = self.nodes.values_mut().collect();
-        others.sort_by_key(|known| (known.passed_on, std::cmp::Reverse(known.heard)));
+    /// The next packet at second `beat` of this node's clock: its own record, news, and beats.
+    pub fn packet(&mut self, beat: u32) -> GossipPacket {
+        self.own.beat = beat;
+        let mut news: Vec<&mut KnownNode> =
+            self.nodes.values_mut().filter(|known| known.passed_on < NEWS_PACKETS).collect();
+        news.sort_by_key(|known| (known.passed_on, std::cmp::Reverse(known.heard)));
         let mut records = vec![self.own.clone()];
-        for known in others.into_iter().take(PACKET_RECORDS - 1) {
+        for known in news.into_iter().take(PACKET_RECORDS - 1) {
             known.passed_on += 1;
             records.push(known.record.clone());
         }
-        records
+        GossipPacket { records, beats: self.beats(), wants: Vec::new() }
+    }
+
+    /// The freshest beats, most of them of the own domain.
+    ///
+    /// They also tell a receiver whom it does not know yet, so that it can ask for the records.
+    fn beats(&self) -> Vec<NodeBeat> {
+        let own = &self.own.domain;
+        let mut all: Vec<&KnownNode> = self.nodes.values().collect();
+        all.sort_by_key(|known| std::cmp::Reverse((known.heard, known.record.beat)));
+        let (near, far): (Vec<_>, Vec<_>) =
+            all.into_iter().partition(|known| known.record.domain == *own);
+        let room = PACKET_BEATS - near.len().min(PACKET_BEATS - FAR_BEATS);
+        let near = near.into_iter().take(PACKET_BEATS - FAR_BEATS);
+        let chosen = near.chain(far.into_iter().take(room));
+        let beat = |known: &KnownNode| NodeBeat {
+            key: ShortKey::of(&known.record.id),
+            beat: known.record.beat,
+        };
+        chosen.map(beat).collect()
+    }
+
+    /// A packet that asks for records that this node lacks.
+    pub fn ask(&self, unknown: Vec<ShortKey>) -> GossipPacket {
+        let records = vec![self.own.clone()];
+        GossipPacket { records, beats: Vec::new(), wants: unknown }
+    }
+
+    /// Packets with the records that another node asked for.
+    pub fn answers(&self, wants: &[ShortKey]) -> Vec<GossipPacket> {
+        let wanted = wants.iter().take(PACKET_WANTS).filter_map(|key| self.short.get(key));
+        let records: Vec<NodeRecord> =
+            wanted.filter_map(|id| self.nodes.get(id)).map(|known| known.record.clone()).collect();
+        let packet = |records: &[NodeRecord]| GossipPacket {
+            records: records.to_vec(),
+            ..GossipPacket::default()
+        };
+        records.chunks(PACKET_RECORDS).map(packet).collect()
     }
 
     /// Where the next packet goes: mostly into this node's domain, now and then into another,
     /// and to a seed while few nodes are known.
     pub fn target(&self, now: Moment, rng: &mut SmallRng) -> Option<SocketAddr> {
-        const FAR_ONE_IN: u32 = 4;
-        const SEED_ONE_IN: u32 = 8;
         if self.nodes.len() < 2 || rng.random_range(0..SEED_ONE_IN) == 0 {
             let seeds = self.seeds.iter().filter(|seed| **seed != self.own.control);
             if let Some(seed) = seeds.choose(rng) {
@@ -202,3 +351,12 @@
         chosen.or_else(|| self.living(now).choose(rng)).map(|record| record.control)
     }
 }
+
+/// Beats in a packet that are kept for nodes of other domains.
+const FAR_BEATS: usize = 20;
+
+/// One packet in this many goes to another domain.
+const FAR_ONE_IN: u32 = 5;
+
+/// One packet in this many goes to an address of the platform's list, known or not.
+const SEED_ONE_IN: u32 = 10;
--- a/crates/daemon/src/node/codec.rs
+++ b/crates/daemon/src/node/codec.rs
@@ -2,7 +2,7 @@
 
 use headlatch_core::{
     burst::{ChunkSet, DrawPool, DrawTicket, SwarmNote},
-    membership::{EndpointState, NodeKind, NodeRecord},
+    membership::{EndpointState, GossipPacket, NodeBeat, NodeKind, NodeRecord, ShortKey},
 };
 use headlatch_types::{ChunkIndex, RunVerdict, fleet::SetKey, quantity::ConfigRevision};
 use headlatch_wire as wire;
@@ -32,6 +32,7 @@
         kind: kind.into(),
         control: record.control.to_string(),
         incarnation: record.incarnation,
+        version: record.version,
         beat: record.beat,
         revision: record.revision.number(),
         leaving: record.leaving,
@@ -66,6 +67,7 @@
         kind,
         control: message.control.parse().map_err(|_| wrong("control"))?,
         incarnation: message.incarnation,
+        version: message.version,
         beat: message.beat,
         revision: ConfigRevision::new(message.revision),
         leaving: message.leaving,
@@ -91,6 +93,26 @@
     })
 }
 
+/// A packet as a message.
+pub fn encode_packet(packet: &GossipPacket) -> wire::GossipPacket {
+    wire::GossipPacket {
+        records: packet.records.iter().map(encode_record).collect(),
+        beat_keys: packet.beats.iter().map(|beat| beat.key.0).collect(),
+        beats: packet.beats.iter().map(|beat| beat.beat).collect(),
+        wants: packet.wants.iter().map(|key| key.0).collect(),
+    }
+}
+
+/// A packet from a message; records that are wrong are left out.
+pub fn decode_packet(message: wire::GossipPacket) -> GossipPacket {
+    let pairs = message.beat_keys.into_iter().zip(message.beats);
+    GossipPacket {
+        records: message.records.into_iter().filter_map(|one| decode_record(one).ok()).collect(),
+        beats: pairs.map(|(key, beat)| NodeBeat { key: ShortKey(key), beat }).collect(),
+        wants: message.wants.into_iter().map(ShortKey).collect(),
+    }
+}
+
 /// A note as a message.
 pub fn encode_note(note: &SwarmNote) -> wire::SwarmNote {
     use wire::swarm_note::Note;
--- a/crates/daemon/src/node/gossip.rs
+++ b/crates/daemon/src/node/gossip.rs
@@ -2,16 +2,16 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use headlatch_core::membership::{GOSSIP_PAUSE, NodeRecord};
+use headlatch_core::membership::{GOSSIP_PAUSE, GossipPacket};
 use headlatch_http::StopSignal;
-use headlatch_wire::{GossipPacket, ReadConfigRequest};
+use headlatch_wire::{self as wire, ReadConfigRequest};
 use prost::Message;
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::net::UdpSocket;
 
 use super::{NodeContext, codec};
 
-/// Largest datagram; a record takes about a hundred bytes.
+/// Largest datagram taken; those sent are a good deal smaller.
 const MOST_DATAGRAM: usize = 8 << 10;
 
 /// Packets sent at once when this node has news.
@@ -25,7 +25,7 @@
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, _)) => receive(&node, &buffer[..length]),
+                Ok((length, from)) => receive(&node, &socket, &buffer[..length], from).await,
                 Err(error) => log::debug!("gossip: receiving failed, {error}"),
             },
             tick = ticks.next() => {
@@ -34,7 +34,9 @@
                 send(&node, &socket, &mut rng, 1).await;
                 count(&node);
             }
-            () = node.rumour.notified() => send(&node, &socket, &mut rng, RUMOUR_FANOUT).await,
+            () = node.rumour.notified() => {
+                send(&node, &socket, &mut rng, RUMOUR_FANOUT).await;
+            }
             () = signal.stopped() => return,
         }
     }
@@ -42,57 +44,60 @@
 
 async fn send(node: &NodeContext, socket: &UdpSocket, rng: &mut SmallRng, packets: usize) {
     for _ in 0..packets {
-        let (target, records) = {
+        let (target, packet) = {
             let mut table = node.table();
-            (table.target(node.now(), rng), table.packet())
+            (table.target(node.now(), rng), table.packet(unix_seconds()))
         };
         let Some(target) = target else { return };
-        let packet = GossipPacket { records: records.iter().map(codec::encode_record).collect() };
-        let bytes = packet.encode_to_vec();
-        node.metrics.count_gossip("out", bytes.len());
-        if let Err(error) = socket.send_to(&bytes, target).await {
-            log::debug!("gossip: sending to {target} failed, {error}");
-        }
+        send_packet(node, socket, target, &packet).await;
     }
 }
 
-fn receive(node: &Arc<NodeContext>, bytes: &[u8]) {
+async fn send_packet(
+    node: &NodeContext,
+    socket: &UdpSocket,
+    target: SocketAddr,
+    packet: &GossipPacket,
+) {
+    let bytes = codec::encode_packet(packet).encode_to_vec();
+    node.metrics.count_gossip("out", bytes.len());
+    if let Err(error) = socket.send_to(&bytes, target).await {
+        log::debug!("gossip: sending to {target} failed, {error}");
+    }
+}
+
+/// Seconds since 1970: a later start of the process goes on from the earlier one's.
+fn unix_seconds() -> u32 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |since| since.as_secs() as u32)
+}
+
+async fn receive(node: &Arc<NodeContext>, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
     node.metrics.count_gossip("in", bytes.len());
-    let Ok(packet) = GossipPacket::decode(bytes) else {
+    let Ok(message) = wire::GossipPacket::decode(bytes) else {
         log::debug!("gossip: a datagram of {} bytes is no packet", bytes.len());
         return;
     };
-    let now = node.now();
-    let mut news = false;
-    let mut ahead = None;
-    for message in packet.records {
-        let Ok(record) = codec::decode_record(message) else { continue };
-        ahead = ahead.max(is_ahead(node, &record));
+    let packet = codec::decode_packet(message);
+    let (outcome, mut answers) = {
         let mut table = node.table();
-        let known = table.get(now, &record.id).cloned();
-        let urgent = known.is_none_or(|known| is_urgent(&known, &record));
-        news |= table.merge(now, record) && urgent;
+        let answers = table.answers(&packet.wants);
+        (table.merge(node.now(), packet), answers)
+    };
+    if !outcome.unknown.is_empty() {
+        answers.push(node.table().ask(outcome.unknown));
+    }
+    for answer in answers {
+        send_packet(node, socket, from, &answer).await;
     }
-    if let Some((_, address)) = ahead {
+    if let Some((_, address)) = outcome.newest {
         tokio::spawn(fetch_config(node.clone(), address));
     }
-    if news {
+    if outcome.urgent {
         node.rumour.notify_one();
     }
 }
 
-/// Changes that everybody should hear of before the next second.
-fn is_urgent(known: &NodeRecord, record: &NodeRecord) -> bool {
-    let serving = |one: &NodeRecord| one.endpoint.as_ref().and_then(|state| state.serving);
-    known.leaving != record.leaving
-        || known.revision != record.revision
-        || serving(known) != serving(record)
-}
-
-fn is_ahead(node: &NodeContext, record: &NodeRecord) -> Option<(u64, SocketAddr)> {
-    (record.revision > node.config().revision).then(|| (record.revision.number(), record.control))
-}
-
 /// Reads the configuration of a node that has a newer one.
 async fn fetch_config(node: Arc<NodeContext>, address: SocketAddr) {
     let above_revision = node.config().revision.number();
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -63,6 +63,7 @@
             kind,
             control,
             incarnation: unix_micros(),
+            version: 0,
             beat: 0,
             revision: ConfigRevision::default(),
             leaving: false,
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -307,9 +307,9 @@
     /// Start of the process, microseconds since 1970: a later one replaces an earlier one.
     #[prost(uint64, tag = "6")]
     pub incarnation: u64,
-    /// Rises with every change and every beat.
+    /// Rises with every change.
     #[prost(uint64, tag = "7")]
-    pub beat: u64,
+    pub version: u64,
     /// Revision in force there.
     #[prost(uint64, tag = "8")]
     pub revision: u64,
@@ -317,13 +317,24 @@
     pub leaving: bool,
     #[prost(message, optional, tag = "10")]
     pub endpoint: ::core::option::Option<EndpointState>,
+    /// Seconds on the node's own clock when it said this.
+    #[prost(uint32, tag = "11")]
+    pub beat: u32,
 }
 /// A datagram between nodes.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct GossipPacket {
-    /// The sender comes first.
+    /// News; the sender's own record comes first.
     #[prost(message, repeated, tag = "1")]
     pub records: ::prost::alloc::vec::Vec<NodeRecord>,
+    /// Short keys of nodes, and at the same places the seconds at which they were alive.
+    #[prost(fixed32, repeated, tag = "2")]
+    pub beat_keys: ::prost::alloc::vec::Vec<u32>,
+    #[prost(fixed32, repeated, tag = "3")]
+    pub beats: ::prost::alloc::vec::Vec<u32>,
+    /// Short keys of nodes whose records the sender lacks.
+    #[prost(fixed32, repeated, tag = "4")]
+    pub wants: ::prost::alloc::vec::Vec<u32>,
 }
 /// Why an agent refused; every refusal is a certain "not run".
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
