Let beats carry versions and figures

Cause: a node that missed a record's news kept the old one until the next change, and a change of version waited for it (once more than 45 s). Change: beats say the version and the load; a node that is behind asks. What serves is told at once.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -34,10 +34,10 @@
 pub const PACKET_RECORDS: usize = 6;
 
 /// Beats in one packet.
-pub const PACKET_BEATS: usize = 100;
+pub const PACKET_BEATS: usize = 70;
 
 /// Records asked for in one packet.
-pub const PACKET_WANTS: usize = 40;
+pub const PACKET_WANTS: usize = 12;
 
 /// Packets in which news is passed on.
 const NEWS_PACKETS: u32 = 6;
@@ -87,7 +87,8 @@
     pub control: SocketAddr,
     /// Start of its process; a later start replaces an earlier one.
     pub incarnation: u64,
-    /// Rises with every change.
+    /// Rises with every change but those of figures, which beats carry; begins at the
+    /// milliseconds of the process's start, so that a restart goes on above the earlier one.
     pub version: u64,
     /// Seconds on the node's own clock when it said this.
     pub beat: u32,
@@ -110,13 +111,19 @@
     }
 }
 
-/// That a node was alive at some second of its own clock.
+/// That a node was alive at some second of its own clock, and its figures then.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NodeBeat {
     /// The node.
     pub key: ShortKey,
     /// The second.
     pub beat: u32,
+    /// Low bits of its record's version, so that a receiver can tell that it lacks news.
+    pub version: u32,
+    /// Requests in progress at its endpoint.
+    pub in_progress: u16,
+    /// Part of the set on its way there that is verified, in thousandths.
+    pub fetched_permille: u16,
 }
 
 /// A datagram between nodes.
@@ -137,7 +144,7 @@
     pub urgent: bool,
     /// A node that has a newer configuration than any known before, and its revision.
     pub newest: Option<(ConfigRevision, SocketAddr)>,
-    /// Nodes that the sender knows and this node does not.
+    /// Nodes of which the sender knows more than this node.
     pub unknown: Vec<ShortKey>,
 }
 
@@ -146,6 +153,42 @@
         (self.incarnation, self.version)
     }
 
+    fn without_figures(&self) -> Self {
+        let mut plain = self.clone();
+        if let Some(state) = plain.endpoint.as_mut() {
+            state.in_progress = 0;
+            state.fetched_permille = 0;
+            state.fetch_rate = 0;
+        }
+        plain
+    }
+
+    fn to_beat(&self) -> NodeBeat {
+        let state = self.endpoint.as_ref();
+        let short = |figure: u32| figure.min(u32::from(u16::MAX)) as u16;
+        NodeBeat {
+            key: ShortKey::of(&self.id),
+            beat: self.beat,
+            version: self.version as u32,
+            in_progress: short(state.map_or(0, |state| state.in_progress)),
+            fetched_permille: short(state.map_or(0, |state| state.fetched_permille)),
+        }
+    }
+
+    fn take_beat(&mut self, beat: NodeBeat) {
+        self.beat = beat.beat;
+        if let Some(state) = self.endpoint.as_mut() {
+            state.in_progress = beat.in_progress.into();
+            state.fetched_permille = beat.fetched_permille.into();
+        }
+    }
+
+    /// Whether `version`, which are low bits only, is later than this record's.
+    fn lacks(&self, version: u32) -> bool {
+        let ahead = version.wrapping_sub(self.version as u32);
+        ahead != 0 && ahead < u32::MAX / 2
+    }
+
     fn serving(&self) -> Option<SetKey> {
         self.endpoint.as_ref().and_then(|state| state.serving)
     }
@@ -194,7 +237,7 @@
     pub fn update(&mut self, change: impl FnOnce(&mut NodeRecord)) {
         let before = self.own.clone();
         change(&mut self.own);
-        if self.own != before {
+        if self.own.without_figures() != before.without_figures() {
             self.own.version += 1;
         }
     }
@@ -235,19 +278,20 @@
         };
         if record.beat > known.record.beat {
             known.heard = now;
-            known.record.beat = record.beat;
+            known.record.take_beat(record.to_beat());
         }
         if record.age() <= known.record.age() {
             return false;
         }
         let urgent = record.is_urgent_after(&known.record);
-        let beat = known.record.beat;
-        known.record = NodeRecord { beat, ..record };
+        let beat = known.record.to_beat();
+        known.record = record;
+        known.record.take_beat(beat);
         known.passed_on = 0;
         urgent
     }
 
-    /// Takes in a beat; false if its node is not known.
+    /// Takes in a beat; false if its node's record is not known, or is behind.
     fn merge_beat(&mut self, now: Moment, beat: NodeBeat) -> bool {
         if beat.key == ShortKey::of(&self.own.id) {
             return true;
@@ -255,10 +299,10 @@
         let known = self.short.get(&beat.key).and_then(|id| self.nodes.get_mut(id));
         let Some(known) = known else { return false };
         if beat.beat > known.record.beat {
-            known.record.beat = beat.beat;
+            known.record.take_beat(beat);
             known.heard = now;
         }
-        true
+        !known.record.lacks(beat.version)
     }
 
     /// Forgets nodes that have been silent for long.
@@ -311,11 +355,7 @@
         let room = PACKET_BEATS - near.len().min(PACKET_BEATS - FAR_BEATS);
         let near = near.into_iter().take(PACKET_BEATS - FAR_BEATS);
         let chosen = near.chain(far.into_iter().take(room));
-        let beat = |known: &KnownNode| NodeBeat {
-            key: ShortKey::of(&known.record.id),
-            beat: known.record.beat,
-        };
-        chosen.map(beat).collect()
+        chosen.map(|known| known.record.to_beat()).collect()
     }
 
     /// A packet that asks for records that this node lacks.
--- a/crates/daemon/src/agent/loader.rs
+++ b/crates/daemon/src/agent/loader.rs
@@ -36,7 +36,7 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(250);
 
 /// How often the engine is asked for its state.
-const ENGINE_PAUSE: Duration = Duration::from_millis(500);
+const ENGINE_PAUSE: Duration = Duration::from_millis(250);
 
 /// Time in which a new agent only listens, so that it does not act on a list of nobody.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
@@ -292,7 +292,7 @@
                 drop(desk);
                 if before != after {
                     log_gate(before, after);
-                    self.node.rumour.notify_one();
+                    self.publish_serving(after);
                 }
             }
             Err(error) => {
@@ -321,7 +321,7 @@
                 }
                 log::info!("gate: closed to change to {}@{}", model.name, model.version);
                 desk.gate.close();
-                self.node.rumour.notify_one();
+                self.publish_serving(None);
             }
             if desk.in_progress > 0 {
                 return;
@@ -380,6 +380,15 @@
         may_change(own.rank, replicas, model.kept_in(domain).min(replicas - 1), &others)
     }
 
+    /// Lets others know at once what serves here.
+    fn publish_serving(&self, serving: Option<SetKey>) {
+        self.node.update_record(true, |record| {
+            if let Some(state) = record.endpoint.as_mut() {
+                state.serving = serving;
+            }
+        });
+    }
+
     /// Lets others know how far this box is.
     fn publish(&mut self, now: Moment, goal: &LoadGoal) {
         let fetching: Option<SetKey> = goal.model().map(ModelPlan::set_key);
--- a/crates/daemon/src/node/codec.rs
+++ b/crates/daemon/src/node/codec.rs
@@ -99,16 +99,30 @@
         records: packet.records.iter().map(encode_record).collect(),
         beat_keys: packet.beats.iter().map(|beat| beat.key.0).collect(),
         beats: packet.beats.iter().map(|beat| beat.beat).collect(),
+        versions: packet.beats.iter().map(|beat| beat.version).collect(),
+        figures: packet.beats.iter().map(encode_figures).collect(),
         wants: packet.wants.iter().map(|key| key.0).collect(),
     }
 }
 
+fn encode_figures(beat: &NodeBeat) -> u32 {
+    u32::from(beat.in_progress) | u32::from(beat.fetched_permille) << 16
+}
+
 /// A packet from a message; records that are wrong are left out.
 pub fn decode_packet(message: wire::GossipPacket) -> GossipPacket {
-    let pairs = message.beat_keys.into_iter().zip(message.beats);
+    let keyed = message.beat_keys.into_iter().zip(message.beats);
+    let told = message.versions.into_iter().zip(message.figures);
+    let beat = |((key, beat), (version, figures)): ((u32, u32), (u32, u32))| NodeBeat {
+        key: ShortKey(key),
+        beat,
+        version,
+        in_progress: figures as u16,
+        fetched_permille: (figures >> 16) as u16,
+    };
     GossipPacket {
         records: message.records.into_iter().filter_map(|one| decode_record(one).ok()).collect(),
-        beats: pairs.map(|(key, beat)| NodeBeat { key: ShortKey(key), beat }).collect(),
+        beats: keyed.zip(told).map(beat).collect(),
         wants: message.wants.into_iter().map(ShortKey).collect(),
     }
 }
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -56,14 +56,15 @@
         store: SharedStore,
         spans: SpanMaker,
     ) -> Arc<Self> {
+        let started = unix_micros();
         let own = NodeRecord {
             id: settings.box_id.clone(),
             domain: settings.domain.clone(),
             region: settings.region.clone(),
             kind,
             control,
-            incarnation: unix_micros(),
-            version: 0,
+            incarnation: started,
+            version: started / 1000,
             beat: 0,
             revision: ConfigRevision::default(),
             leaving: false,
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -327,11 +327,17 @@
     /// News; the sender's own record comes first.
     #[prost(message, repeated, tag = "1")]
     pub records: ::prost::alloc::vec::Vec<NodeRecord>,
-    /// Short keys of nodes, and at the same places the seconds at which they were alive.
+    /// Short keys of nodes, and at the same places the seconds at which they were alive, the low
+    /// bits of their records' versions, and their figures: requests in progress in the low 16 bits,
+    /// thousandths fetched in the high ones.
     #[prost(fixed32, repeated, tag = "2")]
     pub beat_keys: ::prost::alloc::vec::Vec<u32>,
     #[prost(fixed32, repeated, tag = "3")]
     pub beats: ::prost::alloc::vec::Vec<u32>,
+    #[prost(fixed32, repeated, tag = "5")]
+    pub versions: ::prost::alloc::vec::Vec<u32>,
+    #[prost(fixed32, repeated, tag = "6")]
+    pub figures: ::prost::alloc::vec::Vec<u32>,
     /// Short keys of nodes whose records the sender lacks.
     #[prost(fixed32, repeated, tag = "4")]
     pub wants: ::prost::alloc::vec::Vec<u32>,
