--- /dev/null
+++ b/crates/client/tests/command_line.rs
@@ -0,0 +1,96 @@
+//! `headlatch` as a user meets it.
+
+use std::{
+    fs,
+    path::Path,
+    process::{Command, Output},
+};
+
+use googletest::prelude::*;
+use serde_json::Value;
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_headlatch")).args(arguments).output().expect("it starts")
+}
+
+fn plain(path: &Path) -> &str {
+    path.to_str().expect("a plain path")
+}
+
+/// A folder with files of any kind: empty, tiny, not a multiple of a chunk, in a folder below.
+fn weights() -> tempfile::TempDir {
+    let folder = tempfile::tempdir().expect("a folder");
+    fs::create_dir(folder.path().join("below")).expect("a folder");
+    let files: [(&str, usize); 4] =
+        [("empty.bin", 0), ("one byte.txt", 1), ("odd.bin", 100_001), ("below/even.bin", 131_072)];
+    for (name, size) in files {
+        let data: Vec<u8> = (0..size).map(|at| (at * 31 % 251) as u8).collect();
+        fs::write(folder.path().join(name), data).expect("a file");
+    }
+    folder
+}
+
+#[test]
+fn a_manifest_is_the_same_every_time_and_leaves_itself_out() {
+    let folder = weights();
+    let first = run(&["manifest", plain(folder.path()), "--chunk", "64KiB"]);
+    let second = run(&["manifest", plain(folder.path()), "--chunk", "64KiB"]);
+    assert_that!(first.status.code(), some(eq(0)));
+    assert_that!(&first.stdout, eq(&second.stdout));
+    let text = String::from_utf8_lossy(&first.stdout).into_owned();
+    assert_that!(text, contains_substring("files   4"));
+    assert_that!(text, contains_substring("chunks  5"));
+}
+
+#[test]
+fn a_bad_fleet_file_is_refused_with_its_place() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("fleet.json");
+    fs::write(
+        &path,
+        r#"{ "models": [{ "name": "m", "version": "1", "manifest": "x", "replicas": {} }] }"#,
+    )
+    .expect("a file");
+    let output = run(&["validate", plain(&path)]);
+    assert_that!(output.status.code(), some(eq(2)));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_that!(text.lines().count(), eq(1));
+    assert_that!(text, contains_substring("models[0].manifest: \"x\" is not a digest"));
+}
+
+#[test]
+fn a_platform_that_is_away_is_told() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("fleet.json");
+    fs::write(&path, "{}").expect("a file");
+    // Port 1 has no listener.
+    let output = run(&["diff", plain(&path), "--platform", "http://127.0.0.1:1"]);
+    assert_that!(output.status.code(), some(eq(1)));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_that!(text, contains_substring("the platform does not answer"));
+}
+
+#[test]
+fn the_demo_spreads_a_folder_of_real_files() {
+    let folder = weights();
+    let output = run(&[
+        "demo",
+        "--boxes",
+        "4",
+        "--weights",
+        plain(folder.path()),
+        "--chunk",
+        "16KiB",
+        "--window-seconds",
+        "4",
+        "--json",
+    ]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert_that!(output.status.code(), some(eq(0)), "{text}");
+    let report: Value = serde_json::from_str(&text).expect("a line of JSON");
+    let requests = &report["requests"];
+    assert_that!(requests["whole"].as_u64(), some(gt(0)));
+    for never in ["cut_off", "crossed", "mixed", "doubled", "lost"] {
+        assert_that!(requests[never].as_u64(), some(eq(0)), "{never}: {text}");
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/attempts.rs
@@ -0,0 +1,149 @@
+//! One attempt against an agent that misbehaves at every step of an answer.
+
+use std::{net::SocketAddr, pin::Pin};
+
+use bytes::Bytes;
+use futures_util::Stream;
+use headlatch_daemon::{
+    entry::attempt::{self, AnswerPart, AttemptStart},
+    node::channels::ChannelCache,
+};
+use headlatch_types::RunVerdict;
+use headlatch_wire::{
+    Data, End, Head, RefusalCause, Refused, ServeFrame, ServeRequest, Verdict,
+    endpoint_server::{Endpoint, EndpointServer},
+    serve_frame::Part,
+};
+use rstest::rstest;
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Request, Response, Status};
+
+/// What an agent does wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AgentFault {
+    None,
+    Refuses,
+    BreaksBeforeHead,
+    BreaksAfterHead,
+    EndsWithoutEnd,
+    LosesAFrame,
+    RepeatsAFrame,
+    AnswersAnother,
+    SendsTooLittle,
+    EndpointBroke,
+    EndsTwice,
+}
+
+struct ScriptedAgent(AgentFault);
+
+fn frames(fault: AgentFault) -> Vec<Result<ServeFrame, Status>> {
+    let mut sequence = 0;
+    let mut frame = |id: &str, part: Part| {
+        sequence += 1;
+        ServeFrame {
+            request_id: id.to_owned(),
+            sequence: sequence - 1,
+            part: Some(part),
+            load: None,
+        }
+    };
+    let data = |text: &'static str| Part::Data(Data { body: Bytes::from_static(text.as_bytes()) });
+    let end = |verdict: Verdict, body_bytes, error: &str| {
+        Part::End(End { verdict: verdict.into(), body_bytes, error: error.to_owned() })
+    };
+    let head = Part::Head(Head { status: 200, headers: Vec::new(), set_key: 1 });
+    let refused = Refused { cause: RefusalCause::Busy.into(), retry_after_ms: 0 };
+    if fault == AgentFault::Refuses {
+        return vec![Ok(frame("mine", Part::Refused(refused)))];
+    }
+    let id = if fault == AgentFault::AnswersAnother { "other" } else { "mine" };
+    let mut all = vec![
+        frame("mine", head),
+        frame(id, data("one ")),
+        frame("mine", data("two")),
+        frame("mine", end(Verdict::Ran, 7, "")),
+    ];
+    let broken = || Err(Status::unavailable("it broke off"));
+    match fault {
+        AgentFault::BreaksBeforeHead => return vec![broken()],
+        AgentFault::BreaksAfterHead => return vec![Ok(all.remove(0)), broken()],
+        AgentFault::EndsWithoutEnd => drop(all.pop()),
+        AgentFault::LosesAFrame => drop(all.remove(1)),
+        AgentFault::RepeatsAFrame => all.insert(1, all[1].clone()),
+        AgentFault::SendsTooLittle => all[3].part = Some(end(Verdict::Ran, 8, "")),
+        AgentFault::EndpointBroke => all[3].part = Some(end(Verdict::MayHaveRun, 7, "broke")),
+        AgentFault::EndsTwice => all.push(all[3].clone()),
+        _ => {}
+    }
+    all.into_iter().map(Ok).collect()
+}
+
+type FrameStream = Pin<Box<dyn Stream<Item = Result<ServeFrame, Status>> + Send>>;
+
+#[tonic::async_trait]
+impl Endpoint for ScriptedAgent {
+    type ServeStream = FrameStream;
+
+    async fn serve(&self, _: Request<ServeRequest>) -> Result<Response<FrameStream>, Status> {
+        Ok(Response::new(Box::pin(futures_util::stream::iter(frames(self.0)))))
+    }
+}
+
+async fn start(fault: AgentFault) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let service = EndpointServer::new(ScriptedAgent(fault));
+    let server = tonic::transport::Server::builder().add_service(service);
+    tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
+    address
+}
+
+/// What an attempt came to: its verdict, and the whole answer if there is one.
+async fn attempt(address: SocketAddr) -> (RunVerdict, Option<String>) {
+    let request = ServeRequest { request_id: "mine".to_owned(), ..ServeRequest::default() };
+    let mut answer = match attempt::begin(&ChannelCache::default(), address, request).await {
+        AttemptStart::Refused(..) => return (RunVerdict::NotRun, None),
+        AttemptStart::Failed(failure) => return (failure.verdict, None),
+        AttemptStart::Answer(answer) => answer,
+    };
+    let mut text = String::new();
+    loop {
+        match answer.next().await {
+            Ok(AnswerPart::Data(data)) => text.push_str(std::str::from_utf8(&data).unwrap()),
+            Ok(AnswerPart::End) => return (RunVerdict::Ran, Some(text)),
+            Err(failure) => return (failure.verdict, None),
+        }
+    }
+}
+
+#[rstest]
+#[case(AgentFault::None, RunVerdict::Ran)]
+#[case(AgentFault::EndsTwice, RunVerdict::Ran)]
+#[case(AgentFault::Refuses, RunVerdict::NotRun)]
+#[case(AgentFault::BreaksBeforeHead, RunVerdict::MayHaveRun)]
+#[case(AgentFault::BreaksAfterHead, RunVerdict::MayHaveRun)]
+#[case(AgentFault::EndsWithoutEnd, RunVerdict::MayHaveRun)]
+#[case(AgentFault::LosesAFrame, RunVerdict::MayHaveRun)]
+#[case(AgentFault::RepeatsAFrame, RunVerdict::MayHaveRun)]
+#[case(AgentFault::AnswersAnother, RunVerdict::MayHaveRun)]
+#[case(AgentFault::SendsTooLittle, RunVerdict::MayHaveRun)]
+#[case(AgentFault::EndpointBroke, RunVerdict::MayHaveRun)]
+#[tokio::test]
+async fn only_a_whole_answer_of_ones_own_is_passed_on(
+    #[case] fault: AgentFault,
+    #[case] verdict: RunVerdict,
+) {
+    let (came_to, text) = attempt(start(fault).await).await;
+    assert_eq!(came_to, verdict);
+    let whole = (verdict == RunVerdict::Ran).then(|| "one two".to_owned());
+    assert_eq!(text, whole);
+}
+
+#[tokio::test]
+async fn an_agent_that_is_not_there_did_not_run_it() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    assert_eq!(attempt(address).await, (RunVerdict::NotRun, None));
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -6,7 +6,11 @@
 use headlatch_types::{RunVerdict, quantity::ByteSize};
 use http::{HeaderMap, Method, StatusCode};
 use volo_http::{
-    body::Body, client::Client, error::client::ErrorKind, request::Request, response::Response,
+    body::Body,
+    client::Client,
+    error::{ClientError, client::ErrorKind},
+    request::Request,
+    response::Response,
 };
 
 use crate::server::{BodyError, read_body};
@@ -14,6 +18,20 @@
 /// Time to connect to an address.
 const CONNECT_TIME: Duration = Duration::from_secs(2);
 
+/// Whether a call that failed may have run.
+///
+/// volo-http 0.5.7 reports a failed connect as an error of the request, and tells it from one
+/// after sending only by its source: an I/O error of the system's, not one of hyper's.
+fn verdict_of(error: &ClientError) -> RunVerdict {
+    let source = std::error::Error::source(error);
+    let connecting = source.is_some_and(|source| source.is::<std::io::Error>());
+    match error.kind() {
+        ErrorKind::Connect | ErrorKind::Builder | ErrorKind::Context => RunVerdict::NotRun,
+        ErrorKind::Request if connecting => RunVerdict::NotRun,
+        _ => RunVerdict::MayHaveRun,
+    }
+}
+
 /// A call that brought no answer.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{message}")]
@@ -81,10 +99,7 @@
         let mut builder = self.client.request(parts.method, parts.uri);
         builder.headers_mut().extend(parts.headers);
         builder.body(body).send().await.map_err(|error| {
-            let verdict = match error.kind() {
-                ErrorKind::Connect | ErrorKind::Builder | ErrorKind::Context => RunVerdict::NotRun,
-                _ => RunVerdict::MayHaveRun,
-            };
+            let verdict = verdict_of(&error);
             CallError { verdict, message: format!("{method} {uri}: {error}") }
         })
     }
