Bound gossip, learn limits from refusals, and measure spread and routing

Change: beats carry revisions, news of others is passed on at most once a second, nodes that are behind are told; an entry's limit on running requests falls when endpoints are full.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,3 +4,5 @@
 
 pub mod burst;
 pub mod queue;
+pub mod routing;
+pub mod spread;
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -9,6 +9,57 @@
 
 use crate::time::Moment;
 
+/// Least time between two cuts of a limit: refusals come in crowds that tell of one shortage.
+const CUT_PAUSE: Duration = Duration::from_secs(2);
+
+/// What is left of a limit after a cut.
+const CUT_FACTOR: f64 = 0.97;
+
+/// How many requests an entry lets run, learnt from its endpoints' refusals.
+///
+/// It rises by one for every round of requests that run and falls by a few hundredths when endpoints are
+/// full, so that under overload requests wait in the fair queue instead of being refused at
+/// random by whichever endpoint they happen to meet.
+#[derive(Debug, Clone)]
+pub struct RunningLimit {
+    limit: f64,
+    least: f64,
+    most: f64,
+    cut_at: Moment,
+}
+
+impl RunningLimit {
+    /// A limit between `least` and `most`, which begins at `most`.
+    pub fn new(least: u32, most: u32) -> Self {
+        let (least, most) = (f64::from(least), f64::from(most.max(least)));
+        Self { limit: most, least, most, cut_at: Moment::ZERO }
+    }
+
+    /// Changes the most it may rise to.
+    pub fn set_most(&mut self, most: u32) {
+        self.most = f64::from(most).max(self.least);
+        self.limit = self.limit.min(self.most);
+    }
+
+    /// An endpoint took a request.
+    pub fn note_run(&mut self) {
+        self.limit = (self.limit + 1.0 / self.limit).min(self.most);
+    }
+
+    /// An endpoint was full.
+    pub fn note_busy(&mut self, now: Moment) {
+        if now.since(self.cut_at) >= CUT_PAUSE {
+            self.cut_at = now;
+            self.limit = (self.limit * CUT_FACTOR).max(self.least);
+        }
+    }
+
+    /// The limit now.
+    pub fn get(&self) -> u32 {
+        self.limit as u32
+    }
+}
+
 /// Number of a request that waits or runs, given by its entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct TicketNumber(pub u64);
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -34,13 +34,20 @@
 pub const PACKET_RECORDS: usize = 6;
 
 /// Beats in one packet.
-pub const PACKET_BEATS: usize = 70;
+pub const PACKET_BEATS: usize = 50;
 
 /// Records asked for in one packet.
 pub const PACKET_WANTS: usize = 12;
 
 /// Packets in which news is passed on.
-const NEWS_PACKETS: u32 = 6;
+const NEWS_PACKETS: u32 = 4;
+
+/// Packets sent at once when this node has news of its own, or passes urgent news on.
+pub const RUMOUR_FANOUT: usize = 3;
+
+/// Least time between two times that news of others is passed on at once. Without it one change
+/// at every node, as by a new version, would make packets by the square of their number.
+const RUMOUR_PAUSE: Duration = Duration::from_secs(1);
 
 /// What a node is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -120,6 +127,8 @@
     pub beat: u32,
     /// Low bits of its record's version, so that a receiver can tell that it lacks news.
     pub version: u32,
+    /// Revision in force there, low bits.
+    pub revision: u32,
     /// Requests in progress at its endpoint.
     pub in_progress: u16,
     /// Part of the set on its way there that is verified, in thousandths.
@@ -155,6 +164,7 @@
 
     fn without_figures(&self) -> Self {
         let mut plain = self.clone();
+        plain.revision = ConfigRevision::default();
         if let Some(state) = plain.endpoint.as_mut() {
             state.in_progress = 0;
             state.fetched_permille = 0;
@@ -170,6 +180,7 @@
             key: ShortKey::of(&self.id),
             beat: self.beat,
             version: self.version as u32,
+            revision: self.revision.number() as u32,
             in_progress: short(state.map_or(0, |state| state.in_progress)),
             fetched_permille: short(state.map_or(0, |state| state.fetched_permille)),
         }
@@ -177,6 +188,7 @@
 
     fn take_beat(&mut self, beat: NodeBeat) {
         self.beat = beat.beat;
+        self.revision = ConfigRevision::new(beat.revision.into());
         if let Some(state) = self.endpoint.as_mut() {
             state.in_progress = beat.in_progress.into();
             state.fetched_permille = beat.fetched_permille.into();
@@ -195,9 +207,7 @@
 
     /// Whether everybody should hear soon that this has taken the place of `before`.
     fn is_urgent_after(&self, before: &Self) -> bool {
-        self.leaving != before.leaving
-            || self.revision != before.revision
-            || self.serving() != before.serving()
+        self.leaving != before.leaving || self.serving() != before.serving()
     }
 }
 
@@ -220,12 +230,20 @@
     short: HashMap<ShortKey, BoxId>,
     /// Addresses to try when nobody is known.
     seeds: Vec<SocketAddr>,
+    /// When news of others was last passed on at once.
+    rumoured: Moment,
 }
 
 impl NodeTable {
     /// A table with this node alone.
     pub fn new(own: NodeRecord) -> Self {
-        Self { own, nodes: BTreeMap::new(), short: HashMap::new(), seeds: Vec::new() }
+        Self {
+            own,
+            nodes: BTreeMap::new(),
+            short: HashMap::new(),
+            seeds: Vec::new(),
+            rumoured: Moment::ZERO,
+        }
     }
 
     /// This node's own record.
@@ -257,10 +275,24 @@
             outcome.urgent |= self.merge_record(now, record);
         }
         for beat in packet.beats {
+            let newest = outcome.newest.map_or(self.own.revision, |(newest, _)| newest);
+            if u64::from(beat.revision) > newest.number() {
+                let id = self.short.get(&beat.key);
+                let known = id.and_then(|id| self.nodes.get(id));
+                let found = known.map(|known| known.record.control);
+                let revision = ConfigRevision::new(beat.revision.into());
+                outcome.newest = found.map(|control| (revision, control)).or(outcome.newest);
+            }
             if !self.merge_beat(now, beat) && outcome.unknown.len() < PACKET_WANTS {
                 outcome.unknown.push(beat.key);
             }
         }
+        if outcome.urgent && now.since(self.rumoured) < RUMOUR_PAUSE && self.rumoured > Moment::ZERO
+        {
+            outcome.urgent = false;
+        } else if outcome.urgent {
+            self.rumoured = now;
+        }
         outcome
     }
 
@@ -274,7 +306,7 @@
             self.short.insert(ShortKey::of(&record.id), record.id.clone());
             let known = KnownNode { record, heard: now, passed_on: 0 };
             self.nodes.insert(known.record.id.clone(), known);
-            return true;
+            return false;
         };
         if record.beat > known.record.beat {
             known.heard = now;
@@ -364,8 +396,17 @@
         GossipPacket { records, beats: Vec::new(), wants: unknown }
     }
 
-    /// Packets with the records that another node asked for.
-    pub fn answers(&self, wants: &[ShortKey]) -> Vec<GossipPacket> {
+    /// Packets for the sender of `packet`: the records it asks for, and this node's own if the
+    /// sender's configuration is older.
+    pub fn answers(&self, packet: &GossipPacket) -> Vec<GossipPacket> {
+        let sender = packet.records.first();
+        let behind = sender.is_some_and(|one| one.revision < self.own.revision);
+        let own = behind
+            .then(|| GossipPacket { records: vec![self.own.clone()], ..GossipPacket::default() });
+        own.into_iter().chain(self.wanted(&packet.wants)).collect()
+    }
+
+    fn wanted(&self, wants: &[ShortKey]) -> Vec<GossipPacket> {
         let wanted = wants.iter().take(PACKET_WANTS).filter_map(|key| self.short.get(key));
         let records: Vec<NodeRecord> =
             wanted.filter_map(|id| self.nodes.get(id)).map(|known| known.record.clone()).collect();
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -67,7 +67,7 @@
         packet: GossipPacket,
     ) {
         let Some(table) = self.tables.get_mut(&to) else { return };
-        let mut answers = table.answers(&packet.wants);
+        let mut answers = table.answers(&packet);
         let outcome = table.merge(now, packet);
         if !outcome.unknown.is_empty() {
             answers.push(table.ask(outcome.unknown));
--- a/crates/daemon/src/entry/callers.rs
+++ b/crates/daemon/src/entry/callers.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use headlatch_core::{
-    admission::{FairQueue, ShareTerms},
+    admission::{FairQueue, RunningLimit, ShareTerms},
     config::FleetConfig,
 };
 use headlatch_http::{BodyError, StopSignal, read_body};
@@ -100,8 +100,9 @@
     ) -> Self {
         let wait = Duration::from_millis(limits.queue_ms);
         let queue = FairQueue::new(LEAST_RUNNING, limits.requests as usize, wait);
-        let dispatcher = Arc::new(RequestDispatcher::new(node.clone(), directory.clone()));
-        let gate = RequestGate::new(queue);
+        let gate = RequestGate::new(queue, RunningLimit::new(LEAST_RUNNING, LEAST_RUNNING));
+        let dispatcher =
+            Arc::new(RequestDispatcher::new(node.clone(), directory.clone(), gate.clone()));
         Self { node, directory, dispatcher, gate, limits, last_request: Arc::default() }
     }
 
@@ -136,7 +137,7 @@
             self.gate.expire(now);
             let (slots, entries) = self.directory.capacity();
             let part = slots * SLACK_PERCENT / 100 / entries;
-            self.gate.resize(part.clamp(LEAST_RUNNING, self.limits.requests));
+            self.gate.set_most(part.clamp(LEAST_RUNNING, self.limits.requests));
             self.node.metrics.set_in_progress(self.gate.counts().0 as usize);
         }
     }
--- a/crates/daemon/src/entry/dispatch.rs
+++ b/crates/daemon/src/entry/dispatch.rs
@@ -17,6 +17,7 @@
 use super::{
     attempt::{self, AnswerPart, AnswerStream, AttemptFailure, AttemptStart},
     directory::{EndpointDirectory, RequestTarget},
+    gatekeeper::RequestGate,
 };
 use crate::node::NodeContext;
 
@@ -117,14 +118,19 @@
 pub struct RequestDispatcher {
     node: Arc<NodeContext>,
     directory: Arc<EndpointDirectory>,
+    gate: Arc<RequestGate>,
     budget: Mutex<RetryBudget>,
 }
 
 impl RequestDispatcher {
-    /// A dispatcher that chooses from `directory`.
-    pub fn new(node: Arc<NodeContext>, directory: Arc<EndpointDirectory>) -> Self {
+    /// A dispatcher that chooses from `directory` and tells `gate` how full endpoints are.
+    pub fn new(
+        node: Arc<NodeContext>,
+        directory: Arc<EndpointDirectory>,
+        gate: Arc<RequestGate>,
+    ) -> Self {
         let budget = Mutex::new(RetryBudget::new(node.now()));
-        Self { node, directory, budget }
+        Self { node, directory, gate, budget }
     }
 
     /// Tries endpoints until one begins to answer.
@@ -242,12 +248,16 @@
         let now = self.node.now();
         let failure = match started {
             AttemptStart::Answer(stream) => {
+                self.gate.note_run();
                 if let Some(load) = stream.load {
                     self.directory.picker().report(now, &tracker.id, load.in_progress);
                 }
                 return Ok(BegunAnswer { stream: *stream, tracker });
             }
             AttemptStart::Refused(cause, load) => {
+                if cause == RefusalCause::Busy {
+                    self.gate.note_busy(now);
+                }
                 if let Some(load) = load {
                     self.directory.picker().report(now, &tracker.id, load.in_progress);
                 }
--- a/crates/daemon/src/entry/gatekeeper.rs
+++ b/crates/daemon/src/entry/gatekeeper.rs
@@ -6,7 +6,7 @@
 };
 
 use headlatch_core::{
-    admission::{Admission, FairQueue, RefusalReason, ShareTerms, TicketNumber},
+    admission::{Admission, FairQueue, RefusalReason, RunningLimit, ShareTerms, TicketNumber},
     time::Moment,
 };
 use headlatch_types::id::OrganisationName;
@@ -18,6 +18,7 @@
 #[derive(Debug)]
 struct GateState {
     queue: FairQueue,
+    limit: RunningLimit,
     terms: HashMap<OrganisationName, ShareTerms>,
     waiting: HashMap<TicketNumber, oneshot::Sender<Result<(), RefusalReason>>>,
     last: u64,
@@ -37,9 +38,10 @@
 }
 
 impl RequestGate {
-    /// A gate in front of `queue`.
-    pub fn new(queue: FairQueue) -> Arc<Self> {
-        let state = GateState { queue, terms: HashMap::new(), waiting: HashMap::new(), last: 0 };
+    /// A gate in front of `queue`, which lets as many requests run as `limit` says.
+    pub fn new(queue: FairQueue, limit: RunningLimit) -> Arc<Self> {
+        let state =
+            GateState { queue, limit, terms: HashMap::new(), waiting: HashMap::new(), last: 0 };
         Arc::new(Self { state: Mutex::new(state) })
     }
 
@@ -52,11 +54,25 @@
         self.lock().queue.counts()
     }
 
-    /// Changes how many requests may run.
-    pub fn resize(&self, most_running: u32) {
+    /// Changes the most requests that may run.
+    pub fn set_most(&self, most_running: u32) {
         let mut state = self.lock();
-        state.queue.resize(most_running);
-        state.release();
+        state.limit.set_most(most_running);
+        state.resize();
+    }
+
+    /// An endpoint took a request.
+    pub fn note_run(&self) {
+        let mut state = self.lock();
+        state.limit.note_run();
+        state.resize();
+    }
+
+    /// An endpoint was full.
+    pub fn note_busy(&self, now: Moment) {
+        let mut state = self.lock();
+        state.limit.note_busy(now);
+        state.resize();
     }
 
     /// Refuses what has waited too long.
@@ -101,6 +117,11 @@
 }
 
 impl GateState {
+    fn resize(&mut self) {
+        self.queue.resize(self.limit.get());
+        self.release();
+    }
+
     fn release(&mut self) {
         let terms = &self.terms;
         let released = self.queue.release(|name| terms.get(name).copied().unwrap_or(NO_TERMS));
--- a/crates/daemon/src/node/codec.rs
+++ b/crates/daemon/src/node/codec.rs
@@ -101,6 +101,7 @@
         beats: packet.beats.iter().map(|beat| beat.beat).collect(),
         versions: packet.beats.iter().map(|beat| beat.version).collect(),
         figures: packet.beats.iter().map(encode_figures).collect(),
+        revisions: packet.beats.iter().map(|beat| beat.revision).collect(),
         wants: packet.wants.iter().map(|key| key.0).collect(),
     }
 }
@@ -112,11 +113,13 @@
 /// A packet from a message; records that are wrong are left out.
 pub fn decode_packet(message: wire::GossipPacket) -> GossipPacket {
     let keyed = message.beat_keys.into_iter().zip(message.beats);
-    let told = message.versions.into_iter().zip(message.figures);
-    let beat = |((key, beat), (version, figures)): ((u32, u32), (u32, u32))| NodeBeat {
+    let told = message.versions.into_iter().zip(message.figures).zip(message.revisions);
+    type Told = ((u32, u32), u32);
+    let beat = |((key, beat), ((version, figures), revision)): ((u32, u32), Told)| NodeBeat {
         key: ShortKey(key),
         beat,
         version,
+        revision,
         in_progress: figures as u16,
         fetched_permille: (figures >> 16) as u16,
     };
--- a/crates/daemon/src/node/gossip.rs
+++ b/crates/daemon/src/node/gossip.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use headlatch_core::membership::{GOSSIP_PAUSE, GossipPacket};
+use headlatch_core::membership::{GOSSIP_PAUSE, GossipPacket, RUMOUR_FANOUT};
 use headlatch_http::StopSignal;
 use headlatch_wire::{self as wire, ReadConfigRequest};
 use prost::Message;
@@ -14,9 +14,6 @@
 /// Largest datagram taken; those sent are a good deal smaller.
 const MOST_DATAGRAM: usize = 8 << 10;
 
-/// Packets sent at once when this node has news.
-const RUMOUR_FANOUT: usize = 4;
-
 /// Runs gossip on `socket` until the stop.
 pub async fn run(node: Arc<NodeContext>, socket: UdpSocket, mut signal: StopSignal) {
     let mut rng = SmallRng::seed_from_u64(node.settings.box_id.key());
@@ -81,7 +78,7 @@
     let packet = codec::decode_packet(message);
     let (outcome, mut answers) = {
         let mut table = node.table();
-        let answers = table.answers(&packet.wants);
+        let answers = table.answers(&packet);
         (table.merge(node.now(), packet), answers)
     };
     if !outcome.unknown.is_empty() {
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -338,6 +338,9 @@
     pub versions: ::prost::alloc::vec::Vec<u32>,
     #[prost(fixed32, repeated, tag = "6")]
     pub figures: ::prost::alloc::vec::Vec<u32>,
+    /// Revisions in force there, low bits.
+    #[prost(uint32, repeated, tag = "7")]
+    pub revisions: ::prost::alloc::vec::Vec<u32>,
     /// Short keys of nodes whose records the sender lacks.
     #[prost(fixed32, repeated, tag = "4")]
     pub wants: ::prost::alloc::vec::Vec<u32>,
