Never say not run when an earlier attempt may have

Cause: a repeatable request whose first answer was lost and whose next attempt was refused got the refusal's verdict, a false "not run". Change: verdicts of all attempts are joined before the caller is told; the same in the bench. Silence now counts from when a beat was due.

--- a/crates/bench/src/routing/world.rs
+++ b/crates/bench/src/routing/world.rs
@@ -80,6 +80,8 @@
     attempts: u32,
     tried: Vec<BoxId>,
     ran: u32,
+    /// What the attempts so far came to, all together.
+    verdict: Option<RunVerdict>,
     done: bool,
 }
 
@@ -265,6 +267,7 @@
             attempts: 0,
             tried: Vec::new(),
             ran: 0,
+            verdict: None,
             done: false,
         });
         if self.counts(request) {
@@ -411,6 +414,8 @@
         let again = attempts < MOST_ATTEMPTS
             && RetryPermit::after(verdict, repeatability).is_some()
             && self.entries[entry].budget.spend(now);
+        let joined = verdict.after(self.requests[request].verdict);
+        self.requests[request].verdict = Some(joined);
         if again {
             self.report.retries += u64::from(self.counts(request));
             self.attempt(now, request);
@@ -435,6 +440,7 @@
     fn settle(&mut self, now: Moment, request: usize, verdict: RunVerdict) {
         let counted = self.counts(request);
         let one = &mut self.requests[request];
+        let verdict = verdict.after(one.verdict);
         one.done = true;
         if verdict != RunVerdict::Ran {
             let at = (now.seconds() as usize).min(self.failed_at.len() - 1);
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -157,6 +157,22 @@
     pub unknown: Vec<ShortKey>,
 }
 
+impl KnownNode {
+    fn new(now: Moment, record: NodeRecord) -> Self {
+        let beat = record.beat;
+        let mut known = Self { record, heard: now, quickest: i64::MAX, passed_on: 0 };
+        known.note_beat(now, beat);
+        known
+    }
+
+    /// Works out when a beat that has come now would have come at best.
+    fn note_beat(&mut self, now: Moment, beat: u32) {
+        let told = i64::from(beat) * MICROS_A_SECOND;
+        self.quickest = self.quickest.min(now.micros() as i64 - told);
+        self.heard = Moment::from_micros((told + self.quickest).max(0) as u64);
+    }
+}
+
 impl NodeRecord {
     fn age(&self) -> (u64, u64) {
         (self.incarnation, self.version)
@@ -216,8 +232,11 @@
 pub struct KnownNode {
     /// The newest record.
     pub record: NodeRecord,
-    /// When a new beat of the node came.
+    /// When the node's last beat would have come by the quickest way known: a beat that has been
+    /// on its way for long must not make a dead node look alive.
     pub heard: Moment,
+    /// Least time seen between a second of the node's clock and its coming here, in microseconds.
+    quickest: i64,
     /// Packets the record has been passed on in since it was news.
     passed_on: u32,
 }
@@ -304,12 +323,11 @@
         }
         let Some(known) = self.nodes.get_mut(&record.id) else {
             self.short.insert(ShortKey::of(&record.id), record.id.clone());
-            let known = KnownNode { record, heard: now, passed_on: 0 };
-            self.nodes.insert(known.record.id.clone(), known);
+            self.nodes.insert(record.id.clone(), KnownNode::new(now, record));
             return false;
         };
         if record.beat > known.record.beat {
-            known.heard = now;
+            known.note_beat(now, record.beat);
             known.record.take_beat(record.to_beat());
         }
         if record.age() <= known.record.age() {
@@ -331,8 +349,8 @@
         let known = self.short.get(&beat.key).and_then(|id| self.nodes.get_mut(id));
         let Some(known) = known else { return false };
         if beat.beat > known.record.beat {
+            known.note_beat(now, beat.beat);
             known.record.take_beat(beat);
-            known.heard = now;
         }
         !known.record.lacks(beat.version)
     }
@@ -433,6 +451,9 @@
     }
 }
 
+/// Microseconds of a second.
+const MICROS_A_SECOND: i64 = 1_000_000;
+
 /// Beats in a packet that are kept for nodes of other domains.
 const FAR_BEATS: usize = 20;
 
--- a/crates/daemon/src/entry/dispatch.rs
+++ b/crates/daemon/src/entry/dispatch.rs
@@ -143,8 +143,9 @@
                 Err(failure) => failure,
             };
             if !self.may_retry(request, &failure, &tries) {
-                return Err(failure);
+                return Err(tries.conclude(failure));
             }
+            tries.note(&failure);
             log::debug!("dispatch: {} is tried again, {failure}", request.message.request_id);
         }
     }
@@ -165,8 +166,9 @@
                 Err(failure) => failure,
             };
             if !self.may_retry(request, &failure, &tries) {
-                return Err(failure);
+                return Err(tries.conclude(failure));
             }
+            tries.note(&failure);
             log::debug!("dispatch: {} is tried again, {failure}", request.message.request_id);
         }
     }
@@ -280,6 +282,24 @@
     attempts: u32,
     tried: Vec<BoxId>,
     last: Option<DispatchFailure>,
+    /// What the attempts so far came to, all together.
+    verdict: Option<RunVerdict>,
+}
+
+impl TryLog {
+    fn note(&mut self, failure: &DispatchFailure) {
+        self.verdict = Some(failure.verdict().after(self.verdict));
+    }
+
+    /// The failure to report: one that did not run does not undo an earlier one that may have.
+    fn conclude(&self, failure: DispatchFailure) -> DispatchFailure {
+        let verdict = failure.verdict().after(self.verdict);
+        if verdict == failure.verdict() {
+            return failure;
+        }
+        let message = format!("an earlier attempt may have run, and then {failure}");
+        DispatchFailure::Failed(AttemptFailure { verdict, message })
+    }
 }
 
 fn read_refusal(cause: RefusalCause) -> DispatchFailure {
--- a/crates/types/src/verdict.rs
+++ b/crates/types/src/verdict.rs
@@ -18,6 +18,15 @@
 }
 
 impl RunVerdict {
+    /// What is known of a request whose earlier attempts came to `earlier` and whose last came to
+    /// this: a refusal of the last says nothing about those before.
+    pub const fn after(self, earlier: Option<Self>) -> Self {
+        match (self, earlier) {
+            (Self::NotRun, Some(Self::MayHaveRun | Self::Ran)) => Self::MayHaveRun,
+            (last, _) => last,
+        }
+    }
+
     /// The word used in headers, logs and metrics.
     pub const fn as_str(self) -> &'static str {
         match self {
--- a/crates/types/tests/checked_input.rs
+++ b/crates/types/tests/checked_input.rs
@@ -118,6 +118,20 @@
     assert_that!(RetryPermit::after(verdict, repeatability).is_some(), eq(allowed));
 }
 
+#[rstest::rstest]
+#[case(RunVerdict::NotRun, None, RunVerdict::NotRun)]
+#[case(RunVerdict::NotRun, Some(RunVerdict::NotRun), RunVerdict::NotRun)]
+#[case(RunVerdict::NotRun, Some(RunVerdict::MayHaveRun), RunVerdict::MayHaveRun)]
+#[case(RunVerdict::MayHaveRun, Some(RunVerdict::NotRun), RunVerdict::MayHaveRun)]
+#[case(RunVerdict::Ran, Some(RunVerdict::MayHaveRun), RunVerdict::Ran)]
+fn a_refusal_does_not_undo_an_earlier_attempt(
+    #[case] last: RunVerdict,
+    #[case] earlier: Option<RunVerdict>,
+    #[case] together: RunVerdict,
+) {
+    assert_that!(last.after(earlier), eq(together));
+}
+
 #[rstest::rstest]
 #[case("../escape")]
 #[case("/absolute")]
