--- a/crates/core/src/burst/mod.rs
+++ b/crates/core/src/burst/mod.rs
@@ -9,7 +9,9 @@
 mod imports;
 mod peers;
 mod planner;
+mod pursuit;
 mod seats;
+mod upkeep;
 mod uploads;
 
 use std::time::Duration;
--- /dev/null
+++ b/crates/core/src/burst/pursuit.rs
@@ -0,0 +1,178 @@
+//! What a planner starts: draws, imports, asks of neighbours.
+
+use headlatch_types::{ChunkIndex, fleet::BurstPreference};
+use rand::{Rng, seq::IteratorRandom};
+
+use super::{
+    ChunkSource, DrawPool, DrawTicket, SwarmAction, SwarmPlanner,
+    draws::{DrawLedger, LONE_LANE},
+    peers::AskLimits,
+    planner::OpenFetch,
+};
+use crate::time::Moment;
+
+/// Random chunks of which the rarest is asked for.
+const SAMPLE: usize = 16;
+
+/// Chunks over whose time the rate of arrivals is taken.
+pub(super) const RATE_CHUNKS: usize = 32;
+
+/// A box that gets less than this part of what its link could carry may draw extra chunks.
+const UNDERFED_PERCENT: usize = 85;
+
+/// Copies that may leave the origin under [`BurstPreference::Time`].
+const MOST_COPIES: u32 = 4;
+
+impl SwarmPlanner {
+    /// Starts whatever can be started now.
+    pub(super) fn pursue(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        self.use_tickets(now, actions);
+        if self.complete {
+            return;
+        }
+        self.resume(actions);
+        self.use_offers(now, actions);
+        self.use_neighbours(now, actions);
+        self.use_extras(now, actions);
+    }
+
+    pub(super) fn is_known(&self, now: Moment, chunk: ChunkIndex) -> bool {
+        self.held.contains(chunk)
+            || self.peers.is_near(now, chunk)
+            || self.imports.is_offered(chunk)
+    }
+
+    pub(super) fn use_tickets(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        if self.draws.is_empty() {
+            return;
+        }
+        let mut drawing = Vec::new();
+        for (ticket, ready) in self.draws.tickets(now) {
+            let source = ticket.pool.source();
+            let open = self.open.get(&ticket.chunk).map(|fetch| fetch.source);
+            if open == Some(source) && !drawing.contains(&ticket.chunk) {
+                drawing.push(ticket.chunk);
+            } else if open.is_some() || self.is_known(now, ticket.chunk) {
+                self.pass_on(now, ticket, actions);
+            } else if ready {
+                drawing.push(ticket.chunk);
+                self.fetch(now, ticket.chunk, source, actions);
+            }
+        }
+    }
+
+    /// Hands a ticket to the drawer of the next chunk that is not known to be drawn.
+    pub(super) fn pass_on(
+        &mut self,
+        now: Moment,
+        ticket: DrawTicket,
+        actions: &mut Vec<SwarmAction>,
+    ) {
+        if !self.draws.give(ticket) {
+            return;
+        }
+        let chunks = self.settings.chunks;
+        if let Some(extra) = DrawLedger::multiply(ticket, chunks) {
+            self.give_ticket(now, extra, self.seats.drawer(extra.chunk), actions);
+        }
+        let order = std::iter::successors(DrawLedger::next(ticket, chunks), |ticket| {
+            DrawLedger::next(*ticket, chunks)
+        });
+        let next = order.into_iter().find(|ticket| !self.is_known(now, ticket.chunk));
+        let Some(next) = next else {
+            if ticket.pool == DrawPool::Origin && ticket.lane != LONE_LANE {
+                self.draws.advance(now, chunks);
+            }
+            return;
+        };
+        let drawer = self.seats.drawer(next.chunk);
+        self.give_ticket(now, next, drawer, actions);
+        if drawer == self.seats.me().key {
+            self.use_tickets(now, actions);
+        }
+    }
+
+    pub(super) fn use_offers(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        loop {
+            let (held, open, peers) = (&self.held, &self.open, &self.peers);
+            let wanted = |chunk: ChunkIndex| {
+                !held.contains(chunk) && !open.contains_key(&chunk) && !peers.is_near(now, chunk)
+            };
+            let Some((chunk, from)) = self.imports.accept(wanted) else { return };
+            self.fetch(now, chunk, ChunkSource::Peer(from), actions);
+        }
+    }
+
+    pub(super) fn use_neighbours(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        let limits = AskLimits { asked: 2, load: self.settings.queue as u32 };
+        while self.open.len() < self.settings.pipeline {
+            let on_offer = self.peers.on_offer(now, limits);
+            let Some(chunk) = self.rarest(&on_offer) else { return };
+            let Some(peer) = self.peers.pick(now, chunk, limits, &mut self.rng) else { return };
+            self.fetch(now, chunk, ChunkSource::Peer(peer), actions);
+        }
+    }
+
+    /// The rarest of a few random chunks on offer that are neither held nor on their way.
+    ///
+    /// The rarest of all would send every box of a domain to the one or two that hold it, while
+    /// the others have nothing to send.
+    pub(super) fn rarest(&mut self, on_offer: &[u64]) -> Option<ChunkIndex> {
+        let open = &self.open;
+        let candidates = self.held.missing_in(on_offer).filter(|chunk| !open.contains_key(chunk));
+        let sample = candidates.choose_multiple(&mut self.rng, SAMPLE);
+        sample.into_iter().min_by_key(|chunk| self.peers.copies(*chunk))
+    }
+
+    /// Under [`BurstPreference::Time`], lets an idle origin help boxes that peers cannot fill.
+    ///
+    /// The origin is idle once every chunk has left it. A box whose own link is full has no use
+    /// for a further source, so that this costs nothing where it would gain nothing.
+    pub(super) fn use_extras(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        let drawn = self.draws.drawn() >= self.settings.chunks;
+        if self.settings.prefer != BurstPreference::Time || !drawn || !self.is_underfed(now) {
+            return;
+        }
+        let boxes = self.seats.count() as u32;
+        let most = (MOST_COPIES - 1) * self.settings.chunks / boxes;
+        let gap = self.settings.origin_chunk_time * boxes;
+        if !self.draws.is_extra_due(now, most) {
+            return;
+        }
+        let missing =
+            |chunk: &ChunkIndex| !self.held.contains(*chunk) && !self.open.contains_key(chunk);
+        let wanted: Vec<ChunkIndex> =
+            (0..self.settings.chunks).map(ChunkIndex).filter(missing).collect();
+        // Near the end a draw that shares the origin with many others would be the last to come.
+        if wanted.len() <= 2 * self.settings.pipeline {
+            return;
+        }
+        self.draws.take_extra(now, gap);
+        let chunk = wanted[self.rng.random_range(0..wanted.len())];
+        self.fetch(now, chunk, ChunkSource::Origin, actions);
+    }
+
+    /// Whether chunks have lately come in clearly more slowly than this box's link could carry.
+    pub(super) fn is_underfed(&self, now: Moment) -> bool {
+        let window = self.settings.chunk_time * RATE_CHUNKS as u32;
+        if now.since(self.begun) < window * 2 {
+            return false;
+        }
+        let lately = self.arrivals.iter().filter(|at| now.since(**at) < window).count();
+        lately * 100 < RATE_CHUNKS * UNDERFED_PERCENT
+    }
+
+    pub(super) fn fetch(
+        &mut self,
+        now: Moment,
+        chunk: ChunkIndex,
+        source: ChunkSource,
+        actions: &mut Vec<SwarmAction>,
+    ) {
+        if let ChunkSource::Peer(peer) = source {
+            self.peers.ask(peer);
+        }
+        self.open.insert(chunk, OpenFetch { source, asked: now, started: None, passed: false });
+        actions.push(SwarmAction::Fetch { chunk, source });
+    }
+}
--- /dev/null
+++ b/crates/core/src/burst/upkeep.rs
@@ -0,0 +1,186 @@
+//! What a planner does as time passes: gives up what is slow, repeats what may be lost, looks
+//! after what is overdue.
+
+use std::time::Duration;
+
+use headlatch_types::{ChunkIndex, fleet::BurstPreference};
+
+use super::{
+    ChunkSource, DrawPool, DrawTicket, PeerKey, SwarmAction, SwarmNote, SwarmPlanner,
+    draws::{LONE_LANE, ORIGIN_TICKETS},
+    imports::Remedy,
+    planner::OpenFetch,
+};
+use crate::time::Moment;
+
+/// How often the whole field is sent again, against lost notes.
+pub(super) const FIELD_PAUSE: Duration = Duration::from_secs(5);
+
+/// How long fresh chunks wait to be told of together.
+const HAVE_PAUSE: Duration = Duration::from_millis(200);
+
+/// How much longer a sender bears a slow transfer than its receiver does.
+const UPLOAD_PATIENCE: u32 = 3;
+
+/// Added to every limit on waiting, whatever the chunk's size.
+const LEAST_WAIT: Duration = Duration::from_secs(2);
+
+impl SwarmPlanner {
+    pub(super) fn tick(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        if now.since(self.told) >= HAVE_PAUSE {
+            self.tell_fresh(now, actions);
+        }
+        if now >= self.field_due && !self.held.is_empty() {
+            if self.field_due == self.begun + FIELD_PAUSE && !self.complete {
+                // Once more, for those who began after this box.
+                self.offer_held(actions);
+            }
+            self.field_due = now + FIELD_PAUSE;
+            let note = || SwarmNote::Field(self.held.clone());
+            actions.extend(self.peers.keys().map(|to| SwarmAction::Tell { to, note: note() }));
+        }
+        self.uploads.expire(now, self.longest_transfer() * UPLOAD_PATIENCE);
+        self.grant(now, actions);
+        self.drop_slow(now, actions);
+        self.remind(now, actions);
+        self.apply_remedies(now, actions);
+        self.pursue(now, actions);
+    }
+
+    /// Gives up fetches that take too long.
+    pub(super) fn drop_slow(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        let slow: Vec<(ChunkIndex, OpenFetch)> = self
+            .open
+            .iter()
+            .filter(|(_, fetch)| self.is_slow(now, fetch))
+            .map(|(chunk, fetch)| (*chunk, *fetch))
+            .collect();
+        if slow.is_empty() {
+            return;
+        }
+        self.patience = (self.patience * 2).min(16);
+        for (chunk, fetch) in slow {
+            actions.push(SwarmAction::Cancel { chunk, source: fetch.source });
+            self.close(chunk, fetch.source);
+            match fetch.source {
+                // A box that was heard of lately is only busy, however long it takes.
+                ChunkSource::Peer(peer)
+                    if fetch.started.is_none() && self.peers.is_heard(now, peer) =>
+                {
+                    self.peers.note_busy(now, peer);
+                }
+                ChunkSource::Peer(peer) => self.peers.note_trouble(now, peer),
+                ChunkSource::Origin | ChunkSource::Store => {}
+            }
+        }
+    }
+
+    /// Longest time that a chunk on its way between two boxes should take.
+    pub(super) fn longest_transfer(&self) -> Duration {
+        let chunk_time = self.settings.chunk_time.max(self.settings.origin_chunk_time);
+        chunk_time * (4 * self.settings.uploads as u32) + LEAST_WAIT
+    }
+
+    /// Whether a fetch takes too long. Draws are left alone: a crowded origin is slow to all, and
+    /// to break off and begin again would make it slower; one that stands still fails by itself.
+    pub(super) fn is_slow(&self, now: Moment, fetch: &OpenFetch) -> bool {
+        if !matches!(fetch.source, ChunkSource::Peer(_)) {
+            return false;
+        }
+        let queue = self.settings.chunk_time * self.settings.queue as u32;
+        let limit = match fetch.started {
+            Some(_) => self.longest_transfer(),
+            None => self.longest_transfer() + queue,
+        };
+        now.since(fetch.started.unwrap_or(fetch.asked)) > limit * self.patience
+    }
+
+    /// Looks after chunks that should have come into this domain and have not.
+    pub(super) fn apply_remedies(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        if self.complete {
+            return;
+        }
+        let stalled = self.draws.stalled(now, self.begun) > self.stall_patience();
+        let end = self.draws.drawn() + 2 * ORIGIN_TICKETS;
+        let (held, peers, open) = (&self.held, &self.peers, &self.open);
+        let (draws, imports) = (&self.draws, &self.imports);
+        let lacking: Vec<ChunkIndex> = (0..self.settings.chunks)
+            .map(ChunkIndex)
+            .filter(|chunk| !held.contains(*chunk) && !peers.is_near(now, *chunk))
+            .filter(|chunk| !open.contains_key(chunk) && !imports.is_offered(*chunk))
+            .filter(|chunk| draws.is_passed(*chunk) || (stalled && chunk.0 < end))
+            .collect();
+        let patience = (self.settings.chunk_time, self.draw_patience());
+        let remedies =
+            self.imports.remedies(now, patience, |chunk| lacking.binary_search(&chunk).is_ok());
+        for remedy in remedies {
+            self.apply(now, remedy, actions);
+        }
+    }
+
+    pub(super) fn apply(&mut self, now: Moment, remedy: Remedy, actions: &mut Vec<SwarmAction>) {
+        match remedy {
+            Remedy::Seek(chunk) => {
+                let to = self.seats.other_importers(chunk, 2);
+                let seek = |to| SwarmAction::Tell { to, note: SwarmNote::Seek(chunk) };
+                actions.extend(to.into_iter().map(seek));
+            }
+            // One at a time: a crowd of draws would only take each other's rate.
+            Remedy::Draw(_) if !self.draws.is_empty() => {}
+            Remedy::Draw(chunk) => {
+                // A draw past the others' front takes the place of a ticket that has been lost.
+                let lost = !self.draws.is_passed(chunk);
+                let lane = if lost { chunk.0 % ORIGIN_TICKETS } else { LONE_LANE };
+                let ticket = DrawTicket { chunk, pool: DrawPool::Origin, lane };
+                self.draws.revive(now, ticket);
+            }
+        }
+    }
+
+    /// Hands tickets over again whose receipt or whose chunk has not been heard of.
+    pub(super) fn remind(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        let (held, peers, imports) = (&self.held, &self.peers, &self.imports);
+        let is_known = |chunk: ChunkIndex| {
+            held.contains(chunk) || peers.is_near(now, chunk) || imports.is_offered(chunk)
+        };
+        let reminders = self.draws.reminders(now, self.settings.origin_chunk_time, is_known);
+        for reminder in reminders {
+            if reminder.hopeless {
+                self.draws.take_back(now, reminder.ticket);
+                continue;
+            }
+            let last = reminder.failed.last().copied().filter(|_| reminder.again);
+            let next = || self.seats.next_drawer(reminder.ticket.chunk, &reminder.failed);
+            let drawer = last.unwrap_or_else(next);
+            self.give_ticket(now, reminder.ticket, drawer, actions);
+        }
+    }
+
+    pub(super) fn give_ticket(
+        &mut self,
+        now: Moment,
+        ticket: DrawTicket,
+        drawer: PeerKey,
+        actions: &mut Vec<SwarmAction>,
+    ) {
+        if drawer == self.seats.me().key {
+            self.draws.take(now, ticket);
+            return;
+        }
+        self.draws.hand_over(now, ticket, drawer);
+        actions.push(SwarmAction::Tell { to: drawer, note: SwarmNote::Ticket(ticket) });
+    }
+
+    /// How long a domain bears the lack of a chunk before it draws the chunk again.
+    pub(super) fn draw_patience(&self) -> Duration {
+        match self.settings.prefer {
+            BurstPreference::Time => Duration::from_secs(3),
+            BurstPreference::OriginBytes => Duration::from_secs(6),
+        }
+    }
+
+    /// How long the draw order may stand still before it is taken to have been lost.
+    pub(super) fn stall_patience(&self) -> Duration {
+        self.draw_patience() + self.settings.origin_chunk_time * (8 * ORIGIN_TICKETS)
+    }
+}
