Bear a lack longer when the origin's bytes matter

Cause: an origin that is down for a tenth of the burst was taken for lost tickets, and chunks were drawn twice. Change: twice the patience under origin-bytes.

--- a/crates/core/src/burst/upkeep.rs
+++ b/crates/core/src/burst/upkeep.rs
@@ -175,7 +175,7 @@
     pub(super) fn draw_patience(&self) -> Duration {
         match self.settings.prefer {
             BurstPreference::Time => Duration::from_secs(3),
-            BurstPreference::OriginBytes => Duration::from_secs(6),
+            BurstPreference::OriginBytes => Duration::from_secs(12),
         }
     }
 
