Say once what stood two to five times

Cause: a read of the whole change found the retry step of the dispatcher twice, the time of day five times, the test for known chunks twice, a wrapper with one line and a field that repeats another. Change: allow_retry, unix_time, is_known and the engine's own count serve all; no behaviour changes.

--- a/crates/bench/src/routing/world.rs
+++ b/crates/bench/src/routing/world.rs
@@ -59,8 +59,6 @@
     leaving: bool,
     slow: bool,
     running: u32,
-    /// Load as entries see it.
-    reported: u32,
 }
 
 struct Entry {
@@ -137,7 +135,6 @@
             leaving: false,
             slow: false,
             running: 0,
-            reported: 0,
         });
         let candidates: Vec<Candidate> = (0..options.endpoints)
             .map(|nth| Candidate {
@@ -470,8 +467,7 @@
         }
         let lag =
             if self.has(RoutingFault::Lag) { Duration::from_secs(10) } else { Duration::ZERO };
-        self.engines.iter_mut().for_each(|engine| engine.reported = engine.running);
-        let loads = self.engines.iter().map(|engine| engine.reported).collect();
+        let loads = self.engines.iter().map(|engine| engine.running).collect();
         self.queue.after(REPORT_LAG + lag, RoutingEvent::Seen(loads));
         let warm = now >= Moment::ZERO + Duration::from_secs(self.options.seconds) / 3;
         if warm && now < self.end() {
--- a/crates/client/src/commands/status.rs
+++ b/crates/client/src/commands/status.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, fmt::Write as _, process::ExitCode, time::Duration};
 
 use error_stack::Report;
-use headlatch_daemon::platform::SharedStore;
+use headlatch_daemon::{platform::SharedStore, timer::unix_time};
 use headlatch_types::{
     FleetPlan,
     fleet::SetKey,
@@ -43,7 +43,7 @@
             let text = serde_json::to_string(&status).expect("status has only string keys");
             println!("{text}");
         } else {
-            print!("{}", render(&status, unix_millis()));
+            print!("{}", render(&status, unix_time().as_millis() as u64));
         }
         if !args.watch {
             return Ok(ExitCode::SUCCESS);
@@ -52,11 +52,6 @@
     }
 }
 
-fn unix_millis() -> u64 {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    now.map_or(0, |since| since.as_millis() as u64)
-}
-
 async fn read(store: &SharedStore) -> Result<FleetStatus, Report<ClientError>> {
     let object = read_object(store).await?;
     let revision = object.as_ref().map(|(revision, _)| *revision).unwrap_or_default();
--- a/crates/core/src/burst/draws.rs
+++ b/crates/core/src/burst/draws.rs
@@ -138,6 +138,11 @@
         }
     }
 
+    /// Chunks whose tickets were handed over and are not known to have come.
+    pub(super) fn handed(&self) -> impl Iterator<Item = ChunkIndex> + '_ {
+        self.handed.keys().map(|ticket| ticket.chunk)
+    }
+
     /// Tickets that have to be handed over once more.
     pub(super) fn reminders(
         &mut self,
--- a/crates/core/src/burst/planner.rs
+++ b/crates/core/src/burst/planner.rs
@@ -222,11 +222,11 @@
     ) {
         match note {
             SwarmNote::Have(chunks) => {
-                chunks.into_iter().for_each(|chunk| self.learn(from, chunk));
+                chunks.into_iter().for_each(|chunk| self.peers.add_chunk(from, chunk));
                 self.move_ask(now, from, actions);
             }
             SwarmNote::Field(field) => {
-                field.iter().for_each(|chunk| self.learn(from, chunk));
+                field.iter().for_each(|chunk| self.peers.add_chunk(from, chunk));
                 self.move_ask(now, from, actions);
             }
             SwarmNote::Ticket(ticket) if ticket.chunk.0 < self.settings.chunks => {
@@ -251,10 +251,6 @@
         self.pursue(now, actions);
     }
 
-    pub(super) fn learn(&mut self, from: PeerKey, chunk: ChunkIndex) {
-        self.peers.add_chunk(from, chunk);
-    }
-
     /// Moves an ask that waits in a long queue to a box that has nothing to send.
     ///
     /// Early on everybody asks the first holders of a chunk; without this the holders that come
--- a/crates/core/src/burst/upkeep.rs
+++ b/crates/core/src/burst/upkeep.rs
@@ -139,11 +139,11 @@
 
     /// Hands tickets over again whose receipt or whose chunk has not been heard of.
     pub(super) fn remind(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
-        let (held, peers, imports) = (&self.held, &self.peers, &self.imports);
-        let is_known = |chunk: ChunkIndex| {
-            held.contains(chunk) || peers.is_near(now, chunk) || imports.is_offered(chunk)
-        };
-        let reminders = self.draws.reminders(now, self.settings.origin_chunk_time, is_known);
+        let handed: Vec<ChunkIndex> = self.draws.handed().collect();
+        let known: Vec<ChunkIndex> =
+            handed.into_iter().filter(|chunk| self.is_known(now, *chunk)).collect();
+        let draw_time = self.settings.origin_chunk_time;
+        let reminders = self.draws.reminders(now, draw_time, |chunk| known.contains(&chunk));
         for reminder in reminders {
             if reminder.hopeless {
                 self.draws.take_back(now, reminder.ticket);
--- a/crates/daemon/src/entry/dispatch.rs
+++ b/crates/daemon/src/entry/dispatch.rs
@@ -142,11 +142,7 @@
                 Ok(begun) => return Ok(begun),
                 Err(failure) => failure,
             };
-            if !self.may_retry(request, &failure, &tries) {
-                return Err(tries.conclude(failure));
-            }
-            tries.note(&failure);
-            log::debug!("dispatch: {} is tried again, {failure}", request.message.request_id);
+            self.allow_retry(request, failure, &mut tries)?;
         }
     }
 
@@ -165,12 +161,23 @@
                 },
                 Err(failure) => failure,
             };
-            if !self.may_retry(request, &failure, &tries) {
-                return Err(tries.conclude(failure));
-            }
-            tries.note(&failure);
-            log::debug!("dispatch: {} is tried again, {failure}", request.message.request_id);
+            self.allow_retry(request, failure, &mut tries)?;
+        }
+    }
+
+    /// Lets a request be tried again after `failure`, or gives the failure to report.
+    fn allow_retry(
+        &self,
+        request: &DispatchRequest,
+        failure: DispatchFailure,
+        tries: &mut TryLog,
+    ) -> Result<(), DispatchFailure> {
+        if !self.may_retry(request, &failure, tries) {
+            return Err(tries.conclude(failure));
         }
+        tries.note(&failure);
+        log::debug!("dispatch: {} is tried again, {failure}", request.message.request_id);
+        Ok(())
     }
 
     fn budget(&self) -> std::sync::MutexGuard<'_, RetryBudget> {
--- a/crates/daemon/src/entry/status.rs
+++ b/crates/daemon/src/entry/status.rs
@@ -13,7 +13,7 @@
 use volo_http::server::{Router, route::get};
 
 use super::answer;
-use crate::{node::NodeContext, platform::WriteCondition};
+use crate::{node::NodeContext, platform::WriteCondition, timer::unix_time};
 
 /// How often status is looked at.
 const LOOK_PAUSE: Duration = Duration::from_secs(1);
@@ -99,11 +99,10 @@
         let others = near.map(|known| node_status(&known.record, now.since(known.heard)));
         let mut nodes: Vec<NodeStatus> = others.chain([node_status(own, Duration::ZERO)]).collect();
         nodes.sort_by(|a, b| a.id.cmp(&b.id));
-        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         DomainStatus {
             domain: own.domain.clone(),
             writer: own.id.clone(),
-            written_ms: since.map_or(0, |since| since.as_millis() as u64),
+            written_ms: unix_time().as_millis() as u64,
             nodes,
         }
     }
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -4,7 +4,7 @@
 use headlatch_types::settings::{LogFormat, LogLevel, LogSettings};
 use serde_json::json;
 
-use crate::error::DaemonError;
+use crate::{error::DaemonError, timer::unix_time};
 
 /// Sets up logging to standard error for the whole process.
 pub fn start(settings: &LogSettings) -> Result<(), Report<DaemonError>> {
@@ -29,17 +29,12 @@
     }
 }
 
-fn unix_millis() -> u128 {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    now.map_or(0, |since| since.as_millis())
-}
-
 fn write_text(
     out: fern::FormatCallback<'_>,
     message: &std::fmt::Arguments<'_>,
     record: &log::Record<'_>,
 ) {
-    let now = unix_millis();
+    let now = unix_time().as_millis();
     out.finish(format_args!("{}.{:03} {:5} {message}", now / 1000, now % 1000, record.level()));
 }
 
@@ -51,7 +46,6 @@
     let text = message.to_string();
     let (part, sentence) = text.split_once(": ").unwrap_or(("", &text));
     let level = record.level().as_str().to_ascii_lowercase();
-    let line =
-        json!({ "time_ms": unix_millis(), "level": level, "part": part, "message": sentence });
+    let line = json!({ "time_ms": unix_time().as_millis(), "level": level, "part": part, "message": sentence });
     out.finish(format_args!("{line}"));
 }
--- a/crates/daemon/src/node/gossip.rs
+++ b/crates/daemon/src/node/gossip.rs
@@ -10,6 +10,7 @@
 use tokio::net::UdpSocket;
 
 use super::{NodeContext, codec};
+use crate::timer::unix_time;
 
 /// Largest datagram taken; those sent are a good deal smaller.
 const MOST_DATAGRAM: usize = 8 << 10;
@@ -43,7 +44,7 @@
     for _ in 0..packets {
         let (target, packet) = {
             let mut table = node.table();
-            (table.target(node.now(), rng), table.packet(unix_seconds()))
+            (table.target(node.now(), rng), table.packet(unix_time().as_secs() as u32))
         };
         let Some(target) = target else { return };
         send_packet(node, socket, target, &packet).await;
@@ -63,12 +64,6 @@
     }
 }
 
-/// Seconds since 1970: a later start of the process goes on from the earlier one's.
-fn unix_seconds() -> u32 {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    now.map_or(0, |since| since.as_secs() as u32)
-}
-
 async fn receive(node: &Arc<NodeContext>, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
     node.metrics.count_gossip("in", bytes.len());
     let Ok(message) = wire::GossipPacket::decode(bytes) else {
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -20,7 +20,12 @@
 use headlatch_types::{quantity::ConfigRevision, settings::NodeSettings};
 use tokio::sync::{Notify, watch};
 
-use crate::{metrics::NodeMetrics, platform::SharedStore, timer::SharedTimer, trace::SpanMaker};
+use crate::{
+    metrics::NodeMetrics,
+    platform::SharedStore,
+    timer::{SharedTimer, unix_time},
+    trace::SpanMaker,
+};
 
 use self::channels::ChannelCache;
 
@@ -56,7 +61,7 @@
         store: SharedStore,
         spans: SpanMaker,
     ) -> Arc<Self> {
-        let started = unix_micros();
+        let started = unix_time().as_micros() as u64;
         let own = NodeRecord {
             id: settings.box_id.clone(),
             domain: settings.domain.clone(),
@@ -130,9 +135,3 @@
         }
     }
 }
-
-/// The time of day, for telling a later start of a process from an earlier one.
-fn unix_micros() -> u64 {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    now.map_or(1, |since| since.as_micros() as u64)
-}
--- a/crates/daemon/src/timer/mod.rs
+++ b/crates/daemon/src/timer/mod.rs
@@ -11,6 +11,12 @@
 pub use manual::ManualTimer;
 pub use system::SystemTimer;
 
+/// Time of day since 1970, for what is compared across processes; zero on a clock before that.
+pub fn unix_time() -> Duration {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.unwrap_or_default()
+}
+
 /// Tells the time and sends ticks.
 pub trait TimerService: Send + Sync + std::fmt::Debug {
     /// The time since the service began.
