--- a/crates/bench/src/burst/mod.rs
+++ b/crates/bench/src/burst/mod.rs
@@ -2,6 +2,7 @@
 
 mod baseline;
 mod faults;
+mod flows;
 mod links;
 mod options;
 mod report;
--- a/crates/bench/src/burst/world.rs
+++ b/crates/bench/src/burst/world.rs
@@ -24,22 +24,22 @@
 use crate::queue::EventQueue;
 
 /// Blocks a chunk is cut into on the links.
-const BLOCKS: u32 = 8;
+pub(super) const BLOCKS: u32 = 8;
 
 /// Blocks of one flow on the way at the same time.
-const WINDOW: u32 = 4;
+pub(super) const WINDOW: u32 = 4;
 
 /// One way, within a domain, between domains, between regions, and to origin and store.
 const NEAR: Duration = Duration::from_micros(250);
 const DOMAINS_APART: Duration = Duration::from_micros(1500);
 const REGIONS_APART: Duration = Duration::from_micros(3000);
-const OUTSIDE: Duration = Duration::from_micros(3000);
+pub(super) const OUTSIDE: Duration = Duration::from_micros(3000);
 
 /// Time until a box that does not answer counts as unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Time until a refusal or failure of origin or store is known.
-const REFUSAL_TIME: Duration = Duration::from_millis(10);
+pub(super) const REFUSAL_TIME: Duration = Duration::from_millis(10);
 
 /// How often boxes look for changes of membership.
 const SEATS_PAUSE: Duration = Duration::from_secs(5);
@@ -58,54 +58,54 @@
 
 /// One manifest on its way to boxes.
 #[derive(Debug)]
-struct Transfer {
+pub(super) struct Transfer {
     /// What each chunk must contain; shared chunks have equal contents.
-    contents: Vec<u64>,
+    pub(super) contents: Vec<u64>,
 }
 
 /// One box.
-struct FakeBox {
-    seat: PeerSeat,
-    domain: usize,
-    region: usize,
-    up: usize,
-    down: usize,
-    alive: bool,
-    paused_until: Option<Moment>,
-    planners: Vec<Option<Box<dyn ChunkLogic>>>,
+pub(super) struct FakeBox {
+    pub(super) seat: PeerSeat,
+    pub(super) domain: usize,
+    pub(super) region: usize,
+    pub(super) up: usize,
+    pub(super) down: usize,
+    pub(super) alive: bool,
+    pub(super) paused_until: Option<Moment>,
+    pub(super) planners: Vec<Option<Box<dyn ChunkLogic>>>,
     /// Content taken for good, per transfer and chunk.
-    stored: Vec<Vec<Option<u64>>>,
-    wanted: Vec<usize>,
-    fetches: HashMap<(usize, ChunkIndex), OpenFetch>,
-    served_at: Option<Moment>,
-    control_bytes: u64,
+    pub(super) stored: Vec<Vec<Option<u64>>>,
+    pub(super) wanted: Vec<usize>,
+    pub(super) fetches: HashMap<(usize, ChunkIndex), OpenFetch>,
+    pub(super) served_at: Option<Moment>,
+    pub(super) control_bytes: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
-struct OpenFetch {
-    id: u64,
-    source: ChunkSource,
-    flow: Option<usize>,
+pub(super) struct OpenFetch {
+    pub(super) id: u64,
+    pub(super) source: ChunkSource,
+    pub(super) flow: Option<usize>,
 }
 
 /// One chunk on its way.
 #[derive(Debug)]
-struct Flow {
-    transfer: usize,
-    chunk: ChunkIndex,
-    source: ChunkSource,
-    sender: Option<usize>,
-    receiver: usize,
-    fetch: u64,
-    path: Vec<usize>,
-    latency: Duration,
-    sent: u32,
-    arrived: u32,
-    broken: bool,
+pub(super) struct Flow {
+    pub(super) transfer: usize,
+    pub(super) chunk: ChunkIndex,
+    pub(super) source: ChunkSource,
+    pub(super) sender: Option<usize>,
+    pub(super) receiver: usize,
+    pub(super) fetch: u64,
+    pub(super) path: Vec<usize>,
+    pub(super) latency: Duration,
+    pub(super) sent: u32,
+    pub(super) arrived: u32,
+    pub(super) broken: bool,
 }
 
 #[derive(Debug)]
-enum WorldEvent {
+pub(super) enum WorldEvent {
     Begin(usize),
     Tick(usize),
     Seats(usize),
@@ -128,35 +128,35 @@
 
 /// Boxes, links and what happens to them.
 pub struct BurstWorld {
-    options: BurstOptions,
-    faults: FaultPlan,
-    queue: EventQueue<WorldEvent>,
-    rng: SmallRng,
-    transfers: Vec<Transfer>,
-    boxes: Vec<FakeBox>,
-    index: HashMap<PeerKey, usize>,
-    links: Vec<FakeLink>,
-    origin_link: usize,
-    store_link: usize,
-    domain_links: Vec<usize>,
-    region_links: Vec<usize>,
-    flows: Vec<Flow>,
-    free_flows: Vec<usize>,
-    next_fetch: u64,
+    pub(super) options: BurstOptions,
+    pub(super) faults: FaultPlan,
+    pub(super) queue: EventQueue<WorldEvent>,
+    pub(super) rng: SmallRng,
+    pub(super) transfers: Vec<Transfer>,
+    pub(super) boxes: Vec<FakeBox>,
+    pub(super) index: HashMap<PeerKey, usize>,
+    pub(super) links: Vec<FakeLink>,
+    pub(super) origin_link: usize,
+    pub(super) store_link: usize,
+    pub(super) domain_links: Vec<usize>,
+    pub(super) region_links: Vec<usize>,
+    pub(super) flows: Vec<Flow>,
+    pub(super) free_flows: Vec<usize>,
+    pub(super) next_fetch: u64,
     /// Changes of who lives, in order.
-    changes: Vec<(Moment, usize, bool)>,
-    origin_blocks: u64,
-    store_blocks: u64,
-    store_flows: u32,
-    domain_blocks: Vec<u64>,
-    region_blocks: Vec<u64>,
-    refetched: u64,
-    corrupt_accepted: u64,
-    mixed_served: u64,
+    pub(super) changes: Vec<(Moment, usize, bool)>,
+    pub(super) origin_blocks: u64,
+    pub(super) store_blocks: u64,
+    pub(super) store_flows: u32,
+    pub(super) domain_blocks: Vec<u64>,
+    pub(super) region_blocks: Vec<u64>,
+    pub(super) refetched: u64,
+    pub(super) corrupt_accepted: u64,
+    pub(super) mixed_served: u64,
     /// Whether every box that is awake serves.
-    settled: bool,
-    peak_bytes: u64,
-    begun: Instant,
+    pub(super) settled: bool,
+    pub(super) peak_bytes: u64,
+    pub(super) begun: Instant,
 }
 
 impl BurstWorld {
@@ -199,7 +199,7 @@
         world
     }
 
-    fn add_transfers(&mut self) {
+    pub(super) fn add_transfers(&mut self) {
         let chunks = self.options.chunks();
         let fresh = |salt: u64, count: u32| -> Vec<u64> {
             (0..u64::from(count)).map(|chunk| score(salt, chunk)).collect()
@@ -217,13 +217,13 @@
         }
     }
 
-    fn add_link(&mut self, copies: f64) -> usize {
+    pub(super) fn add_link(&mut self, copies: f64) -> usize {
         let block_time = self.options.chunk_time(copies.max(1e-6)) / BLOCKS;
         self.links.push(FakeLink::new(block_time));
         self.links.len() - 1
     }
 
-    fn add_links(&mut self) {
+    pub(super) fn add_links(&mut self) {
         self.origin_link = self.add_link(self.options.origin_copies);
         self.store_link = self.add_link(self.options.store_copies);
         let (domains, regions) = (self.options.domains, self.options.regions);
@@ -232,7 +232,7 @@
         self.region_links = (0..regions).map(|_| self.add_link(copies.1)).collect();
     }
 
-    fn add_boxes(&mut self) {
+    pub(super) fn add_boxes(&mut self) {
         for nth in 0..self.options.boxes as usize {
             let domain = nth % self.options.domains as usize;
             let region = domain % self.options.regions as usize;
@@ -266,7 +266,7 @@
         }
     }
 
-    fn first_wanted(&self, nth: usize) -> Vec<usize> {
+    pub(super) fn first_wanted(&self, nth: usize) -> Vec<usize> {
         if self.faults.two_bursts {
             // Neighbouring numbers stand in different domains, so halves are cut by blocks.
             return vec![usize::from(nth >= self.options.boxes as usize / 2)];
@@ -274,7 +274,7 @@
         if self.faults.adapters { vec![0, 1] } else { vec![0] }
     }
 
-    fn schedule_faults(&mut self) {
+    pub(super) fn schedule_faults(&mut self) {
         let faults = self.faults.clone();
         for (nth, at) in &faults.deaths {
             self.queue.at(*at, WorldEvent::Die(*nth));
@@ -318,7 +318,7 @@
         }
     }
 
-    fn is_finished(&self) -> bool {
+    pub(super) fn is_finished(&self) -> bool {
         let open = |one: &FakeBox| one.alive && one.served_at.is_none();
         let now = self.queue.now();
         let joining = self.faults.joins.iter().any(|(_, at)| *at >= now);
@@ -326,7 +326,7 @@
         !joining && !changing && !self.boxes.iter().any(open)
     }
 
-    fn step(&mut self, now: Moment, event: WorldEvent) {
+    pub(super) fn step(&mut self, now: Moment, event: WorldEvent) {
         if let Some(until) = self.pause_of(&event) {
             self.queue.at(until, event);
             return;
@@ -378,7 +378,7 @@
     }
 
     /// Until when the box that the event is for sleeps, if it does.
-    fn pause_of(&self, event: &WorldEvent) -> Option<Moment> {
+    pub(super) fn pause_of(&self, event: &WorldEvent) -> Option<Moment> {
         let nth = match event {
             WorldEvent::Tick(nth)
             | WorldEvent::Seats(nth)
@@ -397,7 +397,7 @@
         self.boxes[nth].paused_until.filter(|until| *until > self.queue.now())
     }
 
-    fn settings(&self, transfer: usize) -> SwarmSettings {
+    pub(super) fn settings(&self, transfer: usize) -> SwarmSettings {
         let options = &self.options;
         let chunks = self.transfers[transfer].contents.len() as u32;
         let chunk_time = options.chunk_time(options.usable_box_copies());
@@ -414,7 +414,7 @@
         settings
     }
 
-    fn begin(&mut self, now: Moment, nth: usize) {
+    pub(super) fn begin(&mut self, now: Moment, nth: usize) {
         if !self.boxes[nth].alive {
             return;
         }
@@ -426,7 +426,7 @@
         self.queue.after(spread, WorldEvent::Seats(nth));
     }
 
-    fn start_transfer(&mut self, now: Moment, nth: usize, transfer: usize) {
+    pub(super) fn start_transfer(&mut self, now: Moment, nth: usize, transfer: usize) {
         let chunks = self.transfers[transfer].contents.len() as u32;
         let mut held = ChunkSet::new(chunks);
         for (chunk, content) in self.boxes[nth].stored[transfer].iter().zip(0u32..) {
@@ -451,7 +451,7 @@
     }
 
     /// The boxes that take part in a transfer, as membership shows them now.
-    fn visible_seats(&self, now: Moment, transfer: usize) -> Vec<PeerSeat> {
+    pub(super) fn visible_seats(&self, now: Moment, transfer: usize) -> Vec<PeerSeat> {
         let seen_until = self.faults.lag.map_or(Moment::ZERO, |lag| now - lag);
         let joined = |nth: &usize| self.faults.joins.iter().any(|(late, _)| late == nth);
         let mut visible: Vec<bool> = (0..self.boxes.len()).map(|nth| !joined(&nth)).collect();
@@ -470,12 +470,12 @@
     }
 
     /// Whether the fleet file gives a box this transfer, now or after the change of version.
-    fn takes_part(&self, nth: usize, transfer: usize) -> bool {
+    pub(super) fn takes_part(&self, nth: usize, transfer: usize) -> bool {
         let changes = self.faults.superseded.is_some();
         changes || self.first_wanted(nth).contains(&transfer)
     }
 
-    fn tick(&mut self, now: Moment, nth: usize) {
+    pub(super) fn tick(&mut self, now: Moment, nth: usize) {
         if !self.boxes[nth].alive {
             return;
         }
@@ -488,7 +488,7 @@
         self.queue.after(TICK, WorldEvent::Tick(nth));
     }
 
-    fn reseat(&mut self, now: Moment, nth: usize) {
+    pub(super) fn reseat(&mut self, now: Moment, nth: usize) {
         if !self.boxes[nth].alive {
             return;
         }
@@ -504,7 +504,7 @@
         self.queue.after(SEATS_PAUSE, WorldEvent::Seats(nth));
     }
 
-    fn die(&mut self, now: Moment, nth: usize) {
+    pub(super) fn die(&mut self, now: Moment, nth: usize) {
         self.boxes[nth].alive = false;
         self.boxes[nth].planners.iter_mut().for_each(|planner| *planner = None);
         self.boxes[nth].fetches.clear();
@@ -513,13 +513,13 @@
         self.flows.iter_mut().filter(broken).for_each(|flow| flow.broken = true);
     }
 
-    fn join(&mut self, now: Moment, nth: usize) {
+    pub(super) fn join(&mut self, now: Moment, nth: usize) {
         self.boxes[nth].alive = true;
         self.changes.push((now, nth, true));
         self.begin(now, nth);
     }
 
-    fn pause(&mut self, now: Moment, nth: usize, until: Moment) {
+    pub(super) fn pause(&mut self, now: Moment, nth: usize, until: Moment) {
         self.boxes[nth].paused_until = Some(until);
         let trouble = LinkTrouble { from: now, until, slowdown: None };
         let (up, down) = (self.boxes[nth].up, self.boxes[nth].down);
@@ -530,7 +530,7 @@
     }
 
     /// The second version takes the place of the first; chunks that both have are kept.
-    fn supersede(&mut self, now: Moment, nth: usize) {
+    pub(super) fn supersede(&mut self, now: Moment, nth: usize) {
         if !self.boxes[nth].alive {
             return;
         }
@@ -552,7 +552,7 @@
         self.start_transfer(now, nth, 1);
     }
 
-    fn handle(&mut self, now: Moment, nth: usize, transfer: usize, event: SwarmEvent) {
+    pub(super) fn handle(&mut self, now: Moment, nth: usize, transfer: usize, event: SwarmEvent) {
         let Some(planner) = self.boxes[nth].planners[transfer].as_mut() else { return };
         let actions = planner.handle(now, event);
         let pulse = planner.pulse();
@@ -573,7 +573,7 @@
         }
     }
 
-    fn act(&mut self, now: Moment, nth: usize, transfer: usize, action: SwarmAction) {
+    pub(super) fn act(&mut self, now: Moment, nth: usize, transfer: usize, action: SwarmAction) {
         match action {
             SwarmAction::Fetch { chunk, source } => self.fetch(now, nth, transfer, chunk, source),
             SwarmAction::Cancel { chunk, .. } => self.cancel(now, nth, transfer, chunk),
@@ -607,13 +607,18 @@
     }
 
     /// Answers a sender on the stream of a fetch.
-    fn step_back(&mut self, nth: usize, from: PeerKey, event: impl Fn(usize) -> WorldEvent) {
+    pub(super) fn step_back(
+        &mut self,
+        nth: usize,
+        from: PeerKey,
+        event: impl Fn(usize) -> WorldEvent,
+    ) {
         let at = self.index[&from];
         self.count_control(nth, STEP_BYTES);
         self.queue.after(self.latency(nth, at), event(at));
     }
 
-    fn send_notes(
+    pub(super) fn send_notes(
         &mut self,
         now: Moment,
         nth: usize,
@@ -639,13 +644,13 @@
     }
 
     /// Counts control bytes until the last box that is awake serves.
-    fn count_control(&mut self, nth: usize, bytes: u64) {
+    pub(super) fn count_control(&mut self, nth: usize, bytes: u64) {
         if !self.settled {
             self.boxes[nth].control_bytes += bytes;
         }
     }
 
-    fn latency(&self, one: usize, other: usize) -> Duration {
+    pub(super) fn latency(&self, one: usize, other: usize) -> Duration {
         let (one, other) = (&self.boxes[one], &self.boxes[other]);
         if one.domain == other.domain {
             NEAR
@@ -656,19 +661,19 @@
         }
     }
 
-    fn reaches(&self, now: Moment, one: usize, other: usize) -> bool {
+    pub(super) fn reaches(&self, now: Moment, one: usize, other: usize) -> bool {
         let apart = self.boxes[one].domain != self.boxes[other].domain;
         self.boxes[other].alive && !(apart && (self.is_cut(now, one) || self.is_cut(now, other)))
     }
 
-    fn is_cut(&self, now: Moment, nth: usize) -> bool {
+    pub(super) fn is_cut(&self, now: Moment, nth: usize) -> bool {
         let here = |(domain, span): &(u32, super::faults::Span)| {
             self.boxes[nth].domain == *domain as usize && span.covers(now)
         };
         self.faults.cut.as_ref().is_some_and(here)
     }
 
-    fn fetch(
+    pub(super) fn fetch(
         &mut self,
         now: Moment,
         nth: usize,
@@ -703,7 +708,7 @@
         }
     }
 
-    fn outside_failure(
+    pub(super) fn outside_failure(
         &mut self,
         now: Moment,
         nth: usize,
@@ -723,7 +728,7 @@
         refused.then_some(FetchFailure::Busy)
     }
 
-    fn deliver_ask(
+    pub(super) fn deliver_ask(
         &mut self,
         now: Moment,
         at: usize,
@@ -745,7 +750,7 @@
         self.handle(now, at, transfer, SwarmEvent::Asked { from, chunk, held });
     }
 
-    fn refuse(
+    pub(super) fn refuse(
         &mut self,
         nth: usize,
         transfer: usize,
@@ -760,7 +765,7 @@
         self.queue.after(self.latency(nth, by), event);
     }
 
-    fn send_chunk(
+    pub(super) fn send_chunk(
         &mut self,
         now: Moment,
         nth: usize,
@@ -783,7 +788,7 @@
         }
     }
 
-    fn cancel(&mut self, now: Moment, nth: usize, transfer: usize, chunk: ChunkIndex) {
+    pub(super) fn cancel(&mut self, now: Moment, nth: usize, transfer: usize, chunk: ChunkIndex) {
         let Some(open) = self.boxes[nth].fetches.remove(&(transfer, chunk)) else { return };
         self.count_control(nth, MESSAGE_BYTES);
         if let Some(flow) = open.flow {
@@ -798,198 +803,7 @@
         }
     }
 
-    fn start_flow(
-        &mut self,
-        now: Moment,
-        sender: Option<usize>,
-        receiver: usize,
-        transfer: usize,
-        chunk: ChunkIndex,
-        fetch: u64,
-    ) {
-        let Some(open) = self.boxes[receiver].fetches.get(&(transfer, chunk)) else { return };
-        let source = open.source;
-        let to = &self.boxes[receiver];
-        let mut path = match (source, sender) {
-            (ChunkSource::Origin, _) => vec![self.origin_link],
-            (ChunkSource::Store, _) => vec![self.store_link],
-            (ChunkSource::Peer(_), nth) => {
-                vec![nth.map_or(self.origin_link, |nth| self.boxes[nth].up)]
-            }
-        };
-        if let Some(from) = sender.map(|nth| &self.boxes[nth]) {
-            if from.region != to.region {
-                path.push(self.region_links[to.region]);
-            }
-            if from.domain != to.domain {
-                path.push(self.domain_links[to.domain]);
-            }
-        }
-        path.push(to.down);
-        self.store_flows += u32::from(source == ChunkSource::Store);
-        let latency = sender.map_or(OUTSIDE, |nth| self.latency(nth, receiver));
-        let flow = Flow {
-            transfer,
-            chunk,
-            source,
-            sender,
-            receiver,
-            fetch,
-            path,
-            latency,
-            sent: 0,
-            arrived: 0,
-            broken: false,
-        };
-        let id = match self.free_flows.pop() {
-            Some(id) => {
-                self.flows[id] = flow;
-                id
-            }
-            None => {
-                self.flows.push(flow);
-                self.flows.len() - 1
-            }
-        };
-        if let Some(open) = self.boxes[receiver].fetches.get_mut(&(transfer, chunk)) {
-            open.flow = Some(id);
-        }
-        (0..WINDOW.min(BLOCKS)).for_each(|_| self.send_block(now, id));
-    }
-
-    /// Puts the next block of a flow on its way.
-    fn send_block(&mut self, now: Moment, id: usize) {
-        let flow = &mut self.flows[id];
-        if flow.sent < BLOCKS {
-            flow.sent += 1;
-            self.move_block(now, id, 0);
-        }
-    }
-
-    fn move_block(&mut self, now: Moment, id: usize, hop: usize) {
-        if self.is_broken(now, id) {
-            self.retire_block(id, now);
-            return;
-        }
-        let flow = &self.flows[id];
-        let last = flow.path.len();
-        if hop == last {
-            self.arrive(now, id);
-            return;
-        }
-        let left = self.links[flow.path[hop]].send(now);
-        self.count_block(id, hop);
-        let flow = &self.flows[id];
-        let travel = if hop + 1 == last { flow.latency } else { Duration::ZERO };
-        self.queue.at(left + travel, WorldEvent::Block { flow: id, hop: hop + 1 });
-    }
-
-    fn is_broken(&self, now: Moment, id: usize) -> bool {
-        let flow = &self.flows[id];
-        let cut = match flow.sender {
-            Some(nth) => {
-                let apart = self.boxes[nth].domain != self.boxes[flow.receiver].domain;
-                apart && (self.is_cut(now, nth) || self.is_cut(now, flow.receiver))
-            }
-            None => self.is_cut(now, flow.receiver),
-        };
-        let down = flow.source == ChunkSource::Origin
-            && self.faults.origin_down.is_some_and(|span| span.covers(now));
-        flow.broken || cut || down
-    }
-
-    /// A block of a broken flow is gone; with the last one the flow ends.
-    fn retire_block(&mut self, id: usize, now: Moment) {
-        let flow = &mut self.flows[id];
-        flow.broken = true;
-        flow.arrived += 1;
-        if flow.arrived == flow.sent {
-            self.end_flow(now, id);
-        }
-    }
-
-    fn count_block(&mut self, id: usize, hop: usize) {
-        let flow = &self.flows[id];
-        if hop > 0 {
-            return;
-        }
-        match flow.source {
-            ChunkSource::Origin => self.origin_blocks += 1,
-            ChunkSource::Store => self.store_blocks += 1,
-            ChunkSource::Peer(_) => {
-                let (Some(sender), receiver) = (flow.sender, flow.receiver) else { return };
-                let (from, to) = (&self.boxes[sender], &self.boxes[receiver]);
-                self.domain_blocks[to.domain] += u64::from(from.domain != to.domain);
-                self.region_blocks[to.region] += u64::from(from.region != to.region);
-            }
-        }
-    }
-
-    fn arrive(&mut self, now: Moment, id: usize) {
-        let flow = &mut self.flows[id];
-        flow.arrived += 1;
-        let latency = flow.latency;
-        if flow.arrived == BLOCKS {
-            self.deliver(now, id);
-            self.end_flow(now, id);
-        } else {
-            self.queue.after(latency, WorldEvent::Ack { flow: id });
-        }
-    }
-
-    fn end_flow(&mut self, now: Moment, id: usize) {
-        let flow = &self.flows[id];
-        let (sender, receiver) = (flow.sender, flow.receiver);
-        let (transfer, chunk, latency) = (flow.transfer, flow.chunk, flow.latency);
-        self.store_flows -= u32::from(flow.source == ChunkSource::Store);
-        let open = self.boxes[receiver].fetches.get_mut(&(transfer, chunk));
-        let mut broken_fetch = None;
-        if let Some(open) = open.filter(|open| open.flow == Some(id)) {
-            open.flow = None;
-            broken_fetch = Some(open.id);
-        }
-        if let Some(fetch) = broken_fetch.filter(|_| flow.source == ChunkSource::Origin) {
-            let failure = FetchFailure::Unreachable;
-            let event = WorldEvent::Failed { at: receiver, transfer, chunk, fetch, failure };
-            self.queue.after(REFUSAL_TIME, event);
-        }
-        if let Some(nth) = sender.filter(|nth| self.boxes[*nth].alive) {
-            let event = WorldEvent::Withdrawn { at: nth, by: receiver, transfer, chunk };
-            self.queue.at(now + latency, event);
-        }
-        self.flows[id].sent = BLOCKS;
-        self.free_flows.push(id);
-    }
-
-    /// All blocks of a chunk are here: verifies it as an agent would.
-    fn deliver(&mut self, now: Moment, id: usize) {
-        let flow = &self.flows[id];
-        let (nth, transfer, chunk) = (flow.receiver, flow.transfer, flow.chunk);
-        let (source, fetch, sender) = (flow.source, flow.fetch, flow.sender);
-        let current = self.boxes[nth].fetches.get(&(transfer, chunk));
-        if current.is_none_or(|open| open.id != fetch) {
-            return;
-        }
-        self.boxes[nth].fetches.remove(&(transfer, chunk));
-        let truth = self.transfers[transfer].contents[chunk.0 as usize];
-        let held =
-            sender.map_or(Some(truth), |from| self.boxes[from].stored[transfer][chunk.0 as usize]);
-        let spoilt = sender.is_some() && sender == self.faults.corrupter
-            || self.rng.random::<f64>() < self.faults.corrupt_part;
-        let content = held.map_or(0, |content| if spoilt { content ^ 1 } else { content });
-        if content != truth {
-            self.refetched += 1;
-            let failure = FetchFailure::Corrupt;
-            self.handle(now, nth, transfer, SwarmEvent::Failed { chunk, source, failure });
-            return;
-        }
-        let slot = &mut self.boxes[nth].stored[transfer][chunk.0 as usize];
-        self.refetched += u64::from(slot.is_some());
-        *slot = Some(content);
-        self.handle(now, nth, transfer, SwarmEvent::Verified { chunk, source });
-    }
-
-    fn fail_fetch(
+    pub(super) fn fail_fetch(
         &mut self,
         now: Moment,
         at: usize,
@@ -1005,7 +819,7 @@
     }
 
     /// One transfer of a box is complete; once all are, its gate opens and it serves.
-    fn complete(&mut self, now: Moment, nth: usize) {
+    pub(super) fn complete(&mut self, now: Moment, nth: usize) {
         let one = &mut self.boxes[nth];
         let whole = |transfer: &usize| {
             one.planners[*transfer].as_ref().is_some_and(|planner| {
@@ -1030,7 +844,7 @@
     }
 
     /// Writes a line about how far the boxes are and how busy their links have been.
-    fn print_progress(&self, now: Moment) {
+    pub(super) fn print_progress(&self, now: Moment) {
         let held = |one: &FakeBox| {
             one.wanted
                 .iter()
@@ -1087,7 +901,7 @@
     }
 
     /// The bound of the options, corrected for what this run's faults add to the work.
-    fn bound_seconds(&self) -> f64 {
+    pub(super) fn bound_seconds(&self) -> f64 {
         let bound = self.options.bound_seconds();
         if let Some(at) = self.faults.superseded {
             // Half of what came before the change belongs to the second version as well.
