--- /dev/null
+++ b/crates/core/src/direct/mod.rs
@@ -0,0 +1,10 @@
+//! Decisions of entries that call servers directly, and of agents that stage weights piece by
+//! piece: which route, which server, whether to send again, when to refuse.
+
+pub mod event_split;
+pub mod peers;
+pub mod retry_share;
+pub mod route_table;
+pub mod server_table;
+pub mod staging;
+pub mod weight_deadline;
--- /dev/null
+++ b/crates/core/src/direct/route_table.rs
@@ -0,0 +1,83 @@
+//! Finds the route and the tenant of a request.
+
+use std::{collections::HashMap, sync::Arc};
+
+use headlatch_types::traffic::{Route, RouteTarget, Tenant, TrafficPlan};
+
+/// A traffic plan, indexed.
+#[derive(Debug, Clone, Default)]
+pub struct RouteTable {
+    plan: Arc<TrafficPlan>,
+    /// Routes by host, longest prefix first.
+    hosts: HashMap<String, Vec<usize>>,
+    tenants: HashMap<String, usize>,
+}
+
+/// Why a request is not let in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Denial {
+    /// No route has its host and path.
+    NoRoute,
+    /// No tenant has its key.
+    UnknownKey,
+}
+
+impl RouteTable {
+    /// Indexes a plan.
+    pub fn new(plan: Arc<TrafficPlan>) -> Self {
+        let mut hosts: HashMap<String, Vec<usize>> = HashMap::new();
+        for (index, route) in plan.routes.iter().enumerate() {
+            hosts.entry(route.host.to_ascii_lowercase()).or_default().push(index);
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|index| std::cmp::Reverse(plan.routes[*index].path_prefix.len()));
+        }
+        let keys = plan.tenants.iter().enumerate();
+        let tenants = keys
+            .flat_map(|(index, tenant)| tenant.keys.iter().map(move |key| (key.clone(), index)))
+            .collect();
+        Self { plan, hosts, tenants }
+    }
+
+    /// The plan.
+    pub fn plan(&self) -> &Arc<TrafficPlan> {
+        &self.plan
+    }
+
+    /// The route of a request: of its host's, the longest prefix that begins its path.
+    pub fn route(&self, host: &str, path: &str) -> Result<&Route, Denial> {
+        let host = host.to_ascii_lowercase();
+        let bare = host.split_once(':').map(|(name, _)| name);
+        let routes = self.hosts.get(&host).or_else(|| self.hosts.get(bare?));
+        let found = routes
+            .into_iter()
+            .flatten()
+            .map(|index| &self.plan.routes[*index])
+            .find(|route| path.starts_with(&route.path_prefix));
+        found.ok_or(Denial::NoRoute)
+    }
+
+    /// The tenant of a request on `route` with `key`; none if the route asks for no key.
+    pub fn tenant(&self, route: &Route, key: Option<&str>) -> Result<Option<&Tenant>, Denial> {
+        if self.plan.tenants.is_empty() {
+            return Ok(None);
+        }
+        let tenant = key.and_then(|key| self.tenants.get(key)).map(|at| &self.plan.tenants[*at]);
+        if tenant.is_none() && !route.anonymous {
+            return Err(Denial::UnknownKey);
+        }
+        Ok(tenant)
+    }
+}
+
+/// The service that answers a request, by the shares of a route's targets; `draw` is random.
+pub fn pick_target(route: &Route, draw: u64) -> Option<&RouteTarget> {
+    let total: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
+    let mut rest = draw.checked_rem(total)?;
+    route.targets.iter().find(|target| {
+        let weight = u64::from(target.weight);
+        let chosen = rest < weight;
+        rest = rest.saturating_sub(weight);
+        chosen
+    })
+}
--- /dev/null
+++ b/crates/core/src/direct/server_table.rs
@@ -0,0 +1,351 @@
+//! The servers that an entry knows, and the choice among them.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use headlatch_types::{
+    id::{DomainId, RegionId},
+    traffic::{ServerId, ServerRecord, WeightVersion},
+};
+
+use super::peers::{LoadNotice, ServerNotice};
+use crate::time::Moment;
+
+/// Requests that an engine is sent beyond those that it runs at the same time.
+const ENGINE_QUEUE: u32 = 1;
+
+/// Requests that a plain server is sent, relative to those that it runs at the same time.
+const PLAIN_LOAD: u32 = 2;
+
+/// Cost of a server in another zone of the region, as a share of a server's capacity.
+const ZONE_COST: f64 = 0.15;
+
+/// Cost of a server in another region.
+const REGION_COST: f64 = 0.3;
+
+/// Cost of a server all of whose requests fail.
+const FAILURE_COST: f64 = 2.0;
+
+/// Weight of the newest outcome in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.2;
+
+/// Share of failures that is not held against a server: some requests fail anywhere.
+const USUAL_FAILURES: f64 = 0.3;
+
+/// First pause after a server could not be reached or broke off.
+const FAILURE_PAUSE: Duration = Duration::from_millis(300);
+
+/// First pause after a server refused although it was thought to have room.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(80);
+
+/// Most doublings of a pause.
+const MOST_DOUBLINGS: u32 = 4;
+
+/// What came of a request at a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerOutcome {
+    /// It answered.
+    Answered,
+    /// It answered that it failed.
+    Failed,
+    /// It refused: it has no room.
+    Refused,
+    /// Another server has the address, or it holds other weights.
+    Misdirected,
+    /// It could not be reached, broke off, or fell silent.
+    Lost,
+    /// The request was given up for reasons of the caller's.
+    Abandoned,
+}
+
+/// A server with what this entry knows of it.
+#[derive(Debug, Clone)]
+struct ServerState {
+    record: ServerRecord,
+    key: u32,
+    own: u32,
+    failures: u32,
+    refusals: u32,
+    failure_share: f64,
+    blocked_until: Moment,
+    /// What its agent told, and when.
+    notice: Option<ServerNotice>,
+}
+
+/// What is asked for.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerQuery<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Layers that a server must hold; none for plain services.
+    pub layers: Option<u32>,
+    /// The least version of weights that may answer.
+    pub least: Option<WeightVersion>,
+    /// Servers that have been tried.
+    pub tried: &'a [ServerId],
+    /// A random number, by which equals are told apart.
+    pub draw: u64,
+}
+
+/// A server that was chosen, with what decided.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ChosenServer {
+    /// The server.
+    pub id: ServerId,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Requests that this entry has in progress there.
+    pub own: u32,
+    /// Requests that others have in progress there, as far as they told.
+    pub others: u32,
+    /// Requests that it is sent at most.
+    pub limit: u32,
+    /// Version that it is thought to hold.
+    pub version: Option<WeightVersion>,
+}
+
+/// The outcome of a choice.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ServerChoice {
+    /// Send it here.
+    Server(ChosenServer),
+    /// Every server has as much as it can do.
+    Full,
+    /// No server can serve this at the moment.
+    Nobody,
+}
+
+/// Why a server is passed over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PassedOver {
+    Unfit,
+    Full,
+}
+
+/// The servers.
+#[derive(Debug, Default)]
+pub struct ServerTable {
+    servers: BTreeMap<ServerId, ServerState>,
+    services: HashMap<Arc<str>, Vec<ServerId>>,
+    others: HashMap<u32, u32>,
+    zone: Option<DomainId>,
+    regions: HashMap<DomainId, RegionId>,
+}
+
+/// The key of a server in notices.
+pub fn server_key(id: &ServerId) -> u32 {
+    let hash = |state: u32, byte: u8| (state ^ u32::from(byte)).wrapping_mul(0x0100_0193);
+    id.0.bytes().fold(0x811c_9dc5, hash)
+}
+
+impl ServerTable {
+    /// No servers yet, seen from `zone`.
+    pub fn new(zone: DomainId, regions: HashMap<DomainId, RegionId>) -> Self {
+        Self { zone: Some(zone), regions, ..Self::default() }
+    }
+
+    /// Takes in a server's record.
+    pub fn set(&mut self, record: ServerRecord) {
+        if let Some(state) = self.servers.get_mut(&record.id) {
+            state.record = record;
+        } else {
+            let state = ServerState {
+                key: server_key(&record.id),
+                own: 0,
+                failures: 0,
+                refusals: 0,
+                failure_share: 0.0,
+                blocked_until: Moment::ZERO,
+                notice: None,
+                record,
+            };
+            self.servers.insert(state.record.id.clone(), state);
+        }
+        self.index();
+    }
+
+    /// Takes out a server that is gone.
+    pub fn remove(&mut self, id: &ServerId) -> bool {
+        let removed = self.servers.remove(id).is_some();
+        self.index();
+        removed
+    }
+
+    /// Takes out every server but those in `listed`.
+    pub fn keep_only(&mut self, listed: &[ServerId]) {
+        self.servers.retain(|id, _| listed.contains(id));
+        self.index();
+    }
+
+    fn index(&mut self) {
+        self.services.clear();
+        for (id, state) in &self.servers {
+            self.services.entry(state.record.service.clone()).or_default().push(id.clone());
+        }
+    }
+
+    /// The records.
+    pub fn records(&self) -> impl Iterator<Item = &ServerRecord> {
+        self.servers.values().map(|state| &state.record)
+    }
+
+    /// Takes in what other entries have in progress.
+    pub fn set_others(&mut self, others: HashMap<u32, u32>) {
+        self.others = others;
+    }
+
+    /// Takes in what a server's agent tells; none if the agent is gone.
+    pub fn set_notice(&mut self, address: SocketAddr, notice: Option<ServerNotice>) {
+        for state in self.servers.values_mut().filter(|state| state.record.address == address) {
+            state.notice = notice;
+        }
+    }
+
+    /// What this entry has in progress, for others.
+    pub fn own_loads(&self) -> Vec<LoadNotice> {
+        let busy = self.servers.values().filter(|state| state.own > 0);
+        busy.map(|state| LoadNotice { server: state.key, in_flight: state.own }).collect()
+    }
+
+    /// Chooses the server for a request.
+    pub fn choose(&self, now: Moment, query: &ServerQuery<'_>) -> ServerChoice {
+        let ids = self.services.get(query.service).map(Vec::as_slice).unwrap_or_default();
+        let mut best: Option<(f64, &ServerState)> = None;
+        let mut full = false;
+        for (index, id) in ids.iter().enumerate() {
+            let Some(state) = self.servers.get(id) else { continue };
+            match self.cost(now, state, query) {
+                Ok(cost) => {
+                    let order = query.draw.rotate_left(index as u32 % 64) % 1024;
+                    let cost = cost + order as f64 * 1e-5;
+                    if best.is_none_or(|(least, _)| cost < least) {
+                        best = Some((cost, state));
+                    }
+                }
+                Err(PassedOver::Full) => full = true,
+                Err(PassedOver::Unfit) => {}
+            }
+        }
+        match best {
+            Some((_, state)) => ServerChoice::Server(self.chosen(state, query)),
+            None if full => ServerChoice::Full,
+            None => ServerChoice::Nobody,
+        }
+    }
+
+    fn chosen(&self, state: &ServerState, query: &ServerQuery<'_>) -> ChosenServer {
+        ChosenServer {
+            id: state.record.id.clone(),
+            address: state.record.address,
+            own: state.own,
+            others: self.others.get(&state.key).copied().unwrap_or_default(),
+            limit: limit(state, query),
+            version: whole_version(state, query.layers.unwrap_or_default()),
+        }
+    }
+
+    fn cost(
+        &self,
+        now: Moment,
+        state: &ServerState,
+        query: &ServerQuery<'_>,
+    ) -> Result<f64, PassedOver> {
+        let record = &state.record;
+        if record.draining || query.tried.contains(&record.id) {
+            return Err(PassedOver::Unfit);
+        }
+        if let Some(layers) = query.layers {
+            let version = whole_version(state, layers).ok_or(PassedOver::Unfit)?;
+            if query.least.is_some_and(|least| version < least) {
+                return Err(PassedOver::Unfit);
+            }
+        }
+        if state.notice.is_some_and(|notice| notice.changing) {
+            return Err(PassedOver::Unfit);
+        }
+        if state.blocked_until > now {
+            let refused = state.refusals > 0 && state.failures == 0;
+            return Err(if refused { PassedOver::Full } else { PassedOver::Unfit });
+        }
+        // After a failure one request at a time finds out whether the server is well again.
+        if state.failures > 0 && state.own > 0 {
+            return Err(PassedOver::Unfit);
+        }
+        let others = self.others.get(&state.key).copied().unwrap_or_default();
+        let in_flight = state.own + others;
+        let limit = limit(state, query);
+        if in_flight >= limit {
+            return Err(PassedOver::Full);
+        }
+        let load = f64::from(in_flight) / f64::from(limit);
+        let failing = (state.failure_share - USUAL_FAILURES).max(0.0) * FAILURE_COST;
+        Ok(load + self.distance(&record.zone) + failing)
+    }
+
+    fn distance(&self, zone: &DomainId) -> f64 {
+        let Some(own) = &self.zone else { return 0.0 };
+        if own == zone {
+            return 0.0;
+        }
+        let region = |zone: &DomainId| self.regions.get(zone);
+        if region(own).is_some() && region(own) == region(zone) { ZONE_COST } else { REGION_COST }
+    }
+
+    /// Notes that a request has been sent to a server.
+    pub fn begin(&mut self, id: &ServerId) {
+        if let Some(state) = self.servers.get_mut(id) {
+            state.own += 1;
+        }
+    }
+
+    /// Notes what came of it.
+    pub fn end(&mut self, now: Moment, id: &ServerId, outcome: ServerOutcome) {
+        let Some(state) = self.servers.get_mut(id) else { return };
+        state.own = state.own.saturating_sub(1);
+        match outcome {
+            ServerOutcome::Answered => {
+                state.failures = 0;
+                state.refusals = 0;
+                note_failure(state, 0.0);
+            }
+            ServerOutcome::Failed => {
+                state.failures = 0;
+                note_failure(state, 1.0);
+            }
+            ServerOutcome::Refused | ServerOutcome::Misdirected => {
+                state.refusals = (state.refusals + 1).min(MOST_DOUBLINGS);
+                state.blocked_until = now + REFUSAL_PAUSE * (1 << (state.refusals - 1));
+            }
+            ServerOutcome::Lost => {
+                state.failures = (state.failures + 1).min(MOST_DOUBLINGS);
+                state.blocked_until = now + FAILURE_PAUSE * (1 << (state.failures - 1));
+                note_failure(state, 1.0);
+            }
+            ServerOutcome::Abandoned => {}
+        }
+    }
+}
+
+fn note_failure(state: &mut ServerState, failed: f64) {
+    state.failure_share += (failed - state.failure_share) * FAILURE_WEIGHT;
+}
+
+fn limit(state: &ServerState, query: &ServerQuery<'_>) -> u32 {
+    let slots = state.record.slots.max(1);
+    match query.layers {
+        Some(_) => slots + ENGINE_QUEUE,
+        None => slots * PLAIN_LOAD,
+    }
+}
+
+/// The version that a server is thought to hold whole: its agent knows before the list does.
+fn whole_version(state: &ServerState, layers: u32) -> Option<WeightVersion> {
+    match state.notice {
+        Some(notice) => notice.whole,
+        None => state.record.models.iter().find_map(|model| model.whole_version(layers)),
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/staging.rs
@@ -0,0 +1,161 @@
+//! What an agent does next to bring its server to the wanted weights.
+//!
+//! Pieces are laid into the server's stage as they come, read back before they are used, and taken
+//! by one fenced order once all of them are right. Servers take turns, so that capacity stays up.
+
+use std::time::Duration;
+
+use headlatch_outside::engine::{OrderAnswer, OrderSequence, StageReport};
+use headlatch_types::traffic::WeightVersion;
+
+use crate::time::Moment;
+
+/// Time after which an order without an effect is given again.
+const ORDER_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Time for which pieces that were read back count as right: they may rot.
+const CHECK_LIFE: Duration = Duration::from_millis(1500);
+
+/// Groups of servers that change one after another.
+const TURNS: u32 = 3;
+
+/// Pause between two turns where the earlier ones do not say that they are done.
+const TURN_PAUSE: Duration = Duration::from_millis(1200);
+
+/// Part of the time to change after which everyone changes, in percent.
+const LATEST_TURN: u32 = 68;
+
+/// What is known of the stage.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StageState {
+    /// The version whose pieces are laid there.
+    pub version: Option<WeightVersion>,
+    /// Which pieces are thought to lie there.
+    pub placed: Vec<bool>,
+    /// When all of them were last read back and found right.
+    pub checked: Option<Moment>,
+    /// Whether it has been looked at since the version was first wanted.
+    pub surveyed: bool,
+}
+
+/// An order that was given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GivenOrder {
+    /// For which version.
+    pub version: WeightVersion,
+    /// When.
+    pub given: Moment,
+    /// What came back, if anything.
+    pub answer: Option<OrderAnswer>,
+    /// The sequence that it expected.
+    pub expected: OrderSequence,
+}
+
+/// What is known when a step is decided.
+#[derive(Debug, Clone, Copy)]
+pub struct StageView<'a> {
+    /// The time.
+    pub now: Moment,
+    /// The version that is wanted.
+    pub wanted: WeightVersion,
+    /// Layers of the model.
+    pub layers: u32,
+    /// The server's last report.
+    pub report: &'a StageReport,
+    /// The version that the server holds whole.
+    pub whole: Option<WeightVersion>,
+    /// The stage.
+    pub stage: &'a StageState,
+    /// Pieces that are here and verified.
+    pub held: &'a [bool],
+    /// The last order.
+    pub order: Option<GivenOrder>,
+    /// Whether it is this server's turn to change.
+    pub turn: bool,
+}
+
+/// What is to be done next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StageStep {
+    /// Nothing.
+    Wait,
+    /// The server holds what is wanted.
+    Done,
+    /// Look which pieces lie in the stage already.
+    Survey,
+    /// Lay this piece into the stage.
+    Place(u32),
+    /// Read all pieces back.
+    Check,
+    /// Order the server to start with what lies there.
+    Order(OrderSequence),
+}
+
+/// Decides the next step.
+pub fn next_step(view: &StageView<'_>) -> StageStep {
+    if view.whole.is_some_and(|whole| whole >= view.wanted) {
+        return StageStep::Done;
+    }
+    // While an order is under way the stage is left alone.
+    if view.report.busy || order_is_open(view) {
+        return StageStep::Wait;
+    }
+    if !view.stage.surveyed || view.stage.version != Some(view.wanted) {
+        return StageStep::Survey;
+    }
+    let placed = |piece: usize| view.stage.placed.get(piece).copied().unwrap_or_default();
+    let missing = (0..view.held.len()).find(|piece| view.held[*piece] && !placed(*piece));
+    if let Some(piece) = missing {
+        return StageStep::Place(piece as u32);
+    }
+    let all_placed = !view.held.is_empty() && (0..view.held.len()).all(placed);
+    if !all_placed || !view.turn {
+        return StageStep::Wait;
+    }
+    let checked = view.stage.checked.is_some_and(|at| view.now.since(at) < CHECK_LIFE);
+    if checked { StageStep::Order(view.report.sequence) } else { StageStep::Check }
+}
+
+/// An order without an effect so far: it may have been taken, or may be yet.
+fn order_is_open(view: &StageView<'_>) -> bool {
+    let Some(order) = view.order else { return false };
+    let begun = matches!(order.answer, None | Some(OrderAnswer::Begun | OrderAnswer::Holds));
+    begun
+        && order.version == view.wanted
+        && view.report.sequence <= order.expected
+        && view.now.since(order.given) < ORDER_PATIENCE
+}
+
+/// What another agent tells, as far as turns go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TurnView {
+    /// Its place in the order of turns.
+    pub rank: u32,
+    /// It holds the wanted version.
+    pub done: bool,
+    /// It is about to change, or could.
+    pub ready: bool,
+}
+
+/// Whether a server of `rank` may change now; `serves` tells whether it serves anything, `since`
+/// is the time since the version was learnt, `time` the time in which all must have changed.
+pub fn has_turn(
+    rank: u32,
+    serves: bool,
+    since: Duration,
+    time: Duration,
+    others: &[TurnView],
+) -> bool {
+    let latest = time * LATEST_TURN / 100;
+    if !serves || since >= latest {
+        return true;
+    }
+    let turn = rank % TURNS;
+    if turn == 0 {
+        return true;
+    }
+    let earlier = others.iter().filter(|other| other.rank % TURNS < turn);
+    let waiting = earlier.clone().any(|other| !other.done);
+    let rest = latest.saturating_sub(TURN_PAUSE * (TURNS - turn));
+    !waiting || since >= rest
+}
--- /dev/null
+++ b/crates/core/src/direct/weight_deadline.rs
@@ -0,0 +1,58 @@
+//! From when on requests must not start on older weights.
+
+use std::{collections::HashMap, time::Duration};
+
+use headlatch_types::{id::ModelName, traffic::WeightVersion};
+
+use crate::time::Moment;
+
+/// Time before the deadline at which sending to older weights stops: what is sent may wait at the
+/// server before it starts.
+const EARLY: Duration = Duration::from_millis(900);
+
+#[derive(Debug, Clone)]
+struct Wanted {
+    version: WeightVersion,
+    learnt: Moment,
+}
+
+/// The wanted versions of each model, with the moments at which they were learnt.
+#[derive(Debug, Default)]
+pub struct WeightDeadlines {
+    models: HashMap<ModelName, Vec<Wanted>>,
+}
+
+impl WeightDeadlines {
+    /// Takes in a wanted version; older ones are passed over. Tells whether it is news.
+    pub fn learn(&mut self, now: Moment, model: &ModelName, version: WeightVersion) -> bool {
+        let wanted = self.models.entry(model.clone()).or_default();
+        if wanted.last().is_some_and(|last| last.version >= version) {
+            return false;
+        }
+        wanted.push(Wanted { version, learnt: now });
+        true
+    }
+
+    /// The newest wanted version of a model.
+    pub fn newest(&self, model: &ModelName) -> Option<WeightVersion> {
+        self.models.get(model)?.last().map(|wanted| wanted.version)
+    }
+
+    /// The least version that a request may start on, given the time that servers have to change.
+    pub fn least(&self, now: Moment, model: &ModelName, time: Duration) -> Option<WeightVersion> {
+        let due = time.saturating_sub(EARLY);
+        let wanted = self.models.get(model)?;
+        let past = wanted.iter().filter(|one| now.since(one.learnt) >= due);
+        past.map(|one| one.version).max()
+    }
+
+    /// Forgets versions that have been replaced long ago.
+    pub fn forget_old(&mut self, now: Moment, time: Duration) {
+        for wanted in self.models.values_mut() {
+            let last = wanted.iter().rposition(|one| now.since(one.learnt) >= time);
+            if let Some(last) = last {
+                wanted.drain(..last);
+            }
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod apply;
 pub mod burst;
 pub mod config;
+pub mod direct;
 pub mod gate;
 pub mod hash;
 pub mod keys;
--- /dev/null
+++ b/crates/daemon/src/direct/answer.rs
@@ -0,0 +1,93 @@
+//! Answers to callers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use headlatch_types::RunVerdict;
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+
+/// Why a body broke off.
+pub type BodyFailure = Box<dyn std::error::Error + Send + Sync>;
+
+/// A body of an answer.
+pub type AnswerBody = UnsyncBoxBody<Bytes, BodyFailure>;
+
+/// Headers that belong to one connection.
+const CONNECTION_HEADERS: [HeaderName; 6] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::TE,
+    header::TRAILER,
+    header::PROXY_AUTHENTICATE,
+];
+
+/// A body that is all here.
+pub fn whole(bytes: Bytes) -> AnswerBody {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Takes out of a head what belongs to the connection that it came on.
+pub fn strip_connection(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in CONNECTION_HEADERS.iter().chain(&named) {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+}
+
+/// Why a request got an answer of our own.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GivenUp {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// The cause, for logs and metrics.
+    pub cause: &'static str,
+    /// Whether the request may have run.
+    pub verdict: RunVerdict,
+    /// When the caller may come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl GivenUp {
+    /// The request has certainly not run and may come back.
+    pub fn refused(cause: &'static str, retry_after: Duration) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            cause,
+            verdict: RunVerdict::NotRun,
+            retry_after: Some(retry_after),
+        }
+    }
+
+    /// The request is not one that is served.
+    pub fn denied(status: StatusCode, cause: &'static str) -> Self {
+        Self { status, cause, verdict: RunVerdict::NotRun, retry_after: None }
+    }
+
+    /// Nobody can tell whether the request has run.
+    pub fn unsure(status: StatusCode, cause: &'static str) -> Self {
+        Self { status, cause, verdict: RunVerdict::MayHaveRun, retry_after: None }
+    }
+
+    /// The answer.
+    pub fn response(&self) -> Response<AnswerBody> {
+        let mut response = Response::new(whole(Bytes::from(format!("{}\n", self.cause))));
+        *response.status_mut() = self.status;
+        if let Some(rest) = self.retry_after {
+            let seconds = format!("{:.2}", rest.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                response.headers_mut().insert(header::RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/attempt.rs
@@ -0,0 +1,224 @@
+//! One sending of a request to one server.
+
+use std::{
+    sync::{Arc, atomic::{AtomicBool, Ordering}},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use headlatch_core::direct::server_table::{ChosenServer, ServerOutcome};
+use headlatch_http::{ConnectionChoice, HeldConnection};
+use headlatch_outside::headers::SendFacts;
+use headlatch_types::RunVerdict;
+use http::{HeaderMap, Response, StatusCode, header};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::{answer::strip_connection, handler::RequestPlan, state::EntryState};
+
+/// Time for a connection to come up: a server that answers does so within a few round trips.
+const CONNECT_TIME: Duration = Duration::from_millis(350);
+
+/// Counts a request at a server for as long as it is there.
+#[derive(Debug)]
+pub struct InFlight {
+    state: Arc<EntryState>,
+    server: ChosenServer,
+    ended: AtomicBool,
+}
+
+impl InFlight {
+    /// Counts a request at `server`.
+    pub fn begin(state: Arc<EntryState>, server: ChosenServer) -> Self {
+        state.servers().begin(&server.id);
+        Self { state, server, ended: AtomicBool::new(false) }
+    }
+
+    /// The server.
+    pub fn server(&self) -> &ChosenServer {
+        &self.server
+    }
+
+    /// Notes what came of it.
+    pub fn end(&self, outcome: ServerOutcome) {
+        if !self.ended.swap(true, Ordering::Relaxed) {
+            self.state.servers().end(self.state.now(), &self.server.id, outcome);
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.end(ServerOutcome::Abandoned);
+    }
+}
+
+/// What a server answered.
+#[derive(Debug)]
+pub struct ServerAnswer {
+    /// Its head, with the body to come.
+    pub response: Response<Incoming>,
+    /// The connection, which is closed when this is dropped.
+    pub connection: HeldConnection,
+    /// The count of the request at the server.
+    pub in_flight: InFlight,
+}
+
+/// Why a sending brought no answer that can be passed on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AttemptFailure {
+    /// Whether the request may have run there.
+    pub verdict: RunVerdict,
+    /// What it says of the server.
+    pub outcome: ServerOutcome,
+    /// The cause, for logs.
+    pub cause: &'static str,
+    /// More about the cause.
+    pub detail: String,
+    /// Whether the request has reached the server.
+    pub arrived: bool,
+}
+
+impl AttemptFailure {
+    fn lost(cause: &'static str, detail: String) -> Self {
+        let (verdict, outcome) = (RunVerdict::MayHaveRun, ServerOutcome::Lost);
+        Self { verdict, outcome, cause, detail, arrived: true }
+    }
+}
+
+/// The head that a server is sent.
+fn outgoing_headers(
+    state: &EntryState,
+    request: &RequestPlan,
+    facts: &SendFacts,
+    body: &Bytes,
+) -> HeaderMap {
+    let mut headers = request.headers.clone();
+    strip_connection(&mut headers);
+    headers.remove(header::EXPECT);
+    headers.remove(header::CONTENT_LENGTH);
+    if !body.is_empty() || request.announced_body {
+        headers.insert(header::CONTENT_LENGTH, body.len().into());
+    }
+    state.headers.write_request(&mut headers, facts);
+    headers
+}
+
+/// Sends a request to `server` and waits for the head of the answer until `until`.
+pub async fn send(
+    state: &Arc<EntryState>,
+    request: &RequestPlan,
+    server: ChosenServer,
+    last_event: Option<u64>,
+    until: Instant,
+) -> Result<ServerAnswer, AttemptFailure> {
+    let in_flight = InFlight::begin(state.clone(), server);
+    let sent = send_counted(state, request, in_flight.server(), last_event, until).await;
+    match sent {
+        Ok((response, connection)) => Ok(ServerAnswer { response, connection, in_flight }),
+        Err(failure) => {
+            in_flight.end(failure.outcome);
+            Err(failure)
+        }
+    }
+}
+
+async fn send_counted(
+    state: &Arc<EntryState>,
+    request: &RequestPlan,
+    server: &ChosenServer,
+    last_event: Option<u64>,
+    until: Instant,
+) -> Result<(Response<Incoming>, HeldConnection), AttemptFailure> {
+    // A late answer to an earlier request could take the place of one that cannot be asked again.
+    let mut choice = match request.repeatable {
+        true => ConnectionChoice::Kept,
+        false => ConnectionChoice::Fresh,
+    };
+    loop {
+        let (mut connection, fresh) =
+            connect(state, server, choice, until).await?;
+        let left = request.deadline.saturating_duration_since(Instant::now());
+        let facts = SendFacts {
+            deadline: Some(left),
+            server: Some(server.id.clone()),
+            tenant: request.tenant.clone(),
+            last_event,
+            version: request.least_version,
+            priority: None,
+        };
+        let headers = outgoing_headers(state, request, &facts, &request.body);
+        let (method, uri) = (request.method.clone(), request.uri.clone());
+        let sent = connection.send(method, uri, headers, request.body.clone());
+        let sent = tokio::time::timeout_at(until, sent).await;
+        let response = match sent {
+            Err(_) => return Err(AttemptFailure::lost("no_answer_in_time", String::new())),
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) if error.verdict == RunVerdict::NotRun && !fresh => {
+                // Nothing was written: the kept connection had just been closed.
+                choice = ConnectionChoice::Fresh;
+                continue;
+            }
+            Ok(Err(error)) => {
+                let mut failure = AttemptFailure::lost("broken_off", error.message);
+                failure.verdict = error.verdict;
+                failure.arrived = error.verdict != RunVerdict::NotRun;
+                return Err(failure);
+            }
+        };
+        return check_answer(state, request, response, connection);
+    }
+}
+
+async fn connect(
+    state: &Arc<EntryState>,
+    server: &ChosenServer,
+    choice: ConnectionChoice,
+    until: Instant,
+) -> Result<(HeldConnection, bool), AttemptFailure> {
+    let time = until.saturating_duration_since(Instant::now()).min(CONNECT_TIME);
+    let connected = state.connections.get(server.address, choice, time).await;
+    connected.map_err(|error| AttemptFailure {
+        verdict: RunVerdict::NotRun,
+        outcome: ServerOutcome::Lost,
+        cause: "not_connected",
+        detail: error.message,
+        arrived: false,
+    })
+}
+
+/// Tells an answer to this request from refusals and from answers to others.
+fn check_answer(
+    state: &Arc<EntryState>,
+    request: &RequestPlan,
+    response: Response<Incoming>,
+    connection: HeldConnection,
+) -> Result<(Response<Incoming>, HeldConnection), AttemptFailure> {
+    let facts = state.headers.read_answer(response.status(), response.headers());
+    if facts.id.as_ref().is_some_and(|id| *id != request.id) {
+        let detail = format!("the answer is to request {}", facts.id.unwrap_or_default());
+        return Err(AttemptFailure::lost("answer_of_another", detail));
+    }
+    if facts.not_run {
+        let outcome = match facts.misdirected {
+            true => ServerOutcome::Misdirected,
+            false => ServerOutcome::Refused,
+        };
+        let cause = if facts.misdirected { "misdirected" } else { "server_refused" };
+        let (verdict, detail) = (RunVerdict::NotRun, response.status().to_string());
+        return Err(AttemptFailure { verdict, outcome, cause, detail, arrived: true });
+    }
+    if response.headers().contains_key(header::CONTENT_ENCODING) {
+        return Err(AttemptFailure::lost("encoded_answer", String::new()));
+    }
+    let success = response.status().is_success();
+    if success && (!facts.signed || facts.id.is_none()) {
+        return Err(AttemptFailure::lost("unsigned_answer", response.status().to_string()));
+    }
+    Ok((response, connection))
+}
+
+/// Whether an answer says that the server failed, so that a repeatable request may go elsewhere.
+pub fn is_failure(status: StatusCode) -> bool {
+    status.is_server_error()
+}
--- /dev/null
+++ b/crates/daemon/src/direct/entry.rs
@@ -0,0 +1,114 @@
+//! An entry that calls servers directly, from start to stop.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use error_stack::{Report, ResultExt};
+use headlatch_http::StopHandle;
+use headlatch_outside::{
+    facts::{FactStore, FactTopic},
+    headers::HeaderForm,
+};
+use headlatch_types::direct_settings::DirectEntrySettings;
+use serde_json::json;
+use tokio::{net::UdpSocket, task::JoinHandle};
+
+use super::{facts::follow, front, notices, state::EntryState};
+use crate::{decisions, error::DaemonError};
+
+/// Time after a stop is asked for in which callers are still sent here.
+const UNREADY_TIME: Duration = Duration::from_millis(3200);
+
+/// Time before the end of the grace at which a stop ends in any case.
+const GRACE_RESERVE: Duration = Duration::from_millis(400);
+
+/// How often a stop looks whether requests are still held.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+
+/// An entry that runs.
+#[derive(Debug)]
+pub struct DirectEntry {
+    /// What it believes.
+    pub state: Arc<EntryState>,
+    /// Where callers reach it.
+    pub address: SocketAddr,
+    /// Where readiness and metrics are asked for.
+    pub admin: SocketAddr,
+    stop: StopHandle,
+    front: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl DirectEntry {
+    /// Starts an entry.
+    pub async fn start(
+        settings: DirectEntrySettings,
+        store: Arc<dyn FactStore>,
+        headers: Arc<dyn HeaderForm>,
+    ) -> Result<Self, Report<DaemonError>> {
+        let control = settings.node.control;
+        let socket = UdpSocket::bind(control).await.change_context(DaemonError::Bind(control))?;
+        let listener = front::bind(settings.listen).await?;
+        let admin_listener = front::bind(settings.node.admin).await?;
+        let failure = || DaemonError::Bind(settings.listen);
+        let address = listener.local_addr().change_context_lazy(failure)?;
+        let admin = admin_listener.local_addr().change_context_lazy(failure)?;
+        let metrics = settings.direct.metrics;
+        let fields = json!({
+            "node": settings.node.box_id, "zone": settings.node.domain, "listen": address,
+            "control": control, "seeds": settings.direct.seeds,
+        });
+        let state = EntryState::new(settings, headers);
+        let (stop, signal) = StopHandle::new();
+        let front = tokio::spawn(front::serve(state.clone(), listener, signal));
+        let mut tasks = vec![
+            tokio::spawn(front::serve_admin(state.clone(), admin_listener)),
+            tokio::spawn(notices::run(state.clone(), socket)),
+        ];
+        if let Some(metrics) = metrics {
+            let listener = front::bind(metrics).await?;
+            tasks.push(tokio::spawn(front::serve_admin(state.clone(), listener)));
+        }
+        tasks.extend(follow_all(&state, &store));
+        decisions::note("life", "started", fields);
+        Ok(Self { state, address, admin, stop, front, tasks })
+    }
+
+    /// Stops: takes nothing new once callers have heard, and cuts nothing off.
+    pub async fn leave(self) {
+        decisions::note("life", "stopping", json!({ "held": self.held() }));
+        self.state.stopping.store(true, Ordering::Relaxed);
+        let grace = self.state.settings.node.drain.saturating_sub(GRACE_RESERVE);
+        let ended = tokio::time::timeout(grace, self.drain()).await.is_ok();
+        decisions::note("life", "stopped", json!({ "in_time": ended, "held": self.held() }));
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+
+    async fn drain(&self) {
+        tokio::time::sleep(UNREADY_TIME).await;
+        self.stop.stop();
+        while !self.front.is_finished() || self.held() > 0 {
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    fn held(&self) -> usize {
+        self.state.in_progress.load(Ordering::Relaxed)
+    }
+}
+
+fn follow_all(state: &Arc<EntryState>, store: &Arc<dyn FactStore>) -> Vec<JoinHandle<()>> {
+    let (plan, servers, weights) = (state.clone(), state.clone(), state.clone());
+    vec![
+        tokio::spawn(follow(store.clone(), FactTopic::Plan, move |news| plan.hear_plan(news))),
+        tokio::spawn(follow(store.clone(), FactTopic::Servers, move |news| {
+            servers.hear_servers(news);
+        })),
+        tokio::spawn(follow(store.clone(), FactTopic::Weights, move |news| {
+            weights.hear_weights(news);
+        })),
+    ]
+}
--- /dev/null
+++ b/crates/daemon/src/direct/exchange.rs
@@ -0,0 +1,265 @@
+//! The attempts of one request: which servers it is sent to, and when it is given up.
+
+use std::{sync::Arc, time::Duration};
+
+use headlatch_core::direct::server_table::{
+    ChosenServer, ServerChoice, ServerOutcome, ServerQuery,
+};
+use headlatch_types::{
+    RunVerdict,
+    traffic::ServerId,
+    verdict::{Repeatability, RetryPermit},
+};
+use http::{Response, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use rand::Rng;
+use serde_json::json;
+use tokio::time::Instant;
+
+use super::{
+    answer::{AnswerBody, GivenUp, strip_connection, whole},
+    attempt::{self, AttemptFailure, ServerAnswer, is_failure},
+    handler::RequestPlan,
+    relay,
+    state::EntryState,
+};
+use crate::decisions;
+
+/// Largest answer that is not a stream.
+const MOST_ANSWER: usize = 16 << 20;
+
+/// Least time to come back when every server is full, in milliseconds.
+const FULL_REST_MS: u64 = 700;
+
+/// Spread of the time to come back, so that callers do not come together.
+const FULL_SPREAD_MS: u64 = 1000;
+
+/// Time for which a repeatable request waits for an answer before another server is tried, as a
+/// multiple of its objective.
+const PATIENCE: u32 = 3;
+
+/// Least patience.
+const LEAST_PATIENCE: Duration = Duration::from_millis(1200);
+
+/// The attempts of one request so far.
+#[derive(Debug)]
+pub struct Exchange {
+    /// This entry.
+    pub state: Arc<EntryState>,
+    /// The request.
+    pub request: RequestPlan,
+    tried: Vec<ServerId>,
+    /// Sendings that reached a server.
+    arrivals: u32,
+    verdict: Option<RunVerdict>,
+    answered_failure: bool,
+}
+
+/// Passes a request on and returns its answer.
+pub async fn run(
+    state: &Arc<EntryState>,
+    request: RequestPlan,
+) -> Result<Response<AnswerBody>, GivenUp> {
+    state.retries().note_request(state.now(), &request.service);
+    let mut exchange = Exchange {
+        state: state.clone(),
+        request,
+        tried: Vec::new(),
+        arrivals: 0,
+        verdict: None,
+        answered_failure: false,
+    };
+    loop {
+        let server = exchange.next_server()?;
+        let answer = match exchange.send(server, None).await {
+            Ok(answer) => answer,
+            Err(failure) => {
+                exchange.note_failure(&failure)?;
+                continue;
+            }
+        };
+        let status = answer.response.status();
+        if is_failure(status) && exchange.request.repeatable && exchange.may_go_on() {
+            answer.in_flight.end(ServerOutcome::Failed);
+            let id = answer.in_flight.server().id.clone();
+            exchange.log("server_failed", json!({ "server": id, "status": status.as_u16() }));
+            exchange.verdict = Some(RunVerdict::MayHaveRun);
+            exchange.answered_failure = true;
+            continue;
+        }
+        if exchange.request.is_stream() && status.is_success() {
+            return Ok(relay::stream(exchange, answer));
+        }
+        match exchange.collect(answer).await {
+            Ok(response) => return Ok(response),
+            Err(failure) => exchange.note_failure(&failure)?,
+        }
+    }
+}
+
+impl Exchange {
+    /// Writes down a decision about this request.
+    pub fn log(&self, event: &str, fields: serde_json::Value) {
+        let held_ms = self.request.arrived.elapsed().as_millis() as u64;
+        let fields = json!({
+            "request": self.request.id, "route": self.request.route.name,
+            "service": self.request.service, "plan": self.request.plan, "held_ms": held_ms,
+            "attempt": self.arrivals, "more": fields,
+        });
+        decisions::note("routing", event, fields);
+    }
+
+    fn choose(&self) -> ServerChoice {
+        let query = ServerQuery {
+            service: &self.request.service,
+            layers: self.request.engine.as_ref().map(|engine| engine.layers),
+            least: self.request.least_version,
+            tried: &self.tried,
+            draw: rand::rng().random(),
+        };
+        self.state.servers().choose(self.state.now(), &query)
+    }
+
+    /// Whether a further sending is allowed, apart from what is known of the last.
+    pub fn may_go_on(&self) -> bool {
+        let early = Instant::now() + Duration::from_millis(20) < self.request.deadline;
+        early
+            && self.arrivals < self.request.route.max_attempts
+            && matches!(self.choose(), ServerChoice::Server(_))
+    }
+
+    /// The server for the next sending.
+    pub fn next_server(&mut self) -> Result<ChosenServer, GivenUp> {
+        if Instant::now() >= self.request.deadline {
+            return Err(self.give_up("deadline"));
+        }
+        if self.arrivals >= self.request.route.max_attempts {
+            return Err(self.give_up("attempts_used"));
+        }
+        let server = match self.choose() {
+            ServerChoice::Server(server) => server,
+            ServerChoice::Full => return Err(self.give_up("servers_full")),
+            ServerChoice::Nobody => return Err(self.give_up("no_server")),
+        };
+        if self.arrivals > 0 {
+            let entries = self.state.entries();
+            let now = self.state.now();
+            if !self.state.retries().take(now, &self.request.service, entries) {
+                return Err(self.give_up("retry_budget"));
+            }
+        }
+        let fields = json!({
+            "server": server.id, "own": server.own, "others": server.others,
+            "limit": server.limit, "version": server.version, "least": self.request.least_version,
+        });
+        self.log("server_chosen", fields);
+        Ok(server)
+    }
+
+    /// Sends the request to `server`.
+    pub async fn send(
+        &mut self,
+        server: ChosenServer,
+        last_event: Option<u64>,
+    ) -> Result<ServerAnswer, AttemptFailure> {
+        self.tried.push(server.id.clone());
+        self.arrivals += 1;
+        let request = &self.request;
+        let patience = (request.route.objective() * PATIENCE).max(LEAST_PATIENCE);
+        let first = (Instant::now() + patience).min(request.deadline);
+        // Patience ends early only where another server could do better.
+        let until = if request.repeatable && self.may_go_on() { first } else { request.deadline };
+        let sent = attempt::send(&self.state, request, server, last_event, until).await;
+        if let Err(failure) = &sent
+            && !failure.arrived
+        {
+            self.arrivals -= 1;
+        }
+        sent
+    }
+
+    /// Takes in a failed sending; an error if the request is given up.
+    pub fn note_failure(&mut self, failure: &AttemptFailure) -> Result<(), GivenUp> {
+        let server = self.tried.last();
+        let fields = json!({
+            "server": server, "verdict": failure.verdict.as_str(), "cause": failure.cause,
+            "detail": failure.detail,
+        });
+        self.log("attempt_failed", fields);
+        self.verdict = Some(failure.verdict.after(self.verdict));
+        let repeatability = match self.request.repeatable {
+            true => Repeatability::Repeatable,
+            false => Repeatability::Once,
+        };
+        match RetryPermit::after(failure.verdict, repeatability) {
+            Some(_) => Ok(()),
+            None => Err(self.give_up(failure.cause)),
+        }
+    }
+
+    /// The final answer of a request that is not passed on any more.
+    pub fn give_up(&self, cause: &'static str) -> GivenUp {
+        let verdict = self.verdict.unwrap_or(RunVerdict::NotRun);
+        let given_up = match verdict {
+            RunVerdict::NotRun => GivenUp::refused(cause, full_rest()),
+            _ if cause == "deadline" => GivenUp::unsure(StatusCode::GATEWAY_TIMEOUT, cause),
+            _ => GivenUp::unsure(StatusCode::BAD_GATEWAY, cause),
+        };
+        let rest = given_up.retry_after.map(|rest| rest.as_millis() as u64);
+        let fields = json!({
+            "cause": cause, "verdict": verdict.as_str(), "status": given_up.status.as_u16(),
+            "retry_after_ms": rest, "entries": self.state.entries(),
+        });
+        self.log("given_up", fields);
+        given_up
+    }
+
+    /// Reads an answer that is not a stream and makes it the caller's.
+    async fn collect(
+        &mut self,
+        answer: ServerAnswer,
+    ) -> Result<Response<AnswerBody>, AttemptFailure> {
+        let ServerAnswer { response, connection, in_flight } = answer;
+        let (mut parts, body) = response.into_parts();
+        let collected = Limited::new(body, MOST_ANSWER).collect();
+        let collected = tokio::time::timeout_at(self.request.deadline, collected).await;
+        let body = match collected {
+            Ok(Ok(body)) => body.to_bytes(),
+            other => {
+                in_flight.end(ServerOutcome::Lost);
+                let detail = match other {
+                    Ok(Err(error)) => error.to_string(),
+                    _ => "it did not end in time".to_owned(),
+                };
+                return Err(AttemptFailure {
+                    verdict: RunVerdict::MayHaveRun,
+                    outcome: ServerOutcome::Lost,
+                    cause: "answer_cut",
+                    detail,
+                    arrived: true,
+                });
+            }
+        };
+        let failed = is_failure(parts.status);
+        in_flight.end(if failed { ServerOutcome::Failed } else { ServerOutcome::Answered });
+        self.state.connections.put_back(connection);
+        strip_connection(&mut parts.headers);
+        parts.headers.remove(header::CONTENT_LENGTH);
+        self.finish("answered", parts.status);
+        Ok(Response::from_parts(parts, whole(body)))
+    }
+
+    /// Writes down the end of the request.
+    pub fn finish(&self, event: &str, status: StatusCode) {
+        self.state.metrics.count_request(RunVerdict::Ran);
+        let kind = self.request.route.name.to_string();
+        let held = self.request.arrived.elapsed().as_secs_f64();
+        self.state.metrics.observe_first_byte(&kind, held);
+        self.log(event, json!({ "server": self.tried.last(), "status": status.as_u16() }));
+    }
+}
+
+fn full_rest() -> Duration {
+    let spread = rand::rng().random_range(0..FULL_SPREAD_MS);
+    Duration::from_millis(FULL_REST_MS + spread)
+}
--- /dev/null
+++ b/crates/daemon/src/direct/facts.rs
@@ -0,0 +1,97 @@
+//! Follows the facts of one topic: list, watch, and list again where the history is gone.
+
+use std::{sync::Arc, time::Duration};
+
+use headlatch_outside::facts::{
+    FactChange, FactList, FactStore, FactTopic, Freshness, StoreFailure, StoreRevision,
+};
+use rand::Rng;
+use serde_json::json;
+
+use crate::decisions;
+
+/// How long one watch waits.
+const WATCH_TIME: Duration = Duration::from_secs(25);
+
+/// First pause after a failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause after failed calls.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1500);
+
+/// What a follower hands over.
+#[derive(Debug, Clone)]
+pub enum FactNews {
+    /// Everything there is; whatever is not in it is gone.
+    All(FactList),
+    /// Changes in order.
+    Changes(Vec<FactChange>),
+}
+
+/// Pause after the `failures`th failure in a row, with jitter so that nodes do not call together.
+pub fn pause_after(failures: u32) -> Duration {
+    let doubled = FIRST_PAUSE * (1 << failures.clamp(1, 6).saturating_sub(1));
+    let most = doubled.min(LONGEST_PAUSE).as_millis() as u64;
+    Duration::from_millis(rand::rng().random_range(most / 2..=most))
+}
+
+/// Follows `topic` for ever and hands news to `take`.
+pub async fn follow(
+    store: Arc<dyn FactStore>,
+    topic: FactTopic,
+    mut take: impl FnMut(FactNews) + Send,
+) {
+    let mut at: Option<StoreRevision> = None;
+    let mut failures = 0;
+    loop {
+        let outcome = match at {
+            None => list(&*store, topic, &mut take).await,
+            Some(after) => watch(&*store, topic, after, &mut take).await,
+        };
+        match outcome {
+            Ok(next) => {
+                if failures > 0 {
+                    decisions::note("store", "regained", json!({ "topic": topic.as_str() }));
+                }
+                failures = 0;
+                at = Some(next);
+            }
+            Err(StoreFailure::HistoryGone) => {
+                decisions::note("store", "history_gone", json!({ "topic": topic.as_str() }));
+                at = None;
+            }
+            Err(error) => {
+                failures += 1;
+                if failures == 1 {
+                    let fields = json!({ "topic": topic.as_str(), "error": error.to_string() });
+                    decisions::warn("store", "lost", fields);
+                }
+                tokio::time::sleep(pause_after(failures)).await;
+            }
+        }
+    }
+}
+
+async fn list(
+    store: &dyn FactStore,
+    topic: FactTopic,
+    take: &mut (impl FnMut(FactNews) + Send),
+) -> Result<StoreRevision, StoreFailure> {
+    let facts = store.list(topic, Freshness::Current).await?;
+    let at = facts.at;
+    take(FactNews::All(facts));
+    Ok(at)
+}
+
+async fn watch(
+    store: &dyn FactStore,
+    topic: FactTopic,
+    after: StoreRevision,
+    take: &mut (impl FnMut(FactNews) + Send),
+) -> Result<StoreRevision, StoreFailure> {
+    let changes = store.watch(topic, after, WATCH_TIME).await?;
+    if !changes.changes.is_empty() {
+        take(FactNews::Changes(changes.changes));
+    }
+    Ok(changes.at)
+}
--- /dev/null
+++ b/crates/daemon/src/direct/front.rs
@@ -0,0 +1,111 @@
+//! The listeners of an entry: callers, readiness, metrics.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use headlatch_http::StopSignal;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{handler, state::EntryState};
+
+/// Pause after a failed `accept`, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Least buffer that hyper takes for a head.
+const LEAST_HEAD: usize = 8 << 10;
+
+/// Added to the time that a kept connection may rest, so that a caller's last request within that
+/// time does not cross the close.
+const REST_SLACK: Duration = Duration::from_secs(2);
+
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                // Without it small frames wait for acknowledgements; a failure only costs time.
+                let _ = stream.set_nodelay(true);
+                return stream;
+            }
+            Err(error) => {
+                log::warn!("front: accept failed, {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves callers until `signal`; then connections end as soon as their answers are out.
+pub async fn serve(state: Arc<EntryState>, listener: TcpListener, mut signal: StopSignal) {
+    let shutdown = GracefulShutdown::new();
+    loop {
+        let stream = tokio::select! {
+            stream = accept(&listener) => stream,
+            () = signal.stopped() => break,
+        };
+        let limits = state.routes().map(|routes| routes.plan().limits).unwrap_or_default();
+        let handled = state.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let state = handled.clone();
+            async move { Ok::<_, Infallible>(handler::handle(state, request).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from_millis(limits.idle_ms) + REST_SLACK)
+            .max_buf_size(limits.head_bytes.max(LEAST_HEAD))
+            .keep_alive(true)
+            .serve_connection(TokioIo::new(stream), service);
+        let watched = shutdown.watch(connection);
+        tokio::spawn(async move {
+            // A caller that goes away is no error of ours.
+            let _ = watched.await;
+        });
+    }
+    drop(listener);
+    shutdown.shutdown().await;
+}
+
+/// Answers questions for readiness and metrics.
+pub async fn serve_admin(state: Arc<EntryState>, listener: TcpListener) {
+    loop {
+        let stream = accept(&listener).await;
+        let asked = state.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let answer = answer_admin(&asked, request.uri().path());
+            async move { Ok::<_, Infallible>(answer) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move {
+            // Whoever asks may go away.
+            let _ = connection.await;
+        });
+    }
+}
+
+fn answer_admin(state: &EntryState, path: &str) -> Response<Full<Bytes>> {
+    let (status, text) = match path {
+        "/metrics" => (StatusCode::OK, state.metrics.text()),
+        "/healthz" => (StatusCode::OK, "ok\n".to_owned()),
+        _ if state.is_ready() => (StatusCode::OK, "ready\n".to_owned()),
+        _ => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
+
+/// Binds an address.
+pub async fn bind(
+    address: SocketAddr,
+) -> Result<TcpListener, error_stack::Report<crate::error::DaemonError>> {
+    use error_stack::ResultExt;
+    TcpListener::bind(address).await.change_context(crate::error::DaemonError::Bind(address))
+}
--- /dev/null
+++ b/crates/daemon/src/direct/handler.rs
@@ -0,0 +1,209 @@
+//! Takes in one request: route, tenant, body, and who answers it.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use headlatch_core::direct::route_table::{Denial, RouteTable, pick_target};
+use headlatch_outside::headers::RequestFacts;
+use headlatch_types::{
+    RunVerdict,
+    traffic::{EngineFigures, Route, RouteKind, WeightVersion},
+};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use rand::Rng;
+use serde_json::json;
+use tokio::time::Instant;
+
+use super::{
+    answer::{AnswerBody, GivenUp},
+    exchange,
+    state::EntryState,
+};
+use crate::decisions;
+
+/// Time to come back where no plan is known yet.
+const NO_PLAN_REST: Duration = Duration::from_millis(500);
+
+/// Deadline of a request that names none and whose route names none.
+const USUAL_DEADLINE: Duration = Duration::from_secs(30);
+
+/// A request that has been let in, with all that its sending needs.
+#[derive(Debug, Clone)]
+pub struct RequestPlan {
+    /// Its id as the caller gave it.
+    pub id: String,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers as they came.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Whether the caller announced a body, if an empty one.
+    pub announced_body: bool,
+    /// Its route.
+    pub route: Route,
+    /// The service that answers.
+    pub service: Arc<str>,
+    /// Whether it may be repeated.
+    pub repeatable: bool,
+    /// Its tenant.
+    pub tenant: Option<String>,
+    /// The engine's figures, if engines answer it.
+    pub engine: Option<EngineFigures>,
+    /// The least version of weights that may answer.
+    pub least_version: Option<WeightVersion>,
+    /// When it came.
+    pub arrived: Instant,
+    /// When it is given up.
+    pub deadline: Instant,
+    /// Version of the plan that decided.
+    pub plan: u64,
+    /// What its head says.
+    pub facts: RequestFacts,
+}
+
+/// Counts a request as held.
+struct Held(Arc<EntryState>);
+
+impl Held {
+    fn new(state: Arc<EntryState>) -> Self {
+        state.in_progress.fetch_add(1, Ordering::Relaxed);
+        Self(state)
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Answers one request.
+pub async fn handle(state: Arc<EntryState>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let held = Held::new(state.clone());
+    let facts = state.headers.read_request(request.headers());
+    let id = facts.id.clone().unwrap_or_default();
+    let admitted = admit(&state, request, facts).await;
+    let answered = match admitted {
+        Ok(plan) => exchange::run(&state, plan).await,
+        Err(given_up) => {
+            let (status, cause) = (given_up.status.as_u16(), given_up.cause);
+            let fields = json!({
+                "request": id, "status": status, "cause": cause,
+                "plan": state.plan_version(),
+            });
+            decisions::note("admission", "denied", fields);
+            Err(given_up)
+        }
+    };
+    let mut response = answered.unwrap_or_else(|given_up| {
+        state.metrics.count_request(given_up.verdict);
+        state.metrics.count_refusal(given_up.cause);
+        let mut response = given_up.response();
+        state.headers.write_answer(response.headers_mut(), &id);
+        response
+    });
+    if state.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    // Held until the last byte of the answer has gone out.
+    response.map(|body| body.map_frame(move |frame| {
+        let _ = &held;
+        frame
+    }).boxed_unsync())
+}
+
+async fn admit(
+    state: &Arc<EntryState>,
+    request: Request<Incoming>,
+    facts: RequestFacts,
+) -> Result<RequestPlan, GivenUp> {
+    let arrived = Instant::now();
+    let routes = state.routes().ok_or_else(|| GivenUp::refused("no_plan_yet", NO_PLAN_REST))?;
+    let (parts, body) = request.into_parts();
+    let route = find_route(&routes, &parts.headers, &parts.uri)?.clone();
+    let tenant = routes.tenant(&route, facts.key.as_deref());
+    let tenant = tenant.map_err(|_| GivenUp::denied(StatusCode::UNAUTHORIZED, "unknown_key"))?;
+    let tenant = tenant.map(|tenant| tenant.name.to_string());
+    let announced_body = parts.headers.contains_key(header::CONTENT_LENGTH)
+        || parts.headers.contains_key(header::TRANSFER_ENCODING);
+    let limits = routes.plan().limits;
+    let timeout = if route.timeout_ms == 0 { USUAL_DEADLINE } else { route.timeout() };
+    let time = facts.deadline.unwrap_or(timeout).min(timeout);
+    let deadline = arrived + time;
+    let body = read_body(body, limits.body_bytes, deadline).await?;
+    let target = pick_target(&route, rand::rng().random());
+    let service = target.map(|target| target.service.clone());
+    let service = service.ok_or_else(|| GivenUp::refused("no_service", NO_PLAN_REST))?;
+    let engine =
+        routes.plan().services.get(&*service).and_then(|service| service.engine.clone());
+    let least_version = match engine {
+        Some(_) => state.least_version(facts.model.as_deref()),
+        None => None,
+    };
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let uri = path.parse().map_err(|_| GivenUp::denied(StatusCode::BAD_REQUEST, "bad_path"))?;
+    Ok(RequestPlan {
+        id: facts.id.clone().unwrap_or_default(),
+        method: parts.method,
+        uri,
+        headers: parts.headers,
+        body,
+        announced_body,
+        repeatable: route.repeatable(),
+        route,
+        service,
+        tenant,
+        engine,
+        least_version,
+        arrived,
+        deadline,
+        plan: routes.plan().version.0,
+        facts,
+    })
+}
+
+fn find_route<'a>(
+    routes: &'a RouteTable,
+    headers: &HeaderMap,
+    uri: &Uri,
+) -> Result<&'a Route, GivenUp> {
+    let host = headers.get(header::HOST).and_then(|value| value.to_str().ok());
+    let host = host.or_else(|| uri.host()).unwrap_or_default();
+    routes.route(host, uri.path()).map_err(|denial| match denial {
+        Denial::NoRoute => GivenUp::denied(StatusCode::NOT_FOUND, "no_route"),
+        Denial::UnknownKey => GivenUp::denied(StatusCode::UNAUTHORIZED, "unknown_key"),
+    })
+}
+
+async fn read_body(body: Incoming, most: usize, until: Instant) -> Result<Bytes, GivenUp> {
+    let collected = Limited::new(body, most).collect();
+    match tokio::time::timeout_at(until, collected).await {
+        Err(_) => Err(GivenUp::denied(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(GivenUp::denied(StatusCode::PAYLOAD_TOO_LARGE, "body_too_long"))
+        }
+        Ok(Err(_)) => Err(GivenUp::denied(StatusCode::BAD_REQUEST, "body_broken")),
+    }
+}
+
+impl RequestPlan {
+    /// Whether its answer is a stream.
+    pub fn is_stream(&self) -> bool {
+        self.route.kind == RouteKind::Stream
+    }
+
+    /// What is known of it when its last attempt came to `last` and all before to `earlier`.
+    pub fn verdict(&self, earlier: Option<RunVerdict>, last: RunVerdict) -> RunVerdict {
+        last.after(earlier)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/mod.rs
@@ -0,0 +1,14 @@
+//! Daemons that call servers directly: entries that pass requests on, agents that stage weights.
+
+pub mod answer;
+pub mod attempt;
+pub mod entry;
+pub mod exchange;
+pub mod facts;
+pub mod front;
+pub mod handler;
+pub mod notices;
+pub mod relay;
+pub mod stager;
+pub mod state;
+pub mod weights;
--- /dev/null
+++ b/crates/daemon/src/direct/notices.rs
@@ -0,0 +1,222 @@
+//! Sends and hears notices over UDP.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use headlatch_core::direct::peers::{
+    LoadNotice, PeerKind, PeerNotice, PeerTable, ServerNotice,
+};
+use headlatch_types::traffic::WeightVersion;
+use headlatch_wire as wire;
+use prost::Message;
+use rand::Rng;
+use serde_json::json;
+use tokio::net::UdpSocket;
+
+use super::state::EntryState;
+use crate::decisions;
+
+/// How often notices go out.
+pub const NOTICE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Ticks after which a notice goes out although nothing has changed.
+const QUIET_TICKS: u64 = 5;
+
+/// Ticks between notices to addresses that may be peers.
+const CANDIDATE_TICKS: u64 = 5;
+
+/// Peers up to which every tick reaches all; beyond, each is reached less often.
+const FULL_RATE_PEERS: usize = 10;
+
+/// Largest datagram.
+pub const MOST_DATAGRAM: usize = 8 << 10;
+
+/// Encodes a notice.
+pub fn encode(notice: &PeerNotice) -> Vec<u8> {
+    let server = notice.server.map(|server| wire::NoticeServer {
+        address: server.address.to_string(),
+        whole: server.whole.unwrap_or_default().0,
+        changing: server.changing,
+        staged: server.staged.unwrap_or_default().0,
+    });
+    let load = |load: &LoadNotice| wire::NoticeLoad {
+        server: load.server,
+        in_flight: load.in_flight,
+    };
+    let message = wire::PeerNotice {
+        from: notice.from.to_string(),
+        agent: notice.kind == PeerKind::Agent,
+        life: notice.life,
+        sequence: notice.sequence,
+        plan: notice.plan,
+        peers: notice.peers.iter().map(SocketAddr::to_string).collect(),
+        loads: notice.loads.iter().map(load).collect(),
+        server,
+    };
+    message.encode_to_vec()
+}
+
+fn version(number: u64) -> Option<WeightVersion> {
+    (number > 0).then_some(WeightVersion(number))
+}
+
+/// Decodes a notice; none if the bytes are not one.
+pub fn decode(bytes: &[u8]) -> Option<PeerNotice> {
+    let message = wire::PeerNotice::decode(bytes).ok()?;
+    let server = match message.server {
+        None => None,
+        Some(server) => Some(ServerNotice {
+            address: server.address.parse().ok()?,
+            whole: version(server.whole),
+            changing: server.changing,
+            staged: version(server.staged),
+        }),
+    };
+    let loads = message.loads.iter();
+    Some(PeerNotice {
+        from: message.from.parse().ok()?,
+        kind: if message.agent { PeerKind::Agent } else { PeerKind::Entry },
+        life: message.life,
+        sequence: message.sequence,
+        plan: message.plan,
+        peers: message.peers.iter().filter_map(|text| text.parse().ok()).collect(),
+        loads: loads
+            .map(|load| LoadNotice { server: load.server, in_flight: load.in_flight })
+            .collect(),
+        server,
+    })
+}
+
+/// Writes a process's notices and decides whom they go to.
+#[derive(Debug)]
+pub struct NoticeWriter {
+    from: SocketAddr,
+    kind: PeerKind,
+    life: u64,
+    sequence: u64,
+    tick: u64,
+    last_loads: Vec<LoadNotice>,
+    last_server: Option<ServerNotice>,
+}
+
+/// What a process tells now.
+#[derive(Debug, Clone, Default)]
+pub struct NoticeBody {
+    /// Version of the plan that it has.
+    pub plan: u64,
+    /// What it has in progress.
+    pub loads: Vec<LoadNotice>,
+    /// Its server.
+    pub server: Option<ServerNotice>,
+}
+
+impl NoticeWriter {
+    /// The writer of a process that has just started.
+    pub fn new(from: SocketAddr, kind: PeerKind) -> Self {
+        let life = rand::rng().random();
+        Self { from, kind, life, sequence: 0, tick: 0, last_loads: Vec::new(), last_server: None }
+    }
+
+    /// The notice of this tick and whom it goes to; nobody if there is nothing to tell.
+    pub fn tick(&mut self, peers: &PeerTable, body: NoticeBody) -> (Vec<u8>, Vec<SocketAddr>) {
+        self.tick += 1;
+        let changed = body.loads != self.last_loads || body.server != self.last_server;
+        let urgent = body.server != self.last_server;
+        let mut targets = Vec::new();
+        if changed || self.tick.is_multiple_of(QUIET_TICKS) {
+            targets = self.targets(peers, urgent);
+        }
+        if self.tick % CANDIDATE_TICKS == 1 {
+            targets.extend(peers.candidates());
+        }
+        if targets.is_empty() {
+            return (Vec::new(), targets);
+        }
+        self.sequence += 1;
+        self.last_loads = body.loads.clone();
+        self.last_server = body.server;
+        let notice = PeerNotice {
+            from: self.from,
+            kind: self.kind,
+            life: self.life,
+            sequence: self.sequence,
+            plan: body.plan,
+            // Names cost bytes: they go along now and then.
+            peers: match self.tick % CANDIDATE_TICKS {
+                1 => peers.named(self.tick as usize),
+                _ => Vec::new(),
+            },
+            loads: body.loads,
+            server: body.server,
+        };
+        (encode(&notice), targets)
+    }
+
+    fn targets(&self, peers: &PeerTable, urgent: bool) -> Vec<SocketAddr> {
+        let quiet = self.tick.is_multiple_of(QUIET_TICKS);
+        let wanted = |kind: PeerKind| {
+            let entries = kind == PeerKind::Entry;
+            // Entries' loads matter to entries; agents hear from them that they live.
+            match self.kind {
+                PeerKind::Entry => entries || quiet,
+                PeerKind::Agent => urgent || quiet,
+            }
+        };
+        let all: Vec<SocketAddr> = peers
+            .living()
+            .filter(|peer| wanted(peer.notice.kind))
+            .map(|peer| peer.notice.from)
+            .collect();
+        let every = all.len().div_ceil(FULL_RATE_PEERS).max(1);
+        let turn = self.tick as usize;
+        let due = |index: &usize| urgent || quiet || (index + turn).is_multiple_of(every);
+        all.iter().enumerate().filter(|(index, _)| due(index)).map(|(_, peer)| *peer).collect()
+    }
+}
+
+/// Sends and hears an entry's notices for ever.
+pub async fn run(state: Arc<EntryState>, socket: UdpSocket) {
+    let mut writer = NoticeWriter::new(state.settings.node.control, PeerKind::Entry);
+    let mut ticks = tokio::time::interval(NOTICE_PAUSE);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut buffer = vec![0; MOST_DATAGRAM];
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => {
+                let Ok((length, _)) = received else { continue };
+                hear(&state, &buffer[..length]);
+            }
+            _ = ticks.tick() => {
+                state.refresh_loads();
+                state.refresh_notices();
+                let body = NoticeBody {
+                    plan: state.plan_version().0,
+                    loads: state.servers().own_loads(),
+                    server: None,
+                };
+                let (bytes, targets) = writer.tick(&state.peers(), body);
+                for target in targets {
+                    // A datagram that cannot be sent is as good as lost, which is borne.
+                    let _ = socket.try_send_to(&bytes, target);
+                }
+            }
+        }
+    }
+}
+
+fn hear(state: &EntryState, bytes: &[u8]) {
+    let Some(notice) = decode(bytes) else { return };
+    let (from, server) = (notice.from, notice.server);
+    let now = state.now();
+    let outcome = state.peers().hear(now, notice);
+    if outcome.joined {
+        decisions::note("peers", "found", json!({ "peer": from }));
+    }
+    if outcome.server_changed && let Some(server) = server {
+        state.servers().set_notice(server.address, Some(server));
+        let fields = json!({
+            "address": server.address, "whole": server.whole, "changing": server.changing,
+            "staged": server.staged,
+        });
+        decisions::note("servers", "agent_told", fields);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/relay.rs
@@ -0,0 +1,183 @@
+//! Passes a stream on event by event, and continues it on another server where that is allowed.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use headlatch_core::direct::{
+    event_split::{EventSplitter, StreamEvent},
+    server_table::ServerOutcome,
+};
+use http::{Response, StatusCode, header};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use serde_json::json;
+use tokio::time::Instant;
+
+use super::{
+    answer::{AnswerBody, BodyFailure, strip_connection},
+    attempt::ServerAnswer,
+    exchange::Exchange,
+};
+
+/// Pause after which a stream is continued elsewhere, as a multiple of the pause that is wanted.
+const PAUSE_PATIENCE: u32 = 2;
+
+/// Least such pause.
+const LEAST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Why no more of a stream came from one server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StreamEnd {
+    /// It ended as it should.
+    Whole,
+    /// It broke off.
+    Broken,
+    /// Nothing came for long.
+    Silent,
+    /// The deadline has passed.
+    Deadline,
+}
+
+/// A stream in progress.
+struct Relay {
+    exchange: Exchange,
+    splitter: EventSplitter,
+    last_event: Option<u64>,
+    events: u64,
+    status: StatusCode,
+}
+
+/// What comes next from a server.
+enum Next {
+    Data(Bytes),
+    End(StreamEnd),
+}
+
+/// The caller's answer to a stream that a server has begun.
+pub fn stream(exchange: Exchange, answer: ServerAnswer) -> Response<AnswerBody> {
+    let (mut parts, body) = answer.response.into_parts();
+    strip_connection(&mut parts.headers);
+    parts.headers.remove(header::CONTENT_LENGTH);
+    let mut relay = Relay {
+        last_event: exchange.request.facts.last_event,
+        status: parts.status,
+        exchange,
+        splitter: EventSplitter::default(),
+        events: 0,
+    };
+    let (mut connection, mut in_flight) = (answer.connection, answer.in_flight);
+    let mut body = body;
+    let frames = async_stream::try_stream! {
+        loop {
+            let end = loop {
+                match relay.next(&mut body).await {
+                    Next::Data(data) => {
+                        for event in relay.take(&data) {
+                            yield Frame::data(Bytes::from(event.bytes));
+                        }
+                    }
+                    Next::End(end) => break end,
+                }
+            };
+            if end == StreamEnd::Whole {
+                in_flight.end(ServerOutcome::Answered);
+                relay.exchange.state.connections.put_back(connection);
+                relay.finish();
+                return;
+            }
+            in_flight.end(ServerOutcome::Lost);
+            drop(connection);
+            let fields = json!({ "end": format!("{end:?}"), "events": relay.events });
+            relay.exchange.log("stream_stopped", fields);
+            let answer = relay.continue_elsewhere(end).await?;
+            body = answer.response.into_body();
+            connection = answer.connection;
+            in_flight = answer.in_flight;
+        }
+    };
+    Response::from_parts(parts, StreamBody::new(frames).boxed_unsync())
+}
+
+impl Relay {
+    /// What comes next from the server.
+    async fn next(&mut self, body: &mut hyper::body::Incoming) -> Next {
+        let request = &self.exchange.request;
+        let pause = Duration::from_millis(request.route.pause_objective_ms) * PAUSE_PATIENCE;
+        let pause = pause.max(LEAST_PAUSE);
+        let mut patience = Instant::now() + pause;
+        loop {
+            let until = patience.min(request.deadline);
+            let frame = match tokio::time::timeout_at(until, body.frame()).await {
+                Err(_) if Instant::now() >= request.deadline => {
+                    return Next::End(StreamEnd::Deadline);
+                }
+                Err(_) if request.repeatable && self.exchange.may_go_on() => {
+                    return Next::End(StreamEnd::Silent);
+                }
+                Err(_) => {
+                    // Nobody could do better.
+                    patience += pause;
+                    continue;
+                }
+                Ok(frame) => frame,
+            };
+            match frame {
+                None if self.splitter.rest().is_empty() => return Next::End(StreamEnd::Whole),
+                None | Some(Err(_)) => return Next::End(StreamEnd::Broken),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Next::Data(data);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The whole events that have come and were not passed on yet.
+    fn take(&mut self, data: &[u8]) -> Vec<StreamEvent> {
+        let mut events = self.splitter.push(data);
+        let last = self.last_event;
+        events.retain(|event| match (event.id, last) {
+            (Some(id), Some(last)) => id > last,
+            _ => true,
+        });
+        self.events += events.len() as u64;
+        if let Some(id) = events.iter().filter_map(|event| event.id).max() {
+            self.last_event = Some(id);
+        }
+        events
+    }
+
+    async fn continue_elsewhere(&mut self, end: StreamEnd) -> Result<ServerAnswer, BodyFailure> {
+        self.splitter.clear();
+        if !self.exchange.request.repeatable || end == StreamEnd::Deadline {
+            let given_up = self.exchange.give_up("stream_stopped");
+            return Err(given_up.cause.into());
+        }
+        loop {
+            let server = self.exchange.next_server().map_err(|given_up| given_up.cause)?;
+            let sent = self.exchange.send(server, self.last_event).await;
+            match sent {
+                Ok(answer) if answer.response.status() == self.status => {
+                    let fields = json!({
+                        "server": answer.in_flight.server().id, "after": self.last_event,
+                    });
+                    self.exchange.log("stream_continued", fields);
+                    return Ok(answer);
+                }
+                Ok(answer) => {
+                    answer.in_flight.end(ServerOutcome::Failed);
+                    let status = answer.response.status().as_u16();
+                    self.exchange.log("server_failed", json!({ "status": status }));
+                }
+                Err(failure) => {
+                    self.exchange.note_failure(&failure).map_err(|given_up| given_up.cause)?;
+                }
+            }
+        }
+    }
+
+    fn finish(&self) {
+        self.exchange.finish("stream_ended", self.status);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/state.rs
@@ -0,0 +1,307 @@
+//! What an entry believes, shared by its parts.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, RwLock,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use headlatch_core::{
+    direct::{
+        peers::{PeerKind, PeerTable},
+        retry_share::{RetryBudget, RetryShare},
+        route_table::RouteTable,
+        server_table::ServerTable,
+        weight_deadline::WeightDeadlines,
+    },
+    time::Moment,
+};
+use headlatch_http::Connections;
+use headlatch_outside::{
+    facts::{Fact, FactChange, NamedFact},
+    headers::HeaderForm,
+};
+use headlatch_types::{
+    direct_settings::DirectEntrySettings,
+    id::ModelName,
+    traffic::{PlanVersion, ServerId, TrafficPlan, WeightVersion},
+};
+use serde_json::json;
+use tokio::time::Instant;
+
+use super::facts::FactNews;
+use crate::{decisions, metrics::NodeMetrics};
+
+/// The state of one entry.
+#[derive(Debug)]
+pub struct EntryState {
+    /// Settings.
+    pub settings: DirectEntrySettings,
+    /// The outside's header form.
+    pub headers: Arc<dyn HeaderForm>,
+    /// Connections to servers.
+    pub connections: Connections,
+    /// Metrics.
+    pub metrics: NodeMetrics,
+    /// Requests that are held.
+    pub in_progress: AtomicUsize,
+    /// A stop has been asked for.
+    pub stopping: AtomicBool,
+    /// The list of servers has been read.
+    pub servers_known: AtomicBool,
+    begun: Instant,
+    routes: RwLock<Option<Arc<RouteTable>>>,
+    servers: Mutex<ServerTable>,
+    weights: Mutex<WeightDeadlines>,
+    retries: Mutex<RetryShare>,
+    peers: Mutex<PeerTable>,
+    /// Wakes the notices when a server's state is news.
+    pub news: tokio::sync::Notify,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|broken| broken.into_inner())
+}
+
+impl EntryState {
+    /// The state of an entry that has just started.
+    pub fn new(settings: DirectEntrySettings, headers: Arc<dyn HeaderForm>) -> Arc<Self> {
+        let retry = settings.direct.retry;
+        let budget = RetryBudget {
+            ratio: retry.ratio,
+            slack: retry.slack,
+            window: Duration::from_secs_f64(retry.window_seconds),
+        };
+        let zones = settings.direct.zones.clone();
+        let servers = ServerTable::new(settings.node.domain.clone(), zones);
+        let mut peers = PeerTable::new(settings.node.control);
+        for seed in &settings.direct.seeds {
+            peers.suggest(Moment::ZERO, *seed);
+        }
+        Arc::new(Self {
+            headers,
+            connections: Connections::default(),
+            metrics: NodeMetrics::default(),
+            in_progress: AtomicUsize::new(0),
+            stopping: AtomicBool::new(false),
+            servers_known: AtomicBool::new(false),
+            begun: Instant::now(),
+            routes: RwLock::default(),
+            servers: Mutex::new(servers),
+            weights: Mutex::default(),
+            retries: Mutex::new(RetryShare::new(budget)),
+            peers: Mutex::new(peers),
+            news: tokio::sync::Notify::new(),
+            settings,
+        })
+    }
+
+    /// The time, by the steady clock.
+    pub fn now(&self) -> Moment {
+        Moment::from_micros(self.begun.elapsed().as_micros() as u64)
+    }
+
+    /// The routes in force; none before the first plan.
+    pub fn routes(&self) -> Option<Arc<RouteTable>> {
+        self.routes.read().unwrap_or_else(|broken| broken.into_inner()).clone()
+    }
+
+    /// The servers.
+    pub fn servers(&self) -> MutexGuard<'_, ServerTable> {
+        lock(&self.servers)
+    }
+
+    /// The wanted weights.
+    pub fn weights(&self) -> MutexGuard<'_, WeightDeadlines> {
+        lock(&self.weights)
+    }
+
+    /// The share of retries.
+    pub fn retries(&self) -> MutexGuard<'_, RetryShare> {
+        lock(&self.retries)
+    }
+
+    /// The other processes.
+    pub fn peers(&self) -> MutexGuard<'_, PeerTable> {
+        lock(&self.peers)
+    }
+
+    /// Entries that live, this one among them.
+    pub fn entries(&self) -> usize {
+        self.peers().entries(PeerKind::Entry)
+    }
+
+    /// Whether a stop has been asked for.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Whether requests can be served.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping()
+            && self.servers_known.load(Ordering::Relaxed)
+            && self.routes().is_some()
+    }
+
+    /// The version of the plan in force.
+    pub fn plan_version(&self) -> PlanVersion {
+        self.routes().map(|routes| routes.plan().version).unwrap_or_default()
+    }
+
+    /// Takes over a plan if it is newer than the one in force.
+    pub fn take_plan(&self, plan: TrafficPlan, source: &str) {
+        let mut routes = self.routes.write().unwrap_or_else(|broken| broken.into_inner());
+        let current = routes.as_ref().map(|routes| routes.plan().version);
+        if current.is_some_and(|version| version >= plan.version) {
+            return;
+        }
+        let fields = json!({
+            "version": plan.version, "before": current, "source": source,
+            "routes": plan.routes.len(), "services": plan.services.len(),
+            "tenants": plan.tenants.len(),
+        });
+        self.metrics.set_revision(plan.version.0);
+        *routes = Some(Arc::new(RouteTable::new(Arc::new(plan))));
+        drop(routes);
+        decisions::note("plan", "in_force", fields);
+    }
+
+    /// Takes in news about the plan.
+    pub fn hear_plan(&self, news: FactNews) {
+        for fact in set_facts(news) {
+            if let Fact::Plan(plan) = fact {
+                self.take_plan(*plan, "store");
+            }
+        }
+    }
+
+    /// Takes in news about wanted weights.
+    pub fn hear_weights(&self, news: FactNews) {
+        let now = self.now();
+        for fact in set_facts(news) {
+            let Fact::Weights(wanted) = fact else { continue };
+            if self.weights().learn(now, &wanted.model, wanted.version) {
+                let fields = json!({ "model": wanted.model, "version": wanted.version });
+                decisions::note("weights", "version_wanted", fields);
+            }
+        }
+    }
+
+    /// Takes in news about servers.
+    pub fn hear_servers(&self, news: FactNews) {
+        match news {
+            FactNews::All(list) => {
+                let listed: Vec<ServerId> =
+                    list.facts.iter().map(|fact| ServerId(fact.name.as_str().into())).collect();
+                self.servers().keep_only(&listed);
+                for fact in list.facts {
+                    self.set_server(fact);
+                }
+                self.servers_known.store(true, Ordering::Relaxed);
+                decisions::note("servers", "listed", json!({ "servers": listed.len() }));
+            }
+            FactNews::Changes(changes) => {
+                for change in changes {
+                    match change {
+                        FactChange::Set(fact) => self.set_server(fact),
+                        FactChange::Gone(name) => self.remove_server(&name),
+                    }
+                }
+            }
+        }
+        let wanted: Vec<SocketAddr> =
+            self.servers().records().map(|record| record.address).collect();
+        self.connections.retain(|address| wanted.contains(address));
+    }
+
+    fn set_server(&self, fact: NamedFact) {
+        let record = match fact.fact {
+            Ok(Fact::Server(record)) => record,
+            Ok(_) => return,
+            Err(error) => {
+                let fields = json!({ "name": fact.name, "error": error.to_string() });
+                return decisions::warn("servers", "unreadable", fields);
+            }
+        };
+        let fields = json!({
+            "server": record.id, "service": record.service, "address": record.address,
+            "zone": record.zone, "draining": record.draining, "slots": record.slots,
+            "models": record.models, "revision": fact.revision.0,
+        });
+        if !record.models.is_empty() {
+            let machine = SocketAddr::new(record.address.ip(), self.settings.node.control.port());
+            self.peers().suggest(self.now(), machine);
+        }
+        self.servers().set(record);
+        decisions::note("servers", "set", fields);
+    }
+
+    fn remove_server(&self, name: &str) {
+        if self.servers().remove(&ServerId(name.into())) {
+            decisions::note("servers", "gone", json!({ "server": name }));
+        }
+    }
+
+    /// The least version of a service's weights that a request may start on now.
+    pub fn least_version(&self, model: Option<&str>) -> Option<WeightVersion> {
+        let model: ModelName = model?.parse().ok()?;
+        let time = self.settings.direct.weights_time;
+        self.weights().least(self.now(), &model, time)
+    }
+
+    /// Takes in what others have in progress, and what agents tell.
+    pub fn refresh_loads(&self) {
+        let (loads, gone) = {
+            let mut peers = self.peers();
+            let gone = peers.expire(self.now());
+            (peers.loads(), gone)
+        };
+        let mut servers = self.servers();
+        servers.set_others(loads);
+        drop(servers);
+        for peer in gone {
+            decisions::note("peers", "lost", json!({ "peer": peer }));
+        }
+    }
+
+    /// What agents that live tell of their servers.
+    pub fn refresh_notices(&self) {
+        let notices: HashMap<SocketAddr, _> = {
+            let peers = self.peers();
+            let told = peers.living().filter_map(|peer| peer.notice.server);
+            told.map(|notice| (notice.address, notice)).collect()
+        };
+        let mut servers = self.servers();
+        let addresses: Vec<SocketAddr> = servers.records().map(|record| record.address).collect();
+        for address in addresses {
+            servers.set_notice(address, notices.get(&address).copied());
+        }
+    }
+}
+
+/// The facts in news that are there and can be read.
+pub fn set_facts(news: FactNews) -> Vec<Fact> {
+    let named: Vec<NamedFact> = match news {
+        FactNews::All(list) => list.facts,
+        FactNews::Changes(changes) => changes
+            .into_iter()
+            .filter_map(|change| match change {
+                FactChange::Set(fact) => Some(fact),
+                FactChange::Gone(_) => None,
+            })
+            .collect(),
+    };
+    let readable = named.into_iter().filter_map(|named| match named.fact {
+        Ok(fact) => Some(fact),
+        Err(error) => {
+            let fields = json!({ "name": named.name, "error": error.to_string() });
+            decisions::warn("store", "unreadable", fields);
+            None
+        }
+    });
+    readable.collect()
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,8 @@
 
 pub mod agent;
 pub mod cli;
+pub mod decisions;
+pub mod direct;
 pub mod entry;
 pub mod error;
 pub mod logging;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -4,12 +4,19 @@
 
 use clap::Parser;
 use error_stack::{Report, ResultExt};
-use headlatch_types::settings::{DaemonSettings, NodeSettings};
+use headlatch_http::Connections;
+use headlatch_platform::{PlatformHeaders, PlatformStore};
+use headlatch_types::{
+    direct_settings::{DirectAgentSettings, DirectEntrySettings},
+    settings::{DaemonSettings, NodeSettings},
+};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
     agent::RunningAgent,
     cli::{CommandLine, DaemonCommand, SettingsArgs},
+    decisions,
+    direct::entry::DirectEntry,
     entry::RunningEntry,
     error::{DaemonError, Failure},
     logging,
@@ -59,8 +66,10 @@
     settings: &DaemonSettings,
 ) -> Result<(), Report<DaemonError>> {
     let message = match (wanted, settings) {
-        (DaemonKind::Entry, DaemonSettings::Entry(_))
-        | (DaemonKind::Agent, DaemonSettings::Agent(_)) => return Ok(()),
+        (DaemonKind::Entry, DaemonSettings::Entry(_) | DaemonSettings::DirectEntry(_))
+        | (DaemonKind::Agent, DaemonSettings::Agent(_) | DaemonSettings::DirectAgent(_)) => {
+            return Ok(());
+        }
         (DaemonKind::Entry, _) => "these are an agent's settings; run headlatchd agent with them",
         (DaemonKind::Agent, _) => "these are an entry's settings; run headlatchd entry with them",
     };
@@ -76,20 +85,34 @@
             let endpoint = &agent.endpoint;
             format!("settings of agent {} beside {} are good", agent.node.box_id, endpoint.address)
         }
+        DaemonSettings::DirectEntry(entry) => {
+            format!("settings of direct entry {} at {} are good", entry.node.box_id, entry.listen)
+        }
+        DaemonSettings::DirectAgent(agent) => {
+            let (node, server) = (&agent.node.box_id, agent.server);
+            format!("settings of direct agent {node} beside {server} are good")
+        }
     }
 }
 
 fn run_daemon(settings: DaemonSettings) -> Result<(), Report<DaemonError>> {
-    let node = match &settings {
-        DaemonSettings::Entry(entry) => &entry.node,
-        DaemonSettings::Agent(agent) => &agent.node,
+    let (node, direct) = match &settings {
+        DaemonSettings::Entry(entry) => (&entry.node, false),
+        DaemonSettings::Agent(agent) => (&agent.node, false),
+        DaemonSettings::DirectEntry(entry) => (&entry.node, true),
+        DaemonSettings::DirectAgent(agent) => (&agent.node, true),
     };
     logging::start(&node.log)?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .change_context(DaemonError::Telemetry("the runtime"))?;
-    runtime.block_on(serve(settings))
+    // Direct daemons have one small core: threads that wake each other only cost time there.
+    let mut builder = match direct {
+        true => tokio::runtime::Builder::new_current_thread(),
+        false => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let failure = || DaemonError::Telemetry("the runtime");
+    let runtime = builder.enable_all().build().change_context_lazy(failure)?;
+    let served = runtime.block_on(serve(settings));
+    decisions::flush();
+    served
 }
 
 async fn serve(settings: DaemonSettings) -> Result<(), Report<DaemonError>> {
@@ -109,10 +132,28 @@
             agent.leave().await;
             spans.flush();
         }
+        DaemonSettings::DirectEntry(settings) => serve_direct_entry(*settings).await?,
+        DaemonSettings::DirectAgent(settings) => serve_direct_agent(*settings).await?,
     }
     Ok(())
 }
 
+async fn serve_direct_entry(settings: DirectEntrySettings) -> Result<(), Report<DaemonError>> {
+    decisions::start();
+    let connections = Arc::new(Connections::default());
+    let store = Arc::new(PlatformStore::new(settings.node.platform.address(), connections));
+    let entry = DirectEntry::start(settings, store, Arc::new(PlatformHeaders)).await?;
+    wait_for_stop().await?;
+    entry.leave().await;
+    Ok(())
+}
+
+async fn serve_direct_agent(_settings: DirectAgentSettings) -> Result<(), Report<DaemonError>> {
+    decisions::start();
+    wait_for_stop().await?;
+    Ok(())
+}
+
 fn tools(node: &NodeSettings, name: &str) -> Result<(SharedStore, SpanMaker), Report<DaemonError>> {
     let store: SharedStore = Arc::new(HttpStore::new(node.platform.clone()));
     Ok((store, SpanMaker::new(name, node.traces.as_ref())?))
--- /dev/null
+++ b/crates/http/src/connections.rs
@@ -0,0 +1,308 @@
+//! Kept connections to servers, one request at a time on each.
+//!
+//! A library's pool may send a request on a connection that its server is closing, and then
+//! nobody can tell whether it ran. Here a request that was not written at all comes back as such,
+//! every connection is watched while it rests, and whatever is given up is closed at once, so that
+//! the server stops working on it.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use headlatch_types::RunVerdict;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, task::AbortHandle, time::Instant};
+
+/// Time for which a connection rests at most where its server says nothing.
+const REST_TIME: Duration = Duration::from_secs(8);
+
+/// Part of the rest that a server grants which is used, in percent.
+const REST_PERCENT: u64 = 70;
+
+/// Connections that rest for one address at most.
+const MOST_RESTING: usize = 64;
+
+/// Largest body that is sent on a kept connection: a server may answer before it has read all of a
+/// longer one.
+const KEPT_BODY: usize = 32 << 10;
+
+/// A call that brought no answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{message}")]
+pub struct ExchangeError {
+    /// Whether the request may have run.
+    pub verdict: RunVerdict,
+    /// What happened.
+    pub message: String,
+    /// Whether no connection came up.
+    pub connecting: bool,
+}
+
+impl ExchangeError {
+    fn unsent(message: impl Into<String>, connecting: bool) -> Self {
+        Self { verdict: RunVerdict::NotRun, message: message.into(), connecting }
+    }
+
+    fn lost(message: impl Into<String>) -> Self {
+        Self { verdict: RunVerdict::MayHaveRun, message: message.into(), connecting: false }
+    }
+}
+
+/// Which connection a request may use.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ConnectionChoice {
+    /// One that has rested, if there is one.
+    #[default]
+    Kept,
+    /// A new one: a late answer to an earlier request cannot be on it.
+    Fresh,
+}
+
+/// A connection in use; it is closed when this is dropped.
+#[derive(Debug)]
+pub struct HeldConnection {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    driver: DriverGuard,
+    rest: Duration,
+    reusable: bool,
+}
+
+/// Ends a connection's task, and with it the connection, when dropped.
+#[derive(Debug)]
+struct DriverGuard(AbortHandle);
+
+impl Drop for DriverGuard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+#[derive(Debug)]
+struct RestingConnection {
+    held: HeldConnection,
+    until: Instant,
+}
+
+/// Connections to any number of addresses.
+#[derive(Debug, Default)]
+pub struct Connections {
+    resting: Mutex<HashMap<SocketAddr, Vec<RestingConnection>>>,
+}
+
+impl Connections {
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<RestingConnection>>> {
+        self.resting.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    /// A connection to `address` that is up within `time`, and whether it is new.
+    pub async fn get(
+        &self,
+        address: SocketAddr,
+        choice: ConnectionChoice,
+        time: Duration,
+    ) -> Result<(HeldConnection, bool), ExchangeError> {
+        if choice == ConnectionChoice::Kept
+            && let Some(held) = self.take_resting(address)
+        {
+            return Ok((held, false));
+        }
+        let opened = tokio::time::timeout(time, open(address)).await;
+        let opened =
+            opened.map_err(|_| ExchangeError::unsent("no connection came up in time", true))?;
+        Ok((opened?, true))
+    }
+
+    fn take_resting(&self, address: SocketAddr) -> Option<HeldConnection> {
+        let now = Instant::now();
+        let mut resting = self.lock();
+        let connections = resting.get_mut(&address)?;
+        while let Some(connection) = connections.pop() {
+            if connection.until > now && connection.held.sender.is_ready() {
+                return Some(connection.held);
+            }
+        }
+        resting.remove(&address);
+        None
+    }
+
+    /// Lets a connection rest whose answer has been read to its end.
+    pub fn put_back(&self, held: HeldConnection) {
+        if !held.reusable || held.sender.is_closed() {
+            return;
+        }
+        let until = Instant::now() + held.rest;
+        let mut resting = self.lock();
+        let connections = resting.entry(held.address).or_default();
+        if connections.len() < MOST_RESTING {
+            connections.push(RestingConnection { held, until });
+        }
+    }
+
+    /// Closes what rests for addresses that are not wanted any more, or has rested too long.
+    pub fn retain(&self, wanted: impl Fn(&SocketAddr) -> bool) {
+        let now = Instant::now();
+        let mut resting = self.lock();
+        resting.retain(|address, connections| {
+            connections.retain(|one| one.until > now && !one.held.sender.is_closed());
+            !connections.is_empty() && wanted(address)
+        });
+    }
+
+    /// Sends a request and reads the whole answer, within `time` and up to `most` bytes.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: CallRequest,
+        most: usize,
+        time: Duration,
+    ) -> Result<CallAnswer, ExchangeError> {
+        let late = || ExchangeError::lost("no answer in time");
+        let called = tokio::time::timeout(time, self.call_untimed(address, request, most, time));
+        called.await.map_err(|_| late())?
+    }
+
+    async fn call_untimed(
+        &self,
+        address: SocketAddr,
+        request: CallRequest,
+        most: usize,
+        time: Duration,
+    ) -> Result<CallAnswer, ExchangeError> {
+        let (mut held, _) = self.get(address, ConnectionChoice::Kept, time).await?;
+        let uri: Uri = request
+            .path
+            .parse()
+            .map_err(|error| ExchangeError::unsent(format!("{}: {error}", request.path), false))?;
+        let mut headers = request.headers;
+        if let Ok(host) = address.to_string().parse() {
+            headers.insert(header::HOST, host);
+        }
+        let answer = held.send(request.method, uri, headers, request.body).await?;
+        let (parts, body) = answer.into_parts();
+        let body = Limited::new(body, most).collect().await;
+        let body = body.map_err(|error| ExchangeError::lost(error.to_string()))?.to_bytes();
+        self.put_back(held);
+        Ok(CallAnswer { status: parts.status, headers: parts.headers, body })
+    }
+}
+
+/// A request of headlatch's own to an outside system.
+#[derive(Debug, Clone)]
+pub struct CallRequest {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl CallRequest {
+    /// A GET of `path`.
+    pub fn get(path: impl Into<String>) -> Self {
+        let (headers, body) = (HeaderMap::new(), Bytes::new());
+        Self { method: Method::GET, path: path.into(), headers, body }
+    }
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct CallAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+async fn open(address: SocketAddr) -> Result<HeldConnection, ExchangeError> {
+    let failure = |message: String| ExchangeError::unsent(message, true);
+    let stream =
+        TcpStream::connect(address).await.map_err(|error| failure(format!("{address}: {error}")))?;
+    // Without it small writes wait for acknowledgements; a failure only costs time.
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) = http1::Builder::new()
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| failure(error.to_string()))?;
+    let task = tokio::spawn(async move {
+        // What goes wrong is told to whoever waits for the answer.
+        let _ = connection.await;
+    });
+    let driver = DriverGuard(task.abort_handle());
+    Ok(HeldConnection { address, sender, driver, rest: REST_TIME, reusable: true })
+}
+
+impl HeldConnection {
+    /// Where it leads.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a request and returns the answer's head with its body to come.
+    pub async fn send(
+        &mut self,
+        method: Method,
+        uri: Uri,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        if body.len() > KEPT_BODY {
+            self.reusable = false;
+        }
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = uri;
+        *request.headers_mut() = headers;
+        let sent = self.sender.try_send_request(request).await;
+        let answer = sent.map_err(|mut error| match error.take_message() {
+            Some(_) => ExchangeError::unsent("the connection had closed", false),
+            None => ExchangeError::lost(error.error().to_string()),
+        })?;
+        self.note_rest(answer.headers());
+        Ok(answer)
+    }
+
+    /// The connection is not to be used again.
+    pub fn spoil(&mut self) {
+        self.reusable = false;
+    }
+
+    /// Whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.driver.0.is_finished() || self.sender.is_closed()
+    }
+
+    fn note_rest(&mut self, headers: &HeaderMap) {
+        let closes = headers
+            .get(header::CONNECTION)
+            .and_then(|value| value.to_str().ok())
+            .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
+        if closes {
+            self.reusable = false;
+        }
+        let granted = headers
+            .get("keep-alive")
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.split("timeout=").nth(1))
+            .and_then(|rest| rest.split(|c: char| !c.is_ascii_digit()).next())
+            .and_then(|seconds| seconds.parse::<u64>().ok());
+        if let Some(seconds) = granted {
+            self.rest = Duration::from_millis(seconds * 10 * REST_PERCENT).min(REST_TIME);
+        }
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,10 +1,14 @@
 //! HTTP shells of headlatch: a server that drains and limits, a client that tells what ran.
 
 pub mod client;
+pub mod connections;
 pub mod pace;
 pub mod server;
 pub mod stop;
 
 pub use client::{CallError, HttpCaller};
+pub use connections::{
+    CallAnswer, CallRequest, ConnectionChoice, Connections, ExchangeError, HeldConnection,
+};
 pub use server::{BodyError, HttpLimits, HttpServer, read_body};
 pub use stop::{StopHandle, StopSignal};
--- /dev/null
+++ b/crates/types/src/direct_settings.rs
@@ -0,0 +1,156 @@
+//! Settings of daemons that call servers directly and take facts from an outside store.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    id::{DomainId, RegionId},
+    reading::{InputError, parse_at},
+    settings::{LinkSettings, NodeSettings, RawEndpoint, RawSettings},
+};
+
+/// What direct mode needs, as written in JSON.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawDirect {
+    /// Region of each zone.
+    #[serde(default)]
+    pub zones: BTreeMap<String, String>,
+    /// Machines where other processes may be found; the port is `control`'s.
+    #[serde(default)]
+    pub seeds: Vec<String>,
+    /// Retries that all entries together may send.
+    #[serde(default)]
+    pub retry: RawRetry,
+    /// Time in which all servers change to new weights, in milliseconds.
+    #[serde(default = "default_weights_ms")]
+    pub weights_ms: u64,
+    /// Address for metrics; none if left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub metrics: Option<String>,
+}
+
+/// Retries that all entries together may send to one service.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RawRetry {
+    /// Retries for each request.
+    pub ratio: f64,
+    /// Retries besides.
+    pub slack: f64,
+    /// Window in which both are counted, in seconds.
+    pub window_seconds: f64,
+}
+
+impl Default for RawRetry {
+    fn default() -> Self {
+        Self { ratio: 0.1, slack: 20.0, window_seconds: 10.0 }
+    }
+}
+
+fn default_weights_ms() -> u64 {
+    30_000
+}
+
+/// What direct mode needs, checked.
+#[derive(Debug, Clone)]
+pub struct DirectSettings {
+    /// Region of each zone.
+    pub zones: HashMap<DomainId, RegionId>,
+    /// Where other processes may be found.
+    pub seeds: Vec<SocketAddr>,
+    /// Retries that all entries together may send.
+    pub retry: RawRetry,
+    /// Time in which all servers change to new weights.
+    pub weights_time: Duration,
+    /// Address for metrics.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Settings of an entry that calls servers directly.
+#[derive(Debug, Clone)]
+pub struct DirectEntrySettings {
+    /// What every node has.
+    pub node: NodeSettings,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Direct mode.
+    pub direct: DirectSettings,
+}
+
+/// Settings of an agent that stages weights piece by piece.
+#[derive(Debug, Clone)]
+pub struct DirectAgentSettings {
+    /// What every node has.
+    pub node: NodeSettings,
+    /// Address of the server on this machine.
+    pub server: SocketAddr,
+    /// This machine's link.
+    pub link: LinkSettings,
+    /// Direct mode.
+    pub direct: DirectSettings,
+}
+
+fn address(path: &str, text: &str) -> Result<SocketAddr, InputError> {
+    let message =
+        || format!("\"{text}\" is not an address; write an IP number and a port, 10.0.0.1:7100");
+    text.parse().map_err(|_| InputError::new(path, message()))
+}
+
+pub(crate) fn check_direct(
+    raw: &RawDirect,
+    control: SocketAddr,
+) -> Result<DirectSettings, InputError> {
+    let mut zones = HashMap::new();
+    for (zone, region) in &raw.zones {
+        let path = format!("direct.zones.{zone}");
+        zones.insert(parse_at(path.clone(), zone)?, parse_at(path, region)?);
+    }
+    let mut seeds = Vec::new();
+    for (index, seed) in raw.seeds.iter().enumerate() {
+        let found = address(&format!("direct.seeds[{index}]"), seed)?;
+        seeds.push(SocketAddr::new(found.ip(), control.port()));
+    }
+    let RawRetry { ratio, slack, window_seconds } = raw.retry;
+    let figures = [("ratio", ratio), ("slack", slack), ("window_seconds", window_seconds)];
+    let bad = figures.iter().find(|(_, figure)| !figure.is_finite() || *figure < 0.0);
+    if let Some((name, figure)) = bad {
+        let message = format!("{figure} is no amount; give 0 or more");
+        return Err(InputError::new(format!("direct.retry.{name}"), message));
+    }
+    if raw.weights_ms == 0 {
+        let message = "0 leaves no time to change weights; give milliseconds";
+        return Err(InputError::new("direct.weights_ms", message));
+    }
+    let metrics = raw.metrics.as_deref().map(|text| address("direct.metrics", text)).transpose()?;
+    let weights_time = Duration::from_millis(raw.weights_ms);
+    Ok(DirectSettings { zones, seeds, retry: raw.retry, weights_time, metrics })
+}
+
+pub(crate) fn check_direct_entry(
+    raw: &RawSettings,
+    node: NodeSettings,
+    direct: DirectSettings,
+) -> Result<DirectEntrySettings, InputError> {
+    let entry = raw.entry.as_ref();
+    let entry = entry.ok_or_else(|| InputError::new("entry", "it is missing; add it"))?;
+    Ok(DirectEntrySettings { node, listen: address("entry.listen", &entry.listen)?, direct })
+}
+
+pub(crate) fn check_direct_agent(
+    raw: &RawSettings,
+    node: NodeSettings,
+    direct: DirectSettings,
+) -> Result<DirectAgentSettings, InputError> {
+    let agent = raw.agent.as_ref();
+    let agent = agent.ok_or_else(|| InputError::new("agent", "it is missing; add it"))?;
+    let (RawEndpoint::Engine { address: text, .. } | RawEndpoint::Service { address: text, .. }) =
+        &agent.endpoint;
+    let server = address("agent.endpoint.address", text)?;
+    Ok(DirectAgentSettings { node, server, link: agent.link.clone(), direct })
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,6 +4,7 @@
 //! nothing past the border checks again.
 
 pub mod digest;
+pub mod direct_settings;
 pub mod fleet;
 pub mod id;
 pub mod manifest;
@@ -11,6 +12,7 @@
 pub mod reading;
 pub mod settings;
 pub mod status;
+pub mod traffic;
 pub mod verdict;
 
 pub use digest::Digest;
--- a/crates/types/src/settings.rs
+++ b/crates/types/src/settings.rs
@@ -5,6 +5,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    direct_settings::{
+        DirectAgentSettings, DirectEntrySettings, RawDirect, check_direct, check_direct_agent,
+        check_direct_entry,
+    },
     id::{BoxId, DomainId, RegionId, ServiceName},
     quantity::{ByteRate, ByteSize},
     reading::{InputError, from_json, parse_at},
@@ -42,6 +46,9 @@
     /// Settings of an agent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub agent: Option<RawAgent>,
+    /// Direct mode: servers are called without an agent in between; none if left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub direct: Option<RawDirect>,
 }
 
 /// What only an entry needs, as written in JSON.
@@ -371,6 +378,10 @@
     Entry(Box<EntrySettings>),
     /// Of an agent.
     Agent(Box<AgentSettings>),
+    /// Of an entry that calls servers directly.
+    DirectEntry(Box<DirectEntrySettings>),
+    /// Of an agent that stages weights piece by piece.
+    DirectAgent(Box<DirectAgentSettings>),
 }
 
 impl DaemonSettings {
@@ -385,6 +396,15 @@
 
     fn try_from(raw: RawSettings) -> Result<Self, InputError> {
         let node = check_node(&raw)?;
+        if let Some(direct) = &raw.direct {
+            let direct = check_direct(direct, node.control)?;
+            return match &raw.agent {
+                Some(_) => check_direct_agent(&raw, node, direct)
+                    .map(|settings| Self::DirectAgent(Box::new(settings))),
+                None => check_direct_entry(&raw, node, direct)
+                    .map(|settings| Self::DirectEntry(Box::new(settings))),
+            };
+        }
         match (&raw.entry, &raw.agent) {
             (Some(entry), None) => Ok(Self::Entry(Box::new(check_entry(entry, node)?))),
             (None, Some(agent)) => Ok(Self::Agent(Box::new(check_agent(agent, node)?))),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,12 @@
-//! Messages between the processes of headlatch, generated from `proto/headlatch.proto`.
+//! Messages between the processes of headlatch, most of them generated from
+//! `proto/headlatch.proto`.
 
 #[rustfmt::skip]
 #[allow(missing_docs, clippy::all, clippy::pedantic, rustdoc::all)]
 mod generated;
 
 pub use generated::*;
+
+mod notice;
+
+pub use notice::{NoticeLoad, NoticeServer, PeerNotice};
--- /dev/null
+++ b/crates/wire/src/notice.rs
@@ -0,0 +1,58 @@
+//! The notice that processes send each other in one datagram.
+
+/// What a process has in progress at one server.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct NoticeLoad {
+    /// Key of the server.
+    #[prost(fixed32, tag = "1")]
+    pub server: u32,
+    /// Requests in progress.
+    #[prost(uint32, tag = "2")]
+    pub in_flight: u32,
+}
+
+/// What an agent tells of its server.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct NoticeServer {
+    /// Its address.
+    #[prost(string, tag = "1")]
+    pub address: String,
+    /// Version that it holds whole; 0 for none.
+    #[prost(uint64, tag = "2")]
+    pub whole: u64,
+    /// It is changing weights.
+    #[prost(bool, tag = "3")]
+    pub changing: bool,
+    /// Version that it is ready to change to; 0 for none.
+    #[prost(uint64, tag = "4")]
+    pub staged: u64,
+}
+
+/// A notice.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PeerNotice {
+    /// Where the sender hears notices.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Whether it is an agent.
+    #[prost(bool, tag = "2")]
+    pub agent: bool,
+    /// Drawn at its start.
+    #[prost(fixed64, tag = "3")]
+    pub life: u64,
+    /// Rises with every notice.
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
+    /// Version of the plan that it has.
+    #[prost(uint64, tag = "5")]
+    pub plan: u64,
+    /// Others that it hears.
+    #[prost(string, repeated, tag = "6")]
+    pub peers: Vec<String>,
+    /// What it has in progress.
+    #[prost(message, repeated, tag = "7")]
+    pub loads: Vec<NoticeLoad>,
+    /// Its server, if it looks after one.
+    #[prost(message, optional, tag = "8")]
+    pub server: Option<NoticeServer>,
+}
