Stage weights piece by piece by the burst planner, in turns

Cause: agents did nothing, and layers stand beside the models in lists and reports. Change: agents bring in pieces with the product's planner, stage, read back, order with a fence and the expected sequence, and tell entries by notices; layers are read where they stand.

--- a/crates/daemon/src/agent/fetch.rs
+++ b/crates/daemon/src/agent/fetch.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use headlatch_core::burst::FetchFailure;
 use headlatch_http::{HttpCaller, pace::LinkPacer};
+use headlatch_outside::OutsideFuture;
 use headlatch_types::{
     ChunkIndex, Digest, Manifest,
     manifest::{ChunkPlace, MANIFEST_FILE, MAX_MANIFEST_BYTES},
@@ -140,6 +141,38 @@
     }
 }
 
+/// Reads single chunks of one version from somewhere outside.
+pub trait ChunkReader: Send + Sync + std::fmt::Debug {
+    /// The bytes of a chunk; they are not verified yet.
+    fn read<'a>(
+        &'a self,
+        manifest: &'a Manifest,
+        chunk: ChunkIndex,
+    ) -> OutsideFuture<'a, Result<Bytes, FetchFailure>>;
+}
+
+/// Reads chunks as ranges of files below a folder.
+#[derive(Debug)]
+pub struct FolderReader {
+    /// Reads the ranges.
+    pub fetcher: OutsideFetcher,
+    /// The folder.
+    pub source: OutsideSource,
+}
+
+impl ChunkReader for FolderReader {
+    fn read<'a>(
+        &'a self,
+        manifest: &'a Manifest,
+        chunk: ChunkIndex,
+    ) -> OutsideFuture<'a, Result<Bytes, FetchFailure>> {
+        Box::pin(async move {
+            let place = manifest.chunk(chunk).ok_or(FetchFailure::Absent)?;
+            self.fetcher.chunk(&self.source, manifest, place).await
+        })
+    }
+}
+
 /// What a fetch from a peer needs to know.
 #[derive(Debug)]
 pub struct PeerAsk {
--- a/crates/daemon/src/agent/loader.rs
+++ b/crates/daemon/src/agent/loader.rs
@@ -25,7 +25,9 @@
 use super::{
     desk::EndpointDesk,
     engine::{EngineControl, LoadOrder, OrderOutcome},
-    fetch::{OutsideFetcher, OutsideSource, escape_path, manifest_from_peer},
+    fetch::{
+        ChunkReader, FolderReader, OutsideFetcher, OutsideSource, escape_path, manifest_from_peer,
+    },
     hub::SwarmHub,
     swarm::{self, DriverInput, SwarmTools, peer_key},
     vault::ChunkVault,
@@ -213,24 +215,31 @@
         let settings = self.swarm_settings(&manifest, goal);
         let tools = self.tools(part);
         let me = seat_of(self.node.table().own());
-        self.hub.add(swarm::start(tools, part.clone(), (text, Arc::new(manifest)), settings, me));
+        self.hub.add(swarm::start(tools, part.location.clone(), (text, Arc::new(manifest)), settings, me));
     }
 
     fn tools(&self, part: &WeightPart) -> SwarmTools {
-        let location = part.location.clone();
-        let outside = |url: &Option<_>| {
-            url.clone().map(|url| OutsideSource { url, location: location.clone() })
+        let reader = |source: OutsideSource| -> Arc<dyn ChunkReader> {
+            Arc::new(FolderReader { fetcher: self.fetcher.clone(), source })
         };
+        let [origin, store] = self.sources(part);
         SwarmTools {
             node: self.node.clone(),
             vault: self.vault.clone(),
             down: self.fetcher.down(),
-            fetcher: self.fetcher.clone(),
-            origin: outside(&self.settings.origin),
-            store: outside(&self.settings.store),
+            origin: origin.map(reader),
+            store: store.map(reader),
         }
     }
 
+    /// Origin and store of a part, where they are.
+    fn sources(&self, part: &WeightPart) -> [Option<OutsideSource>; 2] {
+        let location = &part.location;
+        [&self.settings.origin, &self.settings.store].map(|url| {
+            url.clone().map(|url| OutsideSource { url, location: location.clone() })
+        })
+    }
+
     fn swarm_settings(&self, manifest: &Manifest, goal: &LoadGoal) -> SwarmSettings {
         let chunks = manifest.chunks().len() as u32;
         let mean = manifest.total().bytes() / u64::from(chunks.max(1));
@@ -266,8 +275,7 @@
         if !reader && now.since(since) < MANIFEST_PATIENCE {
             return None;
         }
-        let tools = self.tools(part);
-        for source in [tools.origin, tools.store].into_iter().flatten() {
+        for source in self.sources(part).into_iter().flatten() {
             match self.fetcher.manifest(&source, part.manifest).await {
                 Ok(found) => return Some(found),
                 Err(failure) => log::warn!(
--- a/crates/daemon/src/agent/swarm.rs
+++ b/crates/daemon/src/agent/swarm.rs
@@ -15,12 +15,12 @@
     SwarmPlanner, SwarmSettings, TICK,
 };
 use headlatch_http::pace::LinkPacer;
-use headlatch_types::{ChunkIndex, Digest, Manifest, fleet::WeightPart};
+use headlatch_types::{ChunkIndex, Digest, Manifest};
 use headlatch_wire::{SwarmNotes, fetch_step::Step};
 use tokio::{sync::mpsc, task::AbortHandle};
 
 use super::{
-    fetch::{OutsideFetcher, OutsideSource, PeerAsk, fetch_from_peer},
+    fetch::{ChunkReader, PeerAsk, fetch_from_peer},
     vault::ChunkVault,
 };
 use crate::node::{NodeContext, codec};
@@ -123,18 +123,16 @@
     pub vault: Arc<ChunkVault>,
     /// This box's link inwards.
     pub down: Arc<LinkPacer>,
-    /// Reads from origin and store.
-    pub fetcher: OutsideFetcher,
     /// The origin.
-    pub origin: Option<OutsideSource>,
+    pub origin: Option<Arc<dyn ChunkReader>>,
     /// The store.
-    pub store: Option<OutsideSource>,
+    pub store: Option<Arc<dyn ChunkReader>>,
 }
 
 /// Carries out what one planner decides.
 struct SwarmDriver {
     tools: SwarmTools,
-    part: WeightPart,
+    location: String,
     manifest: Arc<Manifest>,
     planner: SwarmPlanner,
     inputs: mpsc::Receiver<DriverInput>,
@@ -155,7 +153,7 @@
 /// Starts the transfer of `manifest`.
 pub fn start(
     tools: SwarmTools,
-    part: WeightPart,
+    location: String,
     (text, manifest): (Bytes, Arc<Manifest>),
     settings: SwarmSettings,
     me: PeerSeat,
@@ -166,11 +164,11 @@
     tools.vault.held(&manifest).into_iter().for_each(|chunk| {
         held.insert(chunk);
     });
-    let salt = part.manifest.key();
+    let salt = manifest.digest().key();
     let planner = SwarmPlanner::begin(settings, salt, me, held, tools.node.now());
     let driver = SwarmDriver {
         tools,
-        part,
+        location,
         manifest: manifest.clone(),
         planner,
         inputs,
@@ -263,7 +261,7 @@
     }
 
     fn complete(&mut self) {
-        log::info!("burst: {} is whole", self.part.location);
+        log::info!("burst: {} is whole", self.location);
         self.state.complete.store(true, Ordering::Relaxed);
     }
 
@@ -317,7 +315,7 @@
         let node = self.tools.node.clone();
         let pulse = self.planner.pulse();
         let message = SwarmNotes {
-            manifest: Bytes::copy_from_slice(self.part.manifest.as_bytes()),
+            manifest: Bytes::copy_from_slice(self.manifest.digest().as_bytes()),
             box_id: node.settings.box_id.to_string(),
             notes: notes.iter().map(codec::encode_note).collect(),
             queue: pulse.queue,
@@ -363,7 +361,7 @@
         let place = self.manifest.chunk(self.chunk).ok_or(FetchFailure::Absent)?;
         let data = self.read(place.length as usize, answers).await?;
         let bytes = data.len() as u64;
-        match self.tools.vault.put(place.digest, data) {
+        match self.tools.vault.put(self.manifest.kind(), place.digest, data) {
             Some(Ok(())) => {
                 self.state.bytes.fetch_add(bytes, Ordering::Relaxed);
                 self.tools.node.metrics.count_chunk(source_name(self.source), bytes);
@@ -392,8 +390,7 @@
             ChunkSource::Peer(_) => return self.read_from_peer(length, answers).await,
         };
         let outside = outside.ok_or(FetchFailure::Absent)?;
-        let place = self.manifest.chunk(self.chunk).ok_or(FetchFailure::Absent)?;
-        self.tools.fetcher.chunk(outside, &self.manifest, place).await
+        outside.read(&self.manifest, self.chunk).await
     }
 
     async fn read_from_peer(
--- a/crates/daemon/src/agent/vault.rs
+++ b/crates/daemon/src/agent/vault.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use headlatch_types::{ChunkIndex, Digest, Manifest, quantity::ByteSize};
+use headlatch_types::{ChunkIndex, Digest, Manifest, digest::DigestKind, quantity::ByteSize};
 
 /// There is no room for a chunk.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -47,8 +47,13 @@
     }
 
     /// Takes a chunk in if its digest fits; `None` if it does not.
-    pub fn put(&self, digest: Digest, data: Bytes) -> Option<Result<(), VaultFull>> {
-        if Digest::of(&data) != digest {
+    pub fn put(
+        &self,
+        kind: DigestKind,
+        digest: Digest,
+        data: Bytes,
+    ) -> Option<Result<(), VaultFull>> {
+        if kind.of(&data) != digest {
             return None;
         }
         let mut state = self.lock();
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -3,7 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use headlatch_outside::facts::{
-    FactChange, FactList, FactStore, FactTopic, Freshness, StoreFailure, StoreRevision,
+    Fact, FactChange, FactList, FactStore, FactTopic, Freshness, NamedFact, StoreFailure,
+    StoreRevision,
 };
 use rand::Rng;
 use serde_json::json;
@@ -95,3 +96,26 @@
     }
     Ok(changes.at)
 }
+
+/// The facts in news that are there and can be read.
+pub fn set_facts(news: FactNews) -> Vec<Fact> {
+    let named: Vec<NamedFact> = match news {
+        FactNews::All(list) => list.facts,
+        FactNews::Changes(changes) => changes
+            .into_iter()
+            .filter_map(|change| match change {
+                FactChange::Set(fact) => Some(fact),
+                FactChange::Gone(_) => None,
+            })
+            .collect(),
+    };
+    let readable = named.into_iter().filter_map(|named| match named.fact {
+        Ok(fact) => Some(fact),
+        Err(error) => {
+            let fields = json!({ "name": named.name, "error": error.to_string() });
+            decisions::warn("store", "unreadable", fields);
+            None
+        }
+    });
+    readable.collect()
+}
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -0,0 +1,749 @@
+//! An agent that brings the server on its machine to the wanted weights.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use headlatch_core::{
+    burst::{PeerSeat, SwarmSettings},
+    direct::{
+        peers::{PeerKind, PeerTable, ServerNotice},
+        staging::{
+            GivenOrder, StageState, StageStep, StageView, TurnView, has_turn, next_step,
+        },
+    },
+    hash::ranking,
+    membership::NodeKind,
+    time::Moment,
+};
+use headlatch_http::{HttpLimits, HttpServer, StopHandle, pace::LinkPacer};
+use headlatch_outside::{
+    engine::{
+        EngineStage, OrderAnswer, OrderSequence, PieceManifest, PieceOrigin, StageReport,
+        StartOrder,
+    },
+    facts::{Fact, FactStore, FactTopic, Freshness},
+};
+use headlatch_types::{
+    ChunkIndex, Manifest,
+    direct_settings::DirectAgentSettings,
+    fleet::BurstPreference,
+    id::ModelName,
+    quantity::ByteSize,
+    traffic::{EngineFigures, OriginPlan, ServerRecord, TrafficPlan, WeightVersion},
+};
+use headlatch_wire::node_server::NodeServer;
+use serde_json::json;
+use tokio::{net::UdpSocket, task::JoinHandle};
+use tokio_stream::wrappers::TcpListenerStream;
+use volo_http::server::Router;
+
+use super::{
+    facts::{FactNews, follow, pause_after, set_facts},
+    notices::{self, NoticeBody, NoticeWriter},
+    weights::{PieceReader, burst_manifest},
+};
+use crate::{
+    agent::{
+        bind_control,
+        hub::SwarmHub,
+        swarm::{self, DriverInput, SwarmHandle, SwarmTools, peer_key},
+        vault::ChunkVault,
+    },
+    decisions,
+    error::DaemonError,
+    node::{
+        NodeContext,
+        admin::{self, ReadyFlag},
+        service::{MOST_MESSAGE, NodeService, SwarmHost},
+    },
+    platform::HttpStore,
+    timer::SharedTimer,
+    trace::SpanMaker,
+};
+
+/// How often the agent looks while there is something to do.
+const BUSY_LOOK: Duration = Duration::from_millis(60);
+
+/// How often it looks at a server that holds what is wanted.
+const QUIET_LOOK: Duration = Duration::from_millis(400);
+
+/// How often the list of servers is read while pieces come in.
+const LIST_PAUSE: Duration = Duration::from_millis(1500);
+
+/// How often the plan is read until it names an origin.
+const PLAN_PAUSE: Duration = Duration::from_millis(700);
+
+/// Memory for pieces: two versions, as one may follow another quickly.
+const PIECE_MEMORY: ByteSize = ByteSize::from_mib(24);
+
+/// Pieces laid into the stage at one look.
+const PIECES_A_LOOK: usize = 16;
+
+/// Part of the link that weights use, in percent, so that control is heard.
+const LINK_PERCENT: u64 = 96;
+
+/// Pieces looked at before a stage counts as one of another version.
+const SURVEY_SAMPLE: u32 = 3;
+
+/// Version of weights that is wanted where nobody names one.
+const FIRST_VERSION: WeightVersion = WeightVersion(1);
+
+/// What an agent is given to work with.
+#[derive(Debug, Clone)]
+pub struct AgentOutside {
+    /// The store of facts.
+    pub store: Arc<dyn FactStore>,
+    /// The server's stage.
+    pub engine: Arc<dyn EngineStage>,
+    /// The origin of pieces.
+    pub origin: Arc<dyn PieceOrigin>,
+}
+
+/// What an agent believes, shared with its notices.
+#[derive(Debug)]
+struct AgentState {
+    settings: DirectAgentSettings,
+    node: Arc<NodeContext>,
+    peers: Mutex<PeerTable>,
+    wanted: Mutex<HashMap<ModelName, (WeightVersion, Moment)>>,
+    notice: Mutex<ServerNotice>,
+    news: tokio::sync::Notify,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|broken| broken.into_inner())
+}
+
+/// An agent that runs.
+#[derive(Debug)]
+pub struct DirectAgent {
+    state: Arc<AgentState>,
+    stop: StopHandle,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl DirectAgent {
+    /// Starts an agent.
+    pub async fn start(
+        settings: DirectAgentSettings,
+        timer: SharedTimer,
+        outside: AgentOutside,
+    ) -> Result<Self, Report<DaemonError>> {
+        let (listener, socket) = bind_control(settings.node.control).await?;
+        let failure = || DaemonError::Bind(settings.node.admin);
+        let admin_server = HttpServer::bind(settings.node.admin, HttpLimits::default())
+            .await
+            .change_context_lazy(failure)?;
+        let control = settings.node.control;
+        let unused_store = Arc::new(HttpStore::new(settings.node.platform.clone()));
+        let spans = SpanMaker::new("headlatch-agent", settings.node.traces.as_ref())?;
+        let node_settings = settings.node.clone();
+        let node =
+            NodeContext::new(node_settings, NodeKind::Agent, control, timer, unused_store, spans);
+        let mut peers = PeerTable::new(control);
+        for seed in &settings.direct.seeds {
+            peers.suggest(Moment::ZERO, *seed);
+        }
+        let notice = ServerNotice {
+            address: settings.server,
+            whole: None,
+            changing: false,
+            staged: None,
+        };
+        let fields = json!({
+            "node": settings.node.box_id, "zone": settings.node.domain, "control": control,
+            "server": settings.server,
+        });
+        let rate = settings.link.rate;
+        let state = Arc::new(AgentState {
+            node: node.clone(),
+            peers: Mutex::new(peers),
+            wanted: Mutex::default(),
+            notice: Mutex::new(notice),
+            news: tokio::sync::Notify::new(),
+            settings,
+        });
+        let vault = Arc::new(ChunkVault::new(PIECE_MEMORY));
+        let link = headlatch_types::quantity::ByteRate::from_bytes_per_second(
+            rate.bytes_per_second() * LINK_PERCENT / 100,
+        );
+        let (up, down) = (Arc::new(LinkPacer::new(link)), Arc::new(LinkPacer::new(link)));
+        let hub = Arc::new(SwarmHub::new(vault.clone(), up, node.metrics.clone()));
+        let (stop, signal) = StopHandle::new();
+        let stager = Stager {
+            state: state.clone(),
+            outside: outside.clone(),
+            hub: hub.clone(),
+            vault,
+            down,
+            plan: None,
+            plan_due: Moment::ZERO,
+            servers: Vec::new(),
+            servers_due: Moment::ZERO,
+            work: None,
+            order: None,
+            manifest_failures: 0,
+            manifest_due: Moment::ZERO,
+            fence: 0,
+        };
+        let watched = state.clone();
+        let router = admin::add_routes(Router::new(), &node, &ReadyFlag::default());
+        let tasks = vec![
+            tokio::spawn(stager.run()),
+            tokio::spawn(serve_peers(node, hub, listener)),
+            tokio::spawn(run_notices(state.clone(), socket)),
+            tokio::spawn(follow(outside.store, FactTopic::Weights, move |news| {
+                watched.hear_weights(news);
+            })),
+            tokio::spawn(admin_server.serve(router, signal)),
+        ];
+        decisions::note("life", "started", fields);
+        Ok(Self { state, stop, tasks })
+    }
+
+    /// Stops at once: nothing that callers wait for runs here.
+    pub fn leave(self) {
+        let whole = lock(&self.state.notice).whole;
+        decisions::note("life", "stopped", json!({ "whole": whole }));
+        self.stop.stop();
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+async fn serve_peers(
+    node: Arc<NodeContext>,
+    hub: Arc<SwarmHub>,
+    listener: tokio::net::TcpListener,
+) {
+    let host: Arc<dyn SwarmHost> = hub;
+    let service = NodeServer::new(NodeService::new(node, Some(host)));
+    let service = service.max_decoding_message_size(MOST_MESSAGE);
+    let served = crate::node::service::server()
+        .add_service(service)
+        .serve_with_incoming(TcpListenerStream::new(listener))
+        .await;
+    if let Err(error) = served {
+        log::error!("agent: the control listener failed, {error}");
+    }
+}
+
+async fn run_notices(state: Arc<AgentState>, socket: UdpSocket) {
+    let mut writer = NoticeWriter::new(state.settings.node.control, PeerKind::Agent);
+    let mut ticks = tokio::time::interval(notices::NOTICE_PAUSE);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut buffer = vec![0; notices::MOST_DATAGRAM];
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => {
+                let Ok((length, _)) = received else { continue };
+                let Some(notice) = notices::decode(&buffer[..length]) else { continue };
+                lock(&state.peers).hear(state.node.now(), notice);
+                continue;
+            }
+            () = state.news.notified() => {}
+            _ = ticks.tick() => {}
+        }
+        let now = state.node.now();
+        lock(&state.peers).expire(now);
+        let server = Some(*lock(&state.notice));
+        let body = NoticeBody { server, ..NoticeBody::default() };
+        let (bytes, targets) = writer.tick(&lock(&state.peers), body);
+        for target in targets {
+            // A datagram that cannot be sent is as good as lost, which is borne.
+            let _ = socket.try_send_to(&bytes, target);
+        }
+    }
+}
+
+impl AgentState {
+    fn hear_weights(&self, news: FactNews) {
+        let now = self.node.now();
+        for fact in set_facts(news) {
+            let Fact::Weights(weights) = fact else { continue };
+            let mut wanted = lock(&self.wanted);
+            let before = wanted.get(&weights.model).map(|(version, _)| *version);
+            if before.is_some_and(|before| before >= weights.version) {
+                continue;
+            }
+            wanted.insert(weights.model.clone(), (weights.version, now));
+            drop(wanted);
+            let fields = json!({
+                "model": weights.model, "version": weights.version, "before": before,
+            });
+            decisions::note("weights", "version_wanted", fields);
+            self.news.notify_one();
+        }
+    }
+
+    fn tell(&self, change: impl FnOnce(&mut ServerNotice)) {
+        let mut notice = lock(&self.notice);
+        let before = *notice;
+        change(&mut notice);
+        let changed = *notice != before;
+        drop(notice);
+        if changed {
+            self.news.notify_one();
+        }
+    }
+}
+
+/// The version that is being brought in.
+#[derive(Debug)]
+struct VersionWork {
+    pieces: PieceManifest,
+    manifest: Arc<Manifest>,
+    swarm: SwarmHandle,
+    stage: StageState,
+    since: Moment,
+}
+
+/// Brings one server to the wanted weights.
+struct Stager {
+    state: Arc<AgentState>,
+    outside: AgentOutside,
+    hub: Arc<SwarmHub>,
+    vault: Arc<ChunkVault>,
+    down: Arc<LinkPacer>,
+    plan: Option<Box<TrafficPlan>>,
+    plan_due: Moment,
+    servers: Vec<ServerRecord>,
+    servers_due: Moment,
+    work: Option<VersionWork>,
+    order: Option<GivenOrder>,
+    manifest_failures: u32,
+    manifest_due: Moment,
+    fence: u64,
+}
+
+/// What is to be reached.
+#[derive(Debug, Clone)]
+struct Goal {
+    model: ModelName,
+    version: WeightVersion,
+    since: Moment,
+    whole: Option<WeightVersion>,
+}
+
+impl Stager {
+    async fn run(mut self) {
+        loop {
+            let busy = self.look().await;
+            let pause = if busy { BUSY_LOOK } else { QUIET_LOOK };
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Looks once; true if there is something to do soon.
+    async fn look(&mut self) -> bool {
+        let report = match self.outside.engine.report().await {
+            Ok(report) => report,
+            Err(error) => {
+                if lock(&self.state.notice).whole.is_some() {
+                    decisions::warn("engine", "lost", json!({ "error": error.to_string() }));
+                }
+                self.state.tell(|notice| {
+                    notice.whole = None;
+                    notice.changing = false;
+                });
+                return true;
+            }
+        };
+        self.read_plan().await;
+        let Some(goal) = self.goal(&report) else {
+            self.read_servers(None).await;
+            return true;
+        };
+        self.tell_whole(&goal, &report);
+        if goal.whole.is_some_and(|whole| whole >= goal.version) {
+            self.note_done(&goal);
+            return false;
+        }
+        self.begin_work(&goal).await;
+        self.step(&goal, &report).await;
+        true
+    }
+
+    /// What the server is to hold; none as long as nobody says.
+    fn goal(&self, report: &StageReport) -> Option<Goal> {
+        let held = report.models.first();
+        let model = held.map(|held| held.model.clone()).or_else(|| self.planned_model())?;
+        let wanted = lock(&self.state.wanted).get(&model).copied();
+        let others = self.servers.iter().flat_map(|server| &server.models);
+        let others = others.filter(|other| other.model == model).map(|other| other.version);
+        let (version, since) =
+            wanted.unwrap_or((others.max().unwrap_or(FIRST_VERSION), Moment::ZERO));
+        // The version that the server names may be newer than any that was heard of.
+        let version = held.map_or(version, |held| version.max(held.version));
+        let layers = self.layers();
+        let whole = held.and_then(|held| held.whole_version(layers));
+        Some(Goal { model, version, since, whole })
+    }
+
+    /// The model of this server's service in the plan.
+    fn planned_model(&self) -> Option<ModelName> {
+        self.engine().and_then(|engine| engine.models.first().cloned())
+    }
+
+    fn engine(&self) -> Option<&EngineFigures> {
+        let plan = self.plan.as_ref()?;
+        let address = self.state.settings.server;
+        let own = self.servers.iter().find(|server| server.address == address);
+        let listed = own.and_then(|own| plan.services.get(&*own.service));
+        let listed = listed.and_then(|service| service.engine.as_ref());
+        listed.or_else(|| plan.services.values().find_map(|service| service.engine.as_ref()))
+    }
+
+    /// Layers of the model, as far as they are known; without them one is taken for a whole model.
+    fn layers(&self) -> u32 {
+        let begun = self.work.as_ref().map(|work| work.pieces.layers);
+        let planned = self.engine().map(|engine| engine.layers);
+        begun.or(planned).unwrap_or(0).max(1)
+    }
+
+    fn tell_whole(&self, goal: &Goal, report: &StageReport) {
+        let before = lock(&self.state.notice).whole;
+        if before != goal.whole {
+            let fields = json!({
+                "model": goal.model, "whole": goal.whole, "before": before,
+                "sequence": report.sequence.0,
+            });
+            decisions::note("engine", "holds", fields);
+        }
+        let order_open = self.order.is_some_and(|order| {
+            order.version == goal.version
+                && order.answer == Some(OrderAnswer::Begun)
+                && goal.whole.is_none_or(|whole| whole < goal.version)
+        });
+        self.state.tell(|notice| {
+            notice.whole = goal.whole;
+            notice.changing = report.busy || order_open;
+        });
+    }
+
+    fn note_done(&mut self, goal: &Goal) {
+        self.state.tell(|notice| notice.staged = Some(goal.version));
+        if self.order.take().is_some() {
+            let since = self.state.node.now().since(goal.since).as_millis() as u64;
+            let fields = json!({ "version": goal.version, "after_ms": since });
+            decisions::note("weights", "in_force", fields);
+        }
+    }
+
+    /// Reads the plan until it names an origin.
+    async fn read_plan(&mut self) {
+        let now = self.state.node.now();
+        if self.plan.is_some() || now < self.plan_due {
+            return;
+        }
+        self.plan_due = now + PLAN_PAUSE;
+        let listed = self.outside.store.list(FactTopic::Plan, Freshness::Current).await;
+        let Ok(list) = listed else { return };
+        for fact in set_facts(FactNews::All(list)) {
+            if let Fact::Plan(plan) = fact
+                && plan.origin().is_some()
+            {
+                self.plan = Some(plan);
+            }
+        }
+    }
+
+    /// Reads who else takes part.
+    async fn read_servers(&mut self, model: Option<&ModelName>) {
+        let now = self.state.node.now();
+        if now < self.servers_due {
+            return;
+        }
+        self.servers_due = now + LIST_PAUSE;
+        let listed = self.outside.store.list(FactTopic::Servers, Freshness::MayBeOld).await;
+        let Ok(list) = listed else { return };
+        let servers = set_facts(FactNews::All(list)).into_iter().filter_map(|fact| match fact {
+            Fact::Server(record) => Some(record),
+            _ => None,
+        });
+        let own = self.state.settings.server;
+        let takes_part = |one: &ServerRecord| {
+            let same = model.is_none_or(|model| one.models.iter().any(|held| held.model == *model));
+            same || one.address == own
+        };
+        self.servers = servers.filter(takes_part).collect();
+        let mut peers = lock(&self.state.peers);
+        let port = self.state.settings.node.control.port();
+        for server in &self.servers {
+            peers.suggest(now, SocketAddr::new(server.address.ip(), port));
+        }
+    }
+
+    fn seats(&self) -> Vec<(PeerSeat, SocketAddr)> {
+        let port = self.state.settings.node.control.port();
+        let own = self.state.settings.server;
+        let zones = &self.state.settings.direct.zones;
+        let seat = |record: &ServerRecord| {
+            let control = SocketAddr::new(record.address.ip(), port);
+            let id = machine_id(control.ip());
+            let region = zones.get(&record.zone);
+            let region = region.map_or(0, |region| {
+                headlatch_types::digest::key_of(region.as_str().as_bytes())
+            });
+            let key = peer_key(&id);
+            Some((PeerSeat { key, domain: record.zone.key(), region }, control))
+        };
+        let mut seats: Vec<_> = self.servers.iter().filter_map(seat).collect();
+        if !self.servers.iter().any(|record| record.address.ip() == own.ip()) {
+            seats.push((self.own_seat(), self.state.settings.node.control));
+        }
+        seats
+    }
+
+    fn own_seat(&self) -> PeerSeat {
+        let node = &self.state.settings.node;
+        let region = headlatch_types::digest::key_of(node.region.as_str().as_bytes());
+        let key = peer_key(&machine_id(node.control.ip()));
+        PeerSeat { key, domain: node.domain.key(), region }
+    }
+
+    /// Begins to bring in the wanted version, unless that is under way.
+    async fn begin_work(&mut self, goal: &Goal) {
+        self.read_servers(Some(&goal.model)).await;
+        let seats = self.seats();
+        if let Some(work) = &self.work
+            && work.pieces.version == goal.version
+            && work.pieces.model == goal.model
+        {
+            if !work.swarm.is_complete() {
+                work.swarm.tell(DriverInput::Seats(seats));
+            }
+            return;
+        }
+        let now = self.state.node.now();
+        let origin = self.plan.as_ref().and_then(|plan| plan.origin().cloned());
+        let Some(origin) = origin else { return };
+        if now < self.manifest_due {
+            return;
+        }
+        let asked = self.outside.origin.manifest(origin.address, &goal.model, goal.version).await;
+        let pieces = match asked {
+            Ok(pieces) => pieces,
+            Err(error) => {
+                self.manifest_failures += 1;
+                self.manifest_due = now + pause_after(self.manifest_failures);
+                // The origin may have moved.
+                self.plan = None;
+                let fields = json!({ "version": goal.version, "error": error.to_string() });
+                return decisions::warn("weights", "no_manifest", fields);
+            }
+        };
+        self.manifest_failures = 0;
+        let manifest = Arc::new(burst_manifest(&pieces));
+        let stage = self.survey(&pieces, &manifest).await;
+        let swarm = self.start_swarm(&pieces, &manifest, &origin);
+        swarm.tell(DriverInput::Seats(seats));
+        self.hub.add(swarm.clone());
+        let fields = json!({
+            "model": goal.model, "version": goal.version, "pieces": pieces.digests.len(),
+            "staged": stage.placed.iter().filter(|placed| **placed).count(),
+            "seats": self.servers.len(),
+        });
+        decisions::note("weights", "begun", fields);
+        self.work = Some(VersionWork { pieces, manifest, swarm, stage, since: now });
+        let digest = self.work.as_ref().map(|work| work.manifest.digest());
+        self.hub.retain(|kept| Some(*kept) == digest);
+    }
+
+    fn start_swarm(
+        &self,
+        pieces: &PieceManifest,
+        manifest: &Arc<Manifest>,
+        origin: &OriginPlan,
+    ) -> SwarmHandle {
+        let tools = SwarmTools {
+            node: self.state.node.clone(),
+            vault: self.vault.clone(),
+            down: self.down.clone(),
+            origin: Some(Arc::new(PieceReader {
+                origin: self.outside.origin.clone(),
+                address: origin.address,
+                model: pieces.model.clone(),
+                version: pieces.version,
+                down: self.down.clone(),
+            })),
+            store: None,
+        };
+        let bytes = ByteSize::from_bytes(pieces.piece_bytes.into());
+        let own = self.state.settings.link.rate.time_for(bytes);
+        let origin_rate = origin.bytes_per_second.max(1);
+        let origin_rate =
+            headlatch_types::quantity::ByteRate::from_bytes_per_second(origin_rate);
+        let count = pieces.digests.len() as u32;
+        let mut settings = SwarmSettings::new(count, own, origin_rate.time_for(bytes));
+        settings.prefer = BurstPreference::OriginBytes;
+        let name = format!("{}@{}", pieces.model, pieces.version);
+        swarm::start(tools, name, (Bytes::new(), manifest.clone()), settings, self.own_seat())
+    }
+
+    /// Looks which pieces of a version lie in the stage already.
+    async fn survey(&self, pieces: &PieceManifest, manifest: &Manifest) -> StageState {
+        let count = pieces.digests.len() as u32;
+        let mut placed = vec![false; count as usize];
+        let mut good = 0;
+        for piece in 0..count {
+            if piece == SURVEY_SAMPLE && good == 0 {
+                break;
+            }
+            if self.is_staged(pieces, manifest, piece).await {
+                placed[piece as usize] = true;
+                good += 1;
+            }
+        }
+        StageState { version: Some(pieces.version), placed, checked: None, surveyed: true }
+    }
+
+    /// Whether a piece lies in the stage unspoilt; if so, it is here for others as well.
+    async fn is_staged(&self, pieces: &PieceManifest, manifest: &Manifest, piece: u32) -> bool {
+        let Some(place) = manifest.chunk(ChunkIndex(piece)) else { return false };
+        match self.outside.engine.get(&pieces.model, piece).await {
+            Ok(data) => {
+                matches!(self.vault.put(manifest.kind(), place.digest, data), Some(Ok(())))
+            }
+            Err(_) => false,
+        }
+    }
+
+    async fn step(&mut self, goal: &Goal, report: &StageReport) {
+        let turn = self.has_turn(goal);
+        let Some(work) = &self.work else { return };
+        if work.pieces.version != goal.version {
+            return;
+        }
+        let held: Vec<bool> = work
+            .manifest
+            .chunks()
+            .iter()
+            .map(|place| self.vault.get(&place.digest).is_some())
+            .collect();
+        let view = StageView {
+            now: self.state.node.now(),
+            wanted: goal.version,
+            layers: work.pieces.layers,
+            report,
+            whole: goal.whole,
+            stage: &work.stage,
+            held: &held,
+            order: self.order,
+            turn,
+        };
+        match next_step(&view) {
+            StageStep::Wait | StageStep::Done | StageStep::Survey => {}
+            StageStep::Place(_) => self.place(&held).await,
+            StageStep::Check => self.check().await,
+            StageStep::Order(sequence) => self.give_order(goal, sequence).await,
+        }
+    }
+
+    /// Lays pieces into the stage.
+    async fn place(&mut self, held: &[bool]) {
+        let Some(work) = &mut self.work else { return };
+        let missing = (0..held.len()).filter(|piece| held[*piece] && !work.stage.placed[*piece]);
+        let missing: Vec<usize> = missing.take(PIECES_A_LOOK).collect();
+        for piece in missing {
+            let place = &work.manifest.chunks()[piece];
+            let Some(data) = self.vault.get(&place.digest) else { continue };
+            match self.outside.engine.put(&work.pieces.model, piece as u32, data).await {
+                Ok(()) => work.stage.placed[piece] = true,
+                Err(error) => {
+                    let fields = json!({ "piece": piece, "error": error.to_string() });
+                    return decisions::warn("weights", "not_staged", fields);
+                }
+            }
+        }
+        if work.stage.placed.iter().all(|placed| *placed) {
+            let version = work.pieces.version;
+            let after = self.state.node.now().since(work.since).as_millis() as u64;
+            let fields = json!({ "version": version, "after_ms": after });
+            decisions::note("weights", "staged", fields);
+            self.state.tell(|notice| notice.staged = Some(version));
+        }
+    }
+
+    /// Reads every piece back; spoilt ones are laid anew.
+    async fn check(&mut self) {
+        let Some(work) = &self.work else { return };
+        let mut spoilt = Vec::new();
+        for (piece, place) in work.manifest.chunks().iter().enumerate() {
+            let read = self.outside.engine.get(&work.pieces.model, piece as u32).await;
+            let right = read.is_ok_and(|data| work.manifest.kind().of(&data) == place.digest);
+            if !right {
+                spoilt.push(piece);
+            }
+        }
+        let now = self.state.node.now();
+        let Some(work) = &mut self.work else { return };
+        if spoilt.is_empty() {
+            work.stage.checked = Some(now);
+            return;
+        }
+        let fields = json!({ "version": work.pieces.version, "pieces": spoilt });
+        decisions::warn("weights", "stage_spoilt", fields);
+        for piece in spoilt {
+            work.stage.placed[piece] = false;
+        }
+    }
+
+    async fn give_order(&mut self, goal: &Goal, sequence: OrderSequence) {
+        self.fence += 1;
+        let order = StartOrder {
+            model: goal.model.clone(),
+            version: goal.version,
+            fence: self.fence,
+            expected: sequence,
+        };
+        self.state.tell(|notice| notice.changing = true);
+        let given = self.state.node.now();
+        let answer = self.outside.engine.start(order).await;
+        let fields = json!({
+            "version": goal.version, "fence": self.fence, "expected": sequence.0,
+            "answer": format!("{answer:?}"),
+        });
+        decisions::note("engine", "ordered", fields);
+        let answer = answer.ok();
+        self.order =
+            Some(GivenOrder { version: goal.version, given, answer, expected: sequence });
+    }
+
+    fn has_turn(&self, goal: &Goal) -> bool {
+        let own = self.state.settings.node.control;
+        let keys: HashMap<u64, SocketAddr> = self
+            .seats()
+            .iter()
+            .map(|(seat, address)| (seat.key.0, *address))
+            .collect();
+        let ranked = ranking(goal.version.0, keys.keys().copied());
+        let rank = |address: SocketAddr| {
+            ranked.iter().position(|key| keys.get(key) == Some(&address)).unwrap_or(0) as u32
+        };
+        let peers = lock(&self.state.peers);
+        let others: Vec<TurnView> = peers
+            .living()
+            .filter_map(|peer| Some((peer.notice.from, peer.notice.server?)))
+            .map(|(from, server)| TurnView {
+                rank: rank(from),
+                done: server.whole.is_some_and(|whole| whole >= goal.version),
+                ready: server.staged == Some(goal.version),
+            })
+            .collect();
+        let since = self.state.node.now().since(goal.since);
+        let time = self.state.settings.direct.weights_time;
+        has_turn(rank(own), goal.whole.is_some(), since, time, &others)
+    }
+}
+
+/// The id of a machine in a transfer: every agent works it out alike from the address.
+fn machine_id(ip: std::net::IpAddr) -> headlatch_types::id::BoxId {
+    let text = ip.to_string().replace(':', "-");
+    text.parse().expect("an IP number makes a name")
+}
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -33,7 +33,7 @@
 use serde_json::json;
 use tokio::time::Instant;
 
-use super::facts::FactNews;
+use super::facts::{FactNews, set_facts};
 use crate::{decisions, metrics::NodeMetrics};
 
 /// The state of one entry.
@@ -282,26 +282,3 @@
         }
     }
 }
-
-/// The facts in news that are there and can be read.
-pub fn set_facts(news: FactNews) -> Vec<Fact> {
-    let named: Vec<NamedFact> = match news {
-        FactNews::All(list) => list.facts,
-        FactNews::Changes(changes) => changes
-            .into_iter()
-            .filter_map(|change| match change {
-                FactChange::Set(fact) => Some(fact),
-                FactChange::Gone(_) => None,
-            })
-            .collect(),
-    };
-    let readable = named.into_iter().filter_map(|named| match named.fact {
-        Ok(fact) => Some(fact),
-        Err(error) => {
-            let fields = json!({ "name": named.name, "error": error.to_string() });
-            decisions::warn("store", "unreadable", fields);
-            None
-        }
-    });
-    readable.collect()
-}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -5,7 +5,7 @@
 use clap::Parser;
 use error_stack::{Report, ResultExt};
 use headlatch_http::Connections;
-use headlatch_platform::{PlatformHeaders, PlatformStore};
+use headlatch_platform::{PlatformEngine, PlatformHeaders, PlatformOrigin, PlatformStore};
 use headlatch_types::{
     direct_settings::{DirectAgentSettings, DirectEntrySettings},
     settings::{DaemonSettings, NodeSettings},
@@ -16,7 +16,10 @@
     agent::RunningAgent,
     cli::{CommandLine, DaemonCommand, SettingsArgs},
     decisions,
-    direct::entry::DirectEntry,
+    direct::{
+        entry::DirectEntry,
+        stager::{AgentOutside, DirectAgent},
+    },
     entry::RunningEntry,
     error::{DaemonError, Failure},
     logging,
@@ -133,7 +136,7 @@
             spans.flush();
         }
         DaemonSettings::DirectEntry(settings) => serve_direct_entry(*settings).await?,
-        DaemonSettings::DirectAgent(settings) => serve_direct_agent(*settings).await?,
+        DaemonSettings::DirectAgent(settings) => serve_direct_agent(*settings, timer).await?,
     }
     Ok(())
 }
@@ -148,9 +151,21 @@
     Ok(())
 }
 
-async fn serve_direct_agent(_settings: DirectAgentSettings) -> Result<(), Report<DaemonError>> {
+async fn serve_direct_agent(
+    settings: DirectAgentSettings,
+    timer: SharedTimer,
+) -> Result<(), Report<DaemonError>> {
     decisions::start();
+    let connections = Arc::new(Connections::default());
+    let address = settings.node.platform.address();
+    let outside = AgentOutside {
+        store: Arc::new(PlatformStore::new(address, connections.clone())),
+        engine: Arc::new(PlatformEngine::new(settings.server, connections.clone())),
+        origin: Arc::new(PlatformOrigin::new(connections)),
+    };
+    let agent = DirectAgent::start(settings, timer, outside).await?;
     wait_for_stop().await?;
+    agent.leave();
     Ok(())
 }
 
--- a/crates/types/src/digest.rs
+++ b/crates/types/src/digest.rs
@@ -1,10 +1,11 @@
-//! BLAKE3 digests.
+//! Digests of 32 bytes: BLAKE3 of headlatch's own, SHA-256 where others publish those.
 
 use std::{fmt, str::FromStr};
 
 use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
 
-/// A BLAKE3 digest of 32 bytes, written as 64 hexadecimal digits.
+/// A digest of 32 bytes, written as 64 hexadecimal digits.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Digest([u8; 32]);
@@ -20,6 +21,11 @@
         Self(*blake3::hash(data).as_bytes())
     }
 
+    /// The SHA-256 digest of `data`, for weights whose publisher gives those.
+    pub fn sha256(data: &[u8]) -> Self {
+        Self(Sha256::digest(data).into())
+    }
+
     /// The 32 bytes.
     pub fn as_bytes(&self) -> &[u8; 32] {
         &self.0
@@ -88,3 +94,23 @@
         digest.to_string()
     }
 }
+
+/// How the digests of chunks are made.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub enum DigestKind {
+    /// BLAKE3, headlatch's own.
+    #[default]
+    Blake3,
+    /// SHA-256.
+    Sha256,
+}
+
+impl DigestKind {
+    /// The digest of `data`.
+    pub fn of(self, data: &[u8]) -> Digest {
+        match self {
+            Self::Blake3 => Digest::of(data),
+            Self::Sha256 => Digest::sha256(data),
+        }
+    }
+}
--- a/crates/types/src/manifest.rs
+++ b/crates/types/src/manifest.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    digest::Digest,
+    digest::{Digest, DigestKind},
     quantity::ByteSize,
     reading::{InputError, from_json},
 };
@@ -73,6 +73,7 @@
     files: Vec<FileEntry>,
     chunks: Vec<ChunkPlace>,
     total: ByteSize,
+    kind: DigestKind,
 }
 
 impl Manifest {
@@ -94,7 +95,29 @@
         check_files(&raw)?;
         let chunks = place_chunks(&raw)?;
         let total = ByteSize::from_bytes(raw.files.iter().map(|file| file.bytes).sum());
-        Ok(Self { digest: Digest::of(text), files: raw.files, chunks, total })
+        let kind = DigestKind::Blake3;
+        Ok(Self { digest: Digest::of(text), files: raw.files, chunks, total, kind })
+    }
+
+    /// The manifest of weights that are published as pieces of equal size with SHA-256 digests.
+    /// `name` tells apart versions with the same pieces.
+    pub fn of_pieces(name: &str, piece_bytes: u64, digests: Vec<Digest>) -> Self {
+        let mut text = name.as_bytes().to_vec();
+        digests.iter().for_each(|digest| text.extend_from_slice(digest.as_bytes()));
+        let bytes = piece_bytes * digests.len() as u64;
+        let places = digests.iter().zip(0u64..).map(|(digest, nth)| {
+            let offset = nth * piece_bytes;
+            ChunkPlace { digest: *digest, file: 0, offset, length: piece_bytes }
+        });
+        let chunks = places.collect();
+        let files = vec![FileEntry { path: name.to_owned(), bytes, chunks: digests }];
+        let (digest, total) = (Digest::of(&text), ByteSize::from_bytes(bytes));
+        Self { digest, files, chunks, total, kind: DigestKind::Sha256 }
+    }
+
+    /// How the digests of its chunks are made.
+    pub fn kind(&self) -> DigestKind {
+        self.kind
     }
 
     /// Digest of the manifest's own text.
--- a/crates/types/src/quantity.rs
+++ b/crates/types/src/quantity.rs
@@ -87,7 +87,7 @@
 
 string_serde!(ByteSize, QuantityError);
 
-/// A number of bytes a second, written like `10MiB/s`.
+/// A number of bytes a second, written like `10MiB/s` or `7.3Mbit/s`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct ByteRate(u64);
@@ -116,10 +116,20 @@
     }
 }
 
+/// Bytes in a number of megabits, which links are told in.
+fn parse_megabits(text: &str) -> Option<u64> {
+    let megabits: f64 = text.trim().parse().ok()?;
+    (megabits.is_finite() && megabits > 0.0).then_some((megabits * 125_000.0) as u64)
+}
+
 impl FromStr for ByteRate {
     type Err = QuantityError;
     fn from_str(text: &str) -> Result<Self, QuantityError> {
-        let bytes = text.strip_suffix("/s").and_then(parse_bytes).filter(|bytes| *bytes > 0);
+        let bytes = match text.strip_suffix("Mbit/s") {
+            Some(megabits) => parse_megabits(megabits),
+            None => text.strip_suffix("/s").and_then(parse_bytes),
+        };
+        let bytes = bytes.filter(|bytes| *bytes > 0);
         bytes.map(Self).ok_or_else(|| QuantityError {
             text: text.to_owned(),
             what: "rate",
--- a/crates/types/src/traffic.rs
+++ b/crates/types/src/traffic.rs
@@ -134,6 +134,8 @@
     pub read_per_second: f64,
     /// Layers of its model; 0 if it is not said.
     pub layers: u32,
+    /// Models that they run.
+    pub models: Vec<ModelName>,
     /// Time a whole model takes to become ready once it is staged, in milliseconds.
     pub warm_ms: u64,
 }
