Let agents that hold everything hear of newcomers

Cause: agents whose server was whole told their planner no seats, so that it never offered what it held; eight added servers got no piece in fifteen seconds. Change: seats go to every planner; agents find each other by notices (zone and version shared).

--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use headlatch_types::traffic::WeightVersion;
+use headlatch_types::{id::DomainId, traffic::WeightVersion};
 
 use crate::time::Moment;
 
@@ -31,7 +31,7 @@
 }
 
 /// What an agent tells of its server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerNotice {
     /// Its address.
     pub address: SocketAddr,
@@ -41,6 +41,10 @@
     pub changing: bool,
     /// It is ready to change to this version, or has.
     pub staged: Option<WeightVersion>,
+    /// Its agent hands on pieces of this version.
+    pub sharing: Option<WeightVersion>,
+    /// Its zone.
+    pub zone: DomainId,
 }
 
 /// Requests in progress at one server.
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -201,7 +201,7 @@
     /// Takes in what a server's agent tells; none if the agent is gone.
     pub fn set_notice(&mut self, address: SocketAddr, notice: Option<ServerNotice>) {
         for state in self.servers.values_mut().filter(|state| state.record.address == address) {
-            state.notice = notice;
+            state.notice = notice.clone();
         }
     }
 
@@ -264,7 +264,7 @@
                 return Err(PassedOver::Unfit);
             }
         }
-        if state.notice.is_some_and(|notice| notice.changing) {
+        if state.notice.as_ref().is_some_and(|notice| notice.changing) {
             return Err(PassedOver::Unfit);
         }
         if state.blocked_until > now {
@@ -344,7 +344,7 @@
 
 /// The version that a server is thought to hold whole: its agent knows before the list does.
 fn whole_version(state: &ServerState, layers: u32) -> Option<WeightVersion> {
-    match state.notice {
+    match &state.notice {
         Some(notice) => notice.whole,
         None => state.record.models.iter().find_map(|model| model.whole_version(layers)),
     }
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -24,6 +24,9 @@
 /// Ticks between notices to addresses that may be peers.
 const CANDIDATE_TICKS: u64 = 5;
 
+/// Ticks between notices that name peers; a multiple of those above.
+const NAMING_TICKS: u64 = 10;
+
 /// Peers up to which every tick reaches all; beyond, each is reached less often.
 const FULL_RATE_PEERS: usize = 10;
 
@@ -32,11 +35,13 @@
 
 /// Encodes a notice.
 pub fn encode(notice: &PeerNotice) -> Vec<u8> {
-    let server = notice.server.map(|server| wire::NoticeServer {
+    let server = notice.server.as_ref().map(|server| wire::NoticeServer {
         address: server.address.to_string(),
         whole: server.whole.unwrap_or_default().0,
         changing: server.changing,
         staged: server.staged.unwrap_or_default().0,
+        sharing: server.sharing.unwrap_or_default().0,
+        zone: server.zone.to_string(),
     });
     let load = |load: &LoadNotice| wire::NoticeLoad {
         server: load.server,
@@ -69,6 +74,8 @@
             whole: version(server.whole),
             changing: server.changing,
             staged: version(server.staged),
+            sharing: version(server.sharing),
+            zone: server.zone.parse().ok()?,
         }),
     };
     let loads = message.loads.iter();
@@ -133,7 +140,7 @@
         }
         self.sequence += 1;
         self.last_loads = body.loads.clone();
-        self.last_server = body.server;
+        self.last_server = body.server.clone();
         let notice = PeerNotice {
             from: self.from,
             kind: self.kind,
@@ -141,8 +148,8 @@
             sequence: self.sequence,
             plan: body.plan,
             // Names cost bytes: they go along now and then.
-            peers: match self.tick % CANDIDATE_TICKS {
-                1 => peers.named(self.tick as usize),
+            peers: match self.tick % NAMING_TICKS {
+                0 | 1 => peers.named(self.tick as usize),
                 _ => Vec::new(),
             },
             loads: body.loads,
@@ -205,18 +212,18 @@
 
 fn hear(state: &EntryState, bytes: &[u8]) {
     let Some(notice) = decode(bytes) else { return };
-    let (from, server) = (notice.from, notice.server);
+    let (from, server) = (notice.from, notice.server.clone());
     let now = state.now();
     let outcome = state.peers().hear(now, notice);
     if outcome.joined {
         decisions::note("peers", "found", json!({ "peer": from }));
     }
     if outcome.server_changed && let Some(server) = server {
-        state.servers().set_notice(server.address, Some(server));
         let fields = json!({
             "address": server.address, "whole": server.whole, "changing": server.changing,
             "staged": server.staged,
         });
+        state.servers().set_notice(server.address, Some(server));
         decisions::note("servers", "agent_told", fields);
     }
 }
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -31,11 +31,12 @@
 };
 use headlatch_types::{
     ChunkIndex, Manifest,
+    digest::key_of,
     direct_settings::DirectAgentSettings,
     fleet::BurstPreference,
-    id::ModelName,
-    quantity::ByteSize,
-    traffic::{EngineFigures, OriginPlan, ServerRecord, TrafficPlan, WeightVersion},
+    id::{DomainId, ModelName},
+    quantity::{ByteRate, ByteSize},
+    traffic::{EngineFigures, OriginPlan, TrafficPlan, WeightVersion},
 };
 use headlatch_wire::node_server::NodeServer;
 use serde_json::json;
@@ -73,9 +74,6 @@
 /// How often it looks at a server that holds what is wanted.
 const QUIET_LOOK: Duration = Duration::from_millis(400);
 
-/// How often the list of servers is read while pieces come in.
-const LIST_PAUSE: Duration = Duration::from_millis(1500);
-
 /// How often the plan is read until it names an origin.
 const PLAN_PAUSE: Duration = Duration::from_millis(700);
 
@@ -155,6 +153,8 @@
             whole: None,
             changing: false,
             staged: None,
+            sharing: None,
+            zone: settings.node.domain.clone(),
         };
         let fields = json!({
             "node": settings.node.box_id, "zone": settings.node.domain, "control": control,
@@ -170,7 +170,7 @@
             settings,
         });
         let vault = Arc::new(ChunkVault::new(PIECE_MEMORY));
-        let link = headlatch_types::quantity::ByteRate::from_bytes_per_second(
+        let link = ByteRate::from_bytes_per_second(
             rate.bytes_per_second() * LINK_PERCENT / 100,
         );
         let (up, down) = (Arc::new(LinkPacer::new(link)), Arc::new(LinkPacer::new(link)));
@@ -184,8 +184,6 @@
             down,
             plan: None,
             plan_due: Moment::ZERO,
-            servers: Vec::new(),
-            servers_due: Moment::ZERO,
             work: None,
             order: None,
             manifest_failures: 0,
@@ -251,7 +249,7 @@
         }
         let now = state.node.now();
         lock(&state.peers).expire(now);
-        let server = Some(*lock(&state.notice));
+        let server = Some(lock(&state.notice).clone());
         let body = NoticeBody { server, ..NoticeBody::default() };
         let (bytes, targets) = writer.tick(&lock(&state.peers), body);
         for target in targets {
@@ -283,7 +281,7 @@
 
     fn tell(&self, change: impl FnOnce(&mut ServerNotice)) {
         let mut notice = lock(&self.notice);
-        let before = *notice;
+        let before = notice.clone();
         change(&mut notice);
         let changed = *notice != before;
         drop(notice);
@@ -312,8 +310,6 @@
     down: Arc<LinkPacer>,
     plan: Option<Box<TrafficPlan>>,
     plan_due: Moment,
-    servers: Vec<ServerRecord>,
-    servers_due: Moment,
     work: Option<VersionWork>,
     order: Option<GivenOrder>,
     manifest_failures: u32,
@@ -356,15 +352,15 @@
         };
         self.read_plan().await;
         let Some(goal) = self.goal(&report) else {
-            self.read_servers(None).await;
             return true;
         };
         self.tell_whole(&goal, &report);
+        // A server that holds what is wanted hands its pieces on to those that do not.
+        self.begin_work(&goal).await;
         if goal.whole.is_some_and(|whole| whole >= goal.version) {
             self.note_done(&goal);
             return false;
         }
-        self.begin_work(&goal).await;
         self.step(&goal, &report).await;
         true
     }
@@ -374,10 +370,7 @@
         let held = report.models.first();
         let model = held.map(|held| held.model.clone()).or_else(|| self.planned_model())?;
         let wanted = lock(&self.state.wanted).get(&model).copied();
-        let others = self.servers.iter().flat_map(|server| &server.models);
-        let others = others.filter(|other| other.model == model).map(|other| other.version);
-        let (version, since) =
-            wanted.unwrap_or((others.max().unwrap_or(FIRST_VERSION), Moment::ZERO));
+        let (version, since) = wanted.unwrap_or((FIRST_VERSION, Moment::ZERO));
         // The version that the server names may be newer than any that was heard of.
         let version = held.map_or(version, |held| version.max(held.version));
         let layers = self.layers();
@@ -392,11 +385,10 @@
 
     fn engine(&self) -> Option<&EngineFigures> {
         let plan = self.plan.as_ref()?;
-        let address = self.state.settings.server;
-        let own = self.servers.iter().find(|server| server.address == address);
-        let listed = own.and_then(|own| plan.services.get(&*own.service));
-        let listed = listed.and_then(|service| service.engine.as_ref());
-        listed.or_else(|| plan.services.values().find_map(|service| service.engine.as_ref()))
+        let named = self.state.settings.service.as_ref();
+        let named = named.and_then(|service| plan.services.get(service));
+        let named = named.and_then(|service| service.engine.as_ref());
+        named.or_else(|| plan.services.values().find_map(|service| service.engine.as_ref()))
     }
 
     /// Layers of the model, as far as they are known; without them one is taken for a whole model.
@@ -453,71 +445,37 @@
         }
     }
 
-    /// Reads who else takes part.
-    async fn read_servers(&mut self, model: Option<&ModelName>) {
-        let now = self.state.node.now();
-        if now < self.servers_due {
-            return;
-        }
-        self.servers_due = now + LIST_PAUSE;
-        let listed = self.outside.store.list(FactTopic::Servers, Freshness::MayBeOld).await;
-        let Ok(list) = listed else { return };
-        let servers = set_facts(FactNews::All(list)).into_iter().filter_map(|fact| match fact {
-            Fact::Server(record) => Some(record),
-            _ => None,
+    /// The agents that hand on pieces of `version`, this one among them.
+    fn seats(&self, version: WeightVersion) -> Vec<(PeerSeat, SocketAddr)> {
+        let own = (self.own_seat(), self.state.settings.node.control);
+        let peers = lock(&self.state.peers);
+        let others = peers.living().filter_map(|peer| {
+            let server = peer.notice.server.as_ref()?;
+            let seat = self.seat(peer.notice.from, &server.zone);
+            (server.sharing == Some(version)).then_some((seat, peer.notice.from))
         });
-        let own = self.state.settings.server;
-        let takes_part = |one: &ServerRecord| {
-            let same = model.is_none_or(|model| one.models.iter().any(|held| held.model == *model));
-            same || one.address == own
-        };
-        self.servers = servers.filter(takes_part).collect();
-        let mut peers = lock(&self.state.peers);
-        let port = self.state.settings.node.control.port();
-        for server in &self.servers {
-            peers.suggest(now, SocketAddr::new(server.address.ip(), port));
-        }
+        others.chain([own]).collect()
     }
 
-    fn seats(&self) -> Vec<(PeerSeat, SocketAddr)> {
-        let port = self.state.settings.node.control.port();
-        let own = self.state.settings.server;
-        let zones = &self.state.settings.direct.zones;
-        let seat = |record: &ServerRecord| {
-            let control = SocketAddr::new(record.address.ip(), port);
-            let id = machine_id(control.ip());
-            let region = zones.get(&record.zone);
-            let region = region.map_or(0, |region| {
-                headlatch_types::digest::key_of(region.as_str().as_bytes())
-            });
-            let key = peer_key(&id);
-            Some((PeerSeat { key, domain: record.zone.key(), region }, control))
-        };
-        let mut seats: Vec<_> = self.servers.iter().filter_map(seat).collect();
-        if !self.servers.iter().any(|record| record.address.ip() == own.ip()) {
-            seats.push((self.own_seat(), self.state.settings.node.control));
-        }
-        seats
+    fn seat(&self, control: SocketAddr, zone: &DomainId) -> PeerSeat {
+        let region = self.state.settings.direct.zones.get(zone);
+        let region = region.map_or(0, |region| key_of(region.as_str().as_bytes()));
+        PeerSeat { key: peer_key(&machine_id(control.ip())), domain: zone.key(), region }
     }
 
     fn own_seat(&self) -> PeerSeat {
         let node = &self.state.settings.node;
-        let region = headlatch_types::digest::key_of(node.region.as_str().as_bytes());
-        let key = peer_key(&machine_id(node.control.ip()));
-        PeerSeat { key, domain: node.domain.key(), region }
+        self.seat(node.control, &node.domain)
     }
 
     /// Begins to bring in the wanted version, unless that is under way.
     async fn begin_work(&mut self, goal: &Goal) {
-        self.read_servers(Some(&goal.model)).await;
-        let seats = self.seats();
         if let Some(work) = &self.work
             && work.pieces.version == goal.version
             && work.pieces.model == goal.model
         {
-            if !work.swarm.is_complete() {
-                work.swarm.tell(DriverInput::Seats(seats));
-            }
+            // Those that hold everything must hear of newcomers as well, to offer what they hold.
+            work.swarm.tell(DriverInput::Seats(self.seats(goal.version)));
             return;
         }
         let now = self.state.node.now();
@@ -542,14 +500,17 @@
         let manifest = Arc::new(burst_manifest(&pieces));
         let stage = self.survey(&pieces, &manifest).await;
         let swarm = self.start_swarm(&pieces, &manifest, &origin);
+        let seats = self.seats(goal.version);
+        let count = seats.len();
         swarm.tell(DriverInput::Seats(seats));
         self.hub.add(swarm.clone());
         let fields = json!({
             "model": goal.model, "version": goal.version, "pieces": pieces.digests.len(),
             "staged": stage.placed.iter().filter(|placed| **placed).count(),
-            "seats": self.servers.len(),
+            "seats": count,
         });
         decisions::note("weights", "begun", fields);
+        self.state.tell(|notice| notice.sharing = Some(goal.version));
         self.work = Some(VersionWork { pieces, manifest, swarm, stage, since: now });
         let digest = self.work.as_ref().map(|work| work.manifest.digest());
         self.hub.retain(|kept| Some(*kept) == digest);
@@ -578,7 +539,7 @@
         let own = self.state.settings.link.rate.time_for(bytes);
         let origin_rate = origin.bytes_per_second.max(1);
         let origin_rate =
-            headlatch_types::quantity::ByteRate::from_bytes_per_second(origin_rate);
+            ByteRate::from_bytes_per_second(origin_rate);
         let count = pieces.digests.len() as u32;
         let mut settings = SwarmSettings::new(count, own, origin_rate.time_for(bytes));
         settings.prefer = BurstPreference::OriginBytes;
@@ -717,21 +678,22 @@
 
     fn has_turn(&self, goal: &Goal) -> bool {
         let own = self.state.settings.node.control;
-        let keys: HashMap<u64, SocketAddr> = self
-            .seats()
-            .iter()
-            .map(|(seat, address)| (seat.key.0, *address))
+        let peers = lock(&self.state.peers);
+        let agents: Vec<(SocketAddr, &ServerNotice)> = peers
+            .living()
+            .filter_map(|peer| Some((peer.notice.from, peer.notice.server.as_ref()?)))
             .collect();
-        let ranked = ranking(goal.version.0, keys.keys().copied());
+        let key = |address: SocketAddr| peer_key(&machine_id(address.ip())).0;
+        let keys = agents.iter().map(|(from, _)| key(*from)).chain([key(own)]);
+        let ranked = ranking(goal.version.0, keys);
         let rank = |address: SocketAddr| {
-            ranked.iter().position(|key| keys.get(key) == Some(&address)).unwrap_or(0) as u32
+            let own = key(address);
+            ranked.iter().position(|one| *one == own).unwrap_or(0) as u32
         };
-        let peers = lock(&self.state.peers);
-        let others: Vec<TurnView> = peers
-            .living()
-            .filter_map(|peer| Some((peer.notice.from, peer.notice.server?)))
+        let others: Vec<TurnView> = agents
+            .iter()
             .map(|(from, server)| TurnView {
-                rank: rank(from),
+                rank: rank(*from),
                 done: server.whole.is_some_and(|whole| whole >= goal.version),
                 ready: server.staged == Some(goal.version),
             })
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -272,13 +272,13 @@
     pub fn refresh_notices(&self) {
         let notices: HashMap<SocketAddr, _> = {
             let peers = self.peers();
-            let told = peers.living().filter_map(|peer| peer.notice.server);
+            let told = peers.living().filter_map(|peer| peer.notice.server.clone());
             told.map(|notice| (notice.address, notice)).collect()
         };
         let mut servers = self.servers();
         let addresses: Vec<SocketAddr> = servers.records().map(|record| record.address).collect();
         for address in addresses {
-            servers.set_notice(address, notices.get(&address).copied());
+            servers.set_notice(address, notices.get(&address).cloned());
         }
     }
 }
--- a/crates/types/src/direct_settings.rs
+++ b/crates/types/src/direct_settings.rs
@@ -90,6 +90,8 @@
     pub node: NodeSettings,
     /// Address of the server on this machine.
     pub server: SocketAddr,
+    /// The service it belongs to, if that is known.
+    pub service: Option<String>,
     /// This machine's link.
     pub link: LinkSettings,
     /// Direct mode.
@@ -149,8 +151,10 @@
 ) -> Result<DirectAgentSettings, InputError> {
     let agent = raw.agent.as_ref();
     let agent = agent.ok_or_else(|| InputError::new("agent", "it is missing; add it"))?;
-    let (RawEndpoint::Engine { address: text, .. } | RawEndpoint::Service { address: text, .. }) =
-        &agent.endpoint;
+    let (text, service) = match &agent.endpoint {
+        RawEndpoint::Engine { address, service, .. } => (address, service.clone()),
+        RawEndpoint::Service { address, service, .. } => (address, Some(service.clone())),
+    };
     let server = address("agent.endpoint.address", text)?;
-    Ok(DirectAgentSettings { node, server, link: agent.link.clone(), direct })
+    Ok(DirectAgentSettings { node, server, service, link: agent.link.clone(), direct })
 }
--- a/crates/types/src/settings.rs
+++ b/crates/types/src/settings.rs
@@ -96,6 +96,9 @@
         /// Requests it runs at the same time.
         #[serde(default = "default_slots")]
         slots: u32,
+        /// Service it belongs to, in direct mode.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        service: Option<String>,
     },
     /// A plain service.
     Service {
@@ -479,7 +482,7 @@
 
 fn check_endpoint(raw: &RawEndpoint) -> Result<EndpointSettings, InputError> {
     let (address, slots, service) = match raw {
-        RawEndpoint::Engine { address, slots } => (address, *slots, None),
+        RawEndpoint::Engine { address, slots, .. } => (address, *slots, None),
         RawEndpoint::Service { address, service, slots } => {
             (address, *slots, Some(parse_at("agent.endpoint.service", service)?))
         }
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -26,6 +26,12 @@
     /// Version that it is ready to change to; 0 for none.
     #[prost(uint64, tag = "4")]
     pub staged: u64,
+    /// Version whose pieces it hands on; 0 for none.
+    #[prost(uint64, tag = "5")]
+    pub sharing: u64,
+    /// Its zone.
+    #[prost(string, tag = "6")]
+    pub zone: String,
 }
 
 /// A notice.
