Write down the progress of a transfer

Cause: a burst of 12 servers took 5 s where its links allow 2.6 s, and nothing showed where. Change: one line each half second with pieces held, drawn, received and sent.

--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -74,6 +74,9 @@
 /// How often it looks at a server that holds what is wanted.
 const QUIET_LOOK: Duration = Duration::from_millis(400);
 
+/// How often the progress of a transfer is written down.
+const PROGRESS_PAUSE: Duration = Duration::from_millis(500);
+
 /// How often the plan is read until it names an origin.
 const PLAN_PAUSE: Duration = Duration::from_millis(700);
 
@@ -188,6 +191,7 @@
             order: None,
             manifest_failures: 0,
             manifest_due: Moment::ZERO,
+            progress_due: Moment::ZERO,
             fence: 0,
         };
         let watched = state.clone();
@@ -314,6 +318,7 @@
     order: Option<GivenOrder>,
     manifest_failures: u32,
     manifest_due: Moment,
+    progress_due: Moment,
     fence: u64,
 }
 
@@ -587,6 +592,18 @@
             .iter()
             .map(|place| self.vault.get(&place.digest).is_some())
             .collect();
+        let count = held.iter().filter(|held| **held).count();
+        let now = self.state.node.now();
+        if count < held.len() && now >= self.progress_due {
+            self.progress_due = now + PROGRESS_PAUSE;
+            let metrics = &self.state.node.metrics;
+            let fields = json!({
+                "version": goal.version, "held": count, "pieces": held.len(),
+                "origin_bytes": metrics.chunk_bytes("origin"),
+                "peer_bytes": metrics.chunk_bytes("peer"), "sent_bytes": metrics.chunk_bytes("up"),
+            });
+            decisions::note("weights", "progress", fields);
+        }
         let view = StageView {
             now: self.state.node.now(),
             wanted: goal.version,
