Draw short bursts as assigned, and repeat offers to other zones

Cause: tickets handed from drawer to drawer left the origin of a short burst idle for half of the time, and boxes that began late never heard of the first chunks (found in the timeline of the burst bench: no flow at all for 0.75 s before the last chunks were sought).

--- a/crates/bench/src/burst/options.rs
+++ b/crates/bench/src/burst/options.rs
@@ -73,6 +73,9 @@
     /// Requests that may wait at a box
     #[arg(long)]
     pub queue: Option<usize>,
+    /// Draw chunks as they are assigned, at the pace of bursts that last a few seconds
+    #[arg(long)]
+    pub short: bool,
     /// Run a naive scheme instead: direct or tree
     #[arg(long, value_enum)]
     pub baseline: Option<Baseline>,
--- a/crates/bench/src/burst/world.rs
+++ b/crates/bench/src/burst/world.rs
@@ -8,7 +8,7 @@
 use headlatch_core::{
     burst::{
         ChunkSet, ChunkSource, FetchFailure, PeerKey, PeerSeat, SwarmAction, SwarmEvent, SwarmNote,
-        SwarmPlanner, SwarmPulse, SwarmSettings, TICK,
+        DrawOrder, SwarmPace, SwarmPlanner, SwarmPulse, SwarmSettings, TICK,
     },
     hash::score,
     time::Moment,
@@ -411,9 +411,17 @@
         settings.pipeline = options.pipeline.unwrap_or(settings.pipeline);
         settings.neighbours = options.neighbours.unwrap_or(settings.neighbours);
         settings.queue = options.queue.unwrap_or(settings.queue);
+        if options.short {
+            settings.draws = DrawOrder::Assigned;
+            settings.pace = SwarmPace::quick();
+        }
         settings
     }
 
+    fn tick_pause(&self) -> Duration {
+        if self.options.short { SwarmPace::quick().tick } else { TICK }
+    }
+
     pub(super) fn begin(&mut self, now: Moment, nth: usize) {
         if !self.boxes[nth].alive {
             return;
@@ -421,7 +429,7 @@
         for transfer in self.boxes[nth].wanted.clone() {
             self.start_transfer(now, nth, transfer);
         }
-        self.queue.after(TICK, WorldEvent::Tick(nth));
+        self.queue.after(self.tick_pause(), WorldEvent::Tick(nth));
         let spread = SEATS_PAUSE.mul_f64(self.rng.random::<f64>());
         self.queue.after(spread, WorldEvent::Seats(nth));
     }
@@ -485,7 +493,7 @@
         for transfer in 0..self.transfers.len() {
             self.handle(now, nth, transfer, SwarmEvent::Tick);
         }
-        self.queue.after(TICK, WorldEvent::Tick(nth));
+        self.queue.after(self.tick_pause(), WorldEvent::Tick(nth));
     }
 
     pub(super) fn reseat(&mut self, now: Moment, nth: usize) {
--- a/crates/core/src/burst/imports.rs
+++ b/crates/core/src/burst/imports.rs
@@ -7,25 +7,15 @@
 
 use headlatch_types::ChunkIndex;
 
-use super::{PeerKey, SeatMap};
+use super::{PeerKey, SeatMap, SwarmPace};
 use crate::time::Moment;
 
 /// Boxes of a domain that feel responsible for a chunk, one after the other.
 const IMPORTER_RANKS: usize = 3;
 
-/// How long a box waits for each rank above it, besides the time that chunks take.
-const RANK_PATIENCE: Duration = Duration::from_secs(1);
-
-/// How long the lack of a chunk is borne before it is looked for elsewhere, besides the time that
-/// chunks take.
-const SEEK_PATIENCE: Duration = Duration::from_secs(1);
-
 /// Chunks that may have to go out before one that is to be imported.
 const CHUNKS_BEFORE: u32 = 16;
 
-/// Pause between two searches for the same chunk.
-const SEEK_PAUSE: Duration = Duration::from_secs(2);
-
 /// A chunk that its domain lacks although others should have it.
 #[derive(Debug, Clone, Copy)]
 struct Overdue {
@@ -115,6 +105,7 @@
         &mut self,
         now: Moment,
         (chunk_time, draw_patience): (Duration, Duration),
+        pace: SwarmPace,
         lacking: impl Fn(ChunkIndex) -> bool,
     ) -> Vec<Remedy> {
         let mut due = Vec::new();
@@ -127,12 +118,12 @@
             let fresh = Overdue { since: now, sought: None };
             let overdue = self.overdue.entry(*chunk).or_insert(fresh);
             let waited = now.since(overdue.since);
-            let own_turn = (RANK_PATIENCE + others) * *rank as u32;
+            let own_turn = (pace.rank_patience + others) * *rank as u32;
             let domain_turn = draw_patience * (*domain_rank as u32 + 1);
             if waited >= own_turn + others + domain_turn {
                 due.push(Remedy::Draw(*chunk));
-            } else if waited >= own_turn + others + SEEK_PATIENCE
-                && overdue.sought.is_none_or(|at| now.since(at) >= SEEK_PAUSE)
+            } else if waited >= own_turn + others + pace.seek_patience
+                && overdue.sought.is_none_or(|at| now.since(at) >= pace.seek_pause)
             {
                 overdue.sought = Some(now);
                 due.push(Remedy::Seek(*chunk));
--- a/crates/core/src/burst/mod.rs
+++ b/crates/core/src/burst/mod.rs
@@ -253,6 +253,72 @@
     Complete,
 }
 
+/// How boxes come to draw chunks from the origin.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum DrawOrder {
+    /// A few tickets travel from drawer to drawer: for more boxes than the origin could serve at
+    /// once.
+    #[default]
+    Tickets,
+    /// Every box draws the chunks that fall to it by rendezvous hashing, one at a time: for bursts
+    /// so short that the handing over of tickets would take longer than the draws.
+    Assigned,
+}
+
+/// Pauses and patience of a planner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SwarmPace {
+    /// How often the planner wants [`SwarmEvent::Tick`].
+    pub tick: Duration,
+    /// How often the whole field is sent again, against lost notes.
+    pub field_pause: Duration,
+    /// How long fresh chunks wait to be told of together.
+    pub have_pause: Duration,
+    /// Added to every limit on waiting, whatever the chunk's size.
+    pub least_wait: Duration,
+    /// How long a box waits for each rank above it, besides the time that chunks take.
+    pub rank_patience: Duration,
+    /// How long the lack of a chunk is borne before it is looked for elsewhere, besides the time
+    /// that chunks take.
+    pub seek_patience: Duration,
+    /// Pause between two searches for the same chunk.
+    pub seek_pause: Duration,
+    /// How long a domain bears the lack of a chunk before it draws it again; by the preference if
+    /// none.
+    pub draw_patience: Option<Duration>,
+}
+
+impl Default for SwarmPace {
+    fn default() -> Self {
+        Self {
+            tick: TICK,
+            field_pause: Duration::from_secs(5),
+            have_pause: Duration::from_millis(200),
+            least_wait: Duration::from_secs(2),
+            rank_patience: Duration::from_secs(1),
+            seek_patience: Duration::from_secs(1),
+            seek_pause: Duration::from_secs(2),
+            draw_patience: None,
+        }
+    }
+}
+
+impl SwarmPace {
+    /// The pace of bursts that last a few seconds.
+    pub fn quick() -> Self {
+        Self {
+            tick: Duration::from_millis(50),
+            field_pause: Duration::from_millis(500),
+            have_pause: Duration::from_millis(50),
+            least_wait: Duration::from_millis(500),
+            rank_patience: Duration::from_millis(200),
+            seek_patience: Duration::from_millis(200),
+            seek_pause: Duration::from_millis(500),
+            draw_patience: Some(Duration::from_secs(1)),
+        }
+    }
+}
+
 /// Settings of one planner.
 #[derive(Debug, Clone)]
 pub struct SwarmSettings {
@@ -278,6 +344,10 @@
     pub queue: usize,
     /// Seed of every random choice.
     pub seed: u64,
+    /// How chunks are drawn from the origin.
+    pub draws: DrawOrder,
+    /// Pauses and patience.
+    pub pace: SwarmPace,
 }
 
 impl SwarmSettings {
@@ -295,6 +365,8 @@
             neighbours: 24,
             queue: 8,
             seed: 0,
+            draws: DrawOrder::default(),
+            pace: SwarmPace::default(),
         }
     }
 }
--- a/crates/core/src/burst/planner.rs
+++ b/crates/core/src/burst/planner.rs
@@ -1,15 +1,18 @@
 //! The planner of one box for one manifest.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use headlatch_types::ChunkIndex;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use super::{
     ChunkSet, ChunkSource, DrawPool, DrawTicket, FetchFailure, PeerKey, PeerSeat, SeatMap,
-    SwarmAction, SwarmEvent, SwarmNote, SwarmPulse, SwarmSettings, draws::DrawLedger,
+    SwarmAction, SwarmEvent, SwarmNote, SwarmPulse, SwarmSettings, DrawOrder, draws::DrawLedger,
     imports::ImportDesk, peers::PeerTable, pursuit::RATE_CHUNKS, seats::ImportOrigin,
-    upkeep::FIELD_PAUSE, uploads::UploadQueue,
+    uploads::UploadQueue,
 };
 use crate::time::Moment;
 
@@ -26,6 +29,16 @@
 /// A queue from which an ask is moved to an idle box.
 const LONG_QUEUE: u32 = 3;
 
+/// First pause after the origin refused or failed, where chunks are drawn as they are assigned.
+const FIRST_DRAW_PAUSE: Duration = Duration::from_millis(60);
+
+/// Rounds in which offers to other domains are repeated, after each change of the list of boxes:
+/// whoever began late or missed a note hears of them again.
+const OFFER_ROUNDS: u32 = 4;
+
+/// Most doublings of that pause.
+const MOST_DOUBLINGS: u32 = 5;
+
 /// One fetch in progress.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct OpenFetch {
@@ -69,6 +82,14 @@
     /// Doubles when fetches time out one after another: then this box's own link is slow.
     pub(super) patience: u32,
     pub(super) complete: bool,
+    /// Chunks that entered this domain here, and from where: offered onward until they have come.
+    pub(super) brought: BTreeMap<ChunkIndex, ImportOrigin>,
+    /// Rounds in which offers are still repeated.
+    pub(super) offer_rounds: u32,
+    /// Before this the origin is left alone: it has refused or failed.
+    pub(super) draw_due: Moment,
+    /// Draws that failed one after another.
+    pub(super) draw_failures: u32,
 }
 
 impl SwarmPlanner {
@@ -95,9 +116,13 @@
             arrivals: VecDeque::new(),
             fresh: Vec::new(),
             told: now,
-            field_due: now + FIELD_PAUSE,
+            field_due: now + settings.pace.field_pause,
             patience: 1,
             complete: false,
+            brought: BTreeMap::new(),
+            offer_rounds: OFFER_ROUNDS,
+            draw_due: now,
+            draw_failures: 0,
             settings,
         }
     }
@@ -180,7 +205,11 @@
         actions: &mut Vec<SwarmAction>,
     ) {
         let first_time = self.seats.count() == 1;
+        let before = self.seats.count();
         self.seats.replace(seats);
+        if self.seats.count() != before {
+            self.offer_rounds = OFFER_ROUNDS;
+        }
         self.imports.assign(&self.seats, self.settings.chunks);
         let neighbours = self.seats.neighbours(self.settings.neighbours);
         let new = self.peers.replace(&neighbours);
@@ -188,7 +217,7 @@
             let field = || SwarmNote::Field(self.held.clone());
             actions.extend(new.into_iter().map(|to| SwarmAction::Tell { to, note: field() }));
         }
-        if first_time {
+        if first_time && self.settings.draws == DrawOrder::Tickets {
             let mine = |ticket: &DrawTicket| self.seats.drawer(ticket.chunk) == self.seats.me().key;
             let tickets = DrawLedger::first(self.settings.chunks, self.settings.store);
             tickets.into_iter().filter(mine).for_each(|ticket| self.draws.take(now, ticket));
@@ -213,6 +242,19 @@
         actions.extend(self.held.iter().filter_map(offer));
     }
 
+    /// Offers the chunks that entered this domain here to other domains once more.
+    pub(super) fn repeat_offers(&mut self, actions: &mut Vec<SwarmAction>) {
+        if self.offer_rounds == 0 || self.settings.draws != DrawOrder::Assigned {
+            return;
+        }
+        self.offer_rounds -= 1;
+        for (chunk, from) in &self.brought {
+            let onward = self.seats.onward(*chunk, *from).into_iter();
+            let note = SwarmNote::Offer(*chunk);
+            actions.extend(onward.map(|to| SwarmAction::Tell { to, note: note.clone() }));
+        }
+    }
+
     pub(super) fn read(
         &mut self,
         now: Moment,
@@ -355,6 +397,9 @@
     ) {
         self.close(chunk, source);
         self.patience = (self.patience / 2).max(1);
+        if source == ChunkSource::Origin {
+            self.draw_failures = 0;
+        }
         if let ChunkSource::Peer(peer) = source {
             self.peers.praise(peer);
         }
@@ -377,7 +422,10 @@
         actions: &mut Vec<SwarmAction>,
     ) {
         let seekers = self.imports.settle(chunk);
-        let onward = self.import_origin(source).map(|from| self.seats.onward(chunk, from));
+        let onward = self.import_origin(source).map(|from| {
+            self.brought.insert(chunk, from);
+            self.seats.onward(chunk, from)
+        });
         let offer = |to| SwarmAction::Tell { to, note: SwarmNote::Offer(chunk) };
         actions.extend(onward.into_iter().flatten().chain(seekers).map(offer));
         self.fresh.push(chunk);
@@ -467,9 +515,12 @@
         pool: DrawPool,
         failure: FetchFailure,
     ) {
-        if failure != FetchFailure::Corrupt {
-            self.draws.postpone(now, chunk, pool);
+        if failure == FetchFailure::Corrupt {
+            return;
         }
+        self.draws.postpone(now, chunk, pool);
+        self.draw_due = now + FIRST_DRAW_PAUSE * (1 << self.draw_failures.min(MOST_DOUBLINGS));
+        self.draw_failures += 1;
     }
 
     pub(super) fn close(&mut self, chunk: ChunkIndex, source: ChunkSource) {
--- a/crates/core/src/burst/pursuit.rs
+++ b/crates/core/src/burst/pursuit.rs
@@ -4,7 +4,7 @@
 use rand::{Rng, seq::IteratorRandom};
 
 use super::{
-    ChunkSource, DrawPool, DrawTicket, SwarmAction, SwarmPlanner,
+    ChunkSource, DrawOrder, DrawPool, DrawTicket, SwarmAction, SwarmPlanner,
     draws::{DrawLedger, LONE_LANE},
     peers::AskLimits,
     planner::OpenFetch,
@@ -26,7 +26,10 @@
 impl SwarmPlanner {
     /// Starts whatever can be started now.
     pub(super) fn pursue(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
-        self.use_tickets(now, actions);
+        match self.settings.draws {
+            DrawOrder::Tickets => self.use_tickets(now, actions),
+            DrawOrder::Assigned => self.draw_assigned(now, actions),
+        }
         if self.complete {
             return;
         }
@@ -61,6 +64,30 @@
         }
     }
 
+    /// Whether a chunk is coming from the origin.
+    pub(super) fn is_drawing(&self) -> bool {
+        self.open.values().any(|fetch| fetch.source == ChunkSource::Origin)
+    }
+
+    /// Draws the next chunk that falls to this box, unless one is being drawn.
+    ///
+    /// A box that dies leaves its chunks to those that the next list of seats names.
+    fn draw_assigned(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
+        if self.complete || now < self.draw_due || self.is_drawing() {
+            return;
+        }
+        let own = self.seats.me().key;
+        let wanted = (0..self.settings.chunks).map(ChunkIndex).find(|chunk| {
+            !self.held.contains(*chunk)
+                && !self.open.contains_key(chunk)
+                && self.seats.drawer(*chunk) == own
+                && !self.is_known(now, *chunk)
+        });
+        if let Some(chunk) = wanted {
+            self.fetch(now, chunk, ChunkSource::Origin, actions);
+        }
+    }
+
     /// Hands a ticket to the drawer of the next chunk that is not known to be drawn.
     pub(super) fn pass_on(
         &mut self,
--- a/crates/core/src/burst/upkeep.rs
+++ b/crates/core/src/burst/upkeep.rs
@@ -6,36 +6,31 @@
 use headlatch_types::{ChunkIndex, fleet::BurstPreference};
 
 use super::{
-    ChunkSource, DrawPool, DrawTicket, PeerKey, SwarmAction, SwarmNote, SwarmPlanner,
+    ChunkSource, DrawOrder, DrawPool, DrawTicket, PeerKey, SwarmAction, SwarmNote, SwarmPlanner,
     draws::{LONE_LANE, ORIGIN_TICKETS},
     imports::Remedy,
     planner::OpenFetch,
 };
 use crate::time::Moment;
 
-/// How often the whole field is sent again, against lost notes.
-pub(super) const FIELD_PAUSE: Duration = Duration::from_secs(5);
-
-/// How long fresh chunks wait to be told of together.
-const HAVE_PAUSE: Duration = Duration::from_millis(200);
-
 /// How much longer a sender bears a slow transfer than its receiver does.
 const UPLOAD_PATIENCE: u32 = 3;
 
-/// Added to every limit on waiting, whatever the chunk's size.
-const LEAST_WAIT: Duration = Duration::from_secs(2);
+/// Time allowed for all draws, relative to that at the origin's full rate, in percent.
+const DRAWS_PERCENT: u32 = 120;
 
 impl SwarmPlanner {
     pub(super) fn tick(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
-        if now.since(self.told) >= HAVE_PAUSE {
+        if now.since(self.told) >= self.settings.pace.have_pause {
             self.tell_fresh(now, actions);
         }
         if now >= self.field_due && !self.held.is_empty() {
-            if self.field_due == self.begun + FIELD_PAUSE && !self.complete {
+            if self.field_due == self.begun + self.settings.pace.field_pause && !self.complete {
                 // Once more, for those who began after this box.
                 self.offer_held(actions);
             }
-            self.field_due = now + FIELD_PAUSE;
+            self.field_due = now + self.settings.pace.field_pause;
+            self.repeat_offers(actions);
             let note = || SwarmNote::Field(self.held.clone());
             actions.extend(self.peers.keys().map(|to| SwarmAction::Tell { to, note: note() }));
         }
@@ -78,7 +73,7 @@
     /// Longest time that a chunk on its way between two boxes should take.
     pub(super) fn longest_transfer(&self) -> Duration {
         let chunk_time = self.settings.chunk_time.max(self.settings.origin_chunk_time);
-        chunk_time * (4 * self.settings.uploads as u32) + LEAST_WAIT
+        chunk_time * (4 * self.settings.uploads as u32) + self.settings.pace.least_wait
     }
 
     /// Whether a fetch takes too long. Draws are left alone: a crowded origin is slow to all, and
@@ -102,17 +97,24 @@
         }
         let stalled = self.draws.stalled(now, self.begun) > self.stall_patience();
         let end = self.draws.drawn() + 2 * ORIGIN_TICKETS;
+        let assigned = self.settings.draws == DrawOrder::Assigned;
+        let late = now.since(self.begun) > self.draws_time();
         let (held, peers, open) = (&self.held, &self.peers, &self.open);
         let (draws, imports) = (&self.draws, &self.imports);
         let lacking: Vec<ChunkIndex> = (0..self.settings.chunks)
             .map(ChunkIndex)
             .filter(|chunk| !held.contains(*chunk) && !peers.is_near(now, *chunk))
             .filter(|chunk| !open.contains_key(chunk) && !imports.is_offered(*chunk))
-            .filter(|chunk| draws.is_passed(*chunk) || (stalled && chunk.0 < end))
+            .filter(|chunk| match assigned {
+                true => late,
+                false => draws.is_passed(*chunk) || (stalled && chunk.0 < end),
+            })
             .collect();
         let patience = (self.settings.chunk_time, self.draw_patience());
         let remedies =
-            self.imports.remedies(now, patience, |chunk| lacking.binary_search(&chunk).is_ok());
+            self.imports.remedies(now, patience, self.settings.pace, |chunk| {
+                lacking.binary_search(&chunk).is_ok()
+            });
         for remedy in remedies {
             self.apply(now, remedy, actions);
         }
@@ -125,6 +127,11 @@
                 let seek = |to| SwarmAction::Tell { to, note: SwarmNote::Seek(chunk) };
                 actions.extend(to.into_iter().map(seek));
             }
+            Remedy::Draw(chunk) if self.settings.draws == DrawOrder::Assigned => {
+                if !self.is_drawing() {
+                    self.fetch(now, chunk, ChunkSource::Origin, actions);
+                }
+            }
             // One at a time: a crowd of draws would only take each other's rate.
             Remedy::Draw(_) if !self.draws.is_empty() => {}
             Remedy::Draw(chunk) => {
@@ -173,10 +180,16 @@
 
     /// How long a domain bears the lack of a chunk before it draws the chunk again.
     pub(super) fn draw_patience(&self) -> Duration {
-        match self.settings.prefer {
+        let usual = match self.settings.prefer {
             BurstPreference::Time => Duration::from_secs(3),
             BurstPreference::OriginBytes => Duration::from_secs(12),
-        }
+        };
+        self.settings.pace.draw_patience.unwrap_or(usual)
+    }
+
+    /// Time in which the origin can have sent every chunk.
+    pub(super) fn draws_time(&self) -> Duration {
+        self.settings.origin_chunk_time * self.settings.chunks * DRAWS_PERCENT / 100
     }
 
     /// How long the draw order may stand still before it is taken to have been lost.
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -45,6 +45,8 @@
     pub sharing: Option<WeightVersion>,
     /// Its zone.
     pub zone: DomainId,
+    /// Its service; empty if that is not known.
+    pub service: String,
 }
 
 /// Requests in progress at one server.
--- a/crates/daemon/src/agent/hub.rs
+++ b/crates/daemon/src/agent/hub.rs
@@ -1,7 +1,7 @@
 //! The transfers of one box, and its part in those of others.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     sync::{Arc, Mutex, MutexGuard},
 };
 
@@ -25,10 +25,14 @@
     },
 };
 
+/// Notes about transfers that have not begun here which are kept at most.
+const MOST_EARLY_NOTES: usize = 256;
+
 /// The transfers that run on this box.
 #[derive(Debug)]
 pub struct SwarmHub {
     swarms: Mutex<HashMap<Digest, SwarmHandle>>,
+    early: Mutex<VecDeque<SwarmNotes>>,
     vault: Arc<ChunkVault>,
     up: Arc<LinkPacer>,
     metrics: NodeMetrics,
@@ -37,7 +41,7 @@
 impl SwarmHub {
     /// A hub without transfers, whose chunks go out over `up`.
     pub fn new(vault: Arc<ChunkVault>, up: Arc<LinkPacer>, metrics: NodeMetrics) -> Self {
-        Self { swarms: Mutex::default(), vault, up, metrics }
+        Self { swarms: Mutex::default(), early: Mutex::default(), vault, up, metrics }
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<Digest, SwarmHandle>> {
@@ -49,9 +53,28 @@
         self.lock().get(manifest).cloned()
     }
 
-    /// Adds a transfer.
+    /// Adds a transfer, and hands it what others have told of it already.
     pub fn add(&self, handle: SwarmHandle) {
-        self.lock().insert(handle.manifest.digest(), handle);
+        let digest = handle.manifest.digest();
+        self.lock().insert(digest, handle);
+        let mut early = self.early.lock().unwrap_or_else(|broken| broken.into_inner());
+        let all = std::mem::take(&mut *early);
+        let (told, kept): (VecDeque<_>, VecDeque<_>) =
+            all.into_iter().partition(|notes| manifest_digest(&notes.manifest) == Some(digest));
+        *early = kept;
+        drop(early);
+        told.into_iter().for_each(|notes| {
+            self.take_notes(notes);
+        });
+    }
+
+    /// Keeps notes about a transfer that has not begun here: their senders will not repeat them.
+    fn keep_early(&self, notes: SwarmNotes) {
+        let mut early = self.early.lock().unwrap_or_else(|broken| broken.into_inner());
+        if early.len() == MOST_EARLY_NOTES {
+            early.pop_front();
+        }
+        early.push_back(notes);
     }
 
     /// Ends every transfer but those in `wanted`, and drops chunks that none of them has.
@@ -74,6 +97,7 @@
     fn take_notes(&self, notes: SwarmNotes) -> bool {
         let Some(handle) = manifest_digest(&notes.manifest).and_then(|digest| self.get(&digest))
         else {
+            self.keep_early(notes);
             return false;
         };
         let Ok(id) = notes.box_id.parse::<BoxId>() else { return false };
--- a/crates/daemon/src/agent/swarm.rs
+++ b/crates/daemon/src/agent/swarm.rs
@@ -7,12 +7,13 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use bytes::Bytes;
 use headlatch_core::burst::{
     ChunkSet, ChunkSource, FetchFailure, PeerKey, PeerSeat, SwarmAction, SwarmEvent, SwarmNote,
-    SwarmPlanner, SwarmSettings, TICK,
+    SwarmPlanner, SwarmSettings,
 };
 use headlatch_http::pace::LinkPacer;
 use headlatch_types::{ChunkIndex, Digest, Manifest};
@@ -134,6 +135,7 @@
     tools: SwarmTools,
     location: String,
     manifest: Arc<Manifest>,
+    tick: Duration,
     planner: SwarmPlanner,
     inputs: mpsc::Receiver<DriverInput>,
     own_inputs: mpsc::Sender<DriverInput>,
@@ -165,10 +167,12 @@
         held.insert(chunk);
     });
     let salt = manifest.digest().key();
+    let tick = settings.pace.tick;
     let planner = SwarmPlanner::begin(settings, salt, me, held, tools.node.now());
     let driver = SwarmDriver {
         tools,
         location,
+        tick,
         manifest: manifest.clone(),
         planner,
         inputs,
@@ -185,7 +189,7 @@
 
 impl SwarmDriver {
     async fn run(mut self) {
-        let mut ticks = self.tools.node.timer.subscribe(TICK);
+        let mut ticks = self.tools.node.timer.subscribe(self.tick);
         loop {
             tokio::select! {
                 input = self.inputs.recv() => match input {
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -42,6 +42,7 @@
         staged: server.staged.unwrap_or_default().0,
         sharing: server.sharing.unwrap_or_default().0,
         zone: server.zone.to_string(),
+        service: server.service.clone(),
     });
     let load = |load: &LoadNotice| wire::NoticeLoad {
         server: load.server,
@@ -76,6 +77,7 @@
             staged: version(server.staged),
             sharing: version(server.sharing),
             zone: server.zone.parse().ok()?,
+            service: server.service,
         }),
     };
     let loads = message.loads.iter();
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use headlatch_core::{
-    burst::{PeerSeat, SwarmSettings},
+    burst::{DrawOrder, PeerSeat, SwarmPace, SwarmSettings},
     direct::{
         peers::{PeerKind, PeerTable, ServerNotice},
         staging::{
@@ -115,6 +115,8 @@
     wanted: Mutex<HashMap<ModelName, (WeightVersion, Moment)>>,
     notice: Mutex<ServerNotice>,
     news: tokio::sync::Notify,
+    /// Wakes the stager when another version is wanted.
+    wanted_news: tokio::sync::Notify,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -158,6 +160,7 @@
             staged: None,
             sharing: None,
             zone: settings.node.domain.clone(),
+            service: settings.service.clone().unwrap_or_default(),
         };
         let fields = json!({
             "node": settings.node.box_id, "zone": settings.node.domain, "control": control,
@@ -170,6 +173,7 @@
             wanted: Mutex::default(),
             notice: Mutex::new(notice),
             news: tokio::sync::Notify::new(),
+            wanted_news: tokio::sync::Notify::new(),
             settings,
         });
         let vault = Arc::new(ChunkVault::new(PIECE_MEMORY));
@@ -279,7 +283,7 @@
                 "model": weights.model, "version": weights.version, "before": before,
             });
             decisions::note("weights", "version_wanted", fields);
-            self.news.notify_one();
+            self.wanted_news.notify_one();
         }
     }
 
@@ -336,7 +340,9 @@
         loop {
             let busy = self.look().await;
             let pause = if busy { BUSY_LOOK } else { QUIET_LOOK };
-            tokio::time::sleep(pause).await;
+            let woken = self.state.wanted_news.notified();
+            // Whether it was woken or time passed, it looks again.
+            let _ = tokio::time::timeout(pause, woken).await;
         }
     }
 
@@ -450,14 +456,16 @@
         }
     }
 
-    /// The agents that hand on pieces of `version`, this one among them.
-    fn seats(&self, version: WeightVersion) -> Vec<(PeerSeat, SocketAddr)> {
+    /// The agents of this server's service, this one among them: all of them come to hold the
+    /// wanted version, also those that have not begun yet.
+    fn seats(&self) -> Vec<(PeerSeat, SocketAddr)> {
+        let service = self.state.settings.service.as_deref().unwrap_or_default();
         let own = (self.own_seat(), self.state.settings.node.control);
         let peers = lock(&self.state.peers);
         let others = peers.living().filter_map(|peer| {
             let server = peer.notice.server.as_ref()?;
             let seat = self.seat(peer.notice.from, &server.zone);
-            (server.sharing == Some(version)).then_some((seat, peer.notice.from))
+            (server.service == service).then_some((seat, peer.notice.from))
         });
         others.chain([own]).collect()
     }
@@ -480,7 +488,7 @@
             && work.pieces.model == goal.model
         {
             // Those that hold everything must hear of newcomers as well, to offer what they hold.
-            work.swarm.tell(DriverInput::Seats(self.seats(goal.version)));
+            work.swarm.tell(DriverInput::Seats(self.seats()));
             return;
         }
         let now = self.state.node.now();
@@ -505,7 +513,7 @@
         let manifest = Arc::new(burst_manifest(&pieces));
         let stage = self.survey(&pieces, &manifest).await;
         let swarm = self.start_swarm(&pieces, &manifest, &origin);
-        let seats = self.seats(goal.version);
+        let seats = self.seats();
         let count = seats.len();
         swarm.tell(DriverInput::Seats(seats));
         self.hub.add(swarm.clone());
@@ -548,6 +556,8 @@
         let count = pieces.digests.len() as u32;
         let mut settings = SwarmSettings::new(count, own, origin_rate.time_for(bytes));
         settings.prefer = BurstPreference::OriginBytes;
+        settings.draws = DrawOrder::Assigned;
+        settings.pace = SwarmPace::quick();
         let name = format!("{}@{}", pieces.model, pieces.version);
         swarm::start(tools, name, (Bytes::new(), manifest.clone()), settings, self.own_seat())
     }
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -32,6 +32,9 @@
     /// Its zone.
     #[prost(string, tag = "6")]
     pub zone: String,
+    /// Its service.
+    #[prost(string, tag = "7")]
+    pub service: String,
 }
 
 /// A notice.
