Decide the least version at each sending, and stop sending to old weights earlier

Change: least_version is worked out at each sending; old weights get nothing in the last quarter of the time to change.

--- a/crates/core/src/direct/weight_deadline.rs
+++ b/crates/core/src/direct/weight_deadline.rs
@@ -6,9 +6,10 @@
 
 use crate::time::Moment;
 
-/// Time before the deadline at which sending to older weights stops: what is sent may wait at the
+/// Part of the time to change, before its end, in which older weights are sent nothing more, in
+/// percent: what is sent may wait on a narrow link or at the
 /// server before it starts.
-const EARLY: Duration = Duration::from_millis(900);
+const EARLY_PERCENT: u32 = 25;
 
 #[derive(Debug, Clone)]
 struct Wanted {
@@ -40,7 +41,7 @@
 
     /// The least version that a request may start on, given the time that servers have to change.
     pub fn least(&self, now: Moment, model: &ModelName, time: Duration) -> Option<WeightVersion> {
-        let due = time.saturating_sub(EARLY);
+        let due = time * (100 - EARLY_PERCENT) / 100;
         let wanted = self.models.get(model)?;
         let past = wanted.iter().filter(|one| now.since(one.learnt) >= due);
         past.map(|one| one.version).max()
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -9,7 +9,7 @@
 use headlatch_core::direct::server_table::{ChosenServer, ServerOutcome};
 use headlatch_http::{ConnectionChoice, HeldConnection};
 use headlatch_outside::headers::SendFacts;
-use headlatch_types::RunVerdict;
+use headlatch_types::{RunVerdict, traffic::WeightVersion};
 use http::{HeaderMap, Response, StatusCode, header};
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -144,7 +144,7 @@
             server: Some(server.id.clone()),
             tenant: request.tenant.clone(),
             last_event,
-            version: request.least_version,
+            version: least_version(state, request),
             priority: None,
         };
         let headers = outgoing_headers(state, request, &facts, &request.body);
@@ -170,6 +170,12 @@
     }
 }
 
+/// The least version of weights that may answer what is sent now.
+pub fn least_version(state: &EntryState, request: &RequestPlan) -> Option<WeightVersion> {
+    request.engine.as_ref()?;
+    state.least_version(request.facts.model.as_deref())
+}
+
 async fn connect(
     state: &Arc<EntryState>,
     server: &ChosenServer,
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -113,7 +113,7 @@
         let query = ServerQuery {
             service: &self.request.service,
             layers: self.request.engine.as_ref().map(|engine| engine.layers),
-            least: self.request.least_version,
+            least: attempt::least_version(&self.state, &self.request),
             tried: &self.tried,
             draw: rand::rng().random(),
         };
@@ -150,7 +150,7 @@
         }
         let fields = json!({
             "server": server.id, "own": server.own, "others": server.others,
-            "limit": server.limit, "version": server.version, "least": self.request.least_version,
+            "limit": server.limit, "version": server.version, "least": attempt::least_version(&self.state, &self.request),
         });
         self.log("server_chosen", fields);
         Ok(server)
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -10,7 +10,7 @@
 use headlatch_outside::headers::RequestFacts;
 use headlatch_types::{
     RunVerdict,
-    traffic::{EngineFigures, Route, RouteKind, WeightVersion},
+    traffic::{EngineFigures, Route, RouteKind},
 };
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -57,8 +57,6 @@
     pub tenant: Option<String>,
     /// The engine's figures, if engines answer it.
     pub engine: Option<EngineFigures>,
-    /// The least version of weights that may answer.
-    pub least_version: Option<WeightVersion>,
     /// When it came.
     pub arrived: Instant,
     /// When it is given up.
@@ -145,10 +143,6 @@
     let service = service.ok_or_else(|| GivenUp::refused("no_service", NO_PLAN_REST))?;
     let engine =
         routes.plan().services.get(&*service).and_then(|service| service.engine.clone());
-    let least_version = match engine {
-        Some(_) => state.least_version(facts.model.as_deref()),
-        None => None,
-    };
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri = path.parse().map_err(|_| GivenUp::denied(StatusCode::BAD_REQUEST, "bad_path"))?;
     Ok(RequestPlan {
@@ -163,7 +157,6 @@
         service,
         tenant,
         engine,
-        least_version,
         arrived,
         deadline,
         plan: routes.plan().version.0,
