Bring in an older wanted version first where the newest would come too late

Change: next_version weighs lateness of both orders; finished transfers are kept for others; the stage may be filled again once the engine has taken what lay there.

--- a/crates/core/src/direct/staging.rs
+++ b/crates/core/src/direct/staging.rs
@@ -96,8 +96,13 @@
     if view.whole.is_some_and(|whole| whole >= view.wanted) {
         return StageStep::Done;
     }
-    // While an order is under way the stage is left alone.
-    if view.report.busy || order_is_open(view) {
+    // While an order is under way the stage is left alone, unless the engine has taken what lay
+    // there already and another version is next.
+    let open = order_is_open(view);
+    let taken = view.order.is_some_and(|order| {
+        order.answer == Some(OrderAnswer::Begun) && order.version != view.wanted
+    });
+    if open || (view.report.busy && !taken) {
         return StageStep::Wait;
     }
     if !view.stage.surveyed || view.stage.version != Some(view.wanted) {
@@ -109,7 +114,7 @@
         return StageStep::Place(piece as u32);
     }
     let all_placed = !view.held.is_empty() && (0..view.held.len()).all(placed);
-    if !all_placed || !view.turn {
+    if !all_placed || !view.turn || view.report.busy {
         return StageStep::Wait;
     }
     let checked = view.stage.checked.is_some_and(|at| view.now.since(at) < CHECK_LIFE);
@@ -159,3 +164,41 @@
     let rest = latest.saturating_sub(TURN_PAUSE * (TURNS - turn));
     !waiting || since >= rest
 }
+
+/// A version that is wanted and that the server does not hold, with what it would take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct VersionChoice {
+    /// The version.
+    pub version: WeightVersion,
+    /// When all servers must have changed to it or a newer one.
+    pub due: Moment,
+    /// Time until its missing pieces are here.
+    pub transfer: Duration,
+}
+
+/// Time that a server takes to end what it runs and to take new weights.
+const CHANGE_TIME: Duration = Duration::from_millis(2300);
+
+/// What one change more costs, as time in which nothing is served.
+const CHANGE_COST: Duration = Duration::from_millis(700);
+
+/// The version to bring in next, of those that are wanted, oldest first.
+///
+/// The newest would do for all of them, but where it comes too late for an older one, servers
+/// would have to stop from the older one's deadline on. Then the older one goes first, if that
+/// costs less time.
+pub fn next_version(now: Moment, wanted: &[VersionChoice]) -> Option<WeightVersion> {
+    let (newest, older) = wanted.split_last()?;
+    let late = |done: Moment, due: Moment| done.since(due);
+    let skip_done = now + newest.transfer + CHANGE_TIME;
+    let first_due = older.iter().map(|one| one.due).fold(newest.due, Moment::min);
+    let skipped = late(skip_done, first_due);
+    let with_older = |one: &VersionChoice| {
+        let here = now + one.transfer;
+        let done = here + newest.transfer + CHANGE_TIME;
+        late(here + CHANGE_TIME, one.due) + late(done, newest.due) + CHANGE_COST
+    };
+    let best = older.iter().min_by_key(|one| with_older(one));
+    let older_first = best.filter(|one| with_older(one) < skipped);
+    Some(older_first.map_or(newest.version, |one| one.version))
+}
--- a/crates/core/src/direct/weight_deadline.rs
+++ b/crates/core/src/direct/weight_deadline.rs
@@ -7,8 +7,7 @@
 use crate::time::Moment;
 
 /// Part of the time to change, before its end, in which older weights are sent nothing more, in
-/// percent: what is sent may wait on a narrow link or at the
-/// server before it starts.
+/// percent: what is sent may wait on a narrow link or at the server before it starts.
 const EARLY_PERCENT: u32 = 25;
 
 #[derive(Debug, Clone)]
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -14,7 +14,8 @@
     direct::{
         peers::{PeerKind, PeerTable, ServerNotice},
         staging::{
-            GivenOrder, StageState, StageStep, StageView, TurnView, has_turn, next_step,
+            GivenOrder, StageState, StageStep, StageView, TurnView, VersionChoice, has_turn,
+            next_step, next_version,
         },
     },
     hash::ranking,
@@ -30,7 +31,7 @@
     facts::{Fact, FactStore, FactTopic, Freshness},
 };
 use headlatch_types::{
-    ChunkIndex, Manifest,
+    ChunkIndex, Digest, Manifest,
     digest::key_of,
     direct_settings::DirectAgentSettings,
     fleet::BurstPreference,
@@ -92,6 +93,18 @@
 /// Pieces looked at before a stage counts as one of another version.
 const SURVEY_SAMPLE: u32 = 3;
 
+/// Wanted versions that are remembered.
+const MOST_WANTED: usize = 8;
+
+/// Size of a copy where no manifest has been read yet.
+const USUAL_COPY: ByteSize = ByteSize::from_mib(2);
+
+/// Time that a burst takes, relative to a copy over the link, in percent.
+const TRANSFER_PERCENT: u32 = 150;
+
+/// Transfers that are kept for others after their pieces are here.
+const KEPT_TRANSFERS: usize = 2;
+
 /// Version of weights that is wanted where nobody names one.
 const FIRST_VERSION: WeightVersion = WeightVersion(1);
 
@@ -112,7 +125,8 @@
     settings: DirectAgentSettings,
     node: Arc<NodeContext>,
     peers: Mutex<PeerTable>,
-    wanted: Mutex<HashMap<ModelName, (WeightVersion, Moment)>>,
+    /// Wanted versions with the moments at which they were learnt, oldest first.
+    wanted: Mutex<HashMap<ModelName, Vec<(WeightVersion, Moment)>>>,
     notice: Mutex<ServerNotice>,
     news: tokio::sync::Notify,
     /// Wakes the stager when another version is wanted.
@@ -196,6 +210,7 @@
             manifest_failures: 0,
             manifest_due: Moment::ZERO,
             progress_due: Moment::ZERO,
+            kept: Vec::new(),
             fence: 0,
         };
         let watched = state.clone();
@@ -273,11 +288,15 @@
         for fact in set_facts(news) {
             let Fact::Weights(weights) = fact else { continue };
             let mut wanted = lock(&self.wanted);
-            let before = wanted.get(&weights.model).map(|(version, _)| *version);
+            let versions = wanted.entry(weights.model.clone()).or_default();
+            let before = versions.last().map(|(version, _)| *version);
             if before.is_some_and(|before| before >= weights.version) {
                 continue;
             }
-            wanted.insert(weights.model.clone(), (weights.version, now));
+            versions.push((weights.version, now));
+            if versions.len() > MOST_WANTED {
+                versions.remove(0);
+            }
             drop(wanted);
             let fields = json!({
                 "model": weights.model, "version": weights.version, "before": before,
@@ -323,6 +342,8 @@
     manifest_failures: u32,
     manifest_due: Moment,
     progress_due: Moment,
+    /// Transfers that others may still need.
+    kept: Vec<Digest>,
     fence: u64,
 }
 
@@ -380,15 +401,50 @@
     fn goal(&self, report: &StageReport) -> Option<Goal> {
         let held = report.models.first();
         let model = held.map(|held| held.model.clone()).or_else(|| self.planned_model())?;
-        let wanted = lock(&self.state.wanted).get(&model).copied();
-        let (version, since) = wanted.unwrap_or((FIRST_VERSION, Moment::ZERO));
-        // The version that the server names may be newer than any that was heard of.
-        let version = held.map_or(version, |held| version.max(held.version));
         let layers = self.layers();
         let whole = held.and_then(|held| held.whole_version(layers));
+        // The version that the server names may be newer than any that was heard of.
+        let named = held.map_or(FIRST_VERSION, |held| held.version);
+        let (version, since) = self.next_version(&model, whole).unwrap_or((named, Moment::ZERO));
         Some(Goal { model, version, since, whole })
     }
 
+    /// The version to bring in next, and when it was learnt; none if nobody names one.
+    fn next_version(
+        &self,
+        model: &ModelName,
+        whole: Option<WeightVersion>,
+    ) -> Option<(WeightVersion, Moment)> {
+        let wanted = lock(&self.state.wanted).get(model).cloned()?;
+        let begun = self.order.filter(|order| order.answer == Some(OrderAnswer::Begun));
+        let reached = whole.max(begun.map(|order| order.version));
+        let time = self.state.settings.direct.weights_time;
+        let missing = wanted.iter().filter(|(version, _)| reached.is_none_or(|at| *version > at));
+        let choices: Vec<VersionChoice> = missing
+            .map(|(version, learnt)| VersionChoice {
+                version: *version,
+                due: *learnt + time,
+                transfer: self.transfer_time(*version),
+            })
+            .collect();
+        let next = next_version(self.state.node.now(), &choices);
+        let next = next.or_else(|| wanted.last().map(|(version, _)| *version))?;
+        wanted.iter().find(|(version, _)| *version == next).copied()
+    }
+
+    /// Time until the missing pieces of a version are here, roughly.
+    fn transfer_time(&self, version: WeightVersion) -> Duration {
+        let work = self.work.as_ref();
+        let known = work.map(|work| work.manifest.total()).unwrap_or(USUAL_COPY);
+        let link = self.state.settings.link.rate.time_for(known);
+        let whole = link * TRANSFER_PERCENT / 100;
+        let begun = work.filter(|work| work.pieces.version == version);
+        let Some(work) = begun else { return whole };
+        let pieces = work.pieces.digests.len().max(1) as u32;
+        let missing = pieces.saturating_sub(work.swarm.held() as u32);
+        whole * missing / pieces
+    }
+
     /// The model of this server's service in the plan.
     fn planned_model(&self) -> Option<ModelName> {
         self.engine().and_then(|engine| engine.models.first().cloned())
@@ -419,9 +475,8 @@
             decisions::note("engine", "holds", fields);
         }
         let order_open = self.order.is_some_and(|order| {
-            order.version == goal.version
-                && order.answer == Some(OrderAnswer::Begun)
-                && goal.whole.is_none_or(|whole| whole < goal.version)
+            order.answer == Some(OrderAnswer::Begun)
+                && goal.whole.is_none_or(|whole| whole < order.version)
         });
         self.state.tell(|notice| {
             notice.whole = goal.whole;
@@ -483,12 +538,14 @@
 
     /// Begins to bring in the wanted version, unless that is under way.
     async fn begin_work(&mut self, goal: &Goal) {
+        // Those that hold everything must hear of newcomers as well, to offer what they hold.
+        for swarm in self.hub.all() {
+            swarm.tell(DriverInput::Seats(self.seats()));
+        }
         if let Some(work) = &self.work
             && work.pieces.version == goal.version
             && work.pieces.model == goal.model
         {
-            // Those that hold everything must hear of newcomers as well, to offer what they hold.
-            work.swarm.tell(DriverInput::Seats(self.seats()));
             return;
         }
         let now = self.state.node.now();
@@ -524,9 +581,12 @@
         });
         decisions::note("weights", "begun", fields);
         self.state.tell(|notice| notice.sharing = Some(goal.version));
-        self.work = Some(VersionWork { pieces, manifest, swarm, stage, since: now });
-        let digest = self.work.as_ref().map(|work| work.manifest.digest());
-        self.hub.retain(|kept| Some(*kept) == digest);
+        self.work =
+            Some(VersionWork { pieces, manifest: manifest.clone(), swarm, stage, since: now });
+        self.kept.push(manifest.digest());
+        let surplus = self.kept.len().saturating_sub(KEPT_TRANSFERS);
+        self.kept.drain(..surplus);
+        self.hub.retain(|digest| self.kept.contains(digest));
     }
 
     fn start_swarm(
