Predict the first token of each engine and refuse what would miss its objective

Cause: the count of requests alone lets seventeen prompts fall on an engine that has just been emptied; each then waits for the reading of all others. Change: engine_model predicts the first token from waiting prompt tokens, steps and slots; entries tell each other waiting tokens; servers are chosen by the prediction.

--- /dev/null
+++ b/crates/core/src/direct/engine_model.rs
@@ -0,0 +1,72 @@
+//! A model of an engine: when will the first token of a request come?
+//!
+//! An engine reads prompts between the steps of the requests that write. A prompt waits for those
+//! that came before it, and beyond the engine's slots for others to end.
+
+use std::time::Duration;
+
+use headlatch_types::traffic::EngineFigures;
+
+/// Longer reading of prompts while other requests write in between, relative to reading alone.
+const READING_SHARE: f64 = 1.5;
+
+/// Longer writing of answers while prompts are read in between, relative to writing alone.
+const WRITING_SHARE: f64 = 1.7;
+
+/// Prompt tokens where neither the request nor the plan says.
+const UNKNOWN_PROMPT: u64 = 800;
+
+/// Answer tokens where neither the request nor the plan says.
+const UNKNOWN_ANSWER: u64 = 100;
+
+/// What an engine has to do, as far as is known.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EngineLoad {
+    /// Requests that it runs or that wait.
+    pub in_flight: u32,
+    /// Prompt tokens of requests whose first token has not come.
+    pub waiting_tokens: u64,
+}
+
+/// What a request asks of an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineWork {
+    /// Tokens of its prompt.
+    pub prompt: u64,
+    /// Time in which its first token is wanted.
+    pub objective: Duration,
+}
+
+impl EngineWork {
+    /// The work of a request that tells its prompt, or of a usual one.
+    pub fn new(figures: &EngineFigures, prompt: Option<u64>, objective: Duration) -> Self {
+        let usual = match figures.usual_prompt {
+            0 => UNKNOWN_PROMPT,
+            tokens => tokens,
+        };
+        Self { prompt: prompt.unwrap_or(usual), objective }
+    }
+}
+
+/// Time until the first token of `work` comes from an engine with `load`.
+pub fn first_token(figures: &EngineFigures, load: EngineLoad, work: EngineWork) -> Duration {
+    let tokens = (load.waiting_tokens + work.prompt) as f64;
+    let reading = match figures.read_per_second > 0.0 {
+        true => tokens / figures.read_per_second * READING_SHARE,
+        false => 0.0,
+    };
+    let pass = figures.step_ms * f64::from(figures.stride.max(1)) / 1e3;
+    let beyond = (load.in_flight + 1).saturating_sub(figures.slots.max(1));
+    let waiting = slot_time(figures) * f64::from(beyond);
+    Duration::from_secs_f64(reading + pass + waiting)
+}
+
+/// Time after which one of the slots of a full engine comes free, in seconds.
+fn slot_time(figures: &EngineFigures) -> f64 {
+    let answer = match figures.usual_answer {
+        0 => UNKNOWN_ANSWER,
+        tokens => tokens,
+    };
+    let running = answer as f64 * figures.step_ms * WRITING_SHARE / 1e3;
+    running / f64::from(figures.slots.max(1))
+}
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -12,6 +12,7 @@
 
 use headlatch_types::{id::DomainId, traffic::WeightVersion};
 
+use super::engine_model::EngineLoad;
 use crate::time::Moment;
 
 /// Silence after which a peer counts as gone.
@@ -54,8 +55,8 @@
 pub struct LoadNotice {
     /// Key of the server.
     pub server: u32,
-    /// Requests in progress.
-    pub in_flight: u32,
+    /// What is in progress there.
+    pub load: EngineLoad,
 }
 
 /// One notice.
@@ -182,10 +183,12 @@
     }
 
     /// What others have in progress, by the key of the server.
-    pub fn loads(&self) -> HashMap<u32, u32> {
-        let mut loads: HashMap<u32, u32> = HashMap::new();
-        for load in self.living().flat_map(|peer| &peer.notice.loads) {
-            *loads.entry(load.server).or_default() += load.in_flight;
+    pub fn loads(&self) -> HashMap<u32, EngineLoad> {
+        let mut loads: HashMap<u32, EngineLoad> = HashMap::new();
+        for notice in self.living().flat_map(|peer| &peer.notice.loads) {
+            let sum = loads.entry(notice.server).or_default();
+            sum.in_flight += notice.load.in_flight;
+            sum.waiting_tokens += notice.load.waiting_tokens;
         }
         loads
     }
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -9,14 +9,21 @@
 
 use headlatch_types::{
     id::{DomainId, RegionId},
-    traffic::{ServerId, ServerRecord, WeightVersion},
+    traffic::{EngineFigures, ServerId, ServerRecord, WeightVersion},
 };
 
-use super::peers::{LoadNotice, ServerNotice};
+use super::{
+    engine_model::{EngineLoad, EngineWork, first_token},
+    peers::{LoadNotice, ServerNotice},
+};
 use crate::time::Moment;
 
 /// Requests that an engine is sent beyond those that it runs at the same time.
-const ENGINE_QUEUE: u32 = 1;
+const ENGINE_QUEUE: u32 = 2;
+
+/// Part of a request's objective that its predicted first token may take, in percent: predictions
+/// are made on loads that are some time old.
+const PREDICTED_PERCENT: u32 = 85;
 
 /// Requests that a plain server is sent, relative to those that it runs at the same time.
 const PLAIN_LOAD: u32 = 2;
@@ -67,7 +74,7 @@
 struct ServerState {
     record: ServerRecord,
     key: u32,
-    own: u32,
+    own: EngineLoad,
     failures: u32,
     refusals: u32,
     failure_share: f64,
@@ -81,8 +88,8 @@
 pub struct ServerQuery<'a> {
     /// The service.
     pub service: &'a str,
-    /// Layers that a server must hold; none for plain services.
-    pub layers: Option<u32>,
+    /// What is asked of an engine; none for plain services.
+    pub engine: Option<EngineQuery<'a>>,
     /// The least version of weights that may answer.
     pub least: Option<WeightVersion>,
     /// Servers that have been tried.
@@ -91,6 +98,15 @@
     pub draw: u64,
 }
 
+/// What a request asks of an engine.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineQuery<'a> {
+    /// The engine's figures.
+    pub figures: &'a EngineFigures,
+    /// The work.
+    pub work: EngineWork,
+}
+
 /// A server that was chosen, with what decided.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ChosenServer {
@@ -98,10 +114,12 @@
     pub id: ServerId,
     /// Where it answers.
     pub address: SocketAddr,
-    /// Requests that this entry has in progress there.
-    pub own: u32,
-    /// Requests that others have in progress there, as far as they told.
-    pub others: u32,
+    /// What this entry has in progress there.
+    pub own: EngineLoad,
+    /// What others have in progress there, as far as they told.
+    pub others: EngineLoad,
+    /// Time until the first token comes, as predicted; none for plain services.
+    pub predicted: Option<Duration>,
     /// Requests that it is sent at most.
     pub limit: u32,
     /// Version that it is thought to hold.
@@ -131,7 +149,7 @@
 pub struct ServerTable {
     servers: BTreeMap<ServerId, ServerState>,
     services: HashMap<Arc<str>, Vec<ServerId>>,
-    others: HashMap<u32, u32>,
+    others: HashMap<u32, EngineLoad>,
     zone: Option<DomainId>,
     regions: HashMap<DomainId, RegionId>,
 }
@@ -155,7 +173,7 @@
         } else {
             let state = ServerState {
                 key: server_key(&record.id),
-                own: 0,
+                own: EngineLoad::default(),
                 failures: 0,
                 refusals: 0,
                 failure_share: 0.0,
@@ -194,7 +212,7 @@
     }
 
     /// Takes in what other entries have in progress.
-    pub fn set_others(&mut self, others: HashMap<u32, u32>) {
+    pub fn set_others(&mut self, others: HashMap<u32, EngineLoad>) {
         self.others = others;
     }
 
@@ -207,8 +225,8 @@
 
     /// What this entry has in progress, for others.
     pub fn own_loads(&self) -> Vec<LoadNotice> {
-        let busy = self.servers.values().filter(|state| state.own > 0);
-        busy.map(|state| LoadNotice { server: state.key, in_flight: state.own }).collect()
+        let busy = self.servers.values().filter(|state| state.own.in_flight > 0);
+        busy.map(|state| LoadNotice { server: state.key, load: state.own }).collect()
     }
 
     /// Chooses the server for a request.
@@ -238,16 +256,31 @@
     }
 
     fn chosen(&self, state: &ServerState, query: &ServerQuery<'_>) -> ChosenServer {
+        let layers = query.engine.map_or(0, |engine| engine.figures.layers);
         ChosenServer {
             id: state.record.id.clone(),
             address: state.record.address,
             own: state.own,
             others: self.others.get(&state.key).copied().unwrap_or_default(),
+            predicted: query.engine.map(|engine| self.predict(state, engine)),
             limit: limit(state, query),
-            version: whole_version(state, query.layers.unwrap_or_default()),
+            version: whole_version(state, layers),
         }
     }
 
+    /// What a server has to do for all entries.
+    fn load(&self, state: &ServerState) -> EngineLoad {
+        let others = self.others.get(&state.key).copied().unwrap_or_default();
+        EngineLoad {
+            in_flight: state.own.in_flight + others.in_flight,
+            waiting_tokens: state.own.waiting_tokens + others.waiting_tokens,
+        }
+    }
+
+    fn predict(&self, state: &ServerState, engine: EngineQuery<'_>) -> Duration {
+        first_token(engine.figures, self.load(state), engine.work)
+    }
+
     fn cost(
         &self,
         now: Moment,
@@ -258,7 +291,8 @@
         if record.draining || query.tried.contains(&record.id) {
             return Err(PassedOver::Unfit);
         }
-        if let Some(layers) = query.layers {
+        if let Some(engine) = query.engine {
+            let layers = engine.figures.layers;
             let version = whole_version(state, layers).ok_or(PassedOver::Unfit)?;
             if query.least.is_some_and(|least| version < least) {
                 return Err(PassedOver::Unfit);
@@ -272,18 +306,36 @@
             return Err(if refused { PassedOver::Full } else { PassedOver::Unfit });
         }
         // After a failure one request at a time finds out whether the server is well again.
-        if state.failures > 0 && state.own > 0 {
+        if state.failures > 0 && state.own.in_flight > 0 {
             return Err(PassedOver::Unfit);
         }
-        let others = self.others.get(&state.key).copied().unwrap_or_default();
-        let in_flight = state.own + others;
+        let in_flight = self.load(state).in_flight;
         let limit = limit(state, query);
         if in_flight >= limit {
             return Err(PassedOver::Full);
         }
         let load = f64::from(in_flight) / f64::from(limit);
+        let late = match query.engine {
+            None => 0.0,
+            Some(engine) => self.lateness(state, engine)?,
+        };
         let failing = (state.failure_share - USUAL_FAILURES).max(0.0) * FAILURE_COST;
-        Ok(load + self.distance(&record.zone) + failing)
+        Ok(load + late + self.distance(&record.zone) + failing)
+    }
+
+    /// The predicted first token as a share of the objective, unless that would be missed.
+    fn lateness(&self, state: &ServerState, engine: EngineQuery<'_>) -> Result<f64, PassedOver> {
+        let objective = engine.work.objective;
+        if objective.is_zero() {
+            return Ok(0.0);
+        }
+        let predicted = self.predict(state, engine);
+        // An idle engine takes whatever comes: a prompt that is long for its objective as well.
+        let idle = self.load(state).waiting_tokens == 0;
+        if !idle && predicted > objective * PREDICTED_PERCENT / 100 {
+            return Err(PassedOver::Full);
+        }
+        Ok(predicted.as_secs_f64() / objective.as_secs_f64())
     }
 
     fn distance(&self, zone: &DomainId) -> f64 {
@@ -295,17 +347,25 @@
         if region(own).is_some() && region(own) == region(zone) { ZONE_COST } else { REGION_COST }
     }
 
-    /// Notes that a request has been sent to a server.
-    pub fn begin(&mut self, id: &ServerId) {
+    /// Notes that a request with a prompt of `tokens` has been sent to a server.
+    pub fn begin(&mut self, id: &ServerId, tokens: u64) {
+        if let Some(state) = self.servers.get_mut(id) {
+            state.own.in_flight += 1;
+            state.own.waiting_tokens += tokens;
+        }
+    }
+
+    /// Notes that a server has read a prompt of `tokens`.
+    pub fn note_read(&mut self, id: &ServerId, tokens: u64) {
         if let Some(state) = self.servers.get_mut(id) {
-            state.own += 1;
+            state.own.waiting_tokens = state.own.waiting_tokens.saturating_sub(tokens);
         }
     }
 
     /// Notes what came of it.
     pub fn end(&mut self, now: Moment, id: &ServerId, outcome: ServerOutcome) {
         let Some(state) = self.servers.get_mut(id) else { return };
-        state.own = state.own.saturating_sub(1);
+        state.own.in_flight = state.own.in_flight.saturating_sub(1);
         match outcome {
             ServerOutcome::Answered => {
                 state.failures = 0;
@@ -336,7 +396,7 @@
 
 fn limit(state: &ServerState, query: &ServerQuery<'_>) -> u32 {
     let slots = state.record.slots.max(1);
-    match query.layers {
+    match query.engine {
         Some(_) => slots + ENGINE_QUEUE,
         None => slots * PLAIN_LOAD,
     }
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -24,14 +24,25 @@
 pub struct InFlight {
     state: Arc<EntryState>,
     server: ChosenServer,
+    /// Tokens of the prompt.
+    tokens: u64,
+    read: AtomicBool,
     ended: AtomicBool,
 }
 
 impl InFlight {
-    /// Counts a request at `server`.
-    pub fn begin(state: Arc<EntryState>, server: ChosenServer) -> Self {
-        state.servers().begin(&server.id);
-        Self { state, server, ended: AtomicBool::new(false) }
+    /// Counts a request at `server` with a prompt of `tokens`.
+    pub fn begin(state: Arc<EntryState>, server: ChosenServer, tokens: u64) -> Self {
+        state.servers().begin(&server.id, tokens);
+        let (read, ended) = (AtomicBool::new(false), AtomicBool::new(false));
+        Self { state, server, tokens, read, ended }
+    }
+
+    /// Notes that the server has read the prompt.
+    pub fn note_read(&self) {
+        if !self.read.swap(true, Ordering::Relaxed) {
+            self.state.servers().note_read(&self.server.id, self.tokens);
+        }
     }
 
     /// The server.
@@ -41,6 +52,7 @@
 
     /// Notes what came of it.
     pub fn end(&self, outcome: ServerOutcome) {
+        self.note_read();
         if !self.ended.swap(true, Ordering::Relaxed) {
             self.state.servers().end(self.state.now(), &self.server.id, outcome);
         }
@@ -112,10 +124,14 @@
     last_event: Option<u64>,
     until: Instant,
 ) -> Result<ServerAnswer, AttemptFailure> {
-    let in_flight = InFlight::begin(state.clone(), server);
+    let tokens = request.work().map_or(0, |work| work.prompt);
+    let in_flight = InFlight::begin(state.clone(), server, tokens);
     let sent = send_counted(state, request, in_flight.server(), last_event, until).await;
     match sent {
-        Ok((response, connection)) => Ok(ServerAnswer { response, connection, in_flight }),
+        Ok((response, connection)) => {
+            in_flight.note_read();
+            Ok(ServerAnswer { response, connection, in_flight })
+        }
         Err(failure) => {
             in_flight.end(failure.outcome);
             Err(failure)
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use headlatch_core::direct::server_table::{
-    ChosenServer, ServerChoice, ServerOutcome, ServerQuery,
+    ChosenServer, EngineQuery, ServerChoice, ServerOutcome, ServerQuery,
 };
 use headlatch_types::{
     RunVerdict,
@@ -110,9 +110,10 @@
     }
 
     fn choose(&self) -> ServerChoice {
+        let engine = self.request.engine.as_ref().zip(self.request.work());
         let query = ServerQuery {
             service: &self.request.service,
-            layers: self.request.engine.as_ref().map(|engine| engine.layers),
+            engine: engine.map(|(figures, work)| EngineQuery { figures, work }),
             least: attempt::least_version(&self.state, &self.request),
             tried: &self.tried,
             draw: rand::rng().random(),
@@ -149,7 +150,9 @@
             }
         }
         let fields = json!({
-            "server": server.id, "own": server.own, "others": server.others,
+            "server": server.id, "own": server.own.in_flight, "others": server.others.in_flight,
+            "waiting_tokens": server.own.waiting_tokens + server.others.waiting_tokens,
+            "predicted_ms": server.predicted.map(|time| time.as_millis() as u64),
             "limit": server.limit, "version": server.version, "least": attempt::least_version(&self.state, &self.request),
         });
         self.log("server_chosen", fields);
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -6,7 +6,10 @@
 };
 
 use bytes::Bytes;
-use headlatch_core::direct::route_table::{Denial, RouteTable, pick_target};
+use headlatch_core::direct::{
+    engine_model::EngineWork,
+    route_table::{Denial, RouteTable, pick_target},
+};
 use headlatch_outside::headers::RequestFacts;
 use headlatch_types::{
     RunVerdict,
@@ -190,6 +193,12 @@
 }
 
 impl RequestPlan {
+    /// What it asks of an engine; none for plain services.
+    pub fn work(&self) -> Option<EngineWork> {
+        let figures = self.engine.as_ref()?;
+        Some(EngineWork::new(figures, self.facts.prompt_tokens, self.route.objective()))
+    }
+
     /// Whether its answer is a stream.
     pub fn is_stream(&self) -> bool {
         self.route.kind == RouteKind::Stream
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -2,8 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use headlatch_core::direct::peers::{
-    LoadNotice, PeerKind, PeerNotice, PeerTable, ServerNotice,
+use headlatch_core::direct::{
+    engine_model::EngineLoad,
+    peers::{LoadNotice, PeerKind, PeerNotice, PeerTable, ServerNotice},
 };
 use headlatch_types::traffic::WeightVersion;
 use headlatch_wire as wire;
@@ -46,7 +47,8 @@
     });
     let load = |load: &LoadNotice| wire::NoticeLoad {
         server: load.server,
-        in_flight: load.in_flight,
+        in_flight: load.load.in_flight,
+        waiting_tokens: load.load.waiting_tokens,
     };
     let message = wire::PeerNotice {
         from: notice.from.to_string(),
@@ -89,7 +91,13 @@
         plan: message.plan,
         peers: message.peers.iter().filter_map(|text| text.parse().ok()).collect(),
         loads: loads
-            .map(|load| LoadNotice { server: load.server, in_flight: load.in_flight })
+            .map(|load| LoadNotice {
+                server: load.server,
+                load: EngineLoad {
+                    in_flight: load.in_flight,
+                    waiting_tokens: load.waiting_tokens,
+                },
+            })
             .collect(),
         server,
     })
--- a/crates/types/src/traffic.rs
+++ b/crates/types/src/traffic.rs
@@ -134,6 +134,10 @@
     pub read_per_second: f64,
     /// Layers of its model; 0 if it is not said.
     pub layers: u32,
+    /// Tokens of a usual prompt.
+    pub usual_prompt: u64,
+    /// Tokens of a usual answer.
+    pub usual_answer: u64,
     /// Models that they run.
     pub models: Vec<ModelName>,
     /// Time a whole model takes to become ready once it is staged, in milliseconds.
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -9,6 +9,9 @@
     /// Requests in progress.
     #[prost(uint32, tag = "2")]
     pub in_flight: u32,
+    /// Prompt tokens that have not been read there.
+    #[prost(uint64, tag = "3")]
+    pub waiting_tokens: u64,
 }
 
 /// What an agent tells of its server.
