Cut streams at a change of weights where all of them can be continued

Cause: waiting for what runs empties a server for 1.5 to 2 s at each change, and all change together at the end of the time that they have. Change: orders cut running requests where every route to the service may be repeated or resumed; continued streams go before new ones; turns are 0.6 s apart; pieces are paced by the link alone.

--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -21,6 +21,9 @@
 /// Requests that an engine is sent beyond those that it runs at the same time.
 const ENGINE_QUEUE: u32 = 2;
 
+/// The same for streams that are continued.
+const CONTINUED_QUEUE: u32 = 6;
+
 /// Part of a request's objective that its predicted first token may take, in percent: predictions
 /// are made on loads that are some time old.
 const PREDICTED_PERCENT: u32 = 85;
@@ -105,6 +108,8 @@
     pub figures: &'a EngineFigures,
     /// The work.
     pub work: EngineWork,
+    /// It continues a stream that a caller is reading: late is better than never.
+    pub continues: bool,
 }
 
 /// A server that was chosen, with what decided.
@@ -329,10 +334,11 @@
         if objective.is_zero() {
             return Ok(0.0);
         }
+        let late_is_fine = engine.continues;
         let predicted = self.predict(state, engine);
         // An idle engine takes whatever comes: a prompt that is long for its objective as well.
         let idle = self.load(state).waiting_tokens == 0;
-        if !idle && predicted > objective * PREDICTED_PERCENT / 100 {
+        if !late_is_fine && !idle && predicted > objective * PREDICTED_PERCENT / 100 {
             return Err(PassedOver::Full);
         }
         Ok(predicted.as_secs_f64() / objective.as_secs_f64())
@@ -397,6 +403,7 @@
 fn limit(state: &ServerState, query: &ServerQuery<'_>) -> u32 {
     let slots = state.record.slots.max(1);
     match query.engine {
+        Some(engine) if engine.continues => slots + CONTINUED_QUEUE,
         Some(_) => slots + ENGINE_QUEUE,
         None => slots * PLAIN_LOAD,
     }
--- a/crates/core/src/direct/staging.rs
+++ b/crates/core/src/direct/staging.rs
@@ -20,10 +20,10 @@
 const TURNS: u32 = 3;
 
 /// Pause between two turns where the earlier ones do not say that they are done.
-const TURN_PAUSE: Duration = Duration::from_millis(1200);
+const TURN_PAUSE: Duration = Duration::from_millis(600);
 
 /// Part of the time to change after which everyone changes, in percent.
-const LATEST_TURN: u32 = 68;
+const LATEST_TURN: u32 = 80;
 
 /// What is known of the stage.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -52,7 +52,8 @@
     /// Sendings that reached a server.
     arrivals: u32,
     verdict: Option<RunVerdict>,
-    answered_failure: bool,
+    /// The caller has the head of the answer.
+    pub begun: bool,
 }
 
 /// Passes a request on and returns its answer.
@@ -67,7 +68,7 @@
         tried: Vec::new(),
         arrivals: 0,
         verdict: None,
-        answered_failure: false,
+        begun: false,
     };
     loop {
         let server = exchange.next_server()?;
@@ -84,7 +85,6 @@
             let id = answer.in_flight.server().id.clone();
             exchange.log("server_failed", json!({ "server": id, "status": status.as_u16() }));
             exchange.verdict = Some(RunVerdict::MayHaveRun);
-            exchange.answered_failure = true;
             continue;
         }
         if exchange.request.is_stream() && status.is_success() {
@@ -113,7 +113,11 @@
         let engine = self.request.engine.as_ref().zip(self.request.work());
         let query = ServerQuery {
             service: &self.request.service,
-            engine: engine.map(|(figures, work)| EngineQuery { figures, work }),
+            engine: engine.map(|(figures, work)| EngineQuery {
+                figures,
+                work,
+                continues: self.begun,
+            }),
             least: attempt::least_version(&self.state, &self.request),
             tried: &self.tried,
             draw: rand::rng().random(),
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -65,6 +65,7 @@
         splitter: EventSplitter::default(),
         events: 0,
     };
+    relay.exchange.begun = true;
     let (mut connection, mut in_flight) = (answer.connection, answer.in_flight);
     let mut body = body;
     let frames = async_stream::try_stream! {
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -25,8 +25,8 @@
 use headlatch_http::{HttpLimits, HttpServer, StopHandle, pace::LinkPacer};
 use headlatch_outside::{
     engine::{
-        EngineStage, OrderAnswer, OrderSequence, PieceManifest, PieceOrigin, StageReport,
-        StartOrder,
+        EngineStage, OrderAnswer, OrderSequence, PieceManifest, PieceOrigin, RunningRequests,
+        StageReport, StartOrder,
     },
     facts::{Fact, FactStore, FactTopic, Freshness},
 };
@@ -87,8 +87,9 @@
 /// Pieces laid into the stage at one look.
 const PIECES_A_LOOK: usize = 16;
 
-/// Part of the link that weights use, in percent, so that control is heard.
-const LINK_PERCENT: u64 = 96;
+/// Rate at which pieces are handed to the link, relative to the link's, in percent: the link paces
+/// them by itself, and what is waited for here as well comes late.
+const LINK_PERCENT: u64 = 300;
 
 /// Pieces looked at before a stage counts as one of another version.
 const SURVEY_SAMPLE: u32 = 3;
@@ -749,6 +750,7 @@
             version: goal.version,
             fence: self.fence,
             expected: sequence,
+            running: self.running_requests(),
         };
         self.state.tell(|notice| notice.changing = true);
         let given = self.state.node.now();
@@ -763,6 +765,17 @@
             Some(GivenOrder { version: goal.version, given, answer, expected: sequence });
     }
 
+    /// Requests are cut at a change only where all of them can be continued elsewhere: to wait for
+    /// them takes seconds in which the server takes nothing new.
+    fn running_requests(&self) -> RunningRequests {
+        let service = self.state.settings.service.as_deref();
+        let plan = self.plan.as_ref().zip(service);
+        match plan.is_some_and(|(plan, service)| plan.may_cut(service)) {
+            true => RunningRequests::Cut,
+            false => RunningRequests::Finish,
+        }
+    }
+
     fn has_turn(&self, goal: &Goal) -> bool {
         let own = self.state.settings.node.control;
         let peers = lock(&self.state.peers);
--- a/crates/outside/src/engine.rs
+++ b/crates/outside/src/engine.rs
@@ -54,6 +54,16 @@
     pub digests: Vec<PieceDigest>,
 }
 
+/// What becomes of requests that run when an order changes the weights.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum RunningRequests {
+    /// They end first; nothing new is taken meanwhile.
+    #[default]
+    Finish,
+    /// They are cut, to be continued elsewhere.
+    Cut,
+}
+
 /// An order to start with the layers that lie in the stage.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StartOrder {
@@ -65,6 +75,8 @@
     pub fence: u64,
     /// Orders that the engine must have begun.
     pub expected: OrderSequence,
+    /// What becomes of requests that run.
+    pub running: RunningRequests,
 }
 
 /// What became of an order.
--- a/crates/types/src/traffic.rs
+++ b/crates/types/src/traffic.rs
@@ -209,6 +209,12 @@
         Ok(())
     }
 
+    /// Whether every request to a service may be cut and run again, or continued elsewhere.
+    pub fn may_cut(&self, service: &str) -> bool {
+        let sends = |route: &Route| route.targets.iter().any(|one| &*one.service == service);
+        self.routes.iter().filter(|route| sends(route)).all(Route::repeatable)
+    }
+
     /// The first service that hands out weights.
     pub fn origin(&self) -> Option<&OriginPlan> {
         self.services.values().find_map(|service| service.origin.as_ref())
