Avoid servers that are about to change, and drain them briefly before a cut

Cause: streams that were cut went to servers that changed next and used up their attempts; cuts used up the retry budget; the exact version asked for was refused by servers that had gone on (421). Change: refusals use no attempt; entries hear of a change 40 ms before the order; servers drain for up to 0.5 s; a cost for servers with staged weights; no exact version is asked for.

--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -40,6 +40,9 @@
 /// Cost of a server all of whose requests fail.
 const FAILURE_COST: f64 = 2.0;
 
+/// Cost of a server that is about to change its weights.
+const CHANGE_COST: f64 = 0.4;
+
 /// Weight of the newest outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.2;
 
@@ -325,6 +328,7 @@
             Some(engine) => self.lateness(state, engine)?,
         };
         let failing = (state.failure_share - USUAL_FAILURES).max(0.0) * FAILURE_COST;
+        let failing = failing + if is_about_to_change(state) { CHANGE_COST } else { 0.0 };
         Ok(load + late + self.distance(&record.zone) + failing)
     }
 
@@ -396,6 +400,11 @@
     }
 }
 
+/// Whether a server will soon take other weights, which cuts or delays what it runs.
+fn is_about_to_change(state: &ServerState) -> bool {
+    state.notice.as_ref().is_some_and(|notice| notice.staged > notice.whole)
+}
+
 fn note_failure(state: &mut ServerState, failed: f64) {
     state.failure_share += (failed - state.failure_share) * FAILURE_WEIGHT;
 }
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -160,7 +160,8 @@
             server: Some(server.id.clone()),
             tenant: request.tenant.clone(),
             last_event,
-            version: least_version(state, request),
+            // A server never goes back to older weights, and one that has gone on would refuse.
+            version: None,
             priority: None,
         };
         let headers = outgoing_headers(state, request, &facts, &request.body);
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -25,6 +25,9 @@
 };
 use crate::decisions;
 
+/// Servers that one request reaches at most, those that refused it among them.
+const MOST_ARRIVALS: u32 = 4;
+
 /// Largest answer that is not a stream.
 const MOST_ANSWER: usize = 16 << 20;
 
@@ -51,6 +54,8 @@
     tried: Vec<ServerId>,
     /// Sendings that reached a server.
     arrivals: u32,
+    /// Those of them that may have run.
+    runs: u32,
     verdict: Option<RunVerdict>,
     /// The caller has the head of the answer.
     pub begun: bool,
@@ -67,6 +72,7 @@
         request,
         tried: Vec::new(),
         arrivals: 0,
+        runs: 0,
         verdict: None,
         begun: false,
     };
@@ -129,7 +135,8 @@
     pub fn may_go_on(&self) -> bool {
         let early = Instant::now() + Duration::from_millis(20) < self.request.deadline;
         early
-            && self.arrivals < self.request.route.max_attempts
+            && self.runs < self.request.route.max_attempts
+            && self.arrivals < MOST_ARRIVALS
             && matches!(self.choose(), ServerChoice::Server(_))
     }
 
@@ -138,7 +145,7 @@
         if Instant::now() >= self.request.deadline {
             return Err(self.give_up("deadline"));
         }
-        if self.arrivals >= self.request.route.max_attempts {
+        if self.runs >= self.request.route.max_attempts || self.arrivals >= MOST_ARRIVALS {
             return Err(self.give_up("attempts_used"));
         }
         let server = match self.choose() {
@@ -171,16 +178,16 @@
     ) -> Result<ServerAnswer, AttemptFailure> {
         self.tried.push(server.id.clone());
         self.arrivals += 1;
+        self.runs += 1;
         let request = &self.request;
         let patience = (request.route.objective() * PATIENCE).max(LEAST_PATIENCE);
         let first = (Instant::now() + patience).min(request.deadline);
         // Patience ends early only where another server could do better.
         let until = if request.repeatable && self.may_go_on() { first } else { request.deadline };
         let sent = attempt::send(&self.state, request, server, last_event, until).await;
-        if let Err(failure) = &sent
-            && !failure.arrived
-        {
-            self.arrivals -= 1;
+        if let Err(failure) = &sent {
+            self.arrivals -= u32::from(!failure.arrived);
+            self.runs -= u32::from(failure.verdict == RunVerdict::NotRun);
         }
         sent
     }
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -78,6 +78,18 @@
 /// How often the progress of a transfer is written down.
 const PROGRESS_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time in which entries hear that a server is about to change.
+const NOTICE_TIME: Duration = Duration::from_millis(40);
+
+/// Time in which requests may end before a change cuts them.
+const DRAIN_TIME: Duration = Duration::from_millis(500);
+
+/// How often a server that drains is looked at.
+const DRAIN_LOOK: Duration = Duration::from_millis(60);
+
+/// Requests that are not waited for.
+const FEW_REQUESTS: u32 = 1;
+
 /// How often the plan is read until it names an origin.
 const PLAN_PAUSE: Duration = Duration::from_millis(700);
 
@@ -753,6 +765,8 @@
             running: self.running_requests(),
         };
         self.state.tell(|notice| notice.changing = true);
+        // Entries hear of it before the server refuses what they send, and short requests end.
+        self.drain_briefly().await;
         let given = self.state.node.now();
         let answer = self.outside.engine.start(order).await;
         let fields = json!({
@@ -765,6 +779,19 @@
             Some(GivenOrder { version: goal.version, given, answer, expected: sequence });
     }
 
+    /// Waits until few requests run or the time for that is over.
+    async fn drain_briefly(&self) {
+        tokio::time::sleep(NOTICE_TIME).await;
+        let until = self.state.node.now() + DRAIN_TIME;
+        while self.state.node.now() < until {
+            let report = self.outside.engine.report().await;
+            if report.is_ok_and(|report| report.active + report.queued <= FEW_REQUESTS) {
+                return;
+            }
+            tokio::time::sleep(DRAIN_LOOK).await;
+        }
+    }
+
     /// Requests are cut at a change only where all of them can be continued elsewhere: to wait for
     /// them takes seconds in which the server takes nothing new.
     fn running_requests(&self) -> RunningRequests {
