--- a/crates/bench/src/burst/world.rs
+++ b/crates/bench/src/burst/world.rs
@@ -7,8 +7,8 @@
 
 use headlatch_core::{
     burst::{
-        ChunkSet, ChunkSource, FetchFailure, PeerKey, PeerSeat, SwarmAction, SwarmEvent, SwarmNote,
-        DrawOrder, SwarmPace, SwarmPlanner, SwarmPulse, SwarmSettings, TICK,
+        ChunkSet, ChunkSource, DrawOrder, FetchFailure, PeerKey, PeerSeat, SwarmAction, SwarmEvent,
+        SwarmNote, SwarmPace, SwarmPlanner, SwarmPulse, SwarmSettings, TICK,
     },
     hash::score,
     time::Moment,
--- a/crates/core/src/burst/planner.rs
+++ b/crates/core/src/burst/planner.rs
@@ -9,8 +9,8 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use super::{
-    ChunkSet, ChunkSource, DrawPool, DrawTicket, FetchFailure, PeerKey, PeerSeat, SeatMap,
-    SwarmAction, SwarmEvent, SwarmNote, SwarmPulse, SwarmSettings, DrawOrder, draws::DrawLedger,
+    ChunkSet, ChunkSource, DrawOrder, DrawPool, DrawTicket, FetchFailure, PeerKey, PeerSeat,
+    SeatMap, SwarmAction, SwarmEvent, SwarmNote, SwarmPulse, SwarmSettings, draws::DrawLedger,
     imports::ImportDesk, peers::PeerTable, pursuit::RATE_CHUNKS, seats::ImportOrigin,
     uploads::UploadQueue,
 };
--- a/crates/core/src/burst/upkeep.rs
+++ b/crates/core/src/burst/upkeep.rs
@@ -111,10 +111,9 @@
             })
             .collect();
         let patience = (self.settings.chunk_time, self.draw_patience());
-        let remedies =
-            self.imports.remedies(now, patience, self.settings.pace, |chunk| {
-                lacking.binary_search(&chunk).is_ok()
-            });
+        let remedies = self.imports.remedies(now, patience, self.settings.pace, |chunk| {
+            lacking.binary_search(&chunk).is_ok()
+        });
         for remedy in remedies {
             self.apply(now, remedy, actions);
         }
--- /dev/null
+++ b/crates/core/tests/direct.rs
@@ -0,0 +1,484 @@
+//! Decisions of entries that call servers directly, and of agents that stage weights.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use googletest::prelude::*;
+use headlatch_core::{
+    direct::{
+        engine_model::{EngineLoad, EngineWork, first_token},
+        event_split::EventSplitter,
+        peers::{LoadNotice, PEER_SILENCE, PeerKind, PeerNotice, PeerTable, ServerNotice},
+        retry_share::{RetryBudget, RetryShare},
+        route_table::{Denial, RouteTable, pick_target},
+        server_table::{
+            EngineQuery, ServerChoice, ServerOutcome, ServerQuery, ServerTable, server_key,
+        },
+        staging::{
+            GivenOrder, StageState, StageStep, StageView, TurnView, VersionChoice, has_turn,
+            next_step, next_version,
+        },
+        weight_deadline::WeightDeadlines,
+    },
+    time::Moment,
+};
+use headlatch_outside::engine::{OrderAnswer, OrderSequence, StageReport};
+use headlatch_types::{
+    id::{DomainId, ModelName},
+    traffic::{
+        EngineFigures, HeldLayers, HeldModel, PlanVersion, Route, RouteKind, RouteTarget, ServerId,
+        ServerRecord, Tenant, TrafficPlan, WeightVersion,
+    },
+};
+
+fn at(millis: u64) -> Moment {
+    Moment::ZERO + Duration::from_millis(millis)
+}
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "a.example".to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Stream,
+        timeout_ms: 6000,
+        objective_ms: 400,
+        pause_objective_ms: 400,
+        priority: 1,
+        targets: vec![RouteTarget { service: "llm".into(), weight: 1 }],
+        max_attempts: 2,
+        anonymous: false,
+        resumable: true,
+    }
+}
+
+fn plan(routes: Vec<Route>) -> TrafficPlan {
+    let tenant = Tenant { name: "t".into(), keys: vec!["k".to_owned()], priority: None };
+    TrafficPlan { version: PlanVersion(1), routes, tenants: vec![tenant], ..TrafficPlan::default() }
+}
+
+#[gtest]
+fn the_longest_prefix_of_the_host_answers() {
+    let table =
+        RouteTable::new(Arc::new(plan(vec![route("short", "/a/"), route("long", "/a/b/")])));
+    expect_that!(table.route("A.example:80", "/a/b/c").map(|one| &*one.name), ok(eq("long")));
+    expect_that!(table.route("a.example", "/a/x").map(|one| &*one.name), ok(eq("short")));
+    expect_that!(table.route("a.example", "/b/"), err(eq(Denial::NoRoute)));
+    expect_that!(table.route("b.example", "/a/"), err(eq(Denial::NoRoute)));
+}
+
+#[gtest]
+fn a_key_that_no_tenant_has_is_denied() {
+    let table = RouteTable::new(Arc::new(plan(vec![route("one", "/a/")])));
+    let one = table.route("a.example", "/a/").expect("it is there").clone();
+    expect_that!(table.tenant(&one, Some("k")).map(|one| one.is_some()), ok(eq(true)));
+    expect_that!(table.tenant(&one, Some("x")), err(eq(Denial::UnknownKey)));
+    expect_that!(table.tenant(&one, None), err(eq(Denial::UnknownKey)));
+    let open = Route { anonymous: true, ..one };
+    expect_that!(table.tenant(&open, None).map(|one| one.is_none()), ok(eq(true)));
+}
+
+#[gtest]
+fn targets_get_their_shares() {
+    let mut one = route("one", "/a/");
+    one.targets = vec![
+        RouteTarget { service: "a".into(), weight: 90 },
+        RouteTarget { service: "b".into(), weight: 10 },
+        RouteTarget { service: "c".into(), weight: 0 },
+    ];
+    let mut counts: HashMap<String, u32> = HashMap::new();
+    for draw in 0..1000 {
+        let target = pick_target(&one, draw).expect("there is weight");
+        *counts.entry(target.service.to_string()).or_default() += 1;
+    }
+    expect_that!(counts.get("a"), some(eq(&900)));
+    expect_that!(counts.get("b"), some(eq(&100)));
+    expect_that!(counts.get("c"), none());
+}
+
+#[gtest]
+fn retries_stay_within_the_share_of_one_entry() {
+    let budget = RetryBudget { ratio: 0.2, slack: 100.0, window: Duration::from_secs(10) };
+    let mut share = RetryShare::new(budget);
+    (0..100).for_each(|_| share.note_request(at(0), "llm"));
+    let taken = (0..1000).filter(|_| share.take(at(1), "llm", 10)).count();
+    // (0.2 x 100 + 100 / 10) x 85 in 100.
+    expect_that!(taken, eq(25));
+    expect_that!(share.take(at(20_000), "llm", 10), eq(true));
+}
+
+#[gtest]
+fn only_whole_events_come_out() {
+    let mut splitter = EventSplitter::default();
+    expect_that!(splitter.push(b"id: 1\ndata: a"), is_empty());
+    let events = splitter.push(b"\n\nid: 2\ndata: b\n\nid: 3\nda");
+    let ids: Vec<_> = events.iter().map(|event| event.id).collect();
+    expect_that!(ids, eq(&vec![Some(1), Some(2)]));
+    expect_that!(events[0].bytes, eq(b"id: 1\ndata: a\n\n"));
+    expect_that!(splitter.rest(), eq(b"id: 3\nda"));
+    splitter.clear();
+    expect_that!(splitter.push(b"id: 3\ndata: c\n\n").len(), eq(1));
+}
+
+#[gtest]
+fn events_come_out_alike_however_their_bytes_are_cut() {
+    let text = b"weight-versions: 2\nid: 7\ndata: x\n\nid: 8\r\ndata: y\r\n\r\n: note\n\n";
+    let whole = EventSplitter::default().push(text);
+    for cut in 0..text.len() {
+        let mut splitter = EventSplitter::default();
+        let mut events = splitter.push(&text[..cut]);
+        events.extend(splitter.push(&text[cut..]));
+        expect_that!(events, eq(&whole), "cut at {cut}");
+    }
+}
+
+fn model() -> ModelName {
+    "m".parse().expect("a name")
+}
+
+#[gtest]
+fn old_weights_get_nothing_in_the_last_quarter_of_the_time() {
+    let mut weights = WeightDeadlines::default();
+    let time = Duration::from_secs(8);
+    expect_that!(weights.learn(at(0), &model(), WeightVersion(2)), eq(true));
+    expect_that!(weights.learn(at(10), &model(), WeightVersion(2)), eq(false));
+    expect_that!(weights.learn(at(2000), &model(), WeightVersion(3)), eq(true));
+    expect_that!(weights.least(at(5999), &model(), time), none());
+    expect_that!(weights.least(at(6000), &model(), time), some(eq(WeightVersion(2))));
+    expect_that!(weights.least(at(8000), &model(), time), some(eq(WeightVersion(3))));
+}
+
+fn figures() -> EngineFigures {
+    EngineFigures {
+        slots: 16,
+        step_ms: 9.0,
+        stride: 5,
+        read_per_second: 20_000.0,
+        layers: 16,
+        usual_prompt: 1000,
+        usual_answer: 100,
+        ..EngineFigures::default()
+    }
+}
+
+fn work(prompt: u64) -> EngineWork {
+    EngineWork::new(&figures(), Some(prompt), millis(400))
+}
+
+#[gtest]
+fn prompts_that_wait_put_off_the_first_token() {
+    let idle = first_token(&figures(), EngineLoad::default(), work(1000));
+    let behind = EngineLoad { in_flight: 4, waiting_tokens: 4000 };
+    let full = EngineLoad { in_flight: 18, waiting_tokens: 0 };
+    expect_that!(idle, lt(millis(150)));
+    expect_that!(first_token(&figures(), behind, work(1000)), gt(idle + millis(200)));
+    expect_that!(first_token(&figures(), full, work(1000)), gt(idle + millis(200)));
+}
+
+fn server(name: &str, zone: &str, version: u64) -> ServerRecord {
+    let layers = vec![HeldLayers { from: 0, until: 16, version: WeightVersion(version) }];
+    let held = HeldModel { model: model(), version: WeightVersion(version), layers };
+    ServerRecord {
+        id: ServerId(name.into()),
+        service: "llm".into(),
+        address: format!("127.0.0.1:{}", 1000 + server_key(&ServerId(name.into())) % 60_000)
+            .parse()
+            .expect("an address"),
+        zone: zone.parse().expect("a name"),
+        slots: 16,
+        draining: false,
+        models: vec![held],
+    }
+}
+
+fn table(servers: &[ServerRecord]) -> ServerTable {
+    let zone = |name: &str| -> DomainId { name.parse().expect("a name") };
+    let region = |name: &str| name.parse().expect("a name");
+    let regions = HashMap::from([(zone("z1"), region("r1")), (zone("z2"), region("r2"))]);
+    let mut table = ServerTable::new(zone("z1"), regions);
+    servers.iter().for_each(|server| table.set(server.clone()));
+    table
+}
+
+fn choose(table: &ServerTable, now: Moment, least: Option<u64>, tried: &[ServerId]) -> String {
+    let figures = figures();
+    let engine = EngineQuery { figures: &figures, work: work(500), continues: false };
+    let query = ServerQuery {
+        service: "llm",
+        engine: Some(engine),
+        least: least.map(WeightVersion),
+        tried,
+        draw: 5,
+    };
+    match table.choose(now, &query) {
+        ServerChoice::Server(server) => server.id.to_string(),
+        ServerChoice::Full => "full".to_owned(),
+        ServerChoice::Nobody => "nobody".to_owned(),
+    }
+}
+
+#[gtest]
+fn the_near_zone_comes_first_until_it_is_loaded() {
+    let mut table = table(&[server("near", "z1", 1), server("far", "z2", 1)]);
+    expect_that!(choose(&table, at(0), None, &[]), eq("near"));
+    let near = ServerId("near".into());
+    (0..8).for_each(|_| table.begin(&near, 300));
+    expect_that!(choose(&table, at(0), None, &[]), eq("far"));
+    (0..8).for_each(|_| table.note_read(&near, 300));
+    (0..8).for_each(|_| table.end(at(1), &near, ServerOutcome::Answered));
+    expect_that!(choose(&table, at(1), None, &[]), eq("near"));
+}
+
+#[gtest]
+fn what_others_have_in_progress_counts() {
+    let mut table = table(&[server("near", "z1", 1)]);
+    let load = EngineLoad { in_flight: 18, waiting_tokens: 0 };
+    table.set_others(HashMap::from([(server_key(&ServerId("near".into())), load)]));
+    expect_that!(choose(&table, at(0), None, &[]), eq("full"));
+}
+
+#[gtest]
+fn a_server_without_the_least_version_is_left_out() {
+    let table = table(&[server("old", "z1", 1), server("new", "z2", 2)]);
+    expect_that!(choose(&table, at(0), Some(2), &[]), eq("new"));
+    expect_that!(choose(&table, at(0), Some(3), &[]), eq("nobody"));
+}
+
+#[gtest]
+fn a_server_that_lacks_layers_is_left_out() {
+    let mut part = server("part", "z1", 1);
+    part.models[0].layers[0].until = 15;
+    expect_that!(choose(&table(&[part]), at(0), None, &[]), eq("nobody"));
+}
+
+#[gtest]
+fn a_draining_or_tried_server_gets_nothing() {
+    let mut leaving = server("a", "z1", 1);
+    leaving.draining = true;
+    let table = table(&[leaving, server("b", "z2", 1)]);
+    expect_that!(choose(&table, at(0), None, &[]), eq("b"));
+    expect_that!(choose(&table, at(0), None, &[ServerId("b".into())]), eq("nobody"));
+}
+
+#[gtest]
+fn an_agent_knows_before_the_list_does() {
+    let record = server("a", "z1", 1);
+    let mut table = table(std::slice::from_ref(&record));
+    let notice = |whole: Option<u64>, changing| ServerNotice {
+        address: record.address,
+        whole: whole.map(WeightVersion),
+        changing,
+        staged: None,
+        sharing: None,
+        zone: record.zone.clone(),
+        service: "llm".to_owned(),
+    };
+    table.set_notice(record.address, Some(notice(Some(1), true)));
+    expect_that!(choose(&table, at(0), None, &[]), eq("nobody"));
+    table.set_notice(record.address, Some(notice(Some(2), false)));
+    expect_that!(choose(&table, at(0), Some(2), &[]), eq("a"));
+    table.set_notice(record.address, Some(notice(None, false)));
+    expect_that!(choose(&table, at(0), None, &[]), eq("nobody"));
+}
+
+#[gtest]
+fn a_lost_server_is_let_in_again_by_one_request() {
+    let mut table = table(&[server("a", "z1", 1)]);
+    let id = ServerId("a".into());
+    table.begin(&id, 0);
+    table.end(at(0), &id, ServerOutcome::Lost);
+    expect_that!(choose(&table, at(100), None, &[]), eq("nobody"));
+    expect_that!(choose(&table, at(400), None, &[]), eq("a"));
+    table.begin(&id, 0);
+    expect_that!(choose(&table, at(400), None, &[]), eq("nobody"));
+    table.end(at(500), &id, ServerOutcome::Answered);
+    expect_that!(choose(&table, at(500), None, &[]), eq("a"));
+}
+
+#[gtest]
+fn a_refusal_rests_a_server_for_a_moment() {
+    let mut table = table(&[server("a", "z1", 1)]);
+    let id = ServerId("a".into());
+    table.begin(&id, 0);
+    table.end(at(0), &id, ServerOutcome::Refused);
+    expect_that!(choose(&table, at(10), None, &[]), eq("full"));
+    expect_that!(choose(&table, at(200), None, &[]), eq("a"));
+}
+
+fn notice(from: &str, life: u64, sequence: u64, in_flight: u32) -> PeerNotice {
+    let load = EngineLoad { in_flight, waiting_tokens: 0 };
+    PeerNotice {
+        from: from.parse().expect("an address"),
+        kind: PeerKind::Entry,
+        life,
+        sequence,
+        plan: 1,
+        peers: Vec::new(),
+        loads: vec![LoadNotice { server: 7, load }],
+        server: None,
+    }
+}
+
+#[gtest]
+fn old_notices_change_nothing_and_silent_peers_are_dropped() {
+    let mut peers = PeerTable::new("10.0.0.1:7".parse().expect("an address"));
+    expect_that!(peers.hear(at(0), notice("10.0.0.2:7", 1, 5, 3)).joined, eq(true));
+    peers.hear(at(1), notice("10.0.0.2:7", 1, 4, 9));
+    expect_that!(peers.loads().get(&7).map(|load| load.in_flight), some(eq(3)));
+    // One that was started again begins anew.
+    peers.hear(at(2), notice("10.0.0.2:7", 2, 1, 1));
+    expect_that!(peers.loads().get(&7).map(|load| load.in_flight), some(eq(1)));
+    expect_that!(peers.entries(PeerKind::Entry), eq(2));
+    let gone = peers.expire(at(2) + PEER_SILENCE + millis(1));
+    expect_that!(gone.len(), eq(1));
+    expect_that!(peers.loads().is_empty(), eq(true));
+    expect_that!(peers.candidates().count(), eq(1));
+}
+
+#[gtest]
+fn a_peer_never_takes_itself_for_another() {
+    let mut peers = PeerTable::new("10.0.0.1:7".parse().expect("an address"));
+    peers.suggest(at(0), "10.0.0.1:7".parse().expect("an address"));
+    peers.hear(at(0), notice("10.0.0.1:7", 1, 1, 1));
+    expect_that!(peers.candidates().count(), eq(0));
+    expect_that!(peers.living().count(), eq(0));
+}
+
+struct Stage {
+    report: StageReport,
+    stage: StageState,
+    held: Vec<bool>,
+    order: Option<GivenOrder>,
+    turn: bool,
+    whole: Option<u64>,
+}
+
+impl Stage {
+    fn ready() -> Self {
+        let stage = StageState {
+            version: Some(WeightVersion(2)),
+            placed: vec![true, true],
+            checked: Some(at(900)),
+            surveyed: true,
+        };
+        let (report, held) = (StageReport::default(), vec![true, true]);
+        Self { report, stage, held, order: None, turn: true, whole: Some(1) }
+    }
+
+    fn step(&self) -> StageStep {
+        next_step(&StageView {
+            now: at(1000),
+            wanted: WeightVersion(2),
+            layers: 16,
+            report: &self.report,
+            whole: self.whole.map(WeightVersion),
+            stage: &self.stage,
+            held: &self.held,
+            order: self.order,
+            turn: self.turn,
+        })
+    }
+}
+
+#[gtest]
+fn nothing_is_ordered_before_every_piece_was_read_back() {
+    let mut stage = Stage::ready();
+    expect_that!(stage.step(), eq(StageStep::Order(OrderSequence(0))));
+    stage.stage.checked = None;
+    expect_that!(stage.step(), eq(StageStep::Check));
+    stage.stage.placed[1] = false;
+    expect_that!(stage.step(), eq(StageStep::Place(1)));
+    stage.held[1] = false;
+    expect_that!(stage.step(), eq(StageStep::Wait));
+}
+
+#[gtest]
+fn a_check_of_long_ago_is_made_again() {
+    let mut stage = Stage::ready();
+    stage.stage.checked = Some(Moment::ZERO);
+    let old = StageStep::Check;
+    expect_that!(next_at(&stage, 2000), eq(old));
+}
+
+fn next_at(stage: &Stage, now: u64) -> StageStep {
+    next_step(&StageView {
+        now: at(now),
+        wanted: WeightVersion(2),
+        layers: 16,
+        report: &stage.report,
+        whole: stage.whole.map(WeightVersion),
+        stage: &stage.stage,
+        held: &stage.held,
+        order: stage.order,
+        turn: stage.turn,
+    })
+}
+
+#[gtest]
+fn an_order_without_an_answer_is_not_repeated_until_the_report_tells() {
+    let mut stage = Stage::ready();
+    let expected = OrderSequence(0);
+    let order = GivenOrder { version: WeightVersion(2), given: at(990), answer: None, expected };
+    stage.order = Some(order);
+    expect_that!(stage.step(), eq(StageStep::Wait));
+    // The report counts one order more: it was taken, and what it did will show.
+    stage.report.sequence = OrderSequence(1);
+    stage.report.busy = true;
+    expect_that!(stage.step(), eq(StageStep::Wait));
+}
+
+#[gtest]
+fn a_refused_order_is_given_again() {
+    let mut stage = Stage::ready();
+    let answer = Some(OrderAnswer::Conflict);
+    let expected = OrderSequence(0);
+    stage.order = Some(GivenOrder { version: WeightVersion(2), given: at(990), answer, expected });
+    expect_that!(stage.step(), eq(StageStep::Order(OrderSequence(0))));
+}
+
+#[gtest]
+fn the_next_version_may_be_laid_while_the_last_is_taken_but_not_ordered() {
+    let mut stage = Stage::ready();
+    let answer = Some(OrderAnswer::Begun);
+    let expected = OrderSequence(0);
+    stage.order = Some(GivenOrder { version: WeightVersion(1), given: at(990), answer, expected });
+    stage.report.busy = true;
+    stage.stage.placed[1] = false;
+    expect_that!(stage.step(), eq(StageStep::Place(1)));
+    stage.stage.placed[1] = true;
+    expect_that!(stage.step(), eq(StageStep::Wait));
+}
+
+#[gtest]
+fn servers_change_in_turns_and_all_before_the_end() {
+    let time = Duration::from_secs(8);
+    let others = [TurnView { rank: 0, done: false, ready: true }];
+    expect_that!(has_turn(0, true, millis(100), time, &[]), eq(true));
+    expect_that!(has_turn(1, true, millis(100), time, &others), eq(false));
+    expect_that!(has_turn(1, true, millis(7000), time, &others), eq(true));
+    let done = [TurnView { rank: 0, done: true, ready: true }];
+    expect_that!(has_turn(1, true, millis(100), time, &done), eq(true));
+    // One that serves nothing waits for nobody.
+    expect_that!(has_turn(2, false, millis(100), time, &others), eq(true));
+}
+
+fn wanted(version: u64, due: u64, transfer: u64) -> VersionChoice {
+    VersionChoice { version: WeightVersion(version), due: at(due), transfer: millis(transfer) }
+}
+
+#[gtest]
+fn an_older_version_goes_first_only_where_the_newest_comes_too_late() {
+    // All but here, and the newest would miss its deadline.
+    let pressing = [wanted(2, 8000, 300), wanted(3, 12_000, 4000)];
+    expect_that!(next_version(at(4000), &pressing), some(eq(WeightVersion(2))));
+    // Named at the same time: the newest does for both.
+    let together = [wanted(2, 8000, 4000), wanted(3, 8100, 4000)];
+    expect_that!(next_version(at(0), &together), some(eq(WeightVersion(3))));
+    // Its deadline is far.
+    let far = [wanted(2, 60_000, 300), wanted(3, 64_000, 4000)];
+    expect_that!(next_version(at(4000), &far), some(eq(WeightVersion(3))));
+    expect_that!(next_version(at(0), &[]), none());
+}
--- a/crates/daemon/src/agent/loader.rs
+++ b/crates/daemon/src/agent/loader.rs
@@ -215,7 +215,13 @@
         let settings = self.swarm_settings(&manifest, goal);
         let tools = self.tools(part);
         let me = seat_of(self.node.table().own());
-        self.hub.add(swarm::start(tools, part.location.clone(), (text, Arc::new(manifest)), settings, me));
+        self.hub.add(swarm::start(
+            tools,
+            part.location.clone(),
+            (text, Arc::new(manifest)),
+            settings,
+            me,
+        ));
     }
 
     fn tools(&self, part: &WeightPart) -> SwarmTools {
@@ -235,9 +241,8 @@
     /// Origin and store of a part, where they are.
     fn sources(&self, part: &WeightPart) -> [Option<OutsideSource>; 2] {
         let location = &part.location;
-        [&self.settings.origin, &self.settings.store].map(|url| {
-            url.clone().map(|url| OutsideSource { url, location: location.clone() })
-        })
+        [&self.settings.origin, &self.settings.store]
+            .map(|url| url.clone().map(|url| OutsideSource { url, location: location.clone() }))
     }
 
     fn swarm_settings(&self, manifest: &Manifest, goal: &LoadGoal) -> SwarmSettings {
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -1,7 +1,10 @@
 //! One sending of a request to one server.
 
 use std::{
-    sync::{Arc, atomic::{AtomicBool, Ordering}},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -152,8 +155,7 @@
         false => ConnectionChoice::Fresh,
     };
     loop {
-        let (mut connection, fresh) =
-            connect(state, server, choice, until).await?;
+        let (mut connection, fresh) = connect(state, server, choice, until).await?;
         let left = request.deadline.saturating_duration_since(Instant::now());
         let facts = SendFacts {
             deadline: Some(left),
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -116,10 +116,13 @@
         response.headers_mut().insert(header::CONNECTION, close);
     }
     // Held until the last byte of the answer has gone out.
-    response.map(|body| body.map_frame(move |frame| {
-        let _ = &held;
-        frame
-    }).boxed_unsync())
+    response.map(|body| {
+        body.map_frame(move |frame| {
+            let _ = &held;
+            frame
+        })
+        .boxed_unsync()
+    })
 }
 
 async fn admit(
@@ -144,8 +147,7 @@
     let target = pick_target(&route, rand::rng().random());
     let service = target.map(|target| target.service.clone());
     let service = service.ok_or_else(|| GivenUp::refused("no_service", NO_PLAN_REST))?;
-    let engine =
-        routes.plan().services.get(&*service).and_then(|service| service.engine.clone());
+    let engine = routes.plan().services.get(&*service).and_then(|service| service.engine.clone());
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri = path.parse().map_err(|_| GivenUp::denied(StatusCode::BAD_REQUEST, "bad_path"))?;
     Ok(RequestPlan {
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -93,10 +93,7 @@
         loads: loads
             .map(|load| LoadNotice {
                 server: load.server,
-                load: EngineLoad {
-                    in_flight: load.in_flight,
-                    waiting_tokens: load.waiting_tokens,
-                },
+                load: EngineLoad { in_flight: load.in_flight, waiting_tokens: load.waiting_tokens },
             })
             .collect(),
         server,
@@ -228,7 +225,9 @@
     if outcome.joined {
         decisions::note("peers", "found", json!({ "peer": from }));
     }
-    if outcome.server_changed && let Some(server) = server {
+    if outcome.server_changed
+        && let Some(server) = server
+    {
         let fields = json!({
             "address": server.address, "whole": server.whole, "changing": server.changing,
             "staged": server.staged,
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -204,9 +204,7 @@
             settings,
         });
         let vault = Arc::new(ChunkVault::new(PIECE_MEMORY));
-        let link = ByteRate::from_bytes_per_second(
-            rate.bytes_per_second() * LINK_PERCENT / 100,
-        );
+        let link = ByteRate::from_bytes_per_second(rate.bytes_per_second() * LINK_PERCENT / 100);
         let (up, down) = (Arc::new(LinkPacer::new(link)), Arc::new(LinkPacer::new(link)));
         let hub = Arc::new(SwarmHub::new(vault.clone(), up, node.metrics.clone()));
         let (stop, signal) = StopHandle::new();
@@ -624,8 +622,7 @@
         let bytes = ByteSize::from_bytes(pieces.piece_bytes.into());
         let own = self.state.settings.link.rate.time_for(bytes);
         let origin_rate = origin.bytes_per_second.max(1);
-        let origin_rate =
-            ByteRate::from_bytes_per_second(origin_rate);
+        let origin_rate = ByteRate::from_bytes_per_second(origin_rate);
         let count = pieces.digests.len() as u32;
         let mut settings = SwarmSettings::new(count, own, origin_rate.time_for(bytes));
         settings.prefer = BurstPreference::OriginBytes;
@@ -775,8 +772,7 @@
         });
         decisions::note("engine", "ordered", fields);
         let answer = answer.ok();
-        self.order =
-            Some(GivenOrder { version: goal.version, given, answer, expected: sequence });
+        self.order = Some(GivenOrder { version: goal.version, given, answer, expected: sequence });
     }
 
     /// Waits until few requests run or the time for that is over.
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -142,9 +142,7 @@
 
     /// Whether requests can be served.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping()
-            && self.servers_known.load(Ordering::Relaxed)
-            && self.routes().is_some()
+        !self.is_stopping() && self.servers_known.load(Ordering::Relaxed) && self.routes().is_some()
     }
 
     /// The version of the plan in force.
--- /dev/null
+++ b/crates/daemon/tests/direct_entry.rs
@@ -0,0 +1,506 @@
+//! A direct entry between callers and scripted servers: what is passed on, what is sent again, and
+//! what is never passed off as whole.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use headlatch_daemon::direct::entry::DirectEntry;
+use headlatch_http::{CallAnswer, Connections};
+use headlatch_outside::{
+    OutsideFuture,
+    facts::{
+        Fact, FactChanges, FactList, FactStore, FactTopic, Freshness, NamedFact, StoreFailure,
+        StoreRevision,
+    },
+    headers::{AnswerFacts, HeaderForm, RequestFacts, SendFacts},
+};
+use headlatch_types::{
+    settings::DaemonSettings,
+    traffic::{
+        ClientLimits, PlanVersion, Route, RouteKind, RouteTarget, ServerId, ServerRecord, Tenant,
+        TrafficPlan,
+    },
+};
+use http::{HeaderMap, Method, StatusCode};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+/// A header form of the tests' own.
+#[derive(Debug)]
+struct TestHeaders;
+
+impl HeaderForm for TestHeaders {
+    fn read_request(&self, headers: &HeaderMap) -> RequestFacts {
+        let text =
+            |name: &str| headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned);
+        RequestFacts {
+            id: text("x-id"),
+            key: text("x-key"),
+            deadline: Some(Duration::from_secs(20)),
+            ..RequestFacts::default()
+        }
+    }
+
+    fn write_request(&self, headers: &mut HeaderMap, facts: &SendFacts) {
+        headers.remove("x-key");
+        let last = facts.last_event.map(|event| event.to_string());
+        let server = facts.server.as_ref().map(|server| server.to_string());
+        let lines = [("x-last", last), ("x-tenant", facts.tenant.clone()), ("x-server", server)];
+        for (name, value) in lines {
+            if let Some(value) = value.and_then(|value| value.parse().ok()) {
+                headers.insert(name, value);
+            }
+        }
+    }
+
+    fn read_answer(&self, _status: StatusCode, headers: &HeaderMap) -> AnswerFacts {
+        let id = headers.get("x-id").and_then(|value| value.to_str().ok()).map(str::to_owned);
+        let not_run = headers.contains_key("x-not-run");
+        AnswerFacts { id, not_run, misdirected: false, signed: headers.contains_key("x-sign") }
+    }
+
+    fn write_answer(&self, headers: &mut HeaderMap, request: &str) {
+        if let Ok(value) = request.parse() {
+            headers.insert("x-id", value);
+        }
+    }
+}
+
+/// Facts that a test may change; watches wait until it does.
+#[derive(Debug, Default)]
+struct TestStore {
+    facts: Mutex<Vec<(FactTopic, NamedFact)>>,
+    changed: tokio::sync::Notify,
+}
+
+impl TestStore {
+    fn set(&self, topic: FactTopic, name: &str, fact: Fact) {
+        let revision = StoreRevision(1);
+        let fact = NamedFact { name: name.to_owned(), revision, fact: Ok(fact) };
+        let mut facts = self.facts.lock().expect("no test panics with it");
+        facts.retain(|(kept, old)| *kept != topic || old.name != fact.name);
+        facts.push((topic, fact));
+        drop(facts);
+        self.changed.notify_waiters();
+    }
+}
+
+impl FactStore for TestStore {
+    fn list(
+        &self,
+        topic: FactTopic,
+        _freshness: Freshness,
+    ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
+        let facts = self.facts.lock().expect("no test panics with it");
+        let facts = facts.iter().filter(|(kept, _)| *kept == topic);
+        let facts = facts.map(|(_, fact)| fact.clone()).collect();
+        Box::pin(async move { Ok(FactList { facts, at: StoreRevision(1) }) })
+    }
+
+    fn watch(
+        &self,
+        _topic: FactTopic,
+        _after: StoreRevision,
+        _wait: Duration,
+    ) -> OutsideFuture<'_, std::result::Result<FactChanges, StoreFailure>> {
+        Box::pin(async move {
+            self.changed.notified().await;
+            // Whatever changed, the next list tells.
+            Err(StoreFailure::HistoryGone)
+        })
+    }
+}
+
+/// What a scripted server does with one connection.
+type Script = fn(&str) -> Vec<u8>;
+
+/// A server that answers each request on a connection of its own as its script says, and then
+/// closes the connection.
+struct ScriptedServer {
+    address: SocketAddr,
+    seen: Arc<Mutex<Vec<String>>>,
+}
+
+impl ScriptedServer {
+    async fn start(script: Script) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let log = seen.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, script, log.clone()));
+            }
+        });
+        Self { address, seen }
+    }
+
+    fn seen(&self) -> Vec<String> {
+        self.seen.lock().expect("no test panics with it").clone()
+    }
+}
+
+async fn serve(mut stream: TcpStream, script: Script, seen: Arc<Mutex<Vec<String>>>) {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read_exact(&mut byte).await.is_err() {
+            return;
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head).into_owned();
+    seen.lock().expect("no test panics with it").push(head.clone());
+    // A caller that has gone reads nothing; that is its own affair.
+    let _ = stream.write_all(&script(&head)).await;
+    let _ = stream.shutdown().await;
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|line| line.strip_prefix(&format!("{name}: ")))
+}
+
+fn answer(head: &str, status: &str, further: &str, body: &str) -> Vec<u8> {
+    let id = header(head, "x-id").unwrap_or_default();
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status}\r\nx-id: {id}\r\nx-sign: s\r\n{further}content-length: {length}\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
+fn whole(head: &str) -> Vec<u8> {
+    answer(head, "200 OK", "", "whole")
+}
+
+fn refuses(head: &str) -> Vec<u8> {
+    answer(head, "503 Service Unavailable", "x-not-run: 1\r\n", "")
+}
+
+fn fails(head: &str) -> Vec<u8> {
+    answer(head, "500 Internal Server Error", "", "broken")
+}
+
+fn says_nothing(_head: &str) -> Vec<u8> {
+    Vec::new()
+}
+
+fn cuts(head: &str) -> Vec<u8> {
+    let mut whole = answer(head, "200 OK", "", "whole");
+    whole.truncate(whole.len() - 2);
+    whole
+}
+
+fn answers_another(head: &str) -> Vec<u8> {
+    let other = head.replace("x-id: ", "x-id: other-");
+    answer(&other, "200 OK", "", "not yours")
+}
+
+fn events(head: &str, last: u64, ends: bool, torn: &str) -> Vec<u8> {
+    let id = header(head, "x-id").unwrap_or_default();
+    let from = header(head, "x-last").and_then(|last| last.parse().ok()).unwrap_or(0u64) + 1;
+    let mut out = format!(
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    for event in from..=last {
+        let text = format!("id: {event}\ndata: piece {event}\n\n");
+        out += &format!("{:x}\r\n{text}\r\n", text.len());
+    }
+    if !torn.is_empty() {
+        out += &format!("{:x}\r\n{torn}\r\n", torn.len());
+    }
+    if ends {
+        out += "0\r\n\r\n";
+    }
+    out.into_bytes()
+}
+
+fn streams_five(head: &str) -> Vec<u8> {
+    events(head, 5, true, "")
+}
+
+fn serves_all(head: &str) -> Vec<u8> {
+    if head.contains("/stream/") { streams_five(head) } else { whole(head) }
+}
+
+fn stops_in_the_third(head: &str) -> Vec<u8> {
+    events(head, 2, false, "id: 3\ndata: pie")
+}
+
+fn settings() -> headlatch_types::direct_settings::DirectEntrySettings {
+    let text = serde_json::json!({
+        "box": "e1", "domain": "z1", "region": "r1", "control": "127.0.0.1:0",
+        "admin": "127.0.0.1:0", "platform": "http://127.0.0.1:1", "drain_seconds": 1,
+        "entry": { "listen": "127.0.0.1:0" },
+        "direct": {
+            "zones": { "z1": "r1" },
+            "retry": { "ratio": 1.0, "slack": 100.0, "window_seconds": 10.0 }
+        }
+    });
+    match DaemonSettings::parse(&text.to_string()) {
+        Ok(DaemonSettings::DirectEntry(settings)) => *settings,
+        other => panic!("these are settings of a direct entry, not {other:?}"),
+    }
+}
+
+fn route(name: &str, kind: RouteKind) -> Route {
+    Route {
+        name: name.into(),
+        host: "a.example".to_owned(),
+        path_prefix: format!("/{name}/"),
+        kind,
+        timeout_ms: 15_000,
+        objective_ms: 5_000,
+        pause_objective_ms: 5_000,
+        priority: 1,
+        targets: vec![RouteTarget { service: "s".into(), weight: 1 }],
+        max_attempts: 2,
+        anonymous: false,
+        resumable: true,
+    }
+}
+
+fn plan(version: u64) -> TrafficPlan {
+    TrafficPlan {
+        version: PlanVersion(version),
+        routes: vec![
+            route("safe", RouteKind::Repeatable),
+            route("once", RouteKind::Once),
+            route("stream", RouteKind::Stream),
+        ],
+        limits: ClientLimits { body_bytes: 1000, ..ClientLimits::default() },
+        tenants: vec![Tenant { name: "t".into(), keys: vec!["k".to_owned()], priority: None }],
+        ..TrafficPlan::default()
+    }
+}
+
+/// The first server is the one that is asked first: the other has another zone.
+fn record(name: &str, address: SocketAddr, zone: &str) -> ServerRecord {
+    ServerRecord {
+        id: ServerId(name.into()),
+        service: "s".into(),
+        address,
+        zone: zone.parse().expect("a name"),
+        slots: 4,
+        draining: false,
+        models: Vec::new(),
+    }
+}
+
+struct Setting {
+    entry: DirectEntry,
+    store: Arc<TestStore>,
+    first: ScriptedServer,
+    second: ScriptedServer,
+}
+
+impl Setting {
+    async fn new(first: Script, second: Script) -> Self {
+        let store = Arc::new(TestStore::default());
+        let (first, second) =
+            (ScriptedServer::start(first).await, ScriptedServer::start(second).await);
+        store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(5))));
+        let (one, two) = (record("i1", first.address, "z1"), record("i2", second.address, "z2"));
+        store.set(FactTopic::Servers, "i1", Fact::Server(one));
+        store.set(FactTopic::Servers, "i2", Fact::Server(two));
+        let entry = DirectEntry::start(settings(), store.clone(), Arc::new(TestHeaders)).await;
+        let entry = entry.expect("it starts");
+        while !entry.state.is_ready() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        Self { entry, store, first, second }
+    }
+
+    async fn ask(&self, path: &str, key: &str) -> std::result::Result<CallAnswer, String> {
+        ask(self.entry.address, path, key).await
+    }
+}
+
+async fn ask(
+    address: SocketAddr,
+    path: &str,
+    key: &str,
+) -> std::result::Result<CallAnswer, String> {
+    let mut headers = HeaderMap::new();
+    headers.insert("x-id", "r1".parse().expect("a value"));
+    headers.insert("x-key", key.parse().expect("a value"));
+    let connections = Connections::default();
+    let (mut held, _) = connections
+        .get(address, headlatch_http::ConnectionChoice::Fresh, Duration::from_secs(5))
+        .await
+        .map_err(|error| error.message)?;
+    headers.insert("host", "a.example".parse().expect("a value"));
+    let uri = path.parse().expect("a path");
+    let answer = held.send(Method::GET, uri, headers, Bytes::new()).await;
+    let answer = answer.map_err(|error| error.message)?;
+    let (parts, body) = answer.into_parts();
+    let body = http_body_util::BodyExt::collect(body).await.map_err(|error| error.to_string())?;
+    let (status, headers) = (parts.status, parts.headers);
+    Ok(CallAnswer { status, headers, body: body.to_bytes() })
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_comes_whole_and_the_key_stays_here() {
+    let setting = Setting::new(whole, whole).await;
+    let answer = setting.ask("/safe/x?y=1", "k").await.expect("an answer");
+    expect_that!(answer.status, eq(StatusCode::OK));
+    expect_that!(&answer.body[..], eq(b"whole"));
+    let seen = setting.first.seen();
+    expect_that!(seen.len(), eq(1));
+    expect_that!(seen[0], starts_with("GET /safe/x?y=1 HTTP/1.1"));
+    expect_that!(seen[0], contains_substring("x-tenant: t"));
+    expect_that!(seen[0], contains_substring("x-server: i1"));
+    expect_that!(seen[0], not(contains_substring("x-key")));
+}
+
+#[gtest]
+#[tokio::test]
+async fn what_no_plan_allows_is_denied_and_without_a_plan_nothing_is() {
+    let setting = Setting::new(whole, whole).await;
+    let denied = setting.ask("/other/x", "k").await.expect("an answer");
+    expect_that!(denied.status, eq(StatusCode::NOT_FOUND));
+    let denied = setting.ask("/safe/x", "wrong").await.expect("an answer");
+    expect_that!(denied.status, eq(StatusCode::UNAUTHORIZED));
+    let store = Arc::new(TestStore::default());
+    let ignorant = DirectEntry::start(settings(), store, Arc::new(TestHeaders)).await;
+    let ignorant = ignorant.expect("it starts");
+    let refused = ask(ignorant.address, "/other/x", "wrong").await.expect("an answer");
+    expect_that!(refused.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(refused.headers.contains_key("retry-after"), eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_refused_request_goes_to_another_server() {
+    let setting = Setting::new(refuses, serves_all).await;
+    for path in ["/safe/x", "/once/x", "/stream/x"] {
+        let answer = setting.ask(path, "k").await.expect("an answer");
+        expect_that!(answer.status, eq(StatusCode::OK), "{path}");
+        tokio::time::sleep(Duration::from_millis(400)).await;
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn what_may_have_run_is_sent_again_only_if_it_may_be_repeated() {
+    let setting = Setting::new(says_nothing, whole).await;
+    let answer = setting.ask("/once/x", "k").await.expect("an answer");
+    expect_that!(answer.status, eq(StatusCode::BAD_GATEWAY));
+    expect_that!(setting.second.seen(), is_empty());
+    let setting = Setting::new(says_nothing, whole).await;
+    let answer = setting.ask("/safe/x", "k").await.expect("an answer");
+    expect_that!(answer.status, eq(StatusCode::OK));
+    expect_that!(setting.second.seen().len(), eq(1));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_cut_answer_is_never_passed_off_as_whole() {
+    let setting = Setting::new(cuts, whole).await;
+    let answer = setting.ask("/once/x", "k").await.expect("an answer");
+    expect_that!(answer.status, eq(StatusCode::BAD_GATEWAY));
+    let setting = Setting::new(cuts, whole).await;
+    let answer = setting.ask("/safe/x", "k").await.expect("an answer");
+    expect_that!(&answer.body[..], eq(b"whole"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_to_another_request_is_not_passed_on() {
+    let setting = Setting::new(answers_another, whole).await;
+    let answer = setting.ask("/once/x", "k").await.expect("an answer");
+    expect_that!(answer.status, eq(StatusCode::BAD_GATEWAY));
+    expect_that!(&answer.body[..], not(eq(b"not yours")));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_failure_goes_to_another_server_if_it_may_be_repeated() {
+    let setting = Setting::new(fails, whole).await;
+    let answer = setting.ask("/safe/x", "k").await.expect("an answer");
+    expect_that!(answer.status, eq(StatusCode::OK));
+    let setting = Setting::new(fails, whole).await;
+    let answer = setting.ask("/once/x", "k").await.expect("an answer");
+    expect_that!(answer.status, eq(StatusCode::INTERNAL_SERVER_ERROR));
+    expect_that!(&answer.body[..], eq(b"broken"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_stream_that_stops_is_continued_without_a_piece_lost_or_repeated() {
+    let setting = Setting::new(stops_in_the_third, streams_five).await;
+    let answer = setting.ask("/stream/x", "k").await.expect("a whole stream");
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    let pieces: Vec<&str> = text.lines().filter(|line| line.starts_with("data")).collect();
+    let wanted =
+        ["data: piece 1", "data: piece 2", "data: piece 3", "data: piece 4", "data: piece 5"];
+    expect_that!(pieces, eq(&wanted.to_vec()));
+    let seen = setting.second.seen();
+    expect_that!(seen.len(), eq(1));
+    expect_that!(seen[0], contains_substring("x-last: 2"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_stream_that_nobody_can_continue_does_not_end_as_whole() {
+    let setting = Setting::new(stops_in_the_third, refuses).await;
+    let answer = setting.ask("/stream/x", "k").await;
+    expect_that!(answer.is_err(), eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_older_plan_never_takes_the_place_of_a_newer_one() {
+    let setting = Setting::new(whole, whole).await;
+    let mut older = plan(4);
+    older.routes.clear();
+    setting.store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(older)));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    expect_that!(setting.entry.state.plan_version(), eq(PlanVersion(5)));
+    let answer = setting.ask("/safe/x", "k").await.expect("an answer");
+    expect_that!(answer.status, eq(StatusCode::OK));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_draining_server_gets_nothing_more() {
+    let setting = Setting::new(whole, whole).await;
+    let mut leaving = record("i1", setting.first.address, "z1");
+    leaving.draining = true;
+    setting.store.set(FactTopic::Servers, "i1", Fact::Server(leaving));
+    let is_draining = || setting.entry.state.servers().records().any(|record| record.draining);
+    while !is_draining() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    setting.ask("/safe/x", "k").await.expect("an answer");
+    expect_that!(setting.first.seen(), is_empty());
+    expect_that!(setting.second.seen().len(), eq(1));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_body_longer_than_the_plan_allows_is_refused() {
+    let setting = Setting::new(whole, whole).await;
+    let mut headers = HeaderMap::new();
+    headers.insert("x-id", "r1".parse().expect("a value"));
+    headers.insert("x-key", "k".parse().expect("a value"));
+    headers.insert("host", "a.example".parse().expect("a value"));
+    let connections = Connections::default();
+    let choice = headlatch_http::ConnectionChoice::Fresh;
+    let (mut held, _) = connections
+        .get(setting.entry.address, choice, Duration::from_secs(5))
+        .await
+        .expect("it connects");
+    let body = Bytes::from(vec![b'x'; 2000]);
+    let uri = "/safe/x".parse().expect("a path");
+    let answer = held.send(Method::POST, uri, headers, body).await.expect("an answer");
+    expect_that!(answer.status(), eq(StatusCode::PAYLOAD_TOO_LARGE));
+}
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -231,8 +231,9 @@
 
 async fn open(address: SocketAddr) -> Result<HeldConnection, ExchangeError> {
     let failure = |message: String| ExchangeError::unsent(message, true);
-    let stream =
-        TcpStream::connect(address).await.map_err(|error| failure(format!("{address}: {error}")))?;
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|error| failure(format!("{address}: {error}")))?;
     // Without it small writes wait for acknowledgements; a failure only costs time.
     let _ = stream.set_nodelay(true);
     let (sender, connection) = http1::Builder::new()
