--- a/crates/core/src/direct/weight_deadline.rs
+++ b/crates/core/src/direct/weight_deadline.rs
@@ -10,6 +10,9 @@
 /// percent: what is sent may wait on a narrow link or at the server before it starts.
 const EARLY_PERCENT: u32 = 25;
 
+/// Time before the deadline at which servers with older weights stop work.
+const WORK_RESERVE: Duration = Duration::from_millis(400);
+
 #[derive(Debug, Clone)]
 struct Wanted {
     version: WeightVersion,
@@ -46,6 +49,22 @@
         past.map(|one| one.version).max()
     }
 
+    /// Time for which a server with `version` may work on what it is sent now; none for as long as
+    /// no newer version is wanted.
+    ///
+    /// A server that is cut off may keep a request and run it much later; it stops at the deadline
+    /// that it was given.
+    pub fn work_time(
+        &self,
+        now: Moment,
+        model: &ModelName,
+        version: WeightVersion,
+        time: Duration,
+    ) -> Option<Duration> {
+        let newer = self.models.get(model)?.iter().find(|one| one.version > version)?;
+        Some((newer.learnt + time.saturating_sub(WORK_RESERVE)).since(now))
+    }
+
     /// Forgets versions that have been replaced long ago.
     pub fn forget_old(&mut self, now: Moment, time: Duration) {
         for wanted in self.models.values_mut() {
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -151,6 +151,20 @@
     expect_that!(weights.least(at(8000), &model(), time), some(eq(WeightVersion(3))));
 }
 
+#[gtest]
+fn a_server_with_old_weights_is_given_no_longer_than_they_may_be_used() {
+    let mut weights = WeightDeadlines::default();
+    let time = Duration::from_secs(8);
+    let left = |weights: &WeightDeadlines, now, version| {
+        weights.work_time(at(now), &model(), WeightVersion(version), time)
+    };
+    expect_that!(left(&weights, 0, 1), none());
+    weights.learn(at(1000), &model(), WeightVersion(2));
+    expect_that!(left(&weights, 5000, 1), some(eq(millis(3600))));
+    expect_that!(left(&weights, 20_000, 1), some(eq(Duration::ZERO)));
+    expect_that!(left(&weights, 5000, 2), none());
+}
+
 fn figures() -> EngineFigures {
     EngineFigures {
         slots: 16,
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -157,6 +157,10 @@
     loop {
         let (mut connection, fresh) = connect(state, server, choice, until).await?;
         let left = request.deadline.saturating_duration_since(Instant::now());
+        let model = request.facts.model.as_deref();
+        let work_time =
+            request.engine.as_ref().and_then(|_| state.work_time(model, server.version));
+        let left = work_time.map_or(left, |time| time.min(left));
         let facts = SendFacts {
             deadline: Some(left),
             server: Some(server.id.clone()),
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -251,6 +251,17 @@
         self.weights().least(self.now(), &model, time)
     }
 
+    /// Time for which a server with `version` may work on what it is sent now.
+    pub fn work_time(
+        &self,
+        model: Option<&str>,
+        version: Option<WeightVersion>,
+    ) -> Option<Duration> {
+        let model: ModelName = model?.parse().ok()?;
+        let time = self.settings.direct.weights_time;
+        self.weights().work_time(self.now(), &model, version?, time)
+    }
+
     /// Takes in what others have in progress, and what agents tell.
     pub fn refresh_loads(&self) {
         let (loads, gone) = {
