Never take up a watch where it broke off, and read the plan anew when peers have a newer one

Change: any failure of a watch is followed by a list; an entry whose peers tell a newer plan for 0.3 s lists it.

--- a/crates/daemon/src/direct/entry.rs
+++ b/crates/daemon/src/direct/entry.rs
@@ -14,7 +14,7 @@
 };
 use headlatch_types::direct_settings::DirectEntrySettings;
 use serde_json::json;
-use tokio::{net::UdpSocket, task::JoinHandle};
+use tokio::{net::UdpSocket, sync::Notify, task::JoinHandle};
 
 use super::{facts::follow, front, notices, state::EntryState};
 use crate::{decisions, error::DaemonError};
@@ -102,12 +102,15 @@
 
 fn follow_all(state: &Arc<EntryState>, store: &Arc<dyn FactStore>) -> Vec<JoinHandle<()>> {
     let (plan, servers, weights) = (state.clone(), state.clone(), state.clone());
+    let (nudge, never) = (state.plan_nudge.clone(), Arc::<Notify>::default());
     vec![
-        tokio::spawn(follow(store.clone(), FactTopic::Plan, move |news| plan.hear_plan(news))),
-        tokio::spawn(follow(store.clone(), FactTopic::Servers, move |news| {
+        tokio::spawn(follow(store.clone(), FactTopic::Plan, nudge, move |news| {
+            plan.hear_plan(news);
+        })),
+        tokio::spawn(follow(store.clone(), FactTopic::Servers, never.clone(), move |news| {
             servers.hear_servers(news);
         })),
-        tokio::spawn(follow(store.clone(), FactTopic::Weights, move |news| {
+        tokio::spawn(follow(store.clone(), FactTopic::Weights, never, move |news| {
             weights.hear_weights(news);
         })),
     ]
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -8,6 +8,7 @@
 };
 use rand::Rng;
 use serde_json::json;
+use tokio::sync::Notify;
 
 use crate::decisions;
 
@@ -36,10 +37,15 @@
     Duration::from_millis(rand::rng().random_range(most / 2..=most))
 }
 
-/// Follows `topic` for ever and hands news to `take`.
+/// Follows `topic` for ever and hands news to `take`; whoever knows that there is something newer
+/// notifies `nudge`, upon which everything is listed again.
+///
+/// A watch that broke off is never taken up again where it was: a store that has lost part of its
+/// history may let it wait as if nothing had changed.
 pub async fn follow(
     store: Arc<dyn FactStore>,
     topic: FactTopic,
+    nudge: Arc<Notify>,
     mut take: impl FnMut(FactNews) + Send,
 ) {
     let mut at: Option<StoreRevision> = None;
@@ -47,7 +53,16 @@
     loop {
         let outcome = match at {
             None => list(&*store, topic, &mut take).await,
-            Some(after) => watch(&*store, topic, after, &mut take).await,
+            Some(after) => {
+                tokio::select! {
+                    watched = watch(&*store, topic, after, &mut take) => watched,
+                    () = nudge.notified() => {
+                        decisions::note("store", "nudged", json!({ "topic": topic.as_str() }));
+                        at = None;
+                        continue;
+                    }
+                }
+            }
         };
         match outcome {
             Ok(next) => {
@@ -63,6 +78,7 @@
             }
             Err(error) => {
                 failures += 1;
+                at = None;
                 if failures == 1 {
                     let fields = json!({ "topic": topic.as_str(), "error": error.to_string() });
                     decisions::warn("store", "lost", fields);
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -6,7 +6,7 @@
     engine_model::EngineLoad,
     peers::{LoadNotice, PeerKind, PeerNotice, PeerTable, ServerNotice},
 };
-use headlatch_types::traffic::WeightVersion;
+use headlatch_types::traffic::{PlanVersion, WeightVersion};
 use headlatch_wire as wire;
 use prost::Message;
 use rand::Rng;
@@ -221,6 +221,10 @@
     let Some(notice) = decode(bytes) else { return };
     let (from, server) = (notice.from, notice.server.clone());
     let now = state.now();
+    let plan = (notice.kind == PeerKind::Entry).then_some(PlanVersion(notice.plan));
+    if let Some(plan) = plan {
+        state.hear_peer_plan(plan);
+    }
     let outcome = state.peers().hear(now, notice);
     if outcome.joined {
         decisions::note("peers", "found", json!({ "peer": from }));
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -230,7 +230,7 @@
             tokio::spawn(stager.run()),
             tokio::spawn(serve_peers(node, hub, listener)),
             tokio::spawn(run_notices(state.clone(), socket)),
-            tokio::spawn(follow(outside.store, FactTopic::Weights, move |news| {
+            tokio::spawn(follow(outside.store, FactTopic::Weights, Arc::default(), move |news| {
                 watched.hear_weights(news);
             })),
             tokio::spawn(admin_server.serve(router, signal)),
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -31,11 +31,14 @@
     traffic::{PlanVersion, ServerId, TrafficPlan, WeightVersion},
 };
 use serde_json::json;
-use tokio::time::Instant;
+use tokio::{sync::Notify, time::Instant};
 
 use super::facts::{FactNews, set_facts};
 use crate::{decisions, metrics::NodeMetrics};
 
+/// Time for which a peer's newer plan is waited for before the store is asked.
+const BEHIND_PATIENCE: Duration = Duration::from_millis(300);
+
 /// The state of one entry.
 #[derive(Debug)]
 pub struct EntryState {
@@ -59,8 +62,10 @@
     weights: Mutex<WeightDeadlines>,
     retries: Mutex<RetryShare>,
     peers: Mutex<PeerTable>,
-    /// Wakes the notices when a server's state is news.
-    pub news: tokio::sync::Notify,
+    /// Has the plan read anew.
+    pub plan_nudge: Arc<Notify>,
+    /// Since when a peer is known to have a newer plan.
+    behind_since: Mutex<Option<Moment>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -95,7 +100,8 @@
             weights: Mutex::default(),
             retries: Mutex::new(RetryShare::new(budget)),
             peers: Mutex::new(peers),
-            news: tokio::sync::Notify::new(),
+            plan_nudge: Arc::default(),
+            behind_since: Mutex::default(),
             settings,
         })
     }
@@ -168,6 +174,22 @@
         decisions::note("plan", "in_force", fields);
     }
 
+    /// A peer has the plan of `version`: where that stays newer than the one in force here, this
+    /// entry's watch has missed something.
+    pub fn hear_peer_plan(&self, version: PlanVersion) {
+        let mut behind = lock(&self.behind_since);
+        if version <= self.plan_version() {
+            *behind = None;
+            return;
+        }
+        let now = self.now();
+        let since = *behind.get_or_insert(now);
+        if now.since(since) >= BEHIND_PATIENCE {
+            *behind = None;
+            self.plan_nudge.notify_one();
+        }
+    }
+
     /// Takes in news about the plan.
     pub fn hear_plan(&self, news: FactNews) {
         for fact in set_facts(news) {
--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -78,6 +78,9 @@
 struct TestStore {
     facts: Mutex<Vec<(FactTopic, NamedFact)>>,
     changed: tokio::sync::Notify,
+    /// Watches break off upon a change, and from then on wait as if nothing had changed.
+    forgetful: bool,
+    broken: Mutex<Vec<FactTopic>>,
 }
 
 impl TestStore {
@@ -106,12 +109,16 @@
 
     fn watch(
         &self,
-        _topic: FactTopic,
+        topic: FactTopic,
         _after: StoreRevision,
         _wait: Duration,
     ) -> OutsideFuture<'_, std::result::Result<FactChanges, StoreFailure>> {
         Box::pin(async move {
             self.changed.notified().await;
+            if self.forgetful {
+                self.broken.lock().expect("no test panics with it").push(topic);
+                return Err(StoreFailure::Unreachable("cut".to_owned()));
+            }
             // Whatever changed, the next list tells.
             Err(StoreFailure::HistoryGone)
         })
@@ -303,7 +310,11 @@
 
 impl Setting {
     async fn new(first: Script, second: Script) -> Self {
-        let store = Arc::new(TestStore::default());
+        Self::with_store(first, second, TestStore::default()).await
+    }
+
+    async fn with_store(first: Script, second: Script, store: TestStore) -> Self {
+        let store = Arc::new(store);
         let (first, second) =
             (ScriptedServer::start(first).await, ScriptedServer::start(second).await);
         store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(5))));
@@ -504,3 +515,36 @@
     let answer = held.send(Method::POST, uri, headers, body).await.expect("an answer");
     expect_that!(answer.status(), eq(StatusCode::PAYLOAD_TOO_LARGE));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_watch_that_broke_off_is_not_taken_up_where_it_was() {
+    let forgetful = TestStore { forgetful: true, ..TestStore::default() };
+    let setting = Setting::with_store(whole, whole, forgetful).await;
+    // Give the watches time to begin; one that begins later lists the newer plan anyway.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    setting.store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(6))));
+    while setting.entry.state.plan_version() != PlanVersion(6) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_entry_that_is_behind_its_peers_reads_the_plan_anew() {
+    let setting = Setting::new(whole, whole).await;
+    // The watch is silent: the store changes without a word.
+    let newer = NamedFact {
+        name: "main".to_owned(),
+        revision: StoreRevision(2),
+        fact: Ok(Fact::Plan(Box::new(plan(7)))),
+    };
+    let mut facts = setting.store.facts.lock().expect("no test panics with it");
+    facts.retain(|(topic, _)| *topic != FactTopic::Plan);
+    facts.push((FactTopic::Plan, newer));
+    drop(facts);
+    while setting.entry.state.plan_version() != PlanVersion(7) {
+        setting.entry.state.hear_peer_plan(PlanVersion(7));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
