--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -84,6 +84,9 @@
 /// Time in which requests may end before a change cuts them.
 const DRAIN_TIME: Duration = Duration::from_millis(500);
 
+/// Time in which requests that wait may begin before a change.
+const QUEUE_TIME: Duration = Duration::from_millis(1200);
+
 /// How often a server that drains is looked at.
 const DRAIN_LOOK: Duration = Duration::from_millis(60);
 
@@ -775,13 +778,15 @@
         self.order = Some(GivenOrder { version: goal.version, given, answer, expected: sequence });
     }
 
-    /// Waits until few requests run or the time for that is over.
+    /// Waits until few requests run or the time for that is over, and in any case until none waits
+    /// to begin: one that has not begun when the machine stands still would begin much later.
     async fn drain_briefly(&self) {
+        let begun = self.state.node.now();
         tokio::time::sleep(NOTICE_TIME).await;
-        let until = self.state.node.now() + DRAIN_TIME;
-        while self.state.node.now() < until {
+        loop {
             let report = self.outside.engine.report().await;
-            if report.is_ok_and(|report| report.active + report.queued <= FEW_REQUESTS) {
+            let waited = self.state.node.now().since(begun);
+            if report.is_ok_and(|report| is_drained(&report, waited)) || waited >= QUEUE_TIME {
                 return;
             }
             tokio::time::sleep(DRAIN_LOOK).await;
@@ -827,6 +832,11 @@
     }
 }
 
+fn is_drained(report: &StageReport, waited: Duration) -> bool {
+    let few = report.active + report.queued <= FEW_REQUESTS;
+    few || (waited >= DRAIN_TIME && report.queued == 0)
+}
+
 /// The id of a machine in a transfer: every agent works it out alike from the address.
 fn machine_id(ip: std::net::IpAddr) -> headlatch_types::id::BoxId {
     let text = ip.to_string().replace(':', "-");
