Tell the way of one request from decision logs: headlatch explain

Cause: a complaint names a request's id, and its way lay scattered in lines of JSON. Change: headlatch explain reads logs, orders the decisions by the entry's steady clock, tells them in sentences or JSON.

--- a/crates/client/src/cli.rs
+++ b/crates/client/src/cli.rs
@@ -32,6 +32,8 @@
     Status(StatusArgs),
     /// Write the manifest of a folder of weights
     Manifest(ManifestArgs),
+    /// Tell the way of one request from decision logs
+    Explain(ExplainArgs),
     /// Run everything in one process on this machine and measure it
     Demo(DemoArgs),
 }
@@ -108,6 +110,20 @@
     pub chunk: ByteSize,
 }
 
+/// Options of `explain`.
+#[derive(Debug, Clone, Args)]
+pub struct ExplainArgs {
+    /// Id of the request
+    #[arg(value_name = "REQUEST-ID")]
+    pub request: String,
+    /// Logs of any number of processes; standard input if none is given
+    #[arg(value_name = "FILE")]
+    pub files: Vec<PathBuf>,
+    /// Print JSON, one decision a line
+    #[arg(long)]
+    pub json: bool,
+}
+
 /// Options of `demo`.
 #[derive(Debug, Clone, Args)]
 pub struct DemoArgs {
--- a/crates/client/src/commands/mod.rs
+++ b/crates/client/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod apply;
 pub mod diff;
+pub mod explain;
 pub mod manifest;
 pub mod status;
 pub mod validate;
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -30,6 +30,7 @@
         ClientCommand::Diff(args) => commands::diff::run(&args).await,
         ClientCommand::Apply(args) => commands::apply::run(&args).await,
         ClientCommand::Status(args) => commands::status::run(&args).await,
+        ClientCommand::Explain(args) => commands::explain::run(&args),
         ClientCommand::Demo(args) => demo::run(&args).await,
     }
 }
--- a/crates/client/tests/command_line.rs
+++ b/crates/client/tests/command_line.rs
@@ -94,3 +94,31 @@
         assert_that!(requests[never].as_u64(), some(eq(0)), "{never}: {text}");
     }
 }
+
+#[test]
+fn explain_tells_the_way_of_one_request_in_order() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let log = folder.path().join("entry.log");
+    let line = |steady: u64, event: &str, request: &str, more: Value| {
+        serde_json::json!({
+            "time_ms": 5, "steady_us": steady, "level": "info", "part": "routing", "event": event,
+            "request": request, "service": "llm", "plan": 7, "attempt": 0, "more": more,
+        })
+    };
+    let lines = [
+        line(9000, "given_up", "r1", serde_json::json!({ "cause": "servers_full" })).to_string(),
+        line(2000, "given_up", "r11", serde_json::json!({ "cause": "deadline" })).to_string(),
+        format!("  1.2 front-1 {}", line(1000, "server_chosen", "r1", Value::Null)),
+        "not a line of ours r1".to_owned(),
+    ];
+    fs::write(&log, lines.join("\n")).expect("a file");
+    let told = run(&["explain", "r1", plain(&log)]);
+    let text = String::from_utf8_lossy(&told.stdout).into_owned();
+    let lines: Vec<&str> = text.lines().collect();
+    assert_that!(lines.len(), eq(2));
+    assert_that!(lines[0], contains_substring("0.0 ms  sent, attempt 1 (service llm, plan 7)"));
+    assert_that!(lines[1], contains_substring("8.0 ms  given up"));
+    assert_that!(lines[1], contains_substring("cause servers_full"));
+    let unknown = run(&["explain", "r2", plain(&log)]);
+    assert_that!(unknown.status.code(), some(eq(2)));
+}
