Read the settings again on a hangup, and gather changes of servers

Cause: a hangup ended the process and cut what it held; each change of a server cost every entry a call. Change: settings are read and checked again, the retry budget takes effect; 250 ms rest after a watch of servers.

--- a/crates/core/src/direct/retry_share.rs
+++ b/crates/core/src/direct/retry_share.rs
@@ -39,6 +39,11 @@
         Self { budget, services: HashMap::new() }
     }
 
+    /// Takes over other figures; what has been counted stays.
+    pub fn set_budget(&mut self, budget: RetryBudget) {
+        self.budget = budget;
+    }
+
     fn count(&mut self, now: Moment, service: &str) -> &mut ServiceCount {
         if !self.services.contains_key(service) {
             self.services.insert(service.to_owned(), ServiceCount::default());
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -21,6 +21,16 @@
 /// Longest pause after failed calls.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1500);
 
+/// Rest after a watch brought something, in which further changes gather: each call is priced.
+const SERVERS_REST: Duration = Duration::from_millis(250);
+
+fn rest_after(topic: FactTopic) -> Duration {
+    match topic {
+        FactTopic::Servers => SERVERS_REST,
+        FactTopic::Plan | FactTopic::Weights => Duration::ZERO,
+    }
+}
+
 /// What a follower hands over.
 #[derive(Debug, Clone)]
 pub enum FactNews {
@@ -66,6 +76,10 @@
         };
         match outcome {
             Ok(next) => {
+                // Changes that come close together are one call.
+                if at.is_some() {
+                    tokio::time::sleep(rest_after(topic)).await;
+                }
                 if failures > 0 {
                     decisions::note("store", "regained", json!({ "topic": topic.as_str() }));
                 }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -26,7 +26,7 @@
     headers::HeaderForm,
 };
 use headlatch_types::{
-    direct_settings::DirectEntrySettings,
+    direct_settings::{DirectEntrySettings, RawRetry},
     id::ModelName,
     traffic::{PlanVersion, ServerId, TrafficPlan, WeightVersion},
 };
@@ -72,15 +72,18 @@
     mutex.lock().unwrap_or_else(|broken| broken.into_inner())
 }
 
+fn retry_budget(retry: RawRetry) -> RetryBudget {
+    RetryBudget {
+        ratio: retry.ratio,
+        slack: retry.slack,
+        window: Duration::from_secs_f64(retry.window_seconds),
+    }
+}
+
 impl EntryState {
     /// The state of an entry that has just started.
     pub fn new(settings: DirectEntrySettings, headers: Arc<dyn HeaderForm>) -> Arc<Self> {
-        let retry = settings.direct.retry;
-        let budget = RetryBudget {
-            ratio: retry.ratio,
-            slack: retry.slack,
-            window: Duration::from_secs_f64(retry.window_seconds),
-        };
+        let budget = retry_budget(settings.direct.retry);
         let zones = settings.direct.zones.clone();
         let servers = ServerTable::new(settings.node.domain.clone(), zones);
         let mut peers = PeerTable::new(settings.node.control);
@@ -106,6 +109,11 @@
         })
     }
 
+    /// Takes over other figures of the retry budget.
+    pub fn take_retry_settings(&self, retry: RawRetry) {
+        self.retries().set_budget(retry_budget(retry));
+    }
+
     /// The time, by the steady clock.
     pub fn now(&self) -> Moment {
         Moment::from_micros(self.begun.elapsed().as_micros() as u64)
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -44,7 +44,7 @@
         }
         Some(wanted) => {
             check_kind(&args.settings, wanted, &settings)?;
-            Ok(run_daemon(settings)?)
+            Ok(run_daemon(settings, args)?)
         }
     }
 }
@@ -98,7 +98,7 @@
     }
 }
 
-fn run_daemon(settings: DaemonSettings) -> Result<(), Report<DaemonError>> {
+fn run_daemon(settings: DaemonSettings, args: &SettingsArgs) -> Result<(), Report<DaemonError>> {
     let (node, direct) = match &settings {
         DaemonSettings::Entry(entry) => (&entry.node, false),
         DaemonSettings::Agent(agent) => (&agent.node, false),
@@ -113,12 +113,12 @@
     };
     let failure = || DaemonError::Telemetry("the runtime");
     let runtime = builder.enable_all().build().change_context_lazy(failure)?;
-    let served = runtime.block_on(serve(settings));
+    let served = runtime.block_on(serve(settings, args));
     decisions::flush();
     served
 }
 
-async fn serve(settings: DaemonSettings) -> Result<(), Report<DaemonError>> {
+async fn serve(settings: DaemonSettings, args: &SettingsArgs) -> Result<(), Report<DaemonError>> {
     let timer: SharedTimer = Arc::new(SystemTimer::default());
     match settings {
         DaemonSettings::Entry(settings) => {
@@ -135,18 +135,27 @@
             agent.leave().await;
             spans.flush();
         }
-        DaemonSettings::DirectEntry(settings) => serve_direct_entry(*settings).await?,
-        DaemonSettings::DirectAgent(settings) => serve_direct_agent(*settings, timer).await?,
+        DaemonSettings::DirectEntry(settings) => serve_direct_entry(*settings, args).await?,
+        DaemonSettings::DirectAgent(settings) => serve_direct_agent(*settings, timer, args).await?,
     }
     Ok(())
 }
 
-async fn serve_direct_entry(settings: DirectEntrySettings) -> Result<(), Report<DaemonError>> {
+async fn serve_direct_entry(
+    settings: DirectEntrySettings,
+    args: &SettingsArgs,
+) -> Result<(), Report<DaemonError>> {
     decisions::start();
     let connections = Arc::new(Connections::default());
     let store = Arc::new(PlatformStore::new(settings.node.platform.address(), connections));
     let entry = DirectEntry::start(settings, store, Arc::new(PlatformHeaders)).await?;
-    wait_for_stop().await?;
+    let state = entry.state.clone();
+    wait_for_stop_or_reload(args, |settings| {
+        if let DaemonSettings::DirectEntry(settings) = settings {
+            state.take_retry_settings(settings.direct.retry);
+        }
+    })
+    .await?;
     entry.leave().await;
     Ok(())
 }
@@ -154,6 +163,7 @@
 async fn serve_direct_agent(
     settings: DirectAgentSettings,
     timer: SharedTimer,
+    args: &SettingsArgs,
 ) -> Result<(), Report<DaemonError>> {
     decisions::start();
     let connections = Arc::new(Connections::default());
@@ -164,7 +174,7 @@
         origin: Arc::new(PlatformOrigin::new(connections)),
     };
     let agent = DirectAgent::start(settings, timer, outside).await?;
-    wait_for_stop().await?;
+    wait_for_stop_or_reload(args, |_| {}).await?;
     agent.leave();
     Ok(())
 }
@@ -184,3 +194,30 @@
     }
     Ok(())
 }
+
+/// Waits for a stop; on a hangup the settings are read and checked again and given to `take`.
+///
+/// Bad settings are told of and change nothing. What was bound and who this process is stay as
+/// they were until the next start.
+async fn wait_for_stop_or_reload(
+    args: &SettingsArgs,
+    take: impl Fn(DaemonSettings),
+) -> Result<(), Report<DaemonError>> {
+    let mut hangup =
+        signal(SignalKind::hangup()).change_context(DaemonError::Telemetry("signals"))?;
+    loop {
+        tokio::select! {
+            stopped = wait_for_stop() => return stopped,
+            _ = hangup.recv() => match read_settings(args) {
+                Ok(settings) => {
+                    decisions::note("life", "reloaded", serde_json::json!({}));
+                    take(settings);
+                }
+                Err(error) => {
+                    let fields = serde_json::json!({ "error": format!("{error:#}") });
+                    decisions::warn("life", "reload_failed", fields);
+                }
+            },
+        }
+    }
+}
