Send one chunk at a time over a link that has become narrow, and test short bursts

Change: a planner whose chunks take four times longer than usual takes and gives one at a time; a fault matrix and a bound on the ratio for short bursts.

--- a/crates/bench/tests/burst_faults.rs
+++ b/crates/bench/tests/burst_faults.rs
@@ -78,3 +78,52 @@
         prop_assert_eq!(report.unfinished, 0, "{:?}", report);
     }
 }
+
+/// A burst of a few seconds: 20 boxes in 3 regions, copy and link of 3 s.
+fn short(further: &[&str]) -> BurstOptions {
+    let plain = [
+        "burst",
+        "--short",
+        "--boxes",
+        "20",
+        "--domains",
+        "3",
+        "--regions",
+        "3",
+        "--copy-mib",
+        "3",
+        "--chunk-kib",
+        "32",
+        "--window-seconds",
+        "3",
+        "--origin-copies",
+        "1",
+        "--box-copies",
+        "1",
+        "--domain-copies",
+        "100",
+        "--region-copies",
+        "100",
+        "--prefer",
+        "origin-bytes",
+    ];
+    CommandLine::parse_from(plain.iter().chain(further)).options
+}
+
+#[rstest]
+fn a_short_burst_takes_at_most_half_as_long_again_as_its_links(
+    #[values("1", "2", "3", "4", "5")] seed: &str,
+) {
+    let report = burst::run(&short(&["--seed", seed]));
+    assert_promises(&report);
+    assert!(report.time_ratio <= 1.5, "{report:?}");
+    assert!(report.origin_copies <= 1.01, "{report:?}");
+}
+
+#[test]
+fn every_fault_of_a_short_burst_ends_with_whole_weights_everywhere() {
+    for fault in Fault::each().chain([Fault::All]) {
+        let report = burst::run(&short(&["--faults", &name(fault)]));
+        assert_promises(&report);
+    }
+}
--- a/crates/core/src/burst/planner.rs
+++ b/crates/core/src/burst/planner.rs
@@ -36,6 +36,9 @@
 /// whoever began late or missed a note hears of them again.
 const OFFER_ROUNDS: u32 = 4;
 
+/// How many times longer than usual chunks take over a link that has become narrow.
+const NARROW_LINK: u32 = 4;
+
 /// Most doublings of that pause.
 const MOST_DOUBLINGS: u32 = 5;
 
@@ -82,6 +85,8 @@
     /// Doubles when fetches time out one after another: then this box's own link is slow.
     pub(super) patience: u32,
     pub(super) complete: bool,
+    /// Time that chunks lately took from their first byte to their last.
+    pub(super) transfer: Duration,
     /// Chunks that entered this domain here, and from where: offered onward until they have come.
     pub(super) brought: BTreeMap<ChunkIndex, ImportOrigin>,
     /// Rounds in which offers are still repeated.
@@ -119,6 +124,7 @@
             field_due: now + settings.pace.field_pause,
             patience: 1,
             complete: false,
+            transfer: Duration::ZERO,
             brought: BTreeMap::new(),
             offer_rounds: OFFER_ROUNDS,
             draw_due: now,
@@ -337,7 +343,10 @@
 
     pub(super) fn grant(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
         let peers = &self.peers;
-        let most = self.settings.uploads.min(1 + self.held.count() as usize / EARLY_CHUNKS);
+        let most = match self.is_link_narrow() {
+            true => 1,
+            false => self.settings.uploads.min(1 + self.held.count() as usize / EARLY_CHUNKS),
+        };
         self.uploads.grant(now, most, |chunk| peers.copies(chunk), actions);
     }
 
@@ -368,6 +377,9 @@
 
     /// Chunks that may come in at the same time; few at first, as with uploads.
     pub(super) fn most_downloads(&self) -> usize {
+        if self.is_link_narrow() {
+            return 1;
+        }
         self.settings.downloads.min(1 + self.held.count() as usize / EARLY_CHUNKS)
     }
 
@@ -395,6 +407,7 @@
         source: ChunkSource,
         actions: &mut Vec<SwarmAction>,
     ) {
+        self.note_transfer(now, chunk);
         self.close(chunk, source);
         self.patience = (self.patience / 2).max(1);
         if source == ChunkSource::Origin {
@@ -414,6 +427,22 @@
         self.pursue(now, actions);
     }
 
+    /// Notes how long a chunk took to come over this box's link.
+    fn note_transfer(&mut self, now: Moment, chunk: ChunkIndex) {
+        let started = self.open.get(&chunk).and_then(|fetch| fetch.started);
+        let Some(started) = started else { return };
+        let took = now.since(started);
+        self.transfer = (self.transfer * 2 + took) / 3;
+    }
+
+    /// Whether chunks come so slowly that this box's link must be narrower than it was said to be.
+    ///
+    /// Then one chunk at a time goes each way: whatever else uses the link would wait behind them.
+    pub(super) fn is_link_narrow(&self) -> bool {
+        let usual = self.settings.chunk_time * self.settings.downloads as u32;
+        self.settings.draws == DrawOrder::Assigned && self.transfer > usual * NARROW_LINK
+    }
+
     pub(super) fn announce(
         &mut self,
         now: Moment,
