--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -87,11 +87,15 @@
     fn set(&self, topic: FactTopic, name: &str, fact: Fact) {
         let revision = StoreRevision(1);
         let fact = NamedFact { name: name.to_owned(), revision, fact: Ok(fact) };
+        self.replace_silently(topic, fact);
+        self.changed.notify_waiters();
+    }
+
+    /// Changes a fact without a word to those that watch.
+    fn replace_silently(&self, topic: FactTopic, fact: NamedFact) {
         let mut facts = self.facts.lock().expect("no test panics with it");
         facts.retain(|(kept, old)| *kept != topic || old.name != fact.name);
         facts.push((topic, fact));
-        drop(facts);
-        self.changed.notify_waiters();
     }
 }
 
@@ -539,10 +543,7 @@
         revision: StoreRevision(2),
         fact: Ok(Fact::Plan(Box::new(plan(7)))),
     };
-    let mut facts = setting.store.facts.lock().expect("no test panics with it");
-    facts.retain(|(topic, _)| *topic != FactTopic::Plan);
-    facts.push((FactTopic::Plan, newer));
-    drop(facts);
+    setting.store.replace_silently(FactTopic::Plan, newer);
     while setting.entry.state.plan_version() != PlanVersion(7) {
         setting.entry.state.hear_peer_plan(PlanVersion(7));
         tokio::time::sleep(Duration::from_millis(20)).await;
