Tell narrow links by single chunks, repeat what entries must hear, drain longer

Change: the time of a chunk counts by those that come with it; imports wait on narrow links too; a change is told at each tick until the order; drains last 0.8 s.

--- a/crates/core/src/burst/planner.rs
+++ b/crates/core/src/burst/planner.rs
@@ -362,11 +362,12 @@
         actions: &mut Vec<SwarmAction>,
     ) {
         let room = self.coming() < self.most_downloads();
+        let narrow = self.is_link_narrow();
         let far = matches!(source, ChunkSource::Peer(peer) if !self.peers.contains(peer));
         let Some(fetch) = self.open.get_mut(&chunk).filter(|fetch| fetch.source == source) else {
             return;
         };
-        if room || far {
+        if room || (far && !narrow) {
             fetch.started.get_or_insert(now);
             actions.push(SwarmAction::Take { chunk, source });
         } else {
@@ -431,7 +432,8 @@
     fn note_transfer(&mut self, now: Moment, chunk: ChunkIndex) {
         let started = self.open.get(&chunk).and_then(|fetch| fetch.started);
         let Some(started) = started else { return };
-        let took = now.since(started);
+        // Chunks that come at the same time share the link.
+        let took = now.since(started) / self.coming().max(1) as u32;
         self.transfer = (self.transfer * 2 + took) / 3;
     }
 
@@ -439,8 +441,8 @@
     ///
     /// Then one chunk at a time goes each way: whatever else uses the link would wait behind them.
     pub(super) fn is_link_narrow(&self) -> bool {
-        let usual = self.settings.chunk_time * self.settings.downloads as u32;
-        self.settings.draws == DrawOrder::Assigned && self.transfer > usual * NARROW_LINK
+        let narrow = self.settings.chunk_time * NARROW_LINK;
+        self.settings.draws == DrawOrder::Assigned && self.transfer > narrow
     }
 
     pub(super) fn announce(
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -121,6 +121,8 @@
     pub loads: Vec<LoadNotice>,
     /// Its server.
     pub server: Option<ServerNotice>,
+    /// It must be heard although a datagram may be lost: it is told again at every occasion.
+    pub repeated: bool,
 }
 
 impl NoticeWriter {
@@ -133,8 +135,8 @@
     /// The notice of this tick and whom it goes to; nobody if there is nothing to tell.
     pub fn tick(&mut self, peers: &PeerTable, body: NoticeBody) -> (Vec<u8>, Vec<SocketAddr>) {
         self.tick += 1;
-        let changed = body.loads != self.last_loads || body.server != self.last_server;
-        let urgent = body.server != self.last_server;
+        let urgent = body.repeated || body.server != self.last_server;
+        let changed = urgent || body.loads != self.last_loads;
         let mut targets = Vec::new();
         if changed || self.tick.is_multiple_of(QUIET_TICKS) {
             targets = self.targets(peers, urgent);
@@ -206,6 +208,7 @@
                     plan: state.plan_version().0,
                     loads: state.servers().own_loads(),
                     server: None,
+                    repeated: false,
                 };
                 let (bytes, targets) = writer.tick(&state.peers(), body);
                 for target in targets {
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -82,7 +85,7 @@
 const NOTICE_TIME: Duration = Duration::from_millis(40);
 
 /// Time in which requests may end before a change cuts them.
-const DRAIN_TIME: Duration = Duration::from_millis(500);
+const DRAIN_TIME: Duration = Duration::from_millis(800);
 
 /// Time in which requests that wait may begin before a change.
 const QUEUE_TIME: Duration = Duration::from_millis(1200);
@@ -145,6 +148,8 @@
     wanted: Mutex<HashMap<ModelName, Vec<(WeightVersion, Moment)>>>,
     notice: Mutex<ServerNotice>,
     news: tokio::sync::Notify,
+    /// The server is about to change: entries must hear of it.
+    draining: AtomicBool,
     /// Wakes the stager when another version is wanted.
     wanted_news: tokio::sync::Notify,
 }
@@ -203,6 +208,7 @@
             wanted: Mutex::default(),
             notice: Mutex::new(notice),
             news: tokio::sync::Notify::new(),
+            draining: AtomicBool::new(false),
             wanted_news: tokio::sync::Notify::new(),
             settings,
         });
@@ -287,7 +293,8 @@
         let now = state.node.now();
         lock(&state.peers).expire(now);
         let server = Some(lock(&state.notice).clone());
-        let body = NoticeBody { server, ..NoticeBody::default() };
+        let repeated = state.draining.load(Ordering::Relaxed);
+        let body = NoticeBody { server, repeated, ..NoticeBody::default() };
         let (bytes, targets) = writer.tick(&lock(&state.peers), body);
         for target in targets {
             // A datagram that cannot be sent is as good as lost, which is borne.
@@ -766,7 +773,9 @@
         };
         self.state.tell(|notice| notice.changing = true);
         // Entries hear of it before the server refuses what they send, and short requests end.
+        self.state.draining.store(true, Ordering::Relaxed);
         self.drain_briefly().await;
+        self.state.draining.store(false, Ordering::Relaxed);
         let given = self.state.node.now();
         let answer = self.outside.engine.start(order).await;
         let fields = json!({
