Ask no box that has fallen silent for chunks, and draw them in slots

Calm bursts lost half a second at the start: every box drew its first chunk at once.

Change: silence and pauses are part of the pace; a silent box is not asked and an ask to it is given up; time without a chunk counts while it is asked for; assigned chunks are drawn in slots, eight at a time, and count as late by their slot. Notes go out twice as often in short bursts. An agent hands its link 8 KiB when the link is free, so that turns and notes do not queue behind chunks.

--- a/crates/bench/tests/burst_faults.rs
+++ b/crates/bench/tests/burst_faults.rs
@@ -120,6 +120,22 @@
     assert!(report.origin_copies <= 1.01, "{report:?}");
 }
 
+#[rstest]
+fn draws_in_slots_let_the_first_chunks_spread_early(#[values("1", "2", "3", "4", "5")] seed: &str) {
+    let report = burst::run(&short(&["--seed", seed]));
+    assert!(report.time_ratio <= 1.35, "{report:?}");
+}
+
+#[rstest]
+fn boxes_that_stand_still_keep_the_others_from_nothing(
+    #[values("1", "2", "3", "4", "5")] seed: &str,
+) {
+    let report = burst::run(&short(&["--faults", "paused", "--seed", seed]));
+    assert_promises(&report);
+    assert!(report.time_ratio <= 2.5, "{report:?}");
+    assert!(report.origin_copies <= 1.1, "{report:?}");
+}
+
 #[test]
 fn every_fault_of_a_short_burst_ends_with_whole_weights_everywhere() {
     for fault in Fault::each().chain([Fault::All]) {
--- a/crates/core/src/burst/imports.rs
+++ b/crates/core/src/burst/imports.rs
@@ -32,6 +32,15 @@
     Draw(ChunkIndex),
 }
 
+impl Remedy {
+    /// The chunk that is lacking.
+    pub(super) fn chunk(self) -> ChunkIndex {
+        match self {
+            Self::Seek(chunk) | Self::Draw(chunk) => chunk,
+        }
+    }
+}
+
 /// Offers at hand and chunks overdue.
 #[derive(Debug, Clone, Default)]
 pub(super) struct ImportDesk {
--- a/crates/core/src/burst/mod.rs
+++ b/crates/core/src/burst/mod.rs
@@ -286,6 +286,10 @@
     /// How long a domain bears the lack of a chunk before it draws it again; by the preference if
     /// none.
     pub draw_patience: Option<Duration>,
+    /// A box that says nothing for this long may be gone: what only it holds counts as lacking.
+    pub silence: Duration,
+    /// First pause after a box proved slow or out of reach; it doubles each time.
+    pub trouble_pause: Duration,
 }
 
 impl Default for SwarmPace {
@@ -299,6 +303,8 @@
             seek_patience: Duration::from_secs(1),
             seek_pause: Duration::from_secs(2),
             draw_patience: None,
+            silence: Duration::from_secs(8),
+            trouble_pause: Duration::from_secs(2),
         }
     }
 }
@@ -308,13 +314,15 @@
     pub fn quick() -> Self {
         Self {
             tick: Duration::from_millis(50),
-            field_pause: Duration::from_millis(500),
+            field_pause: Duration::from_millis(250),
             have_pause: Duration::from_millis(50),
             least_wait: Duration::from_millis(500),
             rank_patience: Duration::from_millis(200),
             seek_patience: Duration::from_millis(200),
             seek_pause: Duration::from_millis(500),
-            draw_patience: Some(Duration::from_secs(1)),
+            draw_patience: Some(Duration::from_millis(500)),
+            silence: Duration::from_millis(1200),
+            trouble_pause: Duration::from_millis(400),
         }
     }
 }
--- a/crates/core/src/burst/peers.rs
+++ b/crates/core/src/burst/peers.rs
@@ -5,7 +5,7 @@
 use headlatch_types::ChunkIndex;
 use rand::{Rng, rngs::SmallRng};
 
-use super::{ChunkSet, PeerKey};
+use super::{ChunkSet, PeerKey, SwarmPace};
 use crate::time::Moment;
 
 /// Corrupt chunks after which a box is not asked again, if it has not sent many good ones.
@@ -14,11 +14,8 @@
 /// Good chunks that make up for a corrupt one: links spoil a chunk now and then.
 const GOOD_FOR_A_STRIKE: u32 = 8;
 
-/// First pause after a box proved slow or out of reach; it doubles each time.
-const FIRST_PAUSE: Duration = Duration::from_secs(2);
-
-/// Longest such pause.
-const LONGEST_PAUSE: Duration = Duration::from_secs(30);
+/// Longest pause after a box proved slow or out of reach, as a multiple of the first.
+const LONGEST_PAUSE: u32 = 15;
 
 /// Pause after a box said that it is busy.
 const BUSY_PAUSE: Duration = Duration::from_millis(60);
@@ -26,9 +23,6 @@
 /// With more copies than this, one of them is surely at a box that lives.
 const MANY_COPIES: u32 = 4;
 
-/// A box that says nothing for this long may be gone.
-const SILENCE: Duration = Duration::from_secs(8);
-
 #[derive(Debug, Clone)]
 struct PeerState {
     key: PeerKey,
@@ -45,13 +39,19 @@
 }
 
 impl PeerState {
-    fn is_usable(&self, now: Moment, most_asked: u32, most_load: u32) -> bool {
+    /// Whether it can be asked; one that has gone silent would keep the ask from whoever answers.
+    fn is_usable(&self, now: Moment, silence: Duration, most_asked: u32, most_load: u32) -> bool {
         !self.is_corrupter()
             && self.paused_until <= now
+            && self.is_heard(now, silence)
             && self.asked < most_asked
             && self.load() < most_load
     }
 
+    fn is_heard(&self, now: Moment, silence: Duration) -> bool {
+        now.since(self.heard) < silence
+    }
+
     fn load(&self) -> u32 {
         self.asked + self.queue
     }
@@ -65,6 +65,10 @@
 #[derive(Debug, Clone)]
 pub(super) struct PeerTable {
     chunks: u32,
+    /// A box that says nothing for this long may be gone.
+    silence: Duration,
+    /// First pause after a box proved slow or out of reach; it doubles each time.
+    first_pause: Duration,
     peers: Vec<PeerState>,
     index: HashMap<PeerKey, usize>,
     /// Neighbours that hold each chunk.
@@ -74,9 +78,11 @@
 }
 
 impl PeerTable {
-    pub(super) fn new(chunks: u32) -> Self {
+    pub(super) fn new(chunks: u32, pace: SwarmPace) -> Self {
         Self {
             chunks,
+            silence: pace.silence,
+            first_pause: pace.trouble_pause,
             peers: Vec::new(),
             index: HashMap::new(),
             copies: vec![0; chunks as usize],
@@ -155,7 +161,8 @@
         if copies == 0 || copies > MANY_COPIES {
             return copies > 0;
         }
-        let holds = |peer: &PeerState| peer.held.contains(chunk) && now.since(peer.heard) < SILENCE;
+        let holds =
+            |peer: &PeerState| peer.held.contains(chunk) && peer.is_heard(now, self.silence);
         self.peers.iter().any(holds)
     }
 
@@ -170,7 +177,7 @@
     /// Whether a box has said something lately; all say something every few seconds.
     pub(super) fn is_heard(&self, now: Moment, key: PeerKey) -> bool {
         let peer = self.index.get(&key).map(|at| &self.peers[*at]);
-        peer.is_some_and(|peer| now.since(peer.heard) < SILENCE)
+        peer.is_some_and(|peer| peer.is_heard(now, self.silence))
     }
 
     /// A neighbour holds one more chunk.
@@ -197,7 +204,7 @@
     /// Whether a box can be asked and has nothing to send, as far as is known.
     pub(super) fn is_idle(&self, now: Moment, key: PeerKey) -> bool {
         let peer = self.index.get(&key).map(|at| &self.peers[*at]);
-        peer.is_some_and(|peer| peer.is_usable(now, 1, 1))
+        peer.is_some_and(|peer| peer.is_usable(now, self.silence, 1, 1))
     }
 
     /// Whether a neighbour holds a chunk.
@@ -236,8 +243,9 @@
 
     /// A box is slow or out of reach; it is left alone for longer each time.
     pub(super) fn note_trouble(&mut self, now: Moment, key: PeerKey) {
+        let first = self.first_pause;
         if let Some(peer) = self.get_mut(key) {
-            let pause = FIRST_PAUSE.saturating_mul(1 << peer.troubles.min(4)).min(LONGEST_PAUSE);
+            let pause = first.saturating_mul((1 << peer.troubles.min(4)).min(LONGEST_PAUSE));
             peer.troubles += 1;
             peer.paused_until = now + pause;
         }
@@ -269,7 +277,7 @@
         let mut union = Vec::new();
         self.peers
             .iter()
-            .filter(|peer| peer.is_usable(now, limits.asked, limits.load))
+            .filter(|peer| peer.is_usable(now, self.silence, limits.asked, limits.load))
             .for_each(|peer| peer.held.add_to(&mut union));
         union
     }
@@ -284,7 +292,7 @@
     ) -> Option<PeerKey> {
         self.peers
             .iter()
-            .filter(|peer| peer.is_usable(now, limits.asked, limits.load))
+            .filter(|peer| peer.is_usable(now, self.silence, limits.asked, limits.load))
             .filter(|peer| peer.held.contains(chunk))
             .min_by_key(|peer| (peer.load(), rng.random::<u32>()))
             .map(|peer| peer.key)
--- a/crates/core/src/burst/planner.rs
+++ b/crates/core/src/burst/planner.rs
@@ -34,7 +34,7 @@
 
 /// Rounds in which offers to other domains are repeated, after each change of the list of boxes:
 /// whoever began late or missed a note hears of them again.
-const OFFER_ROUNDS: u32 = 4;
+const OFFER_ROUNDS: u32 = 8;
 
 /// How many times longer than usual chunks take over a link that has become narrow.
 const NARROW_LINK: u32 = 4;
@@ -110,7 +110,7 @@
         let uploads = UploadQueue::new(settings.queue);
         Self {
             seats: SeatMap::new(salt, me),
-            peers: PeerTable::new(settings.chunks),
+            peers: PeerTable::new(settings.chunks, settings.pace),
             held,
             open: BTreeMap::new(),
             draws: DrawLedger::default(),
--- a/crates/core/src/burst/pursuit.rs
+++ b/crates/core/src/burst/pursuit.rs
@@ -20,6 +20,9 @@
 /// A box that gets less than this part of what its link could carry may draw extra chunks.
 const UNDERFED_PERCENT: usize = 85;
 
+/// Assigned chunks that are drawn at the same time while the origin keeps its rate.
+pub(super) const DRAWS_AT_ONCE: u32 = 8;
+
 /// Copies that may leave the origin under [`BurstPreference::Time`].
 const MOST_COPIES: u32 = 4;
 
@@ -80,6 +83,7 @@
         let wanted = (0..self.settings.chunks).map(ChunkIndex).find(|chunk| {
             !self.held.contains(*chunk)
                 && !self.open.contains_key(chunk)
+                && self.draw_slot(*chunk) <= now
                 && self.seats.drawer(*chunk) == own
                 && !self.is_known(now, *chunk)
         });
@@ -88,6 +92,12 @@
         }
     }
 
+    /// From when on an assigned chunk may be drawn: a few are drawn at the same time, so that the
+    /// first come soon and spread while the others are drawn.
+    fn draw_slot(&self, chunk: ChunkIndex) -> Moment {
+        self.begun + self.settings.origin_chunk_time * chunk.0.saturating_sub(DRAWS_AT_ONCE)
+    }
+
     /// Hands a ticket to the drawer of the next chunk that is not known to be drawn.
     pub(super) fn pass_on(
         &mut self,
--- a/crates/core/src/burst/upkeep.rs
+++ b/crates/core/src/burst/upkeep.rs
@@ -10,13 +10,14 @@
     draws::{LONE_LANE, ORIGIN_TICKETS},
     imports::Remedy,
     planner::OpenFetch,
+    pursuit::DRAWS_AT_ONCE,
 };
 use crate::time::Moment;
 
 /// How much longer a sender bears a slow transfer than its receiver does.
 const UPLOAD_PATIENCE: u32 = 3;
 
-/// Time allowed for all draws, relative to that at the origin's full rate, in percent.
+/// Time allowed for draws, relative to that at the origin's full rate, in percent.
 const DRAWS_PERCENT: u32 = 120;
 
 impl SwarmPlanner {
@@ -50,10 +51,9 @@
             .filter(|(_, fetch)| self.is_slow(now, fetch))
             .map(|(chunk, fetch)| (*chunk, *fetch))
             .collect();
-        if slow.is_empty() {
-            return;
+        if slow.iter().any(|(_, fetch)| !self.is_silent(now, fetch)) {
+            self.patience = (self.patience * 2).min(16);
         }
-        self.patience = (self.patience * 2).min(16);
         for (chunk, fetch) in slow {
             actions.push(SwarmAction::Cancel { chunk, source: fetch.source });
             self.close(chunk, fetch.source);
@@ -82,6 +82,9 @@
         if !matches!(fetch.source, ChunkSource::Peer(_)) {
             return false;
         }
+        if self.is_silent(now, fetch) {
+            return true;
+        }
         let queue = self.settings.chunk_time * self.settings.queue as u32;
         let limit = match fetch.started {
             Some(_) => self.longest_transfer(),
@@ -90,6 +93,15 @@
         now.since(fetch.started.unwrap_or(fetch.asked)) > limit * self.patience
     }
 
+    /// Whether a neighbour that was asked has not begun to send and has gone silent: it may have
+    /// stopped for good.
+    fn is_silent(&self, now: Moment, fetch: &OpenFetch) -> bool {
+        let ChunkSource::Peer(peer) = fetch.source else { return false };
+        let waited = now.since(fetch.asked) >= self.settings.pace.silence;
+        let begun = fetch.started.is_some();
+        waited && !begun && self.peers.contains(peer) && !self.peers.is_heard(now, peer)
+    }
+
     /// Looks after chunks that should have come into this domain and have not.
     pub(super) fn apply_remedies(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
         if self.complete {
@@ -98,23 +110,26 @@
         let stalled = self.draws.stalled(now, self.begun) > self.stall_patience();
         let end = self.draws.drawn() + 2 * ORIGIN_TICKETS;
         let assigned = self.settings.draws == DrawOrder::Assigned;
-        let late = now.since(self.begun) > self.draws_time();
         let (held, peers, open) = (&self.held, &self.peers, &self.open);
         let (draws, imports) = (&self.draws, &self.imports);
         let lacking: Vec<ChunkIndex> = (0..self.settings.chunks)
             .map(ChunkIndex)
             .filter(|chunk| !held.contains(*chunk) && !peers.is_near(now, *chunk))
-            .filter(|chunk| !open.contains_key(chunk) && !imports.is_offered(*chunk))
             .filter(|chunk| match assigned {
-                true => late,
+                true => now > self.draw_end(*chunk),
                 false => draws.is_passed(*chunk) || (stalled && chunk.0 < end),
             })
             .collect();
         let patience = (self.settings.chunk_time, self.draw_patience());
+        let is_coming = |chunk: ChunkIndex| open.contains_key(&chunk) || imports.is_offered(chunk);
+        let coming: Vec<ChunkIndex> =
+            lacking.iter().copied().filter(|chunk| is_coming(*chunk)).collect();
         let remedies = self.imports.remedies(now, patience, self.settings.pace, |chunk| {
             lacking.binary_search(&chunk).is_ok()
         });
-        for remedy in remedies {
+        // What has been asked for may come yet, but the time without it counts.
+        let is_coming = |remedy: &Remedy| coming.binary_search(&remedy.chunk()).is_ok();
+        for remedy in remedies.into_iter().filter(|remedy| !is_coming(remedy)) {
             self.apply(now, remedy, actions);
         }
     }
@@ -186,9 +201,10 @@
         self.settings.pace.draw_patience.unwrap_or(usual)
     }
 
-    /// Time in which the origin can have sent every chunk.
-    pub(super) fn draws_time(&self) -> Duration {
-        self.settings.origin_chunk_time * self.settings.chunks * DRAWS_PERCENT / 100
+    /// When an assigned chunk should have been drawn, also by an origin a little slower than told.
+    fn draw_end(&self, chunk: ChunkIndex) -> Moment {
+        let draws = self.settings.origin_chunk_time * (chunk.0 + DRAWS_AT_ONCE);
+        self.begun + draws * DRAWS_PERCENT / 100 + self.settings.pace.seek_patience
     }
 
     /// How long the draw order may stand still before it is taken to have been lost.
--- a/crates/daemon/src/agent/hub.rs
+++ b/crates/daemon/src/agent/hub.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use headlatch_core::burst::{FetchFailure, PeerKey, SwarmEvent, SwarmPulse};
-use headlatch_http::pace::{LinkPacer, TURN_BYTES};
+use headlatch_http::pace::LinkPacer;
 use headlatch_types::{ChunkIndex, Digest, id::BoxId};
 use headlatch_wire::{ChunkPiece, FetchChunkRequest, FetchStep, SwarmNotes, fetch_step::Step};
 use tokio::sync::mpsc;
@@ -28,6 +28,10 @@
 /// Notes about transfers that have not begun here which are kept at most.
 const MOST_EARLY_NOTES: usize = 256;
 
+/// Bytes of a chunk that are handed to the link at once: what is handed over queues there, and
+/// notes and turns wait behind it.
+const PIECE_BYTES: usize = 8 << 10;
+
 /// The transfers that run on this box.
 #[derive(Debug)]
 pub struct SwarmHub {
@@ -190,8 +194,8 @@
             let data = self.vault.get(&place.digest);
             let mut rest = data.ok_or_else(|| Status::not_found("the chunk is gone"))?;
             while !rest.is_empty() {
-                let piece = rest.split_to(rest.len().min(TURN_BYTES));
-                self.up.send(piece.len()).await;
+                let piece = rest.split_to(rest.len().min(PIECE_BYTES));
+                self.up.wait_until_free(piece.len()).await;
                 self.metrics.count_chunk("up", piece.len() as u64);
                 yield ChunkPiece { data: piece, turn: false };
             }
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -105,9 +105,9 @@
 /// Pieces laid into the stage at one look.
 const PIECES_A_LOOK: usize = 16;
 
-/// Rate at which pieces are handed to the link, relative to the link's, in percent: the link paces
+/// Rate at which pieces are taken from the link, relative to the link's, in percent: the link paces
 /// them by itself, and what is waited for here as well comes late.
-const LINK_PERCENT: u64 = 300;
+const DOWN_PERCENT: u64 = 300;
 
 /// Pieces looked at before a stage counts as one of another version.
 const SURVEY_SAMPLE: u32 = 3;
@@ -213,8 +213,8 @@
             settings,
         });
         let vault = Arc::new(ChunkVault::new(PIECE_MEMORY));
-        let link = ByteRate::from_bytes_per_second(rate.bytes_per_second() * LINK_PERCENT / 100);
-        let (up, down) = (Arc::new(LinkPacer::new(link)), Arc::new(LinkPacer::new(link)));
+        let down = ByteRate::from_bytes_per_second(rate.bytes_per_second() * DOWN_PERCENT / 100);
+        let (up, down) = (Arc::new(LinkPacer::new(rate)), Arc::new(LinkPacer::new(down)));
         let hub = Arc::new(SwarmHub::new(vault.clone(), up, node.metrics.clone()));
         let (stop, signal) = StopHandle::new();
         let stager = Stager {
--- a/crates/http/src/pace.rs
+++ b/crates/http/src/pace.rs
@@ -35,6 +35,13 @@
         tokio::time::sleep_until(until).await;
     }
 
+    /// Waits until what was handed to the link before has been sent, so that nothing queues below.
+    pub async fn wait_until_free(&self, bytes: usize) {
+        let until = self.reserve(bytes);
+        let took = self.rate.time_for(ByteSize::from_bytes(bytes as u64));
+        tokio::time::sleep_until(until.checked_sub(took).unwrap_or(until)).await;
+    }
+
     fn reserve(&self, bytes: usize) -> Instant {
         let now = Instant::now();
         let earliest = now.checked_sub(BURST_TIME).unwrap_or(now);
