Ask a box again as soon as it is heard, however often it was out of reach

Change: a failure while a box is left alone anyway is the same trouble; a box heard after a silence is back.

--- a/crates/core/src/burst/peers.rs
+++ b/crates/core/src/burst/peers.rs
@@ -166,9 +166,14 @@
         self.peers.iter().any(holds)
     }
 
-    /// A box has said something, with the length of its queue.
+    /// A box has said something, with the length of its queue; one that was silent is back.
     pub(super) fn hear(&mut self, now: Moment, key: PeerKey, queue: u32) {
+        let silence = self.silence;
         if let Some(peer) = self.get_mut(key) {
+            if !peer.is_heard(now, silence) {
+                peer.troubles = 0;
+                peer.paused_until = now;
+            }
             peer.queue = queue;
             peer.heard = now;
         }
@@ -245,6 +250,10 @@
     pub(super) fn note_trouble(&mut self, now: Moment, key: PeerKey) {
         let first = self.first_pause;
         if let Some(peer) = self.get_mut(key) {
+            // What fails while it is left alone anyway is the same trouble.
+            if peer.paused_until > now {
+                return;
+            }
             let pause = first.saturating_mul((1 << peer.troubles.min(4)).min(LONGEST_PAUSE));
             peer.troubles += 1;
             peer.paused_until = now + pause;
--- /dev/null
+++ b/crates/core/tests/burst_peers.rs
@@ -0,0 +1,92 @@
+//! How a planner treats boxes that go and come back.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use headlatch_core::{
+    burst::{
+        ChunkSet, ChunkSource, DrawOrder, PeerKey, PeerSeat, SwarmAction, SwarmEvent, SwarmNote,
+        SwarmPace, SwarmPlanner, SwarmPulse, SwarmSettings,
+    },
+    time::Moment,
+};
+use headlatch_types::ChunkIndex;
+
+const CHUNKS: u32 = 4;
+const PEER: PeerKey = PeerKey(2);
+
+fn at(millis: u64) -> Moment {
+    Moment::ZERO + Duration::from_millis(millis)
+}
+
+/// A planner of two boxes in one domain, and what it does at first.
+fn planner() -> (SwarmPlanner, Vec<SwarmAction>) {
+    let chunk_time = Duration::from_millis(30);
+    let mut settings = SwarmSettings::new(CHUNKS, chunk_time, chunk_time);
+    settings.draws = DrawOrder::Assigned;
+    settings.pace = SwarmPace::quick();
+    let seat = |key| PeerSeat { key: PeerKey(key), domain: 1, region: 1 };
+    let held = ChunkSet::new(CHUNKS);
+    let mut planner = SwarmPlanner::begin(settings, 1, seat(1), held, at(0));
+    let first = planner.handle(at(0), SwarmEvent::Seats(vec![seat(1), seat(2)]));
+    (planner, first)
+}
+
+fn everything() -> SwarmEvent {
+    let mut field = ChunkSet::new(CHUNKS);
+    (0..CHUNKS).for_each(|chunk| {
+        field.insert(ChunkIndex(chunk));
+    });
+    SwarmEvent::Note { from: PEER, note: SwarmNote::Field(field), pulse: SwarmPulse::default() }
+}
+
+fn asks_peer(actions: &[SwarmAction]) -> bool {
+    let source = ChunkSource::Peer(PEER);
+    actions
+        .iter()
+        .any(|action| matches!(action, SwarmAction::Fetch { source: from, .. } if *from == source))
+}
+
+/// Chunks that are to be drawn from the origin.
+fn drawn(actions: &[SwarmAction]) -> Vec<ChunkIndex> {
+    let chunk = |action: &SwarmAction| match action {
+        SwarmAction::Fetch { chunk, source: ChunkSource::Origin } => Some(*chunk),
+        _ => None,
+    };
+    actions.iter().filter_map(chunk).collect()
+}
+
+#[gtest]
+fn a_box_that_was_out_of_reach_is_asked_again_as_soon_as_it_is_heard() {
+    let (mut planner, _) = planner();
+    // Every note that could not be delivered says so.
+    for tick in 0..20 {
+        planner.handle(at(50 * tick), SwarmEvent::Lost(PEER));
+    }
+    let actions = planner.handle(at(1300), everything());
+    expect_that!(asks_peer(&actions), eq(true));
+}
+
+#[gtest]
+fn a_box_that_has_fallen_silent_is_not_asked() {
+    let (mut planner, first) = planner();
+    for chunk in drawn(&first) {
+        planner.handle(at(60), SwarmEvent::Verified { chunk, source: ChunkSource::Origin });
+    }
+    let asked = planner.handle(at(100), everything());
+    expect_that!(asks_peer(&asked), eq(true));
+    // It neither sends nor says anything: what was asked of it is given up, not asked again, and
+    // drawn from the origin.
+    let mut later = Vec::new();
+    for tick in 20..200 {
+        let now = at(50 * tick);
+        let actions = planner.handle(now, SwarmEvent::Tick);
+        for chunk in drawn(&actions) {
+            let source = ChunkSource::Origin;
+            later.extend(planner.handle(now, SwarmEvent::Verified { chunk, source }));
+        }
+        later.extend(actions);
+    }
+    expect_that!(asks_peer(&later), eq(false));
+    expect_that!(planner.is_complete(), eq(true));
+}
