Change weights only where entries confirm that nothing waits, and fetch the next version meanwhile

Agents gave orders 40 ms after their notice, whatever was on its way. Versions four seconds apart: the second was not fetched before the first had been taken, so that all servers changed within its last second. All turns ended in three waves that overlapped.

Change: entries answer a notice that a server changes with the requests that have not begun there; the order waits until every living entry says none (1.7 s at most, after which a silent one counts as gone), the queue is empty, and running requests had 0.8 s (0.2 s for the first server of all). Pieces are read back while the server empties, and again where that is older than 1.5 s. The next version's pieces come into memory while the last one waits in the stage.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of entries that call servers directly, and of agents that stage weights piece by
 //! piece: which route, which server, whether to send again, when to refuse.
 
+pub mod draining;
 pub mod engine_model;
 pub mod event_split;
 pub mod peers;
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -59,6 +59,24 @@
     pub load: EngineLoad,
 }
 
+/// An entry's word that it sends nothing to a server that is about to change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DrainNotice {
+    /// Address of the server.
+    pub server: SocketAddr,
+    /// Requests of the entry that have not begun there.
+    pub waiting: u32,
+}
+
+/// What all entries together say of a server that is about to change.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct DrainReport {
+    /// Entries that live and have not confirmed that they send nothing more.
+    pub unconfirmed: usize,
+    /// Requests that have not begun there.
+    pub waiting: u32,
+}
+
 /// One notice.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerNotice {
@@ -76,6 +94,8 @@
     pub peers: Vec<SocketAddr>,
     /// What it has in progress.
     pub loads: Vec<LoadNotice>,
+    /// Servers that it sends nothing to because they are about to change.
+    pub drains: Vec<DrainNotice>,
     /// Its server, if it looks after one.
     pub server: Option<ServerNotice>,
 }
@@ -169,6 +189,18 @@
         others + usize::from(own == PeerKind::Entry)
     }
 
+    /// What entries that live say of a server that is about to change.
+    pub fn drain_report(&self, server: SocketAddr) -> DrainReport {
+        let entries = self.living().filter(|peer| peer.notice.kind == PeerKind::Entry);
+        entries.fold(DrainReport::default(), |mut report, entry| {
+            match entry.notice.drains.iter().find(|drain| drain.server == server) {
+                Some(drain) => report.waiting += drain.waiting,
+                None => report.unconfirmed += 1,
+            }
+            report
+        })
+    }
+
     /// Addresses that may be peers and have not been heard.
     pub fn candidates(&self) -> impl Iterator<Item = SocketAddr> + '_ {
         self.candidates.keys().copied()
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -14,7 +14,7 @@
 
 use super::{
     engine_model::{EngineLoad, EngineWork, first_token},
-    peers::{LoadNotice, ServerNotice},
+    peers::{DrainNotice, LoadNotice, ServerNotice},
 };
 use crate::time::Moment;
 
@@ -81,6 +81,8 @@
     record: ServerRecord,
     key: u32,
     own: EngineLoad,
+    /// Requests of this entry that have not begun there.
+    waiting: u32,
     failures: u32,
     refusals: u32,
     failure_share: f64,
@@ -182,6 +184,7 @@
             let state = ServerState {
                 key: server_key(&record.id),
                 own: EngineLoad::default(),
+                waiting: 0,
                 failures: 0,
                 refusals: 0,
                 failure_share: 0.0,
@@ -237,6 +240,14 @@
         busy.map(|state| LoadNotice { server: state.key, load: state.own }).collect()
     }
 
+    /// Servers that get nothing because they are about to change, for their agents.
+    pub fn drains(&self) -> Vec<DrainNotice> {
+        let changing = self.servers.values().filter(|state| is_changing(state));
+        changing
+            .map(|state| DrainNotice { server: state.record.address, waiting: state.waiting })
+            .collect()
+    }
+
     /// Chooses the server for a request.
     pub fn choose(&self, now: Moment, query: &ServerQuery<'_>) -> ServerChoice {
         let ids = self.services.get(query.service).map(Vec::as_slice).unwrap_or_default();
@@ -306,7 +317,7 @@
                 return Err(PassedOver::Unfit);
             }
         }
-        if state.notice.as_ref().is_some_and(|notice| notice.changing) {
+        if is_changing(state) {
             return Err(PassedOver::Unfit);
         }
         if state.blocked_until > now {
@@ -362,13 +373,15 @@
         if let Some(state) = self.servers.get_mut(id) {
             state.own.in_flight += 1;
             state.own.waiting_tokens += tokens;
+            state.waiting += 1;
         }
     }
 
-    /// Notes that a server has read a prompt of `tokens`.
+    /// Notes that a server has read a prompt of `tokens` and begun to answer, or never will.
     pub fn note_read(&mut self, id: &ServerId, tokens: u64) {
         if let Some(state) = self.servers.get_mut(id) {
             state.own.waiting_tokens = state.own.waiting_tokens.saturating_sub(tokens);
+            state.waiting = state.waiting.saturating_sub(1);
         }
     }
 
@@ -400,6 +413,11 @@
     }
 }
 
+/// Whether a server takes other weights or is being emptied for that.
+fn is_changing(state: &ServerState) -> bool {
+    state.notice.as_ref().is_some_and(|notice| notice.changing)
+}
+
 /// Whether a server will soon take other weights, which cuts or delays what it runs.
 fn is_about_to_change(state: &ServerState) -> bool {
     state.notice.as_ref().is_some_and(|notice| notice.staged > notice.whole)
--- a/crates/core/src/direct/staging.rs
+++ b/crates/core/src/direct/staging.rs
@@ -16,11 +16,8 @@
 /// Time for which pieces that were read back count as right: they may rot.
 const CHECK_LIFE: Duration = Duration::from_millis(1500);
 
-/// Groups of servers that change one after another.
-const TURNS: u32 = 3;
-
-/// Pause between two turns where the earlier ones do not say that they are done.
-const TURN_PAUSE: Duration = Duration::from_millis(600);
+/// Time that one server takes to be emptied and to change.
+const TURN_TIME: Duration = Duration::from_millis(1100);
 
 /// Part of the time to change after which everyone changes, in percent.
 const LATEST_TURN: u32 = 80;
@@ -138,12 +135,16 @@
     pub rank: u32,
     /// It holds the wanted version.
     pub done: bool,
-    /// It is about to change, or could.
+    /// It could change, as all pieces lie in its stage.
     pub ready: bool,
+    /// It is changing or being emptied for that.
+    pub changing: bool,
 }
 
 /// Whether a server of `rank` may change now; `serves` tells whether it serves anything, `since`
 /// is the time since the version was learnt, `time` the time in which all must have changed.
+///
+/// As few change at the same time as the time that is left allows, so that capacity stays up.
 pub fn has_turn(
     rank: u32,
     serves: bool,
@@ -155,14 +156,11 @@
     if !serves || since >= latest {
         return true;
     }
-    let turn = rank % TURNS;
-    if turn == 0 {
-        return true;
-    }
-    let earlier = others.iter().filter(|other| other.rank % TURNS < turn);
-    let waiting = earlier.clone().any(|other| !other.done);
-    let rest = latest.saturating_sub(TURN_PAUSE * (TURNS - turn));
-    !waiting || since >= rest
+    let undone = others.iter().filter(|other| !other.done);
+    let turns = TURN_TIME * (undone.clone().count() as u32 + 1);
+    let at_once = turns.as_micros().div_ceil((latest - since).as_micros().max(1)) as usize;
+    let is_before = |other: &&TurnView| other.changing || (other.ready && other.rank < rank);
+    undone.filter(is_before).count() < at_once
 }
 
 /// A version that is wanted and that the server does not hold, with what it would take.
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -5,9 +5,13 @@
 use googletest::prelude::*;
 use headlatch_core::{
     direct::{
+        draining::{DrainView, QueueReport, may_change},
         engine_model::{EngineLoad, EngineWork, first_token},
         event_split::EventSplitter,
-        peers::{LoadNotice, PEER_SILENCE, PeerKind, PeerNotice, PeerTable, ServerNotice},
+        peers::{
+            DrainNotice, DrainReport, LoadNotice, PEER_SILENCE, PeerKind, PeerNotice, PeerTable,
+            ServerNotice,
+        },
         retry_share::{RetryBudget, RetryShare},
         route_table::{Denial, RouteTable, pick_target},
         server_table::{
@@ -298,6 +302,76 @@
     expect_that!(choose(&table, at(0), None, &[]), eq("nobody"));
 }
 
+#[gtest]
+fn an_entry_confirms_that_a_changing_server_gets_nothing() {
+    let record = server("a", "z1", 1);
+    let mut table = table(std::slice::from_ref(&record));
+    let id = ServerId("a".into());
+    table.begin(&id, 100);
+    table.begin(&id, 0);
+    expect_that!(table.drains(), is_empty());
+    let changing = ServerNotice {
+        address: record.address,
+        whole: Some(WeightVersion(1)),
+        changing: true,
+        staged: None,
+        sharing: None,
+        zone: record.zone.clone(),
+        service: "llm".to_owned(),
+    };
+    table.set_notice(record.address, Some(changing));
+    let drain = |waiting| vec![DrainNotice { server: record.address, waiting }];
+    expect_that!(table.drains(), eq(&drain(2)));
+    table.note_read(&id, 100);
+    table.note_read(&id, 0);
+    expect_that!(table.drains(), eq(&drain(0)));
+}
+
+#[gtest]
+fn every_living_entry_must_confirm_a_drain() {
+    let mut peers = PeerTable::new("10.0.0.1:7".parse().expect("an address"));
+    let server = "10.0.0.9:80".parse().expect("an address");
+    let confirmed = |from, waiting| PeerNotice {
+        drains: vec![DrainNotice { server, waiting }],
+        ..notice(from, 1, 2, 0)
+    };
+    peers.hear(at(0), notice("10.0.0.2:7", 1, 1, 0));
+    peers.hear(at(0), confirmed("10.0.0.3:7", 2));
+    peers.hear(at(0), PeerNotice { kind: PeerKind::Agent, ..notice("10.0.0.4:7", 1, 1, 0) });
+    let report = peers.drain_report(server);
+    expect_that!(report, eq(DrainReport { unconfirmed: 1, waiting: 2 }));
+    peers.hear(at(10), confirmed("10.0.0.2:7", 0));
+    expect_that!(peers.drain_report(server).unconfirmed, eq(0));
+}
+
+#[gtest]
+fn nothing_may_wait_at_a_server_that_changes() {
+    let confirmed = DrainReport::default();
+    let view = |waited, queued, active, entries| DrainView {
+        waited: millis(waited),
+        is_first: false,
+        requests: Some(QueueReport { queued, active }),
+        entries,
+    };
+    expect_that!(may_change(&view(100, 0, 1, confirmed)), eq(true));
+    expect_that!(may_change(&view(100, 0, 5, confirmed)), eq(false));
+    expect_that!(may_change(&view(900, 0, 5, confirmed)), eq(true));
+    expect_that!(may_change(&view(900, 1, 5, confirmed)), eq(false));
+    let waiting = DrainReport { unconfirmed: 0, waiting: 1 };
+    expect_that!(may_change(&view(900, 0, 0, waiting)), eq(false));
+    let silent = DrainReport { unconfirmed: 1, waiting: 0 };
+    expect_that!(may_change(&view(900, 0, 0, silent)), eq(false));
+    // Whoever is silent for longer than an entry may be is gone.
+    expect_that!(may_change(&view(1800, 0, 0, silent)), eq(true));
+    let unknown = DrainView { requests: None, ..view(900, 0, 0, confirmed) };
+    expect_that!(may_change(&unknown), eq(false));
+    // The first of all waits less for what runs, and as long for what waits.
+    let first = DrainView { is_first: true, ..view(300, 0, 9, confirmed) };
+    expect_that!(may_change(&first), eq(true));
+    let first = DrainView { is_first: true, ..view(300, 1, 9, confirmed) };
+    expect_that!(may_change(&first), eq(false));
+}
+
 #[gtest]
 fn a_lost_server_is_let_in_again_by_one_request() {
     let mut table = table(&[server("a", "z1", 1)]);
@@ -332,6 +406,7 @@
         plan: 1,
         peers: Vec::new(),
         loads: vec![LoadNotice { server: 7, load }],
+        drains: Vec::new(),
         server: None,
     }
 }
@@ -469,16 +544,44 @@
 #[gtest]
 fn servers_change_in_turns_and_all_before_the_end() {
     let time = Duration::from_secs(8);
-    let others = [TurnView { rank: 0, done: false, ready: true }];
+    let waits = TurnView { rank: 0, done: false, ready: true, changing: false };
+    let others = [waits];
     expect_that!(has_turn(0, true, millis(100), time, &[]), eq(true));
     expect_that!(has_turn(1, true, millis(100), time, &others), eq(false));
     expect_that!(has_turn(1, true, millis(7000), time, &others), eq(true));
-    let done = [TurnView { rank: 0, done: true, ready: true }];
+    let done = [TurnView { done: true, ..waits }];
     expect_that!(has_turn(1, true, millis(100), time, &done), eq(true));
     // One that serves nothing waits for nobody.
     expect_that!(has_turn(2, false, millis(100), time, &others), eq(true));
 }
 
+#[gtest]
+fn as_few_servers_change_at_once_as_the_time_allows() {
+    let time = Duration::from_secs(8);
+    let waits = |rank| TurnView { rank, done: false, ready: true, changing: false };
+    let others: Vec<TurnView> = (0..19).map(waits).collect();
+    let turns = |since: u64| {
+        let now = millis(since);
+        (0..20).filter(|rank| has_turn(*rank, true, now, time, &others_of(&others, *rank))).count()
+    };
+    expect_that!(turns(1000), eq(5));
+    expect_that!(turns(4000), eq(10));
+    expect_that!(turns(6500), eq(20));
+    // One that changes takes a place, whatever its rank.
+    let changing: Vec<TurnView> =
+        (1..5).map(|rank| TurnView { changing: true, ..waits(rank + 10) }).collect();
+    expect_that!(has_turn(0, true, millis(1000), time, &changing), eq(false));
+}
+
+/// The others as seen by the server of `rank`, among twenty.
+fn others_of(others: &[TurnView], rank: u32) -> Vec<TurnView> {
+    let shifted = others.iter().map(|other| match other.rank < rank {
+        true => *other,
+        false => TurnView { rank: other.rank + 1, ..*other },
+    });
+    shifted.collect()
+}
+
 fn wanted(version: u64, due: u64, transfer: u64) -> VersionChoice {
     VersionChoice { version: WeightVersion(version), due: at(due), transfer: millis(transfer) }
 }
--- /dev/null
+++ b/crates/daemon/src/direct/agent.rs
@@ -0,0 +1,272 @@
+//! The process beside a server: it tells of the server, hands on pieces, and has the server brought
+//! to the wanted weights.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use error_stack::{Report, ResultExt};
+use headlatch_core::{
+    direct::peers::{PeerKind, PeerTable, ServerNotice},
+    membership::NodeKind,
+    time::Moment,
+};
+use headlatch_http::{HttpLimits, HttpServer, StopHandle, pace::LinkPacer};
+use headlatch_outside::{
+    engine::{EngineStage, PieceOrigin},
+    facts::{Fact, FactStore, FactTopic},
+};
+use headlatch_types::{
+    direct_settings::DirectAgentSettings,
+    id::ModelName,
+    quantity::{ByteRate, ByteSize},
+    traffic::WeightVersion,
+};
+use headlatch_wire::node_server::NodeServer;
+use serde_json::json;
+use tokio::{net::UdpSocket, task::JoinHandle};
+use tokio_stream::wrappers::TcpListenerStream;
+use volo_http::server::Router;
+
+use super::{
+    facts::{FactNews, follow, set_facts},
+    notices::{self, NoticeBody, NoticeWriter},
+    stager::Stager,
+    transfer::TransferDesk,
+};
+use crate::{
+    agent::{bind_control, hub::SwarmHub, vault::ChunkVault},
+    decisions,
+    error::DaemonError,
+    node::{
+        NodeContext,
+        admin::{self, ReadyFlag},
+        service::{MOST_MESSAGE, NodeService, SwarmHost},
+    },
+    platform::HttpStore,
+    timer::SharedTimer,
+    trace::SpanMaker,
+};
+
+/// Memory for pieces: a version that is served, one that is staged and one that comes next.
+const PIECE_MEMORY: ByteSize = ByteSize::from_mib(24);
+
+/// Rate at which pieces are taken from the link, relative to the link's, in percent: the link paces
+/// them by itself, and what is waited for here as well comes late.
+const DOWN_PERCENT: u64 = 300;
+
+/// Wanted versions that are remembered.
+const MOST_WANTED: usize = 8;
+
+/// What an agent is given to work with.
+#[derive(Debug, Clone)]
+pub struct AgentOutside {
+    /// The store of facts.
+    pub store: Arc<dyn FactStore>,
+    /// The server's stage.
+    pub engine: Arc<dyn EngineStage>,
+    /// The origin of pieces.
+    pub origin: Arc<dyn PieceOrigin>,
+}
+
+/// What an agent believes, shared with its notices.
+#[derive(Debug)]
+pub(super) struct AgentState {
+    /// Settings.
+    pub(super) settings: DirectAgentSettings,
+    /// This node.
+    pub(super) node: Arc<NodeContext>,
+    /// The other processes.
+    pub(super) peers: Mutex<PeerTable>,
+    /// Wanted versions with the moments at which they were learnt, oldest first.
+    wanted: Mutex<HashMap<ModelName, Vec<(WeightVersion, Moment)>>>,
+    /// What is told of the server.
+    pub(super) notice: Mutex<ServerNotice>,
+    news: tokio::sync::Notify,
+    /// The server is about to change: entries must hear of it.
+    pub(super) draining: AtomicBool,
+    /// Wakes the stager when another version is wanted.
+    pub(super) wanted_news: tokio::sync::Notify,
+}
+
+/// Locks a mutex; one that a panic has broken is used as it is.
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|broken| broken.into_inner())
+}
+
+/// An agent that runs.
+#[derive(Debug)]
+pub struct DirectAgent {
+    state: Arc<AgentState>,
+    stop: StopHandle,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl DirectAgent {
+    /// Starts an agent.
+    pub async fn start(
+        settings: DirectAgentSettings,
+        timer: SharedTimer,
+        outside: AgentOutside,
+    ) -> Result<Self, Report<DaemonError>> {
+        let (listener, socket) = bind_control(settings.node.control).await?;
+        let failure = || DaemonError::Bind(settings.node.admin);
+        let admin_server = HttpServer::bind(settings.node.admin, HttpLimits::default())
+            .await
+            .change_context_lazy(failure)?;
+        let control = settings.node.control;
+        let unused_store = Arc::new(HttpStore::new(settings.node.platform.clone()));
+        let spans = SpanMaker::new("headlatch-agent", settings.node.traces.as_ref())?;
+        let node_settings = settings.node.clone();
+        let node =
+            NodeContext::new(node_settings, NodeKind::Agent, control, timer, unused_store, spans);
+        let mut peers = PeerTable::new(control);
+        for seed in &settings.direct.seeds {
+            peers.suggest(Moment::ZERO, *seed);
+        }
+        let notice = ServerNotice {
+            address: settings.server,
+            whole: None,
+            changing: false,
+            staged: None,
+            sharing: None,
+            zone: settings.node.domain.clone(),
+            service: settings.service.clone().unwrap_or_default(),
+        };
+        let fields = json!({
+            "node": settings.node.box_id, "zone": settings.node.domain, "control": control,
+            "server": settings.server,
+        });
+        let rate = settings.link.rate;
+        let state = Arc::new(AgentState {
+            node: node.clone(),
+            peers: Mutex::new(peers),
+            wanted: Mutex::default(),
+            notice: Mutex::new(notice),
+            news: tokio::sync::Notify::new(),
+            draining: AtomicBool::new(false),
+            wanted_news: tokio::sync::Notify::new(),
+            settings,
+        });
+        let vault = Arc::new(ChunkVault::new(PIECE_MEMORY));
+        let down = ByteRate::from_bytes_per_second(rate.bytes_per_second() * DOWN_PERCENT / 100);
+        let (up, down) = (Arc::new(LinkPacer::new(rate)), Arc::new(LinkPacer::new(down)));
+        let hub = Arc::new(SwarmHub::new(vault.clone(), up, node.metrics.clone()));
+        let (stop, signal) = StopHandle::new();
+        let transfers = TransferDesk::new(state.clone(), outside.clone(), hub.clone(), vault, down);
+        let stager = Stager::new(state.clone(), outside.clone(), transfers);
+        let watched = state.clone();
+        let router = admin::add_routes(Router::new(), &node, &ReadyFlag::default());
+        let tasks = vec![
+            tokio::spawn(stager.run()),
+            tokio::spawn(serve_peers(node, hub, listener)),
+            tokio::spawn(run_notices(state.clone(), socket)),
+            tokio::spawn(follow(outside.store, FactTopic::Weights, Arc::default(), move |news| {
+                watched.hear_weights(news);
+            })),
+            tokio::spawn(admin_server.serve(router, signal)),
+        ];
+        decisions::note("life", "started", fields);
+        Ok(Self { state, stop, tasks })
+    }
+
+    /// Stops at once: nothing that callers wait for runs here.
+    pub fn leave(self) {
+        let whole = lock(&self.state.notice).whole;
+        decisions::note("life", "stopped", json!({ "whole": whole }));
+        self.stop.stop();
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+async fn serve_peers(
+    node: Arc<NodeContext>,
+    hub: Arc<SwarmHub>,
+    listener: tokio::net::TcpListener,
+) {
+    let host: Arc<dyn SwarmHost> = hub;
+    let service = NodeServer::new(NodeService::new(node, Some(host)));
+    let service = service.max_decoding_message_size(MOST_MESSAGE);
+    let served = crate::node::service::server()
+        .add_service(service)
+        .serve_with_incoming(TcpListenerStream::new(listener))
+        .await;
+    if let Err(error) = served {
+        log::error!("agent: the control listener failed, {error}");
+    }
+}
+
+async fn run_notices(state: Arc<AgentState>, socket: UdpSocket) {
+    let mut writer = NoticeWriter::new(state.settings.node.control, PeerKind::Agent);
+    let mut ticks = tokio::time::interval(notices::NOTICE_PAUSE);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut buffer = vec![0; notices::MOST_DATAGRAM];
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => {
+                let Ok((length, _)) = received else { continue };
+                let Some(notice) = notices::decode(&buffer[..length]) else { continue };
+                lock(&state.peers).hear(state.node.now(), notice);
+                continue;
+            }
+            () = state.news.notified() => {}
+            _ = ticks.tick() => {}
+        }
+        let now = state.node.now();
+        lock(&state.peers).expire(now);
+        let server = Some(lock(&state.notice).clone());
+        let repeated = state.draining.load(Ordering::Relaxed);
+        let body = NoticeBody { server, repeated, ..NoticeBody::default() };
+        let (bytes, targets) = writer.tick(&lock(&state.peers), body);
+        for target in targets {
+            // A datagram that cannot be sent is as good as lost, which is borne.
+            let _ = socket.try_send_to(&bytes, target);
+        }
+    }
+}
+
+impl AgentState {
+    /// Wanted versions of a model with the moments at which they were learnt, oldest first.
+    pub(super) fn wanted(&self, model: &ModelName) -> Vec<(WeightVersion, Moment)> {
+        lock(&self.wanted).get(model).cloned().unwrap_or_default()
+    }
+
+    fn hear_weights(&self, news: FactNews) {
+        let now = self.node.now();
+        for fact in set_facts(news) {
+            let Fact::Weights(weights) = fact else { continue };
+            let mut wanted = lock(&self.wanted);
+            let versions = wanted.entry(weights.model.clone()).or_default();
+            let before = versions.last().map(|(version, _)| *version);
+            if before.is_some_and(|before| before >= weights.version) {
+                continue;
+            }
+            versions.push((weights.version, now));
+            if versions.len() > MOST_WANTED {
+                versions.remove(0);
+            }
+            drop(wanted);
+            let fields = json!({
+                "model": weights.model, "version": weights.version, "before": before,
+            });
+            decisions::note("weights", "version_wanted", fields);
+            self.wanted_news.notify_one();
+        }
+    }
+
+    /// Changes what is told of the server, and tells it at once if that is news.
+    pub(super) fn tell(&self, change: impl FnOnce(&mut ServerNotice)) {
+        let mut notice = lock(&self.notice);
+        let before = notice.clone();
+        change(&mut notice);
+        let changed = *notice != before;
+        drop(notice);
+        if changed {
+            self.news.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/change.rs
@@ -0,0 +1,109 @@
+//! The change of one server to other weights: whose turn it is, and how the server is emptied.
+
+use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
+
+use headlatch_core::{
+    direct::{
+        draining::{DrainView, QueueReport, may_change},
+        peers::ServerNotice,
+        staging::{TurnView, has_turn},
+    },
+    hash::ranking,
+    time::Moment,
+};
+use headlatch_outside::engine::EngineStage;
+use headlatch_types::traffic::WeightVersion;
+use serde_json::json;
+
+use super::{
+    agent::{AgentState, lock},
+    seats::seat_key,
+};
+use crate::decisions;
+
+/// How often a server that is being emptied is looked at.
+const DRAIN_LOOK: Duration = Duration::from_millis(40);
+
+/// Whether this server may change to `version` now, which was learnt at `since`.
+pub(super) fn is_turn(
+    state: &AgentState,
+    version: WeightVersion,
+    since: Moment,
+    serves: bool,
+) -> bool {
+    let own = state.settings.node.control;
+    let peers = lock(&state.peers);
+    let agents: Vec<(SocketAddr, &ServerNotice)> = peers
+        .living()
+        .filter_map(|peer| Some((peer.notice.from, peer.notice.server.as_ref()?)))
+        .collect();
+    let keys = agents.iter().map(|(from, _)| seat_key(*from).0).chain([seat_key(own).0]);
+    let ranked = ranking(version.0, keys);
+    let rank = |address: SocketAddr| {
+        let key = seat_key(address).0;
+        ranked.iter().position(|one| *one == key).unwrap_or(0) as u32
+    };
+    let others: Vec<TurnView> = agents
+        .iter()
+        .map(|(from, server)| TurnView {
+            rank: rank(*from),
+            done: server.whole.is_some_and(|whole| whole >= version),
+            ready: server.staged == Some(version),
+            changing: server.changing,
+        })
+        .collect();
+    let waited = state.node.now().since(since);
+    has_turn(rank(own), serves, waited, state.settings.direct.weights_time, &others)
+}
+
+/// How much is to be waited for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DrainPace {
+    /// The server serves something.
+    pub serves: bool,
+    /// No other server has changed yet or changes now.
+    pub is_first: bool,
+}
+
+/// Whether no other server that is known holds `version` or changes now.
+pub(super) fn is_first(state: &AgentState, version: WeightVersion) -> bool {
+    let peers = lock(&state.peers);
+    let mut servers = peers.living().filter_map(|peer| peer.notice.server.as_ref());
+    !servers.any(|server| server.changing || server.whole.is_some_and(|whole| whole >= version))
+}
+
+/// Has entries send the server nothing more, and waits until few requests run there and none
+/// waits to begin, or until that has taken too long.
+pub(super) async fn empty(state: &AgentState, engine: &dyn EngineStage, pace: DrainPace) {
+    state.tell(|notice| notice.changing = true);
+    if !pace.serves {
+        return;
+    }
+    state.draining.store(true, Ordering::Relaxed);
+    let begun = state.node.now();
+    loop {
+        tokio::time::sleep(DRAIN_LOOK).await;
+        let report = engine.report().await.ok();
+        let view = DrainView {
+            waited: state.node.now().since(begun),
+            is_first: pace.is_first,
+            requests: report
+                .map(|report| QueueReport { queued: report.queued, active: report.active }),
+            entries: lock(&state.peers).drain_report(state.settings.server),
+        };
+        if may_change(&view) {
+            note_emptied(&view);
+            break;
+        }
+    }
+}
+
+fn note_emptied(view: &DrainView) {
+    let requests = view.requests.unwrap_or_default();
+    let fields = json!({
+        "waited_ms": view.waited.as_millis() as u64, "queued": requests.queued,
+        "active": requests.active, "unconfirmed": view.entries.unconfirmed,
+        "waiting": view.entries.waiting,
+    });
+    decisions::note("engine", "emptied", fields);
+}
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -1,7 +1,9 @@
 //! Daemons that call servers directly: entries that pass requests on, agents that stage weights.
 
+pub mod agent;
 pub mod answer;
 pub mod attempt;
+pub mod change;
 pub mod entry;
 pub mod exchange;
 pub mod facts;
@@ -9,6 +11,8 @@
 pub mod handler;
 pub mod notices;
 pub mod relay;
+pub mod seats;
 pub mod stager;
 pub mod state;
+pub mod transfer;
 pub mod weights;
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -4,7 +4,7 @@
 
 use headlatch_core::direct::{
     engine_model::EngineLoad,
-    peers::{LoadNotice, PeerKind, PeerNotice, PeerTable, ServerNotice},
+    peers::{DrainNotice, LoadNotice, PeerKind, PeerNotice, PeerTable, ServerNotice},
 };
 use headlatch_types::traffic::{PlanVersion, WeightVersion};
 use headlatch_wire as wire;
@@ -50,6 +50,10 @@
         in_flight: load.load.in_flight,
         waiting_tokens: load.load.waiting_tokens,
     };
+    let drain = |drain: &DrainNotice| wire::NoticeDrain {
+        server: drain.server.to_string(),
+        waiting: drain.waiting,
+    };
     let message = wire::PeerNotice {
         from: notice.from.to_string(),
         agent: notice.kind == PeerKind::Agent,
@@ -58,6 +62,7 @@
         plan: notice.plan,
         peers: notice.peers.iter().map(SocketAddr::to_string).collect(),
         loads: notice.loads.iter().map(load).collect(),
+        drains: notice.drains.iter().map(drain).collect(),
         server,
     };
     message.encode_to_vec()
@@ -83,6 +88,10 @@
         }),
     };
     let loads = message.loads.iter();
+    let drain = |drain: &wire::NoticeDrain| {
+        let server = drain.server.parse().ok()?;
+        Some(DrainNotice { server, waiting: drain.waiting })
+    };
     Some(PeerNotice {
         from: message.from.parse().ok()?,
         kind: if message.agent { PeerKind::Agent } else { PeerKind::Entry },
@@ -96,6 +105,7 @@
                 load: EngineLoad { in_flight: load.in_flight, waiting_tokens: load.waiting_tokens },
             })
             .collect(),
+        drains: message.drains.iter().filter_map(drain).collect(),
         server,
     })
 }
@@ -119,6 +129,8 @@
     pub plan: u64,
     /// What it has in progress.
     pub loads: Vec<LoadNotice>,
+    /// Servers that it sends nothing to because they are about to change.
+    pub drains: Vec<DrainNotice>,
     /// Its server.
     pub server: Option<ServerNotice>,
     /// It must be heard although a datagram may be lost: it is told again at every occasion.
@@ -147,24 +159,30 @@
         if targets.is_empty() {
             return (Vec::new(), targets);
         }
-        self.sequence += 1;
         self.last_loads = body.loads.clone();
         self.last_server = body.server.clone();
-        let notice = PeerNotice {
+        // Names cost bytes: they go along now and then.
+        let named = match self.tick % NAMING_TICKS {
+            0 | 1 => peers.named(self.tick as usize),
+            _ => Vec::new(),
+        };
+        (self.write(body, named), targets)
+    }
+
+    /// A notice besides the usual ones, to one peer that waits for it.
+    pub fn write(&mut self, body: NoticeBody, named: Vec<SocketAddr>) -> Vec<u8> {
+        self.sequence += 1;
+        encode(&PeerNotice {
             from: self.from,
             kind: self.kind,
             life: self.life,
             sequence: self.sequence,
             plan: body.plan,
-            // Names cost bytes: they go along now and then.
-            peers: match self.tick % NAMING_TICKS {
-                0 | 1 => peers.named(self.tick as usize),
-                _ => Vec::new(),
-            },
+            peers: named,
             loads: body.loads,
+            drains: body.drains,
             server: body.server,
-        };
-        (encode(&notice), targets)
+        })
     }
 
     fn targets(&self, peers: &PeerTable, urgent: bool) -> Vec<SocketAddr> {
@@ -196,32 +214,38 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut buffer = vec![0; MOST_DATAGRAM];
     loop {
-        tokio::select! {
+        let (bytes, targets) = tokio::select! {
             received = socket.recv_from(&mut buffer) => {
                 let Ok((length, _)) = received else { continue };
-                hear(&state, &buffer[..length]);
+                let Some(waits) = hear(&state, &buffer[..length]) else { continue };
+                let body = NoticeBody {
+                    plan: state.plan_version().0,
+                    drains: state.servers().drains(),
+                    ..NoticeBody::default()
+                };
+                (writer.write(body, Vec::new()), vec![waits])
             }
             _ = ticks.tick() => {
                 state.refresh_loads();
                 state.refresh_notices();
-                let body = NoticeBody {
-                    plan: state.plan_version().0,
-                    loads: state.servers().own_loads(),
-                    server: None,
-                    repeated: false,
-                };
-                let (bytes, targets) = writer.tick(&state.peers(), body);
-                for target in targets {
-                    // A datagram that cannot be sent is as good as lost, which is borne.
-                    let _ = socket.try_send_to(&bytes, target);
-                }
+                let servers = state.servers();
+                let (loads, drains) = (servers.own_loads(), servers.drains());
+                drop(servers);
+                let plan = state.plan_version().0;
+                let body = NoticeBody { plan, loads, drains, ..NoticeBody::default() };
+                writer.tick(&state.peers(), body)
             }
+        };
+        for target in targets {
+            // A datagram that cannot be sent is as good as lost, which is borne.
+            let _ = socket.try_send_to(&bytes, target);
         }
     }
 }
 
-fn hear(state: &EntryState, bytes: &[u8]) {
-    let Some(notice) = decode(bytes) else { return };
+/// Takes in a notice; the sender, if it waits for word that its server gets nothing more.
+fn hear(state: &EntryState, bytes: &[u8]) -> Option<SocketAddr> {
+    let notice = decode(bytes)?;
     let (from, server) = (notice.from, notice.server.clone());
     let now = state.now();
     let plan = (notice.kind == PeerKind::Entry).then_some(PlanVersion(notice.plan));
@@ -232,9 +256,9 @@
     if outcome.joined {
         decisions::note("peers", "found", json!({ "peer": from }));
     }
-    if outcome.server_changed
-        && let Some(server) = server
-    {
+    let server = server?;
+    let waits = server.changing.then_some(from);
+    if outcome.server_changed {
         let fields = json!({
             "address": server.address, "whole": server.whole, "changing": server.changing,
             "staged": server.staged,
@@ -242,4 +266,5 @@
         state.servers().set_notice(server.address, Some(server));
         decisions::note("servers", "agent_told", fields);
     }
+    waits
 }
--- /dev/null
+++ b/crates/daemon/src/direct/transfer.rs
@@ -0,0 +1,212 @@
+//! Transfers of versions: from the manifest to pieces that lie in this agent's memory.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use headlatch_core::{
+    burst::{DrawOrder, PeerSeat, SwarmPace, SwarmSettings},
+    direct::staging::StageState,
+    time::Moment,
+};
+use headlatch_http::pace::LinkPacer;
+use headlatch_outside::engine::{PieceManifest, StageFailure};
+use headlatch_types::{
+    ChunkIndex, Digest, Manifest,
+    fleet::BurstPreference,
+    id::ModelName,
+    quantity::{ByteRate, ByteSize},
+    traffic::{OriginPlan, WeightVersion},
+};
+
+use super::{
+    agent::{AgentOutside, AgentState},
+    seats,
+    weights::{PieceReader, burst_manifest},
+};
+use crate::agent::{
+    hub::SwarmHub,
+    swarm::{self, DriverInput, SwarmHandle, SwarmTools},
+    vault::ChunkVault,
+};
+
+/// Pieces looked at before a stage counts as one of another version.
+const SURVEY_SAMPLE: u32 = 3;
+
+/// Transfers that are kept for others after their pieces are here: the one that is served, the one
+/// that is staged, and the next.
+const KEPT_TRANSFERS: usize = 3;
+
+/// Requests for pieces that may wait here.
+const MOST_WAITING: usize = 16;
+
+/// A version that is being brought in.
+#[derive(Debug)]
+pub struct VersionWork {
+    /// Its pieces.
+    pub pieces: PieceManifest,
+    /// The same as chunks of a burst.
+    pub manifest: Arc<Manifest>,
+    /// The transfer.
+    pub swarm: SwarmHandle,
+    /// What is known of the stage.
+    pub stage: StageState,
+    /// When it began.
+    pub since: Moment,
+}
+
+impl VersionWork {
+    /// Whether it brings in this version of this model.
+    pub fn is_for(&self, model: &ModelName, version: WeightVersion) -> bool {
+        self.pieces.version == version && self.pieces.model == *model
+    }
+
+    /// Whether every piece has been laid into the stage.
+    pub fn is_staged(&self) -> bool {
+        self.stage.placed.iter().all(|placed| *placed)
+    }
+}
+
+/// Begins transfers, and keeps those that others may still need.
+pub struct TransferDesk {
+    state: Arc<AgentState>,
+    outside: AgentOutside,
+    hub: Arc<SwarmHub>,
+    vault: Arc<ChunkVault>,
+    down: Arc<LinkPacer>,
+    kept: Vec<Digest>,
+}
+
+impl TransferDesk {
+    /// No transfer yet.
+    pub(super) fn new(
+        state: Arc<AgentState>,
+        outside: AgentOutside,
+        hub: Arc<SwarmHub>,
+        vault: Arc<ChunkVault>,
+        down: Arc<LinkPacer>,
+    ) -> Self {
+        Self { state, outside, hub, vault, down, kept: Vec::new() }
+    }
+
+    /// Tells every transfer who takes part: those that hold everything must hear of newcomers as
+    /// well, to offer what they hold.
+    pub fn tell_seats(&self) {
+        for swarm in self.hub.all() {
+            swarm.tell(DriverInput::Seats(seats::seats(&self.state)));
+        }
+    }
+
+    /// The bytes of a piece, if it is here.
+    pub fn piece(&self, work: &VersionWork, piece: usize) -> Option<Bytes> {
+        let place = work.manifest.chunks().get(piece)?;
+        self.vault.get(&place.digest)
+    }
+
+    /// Which pieces are here.
+    pub fn held(&self, work: &VersionWork) -> Vec<bool> {
+        let places = work.manifest.chunks().iter();
+        places.map(|place| self.vault.get(&place.digest).is_some()).collect()
+    }
+
+    /// Begins to bring in a version; `is_next` tells that the stage holds another one that is
+    /// needed, so that nothing of this version lies there.
+    pub async fn begin(
+        &mut self,
+        origin: &OriginPlan,
+        model: &ModelName,
+        version: WeightVersion,
+        is_next: bool,
+    ) -> Result<VersionWork, StageFailure> {
+        let pieces = self.outside.origin.manifest(origin.address, model, version).await?;
+        let manifest = Arc::new(burst_manifest(&pieces));
+        let stage = match is_next {
+            true => StageState {
+                version: Some(version),
+                placed: vec![false; pieces.digests.len()],
+                checked: None,
+                surveyed: true,
+            },
+            false => self.survey(&pieces, &manifest).await,
+        };
+        let swarm = self.start_swarm(&pieces, &manifest, origin);
+        swarm.tell(DriverInput::Seats(seats::seats(&self.state)));
+        self.hub.add(swarm.clone());
+        self.keep(manifest.digest());
+        let since = self.state.node.now();
+        Ok(VersionWork { pieces, manifest, swarm, stage, since })
+    }
+
+    fn keep(&mut self, digest: Digest) {
+        self.kept.retain(|kept| *kept != digest);
+        self.kept.push(digest);
+        let surplus = self.kept.len().saturating_sub(KEPT_TRANSFERS);
+        self.kept.drain(..surplus);
+        self.hub.retain(|digest| self.kept.contains(digest));
+    }
+
+    fn start_swarm(
+        &self,
+        pieces: &PieceManifest,
+        manifest: &Arc<Manifest>,
+        origin: &OriginPlan,
+    ) -> SwarmHandle {
+        let tools = SwarmTools {
+            node: self.state.node.clone(),
+            vault: self.vault.clone(),
+            down: self.down.clone(),
+            origin: Some(Arc::new(self.reader(pieces, origin.address))),
+            store: None,
+        };
+        let bytes = ByteSize::from_bytes(pieces.piece_bytes.into());
+        let own = self.state.settings.link.rate.time_for(bytes);
+        let origin_rate = ByteRate::from_bytes_per_second(origin.bytes_per_second.max(1));
+        let count = pieces.digests.len() as u32;
+        let mut settings = SwarmSettings::new(count, own, origin_rate.time_for(bytes));
+        settings.prefer = BurstPreference::OriginBytes;
+        settings.draws = DrawOrder::Assigned;
+        settings.pace = SwarmPace::quick();
+        settings.queue = MOST_WAITING;
+        let name = format!("{}@{}", pieces.model, pieces.version);
+        let text = (Bytes::new(), manifest.clone());
+        let own_seat: PeerSeat = seats::own_seat(&self.state);
+        swarm::start(tools, name, text, settings, own_seat)
+    }
+
+    fn reader(&self, pieces: &PieceManifest, address: SocketAddr) -> PieceReader {
+        PieceReader {
+            origin: self.outside.origin.clone(),
+            address,
+            model: pieces.model.clone(),
+            version: pieces.version,
+            down: self.down.clone(),
+        }
+    }
+
+    /// Looks which pieces of a version lie in the stage already.
+    async fn survey(&self, pieces: &PieceManifest, manifest: &Manifest) -> StageState {
+        let count = pieces.digests.len() as u32;
+        let mut placed = vec![false; count as usize];
+        let mut good = 0;
+        for piece in 0..count {
+            if piece == SURVEY_SAMPLE && good == 0 {
+                break;
+            }
+            if self.is_staged(pieces, manifest, piece).await {
+                placed[piece as usize] = true;
+                good += 1;
+            }
+        }
+        StageState { version: Some(pieces.version), placed, checked: None, surveyed: true }
+    }
+
+    /// Whether a piece lies in the stage unspoilt; if so, it is here for others as well.
+    async fn is_staged(&self, pieces: &PieceManifest, manifest: &Manifest, piece: u32) -> bool {
+        let Some(place) = manifest.chunk(ChunkIndex(piece)) else { return false };
+        match self.outside.engine.get(&pieces.model, piece).await {
+            Ok(data) => {
+                matches!(self.vault.put(manifest.kind(), place.digest, data), Some(Ok(())))
+            }
+            Err(_) => false,
+        }
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -17,8 +17,8 @@
     cli::{CommandLine, DaemonCommand, SettingsArgs},
     decisions,
     direct::{
+        agent::{AgentOutside, DirectAgent},
         entry::DirectEntry,
-        stager::{AgentOutside, DirectAgent},
     },
     entry::RunningEntry,
     error::{DaemonError, Failure},
--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -9,8 +9,12 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
+use headlatch_core::direct::peers::{DrainNotice, PeerKind, PeerNotice};
 use headlatch_daemon::{
-    direct::stager::{AgentOutside, DirectAgent},
+    direct::{
+        agent::{AgentOutside, DirectAgent},
+        notices::{decode, encode},
+    },
     timer::SystemTimer,
 };
 use headlatch_outside::{
@@ -244,6 +248,10 @@
 
 impl Setting {
     async fn new(engine: TestEngine, origin: TestOrigin) -> Self {
+        Self::with_seeds(engine, origin, &[]).await
+    }
+
+    async fn with_seeds(engine: TestEngine, origin: TestOrigin, seeds: &[SocketAddr]) -> Self {
         let text = serde_json::json!({
             "box": "a1", "domain": "z1", "region": "r1", "control": "127.0.0.1:0",
             "admin": "127.0.0.1:0", "platform": "http://127.0.0.1:1",
@@ -251,10 +259,12 @@
                 { "kind": "engine", "address": "127.0.0.1:1", "service": "llm" } },
             "direct": { "zones": { "z1": "r1" }, "weights_ms": 1000 }
         });
-        let settings = match DaemonSettings::parse(&text.to_string()) {
+        let mut settings = match DaemonSettings::parse(&text.to_string()) {
             Ok(DaemonSettings::DirectAgent(settings)) => *settings,
             other => panic!("these are settings of a direct agent, not {other:?}"),
         };
+        // The settings' seeds share this agent's port, which is any free one here.
+        settings.direct.seeds = seeds.to_vec();
         let (engine, origin) = (Arc::new(engine), Arc::new(origin));
         let store = Arc::new(TestStore::default());
         let outside =
@@ -336,3 +346,55 @@
     expect_that!(state.orders.len(), eq(2));
     expect_that!(state.mixed, eq(false));
 }
+
+/// Notices about a change that an entry hears while its request waits.
+const HEARD_NOTICES: u32 = 3;
+
+/// An entry that has a request that waits at a server about to change, until it has heard of the
+/// change a few times.
+async fn hear_of_change(socket: tokio::net::UdpSocket) {
+    let mut buffer = vec![0; 8 << 10];
+    let mut changing = 0;
+    for sequence in 1.. {
+        let (length, agent) = socket.recv_from(&mut buffer).await.expect("it is bound");
+        let server = decode(&buffer[..length]).and_then(|notice| notice.server);
+        let server = server.expect("an agent tells of its server");
+        changing += u32::from(server.changing);
+        if changing > HEARD_NOTICES {
+            return;
+        }
+        let waiting = changing.min(1);
+        let notice = PeerNotice {
+            from: socket.local_addr().expect("it is bound"),
+            kind: PeerKind::Entry,
+            life: 1,
+            sequence,
+            plan: 0,
+            peers: Vec::new(),
+            loads: Vec::new(),
+            drains: vec![DrainNotice { server: server.address, waiting }],
+            server: None,
+        };
+        socket.send_to(&encode(&notice), agent).await.expect("it is bound");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn no_order_is_given_while_an_entry_has_requests_that_wait_there() {
+    let engine = TestEngine::default();
+    lock(&engine.state).holds = Some(WeightVersion(1));
+    let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.expect("a port is free");
+    let seeds = [socket.local_addr().expect("it is bound")];
+    let setting = Setting::with_seeds(engine, TestOrigin::default(), &seeds).await;
+    let entry = tokio::spawn(hear_of_change(socket));
+    let orders = || lock(&setting.engine.state).orders.len();
+    while !entry.is_finished() && orders() == 0 {
+        // Once more, as the watch may not have begun.
+        setting.name_version(2);
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    expect_that!(orders(), eq(0));
+    // The entry is silent from now on, and counts as gone in the end.
+    setting.wait_until_it_holds(2).await;
+}
--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -9,7 +9,8 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use headlatch_daemon::direct::entry::DirectEntry;
+use headlatch_core::direct::peers::{DrainNotice, PeerKind, PeerNotice, ServerNotice};
+use headlatch_daemon::direct::{entry::DirectEntry, notices};
 use headlatch_http::{CallAnswer, Connections};
 use headlatch_outside::{
     OutsideFuture,
@@ -549,3 +550,47 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn an_entry_answers_an_agent_whose_server_is_about_to_change() {
+    let setting = Setting::new(whole, whole).await;
+    let bind = || tokio::net::UdpSocket::bind("127.0.0.1:0");
+    let (own, agent) = (bind().await.expect("a port"), bind().await.expect("a port"));
+    let entry = own.local_addr().expect("it is bound");
+    tokio::spawn(notices::run(setting.entry.state.clone(), own));
+    let notice = PeerNotice {
+        from: agent.local_addr().expect("it is bound"),
+        kind: PeerKind::Agent,
+        life: 1,
+        sequence: 1,
+        plan: 0,
+        peers: Vec::new(),
+        loads: Vec::new(),
+        drains: Vec::new(),
+        server: Some(ServerNotice {
+            address: setting.first.address,
+            whole: None,
+            changing: true,
+            staged: None,
+            sharing: None,
+            zone: "z1".parse().expect("a name"),
+            service: "s".to_owned(),
+        }),
+    };
+    agent.send_to(&notices::encode(&notice), entry).await.expect("it is bound");
+    let mut buffer = vec![0; notices::MOST_DATAGRAM];
+    loop {
+        let (length, _) = agent.recv_from(&mut buffer).await.expect("it is bound");
+        let answer = notices::decode(&buffer[..length]).expect("a notice");
+        if !answer.drains.is_empty() {
+            let drain = DrainNotice { server: setting.first.address, waiting: 0 };
+            expect_that!(answer.drains, eq(&vec![drain]));
+            break;
+        }
+    }
+    // Nothing is sent there any more.
+    let answer = setting.ask("/safe/x", "k").await.expect("an answer");
+    expect_that!(answer.status, eq(StatusCode::OK));
+    expect_that!(setting.first.seen(), is_empty());
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,4 +9,4 @@
 
 mod notice;
 
-pub use notice::{NoticeLoad, NoticeServer, PeerNotice};
+pub use notice::{NoticeDrain, NoticeLoad, NoticeServer, PeerNotice};
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -40,6 +40,17 @@
     pub service: String,
 }
 
+/// An entry's word that it sends nothing to a server that is about to change.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct NoticeDrain {
+    /// Address of the server.
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// Requests of the entry that have not begun there.
+    #[prost(uint32, tag = "2")]
+    pub waiting: u32,
+}
+
 /// A notice.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerNotice {
@@ -67,4 +78,7 @@
     /// Its server, if it looks after one.
     #[prost(message, optional, tag = "8")]
     pub server: Option<NoticeServer>,
+    /// Servers that it sends nothing to because they are about to change.
+    #[prost(message, repeated, tag = "9")]
+    pub drains: Vec<NoticeDrain>,
 }
