--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -179,7 +179,11 @@
     /// Takes in a server's record.
     pub fn set(&mut self, record: ServerRecord) {
         if let Some(state) = self.servers.get_mut(&record.id) {
+            let moved = state.record.service != record.service;
             state.record = record;
+            if !moved {
+                return;
+            }
         } else {
             let state = ServerState {
                 key: server_key(&record.id),
--- a/crates/core/src/direct/weight_deadline.rs
+++ b/crates/core/src/direct/weight_deadline.rs
@@ -64,14 +64,4 @@
         let newer = self.models.get(model)?.iter().find(|one| one.version > version)?;
         Some((newer.learnt + time.saturating_sub(WORK_RESERVE)).since(now))
     }
-
-    /// Forgets versions that have been replaced long ago.
-    pub fn forget_old(&mut self, now: Moment, time: Duration) {
-        for wanted in self.models.values_mut() {
-            let last = wanted.iter().rposition(|one| now.since(one.learnt) >= time);
-            if let Some(last) = last {
-                wanted.drain(..last);
-            }
-        }
-    }
 }
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -11,10 +11,7 @@
     route_table::{Denial, RouteTable, pick_target},
 };
 use headlatch_outside::headers::RequestFacts;
-use headlatch_types::{
-    RunVerdict,
-    traffic::{EngineFigures, Route, RouteKind},
-};
+use headlatch_types::traffic::{EngineFigures, Route, RouteKind};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -205,9 +202,4 @@
     pub fn is_stream(&self) -> bool {
         self.route.kind == RouteKind::Stream
     }
-
-    /// What is known of it when its last attempt came to `last` and all before to `earlier`.
-    pub fn verdict(&self, earlier: Option<RunVerdict>, last: RunVerdict) -> RunVerdict {
-        last.after(earlier)
-    }
 }
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -73,7 +73,7 @@
 pub struct HeldConnection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
-    driver: DriverGuard,
+    _driver: DriverGuard,
     rest: Duration,
     reusable: bool,
 }
@@ -245,15 +245,10 @@
         let _ = connection.await;
     });
     let driver = DriverGuard(task.abort_handle());
-    Ok(HeldConnection { address, sender, driver, rest: REST_TIME, reusable: true })
+    Ok(HeldConnection { address, sender, _driver: driver, rest: REST_TIME, reusable: true })
 }
 
 impl HeldConnection {
-    /// Where it leads.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
     /// Sends a request and returns the answer's head with its body to come.
     pub async fn send(
         &mut self,
@@ -278,16 +273,6 @@
         Ok(answer)
     }
 
-    /// The connection is not to be used again.
-    pub fn spoil(&mut self) {
-        self.reusable = false;
-    }
-
-    /// Whether the connection has ended.
-    pub fn is_closed(&self) -> bool {
-        self.driver.0.is_finished() || self.sender.is_closed()
-    }
-
     fn note_rest(&mut self, headers: &HeaderMap) {
         let closes = headers
             .get(header::CONNECTION)
