--- a/crates/core/src/direct/engine_model.rs
+++ b/crates/core/src/direct/engine_model.rs
@@ -28,6 +28,17 @@
     pub waiting_tokens: u64,
 }
 
+impl std::ops::Add for EngineLoad {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            in_flight: self.in_flight + other.in_flight,
+            waiting_tokens: self.waiting_tokens + other.waiting_tokens,
+        }
+    }
+}
+
 /// What a request asks of an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EngineWork {
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -9,4 +9,5 @@
 pub mod route_table;
 pub mod server_table;
 pub mod staging;
+pub mod stream_timing;
 pub mod weight_deadline;
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -3,6 +3,10 @@
 //! Every process sends small notices to those that it knows: that it lives, whom it knows, and
 //! what it has in progress at each server. There is no list to begin with but a few seeds, which
 //! may be stale, and the machines of listed servers.
+//!
+//! Within a failure domain entries tell each other every change of load at once. Other domains
+//! hear the sum over a domain now and then, from one of its entries: what a process sends and
+//! hears must not grow with the number of processes.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -15,11 +19,37 @@
 use super::engine_model::EngineLoad;
 use crate::time::Moment;
 
-/// Silence after which a peer counts as gone.
+/// Silence after which a peer of the own failure domain counts as gone: three notices are lost.
 pub const PEER_SILENCE: Duration = Duration::from_millis(1600);
 
-/// Peers named in a notice at most.
-pub const NAMED_PEERS: usize = 24;
+/// The same for peers of other failure domains, which are heard once a second.
+pub const FAR_SILENCE: Duration = Duration::from_millis(3300);
+
+/// Age after which the sum over another failure domain says nothing any more: three were lost.
+const DOMAIN_LOAD_LIFE: Duration = Duration::from_millis(700);
+
+/// Time for which an address that does not answer is tried.
+const CANDIDATE_LIFE: Duration = Duration::from_secs(32);
+
+/// Peers named in a notice at most: an address takes 8 bytes.
+pub const NAMED_PEERS: usize = 48;
+
+/// Short key of a failure domain, in notices.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct DomainKey(pub u32);
+
+impl From<&DomainId> for DomainKey {
+    fn from(domain: &DomainId) -> Self {
+        let key = domain.key();
+        Self((key ^ (key >> 32)) as u32)
+    }
+}
+
+impl std::fmt::Display for DomainKey {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{:08x}", self.0)
+    }
+}
 
 /// What a process does.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
@@ -84,6 +114,8 @@
     pub from: SocketAddr,
     /// What it does.
     pub kind: PeerKind,
+    /// Its failure domain.
+    pub domain: DomainKey,
     /// Drawn at its start, so that a restarted one is not taken for an old one.
     pub life: u64,
     /// Rises with every notice of a life.
@@ -94,6 +126,10 @@
     pub peers: Vec<SocketAddr>,
     /// What it has in progress.
     pub loads: Vec<LoadNotice>,
+    /// `loads` leaves out servers where nothing changed, and nothing else is told.
+    pub changes_only: bool,
+    /// What all entries of its failure domain have in progress, if it tells that.
+    pub domain_loads: Option<Vec<LoadNotice>>,
     /// Servers that it sends nothing to because they are about to change.
     pub drains: Vec<DrainNotice>,
     /// Its server, if it looks after one.
@@ -122,15 +158,29 @@
 #[derive(Debug)]
 pub struct PeerTable {
     own: SocketAddr,
+    domain: DomainKey,
     peers: BTreeMap<SocketAddr, Peer>,
     /// Addresses that may be peers: seeds, listed machines, and those that others named.
     candidates: BTreeMap<SocketAddr, Moment>,
+    /// What entries of other failure domains have in progress, domain by domain.
+    domain_loads: BTreeMap<DomainKey, (Moment, Vec<LoadNotice>)>,
 }
 
 impl PeerTable {
-    /// Nobody known yet but addresses that may be peers.
-    pub fn new(own: SocketAddr) -> Self {
-        Self { own, peers: BTreeMap::new(), candidates: BTreeMap::new() }
+    /// Nobody known yet, seen from a process in `domain`.
+    pub fn new(own: SocketAddr, domain: DomainKey) -> Self {
+        Self {
+            own,
+            domain,
+            peers: BTreeMap::new(),
+            candidates: BTreeMap::new(),
+            domain_loads: BTreeMap::new(),
+        }
+    }
+
+    /// Whether a peer is of the own failure domain.
+    pub fn is_near(&self, peer: &Peer) -> bool {
+        peer.notice.domain == self.domain
     }
 
     /// Adds an address that may be a peer.
@@ -161,20 +211,33 @@
             server_changed: notice.server.is_some()
                 && before.is_none_or(|peer| peer.notice.server != notice.server),
         };
+        let notice = match before {
+            Some(peer) if notice.changes_only => with_changes(&peer.notice, notice),
+            _ => notice,
+        };
+        if let Some(loads) = notice.domain_loads.as_ref().filter(|_| notice.domain != self.domain) {
+            self.domain_loads.insert(notice.domain, (now, loads.clone()));
+        }
         self.peers.insert(notice.from, Peer { notice, heard: now });
         outcome
     }
 
     /// Drops peers that have fallen silent; they stay candidates for a while.
     pub fn expire(&mut self, now: Moment) -> Vec<SocketAddr> {
-        let silent = |peer: &Peer| now.since(peer.heard) > PEER_SILENCE;
+        let domain = self.domain;
+        let limit = |peer: &Peer| match peer.notice.domain == domain {
+            true => PEER_SILENCE,
+            false => FAR_SILENCE,
+        };
+        let silent = |peer: &Peer| now.since(peer.heard) > limit(peer);
         let gone: Vec<SocketAddr> =
             self.peers.iter().filter(|(_, peer)| silent(peer)).map(|(at, _)| *at).collect();
+        self.domain_loads.retain(|_, (heard, _)| now.since(*heard) <= DOMAIN_LOAD_LIFE);
         for address in &gone {
             self.peers.remove(address);
             self.candidates.insert(*address, now);
         }
-        self.candidates.retain(|_, since| now.since(*since) < PEER_SILENCE * 20);
+        self.candidates.retain(|_, since| now.since(*since) < CANDIDATE_LIFE);
         gone
     }
 
@@ -214,14 +277,56 @@
         rotated.take(count.min(NAMED_PEERS)).copied().collect()
     }
 
+    /// Entries of the own failure domain that live, other than this process.
+    fn near_entries(&self) -> impl Iterator<Item = &Peer> {
+        let entries = self.living().filter(|peer| peer.notice.kind == PeerKind::Entry);
+        entries.filter(|peer| self.is_near(peer))
+    }
+
+    /// Whether this entry is the one that tells other failure domains what its own has in
+    /// progress: the first by address of those that live.
+    pub fn speaks_for_domain(&self) -> bool {
+        self.near_entries().all(|peer| peer.notice.from > self.own)
+    }
+
     /// What others have in progress, by the key of the server.
     pub fn loads(&self) -> HashMap<u32, EngineLoad> {
-        let mut loads: HashMap<u32, EngineLoad> = HashMap::new();
-        for notice in self.living().flat_map(|peer| &peer.notice.loads) {
-            let sum = loads.entry(notice.server).or_default();
-            sum.in_flight += notice.load.in_flight;
-            sum.waiting_tokens += notice.load.waiting_tokens;
+        let mut loads = self.near_loads();
+        for (_, far) in self.domain_loads.values() {
+            add_loads(&mut loads, far);
         }
         loads
     }
+
+    /// The same for entries of the own failure domain alone.
+    pub fn near_loads(&self) -> HashMap<u32, EngineLoad> {
+        let mut loads: HashMap<u32, EngineLoad> = HashMap::new();
+        self.near_entries().for_each(|peer| add_loads(&mut loads, &peer.notice.loads));
+        loads
+    }
+
+    /// What others have in progress at one server.
+    pub fn load_of(&self, server: u32) -> EngineLoad {
+        let near = self.near_entries().flat_map(|peer| &peer.notice.loads);
+        let far = self.domain_loads.values().flat_map(|(_, loads)| loads);
+        let there = near.chain(far).filter(|notice| notice.server == server);
+        there.fold(EngineLoad::default(), |sum, notice| sum + notice.load)
+    }
+}
+
+fn add_loads(sums: &mut HashMap<u32, EngineLoad>, loads: &[LoadNotice]) {
+    for notice in loads {
+        let sum = sums.entry(notice.server).or_default();
+        *sum = *sum + notice.load;
+    }
+}
+
+/// A peer's last notice with the loads that a newer one changes.
+fn with_changes(last: &PeerNotice, changes: PeerNotice) -> PeerNotice {
+    let is_changed =
+        |load: &LoadNotice| changes.loads.iter().any(|change| change.server == load.server);
+    let mut loads: Vec<LoadNotice> =
+        last.loads.iter().filter(|load| !is_changed(load)).copied().collect();
+    loads.extend(changes.loads.iter().filter(|load| load.load.in_flight > 0));
+    PeerNotice { sequence: changes.sequence, loads, ..last.clone() }
 }
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -24,6 +24,21 @@
 /// The same for streams that are continued.
 const CONTINUED_QUEUE: u32 = 6;
 
+/// Part of the slots of an engine in another failure domain that is left to the entries there, in
+/// percent: what they have in progress is known late, and many may choose the same engine.
+const FAR_RESERVE_PERCENT: u32 = 20;
+
+/// Spread of the costs of engines in other failure domains, so that entries do not all choose the
+/// same one between two notices.
+const FAR_SPREAD: f64 = 0.15;
+
+/// Spread of the costs of near servers, which tells equals apart.
+const EQUALS_SPREAD: f64 = 0.01;
+
+/// Part of its slots from which on a server's load is told at once, in percent: while a server is
+/// idle, nobody needs to know.
+const BUSY_PERCENT: u32 = 40;
+
 /// Part of a request's objective that its predicted first token may take, in percent: predictions
 /// are made on loads that are some time old.
 const PREDICTED_PERCENT: u32 = 85;
@@ -83,6 +98,8 @@
     own: EngineLoad,
     /// Requests of this entry that have not begun there.
     waiting: u32,
+    /// The load has changed since it was last told.
+    untold: bool,
     failures: u32,
     refusals: u32,
     failure_share: f64,
@@ -189,6 +206,7 @@
                 key: server_key(&record.id),
                 own: EngineLoad::default(),
                 waiting: 0,
+                untold: false,
                 failures: 0,
                 refusals: 0,
                 failure_share: 0.0,
@@ -231,6 +249,27 @@
         self.others = others;
     }
 
+    /// Takes in what other entries have in progress at one server.
+    pub fn set_other(&mut self, server: u32, load: EngineLoad) {
+        self.others.insert(server, load);
+    }
+
+    /// Whether a busy server's load has changed since [`Self::take_changes`].
+    pub fn has_changes(&self) -> bool {
+        self.servers.values().any(|state| state.untold)
+    }
+
+    /// What this entry has in progress at busy servers where that has changed.
+    pub fn take_changes(&mut self) -> Vec<LoadNotice> {
+        let changed = self.servers.values_mut().filter(|state| state.untold);
+        changed
+            .map(|state| {
+                state.untold = false;
+                LoadNotice { server: state.key, load: state.own }
+            })
+            .collect()
+    }
+
     /// Takes in what a server's agent tells; none if the agent is gone.
     pub fn set_notice(&mut self, address: SocketAddr, notice: Option<ServerNotice>) {
         for state in self.servers.values_mut().filter(|state| state.record.address == address) {
@@ -262,7 +301,11 @@
             match self.cost(now, state, query) {
                 Ok(cost) => {
                     let order = query.draw.rotate_left(index as u32 % 64) % 1024;
-                    let cost = cost + order as f64 * 1e-5;
+                    let spread = match self.is_near(state) {
+                        true => EQUALS_SPREAD,
+                        false => FAR_SPREAD,
+                    };
+                    let cost = cost + spread * order as f64 / 1024.0;
                     if best.is_none_or(|(least, _)| cost < least) {
                         best = Some((cost, state));
                     }
@@ -286,7 +329,7 @@
             own: state.own,
             others: self.others.get(&state.key).copied().unwrap_or_default(),
             predicted: query.engine.map(|engine| self.predict(state, engine)),
-            limit: limit(state, query),
+            limit: self.limit(state, query),
             version: whole_version(state, layers),
         }
     }
@@ -333,7 +376,7 @@
             return Err(PassedOver::Unfit);
         }
         let in_flight = self.load(state).in_flight;
-        let limit = limit(state, query);
+        let limit = self.limit(state, query);
         if in_flight >= limit {
             return Err(PassedOver::Full);
         }
@@ -372,12 +415,29 @@
         if region(own).is_some() && region(own) == region(zone) { ZONE_COST } else { REGION_COST }
     }
 
+    /// Whether a server stands in the own failure domain.
+    fn is_near(&self, state: &ServerState) -> bool {
+        self.zone.as_ref().is_none_or(|zone| *zone == state.record.zone)
+    }
+
+    /// Requests that a server is sent at most, by all entries.
+    fn limit(&self, state: &ServerState, query: &ServerQuery<'_>) -> u32 {
+        let slots = state.record.slots.max(1);
+        match query.engine {
+            Some(engine) if engine.continues => slots + CONTINUED_QUEUE,
+            Some(_) if self.is_near(state) => slots + ENGINE_QUEUE,
+            Some(_) => (slots * (100 - FAR_RESERVE_PERCENT) / 100).max(1),
+            None => slots * PLAIN_LOAD,
+        }
+    }
+
     /// Notes that a request with a prompt of `tokens` has been sent to a server.
     pub fn begin(&mut self, id: &ServerId, tokens: u64) {
         if let Some(state) = self.servers.get_mut(id) {
             state.own.in_flight += 1;
             state.own.waiting_tokens += tokens;
             state.waiting += 1;
+            note_change(state, &self.others);
         }
     }
 
@@ -386,12 +446,14 @@
         if let Some(state) = self.servers.get_mut(id) {
             state.own.waiting_tokens = state.own.waiting_tokens.saturating_sub(tokens);
             state.waiting = state.waiting.saturating_sub(1);
+            note_change(state, &self.others);
         }
     }
 
     /// Notes what came of it.
     pub fn end(&mut self, now: Moment, id: &ServerId, outcome: ServerOutcome) {
         let Some(state) = self.servers.get_mut(id) else { return };
+        note_change(state, &self.others);
         state.own.in_flight = state.own.in_flight.saturating_sub(1);
         match outcome {
             ServerOutcome::Answered => {
@@ -427,17 +489,16 @@
     state.notice.as_ref().is_some_and(|notice| notice.staged > notice.whole)
 }
 
-fn note_failure(state: &mut ServerState, failed: f64) {
-    state.failure_share += (failed - state.failure_share) * FAILURE_WEIGHT;
+/// Notes that what this entry has in progress at a server changes, if others need to know at once.
+fn note_change(state: &mut ServerState, others: &HashMap<u32, EngineLoad>) {
+    let others = others.get(&state.key).copied().unwrap_or_default();
+    let in_flight = state.own.in_flight + others.in_flight;
+    let busy = in_flight * 100 >= state.record.slots.max(1) * BUSY_PERCENT;
+    state.untold |= busy;
 }
 
-fn limit(state: &ServerState, query: &ServerQuery<'_>) -> u32 {
-    let slots = state.record.slots.max(1);
-    match query.engine {
-        Some(engine) if engine.continues => slots + CONTINUED_QUEUE,
-        Some(_) => slots + ENGINE_QUEUE,
-        None => slots * PLAIN_LOAD,
-    }
+fn note_failure(state: &mut ServerState, failed: f64) {
+    state.failure_share += (failed - state.failure_share) * FAILURE_WEIGHT;
 }
 
 /// The version that a server is thought to hold whole: its agent knows before the list does.
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -9,8 +9,8 @@
         engine_model::{EngineLoad, EngineWork, first_token},
         event_split::EventSplitter,
         peers::{
-            DrainNotice, DrainReport, LoadNotice, PEER_SILENCE, PeerKind, PeerNotice, PeerTable,
-            ServerNotice,
+            DomainKey, DrainNotice, DrainReport, LoadNotice, PEER_SILENCE, PeerKind, PeerNotice,
+            PeerTable, ServerNotice,
         },
         retry_share::{RetryBudget, RetryShare},
         route_table::{Denial, RouteTable, pick_target},
@@ -329,7 +329,7 @@
 
 #[gtest]
 fn every_living_entry_must_confirm_a_drain() {
-    let mut peers = PeerTable::new("10.0.0.1:7".parse().expect("an address"));
+    let mut peers = PeerTable::new("10.0.0.1:7".parse().expect("an address"), DomainKey(1));
     let server = "10.0.0.9:80".parse().expect("an address");
     let confirmed = |from, waiting| PeerNotice {
         drains: vec![DrainNotice { server, waiting }],
@@ -401,11 +401,14 @@
     PeerNotice {
         from: from.parse().expect("an address"),
         kind: PeerKind::Entry,
+        domain: DomainKey(1),
         life,
         sequence,
         plan: 1,
         peers: Vec::new(),
         loads: vec![LoadNotice { server: 7, load }],
+        changes_only: false,
+        domain_loads: None,
         drains: Vec::new(),
         server: None,
     }
@@ -413,7 +416,7 @@
 
 #[gtest]
 fn old_notices_change_nothing_and_silent_peers_are_dropped() {
-    let mut peers = PeerTable::new("10.0.0.1:7".parse().expect("an address"));
+    let mut peers = PeerTable::new("10.0.0.1:7".parse().expect("an address"), DomainKey(1));
     expect_that!(peers.hear(at(0), notice("10.0.0.2:7", 1, 5, 3)).joined, eq(true));
     peers.hear(at(1), notice("10.0.0.2:7", 1, 4, 9));
     expect_that!(peers.loads().get(&7).map(|load| load.in_flight), some(eq(3)));
@@ -429,7 +432,7 @@
 
 #[gtest]
 fn a_peer_never_takes_itself_for_another() {
-    let mut peers = PeerTable::new("10.0.0.1:7".parse().expect("an address"));
+    let mut peers = PeerTable::new("10.0.0.1:7".parse().expect("an address"), DomainKey(1));
     peers.suggest(at(0), "10.0.0.1:7".parse().expect("an address"));
     peers.hear(at(0), notice("10.0.0.1:7", 1, 1, 1));
     expect_that!(peers.candidates().count(), eq(0));
--- /dev/null
+++ b/crates/core/tests/load_notices.rs
@@ -0,0 +1,193 @@
+//! What entries tell each other of the load of servers, within and between failure domains.
+
+use std::{net::SocketAddr, time::Duration};
+
+use googletest::prelude::*;
+use headlatch_core::{
+    direct::{
+        engine_model::{EngineLoad, EngineWork},
+        peers::{
+            DomainKey, FAR_SILENCE, LoadNotice, PEER_SILENCE, PeerKind, PeerNotice, PeerTable,
+        },
+        server_table::{
+            EngineQuery, ServerChoice, ServerOutcome, ServerQuery, ServerTable, server_key,
+        },
+    },
+    time::Moment,
+};
+use headlatch_types::traffic::{
+    EngineFigures, HeldLayers, HeldModel, ServerId, ServerRecord, WeightVersion,
+};
+
+const NEAR: DomainKey = DomainKey(1);
+const FAR: DomainKey = DomainKey(2);
+
+fn at(millis: u64) -> Moment {
+    Moment::ZERO + Duration::from_millis(millis)
+}
+
+fn address(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, last], 7700))
+}
+
+fn load(server: u32, in_flight: u32) -> LoadNotice {
+    LoadNotice { server, load: EngineLoad { in_flight, waiting_tokens: 0 } }
+}
+
+fn notice(from: u8, domain: DomainKey, sequence: u64, loads: Vec<LoadNotice>) -> PeerNotice {
+    PeerNotice {
+        from: address(from),
+        kind: PeerKind::Entry,
+        domain,
+        life: 1,
+        sequence,
+        plan: 1,
+        peers: Vec::new(),
+        loads,
+        changes_only: false,
+        domain_loads: None,
+        drains: Vec::new(),
+        server: None,
+    }
+}
+
+fn peers() -> PeerTable {
+    PeerTable::new(address(5), NEAR)
+}
+
+#[gtest]
+fn a_notice_of_changes_leaves_the_other_servers_as_they_were() {
+    let mut peers = peers();
+    peers.hear(at(0), notice(6, NEAR, 1, vec![load(1, 3), load(2, 4)]));
+    let changes = notice(6, NEAR, 2, vec![load(2, 5), load(3, 1)]);
+    peers.hear(at(1), PeerNotice { changes_only: true, ..changes });
+    expect_that!(peers.load_of(1).in_flight, eq(3));
+    expect_that!(peers.load_of(2).in_flight, eq(5));
+    expect_that!(peers.load_of(3).in_flight, eq(1));
+    let changes = notice(6, NEAR, 3, vec![load(1, 0)]);
+    peers.hear(at(2), PeerNotice { changes_only: true, ..changes });
+    expect_that!(peers.load_of(1).in_flight, eq(0));
+    // The full list that follows counts whatever was lost.
+    peers.hear(at(3), notice(6, NEAR, 4, vec![load(3, 2)]));
+    expect_that!(peers.load_of(2).in_flight, eq(0));
+    expect_that!(peers.load_of(3).in_flight, eq(2));
+}
+
+#[gtest]
+fn another_domain_counts_by_its_sum_and_only_while_that_is_fresh() {
+    let mut peers = peers();
+    let told = |sequence, loads| PeerNotice {
+        domain_loads: Some(loads),
+        ..notice(20, FAR, sequence, vec![load(9, 50)])
+    };
+    peers.hear(at(0), told(1, vec![load(1, 7)]));
+    expect_that!(peers.load_of(1).in_flight, eq(7));
+    expect_that!(peers.load_of(9).in_flight, eq(0));
+    peers.hear(at(10), told(2, vec![load(1, 4)]));
+    expect_that!(peers.loads().get(&1).map(|load| load.in_flight), some(eq(4)));
+    peers.expire(at(1_000));
+    expect_that!(peers.load_of(1).in_flight, eq(0));
+}
+
+#[gtest]
+fn the_first_living_entry_of_a_domain_tells_the_others() {
+    let mut peers = peers();
+    expect_that!(peers.speaks_for_domain(), eq(true));
+    peers.hear(at(0), notice(2, FAR, 1, Vec::new()));
+    expect_that!(peers.speaks_for_domain(), eq(true));
+    peers.hear(at(0), notice(3, NEAR, 1, Vec::new()));
+    expect_that!(peers.speaks_for_domain(), eq(false));
+    peers.expire(at(1) + PEER_SILENCE);
+    expect_that!(peers.speaks_for_domain(), eq(true));
+    // The far peer is heard less often and lives on.
+    expect_that!(peers.entries(PeerKind::Entry), eq(2));
+    peers.expire(at(1) + FAR_SILENCE);
+    expect_that!(peers.entries(PeerKind::Entry), eq(1));
+}
+
+fn engine(id: &str, zone: &str) -> ServerRecord {
+    let version = WeightVersion(1);
+    ServerRecord {
+        id: ServerId(id.into()),
+        service: "llm".into(),
+        address: address(100 + id.len() as u8),
+        zone: zone.parse().expect("a name"),
+        slots: 10,
+        draining: false,
+        models: vec![HeldModel {
+            model: "m0".parse().expect("a name"),
+            version,
+            layers: vec![HeldLayers { from: 0, until: 16, version }],
+        }],
+    }
+}
+
+fn figures() -> EngineFigures {
+    EngineFigures {
+        slots: 10,
+        memory_tokens: 100_000,
+        step_ms: 5.0,
+        stride: 1,
+        read_per_second: 20_000.0,
+        layers: 16,
+        usual_prompt: 100,
+        usual_answer: 100,
+        models: vec!["m0".parse().expect("a name")],
+        warm_ms: 300,
+    }
+}
+
+fn choose(table: &ServerTable, figures: &EngineFigures, draw: u64) -> String {
+    let work = EngineWork::new(figures, Some(100), Duration::from_millis(400));
+    let query = ServerQuery {
+        service: "llm",
+        engine: Some(EngineQuery { figures, work, continues: false }),
+        least: None,
+        tried: &[],
+        draw,
+    };
+    match table.choose(at(0), &query) {
+        ServerChoice::Server(server) => server.id.0.to_string(),
+        ServerChoice::Full => "full".to_owned(),
+        ServerChoice::Nobody => "nobody".to_owned(),
+    }
+}
+
+fn table(records: &[ServerRecord]) -> ServerTable {
+    let mut table = ServerTable::new("z1".parse().expect("a name"), Default::default());
+    records.iter().for_each(|record| table.set(record.clone()));
+    table
+}
+
+#[gtest]
+fn part_of_an_engine_is_left_to_the_entries_beside_it() {
+    let mut table = table(&[engine("far", "z2")]);
+    let key = server_key(&ServerId("far".into()));
+    table.set_other(key, EngineLoad { in_flight: 7, waiting_tokens: 0 });
+    expect_that!(choose(&table, &figures(), 0), eq("far"));
+    table.set_other(key, EngineLoad { in_flight: 8, waiting_tokens: 0 });
+    expect_that!(choose(&table, &figures(), 0), eq("full"));
+}
+
+#[gtest]
+fn entries_spread_over_engines_of_other_domains() {
+    let table = table(&[engine("a", "z2"), engine("bb", "z2"), engine("ccc", "z2")]);
+    let draw = |turn: u64| turn.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let chosen: std::collections::BTreeSet<String> =
+        (0..50).map(|turn| choose(&table, &figures(), draw(turn))).collect();
+    expect_that!(chosen.len(), eq(3));
+}
+
+#[gtest]
+fn only_changes_at_busy_servers_are_told_at_once() {
+    let mut table = table(&[engine("near", "z1")]);
+    let near = ServerId("near".into());
+    table.begin(&near, 100);
+    expect_that!(table.take_changes().len(), eq(0));
+    (0..4).for_each(|_| table.begin(&near, 100));
+    let told = table.take_changes();
+    expect_that!(told.first().map(|notice| notice.load.in_flight), some(eq(5)));
+    expect_that!(table.has_changes(), eq(false));
+    table.end(at(1), &near, ServerOutcome::Answered);
+    expect_that!(table.take_changes().first().map(|one| one.load.in_flight), some(eq(4)));
+}
--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -11,7 +11,7 @@
 
 use error_stack::{Report, ResultExt};
 use headlatch_core::{
-    direct::peers::{PeerKind, PeerTable, ServerNotice},
+    direct::peers::{DomainKey, PeerKind, PeerTable, ServerNotice},
     membership::NodeKind,
     time::Moment,
 };
@@ -124,7 +124,7 @@
         let node_settings = settings.node.clone();
         let node =
             NodeContext::new(node_settings, NodeKind::Agent, control, timer, unused_store, spans);
-        let mut peers = PeerTable::new(control);
+        let mut peers = PeerTable::new(control, DomainKey::from(&settings.node.domain));
         for seed in &settings.direct.seeds {
             peers.suggest(Moment::ZERO, *seed);
         }
@@ -201,7 +201,9 @@
 }
 
 async fn run_notices(state: Arc<AgentState>, socket: UdpSocket) {
-    let mut writer = NoticeWriter::new(state.settings.node.control, PeerKind::Agent);
+    let node = &state.settings.node;
+    let domain = DomainKey::from(&node.domain);
+    let mut writer = NoticeWriter::new(node.control, PeerKind::Agent, domain);
     let mut ticks = tokio::time::interval(notices::NOTICE_PAUSE);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut buffer = vec![0; notices::MOST_DATAGRAM];
@@ -221,11 +223,8 @@
         let server = Some(lock(&state.notice).clone());
         let repeated = state.draining.load(Ordering::Relaxed);
         let body = NoticeBody { server, repeated, ..NoticeBody::default() };
-        let (bytes, targets) = writer.tick(&lock(&state.peers), body);
-        for target in targets {
-            // A datagram that cannot be sent is as good as lost, which is borne.
-            let _ = socket.try_send_to(&bytes, target);
-        }
+        let mails = writer.tick(&lock(&state.peers), body);
+        mails.iter().for_each(|mail| mail.send(&socket));
     }
 }
 
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -37,6 +37,7 @@
     /// Counts a request at `server` with a prompt of `tokens`.
     pub fn begin(state: Arc<EntryState>, server: ChosenServer, tokens: u64) -> Self {
         state.servers().begin(&server.id, tokens);
+        state.tell_loads();
         let (read, ended) = (AtomicBool::new(false), AtomicBool::new(false));
         Self { state, server, tokens, read, ended }
     }
@@ -45,6 +46,7 @@
     pub fn note_read(&self) {
         if !self.read.swap(true, Ordering::Relaxed) {
             self.state.servers().note_read(&self.server.id, self.tokens);
+            self.state.tell_loads();
         }
     }
 
@@ -58,6 +60,7 @@
         self.note_read();
         if !self.ended.swap(true, Ordering::Relaxed) {
             self.state.servers().end(self.state.now(), &self.server.id, outcome);
+            self.state.tell_loads();
         }
     }
 }
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -2,8 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use headlatch_core::direct::server_table::{
-    ChosenServer, EngineQuery, ServerChoice, ServerOutcome, ServerQuery,
+use headlatch_core::{
+    direct::server_table::{ChosenServer, EngineQuery, ServerChoice, ServerOutcome, ServerQuery},
+    time::Moment,
 };
 use headlatch_types::{
     RunVerdict,
@@ -59,6 +60,10 @@
     verdict: Option<RunVerdict>,
     /// The caller has the head of the answer.
     pub begun: bool,
+    /// When the request came, by this entry's clock.
+    pub arrived: Moment,
+    /// First token of the first sending, as it was predicted; none for plain services.
+    pub predicted: Option<Duration>,
 }
 
 /// Passes a request on and returns its answer.
@@ -75,6 +80,8 @@
         runs: 0,
         verdict: None,
         begun: false,
+        arrived: state.now(),
+        predicted: None,
     };
     loop {
         let server = exchange.next_server()?;
@@ -177,6 +184,7 @@
         last_event: Option<u64>,
     ) -> Result<ServerAnswer, AttemptFailure> {
         self.tried.push(server.id.clone());
+        self.predicted = self.predicted.or(server.predicted);
         self.arrivals += 1;
         self.runs += 1;
         let request = &self.request;
@@ -259,17 +267,23 @@
         self.state.connections.put_back(connection);
         strip_connection(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
-        self.finish("answered", parts.status);
+        let fields = json!({ "server": self.last_server(), "status": parts.status.as_u16() });
+        self.finish("answered", fields);
         Ok(Response::from_parts(parts, whole(body)))
     }
 
     /// Writes down the end of the request.
-    pub fn finish(&self, event: &str, status: StatusCode) {
+    pub fn finish(&self, event: &str, fields: serde_json::Value) {
         self.state.metrics.count_request(RunVerdict::Ran);
         let kind = self.request.route.name.to_string();
         let held = self.request.arrived.elapsed().as_secs_f64();
         self.state.metrics.observe_first_byte(&kind, held);
-        self.log(event, json!({ "server": self.tried.last(), "status": status.as_u16() }));
+        self.log(event, fields);
+    }
+
+    /// The server that the request was sent to last.
+    pub fn last_server(&self) -> Option<&ServerId> {
+        self.tried.last()
     }
 }
 
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -1,10 +1,17 @@
 //! Sends and hears notices over UDP.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use headlatch_core::direct::{
     engine_model::EngineLoad,
-    peers::{DrainNotice, LoadNotice, PeerKind, PeerNotice, PeerTable, ServerNotice},
+    peers::{
+        DomainKey, DrainNotice, LoadNotice, NAMED_PEERS, Peer, PeerKind, PeerNotice, PeerTable,
+        ServerNotice,
+    },
 };
 use headlatch_types::traffic::{PlanVersion, WeightVersion};
 use headlatch_wire as wire;
@@ -19,25 +26,72 @@
 /// How often notices go out.
 pub const NOTICE_PAUSE: Duration = Duration::from_millis(100);
 
-/// Ticks after which a notice goes out although nothing has changed.
-const QUIET_TICKS: u64 = 5;
+/// Ticks after which a notice goes to the own failure domain although nothing has changed.
+const NEAR_TICKS: u64 = 5;
+
+/// The same for other failure domains: bytes between them are dear.
+const FAR_TICKS: u64 = 10;
+
+/// Ticks between two notices of what a whole failure domain has in progress.
+const DOMAIN_TICKS: u64 = 2;
+
+/// Ticks between notices to addresses that may be peers, at first.
+const FIRST_CANDIDATE_TICKS: u64 = 5;
+
+/// The same later on: most of those that have not answered by then are gone.
+const CANDIDATE_TICKS: u64 = 15;
 
-/// Ticks between notices to addresses that may be peers.
-const CANDIDATE_TICKS: u64 = 5;
+/// Ticks for which addresses that may be peers are tried more often.
+const FIRST_TICKS: u64 = 30;
 
-/// Ticks between notices that name peers; a multiple of those above.
+/// Ticks between notices that name peers.
 const NAMING_TICKS: u64 = 10;
 
-/// Peers up to which every tick reaches all; beyond, each is reached less often.
-const FULL_RATE_PEERS: usize = 10;
+/// Peers that are told names at one time: what one hears, all hear before long.
+const NAMING_PEERS: usize = 3;
 
 /// Largest datagram.
 pub const MOST_DATAGRAM: usize = 8 << 10;
 
+/// An address as bytes: the IP number, then the port.
+fn address_bytes(address: &SocketAddr) -> Vec<u8> {
+    let mut bytes = match address.ip() {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    };
+    bytes.extend_from_slice(&address.port().to_be_bytes());
+    bytes
+}
+
+/// The address that bytes stand for; none if they are not one.
+fn address_of(bytes: &[u8]) -> Option<SocketAddr> {
+    let (ip, port) = bytes.split_last_chunk::<2>()?;
+    let port = u16::from_be_bytes(*port);
+    let ip = match ip.len() {
+        4 => IpAddr::from(<[u8; 4]>::try_from(ip).ok()?),
+        16 => IpAddr::from(<[u8; 16]>::try_from(ip).ok()?),
+        _ => return None,
+    };
+    Some(SocketAddr::new(ip, port))
+}
+
+fn encode_load(load: &LoadNotice) -> wire::NoticeLoad {
+    wire::NoticeLoad {
+        server: load.server,
+        in_flight: load.load.in_flight,
+        waiting_tokens: load.load.waiting_tokens,
+    }
+}
+
+fn decode_load(load: &wire::NoticeLoad) -> LoadNotice {
+    let (in_flight, waiting_tokens) = (load.in_flight, load.waiting_tokens);
+    LoadNotice { server: load.server, load: EngineLoad { in_flight, waiting_tokens } }
+}
+
 /// Encodes a notice.
 pub fn encode(notice: &PeerNotice) -> Vec<u8> {
     let server = notice.server.as_ref().map(|server| wire::NoticeServer {
-        address: server.address.to_string(),
+        address: address_bytes(&server.address),
         whole: server.whole.unwrap_or_default().0,
         changing: server.changing,
         staged: server.staged.unwrap_or_default().0,
@@ -45,25 +99,25 @@
         zone: server.zone.to_string(),
         service: server.service.clone(),
     });
-    let load = |load: &LoadNotice| wire::NoticeLoad {
-        server: load.server,
-        in_flight: load.load.in_flight,
-        waiting_tokens: load.load.waiting_tokens,
-    };
     let drain = |drain: &DrainNotice| wire::NoticeDrain {
-        server: drain.server.to_string(),
+        server: address_bytes(&drain.server),
         waiting: drain.waiting,
     };
+    let domain_loads = notice.domain_loads.as_deref().unwrap_or_default();
     let message = wire::PeerNotice {
-        from: notice.from.to_string(),
+        from: address_bytes(&notice.from),
         agent: notice.kind == PeerKind::Agent,
         life: notice.life,
         sequence: notice.sequence,
         plan: notice.plan,
-        peers: notice.peers.iter().map(SocketAddr::to_string).collect(),
-        loads: notice.loads.iter().map(load).collect(),
+        peers: notice.peers.iter().map(address_bytes).collect(),
+        loads: notice.loads.iter().map(encode_load).collect(),
         drains: notice.drains.iter().map(drain).collect(),
         server,
+        domain: notice.domain.0,
+        changes_only: notice.changes_only,
+        domain_loads: domain_loads.iter().map(encode_load).collect(),
+        tells_domain: notice.domain_loads.is_some(),
     };
     message.encode_to_vec()
 }
@@ -78,7 +132,7 @@
     let server = match message.server {
         None => None,
         Some(server) => Some(ServerNotice {
-            address: server.address.parse().ok()?,
+            address: address_of(&server.address)?,
             whole: version(server.whole),
             changing: server.changing,
             staged: version(server.staged),
@@ -87,24 +141,21 @@
             service: server.service,
         }),
     };
-    let loads = message.loads.iter();
     let drain = |drain: &wire::NoticeDrain| {
-        let server = drain.server.parse().ok()?;
-        Some(DrainNotice { server, waiting: drain.waiting })
+        Some(DrainNotice { server: address_of(&drain.server)?, waiting: drain.waiting })
     };
+    let domain_loads = || message.domain_loads.iter().map(decode_load).collect();
     Some(PeerNotice {
-        from: message.from.parse().ok()?,
+        from: address_of(&message.from)?,
         kind: if message.agent { PeerKind::Agent } else { PeerKind::Entry },
+        domain: DomainKey(message.domain),
         life: message.life,
         sequence: message.sequence,
         plan: message.plan,
-        peers: message.peers.iter().filter_map(|text| text.parse().ok()).collect(),
-        loads: loads
-            .map(|load| LoadNotice {
-                server: load.server,
-                load: EngineLoad { in_flight: load.in_flight, waiting_tokens: load.waiting_tokens },
-            })
-            .collect(),
+        peers: message.peers.iter().filter_map(|bytes| address_of(bytes)).collect(),
+        loads: message.loads.iter().map(decode_load).collect(),
+        changes_only: message.changes_only,
+        domain_loads: message.tells_domain.then(domain_loads),
         drains: message.drains.iter().filter_map(drain).collect(),
         server,
     })
@@ -115,6 +166,7 @@
 pub struct NoticeWriter {
     from: SocketAddr,
     kind: PeerKind,
+    domain: DomainKey,
     life: u64,
     sequence: u64,
     tick: u64,
@@ -129,135 +181,287 @@
     pub plan: u64,
     /// What it has in progress.
     pub loads: Vec<LoadNotice>,
+    /// What its whole failure domain has in progress, if it is the one to tell.
+    pub domain_loads: Option<Vec<LoadNotice>>,
     /// Servers that it sends nothing to because they are about to change.
     pub drains: Vec<DrainNotice>,
     /// Its server.
     pub server: Option<ServerNotice>,
-    /// It must be heard although a datagram may be lost: it is told again at every occasion.
+    /// Entries must hear it although a datagram may be lost: it is told again at every occasion.
     pub repeated: bool,
 }
 
+/// One datagram and whom it goes to.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct NoticeMail {
+    /// Its bytes.
+    pub bytes: Vec<u8>,
+    /// Whom it goes to.
+    pub targets: Vec<SocketAddr>,
+}
+
+impl NoticeMail {
+    /// Sends it; a datagram that cannot be sent is as good as lost, which is borne.
+    pub fn send(&self, socket: &UdpSocket) {
+        for target in &self.targets {
+            let _ = socket.try_send_to(&self.bytes, *target);
+        }
+    }
+}
+
+/// What is due at a tick.
+#[derive(Debug, Clone, Copy)]
+struct TickDue {
+    /// Everybody must hear at once.
+    news: bool,
+    /// Every entry must hear again.
+    repeated: bool,
+    /// The loads are not what they were.
+    loads: bool,
+    /// The own failure domain hears that this process lives.
+    near: bool,
+    /// Other failure domains hear that this process lives.
+    far: bool,
+}
+
 impl NoticeWriter {
     /// The writer of a process that has just started.
-    pub fn new(from: SocketAddr, kind: PeerKind) -> Self {
+    pub fn new(from: SocketAddr, kind: PeerKind, domain: DomainKey) -> Self {
         let life = rand::rng().random();
-        Self { from, kind, life, sequence: 0, tick: 0, last_loads: Vec::new(), last_server: None }
+        Self {
+            from,
+            kind,
+            domain,
+            life,
+            sequence: 0,
+            tick: 0,
+            last_loads: Vec::new(),
+            last_server: None,
+        }
     }
 
-    /// The notice of this tick and whom it goes to; nobody if there is nothing to tell.
-    pub fn tick(&mut self, peers: &PeerTable, body: NoticeBody) -> (Vec<u8>, Vec<SocketAddr>) {
+    /// The notices of this tick.
+    pub fn tick(&mut self, peers: &PeerTable, body: NoticeBody) -> Vec<NoticeMail> {
         self.tick += 1;
-        let urgent = body.repeated || body.server != self.last_server;
-        let changed = urgent || body.loads != self.last_loads;
-        let mut targets = Vec::new();
-        if changed || self.tick.is_multiple_of(QUIET_TICKS) {
-            targets = self.targets(peers, urgent);
+        let due = TickDue {
+            news: body.server != self.last_server,
+            repeated: body.repeated,
+            loads: body.loads != self.last_loads,
+            near: self.tick.is_multiple_of(NEAR_TICKS),
+            far: self.is_turn(FAR_TICKS),
+        };
+        self.last_loads.clone_from(&body.loads);
+        self.last_server.clone_from(&body.server);
+        let mut mails = Vec::new();
+        if let Some(loads) = body.domain_loads.clone().filter(|_| self.is_turn(DOMAIN_TICKS)) {
+            mails.push(self.domain_mail(peers, &body, loads));
         }
-        if self.tick % CANDIDATE_TICKS == 1 {
+        let (near, far): (Vec<&Peer>, Vec<&Peer>) =
+            peers.living().partition(|peer| peers.is_near(peer));
+        let near = near.into_iter().filter(|peer| self.is_near_due(due, peer));
+        let mut targets: Vec<SocketAddr> = near.map(|peer| peer.notice.from).collect();
+        let far = far.into_iter().filter(|peer| self.is_far_due(due, peer));
+        targets.extend(far.map(|peer| peer.notice.from));
+        if self.is_candidates_turn() {
             targets.extend(peers.candidates());
         }
-        if targets.is_empty() {
-            return (Vec::new(), targets);
+        if !targets.is_empty() {
+            let bytes = self.write(NoticeBody { domain_loads: None, ..body.clone() }, Vec::new());
+            mails.push(NoticeMail { bytes, targets });
+        }
+        if self.is_turn(NAMING_TICKS) {
+            mails.extend(self.naming_mail(peers, body));
+        }
+        mails
+    }
+
+    fn is_near_due(&self, due: TickDue, peer: &Peer) -> bool {
+        let entry = peer.notice.kind == PeerKind::Entry;
+        due.news || due.near || (entry && (due.repeated || due.loads))
+    }
+
+    fn is_far_due(&self, due: TickDue, peer: &Peer) -> bool {
+        due.news || due.far || (peer.notice.kind == PeerKind::Entry && due.repeated)
+    }
+
+    /// Whether something that is due every few ticks is due now; processes take different ticks.
+    fn is_turn(&self, ticks: u64) -> bool {
+        (self.tick + self.life % ticks).is_multiple_of(ticks)
+    }
+
+    fn is_candidates_turn(&self) -> bool {
+        match self.tick < FIRST_TICKS {
+            true => self.tick % FIRST_CANDIDATE_TICKS == 1,
+            false => self.is_turn(CANDIDATE_TICKS),
         }
-        self.last_loads = body.loads.clone();
-        self.last_server = body.server.clone();
-        // Names cost bytes: they go along now and then.
-        let named = match self.tick % NAMING_TICKS {
-            0 | 1 => peers.named(self.tick as usize),
-            _ => Vec::new(),
+    }
+
+    /// What the own failure domain has in progress, for the entries of others.
+    fn domain_mail(
+        &mut self,
+        peers: &PeerTable,
+        body: &NoticeBody,
+        loads: Vec<LoadNotice>,
+    ) -> NoticeMail {
+        let far = peers.living().filter(|peer| !peers.is_near(peer));
+        let entries = far.filter(|peer| peer.notice.kind == PeerKind::Entry);
+        let targets = entries.map(|peer| peer.notice.from).collect();
+        let told = NoticeBody {
+            plan: body.plan,
+            drains: body.drains.clone(),
+            domain_loads: Some(loads),
+            ..NoticeBody::default()
         };
-        (self.write(body, named), targets)
+        NoticeMail { bytes: self.write(told, Vec::new()), targets }
+    }
+
+    /// Names of peers for a few of them, by turns.
+    fn naming_mail(&mut self, peers: &PeerTable, body: NoticeBody) -> Option<NoticeMail> {
+        let turn = (self.tick / NAMING_TICKS) as usize * NAMING_PEERS;
+        let targets: Vec<SocketAddr> = peers.named(turn).into_iter().take(NAMING_PEERS).collect();
+        let names = peers.named(rand::rng().random_range(0..NAMED_PEERS * 4));
+        let bytes = self.write(NoticeBody { domain_loads: None, ..body }, names);
+        (!targets.is_empty()).then_some(NoticeMail { bytes, targets })
+    }
+
+    /// What has changed at busy servers, for the entries of the own failure domain.
+    pub fn changes(&mut self, peers: &PeerTable, loads: Vec<LoadNotice>) -> NoticeMail {
+        let near = peers.living().filter(|peer| peers.is_near(peer));
+        let entries = near.filter(|peer| peer.notice.kind == PeerKind::Entry);
+        let targets = entries.map(|peer| peer.notice.from).collect();
+        let body = NoticeBody { loads, ..NoticeBody::default() };
+        NoticeMail { bytes: encode(&self.notice(body, Vec::new(), true)), targets }
     }
 
     /// A notice besides the usual ones, to one peer that waits for it.
     pub fn write(&mut self, body: NoticeBody, named: Vec<SocketAddr>) -> Vec<u8> {
+        encode(&self.notice(body, named, false))
+    }
+
+    fn notice(
+        &mut self,
+        body: NoticeBody,
+        named: Vec<SocketAddr>,
+        changes_only: bool,
+    ) -> PeerNotice {
         self.sequence += 1;
-        encode(&PeerNotice {
+        PeerNotice {
             from: self.from,
             kind: self.kind,
+            domain: self.domain,
             life: self.life,
             sequence: self.sequence,
             plan: body.plan,
             peers: named,
             loads: body.loads,
+            changes_only,
+            domain_loads: body.domain_loads,
             drains: body.drains,
             server: body.server,
-        })
-    }
-
-    fn targets(&self, peers: &PeerTable, urgent: bool) -> Vec<SocketAddr> {
-        let quiet = self.tick.is_multiple_of(QUIET_TICKS);
-        let wanted = |kind: PeerKind| {
-            let entries = kind == PeerKind::Entry;
-            // Entries' loads matter to entries; agents hear from them that they live.
-            match self.kind {
-                PeerKind::Entry => entries || quiet,
-                PeerKind::Agent => urgent || quiet,
-            }
-        };
-        let all: Vec<SocketAddr> = peers
-            .living()
-            .filter(|peer| wanted(peer.notice.kind))
-            .map(|peer| peer.notice.from)
-            .collect();
-        let every = all.len().div_ceil(FULL_RATE_PEERS).max(1);
-        let turn = self.tick as usize;
-        let due = |index: &usize| urgent || quiet || (index + turn).is_multiple_of(every);
-        all.iter().enumerate().filter(|(index, _)| due(index)).map(|(_, peer)| *peer).collect()
+        }
     }
 }
 
 /// Sends and hears an entry's notices for ever.
 pub async fn run(state: Arc<EntryState>, socket: UdpSocket) {
-    let mut writer = NoticeWriter::new(state.settings.node.control, PeerKind::Entry);
+    let node = &state.settings.node;
+    let domain = DomainKey::from(&node.domain);
+    let mut writer = NoticeWriter::new(node.control, PeerKind::Entry, domain);
     let mut ticks = tokio::time::interval(NOTICE_PAUSE);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut buffer = vec![0; MOST_DATAGRAM];
     loop {
-        let (bytes, targets) = tokio::select! {
+        tokio::select! {
             received = socket.recv_from(&mut buffer) => {
                 let Ok((length, _)) = received else { continue };
-                let Some(waits) = hear(&state, &buffer[..length]) else { continue };
-                let body = NoticeBody {
-                    plan: state.plan_version().0,
-                    drains: state.servers().drains(),
-                    ..NoticeBody::default()
-                };
-                (writer.write(body, Vec::new()), vec![waits])
+                if let Some(reply) = hear(&state, &buffer[..length]) {
+                    answer(&state, &mut writer, reply).send(&socket);
+                }
+            }
+            () = state.load_news.notified() => {
+                let changes = state.servers().take_changes();
+                if !changes.is_empty() {
+                    let mail = writer.changes(&state.peers(), changes);
+                    mail.send(&socket);
+                }
             }
             _ = ticks.tick() => {
                 state.refresh_loads();
                 state.refresh_notices();
-                let servers = state.servers();
-                let (loads, drains) = (servers.own_loads(), servers.drains());
-                drop(servers);
-                let plan = state.plan_version().0;
-                let body = NoticeBody { plan, loads, drains, ..NoticeBody::default() };
-                writer.tick(&state.peers(), body)
+                let body = entry_body(&state);
+                let mails = writer.tick(&state.peers(), body);
+                mails.iter().for_each(|mail| mail.send(&socket));
             }
-        };
-        for target in targets {
-            // A datagram that cannot be sent is as good as lost, which is borne.
-            let _ = socket.try_send_to(&bytes, target);
         }
     }
 }
 
-/// Takes in a notice; the sender, if it waits for word that its server gets nothing more.
-fn hear(state: &EntryState, bytes: &[u8]) -> Option<SocketAddr> {
+/// What an entry tells at a tick.
+fn entry_body(state: &EntryState) -> NoticeBody {
+    let mut servers = state.servers();
+    let (loads, drains) = (servers.own_loads(), servers.drains());
+    // The full list tells them as well.
+    let _ = servers.take_changes();
+    drop(servers);
+    let peers = state.peers();
+    let domain_loads = peers.speaks_for_domain().then(|| {
+        let mut sums = peers.near_loads();
+        for own in &loads {
+            let sum = sums.entry(own.server).or_default();
+            *sum = *sum + own.load;
+        }
+        let busy = sums.into_iter().filter(|(_, load)| load.in_flight > 0);
+        busy.map(|(server, load)| LoadNotice { server, load }).collect()
+    });
+    let plan = state.plan_version().0;
+    NoticeBody { plan, loads, domain_loads, drains, ..NoticeBody::default() }
+}
+
+/// A peer that is to be answered at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReplyDue {
+    /// It waits for word that its server gets nothing more.
+    Drain(SocketAddr),
+    /// It has just been found: names help it to find others.
+    Names(SocketAddr),
+}
+
+fn answer(state: &EntryState, writer: &mut NoticeWriter, reply: ReplyDue) -> NoticeMail {
+    let plan = state.plan_version().0;
+    let drains = state.servers().drains();
+    let body = NoticeBody { plan, drains, ..NoticeBody::default() };
+    match reply {
+        ReplyDue::Drain(to) => {
+            NoticeMail { bytes: writer.write(body, Vec::new()), targets: vec![to] }
+        }
+        ReplyDue::Names(to) => {
+            let names = state.peers().named(rand::rng().random_range(0..NAMED_PEERS * 4));
+            let loads = state.servers().own_loads();
+            let body = NoticeBody { loads, ..body };
+            NoticeMail { bytes: writer.write(body, names), targets: vec![to] }
+        }
+    }
+}
+
+/// Takes in a notice; the sender, if it is to be answered at once.
+fn hear(state: &EntryState, bytes: &[u8]) -> Option<ReplyDue> {
     let notice = decode(bytes)?;
     let (from, server) = (notice.from, notice.server.clone());
+    let changed: Vec<u32> = notice.loads.iter().map(|load| load.server).collect();
     let now = state.now();
-    let plan = (notice.kind == PeerKind::Entry).then_some(PlanVersion(notice.plan));
+    let plan = (notice.kind == PeerKind::Entry && !notice.changes_only)
+        .then_some(PlanVersion(notice.plan));
     if let Some(plan) = plan {
         state.hear_peer_plan(plan);
     }
     let outcome = state.peers().hear(now, notice);
+    state.refresh_loads_of(&changed);
     if outcome.joined {
         decisions::note("peers", "found", json!({ "peer": from }));
     }
-    let server = server?;
-    let waits = server.changing.then_some(from);
+    let found = outcome.joined.then_some(ReplyDue::Names(from));
+    let Some(server) = server else { return found };
+    let waits = server.changing.then_some(ReplyDue::Drain(from));
     if outcome.server_changed {
         let fields = json!({
             "address": server.address, "whole": server.whole, "changing": server.changing,
@@ -266,5 +470,5 @@
         state.servers().set_notice(server.address, Some(server));
         decisions::note("servers", "agent_told", fields);
     }
-    waits
+    waits.or(found)
 }
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -6,6 +6,7 @@
 use headlatch_core::direct::{
     event_split::{EventSplitter, StreamEvent},
     server_table::ServerOutcome,
+    stream_timing::StreamTiming,
 };
 use http::{Response, StatusCode, header};
 use http_body::Frame;
@@ -44,6 +45,7 @@
     splitter: EventSplitter,
     last_event: Option<u64>,
     events: u64,
+    timing: StreamTiming,
     status: StatusCode,
 }
 
@@ -64,6 +66,7 @@
         exchange,
         splitter: EventSplitter::default(),
         events: 0,
+        timing: StreamTiming::default(),
     };
     relay.exchange.begun = true;
     let (mut connection, mut in_flight) = (answer.connection, answer.in_flight);
@@ -143,6 +146,9 @@
             _ => true,
         });
         self.events += events.len() as u64;
+        if !events.is_empty() {
+            self.timing.note_event(self.exchange.state.now());
+        }
         if let Some(id) = events.iter().filter_map(|event| event.id).max() {
             self.last_event = Some(id);
         }
@@ -179,6 +185,15 @@
     }
 
     fn finish(&self) {
-        self.exchange.finish("stream_ended", self.status);
+        let exchange = &self.exchange;
+        let first = self.timing.first().map(|first| first.since(exchange.arrived).as_millis());
+        let fields = json!({
+            "server": exchange.last_server(), "status": self.status.as_u16(),
+            "events": self.events, "first_event_ms": first.map(|first| first as u64),
+            "longest_pause_ms": self.timing.longest_pause().as_millis() as u64,
+            "objective_ms": exchange.request.route.objective_ms,
+            "predicted_ms": exchange.predicted.map(|time| time.as_millis() as u64),
+        });
+        exchange.finish("stream_ended", fields);
     }
 }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -12,7 +12,7 @@
 
 use headlatch_core::{
     direct::{
-        peers::{PeerKind, PeerTable},
+        peers::{DomainKey, PeerKind, PeerTable},
         retry_share::{RetryBudget, RetryShare},
         route_table::RouteTable,
         server_table::ServerTable,
@@ -62,6 +62,8 @@
     weights: Mutex<WeightDeadlines>,
     retries: Mutex<RetryShare>,
     peers: Mutex<PeerTable>,
+    /// What this entry has in progress at a busy server has changed.
+    pub load_news: Notify,
     /// Has the plan read anew.
     pub plan_nudge: Arc<Notify>,
     /// Since when a peer is known to have a newer plan.
@@ -86,7 +88,8 @@
         let budget = retry_budget(settings.direct.retry);
         let zones = settings.direct.zones.clone();
         let servers = ServerTable::new(settings.node.domain.clone(), zones);
-        let mut peers = PeerTable::new(settings.node.control);
+        let mut peers =
+            PeerTable::new(settings.node.control, DomainKey::from(&settings.node.domain));
         for seed in &settings.direct.seeds {
             peers.suggest(Moment::ZERO, *seed);
         }
@@ -103,6 +106,7 @@
             weights: Mutex::default(),
             retries: Mutex::new(RetryShare::new(budget)),
             peers: Mutex::new(peers),
+            load_news: Notify::new(),
             plan_nudge: Arc::default(),
             behind_since: Mutex::default(),
             settings,
@@ -307,6 +311,25 @@
         }
     }
 
+    /// Takes in what others have in progress at servers where that has changed.
+    pub fn refresh_loads_of(&self, servers: &[u32]) {
+        if servers.is_empty() {
+            return;
+        }
+        let peers = self.peers();
+        let loads: Vec<_> = servers.iter().map(|key| (*key, peers.load_of(*key))).collect();
+        drop(peers);
+        let mut table = self.servers();
+        loads.into_iter().for_each(|(key, load)| table.set_other(key, load));
+    }
+
+    /// Has the other entries of the failure domain told what has changed at busy servers.
+    pub fn tell_loads(&self) {
+        if self.servers().has_changes() {
+            self.load_news.notify_one();
+        }
+    }
+
     /// What agents that live tell of their servers.
     pub fn refresh_notices(&self) {
         let notices: HashMap<SocketAddr, _> = {
--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use headlatch_core::direct::peers::{DrainNotice, PeerKind, PeerNotice};
+use headlatch_core::direct::peers::{DomainKey, DrainNotice, PeerKind, PeerNotice};
 use headlatch_daemon::{
     direct::{
         agent::{AgentOutside, DirectAgent},
@@ -367,11 +367,14 @@
         let notice = PeerNotice {
             from: socket.local_addr().expect("it is bound"),
             kind: PeerKind::Entry,
+            domain: DomainKey(1),
             life: 1,
             sequence,
             plan: 0,
             peers: Vec::new(),
             loads: Vec::new(),
+            changes_only: false,
+            domain_loads: None,
             drains: vec![DrainNotice { server: server.address, waiting }],
             server: None,
         };
--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use headlatch_core::direct::peers::{DrainNotice, PeerKind, PeerNotice, ServerNotice};
+use headlatch_core::direct::peers::{DomainKey, DrainNotice, PeerKind, PeerNotice, ServerNotice};
 use headlatch_daemon::direct::{entry::DirectEntry, notices};
 use headlatch_http::{CallAnswer, Connections};
 use headlatch_outside::{
@@ -562,11 +562,14 @@
     let notice = PeerNotice {
         from: agent.local_addr().expect("it is bound"),
         kind: PeerKind::Agent,
+        domain: DomainKey(1),
         life: 1,
         sequence: 1,
         plan: 0,
         peers: Vec::new(),
         loads: Vec::new(),
+        changes_only: false,
+        domain_loads: None,
         drains: Vec::new(),
         server: Some(ServerNotice {
             address: setting.first.address,
--- /dev/null
+++ b/crates/daemon/tests/notice_writer.rs
@@ -0,0 +1,107 @@
+//! Whom notices go to: what a process sends must not grow with the square of their number.
+
+use std::{net::SocketAddr, time::Duration};
+
+use googletest::prelude::*;
+use headlatch_core::{
+    direct::{
+        engine_model::EngineLoad,
+        peers::{DomainKey, LoadNotice, NAMED_PEERS, PeerKind, PeerNotice, PeerTable},
+    },
+    time::Moment,
+};
+use headlatch_daemon::direct::notices::{NoticeBody, NoticeWriter, decode, encode};
+
+const NEAR: DomainKey = DomainKey(1);
+const FAR: DomainKey = DomainKey(2);
+
+fn address(domain: DomainKey, last: u8) -> SocketAddr {
+    SocketAddr::from(([10, domain.0 as u8, 0, last], 7700))
+}
+
+fn living(kind: PeerKind, domain: DomainKey, last: u8) -> PeerNotice {
+    PeerNotice {
+        from: address(domain, last),
+        kind,
+        domain,
+        life: 1,
+        sequence: 1,
+        plan: 0,
+        peers: Vec::new(),
+        loads: Vec::new(),
+        changes_only: false,
+        domain_loads: None,
+        drains: Vec::new(),
+        server: None,
+    }
+}
+
+/// Ten entries near, and thirty far.
+fn peers() -> PeerTable {
+    let mut peers = PeerTable::new(address(NEAR, 1), NEAR);
+    let near = (2..=10).map(|last| living(PeerKind::Entry, NEAR, last));
+    let far = (1..=30).map(|last| living(PeerKind::Entry, FAR, last));
+    near.chain(far).for_each(|notice| {
+        peers.hear(Moment::ZERO + Duration::from_millis(1), notice);
+    });
+    peers
+}
+
+fn body(in_flight: u32) -> NoticeBody {
+    let load = LoadNotice { server: 7, load: EngineLoad { in_flight, waiting_tokens: 5 } };
+    NoticeBody { loads: vec![load], ..NoticeBody::default() }
+}
+
+#[gtest]
+fn loads_go_to_the_own_domain_at_once_and_to_others_now_and_then() {
+    let peers = peers();
+    let mut writer = NoticeWriter::new(address(NEAR, 1), PeerKind::Entry, NEAR);
+    let (mut near, mut far, mut bytes) = (0, 0, 0);
+    for tick in 1..=100 {
+        for mail in writer.tick(&peers, body(tick)) {
+            bytes += mail.bytes.len() * mail.targets.len();
+            let to_near = mail.targets.iter().filter(|to| to.ip() < address(FAR, 0).ip()).count();
+            near += to_near;
+            far += mail.targets.len() - to_near;
+        }
+    }
+    // Ten seconds: nine peers ten times a second, thirty once, and a few names.
+    expect_that!(near, all![ge(900), le(950)]);
+    expect_that!(far, all![ge(270), le(340)]);
+    expect_that!(bytes, lt(70_000));
+}
+
+#[gtest]
+fn one_entry_tells_the_sum_of_its_domain() {
+    let peers = peers();
+    let mut writer = NoticeWriter::new(address(NEAR, 1), PeerKind::Entry, NEAR);
+    let mut told = 0;
+    for tick in 1..=20 {
+        let sum = LoadNotice { server: 9, load: EngineLoad::default() };
+        let body = NoticeBody { domain_loads: Some(vec![sum]), ..body(tick) };
+        let mails = writer.tick(&peers, body);
+        let sums = mails
+            .iter()
+            .filter(|mail| decode(&mail.bytes).is_some_and(|notice| notice.domain_loads.is_some()));
+        for mail in sums {
+            expect_that!(mail.targets.len(), eq(30));
+            told += 1;
+        }
+    }
+    expect_that!(told, eq(10));
+}
+
+#[gtest]
+fn a_notice_reads_as_it_was_written() {
+    let notice = PeerNotice {
+        plan: 12,
+        peers: vec![address(NEAR, 4), "[::1]:9".parse().expect("an address")],
+        loads: body(3).loads,
+        domain_loads: Some(Vec::new()),
+        ..living(PeerKind::Entry, FAR, 3)
+    };
+    expect_that!(decode(&encode(&notice)), some(eq(&notice)));
+    let full = PeerNotice { peers: vec![address(NEAR, 4); NAMED_PEERS], ..notice };
+    expect_that!(encode(&full).len(), lt(600));
+    expect_that!(decode(b"no notice"), none());
+}
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -17,9 +17,9 @@
 /// What an agent tells of its server.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct NoticeServer {
-    /// Its address.
-    #[prost(string, tag = "1")]
-    pub address: String,
+    /// Its address: the bytes of the IP number, then the port.
+    #[prost(bytes = "vec", tag = "1")]
+    pub address: Vec<u8>,
     /// Version that it holds whole; 0 for none.
     #[prost(uint64, tag = "2")]
     pub whole: u64,
@@ -44,8 +44,8 @@
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct NoticeDrain {
     /// Address of the server.
-    #[prost(string, tag = "1")]
-    pub server: String,
+    #[prost(bytes = "vec", tag = "1")]
+    pub server: Vec<u8>,
     /// Requests of the entry that have not begun there.
     #[prost(uint32, tag = "2")]
     pub waiting: u32,
@@ -55,8 +55,8 @@
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerNotice {
     /// Where the sender hears notices.
-    #[prost(string, tag = "1")]
-    pub from: String,
+    #[prost(bytes = "vec", tag = "1")]
+    pub from: Vec<u8>,
     /// Whether it is an agent.
     #[prost(bool, tag = "2")]
     pub agent: bool,
@@ -70,9 +70,9 @@
     #[prost(uint64, tag = "5")]
     pub plan: u64,
     /// Others that it hears.
-    #[prost(string, repeated, tag = "6")]
-    pub peers: Vec<String>,
-    /// What it has in progress.
+    #[prost(bytes = "vec", repeated, tag = "6")]
+    pub peers: Vec<Vec<u8>>,
+    /// What it has in progress; where `changes_only` is set, only at servers where that changed.
     #[prost(message, repeated, tag = "7")]
     pub loads: Vec<NoticeLoad>,
     /// Its server, if it looks after one.
@@ -81,4 +81,16 @@
     /// Servers that it sends nothing to because they are about to change.
     #[prost(message, repeated, tag = "9")]
     pub drains: Vec<NoticeDrain>,
+    /// Key of its failure domain.
+    #[prost(fixed32, tag = "10")]
+    pub domain: u32,
+    /// Whether `loads` leaves out servers where nothing changed.
+    #[prost(bool, tag = "11")]
+    pub changes_only: bool,
+    /// What all entries of its failure domain have in progress; only one of them tells.
+    #[prost(message, repeated, tag = "12")]
+    pub domain_loads: Vec<NoticeLoad>,
+    /// Whether `domain_loads` is told: it may be empty.
+    #[prost(bool, tag = "13")]
+    pub tells_domain: bool,
 }
