Read manifests from peers, close connections to the origin, and keep retry shares small while entries come and go

An entry that has just started knew no other and took the whole slack of the retry budget for itself; entries that fell silent enlarged the others' shares.

Change: twelve agents by rank read a manifest from the origin, the others from those that hold it (by name, over gRPC), with further groups every 300 ms; calls to the origin close their connection. A retry share counts the most entries known within the window, and three retries in the first 3 s of a life.

--- /dev/null
+++ b/crates/core/src/direct/manifest_source.rs
@@ -0,0 +1,58 @@
+//! Where an agent reads the manifest of a version: a few read it from the origin, which takes few
+//! connections, and the others from those.
+
+use std::{net::SocketAddr, time::Duration};
+
+/// Agents that read a manifest from the origin at first: a quarter of the connections that the
+/// smallest origin known takes (48).
+pub const FIRST_READERS: usize = 12;
+
+/// Time after which as many more may read it: a read takes a few round trips, and its news as long.
+const READER_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time after a start in which an agent that knows no other waits to hear of some: where all
+/// machines start at once, each would take itself for the first.
+const SETTLING_TIME: Duration = Duration::from_millis(800);
+
+/// What an agent knows when it needs a manifest.
+#[derive(Debug, Clone, Copy)]
+pub struct ManifestView<'a> {
+    /// Its rank among the agents of its service, by rendezvous hashing.
+    pub rank: usize,
+    /// Whether it has heard of any other.
+    pub is_alone: bool,
+    /// Time since it was needed first.
+    pub waited: Duration,
+    /// Tries that have failed.
+    pub failures: u32,
+    /// Agents that hold the manifest, those of the own failure domain first.
+    pub holders: &'a [SocketAddr],
+}
+
+/// Where to read a manifest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ManifestSource {
+    /// From an agent that holds it.
+    Peer(SocketAddr),
+    /// From the origin.
+    Origin,
+    /// From nobody yet.
+    Wait,
+}
+
+/// Decides where to read a manifest now.
+pub fn manifest_source(view: &ManifestView<'_>) -> ManifestSource {
+    let tries = view.failures as usize;
+    // Every third try goes past the peers: what they hold may be wrong.
+    if !view.holders.is_empty() && tries % 3 != 2 {
+        return ManifestSource::Peer(view.holders[(view.rank + tries) % view.holders.len()]);
+    }
+    if view.is_alone && view.waited < SETTLING_TIME {
+        return ManifestSource::Wait;
+    }
+    let groups = 1 + (view.waited.as_millis() / READER_PAUSE.as_millis()) as usize;
+    match view.rank < FIRST_READERS.saturating_mul(groups) {
+        true => ManifestSource::Origin,
+        false => ManifestSource::Wait,
+    }
+}
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -4,6 +4,7 @@
 pub mod draining;
 pub mod engine_model;
 pub mod event_split;
+pub mod manifest_source;
 pub mod peers;
 pub mod retry_share;
 pub mod route_table;
--- a/crates/core/src/direct/retry_share.rs
+++ b/crates/core/src/direct/retry_share.rs
@@ -8,6 +8,14 @@
 /// Part of the common budget that is used, in percent: entries do not count at the same moment.
 const USED_PERCENT: f64 = 85.0;
 
+/// Time after a start in which little of the common slack is used: the other entries are not all
+/// known yet, and what this entry used before it was stopped still counts.
+const LEARNING_TIME: Duration = Duration::from_secs(3);
+
+/// Retries of the slack that an entry may use in that time: 40 entries that start together use as
+/// many as half of the smallest slack known (214).
+const LEARNING_SHARE: f64 = 3.0;
+
 /// Figures of the common budget.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBudget {
@@ -31,12 +39,14 @@
 pub struct RetryShare {
     budget: RetryBudget,
     services: HashMap<String, ServiceCount>,
+    /// Entries known to live, whenever that was more than since.
+    entries: VecDeque<(Moment, usize)>,
 }
 
 impl RetryShare {
     /// Nothing counted yet.
     pub fn new(budget: RetryBudget) -> Self {
-        Self { budget, services: HashMap::new() }
+        Self { budget, services: HashMap::new(), entries: VecDeque::new() }
     }
 
     /// Takes over other figures; what has been counted stays.
@@ -63,12 +73,30 @@
         self.count(now, service).requests.push_back(now);
     }
 
+    /// The most entries that were known to live within the window: those that are out of reach
+    /// may still use their shares, and what the dead have used still counts.
+    fn most_entries(&mut self, now: Moment, entries: usize) -> usize {
+        let window = self.budget.window;
+        while self.entries.front().is_some_and(|(at, _)| now.since(*at) > window) {
+            self.entries.pop_front();
+        }
+        while self.entries.back().is_some_and(|(_, count)| *count <= entries) {
+            self.entries.pop_back();
+        }
+        self.entries.push_back((now, entries));
+        self.entries.front().map_or(1, |(_, count)| (*count).max(1))
+    }
+
     /// Takes one retry out of the share, if there is one left; `entries` are those known to live.
     pub fn take(&mut self, now: Moment, service: &str, entries: usize) -> bool {
         let budget = self.budget;
+        let entries = self.most_entries(now, entries);
         let count = self.count(now, service);
         let own = budget.ratio * count.requests.len() as f64;
-        let share = budget.slack / entries.max(1) as f64;
+        let share = match now.since(Moment::ZERO) < LEARNING_TIME {
+            true => budget.slack.min(LEARNING_SHARE),
+            false => budget.slack / entries as f64,
+        };
         let allowed = (own + share) * USED_PERCENT / 100.0;
         let free = ((count.retries.len() + 1) as f64) <= allowed;
         if free {
--- /dev/null
+++ b/crates/core/tests/manifest_source.rs
@@ -0,0 +1,54 @@
+//! Where agents read the manifest of a version.
+
+use std::{net::SocketAddr, time::Duration};
+
+use googletest::prelude::*;
+use headlatch_core::direct::manifest_source::{
+    FIRST_READERS, ManifestSource, ManifestView, manifest_source,
+};
+
+fn holder(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, last], 7700))
+}
+
+fn view(rank: usize, waited_ms: u64) -> ManifestView<'static> {
+    ManifestView {
+        rank,
+        is_alone: false,
+        waited: Duration::from_millis(waited_ms),
+        failures: 0,
+        holders: &[],
+    }
+}
+
+#[gtest]
+fn few_agents_ask_the_origin_at_once() {
+    let asking = (0..76).filter(|rank| manifest_source(&view(*rank, 0)) == ManifestSource::Origin);
+    expect_that!(asking.count(), eq(FIRST_READERS));
+}
+
+#[gtest]
+fn the_others_read_it_from_those_that_hold_it() {
+    let holders = [holder(1), holder(2)];
+    let near = ManifestView { holders: &holders, ..view(50, 100) };
+    expect_that!(manifest_source(&near), eq(ManifestSource::Peer(holder(1))));
+    let second = ManifestView { failures: 1, ..near };
+    expect_that!(manifest_source(&second), eq(ManifestSource::Peer(holder(2))));
+}
+
+#[gtest]
+fn all_of_them_ask_the_origin_in_the_end() {
+    expect_that!(manifest_source(&view(75, 600)), eq(ManifestSource::Wait));
+    expect_that!(manifest_source(&view(75, 2_000)), eq(ManifestSource::Origin));
+    let holders = [holder(1)];
+    let failed = ManifestView { holders: &holders, failures: 2, ..view(75, 2_000) };
+    expect_that!(manifest_source(&failed), eq(ManifestSource::Origin));
+}
+
+#[gtest]
+fn an_agent_that_has_just_started_waits_to_hear_of_others() {
+    let alone = ManifestView { is_alone: true, ..view(0, 0) };
+    expect_that!(manifest_source(&alone), eq(ManifestSource::Wait));
+    let settled = ManifestView { waited: Duration::from_millis(900), ..alone };
+    expect_that!(manifest_source(&settled), eq(ManifestSource::Origin));
+}
--- a/crates/daemon/src/agent/fetch.rs
+++ b/crates/daemon/src/agent/fetch.rs
@@ -254,7 +254,10 @@
     address: SocketAddr,
     digest: Digest,
 ) -> Option<(Bytes, Manifest)> {
-    let request = FetchManifestRequest { manifest: Bytes::copy_from_slice(digest.as_bytes()) };
+    let request = FetchManifestRequest {
+        manifest: Bytes::copy_from_slice(digest.as_bytes()),
+        name: String::new(),
+    };
     let reply = channels.node(address).fetch_manifest(request).await.ok()?;
     let text = reply.into_inner().text?;
     let manifest = Manifest::verify(&text, digest).ok()?;
--- a/crates/daemon/src/agent/hub.rs
+++ b/crates/daemon/src/agent/hub.rs
@@ -129,6 +129,15 @@
     fn manifest(&self, digest: Digest) -> Option<Bytes> {
         self.get(&digest).map(|handle| handle.text)
     }
+
+    fn piece_list(&self, name: &str) -> Option<Bytes> {
+        let is_named = |handle: &&SwarmHandle| {
+            handle.manifest.files().first().is_some_and(|file| file.path == name)
+        };
+        let swarms = self.lock();
+        let named = swarms.values().find(is_named);
+        named.map(|handle| handle.text.clone()).filter(|text| !text.is_empty())
+    }
 }
 
 /// Serves one fetch of a chunk.
--- a/crates/daemon/src/direct/seats.rs
+++ b/crates/daemon/src/direct/seats.rs
@@ -2,10 +2,15 @@
 
 use std::net::SocketAddr;
 
-use headlatch_core::burst::{PeerKey, PeerSeat};
+use headlatch_core::{
+    burst::{PeerKey, PeerSeat},
+    direct::peers::ServerNotice,
+    hash::ranking,
+};
 use headlatch_types::{
     digest::key_of,
     id::{BoxId, DomainId},
+    traffic::WeightVersion,
 };
 
 use super::agent::{AgentState, lock};
@@ -25,6 +30,37 @@
     others.chain([own]).collect()
 }
 
+/// Who may read a manifest, and who holds it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct ManifestReaders {
+    /// Rank of this agent among those of its service.
+    pub(super) rank: usize,
+    /// No other agent of the service is known.
+    pub(super) is_alone: bool,
+    /// Agents that hold the manifest, those of the own failure domain first.
+    pub(super) holders: Vec<SocketAddr>,
+}
+
+/// Who may read the manifest of `version`, and who holds it.
+pub(super) fn manifest_readers(state: &AgentState, version: WeightVersion) -> ManifestReaders {
+    let node = &state.settings.node;
+    let seats = seats(state);
+    let ranked = ranking(version.0, seats.iter().map(|(seat, _)| seat.key.0));
+    let own = seat_key(node.control).0;
+    let peers = lock(&state.peers);
+    let holds = |server: &ServerNotice| server.sharing.is_some_and(|held| held >= version);
+    let held = peers.living().filter_map(|peer| {
+        let server = peer.notice.server.as_ref().filter(|server| holds(server))?;
+        Some((server.zone == node.domain, peer.notice.from))
+    });
+    let (near, far): (Vec<_>, Vec<_>) = held.partition(|(near, _)| *near);
+    ManifestReaders {
+        rank: ranked.iter().position(|key| *key == own).unwrap_or(0),
+        is_alone: seats.len() == 1,
+        holders: if near.is_empty() { far } else { near }.into_iter().map(|(_, at)| at).collect(),
+    }
+}
+
 /// The seat of this agent.
 pub(super) fn own_seat(state: &AgentState) -> PeerSeat {
     let node = &state.settings.node;
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -6,7 +6,10 @@
 };
 
 use headlatch_core::{
-    direct::staging::{GivenOrder, StageStep, StageView, VersionChoice, next_step, next_version},
+    direct::{
+        manifest_source::{ManifestSource, ManifestView, manifest_source},
+        staging::{GivenOrder, StageStep, StageView, VersionChoice, next_step, next_version},
+    },
     time::Moment,
 };
 use headlatch_outside::{
@@ -24,6 +27,7 @@
     agent::{AgentOutside, AgentState, lock},
     change::{self, DrainPace},
     facts::{FactNews, pause_after, set_facts},
+    seats,
     transfer::{TransferDesk, VersionWork},
 };
 use crate::decisions;
@@ -69,6 +73,8 @@
     order: Option<GivenOrder>,
     manifest_failures: u32,
     manifest_due: Moment,
+    /// The version whose manifest is wanted, and since when.
+    manifest_wanted: Option<(WeightVersion, Moment)>,
     progress_due: Moment,
     fence: u64,
 }
@@ -112,6 +118,7 @@
             order: None,
             manifest_failures: 0,
             manifest_due: Moment::ZERO,
+            manifest_wanted: None,
             progress_due: Moment::ZERO,
             fence: 0,
         }
@@ -314,9 +321,13 @@
         if now < self.manifest_due {
             return None;
         }
-        match self.transfers.begin(&origin, model, version, is_next).await {
-            Ok(work) => {
+        let source = self.manifest_source(version);
+        match self.transfers.manifest(source, &origin, model, version).await {
+            Ok(None) => None,
+            Ok(Some(pieces)) => {
+                let work = self.transfers.begin(&origin, pieces, is_next).await;
                 self.manifest_failures = 0;
+                self.manifest_wanted = None;
                 self.note_begun(&work, is_next);
                 Some(work)
             }
@@ -325,13 +336,30 @@
                 self.manifest_due = now + pause_after(self.manifest_failures);
                 // The origin may have moved.
                 self.plan = None;
-                let fields = json!({ "version": version, "error": error.to_string() });
+                let fields = json!({
+                    "version": version, "source": format!("{source:?}"), "error": error.to_string(),
+                });
                 decisions::warn("weights", "no_manifest", fields);
                 None
             }
         }
     }
 
+    /// Where the manifest of a version is to be read now.
+    fn manifest_source(&mut self, version: WeightVersion) -> ManifestSource {
+        let now = self.state.node.now();
+        let wanted = self.manifest_wanted.filter(|(wanted, _)| *wanted == version);
+        let (_, since) = *self.manifest_wanted.insert(wanted.unwrap_or((version, now)));
+        let readers = seats::manifest_readers(&self.state, version);
+        manifest_source(&ManifestView {
+            rank: readers.rank,
+            is_alone: readers.is_alone,
+            waited: now.since(since),
+            failures: self.manifest_failures,
+            holders: &readers.holders,
+        })
+    }
+
     fn note_begun(&self, work: &VersionWork, is_next: bool) {
         let version = work.pieces.version;
         let fields = json!({
--- a/crates/daemon/src/direct/transfer.rs
+++ b/crates/daemon/src/direct/transfer.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use headlatch_core::{
     burst::{DrawOrder, PeerSeat, SwarmPace, SwarmSettings},
-    direct::staging::StageState,
+    direct::{manifest_source::ManifestSource, staging::StageState},
     time::Moment,
 };
 use headlatch_http::pace::LinkPacer;
@@ -21,7 +21,7 @@
 use super::{
     agent::{AgentOutside, AgentState},
     seats,
-    weights::{PieceReader, burst_manifest},
+    weights::{PieceReader, burst_manifest, encode_pieces, piece_name, pieces_from_peer},
 };
 use crate::agent::{
     hub::SwarmHub,
@@ -108,16 +108,36 @@
         places.map(|place| self.vault.get(&place.digest).is_some()).collect()
     }
 
+    /// Reads the manifest of a version from `source`; none if it is to be read later.
+    pub async fn manifest(
+        &self,
+        source: ManifestSource,
+        origin: &OriginPlan,
+        model: &ModelName,
+        version: WeightVersion,
+    ) -> Result<Option<PieceManifest>, StageFailure> {
+        match source {
+            ManifestSource::Wait => Ok(None),
+            ManifestSource::Origin => {
+                let read = self.outside.origin.manifest(origin.address, model, version);
+                read.await.map(Some)
+            }
+            ManifestSource::Peer(address) => {
+                let channels = &self.state.node.channels;
+                pieces_from_peer(channels, address, model, version).await.map(Some)
+            }
+        }
+    }
+
     /// Begins to bring in a version; `is_next` tells that the stage holds another one that is
     /// needed, so that nothing of this version lies there.
     pub async fn begin(
         &mut self,
         origin: &OriginPlan,
-        model: &ModelName,
-        version: WeightVersion,
+        pieces: PieceManifest,
         is_next: bool,
-    ) -> Result<VersionWork, StageFailure> {
-        let pieces = self.outside.origin.manifest(origin.address, model, version).await?;
+    ) -> VersionWork {
+        let version = pieces.version;
         let manifest = Arc::new(burst_manifest(&pieces));
         let stage = match is_next {
             true => StageState {
@@ -133,7 +153,7 @@
         self.hub.add(swarm.clone());
         self.keep(manifest.digest());
         let since = self.state.node.now();
-        Ok(VersionWork { pieces, manifest, swarm, stage, since })
+        VersionWork { pieces, manifest, swarm, stage, since }
     }
 
     fn keep(&mut self, digest: Digest) {
@@ -166,8 +186,8 @@
         settings.draws = DrawOrder::Assigned;
         settings.pace = SwarmPace::quick();
         settings.queue = MOST_WAITING;
-        let name = format!("{}@{}", pieces.model, pieces.version);
-        let text = (Bytes::new(), manifest.clone());
+        let name = piece_name(&pieces.model, pieces.version);
+        let text = (encode_pieces(pieces), manifest.clone());
         let own_seat: PeerSeat = seats::own_seat(&self.state);
         swarm::start(tools, name, text, settings, own_seat)
     }
--- a/crates/daemon/src/node/service.rs
+++ b/crates/daemon/src/node/service.rs
@@ -44,6 +44,8 @@
     fn serve_chunk(&self, steps: Streaming<FetchStep>) -> PieceStream;
     /// The text of a manifest, if it is here.
     fn manifest(&self, digest: Digest) -> Option<bytes::Bytes>;
+    /// The piece list of a version by its name, if it is here.
+    fn piece_list(&self, name: &str) -> Option<bytes::Bytes>;
 }
 
 /// The control service of one node.
@@ -81,9 +83,15 @@
         &self,
         request: Request<FetchManifestRequest>,
     ) -> Result<Response<FetchManifestReply>, Status> {
-        let digest = Digest::try_from(&*request.into_inner().manifest)
+        let request = request.into_inner();
+        let host = self.host.as_ref();
+        if !request.name.is_empty() {
+            let text = host.and_then(|host| host.piece_list(&request.name));
+            return Ok(Response::new(FetchManifestReply { text }));
+        }
+        let digest = Digest::try_from(&*request.manifest)
             .map_err(|error| Status::invalid_argument(error.to_string()))?;
-        let text = self.host.as_ref().and_then(|host| host.manifest(digest));
+        let text = host.and_then(|host| host.manifest(digest));
         Ok(Response::new(FetchManifestReply { text }))
     }
 
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -179,7 +179,11 @@
         most: usize,
         time: Duration,
     ) -> Result<CallAnswer, ExchangeError> {
-        let (mut held, _) = self.get(address, ConnectionChoice::Kept, time).await?;
+        let choice = match request.closes {
+            true => ConnectionChoice::Fresh,
+            false => ConnectionChoice::Kept,
+        };
+        let (mut held, _) = self.get(address, choice, time).await?;
         let uri: Uri = request
             .path
             .parse()
@@ -192,7 +196,9 @@
         let (parts, body) = answer.into_parts();
         let body = Limited::new(body, most).collect().await;
         let body = body.map_err(|error| ExchangeError::lost(error.to_string()))?.to_bytes();
-        self.put_back(held);
+        if !request.closes {
+            self.put_back(held);
+        }
         Ok(CallAnswer { status: parts.status, headers: parts.headers, body })
     }
 }
@@ -208,13 +214,20 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// The connection is closed after the answer.
+    pub closes: bool,
 }
 
 impl CallRequest {
     /// A GET of `path`.
     pub fn get(path: impl Into<String>) -> Self {
         let (headers, body) = (HeaderMap::new(), Bytes::new());
-        Self { method: Method::GET, path: path.into(), headers, body }
+        Self { method: Method::GET, path: path.into(), headers, body, closes: false }
+    }
+
+    /// The same over a connection of its own, which is closed after the answer.
+    pub fn closing(self) -> Self {
+        Self { closes: true, ..self }
     }
 }
 
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -168,11 +168,14 @@
     #[prost(bool, tag = "2")]
     pub turn: bool,
 }
-/// Asks for a manifest by its digest.
+/// Asks for a manifest by its digest, or by its name where the digest is not known yet.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FetchManifestRequest {
     #[prost(bytes = "bytes", tag = "1")]
     pub manifest: ::prost::bytes::Bytes,
+    /// Name of a version of weights that are kept in pieces; empty if the digest is given.
+    #[prost(string, tag = "2")]
+    pub name: ::prost::alloc::string::String,
 }
 /// A manifest's text; absent if this box does not hold it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,5 +8,7 @@
 pub use generated::*;
 
 mod notice;
+mod piece_list;
 
 pub use notice::{NoticeDrain, NoticeLoad, NoticeServer, PeerNotice};
+pub use piece_list::PieceList;
