Tell at once what an engine has to read, and let few entries choose the same far engine

Cause: while servers changed weights, late first tokens came from engines that had just changed and were empty (own 0, others 0, predicted 50 to 150 ms, came after 300 to 600 ms): every entry sent there at once, and loads of engines that were not busy were not told until the next tick.

Change: prompts that begin and are read are told at once within the failure domain, ends only at busy servers as before; sums between domains go out every 100 ms; of N entries six choose the same engine of another domain between two notices.

The writer's test counts a sum at every tick now.

--- a/crates/core/src/direct/manifest_source.rs
+++ b/crates/core/src/direct/manifest_source.rs
@@ -11,8 +11,9 @@
 const READER_PAUSE: Duration = Duration::from_millis(300);
 
 /// Time after a start in which an agent that knows no other waits to hear of some: where all
-/// machines start at once, each would take itself for the first.
-const SETTLING_TIME: Duration = Duration::from_millis(800);
+/// machines start at once, each would take itself for the first. Starts lie 0.3 s apart, so that a
+/// short wait spreads them; a longer one is time in which nothing is served.
+const SETTLING_TIME: Duration = Duration::from_millis(150);
 
 /// What an agent knows when it needs a manifest.
 #[derive(Debug, Clone, Copy)]
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -28,6 +28,11 @@
 /// percent: what they have in progress is known late, and many may choose the same engine.
 const FAR_RESERVE_PERCENT: u32 = 20;
 
+/// Prompts that an engine reads in time when they come together: as many entries of other failure
+/// domains may choose it between two notices of its load. Prompts take 20 to 60 ms each at the
+/// figures known, objectives are 300 to 600 ms.
+const FAR_ARRIVALS: f64 = 6.0;
+
 /// Spread of the costs of engines in other failure domains, so that entries do not all choose the
 /// same one between two notices.
 const FAR_SPREAD: f64 = 0.15;
@@ -35,8 +40,8 @@
 /// Spread of the costs of near servers, which tells equals apart.
 const EQUALS_SPREAD: f64 = 0.01;
 
-/// Part of its slots from which on a server's load is told at once, in percent: while a server is
-/// idle, nobody needs to know.
+/// Part of its slots from which on the end of a request is told at once, in percent: while a server
+/// is idle, nobody needs to know.
 const BUSY_PERCENT: u32 = 40;
 
 /// Part of a request's objective that its predicted first token may take, in percent: predictions
@@ -180,6 +185,8 @@
     others: HashMap<u32, EngineLoad>,
     /// Failure domains that are out of reach.
     silent: BTreeSet<DomainKey>,
+    /// Entries that live.
+    entries: usize,
     zone: Option<DomainId>,
     regions: HashMap<DomainId, RegionId>,
 }
@@ -253,6 +260,17 @@
         self.others = others;
     }
 
+    /// Takes in how many entries live.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.entries = entries;
+    }
+
+    /// Whether a request may go to an engine of another failure domain, by a number drawn for both
+    /// from 0 to 1: all entries see the same free engines until the next notice.
+    fn may_go_far(&self, drawn: f64) -> bool {
+        drawn * (self.entries as f64) < FAR_ARRIVALS
+    }
+
     /// Takes in which failure domains are out of reach; tells whether that is news.
     pub fn set_silent_domains(&mut self, silent: BTreeSet<DomainKey>) -> bool {
         let news = self.silent != silent;
@@ -328,9 +346,15 @@
             if !may_be_used(state) {
                 continue;
             }
+            let order = query.draw.rotate_left(index as u32 % 64) % 1024;
+            let drawn = (query.draw.rotate_left(31) ^ u64::from(state.key)) % 1024;
+            let is_new = query.engine.is_some_and(|engine| !engine.continues);
+            if is_new && !self.is_near(state) && !self.may_go_far(drawn as f64 / 1024.0) {
+                full = true;
+                continue;
+            }
             match self.cost(now, state, query) {
                 Ok(cost) => {
-                    let order = query.draw.rotate_left(index as u32 % 64) % 1024;
                     let spread = match self.is_near(state) {
                         true => EQUALS_SPREAD,
                         false => FAR_SPREAD,
@@ -467,6 +491,8 @@
             state.own.in_flight += 1;
             state.own.waiting_tokens += tokens;
             state.waiting += 1;
+            // Whoever sees an engine idle sends to it: what it has to read must be known at once.
+            state.untold |= tokens > 0;
             note_change(state, &self.others);
         }
     }
@@ -476,6 +502,7 @@
         if let Some(state) = self.servers.get_mut(id) {
             state.own.waiting_tokens = state.own.waiting_tokens.saturating_sub(tokens);
             state.waiting = state.waiting.saturating_sub(1);
+            state.untold |= tokens > 0;
             note_change(state, &self.others);
         }
     }
--- a/crates/core/tests/load_notices.rs
+++ b/crates/core/tests/load_notices.rs
@@ -206,15 +206,28 @@
 }
 
 #[gtest]
-fn only_changes_at_busy_servers_are_told_at_once() {
+fn what_an_engine_has_to_read_is_told_at_once_and_ends_only_where_it_is_busy() {
     let mut table = table(&[engine("near", "z1")]);
     let near = ServerId("near".into());
     table.begin(&near, 100);
-    expect_that!(table.take_changes().len(), eq(0));
-    (0..4).for_each(|_| table.begin(&near, 100));
     let told = table.take_changes();
-    expect_that!(told.first().map(|notice| notice.load.in_flight), some(eq(5)));
+    expect_that!(told.first().map(|notice| notice.load.waiting_tokens), some(eq(100)));
+    table.note_read(&near, 100);
+    expect_that!(table.take_changes().len(), eq(1));
+    table.end(at(1), &near, ServerOutcome::Answered);
     expect_that!(table.has_changes(), eq(false));
+    (0..5).for_each(|_| table.begin(&near, 100));
+    expect_that!(table.take_changes().first().map(|one| one.load.in_flight), some(eq(5)));
     table.end(at(1), &near, ServerOutcome::Answered);
     expect_that!(table.take_changes().first().map(|one| one.load.in_flight), some(eq(4)));
 }
+
+#[gtest]
+fn of_many_entries_few_choose_the_same_far_engine_at_once() {
+    let mut table = table(&[engine("far", "z2")]);
+    table.set_entries(40);
+    let draw = |turn: u64| (turn + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let chosen = (0..400).filter(|turn| choose(&table, &figures(), draw(*turn)) == "far").count();
+    // Six of forty.
+    expect_that!(chosen, all![ge(30), le(90)]);
+}
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -33,7 +33,7 @@
 const FAR_TICKS: u64 = 10;
 
 /// Ticks between two notices of what a whole failure domain has in progress.
-const DOMAIN_TICKS: u64 = 2;
+const DOMAIN_TICKS: u64 = 1;
 
 /// Ticks between notices to addresses that may be peers, at first.
 const FIRST_CANDIDATE_TICKS: u64 = 5;
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -298,13 +298,15 @@
 
     /// Takes in what others have in progress, and what agents tell.
     pub fn refresh_loads(&self) {
-        let (loads, gone, silent) = {
+        let (loads, gone, silent, entries) = {
             let mut peers = self.peers();
             let gone = peers.expire(self.now());
-            (peers.loads(), gone, peers.silent_domains(self.now()))
+            let entries = peers.entries(PeerKind::Entry);
+            (peers.loads(), gone, peers.silent_domains(self.now()), entries)
         };
         let mut servers = self.servers();
         servers.set_others(loads);
+        servers.set_entries(entries);
         let names: Vec<String> = silent.iter().map(DomainKey::to_string).collect();
         let news = servers.set_silent_domains(silent);
         drop(servers);
--- a/crates/daemon/tests/notice_writer.rs
+++ b/crates/daemon/tests/notice_writer.rs
@@ -88,7 +88,7 @@
             told += 1;
         }
     }
-    expect_that!(told, eq(10));
+    expect_that!(told, eq(20));
 }
 
 #[gtest]
