Draw anew in order after the origin has failed, and call the store less often

Change: a failed draw starts the order of draws and the patience of those that would make up for them anew, makeshift draws keep the pause after a failure, and that pause grows to half a second at most. The list of servers rests 400 ms between changes, watches wait 29 s, and agents read the plan from the store's cheap lists until an origin has failed.

--- a/crates/core/src/burst/planner.rs
+++ b/crates/core/src/burst/planner.rs
@@ -39,8 +39,8 @@
 /// How many times longer than usual chunks take over a link that has become narrow.
 const NARROW_LINK: u32 = 4;
 
-/// Most doublings of that pause.
-const MOST_DOUBLINGS: u32 = 5;
+/// Most doublings of that pause: an origin that is back must not wait for half a second more.
+const MOST_DOUBLINGS: u32 = 3;
 
 /// One fetch in progress.
 #[derive(Debug, Clone, Copy)]
@@ -93,6 +93,9 @@
     pub(super) offer_rounds: u32,
     /// Before this the origin is left alone: it has refused or failed.
     pub(super) draw_due: Moment,
+    /// From when on assigned chunks are drawn in their order: the beginning, or the last time that
+    /// the origin failed.
+    pub(super) draw_base: Moment,
     /// Draws that failed one after another.
     pub(super) draw_failures: u32,
 }
@@ -128,6 +131,7 @@
             brought: BTreeMap::new(),
             offer_rounds: OFFER_ROUNDS,
             draw_due: now,
+            draw_base: now,
             draw_failures: 0,
             settings,
         }
@@ -551,6 +555,7 @@
         }
         self.draws.postpone(now, chunk, pool);
         self.draw_due = now + FIRST_DRAW_PAUSE * (1 << self.draw_failures.min(MOST_DOUBLINGS));
+        self.draw_base = self.draw_due;
         self.draw_failures += 1;
     }
 
--- a/crates/core/src/burst/pursuit.rs
+++ b/crates/core/src/burst/pursuit.rs
@@ -80,22 +80,23 @@
             return;
         }
         let own = self.seats.me().key;
-        let wanted = (0..self.settings.chunks).map(ChunkIndex).find(|chunk| {
+        let missing = (0..self.settings.chunks).map(ChunkIndex).filter(|chunk| {
             !self.held.contains(*chunk)
                 && !self.open.contains_key(chunk)
-                && self.draw_slot(*chunk) <= now
-                && self.seats.drawer(*chunk) == own
                 && !self.is_known(now, *chunk)
         });
+        let due = missing.zip(0..).take_while(|(_, place)| self.draw_slot(*place) <= now);
+        let wanted = due.map(|(chunk, _)| chunk).find(|chunk| self.seats.drawer(*chunk) == own);
         if let Some(chunk) = wanted {
             self.fetch(now, chunk, ChunkSource::Origin, actions);
         }
     }
 
-    /// From when on an assigned chunk may be drawn: a few are drawn at the same time, so that the
-    /// first come soon and spread while the others are drawn.
-    fn draw_slot(&self, chunk: ChunkIndex) -> Moment {
-        self.begun + self.settings.origin_chunk_time * chunk.0.saturating_sub(DRAWS_AT_ONCE)
+    /// From when on the assigned chunk at this place among those that are missing may be drawn: a
+    /// few are drawn at the same time, so that the first come soon and spread while the others are
+    /// drawn.
+    fn draw_slot(&self, place: u32) -> Moment {
+        self.draw_base + self.settings.origin_chunk_time * place.saturating_sub(DRAWS_AT_ONCE)
     }
 
     /// Hands a ticket to the drawer of the next chunk that is not known to be drawn.
--- a/crates/core/src/burst/upkeep.rs
+++ b/crates/core/src/burst/upkeep.rs
@@ -142,7 +142,7 @@
                 actions.extend(to.into_iter().map(seek));
             }
             Remedy::Draw(chunk) if self.settings.draws == DrawOrder::Assigned => {
-                if !self.is_drawing() {
+                if !self.is_drawing() && now >= self.draw_due {
                     self.fetch(now, chunk, ChunkSource::Origin, actions);
                 }
             }
@@ -201,10 +201,12 @@
         self.settings.pace.draw_patience.unwrap_or(usual)
     }
 
-    /// When an assigned chunk should have been drawn, also by an origin a little slower than told.
+    /// When an assigned chunk should have been drawn, also by an origin a little slower than told,
+    /// and counted anew from its last failure: an origin that was down has failed everybody, and
+    /// would be drawn from by all of them at once when it is back.
     fn draw_end(&self, chunk: ChunkIndex) -> Moment {
         let draws = self.settings.origin_chunk_time * (chunk.0 + DRAWS_AT_ONCE);
-        self.begun + draws * DRAWS_PERCENT / 100 + self.settings.pace.seek_patience
+        self.draw_base + draws * DRAWS_PERCENT / 100 + self.settings.pace.seek_patience
     }
 
     /// How long the draw order may stand still before it is taken to have been lost.
--- a/crates/core/tests/burst_peers.rs
+++ b/crates/core/tests/burst_peers.rs
@@ -5,8 +5,8 @@
 use googletest::prelude::*;
 use headlatch_core::{
     burst::{
-        ChunkSet, ChunkSource, DrawOrder, PeerKey, PeerSeat, SwarmAction, SwarmEvent, SwarmNote,
-        SwarmPace, SwarmPlanner, SwarmPulse, SwarmSettings,
+        ChunkSet, ChunkSource, DrawOrder, FetchFailure, PeerKey, PeerSeat, SwarmAction, SwarmEvent,
+        SwarmNote, SwarmPace, SwarmPlanner, SwarmPulse, SwarmSettings,
     },
     time::Moment,
 };
@@ -90,3 +90,46 @@
     expect_that!(asks_peer(&later), eq(false));
     expect_that!(planner.is_complete(), eq(true));
 }
+
+/// Boxes in three domains, and how many draws each begins in a second after an origin is back that
+/// has failed everybody for some seconds.
+fn draws_after_an_outage(boxes: u64) -> usize {
+    let chunk_time = Duration::from_millis(30);
+    let mut settings = SwarmSettings::new(CHUNKS * 4, chunk_time, chunk_time);
+    settings.draws = DrawOrder::Assigned;
+    settings.pace = SwarmPace::quick();
+    let seat = |key: u64| PeerSeat { key: PeerKey(key), domain: key % 3, region: key % 3 };
+    let seats: Vec<PeerSeat> = (1..=boxes).map(seat).collect();
+    let begin = |seat: &PeerSeat| {
+        SwarmPlanner::begin(settings.clone(), 1, *seat, ChunkSet::new(CHUNKS * 4), at(0))
+    };
+    let mut planners: Vec<SwarmPlanner> = seats.iter().map(begin).collect();
+    let mut draws = 0;
+    for tick in 0..120 {
+        let now = at(50 * tick);
+        for planner in &mut planners {
+            let event = match tick {
+                0 => SwarmEvent::Seats(seats.clone()),
+                _ => SwarmEvent::Tick,
+            };
+            let mut begun = drawn(&planner.handle(now, event));
+            while let Some(chunk) = begun.pop() {
+                if tick >= 100 {
+                    draws += 1;
+                    continue;
+                }
+                let (source, failure) = (ChunkSource::Origin, FetchFailure::Unreachable);
+                let failed = SwarmEvent::Failed { chunk, source, failure };
+                begun.extend(drawn(&planner.handle(now, failed)));
+            }
+        }
+    }
+    draws
+}
+
+#[gtest]
+fn an_origin_that_is_back_is_not_drawn_from_by_everybody() {
+    // Sixteen chunks are due, one at a time for each of their drawers; further ones only where
+    // these do not come.
+    expect_that!(draws_after_an_outage(45), all![ge(8), le(32)]);
+}
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -13,7 +13,7 @@
 use crate::decisions;
 
 /// How long one watch waits.
-const WATCH_TIME: Duration = Duration::from_secs(25);
+const WATCH_TIME: Duration = Duration::from_secs(29);
 
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -22,7 +22,7 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(1500);
 
 /// Rest after a watch brought something, in which further changes gather: each call is priced.
-const SERVERS_REST: Duration = Duration::from_millis(250);
+const SERVERS_REST: Duration = Duration::from_millis(400);
 
 fn rest_after(topic: FactTopic) -> Duration {
     match topic {
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -273,7 +273,12 @@
             return;
         }
         self.plan_due = now + PLAN_PAUSE;
-        let listed = self.outside.store.list(FactTopic::Plan, Freshness::Current).await;
+        // An old plan names the same origin nearly always, and costs the store a tenth.
+        let freshness = match self.manifest_failures {
+            0 => Freshness::MayBeOld,
+            _ => Freshness::Current,
+        };
+        let listed = self.outside.store.list(FactTopic::Plan, freshness).await;
         let Ok(list) = listed else { return };
         for fact in set_facts(FactNews::All(list)) {
             if let Fact::Plan(plan) = fact
