Have two entries a failure domain read the plan, and the others take it from them

Change: the first two entries by address whose calls to the store are answered read the plan; the others fetch it over TCP from one of their domain that has it, from another domain's where they stay behind, and from the store where nobody has it. The list of servers rests 800 ms.

Tests: who reads, and a plan from one entry to another.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -6,6 +6,7 @@
 pub mod event_split;
 pub mod manifest_source;
 pub mod peers;
+pub mod plan_readers;
 pub mod retry_share;
 pub mod route_table;
 pub mod server_table;
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -14,9 +14,15 @@
     time::Duration,
 };
 
-use headlatch_types::{id::DomainId, traffic::WeightVersion};
+use headlatch_types::{
+    id::DomainId,
+    traffic::{PlanVersion, WeightVersion},
+};
 
-use super::engine_model::EngineLoad;
+use super::{
+    engine_model::EngineLoad,
+    plan_readers::{ReaderView, is_plan_reader},
+};
 use crate::time::Moment;
 
 /// Silence after which a peer of the own failure domain counts as gone: three notices are lost.
@@ -130,6 +136,8 @@
     pub sequence: u64,
     /// Version of the plan that it has.
     pub plan: u64,
+    /// Its calls to the store are answered, as far as it knows.
+    pub reads_store: bool,
     /// Others that it hears.
     pub peers: Vec<SocketAddr>,
     /// What it has in progress.
@@ -314,6 +322,23 @@
         self.near_entries().all(|peer| peer.notice.from > self.own)
     }
 
+    /// Whether this entry is one of those of its failure domain that read the plan.
+    pub fn is_plan_reader(&self) -> bool {
+        let view = |peer: &Peer| ReaderView {
+            address: peer.notice.from,
+            reads_store: peer.notice.reads_store,
+        };
+        is_plan_reader(self.own, self.near_entries().map(view))
+    }
+
+    /// Entries that have a newer plan than `version`, those of the own failure domain alone if
+    /// `near` is set.
+    pub fn newer_plans(&self, version: PlanVersion, near: bool) -> Vec<SocketAddr> {
+        let entries = self.living().filter(|peer| peer.notice.kind == PeerKind::Entry);
+        let newer = entries.filter(|peer| peer.notice.plan > version.0);
+        newer.filter(|peer| !near || self.is_near(peer)).map(|peer| peer.notice.from).collect()
+    }
+
     /// What others have in progress, by the key of the server.
     pub fn loads(&self) -> HashMap<u32, EngineLoad> {
         let mut loads = self.near_loads();
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -421,6 +421,7 @@
         life,
         sequence,
         plan: 1,
+        reads_store: true,
         peers: Vec::new(),
         loads: vec![LoadNotice { server: 7, load }],
         changes_only: false,
--- a/crates/core/tests/load_notices.rs
+++ b/crates/core/tests/load_notices.rs
@@ -42,6 +42,7 @@
         life: 1,
         sequence,
         plan: 1,
+        reads_store: true,
         peers: Vec::new(),
         loads,
         changes_only: false,
--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -33,7 +33,7 @@
 use volo_http::server::Router;
 
 use super::{
-    facts::{FactNews, follow, set_facts},
+    facts::{AlwaysOpen, FactNews, follow, set_facts},
     notices::{self, NoticeBody, NoticeWriter},
     stager::Stager,
     transfer::TransferDesk,
@@ -165,9 +165,15 @@
             tokio::spawn(stager.run()),
             tokio::spawn(serve_peers(node, hub, listener)),
             tokio::spawn(run_notices(state.clone(), socket)),
-            tokio::spawn(follow(outside.store, FactTopic::Weights, Arc::default(), move |news| {
-                watched.hear_weights(news);
-            })),
+            tokio::spawn(follow(
+                outside.store,
+                FactTopic::Weights,
+                Arc::default(),
+                Arc::new(AlwaysOpen),
+                move |news| {
+                    watched.hear_weights(news);
+                },
+            )),
             tokio::spawn(admin_server.serve(router, signal)),
         ];
         decisions::note("life", "started", fields);
--- a/crates/daemon/src/direct/entry.rs
+++ b/crates/daemon/src/direct/entry.rs
@@ -16,7 +16,11 @@
 use serde_json::json;
 use tokio::{net::UdpSocket, sync::Notify, task::JoinHandle};
 
-use super::{facts::follow, front, notices, state::EntryState};
+use super::{
+    facts::{AlwaysOpen, ReadGate, follow},
+    front, notices, plan_sync,
+    state::EntryState,
+};
 use crate::{decisions, error::DaemonError};
 
 /// Time after a stop is asked for in which callers are still sent here.
@@ -51,6 +55,7 @@
     ) -> Result<Self, Report<DaemonError>> {
         let control = settings.node.control;
         let socket = UdpSocket::bind(control).await.change_context(DaemonError::Bind(control))?;
+        let peer_listener = front::bind(control).await?;
         let listener = front::bind(settings.listen).await?;
         let admin_listener = front::bind(settings.node.admin).await?;
         let failure = || DaemonError::Bind(settings.listen);
@@ -67,6 +72,8 @@
         let mut tasks = vec![
             tokio::spawn(front::serve_admin(state.clone(), admin_listener)),
             tokio::spawn(notices::run(state.clone(), socket)),
+            tokio::spawn(plan_sync::serve(state.clone(), peer_listener)),
+            tokio::spawn(plan_sync::run(state.clone())),
         ];
         if let Some(metrics) = metrics {
             let listener = front::bind(metrics).await?;
@@ -102,15 +109,22 @@
 
 fn follow_all(state: &Arc<EntryState>, store: &Arc<dyn FactStore>) -> Vec<JoinHandle<()>> {
     let (plan, servers, weights) = (state.clone(), state.clone(), state.clone());
+    let open: Arc<dyn ReadGate> = Arc::new(AlwaysOpen);
     let (nudge, never) = (state.plan_nudge.clone(), Arc::<Notify>::default());
     vec![
-        tokio::spawn(follow(store.clone(), FactTopic::Plan, nudge, move |news| {
+        tokio::spawn(follow(store.clone(), FactTopic::Plan, nudge, state.clone(), move |news| {
             plan.hear_plan(news);
         })),
-        tokio::spawn(follow(store.clone(), FactTopic::Servers, never.clone(), move |news| {
-            servers.hear_servers(news);
-        })),
-        tokio::spawn(follow(store.clone(), FactTopic::Weights, never, move |news| {
+        tokio::spawn(follow(
+            store.clone(),
+            FactTopic::Servers,
+            never.clone(),
+            open.clone(),
+            move |news| {
+                servers.hear_servers(news);
+            },
+        )),
+        tokio::spawn(follow(store.clone(), FactTopic::Weights, never, open, move |news| {
             weights.hear_weights(news);
         })),
     ]
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -21,8 +21,9 @@
 /// Longest pause after failed calls.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1500);
 
-/// Rest after a watch brought something, in which further changes gather: each call is priced.
-const SERVERS_REST: Duration = Duration::from_millis(400);
+/// Rest after a watch brought something, in which further changes gather: each call is priced, and
+/// a server that leaves serves on for two seconds at least.
+const SERVERS_REST: Duration = Duration::from_millis(800);
 
 fn rest_after(topic: FactTopic) -> Duration {
     match topic {
@@ -31,6 +32,48 @@
     }
 }
 
+/// Decides whether a topic is read from the store, and hears whether that works.
+pub trait ReadGate: Send + Sync {
+    /// Whether the topic is to be read now.
+    fn is_open(&self) -> bool;
+    /// Notes whether the last call was answered.
+    fn note(&self, answered: bool);
+}
+
+/// A topic that is always read.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct AlwaysOpen;
+
+impl ReadGate for AlwaysOpen {
+    fn is_open(&self) -> bool {
+        true
+    }
+
+    fn note(&self, _answered: bool) {}
+}
+
+/// How often a closed gate is looked at.
+const GATE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Looks at a gate until that has been closed for some time.
+async fn closed(gate: &dyn ReadGate) {
+    let mut looks = 0;
+    while looks < 5 {
+        tokio::time::sleep(GATE_PAUSE).await;
+        looks = if gate.is_open() { 0 } else { looks + 1 };
+    }
+}
+
+/// Waits until a gate opens or somebody knows that there is something newer.
+async fn opened(gate: &dyn ReadGate, nudge: &Notify) {
+    while !gate.is_open() {
+        let nudged = tokio::time::timeout(GATE_PAUSE, nudge.notified()).await;
+        if nudged.is_ok() {
+            return;
+        }
+    }
+}
+
 /// What a follower hands over.
 #[derive(Debug, Clone)]
 pub enum FactNews {
@@ -56,13 +99,17 @@
     store: Arc<dyn FactStore>,
     topic: FactTopic,
     nudge: Arc<Notify>,
+    gate: Arc<dyn ReadGate>,
     mut take: impl FnMut(FactNews) + Send,
 ) {
     let mut at: Option<StoreRevision> = None;
     let mut failures = 0;
     loop {
         let outcome = match at {
-            None => list(&*store, topic, &mut take).await,
+            None => {
+                opened(&*gate, &nudge).await;
+                list(&*store, topic, &mut take).await
+            }
             Some(after) => {
                 tokio::select! {
                     watched = watch(&*store, topic, after, &mut take) => watched,
@@ -71,9 +118,14 @@
                         at = None;
                         continue;
                     }
+                    () = closed(&*gate) => {
+                        at = None;
+                        continue;
+                    }
                 }
             }
         };
+        gate.note(matches!(outcome, Ok(_) | Err(StoreFailure::HistoryGone)));
         match outcome {
             Ok(next) => {
                 // Changes that come close together are one call.
--- a/crates/daemon/src/direct/front.rs
+++ b/crates/daemon/src/direct/front.rs
@@ -25,7 +25,7 @@
 /// time does not cross the close.
 const REST_SLACK: Duration = Duration::from_secs(2);
 
-async fn accept(listener: &TcpListener) -> TcpStream {
+pub(super) async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -110,6 +110,7 @@
         life: notice.life,
         sequence: notice.sequence,
         plan: notice.plan,
+        reads_store: notice.reads_store,
         peers: notice.peers.iter().map(address_bytes).collect(),
         loads: notice.loads.iter().map(encode_load).collect(),
         drains: notice.drains.iter().map(drain).collect(),
@@ -152,6 +153,7 @@
         life: message.life,
         sequence: message.sequence,
         plan: message.plan,
+        reads_store: message.reads_store,
         peers: message.peers.iter().filter_map(|bytes| address_of(bytes)).collect(),
         loads: message.loads.iter().map(decode_load).collect(),
         changes_only: message.changes_only,
@@ -179,6 +181,8 @@
 pub struct NoticeBody {
     /// Version of the plan that it has.
     pub plan: u64,
+    /// Its calls to the store are answered, as far as it knows.
+    pub reads_store: bool,
     /// What it has in progress.
     pub loads: Vec<LoadNotice>,
     /// What its whole failure domain has in progress, if it is the one to tell.
@@ -308,6 +312,7 @@
         let targets = entries.map(|peer| peer.notice.from).collect();
         let told = NoticeBody {
             plan: body.plan,
+            reads_store: body.reads_store,
             drains: body.drains.clone(),
             domain_loads: Some(loads),
             ..NoticeBody::default()
@@ -352,6 +357,7 @@
             life: self.life,
             sequence: self.sequence,
             plan: body.plan,
+            reads_store: body.reads_store,
             peers: named,
             loads: body.loads,
             changes_only,
@@ -414,7 +420,8 @@
         busy.map(|(server, load)| LoadNotice { server, load }).collect()
     });
     let plan = state.plan_version().0;
-    NoticeBody { plan, loads, domain_loads, drains, ..NoticeBody::default() }
+    let reads_store = state.reads_store();
+    NoticeBody { plan, reads_store, loads, domain_loads, drains, ..NoticeBody::default() }
 }
 
 /// A peer that is to be answered at once.
@@ -429,7 +436,8 @@
 fn answer(state: &EntryState, writer: &mut NoticeWriter, reply: ReplyDue) -> NoticeMail {
     let plan = state.plan_version().0;
     let drains = state.servers().drains();
-    let body = NoticeBody { plan, drains, ..NoticeBody::default() };
+    let reads_store = state.reads_store();
+    let body = NoticeBody { plan, reads_store, drains, ..NoticeBody::default() };
     match reply {
         ReplyDue::Drain(to) => {
             NoticeMail { bytes: writer.write(body, Vec::new()), targets: vec![to] }
@@ -451,10 +459,10 @@
     let now = state.now();
     let plan = (notice.kind == PeerKind::Entry && !notice.changes_only)
         .then_some(PlanVersion(notice.plan));
+    let outcome = state.peers().hear(now, notice);
     if let Some(plan) = plan {
         state.hear_peer_plan(plan);
     }
-    let outcome = state.peers().hear(now, notice);
     state.refresh_loads_of(&changed);
     if outcome.joined {
         decisions::note("peers", "found", json!({ "peer": from }));
--- /dev/null
+++ b/crates/daemon/src/direct/plan_sync.rs
@@ -0,0 +1,92 @@
+//! Plans from one entry to another: entries that do not read the store have them from those of
+//! their failure domain that do.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use headlatch_http::{CallRequest, Connections};
+use headlatch_types::{reading::from_json, traffic::TrafficPlan};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use super::{front, state::EntryState};
+use crate::decisions;
+
+/// Path of the plan among entries.
+const PLAN_PATH: &str = "/plan";
+
+/// Time for a plan to come: a large one takes 0.1 s over the narrowest link known, and a dozen
+/// entries may ask at once.
+const FETCH_TIME: Duration = Duration::from_millis(1500);
+
+/// Largest plan: the store holds values of a megabyte, and this form is not much longer.
+const MOST_PLAN: usize = 4 << 20;
+
+/// Pause after a plan did not come.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Hands out the plan in force to other entries.
+pub async fn serve(state: Arc<EntryState>, listener: TcpListener) {
+    loop {
+        let stream = front::accept(&listener).await;
+        let asked = state.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let answer = answer(&asked, request.uri().path());
+            async move { Ok::<_, Infallible>(answer) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move {
+            // Whoever asks may go away.
+            let _ = connection.await;
+        });
+    }
+}
+
+fn answer(state: &EntryState, path: &str) -> Response<Full<Bytes>> {
+    let plan = state.routes().filter(|_| path == PLAN_PATH);
+    let text = plan.and_then(|routes| serde_json::to_vec(&**routes.plan()).ok());
+    let (status, text) = match text {
+        Some(text) => (StatusCode::OK, text),
+        None => (StatusCode::NOT_FOUND, Vec::new()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
+
+/// Reads the plan that another entry has in force; the error says why there is none.
+pub async fn fetch(connections: &Connections, address: SocketAddr) -> Result<TrafficPlan, String> {
+    let call = connections.call(address, CallRequest::get(PLAN_PATH), MOST_PLAN, FETCH_TIME);
+    let answer = call.await.map_err(|error| format!("{address}: {}", error.message))?;
+    if answer.status != StatusCode::OK {
+        return Err(format!("{address}: it answered {} and no plan", answer.status));
+    }
+    let text = std::str::from_utf8(&answer.body).map_err(|error| format!("{address}: {error}"))?;
+    let plan: TrafficPlan = from_json(text).map_err(|error| format!("{address}: {error}"))?;
+    plan.check().map_err(|error| format!("{address}: {error}"))?;
+    Ok(plan)
+}
+
+/// Brings in newer plans that other entries have, for ever.
+pub async fn run(state: Arc<EntryState>) {
+    let connections = Connections::default();
+    loop {
+        let Some(holder) = state.newer_plan_holder() else {
+            state.plan_offer.notified().await;
+            continue;
+        };
+        match fetch(&connections, holder).await {
+            Ok(plan) => state.take_plan(plan, "peer"),
+            Err(error) => {
+                decisions::warn("plan", "not_fetched", json!({ "error": error }));
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -33,7 +33,9 @@
 use serde_json::json;
 use tokio::{sync::Notify, time::Instant};
 
-use super::facts::{FactNews, set_facts};
+use rand::seq::IndexedRandom;
+
+use super::facts::{FactNews, ReadGate, set_facts};
 use crate::{decisions, metrics::NodeMetrics};
 
 /// Time for which a peer's newer plan is waited for before the store is asked.
@@ -66,6 +68,10 @@
     pub load_news: Notify,
     /// Has the plan read anew.
     pub plan_nudge: Arc<Notify>,
+    /// Another entry has a newer plan.
+    pub plan_offer: Notify,
+    /// The last call to the store for the plan was answered.
+    store_answers: AtomicBool,
     /// Since when a peer is known to have a newer plan.
     behind_since: Mutex<Option<Moment>>,
 }
@@ -82,6 +88,16 @@
     }
 }
 
+impl ReadGate for EntryState {
+    fn is_open(&self) -> bool {
+        self.routes().is_none() || self.peers().is_plan_reader()
+    }
+
+    fn note(&self, answered: bool) {
+        self.store_answers.store(answered, Ordering::Relaxed);
+    }
+}
+
 impl EntryState {
     /// The state of an entry that has just started.
     pub fn new(settings: DirectEntrySettings, headers: Arc<dyn HeaderForm>) -> Arc<Self> {
@@ -108,6 +124,8 @@
             peers: Mutex::new(peers),
             load_news: Notify::new(),
             plan_nudge: Arc::default(),
+            plan_offer: Notify::new(),
+            store_answers: AtomicBool::new(true),
             behind_since: Mutex::default(),
             settings,
         })
@@ -180,28 +198,51 @@
             "routes": plan.routes.len(), "services": plan.services.len(),
             "tenants": plan.tenants.len(),
         });
+        *lock(&self.behind_since) = None;
         self.metrics.set_revision(plan.version.0);
         *routes = Some(Arc::new(RouteTable::new(Arc::new(plan))));
         drop(routes);
         decisions::note("plan", "in_force", fields);
     }
 
-    /// A peer has the plan of `version`: where that stays newer than the one in force here, this
-    /// entry's watch has missed something.
+    /// A peer has the plan of `version`: where that is newer than the one in force here, it is had
+    /// from a peer; where it stays so, this entry's watch has missed something.
     pub fn hear_peer_plan(&self, version: PlanVersion) {
-        let mut behind = lock(&self.behind_since);
         if version <= self.plan_version() {
-            *behind = None;
             return;
         }
+        self.plan_offer.notify_one();
+        let mut behind = lock(&self.behind_since);
         let now = self.now();
         let since = *behind.get_or_insert(now);
         if now.since(since) >= BEHIND_PATIENCE {
-            *behind = None;
+            *behind = Some(now);
             self.plan_nudge.notify_one();
         }
     }
 
+    /// An entry that has a newer plan: one of the own failure domain, or any where this entry has
+    /// been behind for long. An entry that reads the store waits for its watch at first.
+    pub fn newer_plan_holder(&self) -> Option<SocketAddr> {
+        let version = self.plan_version();
+        let is_late = lock(&self.behind_since)
+            .is_some_and(|since| self.now().since(since) >= BEHIND_PATIENCE / 2);
+        let peers = self.peers();
+        if peers.is_plan_reader() && self.reads_store() && !is_late {
+            return None;
+        }
+        let mut holders = peers.newer_plans(version, true);
+        if holders.is_empty() && is_late {
+            holders = peers.newer_plans(version, false);
+        }
+        holders.choose(&mut rand::rng()).copied()
+    }
+
+    /// Whether the store answers this entry's calls for the plan, as far as it knows.
+    pub fn reads_store(&self) -> bool {
+        self.store_answers.load(Ordering::Relaxed)
+    }
+
     /// Takes in news about the plan.
     pub fn hear_plan(&self, news: FactNews) {
         for fact in set_facts(news) {
--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -371,6 +371,7 @@
             life: 1,
             sequence,
             plan: 0,
+            reads_store: true,
             peers: Vec::new(),
             loads: Vec::new(),
             changes_only: false,
--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use googletest::prelude::*;
 use headlatch_core::direct::peers::{DomainKey, DrainNotice, PeerKind, PeerNotice, ServerNotice};
-use headlatch_daemon::direct::{entry::DirectEntry, notices};
+use headlatch_daemon::direct::{entry::DirectEntry, notices, plan_sync};
 use headlatch_http::{CallAnswer, Connections};
 use headlatch_outside::{
     OutsideFuture,
@@ -566,6 +566,7 @@
         life: 1,
         sequence: 1,
         plan: 0,
+        reads_store: true,
         peers: Vec::new(),
         loads: Vec::new(),
         changes_only: false,
@@ -597,3 +598,22 @@
     expect_that!(answer.status, eq(StatusCode::OK));
     expect_that!(setting.first.seen(), is_empty());
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_plan_goes_whole_from_one_entry_to_another() {
+    let setting = Setting::new(whole, whole).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("it is bound");
+    tokio::spawn(plan_sync::serve(setting.entry.state.clone(), listener));
+    let connections = Connections::default();
+    let fetched = plan_sync::fetch(&connections, address).await.expect("a plan");
+    let routes = setting.entry.state.routes().expect("a plan");
+    expect_that!(fetched == **routes.plan(), eq(true));
+    // Nobody listens there: the error names the place.
+    let nowhere = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = nowhere.local_addr().expect("it is bound");
+    drop(nowhere);
+    let error = plan_sync::fetch(&connections, address).await.expect_err("nobody is there");
+    expect_that!(error, starts_with(address.to_string()));
+}
--- a/crates/daemon/tests/notice_writer.rs
+++ b/crates/daemon/tests/notice_writer.rs
@@ -27,6 +27,7 @@
         life: 1,
         sequence: 1,
         plan: 0,
+        reads_store: true,
         peers: Vec::new(),
         loads: Vec::new(),
         changes_only: false,
@@ -95,6 +96,7 @@
 fn a_notice_reads_as_it_was_written() {
     let notice = PeerNotice {
         plan: 12,
+        reads_store: true,
         peers: vec![address(NEAR, 4), "[::1]:9".parse().expect("an address")],
         loads: body(3).loads,
         domain_loads: Some(Vec::new()),
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -93,4 +93,7 @@
     /// Whether `domain_loads` is told: it may be empty.
     #[prost(bool, tag = "13")]
     pub tells_domain: bool,
+    /// Whether its calls to the store are answered, as far as it knows.
+    #[prost(bool, tag = "14")]
+    pub reads_store: bool,
 }
