--- /dev/null
+++ b/crates/daemon/tests/read_gate.rs
@@ -0,0 +1,155 @@
+//! Followers of a topic whose gate is closed: what they call the store for, and what not.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use googletest::prelude::*;
+use headlatch_daemon::direct::facts::{FactNews, ReadGate, follow};
+use headlatch_outside::{
+    OutsideFuture,
+    facts::{FactChanges, FactList, FactStore, FactTopic, Freshness, StoreFailure, StoreRevision},
+};
+use tokio::sync::Notify;
+
+/// A store that counts its calls, and fails all of them if it is told to.
+#[derive(Debug, Default)]
+struct CountingStore {
+    lists: AtomicU32,
+    watches: AtomicU32,
+    fails: AtomicBool,
+    /// A watch was given up before it ended.
+    given_up: Arc<AtomicBool>,
+}
+
+/// Notes that a watch was given up, when it is dropped.
+struct WatchGuard(Arc<AtomicBool>);
+
+impl Drop for WatchGuard {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+impl FactStore for CountingStore {
+    fn list(
+        &self,
+        _topic: FactTopic,
+        _freshness: Freshness,
+    ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
+        self.lists.fetch_add(1, Ordering::Relaxed);
+        let fails = self.fails.load(Ordering::Relaxed);
+        Box::pin(async move {
+            match fails {
+                true => Err(StoreFailure::Unreachable("it is down".to_owned())),
+                false => Ok(FactList { facts: Vec::new(), at: StoreRevision(1) }),
+            }
+        })
+    }
+
+    fn watch(
+        &self,
+        _topic: FactTopic,
+        after: StoreRevision,
+        _time: Duration,
+    ) -> OutsideFuture<'_, std::result::Result<FactChanges, StoreFailure>> {
+        self.watches.fetch_add(1, Ordering::Relaxed);
+        let guard = WatchGuard(self.given_up.clone());
+        Box::pin(async move {
+            let _guard = guard;
+            tokio::time::sleep(Duration::from_secs(600)).await;
+            Ok(FactChanges { changes: Vec::new(), at: after })
+        })
+    }
+}
+
+#[derive(Debug, Default)]
+struct TestGate {
+    open: AtomicBool,
+    answered: AtomicBool,
+}
+
+impl ReadGate for TestGate {
+    fn is_open(&self) -> bool {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    fn note(&self, answered: bool) {
+        self.answered.store(answered, Ordering::Relaxed);
+    }
+}
+
+struct Setting {
+    store: Arc<CountingStore>,
+    gate: Arc<TestGate>,
+    nudge: Arc<Notify>,
+}
+
+impl Setting {
+    fn start() -> Self {
+        let setting = Self { store: Arc::default(), gate: Arc::default(), nudge: Arc::default() };
+        let (store, gate, nudge) =
+            (setting.store.clone(), setting.gate.clone(), setting.nudge.clone());
+        tokio::spawn(follow(store, FactTopic::Plan, nudge, gate, |_: FactNews| {}));
+        setting
+    }
+
+    fn calls(&self) -> (u32, u32) {
+        let (lists, watches) = (&self.store.lists, &self.store.watches);
+        (lists.load(Ordering::Relaxed), watches.load(Ordering::Relaxed))
+    }
+}
+
+/// Waits until `done` holds; a test that waits in vain is ended by its runner.
+async fn until(done: impl Fn() -> bool) {
+    while !done() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Lets a follower look at a closed gate once or twice: however long it takes, it must call nobody.
+async fn look_again() {
+    tokio::time::sleep(Duration::from_millis(450)).await;
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_closed_gate_lets_nothing_through_until_it_opens() {
+    let setting = Setting::start();
+    look_again().await;
+    expect_that!(setting.calls(), eq((0, 0)));
+    setting.gate.open.store(true, Ordering::Relaxed);
+    until(|| setting.calls() == (1, 1)).await;
+    // Another entry has come that reads in its place: the watch is given up, and nothing is listed.
+    setting.gate.open.store(false, Ordering::Relaxed);
+    until(|| setting.store.given_up.load(Ordering::Relaxed)).await;
+    look_again().await;
+    expect_that!(setting.calls(), eq((1, 1)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_nudge_lists_once_although_the_gate_is_closed() {
+    let setting = Setting::start();
+    setting.nudge.notify_one();
+    until(|| setting.calls() == (1, 1)).await;
+    until(|| setting.store.given_up.load(Ordering::Relaxed)).await;
+    look_again().await;
+    expect_that!(setting.calls(), eq((1, 1)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn the_gate_hears_whether_calls_are_answered() {
+    let setting = Setting::start();
+    setting.store.fails.store(true, Ordering::Relaxed);
+    setting.gate.answered.store(true, Ordering::Relaxed);
+    setting.gate.open.store(true, Ordering::Relaxed);
+    until(|| !setting.gate.answered.load(Ordering::Relaxed)).await;
+    setting.store.fails.store(false, Ordering::Relaxed);
+    until(|| setting.gate.answered.load(Ordering::Relaxed)).await;
+}
