Learn wanted versions and their age from peers, and read the store anew after being cut off

Two entries are cut off from second 1 to 13; their watches of wanted weights, opened before, went on waiting on connections that nobody answered any more, for 29 s and 3 s more, and missed the naming at 18 s. A restarted entry had the same fault in small: it counted a version's time from its own start.

Change: notices carry the newest wanted version of each model and how long it has been known; an entry or agent learns it from any peer, and keeps the longest age. A process that hears somebody after 1.5 s of silence of everybody lists plan, servers and weights anew.

--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -15,7 +15,7 @@
 };
 
 use headlatch_types::{
-    id::DomainId,
+    id::{DomainId, ModelName},
     traffic::{PlanVersion, WeightVersion},
 };
 
@@ -42,6 +42,10 @@
 /// off, and judges nobody.
 const OWN_SILENCE: Duration = Duration::from_millis(250);
 
+/// Silence of everybody after which this process has been cut off, or stood still: what it waits
+/// for on open connections may never come.
+const CUT_SILENCE: Duration = Duration::from_millis(1500);
+
 /// Time for which an address that does not answer is tried.
 const CANDIDATE_LIFE: Duration = Duration::from_secs(32);
 
@@ -103,6 +107,17 @@
     pub load: EngineLoad,
 }
 
+/// A version of weights that is wanted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WantedNotice {
+    /// The model.
+    pub model: ModelName,
+    /// The version.
+    pub version: WeightVersion,
+    /// How long the sender has known it.
+    pub age: Duration,
+}
+
 /// An entry's word that it sends nothing to a server that is about to change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DrainNotice {
@@ -150,6 +165,8 @@
     pub drains: Vec<DrainNotice>,
     /// Its server, if it looks after one.
     pub server: Option<ServerNotice>,
+    /// The newest wanted version of each model, as far as it knows.
+    pub wanted: Vec<WantedNotice>,
 }
 
 /// A peer.
@@ -168,6 +185,8 @@
     pub joined: bool,
     /// The sender's server says something new.
     pub server_changed: bool,
+    /// Nobody had been heard for some time: this process was cut off, or stood still.
+    pub after_silence: bool,
 }
 
 /// The peers of one process.
@@ -218,15 +237,18 @@
             self.suggest(now, *address);
         }
         self.candidates.remove(&notice.from);
+        let last = self.domains_heard.values().max();
+        let after_silence = last.is_some_and(|last| now.since(*last) > CUT_SILENCE);
         self.domains_heard.insert(notice.domain, now);
         let before = self.peers.get(&notice.from);
         if let Some(peer) = before
             && peer.notice.life == notice.life
             && peer.notice.sequence >= notice.sequence
         {
-            return NoticeOutcome::default();
+            return NoticeOutcome { after_silence, ..NoticeOutcome::default() };
         }
         let outcome = NoticeOutcome {
+            after_silence,
             joined: before.is_none(),
             server_changed: notice.server.is_some()
                 && before.is_none_or(|peer| peer.notice.server != notice.server),
--- a/crates/core/src/direct/weight_deadline.rs
+++ b/crates/core/src/direct/weight_deadline.rs
@@ -17,6 +17,15 @@
 struct Wanted {
     version: WeightVersion,
     learnt: Moment,
+    /// How long it had been wanted when it was learnt, as others told.
+    age: Duration,
+}
+
+impl Wanted {
+    /// How long it has been wanted.
+    fn elapsed(&self, now: Moment) -> Duration {
+        now.since(self.learnt) + self.age
+    }
 }
 
 /// The wanted versions of each model, with the moments at which they were learnt.
@@ -28,14 +37,40 @@
 impl WeightDeadlines {
     /// Takes in a wanted version; older ones are passed over. Tells whether it is news.
     pub fn learn(&mut self, now: Moment, model: &ModelName, version: WeightVersion) -> bool {
+        self.learn_late(now, model, version, Duration::ZERO)
+    }
+
+    /// Takes in a wanted version that somebody else has known for `age`, also where it is known
+    /// here for less long: a process that has just started must not begin to count anew.
+    pub fn learn_late(
+        &mut self,
+        now: Moment,
+        model: &ModelName,
+        version: WeightVersion,
+        age: Duration,
+    ) -> bool {
         let wanted = self.models.entry(model.clone()).or_default();
+        if let Some(known) = wanted.iter_mut().find(|one| one.version == version) {
+            let late = age.saturating_sub(known.elapsed(now));
+            known.age += late;
+            return false;
+        }
         if wanted.last().is_some_and(|last| last.version >= version) {
             return false;
         }
-        wanted.push(Wanted { version, learnt: now });
+        wanted.push(Wanted { version, learnt: now, age });
         true
     }
 
+    /// The newest wanted version of each model, and how long it has been wanted.
+    pub fn newest_wanted(&self, now: Moment) -> Vec<(ModelName, WeightVersion, Duration)> {
+        let newest = self.models.iter().filter_map(|(model, wanted)| {
+            let last = wanted.last()?;
+            Some((model.clone(), last.version, last.elapsed(now)))
+        });
+        newest.collect()
+    }
+
     /// The newest wanted version of a model.
     pub fn newest(&self, model: &ModelName) -> Option<WeightVersion> {
         self.models.get(model)?.last().map(|wanted| wanted.version)
@@ -45,7 +80,7 @@
     pub fn least(&self, now: Moment, model: &ModelName, time: Duration) -> Option<WeightVersion> {
         let due = time * (100 - EARLY_PERCENT) / 100;
         let wanted = self.models.get(model)?;
-        let past = wanted.iter().filter(|one| now.since(one.learnt) >= due);
+        let past = wanted.iter().filter(|one| one.elapsed(now) >= due);
         past.map(|one| one.version).max()
     }
 
@@ -62,6 +97,6 @@
         time: Duration,
     ) -> Option<Duration> {
         let newer = self.models.get(model)?.iter().find(|one| one.version > version)?;
-        Some((newer.learnt + time.saturating_sub(WORK_RESERVE)).since(now))
+        Some(time.saturating_sub(WORK_RESERVE).saturating_sub(newer.elapsed(now)))
     }
 }
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -130,6 +130,24 @@
     expect_that!(count(&mut share, 14_500, 1), eq(85));
 }
 
+#[gtest]
+fn a_version_that_others_have_known_for_longer_is_due_as_soon_as_theirs() {
+    let time = millis(8_000);
+    let mut weights = WeightDeadlines::default();
+    // This process has just started: its own list says nothing of when the version was named.
+    weights.learn(at(100), &model(), WeightVersion(2));
+    expect_that!(weights.least(at(2_000), &model(), time), none());
+    let news = weights.learn_late(at(1_000), &model(), WeightVersion(2), millis(5_500));
+    expect_that!(news, eq(false));
+    expect_that!(weights.least(at(2_000), &model(), time), some(eq(WeightVersion(2))));
+    let left = weights.work_time(at(2_000), &model(), WeightVersion(1), time);
+    expect_that!(left, some(eq(millis(1_100))));
+    // One that knows it for less long changes nothing, and a newer one is news.
+    weights.learn_late(at(2_000), &model(), WeightVersion(2), millis(10));
+    expect_that!(weights.least(at(2_000), &model(), time), some(eq(WeightVersion(2))));
+    expect_that!(weights.learn_late(at(2_000), &model(), WeightVersion(3), millis(0)), eq(true));
+}
+
 #[gtest]
 fn only_whole_events_come_out() {
     let mut splitter = EventSplitter::default();
@@ -422,6 +440,7 @@
         sequence,
         plan: 1,
         reads_store: true,
+        wanted: Vec::new(),
         peers: Vec::new(),
         loads: vec![LoadNotice { server: 7, load }],
         changes_only: false,
--- a/crates/core/tests/load_notices.rs
+++ b/crates/core/tests/load_notices.rs
@@ -43,6 +43,7 @@
         sequence,
         plan: 1,
         reads_store: true,
+        wanted: Vec::new(),
         peers: Vec::new(),
         loads,
         changes_only: false,
@@ -120,6 +121,15 @@
     expect_that!(peers.silent_domains(at(2_001)).len(), eq(0));
 }
 
+#[gtest]
+fn a_process_that_was_cut_off_knows_it_when_it_hears_somebody_again() {
+    let mut peers = peers();
+    expect_that!(peers.hear(at(0), notice(6, NEAR, 1, Vec::new())).after_silence, eq(false));
+    expect_that!(peers.hear(at(500), notice(20, FAR, 1, Vec::new())).after_silence, eq(false));
+    expect_that!(peers.hear(at(9_000), notice(6, NEAR, 2, Vec::new())).after_silence, eq(true));
+    expect_that!(peers.hear(at(9_010), notice(20, FAR, 2, Vec::new())).after_silence, eq(false));
+}
+
 #[gtest]
 fn engines_out_of_reach_are_used_only_where_no_other_is_known() {
     let mut both = table(&[engine("near", "z1"), engine("far", "z2")]);
--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -7,11 +7,12 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
     },
+    time::Duration,
 };
 
 use error_stack::{Report, ResultExt};
 use headlatch_core::{
-    direct::peers::{DomainKey, PeerKind, PeerTable, ServerNotice},
+    direct::peers::{DomainKey, PeerKind, PeerTable, ServerNotice, WantedNotice},
     membership::NodeKind,
     time::Moment,
 };
@@ -89,6 +90,8 @@
     news: tokio::sync::Notify,
     /// The server is about to change: entries must hear of it.
     pub(super) draining: AtomicBool,
+    /// Has the wanted weights read anew.
+    weights_nudge: Arc<tokio::sync::Notify>,
     /// Wakes the stager when another version is wanted.
     pub(super) wanted_news: tokio::sync::Notify,
 }
@@ -149,6 +152,7 @@
             notice: Mutex::new(notice),
             news: tokio::sync::Notify::new(),
             draining: AtomicBool::new(false),
+            weights_nudge: Arc::default(),
             wanted_news: tokio::sync::Notify::new(),
             settings,
         });
@@ -159,7 +163,7 @@
         let (stop, signal) = StopHandle::new();
         let transfers = TransferDesk::new(state.clone(), outside.clone(), hub.clone(), vault, down);
         let stager = Stager::new(state.clone(), outside.clone(), transfers);
-        let watched = state.clone();
+        let (watched, weights_nudge) = (state.clone(), state.weights_nudge.clone());
         let router = admin::add_routes(Router::new(), &node, &ReadyFlag::default());
         let tasks = vec![
             tokio::spawn(stager.run()),
@@ -168,7 +172,7 @@
             tokio::spawn(follow(
                 outside.store,
                 FactTopic::Weights,
-                Arc::default(),
+                weights_nudge,
                 Arc::new(AlwaysOpen),
                 move |news| {
                     watched.hear_weights(news);
@@ -218,7 +222,11 @@
             received = socket.recv_from(&mut buffer) => {
                 let Ok((length, _)) = received else { continue };
                 let Some(notice) = notices::decode(&buffer[..length]) else { continue };
-                lock(&state.peers).hear(state.node.now(), notice);
+                state.hear_wanted(&notice.wanted);
+                let outcome = lock(&state.peers).hear(state.node.now(), notice);
+                if outcome.after_silence {
+                    state.weights_nudge.notify_one();
+                }
                 continue;
             }
             () = state.news.notified() => {}
@@ -228,7 +236,8 @@
         lock(&state.peers).expire(now);
         let server = Some(lock(&state.notice).clone());
         let repeated = state.draining.load(Ordering::Relaxed);
-        let body = NoticeBody { server, repeated, ..NoticeBody::default() };
+        let wanted = state.wanted_notices();
+        let body = NoticeBody { server, repeated, wanted, ..NoticeBody::default() };
         let mails = writer.tick(&lock(&state.peers), body);
         mails.iter().for_each(|mail| mail.send(&socket));
     }
@@ -241,28 +250,51 @@
     }
 
     fn hear_weights(&self, news: FactNews) {
-        let now = self.node.now();
         for fact in set_facts(news) {
-            let Fact::Weights(weights) = fact else { continue };
-            let mut wanted = lock(&self.wanted);
-            let versions = wanted.entry(weights.model.clone()).or_default();
-            let before = versions.last().map(|(version, _)| *version);
-            if before.is_some_and(|before| before >= weights.version) {
-                continue;
+            if let Fact::Weights(weights) = fact {
+                self.learn_wanted(&weights.model, weights.version, Duration::ZERO);
             }
-            versions.push((weights.version, now));
-            if versions.len() > MOST_WANTED {
-                versions.remove(0);
-            }
-            drop(wanted);
-            let fields = json!({
-                "model": weights.model, "version": weights.version, "before": before,
-            });
-            decisions::note("weights", "version_wanted", fields);
-            self.wanted_news.notify_one();
         }
     }
 
+    /// Takes in which versions a peer knows to be wanted: its watch may have heard what this
+    /// agent's has missed.
+    fn hear_wanted(&self, wanted: &[WantedNotice]) {
+        for one in wanted {
+            self.learn_wanted(&one.model, one.version, one.age);
+        }
+    }
+
+    /// Takes in a version that has been wanted for `age`.
+    fn learn_wanted(&self, model: &ModelName, version: WeightVersion, age: Duration) {
+        let since = self.node.now() - age;
+        let mut wanted = lock(&self.wanted);
+        let versions = wanted.entry(model.clone()).or_default();
+        let before = versions.last().map(|(version, _)| *version);
+        if before.is_some_and(|before| before >= version) {
+            return;
+        }
+        versions.push((version, since));
+        if versions.len() > MOST_WANTED {
+            versions.remove(0);
+        }
+        drop(wanted);
+        let fields = json!({ "model": model, "version": version, "before": before });
+        decisions::note("weights", "version_wanted", fields);
+        self.wanted_news.notify_one();
+    }
+
+    /// The versions that this agent knows to be wanted, for others.
+    fn wanted_notices(&self) -> Vec<WantedNotice> {
+        let now = self.node.now();
+        let wanted = lock(&self.wanted);
+        let newest = wanted.iter().filter_map(|(model, versions)| {
+            let (version, since) = versions.last()?;
+            Some(WantedNotice { model: model.clone(), version: *version, age: now.since(*since) })
+        });
+        newest.collect()
+    }
+
     /// Changes what is told of the server, and tells it at once if that is news.
     pub(super) fn tell(&self, change: impl FnOnce(&mut ServerNotice)) {
         let mut notice = lock(&self.notice);
--- a/crates/daemon/src/direct/entry.rs
+++ b/crates/daemon/src/direct/entry.rs
@@ -14,7 +14,7 @@
 };
 use headlatch_types::direct_settings::DirectEntrySettings;
 use serde_json::json;
-use tokio::{net::UdpSocket, sync::Notify, task::JoinHandle};
+use tokio::{net::UdpSocket, task::JoinHandle};
 
 use super::{
     facts::{AlwaysOpen, ReadGate, follow},
@@ -110,21 +110,21 @@
 fn follow_all(state: &Arc<EntryState>, store: &Arc<dyn FactStore>) -> Vec<JoinHandle<()>> {
     let (plan, servers, weights) = (state.clone(), state.clone(), state.clone());
     let open: Arc<dyn ReadGate> = Arc::new(AlwaysOpen);
-    let (nudge, never) = (state.plan_nudge.clone(), Arc::<Notify>::default());
+    let (plan_nudge, servers_nudge) = (state.plan_nudge.clone(), state.servers_nudge.clone());
+    let weights_nudge = state.weights_nudge.clone();
+    let plan_gate: Arc<dyn ReadGate> = state.clone();
     vec![
-        tokio::spawn(follow(store.clone(), FactTopic::Plan, nudge, state.clone(), move |news| {
+        tokio::spawn(follow(store.clone(), FactTopic::Plan, plan_nudge, plan_gate, move |news| {
             plan.hear_plan(news);
         })),
         tokio::spawn(follow(
             store.clone(),
             FactTopic::Servers,
-            never.clone(),
+            servers_nudge,
             open.clone(),
-            move |news| {
-                servers.hear_servers(news);
-            },
+            move |news| servers.hear_servers(news),
         )),
-        tokio::spawn(follow(store.clone(), FactTopic::Weights, never, open, move |news| {
+        tokio::spawn(follow(store.clone(), FactTopic::Weights, weights_nudge, open, move |news| {
             weights.hear_weights(news);
         })),
     ]
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -10,7 +10,7 @@
     engine_model::EngineLoad,
     peers::{
         DomainKey, DrainNotice, LoadNotice, NAMED_PEERS, Peer, PeerKind, PeerNotice, PeerTable,
-        ServerNotice,
+        ServerNotice, WantedNotice,
     },
 };
 use headlatch_types::traffic::{PlanVersion, WeightVersion};
@@ -83,6 +83,22 @@
     }
 }
 
+fn encode_wanted(wanted: &WantedNotice) -> wire::NoticeWanted {
+    wire::NoticeWanted {
+        model: wanted.model.to_string(),
+        version: wanted.version.0,
+        age_ms: wanted.age.as_millis() as u64,
+    }
+}
+
+fn decode_wanted(wanted: &wire::NoticeWanted) -> Option<WantedNotice> {
+    Some(WantedNotice {
+        model: wanted.model.parse().ok()?,
+        version: version(wanted.version)?,
+        age: Duration::from_millis(wanted.age_ms),
+    })
+}
+
 fn decode_load(load: &wire::NoticeLoad) -> LoadNotice {
     let (in_flight, waiting_tokens) = (load.in_flight, load.waiting_tokens);
     LoadNotice { server: load.server, load: EngineLoad { in_flight, waiting_tokens } }
@@ -119,6 +135,7 @@
         changes_only: notice.changes_only,
         domain_loads: domain_loads.iter().map(encode_load).collect(),
         tells_domain: notice.domain_loads.is_some(),
+        wanted: notice.wanted.iter().map(encode_wanted).collect(),
     };
     message.encode_to_vec()
 }
@@ -160,6 +177,7 @@
         domain_loads: message.tells_domain.then(domain_loads),
         drains: message.drains.iter().filter_map(drain).collect(),
         server,
+        wanted: message.wanted.iter().filter_map(decode_wanted).collect(),
     })
 }
 
@@ -191,6 +209,8 @@
     pub drains: Vec<DrainNotice>,
     /// Its server.
     pub server: Option<ServerNotice>,
+    /// The newest wanted version of each model, as far as it knows.
+    pub wanted: Vec<WantedNotice>,
     /// Entries must hear it although a datagram may be lost: it is told again at every occasion.
     pub repeated: bool,
 }
@@ -364,6 +384,7 @@
             domain_loads: body.domain_loads,
             drains: body.drains,
             server: body.server,
+            wanted: body.wanted,
         }
     }
 }
@@ -421,7 +442,8 @@
     });
     let plan = state.plan_version().0;
     let reads_store = state.reads_store();
-    NoticeBody { plan, reads_store, loads, domain_loads, drains, ..NoticeBody::default() }
+    let wanted = state.wanted_notices();
+    NoticeBody { plan, reads_store, wanted, loads, domain_loads, drains, ..NoticeBody::default() }
 }
 
 /// A peer that is to be answered at once.
@@ -459,7 +481,12 @@
     let now = state.now();
     let plan = (notice.kind == PeerKind::Entry && !notice.changes_only)
         .then_some(PlanVersion(notice.plan));
+    let wanted = notice.wanted.clone();
     let outcome = state.peers().hear(now, notice);
+    state.hear_wanted(&wanted);
+    if outcome.after_silence {
+        state.read_store_anew();
+    }
     if let Some(plan) = plan {
         state.hear_peer_plan(plan);
     }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -12,7 +12,7 @@
 
 use headlatch_core::{
     direct::{
-        peers::{DomainKey, PeerKind, PeerTable},
+        peers::{DomainKey, PeerKind, PeerTable, WantedNotice},
         retry_share::{RetryBudget, RetryShare},
         route_table::RouteTable,
         server_table::ServerTable,
@@ -68,6 +68,10 @@
     pub load_news: Notify,
     /// Has the plan read anew.
     pub plan_nudge: Arc<Notify>,
+    /// Has the list of servers read anew.
+    pub servers_nudge: Arc<Notify>,
+    /// Has the wanted weights read anew.
+    pub weights_nudge: Arc<Notify>,
     /// Another entry has a newer plan.
     pub plan_offer: Notify,
     /// The last call to the store for the plan was answered.
@@ -124,6 +128,8 @@
             peers: Mutex::new(peers),
             load_news: Notify::new(),
             plan_nudge: Arc::default(),
+            servers_nudge: Arc::default(),
+            weights_nudge: Arc::default(),
             plan_offer: Notify::new(),
             store_answers: AtomicBool::new(true),
             behind_since: Mutex::default(),
@@ -264,6 +270,38 @@
         }
     }
 
+    /// Takes in which versions a peer knows to be wanted: its watch may have heard what this
+    /// entry's has missed.
+    pub fn hear_wanted(&self, wanted: &[WantedNotice]) {
+        let now = self.now();
+        for one in wanted {
+            if self.weights().learn_late(now, &one.model, one.version, one.age) {
+                let age_ms = one.age.as_millis() as u64;
+                let fields =
+                    json!({ "model": one.model, "version": one.version, "age_ms": age_ms });
+                decisions::note("weights", "version_wanted", fields);
+            }
+        }
+    }
+
+    /// The versions that this entry knows to be wanted, for others.
+    pub fn wanted_notices(&self) -> Vec<WantedNotice> {
+        let wanted = self.weights().newest_wanted(self.now());
+        wanted
+            .into_iter()
+            .map(|(model, version, age)| WantedNotice { model, version, age })
+            .collect()
+    }
+
+    /// Has everything read anew from the store: this entry was cut off or stood still, and what
+    /// its watches wait for may have been lost on the way.
+    pub fn read_store_anew(&self) {
+        decisions::note("store", "read_anew", json!({}));
+        self.plan_nudge.notify_one();
+        self.servers_nudge.notify_one();
+        self.weights_nudge.notify_one();
+    }
+
     /// Takes in news about servers.
     pub fn hear_servers(&self, news: FactNews) {
         match news {
--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -372,6 +372,7 @@
             sequence,
             plan: 0,
             reads_store: true,
+            wanted: Vec::new(),
             peers: Vec::new(),
             loads: Vec::new(),
             changes_only: false,
--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -567,6 +567,7 @@
         sequence: 1,
         plan: 0,
         reads_store: true,
+        wanted: Vec::new(),
         peers: Vec::new(),
         loads: Vec::new(),
         changes_only: false,
--- a/crates/daemon/tests/notice_writer.rs
+++ b/crates/daemon/tests/notice_writer.rs
@@ -6,11 +6,14 @@
 use headlatch_core::{
     direct::{
         engine_model::EngineLoad,
-        peers::{DomainKey, LoadNotice, NAMED_PEERS, PeerKind, PeerNotice, PeerTable},
+        peers::{
+            DomainKey, LoadNotice, NAMED_PEERS, PeerKind, PeerNotice, PeerTable, WantedNotice,
+        },
     },
     time::Moment,
 };
 use headlatch_daemon::direct::notices::{NoticeBody, NoticeWriter, decode, encode};
+use headlatch_types::traffic::WeightVersion;
 
 const NEAR: DomainKey = DomainKey(1);
 const FAR: DomainKey = DomainKey(2);
@@ -28,6 +31,7 @@
         sequence: 1,
         plan: 0,
         reads_store: true,
+        wanted: Vec::new(),
         peers: Vec::new(),
         loads: Vec::new(),
         changes_only: false,
@@ -99,6 +103,11 @@
         reads_store: true,
         peers: vec![address(NEAR, 4), "[::1]:9".parse().expect("an address")],
         loads: body(3).loads,
+        wanted: vec![WantedNotice {
+            model: "m0".parse().expect("a name"),
+            version: WeightVersion(3),
+            age: Duration::from_millis(1234),
+        }],
         domain_loads: Some(Vec::new()),
         ..living(PeerKind::Entry, FAR, 3)
     };
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -51,6 +51,20 @@
     pub waiting: u32,
 }
 
+/// A version of weights that is wanted.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct NoticeWanted {
+    /// The model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// The version.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// How long the sender has known it, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+}
+
 /// A notice.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerNotice {
@@ -96,4 +110,7 @@
     /// Whether its calls to the store are answered, as far as it knows.
     #[prost(bool, tag = "14")]
     pub reads_store: bool,
+    /// The newest wanted version of each model.
+    #[prost(message, repeated, tag = "15")]
+    pub wanted: Vec<NoticeWanted>,
 }
