Keep the order of draws as it was as long as the origin has not failed

Places among the missing chunks shrink as chunks become known, so that draws came before their slots also where nothing had failed.

Change: places among the missing chunks count only after a failure of the origin; else all chunks do, as before.

--- a/crates/core/src/burst/pursuit.rs
+++ b/crates/core/src/burst/pursuit.rs
@@ -85,16 +85,21 @@
                 && !self.open.contains_key(chunk)
                 && !self.is_known(now, *chunk)
         });
-        let due = missing.zip(0..).take_while(|(_, place)| self.draw_slot(*place) <= now);
+        let due = missing.zip(0..).take_while(|(chunk, place)| {
+            let slot = if self.draw_base == self.begun { chunk.0 } else { *place };
+            self.draw_slot(slot) <= now
+        });
         let wanted = due.map(|(chunk, _)| chunk).find(|chunk| self.seats.drawer(*chunk) == own);
         if let Some(chunk) = wanted {
             self.fetch(now, chunk, ChunkSource::Origin, actions);
         }
     }
 
-    /// From when on the assigned chunk at this place among those that are missing may be drawn: a
-    /// few are drawn at the same time, so that the first come soon and spread while the others are
-    /// drawn.
+    /// From when on the assigned chunk at this place may be drawn: a few are drawn at the same time,
+    /// so that the first come soon and spread while the others are drawn.
+    ///
+    /// Places are those of all chunks, and after a failure of the origin those of the chunks that
+    /// are still missing.
     fn draw_slot(&self, place: u32) -> Moment {
         self.draw_base + self.settings.origin_chunk_time * place.saturating_sub(DRAWS_AT_ONCE)
     }
