Tell how old an entry's copies of the store's facts are

The hypotheses on the late plan could not be told apart: a log said that the store was lost, but neither which call failed, nor how long it had hung, nor whether a peer knew better when a caller was denied.

Change: failures of calls tell call, time and count; denials tell the newest plan that any peer has and the age of the own one; notices carry the newest change of servers that an entry has taken in (core: FactAge), which nothing acts on yet; /metrics has the ages. Notices in tests come from one constructor.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -4,6 +4,7 @@
 pub mod draining;
 pub mod engine_model;
 pub mod event_split;
+pub mod fact_age;
 pub mod manifest_source;
 pub mod peers;
 pub mod plan_readers;
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -21,6 +21,7 @@
 
 use super::{
     engine_model::EngineLoad,
+    fact_age::ChangeMark,
     plan_readers::{ReaderView, is_plan_reader},
 };
 use crate::time::Moment;
@@ -151,6 +152,8 @@
     pub sequence: u64,
     /// Version of the plan that it has.
     pub plan: u64,
+    /// The newest change of servers that it has taken in; zero if it tells none.
+    pub servers: ChangeMark,
     /// Its calls to the store are answered, as far as it knows.
     pub reads_store: bool,
     /// Others that it hears.
@@ -169,6 +172,29 @@
     pub wanted: Vec<WantedNotice>,
 }
 
+impl PeerNotice {
+    /// The first notice of a process that has nothing to tell but that it lives.
+    pub fn empty(from: SocketAddr, kind: PeerKind, domain: DomainKey) -> Self {
+        Self {
+            from,
+            kind,
+            domain,
+            life: 1,
+            sequence: 1,
+            plan: 0,
+            servers: ChangeMark::default(),
+            reads_store: true,
+            peers: Vec::new(),
+            loads: Vec::new(),
+            changes_only: false,
+            domain_loads: None,
+            drains: Vec::new(),
+            server: None,
+            wanted: Vec::new(),
+        }
+    }
+}
+
 /// A peer.
 #[derive(Debug, Clone)]
 pub struct Peer {
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -2,13 +2,14 @@
 
 use std::{sync::Arc, time::Duration};
 
+use headlatch_core::direct::fact_age::ChangeMark;
 use headlatch_outside::facts::{
-    Fact, FactChange, FactList, FactStore, FactTopic, Freshness, NamedFact, StoreFailure,
-    StoreRevision,
+    Fact, FactChange, FactChanges, FactList, FactStore, FactTopic, Freshness, NamedFact,
+    StoreFailure, StoreRevision,
 };
 use rand::Rng;
 use serde_json::json;
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::Instant};
 
 use crate::decisions;
 
@@ -79,8 +80,35 @@
 pub enum FactNews {
     /// Everything there is; whatever is not in it is gone.
     All(FactList),
-    /// Changes in order.
-    Changes(Vec<FactChange>),
+    /// What a watch brought.
+    Changes(FactChanges),
+}
+
+impl FactNews {
+    /// The place up to which the store has said everything.
+    pub fn covered(&self) -> ChangeMark {
+        match self {
+            Self::All(list) => ChangeMark(list.at.0),
+            Self::Changes(changes) => ChangeMark(changes.at.0),
+        }
+    }
+
+    /// The newest change in it; that something is gone has no revision of its own, so that the
+    /// place of the whole answer stands for it.
+    pub fn newest(&self) -> ChangeMark {
+        let revision = |fact: &NamedFact| ChangeMark(fact.revision.0);
+        let newest = match self {
+            Self::All(list) => list.facts.iter().map(revision).max(),
+            Self::Changes(changes) => {
+                let marks = changes.changes.iter().map(|change| match change {
+                    FactChange::Set(fact) => revision(fact),
+                    FactChange::Gone(_) => self.covered(),
+                });
+                marks.max()
+            }
+        };
+        newest.unwrap_or_default()
+    }
 }
 
 /// Pause after the `failures`th failure in a row, with jitter so that nodes do not call together.
@@ -104,7 +132,9 @@
 ) {
     let mut at: Option<StoreRevision> = None;
     let mut failures = 0;
+    let mut lost = Instant::now();
     loop {
+        let (begun, call) = (Instant::now(), call_name(at));
         let outcome = match at {
             None => {
                 opened(&*gate, &nudge).await;
@@ -133,7 +163,9 @@
                     tokio::time::sleep(rest_after(topic)).await;
                 }
                 if failures > 0 {
-                    decisions::note("store", "regained", json!({ "topic": topic.as_str() }));
+                    let lost_ms = lost.elapsed().as_millis() as u64;
+                    let fields = json!({ "topic": topic.as_str(), "lost_ms": lost_ms });
+                    decisions::note("store", "regained", fields);
                 }
                 failures = 0;
                 at = Some(next);
@@ -145,16 +177,26 @@
             Err(error) => {
                 failures += 1;
                 at = None;
+                let took_ms = begun.elapsed().as_millis() as u64;
+                let fields = json!({
+                    "topic": topic.as_str(), "error": error.to_string(), "call": call,
+                    "took_ms": took_ms, "failures": failures,
+                });
                 if failures == 1 {
-                    let fields = json!({ "topic": topic.as_str(), "error": error.to_string() });
-                    decisions::warn("store", "lost", fields);
+                    lost = begun;
                 }
+                decisions::warn("store", if failures == 1 { "lost" } else { "still_lost" }, fields);
                 tokio::time::sleep(pause_after(failures)).await;
             }
         }
     }
 }
 
+/// The word in logs for the call that comes next.
+fn call_name(at: Option<StoreRevision>) -> &'static str {
+    if at.is_some() { "watch" } else { "list" }
+}
+
 async fn list(
     store: &dyn FactStore,
     topic: FactTopic,
@@ -173,10 +215,9 @@
     take: &mut (impl FnMut(FactNews) + Send),
 ) -> Result<StoreRevision, StoreFailure> {
     let changes = store.watch(topic, after, WATCH_TIME).await?;
-    if !changes.changes.is_empty() {
-        take(FactNews::Changes(changes.changes));
-    }
-    Ok(changes.at)
+    let at = changes.at;
+    take(FactNews::Changes(changes));
+    Ok(at)
 }
 
 /// The facts in news that are there and can be read.
@@ -184,6 +225,7 @@
     let named: Vec<NamedFact> = match news {
         FactNews::All(list) => list.facts,
         FactNews::Changes(changes) => changes
+            .changes
             .into_iter()
             .filter_map(|change| match change {
                 FactChange::Set(fact) => Some(fact),
--- a/crates/daemon/src/direct/front.rs
+++ b/crates/daemon/src/direct/front.rs
@@ -92,7 +92,10 @@
 
 fn answer_admin(state: &EntryState, path: &str) -> Response<Full<Bytes>> {
     let (status, text) = match path {
-        "/metrics" => (StatusCode::OK, state.metrics.text()),
+        "/metrics" => {
+            state.measure_ages();
+            (StatusCode::OK, state.metrics.text())
+        }
         "/healthz" => (StatusCode::OK, "ok\n".to_owned()),
         _ if state.is_ready() => (StatusCode::OK, "ready\n".to_owned()),
         _ => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -93,9 +93,11 @@
         Ok(plan) => exchange::run(&state, plan).await,
         Err(given_up) => {
             let (status, cause) = (given_up.status.as_u16(), given_up.cause);
+            let age = state.plan_age();
             let fields = json!({
                 "request": id, "status": status, "cause": cause,
-                "plan": state.plan_version(),
+                "plan": state.plan_version(), "newest_told": age.newest_told().0,
+                "plan_age_ms": age.age(state.now()).map(|age| age.as_millis() as u64),
             });
             decisions::note("admission", "denied", fields);
             Err(given_up)
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -8,6 +8,7 @@
 
 use headlatch_core::direct::{
     engine_model::EngineLoad,
+    fact_age::ChangeMark,
     peers::{
         DomainKey, DrainNotice, LoadNotice, NAMED_PEERS, Peer, PeerKind, PeerNotice, PeerTable,
         ServerNotice, WantedNotice,
@@ -126,6 +127,7 @@
         life: notice.life,
         sequence: notice.sequence,
         plan: notice.plan,
+        servers: notice.servers.0,
         reads_store: notice.reads_store,
         peers: notice.peers.iter().map(address_bytes).collect(),
         loads: notice.loads.iter().map(encode_load).collect(),
@@ -170,6 +172,7 @@
         life: message.life,
         sequence: message.sequence,
         plan: message.plan,
+        servers: ChangeMark(message.servers),
         reads_store: message.reads_store,
         peers: message.peers.iter().filter_map(|bytes| address_of(bytes)).collect(),
         loads: message.loads.iter().map(decode_load).collect(),
@@ -199,6 +202,8 @@
 pub struct NoticeBody {
     /// Version of the plan that it has.
     pub plan: u64,
+    /// The newest change of servers that it has taken in.
+    pub servers: ChangeMark,
     /// Its calls to the store are answered, as far as it knows.
     pub reads_store: bool,
     /// What it has in progress.
@@ -332,6 +337,7 @@
         let targets = entries.map(|peer| peer.notice.from).collect();
         let told = NoticeBody {
             plan: body.plan,
+            servers: body.servers,
             reads_store: body.reads_store,
             drains: body.drains.clone(),
             domain_loads: Some(loads),
@@ -377,6 +383,7 @@
             life: self.life,
             sequence: self.sequence,
             plan: body.plan,
+            servers: body.servers,
             reads_store: body.reads_store,
             peers: named,
             loads: body.loads,
@@ -440,10 +447,18 @@
         let busy = sums.into_iter().filter(|(_, load)| load.in_flight > 0);
         busy.map(|(server, load)| LoadNotice { server, load }).collect()
     });
-    let plan = state.plan_version().0;
-    let reads_store = state.reads_store();
-    let wanted = state.wanted_notices();
-    NoticeBody { plan, reads_store, wanted, loads, domain_loads, drains, ..NoticeBody::default() }
+    drop(peers);
+    NoticeBody { wanted: state.wanted_notices(), loads, domain_loads, drains, ..facts_body(state) }
+}
+
+/// What an entry tells of its copies of the store's facts.
+fn facts_body(state: &EntryState) -> NoticeBody {
+    NoticeBody {
+        plan: state.plan_version().0,
+        servers: state.newest_servers(),
+        reads_store: state.reads_store(),
+        ..NoticeBody::default()
+    }
 }
 
 /// A peer that is to be answered at once.
@@ -456,10 +471,8 @@
 }
 
 fn answer(state: &EntryState, writer: &mut NoticeWriter, reply: ReplyDue) -> NoticeMail {
-    let plan = state.plan_version().0;
     let drains = state.servers().drains();
-    let reads_store = state.reads_store();
-    let body = NoticeBody { plan, reads_store, drains, ..NoticeBody::default() };
+    let body = NoticeBody { drains, ..facts_body(state) };
     match reply {
         ReplyDue::Drain(to) => {
             NoticeMail { bytes: writer.write(body, Vec::new()), targets: vec![to] }
@@ -481,7 +494,7 @@
     let now = state.now();
     let plan = (notice.kind == PeerKind::Entry && !notice.changes_only)
         .then_some(PlanVersion(notice.plan));
-    let wanted = notice.wanted.clone();
+    let (wanted, servers) = (notice.wanted.clone(), notice.servers);
     let outcome = state.peers().hear(now, notice);
     state.hear_wanted(&wanted);
     if outcome.after_silence {
@@ -490,6 +503,7 @@
     if let Some(plan) = plan {
         state.hear_peer_plan(plan);
     }
+    state.hear_peer_servers(servers);
     state.refresh_loads_of(&changed);
     if outcome.joined {
         decisions::note("peers", "found", json!({ "peer": from }));
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -12,6 +12,7 @@
 
 use headlatch_core::{
     direct::{
+        fact_age::{ChangeMark, FactAge},
         peers::{DomainKey, PeerKind, PeerTable, WantedNotice},
         retry_share::{RetryBudget, RetryShare},
         route_table::RouteTable,
@@ -78,6 +79,10 @@
     store_answers: AtomicBool,
     /// Since when a peer is known to have a newer plan.
     behind_since: Mutex<Option<Moment>>,
+    /// How current the plan is.
+    plan_age: Mutex<FactAge>,
+    /// How current the list of servers is.
+    servers_age: Mutex<FactAge>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -133,6 +138,8 @@
             plan_offer: Notify::new(),
             store_answers: AtomicBool::new(true),
             behind_since: Mutex::default(),
+            plan_age: Mutex::default(),
+            servers_age: Mutex::default(),
             settings,
         })
     }
@@ -205,6 +212,7 @@
             "tenants": plan.tenants.len(),
         });
         *lock(&self.behind_since) = None;
+        lock(&self.plan_age).take_from_peer(ChangeMark(plan.version.0));
         self.metrics.set_revision(plan.version.0);
         *routes = Some(Arc::new(RouteTable::new(Arc::new(plan))));
         drop(routes);
@@ -214,6 +222,7 @@
     /// A peer has the plan of `version`: where that is newer than the one in force here, it is had
     /// from a peer; where it stays so, this entry's watch has missed something.
     pub fn hear_peer_plan(&self, version: PlanVersion) {
+        lock(&self.plan_age).hear(self.now(), ChangeMark(version.0));
         if version <= self.plan_version() {
             return;
         }
@@ -251,6 +260,8 @@
 
     /// Takes in news about the plan.
     pub fn hear_plan(&self, news: FactNews) {
+        let version = ChangeMark(self.plan_version().0);
+        lock(&self.plan_age).read(self.now(), version, version);
         for fact in set_facts(news) {
             if let Fact::Plan(plan) = fact {
                 self.take_plan(*plan, "store");
@@ -304,6 +315,7 @@
 
     /// Takes in news about servers.
     pub fn hear_servers(&self, news: FactNews) {
+        let (covered, newest) = (news.covered(), news.newest());
         match news {
             FactNews::All(list) => {
                 let listed: Vec<ServerId> =
@@ -313,10 +325,11 @@
                     self.set_server(fact);
                 }
                 self.servers_known.store(true, Ordering::Relaxed);
-                decisions::note("servers", "listed", json!({ "servers": listed.len() }));
+                let fields = json!({ "servers": listed.len(), "at": covered.0 });
+                decisions::note("servers", "listed", fields);
             }
             FactNews::Changes(changes) => {
-                for change in changes {
+                for change in changes.changes {
                     match change {
                         FactChange::Set(fact) => self.set_server(fact),
                         FactChange::Gone(name) => self.remove_server(&name),
@@ -324,11 +337,42 @@
                 }
             }
         }
+        lock(&self.servers_age).read(self.now(), covered, newest);
         let wanted: Vec<SocketAddr> =
             self.servers().records().map(|record| record.address).collect();
         self.connections.retain(|address| wanted.contains(address));
     }
 
+    /// How current the plan is.
+    pub fn plan_age(&self) -> FactAge {
+        *lock(&self.plan_age)
+    }
+
+    /// How current the list of servers is.
+    pub fn servers_age(&self) -> FactAge {
+        *lock(&self.servers_age)
+    }
+
+    /// Writes the ages of facts into the metrics.
+    pub fn measure_ages(&self) {
+        let now = self.now();
+        for (topic, age) in [("plan", self.plan_age()), ("servers", self.servers_age())] {
+            if let Some(age) = age.age(now) {
+                self.metrics.set_fact_age(topic, age.as_millis() as u64);
+            }
+        }
+    }
+
+    /// The newest change of servers that this entry has taken in.
+    pub fn newest_servers(&self) -> ChangeMark {
+        lock(&self.servers_age).newest()
+    }
+
+    /// A peer has taken in changes of servers up to `newest`.
+    pub fn hear_peer_servers(&self, newest: ChangeMark) {
+        lock(&self.servers_age).hear(self.now(), newest);
+    }
+
     fn set_server(&self, fact: NamedFact) {
         let record = match fact.fact {
             Ok(Fact::Server(record)) => record,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -22,6 +22,7 @@
     control_bytes: IntCounterVec,
     revision: IntGauge,
     nodes: IntGaugeVec,
+    fact_ages: IntGaugeVec,
     in_progress: IntGauge,
 }
 
@@ -46,6 +47,12 @@
         let first_byte = register(&registry, first_byte.expect("the name is fixed and valid"));
         let nodes = IntGaugeVec::new(Opts::new("headlatch_nodes", "Nodes known."), &["state"]);
         let nodes = register(&registry, nodes.expect("the name is fixed and valid"));
+        let ages = Opts::new(
+            "headlatch_fact_age_milliseconds",
+            "Time since the store last said that nothing of a topic is missing.",
+        );
+        let ages = IntGaugeVec::new(ages, &["topic"]);
+        let fact_ages = register(&registry, ages.expect("the name is fixed and valid"));
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help).expect("names of metrics are fixed and valid");
             register(&registry, gauge)
@@ -62,6 +69,7 @@
             control_bytes,
             revision,
             nodes,
+            fact_ages,
             in_progress,
         }
     }
@@ -114,6 +122,11 @@
         self.nodes.with_label_values(&[state]).set(count as i64);
     }
 
+    /// Sets the age of this process's copy of a topic, in milliseconds.
+    pub fn set_fact_age(&self, topic: &str, millis: u64) {
+        self.fact_ages.with_label_values(&[topic]).set(millis as i64);
+    }
+
     /// Sets the number of requests in progress.
     pub fn set_in_progress(&self, count: usize) {
         self.in_progress.set(count as i64);
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -113,4 +113,7 @@
     /// The newest wanted version of each model.
     #[prost(message, repeated, tag = "15")]
     pub wanted: Vec<NoticeWanted>,
+    /// Revision of the newest change of servers that it has taken in; 0 if it tells none.
+    #[prost(uint64, tag = "16")]
+    pub servers: u64,
 }
