Show in tests how long an entry keeps an old picture beside a silent source

- an entry that is behind asks others only in part of the time: 0.45 s out of each 0.9 s it may not, so that one plan that did not come costs over 2 s.
- a change of servers that others have taken in is never read by an entry whose watch is silent.

--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -9,7 +9,10 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use headlatch_core::direct::peers::{DomainKey, DrainNotice, PeerKind, PeerNotice, ServerNotice};
+use headlatch_core::direct::{
+    fact_age::ChangeMark,
+    peers::{DomainKey, DrainNotice, PeerKind, PeerNotice, ServerNotice},
+};
 use headlatch_daemon::direct::{entry::DirectEntry, notices, plan_sync};
 use headlatch_http::{CallAnswer, Connections};
 use headlatch_outside::{
@@ -551,6 +554,27 @@
     }
 }
 
+/// The watch of servers is silent, and others have taken in a change: within drain times of two
+/// seconds the entry must have it as well.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_has_missed_a_change_of_servers_reads_them_anew() {
+    let setting = Setting::new(whole, whole).await;
+    let draining = ServerRecord { draining: true, ..record("i1", setting.first.address, "z1") };
+    let changed = NamedFact {
+        name: "i1".to_owned(),
+        revision: StoreRevision(9),
+        fact: Ok(Fact::Server(draining)),
+    };
+    setting.store.replace_silently(FactTopic::Servers, changed);
+    for _ in 0..15 {
+        setting.entry.state.hear_peer_servers(ChangeMark(9));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let leaving = setting.entry.state.servers().records().any(|record| record.draining);
+    expect_that!(leaving, eq(true));
+}
+
 #[gtest]
 #[tokio::test]
 async fn an_entry_answers_an_agent_whose_server_is_about_to_change() {
--- /dev/null
+++ b/crates/daemon/tests/silent_sources.rs
@@ -0,0 +1,167 @@
+//! Sources that are met with silence: how long an entry keeps an old picture while others know
+//! better. All of it in virtual time.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use googletest::prelude::*;
+use headlatch_core::direct::peers::{DomainKey, PeerKind, PeerNotice};
+use headlatch_daemon::direct::{
+    facts::{AlwaysOpen, FactNews, follow},
+    state::EntryState,
+};
+use headlatch_outside::{
+    OutsideFuture,
+    facts::{FactChanges, FactList, FactStore, FactTopic, Freshness, StoreFailure, StoreRevision},
+    headers::{AnswerFacts, HeaderForm, RequestFacts, SendFacts},
+};
+use headlatch_types::{
+    id::DomainId,
+    settings::DaemonSettings,
+    traffic::{PlanVersion, TrafficPlan},
+};
+use http::{HeaderMap, StatusCode};
+use tokio::{sync::Notify, time::Instant};
+
+/// Time after which the platform's client gives a silent call up at the latest.
+const CLIENT_TIME: Duration = Duration::from_secs(3);
+
+/// A store that meets every call with silence until a moment, and answers those that come later.
+/// What it met with silence it never answers.
+#[derive(Debug)]
+struct SilentStore {
+    answers_from: Instant,
+}
+
+impl FactStore for SilentStore {
+    fn list(
+        &self,
+        _topic: FactTopic,
+        _freshness: Freshness,
+    ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
+        let answers = Instant::now() >= self.answers_from;
+        Box::pin(async move {
+            if answers {
+                return Ok(FactList { facts: Vec::new(), at: StoreRevision(1) });
+            }
+            tokio::time::sleep(CLIENT_TIME).await;
+            Err(StoreFailure::Unreachable("no answer in time".to_owned()))
+        })
+    }
+
+    fn watch(
+        &self,
+        _topic: FactTopic,
+        _after: StoreRevision,
+        _time: Duration,
+    ) -> OutsideFuture<'_, std::result::Result<FactChanges, StoreFailure>> {
+        Box::pin(std::future::pending())
+    }
+}
+
+/// Time between the store's return and the first list, for a follower that has called in vain for
+/// `silence`.
+async fn time_to_list(silence: Duration) -> Duration {
+    let store = Arc::new(SilentStore { answers_from: Instant::now() + silence });
+    let returned = store.answers_from;
+    let listed = Arc::new(Notify::new());
+    let heard = listed.clone();
+    let following = tokio::spawn(follow(
+        store,
+        FactTopic::Plan,
+        Arc::default(),
+        Arc::new(AlwaysOpen),
+        move |_: FactNews| heard.notify_one(),
+    ));
+    listed.notified().await;
+    following.abort();
+    returned.elapsed()
+}
+
+/// A process is in touch three seconds after the store's return, and a change that was accepted
+/// in between is then due: the store must have been read well before.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_store_that_was_silent_is_read_soon_after_its_return() {
+    for tenths in 10..100 {
+        let silence = Duration::from_millis(tenths * 100);
+        let waited = time_to_list(silence).await;
+        expect_that!(waited, le(Duration::from_millis(1800)), "after a silence of {silence:?}");
+    }
+}
+
+/// Headers of no outside: these tests send no requests.
+#[derive(Debug)]
+struct NoHeaders;
+
+impl HeaderForm for NoHeaders {
+    fn read_request(&self, _headers: &HeaderMap) -> RequestFacts {
+        RequestFacts::default()
+    }
+
+    fn write_request(&self, _headers: &mut HeaderMap, _facts: &SendFacts) {}
+
+    fn read_answer(&self, _status: StatusCode, _headers: &HeaderMap) -> AnswerFacts {
+        AnswerFacts { id: None, not_run: false, misdirected: false, signed: false }
+    }
+
+    fn write_answer(&self, _headers: &mut HeaderMap, _request: &str) {}
+}
+
+fn entry() -> Arc<EntryState> {
+    let text = serde_json::json!({
+        "box": "e1", "domain": "z1", "region": "r1", "control": "10.0.0.1:7700",
+        "admin": "10.0.0.1:1", "platform": "http://10.0.0.1:2", "drain_seconds": 1,
+        "entry": { "listen": "10.0.0.1:3" },
+        "direct": {
+            "zones": { "z1": "r1" },
+            "retry": { "ratio": 1.0, "slack": 100.0, "window_seconds": 10.0 }
+        }
+    });
+    let settings = match DaemonSettings::parse(&text.to_string()) {
+        Ok(DaemonSettings::DirectEntry(settings)) => *settings,
+        other => panic!("these are settings of a direct entry, not {other:?}"),
+    };
+    EntryState::new(settings, Arc::new(NoHeaders))
+}
+
+fn plan(version: u64) -> TrafficPlan {
+    TrafficPlan { version: PlanVersion(version), ..TrafficPlan::default() }
+}
+
+/// Lets an entry of another failure domain say that it has `version`.
+fn tell(state: &EntryState, version: u64) {
+    static SEQUENCE: AtomicU64 = AtomicU64::new(1);
+    let from: SocketAddr = "10.1.0.1:7700".parse().expect("an address");
+    let domain: DomainId = "z2".parse().expect("a name");
+    let notice = PeerNotice {
+        sequence: SEQUENCE.fetch_add(1, Ordering::Relaxed),
+        plan: version,
+        ..PeerNotice::empty(from, PeerKind::Entry, DomainKey::from(&domain))
+    };
+    state.peers().hear(state.now(), notice);
+    state.hear_peer_plan(PlanVersion(version));
+}
+
+/// An entry reads the store and its watch says nothing, while another failure domain tells ten
+/// times a second that there is a newer plan: from half a second on it may ask for it there at
+/// any moment, however often that has failed.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_stays_behind_goes_on_asking() {
+    let state = entry();
+    state.take_plan(plan(5), "store");
+    for tick in 0..40 {
+        tell(&state, 6);
+        let due = tick >= 5;
+        let asks = state.newer_plan_holder().is_some();
+        expect_that!(asks || !due, eq(true), "{} ms behind", tick * 100);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
