Let no silent source use up the time in which a change must be in force

Class: a fact whose age nobody watches, or whose one source may be silent for as long as the rule allows.

A nudge reaches a list as well, not only a watch. - The moment since when an entry is behind was set anew at each reading of the store, so that it could ask others only half of the time. core::plan_source keeps it until the plan is there; it asks neighbours at once, far entries in the order of addresses (the first hands on what it brings), a holder that failed last, over a new connection, and gives a silent one up after 0.4 s instead of 1.5 s. Entries tell the newest change of servers that they have taken in; who goes on knowing less for 1 s lists them anew. And they tell which servers they have heard to be leaving, for 5 s, so that drain times hold also where the store says nothing (core::leaving).

The plan's part of the entry's state is a module of its own (plan_copy).

--- a/crates/core/src/direct/fact_age.rs
+++ b/crates/core/src/direct/fact_age.rs
@@ -31,6 +31,8 @@
     confirmed: Option<Moment>,
     /// Since when a change is known to be missing.
     behind_since: Option<Moment>,
+    /// When it was last said to be due because a change is missing.
+    due: Option<Moment>,
 }
 
 impl FactAge {
@@ -60,6 +62,7 @@
     fn settle(&mut self) {
         if self.covered >= self.told {
             self.behind_since = None;
+            self.due = None;
         }
     }
 
@@ -78,6 +81,17 @@
         self.behind_since.map(|since| now.since(since))
     }
 
+    /// Whether the store is to be read anew because a change has been missing for `patience`; once
+    /// in that time.
+    pub fn take_due(&mut self, now: Moment, patience: Duration) -> bool {
+        let waits = self.due.max(self.behind_since);
+        let is_due = waits.is_some_and(|since| now.since(since) >= patience);
+        if is_due {
+            self.due = Some(now);
+        }
+        is_due
+    }
+
     /// Time since the store last said that nothing is missing; none if it never has.
     pub fn age(&self, now: Moment) -> Option<Duration> {
         self.confirmed.map(|confirmed| now.since(confirmed))
--- /dev/null
+++ b/crates/core/src/direct/leaving.rs
@@ -0,0 +1,94 @@
+//! Servers that are leaving, as entries tell each other.
+//!
+//! A server that leaves must get no new work after two or three seconds, also from an entry whose
+//! watch of servers is silent. So each entry tells for a while which servers it has heard to be
+//! leaving, and as of which revision of the store; a newer record of a server that is ready lifts
+//! that.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use super::fact_age::ChangeMark;
+use crate::time::Moment;
+
+/// Time for which a leaving server is told: longer than a failure domain that is out of reach for a
+/// moment needs to hear it, and several times as long as a server may still get work.
+const TELL_TIME: Duration = Duration::from_secs(5);
+
+/// Time after which nothing is remembered of a server that is gone: longer than a watch lasts.
+const MEMORY: Duration = Duration::from_secs(60);
+
+/// Servers that are told in one notice at most; each takes a dozen bytes.
+pub const MOST_LEAVING: usize = 64;
+
+/// Word that a server is leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeavingNotice {
+    /// Key of the server.
+    pub server: u32,
+    /// Revision of the store at which it was leaving or gone.
+    pub revision: ChangeMark,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct ServerMarks {
+    ready: ChangeMark,
+    leaving: Option<ChangeMark>,
+    learnt: Moment,
+}
+
+impl ServerMarks {
+    /// Where it went at the revision of its last change, the store did not tell a newer one.
+    fn is_leaving(&self) -> bool {
+        self.leaving.is_some_and(|leaving| leaving >= self.ready)
+    }
+}
+
+/// What is known of servers that leave.
+#[derive(Debug, Clone, Default)]
+pub struct LeavingServers {
+    servers: BTreeMap<u32, ServerMarks>,
+}
+
+impl LeavingServers {
+    /// A server was ready as of `revision`.
+    pub fn note_ready(&mut self, now: Moment, server: u32, revision: ChangeMark) {
+        let marks = self.servers.entry(server).or_default();
+        marks.ready = marks.ready.max(revision);
+        marks.learnt = now;
+    }
+
+    /// A server was leaving or gone as of `revision`; tells whether that is news.
+    pub fn note_leaving(&mut self, now: Moment, server: u32, revision: ChangeMark) -> bool {
+        let marks = self.servers.entry(server).or_default();
+        let before = marks.is_leaving();
+        marks.leaving = marks.leaving.max(Some(revision));
+        let news = marks.is_leaving() && !before;
+        if news {
+            marks.learnt = now;
+        }
+        news
+    }
+
+    /// Whether a server is leaving.
+    pub fn is_leaving(&self, server: u32) -> bool {
+        self.servers.get(&server).is_some_and(ServerMarks::is_leaving)
+    }
+
+    /// Servers that were heard to be leaving a short time ago, for others; the newest first.
+    pub fn recent(&self, now: Moment) -> Vec<LeavingNotice> {
+        let told = self.servers.iter().filter(|(_, marks)| marks.is_leaving());
+        let fresh = told.filter(|(_, marks)| now.since(marks.learnt) <= TELL_TIME);
+        let notice = |(server, marks): (&u32, &ServerMarks)| {
+            Some(LeavingNotice { server: *server, revision: marks.leaving? })
+        };
+        let mut leaving: Vec<LeavingNotice> = fresh.filter_map(notice).collect();
+        leaving.sort_by_key(|notice| std::cmp::Reverse(notice.revision));
+        leaving.truncate(MOST_LEAVING);
+        leaving
+    }
+
+    /// Forgets servers that have been leaving for long.
+    pub fn forget_old(&mut self, now: Moment) {
+        self.servers.retain(|_, marks| !marks.is_leaving() || now.since(marks.learnt) <= MEMORY);
+    }
+}
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -22,6 +22,7 @@
 use super::{
     engine_model::EngineLoad,
     fact_age::ChangeMark,
+    leaving::LeavingNotice,
     plan_readers::{ReaderView, is_plan_reader},
 };
 use crate::time::Moment;
@@ -154,6 +155,8 @@
     pub plan: u64,
     /// The newest change of servers that it has taken in; zero if it tells none.
     pub servers: ChangeMark,
+    /// Servers that it has heard to be leaving a short time ago.
+    pub leaving: Vec<LeavingNotice>,
     /// Its calls to the store are answered, as far as it knows.
     pub reads_store: bool,
     /// Others that it hears.
@@ -183,6 +186,7 @@
             sequence: 1,
             plan: 0,
             servers: ChangeMark::default(),
+            leaving: Vec::new(),
             reads_store: true,
             peers: Vec::new(),
             loads: Vec::new(),
@@ -370,6 +374,11 @@
         self.near_entries().all(|peer| peer.notice.from > self.own)
     }
 
+    /// Entries of the own failure domain that come before this one in the order of addresses.
+    pub fn entries_before(&self) -> u32 {
+        self.near_entries().filter(|peer| peer.notice.from < self.own).count() as u32
+    }
+
     /// Whether this entry is one of those of its failure domain that read the plan.
     pub fn is_plan_reader(&self) -> bool {
         let view = |peer: &Peer| ReaderView {
@@ -379,12 +388,12 @@
         is_plan_reader(self.own, self.near_entries().map(view))
     }
 
-    /// Entries that have a newer plan than `version`, those of the own failure domain alone if
-    /// `near` is set.
+    /// Entries that have a newer plan than `version`: those of the own failure domain if `near` is
+    /// set, else those of others.
     pub fn newer_plans(&self, version: PlanVersion, near: bool) -> Vec<SocketAddr> {
         let entries = self.living().filter(|peer| peer.notice.kind == PeerKind::Entry);
         let newer = entries.filter(|peer| peer.notice.plan > version.0);
-        newer.filter(|peer| !near || self.is_near(peer)).map(|peer| peer.notice.from).collect()
+        newer.filter(|peer| near == self.is_near(peer)).map(|peer| peer.notice.from).collect()
     }
 
     /// What others have in progress, by the key of the server.
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -14,6 +14,8 @@
 
 use super::{
     engine_model::{EngineLoad, EngineWork, first_token},
+    fact_age::ChangeMark,
+    leaving::{LeavingNotice, LeavingServers},
     peers::{DomainKey, DrainNotice, LoadNotice, ServerNotice},
 };
 use crate::time::Moment;
@@ -185,6 +187,8 @@
     others: HashMap<u32, EngineLoad>,
     /// Failure domains that are out of reach.
     silent: BTreeSet<DomainKey>,
+    /// Servers that leave.
+    leaving: LeavingServers,
     /// Entries that live.
     entries: usize,
     zone: Option<DomainId>,
@@ -204,7 +208,17 @@
     }
 
     /// Takes in a server's record.
-    pub fn set(&mut self, record: ServerRecord) {
+    ///
+    /// `revision` is the store's at which it was so.
+    pub fn set(&mut self, now: Moment, record: ServerRecord, revision: ChangeMark) {
+        let key = server_key(&record.id);
+        match record.draining {
+            true => {
+                // Whether others knew it before makes no difference here.
+                let _ = self.leaving.note_leaving(now, key, revision);
+            }
+            false => self.leaving.note_ready(now, key, revision),
+        }
         if let Some(state) = self.servers.get_mut(&record.id) {
             let moved = state.record.service != record.service;
             state.record = record;
@@ -213,7 +227,7 @@
             }
         } else {
             let state = ServerState {
-                key: server_key(&record.id),
+                key,
                 domain: DomainKey::from(&record.zone),
                 own: EngineLoad::default(),
                 waiting: 0,
@@ -230,15 +244,21 @@
         self.index();
     }
 
-    /// Takes out a server that is gone.
-    pub fn remove(&mut self, id: &ServerId) -> bool {
+    /// Takes out a server that is gone as of `revision`.
+    pub fn remove(&mut self, now: Moment, id: &ServerId, revision: ChangeMark) -> bool {
+        let _ = self.leaving.note_leaving(now, server_key(id), revision);
+        self.leaving.forget_old(now);
         let removed = self.servers.remove(id).is_some();
         self.index();
         removed
     }
 
-    /// Takes out every server but those in `listed`.
-    pub fn keep_only(&mut self, listed: &[ServerId]) {
+    /// Takes out every server but those in `listed`, the list as of `revision`.
+    pub fn keep_only(&mut self, now: Moment, listed: &[ServerId], revision: ChangeMark) {
+        for id in self.servers.keys().filter(|id| !listed.contains(id)) {
+            let _ = self.leaving.note_leaving(now, server_key(id), revision);
+        }
+        self.leaving.forget_old(now);
         self.servers.retain(|id, _| listed.contains(id));
         self.index();
     }
@@ -250,6 +270,16 @@
         }
     }
 
+    /// Another entry has heard that a server is leaving; tells whether that is news.
+    pub fn note_leaving(&mut self, now: Moment, server: u32, revision: ChangeMark) -> bool {
+        self.leaving.note_leaving(now, server, revision)
+    }
+
+    /// Servers that are leaving, for other entries.
+    pub fn recently_leaving(&self, now: Moment) -> Vec<LeavingNotice> {
+        self.leaving.recent(now)
+    }
+
     /// The records.
     pub fn records(&self) -> impl Iterator<Item = &ServerRecord> {
         self.servers.values().map(|state| &state.record)
@@ -408,7 +438,7 @@
         query: &ServerQuery<'_>,
     ) -> Result<f64, PassedOver> {
         let record = &state.record;
-        if record.draining || query.tried.contains(&record.id) {
+        if self.leaving.is_leaving(state.key) || query.tried.contains(&record.id) {
             return Err(PassedOver::Unfit);
         }
         if let Some(engine) = query.engine {
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -8,6 +8,7 @@
         draining::{DrainView, QueueReport, may_change},
         engine_model::{EngineLoad, EngineWork, first_token},
         event_split::EventSplitter,
+        fact_age::ChangeMark,
         peers::{
             DomainKey, DrainNotice, DrainReport, LoadNotice, PEER_SILENCE, PeerKind, PeerNotice,
             PeerTable, ServerNotice,
@@ -251,7 +252,7 @@
     let region = |name: &str| name.parse().expect("a name");
     let regions = HashMap::from([(zone("z1"), region("r1")), (zone("z2"), region("r2"))]);
     let mut table = ServerTable::new(zone("z1"), regions);
-    servers.iter().for_each(|server| table.set(server.clone()));
+    servers.iter().for_each(|server| table.set(at(0), server.clone(), ChangeMark(1)));
     table
 }
 
--- /dev/null
+++ b/crates/core/tests/leaving.rs
@@ -0,0 +1,77 @@
+//! What entries tell each other of servers that leave.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use headlatch_core::{
+    direct::{
+        fact_age::ChangeMark,
+        leaving::{LeavingNotice, LeavingServers, MOST_LEAVING},
+    },
+    time::Moment,
+};
+
+fn at(millis: u64) -> Moment {
+    Moment::ZERO + Duration::from_millis(millis)
+}
+
+fn mark(number: u64) -> ChangeMark {
+    ChangeMark(number)
+}
+
+#[gtest]
+fn a_server_that_others_have_heard_to_be_leaving_is_lifted_by_a_newer_record_alone() {
+    let mut servers = LeavingServers::default();
+    servers.note_ready(at(0), 7, mark(5));
+    expect_that!(servers.is_leaving(7), eq(false));
+    expect_that!(servers.note_leaving(at(10), 7, mark(9)), eq(true));
+    expect_that!(servers.note_leaving(at(20), 7, mark(9)), eq(false));
+    expect_that!(servers.is_leaving(7), eq(true));
+    // An old list says what was before.
+    servers.note_ready(at(30), 7, mark(5));
+    expect_that!(servers.is_leaving(7), eq(true));
+    // It lapsed while the store was away, and is back.
+    servers.note_ready(at(40), 7, mark(12));
+    expect_that!(servers.is_leaving(7), eq(false));
+    // Somebody who has not heard that tells the old word still.
+    expect_that!(servers.note_leaving(at(50), 7, mark(9)), eq(false));
+    expect_that!(servers.is_leaving(7), eq(false));
+}
+
+#[gtest]
+fn a_server_that_went_without_a_revision_of_its_own_is_gone() {
+    let mut servers = LeavingServers::default();
+    servers.note_ready(at(0), 7, mark(5));
+    expect_that!(servers.note_leaving(at(10), 7, mark(5)), eq(true));
+    servers.note_ready(at(20), 7, mark(6));
+    expect_that!(servers.is_leaving(7), eq(false));
+}
+
+#[gtest]
+fn leaving_servers_are_told_for_some_seconds_and_not_echoed_for_ever() {
+    let (mut one, mut other) = (LeavingServers::default(), LeavingServers::default());
+    one.note_leaving(at(0), 7, mark(9));
+    for second in 0..60 {
+        let now = at(second * 1000);
+        for told in one.recent(now) {
+            other.note_leaving(now, told.server, told.revision);
+        }
+        for told in other.recent(now) {
+            one.note_leaving(now, told.server, told.revision);
+        }
+    }
+    expect_that!(one.recent(at(60_000)), is_empty());
+    expect_that!(other.recent(at(60_000)), is_empty());
+    expect_that!(other.is_leaving(7), eq(true));
+}
+
+#[gtest]
+fn the_newest_are_told_where_many_leave() {
+    let mut servers = LeavingServers::default();
+    for server in 0..100 {
+        servers.note_leaving(at(0), server, mark(u64::from(server) + 1));
+    }
+    let told = servers.recent(at(0));
+    expect_that!(told.len(), eq(MOST_LEAVING));
+    expect_that!(told[0], eq(LeavingNotice { server: 99, revision: mark(100) }));
+}
--- a/crates/core/tests/load_notices.rs
+++ b/crates/core/tests/load_notices.rs
@@ -6,6 +6,7 @@
 use headlatch_core::{
     direct::{
         engine_model::{EngineLoad, EngineWork},
+        fact_age::ChangeMark,
         peers::{
             DomainKey, FAR_SILENCE, LoadNotice, PEER_SILENCE, PeerKind, PeerNotice, PeerTable,
         },
@@ -179,7 +180,7 @@
 
 fn table(records: &[ServerRecord]) -> ServerTable {
     let mut table = ServerTable::new("z1".parse().expect("a name"), Default::default());
-    records.iter().for_each(|record| table.set(record.clone()));
+    records.iter().for_each(|record| table.set(at(0), record.clone(), ChangeMark(1)));
     table
 }
 
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -2,10 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use headlatch_core::direct::fact_age::ChangeMark;
 use headlatch_outside::facts::{
     Fact, FactChange, FactChanges, FactList, FactStore, FactTopic, Freshness, NamedFact,
-    StoreFailure, StoreRevision,
+    StoreFailure,
 };
 use rand::Rng;
 use serde_json::json;
@@ -22,6 +23,15 @@
 /// Longest pause after failed calls.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1500);
 
+/// Silence of a list after which another call joins it. The store answers in 4 ms, and one that is
+/// slow was seen to take 0.3 s; a process is in touch 3 s after a trouble, and a change that was
+/// accepted in between is then due.
+const LIST_SILENCE: Duration = Duration::from_millis(1000);
+
+/// The same for wanted weights: they are due after eight seconds and more, and every process tells
+/// them to every other.
+const WEIGHTS_SILENCE: Duration = Duration::from_millis(3000);
+
 /// Rest after a watch brought something, in which further changes gather: each call is priced, and
 /// a server that leaves serves on for two seconds at least.
 const SERVERS_REST: Duration = Duration::from_millis(800);
@@ -33,6 +43,15 @@
     }
 }
 
+/// Time for which a list may be silent, with jitter so that nodes do not call together.
+fn silence_before(topic: FactTopic) -> Duration {
+    let most = match topic {
+        FactTopic::Plan | FactTopic::Servers => LIST_SILENCE,
+        FactTopic::Weights => WEIGHTS_SILENCE,
+    };
+    most.mul_f64(rand::rng().random_range(0.7..=1.0))
+}
+
 /// Decides whether a topic is read from the store, and hears whether that works.
 pub trait ReadGate: Send + Sync {
     /// Whether the topic is to be read now.
@@ -93,8 +112,7 @@
         }
     }
 
-    /// The newest change in it; that something is gone has no revision of its own, so that the
-    /// place of the whole answer stands for it.
+    /// The newest change in it.
     pub fn newest(&self) -> ChangeMark {
         let revision = |fact: &NamedFact| ChangeMark(fact.revision.0);
         let newest = match self {
@@ -102,7 +120,7 @@
             Self::Changes(changes) => {
                 let marks = changes.changes.iter().map(|change| match change {
                     FactChange::Set(fact) => revision(fact),
-                    FactChange::Gone(_) => self.covered(),
+                    FactChange::Gone { revision, .. } => ChangeMark(revision.0),
                 });
                 marks.max()
             }
@@ -130,94 +148,142 @@
     gate: Arc<dyn ReadGate>,
     mut take: impl FnMut(FactNews) + Send,
 ) {
-    let mut at: Option<StoreRevision> = None;
-    let mut failures = 0;
-    let mut lost = Instant::now();
+    let mut lost: Option<LostStore> = None;
     loop {
-        let (begun, call) = (Instant::now(), call_name(at));
-        let outcome = match at {
-            None => {
-                opened(&*gate, &nudge).await;
-                list(&*store, topic, &mut take).await
-            }
-            Some(after) => {
-                tokio::select! {
-                    watched = watch(&*store, topic, after, &mut take) => watched,
-                    () = nudge.notified() => {
-                        decisions::note("store", "nudged", json!({ "topic": topic.as_str() }));
-                        at = None;
-                        continue;
-                    }
-                    () = closed(&*gate) => {
-                        at = None;
-                        continue;
-                    }
+        opened(&*gate, &nudge).await;
+        let list = list(&*store, topic, &nudge, &*gate, &mut lost).await;
+        let mut at = list.at;
+        take(FactNews::All(list));
+        loop {
+            let begun = Instant::now();
+            let watched = tokio::select! {
+                watched = store.watch(topic, at, WATCH_TIME) => watched,
+                () = nudge.notified() => {
+                    decisions::note("store", "nudged", json!({ "topic": topic.as_str() }));
+                    break;
                 }
-            }
-        };
-        gate.note(matches!(outcome, Ok(_) | Err(StoreFailure::HistoryGone)));
-        match outcome {
-            Ok(next) => {
-                // Changes that come close together are one call.
-                if at.is_some() {
+                () = closed(&*gate) => break,
+            };
+            match watched {
+                Ok(changes) => {
+                    gate.note(true);
+                    at = changes.at;
+                    take(FactNews::Changes(changes));
+                    // Changes that come close together are one call.
                     tokio::time::sleep(rest_after(topic)).await;
                 }
-                if failures > 0 {
-                    let lost_ms = lost.elapsed().as_millis() as u64;
-                    let fields = json!({ "topic": topic.as_str(), "lost_ms": lost_ms });
-                    decisions::note("store", "regained", fields);
+                Err(StoreFailure::HistoryGone) => {
+                    decisions::note("store", "history_gone", json!({ "topic": topic.as_str() }));
+                    break;
                 }
-                failures = 0;
-                at = Some(next);
-            }
-            Err(StoreFailure::HistoryGone) => {
-                decisions::note("store", "history_gone", json!({ "topic": topic.as_str() }));
-                at = None;
-            }
-            Err(error) => {
-                failures += 1;
-                at = None;
-                let took_ms = begun.elapsed().as_millis() as u64;
-                let fields = json!({
-                    "topic": topic.as_str(), "error": error.to_string(), "call": call,
-                    "took_ms": took_ms, "failures": failures,
-                });
-                if failures == 1 {
-                    lost = begun;
+                Err(error) => {
+                    gate.note(false);
+                    let lost = lost.get_or_insert_with(|| LostStore::new(topic, begun));
+                    lost.note(StoreCall::Watch, begun, &error);
+                    tokio::time::sleep(pause_after(lost.failures)).await;
+                    break;
                 }
-                decisions::warn("store", if failures == 1 { "lost" } else { "still_lost" }, fields);
-                tokio::time::sleep(pause_after(failures)).await;
             }
         }
     }
 }
 
-/// The word in logs for the call that comes next.
-fn call_name(at: Option<StoreRevision>) -> &'static str {
-    if at.is_some() { "watch" } else { "list" }
+/// A call to the store, for logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StoreCall {
+    List,
+    Watch,
 }
 
-async fn list(
-    store: &dyn FactStore,
+impl StoreCall {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::List => "list",
+            Self::Watch => "watch",
+        }
+    }
+}
+
+/// A store whose calls fail.
+#[derive(Debug)]
+struct LostStore {
     topic: FactTopic,
-    take: &mut (impl FnMut(FactNews) + Send),
-) -> Result<StoreRevision, StoreFailure> {
-    let facts = store.list(topic, Freshness::Current).await?;
-    let at = facts.at;
-    take(FactNews::All(facts));
-    Ok(at)
+    since: Instant,
+    failures: u32,
 }
 
-async fn watch(
+impl LostStore {
+    fn new(topic: FactTopic, since: Instant) -> Self {
+        Self { topic, since, failures: 0 }
+    }
+
+    /// Notes a call that failed.
+    fn note(&mut self, call: StoreCall, begun: Instant, error: &StoreFailure) {
+        self.failures += 1;
+        let event = if self.failures == 1 { "lost" } else { "still_lost" };
+        let fields = json!({
+            "topic": self.topic.as_str(), "error": error.to_string(), "call": call.as_str(),
+            "took_ms": begun.elapsed().as_millis() as u64, "failures": self.failures,
+        });
+        decisions::warn("store", event, fields);
+    }
+
+    /// Notes that a call was answered.
+    fn end(self) {
+        let lost_ms = self.since.elapsed().as_millis() as u64;
+        let fields = json!({ "topic": self.topic.as_str(), "lost_ms": lost_ms });
+        decisions::note("store", "regained", fields);
+    }
+}
+
+/// Lists a topic, however often that fails.
+///
+/// A call that has not been answered for a while is joined by another: a store, or a way to it,
+/// that is back after a silence answers what comes then, and often never what came before. The
+/// first answer wins, so that a store that is merely slow is read as well.
+async fn list(
     store: &dyn FactStore,
     topic: FactTopic,
-    after: StoreRevision,
-    take: &mut (impl FnMut(FactNews) + Send),
-) -> Result<StoreRevision, StoreFailure> {
-    let changes = store.watch(topic, after, WATCH_TIME).await?;
-    let at = changes.at;
-    take(FactNews::Changes(changes));
-    Ok(at)
+    nudge: &Notify,
+    gate: &dyn ReadGate,
+    lost: &mut Option<LostStore>,
+) -> FactList {
+    let call = || async {
+        let begun = Instant::now();
+        (begun, store.list(topic, Freshness::Current).await)
+    };
+    let mut calls = FuturesUnordered::new();
+    calls.push(call());
+    let mut next = Instant::now() + silence_before(topic);
+    loop {
+        tokio::select! {
+            Some((begun, listed)) = calls.next() => match listed {
+                Ok(list) => {
+                    gate.note(true);
+                    if let Some(lost) = lost.take() {
+                        lost.end();
+                    }
+                    return list;
+                }
+                Err(error) => {
+                    gate.note(false);
+                    let lost = lost.get_or_insert_with(|| LostStore::new(topic, begun));
+                    lost.note(StoreCall::List, begun, &error);
+                    if calls.is_empty() {
+                        next = Instant::now() + pause_after(lost.failures);
+                    }
+                }
+            },
+            () = tokio::time::sleep_until(next) => {
+                gate.note(calls.is_empty());
+                calls.push(call());
+                next = Instant::now() + silence_before(topic);
+            }
+            () = nudge.notified() => {
+                next = next.min(Instant::now() + FIRST_PAUSE);
+            }
+        }
+    }
 }
 
 /// The facts in news that are there and can be read.
@@ -229,7 +295,7 @@
             .into_iter()
             .filter_map(|change| match change {
                 FactChange::Set(fact) => Some(fact),
-                FactChange::Gone(_) => None,
+                FactChange::Gone { .. } => None,
             })
             .collect(),
     };
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -93,7 +93,7 @@
         Ok(plan) => exchange::run(&state, plan).await,
         Err(given_up) => {
             let (status, cause) = (given_up.status.as_u16(), given_up.cause);
-            let age = state.plan_age();
+            let age = state.plan.age();
             let fields = json!({
                 "request": id, "status": status, "cause": cause,
                 "plan": state.plan_version(), "newest_told": age.newest_told().0,
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -10,6 +10,7 @@
 pub mod front;
 pub mod handler;
 pub mod notices;
+pub mod plan_copy;
 pub mod plan_sync;
 pub mod relay;
 pub mod seats;
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -9,6 +9,7 @@
 use headlatch_core::direct::{
     engine_model::EngineLoad,
     fact_age::ChangeMark,
+    leaving::LeavingNotice,
     peers::{
         DomainKey, DrainNotice, LoadNotice, NAMED_PEERS, Peer, PeerKind, PeerNotice, PeerTable,
         ServerNotice, WantedNotice,
@@ -84,6 +85,14 @@
     }
 }
 
+fn encode_leaving(leaving: &LeavingNotice) -> wire::NoticeLeaving {
+    wire::NoticeLeaving { server: leaving.server, revision: leaving.revision.0 }
+}
+
+fn decode_leaving(leaving: &wire::NoticeLeaving) -> LeavingNotice {
+    LeavingNotice { server: leaving.server, revision: ChangeMark(leaving.revision) }
+}
+
 fn encode_wanted(wanted: &WantedNotice) -> wire::NoticeWanted {
     wire::NoticeWanted {
         model: wanted.model.to_string(),
@@ -128,6 +137,7 @@
         sequence: notice.sequence,
         plan: notice.plan,
         servers: notice.servers.0,
+        leaving: notice.leaving.iter().map(encode_leaving).collect(),
         reads_store: notice.reads_store,
         peers: notice.peers.iter().map(address_bytes).collect(),
         loads: notice.loads.iter().map(encode_load).collect(),
@@ -173,6 +183,7 @@
         sequence: message.sequence,
         plan: message.plan,
         servers: ChangeMark(message.servers),
+        leaving: message.leaving.iter().map(decode_leaving).collect(),
         reads_store: message.reads_store,
         peers: message.peers.iter().filter_map(|bytes| address_of(bytes)).collect(),
         loads: message.loads.iter().map(decode_load).collect(),
@@ -204,6 +215,8 @@
     pub plan: u64,
     /// The newest change of servers that it has taken in.
     pub servers: ChangeMark,
+    /// Servers that it has heard to be leaving a short time ago.
+    pub leaving: Vec<LeavingNotice>,
     /// Its calls to the store are answered, as far as it knows.
     pub reads_store: bool,
     /// What it has in progress.
@@ -338,6 +351,7 @@
         let told = NoticeBody {
             plan: body.plan,
             servers: body.servers,
+            leaving: body.leaving.clone(),
             reads_store: body.reads_store,
             drains: body.drains.clone(),
             domain_loads: Some(loads),
@@ -384,6 +398,7 @@
             sequence: self.sequence,
             plan: body.plan,
             servers: body.servers,
+            leaving: body.leaving,
             reads_store: body.reads_store,
             peers: named,
             loads: body.loads,
@@ -456,7 +471,8 @@
     NoticeBody {
         plan: state.plan_version().0,
         servers: state.newest_servers(),
-        reads_store: state.reads_store(),
+        leaving: state.servers().recently_leaving(state.now()),
+        reads_store: state.plan.reads_store(state.now()),
         ..NoticeBody::default()
     }
 }
@@ -495,6 +511,7 @@
     let plan = (notice.kind == PeerKind::Entry && !notice.changes_only)
         .then_some(PlanVersion(notice.plan));
     let (wanted, servers) = (notice.wanted.clone(), notice.servers);
+    let leaving = notice.leaving.clone();
     let outcome = state.peers().hear(now, notice);
     state.hear_wanted(&wanted);
     if outcome.after_silence {
@@ -503,6 +520,7 @@
     if let Some(plan) = plan {
         state.hear_peer_plan(plan);
     }
+    state.hear_leaving(&leaving);
     state.hear_peer_servers(servers);
     state.refresh_loads_of(&changed);
     if outcome.joined {
--- /dev/null
+++ b/crates/daemon/src/direct/plan_copy.rs
@@ -0,0 +1,160 @@
+//! An entry's copy of the plan: the routes in force, how current they are, and whom to ask for
+//! newer ones.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, RwLock,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use headlatch_core::{
+    direct::{
+        fact_age::{ChangeMark, FactAge},
+        plan_source::{HolderView, PlanSource},
+        route_table::RouteTable,
+    },
+    time::Moment,
+};
+use headlatch_types::traffic::{PlanVersion, TrafficPlan};
+use serde_json::json;
+use tokio::{sync::Notify, time::Instant};
+
+use crate::decisions;
+
+/// The plan of one entry.
+#[derive(Debug)]
+pub struct PlanCopy {
+    routes: RwLock<Option<Arc<RouteTable>>>,
+    source: Mutex<PlanSource>,
+    /// The last call to the store for the plan was answered.
+    store_answers: AtomicBool,
+    /// Another entry has a newer plan.
+    offered: Notify,
+    /// A newer plan has come into force.
+    taken: Notify,
+}
+
+impl Default for PlanCopy {
+    fn default() -> Self {
+        Self {
+            routes: RwLock::default(),
+            source: Mutex::default(),
+            store_answers: AtomicBool::new(true),
+            offered: Notify::new(),
+            taken: Notify::new(),
+        }
+    }
+}
+
+impl PlanCopy {
+    fn source(&self) -> MutexGuard<'_, PlanSource> {
+        self.source.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    /// The routes in force; none before the first plan.
+    pub fn routes(&self) -> Option<Arc<RouteTable>> {
+        self.routes.read().unwrap_or_else(|broken| broken.into_inner()).clone()
+    }
+
+    /// The version of the plan in force.
+    pub fn version(&self) -> PlanVersion {
+        self.routes().map(|routes| routes.plan().version).unwrap_or_default()
+    }
+
+    /// How current the plan is.
+    pub fn age(&self) -> FactAge {
+        *self.source().age()
+    }
+
+    /// Takes over a plan if it is newer than the one in force; tells whether it is.
+    pub fn take(&self, now: Moment, plan: TrafficPlan, source: &str) -> bool {
+        let mut routes = self.routes.write().unwrap_or_else(|broken| broken.into_inner());
+        let before = routes.as_ref().map(|routes| routes.plan().version);
+        if before.is_some_and(|version| version >= plan.version) {
+            return false;
+        }
+        let behind = self.source().age().behind(now);
+        let fields = json!({
+            "version": plan.version, "before": before, "source": source,
+            "behind_ms": behind.map(|behind| behind.as_millis() as u64),
+            "routes": plan.routes.len(), "services": plan.services.len(),
+            "tenants": plan.tenants.len(),
+        });
+        let version = plan.version;
+        *routes = Some(Arc::new(RouteTable::new(Arc::new(plan))));
+        drop(routes);
+        self.source().take(now, ChangeMark(version.0));
+        self.taken.notify_waiters();
+        decisions::note("plan", "in_force", fields);
+        true
+    }
+
+    /// The store has said that nothing newer than the plan in force is there.
+    pub fn confirm(&self, now: Moment) {
+        let version = ChangeMark(self.version().0);
+        self.source().read(now, version);
+    }
+
+    /// Notes whether the last call to the store for the plan was answered.
+    pub fn note_store(&self, answers: bool) {
+        self.store_answers.store(answers, Ordering::Relaxed);
+    }
+
+    /// Whether the store answers this entry's calls for the plan, as far as it knows: one that is
+    /// behind for longer than its watch may take does not read it, whatever that watch says.
+    pub fn reads_store(&self, now: Moment) -> bool {
+        self.store_answers.load(Ordering::Relaxed) && !self.source().is_late(now)
+    }
+
+    /// Another entry has the plan of `version`; tells whether the store is to be read because of
+    /// that.
+    pub fn hear(&self, now: Moment, version: PlanVersion, is_reader: bool) -> bool {
+        if version <= self.version() {
+            return false;
+        }
+        let mut source = self.source();
+        source.hear(now, ChangeMark(version.0));
+        let reads = source.take_read(now, is_reader);
+        drop(source);
+        self.offered.notify_one();
+        reads
+    }
+
+    /// Whether another entry is known to have a newer plan.
+    pub fn is_behind(&self, now: Moment) -> bool {
+        self.source().age().behind(now).is_some()
+    }
+
+    /// Whom to ask for a newer plan now.
+    pub fn holder(&self, now: Moment, view: &HolderView) -> Option<SocketAddr> {
+        self.source().holder(now, view, rand::random())
+    }
+
+    /// A holder was asked and did not hand the plan over.
+    pub fn note_failed(&self, holder: SocketAddr) {
+        self.source().note_failed(holder);
+    }
+
+    /// Waits until another entry has a newer plan.
+    pub async fn offered(&self) {
+        self.offered.notified().await;
+    }
+
+    /// Waits until a plan newer than `version` is in force, at most for `time`; tells whether one
+    /// is.
+    pub async fn newer_than(&self, version: PlanVersion, time: Duration) -> bool {
+        let until = Instant::now() + time;
+        loop {
+            let taken = self.taken.notified();
+            if self.version() > version {
+                return true;
+            }
+            if tokio::time::timeout_at(until, taken).await.is_err() {
+                return self.version() > version;
+            }
+        }
+    }
+}
--- a/crates/daemon/src/direct/plan_sync.rs
+++ b/crates/daemon/src/direct/plan_sync.rs
@@ -19,15 +19,18 @@
 /// Path of the plan among entries.
 const PLAN_PATH: &str = "/plan";
 
-/// Time for a plan to come: a large one takes 0.1 s over the narrowest link known, and a dozen
-/// entries may ask at once.
-const FETCH_TIME: Duration = Duration::from_millis(1500);
+/// Time for a plan to come: a dozen entries may ask at once over one link between regions.
+const FETCH_TIME: Duration = Duration::from_secs(3);
+
+/// Silence of a holder after which another one is asked: a round trip takes a few milliseconds, and
+/// a full link holds bytes back for less than that.
+const FETCH_SILENCE: Duration = Duration::from_millis(400);
 
 /// Largest plan: the store holds values of a megabyte, and this form is not much longer.
 const MOST_PLAN: usize = 4 << 20;
 
-/// Pause after a plan did not come.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Pause after a plan did not come, and between looks whom to ask.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
 /// Hands out the plan in force to other entries.
 pub async fn serve(state: Arc<EntryState>, listener: TcpListener) {
@@ -62,7 +65,9 @@
 
 /// Reads the plan that another entry has in force; the error says why there is none.
 pub async fn fetch(connections: &Connections, address: SocketAddr) -> Result<TrafficPlan, String> {
-    let call = connections.call(address, CallRequest::get(PLAN_PATH), MOST_PLAN, FETCH_TIME);
+    // A connection that has rested may have been cut off meanwhile without a word.
+    let request = CallRequest::get(PLAN_PATH).closing().silent_for(FETCH_SILENCE);
+    let call = connections.call(address, request, MOST_PLAN, FETCH_TIME);
     let answer = call.await.map_err(|error| format!("{address}: {}", error.message))?;
     if answer.status != StatusCode::OK {
         return Err(format!("{address}: it answered {} and no plan", answer.status));
@@ -78,14 +83,18 @@
     let connections = Connections::default();
     loop {
         let Some(holder) = state.newer_plan_holder() else {
-            state.plan_offer.notified().await;
+            match state.plan.is_behind(state.now()) {
+                true => tokio::time::sleep(LOOK_PAUSE).await,
+                false => state.plan.offered().await,
+            }
             continue;
         };
         match fetch(&connections, holder).await {
             Ok(plan) => state.take_plan(plan, "peer"),
             Err(error) => {
                 decisions::warn("plan", "not_fetched", json!({ "error": error }));
-                tokio::time::sleep(RETRY_PAUSE).await;
+                state.plan.note_failed(holder);
+                tokio::time::sleep(LOOK_PAUSE).await;
             }
         }
     }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, RwLock,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -13,7 +13,9 @@
 use headlatch_core::{
     direct::{
         fact_age::{ChangeMark, FactAge},
+        leaving::LeavingNotice,
         peers::{DomainKey, PeerKind, PeerTable, WantedNotice},
+        plan_source::HolderView,
         retry_share::{RetryBudget, RetryShare},
         route_table::RouteTable,
         server_table::ServerTable,
@@ -34,13 +36,15 @@
 use serde_json::json;
 use tokio::{sync::Notify, time::Instant};
 
-use rand::seq::IndexedRandom;
-
-use super::facts::{FactNews, ReadGate, set_facts};
+use super::{
+    facts::{FactNews, ReadGate, set_facts},
+    plan_copy::PlanCopy,
+};
 use crate::{decisions, metrics::NodeMetrics};
 
-/// Time for which a peer's newer plan is waited for before the store is asked.
-const BEHIND_PATIENCE: Duration = Duration::from_millis(900);
+/// Time for which this entry may know fewer changes of servers than a peer before it reads them
+/// anew: its watch rests for up to 0.8 s after each change.
+const SERVERS_PATIENCE: Duration = Duration::from_millis(1000);
 
 /// The state of one entry.
 #[derive(Debug)]
@@ -60,7 +64,8 @@
     /// The list of servers has been read.
     pub servers_known: AtomicBool,
     begun: Instant,
-    routes: RwLock<Option<Arc<RouteTable>>>,
+    /// The plan.
+    pub plan: PlanCopy,
     servers: Mutex<ServerTable>,
     weights: Mutex<WeightDeadlines>,
     retries: Mutex<RetryShare>,
@@ -73,14 +78,6 @@
     pub servers_nudge: Arc<Notify>,
     /// Has the wanted weights read anew.
     pub weights_nudge: Arc<Notify>,
-    /// Another entry has a newer plan.
-    pub plan_offer: Notify,
-    /// The last call to the store for the plan was answered.
-    store_answers: AtomicBool,
-    /// Since when a peer is known to have a newer plan.
-    behind_since: Mutex<Option<Moment>>,
-    /// How current the plan is.
-    plan_age: Mutex<FactAge>,
     /// How current the list of servers is.
     servers_age: Mutex<FactAge>,
 }
@@ -103,7 +100,7 @@
     }
 
     fn note(&self, answered: bool) {
-        self.store_answers.store(answered, Ordering::Relaxed);
+        self.plan.note_store(answered);
     }
 }
 
@@ -126,7 +123,7 @@
             stopping: AtomicBool::new(false),
             servers_known: AtomicBool::new(false),
             begun: Instant::now(),
-            routes: RwLock::default(),
+            plan: PlanCopy::default(),
             servers: Mutex::new(servers),
             weights: Mutex::default(),
             retries: Mutex::new(RetryShare::new(budget)),
@@ -135,10 +132,6 @@
             plan_nudge: Arc::default(),
             servers_nudge: Arc::default(),
             weights_nudge: Arc::default(),
-            plan_offer: Notify::new(),
-            store_answers: AtomicBool::new(true),
-            behind_since: Mutex::default(),
-            plan_age: Mutex::default(),
             servers_age: Mutex::default(),
             settings,
         })
@@ -156,7 +149,7 @@
 
     /// The routes in force; none before the first plan.
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
-        self.routes.read().unwrap_or_else(|broken| broken.into_inner()).clone()
+        self.plan.routes()
     }
 
     /// The servers.
@@ -196,77 +189,48 @@
 
     /// The version of the plan in force.
     pub fn plan_version(&self) -> PlanVersion {
-        self.routes().map(|routes| routes.plan().version).unwrap_or_default()
+        self.plan.version()
     }
 
     /// Takes over a plan if it is newer than the one in force.
     pub fn take_plan(&self, plan: TrafficPlan, source: &str) {
-        let mut routes = self.routes.write().unwrap_or_else(|broken| broken.into_inner());
-        let current = routes.as_ref().map(|routes| routes.plan().version);
-        if current.is_some_and(|version| version >= plan.version) {
-            return;
+        let version = plan.version;
+        if self.plan.take(self.now(), plan, source) {
+            self.metrics.set_revision(version.0);
         }
-        let fields = json!({
-            "version": plan.version, "before": current, "source": source,
-            "routes": plan.routes.len(), "services": plan.services.len(),
-            "tenants": plan.tenants.len(),
-        });
-        *lock(&self.behind_since) = None;
-        lock(&self.plan_age).take_from_peer(ChangeMark(plan.version.0));
-        self.metrics.set_revision(plan.version.0);
-        *routes = Some(Arc::new(RouteTable::new(Arc::new(plan))));
-        drop(routes);
-        decisions::note("plan", "in_force", fields);
     }
 
     /// A peer has the plan of `version`: where that is newer than the one in force here, it is had
     /// from a peer; where it stays so, this entry's watch has missed something.
     pub fn hear_peer_plan(&self, version: PlanVersion) {
-        lock(&self.plan_age).hear(self.now(), ChangeMark(version.0));
-        if version <= self.plan_version() {
-            return;
-        }
-        self.plan_offer.notify_one();
-        let mut behind = lock(&self.behind_since);
-        let now = self.now();
-        let since = *behind.get_or_insert(now);
-        if now.since(since) >= BEHIND_PATIENCE {
-            *behind = Some(now);
+        let is_reader = self.peers().is_plan_reader();
+        if self.plan.hear(self.now(), version, is_reader) {
             self.plan_nudge.notify_one();
         }
     }
 
-    /// An entry that has a newer plan: one of the own failure domain, or any where this entry has
-    /// been behind for long. An entry that reads the store waits for its watch at first.
+    /// An entry that has a newer plan and is to be asked for it now.
     pub fn newer_plan_holder(&self) -> Option<SocketAddr> {
-        let version = self.plan_version();
-        let is_late = lock(&self.behind_since)
-            .is_some_and(|since| self.now().since(since) >= BEHIND_PATIENCE / 2);
+        let (now, version) = (self.now(), self.plan_version());
         let peers = self.peers();
-        if peers.is_plan_reader() && self.reads_store() && !is_late {
-            return None;
-        }
-        let mut holders = peers.newer_plans(version, true);
-        if holders.is_empty() && is_late {
-            holders = peers.newer_plans(version, false);
-        }
-        holders.choose(&mut rand::rng()).copied()
-    }
-
-    /// Whether the store answers this entry's calls for the plan, as far as it knows.
-    pub fn reads_store(&self) -> bool {
-        self.store_answers.load(Ordering::Relaxed)
+        let view = HolderView {
+            reads_store: peers.is_plan_reader() && self.plan.reads_store(now),
+            near: peers.newer_plans(version, true),
+            far: peers.newer_plans(version, false),
+            before: peers.entries_before(),
+        };
+        drop(peers);
+        self.plan.holder(now, &view)
     }
 
     /// Takes in news about the plan.
     pub fn hear_plan(&self, news: FactNews) {
-        let version = ChangeMark(self.plan_version().0);
-        lock(&self.plan_age).read(self.now(), version, version);
         for fact in set_facts(news) {
             if let Fact::Plan(plan) = fact {
                 self.take_plan(*plan, "store");
             }
         }
+        self.plan.confirm(self.now());
     }
 
     /// Takes in news about wanted weights.
@@ -320,7 +284,7 @@
             FactNews::All(list) => {
                 let listed: Vec<ServerId> =
                     list.facts.iter().map(|fact| ServerId(fact.name.as_str().into())).collect();
-                self.servers().keep_only(&listed);
+                self.servers().keep_only(self.now(), &listed, covered);
                 for fact in list.facts {
                     self.set_server(fact);
                 }
@@ -332,7 +296,9 @@
                 for change in changes.changes {
                     match change {
                         FactChange::Set(fact) => self.set_server(fact),
-                        FactChange::Gone(name) => self.remove_server(&name),
+                        FactChange::Gone { name, revision } => {
+                            self.remove_server(&name, ChangeMark(revision.0));
+                        }
                     }
                 }
             }
@@ -343,11 +309,6 @@
         self.connections.retain(|address| wanted.contains(address));
     }
 
-    /// How current the plan is.
-    pub fn plan_age(&self) -> FactAge {
-        *lock(&self.plan_age)
-    }
-
     /// How current the list of servers is.
     pub fn servers_age(&self) -> FactAge {
         *lock(&self.servers_age)
@@ -356,7 +317,7 @@
     /// Writes the ages of facts into the metrics.
     pub fn measure_ages(&self) {
         let now = self.now();
-        for (topic, age) in [("plan", self.plan_age()), ("servers", self.servers_age())] {
+        for (topic, age) in [("plan", self.plan.age()), ("servers", self.servers_age())] {
             if let Some(age) = age.age(now) {
                 self.metrics.set_fact_age(topic, age.as_millis() as u64);
             }
@@ -368,9 +329,26 @@
         lock(&self.servers_age).newest()
     }
 
-    /// A peer has taken in changes of servers up to `newest`.
+    /// A peer has taken in changes of servers up to `newest`; where this entry goes on knowing
+    /// less, its watch has missed something.
     pub fn hear_peer_servers(&self, newest: ChangeMark) {
-        lock(&self.servers_age).hear(self.now(), newest);
+        let now = self.now();
+        let mut age = lock(&self.servers_age);
+        age.hear(now, newest);
+        if age.take_due(now, SERVERS_PATIENCE) {
+            self.servers_nudge.notify_one();
+        }
+    }
+
+    /// Servers that peers have heard to be leaving: they get nothing more here either.
+    pub fn hear_leaving(&self, leaving: &[LeavingNotice]) {
+        let now = self.now();
+        for notice in leaving {
+            if self.servers().note_leaving(now, notice.server, notice.revision) {
+                let fields = json!({ "server_key": notice.server, "revision": notice.revision.0 });
+                decisions::note("servers", "leaving_told", fields);
+            }
+        }
     }
 
     fn set_server(&self, fact: NamedFact) {
@@ -391,12 +369,12 @@
             let machine = SocketAddr::new(record.address.ip(), self.settings.node.control.port());
             self.peers().suggest(self.now(), machine);
         }
-        self.servers().set(record);
+        self.servers().set(self.now(), record, ChangeMark(fact.revision.0));
         decisions::note("servers", "set", fields);
     }
 
-    fn remove_server(&self, name: &str) {
-        if self.servers().remove(&ServerId(name.into())) {
+    fn remove_server(&self, name: &str, revision: ChangeMark) {
+        if self.servers().remove(self.now(), &ServerId(name.into()), revision) {
             decisions::note("servers", "gone", json!({ "server": name }));
         }
     }
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -12,7 +12,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use headlatch_types::RunVerdict;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -183,7 +183,8 @@
             true => ConnectionChoice::Fresh,
             false => ConnectionChoice::Kept,
         };
-        let (mut held, _) = self.get(address, choice, time).await?;
+        let silence = request.silence.unwrap_or(time);
+        let (mut held, _) = self.get(address, choice, silence).await?;
         let uri: Uri = request
             .path
             .parse()
@@ -192,10 +193,10 @@
         if let Ok(host) = address.to_string().parse() {
             headers.insert(header::HOST, host);
         }
-        let answer = held.send(request.method, uri, headers, request.body).await?;
+        let sent = held.send(request.method, uri, headers, request.body);
+        let answer = unless_silent(silence, sent).await??;
         let (parts, body) = answer.into_parts();
-        let body = Limited::new(body, most).collect().await;
-        let body = body.map_err(|error| ExchangeError::lost(error.to_string()))?.to_bytes();
+        let body = read_whole(Limited::new(body, most), silence).await?;
         if !request.closes {
             self.put_back(held);
         }
@@ -216,19 +217,26 @@
     pub body: Bytes,
     /// The connection is closed after the answer.
     pub closes: bool,
+    /// Time without a byte after which the answer is given up; none for the whole time of the call.
+    pub silence: Option<Duration>,
 }
 
 impl CallRequest {
     /// A GET of `path`.
     pub fn get(path: impl Into<String>) -> Self {
         let (headers, body) = (HeaderMap::new(), Bytes::new());
-        Self { method: Method::GET, path: path.into(), headers, body, closes: false }
+        Self { method: Method::GET, path: path.into(), headers, body, closes: false, silence: None }
     }
 
     /// The same over a connection of its own, which is closed after the answer.
     pub fn closing(self) -> Self {
         Self { closes: true, ..self }
     }
+
+    /// The same, given up when nothing has come for `silence`.
+    pub fn silent_for(self, silence: Duration) -> Self {
+        Self { silence: Some(silence), ..self }
+    }
 }
 
 /// A whole answer.
@@ -242,6 +250,29 @@
     pub body: Bytes,
 }
 
+async fn unless_silent<T>(
+    silence: Duration,
+    step: impl Future<Output = T>,
+) -> Result<T, ExchangeError> {
+    let silent = |_| ExchangeError::lost(format!("silent for {} ms", silence.as_millis()));
+    tokio::time::timeout(silence, step).await.map_err(silent)
+}
+
+/// Reads a body to its end; it may be long in coming, but not silent for `silence`.
+async fn read_whole(
+    mut body: Limited<Incoming>,
+    silence: Duration,
+) -> Result<Bytes, ExchangeError> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = unless_silent(silence, body.frame()).await? {
+        let frame = frame.map_err(|error| ExchangeError::lost(error.to_string()))?;
+        if let Ok(data) = frame.into_data() {
+            whole.extend_from_slice(&data);
+        }
+    }
+    Ok(whole.freeze())
+}
+
 async fn open(address: SocketAddr) -> Result<HeldConnection, ExchangeError> {
     let failure = |message: String| ExchangeError::unsent(message, true);
     let stream = TcpStream::connect(address)
--- /dev/null
+++ b/crates/http/tests/silence.rs
@@ -0,0 +1,50 @@
+//! Calls whose answer stops coming.
+
+use std::{net::SocketAddr, time::Duration};
+
+use googletest::prelude::*;
+use headlatch_http::{CallRequest, Connections};
+use tokio::{io::AsyncWriteExt, net::TcpListener};
+
+/// Time of a whole call: far more than these tests take, so that only silence ends one.
+const CALL_TIME: Duration = Duration::from_secs(60);
+
+/// Largest answer.
+const MOST: usize = 1 << 10;
+
+/// A server that sends the parts of an answer with a pause between them, and then nothing more.
+async fn server(parts: &'static [&'static str], pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("somebody calls");
+        for part in parts {
+            tokio::time::sleep(pause).await;
+            stream.write_all(part.as_bytes()).await.expect("the caller reads");
+        }
+        std::future::pending::<()>().await;
+    });
+    address
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_that_stops_coming_is_given_up() {
+    for parts in [&[][..], &["HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n", "ab"][..]] {
+        let address = server(parts, Duration::ZERO).await;
+        let request = CallRequest::get("/").silent_for(Duration::from_millis(200));
+        let answer = Connections::default().call(address, request, MOST, CALL_TIME).await;
+        let error = answer.expect_err("the answer is not whole");
+        expect_that!(error.message, eq("silent for 200 ms"));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_that_comes_slowly_is_read_to_its_end() {
+    let parts = &["HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\n", "a", "b", "c", "d", "e", "f"];
+    let address = server(parts, Duration::from_millis(100)).await;
+    let request = CallRequest::get("/").silent_for(Duration::from_secs(10));
+    let answer = Connections::default().call(address, request, MOST, CALL_TIME).await;
+    expect_that!(&answer.expect("it is whole").body[..], eq(b"abcdef"));
+}
--- a/crates/outside/src/facts.rs
+++ b/crates/outside/src/facts.rs
@@ -78,7 +78,12 @@
     /// A fact is new or has changed.
     Set(NamedFact),
     /// A fact is gone.
-    Gone(String),
+    Gone {
+        /// Its name among those of its topic.
+        name: String,
+        /// Revision at which it went, or of its last change where the store does not tell that.
+        revision: StoreRevision,
+    },
 }
 
 /// What a watch brought.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,5 +10,5 @@
 mod notice;
 mod piece_list;
 
-pub use notice::{NoticeDrain, NoticeLoad, NoticeServer, NoticeWanted, PeerNotice};
+pub use notice::{NoticeDrain, NoticeLeaving, NoticeLoad, NoticeServer, NoticeWanted, PeerNotice};
 pub use piece_list::PieceList;
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -65,6 +65,17 @@
     pub age_ms: u64,
 }
 
+/// Word that a server is leaving.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct NoticeLeaving {
+    /// Key of the server.
+    #[prost(fixed32, tag = "1")]
+    pub server: u32,
+    /// Revision of the store at which it was leaving or gone.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+}
+
 /// A notice.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerNotice {
@@ -116,4 +127,7 @@
     /// Revision of the newest change of servers that it has taken in; 0 if it tells none.
     #[prost(uint64, tag = "16")]
     pub servers: u64,
+    /// Servers that it has heard to be leaving a short time ago.
+    #[prost(message, repeated, tag = "17")]
+    pub leaving: Vec<NoticeLeaving>,
 }
