Deny nothing on a plan that others are known to have replaced

Cause: an entry told 401 or 404 by the plan in force although it knew from its peers' notices that there was a newer one; callers do not come back after that.

Change: such a request waits up to 0.3 s for the newer plan and is judged by it; if that does not come the answer is 503 with a time to come back, since nothing has run and another entry knows better. Where nobody is known to have a newer plan nothing waits, and no denial causes a call.

--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -12,7 +12,9 @@
 };
 use headlatch_outside::headers::RequestFacts;
 use headlatch_types::traffic::{EngineFigures, Route, RouteKind};
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
+use http::{
+    HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request::Parts,
+};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::Rng;
@@ -29,6 +31,11 @@
 /// Time to come back where no plan is known yet.
 const NO_PLAN_REST: Duration = Duration::from_millis(500);
 
+/// Time for which a request that the plan in force does not allow waits for a newer plan that
+/// others have: one from a neighbour comes within 0.1 s, and a caller that is to try elsewhere
+/// must still have time for that.
+const NEWER_PLAN_WAIT: Duration = Duration::from_millis(300);
+
 /// Deadline of a request that names none and whose route names none.
 const USUAL_DEADLINE: Duration = Duration::from_secs(30);
 
@@ -130,12 +137,9 @@
     facts: RequestFacts,
 ) -> Result<RequestPlan, GivenUp> {
     let arrived = Instant::now();
-    let routes = state.routes().ok_or_else(|| GivenUp::refused("no_plan_yet", NO_PLAN_REST))?;
     let (parts, body) = request.into_parts();
-    let route = find_route(&routes, &parts.headers, &parts.uri)?.clone();
-    let tenant = routes.tenant(&route, facts.key.as_deref());
-    let tenant = tenant.map_err(|_| GivenUp::denied(StatusCode::UNAUTHORIZED, "unknown_key"))?;
-    let tenant = tenant.map(|tenant| tenant.name.to_string());
+    let (routes, found) = find_target(state, &parts, facts.key.as_deref()).await?;
+    let FoundRoute { route, tenant } = found;
     let announced_body = parts.headers.contains_key(header::CONTENT_LENGTH)
         || parts.headers.contains_key(header::TRANSFER_ENCODING);
     let limits = routes.plan().limits;
@@ -168,6 +172,48 @@
     })
 }
 
+/// The route and tenant of a request.
+#[derive(Debug, Clone)]
+struct FoundRoute {
+    route: Route,
+    tenant: Option<String>,
+}
+
+/// Finds route and tenant, and the routes that decided.
+///
+/// What the plan in force does not allow, a newer one may: where another entry is known to have a
+/// newer one, that is waited for, and the request is not denied on the old one. Callers do not come
+/// back after a denial; after a refusal they find an entry that knows better.
+async fn find_target(
+    state: &EntryState,
+    parts: &Parts,
+    key: Option<&str>,
+) -> Result<(Arc<RouteTable>, FoundRoute), GivenUp> {
+    let current = || state.routes().ok_or_else(|| GivenUp::refused("no_plan_yet", NO_PLAN_REST));
+    let routes = current()?;
+    let denied = match find_in(&routes, parts, key) {
+        Ok(found) => return Ok((routes, found)),
+        Err(denied) => denied,
+    };
+    if !state.plan.is_behind(state.now()) {
+        return Err(denied);
+    }
+    let version = routes.plan().version;
+    if !state.plan.newer_than(version, NEWER_PLAN_WAIT).await {
+        return Err(GivenUp::refused("plan_behind", NO_PLAN_REST));
+    }
+    let routes = current()?;
+    let found = find_in(&routes, parts, key)?;
+    Ok((routes, found))
+}
+
+fn find_in(routes: &RouteTable, parts: &Parts, key: Option<&str>) -> Result<FoundRoute, GivenUp> {
+    let route = find_route(routes, &parts.headers, &parts.uri)?;
+    let tenant = routes.tenant(route, key);
+    let tenant = tenant.map_err(|_| GivenUp::denied(StatusCode::UNAUTHORIZED, "unknown_key"))?;
+    Ok(FoundRoute { route: route.clone(), tenant: tenant.map(|tenant| tenant.name.to_string()) })
+}
+
 fn find_route<'a>(
     routes: &'a RouteTable,
     headers: &HeaderMap,
--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -554,6 +554,37 @@
     }
 }
 
+/// A plan with one more key than [`plan`].
+fn plan_with_key(version: u64, key: &str) -> TrafficPlan {
+    let mut plan = plan(version);
+    plan.tenants[0].keys.push(key.to_owned());
+    plan
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_request_is_not_denied_on_a_plan_that_others_know_to_be_old() {
+    let setting = Setting::new(whole, whole).await;
+    let state = setting.entry.state.clone();
+    // Nobody is behind: the denial stands.
+    let denied = setting.ask("/safe/x", "new").await.expect("an answer");
+    expect_that!(denied.status, eq(StatusCode::UNAUTHORIZED));
+    state.hear_peer_plan(PlanVersion(6));
+    // The newer plan does not come in time: the caller is sent to another entry.
+    let refused = setting.ask("/safe/x", "new").await.expect("an answer");
+    expect_that!(refused.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(refused.headers.contains_key("retry-after"), eq(true));
+    expect_that!(setting.ask("/safe/x", "k").await.expect("an answer").status, eq(StatusCode::OK));
+    // It comes while the request waits.
+    let asked = tokio::spawn(async move { setting.ask("/safe/x", "new").await });
+    while state.in_progress.load(std::sync::atomic::Ordering::Relaxed) == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    state.take_plan(plan_with_key(6, "new"), "peer");
+    let served = asked.await.expect("it does not panic").expect("an answer");
+    expect_that!(served.status, eq(StatusCode::OK));
+}
+
 /// The watch of servers is silent, and others have taken in a change: within drain times of two
 /// seconds the entry must have it as well.
 #[gtest]
