--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -145,6 +145,8 @@
     spoilt: Mutex<Vec<u32>>,
     refusals: Mutex<u32>,
     asked: Mutex<u32>,
+    /// Manifests that are not handed out.
+    lost_manifests: Mutex<u32>,
 }
 
 impl PieceOrigin for TestOrigin {
@@ -159,7 +161,15 @@
             .collect();
         let model = model.clone();
         let manifest = PieceManifest { model, version, piece_bytes: 32, layers: LAYERS, digests };
-        Box::pin(async move { Ok(manifest) })
+        let mut lost = lock(&self.lost_manifests);
+        let is_lost = *lost > 0;
+        *lost = lost.saturating_sub(1);
+        Box::pin(async move {
+            match is_lost {
+                true => Err(StageFailure::Unreachable("connection refused".to_owned())),
+                false => Ok(manifest),
+            }
+        })
     }
 
     fn piece<'a>(
@@ -190,6 +200,9 @@
 struct TestStore {
     wanted: Mutex<Option<WeightVersion>>,
     changed: tokio::sync::Notify,
+    /// Lists of the plan that are answered; later ones are met with silence. None for all.
+    answered_plans: Option<u32>,
+    plans: Mutex<u32>,
 }
 
 impl FactStore for TestStore {
@@ -210,7 +223,16 @@
             fact: Ok(fact),
         });
         let facts = named.into_iter().collect();
-        Box::pin(async move { Ok(FactList { facts, at: StoreRevision(1) }) })
+        let mut plans = lock(&self.plans);
+        *plans += u32::from(topic == FactTopic::Plan);
+        let is_silent = topic == FactTopic::Plan
+            && self.answered_plans.is_some_and(|answered| *plans > answered);
+        Box::pin(async move {
+            if is_silent {
+                std::future::pending::<()>().await;
+            }
+            Ok(FactList { facts, at: StoreRevision(1) })
+        })
     }
 
     fn watch(
@@ -252,6 +274,15 @@
     }
 
     async fn with_seeds(engine: TestEngine, origin: TestOrigin, seeds: &[SocketAddr]) -> Self {
+        Self::with_store(engine, origin, TestStore::default(), seeds).await
+    }
+
+    async fn with_store(
+        engine: TestEngine,
+        origin: TestOrigin,
+        store: TestStore,
+        seeds: &[SocketAddr],
+    ) -> Self {
         let text = serde_json::json!({
             "box": "a1", "domain": "z1", "region": "r1", "control": "127.0.0.1:0",
             "admin": "127.0.0.1:0", "platform": "http://127.0.0.1:1",
@@ -266,7 +297,7 @@
         // The settings' seeds share this agent's port, which is any free one here.
         settings.direct.seeds = seeds.to_vec();
         let (engine, origin) = (Arc::new(engine), Arc::new(origin));
-        let store = Arc::new(TestStore::default());
+        let store = Arc::new(store);
         let outside =
             AgentOutside { store: store.clone(), engine: engine.clone(), origin: origin.clone() };
         let agent = DirectAgent::start(settings, Arc::new(SystemTimer::default()), outside).await;
@@ -299,6 +330,20 @@
     expect_that!(fences.is_sorted_by(|a, b| a < b), eq(true));
 }
 
+/// Time in which an agent with all it needs has long done its work.
+const LONG_ENOUGH: Duration = Duration::from_secs(10);
+
+#[gtest]
+#[tokio::test]
+async fn an_origin_that_failed_once_is_asked_again_without_the_store() {
+    let origin = TestOrigin::default();
+    *lock(&origin.lost_manifests) = 2;
+    let store = TestStore { answered_plans: Some(1), ..TestStore::default() };
+    let setting = Setting::with_store(TestEngine::default(), origin, store, &[]).await;
+    let held = tokio::time::timeout(LONG_ENOUGH, setting.wait_until_it_holds(1)).await;
+    expect_that!(held.is_ok(), eq(true), "the plan that was read still names the origin");
+}
+
 #[gtest]
 #[tokio::test]
 async fn spoilt_and_refused_pieces_are_fetched_again() {
