Keep an agent's plan until a newer one is here, and read it beside the work

Cause: one failed manifest, from a peer as well, made the agent throw its plan away; the stager then waited for the store in each of its looks, so that a silent store held up all of the agent's work although the origin was well.

Class: as for entries, a fact that only one source may bring, asked for in a call that may be silent. Change: AgentPlan reads the plan in a task of its own, keeps it, reads it again after the origin failed, and asks entries where the store has been silent for 0.5 s.

--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -34,6 +34,7 @@
 use volo_http::server::Router;
 
 use super::{
+    agent_plan::AgentPlan,
     facts::{AlwaysOpen, FactNews, follow, set_facts},
     notices::{self, NoticeBody, NoticeWriter},
     stager::Stager,
@@ -162,11 +163,13 @@
         let hub = Arc::new(SwarmHub::new(vault.clone(), up, node.metrics.clone()));
         let (stop, signal) = StopHandle::new();
         let transfers = TransferDesk::new(state.clone(), outside.clone(), hub.clone(), vault, down);
-        let stager = Stager::new(state.clone(), outside.clone(), transfers);
+        let plan = Arc::new(AgentPlan::default());
+        let stager = Stager::new(state.clone(), outside.clone(), plan.clone(), transfers);
         let (watched, weights_nudge) = (state.clone(), state.weights_nudge.clone());
         let router = admin::add_routes(Router::new(), &node, &ReadyFlag::default());
         let tasks = vec![
             tokio::spawn(stager.run()),
+            tokio::spawn(plan.run(state.clone(), outside.store.clone())),
             tokio::spawn(serve_peers(node, hub, listener)),
             tokio::spawn(run_notices(state.clone(), socket)),
             tokio::spawn(follow(
--- /dev/null
+++ b/crates/daemon/src/direct/agent_plan.rs
@@ -0,0 +1,146 @@
+//! What an agent needs of the plan: the origin of weights, and the figures of its engine.
+//!
+//! It is read beside the agent's work, which never waits for it, and is kept until a newer one is
+//! here: a plan that may be old names the right origin nearly always, none names nothing.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use headlatch_http::Connections;
+use headlatch_outside::facts::{Fact, FactStore, FactTopic, Freshness};
+use headlatch_types::{
+    id::ModelName,
+    traffic::{EngineFigures, OriginPlan, PlanVersion, TrafficPlan},
+};
+use rand::seq::IndexedRandom;
+use serde_json::json;
+use tokio::sync::Notify;
+
+use super::{
+    agent::{AgentState, lock},
+    facts::{self, AlwaysOpen, FactNews, set_facts},
+    plan_sync,
+};
+use crate::decisions;
+
+/// Pause between two readings.
+const PLAN_PAUSE: Duration = Duration::from_millis(700);
+
+/// Time after which entries are asked for the plan beside the store, which answers in 4 ms, and in
+/// 0.3 s where it is slow.
+const STORE_PATIENCE: Duration = Duration::from_millis(500);
+
+/// Pause between two entries that are asked.
+const ENTRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// An agent's copy of the plan.
+#[derive(Debug, Default)]
+pub(super) struct AgentPlan {
+    plan: Mutex<Option<Arc<TrafficPlan>>>,
+    doubted: Notify,
+}
+
+impl AgentPlan {
+    fn lock(&self) -> MutexGuard<'_, Option<Arc<TrafficPlan>>> {
+        self.plan.lock().unwrap_or_else(|broken| broken.into_inner())
+    }
+
+    /// The origin of weights; none as long as no plan names one.
+    pub(super) fn origin(&self) -> Option<OriginPlan> {
+        self.lock().as_ref()?.origin().cloned()
+    }
+
+    /// The figures of the engine of `service`, or of the only one that has any.
+    pub(super) fn engine(&self, service: Option<&str>) -> Option<EngineFigures> {
+        let plan = self.lock().clone()?;
+        let named = service.and_then(|service| plan.services.get(service));
+        let named = named.and_then(|service| service.engine.as_ref());
+        let any = || plan.services.values().find_map(|service| service.engine.as_ref());
+        named.or_else(any).cloned()
+    }
+
+    /// The first model of the engine of `service`.
+    pub(super) fn model(&self, service: Option<&str>) -> Option<ModelName> {
+        self.engine(service).and_then(|engine| engine.models.first().cloned())
+    }
+
+    /// Whether all streams of `service` can be continued elsewhere.
+    pub(super) fn may_cut(&self, service: Option<&str>) -> bool {
+        let plan = self.lock().clone();
+        plan.zip(service).is_some_and(|(plan, service)| plan.may_cut(service))
+    }
+
+    /// The origin failed; it may have moved, so that the plan is to be read again.
+    pub(super) fn doubt(&self) {
+        self.doubted.notify_one();
+    }
+
+    /// Reads the plan until it names an origin, and again whenever that is doubted.
+    pub(super) async fn run(self: Arc<Self>, state: Arc<AgentState>, store: Arc<dyn FactStore>) {
+        // An old plan names the same origin nearly always, and costs the store a tenth.
+        let mut freshness = Freshness::MayBeOld;
+        loop {
+            let plan = self.read(&state, &*store, freshness).await;
+            match plan.filter(|plan| plan.origin().is_some()) {
+                Some(plan) => {
+                    decisions::note("plan", "read", json!({ "version": plan.version }));
+                    *self.lock() = Some(plan);
+                    self.doubted.notified().await;
+                }
+                None => decisions::note("plan", "names_no_origin", json!({})),
+            }
+            freshness = Freshness::Current;
+            tokio::time::sleep(PLAN_PAUSE).await;
+        }
+    }
+
+    /// The plan from the store, or from an entry where the store is silent for a while.
+    async fn read(
+        &self,
+        state: &AgentState,
+        store: &dyn FactStore,
+        freshness: Freshness,
+    ) -> Option<Arc<TrafficPlan>> {
+        tokio::select! {
+            plan = read_store(store, freshness) => plan,
+            plan = read_entries(state) => Some(plan),
+        }
+    }
+}
+
+async fn read_store(store: &dyn FactStore, freshness: Freshness) -> Option<Arc<TrafficPlan>> {
+    let (nudge, mut lost) = (Notify::new(), None);
+    let topic = FactTopic::Plan;
+    let list = facts::list(store, topic, freshness, &nudge, &AlwaysOpen, &mut lost).await;
+    let plans = set_facts(FactNews::All(list)).into_iter().filter_map(|fact| match fact {
+        Fact::Plan(plan) => Some(Arc::from(plan)),
+        _ => None,
+    });
+    plans.last()
+}
+
+async fn read_entries(state: &AgentState) -> Arc<TrafficPlan> {
+    let connections = Connections::default();
+    tokio::time::sleep(STORE_PATIENCE).await;
+    loop {
+        if let Some(entry) = entry_with_plan(state) {
+            match plan_sync::fetch(&connections, entry).await {
+                Ok(plan) => return Arc::new(plan),
+                Err(error) => decisions::warn("plan", "not_fetched", json!({ "error": error })),
+            }
+        }
+        tokio::time::sleep(ENTRY_PAUSE).await;
+    }
+}
+
+/// An entry that has a plan, of the own failure domain if there is one.
+fn entry_with_plan(state: &AgentState) -> Option<SocketAddr> {
+    let peers = lock(&state.peers);
+    let near = peers.newer_plans(PlanVersion::default(), true);
+    let far = || peers.newer_plans(PlanVersion::default(), false);
+    let entries = if near.is_empty() { far() } else { near };
+    entries.choose(&mut rand::rng()).copied()
+}
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -151,7 +151,7 @@
     let mut lost: Option<LostStore> = None;
     loop {
         opened(&*gate, &nudge).await;
-        let list = list(&*store, topic, &nudge, &*gate, &mut lost).await;
+        let list = list(&*store, topic, Freshness::Current, &nudge, &*gate, &mut lost).await;
         let mut at = list.at;
         take(FactNews::All(list));
         loop {
@@ -206,7 +206,7 @@
 
 /// A store whose calls fail.
 #[derive(Debug)]
-struct LostStore {
+pub(super) struct LostStore {
     topic: FactTopic,
     since: Instant,
     failures: u32,
@@ -241,16 +241,17 @@
 /// A call that has not been answered for a while is joined by another: a store, or a way to it,
 /// that is back after a silence answers what comes then, and often never what came before. The
 /// first answer wins, so that a store that is merely slow is read as well.
-async fn list(
+pub(super) async fn list(
     store: &dyn FactStore,
     topic: FactTopic,
+    freshness: Freshness,
     nudge: &Notify,
     gate: &dyn ReadGate,
     lost: &mut Option<LostStore>,
 ) -> FactList {
     let call = || async {
         let begun = Instant::now();
-        (begun, store.list(topic, Freshness::Current).await)
+        (begun, store.list(topic, freshness).await)
     };
     let mut calls = FuturesUnordered::new();
     calls.push(call());
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -1,6 +1,7 @@
 //! Daemons that call servers directly: entries that pass requests on, agents that stage weights.
 
 pub mod agent;
+mod agent_plan;
 pub mod answer;
 pub mod attempt;
 pub mod change;
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -12,21 +12,17 @@
     },
     time::Moment,
 };
-use headlatch_outside::{
-    engine::{EngineStage, OrderAnswer, OrderSequence, RunningRequests, StageReport, StartOrder},
-    facts::{Fact, FactTopic, Freshness},
-};
-use headlatch_types::{
-    id::ModelName,
-    quantity::ByteSize,
-    traffic::{EngineFigures, OriginPlan, TrafficPlan, WeightVersion},
+use headlatch_outside::engine::{
+    EngineStage, OrderAnswer, OrderSequence, RunningRequests, StageReport, StartOrder,
 };
+use headlatch_types::{id::ModelName, quantity::ByteSize, traffic::WeightVersion};
 use serde_json::json;
 
 use super::{
     agent::{AgentOutside, AgentState, lock},
+    agent_plan::AgentPlan,
     change::{self, DrainPace},
-    facts::{FactNews, pause_after, set_facts},
+    facts::pause_after,
     seats,
     transfer::{TransferDesk, VersionWork},
 };
@@ -41,9 +37,6 @@
 /// How often the progress of a transfer is written down.
 const PROGRESS_PAUSE: Duration = Duration::from_millis(500);
 
-/// How often the plan is read until it names an origin.
-const PLAN_PAUSE: Duration = Duration::from_millis(700);
-
 /// Pieces laid into the stage at one look.
 const PIECES_A_LOOK: usize = 16;
 
@@ -64,8 +57,7 @@
     state: Arc<AgentState>,
     outside: AgentOutside,
     transfers: TransferDesk,
-    plan: Option<Box<TrafficPlan>>,
-    plan_due: Moment,
+    plan: Arc<AgentPlan>,
     /// The version that is laid into the stage.
     work: Option<VersionWork>,
     /// The version after it: its pieces come in while the stage is still needed.
@@ -105,14 +97,14 @@
     pub(super) fn new(
         state: Arc<AgentState>,
         outside: AgentOutside,
+        plan: Arc<AgentPlan>,
         transfers: TransferDesk,
     ) -> Self {
         Self {
             state,
             outside,
             transfers,
-            plan: None,
-            plan_due: Moment::ZERO,
+            plan,
             work: None,
             next_work: None,
             order: None,
@@ -153,7 +145,6 @@
                 return NextLook::Soon;
             }
         };
-        self.read_plan().await;
         let Some(goal) = self.goal(&report) else {
             return NextLook::Soon;
         };
@@ -172,7 +163,8 @@
     /// What the server is to hold; none as long as nobody says.
     fn goal(&self, report: &StageReport) -> Option<Goal> {
         let held = report.models.first();
-        let model = held.map(|held| held.model.clone()).or_else(|| self.planned_model())?;
+        let model =
+            held.map(|held| held.model.clone()).or_else(|| self.plan.model(self.service()))?;
         let layers = self.layers();
         let whole = held.and_then(|held| held.whole_version(layers));
         // The version that the server names may be newer than any that was heard of.
@@ -218,23 +210,14 @@
         whole * missing / pieces
     }
 
-    /// The model of this server's service in the plan.
-    fn planned_model(&self) -> Option<ModelName> {
-        self.engine().and_then(|engine| engine.models.first().cloned())
-    }
-
-    fn engine(&self) -> Option<&EngineFigures> {
-        let plan = self.plan.as_ref()?;
-        let named = self.state.settings.service.as_ref();
-        let named = named.and_then(|service| plan.services.get(service));
-        let named = named.and_then(|service| service.engine.as_ref());
-        named.or_else(|| plan.services.values().find_map(|service| service.engine.as_ref()))
+    fn service(&self) -> Option<&str> {
+        self.state.settings.service.as_deref()
     }
 
     /// Layers of the model, as far as they are known; without them one is taken for a whole model.
     fn layers(&self) -> u32 {
         let begun = self.work.as_ref().map(|work| work.pieces.layers);
-        let planned = self.engine().map(|engine| engine.layers);
+        let planned = self.plan.engine(self.service()).map(|engine| engine.layers);
         begun.or(planned).unwrap_or(0).max(1)
     }
 
@@ -266,29 +249,6 @@
         }
     }
 
-    /// Reads the plan until it names an origin.
-    async fn read_plan(&mut self) {
-        let now = self.state.node.now();
-        if self.plan.is_some() || now < self.plan_due {
-            return;
-        }
-        self.plan_due = now + PLAN_PAUSE;
-        // An old plan names the same origin nearly always, and costs the store a tenth.
-        let freshness = match self.manifest_failures {
-            0 => Freshness::MayBeOld,
-            _ => Freshness::Current,
-        };
-        let listed = self.outside.store.list(FactTopic::Plan, freshness).await;
-        let Ok(list) = listed else { return };
-        for fact in set_facts(FactNews::All(list)) {
-            if let Fact::Plan(plan) = fact
-                && plan.origin().is_some()
-            {
-                self.plan = Some(plan);
-            }
-        }
-    }
-
     /// Begins to bring in the wanted version, unless that is under way.
     async fn begin_work(&mut self, goal: &Goal) {
         if self.work.as_ref().is_some_and(|work| work.is_for(&goal.model, goal.version)) {
@@ -322,7 +282,7 @@
         is_next: bool,
     ) -> Option<VersionWork> {
         let now = self.state.node.now();
-        let origin: OriginPlan = self.plan.as_ref().and_then(|plan| plan.origin().cloned())?;
+        let origin = self.plan.origin()?;
         if now < self.manifest_due {
             return None;
         }
@@ -339,8 +299,9 @@
             Err(error) => {
                 self.manifest_failures += 1;
                 self.manifest_due = now + pause_after(self.manifest_failures);
-                // The origin may have moved.
-                self.plan = None;
+                if source == ManifestSource::Origin {
+                    self.plan.doubt();
+                }
                 let fields = json!({
                     "version": version, "source": format!("{source:?}"), "error": error.to_string(),
                 });
@@ -523,9 +484,7 @@
     /// Requests are cut at a change only where all of them can be continued elsewhere: to wait for
     /// them takes seconds in which the server takes nothing new.
     fn running_requests(&self) -> RunningRequests {
-        let service = self.state.settings.service.as_deref();
-        let plan = self.plan.as_ref().zip(service);
-        match plan.is_some_and(|(plan, service)| plan.may_cut(service)) {
+        match self.plan.may_cut(self.service()) {
             true => RunningRequests::Cut,
             false => RunningRequests::Finish,
         }
