--- a/crates/core/src/direct/fact_age.rs
+++ b/crates/core/src/direct/fact_age.rs
@@ -23,6 +23,8 @@
 pub struct FactAge {
     /// No change up to here is missing.
     covered: ChangeMark,
+    /// The same as far as the store has said so itself.
+    confirmed_to: ChangeMark,
     /// The newest change that has been taken in.
     newest: ChangeMark,
     /// The newest change that others have taken in.
@@ -31,14 +33,17 @@
     confirmed: Option<Moment>,
     /// Since when a change is known to be missing.
     behind_since: Option<Moment>,
-    /// When it was last said to be due because a change is missing.
+    /// Since when the store has not told a change that others know.
+    untold_since: Option<Moment>,
+    /// When the store was last to be read because of that.
     due: Option<Moment>,
 }
 
 impl FactAge {
     /// The store has said everything up to `covered`, of which `newest` is the last change.
-    pub fn read(&mut self, now: Moment, covered: ChangeMark, newest: ChangeMark) {
-        self.covered = self.covered.max(covered).max(newest);
+    pub fn confirm_from_store(&mut self, now: Moment, covered: ChangeMark, newest: ChangeMark) {
+        self.confirmed_to = self.confirmed_to.max(covered).max(newest);
+        self.covered = self.covered.max(self.confirmed_to);
         self.newest = self.newest.max(newest);
         self.confirmed = Some(now);
         self.settle();
@@ -52,16 +57,22 @@
     }
 
     /// Another process has taken in `newest`.
-    pub fn hear(&mut self, now: Moment, newest: ChangeMark) {
+    pub fn note_told(&mut self, now: Moment, newest: ChangeMark) {
         self.told = self.told.max(newest);
-        if self.told > self.covered && self.behind_since.is_none() {
-            self.behind_since = Some(now);
+        if self.told > self.covered {
+            self.behind_since.get_or_insert(now);
+        }
+        if self.told > self.confirmed_to {
+            self.untold_since.get_or_insert(now);
         }
     }
 
     fn settle(&mut self) {
         if self.covered >= self.told {
             self.behind_since = None;
+        }
+        if self.confirmed_to >= self.told {
+            self.untold_since = None;
             self.due = None;
         }
     }
@@ -81,10 +92,16 @@
         self.behind_since.map(|since| now.since(since))
     }
 
-    /// Whether the store is to be read anew because a change has been missing for `patience`; once
+    /// Since when the store has not told a change that others know, although it was read or
+    /// watched; none if there is no such change.
+    pub fn untold_since(&self) -> Option<Moment> {
+        self.untold_since
+    }
+
+    /// Whether the store is to be read anew because it has not told a change for `patience`; once
     /// in that time.
     pub fn take_due(&mut self, now: Moment, patience: Duration) -> bool {
-        let waits = self.due.max(self.behind_since);
+        let waits = self.due.max(self.untold_since);
         let is_due = waits.is_some_and(|since| now.since(since) >= patience);
         if is_due {
             self.due = Some(now);
--- a/crates/core/src/direct/leaving.rs
+++ b/crates/core/src/direct/leaving.rs
@@ -3,7 +3,7 @@
 //! A server that leaves must get no new work after two or three seconds, also from an entry whose
 //! watch of servers is silent. So each entry tells for a while which servers it has heard to be
 //! leaving, and as of which revision of the store; a newer record of a server that is ready lifts
-//! that.
+//! that, and is told as well: a server whose record lapsed may be back.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -20,13 +20,15 @@
 /// Servers that are told in one notice at most; each takes a dozen bytes.
 pub const MOST_LEAVING: usize = 64;
 
-/// Word that a server is leaving.
+/// Word that a server is leaving, or that one which was leaving is back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeavingNotice {
     /// Key of the server.
     pub server: u32,
-    /// Revision of the store at which it was leaving or gone.
+    /// Revision of the store at which it was so.
     pub revision: ChangeMark,
+    /// It was leaving or gone before, and is ready again.
+    pub returned: bool,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -37,7 +39,8 @@
 }
 
 impl ServerMarks {
-    /// Where it went at the revision of its last change, the store did not tell a newer one.
+    /// A store that tells no revision for what is gone tells that of its last change, so that equal
+    /// revisions mean that it is gone.
     fn is_leaving(&self) -> bool {
         self.leaving.is_some_and(|leaving| leaving >= self.ready)
     }
@@ -50,11 +53,24 @@
 }
 
 impl LeavingServers {
-    /// A server was ready as of `revision`.
-    pub fn note_ready(&mut self, now: Moment, server: u32, revision: ChangeMark) {
+    /// A server was ready as of `revision`; tells whether it was leaving before.
+    pub fn note_ready(&mut self, now: Moment, server: u32, revision: ChangeMark) -> bool {
         let marks = self.servers.entry(server).or_default();
+        let before = marks.is_leaving();
         marks.ready = marks.ready.max(revision);
-        marks.learnt = now;
+        let news = before && !marks.is_leaving();
+        if news {
+            marks.learnt = now;
+        }
+        news
+    }
+
+    /// Takes in what another entry has heard; tells whether that is news.
+    pub fn note_told(&mut self, now: Moment, notice: LeavingNotice) -> bool {
+        match notice.returned {
+            true => self.note_ready(now, notice.server, notice.revision),
+            false => self.note_leaving(now, notice.server, notice.revision),
+        }
     }
 
     /// A server was leaving or gone as of `revision`; tells whether that is news.
@@ -74,12 +90,14 @@
         self.servers.get(&server).is_some_and(ServerMarks::is_leaving)
     }
 
-    /// Servers that were heard to be leaving a short time ago, for others; the newest first.
+    /// Servers that were heard to be leaving, or back, a short time ago, for others; the newest
+    /// first.
     pub fn recent(&self, now: Moment) -> Vec<LeavingNotice> {
-        let told = self.servers.iter().filter(|(_, marks)| marks.is_leaving());
-        let fresh = told.filter(|(_, marks)| now.since(marks.learnt) <= TELL_TIME);
+        let fresh = self.servers.iter().filter(|(_, marks)| now.since(marks.learnt) <= TELL_TIME);
         let notice = |(server, marks): (&u32, &ServerMarks)| {
-            Some(LeavingNotice { server: *server, revision: marks.leaving? })
+            let (leaving, returned) = (marks.leaving?, !marks.is_leaving());
+            let revision = if returned { marks.ready } else { leaving };
+            Some(LeavingNotice { server: *server, revision, returned })
         };
         let mut leaving: Vec<LeavingNotice> = fresh.filter_map(notice).collect();
         leaving.sort_by_key(|notice| std::cmp::Reverse(notice.revision));
--- a/crates/core/src/direct/plan_source.rs
+++ b/crates/core/src/direct/plan_source.rs
@@ -5,38 +5,45 @@
 //!
 //! | step | at most |
 //! |---|---|
-//! | another entry's watch brings the plan | 0.1 s |
-//! | its notice comes: within a failure domain, or from the one that speaks for another | 0.5 s |
-//! | the own watch, or a neighbour, may bring it yet | [`WATCH_WAIT`] |
-//! | other entries of the failure domain ask far ones first | 3 × [`RANK_WAIT`] |
-//! | one holder is silent, and the next one answers | 0.4 s + 0.1 s |
+//! | the watch of another entry brings the plan | 0.1 s |
+//! | a notice: within a failure domain at the next tick | 0.1 s |
+//! | the entry that speaks for a failure domain has it from a neighbour ([`NEAR_WAIT`]) | 0.3 s |
+//! | its notice to other failure domains | 0.1 s |
+//! | a failure domain that has nothing yet asks far entries ([`FAR_WAIT`], [`RANK_WAIT`]) | 0.7 s |
+//! | one holder is silent, and another one answers | 0.4 s + 0.1 s |
+//!
+//! That makes 1.8 s where everything goes wrong in turn; usually the first two steps are all.
 
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use super::fact_age::{ChangeMark, FactAge};
 use crate::time::Moment;
 
-/// Time in which an entry that reads the store waits for its own watch, and any entry for those of
-/// its failure domain: a plan of a few hundred kilobytes takes 0.15 s between regions.
-const WATCH_WAIT: Duration = Duration::from_millis(450);
+/// Time for which an entry that watches the store waits for that before it asks a neighbour: their
+/// watches bring a plan of a few hundred kilobytes within 0.15 s of each other between regions.
+const NEAR_WAIT: Duration = Duration::from_millis(250);
+
+/// Time for which any entry waits for its failure domain before it asks another: bytes between
+/// regions are dear, and their links narrow.
+const FAR_WAIT: Duration = Duration::from_millis(400);
 
 /// Added to that for each entry of the failure domain that comes before: the first to bring a plan
-/// from far hands it to the others.
-const RANK_WAIT: Duration = Duration::from_millis(150);
+/// from far hands it to the others, which takes 0.1 s.
+const RANK_WAIT: Duration = Duration::from_millis(100);
 
 /// Entries of the failure domain that are waited for at most: they may be cut off as well.
 const MOST_RANKS: u32 = 3;
 
-/// Time between two readings of the store by an entry that stays behind.
+/// Time between two readings of the store by an entry whose watch is late.
 const READ_PAUSE: Duration = Duration::from_millis(900);
 
-/// Time after which also an entry that is not to read the plan reads it: nobody else hands it over.
-const LAST_RESORT: Duration = Duration::from_millis(1800);
+/// Time after which also an entry that is not to read the plan reads it: nobody hands it over.
+const LAST_RESORT: Duration = Duration::from_millis(1500);
 
 /// What an entry that is behind sees of the others.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct HolderView {
-    /// This entry reads the plan from the store, and its calls are answered as far as it knows.
+    /// This entry reads the plan from the store, and its watch is not late.
     pub reads_store: bool,
     /// Entries of the own failure domain that have the newer plan.
     pub near: Vec<SocketAddr>,
@@ -52,6 +59,8 @@
     age: FactAge,
     /// Holders that have been asked in vain since this entry fell behind.
     failed: BTreeSet<SocketAddr>,
+    /// Since when this entry is one of those that read the plan from the store.
+    reader_since: Option<Moment>,
 }
 
 impl PlanSource {
@@ -61,13 +70,13 @@
     }
 
     /// The store has said that `version` is the newest plan.
-    pub fn read(&mut self, now: Moment, version: ChangeMark) {
-        self.age.read(now, version, version);
+    pub fn confirm_from_store(&mut self, now: Moment, version: ChangeMark) {
+        self.age.confirm_from_store(now, version, version);
         self.settle(now);
     }
 
     /// A plan has been taken over, wherever it came from.
-    pub fn take(&mut self, now: Moment, version: ChangeMark) {
+    pub fn take_from_peer(&mut self, now: Moment, version: ChangeMark) {
         self.age.take_from_peer(version);
         self.settle(now);
     }
@@ -79,8 +88,18 @@
     }
 
     /// Another entry has the plan of `version`.
-    pub fn hear(&mut self, now: Moment, version: ChangeMark) {
-        self.age.hear(now, version);
+    pub fn note_told(&mut self, now: Moment, version: ChangeMark) {
+        self.age.note_told(now, version);
+    }
+
+    /// Whether this entry is one of those that read the plan from the store now.
+    pub fn note_role(&mut self, now: Moment, is_reader: bool) {
+        match is_reader {
+            true => {
+                self.reader_since.get_or_insert(now);
+            }
+            false => self.reader_since = None,
+        }
     }
 
     /// A holder was asked and did not hand the plan over.
@@ -88,9 +107,11 @@
         self.failed.insert(holder);
     }
 
-    /// Whether the own watch should have brought the newer plan by now.
-    pub fn is_late(&self, now: Moment) -> bool {
-        self.age.behind(now).is_some_and(|behind| behind >= WATCH_WAIT)
+    /// Whether this entry reads the store, and what others have should have come from there by
+    /// now: somebody else is to read in its place until the store tells it something.
+    pub fn is_watch_late(&self, now: Moment) -> bool {
+        let waits = self.reader_since.zip(self.age.untold_since());
+        waits.is_some_and(|(reader, untold)| now.since(reader.max(untold)) >= FAR_WAIT)
     }
 
     /// Whom to ask now, of those that have the newer plan; `draw` is random.
@@ -98,8 +119,8 @@
     /// Holders that failed are asked again only once all others have failed as well.
     pub fn holder(&self, now: Moment, view: &HolderView, draw: u64) -> Option<SocketAddr> {
         let behind = self.age.behind(now)?;
-        let near_wait = if view.reads_store { WATCH_WAIT } else { Duration::ZERO };
-        let far_wait = WATCH_WAIT + RANK_WAIT * view.before.min(MOST_RANKS);
+        let near_wait = if view.reads_store { NEAR_WAIT } else { Duration::ZERO };
+        let far_wait = FAR_WAIT + RANK_WAIT * view.before.min(MOST_RANKS);
         let near = view.near.iter().filter(|_| behind >= near_wait);
         let far = view.far.iter().filter(|_| behind >= far_wait);
         let is_untried = |holder: &&SocketAddr| !self.failed.contains(*holder);
@@ -112,9 +133,11 @@
             .or_else(|| pick(near.chain(far).collect()))
     }
 
-    /// Whether the store is to be read now because this entry stays behind; once a while, and only
-    /// by those that read the plan, as it is large and links between regions are narrow.
+    /// Whether the store is to be read now: by an entry whose watch is late, also where a neighbour
+    /// has helped, and by any other only if nobody hands the plan over, as it is large and links
+    /// between regions are narrow.
     pub fn take_read(&mut self, now: Moment, is_reader: bool) -> bool {
-        self.age.take_due(now, if is_reader { READ_PAUSE } else { LAST_RESORT })
+        let is_alone = self.age.behind(now).is_some_and(|behind| behind >= LAST_RESORT);
+        (is_reader || is_alone) && self.age.take_due(now, READ_PAUSE)
     }
 }
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -217,7 +217,9 @@
                 // Whether others knew it before makes no difference here.
                 let _ = self.leaving.note_leaving(now, key, revision);
             }
-            false => self.leaving.note_ready(now, key, revision),
+            false => {
+                let _ = self.leaving.note_ready(now, key, revision);
+            }
         }
         if let Some(state) = self.servers.get_mut(&record.id) {
             let moved = state.record.service != record.service;
@@ -270,9 +272,9 @@
         }
     }
 
-    /// Another entry has heard that a server is leaving; tells whether that is news.
-    pub fn note_leaving(&mut self, now: Moment, server: u32, revision: ChangeMark) -> bool {
-        self.leaving.note_leaving(now, server, revision)
+    /// Another entry has heard that a server is leaving, or is back; tells whether that is news.
+    pub fn note_told(&mut self, now: Moment, notice: LeavingNotice) -> bool {
+        self.leaving.note_told(now, notice)
     }
 
     /// Servers that are leaving, for other entries.
@@ -438,7 +440,8 @@
         query: &ServerQuery<'_>,
     ) -> Result<f64, PassedOver> {
         let record = &state.record;
-        if self.leaving.is_leaving(state.key) || query.tried.contains(&record.id) {
+        let leaves = record.draining || self.leaving.is_leaving(state.key);
+        if leaves || query.tried.contains(&record.id) {
             return Err(PassedOver::Unfit);
         }
         if let Some(engine) = query.engine {
--- a/crates/daemon/src/direct/agent_plan.rs
+++ b/crates/daemon/src/direct/agent_plan.rs
@@ -17,7 +17,7 @@
 };
 use rand::seq::IndexedRandom;
 use serde_json::json;
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::Instant};
 
 use super::{
     agent::{AgentState, lock},
@@ -29,6 +29,12 @@
 /// Pause between two readings.
 const PLAN_PAUSE: Duration = Duration::from_millis(700);
 
+/// Time between two readings of a plan that nobody is known to have replaced.
+const DOUBT_REST: Duration = Duration::from_secs(5);
+
+/// Pause between two looks for a newer plan.
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
+
 /// Time after which entries are asked for the plan beside the store, which answers in 4 ms, and in
 /// 0.3 s where it is slow.
 const STORE_PATIENCE: Duration = Duration::from_millis(500);
@@ -86,9 +92,8 @@
             let plan = self.read(&state, &*store, freshness).await;
             match plan.filter(|plan| plan.origin().is_some()) {
                 Some(plan) => {
-                    decisions::note("plan", "read", json!({ "version": plan.version }));
-                    *self.lock() = Some(plan);
-                    self.doubted.notified().await;
+                    self.take(plan);
+                    self.wait_for_doubt(&state).await;
                 }
                 None => decisions::note("plan", "names_no_origin", json!({})),
             }
@@ -97,6 +102,27 @@
         }
     }
 
+    /// Takes over a plan unless it is older than the one that is kept.
+    fn take(&self, plan: Arc<TrafficPlan>) {
+        let mut kept = self.lock();
+        if kept.as_ref().is_some_and(|kept| kept.version >= plan.version) {
+            return;
+        }
+        decisions::note("plan", "read", json!({ "version": plan.version }));
+        *kept = Some(plan);
+    }
+
+    /// Waits until the plan is doubted, and then until a newer one is known or some time has
+    /// passed: an origin that is merely full or down fails again and again.
+    async fn wait_for_doubt(&self, state: &AgentState) {
+        let rested = Instant::now() + DOUBT_REST;
+        self.doubted.notified().await;
+        let version = self.lock().as_ref().map(|plan| plan.version).unwrap_or_default();
+        while Instant::now() < rested && holder_of_newer(state, version).is_none() {
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
     /// The plan from the store, or from an entry where the store is silent for a while.
     async fn read(
         &self,
@@ -126,7 +152,7 @@
     let connections = Connections::default();
     tokio::time::sleep(STORE_PATIENCE).await;
     loop {
-        if let Some(entry) = entry_with_plan(state) {
+        if let Some(entry) = holder_of_newer(state, PlanVersion::default()) {
             match plan_sync::fetch(&connections, entry).await {
                 Ok(plan) => return Arc::new(plan),
                 Err(error) => decisions::warn("plan", "not_fetched", json!({ "error": error })),
@@ -136,11 +162,11 @@
     }
 }
 
-/// An entry that has a plan, of the own failure domain if there is one.
-fn entry_with_plan(state: &AgentState) -> Option<SocketAddr> {
+/// An entry that has a plan newer than `version`, of the own failure domain if there is one.
+fn holder_of_newer(state: &AgentState, version: PlanVersion) -> Option<SocketAddr> {
     let peers = lock(&state.peers);
-    let near = peers.newer_plans(PlanVersion::default(), true);
-    let far = || peers.newer_plans(PlanVersion::default(), false);
+    let near = peers.newer_plans(version, true);
+    let far = || peers.newer_plans(version, false);
     let entries = if near.is_empty() { far() } else { near };
     entries.choose(&mut rand::rng()).copied()
 }
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -276,7 +276,9 @@
                 }
             },
             () = tokio::time::sleep_until(next) => {
-                gate.note(calls.is_empty());
+                if !calls.is_empty() {
+                    gate.note(false);
+                }
                 calls.push(call());
                 next = Instant::now() + silence_before(topic);
             }
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -86,11 +86,13 @@
 }
 
 fn encode_leaving(leaving: &LeavingNotice) -> wire::NoticeLeaving {
-    wire::NoticeLeaving { server: leaving.server, revision: leaving.revision.0 }
+    let LeavingNotice { server, revision, returned } = *leaving;
+    wire::NoticeLeaving { server, revision: revision.0, returned }
 }
 
 fn decode_leaving(leaving: &wire::NoticeLeaving) -> LeavingNotice {
-    LeavingNotice { server: leaving.server, revision: ChangeMark(leaving.revision) }
+    let wire::NoticeLeaving { server, revision, returned } = *leaving;
+    LeavingNotice { server, revision: ChangeMark(revision), returned }
 }
 
 fn encode_wanted(wanted: &WantedNotice) -> wire::NoticeWanted {
@@ -206,6 +208,7 @@
     tick: u64,
     last_loads: Vec<LoadNotice>,
     last_server: Option<ServerNotice>,
+    last_facts: (u64, Vec<LeavingNotice>),
 }
 
 /// What a process tells now.
@@ -260,6 +263,8 @@
     repeated: bool,
     /// The loads are not what they were.
     loads: bool,
+    /// The plan, or which servers leave, is not what it was.
+    facts: bool,
     /// The own failure domain hears that this process lives.
     near: bool,
     /// Other failure domains hear that this process lives.
@@ -279,6 +284,7 @@
             tick: 0,
             last_loads: Vec::new(),
             last_server: None,
+            last_facts: (0, Vec::new()),
         }
     }
 
@@ -289,10 +295,12 @@
             news: body.server != self.last_server,
             repeated: body.repeated,
             loads: body.loads != self.last_loads,
+            facts: self.last_facts != (body.plan, body.leaving.clone()),
             near: self.tick.is_multiple_of(NEAR_TICKS),
             far: self.is_turn(FAR_TICKS),
         };
         self.last_loads.clone_from(&body.loads);
+        self.last_facts = (body.plan, body.leaving.clone());
         self.last_server.clone_from(&body.server);
         let mut mails = Vec::new();
         if let Some(loads) = body.domain_loads.clone().filter(|_| self.is_turn(DOMAIN_TICKS)) {
@@ -319,7 +327,7 @@
 
     fn is_near_due(&self, due: TickDue, peer: &Peer) -> bool {
         let entry = peer.notice.kind == PeerKind::Entry;
-        due.news || due.near || (entry && (due.repeated || due.loads))
+        due.news || due.near || (entry && (due.repeated || due.loads || due.facts))
     }
 
     fn is_far_due(&self, due: TickDue, peer: &Peer) -> bool {
--- a/crates/daemon/src/direct/plan_copy.rs
+++ b/crates/daemon/src/direct/plan_copy.rs
@@ -86,7 +86,7 @@
         let version = plan.version;
         *routes = Some(Arc::new(RouteTable::new(Arc::new(plan))));
         drop(routes);
-        self.source().take(now, ChangeMark(version.0));
+        self.source().take_from_peer(now, ChangeMark(version.0));
         self.taken.notify_waiters();
         decisions::note("plan", "in_force", fields);
         true
@@ -95,7 +95,7 @@
     /// The store has said that nothing newer than the plan in force is there.
     pub fn confirm(&self, now: Moment) {
         let version = ChangeMark(self.version().0);
-        self.source().read(now, version);
+        self.source().confirm_from_store(now, version);
     }
 
     /// Notes whether the last call to the store for the plan was answered.
@@ -103,23 +103,24 @@
         self.store_answers.store(answers, Ordering::Relaxed);
     }
 
-    /// Whether the store answers this entry's calls for the plan, as far as it knows: one that is
-    /// behind for longer than its watch may take does not read it, whatever that watch says.
+    /// Whether the store answers this entry's calls for the plan, as far as it knows: a watch that
+    /// has not brought what others have does not count as answered.
     pub fn reads_store(&self, now: Moment) -> bool {
-        self.store_answers.load(Ordering::Relaxed) && !self.source().is_late(now)
+        self.store_answers.load(Ordering::Relaxed) && !self.source().is_watch_late(now)
     }
 
     /// Another entry has the plan of `version`; tells whether the store is to be read because of
     /// that.
-    pub fn hear(&self, now: Moment, version: PlanVersion, is_reader: bool) -> bool {
-        if version <= self.version() {
-            return false;
-        }
+    pub fn note_told(&self, now: Moment, version: PlanVersion, is_reader: bool) -> bool {
         let mut source = self.source();
-        source.hear(now, ChangeMark(version.0));
+        source.note_role(now, is_reader);
+        source.note_told(now, ChangeMark(version.0));
         let reads = source.take_read(now, is_reader);
+        let is_behind = source.age().behind(now).is_some();
         drop(source);
-        self.offered.notify_one();
+        if is_behind {
+            self.offered.notify_one();
+        }
         reads
     }
 
--- a/crates/daemon/src/direct/plan_sync.rs
+++ b/crates/daemon/src/direct/plan_sync.rs
@@ -4,6 +4,7 @@
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use headlatch_http::{CallRequest, Connections};
 use headlatch_types::{reading::from_json, traffic::TrafficPlan};
 use http::{Request, Response, StatusCode};
@@ -11,7 +12,7 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::json;
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, time::Instant};
 
 use super::{front, state::EntryState};
 use crate::decisions;
@@ -29,9 +30,16 @@
 /// Largest plan: the store holds values of a megabyte, and this form is not much longer.
 const MOST_PLAN: usize = 4 << 20;
 
-/// Pause after a plan did not come, and between looks whom to ask.
+/// Holders that are asked at a time.
+const MOST_FETCHES: usize = 2;
+
+/// Pause between two looks whom to ask.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
+/// Pause after a plan did not come, or was not newer: a holder that cannot help now is not to be
+/// asked for hundreds of kilobytes many times a second.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
 /// Hands out the plan in force to other entries.
 pub async fn serve(state: Arc<EntryState>, listener: TcpListener) {
     loop {
@@ -82,20 +90,52 @@
 pub async fn run(state: Arc<EntryState>) {
     let connections = Connections::default();
     loop {
-        let Some(holder) = state.newer_plan_holder() else {
-            match state.plan.is_behind(state.now()) {
-                true => tokio::time::sleep(LOOK_PAUSE).await,
-                false => state.plan.offered().await,
+        state.plan.offered().await;
+        while state.plan.is_behind(state.now()) {
+            bring_in(&state, &connections).await;
+        }
+    }
+}
+
+/// Asks holders for the newer plan until one has handed it over, or it has come another way.
+///
+/// A holder that has not done so after a while is joined by another one: its link may be narrow.
+async fn bring_in(state: &EntryState, connections: &Connections) {
+    let mut calls = FuturesUnordered::new();
+    let mut next = Instant::now();
+    while state.plan.is_behind(state.now()) {
+        tokio::select! {
+            Some((holder, fetched)) = calls.next() => {
+                if !take_fetched(state, fetched) {
+                    state.plan.note_failed(holder);
+                    next = next.min(Instant::now() + RETRY_PAUSE);
+                }
             }
-            continue;
-        };
-        match fetch(&connections, holder).await {
-            Ok(plan) => state.take_plan(plan, "peer"),
-            Err(error) => {
-                decisions::warn("plan", "not_fetched", json!({ "error": error }));
-                state.plan.note_failed(holder);
-                tokio::time::sleep(LOOK_PAUSE).await;
+            () = tokio::time::sleep_until(next), if calls.len() < MOST_FETCHES => {
+                next = Instant::now() + LOOK_PAUSE;
+                if let Some(holder) = state.newer_plan_holder() {
+                    calls.push(async move { (holder, fetch(connections, holder).await) });
+                    // Whoever is asked besides is to be somebody else.
+                    state.plan.note_failed(holder);
+                    next = Instant::now() + FETCH_SILENCE;
+                }
             }
+            () = tokio::time::sleep(LOOK_PAUSE) => {}
+        }
+    }
+}
+
+/// Takes over what a holder handed over; tells whether that was newer.
+fn take_fetched(state: &EntryState, fetched: Result<TrafficPlan, String>) -> bool {
+    match fetched {
+        Ok(plan) => {
+            let newer = plan.version > state.plan_version();
+            state.take_plan(plan, "peer");
+            newer
+        }
+        Err(error) => {
+            decisions::warn("plan", "not_fetched", json!({ "error": error }));
+            false
         }
     }
 }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -43,8 +43,9 @@
 use crate::{decisions, metrics::NodeMetrics};
 
 /// Time for which this entry may know fewer changes of servers than a peer before it reads them
-/// anew: its watch rests for up to 0.8 s after each change.
-const SERVERS_PATIENCE: Duration = Duration::from_millis(1000);
+/// anew: its watch rests for up to 0.8 s after each change, and a slow store takes 0.3 s more. That
+/// a server leaves is told at once besides.
+const SERVERS_PATIENCE: Duration = Duration::from_millis(1400);
 
 /// The state of one entry.
 #[derive(Debug)]
@@ -204,7 +205,7 @@
     /// from a peer; where it stays so, this entry's watch has missed something.
     pub fn hear_peer_plan(&self, version: PlanVersion) {
         let is_reader = self.peers().is_plan_reader();
-        if self.plan.hear(self.now(), version, is_reader) {
+        if self.plan.note_told(self.now(), version, is_reader) {
             self.plan_nudge.notify_one();
         }
     }
@@ -303,7 +304,7 @@
                 }
             }
         }
-        lock(&self.servers_age).read(self.now(), covered, newest);
+        lock(&self.servers_age).confirm_from_store(self.now(), covered, newest);
         let wanted: Vec<SocketAddr> =
             self.servers().records().map(|record| record.address).collect();
         self.connections.retain(|address| wanted.contains(address));
@@ -334,7 +335,7 @@
     pub fn hear_peer_servers(&self, newest: ChangeMark) {
         let now = self.now();
         let mut age = lock(&self.servers_age);
-        age.hear(now, newest);
+        age.note_told(now, newest);
         if age.take_due(now, SERVERS_PATIENCE) {
             self.servers_nudge.notify_one();
         }
@@ -344,8 +345,11 @@
     pub fn hear_leaving(&self, leaving: &[LeavingNotice]) {
         let now = self.now();
         for notice in leaving {
-            if self.servers().note_leaving(now, notice.server, notice.revision) {
-                let fields = json!({ "server_key": notice.server, "revision": notice.revision.0 });
+            if self.servers().note_told(now, *notice) {
+                let fields = json!({
+                    "server_key": notice.server, "revision": notice.revision.0,
+                    "returned": notice.returned,
+                });
                 decisions::note("servers", "leaving_told", fields);
             }
         }
--- a/crates/daemon/tests/silent_sources.rs
+++ b/crates/daemon/tests/silent_sources.rs
@@ -165,3 +165,24 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
 }
+
+/// A request that the plan in force does not allow waits for the newer one, but not for ever.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_newer_plan_is_waited_for_until_it_is_here_or_the_time_is_over() {
+    let state = entry();
+    state.take_plan(plan(5), "store");
+    let begun = Instant::now();
+    let wait = Duration::from_millis(300);
+    expect_that!(state.plan.newer_than(PlanVersion(5), wait).await, eq(false));
+    expect_that!(begun.elapsed(), eq(wait));
+    let taker = state.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        taker.take_plan(plan(6), "peer");
+    });
+    let begun = Instant::now();
+    expect_that!(state.plan.newer_than(PlanVersion(5), wait).await, eq(true));
+    expect_that!(begun.elapsed(), eq(Duration::from_millis(100)));
+    expect_that!(state.plan.newer_than(PlanVersion(5), wait).await, eq(true));
+}
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -65,15 +65,18 @@
     pub age_ms: u64,
 }
 
-/// Word that a server is leaving.
+/// Word that a server is leaving, or back.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct NoticeLeaving {
     /// Key of the server.
     #[prost(fixed32, tag = "1")]
     pub server: u32,
-    /// Revision of the store at which it was leaving or gone.
+    /// Revision of the store at which it was so.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
+    /// Whether it is back.
+    #[prost(bool, tag = "3")]
+    pub returned: bool,
 }
 
 /// A notice.
