Take nothing new from 2.7 s after a stop was asked for

Cause: an entry went on accepting for 3.2 s.

Change: 2.7 s. The balancer asks each second and needs two bad answers, so that callers are sent elsewhere after 2.1 s.

Measured: a_stopping_entry_takes_nothing_new_once_callers_have_been_sent_elsewhere fails without the change (run) and passes with it.

--- a/crates/daemon/src/direct/entry.rs
+++ b/crates/daemon/src/direct/entry.rs
@@ -23,8 +23,10 @@
 };
 use crate::{decisions, error::DaemonError};
 
-/// Time after a stop is asked for in which callers are still sent here.
-const UNREADY_TIME: Duration = Duration::from_millis(3200);
+/// Time after a stop is asked for in which callers may still be sent here: the balancer asks each
+/// second and needs two bad answers. What is taken later than three seconds must come to its end
+/// within the grace, and nothing tells whether it can.
+const UNREADY_TIME: Duration = Duration::from_millis(2700);
 
 /// Time before the end of the grace at which a stop ends in any case.
 const GRACE_RESERVE: Duration = Duration::from_millis(400);
--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -660,3 +660,23 @@
     let error = plan_sync::fetch(&connections, address).await.expect_err("nobody is there");
     expect_that!(error, starts_with(address.to_string()));
 }
+
+/// What is taken long after a stop was asked for cannot be brought to an end within the grace: a
+/// stream may take six seconds, and the grace has eight.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_stopping_entry_takes_nothing_new_once_callers_have_been_sent_elsewhere() {
+    let mut settings = settings();
+    settings.node.drain = Duration::from_secs(8);
+    let store = Arc::new(TestStore::default());
+    let entry = DirectEntry::start(settings, store, Arc::new(TestHeaders)).await;
+    let entry = entry.expect("it starts");
+    let address = entry.address;
+    let leaving = tokio::spawn(entry.leave());
+    tokio::time::sleep(Duration::from_millis(2400)).await;
+    // The balancer asks each second, and sends callers elsewhere after two bad answers.
+    expect_that!(TcpStream::connect(address).await.is_ok(), eq(true));
+    tokio::time::sleep(Duration::from_millis(550)).await;
+    expect_that!(TcpStream::connect(address).await.is_err(), eq(true));
+    leaving.abort();
+}
