Show in tests that a chunk stays away whose first importers never begin

A third test, which passes, holds down the draws and imports of a burst in which everybody begins: one of each chunk.

--- /dev/null
+++ b/crates/core/tests/burst_absent.rs
@@ -0,0 +1,225 @@
+//! A burst, in virtual time, in which some of the listed boxes never begin.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use googletest::prelude::*;
+use headlatch_core::{
+    burst::{
+        ChunkSet, ChunkSource, DrawOrder, FetchFailure, PeerKey, PeerSeat, SeatMap, SwarmAction,
+        SwarmEvent, SwarmNote, SwarmPace, SwarmPlanner, SwarmSettings,
+    },
+    time::Moment,
+};
+use headlatch_types::{ChunkIndex, fleet::BurstPreference};
+
+/// Chunks of a burst, as in the incident.
+const CHUNKS: u32 = 96;
+
+/// Time that a chunk takes over any link.
+const CHUNK_TIME: Duration = Duration::from_millis(10);
+
+/// Time that a message takes.
+const MESSAGE_TIME: Duration = Duration::from_millis(1);
+
+const SALT: u64 = 1;
+
+/// The failure domain in which boxes are absent.
+const DOMAIN: u64 = 0;
+
+/// Boxes of that domain, and how many of them do not begin, as in the incident.
+const BOXES: u64 = 11;
+const ABSENT: usize = 7;
+
+/// The chunk whose first importers are those that do not begin.
+const ORPHAN: ChunkIndex = ChunkIndex(5);
+
+/// Bound for a whole burst: the draws (1 s), and for each of seven ranks 0.2 s and the time of 16
+/// chunks, which is 2.5 s, and as much again for the box that takes over and for ticks.
+const BOUND: Duration = Duration::from_secs(7);
+
+/// Boxes of one burst that exchange messages without loss; links carry any number of chunks.
+struct World {
+    now: Moment,
+    planners: BTreeMap<PeerKey, SwarmPlanner>,
+    domains: BTreeMap<PeerKey, u64>,
+    due: BTreeMap<(Moment, u64), (PeerKey, SwarmEvent)>,
+    events: u64,
+    /// Draws from the origin.
+    draws: usize,
+    /// Chunks that came from a box of another domain.
+    imports: usize,
+}
+
+impl World {
+    /// A burst of all `seats` in which those in `absent` never begin.
+    fn begin(seats: &[PeerSeat], absent: &BTreeSet<PeerKey>) -> Self {
+        let mut world = Self {
+            now: Moment::ZERO,
+            planners: BTreeMap::new(),
+            domains: seats.iter().map(|seat| (seat.key, seat.domain)).collect(),
+            due: BTreeMap::new(),
+            events: 0,
+            draws: 0,
+            imports: 0,
+        };
+        for seat in seats.iter().filter(|seat| !absent.contains(&seat.key)) {
+            let held = ChunkSet::new(CHUNKS);
+            let planner = SwarmPlanner::begin(settings(), SALT, *seat, held, world.now);
+            world.planners.insert(seat.key, planner);
+            world.post(Duration::ZERO, seat.key, SwarmEvent::Seats(seats.to_vec()));
+        }
+        world
+    }
+
+    /// Lets the burst run until everybody who takes part is complete, at most until `end`.
+    fn run(&mut self, end: Duration) {
+        let end = Moment::ZERO + end;
+        let tick = settings().pace.tick;
+        while self.now < end && !self.is_complete() {
+            let boxes: Vec<PeerKey> = self.planners.keys().copied().collect();
+            boxes.into_iter().for_each(|key| self.post(tick, key, SwarmEvent::Tick));
+            let next = self.now + tick;
+            self.deliver(next);
+            self.now = next;
+        }
+    }
+
+    fn deliver(&mut self, until: Moment) {
+        while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= until) {
+            let ((at, _), (to, event)) = entry.remove_entry();
+            self.now = at;
+            let Some(planner) = self.planners.get_mut(&to) else { continue };
+            let actions = planner.handle(at, event);
+            actions.into_iter().for_each(|action| self.act(to, action));
+        }
+    }
+
+    fn post(&mut self, after: Duration, to: PeerKey, event: SwarmEvent) {
+        self.events += 1;
+        self.due.insert((self.now + after, self.events), (to, event));
+    }
+
+    /// Sends a message to a box; `unreachable` comes back if it does not take part.
+    fn send(&mut self, from: PeerKey, to: PeerKey, event: SwarmEvent, unreachable: SwarmEvent) {
+        match self.planners.contains_key(&to) {
+            true => self.post(MESSAGE_TIME, to, event),
+            false => self.post(MESSAGE_TIME, from, unreachable),
+        }
+    }
+
+    fn act(&mut self, me: PeerKey, action: SwarmAction) {
+        match action {
+            SwarmAction::Fetch { chunk, source: ChunkSource::Peer(from) } => {
+                let held = self.planners[&me].held().count();
+                let (source, failure) = (ChunkSource::Peer(from), FetchFailure::Unreachable);
+                let failed = SwarmEvent::Failed { chunk, source, failure };
+                self.send(me, from, SwarmEvent::Asked { from: me, chunk, held }, failed);
+            }
+            SwarmAction::Fetch { chunk, source } => {
+                self.draws += 1;
+                self.post(CHUNK_TIME, me, SwarmEvent::Verified { chunk, source });
+            }
+            SwarmAction::Grant { to, chunk } => {
+                let source = ChunkSource::Peer(me);
+                self.post(MESSAGE_TIME, to, SwarmEvent::Turn { chunk, source });
+            }
+            SwarmAction::Refuse { to, chunk, failure } => {
+                let source = ChunkSource::Peer(me);
+                self.post(MESSAGE_TIME, to, SwarmEvent::Failed { chunk, source, failure });
+            }
+            SwarmAction::Take { chunk, source: ChunkSource::Peer(from) } => {
+                self.imports += usize::from(self.domains[&me] != self.domains[&from]);
+                let source = ChunkSource::Peer(from);
+                self.post(CHUNK_TIME, me, SwarmEvent::Verified { chunk, source });
+                self.post(CHUNK_TIME, from, SwarmEvent::Sent { to: me, chunk });
+            }
+            SwarmAction::Cancel { chunk, source: ChunkSource::Peer(from) } => {
+                self.post(MESSAGE_TIME, from, SwarmEvent::Withdrawn { from: me, chunk });
+            }
+            SwarmAction::Pass { chunk, source: ChunkSource::Peer(from) } => {
+                self.post(MESSAGE_TIME, from, SwarmEvent::Passed { from: me, chunk });
+            }
+            SwarmAction::Resume { chunk, source: ChunkSource::Peer(from) } => {
+                self.post(MESSAGE_TIME, from, SwarmEvent::Resumed { from: me, chunk });
+            }
+            SwarmAction::Tell { to, note } => self.tell(me, to, note),
+            // The origin is not told of turns.
+            SwarmAction::Take { .. }
+            | SwarmAction::Cancel { .. }
+            | SwarmAction::Pass { .. }
+            | SwarmAction::Resume { .. }
+            | SwarmAction::Complete => {}
+        }
+    }
+
+    fn tell(&mut self, me: PeerKey, to: PeerKey, note: SwarmNote) {
+        let pulse = self.planners[&me].pulse();
+        self.send(me, to, SwarmEvent::Note { from: me, note, pulse }, SwarmEvent::Lost(to));
+    }
+
+    fn is_complete(&self) -> bool {
+        self.planners.values().all(SwarmPlanner::is_complete)
+    }
+
+    /// Chunks that each box of `domain` holds.
+    fn held(&self, domain: u64) -> Vec<u32> {
+        let near = self.planners.iter().filter(|(key, _)| self.domains[*key] == domain);
+        near.map(|(_, planner)| planner.held().count()).collect()
+    }
+}
+
+fn settings() -> SwarmSettings {
+    let mut settings = SwarmSettings::new(CHUNKS, CHUNK_TIME, CHUNK_TIME);
+    settings.prefer = BurstPreference::OriginBytes;
+    settings.draws = DrawOrder::Assigned;
+    settings.pace = SwarmPace::quick();
+    settings
+}
+
+/// `BOXES` boxes in each of as many domains, which are regions as well.
+fn seats(domains: u64) -> Vec<PeerSeat> {
+    let seat = |key| PeerSeat { key: PeerKey(key), domain: key % domains, region: key % domains };
+    (1..=domains * BOXES).map(seat).collect()
+}
+
+/// The first importers of the orphaned chunk in `DOMAIN`.
+fn importers(seats: &[PeerSeat], count: usize) -> BTreeSet<PeerKey> {
+    let me = PeerSeat { key: PeerKey(0), domain: u64::MAX, region: u64::MAX };
+    let mut map = SeatMap::new(SALT, me);
+    map.replace(seats);
+    let near = |key: &PeerKey| map.seat(*key).is_some_and(|seat| seat.domain == DOMAIN);
+    map.other_importers(ORPHAN, count).into_iter().filter(near).collect()
+}
+
+#[gtest]
+fn a_chunk_whose_first_importers_never_begin_comes_from_another_domain() {
+    let seats = seats(3);
+    let mut world = World::begin(&seats, &importers(&seats, ABSENT));
+    world.run(BOUND);
+    let present = BOXES as usize - ABSENT;
+    expect_that!(world.held(DOMAIN), eq(&vec![CHUNKS; present]));
+}
+
+#[gtest]
+fn a_chunk_whose_first_drawers_never_begin_is_drawn_by_another_box() {
+    let seats = seats(1);
+    let mut world = World::begin(&seats, &importers(&seats, ABSENT));
+    world.run(BOUND);
+    let present = BOXES as usize - ABSENT;
+    expect_that!(world.held(DOMAIN), eq(&vec![CHUNKS; present]));
+    expect_that!(world.draws, eq(CHUNKS as usize));
+}
+
+#[gtest]
+fn a_burst_in_which_all_begin_draws_and_imports_each_chunk_once() {
+    let domains = 3;
+    let seats = seats(domains);
+    let mut world = World::begin(&seats, &BTreeSet::new());
+    world.run(BOUND);
+    expect_that!(world.is_complete(), eq(true));
+    expect_that!(world.draws, eq(CHUNKS as usize));
+    expect_that!(world.imports, eq(CHUNKS as usize * (domains as usize - 1)));
+}
