Let every box of a domain look for a chunk that nobody before it brings

Cause: only the first three boxes of a failure domain by rendezvous order ever sought an overdue chunk in other domains or drew it again. The list of boxes names all agents of a service, also those that have not begun, so that a chunk whose first three boxes take no part stayed away until one of them began.

Change: the ranks have no end. Each box waits for every rank above it as long as before, so that the next one that takes part takes over; the first three ranks act when they did.

--- a/crates/core/src/burst/imports.rs
+++ b/crates/core/src/burst/imports.rs
@@ -10,9 +10,6 @@
 use super::{PeerKey, SeatMap, SwarmPace};
 use crate::time::Moment;
 
-/// Boxes of a domain that feel responsible for a chunk, one after the other.
-const IMPORTER_RANKS: usize = 3;
-
 /// Chunks that may have to go out before one that is to be imported.
 const CHUNKS_BEFORE: u32 = 16;
 
@@ -45,7 +42,8 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct ImportDesk {
     offers: BTreeMap<ChunkIndex, VecDeque<PeerKey>>,
-    /// Chunks this box answers for, with its rank and its domain's.
+    /// This box's rank for every chunk, and its domain's. All boxes of a domain answer for a chunk,
+    /// one after the other: any number of those before this one may never begin.
     duties: Vec<(ChunkIndex, usize, usize)>,
     overdue: BTreeMap<ChunkIndex, Overdue>,
     /// Boxes that look for a chunk which this box does not hold yet.
@@ -53,13 +51,10 @@
 }
 
 impl ImportDesk {
-    /// Works out anew which chunks this box answers for.
+    /// Works out anew after how many others this box answers for each chunk.
     pub(super) fn assign(&mut self, seats: &SeatMap, chunks: u32) {
-        let duty = |chunk| {
-            let rank = seats.importer_rank(chunk, IMPORTER_RANKS)?;
-            Some((chunk, rank, seats.domain_rank(chunk)))
-        };
-        self.duties = (0..chunks).map(ChunkIndex).filter_map(duty).collect();
+        let duty = |chunk| (chunk, seats.importer_rank(chunk), seats.domain_rank(chunk));
+        self.duties = (0..chunks).map(ChunkIndex).map(duty).collect();
     }
 
     /// Takes in an offer.
--- a/crates/core/src/burst/seats.rs
+++ b/crates/core/src/burst/seats.rs
@@ -117,13 +117,12 @@
         winner(self.subject(chunk), boxes.iter().copied()).map(PeerKey)
     }
 
-    /// Rank of this box among its domain's importers of `chunk`, below `most`, if it has one.
-    pub fn importer_rank(&self, chunk: ChunkIndex, most: usize) -> Option<usize> {
+    /// Rank of this box among its domain's importers of `chunk`, 0 for the first.
+    pub fn importer_rank(&self, chunk: ChunkIndex) -> usize {
         let subject = self.subject(chunk);
-        let boxes = &self.domains.get(&self.me.domain)?.1;
         let own = score(subject, self.me.key.0);
-        let above = boxes.iter().filter(|other| score(subject, **other) > own).take(most).count();
-        (above < most).then_some(above)
+        let near = self.domains.get(&self.me.domain).map_or(&[][..], |(_, boxes)| boxes);
+        near.iter().filter(|other| score(subject, **other) > own).count()
     }
 
     /// The first `most` importers of `chunk` in every domain, but for this box.
