Serve the plan and the readiness answers by one loop, and encode a plan once

Left by earlier work: two loops that served fixed answers, and one encoding of a plan of hundreds of kilobytes for each entry that asked. Change: front::serve_answers for both, PlanCopy::encoded keeps the text of the version in force.

--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -9,6 +9,7 @@
         engine_model::{EngineLoad, EngineWork, first_token},
         event_split::EventSplitter,
         fact_age::ChangeMark,
+        leaving::LeavingNotice,
         peers::{
             DomainKey, DrainNotice, DrainReport, LoadNotice, PEER_SILENCE, PeerKind, PeerNotice,
             PeerTable, ServerNotice,
@@ -431,6 +432,25 @@
     expect_that!(choose(&table, at(200), None, &[]), eq("a"));
 }
 
+#[gtest]
+fn a_server_that_others_know_to_be_leaving_gets_nothing_until_it_is_back() {
+    let mut table = table(&[server("a", "z1", 1)]);
+    let told = |revision, returned| LeavingNotice {
+        server: server_key(&ServerId("a".into())),
+        revision: ChangeMark(revision),
+        returned,
+    };
+    expect_that!(table.note_told(at(0), told(5, false)), eq(true));
+    expect_that!(choose(&table, at(10), None, &[]), eq("nobody"));
+    table.note_told(at(20), told(7, true));
+    expect_that!(choose(&table, at(30), None, &[]), eq("a"));
+    // A record that says so itself holds for as long as it stands, whatever is forgotten.
+    let draining = ServerRecord { draining: true, ..server("a", "z1", 1) };
+    table.set(at(40), draining, ChangeMark(9));
+    table.remove(at(100_000), &ServerId("other".into()), ChangeMark(10));
+    expect_that!(choose(&table, at(100_000), None, &[]), eq("nobody"));
+}
+
 fn notice(from: &str, life: u64, sequence: u64, in_flight: u32) -> PeerNotice {
     let load = EngineLoad { in_flight, waiting_tokens: 0 };
     PeerNotice {
--- a/crates/daemon/src/direct/front.rs
+++ b/crates/daemon/src/direct/front.rs
@@ -73,11 +73,20 @@
 
 /// Answers questions for readiness and metrics.
 pub async fn serve_admin(state: Arc<EntryState>, listener: TcpListener) {
+    serve_answers(listener, move |path| answer_admin(&state, path)).await;
+}
+
+/// Answers questions, each by what `answer` gives for its path, for ever.
+pub(super) async fn serve_answers(
+    listener: TcpListener,
+    answer: impl Fn(&str) -> Response<Full<Bytes>> + Send + Sync + 'static,
+) {
+    let answer = Arc::new(answer);
     loop {
         let stream = accept(&listener).await;
-        let asked = state.clone();
+        let asked = answer.clone();
         let service = service_fn(move |request: Request<Incoming>| {
-            let answer = answer_admin(&asked, request.uri().path());
+            let answer = asked(request.uri().path());
             async move { Ok::<_, Infallible>(answer) }
         });
         let connection = http1::Builder::new()
--- a/crates/daemon/src/direct/plan_copy.rs
+++ b/crates/daemon/src/direct/plan_copy.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use headlatch_core::{
     direct::{
         fact_age::{ChangeMark, FactAge},
@@ -28,6 +29,8 @@
 #[derive(Debug)]
 pub struct PlanCopy {
     routes: RwLock<Option<Arc<RouteTable>>>,
+    /// A plan as it is handed to others, with its version: a dozen may ask for the same one.
+    encoded: Mutex<Option<(PlanVersion, Bytes)>>,
     source: Mutex<PlanSource>,
     /// The last call to the store for the plan was answered.
     store_answers: AtomicBool,
@@ -41,6 +44,7 @@
     fn default() -> Self {
         Self {
             routes: RwLock::default(),
+            encoded: Mutex::default(),
             source: Mutex::default(),
             store_answers: AtomicBool::new(true),
             offered: Notify::new(),
@@ -64,6 +68,23 @@
         self.routes().map(|routes| routes.plan().version).unwrap_or_default()
     }
 
+    /// The plan in force as it is handed to others; none before the first.
+    pub fn encoded(&self) -> Option<Bytes> {
+        let routes = self.routes()?;
+        let version = routes.plan().version;
+        let mut encoded = self.encoded.lock().unwrap_or_else(|broken| broken.into_inner());
+        if let Some((_, text)) = encoded.as_ref().filter(|(known, _)| *known == version) {
+            return Some(text.clone());
+        }
+        match serde_json::to_vec(&**routes.plan()) {
+            Ok(text) => Some(encoded.insert((version, text.into())).1.clone()),
+            Err(error) => {
+                decisions::warn("plan", "not_encoded", json!({ "error": error.to_string() }));
+                None
+            }
+        }
+    }
+
     /// How current the plan is.
     pub fn age(&self) -> FactAge {
         *self.source().age()
--- a/crates/daemon/src/direct/plan_sync.rs
+++ b/crates/daemon/src/direct/plan_sync.rs
@@ -1,16 +1,14 @@
 //! Plans from one entry to another: entries that do not read the store have them from those of
 //! their failure domain that do.
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use headlatch_http::{CallRequest, Connections};
 use headlatch_types::{reading::from_json, traffic::TrafficPlan};
-use http::{Request, Response, StatusCode};
+use http::{Response, StatusCode};
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::json;
 use tokio::{net::TcpListener, time::Instant};
 
@@ -40,33 +38,18 @@
 /// asked for hundreds of kilobytes many times a second.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// Hands out the plan in force to other entries.
+/// Hands out the plan in force to other processes.
 pub async fn serve(state: Arc<EntryState>, listener: TcpListener) {
-    loop {
-        let stream = front::accept(&listener).await;
-        let asked = state.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
-            let answer = answer(&asked, request.uri().path());
-            async move { Ok::<_, Infallible>(answer) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(async move {
-            // Whoever asks may go away.
-            let _ = connection.await;
-        });
-    }
+    front::serve_answers(listener, move |path| answer(&state, path)).await;
 }
 
 fn answer(state: &EntryState, path: &str) -> Response<Full<Bytes>> {
-    let plan = state.routes().filter(|_| path == PLAN_PATH);
-    let text = plan.and_then(|routes| serde_json::to_vec(&**routes.plan()).ok());
-    let (status, text) = match text {
-        Some(text) => (StatusCode::OK, text),
-        None => (StatusCode::NOT_FOUND, Vec::new()),
+    let text = match path {
+        PLAN_PATH => state.plan.encoded(),
+        _ => None,
     };
-    let mut response = Response::new(Full::new(Bytes::from(text)));
+    let status = if text.is_some() { StatusCode::OK } else { StatusCode::NOT_FOUND };
+    let mut response = Response::new(Full::new(text.unwrap_or_default()));
     *response.status_mut() = status;
     response
 }
