Split the codec from the notices, and the reading of a topic from its following

Change: notice_codec.rs, and a FactReader with one step a method, which agents use as well. Behaviour is as before.

--- a/crates/daemon/src/direct/agent_plan.rs
+++ b/crates/daemon/src/direct/agent_plan.rs
@@ -21,7 +21,7 @@
 
 use super::{
     agent::{AgentState, lock},
-    facts::{self, AlwaysOpen, FactNews, set_facts},
+    facts::{AlwaysOpen, FactNews, FactReader, set_facts},
     plan_sync,
 };
 use crate::decisions;
@@ -88,8 +88,13 @@
     pub(super) async fn run(self: Arc<Self>, state: Arc<AgentState>, store: Arc<dyn FactStore>) {
         // An old plan names the same origin nearly always, and costs the store a tenth.
         let mut freshness = Freshness::MayBeOld;
+        let mut reader =
+            FactReader::new(store, FactTopic::Plan, Arc::default(), Arc::new(AlwaysOpen));
         loop {
-            let plan = self.read(&state, &*store, freshness).await;
+            let plan = tokio::select! {
+                plan = read_store(&mut reader, freshness) => plan,
+                plan = read_entries(&state) => Some(plan),
+            };
             match plan.filter(|plan| plan.origin().is_some()) {
                 Some(plan) => {
                     self.take(plan);
@@ -122,25 +127,10 @@
             tokio::time::sleep(LOOK_PAUSE).await;
         }
     }
-
-    /// The plan from the store, or from an entry where the store is silent for a while.
-    async fn read(
-        &self,
-        state: &AgentState,
-        store: &dyn FactStore,
-        freshness: Freshness,
-    ) -> Option<Arc<TrafficPlan>> {
-        tokio::select! {
-            plan = read_store(store, freshness) => plan,
-            plan = read_entries(state) => Some(plan),
-        }
-    }
 }
 
-async fn read_store(store: &dyn FactStore, freshness: Freshness) -> Option<Arc<TrafficPlan>> {
-    let (nudge, mut lost) = (Notify::new(), None);
-    let topic = FactTopic::Plan;
-    let list = facts::list(store, topic, freshness, &nudge, &AlwaysOpen, &mut lost).await;
+async fn read_store(reader: &mut FactReader, freshness: Freshness) -> Option<Arc<TrafficPlan>> {
+    let list = reader.list(freshness).await;
     let plans = set_facts(FactNews::All(list)).into_iter().filter_map(|fact| match fact {
         Fact::Plan(plan) => Some(Arc::from(plan)),
         _ => None,
@@ -148,6 +138,7 @@
     plans.last()
 }
 
+/// The plan from an entry, where the store is silent for a while.
 async fn read_entries(state: &AgentState) -> Arc<TrafficPlan> {
     let connections = Connections::default();
     tokio::time::sleep(STORE_PATIENCE).await;
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -6,7 +6,7 @@
 use headlatch_core::direct::fact_age::ChangeMark;
 use headlatch_outside::facts::{
     Fact, FactChange, FactChanges, FactList, FactStore, FactTopic, Freshness, NamedFact,
-    StoreFailure,
+    StoreFailure, StoreRevision,
 };
 use rand::Rng;
 use serde_json::json;
@@ -84,16 +84,6 @@
     }
 }
 
-/// Waits until a gate opens or somebody knows that there is something newer.
-async fn opened(gate: &dyn ReadGate, nudge: &Notify) {
-    while !gate.is_open() {
-        let nudged = tokio::time::timeout(GATE_PAUSE, nudge.notified()).await;
-        if nudged.is_ok() {
-            return;
-        }
-    }
-}
-
 /// What a follower hands over.
 #[derive(Debug, Clone)]
 pub enum FactNews {
@@ -148,44 +138,137 @@
     gate: Arc<dyn ReadGate>,
     mut take: impl FnMut(FactNews) + Send,
 ) {
-    let mut lost: Option<LostStore> = None;
+    let mut reader = FactReader::new(store, topic, nudge, gate);
     loop {
-        opened(&*gate, &nudge).await;
-        let list = list(&*store, topic, Freshness::Current, &nudge, &*gate, &mut lost).await;
+        reader.opened().await;
+        let list = reader.list(Freshness::Current).await;
         let mut at = list.at;
         take(FactNews::All(list));
-        loop {
+        while let Some(changes) = reader.watch(at).await {
+            at = changes.at;
+            take(FactNews::Changes(changes));
+            // Changes that come close together are one call.
+            tokio::time::sleep(rest_after(topic)).await;
+        }
+    }
+}
+
+/// Reads one topic from the store.
+pub(super) struct FactReader {
+    store: Arc<dyn FactStore>,
+    topic: FactTopic,
+    /// Somebody knows that there is something newer.
+    nudge: Arc<Notify>,
+    gate: Arc<dyn ReadGate>,
+    /// Calls that have failed since the last one that was answered.
+    lost: Option<LostStore>,
+}
+
+impl FactReader {
+    /// A reader of `topic`.
+    pub(super) fn new(
+        store: Arc<dyn FactStore>,
+        topic: FactTopic,
+        nudge: Arc<Notify>,
+        gate: Arc<dyn ReadGate>,
+    ) -> Self {
+        Self { store, topic, nudge, gate, lost: None }
+    }
+
+    /// Waits until the gate opens or somebody knows that there is something newer.
+    async fn opened(&self) {
+        while !self.gate.is_open() {
+            let nudged = tokio::time::timeout(GATE_PAUSE, self.nudge.notified()).await;
+            if nudged.is_ok() {
+                return;
+            }
+        }
+    }
+
+    /// Lists the topic, however often that fails.
+    ///
+    /// A call that has not been answered for a while is joined by another: a store, or a way to it,
+    /// that is back after a silence answers what comes then, and often never what came before. The
+    /// first answer wins, so that a store that is merely slow is read as well.
+    pub(super) async fn list(&mut self, freshness: Freshness) -> FactList {
+        let (store, topic) = (self.store.clone(), self.topic);
+        let call = || async {
             let begun = Instant::now();
-            let watched = tokio::select! {
-                watched = store.watch(topic, at, WATCH_TIME) => watched,
-                () = nudge.notified() => {
-                    decisions::note("store", "nudged", json!({ "topic": topic.as_str() }));
-                    break;
-                }
-                () = closed(&*gate) => break,
-            };
-            match watched {
-                Ok(changes) => {
-                    gate.note(true);
-                    at = changes.at;
-                    take(FactNews::Changes(changes));
-                    // Changes that come close together are one call.
-                    tokio::time::sleep(rest_after(topic)).await;
-                }
-                Err(StoreFailure::HistoryGone) => {
-                    decisions::note("store", "history_gone", json!({ "topic": topic.as_str() }));
-                    break;
+            (begun, store.list(topic, freshness).await)
+        };
+        let mut calls = FuturesUnordered::new();
+        calls.push(call());
+        let mut next = Instant::now() + silence_before(topic);
+        loop {
+            tokio::select! {
+                Some((begun, listed)) = calls.next() => match listed {
+                    Ok(list) => {
+                        self.note_answered();
+                        return list;
+                    }
+                    Err(error) => {
+                        let pause = self.note_lost(StoreCall::List, begun, &error);
+                        if calls.is_empty() {
+                            next = Instant::now() + pause;
+                        }
+                    }
+                },
+                () = tokio::time::sleep_until(next) => {
+                    if !calls.is_empty() {
+                        self.gate.note(false);
+                    }
+                    calls.push(call());
+                    next = Instant::now() + silence_before(topic);
                 }
-                Err(error) => {
-                    gate.note(false);
-                    let lost = lost.get_or_insert_with(|| LostStore::new(topic, begun));
-                    lost.note(StoreCall::Watch, begun, &error);
-                    tokio::time::sleep(pause_after(lost.failures)).await;
-                    break;
+                () = self.nudge.notified() => {
+                    next = next.min(Instant::now() + FIRST_PAUSE);
                 }
             }
         }
     }
+
+    /// Waits for changes after `at`; none where everything is to be listed anew.
+    async fn watch(&mut self, at: StoreRevision) -> Option<FactChanges> {
+        let begun = Instant::now();
+        let watched = tokio::select! {
+            watched = self.store.watch(self.topic, at, WATCH_TIME) => watched,
+            () = self.nudge.notified() => {
+                decisions::note("store", "nudged", json!({ "topic": self.topic.as_str() }));
+                return None;
+            }
+            () = closed(&*self.gate) => return None,
+        };
+        match watched {
+            Ok(changes) => {
+                self.gate.note(true);
+                Some(changes)
+            }
+            Err(StoreFailure::HistoryGone) => {
+                decisions::note("store", "history_gone", json!({ "topic": self.topic.as_str() }));
+                None
+            }
+            Err(error) => {
+                let pause = self.note_lost(StoreCall::Watch, begun, &error);
+                tokio::time::sleep(pause).await;
+                None
+            }
+        }
+    }
+
+    fn note_answered(&mut self) {
+        self.gate.note(true);
+        if let Some(lost) = self.lost.take() {
+            lost.end();
+        }
+    }
+
+    /// Notes a call that failed, and tells how long to wait before the next one.
+    fn note_lost(&mut self, call: StoreCall, begun: Instant, error: &StoreFailure) -> Duration {
+        self.gate.note(false);
+        let lost = self.lost.get_or_insert_with(|| LostStore::new(self.topic, begun));
+        lost.note(call, begun, error);
+        pause_after(lost.failures)
+    }
 }
 
 /// A call to the store, for logs.
@@ -206,7 +289,7 @@
 
 /// A store whose calls fail.
 #[derive(Debug)]
-pub(super) struct LostStore {
+struct LostStore {
     topic: FactTopic,
     since: Instant,
     failures: u32,
@@ -236,59 +319,6 @@
     }
 }
 
-/// Lists a topic, however often that fails.
-///
-/// A call that has not been answered for a while is joined by another: a store, or a way to it,
-/// that is back after a silence answers what comes then, and often never what came before. The
-/// first answer wins, so that a store that is merely slow is read as well.
-pub(super) async fn list(
-    store: &dyn FactStore,
-    topic: FactTopic,
-    freshness: Freshness,
-    nudge: &Notify,
-    gate: &dyn ReadGate,
-    lost: &mut Option<LostStore>,
-) -> FactList {
-    let call = || async {
-        let begun = Instant::now();
-        (begun, store.list(topic, freshness).await)
-    };
-    let mut calls = FuturesUnordered::new();
-    calls.push(call());
-    let mut next = Instant::now() + silence_before(topic);
-    loop {
-        tokio::select! {
-            Some((begun, listed)) = calls.next() => match listed {
-                Ok(list) => {
-                    gate.note(true);
-                    if let Some(lost) = lost.take() {
-                        lost.end();
-                    }
-                    return list;
-                }
-                Err(error) => {
-                    gate.note(false);
-                    let lost = lost.get_or_insert_with(|| LostStore::new(topic, begun));
-                    lost.note(StoreCall::List, begun, &error);
-                    if calls.is_empty() {
-                        next = Instant::now() + pause_after(lost.failures);
-                    }
-                }
-            },
-            () = tokio::time::sleep_until(next) => {
-                if !calls.is_empty() {
-                    gate.note(false);
-                }
-                calls.push(call());
-                next = Instant::now() + silence_before(topic);
-            }
-            () = nudge.notified() => {
-                next = next.min(Instant::now() + FIRST_PAUSE);
-            }
-        }
-    }
-}
-
 /// The facts in news that are there and can be read.
 pub fn set_facts(news: FactNews) -> Vec<Fact> {
     let named: Vec<NamedFact> = match news {
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -10,6 +10,7 @@
 pub mod facts;
 pub mod front;
 pub mod handler;
+mod notice_codec;
 pub mod notices;
 pub mod plan_copy;
 pub mod plan_sync;
--- /dev/null
+++ b/crates/daemon/src/direct/notice_codec.rs
@@ -0,0 +1,158 @@
+//! Notices as bytes of one datagram.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use headlatch_core::direct::{
+    engine_model::EngineLoad,
+    fact_age::ChangeMark,
+    leaving::LeavingNotice,
+    peers::{DomainKey, DrainNotice, LoadNotice, PeerKind, PeerNotice, ServerNotice, WantedNotice},
+};
+use headlatch_types::traffic::WeightVersion;
+use headlatch_wire as wire;
+use prost::Message;
+
+/// An address as bytes: the IP number, then the port.
+fn address_bytes(address: &SocketAddr) -> Vec<u8> {
+    let mut bytes = match address.ip() {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    };
+    bytes.extend_from_slice(&address.port().to_be_bytes());
+    bytes
+}
+
+/// The address that bytes stand for; none if they are not one.
+fn address_of(bytes: &[u8]) -> Option<SocketAddr> {
+    let (ip, port) = bytes.split_last_chunk::<2>()?;
+    let port = u16::from_be_bytes(*port);
+    let ip = match ip.len() {
+        4 => IpAddr::from(<[u8; 4]>::try_from(ip).ok()?),
+        16 => IpAddr::from(<[u8; 16]>::try_from(ip).ok()?),
+        _ => return None,
+    };
+    Some(SocketAddr::new(ip, port))
+}
+
+fn encode_load(load: &LoadNotice) -> wire::NoticeLoad {
+    wire::NoticeLoad {
+        server: load.server,
+        in_flight: load.load.in_flight,
+        waiting_tokens: load.load.waiting_tokens,
+    }
+}
+
+fn encode_leaving(leaving: &LeavingNotice) -> wire::NoticeLeaving {
+    let LeavingNotice { server, revision, returned } = *leaving;
+    wire::NoticeLeaving { server, revision: revision.0, returned }
+}
+
+fn decode_leaving(leaving: &wire::NoticeLeaving) -> LeavingNotice {
+    let wire::NoticeLeaving { server, revision, returned } = *leaving;
+    LeavingNotice { server, revision: ChangeMark(revision), returned }
+}
+
+fn encode_wanted(wanted: &WantedNotice) -> wire::NoticeWanted {
+    wire::NoticeWanted {
+        model: wanted.model.to_string(),
+        version: wanted.version.0,
+        age_ms: wanted.age.as_millis() as u64,
+    }
+}
+
+fn decode_wanted(wanted: &wire::NoticeWanted) -> Option<WantedNotice> {
+    Some(WantedNotice {
+        model: wanted.model.parse().ok()?,
+        version: version(wanted.version)?,
+        age: Duration::from_millis(wanted.age_ms),
+    })
+}
+
+fn decode_load(load: &wire::NoticeLoad) -> LoadNotice {
+    let (in_flight, waiting_tokens) = (load.in_flight, load.waiting_tokens);
+    LoadNotice { server: load.server, load: EngineLoad { in_flight, waiting_tokens } }
+}
+
+/// Encodes a notice.
+pub fn encode(notice: &PeerNotice) -> Vec<u8> {
+    let server = notice.server.as_ref().map(|server| wire::NoticeServer {
+        address: address_bytes(&server.address),
+        whole: server.whole.unwrap_or_default().0,
+        changing: server.changing,
+        staged: server.staged.unwrap_or_default().0,
+        sharing: server.sharing.unwrap_or_default().0,
+        zone: server.zone.to_string(),
+        service: server.service.clone(),
+    });
+    let drain = |drain: &DrainNotice| wire::NoticeDrain {
+        server: address_bytes(&drain.server),
+        waiting: drain.waiting,
+    };
+    let domain_loads = notice.domain_loads.as_deref().unwrap_or_default();
+    let message = wire::PeerNotice {
+        from: address_bytes(&notice.from),
+        agent: notice.kind == PeerKind::Agent,
+        life: notice.life,
+        sequence: notice.sequence,
+        plan: notice.plan,
+        servers: notice.servers.0,
+        leaving: notice.leaving.iter().map(encode_leaving).collect(),
+        reads_store: notice.reads_store,
+        peers: notice.peers.iter().map(address_bytes).collect(),
+        loads: notice.loads.iter().map(encode_load).collect(),
+        drains: notice.drains.iter().map(drain).collect(),
+        server,
+        domain: notice.domain.0,
+        changes_only: notice.changes_only,
+        domain_loads: domain_loads.iter().map(encode_load).collect(),
+        tells_domain: notice.domain_loads.is_some(),
+        wanted: notice.wanted.iter().map(encode_wanted).collect(),
+    };
+    message.encode_to_vec()
+}
+
+fn version(number: u64) -> Option<WeightVersion> {
+    (number > 0).then_some(WeightVersion(number))
+}
+
+/// Decodes a notice; none if the bytes are not one.
+pub fn decode(bytes: &[u8]) -> Option<PeerNotice> {
+    let message = wire::PeerNotice::decode(bytes).ok()?;
+    let server = match message.server {
+        None => None,
+        Some(server) => Some(ServerNotice {
+            address: address_of(&server.address)?,
+            whole: version(server.whole),
+            changing: server.changing,
+            staged: version(server.staged),
+            sharing: version(server.sharing),
+            zone: server.zone.parse().ok()?,
+            service: server.service,
+        }),
+    };
+    let drain = |drain: &wire::NoticeDrain| {
+        Some(DrainNotice { server: address_of(&drain.server)?, waiting: drain.waiting })
+    };
+    let domain_loads = || message.domain_loads.iter().map(decode_load).collect();
+    Some(PeerNotice {
+        from: address_of(&message.from)?,
+        kind: if message.agent { PeerKind::Agent } else { PeerKind::Entry },
+        domain: DomainKey(message.domain),
+        life: message.life,
+        sequence: message.sequence,
+        plan: message.plan,
+        servers: ChangeMark(message.servers),
+        leaving: message.leaving.iter().map(decode_leaving).collect(),
+        reads_store: message.reads_store,
+        peers: message.peers.iter().filter_map(|bytes| address_of(bytes)).collect(),
+        loads: message.loads.iter().map(decode_load).collect(),
+        changes_only: message.changes_only,
+        domain_loads: message.tells_domain.then(domain_loads),
+        drains: message.drains.iter().filter_map(drain).collect(),
+        server,
+        wanted: message.wanted.iter().filter_map(decode_wanted).collect(),
+    })
+}
