--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -10,6 +10,8 @@
 pub mod peers;
 pub mod plan_readers;
 pub mod plan_source;
+pub mod relay_outbox;
+pub mod relays;
 pub mod retry_share;
 pub mod route_table;
 pub mod server_table;
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -24,6 +24,7 @@
     fact_age::ChangeMark,
     leaving::LeavingNotice,
     plan_readers::{ReaderView, is_plan_reader},
+    relays::{DomainRoster, DrainSum, RELAYS, RosterMember},
 };
 use crate::time::Moment;
 
@@ -51,6 +52,14 @@
 /// Time for which an address that does not answer is tried.
 const CANDIDATE_LIFE: Duration = Duration::from_secs(32);
 
+/// Age up to which the sum of what entries say of a changing server counts: a relay tells it at once
+/// when it changes, and every 300 ms.
+const DRAIN_SUM_LIFE: Duration = Duration::from_millis(700);
+
+/// How much earlier a notice of another life may have been heard than the last word of its sender's
+/// address: relays tell both, by ways of different length.
+const LIFE_SLACK: Duration = Duration::from_millis(200);
+
 /// Peers named in a notice at most: an address takes 8 bytes.
 pub const NAMED_PEERS: usize = 48;
 
@@ -204,8 +213,26 @@
 pub struct Peer {
     /// Its last notice.
     pub notice: PeerNotice,
-    /// When that came.
+    /// When it was last heard, by this process or by a relay.
     pub heard: Moment,
+    /// Number of the notice that its facts are from; what it has in progress may be newer.
+    facts_sequence: u64,
+}
+
+impl Peer {
+    /// The facts of its last notice, as they are handed on: without what it tells others directly.
+    pub fn facts(&self) -> PeerNotice {
+        PeerNotice {
+            sequence: self.facts_sequence,
+            peers: Vec::new(),
+            loads: Vec::new(),
+            drains: Vec::new(),
+            leaving: Vec::new(),
+            domain_loads: None,
+            changes_only: false,
+            ..self.notice.clone()
+        }
+    }
 }
 
 /// What a notice changed.
@@ -219,6 +246,17 @@
     pub after_silence: bool,
 }
 
+/// What the entries of another failure domain have in progress.
+#[derive(Debug, Clone)]
+pub struct DomainLoads {
+    /// The entry that told.
+    pub teller: SocketAddr,
+    /// When.
+    pub heard: Moment,
+    /// What it told.
+    pub loads: Vec<LoadNotice>,
+}
+
 /// The peers of one process.
 #[derive(Debug)]
 pub struct PeerTable {
@@ -228,7 +266,11 @@
     /// Addresses that may be peers: seeds, listed machines, and those that others named.
     candidates: BTreeMap<SocketAddr, Moment>,
     /// What entries of other failure domains have in progress, domain by domain.
-    domain_loads: BTreeMap<DomainKey, (Moment, Vec<LoadNotice>)>,
+    domain_loads: BTreeMap<DomainKey, DomainLoads>,
+    /// What entries say of the own server while it is about to change, domain by domain.
+    drain_sums: BTreeMap<DomainKey, (Moment, DrainSum)>,
+    /// Processes up to which everybody tells everybody.
+    mesh_limit: usize,
     /// When something was last heard from each failure domain.
     domains_heard: BTreeMap<DomainKey, Moment>,
 }
@@ -242,6 +284,8 @@
             peers: BTreeMap::new(),
             candidates: BTreeMap::new(),
             domain_loads: BTreeMap::new(),
+            drain_sums: BTreeMap::new(),
+            mesh_limit: usize::MAX,
             domains_heard: BTreeMap::new(),
         }
     }
@@ -258,6 +302,12 @@
         }
     }
 
+    /// Sets the number of processes up to which everybody tells everybody; without one there are no
+    /// relays.
+    pub fn set_mesh_limit(&mut self, limit: usize) {
+        self.mesh_limit = limit;
+    }
+
     /// Takes in a notice.
     pub fn hear(&mut self, now: Moment, notice: PeerNotice) -> NoticeOutcome {
         if notice.from == self.own {
@@ -266,10 +316,8 @@
         for address in &notice.peers {
             self.suggest(now, *address);
         }
+        let after_silence = self.note_domain(now, now, notice.domain);
         self.candidates.remove(&notice.from);
-        let last = self.domains_heard.values().max();
-        let after_silence = last.is_some_and(|last| now.since(*last) > CUT_SILENCE);
-        self.domains_heard.insert(notice.domain, now);
         let before = self.peers.get(&notice.from);
         if let Some(peer) = before
             && peer.notice.life == notice.life
@@ -277,34 +325,183 @@
         {
             return NoticeOutcome { after_silence, ..NoticeOutcome::default() };
         }
-        let outcome = NoticeOutcome {
-            after_silence,
-            joined: before.is_none(),
-            server_changed: notice.server.is_some()
-                && before.is_none_or(|peer| peer.notice.server != notice.server),
-        };
+        let outcome = outcome_of(before, &notice, after_silence);
+        let kept_facts = before.filter(|_| notice.changes_only).map(|peer| peer.facts_sequence);
         let notice = match before {
             Some(peer) if notice.changes_only => with_changes(&peer.notice, notice),
             _ => notice,
         };
-        if let Some(loads) = notice.domain_loads.as_ref().filter(|_| notice.domain != self.domain) {
-            self.domain_loads.insert(notice.domain, (now, loads.clone()));
+        self.note_domain_loads(now, &notice);
+        let facts_sequence = kept_facts.unwrap_or(notice.sequence);
+        self.peers.insert(notice.from, Peer { notice, heard: now, facts_sequence });
+        outcome
+    }
+
+    /// Takes in the facts of a notice that a relay has handed on, whose sender was heard `age` ago.
+    ///
+    /// What the sender has in progress stays as it is: that is told directly.
+    pub fn hear_relayed(
+        &mut self,
+        now: Moment,
+        notice: PeerNotice,
+        age: Duration,
+    ) -> NoticeOutcome {
+        if notice.from == self.own {
+            return NoticeOutcome::default();
         }
-        self.peers.insert(notice.from, Peer { notice, heard: now });
+        let heard = now - age;
+        let after_silence = self.note_domain(now, heard, notice.domain);
+        self.candidates.remove(&notice.from);
+        self.note_domain_loads(heard, &notice);
+        let before = self.peers.get(&notice.from);
+        if !before.is_none_or(|peer| is_newer(peer, &notice, heard)) {
+            if let Some(peer) = self.peers.get_mut(&notice.from)
+                && peer.notice.life == notice.life
+            {
+                peer.heard = peer.heard.max(heard);
+            }
+            return NoticeOutcome { after_silence, ..NoticeOutcome::default() };
+        }
+        let outcome = outcome_of(before, &notice, after_silence);
+        let last = before.filter(|peer| peer.notice.life == notice.life);
+        let peer = Peer {
+            heard: before.map_or(heard, |peer| peer.heard.max(heard)),
+            facts_sequence: notice.sequence,
+            notice: with_direct_part(last, notice),
+        };
+        self.peers.insert(peer.notice.from, peer);
         outcome
     }
 
-    /// Drops peers that have fallen silent; they stay candidates for a while.
-    pub fn expire(&mut self, now: Moment) -> Vec<SocketAddr> {
-        let domain = self.domain;
-        let limit = |peer: &Peer| match peer.notice.domain == domain {
+    /// Takes in who lives in a failure domain; tells whether somebody new is among them.
+    pub fn hear_roster(&mut self, now: Moment, roster: &DomainRoster) -> bool {
+        let limit = self.silence_limit(roster.domain);
+        let living = roster.members.iter().filter(|member| member.age <= limit);
+        let mut joined = false;
+        for member in living.filter(|member| member.address != self.own) {
+            let heard = now - member.age;
+            self.candidates.remove(&member.address);
+            match self.peers.get_mut(&member.address) {
+                Some(peer) => peer.heard = peer.heard.max(heard),
+                None => {
+                    joined = true;
+                    let empty = PeerNotice::empty(member.address, member.kind, roster.domain);
+                    let notice = PeerNotice { life: 0, sequence: 0, ..empty };
+                    let peer = Peer { notice, heard, facts_sequence: 0 };
+                    self.peers.insert(member.address, peer);
+                }
+            }
+        }
+        joined
+    }
+
+    /// Notes that something was said in a failure domain at `heard`; tells whether nobody had been
+    /// heard for some time before.
+    fn note_domain(&mut self, now: Moment, heard: Moment, domain: DomainKey) -> bool {
+        let last = self.domains_heard.values().max();
+        let after_silence = last.is_some_and(|last| now.since(*last) > CUT_SILENCE);
+        let at = self.domains_heard.entry(domain).or_insert(heard);
+        *at = (*at).max(heard);
+        after_silence
+    }
+
+    fn note_domain_loads(&mut self, heard: Moment, notice: &PeerNotice) {
+        let Some(loads) = notice.domain_loads.as_ref() else { return };
+        let known = self.domain_loads.get(&notice.domain);
+        if notice.domain == self.domain || known.is_some_and(|known| known.heard > heard) {
+            return;
+        }
+        let loads = DomainLoads { teller: notice.from, heard, loads: loads.clone() };
+        self.domain_loads.insert(notice.domain, loads);
+    }
+
+    /// Takes in what the entries of a failure domain say of the own server.
+    pub fn hear_drain_sum(&mut self, now: Moment, domain: DomainKey, sum: DrainSum) {
+        self.drain_sums.insert(domain, (now, sum));
+    }
+
+    /// Forgets what entries have said of the own server: it is about to change once more.
+    pub fn clear_drain_sums(&mut self) {
+        self.drain_sums.clear();
+    }
+
+    /// Silence after which a peer of `domain` counts as gone.
+    fn silence_limit(&self, domain: DomainKey) -> Duration {
+        match domain == self.domain {
             true => PEER_SILENCE,
             false => FAR_SILENCE,
-        };
-        let silent = |peer: &Peer| now.since(peer.heard) > limit(peer);
+        }
+    }
+
+    /// Whether a peer lives, as far as is known.
+    pub fn knows(&self, address: SocketAddr) -> bool {
+        self.peers.contains_key(&address)
+    }
+
+    /// Rank of this entry among those of its failure domain if it is to relay: where there are few
+    /// processes, nobody is.
+    pub fn relay_rank(&self) -> Option<usize> {
+        let before = self.near_entries().filter(|peer| peer.notice.from < self.own);
+        let rank = before.take(RELAYS).count();
+        (rank < RELAYS && self.peers.len() >= self.mesh_limit).then_some(rank)
+    }
+
+    /// The entries of each other failure domain that relay there: the first by address.
+    pub fn far_relays(&self) -> Vec<SocketAddr> {
+        let mut relays: BTreeMap<DomainKey, Vec<SocketAddr>> = BTreeMap::new();
+        let entries = self.living().filter(|peer| peer.notice.kind == PeerKind::Entry);
+        for peer in entries.filter(|peer| !self.is_near(peer)) {
+            let known = relays.entry(peer.notice.domain).or_default();
+            if known.len() < RELAYS {
+                known.push(peer.notice.from);
+            }
+        }
+        relays.into_values().flatten().collect()
+    }
+
+    /// Who lives in a failure domain, this process among them if it is the own one.
+    pub fn roster(&self, now: Moment, domain: DomainKey, own: PeerKind) -> DomainRoster {
+        let members = self.living().filter(|peer| peer.notice.domain == domain);
+        let members = members.map(|peer| RosterMember {
+            address: peer.notice.from,
+            kind: peer.notice.kind,
+            age: now.since(peer.heard),
+        });
+        let own = RosterMember { address: self.own, kind: own, age: Duration::ZERO };
+        let own = (domain == self.domain).then_some(own);
+        DomainRoster { domain, members: members.chain(own).collect() }
+    }
+
+    /// Failure domains from which somebody lives, but for the own one.
+    pub fn far_domains(&self) -> BTreeSet<DomainKey> {
+        let domains = self.living().map(|peer| peer.notice.domain);
+        domains.filter(|domain| *domain != self.domain).collect()
+    }
+
+    /// What the entries of each other failure domain have in progress.
+    pub fn domain_loads(&self) -> impl Iterator<Item = &DomainLoads> {
+        self.domain_loads.values()
+    }
+
+    /// The last notice of a peer, and when it was heard.
+    pub fn peer(&self, address: SocketAddr) -> Option<&Peer> {
+        self.peers.get(&address)
+    }
+
+    /// What the entries of the own failure domain say of a server that is about to change, this
+    /// process's own word among them.
+    pub fn near_drain_report(&self, server: SocketAddr, own: &[DrainNotice]) -> DrainReport {
+        let near = self.near_entries().map(|peer| peer.notice.drains.as_slice());
+        drain_report_of(server, near.chain([own]))
+    }
+
+    /// Drops peers that have fallen silent; they stay candidates for a while.
+    pub fn expire(&mut self, now: Moment) -> Vec<SocketAddr> {
+        let silent = |peer: &Peer| now.since(peer.heard) > self.silence_limit(peer.notice.domain);
         let gone: Vec<SocketAddr> =
             self.peers.iter().filter(|(_, peer)| silent(peer)).map(|(at, _)| *at).collect();
-        self.domain_loads.retain(|_, (heard, _)| now.since(*heard) <= DOMAIN_LOAD_LIFE);
+        self.domain_loads.retain(|_, told| now.since(told.heard) <= DOMAIN_LOAD_LIFE);
+        self.drain_sums.retain(|_, (heard, _)| now.since(*heard) <= DRAIN_SUM_LIFE);
         for address in &gone {
             self.peers.remove(address);
             self.candidates.insert(*address, now);
@@ -337,15 +534,16 @@
         others + usize::from(own == PeerKind::Entry)
     }
 
-    /// What entries that live say of a server that is about to change.
+    /// What entries that live say of the own server, which is about to change: by their relay's
+    /// sum where that is known, else each by itself.
     pub fn drain_report(&self, server: SocketAddr) -> DrainReport {
         let entries = self.living().filter(|peer| peer.notice.kind == PeerKind::Entry);
-        entries.fold(DrainReport::default(), |mut report, entry| {
-            match entry.notice.drains.iter().find(|drain| drain.server == server) {
-                Some(drain) => report.waiting += drain.waiting,
-                None => report.unconfirmed += 1,
-            }
-            report
+        let single = entries.filter(|peer| !self.drain_sums.contains_key(&peer.notice.domain));
+        let single = single.map(|peer| peer.notice.drains.as_slice());
+        let sums = self.drain_sums.values().map(|(_, sum)| sum.report);
+        sums.fold(drain_report_of(server, single), |all, sum| DrainReport {
+            unconfirmed: all.unconfirmed + sum.unconfirmed,
+            waiting: all.waiting + sum.waiting,
         })
     }
 
@@ -399,8 +597,8 @@
     /// What others have in progress, by the key of the server.
     pub fn loads(&self) -> HashMap<u32, EngineLoad> {
         let mut loads = self.near_loads();
-        for (_, far) in self.domain_loads.values() {
-            add_loads(&mut loads, far);
+        for far in self.domain_loads.values() {
+            add_loads(&mut loads, &far.loads);
         }
         loads
     }
@@ -415,12 +613,55 @@
     /// What others have in progress at one server.
     pub fn load_of(&self, server: u32) -> EngineLoad {
         let near = self.near_entries().flat_map(|peer| &peer.notice.loads);
-        let far = self.domain_loads.values().flat_map(|(_, loads)| loads);
+        let far = self.domain_loads.values().flat_map(|told| &told.loads);
         let there = near.chain(far).filter(|notice| notice.server == server);
         there.fold(EngineLoad::default(), |sum, notice| sum + notice.load)
     }
 }
 
+/// Whether a notice that was handed on says more than what is known of its sender.
+fn is_newer(peer: &Peer, notice: &PeerNotice, heard: Moment) -> bool {
+    match peer.notice.life == notice.life {
+        true => notice.sequence > peer.facts_sequence,
+        false => peer.notice.life == 0 || heard + LIFE_SLACK >= peer.heard,
+    }
+}
+
+fn outcome_of(before: Option<&Peer>, notice: &PeerNotice, after_silence: bool) -> NoticeOutcome {
+    NoticeOutcome {
+        after_silence,
+        joined: before.is_none(),
+        server_changed: notice.server.is_some()
+            && before.is_none_or(|peer| peer.notice.server != notice.server),
+    }
+}
+
+/// What each of some entries says of a server, taken together.
+fn drain_report_of<'a>(
+    server: SocketAddr,
+    entries: impl Iterator<Item = &'a [DrainNotice]>,
+) -> DrainReport {
+    entries.fold(DrainReport::default(), |mut report, drains| {
+        match drains.iter().find(|drain| drain.server == server) {
+            Some(drain) => report.waiting += drain.waiting,
+            None => report.unconfirmed += 1,
+        }
+        report
+    })
+}
+
+/// A notice that was handed on, with what its sender last said directly of what it has in progress.
+fn with_direct_part(last: Option<&Peer>, notice: PeerNotice) -> PeerNotice {
+    let Some(last) = last.map(|peer| &peer.notice) else { return notice };
+    PeerNotice {
+        // Direct notices that are under way must not be taken for old ones.
+        sequence: last.sequence,
+        loads: last.loads.clone(),
+        drains: last.drains.clone(),
+        ..notice
+    }
+}
+
 fn add_loads(sums: &mut HashMap<u32, EngineLoad>, loads: &[LoadNotice]) {
     for notice in loads {
         let sum = sums.entry(notice.server).or_default();
@@ -428,12 +669,13 @@
     }
 }
 
-/// A peer's last notice with the loads that a newer one changes.
+/// A peer's last notice with the loads that a newer one changes; those of an earlier life are gone.
 fn with_changes(last: &PeerNotice, changes: PeerNotice) -> PeerNotice {
     let is_changed =
         |load: &LoadNotice| changes.loads.iter().any(|change| change.server == load.server);
-    let mut loads: Vec<LoadNotice> =
-        last.loads.iter().filter(|load| !is_changed(load)).copied().collect();
+    let same_life = last.life == changes.life;
+    let kept = last.loads.iter().filter(|load| same_life && !is_changed(load));
+    let mut loads: Vec<LoadNotice> = kept.copied().collect();
     loads.extend(changes.loads.iter().filter(|load| load.load.in_flight > 0));
-    PeerNotice { sequence: changes.sequence, loads, ..last.clone() }
+    PeerNotice { life: changes.life, sequence: changes.sequence, loads, ..last.clone() }
 }
--- /dev/null
+++ b/crates/core/src/direct/relay_outbox.rs
@@ -0,0 +1,118 @@
+//! What a relay has told its members and the relays of other failure domains, and what it still has
+//! to tell.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use headlatch_types::{id::ModelName, traffic::WeightVersion};
+
+use super::{
+    peers::{Peer, PeerKind, PeerNotice, PeerTable, ServerNotice},
+    relays::RelayedNotice,
+};
+use crate::time::Moment;
+
+/// Rounds in which everything is told once more, changed or not: a datagram may be lost, and whoever
+/// has just come has heard nothing. A round is told every 200 ms.
+const REPEAT_ROUNDS: usize = 30;
+
+/// What is handed on of a notice.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct ToldFacts {
+    life: u64,
+    plan: u64,
+    reads_store: bool,
+    server: Option<ServerNotice>,
+    wanted: Vec<(ModelName, WeightVersion)>,
+}
+
+impl ToldFacts {
+    fn of(notice: &PeerNotice) -> Self {
+        let wanted = notice.wanted.iter().map(|one| (one.model.clone(), one.version));
+        Self {
+            life: notice.life,
+            plan: notice.plan,
+            reads_store: notice.reads_store,
+            server: notice.server.clone(),
+            wanted: wanted.collect(),
+        }
+    }
+
+    fn is_of(&self, notice: &PeerNotice) -> bool {
+        let wanted = notice.wanted.iter().map(|one| (&one.model, one.version));
+        self.life == notice.life
+            && self.plan == notice.plan
+            && self.reads_store == notice.reads_store
+            && self.server == notice.server
+            && wanted.eq(self.wanted.iter().map(|(model, version)| (model, *version)))
+    }
+}
+
+/// Notices that are due, by whom they are for.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct DueNotices {
+    /// Agents of any failure domain whose servers say something new: for every member.
+    pub agents: Vec<RelayedNotice>,
+    /// Those of them that are of the own failure domain: for relays of others as well.
+    pub near_agents: Vec<RelayedNotice>,
+    /// Entries of the own failure domain whose facts are new: for the entries there.
+    pub entries: Vec<RelayedNotice>,
+}
+
+impl DueNotices {
+    /// Whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.agents.is_empty() && self.entries.is_empty()
+    }
+}
+
+/// What one relay has told.
+#[derive(Debug, Clone, Default)]
+pub struct RelayOutbox {
+    told: BTreeMap<SocketAddr, ToldFacts>,
+    round: usize,
+}
+
+impl RelayOutbox {
+    /// What has changed since the last call; with `repeats`, a part of what has not as well.
+    pub fn take_due(&mut self, now: Moment, peers: &PeerTable, repeats: bool) -> DueNotices {
+        self.round += usize::from(repeats);
+        let turn = self.round % REPEAT_ROUNDS;
+        let mut due = DueNotices::default();
+        for (place, peer) in peers.living().enumerate() {
+            let is_repeated = repeats && place % REPEAT_ROUNDS == turn;
+            if !self.is_told(peer) || is_repeated {
+                due.add(now, peers, peer);
+            }
+        }
+        if repeats && turn == 0 {
+            self.told.retain(|address, _| peers.knows(*address));
+        }
+        due
+    }
+
+    /// Whether the facts of a peer have been told; from now on they have.
+    fn is_told(&mut self, peer: &Peer) -> bool {
+        let told = self.told.get(&peer.notice.from);
+        if told.is_some_and(|told| told.is_of(&peer.notice)) {
+            return true;
+        }
+        self.told.insert(peer.notice.from, ToldFacts::of(&peer.notice));
+        false
+    }
+}
+
+impl DueNotices {
+    fn add(&mut self, now: Moment, peers: &PeerTable, peer: &Peer) {
+        let relayed = RelayedNotice { notice: peer.facts(), age: now.since(peer.heard) };
+        match (peer.notice.kind, peers.is_near(peer)) {
+            (PeerKind::Agent, _) if peer.notice.server.is_none() => {}
+            (PeerKind::Agent, true) => {
+                self.near_agents.push(relayed.clone());
+                self.agents.push(relayed);
+            }
+            (PeerKind::Agent, false) => self.agents.push(relayed),
+            (PeerKind::Entry, true) => self.entries.push(relayed),
+            (PeerKind::Entry, false) => {}
+        }
+    }
+}
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -106,8 +106,10 @@
     own: EngineLoad,
     /// Requests of this entry that have not begun there.
     waiting: u32,
-    /// The load has changed since it was last told.
+    /// The load has changed since it was last told, and others are to hear that at once.
     untold: bool,
+    /// The load has changed since it was last told.
+    changed: bool,
     failures: u32,
     refusals: u32,
     failure_share: f64,
@@ -234,6 +236,7 @@
                 own: EngineLoad::default(),
                 waiting: 0,
                 untold: false,
+                changed: false,
                 failures: 0,
                 refusals: 0,
                 failure_share: 0.0,
@@ -315,17 +318,18 @@
         self.others.insert(server, load);
     }
 
-    /// Whether a busy server's load has changed since [`Self::take_changes`].
+    /// Whether a load has changed since [`Self::take_changes`] that others are to hear at once.
     pub fn has_changes(&self) -> bool {
         self.servers.values().any(|state| state.untold)
     }
 
-    /// What this entry has in progress at busy servers where that has changed.
+    /// What this entry has in progress at servers where that has changed.
     pub fn take_changes(&mut self) -> Vec<LoadNotice> {
-        let changed = self.servers.values_mut().filter(|state| state.untold);
+        let changed = self.servers.values_mut().filter(|state| state.changed);
         changed
             .map(|state| {
                 state.untold = false;
+                state.changed = false;
                 LoadNotice { server: state.key, load: state.own }
             })
             .collect()
@@ -526,6 +530,7 @@
             state.waiting += 1;
             // Whoever sees an engine idle sends to it: what it has to read must be known at once.
             state.untold |= tokens > 0;
+            state.changed = true;
             note_change(state, &self.others);
         }
     }
@@ -536,6 +541,7 @@
             state.own.waiting_tokens = state.own.waiting_tokens.saturating_sub(tokens);
             // The next tick tells it: until then others only take the engine for a little busier.
             state.waiting = state.waiting.saturating_sub(1);
+            state.changed = true;
         }
     }
 
@@ -543,6 +549,7 @@
     pub fn end(&mut self, now: Moment, id: &ServerId, outcome: ServerOutcome) {
         let Some(state) = self.servers.get_mut(id) else { return };
         note_change(state, &self.others);
+        state.changed = true;
         state.own.in_flight = state.own.in_flight.saturating_sub(1);
         match outcome {
             ServerOutcome::Answered => {
--- a/crates/daemon/src/agent/loader.rs
+++ b/crates/daemon/src/agent/loader.rs
@@ -29,6 +29,7 @@
         ChunkReader, FolderReader, OutsideFetcher, OutsideSource, escape_path, manifest_from_peer,
     },
     hub::SwarmHub,
+    notes::ChannelCarrier,
     swarm::{self, DriverInput, SwarmTools, peer_key},
     vault::ChunkVault,
 };
@@ -233,6 +234,7 @@
             node: self.node.clone(),
             vault: self.vault.clone(),
             down: self.fetcher.down(),
+            carrier: Arc::new(ChannelCarrier(self.node.clone())),
             origin: origin.map(reader),
             store: store.map(reader),
         }
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -5,6 +5,7 @@
 pub mod fetch;
 pub mod hub;
 pub mod loader;
+pub mod notes;
 pub mod serve;
 pub mod swarm;
 pub mod vault;
--- a/crates/daemon/src/agent/swarm.rs
+++ b/crates/daemon/src/agent/swarm.rs
@@ -22,6 +22,7 @@
 
 use super::{
     fetch::{ChunkReader, PeerAsk, fetch_from_peer},
+    notes::NoteCarrier,
     vault::ChunkVault,
 };
 use crate::node::{NodeContext, codec};
@@ -124,6 +125,8 @@
     pub vault: Arc<ChunkVault>,
     /// This box's link inwards.
     pub down: Arc<LinkPacer>,
+    /// Carries notes to other boxes.
+    pub carrier: Arc<dyn NoteCarrier>,
     /// The origin.
     pub origin: Option<Arc<dyn ChunkReader>>,
     /// The store.
@@ -316,7 +319,7 @@
 
     fn send_notes(&self, to: PeerKey, notes: Vec<SwarmNote>) {
         let Some(address) = self.addresses.get(&to).copied() else { return };
-        let node = self.tools.node.clone();
+        let node = &self.tools.node;
         let pulse = self.planner.pulse();
         let message = SwarmNotes {
             manifest: Bytes::copy_from_slice(self.manifest.digest().as_bytes()),
@@ -326,12 +329,11 @@
             drawn: pulse.drawn,
         };
         let inputs = self.own_inputs.clone();
-        tokio::spawn(async move {
-            if node.channels.node(address).tell(message).await.is_err() {
-                // The driver may have ended; then nobody needs to know.
-                let _ = inputs.send(DriverInput::Event(SwarmEvent::Lost(to))).await;
-            }
-        });
+        let lost = move || {
+            // A driver that has ended, or that has too much to do, learns it from the silence.
+            let _ = inputs.try_send(DriverInput::Event(SwarmEvent::Lost(to)));
+        };
+        self.tools.carrier.send(address, message, Box::new(lost));
     }
 }
 
--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -3,16 +3,13 @@
 
 use std::{
     collections::HashMap,
-    sync::{
-        Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, atomic::AtomicBool},
     time::Duration,
 };
 
 use error_stack::{Report, ResultExt};
 use headlatch_core::{
-    direct::peers::{DomainKey, PeerKind, PeerTable, ServerNotice, WantedNotice},
+    direct::peers::{DomainKey, PeerTable, ServerNotice, WantedNotice},
     membership::NodeKind,
     time::Moment,
 };
@@ -29,16 +26,17 @@
 };
 use headlatch_wire::node_server::NodeServer;
 use serde_json::json;
-use tokio::{net::UdpSocket, task::JoinHandle};
+use tokio::task::JoinHandle;
 use tokio_stream::wrappers::TcpListenerStream;
 use volo_http::server::Router;
 
 use super::{
+    agent_notices,
     agent_plan::AgentPlan,
+    datagram::DatagramCarrier,
     facts::{AlwaysOpen, FactNews, follow, set_facts},
-    notices::{self, NoticeBody, NoticeWriter},
     stager::Stager,
-    transfer::TransferDesk,
+    transfer::{TransferDesk, TransferLinks},
 };
 use crate::{
     agent::{bind_control, hub::SwarmHub, vault::ChunkVault},
@@ -88,11 +86,12 @@
     wanted: Mutex<HashMap<ModelName, Vec<(WeightVersion, Moment)>>>,
     /// What is told of the server.
     pub(super) notice: Mutex<ServerNotice>,
-    news: tokio::sync::Notify,
+    /// What is told of the server has changed.
+    pub(super) news: tokio::sync::Notify,
     /// The server is about to change: entries must hear of it.
     pub(super) draining: AtomicBool,
     /// Has the wanted weights read anew.
-    weights_nudge: Arc<tokio::sync::Notify>,
+    pub(super) weights_nudge: Arc<tokio::sync::Notify>,
     /// Wakes the stager when another version is wanted.
     pub(super) wanted_news: tokio::sync::Notify,
 }
@@ -132,6 +131,7 @@
         for seed in &settings.direct.seeds {
             peers.suggest(Moment::ZERO, *seed);
         }
+        peers.set_mesh_limit(settings.direct.mesh_limit);
         let notice = ServerNotice {
             address: settings.server,
             whole: None,
@@ -162,7 +162,10 @@
         let (up, down) = (Arc::new(LinkPacer::new(rate)), Arc::new(LinkPacer::new(down)));
         let hub = Arc::new(SwarmHub::new(vault.clone(), up, node.metrics.clone()));
         let (stop, signal) = StopHandle::new();
-        let transfers = TransferDesk::new(state.clone(), outside.clone(), hub.clone(), vault, down);
+        let socket = Arc::new(socket);
+        let carrier = Arc::new(DatagramCarrier(socket.clone()));
+        let links = TransferLinks { vault, down, carrier };
+        let transfers = TransferDesk::new(state.clone(), outside.clone(), hub.clone(), links);
         let plan = Arc::new(AgentPlan::default());
         let stager = Stager::new(state.clone(), outside.clone(), plan.clone(), transfers);
         let (watched, weights_nudge) = (state.clone(), state.weights_nudge.clone());
@@ -170,8 +173,8 @@
         let tasks = vec![
             tokio::spawn(stager.run()),
             tokio::spawn(plan.run(state.clone(), outside.store.clone())),
-            tokio::spawn(serve_peers(node, hub, listener)),
-            tokio::spawn(run_notices(state.clone(), socket)),
+            tokio::spawn(serve_peers(node, hub.clone(), listener)),
+            tokio::spawn(agent_notices::run(state.clone(), hub.clone(), socket)),
             tokio::spawn(follow(
                 outside.store,
                 FactTopic::Weights,
@@ -213,39 +216,6 @@
     }
 }
 
-async fn run_notices(state: Arc<AgentState>, socket: UdpSocket) {
-    let node = &state.settings.node;
-    let domain = DomainKey::from(&node.domain);
-    let mut writer = NoticeWriter::new(node.control, PeerKind::Agent, domain);
-    let mut ticks = tokio::time::interval(notices::NOTICE_PAUSE);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut buffer = vec![0; notices::MOST_DATAGRAM];
-    loop {
-        tokio::select! {
-            received = socket.recv_from(&mut buffer) => {
-                let Ok((length, _)) = received else { continue };
-                let Some(notice) = notices::decode(&buffer[..length]) else { continue };
-                state.hear_wanted(&notice.wanted);
-                let outcome = lock(&state.peers).hear(state.node.now(), notice);
-                if outcome.after_silence {
-                    state.weights_nudge.notify_one();
-                }
-                continue;
-            }
-            () = state.news.notified() => {}
-            _ = ticks.tick() => {}
-        }
-        let now = state.node.now();
-        lock(&state.peers).expire(now);
-        let server = Some(lock(&state.notice).clone());
-        let repeated = state.draining.load(Ordering::Relaxed);
-        let wanted = state.wanted_notices();
-        let body = NoticeBody { server, repeated, wanted, ..NoticeBody::default() };
-        let mails = writer.tick(&lock(&state.peers), body);
-        mails.iter().for_each(|mail| mail.send(&socket));
-    }
-}
-
 impl AgentState {
     /// Wanted versions of a model with the moments at which they were learnt, oldest first.
     pub(super) fn wanted(&self, model: &ModelName) -> Vec<(WeightVersion, Moment)> {
@@ -262,7 +232,7 @@
 
     /// Takes in which versions a peer knows to be wanted: its watch may have heard what this
     /// agent's has missed.
-    fn hear_wanted(&self, wanted: &[WantedNotice]) {
+    pub(super) fn hear_wanted(&self, wanted: &[WantedNotice]) {
         for one in wanted {
             self.learn_wanted(&one.model, one.version, one.age);
         }
@@ -288,7 +258,7 @@
     }
 
     /// The versions that this agent knows to be wanted, for others.
-    fn wanted_notices(&self) -> Vec<WantedNotice> {
+    pub(super) fn wanted_notices(&self) -> Vec<WantedNotice> {
         let now = self.node.now();
         let wanted = lock(&self.wanted);
         let newest = wanted.iter().filter_map(|(model, versions)| {
--- /dev/null
+++ b/crates/daemon/src/direct/agent_notices.rs
@@ -0,0 +1,117 @@
+//! Sends and hears an agent's notices.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use headlatch_core::direct::{
+    peers::{DomainKey, NoticeOutcome, PeerKind, PeerNotice},
+    relays::{HeardRelays, PeerBundle},
+};
+use tokio::{net::UdpSocket, time::MissedTickBehavior};
+
+use super::{
+    agent::{AgentState, lock},
+    datagram::{Datagram, MOST_DATAGRAM},
+    notices::{NOTICE_PAUSE, NoticeBody, NoticeWriter},
+};
+use crate::{agent::hub::SwarmHub, node::service::SwarmHost};
+
+/// The notices of one agent.
+struct AgentNotices {
+    state: Arc<AgentState>,
+    hub: Arc<SwarmHub>,
+    socket: Arc<UdpSocket>,
+    writer: NoticeWriter,
+    relays: HeardRelays,
+}
+
+/// Sends and hears an agent's notices for ever.
+pub(super) async fn run(state: Arc<AgentState>, hub: Arc<SwarmHub>, socket: Arc<UdpSocket>) {
+    let node = &state.settings.node;
+    let domain = DomainKey::from(&node.domain);
+    let writer = NoticeWriter::new(node.control, PeerKind::Agent, domain);
+    let relays = HeardRelays::default();
+    let mut notices =
+        AgentNotices { state: state.clone(), hub, socket: socket.clone(), writer, relays };
+    let mut ticks = tokio::time::interval(NOTICE_PAUSE);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut buffer = vec![0; MOST_DATAGRAM];
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => {
+                if let Ok((length, _)) = received {
+                    notices.hear(&buffer[..length]);
+                }
+            }
+            () = state.news.notified() => notices.tick(),
+            _ = ticks.tick() => notices.tick(),
+        }
+    }
+}
+
+impl AgentNotices {
+    fn tick(&mut self) {
+        let state = &self.state;
+        let now = state.node.now();
+        lock(&state.peers).expire(now);
+        self.relays.expire(now);
+        let server = Some(lock(&state.notice).clone());
+        let repeated = state.draining.load(Ordering::Relaxed);
+        let wanted = state.wanted_notices();
+        let body = NoticeBody { server, repeated, wanted, ..NoticeBody::default() };
+        let relays = self.relays.usable(now);
+        let peers = lock(&state.peers);
+        let mails = match relays.is_empty() {
+            true => self.writer.tick(&peers, body),
+            false => self.writer.tick_to_relays(&peers, body, &relays),
+        };
+        drop(peers);
+        mails.iter().for_each(|mail| mail.send(&self.socket));
+    }
+
+    fn hear(&mut self, bytes: &[u8]) {
+        match Datagram::decode(bytes) {
+            Some(Datagram::Notice(notice)) => {
+                let wanted = notice.wanted.clone();
+                let outcome = lock(&self.state.peers).hear(self.state.node.now(), *notice);
+                self.take_facts(outcome, &wanted);
+            }
+            Some(Datagram::Bundle(bundle)) => self.hear_bundle(bundle),
+            Some(Datagram::Notes(notes)) => {
+                // Notes of a transfer that has not begun here are kept for a while.
+                let _ = self.hub.take_notes(notes);
+            }
+            None => {}
+        }
+    }
+
+    fn hear_bundle(&mut self, bundle: PeerBundle) {
+        let now = self.state.node.now();
+        let node = &self.state.settings.node;
+        if bundle.domain == DomainKey::from(&node.domain) {
+            self.relays.note(now, bundle.from, bundle.age_of(node.control));
+        }
+        let mut peers = lock(&self.state.peers);
+        for roster in &bundle.rosters {
+            peers.hear_roster(now, roster);
+        }
+        let own = bundle.drains.into_iter().filter(|sum| sum.server == self.state.settings.server);
+        own.for_each(|sum| peers.hear_drain_sum(now, bundle.domain, sum));
+        drop(peers);
+        for relayed in bundle.notices {
+            let PeerNotice { wanted, .. } = relayed.notice.clone();
+            let outcome = lock(&self.state.peers).hear_relayed(now, relayed.notice, relayed.age);
+            self.take_facts(outcome, &wanted);
+        }
+    }
+
+    fn take_facts(
+        &self,
+        outcome: NoticeOutcome,
+        wanted: &[headlatch_core::direct::peers::WantedNotice],
+    ) {
+        self.state.hear_wanted(wanted);
+        if outcome.after_silence {
+            self.state.weights_nudge.notify_one();
+        }
+    }
+}
--- a/crates/daemon/src/direct/change.rs
+++ b/crates/daemon/src/direct/change.rs
@@ -80,6 +80,7 @@
         return;
     }
     state.draining.store(true, Ordering::Relaxed);
+    lock(&state.peers).clear_drain_sums();
     let begun = state.node.now();
     loop {
         tokio::time::sleep(DRAIN_LOOK).await;
--- a/crates/daemon/src/direct/entry.rs
+++ b/crates/daemon/src/direct/entry.rs
@@ -17,8 +17,9 @@
 use tokio::{net::UdpSocket, task::JoinHandle};
 
 use super::{
+    entry_notices,
     facts::{AlwaysOpen, ReadGate, follow},
-    front, notices, plan_sync,
+    front, plan_sync,
     state::EntryState,
 };
 use crate::{decisions, error::DaemonError};
@@ -73,7 +74,7 @@
         let front = tokio::spawn(front::serve(state.clone(), listener, signal));
         let mut tasks = vec![
             tokio::spawn(front::serve_admin(state.clone(), admin_listener)),
-            tokio::spawn(notices::run(state.clone(), socket)),
+            tokio::spawn(entry_notices::run(state.clone(), socket)),
             tokio::spawn(plan_sync::serve(state.clone(), peer_listener)),
             tokio::spawn(plan_sync::run(state.clone())),
         ];
--- /dev/null
+++ b/crates/daemon/src/direct/entry_notices.rs
@@ -0,0 +1,311 @@
+//! Sends and hears an entry's notices.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use headlatch_core::direct::{
+    peers::{DomainKey, LoadNotice, NAMED_PEERS, NoticeOutcome, PeerKind, PeerNotice},
+    relays::{HeardRelays, PeerBundle},
+};
+use headlatch_types::traffic::PlanVersion;
+use rand::Rng;
+use serde_json::json;
+use tokio::{
+    net::UdpSocket,
+    time::{Interval, MissedTickBehavior},
+};
+
+use super::{
+    datagram::{Datagram, MOST_DATAGRAM},
+    notices::{NOTICE_PAUSE, NoticeBody, NoticeMail, NoticeWriter},
+    relay_mail::{BundleWriter, RelayView},
+    state::EntryState,
+};
+use crate::decisions;
+
+/// How often a relay looks whether there is something that its members must hear at once.
+const NEWS_PAUSE: Duration = Duration::from_millis(20);
+
+/// Ticks between two times that all agents' words are taken in anew, besides those that change.
+const REFRESH_TICKS: u64 = 10;
+
+/// A peer that is to be answered at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReplyDue {
+    /// It waits for word that its server gets nothing more.
+    Drain(SocketAddr),
+    /// It has just been found: names help it to find others.
+    Names(SocketAddr),
+    /// Relays wait for word that some server gets nothing more.
+    Relays,
+}
+
+/// Whom this entry tells of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum NoticeReach {
+    /// Everybody.
+    Mesh,
+    /// Relays, which tell the others.
+    Members(Vec<SocketAddr>),
+    /// It relays itself, at this rank, beside these.
+    Relay(usize, Vec<SocketAddr>),
+}
+
+/// The notices of one entry.
+struct EntryNotices {
+    state: Arc<EntryState>,
+    socket: UdpSocket,
+    writer: NoticeWriter,
+    bundles: BundleWriter,
+    relays: HeardRelays,
+    reach: NoticeReach,
+    ticks: u64,
+}
+
+fn interval(pause: Duration) -> Interval {
+    let mut ticks = tokio::time::interval(pause);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    ticks
+}
+
+/// Sends and hears an entry's notices for ever.
+pub async fn run(state: Arc<EntryState>, socket: UdpSocket) {
+    let node = &state.settings.node;
+    let domain = DomainKey::from(&node.domain);
+    let writer = NoticeWriter::new(node.control, PeerKind::Entry, domain);
+    let mut notices = EntryNotices {
+        state: state.clone(),
+        socket,
+        writer,
+        bundles: BundleWriter::new(domain),
+        relays: HeardRelays::default(),
+        reach: NoticeReach::Mesh,
+        ticks: 0,
+    };
+    let (mut ticks, mut news_ticks) = (interval(NOTICE_PAUSE), interval(NEWS_PAUSE));
+    let mut buffer = vec![0; MOST_DATAGRAM];
+    loop {
+        let relays = matches!(notices.reach, NoticeReach::Relay(..));
+        tokio::select! {
+            received = notices.socket.recv_from(&mut buffer) => {
+                if let Ok((length, _)) = received {
+                    notices.hear(&buffer[..length]);
+                }
+            }
+            () = state.load_news.notified() => notices.tell_changes(),
+            _ = ticks.tick() => notices.tick(),
+            _ = news_ticks.tick(), if relays => notices.relay_news(),
+        }
+    }
+}
+
+impl EntryNotices {
+    fn tell_changes(&mut self) {
+        let changes = self.state.servers().take_changes();
+        if !changes.is_empty() {
+            let mail = self.writer.changes(&self.state.peers(), changes);
+            mail.send(&self.socket);
+        }
+    }
+
+    fn tick(&mut self) {
+        self.ticks += 1;
+        let now = self.state.now();
+        if self.state.refresh_loads() || self.ticks.is_multiple_of(REFRESH_TICKS) {
+            self.state.refresh_notices();
+        }
+        self.relays.expire(now);
+        self.choose_reach();
+        if self.reach == NoticeReach::Mesh {
+            // The full list that goes out tells the changes as well.
+            let _ = self.state.servers().take_changes();
+            let body = entry_body(&self.state);
+            let mails = self.writer.tick(&self.state.peers(), body);
+            return self.send(&mails);
+        }
+        if self.writer.is_change_turn() {
+            self.tell_changes();
+        }
+        let body = entry_body(&self.state);
+        if let NoticeReach::Relay(rank, _) = self.reach {
+            let mails = self.relay_mails(rank, body.clone(), BundleWriter::turn);
+            self.send(&mails);
+        }
+        let relays = self.other_relays();
+        let mails = self.writer.tick_to_relays(&self.state.peers(), body, &relays);
+        self.send(&mails);
+    }
+
+    fn relay_news(&mut self) {
+        let NoticeReach::Relay(rank, _) = self.reach else { return };
+        let mails = self.relay_mails(rank, facts_body(&self.state), BundleWriter::news);
+        self.send(&mails);
+    }
+
+    fn relay_mails(
+        &mut self,
+        rank: usize,
+        body: NoticeBody,
+        compose: impl Fn(&mut BundleWriter, &RelayView<'_>) -> Vec<NoticeMail>,
+    ) -> Vec<NoticeMail> {
+        let drains = self.state.servers().drains();
+        let own = self.writer.facts(body);
+        let peers = self.state.peers();
+        let view = RelayView { now: self.state.now(), rank, peers: &peers, own, drains: &drains };
+        compose(&mut self.bundles, &view)
+    }
+
+    fn choose_reach(&mut self) {
+        let usable = self.relays.usable(self.state.now());
+        let rank = self.state.peers().relay_rank();
+        let reach = match rank {
+            Some(rank) => NoticeReach::Relay(rank, usable),
+            None if usable.is_empty() => NoticeReach::Mesh,
+            None => NoticeReach::Members(usable),
+        };
+        if std::mem::discriminant(&reach) != std::mem::discriminant(&self.reach) {
+            decisions::note("peers", "reach", json!({ "reach": format!("{reach:?}") }));
+        }
+        self.reach = reach;
+    }
+
+    /// Relays other than this entry.
+    fn other_relays(&self) -> Vec<SocketAddr> {
+        match &self.reach {
+            NoticeReach::Mesh => Vec::new(),
+            NoticeReach::Members(relays) | NoticeReach::Relay(_, relays) => relays.clone(),
+        }
+    }
+
+    fn send(&self, mails: &[NoticeMail]) {
+        mails.iter().for_each(|mail| mail.send(&self.socket));
+    }
+
+    fn hear(&mut self, bytes: &[u8]) {
+        let reply = match Datagram::decode(bytes) {
+            Some(Datagram::Notice(notice)) => hear_notice(&self.state, *notice),
+            Some(Datagram::Bundle(bundle)) => self.hear_bundle(bundle),
+            // Entries take no part in transfers.
+            Some(Datagram::Notes(_)) | None => None,
+        };
+        if let Some(reply) = reply {
+            let mail = self.answer(reply);
+            mail.send(&self.socket);
+        }
+    }
+
+    fn hear_bundle(&mut self, bundle: PeerBundle) -> Option<ReplyDue> {
+        let state = self.state.clone();
+        let now = state.now();
+        let own = state.settings.node.control;
+        if bundle.domain == DomainKey::from(&state.settings.node.domain) {
+            self.relays.note(now, bundle.from, bundle.age_of(own));
+        }
+        for roster in &bundle.rosters {
+            state.peers().hear_roster(now, roster);
+        }
+        let mut changing = false;
+        for relayed in bundle.notices {
+            let notice = relayed.notice.clone();
+            let outcome = state.peers().hear_relayed(now, relayed.notice, relayed.age);
+            changing |= take_facts(&state, &outcome, &notice);
+        }
+        changing.then_some(ReplyDue::Relays)
+    }
+
+    fn answer(&mut self, reply: ReplyDue) -> NoticeMail {
+        let state = &self.state;
+        let drains = state.servers().drains();
+        let body = NoticeBody { drains, ..facts_body(state) };
+        match reply {
+            ReplyDue::Drain(to) => {
+                NoticeMail { bytes: self.writer.write(body, Vec::new()), targets: vec![to] }
+            }
+            ReplyDue::Names(to) => {
+                let names = state.peers().named(rand::rng().random_range(0..NAMED_PEERS * 4));
+                let loads = state.servers().own_loads();
+                let body = NoticeBody { loads, ..body };
+                NoticeMail { bytes: self.writer.write(body, names), targets: vec![to] }
+            }
+            ReplyDue::Relays => {
+                let loads = state.servers().own_loads();
+                let wanted = state.wanted_notices();
+                let body = NoticeBody { loads, wanted, ..body };
+                let targets = self.other_relays();
+                NoticeMail { bytes: self.writer.write(body, Vec::new()), targets }
+            }
+        }
+    }
+}
+
+/// What an entry tells at a tick.
+fn entry_body(state: &EntryState) -> NoticeBody {
+    let servers = state.servers();
+    let (loads, drains) = (servers.own_loads(), servers.drains());
+    drop(servers);
+    let peers = state.peers();
+    let domain_loads = peers.speaks_for_domain().then(|| {
+        let mut sums = peers.near_loads();
+        for own in &loads {
+            let sum = sums.entry(own.server).or_default();
+            *sum = *sum + own.load;
+        }
+        let busy = sums.into_iter().filter(|(_, load)| load.in_flight > 0);
+        busy.map(|(server, load)| LoadNotice { server, load }).collect()
+    });
+    drop(peers);
+    NoticeBody { wanted: state.wanted_notices(), loads, domain_loads, drains, ..facts_body(state) }
+}
+
+/// What an entry tells of its copies of the store's facts.
+fn facts_body(state: &EntryState) -> NoticeBody {
+    NoticeBody {
+        plan: state.plan_version().0,
+        servers: state.newest_servers(),
+        leaving: state.servers().recently_leaving(state.now()),
+        reads_store: state.plan.reads_store(state.now()),
+        ..NoticeBody::default()
+    }
+}
+
+/// Takes in a notice; the sender, if it is to be answered at once.
+fn hear_notice(state: &EntryState, notice: PeerNotice) -> Option<ReplyDue> {
+    let facts = notice.clone();
+    let changed: Vec<u32> = notice.loads.iter().map(|load| load.server).collect();
+    let outcome = state.peers().hear(state.now(), notice);
+    take_facts(state, &outcome, &facts);
+    state.refresh_loads_of(&changed);
+    let found = outcome.joined.then_some(ReplyDue::Names(facts.from));
+    let server = facts.server.filter(|server| server.changing);
+    server.map(|_| ReplyDue::Drain(facts.from)).or(found)
+}
+
+/// Takes in what a notice says besides its sender's load; tells whether a server has said that it is
+/// about to change.
+fn take_facts(state: &EntryState, outcome: &NoticeOutcome, notice: &PeerNotice) -> bool {
+    state.hear_wanted(&notice.wanted);
+    if outcome.after_silence {
+        state.read_store_anew();
+    }
+    if notice.kind == PeerKind::Entry && !notice.changes_only {
+        state.hear_peer_plan(PlanVersion(notice.plan));
+    }
+    state.hear_leaving(&notice.leaving);
+    state.hear_peer_servers(notice.servers);
+    if outcome.joined {
+        decisions::note("peers", "found", json!({ "peer": notice.from }));
+    }
+    let Some(server) = notice.server.clone().filter(|_| outcome.server_changed) else {
+        return false;
+    };
+    let changing = server.changing;
+    // One entry of a failure domain writes down for all of them what an agent tells.
+    if state.peers().speaks_for_domain() {
+        let fields = json!({
+            "address": server.address, "whole": server.whole, "changing": changing,
+            "staged": server.staged,
+        });
+        decisions::note("servers", "agent_told", fields);
+    }
+    state.servers().set_notice(server.address, Some(server));
+    changing
+}
--- a/crates/daemon/src/direct/notice_codec.rs
+++ b/crates/daemon/src/direct/notice_codec.rs
@@ -16,7 +16,7 @@
 use prost::Message;
 
 /// An address as bytes: the IP number, then the port.
-fn address_bytes(address: &SocketAddr) -> Vec<u8> {
+pub(super) fn address_bytes(address: &SocketAddr) -> Vec<u8> {
     let mut bytes = match address.ip() {
         IpAddr::V4(ip) => ip.octets().to_vec(),
         IpAddr::V6(ip) => ip.octets().to_vec(),
@@ -26,7 +26,7 @@
 }
 
 /// The address that bytes stand for; none if they are not one.
-fn address_of(bytes: &[u8]) -> Option<SocketAddr> {
+pub(super) fn address_of(bytes: &[u8]) -> Option<SocketAddr> {
     let (ip, port) = bytes.split_last_chunk::<2>()?;
     let port = u16::from_be_bytes(*port);
     let ip = match ip.len() {
@@ -78,6 +78,11 @@
 
 /// Encodes a notice.
 pub fn encode(notice: &PeerNotice) -> Vec<u8> {
+    encode_message(notice).encode_to_vec()
+}
+
+/// A notice as a message.
+pub(super) fn encode_message(notice: &PeerNotice) -> wire::PeerNotice {
     let server = notice.server.as_ref().map(|server| wire::NoticeServer {
         address: address_bytes(&server.address),
         whole: server.whole.unwrap_or_default().0,
@@ -92,7 +97,7 @@
         waiting: drain.waiting,
     };
     let domain_loads = notice.domain_loads.as_deref().unwrap_or_default();
-    let message = wire::PeerNotice {
+    wire::PeerNotice {
         from: address_bytes(&notice.from),
         agent: notice.kind == PeerKind::Agent,
         life: notice.life,
@@ -110,8 +115,7 @@
         domain_loads: domain_loads.iter().map(encode_load).collect(),
         tells_domain: notice.domain_loads.is_some(),
         wanted: notice.wanted.iter().map(encode_wanted).collect(),
-    };
-    message.encode_to_vec()
+    }
 }
 
 fn version(number: u64) -> Option<WeightVersion> {
@@ -120,7 +124,11 @@
 
 /// Decodes a notice; none if the bytes are not one.
 pub fn decode(bytes: &[u8]) -> Option<PeerNotice> {
-    let message = wire::PeerNotice::decode(bytes).ok()?;
+    decode_message(wire::PeerNotice::decode(bytes).ok()?)
+}
+
+/// A notice from a message; none if it is not one.
+pub(super) fn decode_message(message: wire::PeerNotice) -> Option<PeerNotice> {
     let server = match message.server {
         None => None,
         Some(server) => Some(ServerNotice {
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -1,6 +1,6 @@
-//! Sends and hears notices over UDP.
+//! Writes a process's notices and decides whom they go to.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use headlatch_core::direct::{
     fact_age::ChangeMark,
@@ -10,14 +10,13 @@
         ServerNotice, WantedNotice,
     },
 };
-use headlatch_types::traffic::PlanVersion;
 use rand::Rng;
-use serde_json::json;
 use tokio::net::UdpSocket;
 
-pub use super::notice_codec::{decode, encode};
-use super::state::EntryState;
-use crate::decisions;
+pub use super::{
+    datagram::MOST_DATAGRAM,
+    notice_codec::{decode, encode},
+};
 
 /// How often notices go out.
 pub const NOTICE_PAUSE: Duration = Duration::from_millis(100);
@@ -46,8 +45,11 @@
 /// Peers that are told names at one time: what one hears, all hear before long.
 const NAMING_PEERS: usize = 3;
 
-/// Largest datagram.
-pub const MOST_DATAGRAM: usize = 8 << 10;
+/// Ticks between two full lists of what an entry has in progress, where relays tell the rest.
+const FULL_LOAD_TICKS: u64 = 10;
+
+/// Ticks between two words of changes of load that nobody needs to hear at once, there.
+const CHANGE_TICKS: u64 = 3;
 
 /// Writes a process's notices and decides whom they go to.
 #[derive(Debug)]
@@ -61,6 +63,7 @@
     last_loads: Vec<LoadNotice>,
     last_server: Option<ServerNotice>,
     last_facts: (u64, Vec<LeavingNotice>),
+    last_drains: Vec<DrainNotice>,
 }
 
 /// What a process tells now.
@@ -117,6 +120,8 @@
     loads: bool,
     /// The plan, or which servers leave, is not what it was.
     facts: bool,
+    /// Which servers get nothing, or what waits at them, is not what it was.
+    drains: bool,
     /// The own failure domain hears that this process lives.
     near: bool,
     /// Other failure domains hear that this process lives.
@@ -137,23 +142,62 @@
             last_loads: Vec::new(),
             last_server: None,
             last_facts: (0, Vec::new()),
+            last_drains: Vec::new(),
         }
     }
 
-    /// The notices of this tick.
-    pub fn tick(&mut self, peers: &PeerTable, body: NoticeBody) -> Vec<NoticeMail> {
+    fn begin_tick(&mut self, body: &NoticeBody) -> TickDue {
         self.tick += 1;
         let due = TickDue {
             news: body.server != self.last_server,
             repeated: body.repeated,
             loads: body.loads != self.last_loads,
             facts: self.last_facts != (body.plan, body.leaving.clone()),
+            drains: self.last_drains != body.drains,
             near: self.tick.is_multiple_of(NEAR_TICKS),
             far: self.is_turn(FAR_TICKS),
         };
         self.last_loads.clone_from(&body.loads);
         self.last_facts = (body.plan, body.leaving.clone());
+        self.last_drains.clone_from(&body.drains);
         self.last_server.clone_from(&body.server);
+        due
+    }
+
+    /// The notices of this tick where relays hand on what they are told: relays hear what is new,
+    /// and entries of the own failure domain what is in progress.
+    pub fn tick_to_relays(
+        &mut self,
+        peers: &PeerTable,
+        body: NoticeBody,
+        relays: &[SocketAddr],
+    ) -> Vec<NoticeMail> {
+        let due = self.begin_tick(&body);
+        let is_due = due.news || due.repeated || due.facts || due.drains || due.near;
+        let mut targets = if is_due { relays.to_vec() } else { Vec::new() };
+        if self.kind == PeerKind::Entry && self.is_turn(FULL_LOAD_TICKS) {
+            let entries = near_entries(peers).filter(|entry| !targets.contains(entry));
+            targets.extend(entries.collect::<Vec<_>>());
+        }
+        if self.is_candidates_turn() {
+            targets.extend(peers.candidates());
+        }
+        if targets.is_empty() {
+            return Vec::new();
+        }
+        let bytes = self.write(NoticeBody { domain_loads: None, ..body }, Vec::new());
+        vec![NoticeMail { bytes, targets }]
+    }
+
+    /// Whether changes of load that nobody needs to hear at once are to be told at this tick, where
+    /// relays tell the rest.
+    pub fn is_change_turn(&self) -> bool {
+        self.is_turn(CHANGE_TICKS)
+    }
+
+    /// The notices of this tick where everybody tells everybody.
+    pub fn tick(&mut self, peers: &PeerTable, body: NoticeBody) -> Vec<NoticeMail> {
+        let due = self.begin_tick(&body);
         let mut mails = Vec::new();
         if let Some(loads) = body.domain_loads.clone().filter(|_| self.is_turn(DOMAIN_TICKS)) {
             mails.push(self.domain_mail(peers, &body, loads));
@@ -231,9 +275,7 @@
 
     /// What has changed at busy servers, for the entries of the own failure domain.
     pub fn changes(&mut self, peers: &PeerTable, loads: Vec<LoadNotice>) -> NoticeMail {
-        let near = peers.living().filter(|peer| peers.is_near(peer));
-        let entries = near.filter(|peer| peer.notice.kind == PeerKind::Entry);
-        let targets = entries.map(|peer| peer.notice.from).collect();
+        let targets = near_entries(peers).collect();
         let body = NoticeBody { loads, ..NoticeBody::default() };
         NoticeMail { bytes: encode(&self.notice(body, Vec::new(), true)), targets }
     }
@@ -243,6 +285,12 @@
         encode(&self.notice(body, named, false))
     }
 
+    /// What this process tells of itself, for a relay to hand on.
+    pub fn facts(&mut self, body: NoticeBody) -> PeerNotice {
+        let body = NoticeBody { loads: Vec::new(), drains: Vec::new(), ..body };
+        self.notice(body, Vec::new(), false)
+    }
+
     fn notice(
         &mut self,
         body: NoticeBody,
@@ -271,131 +319,8 @@
     }
 }
 
-/// Sends and hears an entry's notices for ever.
-pub async fn run(state: Arc<EntryState>, socket: UdpSocket) {
-    let node = &state.settings.node;
-    let domain = DomainKey::from(&node.domain);
-    let mut writer = NoticeWriter::new(node.control, PeerKind::Entry, domain);
-    let mut ticks = tokio::time::interval(NOTICE_PAUSE);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut buffer = vec![0; MOST_DATAGRAM];
-    loop {
-        tokio::select! {
-            received = socket.recv_from(&mut buffer) => {
-                let Ok((length, _)) = received else { continue };
-                if let Some(reply) = hear(&state, &buffer[..length]) {
-                    answer(&state, &mut writer, reply).send(&socket);
-                }
-            }
-            () = state.load_news.notified() => {
-                let changes = state.servers().take_changes();
-                if !changes.is_empty() {
-                    let mail = writer.changes(&state.peers(), changes);
-                    mail.send(&socket);
-                }
-            }
-            _ = ticks.tick() => {
-                state.refresh_loads();
-                state.refresh_notices();
-                let body = entry_body(&state);
-                let mails = writer.tick(&state.peers(), body);
-                mails.iter().for_each(|mail| mail.send(&socket));
-            }
-        }
-    }
-}
-
-/// What an entry tells at a tick.
-fn entry_body(state: &EntryState) -> NoticeBody {
-    let mut servers = state.servers();
-    let (loads, drains) = (servers.own_loads(), servers.drains());
-    // The full list tells them as well.
-    let _ = servers.take_changes();
-    drop(servers);
-    let peers = state.peers();
-    let domain_loads = peers.speaks_for_domain().then(|| {
-        let mut sums = peers.near_loads();
-        for own in &loads {
-            let sum = sums.entry(own.server).or_default();
-            *sum = *sum + own.load;
-        }
-        let busy = sums.into_iter().filter(|(_, load)| load.in_flight > 0);
-        busy.map(|(server, load)| LoadNotice { server, load }).collect()
-    });
-    drop(peers);
-    NoticeBody { wanted: state.wanted_notices(), loads, domain_loads, drains, ..facts_body(state) }
-}
-
-/// What an entry tells of its copies of the store's facts.
-fn facts_body(state: &EntryState) -> NoticeBody {
-    NoticeBody {
-        plan: state.plan_version().0,
-        servers: state.newest_servers(),
-        leaving: state.servers().recently_leaving(state.now()),
-        reads_store: state.plan.reads_store(state.now()),
-        ..NoticeBody::default()
-    }
-}
-
-/// A peer that is to be answered at once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ReplyDue {
-    /// It waits for word that its server gets nothing more.
-    Drain(SocketAddr),
-    /// It has just been found: names help it to find others.
-    Names(SocketAddr),
-}
-
-fn answer(state: &EntryState, writer: &mut NoticeWriter, reply: ReplyDue) -> NoticeMail {
-    let drains = state.servers().drains();
-    let body = NoticeBody { drains, ..facts_body(state) };
-    match reply {
-        ReplyDue::Drain(to) => {
-            NoticeMail { bytes: writer.write(body, Vec::new()), targets: vec![to] }
-        }
-        ReplyDue::Names(to) => {
-            let names = state.peers().named(rand::rng().random_range(0..NAMED_PEERS * 4));
-            let loads = state.servers().own_loads();
-            let body = NoticeBody { loads, ..body };
-            NoticeMail { bytes: writer.write(body, names), targets: vec![to] }
-        }
-    }
-}
-
-/// Takes in a notice; the sender, if it is to be answered at once.
-fn hear(state: &EntryState, bytes: &[u8]) -> Option<ReplyDue> {
-    let notice = decode(bytes)?;
-    let (from, server) = (notice.from, notice.server.clone());
-    let changed: Vec<u32> = notice.loads.iter().map(|load| load.server).collect();
-    let now = state.now();
-    let plan = (notice.kind == PeerKind::Entry && !notice.changes_only)
-        .then_some(PlanVersion(notice.plan));
-    let (wanted, servers) = (notice.wanted.clone(), notice.servers);
-    let leaving = notice.leaving.clone();
-    let outcome = state.peers().hear(now, notice);
-    state.hear_wanted(&wanted);
-    if outcome.after_silence {
-        state.read_store_anew();
-    }
-    if let Some(plan) = plan {
-        state.hear_peer_plan(plan);
-    }
-    state.hear_leaving(&leaving);
-    state.hear_peer_servers(servers);
-    state.refresh_loads_of(&changed);
-    if outcome.joined {
-        decisions::note("peers", "found", json!({ "peer": from }));
-    }
-    let found = outcome.joined.then_some(ReplyDue::Names(from));
-    let Some(server) = server else { return found };
-    let waits = server.changing.then_some(ReplyDue::Drain(from));
-    if outcome.server_changed {
-        let fields = json!({
-            "address": server.address, "whole": server.whole, "changing": server.changing,
-            "staged": server.staged,
-        });
-        state.servers().set_notice(server.address, Some(server));
-        decisions::note("servers", "agent_told", fields);
-    }
-    waits.or(found)
+/// Addresses of the entries of the own failure domain.
+fn near_entries(peers: &PeerTable) -> impl Iterator<Item = SocketAddr> + '_ {
+    let near = peers.living().filter(|peer| peers.is_near(peer));
+    near.filter(|peer| peer.notice.kind == PeerKind::Entry).map(|peer| peer.notice.from)
 }
--- /dev/null
+++ b/crates/daemon/src/direct/relay_mail.rs
@@ -0,0 +1,206 @@
+//! Composes what a relay of a failure domain tells, and whom.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use headlatch_core::{
+    direct::{
+        peers::{DomainKey, DrainNotice, DrainReport, Peer, PeerKind, PeerNotice, PeerTable},
+        relay_outbox::{DueNotices, RelayOutbox},
+        relays::{DomainRoster, DrainSum, PeerBundle, RelayedNotice},
+    },
+    time::Moment,
+};
+
+use super::{datagram::Datagram, notices::NoticeMail};
+
+/// Turns between two lists of who lives in the own failure domain, for its members.
+const NEAR_ROSTER_TURNS: u64 = 2;
+
+/// The same of the own failure domain, for relays of others.
+const OUTWARD_ROSTER_TURNS: u64 = 5;
+
+/// The same of other failure domains, for members: they are dropped after 4.8 s of silence.
+const FAR_ROSTER_TURNS: u64 = 12;
+
+/// Turns between two words of the second relay of what other failure domains have in progress: the
+/// first tells it each turn.
+const SECOND_LOAD_TURNS: u64 = 3;
+
+/// Turns between two words of a drain that has not changed.
+const DRAIN_TURNS: u64 = 3;
+
+/// Largest bundle, in bytes: what is larger is cut in two.
+const MOST_BUNDLE: usize = 6 << 10;
+
+/// What a relay knows at one turn.
+pub(super) struct RelayView<'a> {
+    /// The time.
+    pub now: Moment,
+    /// Its rank among the relays of its failure domain.
+    pub rank: usize,
+    /// The peers.
+    pub peers: &'a PeerTable,
+    /// Its own notice, with what its failure domain has in progress if it is the one to tell.
+    pub own: PeerNotice,
+    /// Servers that it sends nothing to.
+    pub drains: &'a [DrainNotice],
+}
+
+/// Composes the bundles of one relay.
+#[derive(Debug)]
+pub(super) struct BundleWriter {
+    domain: DomainKey,
+    turn: u64,
+    outbox: RelayOutbox,
+    told_drains: BTreeMap<SocketAddr, DrainReport>,
+}
+
+impl BundleWriter {
+    /// The writer of a relay in `domain` that has told nothing yet.
+    pub(super) fn new(domain: DomainKey) -> Self {
+        Self { domain, turn: 0, outbox: RelayOutbox::default(), told_drains: BTreeMap::new() }
+    }
+
+    /// What is due at a regular turn, every 100 ms.
+    pub(super) fn turn(&mut self, view: &RelayView<'_>) -> Vec<NoticeMail> {
+        self.turn += 1;
+        let repeats = self.turn.is_multiple_of(NEAR_ROSTER_TURNS);
+        let due = self.outbox.take_due(view.now, view.peers, repeats);
+        let mut mails = self.member_mails(view, &due);
+        mails.extend(self.outward_mail(view, &due));
+        mails.extend(self.drain_mails(view, self.turn.is_multiple_of(DRAIN_TURNS)));
+        mails
+    }
+
+    /// What cannot wait for the next turn.
+    pub(super) fn news(&mut self, view: &RelayView<'_>) -> Vec<NoticeMail> {
+        let due = self.outbox.take_due(view.now, view.peers, false);
+        let mut mails = self.drain_mails(view, false);
+        let agents = self.bundle(view, Vec::new(), due.agents.clone());
+        let entries = [due.agents, due.entries].concat();
+        let entries = self.bundle(view, Vec::new(), entries);
+        let outward = self.bundle(view, Vec::new(), due.near_agents);
+        mails.extend(mail(agents, members(view, PeerKind::Agent)));
+        mails.extend(mail(entries, members(view, PeerKind::Entry)));
+        mails.extend(mail(outward, view.peers.far_relays()));
+        mails
+    }
+
+    fn bundle(
+        &self,
+        view: &RelayView<'_>,
+        rosters: Vec<DomainRoster>,
+        notices: Vec<RelayedNotice>,
+    ) -> PeerBundle {
+        PeerBundle { rosters, notices, ..PeerBundle::empty(view.own.from, self.domain) }
+    }
+
+    fn member_mails(&self, view: &RelayView<'_>, due: &DueNotices) -> Vec<NoticeMail> {
+        let roster = |domain| view.peers.roster(view.now, domain, view.own.kind);
+        let mut rosters = Vec::new();
+        if self.turn.is_multiple_of(NEAR_ROSTER_TURNS) {
+            rosters.push(roster(self.domain));
+        }
+        if self.turn.is_multiple_of(FAR_ROSTER_TURNS) {
+            rosters.extend(view.peers.far_domains().into_iter().map(roster));
+        }
+        let own = PeerNotice { domain_loads: None, ..view.own.clone() };
+        let own = RelayedNotice { notice: own, age: std::time::Duration::ZERO };
+        let mut for_agents = due.agents.clone();
+        // Agents need only who lives, and what is wanted.
+        if !rosters.is_empty() {
+            let facts = PeerNotice { leaving: Vec::new(), ..own.notice.clone() };
+            for_agents.push(RelayedNotice { notice: facts, age: own.age });
+        }
+        let mut for_entries = [due.agents.as_slice(), &due.entries, &[own]].concat();
+        if view.rank == 0 || self.turn.is_multiple_of(SECOND_LOAD_TURNS) {
+            for_entries.extend(far_loads(view));
+        }
+        let agents = self.bundle(view, rosters.clone(), for_agents);
+        let entries = self.bundle(view, rosters, for_entries);
+        let mut mails = mail(agents, members(view, PeerKind::Agent));
+        mails.extend(mail(entries, members(view, PeerKind::Entry)));
+        mails
+    }
+
+    fn outward_mail(&self, view: &RelayView<'_>, due: &DueNotices) -> Vec<NoticeMail> {
+        let mut rosters = Vec::new();
+        if self.turn.is_multiple_of(OUTWARD_ROSTER_TURNS) {
+            rosters.push(view.peers.roster(view.now, self.domain, view.own.kind));
+        }
+        let own = RelayedNotice { notice: view.own.clone(), age: std::time::Duration::ZERO };
+        let notices = [due.near_agents.as_slice(), &[own]].concat();
+        mail(self.bundle(view, rosters, notices), view.peers.far_relays())
+    }
+
+    /// What the entries of the own failure domain say of servers that are about to change, for the
+    /// agents of these.
+    fn drain_mails(&mut self, view: &RelayView<'_>, repeats: bool) -> Vec<NoticeMail> {
+        let mut changing = BTreeSet::new();
+        let mut mails = Vec::new();
+        for peer in view.peers.living() {
+            let Some(server) = peer.notice.server.as_ref().filter(|server| server.changing) else {
+                continue;
+            };
+            changing.insert(server.address);
+            let report = view.peers.near_drain_report(server.address, view.drains);
+            let told = self.told_drains.insert(server.address, report);
+            if told == Some(report) && !repeats {
+                continue;
+            }
+            let drains = vec![DrainSum { server: server.address, report }];
+            let bundle = PeerBundle { drains, ..PeerBundle::empty(view.own.from, self.domain) };
+            let bytes = Datagram::Bundle(bundle).encode();
+            mails.push(NoticeMail { bytes, targets: vec![peer.notice.from] });
+        }
+        self.told_drains.retain(|server, _| changing.contains(server));
+        mails
+    }
+}
+
+/// What other failure domains have in progress, as their entries told.
+fn far_loads(view: &RelayView<'_>) -> Vec<RelayedNotice> {
+    let told = view.peers.domain_loads();
+    let relayed = told.filter_map(|told| {
+        let facts = view.peers.peer(told.teller)?.facts();
+        let notice = PeerNotice { domain_loads: Some(told.loads.clone()), ..facts };
+        Some(RelayedNotice { notice, age: view.now.since(told.heard) })
+    });
+    relayed.collect()
+}
+
+fn members(view: &RelayView<'_>, kind: PeerKind) -> Vec<SocketAddr> {
+    let is_member = |peer: &&Peer| view.peers.is_near(peer) && peer.notice.kind == kind;
+    view.peers.living().filter(is_member).map(|peer| peer.notice.from).collect()
+}
+
+/// The datagrams of a bundle; none if there is nothing in it.
+fn mail(bundle: PeerBundle, targets: Vec<SocketAddr>) -> Vec<NoticeMail> {
+    let is_empty = bundle.rosters.is_empty() && bundle.notices.is_empty();
+    if is_empty || targets.is_empty() {
+        return Vec::new();
+    }
+    let datagrams = datagrams(bundle).into_iter();
+    datagrams.map(|bytes| NoticeMail { bytes, targets: targets.clone() }).collect()
+}
+
+/// A bundle as datagrams that are not too large.
+fn datagrams(bundle: PeerBundle) -> Vec<Vec<u8>> {
+    let bytes = Datagram::Bundle(bundle.clone()).encode();
+    if bytes.len() <= MOST_BUNDLE || bundle.rosters.len() + bundle.notices.len() <= 1 {
+        return vec![bytes];
+    }
+    let PeerBundle { from, domain, mut rosters, mut notices, drains } = bundle;
+    let later_rosters = rosters.split_off(rosters.len().div_ceil(2));
+    let later_notices = notices.split_off(notices.len() / 2);
+    let first = PeerBundle { from, domain, rosters, notices, drains };
+    let rest = PeerBundle {
+        rosters: later_rosters,
+        notices: later_notices,
+        ..PeerBundle::empty(from, domain)
+    };
+    [datagrams(first), datagrams(rest)].concat()
+}
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -81,6 +81,8 @@
     pub weights_nudge: Arc<Notify>,
     /// How current the list of servers is.
     servers_age: Mutex<FactAge>,
+    /// Servers have come for which agents may have told something.
+    notices_stale: AtomicBool,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -116,6 +118,7 @@
         for seed in &settings.direct.seeds {
             peers.suggest(Moment::ZERO, *seed);
         }
+        peers.set_mesh_limit(settings.direct.mesh_limit);
         Arc::new(Self {
             headers,
             connections: Connections::default(),
@@ -134,6 +137,7 @@
             servers_nudge: Arc::default(),
             weights_nudge: Arc::default(),
             servers_age: Mutex::default(),
+            notices_stale: AtomicBool::new(false),
             settings,
         })
     }
@@ -374,6 +378,7 @@
             self.peers().suggest(self.now(), machine);
         }
         self.servers().set(self.now(), record, ChangeMark(fact.revision.0));
+        self.notices_stale.store(true, Ordering::Relaxed);
         decisions::note("servers", "set", fields);
     }
 
@@ -401,8 +406,9 @@
         self.weights().work_time(self.now(), &model, version?, time)
     }
 
-    /// Takes in what others have in progress, and what agents tell.
-    pub fn refresh_loads(&self) {
+    /// Takes in what others have in progress; tells whether what agents tell is to be taken in anew
+    /// as well, since some are gone or some servers are new.
+    pub fn refresh_loads(&self) -> bool {
         let (loads, gone, silent, entries) = {
             let mut peers = self.peers();
             let gone = peers.expire(self.now());
@@ -418,9 +424,10 @@
         if news {
             decisions::note("peers", "domains_out_of_reach", json!({ "domains": names }));
         }
-        for peer in gone {
+        for peer in &gone {
             decisions::note("peers", "lost", json!({ "peer": peer }));
         }
+        self.notices_stale.swap(false, Ordering::Relaxed) || !gone.is_empty()
     }
 
     /// Takes in what others have in progress at servers where that has changed.
--- a/crates/daemon/src/direct/transfer.rs
+++ b/crates/daemon/src/direct/transfer.rs
@@ -25,6 +25,7 @@
 };
 use crate::agent::{
     hub::SwarmHub,
+    notes::NoteCarrier,
     swarm::{self, DriverInput, SwarmHandle, SwarmTools},
     vault::ChunkVault,
 };
@@ -70,14 +71,26 @@
     }
 }
 
+/// What every transfer of this box shares.
+#[derive(Debug, Clone)]
+pub struct TransferLinks {
+    /// Pieces that are here.
+    pub vault: Arc<ChunkVault>,
+    /// This machine's link inwards.
+    pub down: Arc<LinkPacer>,
+    /// Carries notes to other boxes.
+    pub carrier: Arc<dyn NoteCarrier>,
+}
+
 /// Begins transfers, and keeps those that others may still need.
 pub struct TransferDesk {
     state: Arc<AgentState>,
     outside: AgentOutside,
     hub: Arc<SwarmHub>,
-    vault: Arc<ChunkVault>,
-    down: Arc<LinkPacer>,
+    links: TransferLinks,
     kept: Vec<Digest>,
+    /// Who was last told to take part.
+    told_seats: Vec<(PeerSeat, SocketAddr)>,
 }
 
 impl TransferDesk {
@@ -86,30 +99,34 @@
         state: Arc<AgentState>,
         outside: AgentOutside,
         hub: Arc<SwarmHub>,
-        vault: Arc<ChunkVault>,
-        down: Arc<LinkPacer>,
+        links: TransferLinks,
     ) -> Self {
-        Self { state, outside, hub, vault, down, kept: Vec::new() }
+        Self { state, outside, hub, links, kept: Vec::new(), told_seats: Vec::new() }
     }
 
-    /// Tells every transfer who takes part: those that hold everything must hear of newcomers as
-    /// well, to offer what they hold.
-    pub fn tell_seats(&self) {
+    /// Tells every transfer who takes part, where that has changed: those that hold everything must
+    /// hear of newcomers as well, to offer what they hold.
+    pub fn tell_seats(&mut self) {
+        let seats = seats::seats(&self.state);
+        if seats == self.told_seats {
+            return;
+        }
         for swarm in self.hub.all() {
-            swarm.tell(DriverInput::Seats(seats::seats(&self.state)));
+            swarm.tell(DriverInput::Seats(seats.clone()));
         }
+        self.told_seats = seats;
     }
 
     /// The bytes of a piece, if it is here.
     pub fn piece(&self, work: &VersionWork, piece: usize) -> Option<Bytes> {
         let place = work.manifest.chunks().get(piece)?;
-        self.vault.get(&place.digest)
+        self.links.vault.get(&place.digest)
     }
 
     /// Which pieces are here.
     pub fn held(&self, work: &VersionWork) -> Vec<bool> {
         let places = work.manifest.chunks().iter();
-        places.map(|place| self.vault.get(&place.digest).is_some()).collect()
+        places.map(|place| self.links.vault.get(&place.digest).is_some()).collect()
     }
 
     /// Reads the manifest of a version from `source`; none if it is to be read later.
@@ -176,8 +193,9 @@
     ) -> SwarmHandle {
         let tools = SwarmTools {
             node: self.state.node.clone(),
-            vault: self.vault.clone(),
-            down: self.down.clone(),
+            vault: self.links.vault.clone(),
+            down: self.links.down.clone(),
+            carrier: self.links.carrier.clone(),
             origin: Some(Arc::new(self.reader(pieces, origin.address))),
             store: None,
         };
@@ -203,7 +221,7 @@
             address,
             model: pieces.model.clone(),
             version: pieces.version,
-            down: self.down.clone(),
+            down: self.links.down.clone(),
         }
     }
 
@@ -229,7 +247,7 @@
         let Some(place) = manifest.chunk(ChunkIndex(piece)) else { return false };
         match self.outside.engine.get(&pieces.model, piece).await {
             Ok(data) => {
-                matches!(self.vault.put(manifest.kind(), place.digest, data), Some(Ok(())))
+                matches!(self.links.vault.put(manifest.kind(), place.digest, data), Some(Ok(())))
             }
             Err(_) => false,
         }
--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -13,7 +13,7 @@
     fact_age::ChangeMark,
     peers::{DomainKey, DrainNotice, PeerKind, PeerNotice, ServerNotice},
 };
-use headlatch_daemon::direct::{entry::DirectEntry, notices, plan_sync};
+use headlatch_daemon::direct::{entry::DirectEntry, entry_notices, notices, plan_sync};
 use headlatch_http::{CallAnswer, Connections};
 use headlatch_outside::{
     OutsideFuture,
@@ -611,7 +611,7 @@
     let bind = || tokio::net::UdpSocket::bind("127.0.0.1:0");
     let (own, agent) = (bind().await.expect("a port"), bind().await.expect("a port"));
     let entry = own.local_addr().expect("it is bound");
-    tokio::spawn(notices::run(setting.entry.state.clone(), own));
+    tokio::spawn(entry_notices::run(setting.entry.state.clone(), own));
     let sender = agent.local_addr().expect("it is bound");
     let notice = PeerNotice {
         server: Some(ServerNotice {
--- a/crates/types/src/direct_settings.rs
+++ b/crates/types/src/direct_settings.rs
@@ -30,6 +30,10 @@
     /// Time in which all servers change to new weights, in milliseconds.
     #[serde(default = "default_weights_ms")]
     pub weights_ms: u64,
+    /// Processes up to which everybody tells everybody; beyond, two entries of each failure domain
+    /// relay.
+    #[serde(default = "default_mesh_limit")]
+    pub mesh_limit: usize,
     /// Address for metrics; none if left out.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub metrics: Option<String>,
@@ -57,6 +61,12 @@
     30_000
 }
 
+/// At 84 processes a mesh takes an entry 3 % of a core; at 269 it takes agents and entries ten times
+/// the control that docs/CAPACITY.md allows.
+fn default_mesh_limit() -> usize {
+    96
+}
+
 /// What direct mode needs, checked.
 #[derive(Debug, Clone)]
 pub struct DirectSettings {
@@ -68,6 +78,8 @@
     pub retry: RawRetry,
     /// Time in which all servers change to new weights.
     pub weights_time: Duration,
+    /// Processes up to which everybody tells everybody.
+    pub mesh_limit: usize,
     /// Address for metrics.
     pub metrics: Option<SocketAddr>,
 }
@@ -131,7 +143,8 @@
     }
     let metrics = raw.metrics.as_deref().map(|text| address("direct.metrics", text)).transpose()?;
     let weights_time = Duration::from_millis(raw.weights_ms);
-    Ok(DirectSettings { zones, seeds, retry: raw.retry, weights_time, metrics })
+    let mesh_limit = raw.mesh_limit;
+    Ok(DirectSettings { zones, seeds, retry: raw.retry, weights_time, mesh_limit, metrics })
 }
 
 pub(crate) fn check_direct_entry(
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,8 +7,10 @@
 
 pub use generated::*;
 
+mod bundle;
 mod notice;
 mod piece_list;
 
+pub use bundle::{BundleDrain, BundleNotice, BundleRoster, PeerBundle};
 pub use notice::{NoticeDrain, NoticeLeaving, NoticeLoad, NoticeServer, NoticeWanted, PeerNotice};
 pub use piece_list::PieceList;
