Have two entries a failure domain read servers and wanted weights, and tell newcomers everything

Change: the gate of the plan holds for all topics of an entry; others take changes of servers from an entry that has them (server_copy, server_sync); an agent reads wanted versions only where no near entry reads the store. A relay tells a newcomer everything at once, and names of relays come first.

--- a/crates/core/src/direct/fact_age.rs
+++ b/crates/core/src/direct/fact_age.rs
@@ -6,10 +6,15 @@
 
 use std::{fmt, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
 use crate::time::Moment;
 
 /// Place of a change in the order of its topic: a version of the plan, or a revision of the store.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
 pub struct ChangeMark(pub u64);
 
 impl fmt::Display for ChangeMark {
@@ -56,6 +61,19 @@
         self.settle();
     }
 
+    /// Another process has handed over everything up to `covered`, of which `newest` is the last
+    /// change.
+    pub fn take_list_from_peer(&mut self, covered: ChangeMark, newest: ChangeMark) {
+        self.covered = self.covered.max(covered).max(newest);
+        self.newest = self.newest.max(newest);
+        self.settle();
+    }
+
+    /// The place up to which no change is missing.
+    pub fn covered(&self) -> ChangeMark {
+        self.covered
+    }
+
     /// Another process has taken in `newest`.
     pub fn note_told(&mut self, now: Moment, newest: ChangeMark) {
         self.told = self.told.max(newest);
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -14,6 +14,7 @@
 pub mod relays;
 pub mod retry_share;
 pub mod route_table;
+pub mod server_copy;
 pub mod server_table;
 pub mod staging;
 pub mod stream_timing;
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -459,6 +459,17 @@
         relays.into_values().flatten().collect()
     }
 
+    /// Peers to name to one that has just been found in `domain`: those that relay there first.
+    pub fn named_to(&self, domain: DomainKey, turn: usize) -> Vec<SocketAddr> {
+        let entries = self.living().filter(|peer| peer.notice.kind == PeerKind::Entry);
+        let relays = entries.filter(|peer| peer.notice.domain == domain).take(RELAYS);
+        let mut named: Vec<SocketAddr> = relays.map(|peer| peer.notice.from).collect();
+        let others = self.named(turn).into_iter().filter(|address| !named.contains(address));
+        let others: Vec<SocketAddr> = others.take(NAMED_PEERS - RELAYS).collect();
+        named.extend(others);
+        named
+    }
+
     /// Who lives in a failure domain, this process among them if it is the own one.
     pub fn roster(&self, now: Moment, domain: DomainKey, own: PeerKind) -> DomainRoster {
         let members = self.living().filter(|peer| peer.notice.domain == domain);
@@ -594,6 +605,20 @@
         newer.filter(|peer| near == self.is_near(peer)).map(|peer| peer.notice.from).collect()
     }
 
+    /// Entries that have taken in a change of servers after `mark`: those of the own failure domain
+    /// if `near` is set, else those of others.
+    pub fn newer_servers(&self, mark: ChangeMark, near: bool) -> Vec<SocketAddr> {
+        let entries = self.living().filter(|peer| peer.notice.kind == PeerKind::Entry);
+        let newer = entries.filter(|peer| peer.notice.servers > mark);
+        newer.filter(|peer| near == self.is_near(peer)).map(|peer| peer.notice.from).collect()
+    }
+
+    /// Whether an entry of the own failure domain is known to read the store.
+    pub fn has_near_reader(&self) -> bool {
+        let mut told = self.near_entries().filter(|peer| peer.notice.life != 0);
+        told.any(|peer| peer.notice.reads_store)
+    }
+
     /// What others have in progress, by the key of the server.
     pub fn loads(&self) -> HashMap<u32, EngineLoad> {
         let mut loads = self.near_loads();
--- a/crates/core/src/direct/relay_outbox.rs
+++ b/crates/core/src/direct/relay_outbox.rs
@@ -69,6 +69,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct RelayOutbox {
     told: BTreeMap<SocketAddr, ToldFacts>,
+    /// Members of the own failure domain that have been told everything once, with their lives.
+    members: BTreeMap<SocketAddr, u64>,
     round: usize,
 }
 
@@ -90,6 +92,27 @@
         due
     }
 
+    /// Members of the own failure domain that have just come: they are to be told everything.
+    pub fn take_newcomers(&mut self, peers: &PeerTable) -> Vec<SocketAddr> {
+        let heard = peers.living().filter(|peer| peers.is_near(peer) && peer.notice.life != 0);
+        let mut newcomers = Vec::new();
+        for peer in heard {
+            let known = self.members.insert(peer.notice.from, peer.notice.life);
+            if known != Some(peer.notice.life) {
+                newcomers.push(peer.notice.from);
+            }
+        }
+        self.members.retain(|address, _| peers.knows(*address));
+        newcomers
+    }
+
+    /// Everything that members are told.
+    pub fn everything(now: Moment, peers: &PeerTable) -> DueNotices {
+        let mut due = DueNotices::default();
+        peers.living().for_each(|peer| due.add(now, peers, peer));
+        due
+    }
+
     /// Whether the facts of a peer have been told; from now on they have.
     fn is_told(&mut self, peer: &Peer) -> bool {
         let told = self.told.get(&peer.notice.from);
--- /dev/null
+++ b/crates/core/tests/server_copy.rs
@@ -0,0 +1,81 @@
+//! The list of servers as entries hand it to each other.
+
+use googletest::prelude::*;
+use headlatch_core::direct::{
+    fact_age::ChangeMark,
+    server_copy::{GoneServer, MarkedRecord, ServerChanges, ServerCopy},
+};
+use headlatch_types::traffic::{ServerId, ServerRecord};
+
+fn record(id: &str, draining: bool) -> ServerRecord {
+    ServerRecord {
+        id: ServerId(id.into()),
+        service: "s".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: "z1".parse().expect("a name"),
+        slots: 8,
+        draining,
+        models: Vec::new(),
+    }
+}
+
+fn marked(id: &str, revision: u64) -> MarkedRecord {
+    MarkedRecord { revision: ChangeMark(revision), record: record(id, false) }
+}
+
+fn changes(covered: u64, whole: bool, set: Vec<MarkedRecord>, gone: &[&str]) -> ServerChanges {
+    let gone = gone.iter().map(|id| GoneServer {
+        // The store tells the revision of the last change of what is gone.
+        revision: ChangeMark(1),
+        id: ServerId((*id).into()),
+    });
+    let newest = ChangeMark(covered);
+    ServerChanges { covered: ChangeMark(covered), newest, whole, set, gone: gone.collect() }
+}
+
+fn ids(changes: &ServerChanges) -> Vec<String> {
+    changes.set.iter().map(|marked| marked.record.id.0.to_string()).collect()
+}
+
+#[gtest]
+fn nothing_is_handed_out_before_the_first_list() {
+    expect_that!(ServerCopy::default().changes_after(ChangeMark(0)), none());
+}
+
+#[gtest]
+fn who_is_a_little_behind_gets_what_has_changed_since() {
+    let mut copy = ServerCopy::default();
+    copy.take(&changes(10, true, vec![marked("a", 1), marked("b", 2)], &[]));
+    copy.take(&changes(12, false, vec![marked("c", 12)], &[]));
+    copy.take(&changes(14, false, Vec::new(), &["a"]));
+    let told = copy.changes_after(ChangeMark(10)).expect("a list is here");
+    expect_that!(told.whole, eq(false));
+    expect_that!(ids(&told), elements_are![eq("c")]);
+    expect_that!(told.gone.len(), eq(1));
+    expect_that!(told.covered, eq(ChangeMark(14)));
+    let told = copy.changes_after(ChangeMark(14)).expect("a list is here");
+    expect_that!(ids(&told), is_empty());
+    expect_that!(told.gone.len(), eq(0));
+}
+
+#[gtest]
+fn who_knows_nothing_gets_the_whole_list() {
+    let mut copy = ServerCopy::default();
+    copy.take(&changes(10, true, vec![marked("a", 1), marked("b", 2)], &[]));
+    let told = copy.changes_after(ChangeMark(0)).expect("a list is here");
+    expect_that!(told.whole, eq(true));
+    expect_that!(ids(&told), elements_are![eq("a"), eq("b")]);
+}
+
+#[gtest]
+fn a_server_that_a_later_list_lacks_is_gone_for_others_as_well_until_it_is_back() {
+    let mut copy = ServerCopy::default();
+    copy.take(&changes(10, true, vec![marked("a", 1), marked("b", 2)], &[]));
+    copy.take(&changes(20, true, vec![marked("b", 2)], &[]));
+    let told = copy.changes_after(ChangeMark(10)).expect("a list is here");
+    expect_that!(told.gone.first().map(|gone| gone.id.0.to_string()), some(eq("a")));
+    copy.take(&changes(25, false, vec![marked("a", 25)], &[]));
+    let told = copy.changes_after(ChangeMark(10)).expect("a list is here");
+    expect_that!(told.gone.len(), eq(0));
+    expect_that!(ids(&told), elements_are![eq("a")]);
+}
--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -34,7 +34,7 @@
     agent_notices,
     agent_plan::AgentPlan,
     datagram::DatagramCarrier,
-    facts::{AlwaysOpen, FactNews, follow, set_facts},
+    facts::{FactNews, ReadGate, follow, set_facts},
     stager::Stager,
     transfer::{TransferDesk, TransferLinks},
 };
@@ -179,7 +179,7 @@
                 outside.store,
                 FactTopic::Weights,
                 weights_nudge,
-                Arc::new(AlwaysOpen),
+                Arc::new(WantedGate(state.clone())),
                 move |news| {
                     watched.hear_weights(news);
                 },
@@ -216,6 +216,23 @@
     }
 }
 
+/// Time after a start in which an agent waits to hear of an entry that reads the store.
+const SETTLING_TIME: Duration = Duration::from_millis(1500);
+
+/// Opens where no entry of the failure domain is known that reads the store: entries tell agents
+/// which versions are wanted, and every call is priced.
+#[derive(Debug)]
+struct WantedGate(Arc<AgentState>);
+
+impl ReadGate for WantedGate {
+    fn is_open(&self) -> bool {
+        let settled = self.0.node.now() >= Moment::ZERO + SETTLING_TIME;
+        settled && !lock(&self.0.peers).has_near_reader()
+    }
+
+    fn note(&self, _answered: bool) {}
+}
+
 impl AgentState {
     /// Wanted versions of a model with the moments at which they were learnt, oldest first.
     pub(super) fn wanted(&self, model: &ModelName) -> Vec<(WeightVersion, Moment)> {
--- a/crates/daemon/src/direct/entry.rs
+++ b/crates/daemon/src/direct/entry.rs
@@ -18,9 +18,9 @@
 
 use super::{
     entry_notices,
-    facts::{AlwaysOpen, ReadGate, follow},
-    front, plan_sync,
-    state::EntryState,
+    facts::{ReadGate, follow},
+    front, plan_sync, server_sync,
+    state::{EntryState, TopicGate},
 };
 use crate::{decisions, error::DaemonError};
 
@@ -77,6 +77,7 @@
             tokio::spawn(entry_notices::run(state.clone(), socket)),
             tokio::spawn(plan_sync::serve(state.clone(), peer_listener)),
             tokio::spawn(plan_sync::run(state.clone())),
+            tokio::spawn(server_sync::run(state.clone())),
         ];
         if let Some(metrics) = metrics {
             let listener = front::bind(metrics).await?;
@@ -112,7 +113,7 @@
 
 fn follow_all(state: &Arc<EntryState>, store: &Arc<dyn FactStore>) -> Vec<JoinHandle<()>> {
     let (plan, servers, weights) = (state.clone(), state.clone(), state.clone());
-    let open: Arc<dyn ReadGate> = Arc::new(AlwaysOpen);
+    let gate: Arc<dyn ReadGate> = Arc::new(TopicGate(state.clone()));
     let (plan_nudge, servers_nudge) = (state.plan_nudge.clone(), state.servers_nudge.clone());
     let weights_nudge = state.weights_nudge.clone();
     let plan_gate: Arc<dyn ReadGate> = state.clone();
@@ -124,10 +125,10 @@
             store.clone(),
             FactTopic::Servers,
             servers_nudge,
-            open.clone(),
+            gate.clone(),
             move |news| servers.hear_servers(news),
         )),
-        tokio::spawn(follow(store.clone(), FactTopic::Weights, weights_nudge, open, move |news| {
+        tokio::spawn(follow(store.clone(), FactTopic::Weights, weights_nudge, gate, move |news| {
             weights.hear_weights(news);
         })),
     ]
--- a/crates/daemon/src/direct/entry_notices.rs
+++ b/crates/daemon/src/direct/entry_notices.rs
@@ -34,7 +34,7 @@
     /// It waits for word that its server gets nothing more.
     Drain(SocketAddr),
     /// It has just been found: names help it to find others.
-    Names(SocketAddr),
+    Names(SocketAddr, DomainKey),
     /// Relays wait for word that some server gets nothing more.
     Relays,
 }
@@ -220,8 +220,9 @@
             ReplyDue::Drain(to) => {
                 NoticeMail { bytes: self.writer.write(body, Vec::new()), targets: vec![to] }
             }
-            ReplyDue::Names(to) => {
-                let names = state.peers().named(rand::rng().random_range(0..NAMED_PEERS * 4));
+            ReplyDue::Names(to, domain) => {
+                let turn = rand::rng().random_range(0..NAMED_PEERS * 4);
+                let names = state.peers().named_to(domain, turn);
                 let loads = state.servers().own_loads();
                 let body = NoticeBody { loads, ..body };
                 NoticeMail { bytes: self.writer.write(body, names), targets: vec![to] }
@@ -274,7 +275,7 @@
     let outcome = state.peers().hear(state.now(), notice);
     take_facts(state, &outcome, &facts);
     state.refresh_loads_of(&changed);
-    let found = outcome.joined.then_some(ReplyDue::Names(facts.from));
+    let found = outcome.joined.then_some(ReplyDue::Names(facts.from, facts.domain));
     let server = facts.server.filter(|server| server.changing);
     server.map(|_| ReplyDue::Drain(facts.from)).or(found)
 }
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -30,8 +30,9 @@
 /// Ticks between two notices of what a whole failure domain has in progress.
 const DOMAIN_TICKS: u64 = 1;
 
-/// Ticks between notices to addresses that may be peers, at first.
-const FIRST_CANDIDATE_TICKS: u64 = 5;
+/// Ticks between notices to addresses that may be peers, at first: whoever has just started knows
+/// only some, which name others.
+const FIRST_CANDIDATE_TICKS: u64 = 2;
 
 /// The same later on: most of those that have not answered by then are gone.
 const CANDIDATE_TICKS: u64 = 15;
--- a/crates/daemon/src/direct/plan_sync.rs
+++ b/crates/daemon/src/direct/plan_sync.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 use tokio::{net::TcpListener, time::Instant};
 
-use super::{front, state::EntryState};
+use super::{front, server_sync, state::EntryState};
 use crate::decisions;
 
 /// Path of the plan among entries.
@@ -38,7 +38,7 @@
 /// asked for hundreds of kilobytes many times a second.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// Hands out the plan in force to other processes.
+/// Hands out the plan in force, and the list of servers, to other processes.
 pub async fn serve(state: Arc<EntryState>, listener: TcpListener) {
     front::serve_answers(listener, move |path| answer(&state, path)).await;
 }
@@ -46,7 +46,7 @@
 fn answer(state: &EntryState, path: &str) -> Response<Full<Bytes>> {
     let text = match path {
         PLAN_PATH => state.plan.encoded(),
-        _ => None,
+        path => server_sync::answer(state, path),
     };
     let status = if text.is_some() { StatusCode::OK } else { StatusCode::NOT_FOUND };
     let mut response = Response::new(Full::new(text.unwrap_or_default()));
--- a/crates/daemon/src/direct/relay_mail.rs
+++ b/crates/daemon/src/direct/relay_mail.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    time::Duration,
 };
 
 use headlatch_core::{
@@ -86,9 +87,25 @@
         mails.extend(mail(agents, members(view, PeerKind::Agent)));
         mails.extend(mail(entries, members(view, PeerKind::Entry)));
         mails.extend(mail(outward, view.peers.far_relays()));
+        mails.extend(self.newcomer_mails(view));
         mails
     }
 
+    /// Everything that is known, for members that have just come: they wait for it to take part in
+    /// transfers.
+    fn newcomer_mails(&mut self, view: &RelayView<'_>) -> Vec<NoticeMail> {
+        let newcomers = self.outbox.take_newcomers(view.peers);
+        if newcomers.is_empty() {
+            return Vec::new();
+        }
+        let DueNotices { agents, entries, .. } = RelayOutbox::everything(view.now, view.peers);
+        let own = RelayedNotice { notice: view.own.clone(), age: Duration::ZERO };
+        let domains = view.peers.far_domains().into_iter().chain([self.domain]);
+        let rosters = domains.map(|domain| view.peers.roster(view.now, domain, view.own.kind));
+        let notices = [agents, entries, vec![own]].concat();
+        mail(self.bundle(view, rosters.collect(), notices), newcomers)
+    }
+
     fn bundle(
         &self,
         view: &RelayView<'_>,
@@ -108,7 +125,7 @@
             rosters.extend(view.peers.far_domains().into_iter().map(roster));
         }
         let own = PeerNotice { domain_loads: None, ..view.own.clone() };
-        let own = RelayedNotice { notice: own, age: std::time::Duration::ZERO };
+        let own = RelayedNotice { notice: own, age: Duration::ZERO };
         let mut for_agents = due.agents.clone();
         // Agents need only who lives, and what is wanted.
         if !rosters.is_empty() {
@@ -131,7 +148,7 @@
         if self.turn.is_multiple_of(OUTWARD_ROSTER_TURNS) {
             rosters.push(view.peers.roster(view.now, self.domain, view.own.kind));
         }
-        let own = RelayedNotice { notice: view.own.clone(), age: std::time::Duration::ZERO };
+        let own = RelayedNotice { notice: view.own.clone(), age: Duration::ZERO };
         let notices = [due.near_agents.as_slice(), &[own]].concat();
         mail(self.bundle(view, rosters, notices), view.peers.far_relays())
     }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -18,6 +18,7 @@
         plan_source::HolderView,
         retry_share::{RetryBudget, RetryShare},
         route_table::RouteTable,
+        server_copy::{GoneServer, MarkedRecord, ServerChanges, ServerCopy},
         server_table::ServerTable,
         weight_deadline::WeightDeadlines,
     },
@@ -79,6 +80,10 @@
     pub servers_nudge: Arc<Notify>,
     /// Has the wanted weights read anew.
     pub weights_nudge: Arc<Notify>,
+    /// Another entry has taken in a change of servers that is missing here.
+    pub servers_offered: Notify,
+    /// The list of servers, for other entries.
+    server_copy: Mutex<ServerCopy>,
     /// How current the list of servers is.
     servers_age: Mutex<FactAge>,
     /// Servers have come for which agents may have told something.
@@ -97,9 +102,23 @@
     }
 }
 
+/// Time after a start in which an entry that knows no other waits to hear of some before it reads
+/// the store: where all start at once, each would take itself for the first.
+const SETTLING_TIME: Duration = Duration::from_millis(400);
+
+/// Time after a start from which an entry that still lacks the plan reads it by itself.
+const OWN_READING_TIME: Duration = Duration::from_millis(1500);
+
 impl ReadGate for EntryState {
     fn is_open(&self) -> bool {
-        self.routes().is_none() || self.peers().is_plan_reader()
+        let lacks = self.routes().is_none() || !self.servers_known.load(Ordering::Relaxed);
+        let since = self.begun.elapsed();
+        if lacks && since >= OWN_READING_TIME {
+            return true;
+        }
+        let peers = self.peers();
+        let settled = since >= SETTLING_TIME || peers.living().next().is_some();
+        settled && peers.is_plan_reader()
     }
 
     fn note(&self, answered: bool) {
@@ -107,6 +126,45 @@
     }
 }
 
+/// Opens as the plan's gate does, for topics whose calls say nothing about the plan.
+#[derive(Debug)]
+pub struct TopicGate(pub Arc<EntryState>);
+
+impl ReadGate for TopicGate {
+    fn is_open(&self) -> bool {
+        self.0.is_open()
+    }
+
+    fn note(&self, _answered: bool) {}
+}
+
+/// News of servers as changes; what cannot be read is written down and left out.
+fn server_changes(news: FactNews, newest: ChangeMark) -> ServerChanges {
+    let covered = news.covered();
+    let (whole, facts) = match news {
+        FactNews::All(list) => (true, list.facts.into_iter().map(FactChange::Set).collect()),
+        FactNews::Changes(changes) => (false, changes.changes),
+    };
+    let mut told = ServerChanges { covered, newest, whole, ..ServerChanges::default() };
+    for fact in facts {
+        match fact {
+            FactChange::Set(NamedFact { revision, fact: Ok(Fact::Server(record)), .. }) => {
+                told.set.push(MarkedRecord { revision: ChangeMark(revision.0), record });
+            }
+            FactChange::Set(NamedFact { fact: Ok(_), .. }) => {}
+            FactChange::Set(NamedFact { name, fact: Err(error), .. }) => {
+                let fields = json!({ "name": name, "error": error.to_string() });
+                decisions::warn("servers", "unreadable", fields);
+            }
+            FactChange::Gone { name, revision } => {
+                let (id, revision) = (ServerId(name.into()), ChangeMark(revision.0));
+                told.gone.push(GoneServer { revision, id });
+            }
+        }
+    }
+    told
+}
+
 impl EntryState {
     /// The state of an entry that has just started.
     pub fn new(settings: DirectEntrySettings, headers: Arc<dyn HeaderForm>) -> Arc<Self> {
@@ -136,6 +194,8 @@
             plan_nudge: Arc::default(),
             servers_nudge: Arc::default(),
             weights_nudge: Arc::default(),
+            servers_offered: Notify::new(),
+            server_copy: Mutex::default(),
             servers_age: Mutex::default(),
             notices_stale: AtomicBool::new(false),
             settings,
@@ -282,33 +342,42 @@
         self.weights_nudge.notify_one();
     }
 
-    /// Takes in news about servers.
+    /// Takes in news about servers from the store.
     pub fn hear_servers(&self, news: FactNews) {
         let (covered, newest) = (news.covered(), news.newest());
-        match news {
-            FactNews::All(list) => {
-                let listed: Vec<ServerId> =
-                    list.facts.iter().map(|fact| ServerId(fact.name.as_str().into())).collect();
-                self.servers().keep_only(self.now(), &listed, covered);
-                for fact in list.facts {
-                    self.set_server(fact);
-                }
-                self.servers_known.store(true, Ordering::Relaxed);
-                let fields = json!({ "servers": listed.len(), "at": covered.0 });
-                decisions::note("servers", "listed", fields);
-            }
-            FactNews::Changes(changes) => {
-                for change in changes.changes {
-                    match change {
-                        FactChange::Set(fact) => self.set_server(fact),
-                        FactChange::Gone { name, revision } => {
-                            self.remove_server(&name, ChangeMark(revision.0));
-                        }
-                    }
-                }
-            }
-        }
+        let changes = server_changes(news, newest);
+        self.apply_servers(&changes);
         lock(&self.servers_age).confirm_from_store(self.now(), covered, newest);
+    }
+
+    /// Takes in what another entry has told of servers.
+    pub fn take_server_changes(&self, changes: ServerChanges) {
+        if changes.covered <= self.servers_age().covered() {
+            return;
+        }
+        self.apply_servers(&changes);
+        lock(&self.servers_age).take_list_from_peer(changes.covered, changes.newest);
+    }
+
+    /// What has changed of the list of servers for an entry that knows everything up to `after`.
+    pub fn server_changes(&self, after: ChangeMark) -> Option<ServerChanges> {
+        lock(&self.server_copy).changes_after(after)
+    }
+
+    fn apply_servers(&self, changes: &ServerChanges) {
+        lock(&self.server_copy).take(changes);
+        if changes.whole {
+            let listed: Vec<ServerId> =
+                changes.set.iter().map(|marked| marked.record.id.clone()).collect();
+            self.servers().keep_only(self.now(), &listed, changes.covered);
+            let fields = json!({ "servers": listed.len(), "at": changes.covered.0 });
+            decisions::note("servers", "listed", fields);
+        }
+        changes.set.iter().cloned().for_each(|marked| self.set_server(marked));
+        changes.gone.iter().for_each(|gone| self.remove_server(gone));
+        if changes.whole {
+            self.servers_known.store(true, Ordering::Relaxed);
+        }
         let wanted: Vec<SocketAddr> =
             self.servers().records().map(|record| record.address).collect();
         self.connections.retain(|address| wanted.contains(address));
@@ -338,9 +407,14 @@
     /// less, its watch has missed something.
     pub fn hear_peer_servers(&self, newest: ChangeMark) {
         let now = self.now();
+        let is_reader = self.peers().is_plan_reader();
         let mut age = lock(&self.servers_age);
         age.note_told(now, newest);
-        if age.take_due(now, SERVERS_PATIENCE) {
+        if age.behind(now).is_some() {
+            self.servers_offered.notify_one();
+        }
+        let is_late = age.behind(now).is_some_and(|behind| behind >= SERVERS_PATIENCE);
+        if (is_late || is_reader) && age.take_due(now, SERVERS_PATIENCE) {
             self.servers_nudge.notify_one();
         }
     }
@@ -359,32 +433,28 @@
         }
     }
 
-    fn set_server(&self, fact: NamedFact) {
-        let record = match fact.fact {
-            Ok(Fact::Server(record)) => record,
-            Ok(_) => return,
-            Err(error) => {
-                let fields = json!({ "name": fact.name, "error": error.to_string() });
-                return decisions::warn("servers", "unreadable", fields);
-            }
-        };
+    fn set_server(&self, marked: MarkedRecord) {
+        let MarkedRecord { revision, record } = marked;
         let fields = json!({
             "server": record.id, "service": record.service, "address": record.address,
             "zone": record.zone, "draining": record.draining, "slots": record.slots,
-            "models": record.models, "revision": fact.revision.0,
+            "models": record.models, "revision": revision.0,
         });
         if !record.models.is_empty() {
             let machine = SocketAddr::new(record.address.ip(), self.settings.node.control.port());
             self.peers().suggest(self.now(), machine);
         }
-        self.servers().set(self.now(), record, ChangeMark(fact.revision.0));
+        self.servers().set(self.now(), record, revision);
         self.notices_stale.store(true, Ordering::Relaxed);
-        decisions::note("servers", "set", fields);
+        // One entry of a failure domain writes it down for all of them.
+        if self.peers().speaks_for_domain() {
+            decisions::note("servers", "set", fields);
+        }
     }
 
-    fn remove_server(&self, name: &str, revision: ChangeMark) {
-        if self.servers().remove(self.now(), &ServerId(name.into()), revision) {
-            decisions::note("servers", "gone", json!({ "server": name }));
+    fn remove_server(&self, gone: &GoneServer) {
+        if self.servers().remove(self.now(), &gone.id, gone.revision) {
+            decisions::note("servers", "gone", json!({ "server": gone.id }));
         }
     }
 
