Let relays learn of each other, choose fresh ones, and have few agents ask one holder for a manifest

Cause, by a test in virtual time that failed first: relays tell only the far relays that they know, so a failure domain nobody had heard of before the mesh ended stayed unknown (least known 119 of 199); far relays that came to know each other late were told nothing but repeats (40 of 100 agents known); where both relays of a domain die, others went on telling the dead ones until they had expired, and its members knew only each other (40 of 199). Change: relays tell relays of all failure domains; new relays are told everything; relays heard of lately go first; the first by rank in each failure domain ask for a manifest, eight a holder. Measured: tests/relays.rs and manifest_source.rs pass.

--- a/crates/core/src/direct/manifest_source.rs
+++ b/crates/core/src/direct/manifest_source.rs
@@ -15,19 +15,33 @@
 /// short wait spreads them; a longer one is time in which nothing is served.
 const SETTLING_TIME: Duration = Duration::from_millis(150);
 
+/// Agents that ask one holder at once: each answer takes some 3 KB of a link of 0.9 MB/s and a new
+/// connection, so that eight have theirs within 0.1 s; a hundred asking one holder waited 0.5 s in vain.
+const ASKERS_A_HOLDER: usize = 8;
+
+/// Agents of a failure domain that ask holders in others, for all of it.
+const FAR_ASKERS: usize = 2;
+
+/// Time after which as many more ask.
+const ASKER_PAUSE: Duration = Duration::from_millis(200);
+
 /// What an agent knows when it needs a manifest.
 #[derive(Debug, Clone, Copy)]
 pub struct ManifestView<'a> {
     /// Its rank among the agents of its service, by rendezvous hashing.
     pub rank: usize,
+    /// The same among those of its failure domain.
+    pub near_rank: usize,
     /// Whether it has heard of any other.
     pub is_alone: bool,
     /// Time since it was needed first.
     pub waited: Duration,
     /// Tries that have failed.
     pub failures: u32,
-    /// Agents that hold the manifest, those of the own failure domain first.
+    /// Agents that hold the manifest: those of the own failure domain if there are any.
     pub holders: &'a [SocketAddr],
+    /// Whether the holders are of the own failure domain.
+    pub holders_near: bool,
 }
 
 /// Where to read a manifest.
@@ -46,6 +60,9 @@
     let tries = view.failures as usize;
     // Every third try goes past the peers: what they hold may be wrong.
     if !view.holders.is_empty() && tries % 3 != 2 {
+        if !may_ask(view) {
+            return ManifestSource::Wait;
+        }
         return ManifestSource::Peer(view.holders[(view.rank + tries) % view.holders.len()]);
     }
     if view.is_alone && view.waited < SETTLING_TIME {
@@ -57,3 +74,14 @@
         false => ManifestSource::Wait,
     }
 }
+
+/// Whether holders have time for this agent: those that come before it in the ranking ask first, and
+/// become holders themselves.
+fn may_ask(view: &ManifestView<'_>) -> bool {
+    let rounds = 1 + (view.waited.as_millis() / ASKER_PAUSE.as_millis()) as usize;
+    let at_once = match view.holders_near {
+        true => view.holders.len() * ASKERS_A_HOLDER,
+        false => FAR_ASKERS,
+    };
+    view.near_rank < at_once * rounds
+}
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -56,6 +56,11 @@
 /// when it changes, and every 300 ms.
 const DRAIN_SUM_LIFE: Duration = Duration::from_millis(700);
 
+/// Age up to which an entry of another failure domain is thought to relay there: its relays tell who
+/// lives every 0.5 s, and members tell them as often. Where all relays of a failure domain die, its
+/// members tell everybody, and others there are heard of sooner than those are dropped.
+const FRESH_RELAY: Duration = Duration::from_millis(2000);
+
 /// How much earlier a notice of another life may have been heard than the last word of its sender's
 /// address: relays tell both, by ways of different length.
 const LIFE_SLACK: Duration = Duration::from_millis(200);
@@ -446,17 +451,21 @@
         (rank < RELAYS && self.peers.len() >= self.mesh_limit).then_some(rank)
     }
 
-    /// The entries of each other failure domain that relay there: the first by address.
-    pub fn far_relays(&self) -> Vec<SocketAddr> {
-        let mut relays: BTreeMap<DomainKey, Vec<SocketAddr>> = BTreeMap::new();
+    /// The entries of each other failure domain that relay there: the first by address of those that
+    /// were heard of lately, or of all if none was.
+    pub fn far_relays(&self, now: Moment) -> Vec<SocketAddr> {
+        let mut relays: BTreeMap<DomainKey, (Vec<SocketAddr>, Vec<SocketAddr>)> = BTreeMap::new();
         let entries = self.living().filter(|peer| peer.notice.kind == PeerKind::Entry);
         for peer in entries.filter(|peer| !self.is_near(peer)) {
-            let known = relays.entry(peer.notice.domain).or_default();
+            let (fresh, old) = relays.entry(peer.notice.domain).or_default();
+            let is_fresh = now.since(peer.heard) <= FRESH_RELAY;
+            let known = if is_fresh { fresh } else { old };
             if known.len() < RELAYS {
                 known.push(peer.notice.from);
             }
         }
-        relays.into_values().flatten().collect()
+        let chosen = relays.into_values();
+        chosen.flat_map(|(fresh, old)| if fresh.is_empty() { old } else { fresh }).collect()
     }
 
     /// Peers to name to one that has just been found in `domain`: those that relay there first.
--- a/crates/core/src/direct/relay_outbox.rs
+++ b/crates/core/src/direct/relay_outbox.rs
@@ -1,7 +1,10 @@
 //! What a relay has told its members and the relays of other failure domains, and what it still has
 //! to tell.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use headlatch_types::{id::ModelName, traffic::WeightVersion};
 
@@ -71,6 +74,8 @@
     told: BTreeMap<SocketAddr, ToldFacts>,
     /// Members of the own failure domain that have been told everything once, with their lives.
     members: BTreeMap<SocketAddr, u64>,
+    /// Relays of other failure domains that have been told everything once.
+    far_relays: BTreeSet<SocketAddr>,
     round: usize,
 }
 
@@ -106,6 +111,15 @@
         newcomers
     }
 
+    /// Those of the relays of other failure domains that have just become known: they are to be told
+    /// everything of this one.
+    pub fn take_new_relays(&mut self, relays: &[SocketAddr]) -> Vec<SocketAddr> {
+        let new = relays.iter().filter(|relay| !self.far_relays.contains(relay));
+        let new: Vec<SocketAddr> = new.copied().collect();
+        self.far_relays = relays.iter().copied().collect();
+        new
+    }
+
     /// Everything that members are told.
     pub fn everything(now: Moment, peers: &PeerTable) -> DueNotices {
         let mut due = DueNotices::default();
--- a/crates/core/tests/manifest_source.rs
+++ b/crates/core/tests/manifest_source.rs
@@ -14,10 +14,12 @@
 fn view(rank: usize, waited_ms: u64) -> ManifestView<'static> {
     ManifestView {
         rank,
+        near_rank: rank / 5,
         is_alone: false,
         waited: Duration::from_millis(waited_ms),
         failures: 0,
         holders: &[],
+        holders_near: true,
     }
 }
 
@@ -52,3 +54,19 @@
     let settled = ManifestView { waited: Duration::from_millis(900), ..alone };
     expect_that!(manifest_source(&settled), eq(ManifestSource::Origin));
 }
+
+/// Where all of two hundred agents ask the one that is the first to hold the manifest, none has an
+/// answer in time.
+#[gtest]
+fn few_agents_ask_one_holder_at_once() {
+    let holders = [holder(1)];
+    let asks = |rank: usize, near: bool, waited_ms: u64| {
+        let view = ManifestView { holders: &holders, holders_near: near, ..view(rank, waited_ms) };
+        matches!(manifest_source(&view), ManifestSource::Peer(_))
+    };
+    let asking = |near, waited_ms| (0..204).filter(|rank| asks(*rank, near, waited_ms)).count();
+    // Forty-one agents a failure domain.
+    expect_that!(asking(true, 0), eq(8 * 5));
+    expect_that!(asking(false, 0), eq(2 * 5));
+    expect_that!(asking(true, 1_000), eq(204));
+}
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -18,7 +18,7 @@
 pub mod plan_copy;
 pub mod plan_sync;
 pub mod relay;
-mod relay_mail;
+pub mod relay_mail;
 pub mod seats;
 pub mod server_sync;
 pub mod stager;
--- a/crates/daemon/src/direct/relay_mail.rs
+++ b/crates/daemon/src/direct/relay_mail.rs
@@ -37,7 +37,7 @@
 const MOST_BUNDLE: usize = 6 << 10;
 
 /// What a relay knows at one turn.
-pub(super) struct RelayView<'a> {
+pub struct RelayView<'a> {
     /// The time.
     pub now: Moment,
     /// Its rank among the relays of its failure domain.
@@ -52,7 +52,7 @@
 
 /// Composes the bundles of one relay.
 #[derive(Debug)]
-pub(super) struct BundleWriter {
+pub struct BundleWriter {
     domain: DomainKey,
     turn: u64,
     outbox: RelayOutbox,
@@ -61,12 +61,12 @@
 
 impl BundleWriter {
     /// The writer of a relay in `domain` that has told nothing yet.
-    pub(super) fn new(domain: DomainKey) -> Self {
+    pub fn new(domain: DomainKey) -> Self {
         Self { domain, turn: 0, outbox: RelayOutbox::default(), told_drains: BTreeMap::new() }
     }
 
     /// What is due at a regular turn, every 100 ms.
-    pub(super) fn turn(&mut self, view: &RelayView<'_>) -> Vec<NoticeMail> {
+    pub fn turn(&mut self, view: &RelayView<'_>) -> Vec<NoticeMail> {
         self.turn += 1;
         let repeats = self.turn.is_multiple_of(NEAR_ROSTER_TURNS);
         let due = self.outbox.take_due(view.now, view.peers, repeats);
@@ -77,7 +77,7 @@
     }
 
     /// What cannot wait for the next turn.
-    pub(super) fn news(&mut self, view: &RelayView<'_>) -> Vec<NoticeMail> {
+    pub fn news(&mut self, view: &RelayView<'_>) -> Vec<NoticeMail> {
         let due = self.outbox.take_due(view.now, view.peers, false);
         let mut mails = self.drain_mails(view, false);
         let agents = self.bundle(view, Vec::new(), due.agents.clone());
@@ -86,11 +86,24 @@
         let outward = self.bundle(view, Vec::new(), due.near_agents);
         mails.extend(mail(agents, members(view, PeerKind::Agent)));
         mails.extend(mail(entries, members(view, PeerKind::Entry)));
-        mails.extend(mail(outward, view.peers.far_relays()));
+        mails.extend(mail(outward, view.peers.far_relays(view.now)));
         mails.extend(self.newcomer_mails(view));
+        mails.extend(self.new_relay_mails(view));
         mails
     }
 
+    /// Everything that is known of the own failure domain, for relays of others that have just become
+    /// known.
+    fn new_relay_mails(&mut self, view: &RelayView<'_>) -> Vec<NoticeMail> {
+        let new = self.outbox.take_new_relays(&view.peers.far_relays(view.now));
+        if new.is_empty() {
+            return Vec::new();
+        }
+        let DueNotices { near_agents, .. } = RelayOutbox::everything(view.now, view.peers);
+        let roster = view.peers.roster(view.now, self.domain, view.own.kind);
+        mail(self.bundle(view, vec![roster], near_agents), new)
+    }
+
     /// Everything that is known, for members that have just come: they wait for it to take part in
     /// transfers.
     fn newcomer_mails(&mut self, view: &RelayView<'_>) -> Vec<NoticeMail> {
@@ -148,9 +161,14 @@
         if self.turn.is_multiple_of(OUTWARD_ROSTER_TURNS) {
             rosters.push(view.peers.roster(view.now, self.domain, view.own.kind));
         }
+        if self.turn.is_multiple_of(FAR_ROSTER_TURNS) {
+            // A relay may not have heard of some failure domain yet.
+            let far = view.peers.far_domains().into_iter();
+            rosters.extend(far.map(|domain| view.peers.roster(view.now, domain, view.own.kind)));
+        }
         let own = RelayedNotice { notice: view.own.clone(), age: Duration::ZERO };
         let notices = [due.near_agents.as_slice(), &[own]].concat();
-        mail(self.bundle(view, rosters, notices), view.peers.far_relays())
+        mail(self.bundle(view, rosters, notices), view.peers.far_relays(view.now))
     }
 
     /// What the entries of the own failure domain say of servers that are about to change, for the
--- a/crates/daemon/src/direct/seats.rs
+++ b/crates/daemon/src/direct/seats.rs
@@ -1,6 +1,6 @@
 //! Who takes part in a transfer of weights: the agents of this server's service.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use headlatch_core::{
     burst::{PeerKey, PeerSeat},
@@ -33,20 +33,29 @@
 /// Who may read a manifest, and who holds it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct ManifestReaders {
-    /// Rank of this agent among those of its service.
+    /// Rank of this agent among those of its service; each failure domain has its share of the first.
     pub(super) rank: usize,
+    /// Rank of this agent among those of its failure domain.
+    pub(super) near_rank: usize,
     /// No other agent of the service is known.
     pub(super) is_alone: bool,
-    /// Agents that hold the manifest, those of the own failure domain first.
+    /// Agents that hold the manifest: those of the own failure domain if there are any.
     pub(super) holders: Vec<SocketAddr>,
+    /// Whether the holders are of the own failure domain.
+    pub(super) holders_near: bool,
 }
 
 /// Who may read the manifest of `version`, and who holds it.
 pub(super) fn manifest_readers(state: &AgentState, version: WeightVersion) -> ManifestReaders {
     let node = &state.settings.node;
     let seats = seats(state);
-    let ranked = ranking(version.0, seats.iter().map(|(seat, _)| seat.key.0));
-    let own = seat_key(node.control).0;
+    let own = own_seat(state);
+    let near = seats.iter().filter(|(seat, _)| seat.domain == own.domain);
+    let ranked = ranking(version.0, near.map(|(seat, _)| seat.key.0));
+    let near_rank = ranked.iter().position(|key| *key == own.key.0).unwrap_or(0);
+    let domains: BTreeSet<u64> = seats.iter().map(|(seat, _)| seat.domain).collect();
+    let count = domains.len();
+    let domain_rank = domains.iter().position(|domain| *domain == own.domain).unwrap_or(0);
     let peers = lock(&state.peers);
     let holds = |server: &ServerNotice| server.sharing.is_some_and(|held| held >= version);
     let held = peers.living().filter_map(|peer| {
@@ -54,10 +63,14 @@
         Some((server.zone == node.domain, peer.notice.from))
     });
     let (near, far): (Vec<_>, Vec<_>) = held.partition(|(near, _)| *near);
+    let holders_near = !near.is_empty();
+    let holders = if holders_near { near } else { far };
     ManifestReaders {
-        rank: ranked.iter().position(|key| *key == own).unwrap_or(0),
+        rank: near_rank * count + domain_rank,
+        near_rank,
         is_alone: seats.len() == 1,
-        holders: if near.is_empty() { far } else { near }.into_iter().map(|(_, at)| at).collect(),
+        holders: holders.into_iter().map(|(_, address)| address).collect(),
+        holders_near,
     }
 }
 
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -319,10 +319,12 @@
         let readers = seats::manifest_readers(&self.state, version);
         manifest_source(&ManifestView {
             rank: readers.rank,
+            near_rank: readers.near_rank,
             is_alone: readers.is_alone,
             waited: now.since(since),
             failures: self.manifest_failures,
             holders: &readers.holders,
+            holders_near: readers.holders_near,
         })
     }
 
--- /dev/null
+++ b/crates/daemon/tests/relays.rs
@@ -0,0 +1,320 @@
+//! Processes that tell each other of themselves, in virtual time: what each sends and hears, and how
+//! soon it is known, where relays hand on what members tell.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use googletest::prelude::*;
+use headlatch_core::{
+    direct::{
+        peers::{DomainKey, DrainNotice, PeerKind, PeerTable, ServerNotice},
+        relays::{HeardRelays, RELAYS},
+    },
+    time::Moment,
+};
+use headlatch_daemon::direct::{
+    datagram::Datagram,
+    notices::{NoticeBody, NoticeMail, NoticeWriter},
+    relay_mail::{BundleWriter, RelayView},
+};
+use headlatch_types::traffic::WeightVersion;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+const DOMAINS: u8 = 5;
+const MESH_LIMIT: usize = 40;
+const TICK: Duration = Duration::from_millis(100);
+
+/// Part of the datagrams that are lost.
+const LOSS: f64 = 0.01;
+
+struct Process {
+    address: SocketAddr,
+    kind: PeerKind,
+    domain: DomainKey,
+    peers: PeerTable,
+    writer: NoticeWriter,
+    bundles: BundleWriter,
+    relays: HeardRelays,
+    server: Option<ServerNotice>,
+    /// Servers that it has heard to be changing, if it is an entry.
+    drains: Vec<DrainNotice>,
+    alive: bool,
+    sent: usize,
+    heard: usize,
+    bytes: usize,
+}
+
+/// Processes in virtual time; datagrams take no time within a tick.
+struct World {
+    now: Moment,
+    rng: SmallRng,
+    processes: Vec<Process>,
+    index: HashMap<SocketAddr, usize>,
+}
+
+fn address(domain: u8, last: u8) -> SocketAddr {
+    SocketAddr::from(([10, domain, 0, last], 7700))
+}
+
+/// A process that starts at `now` and knows two seeds.
+fn process(now: Moment, domain: u8, last: u8, kind: PeerKind) -> Process {
+    let at = address(domain, last);
+    let key = DomainKey(domain.into());
+    let mut peers = PeerTable::new(at, key);
+    peers.set_mesh_limit(MESH_LIMIT);
+    peers.suggest(now, address(1, 1));
+    peers.suggest(now, address(2, 1));
+    let server = ServerNotice {
+        address: SocketAddr::new(at.ip(), 80),
+        whole: Some(WeightVersion(1)),
+        changing: false,
+        staged: None,
+        sharing: None,
+        zone: format!("z{domain}").parse().expect("a name"),
+        service: "s".to_owned(),
+    };
+    Process {
+        address: at,
+        kind,
+        domain: key,
+        peers,
+        writer: NoticeWriter::new(at, kind, key),
+        bundles: BundleWriter::new(key),
+        relays: HeardRelays::default(),
+        server: (kind == PeerKind::Agent).then_some(server),
+        drains: Vec::new(),
+        alive: true,
+        sent: 0,
+        heard: 0,
+        bytes: 0,
+    }
+}
+
+impl Process {
+    fn tick(&mut self, now: Moment) -> Vec<NoticeMail> {
+        self.peers.expire(now);
+        self.relays.expire(now);
+        let body = NoticeBody {
+            server: self.server.clone(),
+            drains: self.drains.clone(),
+            repeated: self.server.as_ref().is_some_and(|server| server.changing),
+            ..NoticeBody::default()
+        };
+        let relays = self.relays.usable(now);
+        let rank = self.peers.relay_rank().filter(|_| self.kind == PeerKind::Entry);
+        let mut mails = Vec::new();
+        if let Some(rank) = rank {
+            let own = self.writer.facts(body.clone());
+            let drains = self.drains.clone();
+            let view = RelayView { now, rank, peers: &self.peers, own, drains: &drains };
+            mails.extend(self.bundles.news(&view));
+            mails.extend(self.bundles.turn(&view));
+        }
+        match relays.is_empty() && rank.is_none() {
+            true => mails.extend(self.writer.tick(&self.peers, body)),
+            false => mails.extend(self.writer.tick_to_relays(&self.peers, body, &relays)),
+        }
+        mails
+    }
+
+    /// Takes in a datagram; names for one that has just been found.
+    fn hear(&mut self, now: Moment, bytes: &[u8]) -> Option<NoticeMail> {
+        self.heard += 1;
+        self.bytes += bytes.len();
+        match Datagram::decode(bytes)? {
+            Datagram::Notice(notice) => {
+                let (from, domain) = (notice.from, notice.domain);
+                let joined = self.peers.hear(now, *notice).joined;
+                self.note_changing();
+                let names = self.peers.named_to(domain, 0);
+                let is_entry = self.kind == PeerKind::Entry;
+                (joined && is_entry).then(|| {
+                    let bytes = self.writer.write(NoticeBody::default(), names);
+                    NoticeMail { bytes, targets: vec![from] }
+                })
+            }
+            Datagram::Bundle(bundle) => {
+                if bundle.domain == self.domain {
+                    self.relays.note(now, bundle.from, bundle.age_of(self.address));
+                }
+                for roster in &bundle.rosters {
+                    self.peers.hear_roster(now, roster);
+                }
+                for sum in bundle.drains {
+                    self.peers.hear_drain_sum(now, bundle.domain, sum);
+                }
+                for relayed in bundle.notices {
+                    self.peers.hear_relayed(now, relayed.notice, relayed.age);
+                }
+                self.note_changing();
+                None
+            }
+            Datagram::Notes(_) => None,
+        }
+    }
+
+    fn note_changing(&mut self) {
+        if self.kind == PeerKind::Entry {
+            let servers = self.peers.living().filter_map(|peer| peer.notice.server.as_ref());
+            let changing = servers.filter(|server| server.changing);
+            self.drains =
+                changing.map(|server| DrainNotice { server: server.address, waiting: 0 }).collect();
+        }
+    }
+}
+
+impl World {
+    /// `size` processes, half of them entries, that start together.
+    fn new(size: u8, seed: u64) -> Self {
+        let kind = |last: u8| if last % 2 == 1 { PeerKind::Entry } else { PeerKind::Agent };
+        let each = size / DOMAINS;
+        let places = (1..=DOMAINS).flat_map(|domain| (1..=each).map(move |last| (domain, last)));
+        let processes: Vec<Process> =
+            places.map(|(domain, last)| process(Moment::ZERO, domain, last, kind(last))).collect();
+        let index = processes.iter().enumerate().map(|(nth, one)| (one.address, nth)).collect();
+        Self {
+            now: Moment::ZERO + Duration::from_secs(1),
+            rng: SmallRng::seed_from_u64(seed),
+            processes,
+            index,
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now = self.now + TICK;
+            for nth in 0..self.processes.len() {
+                if self.processes[nth].alive {
+                    let mails = self.processes[nth].tick(self.now);
+                    self.deliver(nth, mails);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: usize, mails: Vec<NoticeMail>) {
+        for mail in mails {
+            for target in &mail.targets {
+                self.processes[from].sent += 1;
+                self.processes[from].bytes += mail.bytes.len();
+                let Some(to) = self.index.get(target).copied() else { continue };
+                if !self.processes[to].alive || self.rng.random::<f64>() < LOSS {
+                    continue;
+                }
+                if let Some(answer) = self.processes[to].hear(self.now, &mail.bytes) {
+                    self.deliver(to, vec![answer]);
+                }
+            }
+        }
+    }
+
+    fn forget_counts(&mut self) {
+        for one in &mut self.processes {
+            (one.sent, one.heard, one.bytes) = (0, 0, 0);
+        }
+    }
+
+    fn agents(&self) -> impl Iterator<Item = &Process> {
+        self.processes.iter().filter(|one| one.kind == PeerKind::Agent && one.alive)
+    }
+
+    /// Entries that relay.
+    fn relays(&self) -> Vec<usize> {
+        let living = self.processes.iter().enumerate().filter(|(_, one)| one.alive);
+        let entries = living.filter(|(_, one)| one.kind == PeerKind::Entry);
+        entries.filter(|(_, one)| one.peers.relay_rank().is_some()).map(|(nth, _)| nth).collect()
+    }
+
+    /// The least number of peers that a living process knows.
+    fn least_known(&self) -> usize {
+        let known = self.processes.iter().filter(|one| one.alive);
+        known.map(|one| one.peers.living().count()).min().unwrap_or(0)
+    }
+
+    /// Agents that know the whole weights of every other agent.
+    fn knowing_agents(&self) -> usize {
+        let all = self.agents().count();
+        let told = |one: &Process| {
+            let servers = one.peers.living().filter_map(|peer| peer.notice.server.as_ref());
+            servers.count() + 1
+        };
+        self.agents().filter(|one| told(one) >= all).count()
+    }
+}
+
+/// Datagrams a second that an agent sends and hears, the most of all agents, once all are known.
+fn agent_datagrams(size: u8) -> f64 {
+    let mut world = World::new(size, 7);
+    world.run(Duration::from_secs(6));
+    world.forget_counts();
+    world.run(Duration::from_secs(5));
+    world.agents().map(|one| one.sent + one.heard).max().unwrap_or(0) as f64 / 5.0
+}
+
+#[gtest]
+fn what_an_agent_sends_and_hears_does_not_grow_with_the_number_of_processes() {
+    let figures: BTreeMap<u8, f64> =
+        [60, 120, 240].into_iter().map(|size| (size, agent_datagrams(size))).collect();
+    // Two relays, ten a second each, and its own four.
+    for (size, figure) in &figures {
+        expect_that!(*figure, lt(40.0), "{size} processes");
+    }
+    expect_that!(figures[&240], lt(figures[&60] * 1.5 + 2.0));
+}
+
+#[gtest]
+fn all_know_all_within_seconds_of_a_common_start() {
+    let mut world = World::new(200, 3);
+    world.run(Duration::from_secs(4));
+    expect_that!(world.least_known(), eq(199));
+    expect_that!(world.knowing_agents(), eq(100));
+    expect_that!(world.relays().len(), eq(RELAYS * usize::from(DOMAINS)));
+}
+
+#[gtest]
+fn members_go_on_when_all_relays_of_a_domain_die_at_once() {
+    let mut world = World::new(200, 4);
+    world.run(Duration::from_secs(5));
+    let dead: Vec<usize> =
+        world.relays().into_iter().filter(|nth| world.processes[*nth].domain.0 == 2).collect();
+    expect_that!(dead.len(), eq(RELAYS));
+    dead.iter().for_each(|nth| world.processes[*nth].alive = false);
+    // Nobody that lives is taken for dead meanwhile, and others relay before long.
+    for _ in 0..60 {
+        world.run(TICK);
+        expect_that!(world.least_known(), ge(197));
+    }
+    expect_that!(world.relays().len(), eq(RELAYS * usize::from(DOMAINS)));
+    expect_that!(world.least_known(), eq(197));
+}
+
+#[gtest]
+fn an_agent_hears_that_every_entry_sends_its_server_nothing() {
+    let mut world = World::new(200, 5);
+    world.run(Duration::from_secs(5));
+    let nth = world.index[&address(3, 10)];
+    let server = world.processes[nth].server.as_mut().expect("an agent has a server");
+    server.changing = true;
+    let address = server.address;
+    let before = world.processes[nth].peers.drain_report(address);
+    expect_that!(before.unconfirmed, eq(100));
+    world.run(Duration::from_millis(600));
+    expect_that!(world.processes[nth].peers.drain_report(address).unconfirmed, eq(0));
+}
+
+#[gtest]
+fn a_process_that_joins_later_knows_all_agents_within_a_second() {
+    let mut world = World::new(200, 6);
+    let late = world.index[&address(4, 20)];
+    world.processes[late].alive = false;
+    world.run(Duration::from_secs(7));
+    world.processes[late] = process(world.now, 4, 20, PeerKind::Agent);
+    world.run(Duration::from_secs(1));
+    let known = world.processes[late].peers.living();
+    let servers = known.filter(|peer| peer.notice.server.is_some()).count();
+    expect_that!(servers, eq(99));
+}
