Keep drawers and seat keys instead of hashing them at every event

Cause: at 204 boxes the planner worked out a rendezvous ranking of its domain for every missing chunk at every event, and each look of the stager the key of every agent from a text. Change: both are kept until the list changes; ranks for turns are looked up in a map.

--- a/crates/core/src/burst/seats.rs
+++ b/crates/core/src/burst/seats.rs
@@ -3,7 +3,10 @@
 //! Every box ranks domains and boxes by rendezvous hashing, so that boxes with the same list
 //! agree without a word, and boxes whose lists differ a little disagree about few chunks.
 
-use std::collections::BTreeMap;
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashMap},
+};
 
 use headlatch_types::ChunkIndex;
 
@@ -32,12 +35,20 @@
     seats: BTreeMap<PeerKey, PeerSeat>,
     /// Domain to its region and its boxes.
     domains: BTreeMap<u64, (u64, Vec<u64>)>,
+    /// The drawers of the first chunks, as far as they have been asked for since the last list.
+    drawers: RefCell<HashMap<ChunkIndex, PeerKey>>,
 }
 
 impl SeatMap {
     /// A map with this box alone; `salt` keeps transfers from burdening the same boxes.
     pub fn new(salt: u64, me: PeerSeat) -> Self {
-        let mut map = Self { salt, me, seats: BTreeMap::new(), domains: BTreeMap::new() };
+        let mut map = Self {
+            salt,
+            me,
+            seats: BTreeMap::new(),
+            domains: BTreeMap::new(),
+            drawers: RefCell::default(),
+        };
         map.replace(&[me]);
         map
     }
@@ -58,6 +69,7 @@
 
     fn index(&mut self) {
         self.domains.clear();
+        self.drawers.get_mut().clear();
         for seat in self.seats.values() {
             let entry = self.domains.entry(seat.domain).or_insert((seat.region, Vec::new()));
             entry.1.push(seat.key.0);
@@ -96,8 +108,13 @@
     }
 
     /// The box that draws `chunk` from the origin or the store.
+    ///
+    /// It is asked for at every event, and takes a hash of every box of a domain: the answer is kept
+    /// until the list changes.
     pub fn drawer(&self, chunk: ChunkIndex) -> PeerKey {
-        self.importer(self.first_domain(chunk), chunk).unwrap_or(self.me.key)
+        let mut drawers = self.drawers.borrow_mut();
+        let ranked = || self.importer(self.first_domain(chunk), chunk).unwrap_or(self.me.key);
+        *drawers.entry(chunk).or_insert_with(ranked)
     }
 
     /// The box that draws `chunk` if those in `failed` do not.
--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -3,12 +3,14 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, atomic::AtomicBool},
     time::Duration,
 };
 
 use error_stack::{Report, ResultExt};
 use headlatch_core::{
+    burst::PeerKey,
     direct::peers::{DomainKey, PeerTable, ServerNotice, WantedNotice},
     membership::NodeKind,
     time::Moment,
@@ -35,6 +37,7 @@
     agent_plan::AgentPlan,
     datagram::DatagramCarrier,
     facts::{FactNews, ReadGate, follow, set_facts},
+    seats::seat_key,
     stager::Stager,
     transfer::{TransferDesk, TransferLinks},
 };
@@ -92,6 +95,8 @@
     pub(super) draining: AtomicBool,
     /// Has the wanted weights read anew.
     pub(super) weights_nudge: Arc<tokio::sync::Notify>,
+    /// Keys of agents' seats: to work one out takes a text and a hash, and every look needs all.
+    seat_keys: Mutex<HashMap<SocketAddr, PeerKey>>,
     /// Wakes the stager when another version is wanted.
     pub(super) wanted_news: tokio::sync::Notify,
 }
@@ -154,6 +159,7 @@
             news: tokio::sync::Notify::new(),
             draining: AtomicBool::new(false),
             weights_nudge: Arc::default(),
+            seat_keys: Mutex::default(),
             wanted_news: tokio::sync::Notify::new(),
             settings,
         });
@@ -285,6 +291,11 @@
         newest.collect()
     }
 
+    /// The key of the seat of the agent at `control`.
+    pub(super) fn seat_key(&self, control: SocketAddr) -> PeerKey {
+        *lock(&self.seat_keys).entry(control).or_insert_with(|| seat_key(control))
+    }
+
     /// Changes what is told of the server, and tells it at once if that is news.
     pub(super) fn tell(&self, change: impl FnOnce(&mut ServerNotice)) {
         let mut notice = lock(&self.notice);
--- a/crates/daemon/src/direct/change.rs
+++ b/crates/daemon/src/direct/change.rs
@@ -1,6 +1,6 @@
 //! The change of one server to other weights: whose turn it is, and how the server is emptied.
 
-use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
+use std::{collections::HashMap, sync::atomic::Ordering, time::Duration};
 
 use headlatch_core::{
     direct::{
@@ -15,10 +15,7 @@
 use headlatch_types::traffic::WeightVersion;
 use serde_json::json;
 
-use super::{
-    agent::{AgentState, lock},
-    seats::seat_key,
-};
+use super::agent::{AgentState, lock};
 use crate::decisions;
 
 /// How often a server that is being emptied is looked at.
@@ -33,20 +30,21 @@
 ) -> bool {
     let own = state.settings.node.control;
     let peers = lock(&state.peers);
-    let agents: Vec<(SocketAddr, &ServerNotice)> = peers
+    let agents: Vec<(u64, &ServerNotice)> = peers
         .living()
-        .filter_map(|peer| Some((peer.notice.from, peer.notice.server.as_ref()?)))
+        .filter_map(|peer| {
+            let server = peer.notice.server.as_ref()?;
+            Some((state.seat_key(peer.notice.from).0, server))
+        })
         .collect();
-    let keys = agents.iter().map(|(from, _)| seat_key(*from).0).chain([seat_key(own).0]);
-    let ranked = ranking(version.0, keys);
-    let rank = |address: SocketAddr| {
-        let key = seat_key(address).0;
-        ranked.iter().position(|one| *one == key).unwrap_or(0) as u32
-    };
+    let own = state.seat_key(own).0;
+    let ranked = ranking(version.0, agents.iter().map(|(key, _)| *key).chain([own]));
+    let ranks: HashMap<u64, u32> = ranked.into_iter().zip(0..).collect();
+    let rank = |key: u64| ranks.get(&key).copied().unwrap_or(0);
     let others: Vec<TurnView> = agents
         .iter()
-        .map(|(from, server)| TurnView {
-            rank: rank(*from),
+        .map(|(key, server)| TurnView {
+            rank: rank(*key),
             done: server.whole.is_some_and(|whole| whole >= version),
             ready: server.staged == Some(version),
             changing: server.changing,
--- a/crates/daemon/src/direct/seats.rs
+++ b/crates/daemon/src/direct/seats.rs
@@ -83,7 +83,7 @@
 fn seat(state: &AgentState, control: SocketAddr, domain: &DomainId) -> PeerSeat {
     let region = state.settings.direct.zones.get(domain);
     let region = region.map_or(0, |region| key_of(region.as_str().as_bytes()));
-    PeerSeat { key: seat_key(control), domain: domain.key(), region }
+    PeerSeat { key: state.seat_key(control), domain: domain.key(), region }
 }
 
 /// The key of an agent's seat: every agent works it out alike from the address.
