Leave the origin alone until agents have found each other, and let few read its manifest

All 204 agents read the manifest from an origin of 48 connections, each taking itself for one of the first, and drew all pieces by themselves; calls ended with 'no connection came up in time', peers were 'too slow' for 0.5 s. Change: the origin is read only once the number of known agents has stood still for 0.3 s (2.5 s at most); 24 agents read it at a time, later ones 0.1 s apart; a peer has 0.9 s for a manifest.

--- a/crates/core/src/direct/manifest_source.rs
+++ b/crates/core/src/direct/manifest_source.rs
@@ -10,11 +10,29 @@
 /// Time after which as many more may read it: a read takes a few round trips, and its news as long.
 const READER_PAUSE: Duration = Duration::from_millis(300);
 
+/// Agents that read a manifest from the origin at most: half of the connections that the smallest
+/// origin known takes. Where all machines start at once, more keep each other from having any.
+pub const MOST_READERS: usize = 24;
+
+/// Time for which the number of known agents must have stood still before the origin is read: those
+/// that do not know of each other would all take themselves for the first, and draw everything.
+pub const STEADY_TIME: Duration = Duration::from_millis(300);
+
+/// Time after which the origin is read whoever is still being found.
+pub const LONGEST_SETTLING: Duration = Duration::from_millis(2500);
+
 /// Time after a start in which an agent that knows no other waits to hear of some: where all
 /// machines start at once, each would take itself for the first. Starts lie 0.3 s apart, so that a
 /// short wait spreads them; a longer one is time in which nothing is served.
 const SETTLING_TIME: Duration = Duration::from_millis(150);
 
+/// Time after which an agent reads the origin whatever its rank: none of those before it has handed
+/// the manifest on.
+const LAST_RESORT: Duration = Duration::from_millis(1500);
+
+/// Time between two of those: a manifest takes the origin's link some 10 ms.
+const LAST_SPACING: Duration = Duration::from_millis(100);
+
 /// Agents that ask one holder at once: each answer takes some 3 KB of a link of 0.9 MB/s and a new
 /// connection, so that eight have theirs within 0.1 s; a hundred asking one holder waited 0.5 s in vain.
 const ASKERS_A_HOLDER: usize = 8;
@@ -34,6 +52,8 @@
     pub near_rank: usize,
     /// Whether it has heard of any other.
     pub is_alone: bool,
+    /// Time for which the number of agents that it knows has stood still.
+    pub steady: Duration,
     /// Time since it was needed first.
     pub waited: Duration,
     /// Tries that have failed.
@@ -68,8 +88,14 @@
     if view.is_alone && view.waited < SETTLING_TIME {
         return ManifestSource::Wait;
     }
+    if view.steady < STEADY_TIME && view.waited < LONGEST_SETTLING {
+        return ManifestSource::Wait;
+    }
     let groups = 1 + (view.waited.as_millis() / READER_PAUSE.as_millis()) as usize;
-    match view.rank < FIRST_READERS.saturating_mul(groups) {
+    let readers = FIRST_READERS.saturating_mul(groups).min(MOST_READERS);
+    // In the end everybody does, a few after the others.
+    let last = view.waited >= LAST_RESORT + LAST_SPACING * view.rank as u32;
+    match view.rank < readers || last {
         true => ManifestSource::Origin,
         false => ManifestSource::Wait,
     }
--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -97,6 +97,8 @@
     pub(super) weights_nudge: Arc<tokio::sync::Notify>,
     /// Keys of agents' seats: to work one out takes a text and a hash, and every look needs all.
     seat_keys: Mutex<HashMap<SocketAddr, PeerKey>>,
+    /// Agents known, and since when that many have been.
+    known_agents: Mutex<(usize, Moment)>,
     /// Wakes the stager when another version is wanted.
     pub(super) wanted_news: tokio::sync::Notify,
 }
@@ -160,6 +162,7 @@
             draining: AtomicBool::new(false),
             weights_nudge: Arc::default(),
             seat_keys: Mutex::default(),
+            known_agents: Mutex::default(),
             wanted_news: tokio::sync::Notify::new(),
             settings,
         });
@@ -291,6 +294,16 @@
         newest.collect()
     }
 
+    /// Takes in how many agents are known; the time for which that has not changed.
+    pub(super) fn steady(&self, count: usize) -> Duration {
+        let now = self.node.now();
+        let mut known = lock(&self.known_agents);
+        if known.0 != count {
+            *known = (count, now);
+        }
+        now.since(known.1)
+    }
+
     /// The key of the seat of the agent at `control`.
     pub(super) fn seat_key(&self, control: SocketAddr) -> PeerKey {
         *lock(&self.seat_keys).entry(control).or_insert_with(|| seat_key(control))
--- a/crates/daemon/src/direct/seats.rs
+++ b/crates/daemon/src/direct/seats.rs
@@ -1,6 +1,6 @@
 //! Who takes part in a transfer of weights: the agents of this server's service.
 
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use headlatch_core::{
     burst::{PeerKey, PeerSeat},
@@ -37,6 +37,8 @@
     pub(super) rank: usize,
     /// Rank of this agent among those of its failure domain.
     pub(super) near_rank: usize,
+    /// Time for which the number of known agents has stood still.
+    pub(super) steady: Duration,
     /// No other agent of the service is known.
     pub(super) is_alone: bool,
     /// Agents that hold the manifest: those of the own failure domain if there are any.
@@ -68,6 +70,7 @@
     ManifestReaders {
         rank: near_rank * count + domain_rank,
         near_rank,
+        steady: state.steady(seats.len()),
         is_alone: seats.len() == 1,
         holders: holders.into_iter().map(|(_, address)| address).collect(),
         holders_near,
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -320,6 +320,7 @@
         manifest_source(&ManifestView {
             rank: readers.rank,
             near_rank: readers.near_rank,
+            steady: readers.steady,
             is_alone: readers.is_alone,
             waited: now.since(since),
             failures: self.manifest_failures,
--- a/crates/daemon/src/direct/weights.rs
+++ b/crates/daemon/src/direct/weights.rs
@@ -54,8 +54,9 @@
     }
 }
 
-/// Time for a peer to hand over a manifest: a few round trips, also over a busy link.
-const PEER_TIME: Duration = Duration::from_millis(500);
+/// Time for a peer to hand over a manifest: a few round trips, over a link on which some hundred
+/// kilobytes of pieces may be waiting.
+const PEER_TIME: Duration = Duration::from_millis(900);
 
 /// The name of a version's pieces among transfers.
 pub fn piece_name(model: &ModelName, version: WeightVersion) -> String {
