Let the second reader of a failure domain rest longer, and find others before reading the store

Change: the second reader rests 2 s between two watches of servers (the first 0.8 s); an entry that lacks the plan reads the store once the number of known entries has stood still for 0.3 s.

--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -23,7 +23,7 @@
     engine_model::EngineLoad,
     fact_age::ChangeMark,
     leaving::LeavingNotice,
-    plan_readers::{ReaderView, is_plan_reader},
+    plan_readers::{ReaderView, reader_rank},
     relays::{DomainRoster, DrainSum, RELAYS, RosterMember},
 };
 use crate::time::Moment;
@@ -599,11 +599,16 @@
 
     /// Whether this entry is one of those of its failure domain that read the plan.
     pub fn is_plan_reader(&self) -> bool {
+        self.reader_rank().is_some()
+    }
+
+    /// Rank of this entry among those of its failure domain that read the store; none if it does not.
+    pub fn reader_rank(&self) -> Option<usize> {
         let view = |peer: &Peer| ReaderView {
             address: peer.notice.from,
             reads_store: peer.notice.reads_store,
         };
-        is_plan_reader(self.own, self.near_entries().map(view))
+        reader_rank(self.own, self.near_entries().map(view))
     }
 
     /// Entries that have a newer plan than `version`: those of the own failure domain if `near` is
--- a/crates/core/src/direct/plan_readers.rs
+++ b/crates/core/src/direct/plan_readers.rs
@@ -17,9 +17,15 @@
     pub reads_store: bool,
 }
 
-/// Whether the entry at `own` reads the plan from the store: the first by address do, of those
-/// whose calls are answered.
-pub fn is_plan_reader(own: SocketAddr, others: impl Iterator<Item = ReaderView>) -> bool {
+/// Rank of the entry at `own` among those of its failure domain that read the store; none if it does
+/// not: the first by address do, of those whose calls are answered.
+pub fn reader_rank(own: SocketAddr, others: impl Iterator<Item = ReaderView>) -> Option<usize> {
     let before = others.filter(|other| other.reads_store && other.address < own);
-    before.take(PLAN_READERS).count() < PLAN_READERS
+    let rank = before.take(PLAN_READERS).count();
+    (rank < PLAN_READERS).then_some(rank)
+}
+
+/// Whether the entry at `own` reads the plan from the store.
+pub fn is_plan_reader(own: SocketAddr, others: impl Iterator<Item = ReaderView>) -> bool {
+    reader_rank(own, others).is_some()
 }
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -36,8 +36,13 @@
 /// a server that leaves serves on for two seconds at least.
 const SERVERS_REST: Duration = Duration::from_millis(800);
 
-fn rest_after(topic: FactTopic) -> Duration {
+/// The same for the second reader of a failure domain: what the first has read it hears in notices,
+/// and of servers that leave from every failure domain.
+const SECOND_SERVERS_REST: Duration = Duration::from_millis(2000);
+
+fn rest_after(topic: FactTopic, is_second: bool) -> Duration {
     match topic {
+        FactTopic::Servers if is_second => SECOND_SERVERS_REST,
         FactTopic::Servers => SERVERS_REST,
         FactTopic::Plan | FactTopic::Weights => Duration::ZERO,
     }
@@ -58,6 +63,11 @@
     fn is_open(&self) -> bool;
     /// Notes whether the last call was answered.
     fn note(&self, answered: bool);
+    /// Whether this process reads the topic only in case another one, which reads it as well, stops:
+    /// it may rest longer between two calls.
+    fn is_second(&self) -> bool {
+        false
+    }
 }
 
 /// A topic that is always read.
@@ -148,7 +158,7 @@
             at = changes.at;
             take(FactNews::Changes(changes));
             // Changes that come close together are one call.
-            tokio::time::sleep(rest_after(topic)).await;
+            tokio::time::sleep(rest_after(topic, reader.gate.is_second())).await;
         }
     }
 }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -48,6 +48,9 @@
 /// a server leaves is told at once besides.
 const SERVERS_PATIENCE: Duration = Duration::from_millis(1400);
 
+/// The same for the second reader of a failure domain, whose watch rests for 2 s.
+const SECOND_PATIENCE: Duration = Duration::from_millis(3200);
+
 /// The state of one entry.
 #[derive(Debug)]
 pub struct EntryState {
@@ -86,6 +89,8 @@
     server_copy: Mutex<ServerCopy>,
     /// How current the list of servers is.
     servers_age: Mutex<FactAge>,
+    /// Entries known, and since when that many have been.
+    known_entries: Mutex<(usize, Moment)>,
     /// Servers have come for which agents may have told something.
     notices_stale: AtomicBool,
 }
@@ -102,10 +107,14 @@
     }
 }
 
-/// Time after a start in which an entry that knows no other waits to hear of some before it reads
-/// the store: where all start at once, each would take itself for the first.
+/// Time after a start in which an entry waits to hear of others before it reads the store: where all
+/// start at once, each would take itself for the first.
 const SETTLING_TIME: Duration = Duration::from_millis(400);
 
+/// Time for which the number of known entries must have stood still before an entry that lacks the
+/// plan takes itself for one that reads the store.
+const STEADY_TIME: Duration = Duration::from_millis(300);
+
 /// Time after a start from which an entry that still lacks the plan reads it by itself.
 const OWN_READING_TIME: Duration = Duration::from_millis(1500);
 
@@ -116,9 +125,10 @@
         if lacks && since >= OWN_READING_TIME {
             return true;
         }
-        let peers = self.peers();
-        let settled = since >= SETTLING_TIME || peers.living().next().is_some();
-        settled && peers.is_plan_reader()
+        let known = *lock(&self.known_entries);
+        let settled = since >= SETTLING_TIME && self.now().since(known.1) >= STEADY_TIME;
+        let has_read = !lacks;
+        (settled || has_read) && self.peers().is_plan_reader()
     }
 
     fn note(&self, answered: bool) {
@@ -136,6 +146,10 @@
     }
 
     fn note(&self, _answered: bool) {}
+
+    fn is_second(&self) -> bool {
+        self.0.peers().reader_rank() == Some(1)
+    }
 }
 
 /// News of servers as changes; what cannot be read is written down and left out.
@@ -197,6 +211,7 @@
             servers_offered: Notify::new(),
             server_copy: Mutex::default(),
             servers_age: Mutex::default(),
+            known_entries: Mutex::default(),
             notices_stale: AtomicBool::new(false),
             settings,
         })
@@ -407,14 +422,15 @@
     /// less, its watch has missed something.
     pub fn hear_peer_servers(&self, newest: ChangeMark) {
         let now = self.now();
-        let is_reader = self.peers().is_plan_reader();
+        let rank = self.peers().reader_rank();
         let mut age = lock(&self.servers_age);
         age.note_told(now, newest);
         if age.behind(now).is_some() {
             self.servers_offered.notify_one();
         }
         let is_late = age.behind(now).is_some_and(|behind| behind >= SERVERS_PATIENCE);
-        if (is_late || is_reader) && age.take_due(now, SERVERS_PATIENCE) {
+        let patience = if rank == Some(1) { SECOND_PATIENCE } else { SERVERS_PATIENCE };
+        if (is_late || rank.is_some()) && age.take_due(now, patience) {
             self.servers_nudge.notify_one();
         }
     }
@@ -488,6 +504,11 @@
         let mut servers = self.servers();
         servers.set_others(loads);
         servers.set_entries(entries);
+        let mut known = lock(&self.known_entries);
+        if known.0 != entries {
+            *known = (entries, self.now());
+        }
+        drop(known);
         let names: Vec<String> = silent.iter().map(DomainKey::to_string).collect();
         let news = servers.set_silent_domains(silent);
         drop(servers);
