Read the store at once at a start, but at the first of the whole system

After a loss of power entries waited 0.7 s for each other before they read plan, servers and wanted weights, agents heard of the wanted version only from them, and the origin was left alone for 0.3 s more. Change: only where the settings say that the whole system starts for the first time (first_start, from the platform's bootstrap) is that waited for; agents list wanted versions once at any other start; processes that have just started ask those named to them every 100 ms, so that 0.22 s without anybody new are enough.

--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -4,7 +4,10 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, atomic::AtomicBool},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -188,7 +191,7 @@
                 outside.store,
                 FactTopic::Weights,
                 weights_nudge,
-                Arc::new(WantedGate(state.clone())),
+                Arc::new(WantedGate { state: state.clone(), answered: AtomicBool::new(false) }),
                 move |news| {
                     watched.hear_weights(news);
                 },
@@ -225,21 +228,33 @@
     }
 }
 
-/// Time after a start in which an agent waits to hear of an entry that reads the store.
+/// Time after a first start of the whole system in which an agent waits to hear of an entry that
+/// reads the store.
 const SETTLING_TIME: Duration = Duration::from_millis(1500);
 
-/// Opens where no entry of the failure domain is known that reads the store: entries tell agents
-/// which versions are wanted, and every call is priced.
+/// Opens at a start, when an empty server waits for its weights, and later where no entry of the
+/// failure domain is known that reads the store: entries tell agents which versions are wanted, and
+/// every call is priced.
 #[derive(Debug)]
-struct WantedGate(Arc<AgentState>);
+struct WantedGate {
+    state: Arc<AgentState>,
+    /// A call has been answered.
+    answered: AtomicBool,
+}
 
 impl ReadGate for WantedGate {
     fn is_open(&self) -> bool {
-        let settled = self.0.node.now() >= Moment::ZERO + SETTLING_TIME;
-        settled && !lock(&self.0.peers).has_near_reader()
+        let state = &self.state;
+        if !self.answered.load(Ordering::Relaxed) && !state.settings.direct.first_start {
+            return true;
+        }
+        let settled = state.node.now() >= Moment::ZERO + SETTLING_TIME;
+        settled && !lock(&state.peers).has_near_reader()
     }
 
-    fn note(&self, _answered: bool) {}
+    fn note(&self, answered: bool) {
+        self.answered.fetch_or(answered, Ordering::Relaxed);
+    }
 }
 
 impl AgentState {
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -32,7 +32,7 @@
 
 /// Ticks between notices to addresses that may be peers, at first: whoever has just started knows
 /// only some, which name others.
-const FIRST_CANDIDATE_TICKS: u64 = 2;
+const FIRST_CANDIDATE_TICKS: u64 = 1;
 
 /// The same later on: most of those that have not answered by then are gone.
 const CANDIDATE_TICKS: u64 = 15;
@@ -238,7 +238,7 @@
 
     fn is_candidates_turn(&self) -> bool {
         match self.tick < FIRST_TICKS {
-            true => self.tick % FIRST_CANDIDATE_TICKS == 1,
+            true => self.tick.is_multiple_of(FIRST_CANDIDATE_TICKS),
             false => self.is_turn(CANDIDATE_TICKS),
         }
     }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -122,7 +122,8 @@
     fn is_open(&self) -> bool {
         let lacks = self.routes().is_none() || !self.servers_known.load(Ordering::Relaxed);
         let since = self.begun.elapsed();
-        if lacks && since >= OWN_READING_TIME {
+        // Callers wait, unless the whole system starts for the first time.
+        if lacks && (!self.settings.direct.first_start || since >= OWN_READING_TIME) {
             return true;
         }
         let known = *lock(&self.known_entries);
--- a/crates/types/src/direct_settings.rs
+++ b/crates/types/src/direct_settings.rs
@@ -30,6 +30,10 @@
     /// Time in which all servers change to new weights, in milliseconds.
     #[serde(default = "default_weights_ms")]
     pub weights_ms: u64,
+    /// The whole system starts for the first time: nobody waits for it yet, so that processes find
+    /// each other before they read the store.
+    #[serde(default)]
+    pub first_start: bool,
     /// Processes up to which everybody tells everybody; beyond, two entries of each failure domain
     /// relay.
     #[serde(default = "default_mesh_limit")]
@@ -78,6 +82,8 @@
     pub retry: RawRetry,
     /// Time in which all servers change to new weights.
     pub weights_time: Duration,
+    /// The whole system starts for the first time.
+    pub first_start: bool,
     /// Processes up to which everybody tells everybody.
     pub mesh_limit: usize,
     /// Address for metrics.
@@ -143,8 +149,15 @@
     }
     let metrics = raw.metrics.as_deref().map(|text| address("direct.metrics", text)).transpose()?;
     let weights_time = Duration::from_millis(raw.weights_ms);
-    let mesh_limit = raw.mesh_limit;
-    Ok(DirectSettings { zones, seeds, retry: raw.retry, weights_time, mesh_limit, metrics })
+    Ok(DirectSettings {
+        zones,
+        seeds,
+        retry: raw.retry,
+        weights_time,
+        first_start: raw.first_start,
+        mesh_limit: raw.mesh_limit,
+        metrics,
+    })
 }
 
 pub(crate) fn check_direct_entry(
