Hand agents what they need of the plan, and have few entries read it after a restart

Change: agents have engines, origin and at most one route a service from an entry (TrafficPlan::for_agents), and ask the store after 3 s (0.5 s where no entry is known); an entry that restarts waits 0.15 s to hear of others before it takes itself for one of the two readers of its failure domain.

--- a/crates/daemon/src/direct/agent_plan.rs
+++ b/crates/daemon/src/direct/agent_plan.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use headlatch_core::direct::peers::PeerKind;
 use headlatch_http::Connections;
 use headlatch_outside::facts::{Fact, FactStore, FactTopic, Freshness};
 use headlatch_types::{
@@ -35,12 +36,15 @@
 /// Pause between two looks for a newer plan.
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
 
-/// Time after which entries are asked for the plan beside the store, which answers in 4 ms, and in
-/// 0.3 s where it is slow.
-const STORE_PATIENCE: Duration = Duration::from_millis(500);
+/// Time after which the store is asked for the plan where no entry is known that has one.
+const LONELY_PATIENCE: Duration = Duration::from_millis(500);
+
+/// Time after which it is asked in any case: entries that have just started as well have the plan
+/// within two seconds. A whole plan may take a megabyte, and there are dozens of agents a region.
+const STORE_PATIENCE: Duration = Duration::from_millis(3000);
 
 /// Pause between two entries that are asked.
-const ENTRY_PAUSE: Duration = Duration::from_millis(300);
+const ENTRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// An agent's copy of the plan.
 #[derive(Debug, Default)]
@@ -92,7 +96,7 @@
             FactReader::new(store, FactTopic::Plan, Arc::default(), Arc::new(AlwaysOpen));
         loop {
             let plan = tokio::select! {
-                plan = read_store(&mut reader, freshness) => plan,
+                plan = read_store(&state, &mut reader, freshness) => plan,
                 plan = read_entries(&state) => Some(plan),
             };
             match plan.filter(|plan| plan.origin().is_some()) {
@@ -129,7 +133,16 @@
     }
 }
 
-async fn read_store(reader: &mut FactReader, freshness: Freshness) -> Option<Arc<TrafficPlan>> {
+/// The plan from the store, where no entry hands it over.
+async fn read_store(
+    state: &AgentState,
+    reader: &mut FactReader,
+    freshness: Freshness,
+) -> Option<Arc<TrafficPlan>> {
+    tokio::time::sleep(LONELY_PATIENCE).await;
+    if holder_of_newer(state, PlanVersion::default()).is_some() || knows_entries(state) {
+        tokio::time::sleep(STORE_PATIENCE - LONELY_PATIENCE).await;
+    }
     let list = reader.list(freshness).await;
     let plans = set_facts(FactNews::All(list)).into_iter().filter_map(|fact| match fact {
         Fact::Plan(plan) => Some(Arc::from(plan)),
@@ -138,13 +151,16 @@
     plans.last()
 }
 
-/// The plan from an entry, where the store is silent for a while.
+fn knows_entries(state: &AgentState) -> bool {
+    lock(&state.peers).entries(PeerKind::Agent) > 0
+}
+
+/// The plan from an entry.
 async fn read_entries(state: &AgentState) -> Arc<TrafficPlan> {
     let connections = Connections::default();
-    tokio::time::sleep(STORE_PATIENCE).await;
     loop {
         if let Some(entry) = holder_of_newer(state, PlanVersion::default()) {
-            match plan_sync::fetch(&connections, entry).await {
+            match plan_sync::fetch_for_agent(&connections, entry).await {
                 Ok(plan) => return Arc::new(plan),
                 Err(error) => decisions::warn("plan", "not_fetched", json!({ "error": error })),
             }
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -82,13 +82,22 @@
     fn note(&self, _answered: bool) {}
 }
 
+/// Looks in a row that must find a gate closed before a watch is ended: one second.
+const CLOSED_LOOKS: u32 = 5;
+
 /// How often a closed gate is looked at.
 const GATE_PAUSE: Duration = Duration::from_millis(200);
 
+/// The same at first, when others wait for what is read.
+const FIRST_GATE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time for which a gate is looked at more often.
+const FIRST_TIME: Duration = Duration::from_secs(2);
+
 /// Looks at a gate until that has been closed for some time.
 async fn closed(gate: &dyn ReadGate) {
     let mut looks = 0;
-    while looks < 5 {
+    while looks < CLOSED_LOOKS {
         tokio::time::sleep(GATE_PAUSE).await;
         looks = if gate.is_open() { 0 } else { looks + 1 };
     }
@@ -170,6 +179,7 @@
     /// Somebody knows that there is something newer.
     nudge: Arc<Notify>,
     gate: Arc<dyn ReadGate>,
+    begun: Instant,
     /// Calls that have failed since the last one that was answered.
     lost: Option<LostStore>,
 }
@@ -182,13 +192,15 @@
         nudge: Arc<Notify>,
         gate: Arc<dyn ReadGate>,
     ) -> Self {
-        Self { store, topic, nudge, gate, lost: None }
+        Self { store, topic, nudge, gate, begun: Instant::now(), lost: None }
     }
 
     /// Waits until the gate opens or somebody knows that there is something newer.
     async fn opened(&self) {
         while !self.gate.is_open() {
-            let nudged = tokio::time::timeout(GATE_PAUSE, self.nudge.notified()).await;
+            let is_first = self.begun.elapsed() < FIRST_TIME;
+            let pause = if is_first { FIRST_GATE_PAUSE } else { GATE_PAUSE };
+            let nudged = tokio::time::timeout(pause, self.nudge.notified()).await;
             if nudged.is_ok() {
                 return;
             }
--- a/crates/daemon/src/direct/plan_copy.rs
+++ b/crates/daemon/src/direct/plan_copy.rs
@@ -85,6 +85,18 @@
         }
     }
 
+    /// What agents need of the plan in force, as it is handed to them; none before the first.
+    pub fn encoded_for_agents(&self) -> Option<Bytes> {
+        let plan = self.routes()?.plan().for_agents();
+        match serde_json::to_vec(&plan) {
+            Ok(text) => Some(text.into()),
+            Err(error) => {
+                decisions::warn("plan", "not_encoded", json!({ "error": error.to_string() }));
+                None
+            }
+        }
+    }
+
     /// How current the plan is.
     pub fn age(&self) -> FactAge {
         *self.source().age()
--- a/crates/daemon/src/direct/plan_sync.rs
+++ b/crates/daemon/src/direct/plan_sync.rs
@@ -18,6 +18,9 @@
 /// Path of the plan among entries.
 const PLAN_PATH: &str = "/plan";
 
+/// Path of what agents need of it.
+const AGENT_PLAN_PATH: &str = "/plan/agents";
+
 /// Time for a plan to come: a dozen entries may ask at once over one link between regions.
 const FETCH_TIME: Duration = Duration::from_secs(3);
 
@@ -46,6 +49,7 @@
 fn answer(state: &EntryState, path: &str) -> Response<Full<Bytes>> {
     let text = match path {
         PLAN_PATH => state.plan.encoded(),
+        AGENT_PLAN_PATH => state.plan.encoded_for_agents(),
         path => server_sync::answer(state, path),
     };
     let status = if text.is_some() { StatusCode::OK } else { StatusCode::NOT_FOUND };
@@ -56,8 +60,24 @@
 
 /// Reads the plan that another entry has in force; the error says why there is none.
 pub async fn fetch(connections: &Connections, address: SocketAddr) -> Result<TrafficPlan, String> {
+    fetch_from(connections, address, PLAN_PATH).await
+}
+
+/// Reads what agents need of the plan that an entry has in force.
+pub async fn fetch_for_agent(
+    connections: &Connections,
+    address: SocketAddr,
+) -> Result<TrafficPlan, String> {
+    fetch_from(connections, address, AGENT_PLAN_PATH).await
+}
+
+async fn fetch_from(
+    connections: &Connections,
+    address: SocketAddr,
+    path: &str,
+) -> Result<TrafficPlan, String> {
     // A connection that has rested may have been cut off meanwhile without a word.
-    let request = CallRequest::get(PLAN_PATH).closing().silent_for(FETCH_SILENCE);
+    let request = CallRequest::get(path).closing().silent_for(FETCH_SILENCE);
     let call = connections.call(address, request, MOST_PLAN, FETCH_TIME);
     let answer = call.await.map_err(|error| format!("{address}: {}", error.message))?;
     if answer.status != StatusCode::OK {
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -107,10 +107,14 @@
     }
 }
 
-/// Time after a start in which an entry waits to hear of others before it reads the store: where all
-/// start at once, each would take itself for the first.
+/// Time after the first start of the whole system in which an entry waits to hear of others before it
+/// reads the store: each would take itself for the first.
 const SETTLING_TIME: Duration = Duration::from_millis(400);
 
+/// The same where others run or have run: who is named by the first answers has answered by then, so
+/// that few of dozens of entries read a plan of up to a megabyte over one link between regions.
+const RESTART_SETTLING_TIME: Duration = Duration::from_millis(150);
+
 /// Time for which the number of known entries must have stood still before an entry that lacks the
 /// plan takes itself for one that reads the store.
 const STEADY_TIME: Duration = Duration::from_millis(300);
@@ -122,12 +126,15 @@
     fn is_open(&self) -> bool {
         let lacks = self.routes().is_none() || !self.servers_known.load(Ordering::Relaxed);
         let since = self.begun.elapsed();
-        // Callers wait, unless the whole system starts for the first time.
-        if lacks && (!self.settings.direct.first_start || since >= OWN_READING_TIME) {
+        if lacks && since >= OWN_READING_TIME {
             return true;
         }
+        // Callers wait, unless the whole system starts for the first time.
         let known = *lock(&self.known_entries);
-        let settled = since >= SETTLING_TIME && self.now().since(known.1) >= STEADY_TIME;
+        let settled = match self.settings.direct.first_start {
+            true => since >= SETTLING_TIME && self.now().since(known.1) >= STEADY_TIME,
+            false => since >= RESTART_SETTLING_TIME,
+        };
         let has_read = !lacks;
         (settled || has_read) && self.peers().is_plan_reader()
     }
--- a/crates/types/src/traffic.rs
+++ b/crates/types/src/traffic.rs
@@ -215,6 +215,29 @@
         self.routes.iter().filter(|route| sends(route)).all(Route::repeatable)
     }
 
+    /// What agents need of the plan: engines, the origin, and for each service one of the routes that
+    /// keep its requests from being cut. Whole plans of a megabyte, read by every agent of a region
+    /// after a loss of power, fill its link for half a minute.
+    pub fn for_agents(&self) -> Self {
+        let used = |service: &ServicePlan| service.engine.is_some() || service.origin.is_some();
+        let services = self.services.iter().filter(|(_, service)| used(service));
+        let services: BTreeMap<String, ServicePlan> =
+            services.map(|(name, service)| (name.clone(), service.clone())).collect();
+        let once = self.routes.iter().filter(|route| !route.repeatable());
+        let sends = |route: &&Route, name: &str| {
+            route.targets.iter().any(|target| &*target.service == name)
+        };
+        let routes =
+            services.keys().filter_map(|name| once.clone().find(|route| sends(route, name)));
+        Self {
+            version: self.version,
+            routes: routes.cloned().collect(),
+            limits: self.limits,
+            tenants: Vec::new(),
+            services,
+        }
+    }
+
     /// The first service that hands out weights.
     pub fn origin(&self) -> Option<&OriginPlan> {
         self.services.values().find_map(|service| service.origin.as_ref())
--- /dev/null
+++ b/crates/types/tests/agent_plan.rs
@@ -0,0 +1,57 @@
+//! What agents are handed of a plan.
+
+use googletest::prelude::*;
+use headlatch_types::traffic::{
+    OriginPlan, PlanVersion, Route, RouteKind, RouteTarget, ServicePlan, Tenant, TrafficPlan,
+};
+
+fn route(name: &str, kind: RouteKind, service: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "h".to_owned(),
+        path_prefix: format!("/{name}/"),
+        kind,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        pause_objective_ms: 0,
+        priority: 0,
+        targets: vec![RouteTarget { service: service.into(), weight: 1 }],
+        max_attempts: 1,
+        anonymous: false,
+        resumable: true,
+    }
+}
+
+fn plan(kind: RouteKind) -> TrafficPlan {
+    let origin = OriginPlan {
+        address: "10.0.0.1:80".parse().expect("an address"),
+        bytes_per_second: 900_000,
+        max_connections: 48,
+    };
+    let weights = ServicePlan { origin: Some(origin), ..ServicePlan::default() };
+    let services = [("weights", weights), ("plain", ServicePlan::default())];
+    let tenant = Tenant { name: "t".into(), keys: vec!["k".into()], priority: None };
+    TrafficPlan {
+        version: PlanVersion(7),
+        routes: (0..1_000).map(|nth| route(&format!("r{nth}"), kind, "weights")).collect(),
+        services: services.into_iter().map(|(name, plan)| (name.to_owned(), plan)).collect(),
+        tenants: vec![tenant],
+        ..TrafficPlan::default()
+    }
+}
+
+/// A plan of a megabyte for each of dozens of agents fills the link of a region for half a minute.
+#[gtest]
+fn it_says_the_same_of_origin_and_cuts_and_is_short() {
+    for kind in [RouteKind::Stream, RouteKind::Once] {
+        let plan = plan(kind);
+        let handed = plan.for_agents();
+        expect_that!(handed.version, eq(plan.version));
+        expect_that!(handed.origin(), eq(plan.origin()));
+        expect_that!(handed.may_cut("weights"), eq(plan.may_cut("weights")));
+        expect_that!(handed.routes.len(), le(1));
+        expect_that!(handed.tenants.len(), eq(0));
+        expect_that!(handed.services.contains_key("plain"), eq(false));
+        expect_that!(handed.check().is_ok(), eq(true));
+    }
+}
