Let no late list of servers take back what another entry has handed over

Cause: found by the test of an entry that serves with servers from another one: a list that the store answers late, older than what a peer has handed over meanwhile, removed servers and set old records again. Change: only what is newer than the copy is taken in (ServerCopy::news_of).

--- a/crates/core/src/direct/server_copy.rs
+++ b/crates/core/src/direct/server_copy.rs
@@ -57,6 +57,26 @@
 }
 
 impl ServerCopy {
+    /// The part of what has changed that is news: what a slow call to the store brings may be older
+    /// than what another entry has handed over meanwhile.
+    pub fn news_of(&self, changes: ServerChanges) -> ServerChanges {
+        let known = |id: &ServerId| self.records.get(id).map(|marked| marked.revision);
+        let is_old = |id: &ServerId, revision| known(id).is_some_and(|known| known > revision);
+        let whole = changes.whole && changes.covered >= self.covered;
+        let is_gone = |marked: &MarkedRecord| {
+            let gone = self.gone.get(&marked.record.id);
+            changes.covered < self.covered && gone.is_some_and(|(at, _)| marked.revision <= *at)
+        };
+        let set = changes
+            .set
+            .iter()
+            .filter(|marked| !is_old(&marked.record.id, marked.revision) && !is_gone(marked));
+        let set = set.cloned().collect();
+        let gone = changes.gone.iter().filter(|gone| !is_old(&gone.id, gone.revision));
+        let gone = gone.cloned().collect();
+        ServerChanges { whole, set, gone, ..changes }
+    }
+
     /// Takes in what has changed.
     pub fn take(&mut self, changes: &ServerChanges) {
         self.covered = self.covered.max(changes.covered);
--- a/crates/core/tests/server_copy.rs
+++ b/crates/core/tests/server_copy.rs
@@ -79,3 +79,19 @@
     expect_that!(told.gone.len(), eq(0));
     expect_that!(ids(&told), elements_are![eq("a")]);
 }
+
+/// A list that the store answers late must not take back what another entry has handed over.
+#[gtest]
+fn a_late_list_takes_nothing_back() {
+    let mut copy = ServerCopy::default();
+    copy.take(&changes(10, true, vec![marked("a", 1), marked("b", 2)], &[]));
+    copy.take(&changes(20, false, vec![marked("b", 18), marked("c", 20)], &["a"]));
+    let late = changes(15, true, vec![marked("a", 1), marked("b", 2)], &[]);
+    let news = copy.news_of(late);
+    expect_that!(news.whole, eq(false));
+    expect_that!(ids(&news), is_empty());
+    // A newer list says everything.
+    let newer = copy.news_of(changes(30, true, vec![marked("b", 18), marked("d", 30)], &[]));
+    expect_that!(newer.whole, eq(true));
+    expect_that!(ids(&newer), elements_are![eq("b"), eq("d")]);
+}
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -368,8 +368,7 @@
     /// Takes in news about servers from the store.
     pub fn hear_servers(&self, news: FactNews) {
         let (covered, newest) = (news.covered(), news.newest());
-        let changes = server_changes(news, newest);
-        self.apply_servers(&changes);
+        self.apply_servers(server_changes(news, newest));
         lock(&self.servers_age).confirm_from_store(self.now(), covered, newest);
     }
 
@@ -378,8 +377,9 @@
         if changes.covered <= self.servers_age().covered() {
             return;
         }
-        self.apply_servers(&changes);
-        lock(&self.servers_age).take_list_from_peer(changes.covered, changes.newest);
+        let (covered, newest) = (changes.covered, changes.newest);
+        self.apply_servers(changes);
+        lock(&self.servers_age).take_list_from_peer(covered, newest);
     }
 
     /// What has changed of the list of servers for an entry that knows everything up to `after`.
@@ -387,8 +387,11 @@
         lock(&self.server_copy).changes_after(after)
     }
 
-    fn apply_servers(&self, changes: &ServerChanges) {
-        lock(&self.server_copy).take(changes);
+    fn apply_servers(&self, changes: ServerChanges) {
+        let mut copy = lock(&self.server_copy);
+        let changes = copy.news_of(changes);
+        copy.take(&changes);
+        drop(copy);
         if changes.whole {
             let listed: Vec<ServerId> =
                 changes.set.iter().map(|marked| marked.record.id.clone()).collect();
--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -680,3 +680,47 @@
     expect_that!(TcpStream::connect(address).await.is_err(), eq(true));
     leaving.abort();
 }
+
+/// A store that says nothing.
+#[derive(Debug)]
+struct SilentStore;
+
+impl FactStore for SilentStore {
+    fn list(
+        &self,
+        _topic: FactTopic,
+        _freshness: Freshness,
+    ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
+        Box::pin(std::future::pending())
+    }
+
+    fn watch(
+        &self,
+        _topic: FactTopic,
+        _after: StoreRevision,
+        _wait: Duration,
+    ) -> OutsideFuture<'_, std::result::Result<FactChanges, StoreFailure>> {
+        Box::pin(std::future::pending())
+    }
+}
+
+/// Two entries of a failure domain read the list of servers; the others are as good with what those
+/// hand over.
+#[gtest]
+#[tokio::test]
+async fn an_entry_serves_with_plan_and_servers_from_another_entry() {
+    let setting = Setting::new(whole, whole).await;
+    let other = DirectEntry::start(settings(), Arc::new(SilentStore), Arc::new(TestHeaders)).await;
+    let other = other.expect("it starts");
+    other.state.take_plan(plan(5), "peer");
+    let changes = setting.entry.state.server_changes(ChangeMark(0)).expect("it has a list");
+    expect_that!(changes.whole, eq(true));
+    other.state.take_server_changes(changes.clone());
+    expect_that!(other.state.is_ready(), eq(true));
+    let answer = ask(other.address, "/safe/x", "k").await.expect("an answer");
+    expect_that!(answer.status, eq(StatusCode::OK));
+    // What it has is what it tells, and hands on.
+    expect_that!(other.state.newest_servers(), eq(changes.newest));
+    let handed = other.state.server_changes(ChangeMark(0)).expect("it has a list");
+    expect_that!(handed.set.len(), eq(changes.set.len()));
+}
