Tell how long a watch of the store had been open when it brought something

A gap of these lines on all entries at once, while the store changes, is a watch that nobody answers.

--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -263,6 +263,7 @@
         match watched {
             Ok(changes) => {
                 self.gate.note(true);
+                self.note_changes(begun, &changes);
                 Some(changes)
             }
             Err(StoreFailure::HistoryGone) => {
@@ -277,6 +278,19 @@
         }
     }
 
+    /// Writes down how long a watch that brought something had been open: where the next one of
+    /// these lines is missing, the watch after it was never answered.
+    fn note_changes(&self, begun: Instant, changes: &FactChanges) {
+        if changes.changes.is_empty() {
+            return;
+        }
+        let fields = json!({
+            "topic": self.topic.as_str(), "open_ms": begun.elapsed().as_millis() as u64,
+            "changes": changes.changes.len(), "at": changes.at.0,
+        });
+        decisions::note("store", "watch_brought", fields);
+    }
+
     fn note_answered(&mut self) {
         self.gate.note(true);
         if let Some(lost) = self.lost.take() {
