Bound the wait of watches at the entry that others rely on, so that a lost one is noticed

Cause: a watch that is sent while the store is silent is never answered, nor is one whose connection goes silent for good. It waited 29 s and 3 s more, and nothing else told of it unless a peer had a watch that worked. Readers send their watches in step, right after the same change or the same rest, so that one silence takes all of them. Class: a fact whose age nobody watches (decision 0007, whose table said that notices and peers would notice).

Change: the first reader of a failure domain waits 1.5 s a watch (wanted weights 3 s), and 0.5 s plus the time of the last list after that counts it as lost, says so in its notices and lists anew; a standby whose turn comes ends its long watch. No rest follows a watch that brought nothing.

--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -39,7 +39,7 @@
     agent_notices,
     agent_plan::AgentPlan,
     datagram::DatagramCarrier,
-    facts::{FactNews, ReadGate, follow, set_facts},
+    facts::{FactNews, ReadGate, ReaderDuty, follow, set_facts},
     seats::seat_key,
     stager::Stager,
     transfer::{TransferDesk, TransferLinks},
@@ -255,6 +255,11 @@
     fn note(&self, answered: bool) {
         self.answered.fetch_or(answered, Ordering::Relaxed);
     }
+
+    /// Entries of all failure domains tell agents which versions are wanted.
+    fn duty(&self) -> ReaderDuty {
+        ReaderDuty::StandsBy
+    }
 }
 
 impl AgentState {
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -14,8 +14,25 @@
 
 use crate::decisions;
 
-/// How long one watch waits.
-const WATCH_TIME: Duration = Duration::from_secs(29);
+/// How long a watch waits at a process that stands by: those that watch tell it of changes.
+const STANDBY_WATCH_TIME: Duration = Duration::from_secs(29);
+
+/// The same at a process that watches. A watch may be lost without a word: sent while the store was
+/// silent, or on a connection that is silent for good. Where all of them are lost nobody knows more
+/// than anybody else, so that only the end of the wait shows it. Changes are due two seconds after
+/// they are made, from three seconds after the trouble on: with [`WATCH_SILENCE`], a list and a
+/// notice, 2.6 s have passed by then.
+const WATCH_TIME: Duration = Duration::from_millis(1500);
+
+/// The same for wanted weights, which are due after eight seconds and more.
+const WEIGHTS_WATCH_TIME: Duration = Duration::from_millis(3000);
+
+/// Least part of these times that is drawn, so that nodes do not call together, in percent.
+const LEAST_WATCH_PERCENT: u32 = 85;
+
+/// Silence after the end of its wait from which a watch counts as lost, beside the time that the
+/// store took for the last list. It answers in 4 ms, and one that is slow was seen to take 0.3 s.
+const WATCH_SILENCE: Duration = Duration::from_millis(500);
 
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -36,18 +53,28 @@
 /// a server that leaves serves on for two seconds at least.
 const SERVERS_REST: Duration = Duration::from_millis(800);
 
-/// The same for the second reader of a failure domain: what the first has read it hears in notices,
-/// and of servers that leave from every failure domain.
-const SECOND_SERVERS_REST: Duration = Duration::from_millis(2000);
+/// The same for a reader that stands by: what the one that watches has read it hears in notices, and
+/// of servers that leave from every failure domain.
+const STANDBY_SERVERS_REST: Duration = Duration::from_millis(2000);
 
-fn rest_after(topic: FactTopic, is_second: bool) -> Duration {
-    match topic {
-        FactTopic::Servers if is_second => SECOND_SERVERS_REST,
-        FactTopic::Servers => SERVERS_REST,
-        FactTopic::Plan | FactTopic::Weights => Duration::ZERO,
+fn rest_after(topic: FactTopic, duty: ReaderDuty) -> Duration {
+    match (topic, duty) {
+        (FactTopic::Servers, ReaderDuty::Watches) => SERVERS_REST,
+        (FactTopic::Servers, ReaderDuty::StandsBy) => STANDBY_SERVERS_REST,
+        (FactTopic::Plan | FactTopic::Weights, _) => Duration::ZERO,
     }
 }
 
+/// How long the next watch waits.
+fn watch_time(topic: FactTopic, duty: ReaderDuty) -> Duration {
+    let most = match (duty, topic) {
+        (ReaderDuty::StandsBy, _) => return STANDBY_WATCH_TIME,
+        (ReaderDuty::Watches, FactTopic::Weights) => WEIGHTS_WATCH_TIME,
+        (ReaderDuty::Watches, FactTopic::Plan | FactTopic::Servers) => WATCH_TIME,
+    };
+    most * rand::rng().random_range(LEAST_WATCH_PERCENT..=100) / 100
+}
+
 /// Time for which a list may be silent, with jitter so that nodes do not call together.
 fn silence_before(topic: FactTopic) -> Duration {
     let most = match topic {
@@ -63,13 +90,21 @@
     fn is_open(&self) -> bool;
     /// Notes whether the last call was answered.
     fn note(&self, answered: bool);
-    /// Whether this process reads the topic only in case another one, which reads it as well, stops:
-    /// it may rest longer between two calls.
-    fn is_second(&self) -> bool {
-        false
+    /// What this process has to do beside the others that read the topic.
+    fn duty(&self) -> ReaderDuty {
+        ReaderDuty::Watches
     }
 }
 
+/// What a process that reads a topic has to do beside others of its failure domain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReaderDuty {
+    /// Others rely on it: it must notice by itself when its watch is lost.
+    Watches,
+    /// It reads in case the one that watches stops: its calls may be rare.
+    StandsBy,
+}
+
 /// A topic that is always read.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct AlwaysOpen;
@@ -82,7 +117,8 @@
     fn note(&self, _answered: bool) {}
 }
 
-/// Looks in a row that must find a gate closed before a watch is ended: one second.
+/// Looks in a row that must find a gate closed, or its duty another one, before a watch is ended: one
+/// second.
 const CLOSED_LOOKS: u32 = 5;
 
 /// How often a closed gate is looked at.
@@ -94,12 +130,14 @@
 /// Time for which a gate is looked at more often.
 const FIRST_TIME: Duration = Duration::from_secs(2);
 
-/// Looks at a gate until that has been closed for some time.
-async fn closed(gate: &dyn ReadGate) {
+/// Looks at a gate until a watch that was sent with `duty` is not the right one any more: the gate
+/// has been closed for some time, or its process has to watch and did not when it was sent.
+async fn outdated(gate: &dyn ReadGate, duty: ReaderDuty) {
+    let is_right = || gate.is_open() && (gate.duty() == duty || duty == ReaderDuty::Watches);
     let mut looks = 0;
     while looks < CLOSED_LOOKS {
         tokio::time::sleep(GATE_PAUSE).await;
-        looks = if gate.is_open() { 0 } else { looks + 1 };
+        looks = if is_right() { 0 } else { looks + 1 };
     }
 }
 
@@ -165,9 +203,12 @@
         take(FactNews::All(list));
         while let Some(changes) = reader.watch(at).await {
             at = changes.at;
+            let is_news = !changes.changes.is_empty();
             take(FactNews::Changes(changes));
-            // Changes that come close together are one call.
-            tokio::time::sleep(rest_after(topic, reader.gate.is_second())).await;
+            if is_news {
+                // Changes that come close together are one call.
+                tokio::time::sleep(rest_after(topic, reader.gate.duty())).await;
+            }
         }
     }
 }
@@ -182,6 +223,8 @@
     begun: Instant,
     /// Calls that have failed since the last one that was answered.
     lost: Option<LostStore>,
+    /// Time that the store took for the last list.
+    answer_time: Duration,
 }
 
 impl FactReader {
@@ -192,7 +235,8 @@
         nudge: Arc<Notify>,
         gate: Arc<dyn ReadGate>,
     ) -> Self {
-        Self { store, topic, nudge, gate, begun: Instant::now(), lost: None }
+        let (begun, answer_time) = (Instant::now(), Duration::ZERO);
+        Self { store, topic, nudge, gate, begun, lost: None, answer_time }
     }
 
     /// Waits until the gate opens or somebody knows that there is something newer.
@@ -225,6 +269,7 @@
             tokio::select! {
                 Some((begun, listed)) = calls.next() => match listed {
                     Ok(list) => {
+                        self.answer_time = begun.elapsed();
                         self.note_answered();
                         return list;
                     }
@@ -252,13 +297,17 @@
     /// Waits for changes after `at`; none where everything is to be listed anew.
     async fn watch(&mut self, at: StoreRevision) -> Option<FactChanges> {
         let begun = Instant::now();
+        let duty = self.gate.duty();
+        let wait = watch_time(self.topic, duty);
+        let silence = wait + WATCH_SILENCE + self.answer_time;
+        let watch = tokio::time::timeout(silence, self.store.watch(self.topic, at, wait));
         let watched = tokio::select! {
-            watched = self.store.watch(self.topic, at, WATCH_TIME) => watched,
+            watched = watch => watched.unwrap_or_else(|_| Err(silent_for(silence))),
             () = self.nudge.notified() => {
                 decisions::note("store", "nudged", json!({ "topic": self.topic.as_str() }));
                 return None;
             }
-            () = closed(&*self.gate) => return None,
+            () = outdated(&*self.gate, duty) => return None,
         };
         match watched {
             Ok(changes) => {
@@ -307,6 +356,10 @@
     }
 }
 
+fn silent_for(silence: Duration) -> StoreFailure {
+    StoreFailure::Unreachable(format!("silent for {} ms", silence.as_millis()))
+}
+
 /// A call to the store, for logs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StoreCall {
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -38,7 +38,7 @@
 use tokio::{sync::Notify, time::Instant};
 
 use super::{
-    facts::{FactNews, ReadGate, set_facts},
+    facts::{FactNews, ReadGate, ReaderDuty, set_facts},
     plan_copy::PlanCopy,
 };
 use crate::{decisions, metrics::NodeMetrics};
@@ -142,6 +142,13 @@
     fn note(&self, answered: bool) {
         self.plan.note_store(answered);
     }
+
+    fn duty(&self) -> ReaderDuty {
+        match self.peers().reader_rank() {
+            Some(0) => ReaderDuty::Watches,
+            _ => ReaderDuty::StandsBy,
+        }
+    }
 }
 
 /// Opens as the plan's gate does, for topics whose calls say nothing about the plan.
@@ -155,8 +162,8 @@
 
     fn note(&self, _answered: bool) {}
 
-    fn is_second(&self) -> bool {
-        self.0.peers().reader_rank() == Some(1)
+    fn duty(&self) -> ReaderDuty {
+        self.0.duty()
     }
 }
 
