Test that the duty to watch passes on, and what watches cost a calm store

A standby whose turn comes leaves a watch that may be lost; a watch that brought nothing is followed by the next at once; a calm store gets at most 47 watches a minute of a topic from the process that watches (24 of wanted weights), and 3 from one that stands by. Watches of read_gate.rs are never answered and are to end by their gate alone: its gate stands by, so that they are as long as before.

--- a/crates/daemon/tests/lost_watches.rs
+++ b/crates/daemon/tests/lost_watches.rs
@@ -4,13 +4,16 @@
 
 use std::{
     ops::Range,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
 use googletest::prelude::*;
 use headlatch_core::direct::fact_age::ChangeMark;
-use headlatch_daemon::direct::facts::{AlwaysOpen, FactNews, follow};
+use headlatch_daemon::direct::facts::{AlwaysOpen, FactNews, ReadGate, ReaderDuty, follow};
 use headlatch_outside::{
     OutsideFuture,
     facts::{
@@ -51,9 +54,18 @@
     connections_lost: Option<Instant>,
     /// When something changes.
     changes: Vec<Instant>,
+    lists: AtomicU32,
+    watches: AtomicU32,
 }
 
 impl TroubledStore {
+    /// A store without troubles.
+    fn calm(changes: Vec<Instant>) -> Self {
+        let now = Instant::now();
+        let (lists, watches) = (AtomicU32::default(), AtomicU32::default());
+        Self { silent: now..now, connections_lost: None, changes, lists, watches }
+    }
+
     fn revision(&self) -> u64 {
         let now = Instant::now();
         self.changes.iter().filter(|at| **at <= now).count() as u64
@@ -98,6 +110,7 @@
         _topic: FactTopic,
         _freshness: Freshness,
     ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
+        self.lists.fetch_add(1, Ordering::Relaxed);
         Box::pin(async move {
             let begun = Instant::now();
             if self.answer_at(begun, begun).await == CallFate::Lost {
@@ -114,6 +127,7 @@
         after: StoreRevision,
         wait: Duration,
     ) -> OutsideFuture<'_, std::result::Result<FactChanges, StoreFailure>> {
+        self.watches.fetch_add(1, Ordering::Relaxed);
         Box::pin(async move {
             let begun = Instant::now();
             let next = self.changes.get(after.0 as usize).copied();
@@ -129,12 +143,15 @@
     }
 }
 
-/// Time from the last change of `store` to its being known to a process that follows it; at most
-/// `patience` is waited for it.
+/// How long a process that does not know a change is waited for.
+const PATIENCE: Duration = Duration::from_secs(40);
+
+/// Time from the last change of `store` to its being known to a process that follows it; none if it
+/// does not become known.
 async fn time_to_know(
     store: TroubledStore,
     topic: FactTopic,
-    patience: Duration,
+    gate: Arc<dyn ReadGate>,
 ) -> Option<Duration> {
     let last = *store.changes.last().expect("a change");
     let wanted = ChangeMark(store.changes.len() as u64);
@@ -145,9 +162,8 @@
             heard.lock().expect("no panic").get_or_insert(Instant::now());
         }
     };
-    let following =
-        tokio::spawn(follow(Arc::new(store), topic, Arc::default(), Arc::new(AlwaysOpen), take));
-    tokio::time::sleep_until(last + patience).await;
+    let following = tokio::spawn(follow(Arc::new(store), topic, Arc::default(), gate, take));
+    tokio::time::sleep_until(last + PATIENCE).await;
     following.abort();
     let known = *known.lock().expect("no panic");
     known.map(|at| at - last)
@@ -159,7 +175,7 @@
     let first = Instant::now() + Duration::from_millis(5000);
     let silent = first + gap..first + gap + silence;
     let second = silent.end + CONTACT_TIME;
-    TroubledStore { silent, connections_lost: None, changes: vec![first, second] }
+    TroubledStore { silent, ..TroubledStore::calm(vec![first, second]) }
 }
 
 /// All readers rest after the same change, and send their next watches in step: a silence that
@@ -172,7 +188,7 @@
     for (topic, gap) in topics.into_iter().flat_map(|topic| gaps.clone().map(move |g| (topic, g))) {
         for silence in [2000, 4500, 9000].map(Duration::from_millis) {
             let store = store_silent_after_a_change(gap, silence);
-            let took = time_to_know(store, topic, Duration::from_secs(40)).await;
+            let took = time_to_know(store, topic, Arc::new(AlwaysOpen)).await;
             expect_that!(
                 took,
                 some(le(KNOWN_IN)),
@@ -192,12 +208,9 @@
             let first = Instant::now() + Duration::from_millis(5000);
             let lost = first + Duration::from_millis(hundredths * 10);
             let second = lost + CONTACT_TIME - Duration::from_millis(1950);
-            let store = TroubledStore {
-                silent: first..first,
-                connections_lost: Some(lost),
-                changes: vec![first, second],
-            };
-            let took = time_to_know(store, topic, Duration::from_secs(40)).await;
+            let calm = TroubledStore::calm(vec![first, second]);
+            let store = TroubledStore { connections_lost: Some(lost), ..calm };
+            let took = time_to_know(store, topic, Arc::new(AlwaysOpen)).await;
             expect_that!(
                 took,
                 some(le(KNOWN_IN)),
@@ -207,3 +220,85 @@
         }
     }
 }
+
+/// An open gate whose process stands by until it is told to watch.
+#[derive(Debug, Default)]
+struct StandbyGate {
+    watches: AtomicBool,
+}
+
+impl ReadGate for StandbyGate {
+    fn is_open(&self) -> bool {
+        true
+    }
+
+    fn note(&self, _answered: bool) {}
+
+    fn duty(&self) -> ReaderDuty {
+        match self.watches.load(Ordering::Relaxed) {
+            true => ReaderDuty::Watches,
+            false => ReaderDuty::StandsBy,
+        }
+    }
+}
+
+/// The watch of a process that stands by may be lost for long; it ends when the process that
+/// watched is gone.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_standby_whose_turn_comes_leaves_its_old_watch() {
+    for topic in [FactTopic::Plan, FactTopic::Servers, FactTopic::Weights] {
+        let first = Instant::now() + Duration::from_millis(5000);
+        let lost = first + Duration::from_millis(4000);
+        let second = lost + CONTACT_TIME;
+        let calm = TroubledStore::calm(vec![first, second]);
+        let store = TroubledStore { connections_lost: Some(lost), ..calm };
+        let gate = Arc::new(StandbyGate::default());
+        let turn = gate.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep_until(lost + Duration::from_millis(1600)).await;
+            turn.watches.store(true, Ordering::Relaxed);
+        });
+        let took = time_to_know(store, topic, gate).await;
+        expect_that!(took, some(le(KNOWN_IN)), "{topic:?}");
+    }
+}
+
+/// A watch that brought nothing is followed by the next one at once: whenever a change is made, it
+/// is known as soon as the store answers.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_calm_store_is_heard_at_once() {
+    for hundredths in 0..40 {
+        let store = TroubledStore::calm(vec![
+            Instant::now() + Duration::from_millis(9000 + hundredths * 50),
+        ]);
+        let took = time_to_know(store, FactTopic::Servers, Arc::new(AlwaysOpen)).await;
+        expect_that!(took, some(le(ANSWER_TIME * 3)), "{hundredths}");
+    }
+}
+
+/// Calls to a calm store in a minute.
+async fn calls_in_a_minute(topic: FactTopic, gate: Arc<dyn ReadGate>) -> (u32, u32) {
+    let store = Arc::new(TroubledStore::calm(Vec::new()));
+    let following =
+        tokio::spawn(follow(store.clone(), topic, Arc::default(), gate, |_: FactNews| {}));
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    following.abort();
+    (store.lists.load(Ordering::Relaxed), store.watches.load(Ordering::Relaxed))
+}
+
+/// Each call is priced: a calm store is asked as rarely as the bounds allow.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_calm_store_is_called_rarely() {
+    for (topic, most) in [(FactTopic::Plan, 47), (FactTopic::Servers, 47), (FactTopic::Weights, 24)]
+    {
+        let (lists, watches) = calls_in_a_minute(topic, Arc::new(AlwaysOpen)).await;
+        expect_that!(lists, eq(1), "{topic:?}");
+        expect_that!(watches, le(most), "{topic:?}");
+        let (lists, watches) = calls_in_a_minute(topic, Arc::new(StandbyGate::default())).await;
+        expect_that!(lists, eq(1), "{topic:?}, standing by");
+        expect_that!(watches, le(3), "{topic:?}, standing by");
+    }
+}
--- a/crates/daemon/tests/read_gate.rs
+++ b/crates/daemon/tests/read_gate.rs
@@ -9,7 +9,7 @@
 };
 
 use googletest::prelude::*;
-use headlatch_daemon::direct::facts::{FactNews, ReadGate, follow};
+use headlatch_daemon::direct::facts::{FactNews, ReadGate, ReaderDuty, follow};
 use headlatch_outside::{
     OutsideFuture,
     facts::{FactChanges, FactList, FactStore, FactTopic, Freshness, StoreFailure, StoreRevision},
@@ -81,6 +81,11 @@
     fn note(&self, answered: bool) {
         self.answered.store(answered, Ordering::Relaxed);
     }
+
+    /// Watches of these tests are never answered, and are to end by their gate alone.
+    fn duty(&self) -> ReaderDuty {
+        ReaderDuty::StandsBy
+    }
 }
 
 struct Setting {
--- a/crates/daemon/tests/silent_sources.rs
+++ b/crates/daemon/tests/silent_sources.rs
@@ -13,7 +13,7 @@
 use googletest::prelude::*;
 use headlatch_core::direct::peers::{DomainKey, PeerKind, PeerNotice};
 use headlatch_daemon::direct::{
-    facts::{AlwaysOpen, FactNews, follow},
+    facts::{AlwaysOpen, FactNews, ReadGate, ReaderDuty, follow},
     state::EntryState,
 };
 use headlatch_outside::{
@@ -186,3 +186,35 @@
     expect_that!(begun.elapsed(), eq(Duration::from_millis(100)));
     expect_that!(state.plan.newer_than(PlanVersion(5), wait).await, eq(true));
 }
+
+/// Lets an entry of the own failure domain, the first one by address, say whether the store answers
+/// it.
+fn tell_near(state: &EntryState, sequence: u64, reads_store: bool) {
+    let from: SocketAddr = "10.0.0.0:7700".parse().expect("an address");
+    let domain: DomainId = "z1".parse().expect("a name");
+    let notice = PeerNotice {
+        sequence,
+        reads_store,
+        ..PeerNotice::empty(from, PeerKind::Entry, DomainKey::from(&domain))
+    };
+    state.peers().hear(state.now(), notice);
+}
+
+/// One entry of a failure domain watches the store closely: the first by address whose calls are
+/// answered.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn the_duty_to_watch_passes_on_when_the_first_entry_loses_the_store() {
+    let state = entry();
+    expect_that!(state.duty(), eq(ReaderDuty::Watches));
+    tell_near(&state, 1, true);
+    expect_that!(state.duty(), eq(ReaderDuty::StandsBy));
+    tell_near(&state, 2, false);
+    expect_that!(state.duty(), eq(ReaderDuty::Watches));
+    tell_near(&state, 3, true);
+    expect_that!(state.duty(), eq(ReaderDuty::StandsBy));
+    // The first entry has fallen silent.
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    state.refresh_loads();
+    expect_that!(state.duty(), eq(ReaderDuty::Watches));
+}
