Close what rests beside a connection that has gone silent, and send again over a new one

Open connections may go silent for good, all at once, while new ones work. Each kept connection to a server was found out by a request of its own, which was lost or held for three objectives, and its next sending could land on another of them.

Change: a call or sending that was met with silence on a kept connection closes those to the same address that have brought no answer since it began; the request is sent again over a new one.

The store of direct_entry.rs now ends a watch when its wait is over, as stores do: otherwise the entry would read by itself what two of its tests mean it to hear from peers.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -22,6 +22,9 @@
 /// Time for a connection to come up: a server that answers does so within a few round trips.
 const CONNECT_TIME: Duration = Duration::from_millis(350);
 
+/// Cause of a failure whose server said nothing until the time was over.
+pub const NO_ANSWER: &str = "no_answer_in_time";
+
 /// Counts a request at a server for as long as it is there.
 #[derive(Debug)]
 pub struct InFlight {
@@ -128,11 +131,12 @@
     request: &RequestPlan,
     server: ChosenServer,
     last_event: Option<u64>,
+    choice: ConnectionChoice,
     until: Instant,
 ) -> Result<ServerAnswer, AttemptFailure> {
     let tokens = request.work().map_or(0, |work| work.prompt);
     let in_flight = InFlight::begin(state.clone(), server, tokens);
-    let sent = send_counted(state, request, in_flight.server(), last_event, until).await;
+    let sent = send_counted(state, request, in_flight.server(), last_event, choice, until).await;
     match sent {
         Ok((response, connection)) => {
             in_flight.note_read();
@@ -150,14 +154,11 @@
     request: &RequestPlan,
     server: &ChosenServer,
     last_event: Option<u64>,
+    mut choice: ConnectionChoice,
     until: Instant,
 ) -> Result<(Response<Incoming>, HeldConnection), AttemptFailure> {
-    // A late answer to an earlier request could take the place of one that cannot be asked again.
-    let mut choice = match request.repeatable {
-        true => ConnectionChoice::Kept,
-        false => ConnectionChoice::Fresh,
-    };
     loop {
+        let begun = Instant::now();
         let (mut connection, fresh) = connect(state, server, choice, until).await?;
         let left = request.deadline.saturating_duration_since(Instant::now());
         let model = request.facts.model.as_deref();
@@ -178,7 +179,12 @@
         let sent = connection.send(method, uri, headers, request.body.clone());
         let sent = tokio::time::timeout_at(until, sent).await;
         let response = match sent {
-            Err(_) => return Err(AttemptFailure::lost("no_answer_in_time", String::new())),
+            Err(_) => {
+                if !fresh {
+                    state.connections.forget_unheard(server.address, begun);
+                }
+                return Err(AttemptFailure::lost(NO_ANSWER, String::new()));
+            }
             Ok(Ok(response)) => response,
             Ok(Err(error)) if error.verdict == RunVerdict::NotRun && !fresh => {
                 // Nothing was written: the kept connection had just been closed.
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -6,6 +6,7 @@
     direct::server_table::{ChosenServer, EngineQuery, ServerChoice, ServerOutcome, ServerQuery},
     time::Moment,
 };
+use headlatch_http::ConnectionChoice;
 use headlatch_types::{
     RunVerdict,
     traffic::ServerId,
@@ -58,6 +59,8 @@
     /// Those of them that may have run.
     runs: u32,
     verdict: Option<RunVerdict>,
+    /// A server said nothing in time.
+    met_silence: bool,
     /// The caller has the head of the answer.
     pub begun: bool,
     /// When the request came, by this entry's clock.
@@ -79,6 +82,7 @@
         arrivals: 0,
         runs: 0,
         verdict: None,
+        met_silence: false,
         begun: false,
         arrived: state.now(),
         predicted: None,
@@ -192,14 +196,27 @@
         let first = (Instant::now() + patience).min(request.deadline);
         // Patience ends early only where another server could do better.
         let until = if request.repeatable && self.may_go_on() { first } else { request.deadline };
-        let sent = attempt::send(&self.state, request, server, last_event, until).await;
+        let choice = self.connection_choice();
+        let sent = attempt::send(&self.state, request, server, last_event, choice, until).await;
         if let Err(failure) = &sent {
+            self.met_silence |= failure.cause == attempt::NO_ANSWER;
             self.arrivals -= u32::from(!failure.arrived);
             self.runs -= u32::from(failure.verdict == RunVerdict::NotRun);
         }
         sent
     }
 
+    /// Which connection the next sending may use. A late answer to an earlier request could take the
+    /// place of one that cannot be asked again; and where connections have gone silent for good, those
+    /// to other servers may have as well, so that a second one would cost the caller the rest of the
+    /// objective.
+    fn connection_choice(&self) -> ConnectionChoice {
+        match self.request.repeatable && !self.met_silence {
+            true => ConnectionChoice::Kept,
+            false => ConnectionChoice::Fresh,
+        }
+    }
+
     /// Takes in a failed sending; an error if the request is given up.
     pub fn note_failure(&mut self, failure: &AttemptFailure) -> Result<(), GivenUp> {
         let server = self.tried.last();
--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -3,7 +3,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -118,11 +121,13 @@
     fn watch(
         &self,
         topic: FactTopic,
-        _after: StoreRevision,
-        _wait: Duration,
+        after: StoreRevision,
+        wait: Duration,
     ) -> OutsideFuture<'_, std::result::Result<FactChanges, StoreFailure>> {
         Box::pin(async move {
-            self.changed.notified().await;
+            if tokio::time::timeout(wait, self.changed.notified()).await.is_err() {
+                return Ok(FactChanges { changes: Vec::new(), at: after });
+            }
             if self.forgetful {
                 self.broken.lock().expect("no test panics with it").push(topic);
                 return Err(StoreFailure::Unreachable("cut".to_owned()));
@@ -289,6 +294,7 @@
             route("safe", RouteKind::Repeatable),
             route("once", RouteKind::Once),
             route("stream", RouteKind::Stream),
+            Route { objective_ms: 300, ..route("quick", RouteKind::Repeatable) },
         ],
         limits: ClientLimits { body_bytes: 1000, ..ClientLimits::default() },
         tenants: vec![Tenant { name: "t".into(), keys: vec!["k".to_owned()], priority: None }],
@@ -724,3 +730,70 @@
     let handed = other.state.server_changes(ChangeMark(0)).expect("it has a list");
     expect_that!(handed.set.len(), eq(changes.set.len()));
 }
+
+/// A server that keeps its connections, and from a moment on says nothing any more on those that
+/// came up before.
+#[derive(Debug, Default)]
+struct HalfDeafServer {
+    accepted: AtomicU32,
+    silent: AtomicU32,
+}
+
+impl HalfDeafServer {
+    async fn start() -> (Arc<Self>, SocketAddr) {
+        let server = Arc::new(Self::default());
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        let serving = server.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let number = serving.accepted.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(serving.clone().serve(number, stream));
+            }
+        });
+        (server, address)
+    }
+
+    async fn serve(self: Arc<Self>, number: u32, mut stream: TcpStream) {
+        let mut head = vec![0; 4 << 10];
+        while let Ok(read @ 1..) = stream.read(&mut head).await {
+            // Requests that come together need a connection each.
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let answer = whole(&String::from_utf8_lossy(&head[..read]));
+            let is_silent = number < self.silent.load(Ordering::Relaxed);
+            if !is_silent && stream.write_all(&answer).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn silence_connections(&self) {
+        self.silent.store(self.accepted.load(Ordering::Relaxed), Ordering::Relaxed);
+    }
+}
+
+/// Connections to all servers go silent for good at once: the sending after the one that showed it
+/// must not be lost on another of them.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_met_silence_goes_over_a_new_connection() {
+    let setting = Setting::new(whole, whole).await;
+    let (first, second) = (HalfDeafServer::start().await, HalfDeafServer::start().await);
+    for (name, (_, address), zone) in [("i1", &first, "z1"), ("i2", &second, "z2")] {
+        setting.store.set(FactTopic::Servers, name, Fact::Server(record(name, *address, zone)));
+    }
+    let all_kept = || {
+        first.0.accepted.load(Ordering::Relaxed).min(second.0.accepted.load(Ordering::Relaxed)) > 0
+    };
+    while !all_kept() {
+        let asked = (0..7).map(|_| setting.ask("/quick/x", "k"));
+        futures_util::future::join_all(asked).await;
+    }
+    first.0.silence_connections();
+    second.0.silence_connections();
+    for _ in 0..3 {
+        let answer = setting.ask("/quick/x", "k").await.expect("an answer");
+        expect_that!(answer.status, eq(StatusCode::OK));
+        expect_that!(&answer.body[..], eq(b"whole"));
+    }
+}
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -46,15 +46,23 @@
     pub message: String,
     /// Whether no connection came up.
     pub connecting: bool,
+    /// Whether nothing came in time on a connection that was up.
+    pub silent: bool,
 }
 
 impl ExchangeError {
     fn unsent(message: impl Into<String>, connecting: bool) -> Self {
-        Self { verdict: RunVerdict::NotRun, message: message.into(), connecting }
+        let verdict = RunVerdict::NotRun;
+        Self { verdict, message: message.into(), connecting, silent: false }
     }
 
     fn lost(message: impl Into<String>) -> Self {
-        Self { verdict: RunVerdict::MayHaveRun, message: message.into(), connecting: false }
+        let verdict = RunVerdict::MayHaveRun;
+        Self { verdict, message: message.into(), connecting: false, silent: false }
+    }
+
+    fn silent(message: impl Into<String>) -> Self {
+        Self { silent: true, ..Self::lost(message) }
     }
 }
 
@@ -91,6 +99,8 @@
 #[derive(Debug)]
 struct RestingConnection {
     held: HeldConnection,
+    /// When it brought an answer last.
+    since: Instant,
     until: Instant,
 }
 
@@ -141,11 +151,23 @@
         if !held.reusable || held.sender.is_closed() {
             return;
         }
-        let until = Instant::now() + held.rest;
+        let since = Instant::now();
+        let until = since + held.rest;
         let mut resting = self.lock();
         let connections = resting.entry(held.address).or_default();
         if connections.len() < MOST_RESTING {
-            connections.push(RestingConnection { held, until });
+            connections.push(RestingConnection { held, since, until });
+        }
+    }
+
+    /// Closes what rests for `address` and has brought no answer since `begun`, when a call began
+    /// that was met with silence on a kept connection.
+    ///
+    /// Open connections may go silent for good, all at once, while new ones work: each of those that
+    /// rested would be found out by a call of its own, which is lost.
+    pub fn forget_unheard(&self, address: SocketAddr, begun: Instant) {
+        if let Some(connections) = self.lock().get_mut(&address) {
+            connections.retain(|one| one.since > begun);
         }
     }
 
@@ -167,9 +189,14 @@
         most: usize,
         time: Duration,
     ) -> Result<CallAnswer, ExchangeError> {
-        let late = || ExchangeError::lost("no answer in time");
+        let late = || ExchangeError::silent("no answer in time");
+        let (begun, is_kept) = (Instant::now(), !request.closes);
         let called = tokio::time::timeout(time, self.call_untimed(address, request, most, time));
-        called.await.map_err(|_| late())?
+        let answer = called.await.unwrap_or_else(|_| Err(late()));
+        if is_kept && answer.as_ref().is_err_and(|error| error.silent) {
+            self.forget_unheard(address, begun);
+        }
+        answer
     }
 
     async fn call_untimed(
@@ -254,7 +281,7 @@
     silence: Duration,
     step: impl Future<Output = T>,
 ) -> Result<T, ExchangeError> {
-    let silent = |_| ExchangeError::lost(format!("silent for {} ms", silence.as_millis()));
+    let silent = |_| ExchangeError::silent(format!("silent for {} ms", silence.as_millis()));
     tokio::time::timeout(silence, step).await.map_err(silent)
 }
 
