Show in a test that lists over a narrow link are joined until none of them ends

What remains is the feedback that made it last: whoever waits 0.7 to 1.0 s for a list sends another, though bytes come.

--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -8,6 +8,7 @@
     Fact, FactChange, FactChanges, FactList, FactStore, FactTopic, Freshness, NamedFact,
     StoreFailure, StoreRevision,
 };
+use headlatch_types::ByteProgress;
 use rand::Rng;
 use serde_json::json;
 use tokio::{sync::Notify, time::Instant};
@@ -258,9 +259,10 @@
     /// first answer wins, so that a store that is merely slow is read as well.
     pub(super) async fn list(&mut self, freshness: Freshness) -> FactList {
         let (store, topic) = (self.store.clone(), self.topic);
+        let progress = ByteProgress::default();
         let call = || async {
             let begun = Instant::now();
-            (begun, store.list(topic, freshness).await)
+            (begun, store.list(topic, freshness, progress.clone()).await)
         };
         let mut calls = FuturesUnordered::new();
         calls.push(call());
--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -29,7 +29,7 @@
     },
 };
 use headlatch_types::{
-    Digest,
+    ByteProgress, Digest,
     id::ModelName,
     settings::DaemonSettings,
     traffic::{
@@ -210,6 +210,7 @@
         &self,
         topic: FactTopic,
         _freshness: Freshness,
+        _progress: ByteProgress,
     ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
         let fact = match topic {
             FactTopic::Plan => Some(Fact::Plan(Box::new(plan()))),
--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -27,6 +27,7 @@
     headers::{AnswerFacts, HeaderForm, RequestFacts, SendFacts},
 };
 use headlatch_types::{
+    ByteProgress,
     settings::DaemonSettings,
     traffic::{
         ClientLimits, PlanVersion, Route, RouteKind, RouteTarget, ServerId, ServerRecord, Tenant,
@@ -111,6 +112,7 @@
         &self,
         topic: FactTopic,
         _freshness: Freshness,
+        _progress: ByteProgress,
     ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
         let facts = self.facts.lock().expect("no test panics with it");
         let facts = facts.iter().filter(|(kept, _)| *kept == topic);
@@ -696,6 +698,7 @@
         &self,
         _topic: FactTopic,
         _freshness: Freshness,
+        _progress: ByteProgress,
     ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
         Box::pin(std::future::pending())
     }
--- a/crates/daemon/tests/lost_watches.rs
+++ b/crates/daemon/tests/lost_watches.rs
@@ -21,6 +21,7 @@
         StoreFailure, StoreRevision,
     },
 };
+use headlatch_types::ByteProgress;
 use headlatch_types::traffic::{WantedWeights, WeightVersion};
 use tokio::time::Instant;
 
@@ -109,6 +110,7 @@
         &self,
         _topic: FactTopic,
         _freshness: Freshness,
+        _progress: ByteProgress,
     ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
         self.lists.fetch_add(1, Ordering::Relaxed);
         Box::pin(async move {
--- /dev/null
+++ b/crates/daemon/tests/narrow_links.rs
@@ -0,0 +1,153 @@
+//! Entries that read a large plan over one narrow link after a loss of power: calls that join others
+//! take the link from them. All of it in virtual time.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use googletest::prelude::*;
+use headlatch_daemon::direct::facts::{AlwaysOpen, FactNews, follow};
+use headlatch_outside::{
+    OutsideFuture,
+    facts::{FactChanges, FactList, FactStore, FactTopic, Freshness, StoreFailure, StoreRevision},
+};
+use headlatch_types::ByteProgress;
+use tokio::{sync::mpsc, time::Instant};
+
+/// Bytes of a plan of some 1,500 routes.
+const PLAN_BYTES: usize = 500_000;
+
+/// Time in which the link passes on one share to each transfer.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Time without a byte after which the client gives a list up.
+const CLIENT_SILENCE: Duration = Duration::from_secs(3);
+
+/// A store behind a link that all transfers share alike.
+#[derive(Debug)]
+struct NarrowStore {
+    bytes_per_second: usize,
+    /// Nothing comes through from this moment on.
+    cut_from: Option<Instant>,
+    transfers: AtomicU32,
+    calls: AtomicU32,
+}
+
+/// Counts a transfer for as long as it is under way.
+struct TransferGuard<'a>(&'a AtomicU32);
+
+impl Drop for TransferGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl NarrowStore {
+    fn new(megabits: usize) -> Self {
+        let (transfers, calls) = (AtomicU32::default(), AtomicU32::default());
+        Self { bytes_per_second: megabits * 125_000, cut_from: None, transfers, calls }
+    }
+
+    fn share(&self) -> usize {
+        let transfers = self.transfers.load(Ordering::Relaxed) as usize;
+        self.bytes_per_second / (1000 / TICK.as_millis() as usize) / transfers
+    }
+
+    async fn transfer(&self, progress: &ByteProgress) -> std::result::Result<(), StoreFailure> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        self.transfers.fetch_add(1, Ordering::Relaxed);
+        let _guard = TransferGuard(&self.transfers);
+        let mut left = PLAN_BYTES;
+        while left > 0 {
+            tokio::time::sleep(TICK).await;
+            if self.cut_from.is_some_and(|cut| Instant::now() >= cut) {
+                tokio::time::sleep(CLIENT_SILENCE).await;
+                return Err(StoreFailure::Unreachable("silent for 3000 ms".to_owned()));
+            }
+            let come = self.share().min(left);
+            left -= come;
+            progress.add(come);
+        }
+        Ok(())
+    }
+}
+
+impl FactStore for NarrowStore {
+    fn list(
+        &self,
+        _topic: FactTopic,
+        _freshness: Freshness,
+        progress: ByteProgress,
+    ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
+        Box::pin(async move {
+            self.transfer(&progress).await?;
+            Ok(FactList { facts: Vec::new(), at: StoreRevision(1) })
+        })
+    }
+
+    fn watch(
+        &self,
+        _topic: FactTopic,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> OutsideFuture<'_, std::result::Result<FactChanges, StoreFailure>> {
+        Box::pin(async move {
+            tokio::time::sleep(wait).await;
+            Ok(FactChanges { changes: Vec::new(), at: after })
+        })
+    }
+}
+
+/// Time until `readers` have read the plan that begin together, and the calls that this took.
+async fn time_to_read(store: NarrowStore, readers: usize) -> (Duration, u32) {
+    let (begun, store) = (Instant::now(), Arc::new(store));
+    let (listed, mut lists) = mpsc::unbounded_channel();
+    for _ in 0..readers {
+        let (store, listed) = (store.clone(), listed.clone());
+        let take = move |news: FactNews| {
+            if matches!(news, FactNews::All(_)) {
+                listed.send(()).expect("the test waits");
+            }
+        };
+        tokio::spawn(follow(store, FactTopic::Plan, Arc::default(), Arc::new(AlwaysOpen), take));
+    }
+    for _ in 0..readers {
+        let waited = tokio::time::timeout(Duration::from_secs(120), lists.recv()).await;
+        if waited.is_err() {
+            break;
+        }
+    }
+    (begun.elapsed(), store.calls.load(Ordering::Relaxed))
+}
+
+/// A narrow link is not made narrower by those who wait for it.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn readers_behind_a_narrow_link_take_no_longer_than_their_bytes() {
+    for (megabits, readers) in [(20, 4), (6, 2), (3, 2), (2, 4), (1, 2)] {
+        let (took, calls) = time_to_read(NarrowStore::new(megabits), readers).await;
+        let least = Duration::from_secs_f64(
+            (PLAN_BYTES * 8 * readers) as f64 / (megabits * 1_000_000) as f64,
+        );
+        expect_that!(took, le(least.mul_f64(1.1) + TICK * 4), "{megabits} Mbit/s, {readers}");
+        expect_that!(calls, eq(readers as u32), "{megabits} Mbit/s, {readers}");
+    }
+}
+
+/// A transfer that has stopped is no reason to wait: another call is made within a second and a half.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_transfer_that_has_stopped_is_joined_by_another() {
+    let cut_from = Some(Instant::now() + Duration::from_millis(500));
+    let store = Arc::new(NarrowStore { cut_from, ..NarrowStore::new(2) });
+    let (topic, gate) = (FactTopic::Plan, Arc::new(AlwaysOpen));
+    let reading =
+        tokio::spawn(follow(store.clone(), topic, Arc::default(), gate, |_: FactNews| {}));
+    tokio::time::sleep(Duration::from_millis(500 + 2100)).await;
+    reading.abort();
+    expect_that!(store.calls.load(Ordering::Relaxed), ge(2));
+}
--- a/crates/daemon/tests/read_gate.rs
+++ b/crates/daemon/tests/read_gate.rs
@@ -14,6 +14,7 @@
     OutsideFuture,
     facts::{FactChanges, FactList, FactStore, FactTopic, Freshness, StoreFailure, StoreRevision},
 };
+use headlatch_types::ByteProgress;
 use tokio::sync::Notify;
 
 /// A store that counts its calls, and fails all of them if it is told to.
@@ -40,6 +41,7 @@
         &self,
         _topic: FactTopic,
         _freshness: Freshness,
+        _progress: ByteProgress,
     ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
         self.lists.fetch_add(1, Ordering::Relaxed);
         let fails = self.fails.load(Ordering::Relaxed);
--- a/crates/daemon/tests/silent_sources.rs
+++ b/crates/daemon/tests/silent_sources.rs
@@ -22,6 +22,7 @@
     headers::{AnswerFacts, HeaderForm, RequestFacts, SendFacts},
 };
 use headlatch_types::{
+    ByteProgress,
     id::DomainId,
     settings::DaemonSettings,
     traffic::{PlanVersion, TrafficPlan},
@@ -44,6 +45,7 @@
         &self,
         _topic: FactTopic,
         _freshness: Freshness,
+        _progress: ByteProgress,
     ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
         let answers = Instant::now() >= self.answers_from;
         Box::pin(async move {
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use headlatch_types::RunVerdict;
+use headlatch_types::{ByteProgress, RunVerdict};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -223,7 +223,7 @@
         let sent = held.send(request.method, uri, headers, request.body);
         let answer = unless_silent(silence, sent).await??;
         let (parts, body) = answer.into_parts();
-        let body = read_whole(Limited::new(body, most), silence).await?;
+        let body = read_whole(Limited::new(body, most), silence, &request.progress).await?;
         if !request.closes {
             self.put_back(held);
         }
@@ -246,13 +246,27 @@
     pub closes: bool,
     /// Time without a byte after which the answer is given up; none for the whole time of the call.
     pub silence: Option<Duration>,
+    /// Is told what has come of the answer's body.
+    pub progress: ByteProgress,
 }
 
 impl CallRequest {
     /// A GET of `path`.
     pub fn get(path: impl Into<String>) -> Self {
-        let (headers, body) = (HeaderMap::new(), Bytes::new());
-        Self { method: Method::GET, path: path.into(), headers, body, closes: false, silence: None }
+        Self {
+            method: Method::GET,
+            path: path.into(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            closes: false,
+            silence: None,
+            progress: ByteProgress::default(),
+        }
+    }
+
+    /// The same path by another method, with headers and a body.
+    pub fn sending(self, method: Method, headers: HeaderMap, body: Bytes) -> Self {
+        Self { method, headers, body, ..self }
     }
 
     /// The same over a connection of its own, which is closed after the answer.
@@ -264,6 +278,11 @@
     pub fn silent_for(self, silence: Duration) -> Self {
         Self { silence: Some(silence), ..self }
     }
+
+    /// The same, with `progress` being told what has come of the answer.
+    pub fn noting(self, progress: ByteProgress) -> Self {
+        Self { progress, ..self }
+    }
 }
 
 /// A whole answer.
@@ -289,11 +308,13 @@
 async fn read_whole(
     mut body: Limited<Incoming>,
     silence: Duration,
+    progress: &ByteProgress,
 ) -> Result<Bytes, ExchangeError> {
     let mut whole = BytesMut::new();
     while let Some(frame) = unless_silent(silence, body.frame()).await? {
         let frame = frame.map_err(|error| ExchangeError::lost(error.to_string()))?;
         if let Ok(data) = frame.into_data() {
+            progress.add(data.len());
             whole.extend_from_slice(&data);
         }
     }
--- a/crates/outside/src/facts.rs
+++ b/crates/outside/src/facts.rs
@@ -3,7 +3,7 @@
 use std::{fmt, time::Duration};
 
 use headlatch_types::{
-    InputError,
+    ByteProgress, InputError,
     traffic::{ServerRecord, TrafficPlan, WantedWeights},
 };
 
@@ -124,11 +124,12 @@
 
 /// Lists and watches facts.
 pub trait FactStore: Send + Sync + fmt::Debug {
-    /// All facts of a topic.
+    /// All facts of a topic; `progress` is told what has come of them.
     fn list(
         &self,
         topic: FactTopic,
         freshness: Freshness,
+        progress: ByteProgress,
     ) -> OutsideFuture<'_, Result<FactList, StoreFailure>>;
 
     /// Changes of a topic after `after`, as soon as there are any, within `wait`.
