--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -3,10 +3,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU32, Ordering},
-    },
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -26,6 +23,7 @@
     },
     headers::{AnswerFacts, HeaderForm, RequestFacts, SendFacts},
 };
+use headlatch_standins::half_deaf::HalfDeafServer;
 use headlatch_types::{
     ByteProgress,
     settings::DaemonSettings,
@@ -758,66 +756,24 @@
     expect_that!(handed.set.len(), eq(changes.set.len()));
 }
 
-/// A server that keeps its connections, and from a moment on says nothing any more on those that
-/// came up before.
-#[derive(Debug, Default)]
-struct HalfDeafServer {
-    accepted: AtomicU32,
-    silent: AtomicU32,
-}
-
-impl HalfDeafServer {
-    async fn start() -> (Arc<Self>, SocketAddr) {
-        let server = Arc::new(Self::default());
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-        let address = listener.local_addr().expect("it is bound");
-        let serving = server.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let number = serving.accepted.fetch_add(1, Ordering::Relaxed);
-                tokio::spawn(serving.clone().serve(number, stream));
-            }
-        });
-        (server, address)
-    }
-
-    async fn serve(self: Arc<Self>, number: u32, mut stream: TcpStream) {
-        let mut head = vec![0; 4 << 10];
-        while let Ok(read @ 1..) = stream.read(&mut head).await {
-            // Requests that come together need a connection each.
-            tokio::time::sleep(Duration::from_millis(100)).await;
-            let answer = whole(&String::from_utf8_lossy(&head[..read]));
-            let is_silent = number < self.silent.load(Ordering::Relaxed);
-            if !is_silent && stream.write_all(&answer).await.is_err() {
-                return;
-            }
-        }
-    }
-
-    fn silence_connections(&self) {
-        self.silent.store(self.accepted.load(Ordering::Relaxed), Ordering::Relaxed);
-    }
-}
-
 /// Connections to all servers go silent for good at once: the sending after the one that showed it
 /// must not be lost on another of them.
 #[gtest]
 #[tokio::test]
 async fn a_request_that_met_silence_goes_over_a_new_connection() {
     let setting = Setting::new(whole, whole).await;
-    let (first, second) = (HalfDeafServer::start().await, HalfDeafServer::start().await);
-    for (name, (_, address), zone) in [("i1", &first, "z1"), ("i2", &second, "z2")] {
-        setting.store.set(FactTopic::Servers, name, Fact::Server(record(name, *address, zone)));
+    let first = HalfDeafServer::start(whole).await.expect("a port is free");
+    let second = HalfDeafServer::start(whole).await.expect("a port is free");
+    for (name, server, zone) in [("i1", &first, "z1"), ("i2", &second, "z2")] {
+        let fact = Fact::Server(record(name, server.address, zone));
+        setting.store.set(FactTopic::Servers, name, fact);
     }
-    let all_kept = || {
-        first.0.accepted.load(Ordering::Relaxed).min(second.0.accepted.load(Ordering::Relaxed)) > 0
-    };
-    while !all_kept() {
+    while first.accepted().min(second.accepted()) == 0 {
         let asked = (0..7).map(|_| setting.ask("/quick/x", "k"));
         futures_util::future::join_all(asked).await;
     }
-    first.0.silence_connections();
-    second.0.silence_connections();
+    first.silence_connections();
+    second.silence_connections();
     for _ in 0..3 {
         let answer = setting.ask("/quick/x", "k").await.expect("an answer");
         expect_that!(answer.status, eq(StatusCode::OK));
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! sockets, and has a few switches that bring about the failures it is known for.
 
 pub mod engine;
+pub mod half_deaf;
 pub mod plain;
 pub mod platform;
 pub mod weights;
