Show in tests what relays do that are cut one way and go on saying that they live

One relay of a failure domain that hears nothing, or that other failure domains do not hear, harms nobody else. Both of a domain at once do: after 4.3 s its members know only each other where both hear nothing, and the others lose all of it where nobody else hears both. Cause: nobody outside sees whether a relay hears, and none in its domain whether it is heard outside.

--- a/crates/daemon/tests/relays.rs
+++ b/crates/daemon/tests/relays.rs
@@ -30,6 +30,17 @@
 /// Part of the datagrams that are lost.
 const LOSS: f64 = 0.01;
 
+/// What is lost on the way to and from a process that goes on saying that it lives.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum LinkCut {
+    #[default]
+    None,
+    /// It hears nothing.
+    Deaf,
+    /// Other failure domains do not hear it.
+    MuteFar,
+}
+
 struct Process {
     address: SocketAddr,
     kind: PeerKind,
@@ -42,6 +53,8 @@
     /// Servers that it has heard to be changing, if it is an entry.
     drains: Vec<DrainNotice>,
     alive: bool,
+    /// What is lost on the way to and from it.
+    cut: LinkCut,
     sent: usize,
     heard: usize,
     bytes: usize,
@@ -87,6 +100,7 @@
         server: (kind == PeerKind::Agent).then_some(server),
         drains: Vec::new(),
         alive: true,
+        cut: LinkCut::None,
         sent: 0,
         heard: 0,
         bytes: 0,
@@ -205,6 +219,9 @@
                 if !self.processes[to].alive || self.rng.random::<f64>() < LOSS {
                     continue;
                 }
+                if self.is_cut(from, to) {
+                    continue;
+                }
                 if let Some(answer) = self.processes[to].hear(self.now, &mail.bytes) {
                     self.deliver(to, vec![answer]);
                 }
@@ -212,6 +229,41 @@
         }
     }
 
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        let (from, to) = (&self.processes[from], &self.processes[to]);
+        to.cut == LinkCut::Deaf || (from.cut == LinkCut::MuteFar && from.domain != to.domain)
+    }
+
+    /// Cuts the first `count` relays of failure domain 2 in one way.
+    fn cut_relays(&mut self, count: usize, cut: LinkCut) {
+        let relays = self.relays().into_iter();
+        let second: Vec<usize> =
+            relays.filter(|nth| self.processes[*nth].domain.0 == 2).take(count).collect();
+        second.into_iter().for_each(|nth| self.processes[nth].cut = cut);
+    }
+
+    /// The least number of peers that a living process knows which is not cut.
+    fn least_known_uncut(&self) -> usize {
+        let whole = self.processes.iter().filter(|one| one.alive && one.cut == LinkCut::None);
+        whole.map(|one| one.peers.living().count()).min().unwrap_or(0)
+    }
+
+    /// Sets whose server in failure domain 2 changes, and tells how many agents elsewhere have heard
+    /// it after `time`.
+    fn agents_that_hear_a_change(&mut self, time: Duration) -> usize {
+        let nth = self.index[&address(2, 10)];
+        let server = self.processes[nth].server.as_mut().expect("an agent has a server");
+        server.whole = Some(WeightVersion(2));
+        let place = server.address;
+        self.run(time);
+        let hears = |one: &&Process| {
+            let told = one.peers.living().filter_map(|peer| peer.notice.server.as_ref());
+            let mut told = told.filter(|server| server.address == place);
+            told.any(|server| server.whole == Some(WeightVersion(2)))
+        };
+        self.agents().filter(|one| one.domain.0 != 2).filter(hears).count()
+    }
+
     fn forget_counts(&mut self) {
         for one in &mut self.processes {
             (one.sent, one.heard, one.bytes) = (0, 0, 0);
@@ -318,3 +370,42 @@
     let servers = known.filter(|peer| peer.notice.server.is_some()).count();
     expect_that!(servers, eq(99));
 }
+
+/// A relay that is cut one way goes on saying that it lives. Nobody else is taken for dead for it, and
+/// what changes at a server of its failure domain is known elsewhere.
+fn expect_others_unharmed(count: usize, cut: LinkCut) {
+    let mut world = World::new(200, 8);
+    world.run(Duration::from_secs(6));
+    world.cut_relays(count, cut);
+    for tick in 0..100 {
+        world.run(TICK);
+        // Of itself a deaf or mute process may be lost elsewhere.
+        let known = world.least_known_uncut();
+        expect_that!(known, ge(199 - count), "{count} {cut:?}, tick {tick}");
+    }
+    expect_that!(
+        world.agents_that_hear_a_change(Duration::from_millis(2500)),
+        eq(80),
+        "{count} {cut:?}"
+    );
+}
+
+#[gtest]
+fn others_go_on_beside_one_relay_that_hears_nothing() {
+    expect_others_unharmed(1, LinkCut::Deaf);
+}
+
+#[gtest]
+fn others_go_on_beside_two_relays_that_hear_nothing() {
+    expect_others_unharmed(2, LinkCut::Deaf);
+}
+
+#[gtest]
+fn others_go_on_beside_one_relay_that_other_domains_do_not_hear() {
+    expect_others_unharmed(1, LinkCut::MuteFar);
+}
+
+#[gtest]
+fn others_go_on_beside_two_relays_that_other_domains_do_not_hear() {
+    expect_others_unharmed(2, LinkCut::MuteFar);
+}
