Keep the finding of each other after a loss of power within what links carry

Each entry that has just started takes itself for the first of its domain and tells all others the sum of its loads ten times a second, tries every address that may be a peer as often, and names 48 peers to each that it finds; each of these notices carries up to 64 servers that are gone, 700 bytes.

Change: addresses are tried by turns, 32 a tick, with a short word; an entry speaks for its domain from half a second after its start on, and tells leaving servers with sums when they change and each half second; beyond the mesh limit only relays name peers and what leaves to newcomers.

--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -469,7 +469,14 @@
     }
 
     /// Peers to name to one that has just been found in `domain`: those that relay there first.
+    ///
+    /// Where relays tell who lives, only they name anybody: after a loss of power everybody finds
+    /// everybody within a second, and names from all entries to all processes are more than the links
+    /// between regions carry.
     pub fn named_to(&self, domain: DomainKey, turn: usize) -> Vec<SocketAddr> {
+        if self.peers.len() >= self.mesh_limit && self.relay_rank().is_none() {
+            return Vec::new();
+        }
         let entries = self.living().filter(|peer| peer.notice.kind == PeerKind::Entry);
         let relays = entries.filter(|peer| peer.notice.domain == domain).take(RELAYS);
         let mut named: Vec<SocketAddr> = relays.map(|peer| peer.notice.from).collect();
--- a/crates/daemon/src/direct/entry_notices.rs
+++ b/crates/daemon/src/direct/entry_notices.rs
@@ -225,6 +225,9 @@
                 let names = state.peers().named_to(domain, turn);
                 let loads = state.servers().own_loads();
                 let body = NoticeBody { loads, ..body };
+                // Whoever names nobody leaves the rest to relays as well.
+                let leaving = if names.is_empty() { Vec::new() } else { body.leaving };
+                let body = NoticeBody { leaving, ..body };
                 NoticeMail { bytes: self.writer.write(body, names), targets: vec![to] }
             }
             ReplyDue::Relays => {
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -40,6 +40,18 @@
 /// Ticks for which addresses that may be peers are tried more often.
 const FIRST_TICKS: u64 = 30;
 
+/// Addresses that may be peers which are tried in one tick. After a loss of power of hundreds of
+/// processes each of them knows hundreds of addresses: all of them tried by all processes ten times a
+/// second are more than the links between regions carry.
+const CANDIDATES_AT_ONCE: usize = 32;
+
+/// Ticks after a start in which an entry does not speak for its failure domain: it does not know yet
+/// whether others are there that come before it.
+const FIRST_SPEAKING_TICK: u64 = 5;
+
+/// Ticks between two words of leaving servers to other failure domains, if nothing new is known.
+const LEAVING_TICKS: u64 = 5;
+
 /// Ticks between notices that name peers.
 const NAMING_TICKS: u64 = 10;
 
@@ -180,14 +192,13 @@
             let entries = near_entries(peers).filter(|entry| !targets.contains(entry));
             targets.extend(entries.collect::<Vec<_>>());
         }
-        if self.is_candidates_turn() {
-            targets.extend(peers.candidates());
-        }
+        let pings = self.pings(peers, &body);
         if targets.is_empty() {
-            return Vec::new();
+            return pings.into_iter().collect();
         }
         let bytes = self.write(NoticeBody { domain_loads: None, ..body }, Vec::new());
-        vec![NoticeMail { bytes, targets }]
+        let mail = NoticeMail { bytes, targets };
+        std::iter::once(mail).chain(pings).collect()
     }
 
     /// Whether changes of load that nobody needs to hear at once are to be told at this tick, where
@@ -200,8 +211,9 @@
     pub fn tick(&mut self, peers: &PeerTable, body: NoticeBody) -> Vec<NoticeMail> {
         let due = self.begin_tick(&body);
         let mut mails = Vec::new();
-        if let Some(loads) = body.domain_loads.clone().filter(|_| self.is_turn(DOMAIN_TICKS)) {
-            mails.push(self.domain_mail(peers, &body, loads));
+        let speaks = self.tick >= FIRST_SPEAKING_TICK && self.is_turn(DOMAIN_TICKS);
+        if let Some(loads) = body.domain_loads.clone().filter(|_| speaks) {
+            mails.push(self.domain_mail(peers, &body, loads, due.facts));
         }
         let (near, far): (Vec<&Peer>, Vec<&Peer>) =
             peers.living().partition(|peer| peers.is_near(peer));
@@ -209,9 +221,7 @@
         let mut targets: Vec<SocketAddr> = near.map(|peer| peer.notice.from).collect();
         let far = far.into_iter().filter(|peer| self.is_far_due(due, peer));
         targets.extend(far.map(|peer| peer.notice.from));
-        if self.is_candidates_turn() {
-            targets.extend(peers.candidates());
-        }
+        mails.extend(self.pings(peers, &body));
         if !targets.is_empty() {
             let bytes = self.write(NoticeBody { domain_loads: None, ..body.clone() }, Vec::new());
             mails.push(NoticeMail { bytes, targets });
@@ -236,6 +246,26 @@
         (self.tick + self.life % ticks).is_multiple_of(ticks)
     }
 
+    /// A short word to addresses that may be peers, to so many of them by turns: whoever hears it
+    /// answers.
+    fn pings(&mut self, peers: &PeerTable, body: &NoticeBody) -> Option<NoticeMail> {
+        if !self.is_candidates_turn() {
+            return None;
+        }
+        let candidates: Vec<SocketAddr> = peers.candidates().collect();
+        let start = (self.tick as usize * CANDIDATES_AT_ONCE).checked_rem(candidates.len())?;
+        let turn = candidates.iter().cycle().skip(start);
+        let targets = turn.take(candidates.len().min(CANDIDATES_AT_ONCE)).copied().collect();
+        let told = NoticeBody {
+            plan: body.plan,
+            servers: body.servers,
+            reads_store: body.reads_store,
+            server: body.server.clone(),
+            ..NoticeBody::default()
+        };
+        Some(NoticeMail { bytes: self.write(told, Vec::new()), targets })
+    }
+
     fn is_candidates_turn(&self) -> bool {
         match self.tick < FIRST_TICKS {
             true => self.tick.is_multiple_of(FIRST_CANDIDATE_TICKS),
@@ -249,14 +279,17 @@
         peers: &PeerTable,
         body: &NoticeBody,
         loads: Vec<LoadNotice>,
+        has_news: bool,
     ) -> NoticeMail {
         let far = peers.living().filter(|peer| !peers.is_near(peer));
         let entries = far.filter(|peer| peer.notice.kind == PeerKind::Entry);
         let targets = entries.map(|peer| peer.notice.from).collect();
+        let tells_leaving = has_news || self.is_turn(LEAVING_TICKS);
+        let leaving = if tells_leaving { body.leaving.clone() } else { Vec::new() };
         let told = NoticeBody {
             plan: body.plan,
             servers: body.servers,
-            leaving: body.leaving.clone(),
+            leaving,
             reads_store: body.reads_store,
             drains: body.drains.clone(),
             domain_loads: Some(loads),
