--- a/crates/daemon/tests/notice_writer.rs
+++ b/crates/daemon/tests/notice_writer.rs
@@ -202,3 +202,23 @@
     let spoke: Vec<bool> = (1..=8).map(&mut speaks).collect();
     expect_that!(spoke, eq(&vec![false, false, false, false, true, true, true, true]));
 }
+
+/// Beyond the mesh limit relays tell who lives: names from all entries to all newcomers are not
+/// needed.
+#[gtest]
+fn beyond_the_mesh_limit_only_relays_name_peers() {
+    let relay = peers();
+    let mut member = PeerTable::new(address(NEAR, 200), NEAR);
+    let near = (2..=10).map(|last| living(PeerKind::Entry, NEAR, last));
+    let far = (1..=30).map(|last| living(PeerKind::Entry, FAR, last));
+    near.chain(far).for_each(|notice| {
+        member.hear(Moment::ZERO + Duration::from_millis(1), notice);
+    });
+    for mut table in [relay, member] {
+        table.set_mesh_limit(100);
+        expect_that!(table.named_to(FAR, 0).len(), eq(39), "all, below the limit");
+        table.set_mesh_limit(20);
+        let names = table.relay_rank().is_some();
+        expect_that!(table.named_to(FAR, 0).is_empty(), eq(!names));
+    }
+}
