Make the virtual world of relays the same on every run

Cause: the number of each process's life was drawn anew on every run, which moved ticks and with them the datagrams that the seeded loss takes.

--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -144,7 +144,12 @@
 impl NoticeWriter {
     /// The writer of a process that has just started.
     pub fn new(from: SocketAddr, kind: PeerKind, domain: DomainKey) -> Self {
-        let life = rand::rng().random();
+        Self::with_life(from, kind, domain, rand::rng().random())
+    }
+
+    /// The same with a given number of this life of the process, which also decides in which ticks
+    /// it says what is due every few of them.
+    pub fn with_life(from: SocketAddr, kind: PeerKind, domain: DomainKey, life: u64) -> Self {
         Self {
             from,
             kind,
