Tell which limit, silence or server ends a begun answer

Change: stream_cut with cause, limit, events and times; server_chosen tells the time given and by whom; plan in_force tells the timeouts. No change of decisions.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -18,4 +18,5 @@
 pub mod server_table;
 pub mod staging;
 pub mod stream_timing;
+pub mod time_limit;
 pub mod weight_deadline;
--- a/crates/core/src/direct/stream_timing.rs
+++ b/crates/core/src/direct/stream_timing.rs
@@ -27,6 +27,11 @@
         self.first
     }
 
+    /// When the last event was here; none before the first.
+    pub fn last(&self) -> Option<Moment> {
+        self.last
+    }
+
     /// The longest pause between two events so far.
     pub fn longest_pause(&self) -> Duration {
         self.longest_pause
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -9,7 +9,10 @@
 };
 
 use bytes::Bytes;
-use headlatch_core::direct::server_table::{ChosenServer, ServerOutcome};
+use headlatch_core::direct::{
+    server_table::{ChosenServer, ServerOutcome},
+    time_limit::{LimitedTime, TimeLimit},
+};
 use headlatch_http::{ConnectionChoice, HeldConnection};
 use headlatch_outside::headers::SendFacts;
 use headlatch_types::{RunVerdict, traffic::WeightVersion};
@@ -83,6 +86,8 @@
     pub connection: HeldConnection,
     /// The count of the request at the server.
     pub in_flight: InFlight,
+    /// Time that the server was given, from when it was sent the request.
+    pub given: LimitedTime,
 }
 
 /// Why a sending brought no answer that can be passed on.
@@ -138,9 +143,9 @@
     let in_flight = InFlight::begin(state.clone(), server, tokens);
     let sent = send_counted(state, request, in_flight.server(), last_event, choice, until).await;
     match sent {
-        Ok((response, connection)) => {
+        Ok((response, connection, given)) => {
             in_flight.note_read();
-            Ok(ServerAnswer { response, connection, in_flight })
+            Ok(ServerAnswer { response, connection, in_flight, given })
         }
         Err(failure) => {
             in_flight.end(failure.outcome);
@@ -156,17 +161,13 @@
     last_event: Option<u64>,
     mut choice: ConnectionChoice,
     until: Instant,
-) -> Result<(Response<Incoming>, HeldConnection), AttemptFailure> {
+) -> Result<(Response<Incoming>, HeldConnection, LimitedTime), AttemptFailure> {
     loop {
         let begun = Instant::now();
         let (mut connection, fresh) = connect(state, server, choice, until).await?;
-        let left = request.deadline.saturating_duration_since(Instant::now());
-        let model = request.facts.model.as_deref();
-        let work_time =
-            request.engine.as_ref().and_then(|_| state.work_time(model, server.version));
-        let left = work_time.map_or(left, |time| time.min(left));
+        let given = time_given(state, request, server.version);
         let facts = SendFacts {
-            deadline: Some(left),
+            deadline: Some(given.time),
             server: Some(server.id.clone()),
             tenant: request.tenant.clone(),
             last_event,
@@ -198,10 +199,24 @@
                 return Err(failure);
             }
         };
-        return check_answer(state, request, response, connection);
+        let (response, connection) = check_answer(state, request, response, connection)?;
+        return Ok((response, connection, given));
     }
 }
 
+/// Time that a server with `version` is given for what it is sent now.
+pub fn time_given(
+    state: &EntryState,
+    request: &RequestPlan,
+    version: Option<WeightVersion>,
+) -> LimitedTime {
+    let left = request.deadline.saturating_duration_since(Instant::now());
+    let model = request.facts.model.as_deref();
+    let work_time = request.engine.as_ref().and_then(|_| state.work_time(model, version));
+    let work_time = work_time.map(|time| LimitedTime::new(time, TimeLimit::Weights));
+    LimitedTime::new(left, request.limit).least(work_time)
+}
+
 /// The least version of weights that may answer what is sent now.
 pub fn least_version(state: &EntryState, request: &RequestPlan) -> Option<WeightVersion> {
     request.engine.as_ref()?;
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -88,11 +88,11 @@
         predicted: None,
     };
     loop {
-        let server = exchange.next_server()?;
+        let server = exchange.next_server().map_err(|cause| exchange.give_up(cause))?;
         let answer = match exchange.send(server, None).await {
             Ok(answer) => answer,
             Err(failure) => {
-                exchange.note_failure(&failure)?;
+                exchange.note_failure(&failure).map_err(|cause| exchange.give_up(cause))?;
                 continue;
             }
         };
@@ -109,7 +109,9 @@
         }
         match exchange.collect(answer).await {
             Ok(response) => return Ok(response),
-            Err(failure) => exchange.note_failure(&failure)?,
+            Err(failure) => {
+                exchange.note_failure(&failure).map_err(|cause| exchange.give_up(cause))?;
+            }
         }
     }
 }
@@ -151,27 +153,29 @@
             && matches!(self.choose(), ServerChoice::Server(_))
     }
 
-    /// The server for the next sending.
-    pub fn next_server(&mut self) -> Result<ChosenServer, GivenUp> {
+    /// The server for the next sending; the cause, if there is to be none.
+    pub fn next_server(&mut self) -> Result<ChosenServer, &'static str> {
         if Instant::now() >= self.request.deadline {
-            return Err(self.give_up("deadline"));
+            return Err("deadline");
         }
         if self.runs >= self.request.route.max_attempts || self.arrivals >= MOST_ARRIVALS {
-            return Err(self.give_up("attempts_used"));
+            return Err("attempts_used");
         }
         let server = match self.choose() {
             ServerChoice::Server(server) => server,
-            ServerChoice::Full => return Err(self.give_up("servers_full")),
-            ServerChoice::Nobody => return Err(self.give_up("no_server")),
+            ServerChoice::Full => return Err("servers_full"),
+            ServerChoice::Nobody => return Err("no_server"),
         };
         if self.arrivals > 0 {
             let entries = self.state.entries();
             let now = self.state.now();
             if !self.state.retries().take(now, &self.request.service, entries) {
-                return Err(self.give_up("retry_budget"));
+                return Err("retry_budget");
             }
         }
+        let given = attempt::time_given(&self.state, &self.request, server.version);
         let fields = json!({
+            "given_ms": given.time.as_millis() as u64, "given_by": given.limit,
             "server": server.id, "own": server.own.in_flight, "others": server.others.in_flight,
             "waiting_tokens": server.own.waiting_tokens + server.others.waiting_tokens,
             "predicted_ms": server.predicted.map(|time| time.as_millis() as u64),
@@ -217,8 +221,8 @@
         }
     }
 
-    /// Takes in a failed sending; an error if the request is given up.
-    pub fn note_failure(&mut self, failure: &AttemptFailure) -> Result<(), GivenUp> {
+    /// Takes in a failed sending; the cause, if it may not be sent again.
+    pub fn note_failure(&mut self, failure: &AttemptFailure) -> Result<(), &'static str> {
         let server = self.tried.last();
         let fields = json!({
             "server": server, "verdict": failure.verdict.as_str(), "cause": failure.cause,
@@ -232,7 +236,7 @@
         };
         match RetryPermit::after(failure.verdict, repeatability) {
             Some(_) => Ok(()),
-            None => Err(self.give_up(failure.cause)),
+            None => Err(failure.cause),
         }
     }
 
@@ -253,12 +257,19 @@
         given_up
     }
 
+    /// Writes down that a begun answer ends before it is whole: the caller's connection closes.
+    pub fn cut(&self, cause: &'static str, fields: serde_json::Value) {
+        self.state.metrics.count_request(RunVerdict::MayHaveRun);
+        let fields = json!({ "cause": cause, "limit": self.request.limit, "stream": fields });
+        self.log("stream_cut", fields);
+    }
+
     /// Reads an answer that is not a stream and makes it the caller's.
     async fn collect(
         &mut self,
         answer: ServerAnswer,
     ) -> Result<Response<AnswerBody>, AttemptFailure> {
-        let ServerAnswer { response, connection, in_flight } = answer;
+        let ServerAnswer { response, connection, in_flight, .. } = answer;
         let (mut parts, body) = response.into_parts();
         let collected = Limited::new(body, MOST_ANSWER).collect();
         let collected = tokio::time::timeout_at(self.request.deadline, collected).await;
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -9,6 +9,7 @@
 use headlatch_core::direct::{
     engine_model::EngineWork,
     route_table::{Denial, RouteTable, pick_target},
+    time_limit::{LimitedTime, TimeLimit},
 };
 use headlatch_outside::headers::RequestFacts;
 use headlatch_types::traffic::{EngineFigures, Route, RouteKind};
@@ -68,6 +69,8 @@
     pub arrived: Instant,
     /// When it is given up.
     pub deadline: Instant,
+    /// Whose limit the deadline is.
+    pub limit: TimeLimit,
     /// Version of the plan that decided.
     pub plan: u64,
     /// What its head says.
@@ -144,8 +147,9 @@
         || parts.headers.contains_key(header::TRANSFER_ENCODING);
     let limits = routes.plan().limits;
     let timeout = if route.timeout_ms == 0 { USUAL_DEADLINE } else { route.timeout() };
-    let time = facts.deadline.unwrap_or(timeout).min(timeout);
-    let deadline = arrived + time;
+    let caller = facts.deadline.map(|time| LimitedTime::new(time, TimeLimit::Caller));
+    let held = LimitedTime::new(timeout, TimeLimit::Route).least(caller);
+    let deadline = arrived + held.time;
     let body = read_body(body, limits.body_bytes, deadline).await?;
     let target = pick_target(&route, rand::rng().random());
     let service = target.map(|target| target.service.clone());
@@ -167,6 +171,7 @@
         engine,
         arrived,
         deadline,
+        limit: held.limit,
         plan: routes.plan().version.0,
         facts,
     })
--- a/crates/daemon/src/direct/plan_copy.rs
+++ b/crates/daemon/src/direct/plan_copy.rs
@@ -115,6 +115,8 @@
             "behind_ms": behind.map(|behind| behind.as_millis() as u64),
             "routes": plan.routes.len(), "services": plan.services.len(),
             "tenants": plan.tenants.len(),
+            "least_timeout_ms": plan.routes.iter().map(|route| route.timeout_ms).min(),
+            "most_timeout_ms": plan.routes.iter().map(|route| route.timeout_ms).max(),
         });
         let version = plan.version;
         *routes = Some(Arc::new(RouteTable::new(Arc::new(plan))));
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -3,10 +3,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use headlatch_core::direct::{
-    event_split::{EventSplitter, StreamEvent},
-    server_table::ServerOutcome,
-    stream_timing::StreamTiming,
+use headlatch_core::{
+    direct::{
+        event_split::{EventSplitter, StreamEvent},
+        server_table::ServerOutcome,
+        stream_timing::StreamTiming,
+        time_limit::LimitedTime,
+    },
+    time::Moment,
 };
 use http::{Response, StatusCode, header};
 use http_body::Frame;
@@ -47,6 +51,10 @@
     events: u64,
     timing: StreamTiming,
     status: StatusCode,
+    /// Time that the server was given.
+    given: LimitedTime,
+    /// When the server's answer began.
+    taken: Moment,
 }
 
 /// What comes next from a server.
@@ -63,6 +71,8 @@
     let mut relay = Relay {
         last_event: exchange.request.facts.last_event,
         status: parts.status,
+        given: answer.given,
+        taken: exchange.state.now(),
         exchange,
         splitter: EventSplitter::default(),
         events: 0,
@@ -91,9 +101,14 @@
             }
             in_flight.end(ServerOutcome::Lost);
             drop(connection);
-            let fields = json!({ "end": format!("{end:?}"), "events": relay.events });
-            relay.exchange.log("stream_stopped", fields);
-            let answer = relay.continue_elsewhere(end).await?;
+            relay.exchange.log("stream_stopped", relay.describe(end));
+            let continued = relay.continue_elsewhere(end).await;
+            if let Err(cause) = continued {
+                relay.exchange.cut(cause, relay.describe(end));
+            }
+            let answer = continued.map_err(BodyFailure::from)?;
+            relay.given = answer.given;
+            relay.taken = relay.exchange.state.now();
             body = answer.response.into_body();
             connection = answer.connection;
             in_flight = answer.in_flight;
@@ -155,14 +170,26 @@
         events
     }
 
-    async fn continue_elsewhere(&mut self, end: StreamEnd) -> Result<ServerAnswer, BodyFailure> {
+    /// How far the stream has come, for logs.
+    fn describe(&self, end: StreamEnd) -> serde_json::Value {
+        let now = self.exchange.state.now();
+        let millis = |time: Duration| time.as_millis() as u64;
+        json!({
+            "end": format!("{end:?}"), "events": self.events,
+            "server": self.exchange.last_server(),
+            "since_event_ms": self.timing.last().map(|last| millis(now.since(last))),
+            "given_ms": millis(self.given.time), "given_by": self.given.limit,
+            "served_ms": millis(now.since(self.taken)),
+        })
+    }
+
+    async fn continue_elsewhere(&mut self, end: StreamEnd) -> Result<ServerAnswer, &'static str> {
         self.splitter.clear();
         if !self.exchange.request.repeatable || end == StreamEnd::Deadline {
-            let given_up = self.exchange.give_up("stream_stopped");
-            return Err(given_up.cause.into());
+            return Err("stream_stopped");
         }
         loop {
-            let server = self.exchange.next_server().map_err(|given_up| given_up.cause)?;
+            let server = self.exchange.next_server()?;
             let sent = self.exchange.send(server, self.last_event).await;
             match sent {
                 Ok(answer) if answer.response.status() == self.status => {
@@ -178,7 +205,7 @@
                     self.exchange.log("server_failed", json!({ "status": status }));
                 }
                 Err(failure) => {
-                    self.exchange.note_failure(&failure).map_err(|given_up| given_up.cause)?;
+                    self.exchange.note_failure(&failure)?;
                 }
             }
         }
