--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,225 @@
+//! What tests of an entry between callers and servers share: a store, a header form, a plan, a caller.
+
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
+use std::{net::SocketAddr, sync::Mutex, time::Duration};
+
+use bytes::Bytes;
+use headlatch_http::{CallAnswer, Connections};
+use headlatch_outside::{
+    OutsideFuture,
+    facts::{
+        Fact, FactChanges, FactList, FactStore, FactTopic, Freshness, NamedFact, StoreFailure,
+        StoreRevision,
+    },
+    headers::{AnswerFacts, HeaderForm, RequestFacts, SendFacts},
+};
+use headlatch_types::{
+    ByteProgress,
+    settings::DaemonSettings,
+    traffic::{
+        ClientLimits, PlanVersion, Route, RouteKind, RouteTarget, ServerId, ServerRecord, Tenant,
+        TrafficPlan,
+    },
+};
+use http::{HeaderMap, Method, StatusCode};
+
+/// A header form of the tests' own.
+#[derive(Debug)]
+pub struct TestHeaders;
+
+impl HeaderForm for TestHeaders {
+    fn read_request(&self, headers: &HeaderMap) -> RequestFacts {
+        let text =
+            |name: &str| headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned);
+        RequestFacts {
+            id: text("x-id"),
+            key: text("x-key"),
+            deadline: Some(Duration::from_secs(20)),
+            model: text("x-model"),
+            answer_tokens: text("x-tokens").and_then(|tokens| tokens.parse().ok()),
+            ..RequestFacts::default()
+        }
+    }
+
+    fn write_request(&self, headers: &mut HeaderMap, facts: &SendFacts) {
+        headers.remove("x-key");
+        let last = facts.last_event.map(|event| event.to_string());
+        let server = facts.server.as_ref().map(|server| server.to_string());
+        let deadline = facts.deadline.map(|time| time.as_millis().to_string());
+        let tenant = facts.tenant.clone();
+        let lines = [
+            ("x-last", last),
+            ("x-tenant", tenant),
+            ("x-server", server),
+            ("x-deadline", deadline),
+        ];
+        for (name, value) in lines {
+            if let Some(value) = value.and_then(|value| value.parse().ok()) {
+                headers.insert(name, value);
+            }
+        }
+    }
+
+    fn read_answer(&self, _status: StatusCode, headers: &HeaderMap) -> AnswerFacts {
+        let id = headers.get("x-id").and_then(|value| value.to_str().ok()).map(str::to_owned);
+        let not_run = headers.contains_key("x-not-run");
+        AnswerFacts { id, not_run, misdirected: false, signed: headers.contains_key("x-sign") }
+    }
+
+    fn write_answer(&self, headers: &mut HeaderMap, request: &str) {
+        if let Ok(value) = request.parse() {
+            headers.insert("x-id", value);
+        }
+    }
+}
+
+/// Facts that a test may change; watches wait until it does.
+#[derive(Debug, Default)]
+pub struct TestStore {
+    pub facts: Mutex<Vec<(FactTopic, NamedFact)>>,
+    pub changed: tokio::sync::Notify,
+    /// Watches break off upon a change, and from then on wait as if nothing had changed.
+    pub forgetful: bool,
+    pub broken: Mutex<Vec<FactTopic>>,
+}
+
+impl TestStore {
+    /// Changes a fact.
+    pub fn set(&self, topic: FactTopic, name: &str, fact: Fact) {
+        let revision = StoreRevision(1);
+        let fact = NamedFact { name: name.to_owned(), revision, fact: Ok(fact) };
+        self.replace_silently(topic, fact);
+        self.changed.notify_waiters();
+    }
+
+    /// Changes a fact without a word to those that watch.
+    pub fn replace_silently(&self, topic: FactTopic, fact: NamedFact) {
+        let mut facts = self.facts.lock().expect("no test panics with it");
+        facts.retain(|(kept, old)| *kept != topic || old.name != fact.name);
+        facts.push((topic, fact));
+    }
+}
+
+impl FactStore for TestStore {
+    fn list(
+        &self,
+        topic: FactTopic,
+        _freshness: Freshness,
+        _progress: ByteProgress,
+    ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
+        let facts = self.facts.lock().expect("no test panics with it");
+        let facts = facts.iter().filter(|(kept, _)| *kept == topic);
+        let facts = facts.map(|(_, fact)| fact.clone()).collect();
+        Box::pin(async move { Ok(FactList { facts, at: StoreRevision(1) }) })
+    }
+
+    fn watch(
+        &self,
+        topic: FactTopic,
+        after: StoreRevision,
+        wait: Duration,
+        _progress: ByteProgress,
+    ) -> OutsideFuture<'_, std::result::Result<FactChanges, StoreFailure>> {
+        Box::pin(async move {
+            if tokio::time::timeout(wait, self.changed.notified()).await.is_err() {
+                return Ok(FactChanges { changes: Vec::new(), at: after });
+            }
+            if self.forgetful {
+                self.broken.lock().expect("no test panics with it").push(topic);
+                return Err(StoreFailure::Unreachable("cut".to_owned()));
+            }
+            // Whatever changed, the next list tells.
+            Err(StoreFailure::HistoryGone)
+        })
+    }
+}
+
+pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|line| line.strip_prefix(&format!("{name}: ")))
+}
+
+pub fn settings() -> headlatch_types::direct_settings::DirectEntrySettings {
+    let text = serde_json::json!({
+        "box": "e1", "domain": "z1", "region": "r1", "control": "127.0.0.1:0",
+        "admin": "127.0.0.1:0", "platform": "http://127.0.0.1:1", "drain_seconds": 1,
+        "entry": { "listen": "127.0.0.1:0" },
+        "direct": {
+            "zones": { "z1": "r1" },
+            "retry": { "ratio": 1.0, "slack": 100.0, "window_seconds": 10.0 }
+        }
+    });
+    match DaemonSettings::parse(&text.to_string()) {
+        Ok(DaemonSettings::DirectEntry(settings)) => *settings,
+        other => panic!("these are settings of a direct entry, not {other:?}"),
+    }
+}
+
+pub fn route(name: &str, kind: RouteKind) -> Route {
+    Route {
+        name: name.into(),
+        host: "a.example".to_owned(),
+        path_prefix: format!("/{name}/"),
+        kind,
+        timeout_ms: 15_000,
+        objective_ms: 5_000,
+        pause_objective_ms: 5_000,
+        priority: 1,
+        targets: vec![RouteTarget { service: "s".into(), weight: 1 }],
+        max_attempts: 2,
+        anonymous: false,
+        resumable: true,
+    }
+}
+
+pub fn plan(version: u64) -> TrafficPlan {
+    TrafficPlan {
+        version: PlanVersion(version),
+        routes: vec![
+            route("safe", RouteKind::Repeatable),
+            route("once", RouteKind::Once),
+            route("stream", RouteKind::Stream),
+            Route { objective_ms: 300, ..route("quick", RouteKind::Repeatable) },
+        ],
+        limits: ClientLimits { body_bytes: 1000, ..ClientLimits::default() },
+        tenants: vec![Tenant { name: "t".into(), keys: vec!["k".to_owned()], priority: None }],
+        ..TrafficPlan::default()
+    }
+}
+
+/// The first server is the one that is asked first: the other has another zone.
+pub fn record(name: &str, address: SocketAddr, zone: &str) -> ServerRecord {
+    ServerRecord {
+        id: ServerId(name.into()),
+        service: "s".into(),
+        address,
+        zone: zone.parse().expect("a name"),
+        slots: 4,
+        draining: false,
+        models: Vec::new(),
+    }
+}
+
+pub async fn ask(
+    address: SocketAddr,
+    path: &str,
+    key: &str,
+) -> std::result::Result<CallAnswer, String> {
+    let mut headers = HeaderMap::new();
+    headers.insert("x-id", "r1".parse().expect("a value"));
+    headers.insert("x-key", key.parse().expect("a value"));
+    let connections = Connections::default();
+    let (mut held, _) = connections
+        .get(address, headlatch_http::ConnectionChoice::Fresh, Duration::from_secs(5))
+        .await
+        .map_err(|error| error.message)?;
+    headers.insert("host", "a.example".parse().expect("a value"));
+    let uri = path.parse().expect("a path");
+    let answer = held.send(Method::GET, uri, headers, Bytes::new()).await;
+    let answer = answer.map_err(|error| error.message)?;
+    let (parts, body) = answer.into_parts();
+    let body = http_body_util::BodyExt::collect(body).await.map_err(|error| error.to_string())?;
+    let (status, headers) = (parts.status, parts.headers);
+    Ok(CallAnswer { status, headers, body: body.to_bytes() })
+}
