Give servers with older weights the time that a whole answer takes

Cause: what a server was given ended with the time for which older weights may be worked with, 0.4 s before the end of the time to change. Change: never less than one and a half times what the engine model expects for the whole answer.

--- a/crates/core/src/direct/engine_model.rs
+++ b/crates/core/src/direct/engine_model.rs
@@ -72,12 +72,22 @@
     Duration::from_secs_f64(reading + pass + waiting)
 }
 
-/// Time after which one of the slots of a full engine comes free, in seconds.
-fn slot_time(figures: &EngineFigures) -> f64 {
-    let answer = match figures.usual_answer {
+/// Time until a whole answer of up to `tokens` has come from an engine whose first token is predicted
+/// after `first`; of a usual answer where `tokens` is not known.
+pub fn whole_answer(figures: &EngineFigures, first: Duration, tokens: Option<u64>) -> Duration {
+    let tokens = tokens.unwrap_or(usual_answer(figures));
+    first + Duration::from_secs_f64(tokens as f64 * figures.step_ms * WRITING_SHARE / 1e3)
+}
+
+fn usual_answer(figures: &EngineFigures) -> u64 {
+    match figures.usual_answer {
         0 => UNKNOWN_ANSWER,
         tokens => tokens,
-    };
-    let running = answer as f64 * figures.step_ms * WRITING_SHARE / 1e3;
+    }
+}
+
+/// Time after which one of the slots of a full engine comes free, in seconds.
+fn slot_time(figures: &EngineFigures) -> f64 {
+    let running = usual_answer(figures) as f64 * figures.step_ms * WRITING_SHARE / 1e3;
     running / f64::from(figures.slots.max(1))
 }
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use headlatch_core::direct::{
+    engine_model::whole_answer,
     server_table::{ChosenServer, ServerOutcome},
     time_limit::{LimitedTime, TimeLimit},
 };
@@ -165,7 +166,7 @@
     loop {
         let begun = Instant::now();
         let (mut connection, fresh) = connect(state, server, choice, until).await?;
-        let given = time_given(state, request, server.version);
+        let given = time_given(state, request, server);
         let facts = SendFacts {
             deadline: Some(given.time),
             server: Some(server.id.clone()),
@@ -204,17 +205,25 @@
     }
 }
 
-/// Time that a server with `version` is given for what it is sent now.
-pub fn time_given(
-    state: &EntryState,
-    request: &RequestPlan,
-    version: Option<WeightVersion>,
-) -> LimitedTime {
+/// Part of the time that a whole answer is expected to take which a server with older weights is
+/// given at least, in percent: slower engines and longer queues than foreseen.
+const FINISH_PERCENT: u32 = 150;
+
+/// Time that a server is given for what it is sent now.
+///
+/// With older weights it must not begin late, and is given no longer than these may be used. But a
+/// server stops at its deadline also in the middle of a stream, and then nobody may be there to go
+/// on: it is always given the time that the whole answer is expected to take.
+pub fn time_given(state: &EntryState, request: &RequestPlan, server: &ChosenServer) -> LimitedTime {
     let left = request.deadline.saturating_duration_since(Instant::now());
+    let left = LimitedTime::new(left, request.limit);
+    let Some(figures) = &request.engine else { return left };
     let model = request.facts.model.as_deref();
-    let work_time = request.engine.as_ref().and_then(|_| state.work_time(model, version));
-    let work_time = work_time.map(|time| LimitedTime::new(time, TimeLimit::Weights));
-    LimitedTime::new(left, request.limit).least(work_time)
+    let Some(work_time) = state.work_time(model, server.version) else { return left };
+    let first = server.predicted.unwrap_or_default();
+    let whole = whole_answer(figures, first, request.facts.answer_tokens);
+    let time = work_time.max(whole * FINISH_PERCENT / 100);
+    left.least(Some(LimitedTime::new(time, TimeLimit::Weights)))
 }
 
 /// The least version of weights that may answer what is sent now.
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -173,7 +173,7 @@
                 return Err("retry_budget");
             }
         }
-        let given = attempt::time_given(&self.state, &self.request, server.version);
+        let given = attempt::time_given(&self.state, &self.request, &server);
         let fields = json!({
             "given_ms": given.time.as_millis() as u64, "given_by": given.limit,
             "server": server.id, "own": server.own.in_flight, "others": server.others.in_flight,
