Let silence end no answer: ask another server beside it

Cause: after 0.8 s without an event, or 1.2 s without a head, an entry let go of a server and asked only then whether anybody else might be asked; where the retry budget was used up, the other server refused or was silent as well, the caller's connection was closed though the first server would have gone on. A failure that a server had answered was replaced by a 502 in the same way. Change: the other server is asked while the silent one may still go on, and whichever brings something first goes on; before the head and after a failure, another server and a retry are had before anything is given up.

--- a/crates/client/src/commands/explain.rs
+++ b/crates/client/src/commands/explain.rs
@@ -87,6 +87,7 @@
         "server_failed" => "the server answered that it failed".to_owned(),
         "stream_stopped" => "the stream stopped".to_owned(),
         "stream_continued" => "the stream goes on elsewhere".to_owned(),
+        "stream_waits" => "the server is silent, and nobody else may be asked".to_owned(),
         "stream_cut" => "the caller's connection closed before the answer was whole".to_owned(),
         "given_up" => "given up".to_owned(),
         "answered" | "stream_ended" => "answered whole".to_owned(),
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -119,6 +119,11 @@
 }
 
 impl AttemptFailure {
+    /// The server has said nothing.
+    pub fn no_answer() -> Self {
+        Self::lost(NO_ANSWER, String::new())
+    }
+
     fn lost(cause: &'static str, detail: String) -> Self {
         let (verdict, outcome) = (RunVerdict::MayHaveRun, ServerOutcome::Lost);
         Self { verdict, outcome, cause, detail, arrived: true }
@@ -197,7 +202,7 @@
                 if !fresh {
                     state.connections.forget_unheard(server.address, begun);
                 }
-                return Err(AttemptFailure::lost(NO_ANSWER, String::new()));
+                return Err(AttemptFailure::no_answer());
             }
             Ok(Ok(response)) => response,
             Ok(Err(error)) if error.verdict == RunVerdict::NotRun && !fresh => {
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -1,6 +1,6 @@
 //! The attempts of one request: which servers it is sent to, and when it is given up.
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use headlatch_core::{
     direct::server_table::{ChosenServer, EngineQuery, ServerChoice, ServerOutcome, ServerQuery},
@@ -43,6 +43,9 @@
 /// multiple of its objective.
 const PATIENCE: u32 = 3;
 
+/// Least time left in which another server is tried: a round trip and a first event.
+const LEAST_LEFT: Duration = Duration::from_millis(20);
+
 /// Least patience.
 const LEAST_PATIENCE: Duration = Duration::from_millis(1200);
 
@@ -54,6 +57,8 @@
     /// The request.
     pub request: RequestPlan,
     tried: Vec<ServerId>,
+    /// The server of the next sending, chosen while the last one was silent.
+    pub reserved: Option<ChosenServer>,
     /// Sendings that reached a server.
     arrivals: u32,
     /// Those of them that may have run.
@@ -79,6 +84,7 @@
         state: state.clone(),
         request,
         tried: Vec::new(),
+        reserved: None,
         arrivals: 0,
         runs: 0,
         verdict: None,
@@ -97,7 +103,12 @@
             }
         };
         let status = answer.response.status();
-        if is_failure(status) && exchange.request.repeatable && exchange.may_go_on() {
+        // What a server has answered is passed on unless another one is had in its place.
+        if is_failure(status)
+            && exchange.request.repeatable
+            && let Ok(next) = exchange.pick_server()
+        {
+            exchange.reserved = Some(next);
             answer.in_flight.end(ServerOutcome::Failed);
             let id = answer.in_flight.server().id.clone();
             exchange.log("server_failed", json!({ "server": id, "status": status.as_u16() }));
@@ -145,19 +156,27 @@
     }
 
     /// Whether the request may be sent to one more server.
-    fn has_attempts(&self) -> bool {
+    pub fn has_attempts(&self) -> bool {
         self.runs < self.request.route.max_attempts && self.arrivals < MOST_ARRIVALS
     }
 
-    /// Whether a further sending is allowed, apart from what is known of the last.
-    pub fn may_go_on(&self) -> bool {
-        let early = Instant::now() + Duration::from_millis(20) < self.request.deadline;
-        early && self.has_attempts() && matches!(self.choose(), ServerChoice::Server(_))
+    /// Whether the next sending to a server is the last one allowed.
+    pub fn is_last_sending(&self) -> bool {
+        let (runs, arrivals) = (self.runs + 1, self.arrivals + 1);
+        runs >= self.request.route.max_attempts || arrivals >= MOST_ARRIVALS
     }
 
     /// The server for the next sending; the cause, if there is to be none.
     pub fn next_server(&mut self) -> Result<ChosenServer, &'static str> {
-        if Instant::now() >= self.request.deadline {
+        match self.reserved.take() {
+            Some(server) => Ok(server),
+            None => self.pick_server(),
+        }
+    }
+
+    fn pick_server(&self) -> Result<ChosenServer, &'static str> {
+        let least = if self.arrivals > 0 { LEAST_LEFT } else { Duration::ZERO };
+        if Instant::now() + least >= self.request.deadline {
             return Err("deadline");
         }
         if !self.has_attempts() {
@@ -197,13 +216,8 @@
         self.predicted = self.predicted.or(server.predicted);
         self.arrivals += 1;
         self.runs += 1;
-        let request = &self.request;
-        let patience = (request.route.objective() * PATIENCE).max(LEAST_PATIENCE);
-        let first = (Instant::now() + patience).min(request.deadline);
-        // Patience ends early only where another server could do better.
-        let until = if request.repeatable && self.may_go_on() { first } else { request.deadline };
-        let choice = self.connection_choice();
-        let sent = attempt::send(&self.state, request, server, last_event, choice, until).await;
+        let (sent, reserved) = self.send_patiently(server, last_event).await;
+        self.reserved = reserved;
         if let Ok(answer) = &sent
             && !(self.request.repeatable && self.has_attempts())
         {
@@ -217,6 +231,35 @@
         sent
     }
 
+    /// Sends to `server` and waits; where it is silent, until another one is had in its place: without
+    /// that it is the only one who may still answer.
+    async fn send_patiently(
+        &self,
+        server: ChosenServer,
+        last_event: Option<u64>,
+    ) -> (Result<ServerAnswer, AttemptFailure>, Option<ChosenServer>) {
+        let (request, address, begun) = (&self.request, server.address, Instant::now());
+        let choice = self.connection_choice();
+        let sending =
+            attempt::send(&self.state, request, server, last_event, choice, request.deadline);
+        let mut sending = pin!(sending);
+        if !request.repeatable {
+            return (sending.await, None);
+        }
+        let patience = (request.route.objective() * PATIENCE).max(LEAST_PATIENCE);
+        let mut until = begun + patience;
+        loop {
+            if let Ok(sent) = tokio::time::timeout_at(until, &mut sending).await {
+                return (sent, None);
+            }
+            if let Ok(next) = self.pick_server() {
+                self.state.connections.forget_unheard(address, begun);
+                return (Err(AttemptFailure::no_answer()), Some(next));
+            }
+            until += patience;
+        }
+    }
+
     /// Which connection the next sending may use. A late answer to an earlier request could take the
     /// place of one that cannot be asked again; and where connections have gone silent for good, those
     /// to other servers may have as well, so that a second one would cost the caller the rest of the
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -1,30 +1,36 @@
 //! Passes a stream on event by event, and continues it on another server where that is allowed.
+//!
+//! A begun answer ends early only where nobody can go on with it: its server broke off, or the
+//! deadline has passed. A server that says nothing for long may only be slow. Another one is asked
+//! beside it, and whichever brings something first goes on.
 
-use std::time::Duration;
+use std::{pin::pin, time::Duration};
 
 use bytes::Bytes;
 use headlatch_core::{
     direct::{
         event_split::{EventSplitter, StreamEvent},
-        server_table::ServerOutcome,
+        server_table::{ChosenServer, ServerOutcome},
         stream_timing::StreamTiming,
         time_limit::LimitedTime,
     },
     time::Moment,
 };
+use headlatch_http::HeldConnection;
 use http::{Response, StatusCode, header};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Incoming;
 use serde_json::json;
 use tokio::time::Instant;
 
 use super::{
     answer::{AnswerBody, BodyFailure, strip_connection},
-    attempt::ServerAnswer,
+    attempt::{AttemptFailure, InFlight, ServerAnswer},
     exchange::Exchange,
 };
 
-/// Pause after which a stream is continued elsewhere, as a multiple of the pause that is wanted.
+/// Pause after which another server is asked as well, as a multiple of the pause that is wanted.
 const PAUSE_PATIENCE: u32 = 2;
 
 /// Least such pause.
@@ -37,124 +43,200 @@
     Whole,
     /// It broke off.
     Broken,
-    /// Nothing came for long.
+    /// Nothing came for long, and another server went on.
     Silent,
     /// The deadline has passed.
     Deadline,
 }
 
+/// A server that a stream comes from.
+struct StreamSource {
+    body: Incoming,
+    connection: HeldConnection,
+    in_flight: InFlight,
+    splitter: EventSplitter,
+    /// Time that the server was given.
+    given: LimitedTime,
+    /// When its answer began.
+    taken: Moment,
+}
+
+impl StreamSource {
+    fn new(answer: ServerAnswer, now: Moment) -> Self {
+        Self {
+            body: answer.response.into_body(),
+            connection: answer.connection,
+            in_flight: answer.in_flight,
+            splitter: EventSplitter::default(),
+            given: answer.given,
+            taken: now,
+        }
+    }
+
+    /// The next bytes, or how the stream has ended.
+    async fn next(&mut self) -> Result<Bytes, StreamEnd> {
+        loop {
+            match self.body.frame().await {
+                None if self.splitter.rest().is_empty() => return Err(StreamEnd::Whole),
+                None | Some(Err(_)) => return Err(StreamEnd::Broken),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(data);
+                    }
+                }
+            }
+        }
+    }
+}
+
 /// A stream in progress.
 struct Relay {
     exchange: Exchange,
-    splitter: EventSplitter,
     last_event: Option<u64>,
     events: u64,
     timing: StreamTiming,
     status: StatusCode,
-    /// Time that the server was given.
-    given: LimitedTime,
-    /// When the server's answer began.
-    taken: Moment,
+    /// It has been told that nobody can be asked beside a silent server.
+    told_waiting: bool,
 }
 
-/// What comes next from a server.
+/// What comes next.
 enum Next {
+    /// Bytes from the server.
     Data(Bytes),
+    /// Another server has brought these bytes before the silent one brought any.
+    Replaced(Box<StreamSource>, Bytes),
+    /// Nothing comes any more from the server.
     End(StreamEnd),
 }
 
 /// The caller's answer to a stream that a server has begun.
-pub fn stream(exchange: Exchange, answer: ServerAnswer) -> Response<AnswerBody> {
-    let (mut parts, body) = answer.response.into_parts();
-    strip_connection(&mut parts.headers);
-    parts.headers.remove(header::CONTENT_LENGTH);
+pub fn stream(exchange: Exchange, mut answer: ServerAnswer) -> Response<AnswerBody> {
+    let status = answer.response.status();
+    let mut headers = std::mem::take(answer.response.headers_mut());
+    strip_connection(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    let mut source = StreamSource::new(answer, exchange.state.now());
     let mut relay = Relay {
         last_event: exchange.request.facts.last_event,
-        status: parts.status,
-        given: answer.given,
-        taken: exchange.state.now(),
+        status,
         exchange,
-        splitter: EventSplitter::default(),
         events: 0,
         timing: StreamTiming::default(),
+        told_waiting: false,
     };
     relay.exchange.begun = true;
-    let (mut connection, mut in_flight) = (answer.connection, answer.in_flight);
-    let mut body = body;
     let frames = async_stream::try_stream! {
         loop {
-            let end = loop {
-                match relay.next(&mut body).await {
-                    Next::Data(data) => {
-                        for event in relay.take(&data) {
-                            yield Frame::data(Bytes::from(event.bytes));
-                        }
+            let data = match relay.next(&mut source).await {
+                Next::Data(data) => data,
+                Next::Replaced(other, data) => {
+                    relay.let_go(source, StreamEnd::Silent);
+                    source = *other;
+                    data
+                }
+                Next::End(StreamEnd::Whole) => {
+                    source.in_flight.end(ServerOutcome::Answered);
+                    relay.exchange.state.connections.put_back(source.connection);
+                    relay.finish();
+                    return;
+                }
+                Next::End(end) => {
+                    let described = relay.describe(&source, end);
+                    relay.let_go(source, end);
+                    let continued = relay.continue_elsewhere(end).await;
+                    if let Err(cause) = continued {
+                        relay.exchange.cut(cause, described);
                     }
-                    Next::End(end) => break end,
+                    source = continued.map_err(BodyFailure::from)?;
+                    continue;
                 }
             };
-            if end == StreamEnd::Whole {
-                in_flight.end(ServerOutcome::Answered);
-                relay.exchange.state.connections.put_back(connection);
-                relay.finish();
-                return;
+            for event in relay.take(&mut source, &data) {
+                yield Frame::data(Bytes::from(event.bytes));
             }
-            in_flight.end(ServerOutcome::Lost);
-            drop(connection);
-            relay.exchange.log("stream_stopped", relay.describe(end));
-            let continued = relay.continue_elsewhere(end).await;
-            if let Err(cause) = continued {
-                relay.exchange.cut(cause, relay.describe(end));
-            }
-            let answer = continued.map_err(BodyFailure::from)?;
-            relay.given = answer.given;
-            relay.taken = relay.exchange.state.now();
-            body = answer.response.into_body();
-            connection = answer.connection;
-            in_flight = answer.in_flight;
         }
     };
-    Response::from_parts(parts, StreamBody::new(frames).boxed_unsync())
+    let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
 }
 
 impl Relay {
-    /// What comes next from the server.
-    async fn next(&mut self, body: &mut hyper::body::Incoming) -> Next {
-        let request = &self.exchange.request;
-        let pause = Duration::from_millis(request.route.pause_objective_ms) * PAUSE_PATIENCE;
-        let pause = pause.max(LEAST_PAUSE);
-        let mut patience = Instant::now() + pause;
+    /// What comes next.
+    async fn next(&mut self, source: &mut StreamSource) -> Next {
+        let deadline = self.exchange.request.deadline;
+        let pause = Duration::from_millis(self.exchange.request.route.pause_objective_ms);
+        let pause = (pause * PAUSE_PATIENCE).max(LEAST_PAUSE);
         loop {
-            let until = patience.min(request.deadline);
-            let frame = match tokio::time::timeout_at(until, body.frame()).await {
-                Err(_) if Instant::now() >= request.deadline => {
-                    return Next::End(StreamEnd::Deadline);
-                }
-                Err(_) if request.repeatable && self.exchange.may_go_on() => {
-                    return Next::End(StreamEnd::Silent);
-                }
-                Err(_) => {
-                    // Nobody could do better.
-                    patience += pause;
-                    continue;
-                }
-                Ok(frame) => frame,
-            };
-            match frame {
-                None if self.splitter.rest().is_empty() => return Next::End(StreamEnd::Whole),
-                None | Some(Err(_)) => return Next::End(StreamEnd::Broken),
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Next::Data(data);
-                    }
-                }
+            let patience = Instant::now() + pause;
+            match tokio::time::timeout_at(patience.min(deadline), source.next()).await {
+                Ok(Ok(data)) => return Next::Data(data),
+                Ok(Err(end)) => return Next::End(end),
+                Err(_) if Instant::now() >= deadline => return Next::End(StreamEnd::Deadline),
+                Err(_) => {}
+            }
+            if let Some(next) = self.ask_beside(source).await {
+                return next;
+            }
+        }
+    }
+
+    /// Asks another server while the silent one may still go on; none if there is nothing new.
+    ///
+    /// To let go of the silent one first would cost callers what it has yet to say wherever the other
+    /// one refuses, is silent as well, or cannot be asked.
+    async fn ask_beside(&mut self, source: &mut StreamSource) -> Option<Next> {
+        if !self.exchange.request.repeatable {
+            return None;
+        }
+        let server = match self.exchange.next_server() {
+            Ok(server) => server,
+            Err(cause) => {
+                self.note_waiting(cause);
+                return None;
             }
+        };
+        if self.exchange.is_last_sending() {
+            source.in_flight.note_last();
+        }
+        let (last, status) = (self.last_event, self.status);
+        let exchange = &mut self.exchange;
+        let mut asking = pin!(begin_elsewhere(exchange, server, last, status));
+        let begun = tokio::select! {
+            biased;
+            data = source.next() => match data {
+                Ok(data) => return Some(Next::Data(data)),
+                Err(StreamEnd::Whole) => return Some(Next::End(StreamEnd::Whole)),
+                Err(end) => match asking.await {
+                    Ok(begun) => Ok(begun),
+                    Err(_) => return Some(Next::End(end)),
+                },
+            },
+            begun = &mut asking => begun,
+        };
+        let (other, data) = begun.ok()?;
+        Some(Next::Replaced(Box::new(other), data))
+    }
+
+    fn note_waiting(&mut self, cause: &'static str) {
+        if !self.told_waiting {
+            self.told_waiting = true;
+            let fields = json!({ "cause": cause, "events": self.events });
+            self.exchange.log("stream_waits", fields);
         }
     }
 
+    /// Ends the connection to a server from which nothing more is wanted.
+    fn let_go(&self, source: StreamSource, end: StreamEnd) {
+        source.in_flight.end(ServerOutcome::Lost);
+        self.exchange.log("stream_stopped", self.describe(&source, end));
+    }
+
     /// The whole events that have come and were not passed on yet.
-    fn take(&mut self, data: &[u8]) -> Vec<StreamEvent> {
-        let mut events = self.splitter.push(data);
+    fn take(&mut self, source: &mut StreamSource, data: &[u8]) -> Vec<StreamEvent> {
+        let mut events = source.splitter.push(data);
         let last = self.last_event;
         events.retain(|event| match (event.id, last) {
             (Some(id), Some(last)) => id > last,
@@ -171,42 +253,28 @@
     }
 
     /// How far the stream has come, for logs.
-    fn describe(&self, end: StreamEnd) -> serde_json::Value {
+    fn describe(&self, source: &StreamSource, end: StreamEnd) -> serde_json::Value {
         let now = self.exchange.state.now();
         let millis = |time: Duration| time.as_millis() as u64;
         json!({
             "end": format!("{end:?}"), "events": self.events,
-            "server": self.exchange.last_server(),
+            "server": source.in_flight.server().id,
             "since_event_ms": self.timing.last().map(|last| millis(now.since(last))),
-            "given_ms": millis(self.given.time), "given_by": self.given.limit,
-            "served_ms": millis(now.since(self.taken)),
+            "given_ms": millis(source.given.time), "given_by": source.given.limit,
+            "served_ms": millis(now.since(source.taken)),
         })
     }
 
-    async fn continue_elsewhere(&mut self, end: StreamEnd) -> Result<ServerAnswer, &'static str> {
-        self.splitter.clear();
+    /// Another server that goes on; the cause, if there is none.
+    async fn continue_elsewhere(&mut self, end: StreamEnd) -> Result<StreamSource, &'static str> {
         if !self.exchange.request.repeatable || end == StreamEnd::Deadline {
             return Err("stream_stopped");
         }
         loop {
             let server = self.exchange.next_server()?;
             let sent = self.exchange.send(server, self.last_event).await;
-            match sent {
-                Ok(answer) if answer.response.status() == self.status => {
-                    let fields = json!({
-                        "server": answer.in_flight.server().id, "after": self.last_event,
-                    });
-                    self.exchange.log("stream_continued", fields);
-                    return Ok(answer);
-                }
-                Ok(answer) => {
-                    answer.in_flight.end(ServerOutcome::Failed);
-                    let status = answer.response.status().as_u16();
-                    self.exchange.log("server_failed", json!({ "status": status }));
-                }
-                Err(failure) => {
-                    self.exchange.note_failure(&failure)?;
-                }
+            if let Ok(source) = accept(&mut self.exchange, sent, self.last_event, self.status) {
+                return Ok(source);
             }
         }
     }
@@ -224,3 +292,54 @@
         exchange.finish("stream_ended", fields);
     }
 }
+
+/// Has `server` go on after event `last`, until its first bytes are here.
+async fn begin_elsewhere(
+    exchange: &mut Exchange,
+    mut server: ChosenServer,
+    last: Option<u64>,
+    status: StatusCode,
+) -> Result<(StreamSource, Bytes), StreamEnd> {
+    let mut source = loop {
+        let sent = exchange.send(server, last).await;
+        match accept(exchange, sent, last, status) {
+            Ok(source) => break source,
+            Err(end) => server = exchange.reserved.take().ok_or(end)?,
+        }
+    };
+    let first = tokio::time::timeout_at(exchange.request.deadline, source.next()).await;
+    match first {
+        Ok(Ok(data)) => Ok((source, data)),
+        _ => {
+            source.in_flight.end(ServerOutcome::Lost);
+            Err(StreamEnd::Broken)
+        }
+    }
+}
+
+/// The source of a continued stream, if the server has begun to go on.
+fn accept(
+    exchange: &mut Exchange,
+    sent: Result<ServerAnswer, AttemptFailure>,
+    last: Option<u64>,
+    status: StatusCode,
+) -> Result<StreamSource, StreamEnd> {
+    match sent {
+        Ok(answer) if answer.response.status() == status => {
+            let fields = json!({ "server": answer.in_flight.server().id, "after": last });
+            exchange.log("stream_continued", fields);
+            Ok(StreamSource::new(answer, exchange.state.now()))
+        }
+        Ok(answer) => {
+            answer.in_flight.end(ServerOutcome::Failed);
+            let status = answer.response.status().as_u16();
+            exchange.log("server_failed", json!({ "status": status }));
+            Err(StreamEnd::Broken)
+        }
+        Err(failure) => {
+            // Streams that come here may be repeated, so that every failure allows another sending.
+            let _ = exchange.note_failure(&failure);
+            Err(StreamEnd::Broken)
+        }
+    }
+}
--- a/crates/daemon/tests/begun_answers.rs
+++ b/crates/daemon/tests/begun_answers.rs
@@ -21,7 +21,10 @@
 use std::{sync::Arc, time::Duration};
 
 use googletest::prelude::*;
-use headlatch_core::direct::peers::{DomainKey, DrainNotice, PeerKind, PeerNotice, ServerNotice};
+use headlatch_core::direct::{
+    peers::{DomainKey, DrainNotice, PeerKind, PeerNotice, ServerNotice},
+    retry_share::RetryBudget,
+};
 use headlatch_daemon::direct::{entry::DirectEntry, entry_notices, notices};
 use headlatch_outside::facts::{Fact, FactTopic};
 use headlatch_types::traffic::{
@@ -181,3 +184,57 @@
     plan.routes.iter_mut().for_each(|route| route.max_attempts = 1);
     expect_that!(kept_during_a_stream(plan).await, eq(1));
 }
+
+/// A plan whose streams wait 0.8 s for an event and 1.2 s for the head before another server is asked.
+fn impatient_plan() -> TrafficPlan {
+    let mut plan = engine_plan();
+    for route in &mut plan.routes {
+        route.objective_ms = 300;
+        route.pause_objective_ms = 100;
+    }
+    plan
+}
+
+/// Silence for 1.5 s after the third event.
+fn pauses() -> EventPace {
+    EventPace { pause: Some((3, Duration::from_millis(1500))), ..EventPace::default() }
+}
+
+/// An entry let go of a server that had said nothing for 0.8 s, and asked only then whether anybody
+/// else might go on.
+#[gtest]
+#[tokio::test]
+async fn a_pause_costs_nothing_where_the_second_server_refuses_or_is_silent() {
+    let refuses = EventPace { refuses: true, ..EventPace::default() };
+    let silent = EventPace { head: Duration::from_secs(30), ..EventPace::default() };
+    for second in [refuses, silent] {
+        let setting = Setting::with_plan(impatient_plan(), pauses(), second).await;
+        expect_that!(setting.stream().await, eq(&whole_stream()), "second: {second:?}");
+        expect_that!(setting.second.seen().len(), ge(1));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_pause_costs_nothing_where_nobody_may_be_asked() {
+    let late_head = EventPace { head: Duration::from_millis(1700), ..EventPace::default() };
+    for first in [pauses(), late_head] {
+        let setting = Setting::with_plan(impatient_plan(), first, EventPace::default()).await;
+        let budget = RetryBudget { ratio: 0.0, slack: 0.0, window: Duration::from_secs(10) };
+        setting.entry.state.retries().set_budget(budget);
+        expect_that!(setting.stream().await, eq(&whole_stream()), "first: {first:?}");
+        expect_that!(setting.second.seen(), is_empty());
+    }
+}
+
+/// Whoever brings the next event first goes on; a server that is silent for good ends nothing.
+#[gtest]
+#[tokio::test]
+async fn a_stream_goes_on_elsewhere_when_its_server_is_silent_for_good() {
+    let silent = EventPace { pause: Some((3, Duration::from_secs(60))), ..EventPace::default() };
+    let setting = Setting::with_plan(impatient_plan(), silent, EventPace::default()).await;
+    expect_that!(setting.stream().await, eq(&whole_stream()));
+    let seen = setting.second.seen();
+    expect_that!(seen.len(), eq(1));
+    expect_that!(seen[0], contains_substring("x-last: 3"));
+}
