--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -137,8 +137,8 @@
                 }
                 Next::End(StreamEnd::Whole) => {
                     source.in_flight.end(ServerOutcome::Answered);
+                    relay.finish(&source);
                     relay.exchange.state.connections.put_back(source.connection);
-                    relay.finish();
                     return;
                 }
                 Next::End(end) => {
@@ -279,11 +279,11 @@
         }
     }
 
-    fn finish(&self) {
+    fn finish(&self, source: &StreamSource) {
         let exchange = &self.exchange;
         let first = self.timing.first().map(|first| first.since(exchange.arrived).as_millis());
         let fields = json!({
-            "server": exchange.last_server(), "status": self.status.as_u16(),
+            "server": source.in_flight.server().id, "status": self.status.as_u16(),
             "events": self.events, "first_event_ms": first.map(|first| first as u64),
             "longest_pause_ms": self.timing.longest_pause().as_millis() as u64,
             "objective_ms": exchange.request.route.objective_ms,
