--- a/crates/daemon/tests/begun_answers.rs
+++ b/crates/daemon/tests/begun_answers.rs
@@ -21,17 +21,16 @@
 use std::{sync::Arc, time::Duration};
 
 use googletest::prelude::*;
-use headlatch_core::direct::{
-    peers::{DomainKey, DrainNotice, PeerKind, PeerNotice, ServerNotice},
-    retry_share::RetryBudget,
-};
-use headlatch_daemon::direct::{entry::DirectEntry, entry_notices, notices};
+use headlatch_core::direct::retry_share::RetryBudget;
+use headlatch_daemon::direct::entry::DirectEntry;
 use headlatch_outside::facts::{Fact, FactTopic};
 use headlatch_types::traffic::{
     EngineFigures, HeldModel, ServerRecord, ServicePlan, TrafficPlan, WantedWeights, WeightVersion,
 };
 use support::{
-    TestHeaders, TestStore, ask_with,
+    TestHeaders, TestStore,
+    agent::drains_told,
+    ask_with,
     paced::{EventPace, PacedServer},
     plan, record, settings,
 };
@@ -129,38 +128,6 @@
     expect_that!(sendings, eq(1), "nobody else can go on with it");
 }
 
-/// The agent of a server says that the server is about to change; what the entry answers.
-async fn drain_at(setting: &Setting, server: &PacedServer) -> DrainNotice {
-    let bind = || tokio::net::UdpSocket::bind("127.0.0.1:0");
-    let (own, agent) = (bind().await.expect("a port"), bind().await.expect("a port"));
-    let entry = own.local_addr().expect("it is bound");
-    let telling = tokio::spawn(entry_notices::run(setting.entry.state.clone(), own));
-    let sender = agent.local_addr().expect("it is bound");
-    let changing = ServerNotice {
-        address: server.address,
-        whole: Some(WeightVersion(1)),
-        changing: true,
-        staged: Some(WeightVersion(2)),
-        sharing: None,
-        zone: "z1".parse().expect("a name"),
-        service: "s".to_owned(),
-    };
-    let notice = PeerNotice {
-        server: Some(changing),
-        ..PeerNotice::empty(sender, PeerKind::Agent, DomainKey(1))
-    };
-    agent.send_to(&notices::encode(&notice), entry).await.expect("it is bound");
-    let mut buffer = vec![0; notices::MOST_DATAGRAM];
-    loop {
-        let (length, _) = agent.recv_from(&mut buffer).await.expect("it is bound");
-        let answer = notices::decode(&buffer[..length]).expect("a notice");
-        if let Some(drain) = answer.drains.first() {
-            telling.abort();
-            return *drain;
-        }
-    }
-}
-
 /// Asks for a stream and, once it has begun, lets the server's agent say that it is about to change.
 async fn kept_during_a_stream(plan: TrafficPlan) -> u32 {
     let pace = EventPace { gap: Duration::from_millis(100), ..EventPace::default() };
@@ -168,9 +135,9 @@
     let asking = setting.clone();
     let stream = tokio::spawn(async move { asking.stream().await });
     tokio::time::sleep(Duration::from_millis(400)).await;
-    let drain = drain_at(&setting, &setting.first).await;
+    let drains = drains_told(&setting.entry.state, setting.first.address).await;
     expect_that!(stream.await.expect("it ends"), eq(&whole_stream()));
-    drain.kept
+    drains.iter().map(|drain| drain.kept).sum()
 }
 
 /// Nothing more than what an entry says keeps a server's agent from an order that cuts what runs: on
--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -11,11 +11,8 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use headlatch_core::direct::{
-    fact_age::ChangeMark,
-    peers::{DomainKey, DrainNotice, PeerKind, PeerNotice, ServerNotice},
-};
-use headlatch_daemon::direct::{entry::DirectEntry, entry_notices, notices, plan_sync};
+use headlatch_core::direct::{fact_age::ChangeMark, peers::DrainNotice};
+use headlatch_daemon::direct::{entry::DirectEntry, plan_sync};
 use headlatch_http::{CallAnswer, Connections};
 use headlatch_outside::{
     OutsideFuture,
@@ -30,9 +27,11 @@
     traffic::{PlanVersion, ServerRecord, TrafficPlan},
 };
 use http::{HeaderMap, Method, StatusCode};
-use support::{TestHeaders, TestStore, ask, header, plan, record, settings};
+use support::{
+    TestHeaders, TestStore, agent::drains_told, ask, header, plan, read_head, record, settings,
+};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
 };
 
@@ -66,15 +65,7 @@
 }
 
 async fn serve(mut stream: TcpStream, script: Script, seen: Arc<Mutex<Vec<String>>>) {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        if stream.read_exact(&mut byte).await.is_err() {
-            return;
-        }
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8_lossy(&head).into_owned();
+    let Some(head) = read_head(&mut stream).await else { return };
     seen.lock().expect("no test panics with it").push(head.clone());
     // A caller that has gone reads nothing; that is its own affair.
     let _ = stream.write_all(&script(&head)).await;
@@ -446,34 +437,9 @@
 #[tokio::test]
 async fn an_entry_answers_an_agent_whose_server_is_about_to_change() {
     let setting = Setting::new(whole, whole).await;
-    let bind = || tokio::net::UdpSocket::bind("127.0.0.1:0");
-    let (own, agent) = (bind().await.expect("a port"), bind().await.expect("a port"));
-    let entry = own.local_addr().expect("it is bound");
-    tokio::spawn(entry_notices::run(setting.entry.state.clone(), own));
-    let sender = agent.local_addr().expect("it is bound");
-    let notice = PeerNotice {
-        server: Some(ServerNotice {
-            address: setting.first.address,
-            whole: None,
-            changing: true,
-            staged: None,
-            sharing: None,
-            zone: "z1".parse().expect("a name"),
-            service: "s".to_owned(),
-        }),
-        ..PeerNotice::empty(sender, PeerKind::Agent, DomainKey(1))
-    };
-    agent.send_to(&notices::encode(&notice), entry).await.expect("it is bound");
-    let mut buffer = vec![0; notices::MOST_DATAGRAM];
-    loop {
-        let (length, _) = agent.recv_from(&mut buffer).await.expect("it is bound");
-        let answer = notices::decode(&buffer[..length]).expect("a notice");
-        if !answer.drains.is_empty() {
-            let drain = DrainNotice { server: setting.first.address, waiting: 0, kept: 0 };
-            expect_that!(answer.drains, eq(&vec![drain]));
-            break;
-        }
-    }
+    let drain = DrainNotice { server: setting.first.address, waiting: 0, kept: 0 };
+    let drains = drains_told(&setting.entry.state, setting.first.address).await;
+    expect_that!(drains, eq(&vec![drain]));
     // Nothing is sent there any more.
     let answer = setting.ask("/safe/x", "k").await.expect("an answer");
     expect_that!(answer.status, eq(StatusCode::OK));
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -3,6 +3,7 @@
 // Each test file uses a part of it.
 #![allow(dead_code)]
 
+pub mod agent;
 pub mod paced;
 
 use std::{net::SocketAddr, sync::Mutex, time::Duration};
@@ -26,6 +27,7 @@
     },
 };
 use http::{HeaderMap, Method, StatusCode};
+use tokio::{io::AsyncReadExt, net::TcpStream};
 
 /// A header form of the tests' own.
 #[derive(Debug)]
@@ -236,3 +238,14 @@
     let (status, headers) = (parts.status, parts.headers);
     Ok(CallAnswer { status, headers, body: body.to_bytes() })
 }
+
+/// The head of a request; none if the caller has gone.
+pub async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).await.ok()?;
+        head.push(byte[0]);
+    }
+    Some(String::from_utf8_lossy(&head).into_owned())
+}
--- a/crates/daemon/tests/support/paced.rs
+++ b/crates/daemon/tests/support/paced.rs
@@ -7,12 +7,12 @@
 };
 
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
     time::Instant,
 };
 
-use super::header;
+use super::{header, read_head};
 
 /// How a server answers.
 #[derive(Debug, Clone, Copy)]
@@ -66,15 +66,7 @@
 }
 
 async fn serve(mut stream: TcpStream, pace: EventPace, seen: Arc<Mutex<Vec<String>>>) {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        if stream.read_exact(&mut byte).await.is_err() {
-            return;
-        }
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8_lossy(&head).into_owned();
+    let Some(head) = read_head(&mut stream).await else { return };
     seen.lock().expect("no test panics with it").push(head.clone());
     // A caller that has gone reads nothing; that is its own affair.
     let _ = answer(&mut stream, pace, &head).await;
