Keep what changing servers tell in a module of its own, and each rule there once

Cause: the table of servers had a second job, telling agents what could go on elsewhere; it repeated the choice's rules for leaving servers, weights and room, worked out the room once for each changing server, and a sending was handed a deadline that always was its request's. Change: server_table/changing.rs; is_leaving, has_weights and continued_limit serve choice and drains; the room is worked out once a service; the redundant argument and an accessor are gone. Behaviour stays.

--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -16,10 +16,14 @@
     engine_model::{EngineLoad, EngineWork, first_token},
     fact_age::ChangeMark,
     leaving::{LeavingNotice, LeavingServers},
-    peers::{DomainKey, DrainNotice, LoadNotice, ServerNotice},
+    peers::{DomainKey, LoadNotice, ServerNotice},
 };
 use crate::time::Moment;
 
+mod changing;
+
+pub use changing::ContinuationLimits;
+
 /// Requests that an engine is sent beyond those that it runs at the same time.
 const ENGINE_QUEUE: u32 = 2;
 
@@ -165,17 +169,6 @@
     pub version: Option<WeightVersion>,
 }
 
-/// What limits the continuation of streams of one service.
-#[derive(Debug, Clone, Copy)]
-pub struct ContinuationLimits {
-    /// Layers of the model; 0 if it is not said.
-    pub layers: u32,
-    /// The least version of weights that may go on.
-    pub least: Option<WeightVersion>,
-    /// Retries that this entry may still send.
-    pub retries: usize,
-}
-
 /// The outcome of a choice.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ServerChoice {
@@ -362,69 +355,6 @@
         busy.map(|state| LoadNotice { server: state.key, load: state.own }).collect()
     }
 
-    /// Services some of whose servers get nothing because they are about to change.
-    pub fn changing_services(&self) -> BTreeSet<Arc<str>> {
-        let changing = self.servers.values().filter(|state| is_changing(state));
-        changing.map(|state| state.record.service.clone()).collect()
-    }
-
-    /// Servers that get nothing because they are about to change, for their agents; `limits` by
-    /// service.
-    pub fn drains(
-        &self,
-        now: Moment,
-        limits: &BTreeMap<Arc<str>, ContinuationLimits>,
-    ) -> Vec<DrainNotice> {
-        let changing = self.servers.values().filter(|state| is_changing(state));
-        changing
-            .map(|state| {
-                let limits = limits.get(&state.record.service);
-                let may_move = limits.is_none_or(|limits| self.can_all_move(now, state, limits));
-                let begun = state.own.in_flight.saturating_sub(state.waiting);
-                DrainNotice {
-                    server: state.record.address,
-                    waiting: state.waiting,
-                    kept: if may_move { state.last_streams } else { begun },
-                }
-            })
-            .collect()
-    }
-
-    /// Whether the other servers of a service have room for what runs at those that are changing: all
-    /// of it comes to them at once.
-    fn can_all_move(&self, now: Moment, one: &ServerState, limits: &ContinuationLimits) -> bool {
-        let ids = self.services.get(&one.record.service).map(Vec::as_slice).unwrap_or_default();
-        let servers = ids.iter().filter_map(|id| self.servers.get(id));
-        let (changing, others): (Vec<_>, Vec<_>) = servers.partition(|state| is_changing(state));
-        let moving: u32 = changing.iter().map(|state| self.load(state).in_flight).sum();
-        let own: u32 = changing.iter().map(|state| state.own.in_flight).sum();
-        let can_serve = |state: &&&ServerState| {
-            let version = whole_version(state, limits.layers);
-            let leaves = state.record.draining || self.leaving.is_leaving(state.key);
-            let is_new_enough = limits.least.is_none_or(|least| version >= Some(least));
-            !leaves && version.is_some() && is_new_enough && state.blocked_until <= now
-        };
-        let room = others.iter().filter(can_serve).map(|state| {
-            let limit = state.record.slots.max(1) + CONTINUED_QUEUE;
-            limit.saturating_sub(self.load(state).in_flight)
-        });
-        room.sum::<u32>() >= moving && limits.retries >= own as usize
-    }
-
-    /// Notes that a stream which has begun at a server may not be sent to another one any more.
-    pub fn begin_last(&mut self, id: &ServerId) {
-        if let Some(state) = self.servers.get_mut(id) {
-            state.last_streams += 1;
-        }
-    }
-
-    /// Notes the end of such a stream.
-    pub fn end_last(&mut self, id: &ServerId) {
-        if let Some(state) = self.servers.get_mut(id) {
-            state.last_streams = state.last_streams.saturating_sub(1);
-        }
-    }
-
     /// Chooses the server for a request.
     pub fn choose(&self, now: Moment, query: &ServerQuery<'_>) -> ServerChoice {
         let reachable = |state: &ServerState| !self.silent.contains(&state.domain);
@@ -493,6 +423,11 @@
         }
     }
 
+    /// Whether a server takes nothing new because it will end.
+    fn is_leaving(&self, state: &ServerState) -> bool {
+        state.record.draining || self.leaving.is_leaving(state.key)
+    }
+
     /// What a server has to do for all entries.
     fn load(&self, state: &ServerState) -> EngineLoad {
         let others = self.others.get(&state.key).copied().unwrap_or_default();
@@ -513,16 +448,13 @@
         query: &ServerQuery<'_>,
     ) -> Result<f64, PassedOver> {
         let record = &state.record;
-        let leaves = record.draining || self.leaving.is_leaving(state.key);
-        if leaves || query.tried.contains(&record.id) {
+        if self.is_leaving(state) || query.tried.contains(&record.id) {
             return Err(PassedOver::Unfit);
         }
-        if let Some(engine) = query.engine {
-            let layers = engine.figures.layers;
-            let version = whole_version(state, layers).ok_or(PassedOver::Unfit)?;
-            if query.least.is_some_and(|least| version < least) {
-                return Err(PassedOver::Unfit);
-            }
+        if let Some(engine) = query.engine
+            && !has_weights(state, engine.figures.layers, query.least)
+        {
+            return Err(PassedOver::Unfit);
         }
         if is_changing(state) {
             return Err(PassedOver::Unfit);
@@ -584,7 +516,7 @@
     fn limit(&self, state: &ServerState, query: &ServerQuery<'_>) -> u32 {
         let slots = state.record.slots.max(1);
         match query.engine {
-            Some(engine) if engine.continues => slots + CONTINUED_QUEUE,
+            Some(engine) if engine.continues => continued_limit(state),
             Some(_) if self.is_near(state) => slots + ENGINE_QUEUE,
             Some(_) => (slots * (100 - FAR_RESERVE_PERCENT) / 100).max(1),
             None => slots * PLAIN_LOAD,
@@ -673,3 +605,14 @@
         None => state.record.models.iter().find_map(|model| model.whole_version(layers)),
     }
 }
+
+/// Whether a server holds all of its model in a version that is new enough.
+fn has_weights(state: &ServerState, layers: u32, least: Option<WeightVersion>) -> bool {
+    let version = whole_version(state, layers);
+    version.is_some_and(|version| least.is_none_or(|least| version >= least))
+}
+
+/// Requests that an engine is sent at most where they continue a stream.
+fn continued_limit(state: &ServerState) -> u32 {
+    state.record.slots.max(1) + CONTINUED_QUEUE
+}
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -148,18 +148,18 @@
     headers
 }
 
-/// Sends a request to `server` and waits for the head of the answer until `until`.
+/// Sends a request to `server` and waits for the head of the answer until the
+/// request's deadline.
 pub async fn send(
     state: &Arc<EntryState>,
     request: &RequestPlan,
     server: ChosenServer,
     last_event: Option<u64>,
     choice: ConnectionChoice,
-    until: Instant,
 ) -> Result<ServerAnswer, AttemptFailure> {
     let tokens = request.work().map_or(0, |work| work.prompt);
     let in_flight = InFlight::begin(state.clone(), server, tokens);
-    let sent = send_counted(state, request, in_flight.server(), last_event, choice, until).await;
+    let sent = send_counted(state, request, in_flight.server(), last_event, choice).await;
     match sent {
         Ok((response, connection, given)) => {
             in_flight.note_read();
@@ -178,11 +178,10 @@
     server: &ChosenServer,
     last_event: Option<u64>,
     mut choice: ConnectionChoice,
-    until: Instant,
 ) -> Result<(Response<Incoming>, HeldConnection, LimitedTime), AttemptFailure> {
     loop {
         let begun = Instant::now();
-        let (mut connection, fresh) = connect(state, server, choice, until).await?;
+        let (mut connection, fresh) = connect(state, server, choice, request.deadline).await?;
         let given = time_given(state, request, server);
         let facts = SendFacts {
             deadline: Some(given.time),
@@ -196,7 +195,7 @@
         let headers = outgoing_headers(state, request, &facts, &request.body);
         let (method, uri) = (request.method.clone(), request.uri.clone());
         let sent = connection.send(method, uri, headers, request.body.clone());
-        let sent = tokio::time::timeout_at(until, sent).await;
+        let sent = tokio::time::timeout_at(request.deadline, sent).await;
         let response = match sent {
             Err(_) => {
                 if !fresh {
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -156,14 +156,19 @@
     }
 
     /// Whether the request may be sent to one more server.
-    pub fn has_attempts(&self) -> bool {
-        self.runs < self.request.route.max_attempts && self.arrivals < MOST_ARRIVALS
+    fn has_attempts(&self) -> bool {
+        self.has_attempts_after(0)
+    }
+
+    /// Whether that holds after `further` sendings more.
+    fn has_attempts_after(&self, further: u32) -> bool {
+        let (runs, arrivals) = (self.runs + further, self.arrivals + further);
+        runs < self.request.route.max_attempts && arrivals < MOST_ARRIVALS
     }
 
     /// Whether the next sending to a server is the last one allowed.
     pub fn is_last_sending(&self) -> bool {
-        let (runs, arrivals) = (self.runs + 1, self.arrivals + 1);
-        runs >= self.request.route.max_attempts || arrivals >= MOST_ARRIVALS
+        !self.has_attempts_after(1)
     }
 
     /// The server for the next sending; the cause, if there is to be none.
@@ -240,8 +245,7 @@
     ) -> (Result<ServerAnswer, AttemptFailure>, Option<ChosenServer>) {
         let (request, address, begun) = (&self.request, server.address, Instant::now());
         let choice = self.connection_choice();
-        let sending =
-            attempt::send(&self.state, request, server, last_event, choice, request.deadline);
+        let sending = attempt::send(&self.state, request, server, last_event, choice);
         let mut sending = pin!(sending);
         if !request.repeatable {
             return (sending.await, None);
@@ -345,7 +349,7 @@
         self.state.connections.put_back(connection);
         strip_connection(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
-        let fields = json!({ "server": self.last_server(), "status": parts.status.as_u16() });
+        let fields = json!({ "server": self.tried.last(), "status": parts.status.as_u16() });
         self.finish("answered", fields);
         Ok(Response::from_parts(parts, whole(body)))
     }
@@ -358,11 +362,6 @@
         self.state.metrics.observe_first_byte(&kind, held);
         self.log(event, fields);
     }
-
-    /// The server that the request was sent to last.
-    pub fn last_server(&self) -> Option<&ServerId> {
-        self.tried.last()
-    }
 }
 
 fn full_rest() -> Duration {
