Have one test server for scripts and for paced streams

Cause: two servers of the entry's tests listened, remembered heads and closed in the same lines. Change: TestServer with an AnswerPlan, which a script and a pace are.

--- a/crates/daemon/tests/begun_answers.rs
+++ b/crates/daemon/tests/begun_answers.rs
@@ -28,11 +28,8 @@
     EngineFigures, HeldModel, ServerRecord, ServicePlan, TrafficPlan, WantedWeights, WeightVersion,
 };
 use support::{
-    TestHeaders, TestStore,
-    agent::drains_told,
-    ask_with,
-    paced::{EventPace, PacedServer},
-    plan, record, settings,
+    TestHeaders, TestStore, agent::drains_told, ask_with, paced::EventPace, plan, record,
+    server::TestServer, settings,
 };
 
 const MODEL: &str = "m";
@@ -53,7 +50,7 @@
     TrafficPlan { services: [("s".into(), service)].into(), ..plan(5) }
 }
 
-fn engine(name: &str, server: &PacedServer, zone: &str, version: u64) -> ServerRecord {
+fn engine(name: &str, server: &TestServer, zone: &str, version: u64) -> ServerRecord {
     let model = MODEL.parse().expect("a name");
     let held = HeldModel { model, version: WeightVersion(version), layers: Vec::new() };
     ServerRecord { models: vec![held], ..record(name, server.address, zone) }
@@ -63,8 +60,8 @@
 struct Setting {
     entry: DirectEntry,
     store: Arc<TestStore>,
-    first: PacedServer,
-    second: PacedServer,
+    first: TestServer,
+    second: TestServer,
 }
 
 impl Setting {
@@ -74,7 +71,7 @@
 
     async fn with_plan(plan: TrafficPlan, first: EventPace, second: EventPace) -> Self {
         let store = Arc::new(TestStore::default());
-        let (first, second) = (PacedServer::start(first).await, PacedServer::start(second).await);
+        let (first, second) = (TestServer::start(first).await, TestServer::start(second).await);
         store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan)));
         store.set(FactTopic::Servers, "i1", Fact::Server(engine("i1", &first, "z1", 1)));
         store.set(FactTopic::Servers, "i2", Fact::Server(engine("i2", &second, "z2", 1)));
--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -3,11 +3,7 @@
 
 mod support;
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use googletest::prelude::*;
@@ -28,50 +24,17 @@
 };
 use http::{HeaderMap, Method, StatusCode};
 use support::{
-    TestHeaders, TestStore, agent::drains_told, ask, header, plan, read_head, record, settings,
+    TestHeaders, TestStore,
+    agent::drains_told,
+    ask, header, plan, record,
+    server::{Script, TestServer},
+    settings,
 };
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
 };
 
-/// What a scripted server does with one connection.
-type Script = fn(&str) -> Vec<u8>;
-
-/// A server that answers each request on a connection of its own as its script says, and then
-/// closes the connection.
-struct ScriptedServer {
-    address: SocketAddr,
-    seen: Arc<Mutex<Vec<String>>>,
-}
-
-impl ScriptedServer {
-    async fn start(script: Script) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-        let address = listener.local_addr().expect("it is bound");
-        let seen = Arc::new(Mutex::new(Vec::new()));
-        let log = seen.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, script, log.clone()));
-            }
-        });
-        Self { address, seen }
-    }
-
-    fn seen(&self) -> Vec<String> {
-        self.seen.lock().expect("no test panics with it").clone()
-    }
-}
-
-async fn serve(mut stream: TcpStream, script: Script, seen: Arc<Mutex<Vec<String>>>) {
-    let Some(head) = read_head(&mut stream).await else { return };
-    seen.lock().expect("no test panics with it").push(head.clone());
-    // A caller that has gone reads nothing; that is its own affair.
-    let _ = stream.write_all(&script(&head)).await;
-    let _ = stream.shutdown().await;
-}
-
 fn answer(head: &str, status: &str, further: &str, body: &str) -> Vec<u8> {
     let id = header(head, "x-id").unwrap_or_default();
     let length = body.len();
@@ -142,8 +105,8 @@
 struct Setting {
     entry: DirectEntry,
     store: Arc<TestStore>,
-    first: ScriptedServer,
-    second: ScriptedServer,
+    first: TestServer,
+    second: TestServer,
 }
 
 impl Setting {
@@ -153,8 +116,7 @@
 
     async fn with_store(first: Script, second: Script, store: TestStore) -> Self {
         let store = Arc::new(store);
-        let (first, second) =
-            (ScriptedServer::start(first).await, ScriptedServer::start(second).await);
+        let (first, second) = (TestServer::start(first).await, TestServer::start(second).await);
         store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(5))));
         let (one, two) = (record("i1", first.address, "z1"), record("i2", second.address, "z2"));
         store.set(FactTopic::Servers, "i1", Fact::Server(one));
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod agent;
 pub mod paced;
+pub mod server;
 
 use std::{net::SocketAddr, sync::Mutex, time::Duration};
 
--- a/crates/daemon/tests/support/paced.rs
+++ b/crates/daemon/tests/support/paced.rs
@@ -1,18 +1,10 @@
-//! A server that streams events at a pace, over real sockets and in real time.
+//! Streams of events at a pace, over real sockets and in real time.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::time::Duration;
 
-use tokio::{
-    io::AsyncWriteExt,
-    net::{TcpListener, TcpStream},
-    time::Instant,
-};
+use tokio::{io::AsyncWriteExt, net::TcpStream, time::Instant};
 
-use super::{header, read_head};
+use super::{header, server::AnswerPlan};
 
 /// How a server answers.
 #[derive(Debug, Clone, Copy)]
@@ -36,43 +28,13 @@
     }
 }
 
-/// A server that stops in the middle of a stream once the deadline that it was given has passed.
-#[derive(Debug)]
-pub struct PacedServer {
-    /// Where it listens.
-    pub address: SocketAddr,
-    seen: Arc<Mutex<Vec<String>>>,
-}
-
-impl PacedServer {
-    /// Starts a server on a free port.
-    pub async fn start(pace: EventPace) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-        let address = listener.local_addr().expect("it is bound");
-        let seen = Arc::new(Mutex::new(Vec::new()));
-        let log = seen.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, pace, log.clone()));
-            }
-        });
-        Self { address, seen }
-    }
-
-    /// Heads of the requests that have come.
-    pub fn seen(&self) -> Vec<String> {
-        self.seen.lock().expect("no test panics with it").clone()
+/// The server stops in the middle of a stream once the deadline that it was given has passed.
+impl AnswerPlan for EventPace {
+    async fn answer(&self, stream: &mut TcpStream, head: &str) -> std::io::Result<()> {
+        answer(stream, *self, head).await
     }
 }
 
-async fn serve(mut stream: TcpStream, pace: EventPace, seen: Arc<Mutex<Vec<String>>>) {
-    let Some(head) = read_head(&mut stream).await else { return };
-    seen.lock().expect("no test panics with it").push(head.clone());
-    // A caller that has gone reads nothing; that is its own affair.
-    let _ = answer(&mut stream, pace, &head).await;
-    let _ = stream.shutdown().await;
-}
-
 async fn answer(stream: &mut TcpStream, pace: EventPace, head: &str) -> std::io::Result<()> {
     let id = header(head, "x-id").unwrap_or_default();
     let given = header(head, "x-deadline").and_then(|text| text.parse().ok()).unwrap_or(60_000);
--- /dev/null
+++ b/crates/daemon/tests/support/server.rs
@@ -0,0 +1,69 @@
+//! A server that answers each request on a connection of its own, and then closes it.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
+
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+};
+
+use super::read_head;
+
+/// How a server answers.
+pub trait AnswerPlan: Clone + Send + 'static {
+    /// Answers the request with this head.
+    fn answer(
+        &self,
+        stream: &mut TcpStream,
+        head: &str,
+    ) -> impl Future<Output = std::io::Result<()>> + Send;
+}
+
+/// The whole answer to a request with this head.
+pub type Script = fn(&str) -> Vec<u8>;
+
+impl AnswerPlan for Script {
+    async fn answer(&self, stream: &mut TcpStream, head: &str) -> std::io::Result<()> {
+        stream.write_all(&self(head)).await
+    }
+}
+
+/// A server that remembers what it was asked.
+#[derive(Debug)]
+pub struct TestServer {
+    /// Where it listens.
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Vec<String>>>,
+}
+
+impl TestServer {
+    /// Starts a server on a free port.
+    pub async fn start(plan: impl AnswerPlan) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let log = seen.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, plan.clone(), log.clone()));
+            }
+        });
+        Self { address, seen }
+    }
+
+    /// Heads of the requests that have come.
+    pub fn seen(&self) -> Vec<String> {
+        self.seen.lock().expect("no test panics with it").clone()
+    }
+}
+
+async fn serve(mut stream: TcpStream, plan: impl AnswerPlan, seen: Arc<Mutex<Vec<String>>>) {
+    let Some(head) = read_head(&mut stream).await else { return };
+    seen.lock().expect("no test panics with it").push(head.clone());
+    // A caller that has gone reads nothing; that is its own affair.
+    let _ = plan.answer(&mut stream, &head).await;
+    let _ = stream.shutdown().await;
+}
