Tell in logs which content a request has, and whether its server ended under it

The hypotheses on requests that end their servers cannot be told apart without either. A connection that a server closes while it has a request is followed by one attempt to connect: refused means that the process has ended. Nothing is decided by it yet.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -12,6 +12,7 @@
 pub mod plan_source;
 pub mod relay_outbox;
 pub mod relays;
+pub mod request_digest;
 pub mod retry_share;
 pub mod route_table;
 pub mod server_copy;
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -29,6 +29,12 @@
 /// Cause of a failure whose server said nothing until the time was over.
 pub const NO_ANSWER: &str = "no_answer_in_time";
 
+/// Cause of a failure whose server closed the connection before its answer began.
+const BROKEN_OFF: &str = "broken_off";
+
+/// Cause of a failure whose server closed the connection within its answer.
+pub const ANSWER_CUT: &str = "answer_cut";
+
 /// Counts a request at a server for as long as it is there.
 #[derive(Debug)]
 pub struct InFlight {
@@ -124,6 +130,11 @@
         Self::lost(NO_ANSWER, String::new())
     }
 
+    /// Whether the server closed the connection while it had the request.
+    pub fn is_break(&self) -> bool {
+        [BROKEN_OFF, ANSWER_CUT].contains(&self.cause)
+    }
+
     fn lost(cause: &'static str, detail: String) -> Self {
         let (verdict, outcome) = (RunVerdict::MayHaveRun, ServerOutcome::Lost);
         Self { verdict, outcome, cause, detail, arrived: true }
@@ -210,7 +221,7 @@
                 continue;
             }
             Ok(Err(error)) => {
-                let mut failure = AttemptFailure::lost("broken_off", error.message);
+                let mut failure = AttemptFailure::lost(BROKEN_OFF, error.message);
                 failure.verdict = error.verdict;
                 failure.arrived = error.verdict != RunVerdict::NotRun;
                 return Err(failure);
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -22,7 +22,7 @@
     answer::{AnswerBody, GivenUp, strip_connection, whole},
     attempt::{self, AttemptFailure, ServerAnswer, is_failure},
     handler::RequestPlan,
-    relay,
+    relay, server_end,
     state::EntryState,
 };
 use crate::decisions;
@@ -134,7 +134,8 @@
         let fields = json!({
             "request": self.request.id, "route": self.request.route.name,
             "service": self.request.service, "plan": self.request.plan, "held_ms": held_ms,
-            "attempt": self.arrivals, "more": fields,
+            "attempt": self.arrivals, "content": self.request.digests.whole.to_string(),
+            "more": fields,
         });
         decisions::note("routing", event, fields);
     }
@@ -221,7 +222,7 @@
         self.predicted = self.predicted.or(server.predicted);
         self.arrivals += 1;
         self.runs += 1;
-        let (sent, reserved) = self.send_patiently(server, last_event).await;
+        let (sent, reserved) = self.send_patiently(server.clone(), last_event).await;
         self.reserved = reserved;
         if let Ok(answer) = &sent
             && !(self.request.repeatable && self.has_attempts())
@@ -232,10 +233,24 @@
             self.met_silence |= failure.cause == attempt::NO_ANSWER;
             self.arrivals -= u32::from(!failure.arrived);
             self.runs -= u32::from(failure.verdict == RunVerdict::NotRun);
+            if failure.is_break() {
+                self.note_break(&server).await;
+            }
         }
         sent
     }
 
+    /// Finds out what it means that a server broke off while it had this request.
+    pub async fn note_break(&self, server: &ChosenServer) {
+        if server_end::has_ended(&self.state, server).await {
+            let digests = self.request.digests;
+            let fields = json!({
+                "server": server.id, "without_query": digests.without_query.to_string(),
+            });
+            self.log("server_ended", fields);
+        }
+    }
+
     /// Sends to `server` and waits; where it is silent, until another one is had in its place: without
     /// that it is the only one who may still answer.
     async fn send_patiently(
@@ -324,6 +339,7 @@
         answer: ServerAnswer,
     ) -> Result<Response<AnswerBody>, AttemptFailure> {
         let ServerAnswer { response, connection, in_flight, .. } = answer;
+        let server = in_flight.server().clone();
         let (mut parts, body) = response.into_parts();
         let collected = Limited::new(body, MOST_ANSWER).collect();
         let collected = tokio::time::timeout_at(self.request.deadline, collected).await;
@@ -332,13 +348,16 @@
             other => {
                 in_flight.end(ServerOutcome::Lost);
                 let detail = match other {
-                    Ok(Err(error)) => error.to_string(),
+                    Ok(Err(error)) => {
+                        self.note_break(&server).await;
+                        error.to_string()
+                    }
                     _ => "it did not end in time".to_owned(),
                 };
                 return Err(AttemptFailure {
                     verdict: RunVerdict::MayHaveRun,
                     outcome: ServerOutcome::Lost,
-                    cause: "answer_cut",
+                    cause: attempt::ANSWER_CUT,
                     detail,
                     arrived: true,
                 });
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use headlatch_core::direct::{
     engine_model::EngineWork,
+    request_digest::{RequestContent, RequestDigests},
     route_table::{Denial, RouteTable, pick_target},
     time_limit::{LimitedTime, TimeLimit},
 };
@@ -75,6 +76,8 @@
     pub plan: u64,
     /// What its head says.
     pub facts: RequestFacts,
+    /// What tells that the same content comes again.
+    pub digests: RequestDigests,
 }
 
 /// Counts a request as held.
@@ -155,6 +158,7 @@
     let service = target.map(|target| target.service.clone());
     let service = service.ok_or_else(|| GivenUp::refused("no_service", NO_PLAN_REST))?;
     let engine = routes.plan().services.get(&*service).and_then(|service| service.engine.clone());
+    let digests = digests_of(&parts, tenant.as_deref(), &body);
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri = path.parse().map_err(|_| GivenUp::denied(StatusCode::BAD_REQUEST, "bad_path"))?;
     Ok(RequestPlan {
@@ -174,6 +178,7 @@
         limit: held.limit,
         plan: routes.plan().version.0,
         facts,
+        digests,
     })
 }
 
@@ -219,14 +224,28 @@
     Ok(FoundRoute { route: route.clone(), tenant: tenant.map(|tenant| tenant.name.to_string()) })
 }
 
+fn host_of<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> &'a str {
+    let host = headers.get(header::HOST).and_then(|value| value.to_str().ok());
+    host.or_else(|| uri.host()).unwrap_or_default()
+}
+
+fn digests_of(parts: &Parts, caller: Option<&str>, body: &[u8]) -> RequestDigests {
+    RequestDigests::of(&RequestContent {
+        caller,
+        method: parts.method.as_str(),
+        host: host_of(&parts.headers, &parts.uri),
+        path: parts.uri.path(),
+        query: parts.uri.query(),
+        body,
+    })
+}
+
 fn find_route<'a>(
     routes: &'a RouteTable,
     headers: &HeaderMap,
     uri: &Uri,
 ) -> Result<&'a Route, GivenUp> {
-    let host = headers.get(header::HOST).and_then(|value| value.to_str().ok());
-    let host = host.or_else(|| uri.host()).unwrap_or_default();
-    routes.route(host, uri.path()).map_err(|denial| match denial {
+    routes.route(host_of(headers, uri), uri.path()).map_err(|denial| match denial {
         Denial::NoRoute => GivenUp::denied(StatusCode::NOT_FOUND, "no_route"),
         Denial::UnknownKey => GivenUp::denied(StatusCode::UNAUTHORIZED, "unknown_key"),
     })
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -20,6 +20,7 @@
 pub mod relay;
 pub mod relay_mail;
 pub mod seats;
+pub mod server_end;
 pub mod server_sync;
 pub mod stager;
 pub mod state;
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -143,7 +143,11 @@
                 }
                 Next::End(end) => {
                     let described = relay.describe(&source, end);
+                    let server = source.in_flight.server().clone();
                     relay.let_go(source, end);
+                    if end == StreamEnd::Broken {
+                        relay.exchange.note_break(&server).await;
+                    }
                     let continued = relay.continue_elsewhere(end).await;
                     if let Err(cause) = continued {
                         relay.exchange.cut(cause, described);
@@ -202,20 +206,25 @@
             source.in_flight.note_last();
         }
         let (last, status) = (self.last_event, self.status);
-        let exchange = &mut self.exchange;
-        let mut asking = pin!(begin_elsewhere(exchange, server, last, status));
-        let begun = tokio::select! {
-            biased;
-            data = source.next() => match data {
-                Ok(data) => return Some(Next::Data(data)),
-                Err(StreamEnd::Whole) => return Some(Next::End(StreamEnd::Whole)),
-                Err(end) => match asking.await {
-                    Ok(begun) => Ok(begun),
-                    Err(_) => return Some(Next::End(end)),
+        let (begun, broke) = {
+            let exchange = &mut self.exchange;
+            let mut asking = pin!(begin_elsewhere(exchange, server, last, status));
+            tokio::select! {
+                biased;
+                data = source.next() => match data {
+                    Ok(data) => return Some(Next::Data(data)),
+                    Err(StreamEnd::Whole) => return Some(Next::End(StreamEnd::Whole)),
+                    Err(end) => match asking.await {
+                        Ok(begun) => (Ok(begun), true),
+                        Err(_) => return Some(Next::End(end)),
+                    },
                 },
-            },
-            begun = &mut asking => begun,
+                begun = &mut asking => (begun, false),
+            }
         };
+        if broke {
+            self.exchange.note_break(source.in_flight.server()).await;
+        }
         let (other, data) = begun.ok()?;
         Some(Next::Replaced(Box::new(other), data))
     }
@@ -310,8 +319,11 @@
     let first = tokio::time::timeout_at(exchange.request.deadline, source.next()).await;
     match first {
         Ok(Ok(data)) => Ok((source, data)),
-        _ => {
+        ended => {
             source.in_flight.end(ServerOutcome::Lost);
+            if matches!(ended, Ok(Err(StreamEnd::Broken))) {
+                exchange.note_break(source.in_flight.server()).await;
+            }
             Err(StreamEnd::Broken)
         }
     }
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -46,6 +46,8 @@
     pub message: String,
     /// Whether no connection came up.
     pub connecting: bool,
+    /// Whether the other side's machine answered that nobody listens there.
+    pub refused: bool,
     /// Whether nothing came in time on a connection that was up.
     pub silent: bool,
 }
@@ -53,12 +55,12 @@
 impl ExchangeError {
     fn unsent(message: impl Into<String>, connecting: bool) -> Self {
         let verdict = RunVerdict::NotRun;
-        Self { verdict, message: message.into(), connecting, silent: false }
+        Self { verdict, message: message.into(), connecting, refused: false, silent: false }
     }
 
     fn lost(message: impl Into<String>) -> Self {
         let verdict = RunVerdict::MayHaveRun;
-        Self { verdict, message: message.into(), connecting: false, silent: false }
+        Self { verdict, message: message.into(), connecting: false, refused: false, silent: false }
     }
 
     fn silent(message: impl Into<String>) -> Self {
@@ -323,9 +325,10 @@
 
 async fn open(address: SocketAddr) -> Result<HeldConnection, ExchangeError> {
     let failure = |message: String| ExchangeError::unsent(message, true);
-    let stream = TcpStream::connect(address)
-        .await
-        .map_err(|error| failure(format!("{address}: {error}")))?;
+    let stream = TcpStream::connect(address).await.map_err(|error| ExchangeError {
+        refused: error.kind() == std::io::ErrorKind::ConnectionRefused,
+        ..failure(format!("{address}: {error}"))
+    })?;
     // Without it small writes wait for acknowledgements; a failure only costs time.
     let _ = stream.set_nodelay(true);
     let (sender, connection) = http1::Builder::new()
