--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -19,5 +19,6 @@
 pub mod server_table;
 pub mod staging;
 pub mod stream_timing;
+pub mod suspects;
 pub mod time_limit;
 pub mod weight_deadline;
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -25,6 +25,7 @@
     leaving::LeavingNotice,
     plan_readers::{ReaderView, reader_rank},
     relays::{DomainRoster, DrainSum, RELAYS, RosterMember},
+    suspects::SuspectNotice,
 };
 use crate::time::Moment;
 
@@ -175,6 +176,8 @@
     pub servers: ChangeMark,
     /// Servers that it has heard to be leaving a short time ago.
     pub leaving: Vec<LeavingNotice>,
+    /// Requests under which servers ended.
+    pub suspects: Vec<SuspectNotice>,
     /// Its calls to the store are answered, as far as it knows.
     pub reads_store: bool,
     /// Others that it hears.
@@ -205,6 +208,7 @@
             plan: 0,
             servers: ChangeMark::default(),
             leaving: Vec::new(),
+            suspects: Vec::new(),
             reads_store: true,
             peers: Vec::new(),
             loads: Vec::new(),
@@ -237,6 +241,7 @@
             loads: Vec::new(),
             drains: Vec::new(),
             leaving: Vec::new(),
+            suspects: Vec::new(),
             domain_loads: None,
             changes_only: false,
             ..self.notice.clone()
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -17,6 +17,7 @@
     fact_age::ChangeMark,
     leaving::{LeavingNotice, LeavingServers},
     peers::{DomainKey, LoadNotice, ServerNotice},
+    suspects::LifeKey,
 };
 use crate::time::Moment;
 
@@ -155,6 +156,8 @@
 pub struct ChosenServer {
     /// The server.
     pub id: ServerId,
+    /// This life of it.
+    pub life: LifeKey,
     /// Where it answers.
     pub address: SocketAddr,
     /// What this entry has in progress there.
@@ -205,8 +208,18 @@
 
 /// The key of a server in notices.
 pub fn server_key(id: &ServerId) -> u32 {
-    let hash = |state: u32, byte: u8| (state ^ u32::from(byte)).wrapping_mul(0x0100_0193);
-    id.0.bytes().fold(0x811c_9dc5, hash)
+    id.0.bytes().fold(0x811c_9dc5, hash_byte)
+}
+
+/// One step of FNV-1a.
+fn hash_byte(state: u32, byte: u8) -> u32 {
+    (state ^ u32::from(byte)).wrapping_mul(0x0100_0193)
+}
+
+/// The key of a server's life.
+fn life_key(record: &ServerRecord) -> LifeKey {
+    let born = record.born.map(|born| born.0.to_le_bytes()).unwrap_or_default();
+    LifeKey(born.into_iter().fold(server_key(&record.id), hash_byte))
 }
 
 impl ServerTable {
@@ -414,6 +427,7 @@
         let layers = query.engine.map_or(0, |engine| engine.figures.layers);
         ChosenServer {
             id: state.record.id.clone(),
+            life: life_key(&state.record),
             address: state.record.address,
             own: state.own,
             others: self.others.get(&state.key).copied().unwrap_or_default(),
@@ -423,6 +437,11 @@
         }
     }
 
+    /// Whether the end of a server is one that was planned: it is leaving, or has left the list.
+    pub fn ends_as_planned(&self, id: &ServerId) -> bool {
+        self.servers.get(id).is_none_or(|state| self.is_leaving(state))
+    }
+
     /// Whether a server takes nothing new because it will end.
     fn is_leaving(&self, state: &ServerState) -> bool {
         state.record.draining || self.leaving.is_leaving(state.key)
--- /dev/null
+++ b/crates/core/src/direct/suspects.rs
@@ -0,0 +1,342 @@
+//! Requests under which servers end, and their quarantine.
+//!
+//! A limit that is counted by request holds nothing where the same content comes again: here ends of
+//! servers are counted by content, over all entries. Every request that a server had when it ended is a
+//! suspect, most of them without guilt: a suspicion alone changes nothing. One under which servers
+//! ended again and again, and which never ran to its end, is refused from then on.
+//!
+//! Entries tell each other each end, by content and server life, so that an end that several have seen,
+//! or that is told twice, counts once; failure domains that were cut off from each other join their
+//! counts afterwards. All that is kept is bounded, the oldest suspicions go first.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use super::request_digest::RequestDigest;
+use crate::time::Moment;
+
+mod notices;
+mod sound;
+
+pub use notices::{MOST_TOLD, SuspectNotice};
+use sound::SoundRequests;
+
+/// Ends of servers from which on a request is refused. Requests beside a harmful one meet two ends at
+/// times, where it is continued at the same second server as they are.
+const MOST_ENDS: usize = 3;
+
+/// The same for a request that never brought anything, anywhere: sound ones wait for a first event for
+/// a third of a second, and hardly ever twice at servers that end.
+const MOST_SILENT_ENDS: usize = 2;
+
+/// Time for which a request is refused after its last coming. Longer than callers go on trying; a sound
+/// one that was taken for harmful is served again after that.
+pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
+
+/// Time after the last end under it for which a suspicion is kept.
+const SUSPICION_TIME: Duration = Duration::from_secs(120);
+
+/// Time for which old word of a request that has been cleared is not believed: several times as long
+/// as entries tell what is new.
+const ECHO_TIME: Duration = Duration::from_secs(5);
+
+/// Suspects kept at most. Three quarters of a hundred servers that end at once have some thousand
+/// requests; each takes some hundred bytes.
+pub const MOST_SUSPECTS: usize = 2048;
+
+/// Requests that are refused at most, so that a caller who makes servers end on purpose cannot fill
+/// the memory; each of them costs two ends.
+pub const MOST_QUARANTINED: usize = 256;
+
+/// One life of a server, from its start to its end, as a short key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LifeKey(pub u32);
+
+impl std::fmt::Display for LifeKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
+/// How far a request had come at a server that ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EndedRun {
+    /// It had brought nothing.
+    Silent,
+    /// It had brought a part of its answer.
+    Begun,
+}
+
+/// What a word about a suspect changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SuspectChange {
+    /// Nothing that matters.
+    None,
+    /// The request is refused from now on.
+    Refused {
+        /// The lives of servers that ended under it; none where others have judged.
+        lives: Vec<LifeKey>,
+        /// This entry has seen one of the ends itself.
+        seen: bool,
+    },
+    /// The request is no longer a suspect.
+    Cleared {
+        /// It was refused.
+        was_refused: bool,
+    },
+}
+
+/// A request that is refused, for operators.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuarantinedRequest {
+    /// The request.
+    pub digest: RequestDigest,
+    /// Time for which it is still refused, unless it comes again.
+    pub left: Duration,
+    /// Ends of servers under it that this entry knows of.
+    pub ends: usize,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Suspect {
+    ends: BTreeMap<LifeKey, EndedRun>,
+    /// This entry has seen one of the ends itself.
+    seen: bool,
+    /// When something new was learnt of it.
+    learnt: Moment,
+    refused_until: Option<Moment>,
+}
+
+impl Suspect {
+    fn is_refused(&self, now: Moment) -> bool {
+        self.refused_until.is_some_and(|until| until > now)
+    }
+
+    fn is_proved(&self) -> bool {
+        let silent = self.ends.values().all(|run| *run == EndedRun::Silent);
+        let most = if silent { MOST_SILENT_ENDS } else { MOST_ENDS };
+        self.ends.len() >= most
+    }
+
+    /// Whether others are to hear of it again and again: with one end more it is refused, or it is.
+    fn lasts(&self, now: Moment) -> bool {
+        self.is_refused(now) || self.ends.len() > 1
+    }
+
+    fn is_kept(&self, now: Moment) -> bool {
+        self.is_refused(now) || now.since(self.learnt) <= SUSPICION_TIME
+    }
+}
+
+/// What one entry knows of requests under which servers ended.
+#[derive(Debug, Clone, Default)]
+pub struct SuspectTable {
+    suspects: BTreeMap<RequestDigest, Suspect>,
+    /// Suspects by when something new was learnt of them.
+    by_age: BTreeSet<(Moment, RequestDigest)>,
+    sound: SoundRequests,
+    cleared: BTreeMap<RequestDigest, Moment>,
+}
+
+impl SuspectTable {
+    /// A server has ended while it had the request, as this entry has seen.
+    pub fn note_end(
+        &mut self,
+        now: Moment,
+        digest: RequestDigest,
+        life: LifeKey,
+        run: EndedRun,
+    ) -> SuspectChange {
+        if self.sound.has_run(now, digest) {
+            return SuspectChange::None;
+        }
+        self.suspects.entry(digest).or_default().seen = true;
+        self.add_end(now, digest, life, run)
+    }
+
+    /// The request has run to its end: it harms nobody.
+    pub fn note_whole(&mut self, now: Moment, digest: RequestDigest) -> SuspectChange {
+        self.sound.note(now, digest);
+        match self.suspects.get(&digest).map(|suspect| suspect.lasts(now)) {
+            Some(true) => self.clear(now, digest),
+            // Where others count a second end of it, this entry speaks for it then.
+            Some(false) => {
+                self.drop_suspect(digest);
+                SuspectChange::None
+            }
+            None => SuspectChange::None,
+        }
+    }
+
+    /// An operator wants the request to be served again.
+    pub fn lift(&mut self, now: Moment, digest: RequestDigest) -> SuspectChange {
+        match self.suspects.contains_key(&digest) {
+            true => self.clear(now, digest),
+            false => SuspectChange::None,
+        }
+    }
+
+    /// The store says that the request is refused for `left` more.
+    pub fn note_kept(
+        &mut self,
+        now: Moment,
+        digest: RequestDigest,
+        left: Duration,
+    ) -> SuspectChange {
+        self.refuse(now, digest, now + left.min(QUARANTINE_TIME))
+    }
+
+    /// Takes in what another entry tells.
+    pub fn hear(&mut self, now: Moment, notice: SuspectNotice) -> SuspectChange {
+        let digest = notice.digest();
+        if let SuspectNotice::Cleared { .. } = notice {
+            return match self.suspects.contains_key(&digest) {
+                true => self.clear(now, digest),
+                false => SuspectChange::None,
+            };
+        }
+        if self.is_echo(now, digest) {
+            return SuspectChange::None;
+        }
+        if self.sound.has_run(now, digest) {
+            // Whoever tells that has not heard how the request ran here.
+            self.cleared.insert(digest, now);
+            return SuspectChange::None;
+        }
+        match notice {
+            SuspectNotice::Ended { life, run, .. } => self.add_end(now, digest, life, run),
+            SuspectNotice::Refused { left, .. } => {
+                self.refuse(now, digest, now + left.min(QUARANTINE_TIME))
+            }
+            SuspectNotice::Cleared { .. } => SuspectChange::None,
+        }
+    }
+
+    /// Whether the request is refused now.
+    pub fn is_refused(&self, now: Moment, digest: RequestDigest) -> bool {
+        self.suspects.get(&digest).is_some_and(|suspect| suspect.is_refused(now))
+    }
+
+    /// The request has come; the time for which it is refused from now on, if it is.
+    pub fn note_coming(&mut self, now: Moment, digest: RequestDigest) -> Option<Duration> {
+        let suspect = self.suspects.get_mut(&digest)?;
+        if !suspect.is_refused(now) {
+            return None;
+        }
+        suspect.refused_until = Some(now + QUARANTINE_TIME);
+        Some(QUARANTINE_TIME)
+    }
+
+    /// The requests that are refused.
+    pub fn refused(&self, now: Moment) -> Vec<QuarantinedRequest> {
+        let refused = self.suspects.iter().filter(|(_, suspect)| suspect.is_refused(now));
+        refused
+            .map(|(digest, suspect)| QuarantinedRequest {
+                digest: *digest,
+                left: suspect.refused_until.unwrap_or(now).since(now),
+                ends: suspect.ends.len(),
+            })
+            .collect()
+    }
+
+    /// Suspects that are kept, those that are refused among them.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Whether nothing is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Forgets what is too old to matter.
+    pub fn forget_old(&mut self, now: Moment) {
+        let old = self.suspects.iter().filter(|(_, suspect)| !suspect.is_kept(now));
+        let old: Vec<RequestDigest> = old.map(|(digest, _)| *digest).collect();
+        old.into_iter().for_each(|digest| self.drop_suspect(digest));
+        self.cleared.retain(|_, at| now.since(*at) <= ECHO_TIME);
+        self.sound.forget_old(now);
+    }
+
+    fn is_echo(&self, now: Moment, digest: RequestDigest) -> bool {
+        self.cleared.get(&digest).is_some_and(|at| now.since(*at) <= ECHO_TIME)
+    }
+
+    fn clear(&mut self, now: Moment, digest: RequestDigest) -> SuspectChange {
+        let was_refused = self.is_refused(now, digest);
+        self.drop_suspect(digest);
+        self.cleared.insert(digest, now);
+        SuspectChange::Cleared { was_refused }
+    }
+
+    fn add_end(
+        &mut self,
+        now: Moment,
+        digest: RequestDigest,
+        life: LifeKey,
+        run: EndedRun,
+    ) -> SuspectChange {
+        let suspect = self.suspects.entry(digest).or_default();
+        let known = suspect.ends.get(&life).copied();
+        // What is proved needs no further end, and one who has seen the request begin knows better.
+        if known.is_some_and(|known| known >= run) || suspect.ends.len() >= MOST_ENDS {
+            return SuspectChange::None;
+        }
+        suspect.ends.insert(life, run);
+        let is_new = suspect.is_proved() && !suspect.is_refused(now);
+        let (seen, lives) = (suspect.seen, suspect.ends.keys().copied().collect());
+        self.touch(now, digest);
+        match is_new {
+            true => {
+                let _ = self.refuse(now, digest, now + QUARANTINE_TIME);
+                SuspectChange::Refused { lives, seen }
+            }
+            false => SuspectChange::None,
+        }
+    }
+
+    fn refuse(&mut self, now: Moment, digest: RequestDigest, until: Moment) -> SuspectChange {
+        let suspect = self.suspects.entry(digest).or_default();
+        let was_refused = suspect.is_refused(now);
+        suspect.refused_until = suspect.refused_until.max(Some(until));
+        if was_refused || until <= now {
+            return SuspectChange::None;
+        }
+        self.touch(now, digest);
+        self.bound_refused(now);
+        SuspectChange::Refused { lives: Vec::new(), seen: false }
+    }
+
+    /// Something new is known of a suspect; the oldest one goes where there are too many.
+    fn touch(&mut self, now: Moment, digest: RequestDigest) {
+        let Some(suspect) = self.suspects.get_mut(&digest) else { return };
+        self.by_age.remove(&(suspect.learnt, digest));
+        suspect.learnt = now;
+        self.by_age.insert((now, digest));
+        if self.suspects.len() <= MOST_SUSPECTS {
+            return;
+        }
+        let oldest = self.by_age.iter().find(|(_, digest)| !self.is_refused(now, *digest));
+        if let Some((_, oldest)) = oldest.copied() {
+            self.drop_suspect(oldest);
+        }
+    }
+
+    fn bound_refused(&mut self, now: Moment) {
+        let refused = self.refused(now);
+        if refused.len() <= MOST_QUARANTINED {
+            return;
+        }
+        if let Some(first) = refused.iter().min_by_key(|one| one.left) {
+            self.drop_suspect(first.digest);
+        }
+    }
+
+    fn drop_suspect(&mut self, digest: RequestDigest) {
+        if let Some(suspect) = self.suspects.remove(&digest) {
+            self.by_age.remove(&(suspect.learnt, digest));
+        }
+    }
+}
--- a/crates/core/tests/load_notices.rs
+++ b/crates/core/tests/load_notices.rs
@@ -134,6 +134,7 @@
     let version = WeightVersion(1);
     ServerRecord {
         id: ServerId(id.into()),
+        born: None,
         service: "llm".into(),
         address: address(100 + id.len() as u8),
         zone: zone.parse().expect("a name"),
--- /dev/null
+++ b/crates/core/tests/suspects.rs
@@ -0,0 +1,335 @@
+//! Requests under which servers end: who is refused, who is not, and how entries come to agree.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use headlatch_core::{
+    direct::suspects::{
+        EndedRun, LifeKey, MOST_QUARANTINED, MOST_SUSPECTS, MOST_TOLD, QUARANTINE_TIME,
+        SuspectChange, SuspectNotice, SuspectTable,
+    },
+    time::Moment,
+};
+use headlatch_types::request::RequestDigest;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+const HARMFUL: RequestDigest = RequestDigest(1);
+
+fn at(millis: u64) -> Moment {
+    Moment::from_micros(millis * 1000)
+}
+
+fn end(table: &mut SuspectTable, millis: u64, digest: u64, life: u32, run: EndedRun) -> bool {
+    let change = table.note_end(at(millis), RequestDigest(digest), LifeKey(life), run);
+    matches!(change, SuspectChange::Refused { .. })
+}
+
+fn silent(table: &mut SuspectTable, millis: u64, digest: u64, life: u32) -> bool {
+    end(table, millis, digest, life, EndedRun::Silent)
+}
+
+/// Tells everything that `from` has to tell.
+fn tell(from: &SuspectTable, to: &mut SuspectTable, millis: u64) {
+    for notice in from.notices(at(millis)) {
+        let _ = to.hear(at(millis), notice);
+    }
+}
+
+#[gtest]
+fn a_request_that_never_brought_anything_is_refused_after_two_ends() {
+    let mut table = SuspectTable::default();
+    expect_that!(silent(&mut table, 0, 1, 1), eq(false));
+    expect_that!(table.is_refused(at(1), HARMFUL), eq(false));
+    expect_that!(silent(&mut table, 300, 1, 2), eq(true));
+    expect_that!(table.note_coming(at(400), HARMFUL), some(eq(QUARANTINE_TIME)));
+    expect_that!(table.note_coming(at(400), RequestDigest(2)), none());
+}
+
+#[gtest]
+fn one_that_had_brought_a_part_of_its_answer_is_refused_after_three() {
+    let mut table = SuspectTable::default();
+    expect_that!(end(&mut table, 0, 1, 1, EndedRun::Begun), eq(false));
+    expect_that!(silent(&mut table, 300, 1, 2), eq(false));
+    expect_that!(end(&mut table, 600, 1, 3, EndedRun::Begun), eq(true));
+}
+
+/// Several entries may see the same end, and hear of it again from others.
+#[gtest]
+fn the_end_of_one_life_counts_once() {
+    let mut table = SuspectTable::default();
+    for millis in 0..50 {
+        expect_that!(silent(&mut table, millis, 1, 1), eq(false));
+    }
+    let ended = SuspectNotice::Ended { digest: HARMFUL, life: LifeKey(1), run: EndedRun::Silent };
+    expect_that!(table.hear(at(60), ended), eq(&SuspectChange::None));
+    expect_that!(table.is_refused(at(60), HARMFUL), eq(false));
+}
+
+#[gtest]
+fn one_run_to_its_end_clears_a_suspect() {
+    let mut table = SuspectTable::default();
+    silent(&mut table, 0, 1, 1);
+    expect_that!(table.note_whole(at(100), HARMFUL), eq(&SuspectChange::None));
+    // What runs well is no suspect a moment later either, however many servers are lost at once.
+    for life in 2..10 {
+        expect_that!(silent(&mut table, 200, 1, life), eq(false));
+    }
+    // But a minute on it is one like any other.
+    silent(&mut table, 61_000, 1, 11);
+    expect_that!(silent(&mut table, 61_300, 1, 12), eq(true));
+}
+
+#[gtest]
+fn a_quarantine_ends_some_time_after_the_last_coming() {
+    let mut table = SuspectTable::default();
+    silent(&mut table, 0, 1, 1);
+    silent(&mut table, 300, 1, 2);
+    let half = QUARANTINE_TIME.as_millis() as u64 / 2;
+    expect_that!(table.note_coming(at(half), HARMFUL), some(anything()));
+    expect_that!(table.is_refused(at(half * 2 + 1000), HARMFUL), eq(true));
+    expect_that!(table.note_coming(at(half * 3 + 1000), HARMFUL), none());
+    table.forget_old(at(half * 3 + 1000));
+    expect_that!(table.is_empty(), eq(true));
+}
+
+/// A caller may make servers end under different requests on purpose.
+#[gtest]
+fn a_flood_of_suspects_is_bounded_and_keeps_what_is_refused() {
+    let mut table = SuspectTable::default();
+    silent(&mut table, 0, 1, 1);
+    silent(&mut table, 0, 1, 2);
+    for number in 0..20_000 {
+        silent(&mut table, 1 + number / 10, 100 + number, number as u32);
+    }
+    expect_that!(table.len(), le(MOST_SUSPECTS));
+    expect_that!(table.is_refused(at(3000), HARMFUL), eq(true));
+    for number in 0..1_000 {
+        silent(&mut table, 4000, 100_000 + number, 1);
+        silent(&mut table, 4000 + number, 100_000 + number, 2);
+    }
+    expect_that!(table.refused(at(6000)).len(), le(MOST_QUARANTINED));
+    expect_that!(table.is_refused(at(6000), RequestDigest(100_999)), eq(true), "the newest");
+    expect_that!(table.notices(at(6000)).len(), le(MOST_TOLD));
+}
+
+#[gtest]
+fn entries_that_saw_one_end_each_refuse_it_together() {
+    let (mut first, mut second) = (SuspectTable::default(), SuspectTable::default());
+    silent(&mut first, 0, 1, 1);
+    silent(&mut second, 50, 1, 2);
+    tell(&first, &mut second, 100);
+    expect_that!(second.is_refused(at(100), HARMFUL), eq(true));
+    tell(&second, &mut first, 200);
+    expect_that!(first.is_refused(at(200), HARMFUL), eq(true));
+}
+
+/// Whoever comes late, or was cut off while it was told, hears of a quarantine within a second and
+/// a fifth of any other entry.
+#[gtest]
+fn an_entry_that_has_heard_nothing_is_told_what_is_refused_each_second() {
+    let (mut first, mut late) = (SuspectTable::default(), SuspectTable::default());
+    silent(&mut first, 0, 1, 1);
+    silent(&mut first, 300, 1, 2);
+    let from = 60_030;
+    let told = (0..).map(|tick| from + tick * 100).find(|millis| {
+        tell(&first, &mut late, *millis);
+        late.is_refused(at(*millis), HARMFUL)
+    });
+    expect_that!(told, some(le(from + 1000)));
+    // What is told on and on does not make it last longer.
+    let left = |table: &SuspectTable, millis| table.refused(at(millis))[0].left;
+    for millis in (61_000..90_000).step_by(100) {
+        tell(&first, &mut late, millis);
+        tell(&late, &mut first, millis);
+    }
+    expect_that!(left(&first, 90_000), le(QUARANTINE_TIME - Duration::from_millis(89_700)));
+    expect_that!(left(&late, 90_000), le(QUARANTINE_TIME - Duration::from_millis(89_700)));
+}
+
+/// Failure domains that are cut off from each other count by themselves and join their counts
+/// afterwards.
+#[gtest]
+fn counts_are_joined_after_a_cut() {
+    let (mut here, mut there) = (SuspectTable::default(), SuspectTable::default());
+    for (life, table) in [(1, &mut here), (2, &mut there)] {
+        end(table, 0, 1, life, EndedRun::Begun);
+        end(table, 100, 1, life + 10, EndedRun::Begun);
+    }
+    expect_that!(here.is_refused(at(6000), HARMFUL), eq(false));
+    for millis in (6000..7100).step_by(100) {
+        tell(&there, &mut here, millis);
+        tell(&here, &mut there, millis);
+    }
+    expect_that!(here.is_refused(at(7100), HARMFUL), eq(true));
+    expect_that!(there.is_refused(at(7100), HARMFUL), eq(true));
+}
+
+/// A page that many callers ask for is in progress at every server of its service: where several of
+/// these are lost at once, all entries see ends under it in the same moment.
+#[gtest]
+fn a_page_that_ran_well_somewhere_is_served_on_everywhere() {
+    let (mut knows, mut accuses) = (SuspectTable::default(), SuspectTable::default());
+    let _ = knows.note_whole(at(0), HARMFUL);
+    for life in 1..4 {
+        silent(&mut accuses, 1000, 1, life);
+    }
+    expect_that!(accuses.is_refused(at(1000), HARMFUL), eq(true));
+    tell(&accuses, &mut knows, 1100);
+    expect_that!(knows.is_refused(at(1100), HARMFUL), eq(false));
+    tell(&knows, &mut accuses, 1200);
+    expect_that!(accuses.is_refused(at(1200), HARMFUL), eq(false));
+    // Old word of it that comes round again is not believed.
+    let refused = SuspectNotice::Refused { digest: HARMFUL, left: QUARANTINE_TIME };
+    expect_that!(accuses.hear(at(1300), refused), eq(&SuspectChange::None));
+}
+
+#[gtest]
+fn an_operator_can_have_a_request_served_again_and_it_is_judged_anew() {
+    let (mut first, mut second) = (SuspectTable::default(), SuspectTable::default());
+    silent(&mut first, 0, 1, 1);
+    silent(&mut first, 100, 1, 2);
+    tell(&first, &mut second, 200);
+    expect_that!(first.lift(at(1000), HARMFUL), eq(&SuspectChange::Cleared { was_refused: true }));
+    tell(&first, &mut second, 1100);
+    expect_that!(second.is_refused(at(1100), HARMFUL), eq(false));
+    silent(&mut first, 2000, 1, 3);
+    expect_that!(silent(&mut first, 2300, 1, 4), eq(true));
+}
+
+/// One world: requests come to entries and run at servers that end under harmful ones.
+struct World {
+    entries: Vec<SuspectTable>,
+    rng: SmallRng,
+    lives: u32,
+    /// Ends of servers under harmful requests.
+    harmful_ends: u32,
+    /// Sound requests that were refused, and all of them.
+    refused: u32,
+    sound: u32,
+}
+
+/// Requests of each server that are sound and in progress when it ends.
+const BESIDE: usize = 12;
+
+impl World {
+    fn new(seed: u64, entries: usize) -> Self {
+        let rng = SmallRng::seed_from_u64(seed);
+        let entries = vec![SuspectTable::default(); entries];
+        Self { entries, rng, lives: 0, harmful_ends: 0, refused: 0, sound: 0 }
+    }
+
+    /// A server ends: every request that it had is a suspect at the entry that sent it.
+    fn end_server(&mut self, now: Moment, requests: &[(usize, RequestDigest, EndedRun)]) {
+        self.lives += 1;
+        for (entry, digest, run) in requests {
+            let _ = self.entries[*entry].note_end(now, *digest, LifeKey(self.lives), *run);
+        }
+    }
+
+    /// Everybody hears everybody, but for one notice in ten.
+    fn tell_all(&mut self, now: Moment) {
+        for from in 0..self.entries.len() {
+            for notice in self.entries[from].notices(now) {
+                for to in 0..self.entries.len() {
+                    if to != from && self.rng.random_bool(0.9) {
+                        let _ = self.entries[to].hear(now, notice);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sound requests that were in progress are tried again at the same entry; `ends` of them meet
+    /// another end.
+    fn try_again(&mut self, now: Moment, requests: &[(usize, RequestDigest, EndedRun)]) {
+        for (entry, digest, _) in requests {
+            self.sound += 1;
+            if self.entries[*entry].is_refused(now, *digest) {
+                self.refused += 1;
+            } else {
+                let _ = self.entries[*entry].note_whole(now, *digest);
+            }
+        }
+    }
+
+    fn sound_requests(&mut self) -> Vec<(usize, RequestDigest, EndedRun)> {
+        let count = self.entries.len();
+        let mut request = || {
+            let run = self.run();
+            (self.rng.random_range(0..count), RequestDigest(self.rng.random()), run)
+        };
+        (0..BESIDE).map(|_| request()).collect()
+    }
+
+    /// One request in five waits for its first event.
+    fn run(&mut self) -> EndedRun {
+        if self.rng.random_bool(0.8) { EndedRun::Begun } else { EndedRun::Silent }
+    }
+}
+
+/// A harmful request comes twice a second at any of seven entries for forty seconds; each coming ends
+/// up to two servers, with a dozen sound requests each. Two in ten sound ones that are continued meet
+/// the second of these ends as well.
+#[gtest]
+fn a_harmful_request_ends_few_servers_and_hardly_a_sound_one_is_refused() {
+    let (mut refused, mut sound) = (0, 0);
+    for seed in 0..20 {
+        let mut world = World::new(seed, 7);
+        for tick in 0..400u64 {
+            let now = at(tick * 100);
+            world.tell_all(now);
+            if tick % 5 != 0 {
+                continue;
+            }
+            let entry = world.rng.random_range(0..7);
+            let mut again = Vec::new();
+            for _ in 0..2 {
+                if world.entries[entry].note_coming(now, HARMFUL).is_some() {
+                    break;
+                }
+                world.harmful_ends += 1;
+                let mut requests = world.sound_requests();
+                requests.truncate(BESIDE - again.len());
+                requests.append(&mut again);
+                requests.push((entry, HARMFUL, EndedRun::Silent));
+                world.end_server(now, &requests);
+                requests.pop();
+                again = requests.split_off(BESIDE * 8 / 10);
+                again.iter_mut().for_each(|(_, _, run)| *run = world.run());
+                world.try_again(now, &requests);
+            }
+            world.try_again(now, &again);
+        }
+        expect_that!(world.harmful_ends, le(3), "seed {seed}");
+        refused += world.refused;
+        sound += world.sound;
+    }
+    // One in fifty of those that a harmful request disturbs at all.
+    expect_that!(refused * 50, le(sound), "of {sound}");
+    expect_that!(sound, gt(400));
+}
+
+/// Servers crash and are killed in herds, again and again, with no harmful request among them.
+#[gtest]
+fn nobody_is_refused_where_servers_end_in_herds_under_sound_requests() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 7);
+        for tick in 0..600u64 {
+            let now = at(tick * 100);
+            world.tell_all(now);
+            if tick % 50 != 0 {
+                continue;
+            }
+            // Three fifths of twelve servers at once; what they had is sent to those that live.
+            let mut again = Vec::new();
+            for _ in 0..7 {
+                let requests = world.sound_requests();
+                world.end_server(now, &requests);
+                again.extend(requests);
+            }
+            world.try_again(now + Duration::from_millis(300), &again);
+        }
+        expect_that!(world.refused, eq(0), "seed {seed}: of {}", world.sound);
+        expect_that!(world.sound, gt(900));
+    }
+}
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -130,6 +130,11 @@
         Self::lost(NO_ANSWER, String::new())
     }
 
+    /// The sending was given up here, and the server's connection closed, for this cause.
+    pub fn stopped(cause: &'static str) -> Self {
+        Self { outcome: ServerOutcome::Abandoned, ..Self::lost(cause, String::new()) }
+    }
+
     /// Whether the server closed the connection while it had the request.
     pub fn is_break(&self) -> bool {
         [BROKEN_OFF, ANSWER_CUT].contains(&self.cause)
--- a/crates/daemon/src/direct/entry.rs
+++ b/crates/daemon/src/direct/entry.rs
@@ -11,6 +11,7 @@
 use headlatch_outside::{
     facts::{FactStore, FactTopic},
     headers::HeaderForm,
+    quarantine::QuarantineStore,
 };
 use headlatch_types::direct_settings::DirectEntrySettings;
 use serde_json::json;
@@ -19,7 +20,7 @@
 use super::{
     entry_notices,
     facts::{ReadGate, follow},
-    front, plan_sync, server_sync,
+    front, plan_sync, quarantine_keeper, server_sync,
     state::{EntryState, TopicGate},
 };
 use crate::{decisions, error::DaemonError};
@@ -50,6 +51,18 @@
 }
 
 impl DirectEntry {
+    /// Starts an entry that keeps in a store which requests it refuses.
+    pub async fn start_keeping(
+        settings: DirectEntrySettings,
+        store: Arc<dyn FactStore>,
+        headers: Arc<dyn HeaderForm>,
+        quarantines: Arc<dyn QuarantineStore>,
+    ) -> Result<Self, Report<DaemonError>> {
+        let mut entry = Self::start(settings, store, headers).await?;
+        entry.tasks.push(tokio::spawn(quarantine_keeper::run(entry.state.clone(), quarantines)));
+        Ok(entry)
+    }
+
     /// Starts an entry.
     pub async fn start(
         settings: DirectEntrySettings,
--- a/crates/daemon/src/direct/entry_notices.rs
+++ b/crates/daemon/src/direct/entry_notices.rs
@@ -112,6 +112,7 @@
         let now = self.state.now();
         if self.state.refresh_loads() || self.ticks.is_multiple_of(REFRESH_TICKS) {
             self.state.refresh_notices();
+            self.state.quarantine.forget_old(now);
         }
         self.relays.expire(now);
         self.choose_reach();
@@ -265,6 +266,7 @@
         plan: state.plan_version().0,
         servers: state.newest_servers(),
         leaving: state.servers().recently_leaving(state.now()),
+        suspects: state.quarantine.notices(state.now()),
         reads_store: state.plan.reads_store(state.now()),
         ..NoticeBody::default()
     }
@@ -293,6 +295,7 @@
         state.hear_peer_plan(PlanVersion(notice.plan));
     }
     state.hear_leaving(&notice.leaving);
+    state.quarantine.hear(state.now(), &notice.suspects);
     state.hear_peer_servers(notice.servers);
     if outcome.joined {
         decisions::note("peers", "found", json!({ "peer": notice.from }));
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -3,7 +3,10 @@
 use std::{pin::pin, sync::Arc, time::Duration};
 
 use headlatch_core::{
-    direct::server_table::{ChosenServer, EngineQuery, ServerChoice, ServerOutcome, ServerQuery},
+    direct::{
+        server_table::{ChosenServer, EngineQuery, ServerChoice, ServerOutcome, ServerQuery},
+        suspects::{EndedRun, QUARANTINE_TIME},
+    },
     time::Moment,
 };
 use headlatch_http::ConnectionChoice;
@@ -27,6 +30,9 @@
 };
 use crate::decisions;
 
+/// Cause of a refusal of what servers ended under.
+const QUARANTINED: &str = "quarantined";
+
 /// Servers that one request reaches at most, those that refused it among them.
 const MOST_ARRIVALS: u32 = 4;
 
@@ -181,6 +187,12 @@
     }
 
     fn pick_server(&self) -> Result<ChosenServer, &'static str> {
+        // The same content may have ended servers at other entries, or under an earlier id: attempts of
+        // this request say nothing of that.
+        let (now, digests) = (self.state.now(), &self.request.digests);
+        if self.state.quarantine.note_coming(now, digests).is_some() {
+            return Err(QUARANTINED);
+        }
         let least = if self.arrivals > 0 { LEAST_LEFT } else { Duration::ZERO };
         if Instant::now() + least >= self.request.deadline {
             return Err("deadline");
@@ -234,20 +246,27 @@
             self.arrivals -= u32::from(!failure.arrived);
             self.runs -= u32::from(failure.verdict == RunVerdict::NotRun);
             if failure.is_break() {
-                self.note_break(&server).await;
+                self.note_break(&server, EndedRun::Silent).await;
             }
         }
         sent
     }
 
-    /// Finds out what it means that a server broke off while it had this request.
-    pub async fn note_break(&self, server: &ChosenServer) {
-        if server_end::has_ended(&self.state, server).await {
-            let digests = self.request.digests;
-            let fields = json!({
-                "server": server.id, "without_query": digests.without_query.to_string(),
-            });
-            self.log("server_ended", fields);
+    /// Finds out what it means that a server broke off while it had this request, of which it had
+    /// brought what `run` says.
+    pub async fn note_break(&self, server: &ChosenServer, run: EndedRun) {
+        if !server_end::has_ended(&self.state, server).await {
+            return;
+        }
+        let digests = &self.request.digests;
+        let planned = self.state.servers().ends_as_planned(&server.id);
+        let fields = json!({
+            "server": server.id, "life": server.life.to_string(), "run": format!("{run:?}"),
+            "planned": planned, "without_query": digests.without_query.to_string(),
+        });
+        self.log("server_ended", fields);
+        if !planned {
+            self.state.quarantine.note_end(self.state.now(), digests, server.life, run);
         }
     }
 
@@ -267,8 +286,15 @@
         }
         let patience = (request.route.objective() * PATIENCE).max(LEAST_PATIENCE);
         let mut until = begun + patience;
+        let (state, digests) = (&self.state, &request.digests);
+        let mut refused = pin!(state.quarantine.until_refused(|| state.now(), digests));
         loop {
-            if let Ok(sent) = tokio::time::timeout_at(until, &mut sending).await {
+            let sent = tokio::select! {
+                sent = tokio::time::timeout_at(until, &mut sending) => sent,
+                // A server that has not begun it yet is spared.
+                () = &mut refused => return (Err(AttemptFailure::stopped(QUARANTINED)), None),
+            };
+            if let Ok(sent) = sent {
                 return (sent, None);
             }
             if let Ok(next) = self.pick_server() {
@@ -313,6 +339,7 @@
     pub fn give_up(&self, cause: &'static str) -> GivenUp {
         let verdict = self.verdict.unwrap_or(RunVerdict::NotRun);
         let given_up = match verdict {
+            RunVerdict::NotRun if cause == QUARANTINED => GivenUp::refused(cause, QUARANTINE_TIME),
             RunVerdict::NotRun => GivenUp::refused(cause, full_rest()),
             _ if cause == "deadline" => GivenUp::unsure(StatusCode::GATEWAY_TIMEOUT, cause),
             _ => GivenUp::unsure(StatusCode::BAD_GATEWAY, cause),
@@ -349,7 +376,7 @@
                 in_flight.end(ServerOutcome::Lost);
                 let detail = match other {
                     Ok(Err(error)) => {
-                        self.note_break(&server).await;
+                        self.note_break(&server, EndedRun::Begun).await;
                         error.to_string()
                     }
                     _ => "it did not end in time".to_owned(),
@@ -376,6 +403,7 @@
     /// Writes down the end of the request.
     pub fn finish(&self, event: &str, fields: serde_json::Value) {
         self.state.metrics.count_request(RunVerdict::Ran);
+        self.state.quarantine.note_whole(self.state.now(), &self.request.digests);
         let kind = self.request.route.name.to_string();
         let held = self.request.arrived.elapsed().as_secs_f64();
         self.state.metrics.observe_first_byte(&kind, held);
--- a/crates/daemon/src/direct/front.rs
+++ b/crates/daemon/src/direct/front.rs
@@ -3,14 +3,16 @@
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use headlatch_core::direct::request_digest::RequestDigest;
 use headlatch_http::StopSignal;
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
+use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{handler, state::EntryState};
@@ -73,20 +75,20 @@
 
 /// Answers questions for readiness and metrics.
 pub async fn serve_admin(state: Arc<EntryState>, listener: TcpListener) {
-    serve_answers(listener, move |path| answer_admin(&state, path)).await;
+    serve_answers(listener, move |method, path| answer_admin(&state, method, path)).await;
 }
 
-/// Answers questions, each by what `answer` gives for its path, for ever.
+/// Answers questions, each by what `answer` gives for its method and path, for ever.
 pub(super) async fn serve_answers(
     listener: TcpListener,
-    answer: impl Fn(&str) -> Response<Full<Bytes>> + Send + Sync + 'static,
+    answer: impl Fn(&Method, &str) -> Response<Full<Bytes>> + Send + Sync + 'static,
 ) {
     let answer = Arc::new(answer);
     loop {
         let stream = accept(&listener).await;
         let asked = answer.clone();
         let service = service_fn(move |request: Request<Incoming>| {
-            let answer = asked(request.uri().path());
+            let answer = asked(request.method(), request.uri().path());
             async move { Ok::<_, Infallible>(answer) }
         });
         let connection = http1::Builder::new()
@@ -99,8 +101,15 @@
     }
 }
 
-fn answer_admin(state: &EntryState, path: &str) -> Response<Full<Bytes>> {
+/// Path of the requests that are refused, and before the digest of one.
+const QUARANTINE_PATH: &str = "/quarantine";
+
+fn answer_admin(state: &EntryState, method: &Method, path: &str) -> Response<Full<Bytes>> {
     let (status, text) = match path {
+        QUARANTINE_PATH => (StatusCode::OK, show_quarantine(state)),
+        path if method == Method::DELETE && path.starts_with(QUARANTINE_PATH) => {
+            lift_quarantine(state, path)
+        }
         "/metrics" => {
             state.measure_ages();
             (StatusCode::OK, state.metrics.text())
@@ -114,6 +123,30 @@
     response
 }
 
+/// The requests that are refused, as a JSON list.
+fn show_quarantine(state: &EntryState) -> String {
+    let refused = state.quarantine.refused(state.now());
+    let shown = refused.iter().map(|one| {
+        json!({
+            "content": one.digest.to_string(), "left_s": one.left.as_secs(), "ends": one.ends,
+        })
+    });
+    format!("{}\n", serde_json::Value::from_iter(shown))
+}
+
+/// Has the request whose digest ends `path` served again.
+fn lift_quarantine(state: &EntryState, path: &str) -> (StatusCode, String) {
+    let name = path.trim_start_matches(QUARANTINE_PATH).trim_start_matches('/');
+    let Ok(digest) = name.parse::<RequestDigest>() else {
+        let text = format!("{QUARANTINE_PATH}/{name}: a digest has 16 hexadecimal digits\n");
+        return (StatusCode::BAD_REQUEST, text);
+    };
+    match state.quarantine.lift(state.now(), digest) {
+        true => (StatusCode::OK, format!("{digest} is served again\n")),
+        false => (StatusCode::NOT_FOUND, format!("{digest} is not refused\n")),
+    }
+}
+
 /// Binds an address.
 pub async fn bind(
     address: SocketAddr,
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -17,6 +17,8 @@
 pub mod notices;
 pub mod plan_copy;
 pub mod plan_sync;
+pub mod quarantine;
+mod quarantine_keeper;
 pub mod relay;
 pub mod relay_mail;
 pub mod seats;
--- a/crates/daemon/src/direct/notice_codec.rs
+++ b/crates/daemon/src/direct/notice_codec.rs
@@ -10,6 +10,8 @@
     fact_age::ChangeMark,
     leaving::LeavingNotice,
     peers::{DomainKey, DrainNotice, LoadNotice, PeerKind, PeerNotice, ServerNotice, WantedNotice},
+    request_digest::RequestDigest,
+    suspects::{EndedRun, LifeKey, SuspectNotice},
 };
 use headlatch_types::traffic::WeightVersion;
 use headlatch_wire as wire;
@@ -55,6 +57,40 @@
     LeavingNotice { server, revision: ChangeMark(revision), returned }
 }
 
+/// Words of [`wire::NoticeSuspect`].
+const ENDED_SILENT: u32 = 0;
+const ENDED_BEGUN: u32 = 1;
+const REFUSED: u32 = 2;
+const CLEARED: u32 = 3;
+
+fn encode_suspect(notice: &SuspectNotice) -> wire::NoticeSuspect {
+    let digest = notice.digest().0;
+    let told = wire::NoticeSuspect { digest, ..wire::NoticeSuspect::default() };
+    match *notice {
+        SuspectNotice::Ended { life, run, .. } => {
+            let word = if run == EndedRun::Silent { ENDED_SILENT } else { ENDED_BEGUN };
+            wire::NoticeSuspect { word, life: life.0, ..told }
+        }
+        SuspectNotice::Refused { left, .. } => {
+            let left_s = left.as_secs().min(u32::MAX.into()) as u32;
+            wire::NoticeSuspect { word: REFUSED, left_s, ..told }
+        }
+        SuspectNotice::Cleared { .. } => wire::NoticeSuspect { word: CLEARED, ..told },
+    }
+}
+
+fn decode_suspect(told: &wire::NoticeSuspect) -> Option<SuspectNotice> {
+    let (digest, life) = (RequestDigest(told.digest), LifeKey(told.life));
+    Some(match told.word {
+        ENDED_SILENT => SuspectNotice::Ended { digest, life, run: EndedRun::Silent },
+        ENDED_BEGUN => SuspectNotice::Ended { digest, life, run: EndedRun::Begun },
+        REFUSED => SuspectNotice::Refused { digest, left: Duration::from_secs(told.left_s.into()) },
+        CLEARED => SuspectNotice::Cleared { digest },
+        // A newer process may tell what this one does not know.
+        _ => return None,
+    })
+}
+
 fn encode_wanted(wanted: &WantedNotice) -> wire::NoticeWanted {
     wire::NoticeWanted {
         model: wanted.model.to_string(),
@@ -106,6 +142,7 @@
         plan: notice.plan,
         servers: notice.servers.0,
         leaving: notice.leaving.iter().map(encode_leaving).collect(),
+        suspects: notice.suspects.iter().map(encode_suspect).collect(),
         reads_store: notice.reads_store,
         peers: notice.peers.iter().map(address_bytes).collect(),
         loads: notice.loads.iter().map(encode_load).collect(),
@@ -156,6 +193,7 @@
         plan: message.plan,
         servers: ChangeMark(message.servers),
         leaving: message.leaving.iter().map(decode_leaving).collect(),
+        suspects: message.suspects.iter().filter_map(decode_suspect).collect(),
         reads_store: message.reads_store,
         peers: message.peers.iter().filter_map(|bytes| address_of(bytes)).collect(),
         loads: message.loads.iter().map(decode_load).collect(),
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -9,6 +9,7 @@
         DomainKey, DrainNotice, LoadNotice, NAMED_PEERS, Peer, PeerKind, PeerNotice, PeerTable,
         ServerNotice, WantedNotice,
     },
+    suspects::SuspectNotice,
 };
 use rand::Rng;
 use tokio::net::UdpSocket;
@@ -75,7 +76,7 @@
     tick: u64,
     last_loads: Vec<LoadNotice>,
     last_server: Option<ServerNotice>,
-    last_facts: (u64, Vec<LeavingNotice>),
+    last_facts: (u64, Vec<LeavingNotice>, Vec<SuspectNotice>),
     last_drains: Vec<DrainNotice>,
 }
 
@@ -88,6 +89,8 @@
     pub servers: ChangeMark,
     /// Servers that it has heard to be leaving a short time ago.
     pub leaving: Vec<LeavingNotice>,
+    /// Requests under which servers ended.
+    pub suspects: Vec<SuspectNotice>,
     /// Its calls to the store are answered, as far as it knows.
     pub reads_store: bool,
     /// What it has in progress.
@@ -131,7 +134,7 @@
     repeated: bool,
     /// The loads are not what they were.
     loads: bool,
-    /// The plan, or which servers leave, is not what it was.
+    /// The plan, which servers leave, or which requests are suspected, is not what it was.
     facts: bool,
     /// Which servers get nothing, or what waits at them, is not what it was.
     drains: bool,
@@ -159,24 +162,25 @@
             tick: 0,
             last_loads: Vec::new(),
             last_server: None,
-            last_facts: (0, Vec::new()),
+            last_facts: (0, Vec::new(), Vec::new()),
             last_drains: Vec::new(),
         }
     }
 
     fn begin_tick(&mut self, body: &NoticeBody) -> TickDue {
         self.tick += 1;
+        let facts = (body.plan, body.leaving.clone(), body.suspects.clone());
         let due = TickDue {
             news: body.server != self.last_server,
             repeated: body.repeated,
             loads: body.loads != self.last_loads,
-            facts: self.last_facts != (body.plan, body.leaving.clone()),
+            facts: self.last_facts != facts,
             drains: self.last_drains != body.drains,
             near: self.tick.is_multiple_of(NEAR_TICKS),
             far: self.is_turn(FAR_TICKS),
         };
         self.last_loads.clone_from(&body.loads);
-        self.last_facts = (body.plan, body.leaving.clone());
+        self.last_facts = facts;
         self.last_drains.clone_from(&body.drains);
         self.last_server.clone_from(&body.server);
         due
@@ -295,6 +299,7 @@
             plan: body.plan,
             servers: body.servers,
             leaving,
+            suspects: body.suspects.clone(),
             reads_store: body.reads_store,
             drains: body.drains.clone(),
             domain_loads: Some(loads),
@@ -346,6 +351,7 @@
             plan: body.plan,
             servers: body.servers,
             leaving: body.leaving,
+            suspects: body.suspects,
             reads_store: body.reads_store,
             peers: named,
             loads: body.loads,
--- a/crates/daemon/src/direct/plan_sync.rs
+++ b/crates/daemon/src/direct/plan_sync.rs
@@ -44,7 +44,7 @@
 
 /// Hands out the plan in force, and the list of servers, to other processes.
 pub async fn serve(state: Arc<EntryState>, listener: TcpListener) {
-    front::serve_answers(listener, move |path| answer(&state, path)).await;
+    front::serve_answers(listener, move |_, path| answer(&state, path)).await;
 }
 
 fn answer(state: &EntryState, path: &str) -> Response<Full<Bytes>> {
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -12,6 +12,7 @@
         event_split::{EventSplitter, StreamEvent},
         server_table::{ChosenServer, ServerOutcome},
         stream_timing::StreamTiming,
+        suspects::EndedRun,
         time_limit::LimitedTime,
     },
     time::Moment,
@@ -59,6 +60,8 @@
     given: LimitedTime,
     /// When its answer began.
     taken: Moment,
+    /// It has brought a whole event.
+    brought: bool,
 }
 
 impl StreamSource {
@@ -70,9 +73,15 @@
             splitter: EventSplitter::default(),
             given: answer.given,
             taken: now,
+            brought: false,
         }
     }
 
+    /// How far the answer had come when the server ended.
+    fn ended_run(&self) -> EndedRun {
+        if self.brought { EndedRun::Begun } else { EndedRun::Silent }
+    }
+
     /// The next bytes, or how the stream has ended.
     async fn next(&mut self) -> Result<Bytes, StreamEnd> {
         loop {
@@ -143,10 +152,10 @@
                 }
                 Next::End(end) => {
                     let described = relay.describe(&source, end);
-                    let server = source.in_flight.server().clone();
+                    let (server, run) = (source.in_flight.server().clone(), source.ended_run());
                     relay.let_go(source, end);
                     if end == StreamEnd::Broken {
-                        relay.exchange.note_break(&server).await;
+                        relay.exchange.note_break(&server, run).await;
                     }
                     let continued = relay.continue_elsewhere(end).await;
                     if let Err(cause) = continued {
@@ -223,7 +232,7 @@
             }
         };
         if broke {
-            self.exchange.note_break(source.in_flight.server()).await;
+            self.exchange.note_break(source.in_flight.server(), source.ended_run()).await;
         }
         let (other, data) = begun.ok()?;
         Some(Next::Replaced(Box::new(other), data))
@@ -246,6 +255,7 @@
     /// The whole events that have come and were not passed on yet.
     fn take(&mut self, source: &mut StreamSource, data: &[u8]) -> Vec<StreamEvent> {
         let mut events = source.splitter.push(data);
+        source.brought |= !events.is_empty();
         let last = self.last_event;
         events.retain(|event| match (event.id, last) {
             (Some(id), Some(last)) => id > last,
@@ -322,7 +332,7 @@
         ended => {
             source.in_flight.end(ServerOutcome::Lost);
             if matches!(ended, Ok(Err(StreamEnd::Broken))) {
-                exchange.note_break(source.in_flight.server()).await;
+                exchange.note_break(source.in_flight.server(), source.ended_run()).await;
             }
             Err(StreamEnd::Broken)
         }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -40,6 +40,7 @@
 use super::{
     facts::{FactNews, ReadGate, ReaderDuty, set_facts},
     plan_copy::PlanCopy,
+    quarantine::QuarantineDesk,
 };
 use crate::{decisions, metrics::NodeMetrics};
 
@@ -71,6 +72,8 @@
     begun: Instant,
     /// The plan.
     pub plan: PlanCopy,
+    /// Requests under which servers end.
+    pub quarantine: QuarantineDesk,
     servers: Mutex<ServerTable>,
     weights: Mutex<WeightDeadlines>,
     retries: Mutex<RetryShare>,
@@ -215,6 +218,7 @@
             servers_known: AtomicBool::new(false),
             begun: Instant::now(),
             plan: PlanCopy::default(),
+            quarantine: QuarantineDesk::default(),
             servers: Mutex::new(servers),
             weights: Mutex::default(),
             retries: Mutex::new(RetryShare::new(budget)),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -148,7 +148,8 @@
     decisions::start();
     let connections = Arc::new(Connections::default());
     let store = Arc::new(PlatformStore::new(settings.node.platform.address(), connections));
-    let entry = DirectEntry::start(settings, store, Arc::new(PlatformHeaders)).await?;
+    let headers = Arc::new(PlatformHeaders);
+    let entry = DirectEntry::start_keeping(settings, store.clone(), headers, store).await?;
     let state = entry.state.clone();
     wait_for_stop_or_reload(args, |settings| {
         if let DaemonSettings::DirectEntry(settings) = settings {
--- a/crates/daemon/tests/harmful_requests.rs
+++ b/crates/daemon/tests/harmful_requests.rs
@@ -18,13 +18,22 @@
 
 mod support;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex},
+    time::{Duration, SystemTime},
+};
 
 use googletest::prelude::*;
+use headlatch_core::direct::request_digest::{RequestContent, RequestDigests};
 use headlatch_daemon::direct::entry::DirectEntry;
-use headlatch_http::CallAnswer;
-use headlatch_outside::facts::{Fact, FactTopic};
-use http::StatusCode;
+use headlatch_http::{CallAnswer, CallRequest, Connections};
+use headlatch_outside::{
+    OutsideFuture,
+    facts::{Fact, FactTopic, StoreFailure},
+    quarantine::{KeptQuarantine, QuarantineStore, UnixMillis},
+};
+use headlatch_types::{request::RequestDigest, traffic::ServerRecord};
+use http::{HeaderMap, Method, StatusCode};
 use support::{
     TestHeaders, TestStore, ask_with, mortal::MortalServer, paced::EventPace, plan, record,
     settings,
@@ -34,10 +43,15 @@
 struct Setting {
     entry: DirectEntry,
     servers: Vec<MortalServer>,
+    store: Arc<TestStore>,
 }
 
 impl Setting {
     async fn new(count: usize) -> Self {
+        Self::keeping(count, Arc::default()).await
+    }
+
+    async fn keeping(count: usize, kept: Arc<KeptList>) -> Self {
         let store = Arc::new(TestStore::default());
         store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(5))));
         let mut servers = Vec::new();
@@ -48,12 +62,13 @@
             store.set(FactTopic::Servers, &name, fact);
             servers.push(server);
         }
-        let entry = DirectEntry::start(settings(), store, Arc::new(TestHeaders)).await;
+        let headers = Arc::new(TestHeaders);
+        let entry = DirectEntry::start_keeping(settings(), store.clone(), headers, kept).await;
         let entry = entry.expect("it starts");
         while !entry.state.is_ready() {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
-        Self { entry, servers }
+        Self { entry, servers, store }
     }
 
     async fn ask(&self, path: &str) -> std::result::Result<CallAnswer, String> {
@@ -85,3 +100,232 @@
         expect_that!(is_whole(&answer), eq(true), "sound request {number}: {answer:?}");
     }
 }
+
+/// What a store keeps of quarantines.
+#[derive(Debug, Default)]
+struct KeptList {
+    kept: Mutex<Vec<KeptQuarantine>>,
+    /// Calls that fail before one is taken.
+    failures: Mutex<u32>,
+}
+
+impl KeptList {
+    fn kept(&self) -> Vec<KeptQuarantine> {
+        self.kept.lock().expect("no test panics with it").clone()
+    }
+
+    fn change(
+        &self,
+        change: impl FnOnce(&mut Vec<KeptQuarantine>),
+    ) -> std::result::Result<(), StoreFailure> {
+        let mut failures = self.failures.lock().expect("no test panics with it");
+        if *failures > 0 {
+            *failures -= 1;
+            return Err(StoreFailure::Unreachable("down".to_owned()));
+        }
+        change(&mut self.kept.lock().expect("no test panics with it"));
+        Ok(())
+    }
+}
+
+impl QuarantineStore for KeptList {
+    fn list_kept(
+        &self,
+    ) -> OutsideFuture<'_, std::result::Result<Vec<KeptQuarantine>, StoreFailure>> {
+        Box::pin(async { Ok(self.kept()) })
+    }
+
+    fn keep(
+        &self,
+        quarantine: KeptQuarantine,
+    ) -> OutsideFuture<'_, std::result::Result<(), StoreFailure>> {
+        Box::pin(async move { self.change(|kept| kept.push(quarantine)) })
+    }
+
+    fn lift(
+        &self,
+        digest: RequestDigest,
+    ) -> OutsideFuture<'_, std::result::Result<(), StoreFailure>> {
+        Box::pin(async move { self.change(|kept| kept.retain(|one| one.digest != digest)) })
+    }
+}
+
+fn unix_now() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.expect("it is past 1970").as_millis() as u64
+}
+
+#[gtest]
+#[tokio::test]
+async fn what_servers_ended_under_is_refused_at_once_and_not_asked_back_soon() {
+    let setting = Setting::new(4).await;
+    let _ = setting.ask("/stream/harmful").await;
+    let begun = tokio::time::Instant::now();
+    let answer = setting.ask("/stream/harmful").await.expect("an answer");
+    expect_that!(begun.elapsed(), lt(Duration::from_millis(100)));
+    expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    let rest = answer.headers.get("retry-after").and_then(|value| value.to_str().ok());
+    expect_that!(rest.and_then(|rest| rest.parse::<f64>().ok()), some(ge(60.0)));
+    // The same path with another query is the same content, whatever the caller adds to it.
+    let answer = setting.ask("/stream/harmful?try=3").await.expect("an answer");
+    expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(setting.ended(), eq(2));
+}
+
+/// The servers of a service are lost in one moment, with sound streams at all of them.
+#[gtest]
+#[tokio::test]
+async fn sound_requests_are_served_again_after_their_servers_were_lost_together() {
+    let setting = Setting::new(6).await;
+    let paths: Vec<String> = (0..12).map(|number| format!("/stream/sound{number}")).collect();
+    let asked = futures_util::future::join_all(paths.iter().map(|path| setting.ask(path)));
+    let lost = async {
+        for wave in [0..2, 2..4] {
+            tokio::time::sleep(Duration::from_millis(70)).await;
+            setting.servers[wave].iter().for_each(MortalServer::end);
+        }
+    };
+    let _ = tokio::join!(asked, lost);
+    expect_that!(setting.ended(), eq(4));
+    expect_that!(setting.entry.state.quarantine.refused(setting.entry.state.now()), is_empty());
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    for path in &paths {
+        expect_that!(is_whole(&setting.ask(path).await), eq(true), "{path}");
+    }
+}
+
+/// A server that is told to leave ends in the middle of what it still has.
+#[gtest]
+#[tokio::test]
+async fn the_planned_end_of_a_server_is_no_suspicion() {
+    let setting = Setting::new(2).await;
+    let server = &setting.servers[0];
+    let draining = ServerRecord { draining: true, ..record("i0", server.address, "z1") };
+    let asked = (0..6).map(|number| format!("/stream/sound{number}"));
+    let asked: Vec<_> = asked.collect();
+    let asked = futures_util::future::join_all(asked.iter().map(|path| setting.ask(path)));
+    let ends = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        setting.store.set(FactTopic::Servers, "i0", Fact::Server(draining));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        server.end();
+    };
+    let _ = tokio::join!(asked, ends);
+    expect_that!(server.seen(), not(is_empty()));
+    let now = setting.entry.state.now();
+    expect_that!(setting.entry.state.quarantine.notices(now), is_empty());
+}
+
+#[gtest]
+#[tokio::test]
+async fn another_entry_refuses_what_it_is_told_of_from_the_first_coming_on() {
+    let (first, second) = (Setting::new(3).await, Setting::new(3).await);
+    let _ = first.ask("/stream/harmful").await;
+    expect_that!(first.ended(), eq(2));
+    let told = first.entry.state.quarantine.notices(first.entry.state.now());
+    second.entry.state.quarantine.hear(second.entry.state.now(), &told);
+    let answer = second.ask("/stream/harmful").await.expect("an answer");
+    expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(second.ended(), eq(0));
+}
+
+/// The digest of what the tests' caller asks for.
+fn digest_of(path: &str) -> RequestDigest {
+    let content = RequestContent {
+        caller: Some("t"),
+        method: "GET",
+        host: "a.example",
+        path,
+        query: None,
+        body: b"",
+    };
+    RequestDigests::of(&content).whole
+}
+
+/// A copy that still waits for its server elsewhere is taken back from it.
+#[gtest]
+#[tokio::test]
+async fn a_sending_that_has_not_begun_is_stopped_once_the_request_is_refused() {
+    let setting = Setting::new(2).await;
+    let slow = EventPace { head: Duration::from_secs(5), ..EventPace::default() };
+    let server = MortalServer::start(slow).await;
+    for (name, server) in [("i0", &server), ("i1", &server)] {
+        let fact = Fact::Server(record(name, server.address, "z1"));
+        setting.store.set(FactTopic::Servers, name, fact);
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let begun = tokio::time::Instant::now();
+    let refuse = async {
+        while server.seen().is_empty() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let state = &setting.entry.state;
+        let left = Duration::from_secs(60);
+        state.quarantine.note_kept(state.now(), digest_of("/stream/sound"), left);
+    };
+    let (answer, ()) = tokio::join!(setting.ask("/stream/sound"), refuse);
+    expect_that!(begun.elapsed(), lt(Duration::from_secs(2)));
+    expect_that!(answer.expect("an answer").status, eq(StatusCode::BAD_GATEWAY));
+}
+
+/// All entries may be killed at once, and none has a disk.
+#[gtest]
+#[tokio::test]
+async fn a_quarantine_outlasts_all_entries_in_the_store() {
+    let kept = Arc::new(KeptList::default());
+    *kept.failures.lock().expect("no test panics with it") = 1;
+    let first = Setting::keeping(3, kept.clone()).await;
+    let _ = first.ask("/stream/harmful").await;
+    while kept.kept().is_empty() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let until = kept.kept()[0].until.0;
+    expect_that!(until, all![gt(unix_now() + 500_000), le(unix_now() + 600_000)]);
+    drop(first);
+    let over = KeptQuarantine { digest: RequestDigest(7), until: UnixMillis(unix_now() - 1) };
+    kept.change(|kept| kept.push(over)).expect("it is taken");
+    let second = Setting::keeping(3, kept.clone()).await;
+    while second.entry.state.quarantine.refused(second.entry.state.now()).is_empty() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let answer = second.ask("/stream/harmful").await.expect("an answer");
+    expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(second.ended(), eq(0));
+    // What is over is kept no longer.
+    while kept.kept().len() > 1 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn admin(setting: &Setting, method: Method, path: &str) -> CallAnswer {
+    let request = CallRequest::get(path).sending(method, HeaderMap::new(), "".into());
+    let connections = Connections::default();
+    let called = connections.call(setting.entry.admin, request, 1 << 20, Duration::from_secs(5));
+    called.await.expect("an answer")
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_operator_sees_what_is_refused_and_can_lift_it() {
+    let kept = Arc::new(KeptList::default());
+    let setting = Setting::keeping(5, kept.clone()).await;
+    let _ = setting.ask("/stream/harmful").await;
+    let shown = admin(&setting, Method::GET, "/quarantine").await;
+    let shown: serde_json::Value = serde_json::from_slice(&shown.body).expect("JSON");
+    let digest = shown[0]["content"].as_str().expect("a digest").to_owned();
+    expect_that!(shown[0]["ends"].as_u64(), some(eq(2)));
+    expect_that!(shown[0]["left_s"].as_u64(), some(ge(590)));
+    let bad = admin(&setting, Method::DELETE, "/quarantine/none").await;
+    expect_that!(bad.status, eq(StatusCode::BAD_REQUEST));
+    let lifted = admin(&setting, Method::DELETE, &format!("/quarantine/{digest}")).await;
+    expect_that!(lifted.status, eq(StatusCode::OK));
+    let again = admin(&setting, Method::DELETE, &format!("/quarantine/{digest}")).await;
+    expect_that!(again.status, eq(StatusCode::NOT_FOUND));
+    expect_that!(&admin(&setting, Method::GET, "/quarantine").await.body[..], eq(b"[]\n"));
+    while !kept.kept().is_empty() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // It is tried again, and judged anew.
+    let _ = setting.ask("/stream/harmful").await;
+    expect_that!(setting.ended(), eq(4));
+}
--- a/crates/daemon/tests/notice_writer.rs
+++ b/crates/daemon/tests/notice_writer.rs
@@ -11,11 +11,12 @@
         peers::{
             DomainKey, LoadNotice, NAMED_PEERS, PeerKind, PeerNotice, PeerTable, WantedNotice,
         },
+        suspects::{EndedRun, LifeKey, MOST_TOLD, SuspectNotice},
     },
     time::Moment,
 };
 use headlatch_daemon::direct::notices::{MOST_DATAGRAM, NoticeBody, NoticeWriter, decode, encode};
-use headlatch_types::traffic::WeightVersion;
+use headlatch_types::{request::RequestDigest, traffic::WeightVersion};
 
 const NEAR: DomainKey = DomainKey(1);
 const FAR: DomainKey = DomainKey(2);
@@ -129,6 +130,8 @@
         ..living(PeerKind::Entry, FAR, 3)
     };
     expect_that!(decode(&encode(&notice)), some(eq(&notice)));
+    let suspecting = PeerNotice { suspects: suspects(), ..notice.clone() };
+    expect_that!(decode(&encode(&suspecting)), some(eq(&suspecting)));
     let full = PeerNotice { peers: vec![address(NEAR, 4); NAMED_PEERS], ..notice };
     expect_that!(encode(&full).len(), lt(700));
     let word = LeavingNotice { server: u32::MAX, revision: ChangeMark(1 << 40), returned: false };
@@ -137,6 +140,27 @@
     expect_that!(decode(b"no notice"), none());
 }
 
+/// A word of each kind on requests under which servers ended.
+fn suspects() -> Vec<SuspectNotice> {
+    let digest = RequestDigest(u64::MAX - 5);
+    let ended = [EndedRun::Silent, EndedRun::Begun].map(|run| SuspectNotice::Ended {
+        digest,
+        life: LifeKey(0xfeed),
+        run,
+    });
+    let left = Duration::from_secs(599);
+    let others = [SuspectNotice::Refused { digest, left }, SuspectNotice::Cleared { digest }];
+    [ended, others].concat()
+}
+
+/// Every entry tells at once of the requests of all servers that were lost in one moment.
+#[gtest]
+fn words_of_many_suspects_fit_in_a_notice_beside_everything_else() {
+    let suspects = suspects().into_iter().cycle().take(MOST_TOLD).collect();
+    let notice = PeerNotice { suspects, ..living(PeerKind::Entry, FAR, 3) };
+    expect_that!(encode(&notice).len(), lt(MOST_DATAGRAM / 6));
+}
+
 /// Sixty-four servers that leave, of which every notice in full tells.
 fn leaving() -> Vec<LeavingNotice> {
     let notice = |server| LeavingNotice { server, revision: ChangeMark(9), returned: false };
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -198,6 +198,7 @@
 pub fn record(name: &str, address: SocketAddr, zone: &str) -> ServerRecord {
     ServerRecord {
         id: ServerId(name.into()),
+        born: None,
         service: "s".into(),
         address,
         zone: zone.parse().expect("a name"),
--- a/crates/outside/src/lib.rs
+++ b/crates/outside/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 pub mod facts;
 pub mod headers;
+pub mod quarantine;
 
 use std::{future::Future, pin::Pin};
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod progress;
 pub mod quantity;
 pub mod reading;
+pub mod request;
 pub mod settings;
 pub mod status;
 pub mod traffic;
--- a/crates/types/src/traffic.rs
+++ b/crates/types/src/traffic.rs
@@ -312,11 +312,19 @@
     }
 }
 
+/// When a server was started, as it says itself, in Unix milliseconds: it may start again under the id
+/// that it had.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct BirthTime(pub u64);
+
 /// One server as it is listed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerRecord {
-    /// This start of it.
+    /// Its id.
     pub id: ServerId,
+    /// This start of it, if it tells that; else it has another id after each start.
+    #[serde(default)]
+    pub born: Option<BirthTime>,
     /// The service it belongs to.
     pub service: Arc<str>,
     /// Where it answers.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,5 +12,7 @@
 mod piece_list;
 
 pub use bundle::{BundleDrain, BundleNotice, BundleRoster, PeerBundle};
-pub use notice::{NoticeDrain, NoticeLeaving, NoticeLoad, NoticeServer, NoticeWanted, PeerNotice};
+pub use notice::{
+    NoticeDrain, NoticeLeaving, NoticeLoad, NoticeServer, NoticeSuspect, NoticeWanted, PeerNotice,
+};
 pub use piece_list::PieceList;
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -82,6 +82,24 @@
     pub returned: bool,
 }
 
+/// Word of a request under which servers ended.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct NoticeSuspect {
+    /// Digest of the request.
+    #[prost(fixed64, tag = "1")]
+    pub digest: u64,
+    /// What is told: 0 a server's end before it brought anything, 1 the same after, 2 that the request
+    /// is refused, 3 that it is cleared.
+    #[prost(uint32, tag = "2")]
+    pub word: u32,
+    /// Key of the life of the server that ended.
+    #[prost(fixed32, tag = "3")]
+    pub life: u32,
+    /// Seconds for which the request is still refused.
+    #[prost(uint32, tag = "4")]
+    pub left_s: u32,
+}
+
 /// A notice.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerNotice {
@@ -136,4 +154,7 @@
     /// Servers that it has heard to be leaving a short time ago.
     #[prost(message, repeated, tag = "17")]
     pub leaving: Vec<NoticeLeaving>,
+    /// Requests under which servers ended.
+    #[prost(message, repeated, tag = "18")]
+    pub suspects: Vec<NoticeSuspect>,
 }
