--- /dev/null
+++ b/crates/daemon/tests/panics.rs
@@ -0,0 +1,130 @@
+//! What a panic in one part of an entry leaves of the others: a fact or a request that makes one
+//! process panic makes all of them panic, as all of them get it.
+
+mod support;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use googletest::prelude::*;
+use headlatch_daemon::direct::entry::DirectEntry;
+use headlatch_outside::{
+    OutsideFuture,
+    facts::{
+        Fact, FactChanges, FactList, FactStore, FactTopic, Freshness, StoreFailure, StoreRevision,
+    },
+    headers::{AnswerFacts, HeaderForm, RequestFacts, SendFacts},
+};
+use headlatch_types::ByteProgress;
+use http::{HeaderMap, StatusCode};
+use support::{
+    TestHeaders, TestStore, ask_with, mortal::MortalServer, paced::EventPace, plan, record,
+    settings,
+};
+
+/// A store whose first lists make whoever reads them panic.
+#[derive(Debug)]
+struct PanickingStore {
+    inner: TestStore,
+    panics: AtomicU32,
+}
+
+impl FactStore for PanickingStore {
+    fn list(
+        &self,
+        topic: FactTopic,
+        freshness: Freshness,
+        progress: ByteProgress,
+    ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
+        let left = self
+            .panics
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(1));
+        assert!(left.is_err(), "a fact that nobody can read");
+        self.inner.list(topic, freshness, progress)
+    }
+
+    fn watch(
+        &self,
+        topic: FactTopic,
+        after: StoreRevision,
+        wait: Duration,
+        progress: ByteProgress,
+    ) -> OutsideFuture<'_, std::result::Result<FactChanges, StoreFailure>> {
+        self.inner.watch(topic, after, wait, progress)
+    }
+}
+
+/// Panics at a request that says so.
+#[derive(Debug)]
+struct PanickingHeaders;
+
+impl HeaderForm for PanickingHeaders {
+    fn read_request(&self, headers: &HeaderMap) -> RequestFacts {
+        assert!(!headers.contains_key("x-panic"), "a head that nobody can read");
+        TestHeaders.read_request(headers)
+    }
+
+    fn write_request(&self, headers: &mut HeaderMap, facts: &SendFacts) {
+        assert!(!headers.contains_key("x-panic-later"), "a head that nobody can pass on");
+        TestHeaders.write_request(headers, facts);
+    }
+
+    fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts {
+        TestHeaders.read_answer(status, headers)
+    }
+
+    fn write_answer(&self, headers: &mut HeaderMap, request: &str) {
+        TestHeaders.write_answer(headers, request);
+    }
+}
+
+async fn entry(panics: u32) -> (DirectEntry, MortalServer) {
+    let server = MortalServer::start(EventPace::default()).await;
+    let inner = TestStore::default();
+    inner.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(5))));
+    inner.set(FactTopic::Servers, "i1", Fact::Server(record("i1", server.address, "z1")));
+    let store = Arc::new(PanickingStore { inner, panics: panics.into() });
+    let entry = DirectEntry::start(settings(), store, Arc::new(PanickingHeaders)).await;
+    (entry.expect("it starts"), server)
+}
+
+async fn ready(entry: &DirectEntry) -> bool {
+    for _ in 0..300 {
+        if entry.state.is_ready() {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    false
+}
+
+#[gtest]
+#[tokio::test]
+async fn facts_that_make_an_entry_panic_do_not_leave_it_deaf() {
+    let (entry, _server) = entry(4).await;
+    expect_that!(ready(&entry).await, eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn requests_that_make_an_entry_panic_harm_no_others() {
+    let (entry, _server) = entry(0).await;
+    expect_that!(ready(&entry).await, eq(true));
+    for name in ["x-panic", "x-panic-later"] {
+        for _ in 0..5 {
+            let lines = [("x-key", "k"), (name, "1")];
+            let answer = ask_with(entry.address, "/stream/x", &lines).await;
+            expect_that!(answer.is_err(), eq(true), "{name}: {answer:?}");
+        }
+    }
+    let answer = ask_with(entry.address, "/stream/y", &[("x-key", "k")]).await;
+    expect_that!(answer.expect("an answer").status, eq(StatusCode::OK));
+    // Nothing is counted as held, or in progress at a server, for those that are gone.
+    expect_that!(entry.state.in_progress.load(Ordering::Relaxed), eq(0));
+    expect_that!(entry.state.servers().own_loads(), is_empty());
+}
