--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -8,18 +8,18 @@
 use bytes::Bytes;
 use googletest::prelude::*;
 use headlatch_core::direct::{fact_age::ChangeMark, peers::DrainNotice};
-use headlatch_daemon::direct::{entry::DirectEntry, plan_sync};
+use headlatch_daemon::direct::{entry::DirectEntry, facts::FactNews, plan_sync};
 use headlatch_http::{CallAnswer, Connections};
 use headlatch_outside::{
     OutsideFuture,
     facts::{
-        Fact, FactChanges, FactList, FactStore, FactTopic, Freshness, NamedFact, StoreFailure,
-        StoreRevision,
+        Fact, FactChange, FactChanges, FactList, FactStore, FactTopic, Freshness, NamedFact,
+        StoreFailure, StoreRevision,
     },
 };
 use headlatch_standins::half_deaf::HalfDeafServer;
 use headlatch_types::{
-    ByteProgress,
+    ByteProgress, InputError,
     traffic::{PlanVersion, ServerRecord, TrafficPlan},
 };
 use http::{HeaderMap, Method, StatusCode};
@@ -395,6 +395,40 @@
     expect_that!(leaving, eq(true));
 }
 
+/// Another writer has left something in a server's place that nobody can read: the last good record of
+/// that name says nothing any more, and goes until there is a good one again.
+#[gtest]
+#[tokio::test]
+async fn a_server_whose_entry_cannot_be_read_gets_nothing_until_it_can() {
+    let setting = Setting::new(whole, whole).await;
+    let unreadable = |revision| NamedFact {
+        name: "i1".to_owned(),
+        revision: StoreRevision(revision),
+        fact: Err(InputError::new("state".to_owned(), "it is none".to_owned())),
+    };
+    let state = &setting.entry.state;
+    let changes = |fact| {
+        let changes = vec![FactChange::Set(fact)];
+        FactNews::Changes(FactChanges { changes, at: StoreRevision(9) })
+    };
+    let knows = || state.servers().records().any(|record| &*record.id.0 == "i1");
+    expect_that!(knows(), eq(true));
+    state.hear_servers(changes(unreadable(5)));
+    expect_that!(knows(), eq(false));
+    let answer = setting.ask("/safe/x", "k").await.expect("an answer");
+    expect_that!(answer.status, eq(StatusCode::OK));
+    expect_that!(setting.first.seen(), is_empty());
+    // Other entries hear of it like of a server that has left.
+    let told = state.server_changes(ChangeMark(1)).expect("it has a list");
+    expect_that!(told.gone.iter().any(|gone| &*gone.id.0 == "i1"), eq(true));
+    let record = Fact::Server(record("i1", setting.first.address, "z1"));
+    let good = NamedFact { fact: Ok(record), ..unreadable(7) };
+    state.hear_servers(changes(good));
+    expect_that!(knows(), eq(true));
+    let _ = setting.ask("/safe/x", "k").await;
+    expect_that!(setting.first.seen(), not(is_empty()));
+}
+
 #[gtest]
 #[tokio::test]
 async fn an_entry_answers_an_agent_whose_server_is_about_to_change() {
