Take a server whose entry cannot be read for gone

Cause: as shown before; what another writer leaves in a server's place was passed over, and the record of that name from before stayed chosen, also at other entries.

Change: it counts as having left at that revision, and is told on as such; the next good entry has a newer revision and brings it back.

--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -184,9 +184,14 @@
                 told.set.push(MarkedRecord { revision: ChangeMark(revision.0), record });
             }
             FactChange::Set(NamedFact { fact: Ok(_), .. }) => {}
-            FactChange::Set(NamedFact { name, fact: Err(error), .. }) => {
+            FactChange::Set(NamedFact { name, revision, fact: Err(error) }) => {
                 let fields = json!({ "name": name, "error": error.to_string() });
                 decisions::warn("servers", "unreadable", fields);
+                // What was there before says nothing any more of what is there now.
+                if !name.is_empty() {
+                    let (id, revision) = (ServerId(name.into()), ChangeMark(revision.0));
+                    told.gone.push(GoneServer { revision, id });
+                }
             }
             FactChange::Gone { name, revision } => {
                 let (id, revision) = (ServerId(name.into()), ChangeMark(revision.0));
