--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -565,6 +565,11 @@
         }
     }
 
+    /// Notes what came of a request at `server` as it was when it was chosen.
+    pub fn end_at(&mut self, now: Moment, server: &ChosenServer, outcome: ServerOutcome) {
+        self.end(now, &server.id, outcome);
+    }
+
     /// Notes what came of it.
     pub fn end(&mut self, now: Moment, id: &ServerId, outcome: ServerOutcome) {
         let Some(state) = self.servers.get_mut(id) else { return };
--- /dev/null
+++ b/crates/core/tests/server_lives.rs
@@ -0,0 +1,90 @@
+//! A server that starts again under the id that it had holds and knows nothing of before: what an entry
+//! keeps by its id must not outlast its life.
+
+use googletest::prelude::*;
+use headlatch_core::{
+    direct::{
+        fact_age::ChangeMark,
+        peers::ServerNotice,
+        server_table::{ChosenServer, ServerChoice, ServerOutcome, ServerQuery, ServerTable},
+    },
+    time::Moment,
+};
+use headlatch_types::traffic::{BirthTime, ServerId, ServerRecord, WeightVersion};
+
+fn record(born: u64) -> ServerRecord {
+    ServerRecord {
+        id: ServerId("i1".into()),
+        born: Some(BirthTime(born)),
+        service: "s".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: "z1".parse().expect("a name"),
+        slots: 4,
+        draining: false,
+        models: Vec::new(),
+    }
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_micros(millis * 1000)
+}
+
+fn choose(table: &ServerTable, now: Moment) -> Option<ChosenServer> {
+    let query = ServerQuery { service: "s", engine: None, least: None, tried: &[], draw: 1 };
+    match table.choose(now, &query) {
+        ServerChoice::Server(server) => Some(server),
+        _ => None,
+    }
+}
+
+fn table() -> ServerTable {
+    let zone = "z1".parse().expect("a name");
+    let mut table = ServerTable::new(zone, Default::default());
+    table.set(at(0), record(1000), ChangeMark(1));
+    table
+}
+
+#[gtest]
+fn each_life_has_a_key_of_its_own() {
+    let mut table = table();
+    let first = choose(&table, at(0)).expect("a server");
+    table.set(at(1), record(1000), ChangeMark(2));
+    expect_that!(choose(&table, at(1)).expect("a server").life, eq(first.life));
+    table.set(at(2), record(2000), ChangeMark(3));
+    expect_that!(choose(&table, at(2)).expect("a server").life, not(eq(first.life)));
+}
+
+#[gtest]
+fn failures_of_an_earlier_life_do_not_keep_a_server_out() {
+    let mut table = table();
+    let first = choose(&table, at(0)).expect("a server");
+    for _ in 0..5 {
+        table.begin(&first.id, 0);
+        table.end_at(at(10), &first, ServerOutcome::Lost);
+    }
+    expect_that!(choose(&table, at(100)), none());
+    table.set(at(100), record(2000), ChangeMark(2));
+    expect_that!(choose(&table, at(100)), some(anything()));
+    // One that was sent before, and is found to have failed only now, says nothing of this life.
+    table.begin(&first.id, 0);
+    table.end_at(at(110), &first, ServerOutcome::Lost);
+    expect_that!(choose(&table, at(110)), some(anything()));
+}
+
+#[gtest]
+fn what_an_agent_told_of_an_earlier_life_is_not_believed() {
+    let mut table = table();
+    let notice = ServerNotice {
+        address: record(1000).address,
+        whole: Some(WeightVersion(3)),
+        changing: true,
+        staged: None,
+        sharing: None,
+        zone: "z1".parse().expect("a name"),
+        service: "s".to_owned(),
+    };
+    table.set_notice(notice.address, Some(notice));
+    expect_that!(choose(&table, at(0)), none(), "it is changing");
+    table.set(at(1), record(2000), ChangeMark(2));
+    expect_that!(choose(&table, at(1)), some(anything()));
+}
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -84,7 +84,7 @@
             if self.last.load(Ordering::Relaxed) {
                 self.state.servers().end_last(&self.server.id);
             }
-            self.state.servers().end(self.state.now(), &self.server.id, outcome);
+            self.state.servers().end_at(self.state.now(), &self.server, outcome);
             self.state.tell_loads();
         }
     }
--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -33,8 +33,8 @@
     id::ModelName,
     settings::DaemonSettings,
     traffic::{
-        EngineFigures, HeldLayers, HeldModel, OriginPlan, ServicePlan, TrafficPlan, WantedWeights,
-        WeightVersion,
+        BirthTime, EngineFigures, HeldLayers, HeldModel, OriginPlan, ServicePlan, TrafficPlan,
+        WantedWeights, WeightVersion,
     },
 };
 
@@ -71,6 +71,8 @@
     lost_answers: u32,
     /// Requests that run.
     active: u32,
+    /// When it was started, if it tells that.
+    born: Option<BirthTime>,
     /// An order was taken with a stage that was not whole and right.
     mixed: bool,
 }
@@ -86,7 +88,8 @@
         let models = held.into_iter().collect();
         let sequence = OrderSequence(state.sequence);
         let active = state.active;
-        let report = StageReport { models, sequence, active, ..StageReport::default() };
+        let born = state.born;
+        let report = StageReport { models, sequence, active, born, ..StageReport::default() };
         Box::pin(async move { Ok(report) })
     }
 
@@ -454,3 +457,27 @@
     // The entry is silent from now on, and counts as gone in the end.
     setting.wait_until_it_holds(2).await;
 }
+
+/// The order before a restart says nothing of the life after it: to wait for its effect cost a server
+/// that came back with nothing loaded two seconds.
+#[gtest]
+#[tokio::test]
+async fn a_server_that_returns_under_its_id_is_given_its_weights_at_once() {
+    let engine = TestEngine::default();
+    lock(&engine.state).born = Some(BirthTime(1000));
+    let setting = Setting::new(engine, TestOrigin::default()).await;
+    while lock(&setting.engine.state).orders.is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    {
+        let mut state = lock(&setting.engine.state);
+        (state.holds, state.sequence, state.born) = (None, 0, Some(BirthTime(2000)));
+    }
+    let begun = std::time::Instant::now();
+    while lock(&setting.engine.state).orders.len() < 2 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    expect_that!(begun.elapsed(), lt(Duration::from_millis(1500)));
+    setting.wait_until_it_holds(1).await;
+    expect_that!(lock(&setting.engine.state).mixed, eq(false));
+}
--- a/crates/outside/src/engine.rs
+++ b/crates/outside/src/engine.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use headlatch_types::{
     id::ModelName,
-    traffic::{HeldModel, WeightVersion},
+    traffic::{BirthTime, HeldModel, WeightVersion},
 };
 
 use crate::OutsideFuture;
@@ -17,6 +17,8 @@
 /// What an engine says of itself.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct StageReport {
+    /// This start of it, if it tells that.
+    pub born: Option<BirthTime>,
     /// Models that it holds.
     pub models: Vec<HeldModel>,
     /// Whether an order is under way.
