Let nothing outlast the life of a server that returns under its id

Cause: failures, pauses, an agent's word and a given order were kept by a server's id; the field born, which tells one life from the next, was read by nobody.

Change: a record with another birth starts an entry's picture of the server anew, and what comes of a request is held against the life that it was sent to. An agent whose server has another birth, or counts its orders anew, forgets the order that it gave.

--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -244,6 +244,9 @@
         }
         if let Some(state) = self.servers.get_mut(&record.id) {
             let moved = state.record.service != record.service;
+            if life_key(&state.record) != life_key(&record) {
+                state.forget_life();
+            }
             state.record = record;
             if !moved {
                 return;
@@ -567,6 +570,10 @@
 
     /// Notes what came of a request at `server` as it was when it was chosen.
     pub fn end_at(&mut self, now: Moment, server: &ChosenServer, outcome: ServerOutcome) {
+        let state = self.servers.get(&server.id);
+        let same_life = state.is_some_and(|state| life_key(&state.record) == server.life);
+        // What an earlier life did with it says nothing of this one.
+        let outcome = if same_life { outcome } else { ServerOutcome::Abandoned };
         self.end(now, &server.id, outcome);
     }
 
@@ -600,6 +607,18 @@
     }
 }
 
+impl ServerState {
+    /// Forgets what is known of the server's life so far, which has ended. What this entry has in
+    /// progress there ends by itself.
+    fn forget_life(&mut self) {
+        self.failures = 0;
+        self.refusals = 0;
+        self.failure_share = 0.0;
+        self.blocked_until = Moment::ZERO;
+        self.notice = None;
+    }
+}
+
 /// Whether a server takes other weights or is being emptied for that.
 fn is_changing(state: &ServerState) -> bool {
     state.notice.as_ref().is_some_and(|notice| notice.changing)
--- a/crates/core/src/direct/staging.rs
+++ b/crates/core/src/direct/staging.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use headlatch_outside::engine::{OrderAnswer, OrderSequence, StageReport};
-use headlatch_types::traffic::WeightVersion;
+use headlatch_types::traffic::{BirthTime, WeightVersion};
 
 use crate::time::Moment;
 
@@ -48,6 +48,21 @@
     pub expected: OrderSequence,
 }
 
+/// The life of the server that the last report was of.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EngineLife {
+    last: Option<(Option<BirthTime>, OrderSequence)>,
+}
+
+impl EngineLife {
+    /// Takes in a report; tells whether the server has started anew since the one before. Where it does
+    /// not tell when it was started, its count of orders may show it: that starts anew as well.
+    pub fn has_restarted(&mut self, report: &StageReport) -> bool {
+        let last = self.last.replace((report.born, report.sequence));
+        last.is_some_and(|(born, sequence)| born != report.born || report.sequence < sequence)
+    }
+}
+
 /// What is known when a step is decided.
 #[derive(Debug, Clone, Copy)]
 pub struct StageView<'a> {
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -8,7 +8,9 @@
 use headlatch_core::{
     direct::{
         manifest_source::{ManifestSource, ManifestView, manifest_source},
-        staging::{GivenOrder, StageStep, StageView, VersionChoice, next_step, next_version},
+        staging::{
+            EngineLife, GivenOrder, StageStep, StageView, VersionChoice, next_step, next_version,
+        },
     },
     time::Moment,
 };
@@ -63,6 +65,7 @@
     /// The version after it: its pieces come in while the stage is still needed.
     next_work: Option<VersionWork>,
     order: Option<GivenOrder>,
+    life: EngineLife,
     manifest_failures: u32,
     manifest_due: Moment,
     /// The version whose manifest is wanted, and since when.
@@ -108,6 +111,7 @@
             work: None,
             next_work: None,
             order: None,
+            life: EngineLife::default(),
             manifest_failures: 0,
             manifest_due: Moment::ZERO,
             manifest_wanted: None,
@@ -145,6 +149,7 @@
                 return NextLook::Soon;
             }
         };
+        self.note_life(&report);
         let Some(goal) = self.goal(&report) else {
             return NextLook::Soon;
         };
@@ -160,6 +165,19 @@
         self.step(&goal, &report).await
     }
 
+    /// Forgets the order that was given in an earlier life of the server: it has no effect any more.
+    fn note_life(&mut self, report: &StageReport) {
+        if !self.life.has_restarted(report) {
+            return;
+        }
+        let order = self.order.take().map(|order| order.version);
+        let fields = json!({ "born": report.born, "ordered": order });
+        decisions::note("engine", "restarted", fields);
+        for work in self.work.iter_mut().chain(&mut self.next_work) {
+            work.stage.checked = None;
+        }
+    }
+
     /// What the server is to hold; none as long as nobody says.
     fn goal(&self, report: &StageReport) -> Option<Goal> {
         let held = report.models.first();
