Count the time for which a machine was suspended

Cause: ages, deadlines and silences were counted on the steady clock, which stands still while the machine is suspended: an entry took facts for as much younger than they were.

Change: the timer service and an entry's clock add how far the kernel's clock that counts suspended time has gone ahead, asked at most each 5 ms. An entry that finds more than 0.3 s of it reads the plan, servers and weights anew, as after a freeze; what is left of a request is counted by the caller's clock.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -247,8 +247,7 @@
 /// server stops at its deadline also in the middle of a stream, and then nobody may be there to go
 /// on: it is always given the time that the whole answer is expected to take.
 pub fn time_given(state: &EntryState, request: &RequestPlan, server: &ChosenServer) -> LimitedTime {
-    let left = request.deadline.saturating_duration_since(Instant::now());
-    let left = LimitedTime::new(left, request.limit);
+    let left = LimitedTime::new(request.left(state), request.limit);
     let Some(figures) = &request.engine else { return left };
     let model = request.facts.model.as_deref();
     let Some(work_time) = state.work_time(model, server.version) else { return left };
--- a/crates/daemon/src/direct/entry.rs
+++ b/crates/daemon/src/direct/entry.rs
@@ -72,6 +72,15 @@
         store: Arc<dyn FactStore>,
         headers: Arc<dyn HeaderForm>,
     ) -> Result<Self, Report<DaemonError>> {
+        Self::start_on(EntryState::new(settings, headers), store).await
+    }
+
+    /// Starts an entry that knows nothing yet but its settings and clock.
+    pub async fn start_on(
+        state: Arc<EntryState>,
+        store: Arc<dyn FactStore>,
+    ) -> Result<Self, Report<DaemonError>> {
+        let settings = &state.settings;
         let control = settings.node.control;
         let socket = UdpSocket::bind(control).await.change_context(DaemonError::Bind(control))?;
         let peer_listener = front::bind(control).await?;
@@ -85,7 +94,6 @@
             "node": settings.node.box_id, "zone": settings.node.domain, "listen": address,
             "control": control, "seeds": settings.direct.seeds,
         });
-        let state = EntryState::new(settings, headers);
         let (stop, signal) = StopHandle::new();
         let front = tokio::spawn(front::serve(state.clone(), listener, signal));
         let mut tasks = vec![
--- a/crates/daemon/src/direct/entry_notices.rs
+++ b/crates/daemon/src/direct/entry_notices.rs
@@ -109,6 +109,7 @@
 
     fn tick(&mut self) {
         self.ticks += 1;
+        self.state.note_sleep();
         let now = self.state.now();
         if self.state.refresh_loads() || self.ticks.is_multiple_of(REFRESH_TICKS) {
             self.state.refresh_notices();
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -194,7 +194,7 @@
             return Err(QUARANTINED);
         }
         let least = if self.arrivals > 0 { LEAST_LEFT } else { Duration::ZERO };
-        if Instant::now() + least >= self.request.deadline {
+        if self.request.left(&self.state) <= least {
             return Err("deadline");
         }
         if !self.has_attempts() {
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -68,8 +68,10 @@
     pub engine: Option<EngineFigures>,
     /// When it came.
     pub arrived: Instant,
-    /// When it is given up.
+    /// When it is given up, unless the machine is suspended meanwhile.
     pub deadline: Instant,
+    /// Time for which the machine had been suspended when it came.
+    pub slept: Duration,
     /// Whose limit the deadline is.
     pub limit: TimeLimit,
     /// Version of the plan that decided.
@@ -175,6 +177,7 @@
         engine,
         arrived,
         deadline,
+        slept: state.slept(),
         limit: held.limit,
         plan: routes.plan().version.0,
         facts,
@@ -270,6 +273,12 @@
         Some(EngineWork::new(figures, self.facts.prompt_tokens, self.route.objective()))
     }
 
+    /// Time that is left of it, by the caller's clock.
+    pub fn left(&self, state: &EntryState) -> Duration {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        left.saturating_sub(state.slept().saturating_sub(self.slept))
+    }
+
     /// Whether its answer is a stream.
     pub fn is_stream(&self) -> bool {
         self.route.kind == RouteKind::Stream
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -42,7 +42,7 @@
     plan_copy::PlanCopy,
     quarantine::QuarantineDesk,
 };
-use crate::{decisions, metrics::NodeMetrics};
+use crate::{decisions, metrics::NodeMetrics, timer::NodeClock};
 
 /// Time for which this entry may know fewer changes of servers than a peer before it reads them
 /// anew: its watch rests for up to 0.8 s after each change, and a slow store takes 0.3 s more. That
@@ -70,6 +70,9 @@
     /// The list of servers has been read.
     pub servers_known: AtomicBool,
     begun: Instant,
+    clock: NodeClock,
+    /// Suspended time that the parts of this entry have been told of.
+    told_sleep: Mutex<Duration>,
     /// The plan.
     pub plan: PlanCopy,
     /// Requests under which servers end.
@@ -110,6 +113,9 @@
     }
 }
 
+/// Least time of suspension after which everything is read anew: less is borne by every wait.
+const LEAST_SLEEP: Duration = Duration::from_millis(300);
+
 /// Time after the first start of the whole system in which an entry waits to hear of others before it
 /// reads the store: each would take itself for the first.
 const SETTLING_TIME: Duration = Duration::from_millis(400);
@@ -205,6 +211,15 @@
 impl EntryState {
     /// The state of an entry that has just started.
     pub fn new(settings: DirectEntrySettings, headers: Arc<dyn HeaderForm>) -> Arc<Self> {
+        Self::with_clock(settings, headers, NodeClock::default())
+    }
+
+    /// The same with a clock of its own.
+    pub fn with_clock(
+        settings: DirectEntrySettings,
+        headers: Arc<dyn HeaderForm>,
+        clock: NodeClock,
+    ) -> Arc<Self> {
         let budget = retry_budget(settings.direct.retry);
         let zones = settings.direct.zones.clone();
         let servers = ServerTable::new(settings.node.domain.clone(), zones);
@@ -222,6 +237,8 @@
             stopping: AtomicBool::new(false),
             servers_known: AtomicBool::new(false),
             begun: Instant::now(),
+            clock,
+            told_sleep: Mutex::default(),
             plan: PlanCopy::default(),
             quarantine: QuarantineDesk::default(),
             servers: Mutex::new(servers),
@@ -246,9 +263,29 @@
         self.retries().set_budget(retry_budget(retry));
     }
 
-    /// The time, by the steady clock.
+    /// The time since the start, that in which the machine was suspended included.
     pub fn now(&self) -> Moment {
-        Moment::from_micros(self.begun.elapsed().as_micros() as u64)
+        self.clock.now()
+    }
+
+    /// Time for which the machine was suspended since the start.
+    pub fn slept(&self) -> Duration {
+        self.clock.slept()
+    }
+
+    /// Has the parts do what they do after a freeze where the machine was suspended since the last
+    /// call: watches that were open may have been answered while nobody heard it.
+    pub fn note_sleep(&self) {
+        let slept = self.slept();
+        let mut told = lock(&self.told_sleep);
+        let since = slept.saturating_sub(*told);
+        if since < LEAST_SLEEP {
+            return;
+        }
+        *told = slept;
+        drop(told);
+        decisions::warn("life", "suspended", json!({ "slept_ms": since.as_millis() as u64 }));
+        self.read_store_anew();
     }
 
     /// The routes in force; none before the first plan.
--- a/crates/daemon/src/timer/system.rs
+++ b/crates/daemon/src/timer/system.rs
@@ -1,41 +1,41 @@
 //! The system's clock.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use headlatch_core::time::Moment;
 use tokio::{
     sync::mpsc,
-    time::{Instant, MissedTickBehavior, interval},
+    time::{MissedTickBehavior, interval},
 };
 
-use super::{TickStream, TimerService};
+use super::{NodeClock, SleepSource, TickStream, TimerService};
 
-/// A timer service on the system's monotonic clock.
-#[derive(Debug)]
+/// A timer service on the system's clocks; it counts the time for which the machine is suspended.
+#[derive(Debug, Default)]
 pub struct SystemTimer {
-    begun: Instant,
+    clock: Arc<NodeClock>,
 }
 
-impl Default for SystemTimer {
-    fn default() -> Self {
-        Self { begun: Instant::now() }
+impl SystemTimer {
+    /// The same with another source of suspended time.
+    pub fn with_sleep(source: Box<dyn SleepSource>) -> Self {
+        Self { clock: Arc::new(NodeClock::new(source)) }
     }
 }
 
 impl TimerService for SystemTimer {
     fn now(&self) -> Moment {
-        Moment::from_micros(self.begun.elapsed().as_micros() as u64)
+        self.clock.now()
     }
 
     fn subscribe(&self, period: Duration) -> TickStream {
         let (sender, receiver) = mpsc::channel(1);
-        let begun = self.begun;
+        let clock = self.clock.clone();
         tokio::spawn(async move {
             let mut ticks = interval(period);
             ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
             loop {
-                let at = ticks.tick().await;
-                let now = Moment::from_micros((at - begun).as_micros() as u64);
+                let now = clock.at(ticks.tick().await);
                 if matches!(sender.try_send(now), Err(mpsc::error::TrySendError::Closed(_))) {
                     return;
                 }
--- /dev/null
+++ b/crates/daemon/tests/suspended.rs
@@ -0,0 +1,102 @@
+//! A machine that is suspended for seconds: the steady clock does not count that time. An entry took
+//! facts for as much younger than they were, and requests for having as much more time.
+
+mod support;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use googletest::prelude::*;
+use headlatch_core::time::Moment;
+use headlatch_daemon::{
+    direct::{entry::DirectEntry, state::EntryState},
+    timer::{KernelSleep, NodeClock, SleepSource, SystemTimer, TimerService},
+};
+use headlatch_outside::facts::{Fact, FactTopic, NamedFact, StoreRevision};
+use headlatch_types::traffic::PlanVersion;
+use support::{TestHeaders, TestStore, plan, settings};
+
+/// Suspended time that a test sets, in milliseconds.
+#[derive(Debug, Clone, Default)]
+struct TestSleep(Arc<AtomicU64>);
+
+impl TestSleep {
+    fn sleep(&self, millis: u64) {
+        self.0.fetch_add(millis, Ordering::Relaxed);
+    }
+}
+
+impl SleepSource for TestSleep {
+    fn slept(&self) -> Duration {
+        Duration::from_millis(self.0.load(Ordering::Relaxed))
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_clock_counts_the_time_in_which_the_machine_was_suspended() {
+    let sleep = TestSleep::default();
+    let clock = NodeClock::new(Box::new(sleep.clone()));
+    tokio::time::advance(Duration::from_secs(1)).await;
+    expect_that!(clock.now(), eq(Moment::from_micros(1_000_000)));
+    sleep.sleep(10_000);
+    tokio::time::advance(Duration::from_millis(10)).await;
+    expect_that!(clock.now(), eq(Moment::from_micros(11_010_000)));
+    expect_that!(clock.slept(), eq(Duration::from_secs(10)));
+}
+
+/// Whoever subscribes to ticks hears the time with it.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn ticks_tell_the_time_with_what_was_slept() {
+    let sleep = TestSleep::default();
+    let timer = SystemTimer::with_sleep(Box::new(sleep.clone()));
+    let mut ticks = timer.subscribe(Duration::from_millis(100));
+    let before = ticks.next().await.expect("a tick");
+    sleep.sleep(5000);
+    tokio::time::advance(Duration::from_millis(100)).await;
+    let after = ticks.next().await.expect("a tick");
+    expect_that!(after.since(before), ge(Duration::from_millis(5100)));
+    expect_that!(timer.now(), ge(after));
+}
+
+#[gtest]
+fn a_machine_that_was_not_suspended_has_not_slept() {
+    let kernel = KernelSleep::default();
+    std::thread::sleep(Duration::from_millis(50));
+    expect_that!(kernel.slept(), lt(Duration::from_millis(20)));
+}
+
+/// After ten seconds the entry knows that its facts are that old, and reads everything anew: what
+/// changed meanwhile nobody could tell it.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_wakes_knows_how_old_its_facts_are_and_reads_them_anew() {
+    let sleep = TestSleep::default();
+    let clock = NodeClock::new(Box::new(sleep.clone()));
+    let state = EntryState::with_clock(settings(), Arc::new(TestHeaders), clock);
+    let store = Arc::new(TestStore::default());
+    store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(5))));
+    let entry = DirectEntry::start_on(state.clone(), store.clone()).await.expect("it starts");
+    while state.routes().is_none() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let newer = NamedFact {
+        name: "main".to_owned(),
+        revision: StoreRevision(2),
+        fact: Ok(Fact::Plan(Box::new(plan(6)))),
+    };
+    store.replace_silently(FactTopic::Plan, newer);
+    sleep.sleep(10_000);
+    tokio::time::sleep(Duration::from_millis(6)).await;
+    let age = state.plan.age().age(state.now());
+    expect_that!(age, some(ge(Duration::from_secs(10))));
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    expect_that!(state.plan_version(), eq(PlanVersion(6)));
+    drop(entry);
+}
