Give an entry that starts again its share of the slack of retries after a whole window

Cause: it knew nothing of what it had sent before, and had its whole share again after 3 s; what it had sent stood in the same window.

Change: after a start that is not the first of the whole system the share waits for the window.

Measured: two tests red before are green.

--- a/crates/core/src/direct/retry_share.rs
+++ b/crates/core/src/direct/retry_share.rs
@@ -8,8 +8,9 @@
 /// Part of the common budget that is used, in percent: entries do not count at the same moment.
 const USED_PERCENT: f64 = 85.0;
 
-/// Time after a start in which little of the common slack is used: the other entries are not all
-/// known yet, and what this entry used before it was stopped still counts.
+/// Time after the first start of the whole system in which little of the common slack is used: the
+/// other entries are not all known yet. After any other start that takes the whole window, as what
+/// was sent before still counts.
 const LEARNING_TIME: Duration = Duration::from_secs(3);
 
 /// Retries of the slack that an entry may use in that time: 40 entries that start together use as
@@ -110,9 +111,14 @@
     pub fn left(&mut self, now: Moment, service: &str, entries: usize) -> usize {
         let budget = self.budget;
         let entries = self.most_entries(now, entries);
+        // Entries that were killed together spent the slack twice within one window.
+        let learning = match self.start {
+            EntryStart::WithAllOthers => LEARNING_TIME,
+            EntryStart::Again => budget.window,
+        };
         let count = self.count(now, service);
         let own = budget.ratio * count.requests.len() as f64;
-        let share = match now.since(Moment::ZERO) < LEARNING_TIME {
+        let share = match now.since(Moment::ZERO) < learning {
             true => budget.slack.min(LEARNING_SHARE),
             false => budget.slack / entries as f64,
         };
