--- a/crates/client/src/commands/explain.rs
+++ b/crates/client/src/commands/explain.rs
@@ -86,6 +86,7 @@
         "attempt_failed" => "a sending failed".to_owned(),
         "server_failed" => "the server answered that it failed".to_owned(),
         "stream_stopped" => "the stream stopped".to_owned(),
+        "server_ended" => "its server ended under it".to_owned(),
         "stream_continued" => "the stream goes on elsewhere".to_owned(),
         "stream_waits" => "the server is silent, and nobody else may be asked".to_owned(),
         "stream_cut" => "the caller's connection closed before the answer was whole".to_owned(),
