--- a/crates/daemon/tests/relays.rs
+++ b/crates/daemon/tests/relays.rs
@@ -10,8 +10,9 @@
 use googletest::prelude::*;
 use headlatch_core::{
     direct::{
-        peers::{DomainKey, DrainNotice, PeerKind, PeerTable, ServerNotice},
+        peers::{DomainKey, DrainNotice, PeerKind, PeerNotice, PeerTable, ServerNotice},
         relays::{HeardRelays, RELAYS},
+        suspects::{EndedRun, LifeKey, SuspectTable},
     },
     time::Moment,
 };
@@ -20,7 +21,7 @@
     notices::{NoticeBody, NoticeMail, NoticeWriter},
     relay_mail::{BundleWriter, RelayView},
 };
-use headlatch_types::traffic::WeightVersion;
+use headlatch_types::{request::RequestDigest, traffic::WeightVersion};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 const DOMAINS: u8 = 5;
@@ -52,6 +53,8 @@
     server: Option<ServerNotice>,
     /// Servers that it has heard to be changing, if it is an entry.
     drains: Vec<DrainNotice>,
+    /// Requests under which servers ended, if it is an entry.
+    suspects: SuspectTable,
     alive: bool,
     /// What is lost on the way to and from it.
     cut: LinkCut,
@@ -99,6 +102,7 @@
         relays: HeardRelays::default(),
         server: (kind == PeerKind::Agent).then_some(server),
         drains: Vec::new(),
+        suspects: SuspectTable::default(),
         alive: true,
         cut: LinkCut::None,
         sent: 0,
@@ -114,6 +118,7 @@
         let body = NoticeBody {
             server: self.server.clone(),
             drains: self.drains.clone(),
+            suspects: self.suspects.notices(now),
             repeated: self.server.as_ref().is_some_and(|server| server.changing),
             ..NoticeBody::default()
         };
@@ -141,6 +146,7 @@
         match Datagram::decode(bytes)? {
             Datagram::Notice(notice) => {
                 let (from, domain) = (notice.from, notice.domain);
+                self.hear_suspects(now, &notice);
                 let joined = self.peers.hear(now, *notice).joined;
                 self.note_changing();
                 let names = self.peers.named_to(domain, 0);
@@ -161,6 +167,7 @@
                     self.peers.hear_drain_sum(now, bundle.domain, sum);
                 }
                 for relayed in bundle.notices {
+                    self.hear_suspects(now, &relayed.notice);
                     self.peers.hear_relayed(now, relayed.notice, relayed.age);
                 }
                 self.note_changing();
@@ -170,6 +177,12 @@
         }
     }
 
+    fn hear_suspects(&mut self, now: Moment, notice: &PeerNotice) {
+        for suspect in &notice.suspects {
+            let _ = self.suspects.hear(now, *suspect);
+        }
+    }
+
     fn note_changing(&mut self) {
         if self.kind == PeerKind::Entry {
             let servers = self.peers.living().filter_map(|peer| peer.notice.server.as_ref());
@@ -410,3 +423,32 @@
 fn others_go_on_beside_two_relays_that_other_domains_do_not_hear() {
     expect_others_unharmed(2, LinkCut::MuteFar);
 }
+
+/// Entries of two failure domains saw one end each of two under the same request; all entries refuse it,
+/// by what relays tell, well within the three seconds that they have, and one that starts later as well.
+#[gtest]
+fn all_entries_refuse_what_servers_ended_under_in_two_failure_domains() {
+    for seed in 1..=4 {
+        let mut world = World::new(100, seed);
+        world.run(Duration::from_secs(10));
+        let digest = RequestDigest(77);
+        for (domain, life) in [(2, 1), (4, 2)] {
+            let nth = world.index[&address(domain, 9)];
+            let (now, life) = (world.now, LifeKey(life));
+            let suspects = &mut world.processes[nth].suspects;
+            let _ = suspects.note_end(now, digest, life, EndedRun::Silent);
+            world.run(Duration::from_millis(400));
+        }
+        world.run(Duration::from_millis(800));
+        let refuses = |world: &World, one: &Process| one.suspects.is_refused(world.now, digest);
+        let entries = world.processes.iter().filter(|one| one.kind == PeerKind::Entry);
+        let missing = entries.filter(|one| !refuses(&world, one)).count();
+        expect_that!(missing, eq(0), "seed {seed}");
+        // Long after nobody has anything new to tell.
+        world.run(Duration::from_secs(20));
+        let late = world.index[&address(3, 9)];
+        world.processes[late] = process(world.now, 3, 9, PeerKind::Entry);
+        world.run(Duration::from_millis(2500));
+        expect_that!(refuses(&world, &world.processes[late]), eq(true), "seed {seed}");
+    }
+}
