--- /dev/null
+++ b/crates/daemon/tests/returning_servers.rs
@@ -0,0 +1,54 @@
+//! A server that ends and starts again under the id that it had, over sockets.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use googletest::prelude::*;
+use headlatch_daemon::direct::entry::DirectEntry;
+use headlatch_outside::facts::{Fact, FactTopic};
+use headlatch_types::traffic::{BirthTime, ServerRecord};
+use http::StatusCode;
+use support::{
+    TestHeaders, TestStore, ask_with, mortal::MortalServer, paced::EventPace, plan, record,
+    settings,
+};
+
+fn born(server: &MortalServer, at: u64) -> Fact {
+    let record = record("i1", server.address, "z1");
+    Fact::Server(ServerRecord { born: Some(BirthTime(at)), ..record })
+}
+
+/// Failures of the life before kept a server out for up to 4.8 s after its return.
+#[gtest]
+#[tokio::test]
+async fn a_server_that_returns_under_its_id_is_asked_at_once() {
+    let store = Arc::new(TestStore::default());
+    store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(5))));
+    let first = MortalServer::start(EventPace::default()).await;
+    store.set(FactTopic::Servers, "i1", born(&first, 1000));
+    let entry = DirectEntry::start(settings(), store.clone(), Arc::new(TestHeaders)).await;
+    let entry = entry.expect("it starts");
+    while !entry.state.is_ready() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    first.end();
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let ask = |path: &'static str| ask_with(entry.address, path, &[("x-key", "k")]);
+    // Each failure doubles the pause.
+    for _ in 0..5 {
+        let _ = ask("/stream/a").await;
+        tokio::time::sleep(Duration::from_millis(650)).await;
+    }
+    let refused = ask("/stream/a").await.expect("an answer");
+    expect_that!(refused.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    let second = MortalServer::start(EventPace::default()).await;
+    store.set(FactTopic::Servers, "i1", born(&second, 2000));
+    let knows = || entry.state.servers().records().any(|one| one.address == second.address);
+    while !knows() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let answer = ask("/stream/b").await.expect("an answer");
+    expect_that!(answer.status, eq(StatusCode::OK));
+    expect_that!(second.seen().len(), eq(1));
+}
