--- /dev/null
+++ b/crates/daemon/tests/support/entries.rs
@@ -0,0 +1,103 @@
+//! Several entries in one process, each with a runtime and sockets of its own.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use headlatch_daemon::direct::entry::DirectEntry;
+use headlatch_outside::{
+    OutsideFuture,
+    facts::StoreFailure,
+    quarantine::{KeptQuarantine, QuarantineStore},
+};
+use headlatch_types::{direct_settings::DirectEntrySettings, request::RequestDigest};
+use tokio::runtime::Runtime;
+
+use super::{TestHeaders, TestStore, settings};
+
+/// Where notices of all entries are heard.
+const CONTROL_PORT: u16 = 7700;
+
+/// An address of this process alone, so that tests beside it cannot be met.
+fn place(number: u8) -> SocketAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(127, high | 0x80, low, number), CONTROL_PORT))
+}
+
+/// What a store keeps of quarantines.
+#[derive(Debug, Default)]
+pub struct KeptList(Mutex<Vec<KeptQuarantine>>);
+
+impl KeptList {
+    /// How many it keeps.
+    pub fn count(&self) -> usize {
+        self.0.lock().expect("no test panics with it").len()
+    }
+}
+
+impl QuarantineStore for KeptList {
+    fn list_kept(
+        &self,
+    ) -> OutsideFuture<'_, std::result::Result<Vec<KeptQuarantine>, StoreFailure>> {
+        Box::pin(async { Ok(self.0.lock().expect("no test panics with it").clone()) })
+    }
+
+    fn keep(
+        &self,
+        quarantine: KeptQuarantine,
+    ) -> OutsideFuture<'_, std::result::Result<(), StoreFailure>> {
+        self.0.lock().expect("no test panics with it").push(quarantine);
+        Box::pin(async { Ok(()) })
+    }
+
+    fn lift(
+        &self,
+        digest: RequestDigest,
+    ) -> OutsideFuture<'_, std::result::Result<(), StoreFailure>> {
+        self.0.lock().expect("no test panics with it").retain(|one| one.digest != digest);
+        Box::pin(async { Ok(()) })
+    }
+}
+
+/// An entry that can be killed.
+pub struct EntryProcess {
+    runtime: Runtime,
+    /// The entry.
+    pub entry: DirectEntry,
+}
+
+impl EntryProcess {
+    /// Starts the entry of this number, of `count`.
+    pub fn start(number: u8, count: u8, store: Arc<TestStore>, kept: Arc<KeptList>) -> Self {
+        let mut own: DirectEntrySettings = settings();
+        own.node.control = place(number);
+        own.direct.seeds = (1..=count).filter(|one| *one != number).map(place).collect();
+        let runtime = Runtime::new().expect("a runtime");
+        let headers = Arc::new(TestHeaders);
+        let entry = runtime.block_on(DirectEntry::start_keeping(own, store, headers, kept));
+        Self { runtime, entry: entry.expect("it starts") }
+    }
+
+    /// Whether it is ready and knows so many entries.
+    pub fn knows(&self, count: usize) -> bool {
+        self.entry.state.is_ready() && self.entry.state.entries() == count
+    }
+
+    /// Ends it at once.
+    pub fn kill(self) {
+        // Its ports must be free before another one starts there.
+        self.runtime.shutdown_timeout(Duration::from_secs(5));
+    }
+}
+
+/// Starts entries and waits until they know each other.
+pub fn start_all(count: u8, store: &Arc<TestStore>, kept: &Arc<KeptList>) -> Vec<EntryProcess> {
+    let start = |number| EntryProcess::start(number, count, store.clone(), kept.clone());
+    let entries: Vec<EntryProcess> = (1..=count).map(start).collect();
+    while !entries.iter().all(|one| one.knows(count.into())) {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    entries
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod agent;
+pub mod entries;
 pub mod mortal;
 pub mod paced;
 pub mod server;
