--- a/crates/daemon/tests/harmful_entries.rs
+++ b/crates/daemon/tests/harmful_entries.rs
@@ -10,7 +10,8 @@
 use http::StatusCode;
 use support::{
     TestStore, ask_with,
-    entries::{EntryProcess, KeptList, start_all},
+    entries::{EntryProcess, start_all},
+    kept::KeptList,
     mortal::MortalServer,
     paced::EventPace,
     plan, record,
@@ -48,7 +49,7 @@
         let sound = ask(entry, &format!("/stream/sound{number}")).expect("an answer");
         expect_that!(sound.status, eq(StatusCode::OK), "entry {number}");
     }
-    expect_that!(kept.count(), ge(1));
+    expect_that!(kept.kept().len(), ge(1));
     entries.into_iter().for_each(EntryProcess::kill);
     let before = ended();
     let entries = start_all(3, &store, &kept);
--- a/crates/daemon/tests/harmful_requests.rs
+++ b/crates/daemon/tests/harmful_requests.rs
@@ -19,7 +19,7 @@
 mod support;
 
 use std::{
-    sync::{Arc, Mutex},
+    sync::Arc,
     time::{Duration, SystemTime},
 };
 
@@ -28,15 +28,14 @@
 use headlatch_daemon::direct::entry::DirectEntry;
 use headlatch_http::{CallAnswer, CallRequest, Connections};
 use headlatch_outside::{
-    OutsideFuture,
-    facts::{Fact, FactTopic, StoreFailure},
-    quarantine::{KeptQuarantine, QuarantineStore, UnixMillis},
+    facts::{Fact, FactTopic},
+    quarantine::{KeptQuarantine, UnixMillis},
 };
 use headlatch_types::{request::RequestDigest, traffic::ServerRecord};
 use http::{HeaderMap, Method, StatusCode};
 use support::{
-    TestHeaders, TestStore, ask_with, mortal::MortalServer, paced::EventPace, plan, record,
-    settings,
+    TestHeaders, TestStore, ask_with, kept::KeptList, mortal::MortalServer, paced::EventPace, plan,
+    record, settings,
 };
 
 /// An entry before servers that a harmful request ends.
@@ -111,55 +110,6 @@
     }
 }
 
-/// What a store keeps of quarantines.
-#[derive(Debug, Default)]
-struct KeptList {
-    kept: Mutex<Vec<KeptQuarantine>>,
-    /// Calls that fail before one is taken.
-    failures: Mutex<u32>,
-}
-
-impl KeptList {
-    fn kept(&self) -> Vec<KeptQuarantine> {
-        self.kept.lock().expect("no test panics with it").clone()
-    }
-
-    fn change(
-        &self,
-        change: impl FnOnce(&mut Vec<KeptQuarantine>),
-    ) -> std::result::Result<(), StoreFailure> {
-        let mut failures = self.failures.lock().expect("no test panics with it");
-        if *failures > 0 {
-            *failures -= 1;
-            return Err(StoreFailure::Unreachable("down".to_owned()));
-        }
-        change(&mut self.kept.lock().expect("no test panics with it"));
-        Ok(())
-    }
-}
-
-impl QuarantineStore for KeptList {
-    fn list_kept(
-        &self,
-    ) -> OutsideFuture<'_, std::result::Result<Vec<KeptQuarantine>, StoreFailure>> {
-        Box::pin(async { Ok(self.kept()) })
-    }
-
-    fn keep(
-        &self,
-        quarantine: KeptQuarantine,
-    ) -> OutsideFuture<'_, std::result::Result<(), StoreFailure>> {
-        Box::pin(async move { self.change(|kept| kept.push(quarantine)) })
-    }
-
-    fn lift(
-        &self,
-        digest: RequestDigest,
-    ) -> OutsideFuture<'_, std::result::Result<(), StoreFailure>> {
-        Box::pin(async move { self.change(|kept| kept.retain(|one| one.digest != digest)) })
-    }
-}
-
 fn unix_now() -> u64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     since.expect("it is past 1970").as_millis() as u64
@@ -283,7 +233,7 @@
 #[tokio::test]
 async fn a_quarantine_outlasts_all_entries_in_the_store() {
     let kept = Arc::new(KeptList::default());
-    *kept.failures.lock().expect("no test panics with it") = 1;
+    kept.fail(1);
     let first = Setting::keeping(4, kept.clone()).await;
     first.have_it_refused().await;
     while kept.kept().is_empty() {
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -24,8 +24,9 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use support::{
     TestStore, ask_with,
-    entries::{EntryProcess, KeptList, start_all},
+    entries::{EntryProcess, start_all},
     header,
+    kept::KeptList,
     mortal::{HARMFUL, MortalServer},
     paced::EventPace,
     plan, record,
--- a/crates/daemon/tests/support/entries.rs
+++ b/crates/daemon/tests/support/entries.rs
@@ -2,20 +2,15 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
-    sync::{Arc, Mutex},
+    sync::Arc,
     time::Duration,
 };
 
 use headlatch_daemon::direct::entry::DirectEntry;
-use headlatch_outside::{
-    OutsideFuture,
-    facts::StoreFailure,
-    quarantine::{KeptQuarantine, QuarantineStore},
-};
-use headlatch_types::{direct_settings::DirectEntrySettings, request::RequestDigest};
+use headlatch_types::direct_settings::DirectEntrySettings;
 use tokio::runtime::Runtime;
 
-use super::{TestHeaders, TestStore, settings};
+use super::{TestHeaders, TestStore, kept::KeptList, settings};
 
 /// Where notices of all entries are heard.
 const CONTROL_PORT: u16 = 7700;
@@ -26,41 +21,6 @@
     SocketAddr::from((Ipv4Addr::new(127, high | 0x80, low, number), CONTROL_PORT))
 }
 
-/// What a store keeps of quarantines.
-#[derive(Debug, Default)]
-pub struct KeptList(Mutex<Vec<KeptQuarantine>>);
-
-impl KeptList {
-    /// How many it keeps.
-    pub fn count(&self) -> usize {
-        self.0.lock().expect("no test panics with it").len()
-    }
-}
-
-impl QuarantineStore for KeptList {
-    fn list_kept(
-        &self,
-    ) -> OutsideFuture<'_, std::result::Result<Vec<KeptQuarantine>, StoreFailure>> {
-        Box::pin(async { Ok(self.0.lock().expect("no test panics with it").clone()) })
-    }
-
-    fn keep(
-        &self,
-        quarantine: KeptQuarantine,
-    ) -> OutsideFuture<'_, std::result::Result<(), StoreFailure>> {
-        self.0.lock().expect("no test panics with it").push(quarantine);
-        Box::pin(async { Ok(()) })
-    }
-
-    fn lift(
-        &self,
-        digest: RequestDigest,
-    ) -> OutsideFuture<'_, std::result::Result<(), StoreFailure>> {
-        self.0.lock().expect("no test panics with it").retain(|one| one.digest != digest);
-        Box::pin(async { Ok(()) })
-    }
-}
-
 /// An entry that can be killed.
 pub struct EntryProcess {
     runtime: Runtime,
--- /dev/null
+++ b/crates/daemon/tests/support/kept.rs
@@ -0,0 +1,66 @@
+//! A store that keeps which requests are refused.
+
+use std::sync::Mutex;
+
+use headlatch_outside::{
+    OutsideFuture,
+    facts::StoreFailure,
+    quarantine::{KeptQuarantine, QuarantineStore},
+};
+use headlatch_types::request::RequestDigest;
+
+/// What a store keeps of quarantines.
+#[derive(Debug, Default)]
+pub struct KeptList {
+    kept: Mutex<Vec<KeptQuarantine>>,
+    /// Calls that fail before one is taken.
+    failures: Mutex<u32>,
+}
+
+impl KeptList {
+    /// What it keeps.
+    pub fn kept(&self) -> Vec<KeptQuarantine> {
+        self.kept.lock().expect("no test panics with it").clone()
+    }
+
+    /// Has the next `count` calls that change something fail.
+    pub fn fail(&self, count: u32) {
+        *self.failures.lock().expect("no test panics with it") = count;
+    }
+
+    /// Changes what it keeps.
+    pub fn change(
+        &self,
+        change: impl FnOnce(&mut Vec<KeptQuarantine>),
+    ) -> std::result::Result<(), StoreFailure> {
+        let mut failures = self.failures.lock().expect("no test panics with it");
+        if *failures > 0 {
+            *failures -= 1;
+            return Err(StoreFailure::Unreachable("down".to_owned()));
+        }
+        change(&mut self.kept.lock().expect("no test panics with it"));
+        Ok(())
+    }
+}
+
+impl QuarantineStore for KeptList {
+    fn list_kept(
+        &self,
+    ) -> OutsideFuture<'_, std::result::Result<Vec<KeptQuarantine>, StoreFailure>> {
+        Box::pin(async { Ok(self.kept()) })
+    }
+
+    fn keep(
+        &self,
+        quarantine: KeptQuarantine,
+    ) -> OutsideFuture<'_, std::result::Result<(), StoreFailure>> {
+        Box::pin(async move { self.change(|kept| kept.push(quarantine)) })
+    }
+
+    fn lift(
+        &self,
+        digest: RequestDigest,
+    ) -> OutsideFuture<'_, std::result::Result<(), StoreFailure>> {
+        Box::pin(async move { self.change(|kept| kept.retain(|one| one.digest != digest)) })
+    }
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod agent;
 pub mod entries;
+pub mod kept;
 pub mod mortal;
 pub mod paced;
 pub mod server;
