Forget suspects in one place, and keep a server's life beside its key

Cause: three ways cleared a suspect, each with its own check whether it is one; a server's life was hashed anew from its id at each choice and each end of a request.

Change: clear checks for itself, what is heard to be refused goes the way of what the store kept, and the life is kept with the server's state. Nothing behaves otherwise.

Measured: all tests of core, and those of an entry between callers and servers, pass as before; no figure of speed was taken.

--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -107,6 +107,8 @@
 struct ServerState {
     record: ServerRecord,
     key: u32,
+    /// Its life, by its id and birth.
+    life: LifeKey,
     domain: DomainKey,
     own: EngineLoad,
     /// Requests of this entry that have not begun there.
@@ -244,9 +246,11 @@
         }
         if let Some(state) = self.servers.get_mut(&record.id) {
             let moved = state.record.service != record.service;
-            if life_key(&state.record) != life_key(&record) {
+            let life = life_key(&record);
+            if state.life != life {
                 state.forget_life();
             }
+            state.life = life;
             state.record = record;
             if !moved {
                 return;
@@ -254,6 +258,7 @@
         } else {
             let state = ServerState {
                 key,
+                life: life_key(&record),
                 domain: DomainKey::from(&record.zone),
                 own: EngineLoad::default(),
                 waiting: 0,
@@ -430,7 +435,7 @@
         let layers = query.engine.map_or(0, |engine| engine.figures.layers);
         ChosenServer {
             id: state.record.id.clone(),
-            life: life_key(&state.record),
+            life: state.life,
             address: state.record.address,
             own: state.own,
             others: self.others.get(&state.key).copied().unwrap_or_default(),
@@ -571,7 +576,7 @@
     /// Notes what came of a request at `server` as it was when it was chosen.
     pub fn end_at(&mut self, now: Moment, server: &ChosenServer, outcome: ServerOutcome) {
         let state = self.servers.get(&server.id);
-        let same_life = state.is_some_and(|state| life_key(&state.record) == server.life);
+        let same_life = state.is_some_and(|state| state.life == server.life);
         // What an earlier life did with it says nothing of this one.
         let outcome = if same_life { outcome } else { ServerOutcome::Abandoned };
         self.end(now, &server.id, outcome);
--- a/crates/core/src/direct/suspects.rs
+++ b/crates/core/src/direct/suspects.rs
@@ -184,13 +184,10 @@
 
     /// An operator wants the request to be served again.
     pub fn lift(&mut self, now: Moment, digest: RequestDigest) -> SuspectChange {
-        match self.suspects.contains_key(&digest) {
-            true => self.clear(now, digest),
-            false => SuspectChange::None,
-        }
+        self.clear(now, digest)
     }
 
-    /// The store says that the request is refused for `left` more.
+    /// The store, or another entry, says that the request is refused for `left` more.
     pub fn note_kept(
         &mut self,
         now: Moment,
@@ -203,26 +200,16 @@
     /// Takes in what another entry tells.
     pub fn hear(&mut self, now: Moment, notice: SuspectNotice) -> SuspectChange {
         let digest = notice.digest();
-        if let SuspectNotice::Cleared { .. } = notice {
-            return match self.suspects.contains_key(&digest) {
-                true => self.clear(now, digest),
-                false => SuspectChange::None,
-            };
-        }
-        if self.is_echo(now, digest) {
-            return SuspectChange::None;
-        }
-        if self.sound.has_run(now, digest) {
-            // Whoever tells that has not heard how the request ran here.
-            self.cleared.insert(digest, now);
-            return SuspectChange::None;
-        }
         match notice {
-            SuspectNotice::Ended { life, run, .. } => self.add_end(now, digest, life, run),
-            SuspectNotice::Refused { left, .. } => {
-                self.refuse(now, digest, now + left.min(QUARANTINE_TIME))
+            SuspectNotice::Cleared { .. } => self.clear(now, digest),
+            _ if self.is_echo(now, digest) => SuspectChange::None,
+            _ if self.sound.has_run(now, digest) => {
+                // Whoever tells that has not heard how the request ran here.
+                self.cleared.insert(digest, now);
+                SuspectChange::None
             }
-            SuspectNotice::Cleared { .. } => SuspectChange::None,
+            SuspectNotice::Ended { life, run, .. } => self.add_end(now, digest, life, run),
+            SuspectNotice::Refused { left, .. } => self.note_kept(now, digest, left),
         }
     }
 
@@ -276,7 +263,11 @@
         self.cleared.get(&digest).is_some_and(|at| now.since(*at) <= ECHO_TIME)
     }
 
+    /// Forgets a suspect, if it is one, and has others told.
     fn clear(&mut self, now: Moment, digest: RequestDigest) -> SuspectChange {
+        if !self.suspects.contains_key(&digest) {
+            return SuspectChange::None;
+        }
         let was_refused = self.is_refused(now, digest);
         self.drop_suspect(digest);
         self.cleared.insert(digest, now);
