Tell the sizes of requests in logs, counters and a command

Cause: nothing tells whether large requests are served as often as small ones. Change: body_bytes, prompt_tokens and answer_tokens in each line on a request; servers_full with what kept it from every server; headlatch_requests_by_size_total by route, size class within the route and step; headlatch shares makes served shares by size from logs. No decision changes. The latency histogram takes the first event of a stream in place of its end, as its name says.

--- a/crates/client/src/cli.rs
+++ b/crates/client/src/cli.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use clap::{Args, Parser, Subcommand};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 use headlatch_types::{
     fleet::BurstPreference,
     id::ApplyId,
@@ -34,6 +34,8 @@
     Manifest(ManifestArgs),
     /// Tell the way of one request from decision logs
     Explain(ExplainArgs),
+    /// Tell which part of the requests was served, by route and size, from decision logs
+    Shares(SharesArgs),
     /// Run everything in one process on this machine and measure it
     Demo(DemoArgs),
 }
@@ -124,6 +126,31 @@
     pub json: bool,
 }
 
+/// What counts as the size of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum SizeMeasure {
+    /// Bytes of its body
+    Body,
+    /// Tokens of its prompt, where it tells them
+    Prompt,
+    /// Most tokens of its answer, where it tells them
+    Answer,
+}
+
+/// Options of `shares`.
+#[derive(Debug, Clone, Args)]
+pub struct SharesArgs {
+    /// Logs of any number of entries; standard input if none is given
+    #[arg(value_name = "FILE")]
+    pub files: Vec<PathBuf>,
+    /// What counts as the size
+    #[arg(long, value_name = "MEASURE", default_value = "body")]
+    pub by: SizeMeasure,
+    /// Print JSON, one route a line
+    #[arg(long)]
+    pub json: bool,
+}
+
 /// Options of `demo`.
 #[derive(Debug, Clone, Args)]
 pub struct DemoArgs {
--- a/crates/client/src/commands/mod.rs
+++ b/crates/client/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod diff;
 pub mod explain;
 pub mod manifest;
+pub mod shares;
 pub mod status;
 pub mod validate;
 
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -31,6 +31,7 @@
         ClientCommand::Apply(args) => commands::apply::run(&args).await,
         ClientCommand::Status(args) => commands::status::run(&args).await,
         ClientCommand::Explain(args) => commands::explain::run(&args),
+        ClientCommand::Shares(args) => commands::shares::run(&args),
         ClientCommand::Demo(args) => demo::run(&args).await,
     }
 }
--- a/crates/client/tests/command_line.rs
+++ b/crates/client/tests/command_line.rs
@@ -122,3 +122,54 @@
     let unknown = run(&["explain", "r2", plain(&log)]);
     assert_that!(unknown.status.code(), some(eq(2)));
 }
+
+#[test]
+fn shares_are_told_by_route_and_size() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("entry.log");
+    let line = |index: u64, event: &str, more: &str| {
+        format!(
+            "front {{\"part\":\"routing\",\"event\":\"{event}\",\"request\":\"r{index}\",\"route\":\"drafts\",\
+             \"body_bytes\":{},\"prompt_tokens\":null,\"more\":{more}}}\n",
+            index * 10
+        )
+    };
+    // Of a hundred the eighty smallest are served, two of them late.
+    let lines: String = (0..100)
+        .map(|index| match index < 80 {
+            true => {
+                let first = if index < 2 { 500 } else { 90 };
+                let more = format!("{{\"first_event_ms\":{first},\"objective_ms\":400}}");
+                line(index, "server_chosen", "{}") + &line(index, "stream_ended", &more)
+            }
+            false => line(index, "given_up", "{\"cause\":\"servers_full\"}"),
+        })
+        .collect();
+    fs::write(&path, lines).expect("a file");
+    let output = run(&["shares", plain(&path), "--json"]);
+    assert_that!(output.status.code(), some(eq(0)));
+    let told: Value = serde_json::from_slice(&output.stdout).expect("one line of JSON");
+    expect_count(&told["all"], 100, 80, 2);
+    expect_count(&told["sizes"]["lower_half"], 50, 50, 2);
+    expect_count(&told["sizes"]["upper_half"], 20, 20, 0);
+    expect_count(&told["sizes"]["next_fifth"], 20, 10, 0);
+    expect_count(&told["sizes"]["largest_tenth"], 10, 0, 0);
+    let table = String::from_utf8_lossy(&run(&["shares", plain(&path)]).stdout).into_owned();
+    assert_that!(table, contains_substring("0.500 (0.62)"));
+}
+
+fn expect_count(told: &Value, requests: u64, served: u64, late: u64) {
+    let numbers = ["requests", "served", "late"].map(|name| told[name].as_u64());
+    assert_that!(numbers, eq([Some(requests), Some(served), Some(late)]));
+}
+
+#[test]
+fn logs_that_tell_no_sizes_are_refused() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("empty.log");
+    fs::write(&path, "no line of JSON\n").expect("a file");
+    let output = run(&["shares", plain(&path)]);
+    assert_that!(output.status.code(), some(eq(2)));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_that!(text, contains_substring("no line tells of a request with its size"));
+}
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -180,16 +180,46 @@
     /// Send it here.
     Server(ChosenServer),
     /// Every server has as much as it can do.
-    Full,
+    Full(FullServers),
     /// No server can serve this at the moment.
     Nobody,
 }
 
+/// What kept a request from the servers that could have served it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FullServers {
+    /// Servers with as many requests as they are sent at most, or that refused one a moment ago.
+    pub limited: u32,
+    /// Servers whose first token was predicted too late for the objective.
+    pub late: u32,
+    /// Servers of other failure domains that were left to entries nearer by.
+    pub left_to_near: u32,
+    /// The earliest of the late predictions.
+    pub least_predicted: Option<Duration>,
+}
+
+impl FullServers {
+    /// Whether there is any.
+    fn any(self) -> bool {
+        self.limited + self.late + self.left_to_near > 0
+    }
+
+    fn note_late(&mut self, predicted: Duration) {
+        self.late += 1;
+        let least = self.least_predicted.unwrap_or(predicted);
+        self.least_predicted = Some(least.min(predicted));
+    }
+}
+
 /// Why a server is passed over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum PassedOver {
+    /// It can serve nothing of the kind now.
     Unfit,
+    /// It is sent no more at the moment.
     Full,
+    /// Its first token is predicted for then, too late.
+    Late(Duration),
 }
 
 /// The servers.
@@ -396,7 +426,7 @@
     ) -> ServerChoice {
         let ids = self.services.get(query.service).map(Vec::as_slice).unwrap_or_default();
         let mut best: Option<(f64, &ServerState)> = None;
-        let mut full = false;
+        let mut full = FullServers::default();
         for (index, id) in ids.iter().enumerate() {
             let Some(state) = self.servers.get(id) else { continue };
             if !may_be_used(state) {
@@ -406,7 +436,7 @@
             let drawn = (query.draw.rotate_left(31) ^ u64::from(state.key)) % 1024;
             let is_new = query.engine.is_some_and(|engine| !engine.continues);
             if is_new && !self.is_near(state) && !self.may_go_far(drawn as f64 / 1024.0) {
-                full = true;
+                full.left_to_near += 1;
                 continue;
             }
             match self.cost(now, state, query) {
@@ -420,13 +450,14 @@
                         best = Some((cost, state));
                     }
                 }
-                Err(PassedOver::Full) => full = true,
+                Err(PassedOver::Full) => full.limited += 1,
+                Err(PassedOver::Late(predicted)) => full.note_late(predicted),
                 Err(PassedOver::Unfit) => {}
             }
         }
         match best {
             Some((_, state)) => ServerChoice::Server(self.chosen(state, query)),
-            None if full => ServerChoice::Full,
+            None if full.any() => ServerChoice::Full(full),
             None => ServerChoice::Nobody,
         }
     }
@@ -520,7 +551,7 @@
         // An idle engine takes whatever comes: a prompt that is long for its objective as well.
         let idle = self.load(state).waiting_tokens == 0;
         if !late_is_fine && !idle && predicted > objective * PREDICTED_PERCENT / 100 {
-            return Err(PassedOver::Full);
+            return Err(PassedOver::Late(predicted));
         }
         Ok(predicted.as_secs_f64() / objective.as_secs_f64())
     }
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -270,7 +270,7 @@
     };
     match table.choose(now, &query) {
         ServerChoice::Server(server) => server.id.to_string(),
-        ServerChoice::Full => "full".to_owned(),
+        ServerChoice::Full(_) => "full".to_owned(),
         ServerChoice::Nobody => "nobody".to_owned(),
     }
 }
--- a/crates/core/tests/load_notices.rs
+++ b/crates/core/tests/load_notices.rs
@@ -174,7 +174,7 @@
     };
     match table.choose(at(0), &query) {
         ServerChoice::Server(server) => server.id.0.to_string(),
-        ServerChoice::Full => "full".to_owned(),
+        ServerChoice::Full(_) => "full".to_owned(),
         ServerChoice::Nobody => "nobody".to_owned(),
     }
 }
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -4,7 +4,9 @@
 
 use headlatch_core::{
     direct::{
-        server_table::{ChosenServer, EngineQuery, ServerChoice, ServerOutcome, ServerQuery},
+        server_table::{
+            ChosenServer, EngineQuery, FullServers, ServerChoice, ServerOutcome, ServerQuery,
+        },
         suspects::{EndedRun, QUARANTINE_TIME},
     },
     time::Moment,
@@ -28,7 +30,7 @@
     relay, server_end,
     state::EntryState,
 };
-use crate::decisions;
+use crate::{decisions, metrics::RequestStep};
 
 /// Cause of a refusal of what servers ended under.
 const QUARANTINED: &str = "quarantined";
@@ -99,6 +101,7 @@
         arrived: state.now(),
         predicted: None,
     };
+    exchange.count(RequestStep::Came);
     loop {
         let server = exchange.next_server().map_err(|cause| exchange.give_up(cause))?;
         let answer = match exchange.send(server, None).await {
@@ -134,6 +137,12 @@
 }
 
 impl Exchange {
+    /// Counts how far this request has come.
+    fn count(&self, step: RequestStep) {
+        let request = &self.request;
+        self.state.metrics.count_step(&request.route.name, request.size, step);
+    }
+
     /// Writes down a decision about this request.
     pub fn log(&self, event: &str, fields: serde_json::Value) {
         let held_ms = self.request.arrived.elapsed().as_millis() as u64;
@@ -141,6 +150,8 @@
             "request": self.request.id, "route": self.request.route.name,
             "service": self.request.service, "plan": self.request.plan, "held_ms": held_ms,
             "attempt": self.arrivals, "content": self.request.digests.whole.to_string(),
+            "body_bytes": self.request.body.len(), "prompt_tokens": self.request.facts.prompt_tokens,
+            "answer_tokens": self.request.facts.answer_tokens,
             "more": fields,
         });
         decisions::note("routing", event, fields);
@@ -202,7 +213,10 @@
         }
         let server = match self.choose() {
             ServerChoice::Server(server) => server,
-            ServerChoice::Full => return Err("servers_full"),
+            ServerChoice::Full(full) => {
+                self.log("servers_full", describe_full(&full));
+                return Err("servers_full");
+            }
             ServerChoice::Nobody => return Err("no_server"),
         };
         if self.arrivals > 0 {
@@ -220,6 +234,9 @@
             "predicted_ms": server.predicted.map(|time| time.as_millis() as u64),
             "limit": server.limit, "version": server.version, "least": attempt::least_version(&self.state, &self.request),
         });
+        if self.tried.is_empty() {
+            self.count(RequestStep::Admitted);
+        }
         self.log("server_chosen", fields);
         Ok(server)
     }
@@ -349,6 +366,10 @@
             "cause": cause, "verdict": verdict.as_str(), "status": given_up.status.as_u16(),
             "retry_after_ms": rest, "entries": self.state.entries(),
         });
+        self.count(match verdict {
+            RunVerdict::NotRun => RequestStep::Refused,
+            _ => RequestStep::Failed,
+        });
         self.log("given_up", fields);
         given_up
     }
@@ -356,6 +377,7 @@
     /// Writes down that a begun answer ends before it is whole: the caller's connection closes.
     pub fn cut(&self, cause: &'static str, fields: serde_json::Value) {
         self.state.metrics.count_request(RunVerdict::MayHaveRun);
+        self.count(RequestStep::Cut);
         let fields = json!({ "cause": cause, "limit": self.request.limit, "stream": fields });
         self.log("stream_cut", fields);
     }
@@ -396,21 +418,32 @@
         strip_connection(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
         let fields = json!({ "server": self.tried.last(), "status": parts.status.as_u16() });
-        self.finish("answered", fields);
+        self.finish("answered", self.state.now().since(self.arrived), fields);
         Ok(Response::from_parts(parts, whole(body)))
     }
 
-    /// Writes down the end of the request.
-    pub fn finish(&self, event: &str, fields: serde_json::Value) {
+    /// Writes down the end of the request, whose answer began `first` after it came.
+    pub fn finish(&self, event: &str, first: Duration, fields: serde_json::Value) {
         self.state.metrics.count_request(RunVerdict::Ran);
         self.state.quarantine.note_whole(self.state.now(), &self.request.digests);
-        let kind = self.request.route.name.to_string();
-        let held = self.request.arrived.elapsed().as_secs_f64();
-        self.state.metrics.observe_first_byte(&kind, held);
+        let objective = self.request.route.objective();
+        self.count(match objective.is_zero() || first <= objective {
+            true => RequestStep::InTime,
+            false => RequestStep::Late,
+        });
+        self.state.metrics.observe_first_byte(&self.request.route.name, first.as_secs_f64());
         self.log(event, fields);
     }
 }
 
+/// What kept the request from every server, for logs.
+fn describe_full(full: &FullServers) -> serde_json::Value {
+    json!({
+        "limited": full.limited, "late": full.late, "left_to_near": full.left_to_near,
+        "least_predicted_ms": full.least_predicted.map(|time| time.as_millis() as u64),
+    })
+}
+
 fn full_rest() -> Duration {
     let spread = rand::rng().random_range(0..FULL_SPREAD_MS);
     Duration::from_millis(FULL_REST_MS + spread)
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -10,10 +10,14 @@
     engine_model::EngineWork,
     request_digest::{RequestContent, RequestDigests},
     route_table::{Denial, RouteTable, pick_target},
+    size_class::SizeClass,
     time_limit::{LimitedTime, TimeLimit},
 };
 use headlatch_outside::headers::RequestFacts;
-use headlatch_types::traffic::{EngineFigures, Route, RouteKind};
+use headlatch_types::{
+    quantity::ByteSize,
+    traffic::{EngineFigures, Route, RouteKind},
+};
 use http::{
     HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request::Parts,
 };
@@ -80,6 +84,8 @@
     pub facts: RequestFacts,
     /// What tells that the same content comes again.
     pub digests: RequestDigests,
+    /// Where its body's size stands among those of its route.
+    pub size: SizeClass,
 }
 
 /// Counts a request as held.
@@ -161,6 +167,7 @@
     let service = service.ok_or_else(|| GivenUp::refused("no_service", NO_PLAN_REST))?;
     let engine = routes.plan().services.get(&*service).and_then(|service| service.engine.clone());
     let digests = digests_of(&parts, tenant.as_deref(), &body);
+    let size = state.sizes().note(&route.name, ByteSize::from_bytes(body.len() as u64));
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri = path.parse().map_err(|_| GivenUp::denied(StatusCode::BAD_REQUEST, "bad_path"))?;
     Ok(RequestPlan {
@@ -182,6 +189,7 @@
         plan: routes.plan().version.0,
         facts,
         digests,
+        size,
     })
 }
 
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -300,15 +300,16 @@
 
     fn finish(&self, source: &StreamSource) {
         let exchange = &self.exchange;
-        let first = self.timing.first().map(|first| first.since(exchange.arrived).as_millis());
+        let whole = exchange.state.now().since(exchange.arrived);
+        let first = self.timing.first().map(|first| first.since(exchange.arrived));
         let fields = json!({
             "server": source.in_flight.server().id, "status": self.status.as_u16(),
-            "events": self.events, "first_event_ms": first.map(|first| first as u64),
+            "events": self.events, "first_event_ms": first.map(|first| first.as_millis() as u64),
             "longest_pause_ms": self.timing.longest_pause().as_millis() as u64,
             "objective_ms": exchange.request.route.objective_ms,
             "predicted_ms": exchange.predicted.map(|time| time.as_millis() as u64),
         });
-        exchange.finish("stream_ended", fields);
+        exchange.finish("stream_ended", first.unwrap_or(whole), fields);
     }
 }
 
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -20,6 +20,7 @@
         route_table::RouteTable,
         server_copy::{GoneServer, MarkedRecord, ServerChanges, ServerCopy},
         server_table::{ContinuationLimits, ServerTable},
+        size_class::SizeRanks,
         weight_deadline::WeightDeadlines,
     },
     time::Moment,
@@ -80,6 +81,8 @@
     servers: Mutex<ServerTable>,
     weights: Mutex<WeightDeadlines>,
     retries: Mutex<RetryShare>,
+    /// Sizes of requests, by route.
+    sizes: Mutex<SizeRanks>,
     peers: Mutex<PeerTable>,
     /// What this entry has in progress at a busy server has changed.
     pub load_news: Notify,
@@ -248,6 +251,7 @@
             servers: Mutex::new(servers),
             weights: Mutex::default(),
             retries: Mutex::new(RetryShare::new(budget, start)),
+            sizes: Mutex::default(),
             peers: Mutex::new(peers),
             load_news: Notify::new(),
             plan_nudge: Arc::default(),
@@ -312,6 +316,11 @@
         lock(&self.retries)
     }
 
+    /// The sizes of requests seen lately.
+    pub fn sizes(&self) -> MutexGuard<'_, SizeRanks> {
+        lock(&self.sizes)
+    }
+
     /// The other processes.
     pub fn peers(&self) -> MutexGuard<'_, PeerTable> {
         lock(&self.peers)
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics in Prometheus' text form.
 
+use headlatch_core::direct::size_class::SizeClass;
 use headlatch_types::RunVerdict;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
@@ -10,12 +11,47 @@
 const LATENCY_BUCKETS: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.33, 0.5, 1.0, 2.5, 10.0, 60.0];
 
+/// How far a request has come, or what became of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestStep {
+    /// It came.
+    Came,
+    /// A server was chosen for it.
+    Admitted,
+    /// It was answered whole, and its answer began within the objective.
+    InTime,
+    /// It was answered whole, but later.
+    Late,
+    /// It was refused and has not run.
+    Refused,
+    /// It failed and may have run.
+    Failed,
+    /// Its answer began and ended early.
+    Cut,
+}
+
+impl RequestStep {
+    /// The name in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Came => "came",
+            Self::Admitted => "admitted",
+            Self::InTime => "in_time",
+            Self::Late => "late",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Cut => "cut",
+        }
+    }
+}
+
 /// Metrics of one node.
 #[derive(Debug, Clone)]
 pub struct NodeMetrics {
     registry: Registry,
     requests: IntCounterVec,
     refusals: IntCounterVec,
+    steps: IntCounterVec,
     first_byte: HistogramVec,
     chunk_bytes: IntCounterVec,
     chunk_failures: IntCounterVec,
@@ -35,6 +71,11 @@
         };
         let requests = counter("headlatch_requests_total", "Requests by verdict.", &["verdict"]);
         let refusals = counter("headlatch_refusals_total", "Refusals by cause.", &["cause"]);
+        let steps = counter(
+            "headlatch_requests_by_size_total",
+            "Requests by route, size within the route, and step.",
+            &["route", "size", "step"],
+        );
         let chunk_bytes =
             counter("headlatch_chunk_bytes_total", "Bytes of chunks by way.", &["way"]);
         let chunk_failures =
@@ -63,6 +104,7 @@
             registry,
             requests,
             refusals,
+            steps,
             first_byte,
             chunk_bytes,
             chunk_failures,
@@ -92,6 +134,16 @@
         self.refusals.with_label_values(&[cause]).inc();
     }
 
+    /// Counts a step of a request to `route` whose size stands at `size` among those of the route.
+    pub fn count_step(&self, route: &str, size: SizeClass, step: RequestStep) {
+        self.steps.with_label_values(&[route, size.as_str(), step.as_str()]).inc();
+    }
+
+    /// Steps of requests to `route` counted so far.
+    pub fn steps(&self, route: &str, size: SizeClass, step: RequestStep) -> u64 {
+        self.steps.with_label_values(&[route, size.as_str(), step.as_str()]).get()
+    }
+
     /// Notes the time to the first byte of an answer.
     pub fn observe_first_byte(&self, kind: &str, seconds: f64) {
         self.first_byte.with_label_values(&[kind]).observe(seconds);
