Refuse by lot while engines are full, the same part of all sizes and kinds

Cause: the reading of a request's own prompt stood in the prediction by which it was refused. Past capacity short prompts filled each gap before long ones, and nobody counted who lost; a bound that does not know the size alone does the same among kinds (the longest objective fills the engines). Change: core/direct/shedding refuses a part of the new requests that follows, over a second, the wait at the best engine, measured against the shortest objective that more than one in twenty have. Who belongs to it is drawn from the content, the same at all entries for 30 s: who was refused and comes back takes nobody's place. The own prediction refuses only beyond 1.5 objectives.

--- a/crates/core/src/direct/engine_model.rs
+++ b/crates/core/src/direct/engine_model.rs
@@ -51,21 +51,33 @@
 impl EngineWork {
     /// The work of a request that tells its prompt, or of a usual one.
     pub fn new(figures: &EngineFigures, prompt: Option<u64>, objective: Duration) -> Self {
-        let usual = match figures.usual_prompt {
-            0 => UNKNOWN_PROMPT,
-            tokens => tokens,
-        };
-        Self { prompt: prompt.unwrap_or(usual), objective }
+        Self { prompt: prompt.unwrap_or(usual_prompt(figures)), objective }
     }
 }
 
+fn usual_prompt(figures: &EngineFigures) -> u64 {
+    match figures.usual_prompt {
+        0 => UNKNOWN_PROMPT,
+        tokens => tokens,
+    }
+}
+
+/// Time in which an engine reads a prompt of `tokens` while others write.
+fn reading(figures: &EngineFigures, tokens: u64) -> f64 {
+    match figures.read_per_second > 0.0 {
+        true => tokens as f64 / figures.read_per_second * READING_SHARE,
+        false => 0.0,
+    }
+}
+
+/// Time in which an engine reads a usual prompt while others write.
+pub fn usual_reading(figures: &EngineFigures) -> Duration {
+    Duration::from_secs_f64(reading(figures, usual_prompt(figures)))
+}
+
 /// Time until the first token of `work` comes from an engine with `load`.
 pub fn first_token(figures: &EngineFigures, load: EngineLoad, work: EngineWork) -> Duration {
-    let tokens = (load.waiting_tokens + work.prompt) as f64;
-    let reading = match figures.read_per_second > 0.0 {
-        true => tokens / figures.read_per_second * READING_SHARE,
-        false => 0.0,
-    };
+    let reading = reading(figures, load.waiting_tokens + work.prompt);
     let pass = figures.step_ms * f64::from(figures.stride.max(1)) / 1e3;
     let beyond = (load.in_flight + 1).saturating_sub(figures.slots.max(1));
     let waiting = slot_time(figures) * f64::from(beyond);
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -17,6 +17,7 @@
 pub mod route_table;
 pub mod server_copy;
 pub mod server_table;
+pub mod shedding;
 pub mod size_class;
 pub mod staging;
 pub mod stream_timing;
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -17,6 +17,7 @@
     fact_age::ChangeMark,
     leaving::{LeavingNotice, LeavingServers},
     peers::{DomainKey, LoadNotice, ServerNotice},
+    shedding::EngineRoom,
     suspects::LifeKey,
 };
 use crate::time::Moment;
@@ -51,9 +52,10 @@
 /// is idle, nobody needs to know, and each telling is a datagram to every entry of the domain.
 const BUSY_PERCENT: u32 = 75;
 
-/// Part of a request's objective that its predicted first token may take, in percent: predictions
-/// are made on loads that are some time old.
-const PREDICTED_PERCENT: u32 = 85;
+/// Part of a request's objective that its predicted first token may take, in percent. Whom to refuse is
+/// decided by lot; a bound below the objective would refuse long prompts alone, whose own reading may cost
+/// them their objective, not their answer.
+const PREDICTED_PERCENT: u32 = 150;
 
 /// Requests that a plain server is sent, relative to those that it runs at the same time.
 const PLAIN_LOAD: u32 = 2;
@@ -168,6 +170,8 @@
     pub others: EngineLoad,
     /// Time until the first token comes, as predicted; none for plain services.
     pub predicted: Option<Duration>,
+    /// Load of the engine with the shortest wait, which need not be this one; none for plain services.
+    pub least_load: Option<EngineLoad>,
     /// Requests that it is sent at most.
     pub limit: u32,
     /// Version that it is thought to hold.
@@ -185,6 +189,19 @@
     Nobody,
 }
 
+impl ServerChoice {
+    /// What the engines that might be chosen have room for.
+    pub fn engine_room(&self) -> EngineRoom {
+        match self {
+            Self::Server(server) => {
+                server.least_load.map_or(EngineRoom::Unusable, EngineRoom::Best)
+            }
+            Self::Full(full) => full.least_load.map_or(EngineRoom::Full, EngineRoom::Best),
+            Self::Nobody => EngineRoom::Unusable,
+        }
+    }
+}
+
 /// What kept a request from the servers that could have served it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct FullServers {
@@ -196,6 +213,8 @@
     pub left_to_near: u32,
     /// The earliest of the late predictions.
     pub least_predicted: Option<Duration>,
+    /// Load of the engine with the shortest wait among the late ones.
+    pub least_load: Option<EngineLoad>,
 }
 
 impl FullServers {
@@ -427,6 +446,7 @@
         let ids = self.services.get(query.service).map(Vec::as_slice).unwrap_or_default();
         let mut best: Option<(f64, &ServerState)> = None;
         let mut full = FullServers::default();
+        let mut least_wait: Option<(Duration, EngineLoad)> = None;
         for (index, id) in ids.iter().enumerate() {
             let Some(state) = self.servers.get(id) else { continue };
             if !may_be_used(state) {
@@ -439,7 +459,14 @@
                 full.left_to_near += 1;
                 continue;
             }
-            match self.cost(now, state, query) {
+            let cost = self.cost(now, state, query);
+            if let (Ok(_) | Err(PassedOver::Late(_)), Some(engine)) = (cost, query.engine) {
+                let (wait, load) = (self.predict(state, engine), self.load(state));
+                if least_wait.is_none_or(|(least, _)| wait < least) {
+                    least_wait = Some((wait, load));
+                }
+            }
+            match cost {
                 Ok(cost) => {
                     let spread = match self.is_near(state) {
                         true => EQUALS_SPREAD,
@@ -455,9 +482,12 @@
                 Err(PassedOver::Unfit) => {}
             }
         }
+        let least_load = least_wait.map(|(_, load)| load);
         match best {
-            Some((_, state)) => ServerChoice::Server(self.chosen(state, query)),
-            None if full.any() => ServerChoice::Full(full),
+            Some((_, state)) => {
+                ServerChoice::Server(ChosenServer { least_load, ..self.chosen(state, query) })
+            }
+            None if full.any() => ServerChoice::Full(FullServers { least_load, ..full }),
             None => ServerChoice::Nobody,
         }
     }
@@ -471,6 +501,7 @@
             own: state.own,
             others: self.others.get(&state.key).copied().unwrap_or_default(),
             predicted: query.engine.map(|engine| self.predict(state, engine)),
+            least_load: None,
             limit: self.limit(state, query),
             version: whole_version(state, layers),
         }
--- a/crates/core/tests/sizes.rs
+++ b/crates/core/tests/sizes.rs
@@ -25,12 +25,14 @@
         server_table::{
             ChosenServer, EngineQuery, ServerChoice, ServerOutcome, ServerQuery, ServerTable,
         },
+        shedding::{LoadShedder, NewRequest, RequestLot},
         size_class::SizeClass,
     },
     time::Moment,
 };
 use headlatch_types::{
     id::DomainId,
+    request::RequestDigest,
     traffic::{EngineFigures, HeldLayers, HeldModel, ServerId, ServerRecord, WeightVersion},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -39,6 +41,10 @@
 /// which users call large requests unserved.
 const LEAST_RELATIVE: f64 = 0.75;
 
+/// Most of those served that may be late because they were refused at first: the aim is that nearly
+/// all of them are let in at their first coming.
+const MOST_LATE: f64 = 0.25;
+
 /// Time after which entries of a failure domain know each other's loads.
 const TELLING_TIME: Duration = Duration::from_millis(5);
 
@@ -92,6 +98,10 @@
     prompt: u64,
     answer: u64,
     entry: usize,
+    /// What the caller sends, which tells that the same request comes again.
+    content: RequestDigest,
+    /// It has been refused once.
+    came_back: bool,
     server: Option<ChosenServer>,
     first: Option<Moment>,
 }
@@ -145,6 +155,12 @@
     figures: EngineFigures,
     engines: Vec<Engine>,
     tables: Vec<ServerTable>,
+    /// What refuses a part of the requests at each entry.
+    shedders: Vec<LoadShedder>,
+    /// Whether callers come back once after a refusal.
+    callers_return: bool,
+    /// Those who will, and when.
+    returning: Vec<(Moment, Job)>,
     outcomes: Vec<KindOutcome>,
     random: SmallRng,
     now: Moment,
@@ -211,6 +227,9 @@
         Self {
             rate: capacity(&figures, engines) * load,
             tables: (0..entries).map(|_| table()).collect(),
+            shedders: (0..entries).map(|_| LoadShedder::default()).collect(),
+            callers_return: false,
+            returning: Vec::new(),
             engines: (0..engines).map(|_| Engine::default()).collect(),
             outcomes: KINDS.iter().map(|_| KindOutcome::default()).collect(),
             random: SmallRng::seed_from_u64(seed),
@@ -226,6 +245,7 @@
             let chance = self.rate * TICK.as_secs_f64();
             let arrivals = chance as usize + usize::from(self.random.random_bool(chance.fract()));
             (0..arrivals).for_each(|_| self.arrive());
+            self.come_back();
             if self.now.since(told) >= TELLING_TIME {
                 told = self.now;
                 self.tell_loads();
@@ -255,9 +275,25 @@
             prompt: (self.size(prompt) as u64).clamp(40, KINDS[kind].most_prompt),
             answer: (self.size(answer) as u64).clamp(5, 250),
             entry: self.random.random_range(0..self.tables.len()),
+            content: RequestDigest(self.random.random()),
+            came_back: false,
             server: None,
             first: None,
         };
+        self.ask(job);
+    }
+
+    /// Has those ask again whose time has come.
+    fn come_back(&mut self) {
+        let now = self.now;
+        let due = self.returning.extract_if(.., |(at, _)| *at <= now);
+        let due: Vec<Job> = due.map(|(_, job)| job).collect();
+        due.into_iter().for_each(|job| self.ask(job));
+    }
+
+    /// Asks an entry, as an entry decides.
+    fn ask(&mut self, job: Job) {
+        let kind = job.kind;
         let work = EngineWork { prompt: job.prompt, objective: KINDS[kind].objective };
         let engine = EngineQuery { figures: &self.figures, work, continues: false };
         let query = ServerQuery {
@@ -267,13 +303,26 @@
             tried: &[],
             draw: self.random.random(),
         };
-        match self.tables[job.entry].choose(self.now, &query) {
-            ServerChoice::Server(server) => {
+        let choice = self.tables[job.entry].choose(self.now, &query);
+        let new = NewRequest {
+            service: &"llm".into(),
+            figures: &self.figures,
+            objective: work.objective,
+            lot: RequestLot::new(job.content, self.now.since(Moment::ZERO)),
+        };
+        let shed = self.shedders[job.entry].refuses(self.now, &new, choice.engine_room());
+        match choice {
+            ServerChoice::Server(server) if shed.is_none() => {
                 self.tables[job.entry].begin(&server.id, job.prompt);
                 let index = (0..self.engines.len()).find(|index| server_id(*index) == server.id);
                 let engine = &mut self.engines[index.expect("it is one of them")];
                 engine.queue.push_back(Job { server: Some(server), ..job });
             }
+            _ if self.callers_return && !job.came_back => {
+                let rest = Duration::from_millis(self.random.random_range(700..1700));
+                let entry = self.random.random_range(0..self.tables.len());
+                self.returning.push((self.now + rest, Job { came_back: true, entry, ..job }));
+            }
             _ => self.outcomes[kind].fates.push((job.prompt, false, false)),
         }
     }
@@ -371,6 +420,29 @@
     }
 }
 
+#[gtest]
+fn kinds_are_served_alike_past_capacity() {
+    for (entries, load) in PAST_CAPACITY {
+        let world = World::new(12, entries, load, 1).run(Duration::from_secs(60));
+        let shares: Vec<f64> = world.outcomes.iter().map(KindOutcome::all).collect();
+        let mean = shares.iter().sum::<f64>() / shares.len() as f64;
+        expect_that!(shares, each(ge(&(mean * LEAST_RELATIVE))), "{:#?}", world.table());
+    }
+}
+
+#[gtest]
+fn callers_who_come_back_take_few_places() {
+    for (entries, load) in PAST_CAPACITY {
+        let mut world = World::new(12, entries, load, 1);
+        world.callers_return = true;
+        let world = world.run(Duration::from_secs(60));
+        world.check_large_ones_are_served();
+        for outcome in &world.outcomes {
+            expect_that!(outcome.late(), le(MOST_LATE), "{:#?}", world.table());
+        }
+    }
+}
+
 #[gtest]
 fn few_are_refused_while_engines_have_room() {
     let world = World::new(12, 6, 0.6, 1).run(Duration::from_secs(60));
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -7,6 +7,7 @@
         server_table::{
             ChosenServer, EngineQuery, FullServers, ServerChoice, ServerOutcome, ServerQuery,
         },
+        shedding::{NewRequest, RequestLot},
         suspects::{EndedRun, QUARANTINE_TIME},
     },
     time::Moment,
@@ -30,11 +31,14 @@
     relay, server_end,
     state::EntryState,
 };
-use crate::{decisions, metrics::RequestStep};
+use crate::{decisions, metrics::RequestStep, timer::unix_time};
 
 /// Cause of a refusal of what servers ended under.
 const QUARANTINED: &str = "quarantined";
 
+/// Cause of a refusal by lot while engines are full.
+const LOAD_SHED: &str = "load_shed";
+
 /// Servers that one request reaches at most, those that refused it among them.
 const MOST_ARRIVALS: u32 = 4;
 
@@ -173,6 +177,22 @@
         self.state.servers().choose(self.state.now(), &query)
     }
 
+    /// The part of the new requests that is refused, if this one belongs to it. What has been sent once
+    /// has been let in.
+    fn shed_share(&self, choice: &ServerChoice) -> Option<f64> {
+        let (figures, work) = self.request.engine.as_ref().zip(self.request.work())?;
+        if !self.tried.is_empty() {
+            return None;
+        }
+        let request = NewRequest {
+            service: &self.request.service,
+            figures,
+            objective: work.objective,
+            lot: RequestLot::new(self.request.digests.without_query, unix_time()),
+        };
+        self.state.shedder().refuses(self.state.now(), &request, choice.engine_room())
+    }
+
     /// Whether the request may be sent to one more server.
     fn has_attempts(&self) -> bool {
         self.has_attempts_after(0)
@@ -211,7 +231,12 @@
         if !self.has_attempts() {
             return Err("attempts_used");
         }
-        let server = match self.choose() {
+        let choice = self.choose();
+        if let Some(share) = self.shed_share(&choice) {
+            self.log("load_shed", json!({ "share": share }));
+            return Err(LOAD_SHED);
+        }
+        let server = match choice {
             ServerChoice::Server(server) => server,
             ServerChoice::Full(full) => {
                 self.log("servers_full", describe_full(&full));
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -20,6 +20,7 @@
         route_table::RouteTable,
         server_copy::{GoneServer, MarkedRecord, ServerChanges, ServerCopy},
         server_table::{ContinuationLimits, ServerTable},
+        shedding::LoadShedder,
         size_class::SizeRanks,
         weight_deadline::WeightDeadlines,
     },
@@ -81,6 +82,8 @@
     servers: Mutex<ServerTable>,
     weights: Mutex<WeightDeadlines>,
     retries: Mutex<RetryShare>,
+    /// Which part of the requests is refused while engines are full.
+    shedder: Mutex<LoadShedder>,
     /// Sizes of requests, by route.
     sizes: Mutex<SizeRanks>,
     peers: Mutex<PeerTable>,
@@ -251,6 +254,7 @@
             servers: Mutex::new(servers),
             weights: Mutex::default(),
             retries: Mutex::new(RetryShare::new(budget, start)),
+            shedder: Mutex::default(),
             sizes: Mutex::default(),
             peers: Mutex::new(peers),
             load_news: Notify::new(),
@@ -316,6 +320,11 @@
         lock(&self.retries)
     }
 
+    /// What refuses a part of the requests while engines are full.
+    pub fn shedder(&self) -> MutexGuard<'_, LoadShedder> {
+        lock(&self.shedder)
+    }
+
     /// The sizes of requests seen lately.
     pub fn sizes(&self) -> MutexGuard<'_, SizeRanks> {
         lock(&self.sizes)
