Have the next entries relay where a failure domain's relays are cut one way

Cause: a failure domain hears others, and is heard, through its two relays alone, and a relay that is cut one way goes on saying that it lives; nobody compared what was told with what came. Change: relays tell each other whom they hear themselves. Where that echo or the other's bundles stay away, the next two entries are told as well and relay for as long as others ask them; loads summed by a relay that does not hear are left out.

--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -460,21 +460,26 @@
         (rank < RELAYS && self.peers.len() >= self.mesh_limit).then_some(rank)
     }
 
-    /// The entries of each other failure domain that relay there: the first by address of those that
-    /// were heard of lately, or of all if none was.
-    pub fn far_relays(&self, now: Moment) -> Vec<SocketAddr> {
+    /// The entries of each other failure domain in the order in which they relay there: by address, of
+    /// those that were heard of lately, or of all if none was.
+    pub fn far_entries(&self, now: Moment) -> Vec<Vec<SocketAddr>> {
         let mut relays: BTreeMap<DomainKey, (Vec<SocketAddr>, Vec<SocketAddr>)> = BTreeMap::new();
         let entries = self.living().filter(|peer| peer.notice.kind == PeerKind::Entry);
         for peer in entries.filter(|peer| !self.is_near(peer)) {
             let (fresh, old) = relays.entry(peer.notice.domain).or_default();
             let is_fresh = now.since(peer.heard) <= FRESH_RELAY;
             let known = if is_fresh { fresh } else { old };
-            if known.len() < RELAYS {
-                known.push(peer.notice.from);
-            }
+            known.push(peer.notice.from);
         }
         let chosen = relays.into_values();
-        chosen.flat_map(|(fresh, old)| if fresh.is_empty() { old } else { fresh }).collect()
+        chosen.map(|(fresh, old)| if fresh.is_empty() { old } else { fresh }).collect()
+    }
+
+    /// Whether somebody of the own failure domain was heard a moment ago, so that silence of others is
+    /// not this process's own.
+    pub fn hears_near(&self, now: Moment) -> bool {
+        let heard = self.domains_heard.get(&self.domain);
+        heard.is_some_and(|heard| now.since(*heard) <= DOMAIN_SILENCE)
     }
 
     /// Peers to name to one that has just been found in `domain`: those that relay there first.
--- a/crates/core/src/direct/relays.rs
+++ b/crates/core/src/direct/relays.rs
@@ -74,12 +74,15 @@
     pub notices: Vec<RelayedNotice>,
     /// What entries of its failure domain say of servers.
     pub drains: Vec<DrainSum>,
+    /// Relays of other failure domains that it hears itself, and how long ago.
+    pub hears: Vec<RosterMember>,
 }
 
 impl PeerBundle {
     /// A bundle with nothing in it.
     pub fn empty(from: SocketAddr, domain: DomainKey) -> Self {
-        Self { from, domain, rosters: Vec::new(), notices: Vec::new(), drains: Vec::new() }
+        let (rosters, notices, drains) = (Vec::new(), Vec::new(), Vec::new());
+        Self { from, domain, rosters, notices, drains, hears: Vec::new() }
     }
 
     /// Age of the last notice that the relay has from the process at `own`, if it lists it.
@@ -89,6 +92,130 @@
     }
 }
 
+/// Relays of one other failure domain that are told something at most, those among them that do not
+/// hear or are not heard: these are told on, so that they are known to be back.
+const MOST_TOLD: usize = 2 * RELAYS;
+
+/// Time that a relay of another failure domain has to answer before it is judged: it may have to begin.
+const FIRST_ANSWER: Duration = Duration::from_millis(2500);
+
+/// Silence after which such a relay is not heard; it says something every 100 ms.
+const FAR_RELAY_SILENCE: Duration = Duration::from_millis(1200);
+
+/// Age up to which such a relay counts as hearing this one: it says every 500 ms whom it hears, and two
+/// such words are lost.
+const FAR_ECHO_LIFE: Duration = Duration::from_millis(1800);
+
+/// Time for which relays of other failure domains must have told an entry something before it relays
+/// whatever its rank: while processes start, these take anybody for a relay for a moment.
+const ASKED_TIME: Duration = Duration::from_millis(1000);
+
+/// What a relay knows of one of another failure domain.
+#[derive(Debug, Clone, Copy, Default)]
+struct FarMarks {
+    /// When it was first told something, if it is told something now.
+    told_since: Option<Moment>,
+    /// When it was last told something.
+    told: Moment,
+    /// When it was last heard, not by way of others.
+    heard: Option<Moment>,
+    /// When it last heard this one, as far as it has said.
+    hears_me: Option<Moment>,
+}
+
+impl FarMarks {
+    fn note_told(&mut self, now: Moment) {
+        if now.since(self.told) > FAR_RELAY_SILENCE {
+            self.told_since = None;
+        }
+        self.told = now;
+        self.told_since.get_or_insert(now);
+    }
+
+    /// Whether what is told goes both ways, or may not have come back yet.
+    fn is_sound(&self, now: Moment) -> bool {
+        let within = |at: Option<Moment>, age: Duration| at.is_some_and(|at| now.since(at) <= age);
+        let answers = within(self.heard, FAR_RELAY_SILENCE) && within(self.hears_me, FAR_ECHO_LIFE);
+        answers || within(self.told_since, FIRST_ANSWER)
+    }
+}
+
+/// The relays of other failure domains, as one relay tells and hears them.
+///
+/// A relay that is cut one way goes on saying that it lives, and its failure domain hears others, or is
+/// heard by them, through its relays alone. So relays tell each other whom they hear; where that does
+/// not come back, the next entries of the failure domain are told as well, and these relay for as long.
+#[derive(Debug, Clone, Default)]
+pub struct FarRelays {
+    marks: BTreeMap<SocketAddr, FarMarks>,
+    /// Since when relays of other failure domains have told this entry something, and the last time.
+    asked: Option<(Moment, Moment)>,
+}
+
+impl FarRelays {
+    /// Takes in a bundle that a relay of another failure domain has sent to `own`.
+    pub fn note(&mut self, now: Moment, own: SocketAddr, bundle: &PeerBundle) {
+        let marks = self.marks.entry(bundle.from).or_default();
+        marks.heard = Some(now);
+        let echo = bundle.hears.iter().find(|member| member.address == own);
+        marks.hears_me = marks.hears_me.max(echo.map(|member| now - member.age));
+        self.asked = match self.asked {
+            Some((since, last)) if now.since(last) <= ASKED_TIME => Some((since, now)),
+            _ => Some((now, now)),
+        };
+    }
+
+    /// Whether a relay is told something and is known not to hear it.
+    pub fn is_deaf(&self, now: Moment, relay: SocketAddr) -> bool {
+        let marks = self.marks.get(&relay);
+        marks.is_some_and(|marks| marks.told_since.is_some() && !marks.is_sound(now))
+    }
+
+    /// Whether relays of other failure domains tell this entry what it is to hand on.
+    pub fn is_asked(&self, now: Moment) -> bool {
+        self.asked.is_some_and(|(since, last)| {
+            now.since(last) <= ASKED_TIME && now.since(since) >= ASKED_TIME
+        })
+    }
+
+    /// Whom to tell, of the `entries` of each other failure domain in the order in which they relay. One
+    /// that hears nobody itself (`judges` is not set) takes nobody for deaf or mute.
+    pub fn choose(
+        &mut self,
+        now: Moment,
+        entries: &[Vec<SocketAddr>],
+        judges: bool,
+    ) -> Vec<SocketAddr> {
+        let mut chosen = Vec::new();
+        for domain in entries {
+            let mut sound = 0;
+            for entry in domain.iter().take(MOST_TOLD) {
+                if sound == RELAYS {
+                    break;
+                }
+                let marks = self.marks.entry(*entry).or_default();
+                marks.note_told(now);
+                sound += usize::from(!judges || marks.is_sound(now));
+                chosen.push(*entry);
+            }
+        }
+        self.marks.retain(|_, marks| {
+            let heard = marks.heard.is_some_and(|heard| now.since(heard) <= FAR_ECHO_LIFE);
+            heard || now.since(marks.told) <= FAR_ECHO_LIFE
+        });
+        chosen
+    }
+
+    /// The relays that are heard, for these to know.
+    pub fn heard(&self, now: Moment) -> Vec<RosterMember> {
+        let heard = self.marks.iter().filter_map(|(address, marks)| {
+            let age = now.since(marks.heard?);
+            Some(RosterMember { address: *address, kind: PeerKind::Entry, age })
+        });
+        heard.filter(|member| member.age <= FAR_ECHO_LIFE).collect()
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct RelayMarks {
     heard: Moment,
--- a/crates/daemon/src/direct/datagram.rs
+++ b/crates/daemon/src/direct/datagram.rs
@@ -109,9 +109,15 @@
         rosters: bundle.rosters.iter().map(encode_roster).collect(),
         notices: bundle.notices.iter().map(notice).collect(),
         drains: bundle.drains.iter().map(drain).collect(),
+        hears: (!bundle.hears.is_empty()).then(|| encode_roster(&heard_roster(&bundle.hears))),
     }
 }
 
+/// What a relay hears itself, in the form of a roster.
+fn heard_roster(hears: &[RosterMember]) -> DomainRoster {
+    DomainRoster { domain: DomainKey::default(), members: hears.to_vec() }
+}
+
 fn decode_bundle(bytes: &[u8]) -> Option<PeerBundle> {
     let message = wire::PeerBundle::decode(bytes).ok()?;
     let notice = |relayed: wire::BundleNotice| {
@@ -134,6 +140,10 @@
         rosters: message.rosters.iter().map(decode_roster).collect::<Option<_>>()?,
         notices: message.notices.into_iter().map(notice).collect::<Option<_>>()?,
         drains: message.drains.iter().map(drain).collect::<Option<_>>()?,
+        hears: match &message.hears {
+            Some(heard) => decode_roster(heard)?.members,
+            None => Vec::new(),
+        },
     })
 }
 
--- a/crates/daemon/src/direct/entry_notices.rs
+++ b/crates/daemon/src/direct/entry_notices.rs
@@ -4,7 +4,7 @@
 
 use headlatch_core::direct::{
     peers::{DomainKey, LoadNotice, NAMED_PEERS, NoticeOutcome, PeerKind, PeerNotice},
-    relays::{HeardRelays, PeerBundle},
+    relays::{HeardRelays, PeerBundle, RELAYS},
 };
 use headlatch_types::traffic::PlanVersion;
 use rand::Rng;
@@ -120,14 +120,16 @@
         if self.reach == NoticeReach::Mesh {
             // The full list that goes out tells the changes as well.
             let _ = self.state.servers().take_changes();
-            let body = entry_body(&self.state);
+            let body = entry_body(&self.state, false);
             let mails = self.writer.tick(&self.state.peers(), body);
             return self.send(&mails);
         }
         if self.writer.is_change_turn() {
             self.tell_changes();
         }
-        let body = entry_body(&self.state);
+        // An entry that others ask to relay speaks for its failure domain beside the first one.
+        let is_asked = matches!(self.reach, NoticeReach::Relay(rank, _) if rank >= RELAYS);
+        let body = entry_body(&self.state, is_asked);
         if let NoticeReach::Relay(rank, _) = self.reach {
             let mails = self.relay_mails(rank, body.clone(), BundleWriter::turn);
             self.send(&mails);
@@ -159,6 +161,7 @@
     fn choose_reach(&mut self) {
         let usable = self.relays.usable(self.state.now());
         let rank = self.state.peers().relay_rank();
+        let rank = self.bundles.rank(self.state.now(), rank);
         let reach = match rank {
             Some(rank) => NoticeReach::Relay(rank, usable),
             None if usable.is_empty() => NoticeReach::Mesh,
@@ -195,13 +198,14 @@
         }
     }
 
-    fn hear_bundle(&mut self, bundle: PeerBundle) -> Option<ReplyDue> {
+    fn hear_bundle(&mut self, mut bundle: PeerBundle) -> Option<ReplyDue> {
         let state = self.state.clone();
         let now = state.now();
         let own = state.settings.node.control;
         if bundle.domain == DomainKey::from(&state.settings.node.domain) {
             self.relays.note(now, bundle.from, bundle.age_of(own));
         }
+        self.bundles.hear(now, own, &mut bundle);
         for roster in &bundle.rosters {
             state.peers().hear_roster(now, roster);
         }
@@ -243,12 +247,13 @@
     }
 }
 
-/// What an entry tells at a tick.
-fn entry_body(state: &EntryState) -> NoticeBody {
+/// What an entry tells at a tick; with `speaks`, what its failure domain has in progress as well, whatever
+/// its place there.
+fn entry_body(state: &EntryState, speaks: bool) -> NoticeBody {
     let loads = state.servers().own_loads();
     let drains = state.drains();
     let peers = state.peers();
-    let domain_loads = peers.speaks_for_domain().then(|| {
+    let domain_loads = (speaks || peers.speaks_for_domain()).then(|| {
         let mut sums = peers.near_loads();
         for own in &loads {
             let sum = sums.entry(own.server).or_default();
--- a/crates/daemon/src/direct/relay_mail.rs
+++ b/crates/daemon/src/direct/relay_mail.rs
@@ -10,7 +10,7 @@
     direct::{
         peers::{DomainKey, DrainNotice, DrainReport, Peer, PeerKind, PeerNotice, PeerTable},
         relay_outbox::{DueNotices, RelayOutbox},
-        relays::{DomainRoster, DrainSum, PeerBundle, RelayedNotice},
+        relays::{DomainRoster, DrainSum, FarRelays, PeerBundle, RELAYS, RelayedNotice},
     },
     time::Moment,
 };
@@ -57,12 +57,43 @@
     turn: u64,
     outbox: RelayOutbox,
     told_drains: BTreeMap<SocketAddr, DrainReport>,
+    far_relays: FarRelays,
 }
 
 impl BundleWriter {
     /// The writer of a relay in `domain` that has told nothing yet.
     pub fn new(domain: DomainKey) -> Self {
-        Self { domain, turn: 0, outbox: RelayOutbox::default(), told_drains: BTreeMap::new() }
+        Self {
+            domain,
+            turn: 0,
+            outbox: RelayOutbox::default(),
+            told_drains: BTreeMap::new(),
+            far_relays: FarRelays::default(),
+        }
+    }
+
+    /// Takes in a bundle that came to `own`, and takes out what its sender cannot know.
+    pub fn hear(&mut self, now: Moment, own: SocketAddr, bundle: &mut PeerBundle) {
+        if bundle.domain == self.domain {
+            return;
+        }
+        self.far_relays.note(now, own, bundle);
+        // Whoever hears nobody sums up loads that its failure domain no longer has.
+        if self.far_relays.is_deaf(now, bundle.from) {
+            bundle.notices.iter_mut().for_each(|relayed| relayed.notice.domain_loads = None);
+        }
+    }
+
+    /// The rank with which an entry relays that has this one by its address: other failure domains may
+    /// ask an entry to relay because those before it do not hear or are not heard.
+    pub fn rank(&self, now: Moment, by_address: Option<usize>) -> Option<usize> {
+        by_address.or_else(|| self.far_relays.is_asked(now).then_some(RELAYS))
+    }
+
+    /// The relays of other failure domains that are told something now.
+    fn far_targets(&mut self, view: &RelayView<'_>) -> Vec<SocketAddr> {
+        let entries = view.peers.far_entries(view.now);
+        self.far_relays.choose(view.now, &entries, view.peers.hears_near(view.now))
     }
 
     /// What is due at a regular turn, every 100 ms.
@@ -86,7 +117,7 @@
         let outward = self.bundle(view, Vec::new(), due.near_agents);
         mails.extend(mail(agents, members(view, PeerKind::Agent)));
         mails.extend(mail(entries, members(view, PeerKind::Entry)));
-        mails.extend(mail(outward, view.peers.far_relays(view.now)));
+        mails.extend(mail(outward, self.far_targets(view)));
         mails.extend(self.newcomer_mails(view));
         mails.extend(self.new_relay_mails(view));
         mails
@@ -95,7 +126,8 @@
     /// Everything that is known of the own failure domain, for relays of others that have just become
     /// known.
     fn new_relay_mails(&mut self, view: &RelayView<'_>) -> Vec<NoticeMail> {
-        let new = self.outbox.take_new_relays(&view.peers.far_relays(view.now));
+        let told = self.far_targets(view);
+        let new = self.outbox.take_new_relays(&told);
         if new.is_empty() {
             return Vec::new();
         }
@@ -157,10 +189,11 @@
         mails
     }
 
-    fn outward_mail(&self, view: &RelayView<'_>, due: &DueNotices) -> Vec<NoticeMail> {
-        let mut rosters = Vec::new();
+    fn outward_mail(&mut self, view: &RelayView<'_>, due: &DueNotices) -> Vec<NoticeMail> {
+        let (mut rosters, mut hears) = (Vec::new(), Vec::new());
         if self.turn.is_multiple_of(OUTWARD_ROSTER_TURNS) {
             rosters.push(view.peers.roster(view.now, self.domain, view.own.kind));
+            hears = self.far_relays.heard(view.now);
         }
         if self.turn.is_multiple_of(FAR_ROSTER_TURNS) {
             // A relay may not have heard of some failure domain yet.
@@ -169,7 +202,8 @@
         }
         let own = RelayedNotice { notice: view.own.clone(), age: Duration::ZERO };
         let notices = [due.near_agents.as_slice(), &[own]].concat();
-        mail(self.bundle(view, rosters, notices), view.peers.far_relays(view.now))
+        let bundle = PeerBundle { hears, ..self.bundle(view, rosters, notices) };
+        mail(bundle, self.far_targets(view))
     }
 
     /// What the entries of the own failure domain say of servers that are about to change, for the
@@ -229,10 +263,10 @@
     if bytes.len() <= MOST_BUNDLE || bundle.rosters.len() + bundle.notices.len() <= 1 {
         return vec![bytes];
     }
-    let PeerBundle { from, domain, mut rosters, mut notices, drains } = bundle;
+    let PeerBundle { from, domain, mut rosters, mut notices, drains, hears } = bundle;
     let later_rosters = rosters.split_off(rosters.len().div_ceil(2));
     let later_notices = notices.split_off(notices.len() / 2);
-    let first = PeerBundle { from, domain, rosters, notices, drains };
+    let first = PeerBundle { from, domain, rosters, notices, drains, hears };
     let rest = PeerBundle {
         rosters: later_rosters,
         notices: later_notices,
--- a/crates/daemon/tests/relays.rs
+++ b/crates/daemon/tests/relays.rs
@@ -40,6 +40,9 @@
     Deaf,
     /// Other failure domains do not hear it.
     MuteFar,
+    /// It hears nothing, and other failure domains do not hear it: it is as good as paused, but says
+    /// near by that it lives.
+    DeafAndMuteFar,
 }
 
 struct Process {
@@ -123,7 +126,8 @@
             ..NoticeBody::default()
         };
         let relays = self.relays.usable(now);
-        let rank = self.peers.relay_rank().filter(|_| self.kind == PeerKind::Entry);
+        let rank = self.bundles.rank(now, self.peers.relay_rank());
+        let rank = rank.filter(|_| self.kind == PeerKind::Entry);
         let mut mails = Vec::new();
         if let Some(rank) = rank {
             let own = self.writer.facts(body.clone());
@@ -156,7 +160,8 @@
                     NoticeMail { bytes, targets: vec![from] }
                 })
             }
-            Datagram::Bundle(bundle) => {
+            Datagram::Bundle(mut bundle) => {
+                self.bundles.hear(now, self.address, &mut bundle);
                 if bundle.domain == self.domain {
                     self.relays.note(now, bundle.from, bundle.age_of(self.address));
                 }
@@ -245,7 +250,24 @@
 
     fn is_cut(&self, from: usize, to: usize) -> bool {
         let (from, to) = (&self.processes[from], &self.processes[to]);
-        to.cut == LinkCut::Deaf || (from.cut == LinkCut::MuteFar && from.domain != to.domain)
+        let is_deaf = matches!(to.cut, LinkCut::Deaf | LinkCut::DeafAndMuteFar);
+        let is_mute = matches!(from.cut, LinkCut::MuteFar | LinkCut::DeafAndMuteFar);
+        is_deaf || (is_mute && from.domain != to.domain)
+    }
+
+    /// Cuts the first `count` entries of failure domain 2 in one way, whether they relay or not.
+    fn cut_entries(&mut self, count: usize, cut: LinkCut) {
+        for last in (1..).step_by(2).take(count) {
+            let nth = self.index[&address(2, last)];
+            self.processes[nth].cut = cut;
+        }
+    }
+
+    /// Entries that relay because others ask them to, beyond the two of each failure domain.
+    fn asked_relays(&self) -> usize {
+        let entries = self.processes.iter().filter(|one| one.kind == PeerKind::Entry);
+        let by_address = |one: &&Process| one.peers.relay_rank().is_none();
+        entries.filter(by_address).filter(|one| one.bundles.rank(self.now, None).is_some()).count()
     }
 
     /// Cuts the first `count` relays of failure domain 2 in one way.
@@ -424,6 +446,63 @@
     expect_others_unharmed(2, LinkCut::MuteFar);
 }
 
+/// Expects that nobody who is not cut is lost for `ticks`, where `cut` entries are.
+fn expect_known(world: &mut World, cut: usize, ticks: usize, what: &str) {
+    for tick in 0..ticks {
+        world.run(TICK);
+        expect_that!(world.least_known_uncut(), ge(199 - cut), "{what}, tick {tick}");
+    }
+}
+
+#[gtest]
+fn others_go_on_beside_relays_that_are_as_good_as_paused() {
+    for (seed, count) in [(9, 1), (10, 2)] {
+        let mut world = World::new(200, seed);
+        world.run(Duration::from_secs(6));
+        world.cut_entries(count, LinkCut::DeafAndMuteFar);
+        expect_known(&mut world, count, 100, &format!("{count}"));
+        let told = world.agents_that_hear_a_change(Duration::from_millis(2500));
+        expect_that!(told, eq(80), "{count}");
+    }
+}
+
+#[gtest]
+fn others_go_on_beside_three_entries_that_are_cut_one_way() {
+    for cut in [LinkCut::Deaf, LinkCut::MuteFar] {
+        let mut world = World::new(200, 11);
+        world.run(Duration::from_secs(6));
+        world.cut_entries(3, cut);
+        expect_known(&mut world, 3, 100, &format!("{cut:?}"));
+    }
+}
+
+#[gtest]
+fn others_go_on_while_both_directions_are_cut_in_turn() {
+    let mut world = World::new(200, 12);
+    world.run(Duration::from_secs(6));
+    for cut in [LinkCut::Deaf, LinkCut::MuteFar, LinkCut::Deaf] {
+        world.cut_relays(2, cut);
+        expect_known(&mut world, 2, 60, &format!("{cut:?}"));
+    }
+}
+
+#[gtest]
+fn entries_relay_beyond_two_only_while_others_ask_them() {
+    for seed in 13..=15 {
+        let mut world = World::new(200, seed);
+        for _ in 0..80 {
+            world.run(TICK);
+            expect_that!(world.asked_relays(), eq(0), "seed {seed}, {}", world.now);
+        }
+        world.cut_entries(2, LinkCut::MuteFar);
+        world.run(Duration::from_secs(6));
+        expect_that!(world.asked_relays(), eq(2), "seed {seed}");
+        world.cut_entries(2, LinkCut::None);
+        world.run(Duration::from_secs(5));
+        expect_that!(world.asked_relays(), eq(0), "seed {seed}");
+    }
+}
+
 /// Entries of two failure domains saw one end each of two under the same request; all entries refuse it,
 /// by what relays tell, well within the three seconds that they have, and one that starts later as well.
 #[gtest]
--- a/crates/wire/src/bundle.rs
+++ b/crates/wire/src/bundle.rs
@@ -63,4 +63,7 @@
     /// What entries say of servers that are about to change.
     #[prost(message, repeated, tag = "5")]
     pub drains: Vec<BundleDrain>,
+    /// Relays of other failure domains that it hears itself; the domain is not said.
+    #[prost(message, optional, tag = "6")]
+    pub hears: Option<BundleRoster>,
 }
