Test over sockets what a full engine gets, and what is counted

Cause: refusals by lot and the counters by size had tests in virtual time and of logs alone. Change: an entry before one full engine: it gets its slots and two more, every step of 40 requests is counted once, and nothing is refused on once it is free; a bundle's heard relays are read as written.

--- a/crates/daemon/tests/datagram.rs
+++ b/crates/daemon/tests/datagram.rs
@@ -29,6 +29,7 @@
         rosters: vec![DomainRoster { domain, members }],
         notices: vec![RelayedNotice { notice, age: Duration::from_millis(120) }],
         drains: vec![DrainSum { server: address(9), report }],
+        hears: vec![member(12, PeerKind::Entry, 30)],
         ..PeerBundle::empty(address(1), domain)
     }
 }
--- /dev/null
+++ b/crates/daemon/tests/load_shedding.rs
@@ -0,0 +1,117 @@
+//! An entry before one engine that is full: what it refuses, what it counts, and when that ends.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use googletest::prelude::*;
+use headlatch_core::direct::size_class::SizeClass;
+use headlatch_daemon::{direct::entry::DirectEntry, metrics::RequestStep};
+use headlatch_outside::facts::{Fact, FactTopic};
+use headlatch_types::traffic::{
+    EngineFigures, HeldModel, Route, RouteKind, ServerRecord, ServicePlan, TrafficPlan,
+    WeightVersion,
+};
+use http::StatusCode;
+use support::{
+    TestHeaders, TestStore, ask, paced::EventPace, plan, record, route, server::TestServer,
+    settings,
+};
+
+/// Slots of the engine; two more requests may wait there.
+const SLOTS: u32 = 4;
+
+/// Requests that come together.
+const REQUESTS: u64 = 40;
+
+/// An entry before one engine whose streams take one second.
+struct Setting {
+    entry: DirectEntry,
+    /// Kept for as long as requests may come.
+    _engine: TestServer,
+}
+
+impl Setting {
+    async fn new() -> Self {
+        let figures = EngineFigures {
+            slots: SLOTS,
+            step_ms: 7.0,
+            stride: 7,
+            read_per_second: 30_000.0,
+            usual_prompt: 300,
+            usual_answer: 100,
+            ..EngineFigures::default()
+        };
+        let service = ServicePlan { engine: Some(figures), ..ServicePlan::default() };
+        let stream = Route { objective_ms: 500, ..route("stream", RouteKind::Stream) };
+        let services = [("s".into(), service)].into();
+        let plan = TrafficPlan { services, routes: vec![stream], ..plan(5) };
+        let pace = EventPace { gap: Duration::from_millis(50), ..EventPace::default() };
+        let engine = TestServer::start(pace).await;
+        let model = "m".parse().expect("a name");
+        let held = HeldModel { model, version: WeightVersion(1), layers: Vec::new() };
+        let server = ServerRecord { models: vec![held], ..record("i1", engine.address, "z1") };
+        let store = Arc::new(TestStore::default());
+        store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan)));
+        store.set(FactTopic::Servers, "i1", Fact::Server(server));
+        let entry = DirectEntry::start(settings(), store, Arc::new(TestHeaders)).await;
+        let entry = entry.expect("it starts");
+        while !entry.state.is_ready() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        Self { entry, _engine: engine }
+    }
+
+    /// Statuses of requests with other contents each, that come together.
+    async fn ask_together(&self) -> Vec<StatusCode> {
+        let address = self.entry.address;
+        let asking = (0..REQUESTS).map(|nth| {
+            tokio::spawn(async move {
+                let answer = ask(address, &format!("/stream/{nth}"), "k").await;
+                answer.expect("an answer").status
+            })
+        });
+        let mut statuses = Vec::new();
+        for one in asking.collect::<Vec<_>>() {
+            statuses.push(one.await.expect("it does not panic"));
+        }
+        statuses
+    }
+
+    /// Requests of any size that have come this far.
+    fn counted(&self, step: RequestStep) -> u64 {
+        let metrics = &self.entry.state.metrics;
+        SizeClass::ALL.iter().map(|size| metrics.steps("stream", *size, step)).sum()
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_full_engine_gets_what_it_can_take_and_all_steps_are_counted() {
+    let setting = Setting::new().await;
+    let statuses = setting.ask_together().await;
+    let served = statuses.iter().filter(|status| **status == StatusCode::OK).count() as u64;
+    let refused =
+        statuses.iter().filter(|status| **status == StatusCode::SERVICE_UNAVAILABLE).count() as u64;
+    expect_that!(served + refused, eq(REQUESTS));
+    expect_that!(served, all![ge(1), le(u64::from(SLOTS) + 2)]);
+    expect_that!(setting.counted(RequestStep::Came), eq(REQUESTS));
+    expect_that!(setting.counted(RequestStep::Admitted), eq(served));
+    expect_that!(setting.counted(RequestStep::Refused), eq(refused));
+    let answered = setting.counted(RequestStep::InTime) + setting.counted(RequestStep::Late);
+    expect_that!(answered, eq(served));
+    let text = setting.entry.state.metrics.text();
+    expect_that!(text, contains_substring("headlatch_requests_by_size_total{"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn nothing_is_refused_any_more_once_the_engine_is_free() {
+    let setting = Setting::new().await;
+    setting.ask_together().await;
+    // All streams have ended; what was refused a moment ago must not be refused on.
+    for nth in 0..3 {
+        let answer = ask(setting.entry.address, &format!("/stream/later-{nth}"), "k").await;
+        expect_that!(answer.expect("an answer").status, eq(StatusCode::OK), "{nth}");
+    }
+}
