Let entries that start again use only the unused part of the retry budget for one window

Cause: an entry that starts again knew nothing of what its earlier life had sent, and retried by the ratio of its new requests at once. Where servers begin to refuse a few seconds before most entries are killed, these spend the ratio of ten seconds before their end and that of the next five seconds after it, in one window.

Change: until a window after another start has passed, both the part that requests earn and the slack are cut to the 15 in 100 that entries leave unused otherwise; one retry is always left, so that a stream that its server cuts short may go on. A window later everything earlier has left the count.

--- a/crates/core/src/direct/retry_share.rs
+++ b/crates/core/src/direct/retry_share.rs
@@ -8,16 +8,16 @@
 /// Part of the common budget that is used, in percent: entries do not count at the same moment.
 const USED_PERCENT: f64 = 85.0;
 
+/// What is left of the common budget by that, in percent.
+const UNUSED_PERCENT: f64 = 100.0 - USED_PERCENT;
+
 /// Time after the first start of the whole system in which little of the common slack is used: the
 /// other entries are not all known yet.
 const LEARNING_TIME: Duration = Duration::from_secs(3);
 
-/// The same after any other start.
-const RESTART_LEARNING_TIME: Duration = Duration::from_secs(1);
-
-/// Retries of the slack that an entry may use in that time: a stream that its server cuts short may go on
-/// elsewhere.
-const RESTART_LEARNING_SHARE: f64 = 1.0;
+/// Retries that an entry may use after any other start, whatever the budget leaves: a stream that its
+/// server cuts short may go on elsewhere.
+const LEAST_AFTER_RESTART: usize = 1;
 
 /// Retries of the slack that an entry may use in that time: 40 entries that start together use as
 /// many as half of the smallest slack known (214).
@@ -114,33 +114,38 @@
     }
 
     /// This entry's share of the slack.
-    ///
-    /// Until a window after another start has passed, what it and others sent before still counts. What
-    /// may be spent again by then is the part of the slack that nobody uses otherwise: entries that were
-    /// killed together would spend the rest twice.
     fn slack_share(&self, now: Moment, entries: usize) -> f64 {
         let (slack, running) = (self.budget.slack, now.since(Moment::ZERO));
-        let share = slack / entries as f64;
         match self.start {
             EntryStart::WithAllOthers if running < LEARNING_TIME => slack.min(LEARNING_SHARE),
-            EntryStart::Again if running < RESTART_LEARNING_TIME => {
-                slack.min(RESTART_LEARNING_SHARE)
-            }
-            EntryStart::Again if running < self.budget.window => {
-                (share * (100.0 - USED_PERCENT) / 100.0).min(LEARNING_SHARE)
-            }
-            _ => share,
+            _ => slack / entries as f64,
         }
     }
 
+    /// Whether retries that were sent before this entry's start still count.
+    ///
+    /// Entries that were killed together would spend the same budget twice, the part that requests earn as
+    /// well as the slack, and nobody is left to tell what has been spent. For as long they use only the part
+    /// of the budget that entries leave unused otherwise.
+    fn is_bound_by_earlier_lives(&self, now: Moment) -> bool {
+        let running = now.since(Moment::ZERO);
+        self.start == EntryStart::Again && running < self.budget.window
+    }
+
     /// Retries that are left in the share; `entries` are those known to live.
     pub fn left(&mut self, now: Moment, service: &str, entries: usize) -> usize {
         let budget = self.budget;
         let entries = self.most_entries(now, entries);
         let share = self.slack_share(now, entries);
+        let is_bound = self.is_bound_by_earlier_lives(now);
         let count = self.count(now, service);
         let own = budget.ratio * count.requests.len() as f64;
-        let allowed = (own + share) * USED_PERCENT / 100.0;
-        (allowed as usize).saturating_sub(count.retries.len())
+        let allowed = if is_bound {
+            let slack = (share * UNUSED_PERCENT / 100.0).min(LEARNING_SHARE);
+            ((own * UNUSED_PERCENT / 100.0 + slack) as usize).max(LEAST_AFTER_RESTART)
+        } else {
+            ((own + share) * USED_PERCENT / 100.0) as usize
+        };
+        allowed.saturating_sub(count.retries.len())
     }
 }
