--- a/crates/daemon/src/agent/swarm.rs
+++ b/crates/daemon/src/agent/swarm.rs
@@ -11,13 +11,17 @@
 };
 
 use bytes::Bytes;
-use headlatch_core::burst::{
-    ChunkSet, ChunkSource, FetchFailure, PeerKey, PeerSeat, SwarmAction, SwarmEvent, SwarmNote,
-    SwarmPlanner, SwarmSettings,
+use headlatch_core::{
+    burst::{
+        ChunkSet, ChunkSource, FetchFailure, PeerKey, PeerSeat, SwarmAction, SwarmEvent, SwarmNote,
+        SwarmPlanner, SwarmSettings,
+    },
+    time::Moment,
 };
 use headlatch_http::pace::LinkPacer;
 use headlatch_types::{ChunkIndex, Digest, Manifest};
 use headlatch_wire::{SwarmNotes, fetch_step::Step};
+use serde_json::json;
 use tokio::{sync::mpsc, task::AbortHandle};
 
 use super::{
@@ -25,7 +29,10 @@
     notes::NoteCarrier,
     vault::ChunkVault,
 };
-use crate::node::{NodeContext, codec};
+use crate::{
+    decisions,
+    node::{NodeContext, codec},
+};
 
 /// Events that wait for a driver; notes beyond are lost, which the protocol bears.
 const MOST_INPUTS: usize = 8192;
@@ -352,7 +359,12 @@
 impl ChunkFetch {
     async fn run(self, answers: mpsc::Receiver<Step>) {
         let (chunk, source) = (self.chunk, self.source);
-        let event = match self.bring_in(answers).await {
+        let begun = self.tools.node.now();
+        let brought = self.bring_in(answers).await;
+        if source == ChunkSource::Origin {
+            self.note_draw(begun, brought.err());
+        }
+        let event = match brought {
             Ok(()) => SwarmEvent::Verified { chunk, source },
             Err(failure) => SwarmEvent::Failed { chunk, source, failure },
         };
@@ -363,6 +375,17 @@
         let _ = self.inputs.send(DriverInput::Event(event)).await;
     }
 
+    /// Writes down what came of a draw: how many of them a burst takes, and how long each, is not seen
+    /// from any single box.
+    fn note_draw(&self, begun: Moment, failure: Option<FetchFailure>) {
+        let fields = json!({
+            "chunk": self.chunk.0, "manifest": self.manifest.digest().to_string(),
+            "took_ms": self.tools.node.now().since(begun).as_millis() as u64,
+            "failure": failure.map(failure_name),
+        });
+        decisions::note("weights", "drawn", fields);
+    }
+
     async fn bring_in(&self, answers: mpsc::Receiver<Step>) -> Result<(), FetchFailure> {
         let place = self.manifest.chunk(self.chunk).ok_or(FetchFailure::Absent)?;
         let data = self.read(place.length as usize, answers).await?;
--- a/crates/daemon/src/direct/seats.rs
+++ b/crates/daemon/src/direct/seats.rs
@@ -16,9 +16,9 @@
 use super::agent::{AgentState, lock};
 use crate::agent::swarm::peer_key;
 
-/// Silence of a whole failure domain after which its agents draw nothing for others: those that still
-/// count on them would lack the pieces until each of them is given up.
-const DOMAIN_SILENCE: Duration = Duration::from_millis(1000);
+/// Silence of a whole failure domain after which its agents draw nothing for others and have no turn before
+/// them: whoever still counts on them would wait until each of them is given up.
+pub(super) const DOMAIN_SILENCE: Duration = Duration::from_millis(1000);
 
 /// The agents of this server's service, this one among them: all of them come to hold the wanted
 /// version, also those that have not begun yet.
