--- a/crates/core/src/burst/draw_window.rs
+++ b/crates/core/src/burst/draw_window.rs
@@ -13,7 +13,7 @@
 const MOST_CHUNKS: u32 = 24;
 
 /// Fewest, with which the origin is asked whether it is back.
-const LEAST_CHUNKS: u32 = 4;
+const LEAST_CHUNKS: u32 = 8;
 
 /// The window as one box sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
