--- a/crates/core/src/burst/draw_window.rs
+++ b/crates/core/src/burst/draw_window.rs
@@ -3,8 +3,8 @@
 //! Answers the load of a fleet that has waited for the same outage of its origin, or whose origin is
 //! slower than it was said to be. Every box orders the missing chunks alike, and draws one that falls to
 //! it only if its place in that order lies within the window; so the bound holds over all boxes without a
-//! word between them. The window is that of congestion control: halved when the origin fails, and one
-//! wider with every chunk that comes, whoever has drawn it.
+//! word between them. The window is that of congestion control: halved when the origin fails, and wider
+//! with every chunk that comes, whoever has drawn it.
 
 use crate::time::Moment;
 
@@ -12,9 +12,12 @@
 /// come has gone around.
 const MOST_CHUNKS: u32 = 24;
 
-/// Fewest, with which the origin is asked whether it is back.
+/// Fewest: a few drawn at once keep the link of an origin full that is back.
 const LEAST_CHUNKS: u32 = 8;
 
+/// Chunks by which the window widens with each that comes.
+const GROWTH: u32 = 3;
+
 /// The window as one box sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct DrawWindow {
@@ -41,7 +44,7 @@
     /// A chunk has come: the origin works.
     pub(super) fn note_arrival(&mut self, now: Moment) {
         self.progressed = now;
-        self.chunks = (self.chunks + 3).min(MOST_CHUNKS);
+        self.chunks = (self.chunks + GROWTH).min(MOST_CHUNKS);
     }
 
     /// The origin has refused or failed a draw.
