Leave no retry where the budget has none, and at most a quarter of short times before older weights end

Change: the one retry is left only where there is slack; the margin before older weights end is at most a quarter of the time.

--- a/crates/core/src/direct/retry_share.rs
+++ b/crates/core/src/direct/retry_share.rs
@@ -15,7 +15,7 @@
 /// other entries are not all known yet.
 const LEARNING_TIME: Duration = Duration::from_secs(3);
 
-/// Retries that an entry may use after any other start, whatever the budget leaves: a stream that its
+/// Retries that an entry may use after any other start, if there is any slack at all: a stream that its
 /// server cuts short may go on elsewhere.
 const LEAST_AFTER_RESTART: usize = 1;
 
@@ -142,7 +142,8 @@
         let own = budget.ratio * count.requests.len() as f64;
         let allowed = if is_bound {
             let slack = (share * UNUSED_PERCENT / 100.0).min(LEARNING_SHARE);
-            ((own * UNUSED_PERCENT / 100.0 + slack) as usize).max(LEAST_AFTER_RESTART)
+            let least = LEAST_AFTER_RESTART.min(budget.slack as usize);
+            ((own * UNUSED_PERCENT / 100.0 + slack) as usize).max(least)
         } else {
             ((own + share) * USED_PERCENT / 100.0) as usize
         };
--- a/crates/core/src/direct/weight_deadline.rs
+++ b/crates/core/src/direct/weight_deadline.rs
@@ -13,10 +13,13 @@
 /// Time before the deadline at which servers with older weights stop work.
 const WORK_RESERVE: Duration = Duration::from_millis(400);
 
+/// Where there is little time to change, the margin is at most one of this many parts of it.
+const LEAST_PARTS: u32 = 4;
+
 /// How long older weights are sent requests after a newer version was wanted, where servers have `time`
 /// to change: entries stop then, and agents have their servers changed by then.
 pub fn sending_time(time: Duration) -> Duration {
-    time - START_MARGIN.min(time / 2)
+    time - START_MARGIN.min(time / LEAST_PARTS)
 }
 
 #[derive(Debug, Clone)]
