--- a/crates/core/src/burst/mod.rs
+++ b/crates/core/src/burst/mod.rs
@@ -362,7 +362,7 @@
 }
 
 impl SwarmSettings {
-    /// Settings that did best in the bench, for `chunks` chunks that take the given times.
+    /// The usual settings for `chunks` chunks that take the given times.
     pub fn new(chunks: u32, chunk_time: Duration, origin_chunk_time: Duration) -> Self {
         Self {
             prefer: BurstPreference::default(),
--- a/crates/core/src/direct/draining.rs
+++ b/crates/core/src/direct/draining.rs
@@ -23,9 +23,7 @@
 const LONGEST_DRAIN: Duration = Duration::from_millis(1700);
 
 /// Time after which streams that nobody could go on with are cut all the same: a usual answer has come
-/// to its end by then, and the server serves nothing new meanwhile. On six days of 22 to 60 s with
-/// changes beside full servers 43 streams were cut at 1.5 s; at 2.4 s fewer, with up to 5 % fewer
-/// whole answers.
+/// to its end by then, and the server serves nothing new meanwhile.
 const LONGEST_KEPT: Duration = Duration::from_millis(1500);
 
 /// Requests that are not waited for.
--- a/crates/core/src/direct/manifest_source.rs
+++ b/crates/core/src/direct/manifest_source.rs
@@ -3,15 +3,15 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-/// Agents that read a manifest from the origin at first: a quarter of the connections that the
-/// smallest origin known takes (48).
+/// Agents that read a manifest from the origin at first: an origin takes few connections, and draws need
+/// them as well.
 pub const FIRST_READERS: usize = 12;
 
 /// Time after which as many more may read it: a read takes a few round trips, and its news as long.
 const READER_PAUSE: Duration = Duration::from_millis(300);
 
-/// Agents that read a manifest from the origin at most: half of the connections that the smallest
-/// origin known takes. Where all machines start at once, more keep each other from having any.
+/// Agents that read a manifest from the origin at most. Where all machines start at once, more keep each
+/// other from having any.
 pub const MOST_READERS: usize = 24;
 
 /// Time for which the number of known agents must have stood still before the origin is read: those
@@ -30,11 +30,11 @@
 /// the manifest on.
 const LAST_RESORT: Duration = Duration::from_millis(1500);
 
-/// Time between two of those: a manifest takes the origin's link some 10 ms.
+/// Time between two of those: several times what a manifest takes over the origin's link.
 const LAST_SPACING: Duration = Duration::from_millis(100);
 
-/// Agents that ask one holder at once: each answer takes some 3 KB of a link of 0.9 MB/s and a new
-/// connection, so that eight have theirs within 0.1 s; a hundred asking one holder waited 0.5 s in vain.
+/// Agents that ask one holder at once: each answer takes a new connection and some of a narrow link, and
+/// many that asked one holder would all wait in vain.
 const ASKERS_A_HOLDER: usize = 8;
 
 /// Agents of a failure domain that ask holders in others, for all of it.
--- a/crates/core/src/direct/retry_share.rs
+++ b/crates/core/src/direct/retry_share.rs
@@ -19,8 +19,8 @@
 /// server cuts short may go on elsewhere.
 const LEAST_AFTER_RESTART: usize = 1;
 
-/// Retries of the slack that an entry may use in that time: 40 entries that start together use as
-/// many as half of the smallest slack known (214).
+/// Retries of the slack that an entry may use while others or earlier lives may use it as well: those of
+/// all entries together stay well below the whole.
 const LEARNING_SHARE: f64 = 3.0;
 
 /// Figures of the common budget.
--- a/crates/core/src/direct/shedding.rs
+++ b/crates/core/src/direct/shedding.rs
@@ -42,7 +42,7 @@
 /// objective must not empty the engines.
 const LEAST_PART: usize = 20;
 
-/// Time for which a content keeps its lot: several times the deadlines known, so that who comes back is
+/// Time for which a content keeps its lot: several times usual deadlines, so that who comes back is
 /// not drawn anew, and short enough that nobody is refused for long because of what is asked.
 pub const LOT_TIME: Duration = Duration::from_secs(30);
 
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -32,7 +32,7 @@
 const LEAST_WATCH_PERCENT: u32 = 85;
 
 /// Silence after the end of its wait from which a watch counts as lost, beside the time that the
-/// store took for the last list. It answers in 4 ms, and one that is slow was seen to take 0.3 s.
+/// store took for the last list: far longer than the answer of a store that is slow.
 const WATCH_SILENCE: Duration = Duration::from_millis(500);
 
 /// Most of that time that is added: the list may have been large, and its link narrow.
@@ -44,9 +44,8 @@
 /// Longest pause after failed calls.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1500);
 
-/// Silence of a list after which another call joins it. The store answers in 4 ms, and one that is
-/// slow was seen to take 0.3 s; a process is in touch 3 s after a trouble, and a change that was
-/// accepted in between is then due.
+/// Silence of a list after which another call joins it: longer than the answer of a store that is slow,
+/// and well before a change is due that was accepted while nothing came.
 const LIST_SILENCE: Duration = Duration::from_millis(1000);
 
 /// The same for wanted weights: they are due after eight seconds and more, and every process tells
@@ -260,8 +259,7 @@
     /// A call of which nothing has come for a while is joined by another: a store, or a way to it,
     /// that is back after a silence answers what comes then, and often never what came before. The
     /// first answer wins, so that a store that is merely slow is read as well. As long as bytes come
-    /// none joins: it would take the link from the others, until no call ends in time. Two readers of
-    /// half a megabyte over 3 Mbit/s took 10.9 s that way for 2.7 s, over 2 Mbit/s they never ended.
+    /// none joins: it would take the link from the others, until no call ends in time.
     pub(super) async fn list(&mut self, freshness: Freshness) -> FactList {
         let (store, topic) = (self.store.clone(), self.topic);
         let progress = ByteProgress::default();
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -47,8 +47,8 @@
 use crate::{decisions, metrics::NodeMetrics, timer::NodeClock};
 
 /// Time for which this entry may know fewer changes of servers than a peer before it reads them
-/// anew: its watch rests for up to 0.8 s after each change, and a slow store takes 0.3 s more. That
-/// a server leaves is told at once besides.
+/// anew: longer than its watch rests after each change and a slow store takes to answer. That a server
+/// leaves is told at once besides.
 const SERVERS_PATIENCE: Duration = Duration::from_millis(1400);
 
 /// The same for the second reader of a failure domain, whose watch rests for 2 s.
--- a/crates/daemon/src/direct/transfer.rs
+++ b/crates/daemon/src/direct/transfer.rs
@@ -37,8 +37,8 @@
 /// that is staged, and the next.
 const KEPT_TRANSFERS: usize = 3;
 
-/// Boxes of the own failure domain that hear of every piece: 24 take a tenth of the link with notes
-/// alone where 30 boxes are together, and with 10 a burst takes a third longer (virtual bench).
+/// Boxes of the own failure domain that hear of every piece: with more, notes take a good part of a narrow
+/// link, and with few a burst takes longer.
 const NEIGHBOURS: usize = 16;
 
 /// Requests for pieces that may wait here.
--- a/crates/types/src/direct_settings.rs
+++ b/crates/types/src/direct_settings.rs
@@ -65,8 +65,7 @@
     30_000
 }
 
-/// In a mesh of 100 processes an entry took 3.0 % of a core; days of 269 were given up for processor
-/// time (docs/CAPACITY.md).
+/// Beyond this many processes a mesh takes more processor time than control may.
 fn default_mesh_limit() -> usize {
     96
 }
