--- a/crates/bench/src/routing/world.rs
+++ b/crates/bench/src/routing/world.rs
@@ -11,13 +11,15 @@
 use headlatch_types::{
     RunVerdict,
     id::{BoxId, OrganisationName},
-    verdict::{Repeatability, RetryPermit},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use super::{RoutingFault, RoutingOptions, RoutingPolicy, RoutingReport};
+use super::{RoutingFault, RoutingOptions, RoutingReport};
 use crate::queue::EventQueue;
 
+mod attempts;
+mod measures;
+
 /// Tokens of an answer, on average: the plan's 880,000 a second over 2,500 requests.
 const MEAN_TOKENS: f64 = 352.0;
 
@@ -288,179 +290,6 @@
         }
     }
 
-    fn attempt(&mut self, now: Moment, request: usize) {
-        if self.requests[request].attempts == 0 {
-            let entry = self.requests[request].entry;
-            self.entries[entry].budget.earn(now);
-        }
-        let Some(engine) = self.choose(now, request) else {
-            self.release(now, request);
-            self.settle(now, request, RunVerdict::NotRun);
-            return;
-        };
-        let one = &mut self.requests[request];
-        one.attempts += 1;
-        let id = self.candidates[engine].id.clone();
-        one.tried.push(id.clone());
-        self.entries[one.entry].picker.begin(&id);
-        self.queue.after(LATENCY, RoutingEvent::Reach { request, engine });
-    }
-
-    fn choose(&mut self, now: Moment, request: usize) -> Option<usize> {
-        let (entry, tried) = (self.requests[request].entry, &self.requests[request].tried);
-        let shown = self.candidates.iter().zip(&self.shown).filter(|(_, shown)| **shown);
-        let fresh = shown.map(|(one, _)| one).filter(|one| !tried.contains(&one.id));
-        let pool: Vec<Candidate> = fresh.cloned().collect();
-        if pool.is_empty() {
-            return None;
-        }
-        let one = &mut self.entries[entry];
-        let id = match self.options.policy {
-            RoutingPolicy::Headlatch => one.picker.pick(now, &pool, tried, None)?,
-            RoutingPolicy::Random => pool[self.rng.random_range(0..pool.len())].id.clone(),
-            RoutingPolicy::RoundRobin => {
-                one.turn += 1;
-                pool[one.turn % pool.len()].id.clone()
-            }
-            RoutingPolicy::LeastReported => {
-                pool.iter().min_by_key(|candidate| candidate.reported)?.id.clone()
-            }
-        };
-        self.index.get(&id).copied()
-    }
-
-    fn reach(&mut self, now: Moment, request: usize, engine: usize) {
-        let attempt = self.requests[request].attempts;
-        let one = &mut self.engines[engine];
-        if !one.alive {
-            let verdict = RunVerdict::NotRun;
-            let event = RoutingEvent::Failed { request, engine, verdict, attempt };
-            self.queue.after(DEATH_NOTICE, event);
-            return;
-        }
-        if one.leaving || one.running >= self.slots {
-            self.queue.after(LATENCY, RoutingEvent::Refused { request, engine, attempt });
-            return;
-        }
-        one.running += 1;
-        let load = f64::from(one.running) / f64::from(self.slots);
-        let slow = if one.slow { 5.0 } else { 1.0 };
-        let first = PREFILL_TIME.mul_f64(prefill_factor(load) * slow);
-        let token = TOKEN_TIME.mul_f64(token_factor(load) * slow);
-        let tokens = self.requests[request].tokens;
-        self.requests[request].ran += 1;
-        let entry = &mut self.entries[self.requests[request].entry];
-        entry.limit.note_run();
-        entry.queue.resize(entry.limit.get());
-        self.hear(now, request, engine);
-        if self.counts(request) {
-            let since = now.since(self.requests[request].came) + first + LATENCY;
-            self.first_tokens.push(since.as_secs_f64() * 1000.0);
-            self.token_times.push(token.as_secs_f64() * 1000.0);
-        }
-        let event = RoutingEvent::Ended { request, engine, attempt };
-        self.queue.after(first + token * tokens, event);
-    }
-
-    /// An answer or refusal carries the endpoint's load.
-    fn hear(&mut self, now: Moment, request: usize, engine: usize) {
-        let running = self.engines[engine].running;
-        let id = &self.candidates[engine].id;
-        self.entries[self.requests[request].entry].picker.report(now, id, running);
-    }
-
-    fn finish(&mut self, now: Moment, request: usize, engine: usize, attempt: u32) {
-        // The endpoint died in the meantime, and this was told then.
-        if self.requests[request].attempts != attempt || !self.engines[engine].alive {
-            return;
-        }
-        self.engines[engine].running -= 1;
-        let lost = self.has(RoutingFault::LostAnswers) && self.rng.random_range(0..100) == 0;
-        if lost {
-            self.fail(now, request, engine, RunVerdict::MayHaveRun, attempt, true);
-            return;
-        }
-        let entry = self.requests[request].entry;
-        let id = &self.candidates[engine].id;
-        self.entries[entry].picker.end(id);
-        self.entries[entry].picker.succeed(id);
-        self.release(now, request);
-        self.settle(now, request, RunVerdict::Ran);
-    }
-
-    fn fail(
-        &mut self,
-        now: Moment,
-        request: usize,
-        engine: usize,
-        verdict: RunVerdict,
-        attempt: u32,
-        blame: bool,
-    ) {
-        let one = &self.requests[request];
-        if one.done || one.attempts != attempt {
-            return;
-        }
-        let (entry, once, attempts) = (one.entry, one.once, one.attempts);
-        let id = self.candidates[engine].id.clone();
-        self.entries[entry].picker.end(&id);
-        if blame {
-            self.entries[entry].picker.fail(now, &id);
-        }
-        let repeatability = if once { Repeatability::Once } else { Repeatability::Repeatable };
-        let again = attempts < MOST_ATTEMPTS
-            && RetryPermit::after(verdict, repeatability).is_some()
-            && self.entries[entry].budget.spend(now);
-        let joined = verdict.after(self.requests[request].verdict);
-        self.requests[request].verdict = Some(joined);
-        if again {
-            self.report.retries += u64::from(self.counts(request));
-            self.attempt(now, request);
-        } else {
-            self.release(now, request);
-            self.settle(now, request, verdict);
-        }
-    }
-
-    fn release(&mut self, now: Moment, request: usize) {
-        let one = &self.requests[request];
-        let (entry, organisation) = (one.entry, one.organisation);
-        let terms = ShareTerms { share: 1, most_in_progress: None };
-        self.entries[entry].queue.end(&self.organisations[organisation]);
-        let released = self.entries[entry].queue.release(|_| terms);
-        for number in released {
-            self.attempt(now, number.0 as usize);
-        }
-    }
-
-    /// Gives a request its final answer.
-    fn settle(&mut self, now: Moment, request: usize, verdict: RunVerdict) {
-        let counted = self.counts(request);
-        let one = &mut self.requests[request];
-        let verdict = verdict.after(one.verdict);
-        one.done = true;
-        if verdict != RunVerdict::Ran {
-            let at = (now.seconds() as usize).min(self.failed_at.len() - 1);
-            self.failed_at[at].1 += 1;
-        }
-        if !counted {
-            return;
-        }
-        self.report.doubled += u64::from(one.once && one.ran > 1);
-        match verdict {
-            RunVerdict::Ran => {
-                self.report.whole += 1;
-                self.whole_by[one.organisation] += 1;
-            }
-            RunVerdict::NotRun => {
-                self.report.not_run += 1;
-                // One that ran before, was lost, and was not run again is no "not run" at all.
-                self.report.false_not_run += u64::from(one.ran > 0);
-            }
-            RunVerdict::MayHaveRun => self.report.may_have_run += 1,
-        }
-    }
-
     fn collect_reports(&mut self, now: Moment) {
         if now < self.end() {
             self.queue.after(REPORT_PAUSE, RoutingEvent::Report);
@@ -513,55 +342,6 @@
             }
         }
     }
-
-    pub(super) fn report(&mut self) -> RoutingReport {
-        let mut report = self.report.clone();
-        report.lost = self.requests.iter().filter(|one| !one.done).count() as u64;
-        report.p95_first_token_ms = quantile(&mut self.first_tokens, 0.95);
-        report.p95_between_tokens_ms = quantile(&mut self.token_times, 0.95);
-        let samples = self.imbalance.len().max(1) as f64;
-        report.max_over_mean_load = self.imbalance.iter().sum::<f64>() / samples;
-        report.smallest_share_ratio = self.smallest_share(report.whole);
-        let token = TOKEN_TIME.as_secs_f64() * token_factor(1.0);
-        let time = MEAN_TOKENS * token + PREFILL_TIME.as_secs_f64() * prefill_factor(1.0);
-        report.whole_over_capacity = report.whole as f64 / (self.full_slots / time).max(1e-9);
-        report.settled_seconds = self.settled();
-        report
-    }
-
-    /// The worst ratio of what an organisation got to its part by max-min fairness.
-    fn smallest_share(&self, whole: u64) -> f64 {
-        let mut fair = vec![0.0; ORGANISATIONS];
-        let mut open: Vec<usize> = (0..ORGANISATIONS).collect();
-        let mut left = whole as f64;
-        while !open.is_empty() {
-            let part = left / open.len() as f64;
-            let (small, large): (Vec<usize>, Vec<usize>) =
-                open.iter().partition(|nth| self.offered_by[**nth] as f64 <= part);
-            if small.is_empty() {
-                large.iter().for_each(|nth| fair[*nth] = part);
-                break;
-            }
-            for nth in small {
-                fair[nth] = self.offered_by[nth] as f64;
-                left -= fair[nth];
-            }
-            open = large;
-        }
-        let ratios = self.whole_by.iter().zip(fair).filter(|(_, fair)| *fair > 0.0);
-        ratios.map(|(whole, fair)| *whole as f64 / fair).fold(f64::INFINITY, f64::min)
-    }
-
-    fn settled(&self) -> f64 {
-        let Some(struck) = self.struck else { return 0.0 };
-        let from = struck.seconds() as usize;
-        let failing = |at: &usize| {
-            let (came, failed) = self.failed_at[*at];
-            f64::from(failed) > f64::from(came) * 0.01
-        };
-        let last = (from..self.options.seconds as usize).filter(failing).max();
-        last.map_or(0.0, |last| (last + 1 - from) as f64)
-    }
 }
 
 /// How much slower tokens come in an engine of a given load.
@@ -574,9 +354,3 @@
 fn prefill_factor(load: f64) -> f64 {
     1.0 + load * load
 }
-
-fn quantile(values: &mut [f64], part: f64) -> f64 {
-    values.sort_by(f64::total_cmp);
-    let at = ((values.len() as f64 * part) as usize).min(values.len().max(1) - 1);
-    values.get(at).copied().unwrap_or(0.0)
-}
--- a/crates/core/src/burst/planner.rs
+++ b/crates/core/src/burst/planner.rs
@@ -9,18 +9,14 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use super::{
-    ChunkSet, ChunkSource, DrawOrder, DrawPool, DrawTicket, FetchFailure, PeerKey, PeerSeat,
-    SeatMap, SwarmAction, SwarmEvent, SwarmNote, SwarmPulse, SwarmSettings,
-    draw_window::DrawWindow, draws::DrawLedger, imports::ImportDesk, peers::PeerTable,
-    pursuit::RATE_CHUNKS, seats::ImportOrigin, uploads::UploadQueue,
+    ChunkSet, ChunkSource, DrawOrder, DrawTicket, FetchFailure, PeerKey, PeerSeat, SeatMap,
+    SwarmAction, SwarmEvent, SwarmNote, SwarmPulse, SwarmSettings, draw_window::DrawWindow,
+    draws::DrawLedger, imports::ImportDesk, peers::PeerTable, seats::ImportOrigin,
+    uploads::UploadQueue,
 };
 use crate::time::Moment;
 
-/// A chunk with fewer copies nearby is told of at once.
-const TELL_AT_ONCE: u32 = 3;
-
-/// A box tells of its first chunks at once: waiting would add to every doubling of their copies.
-const EARLY_TELLS: u32 = 32;
+mod outcomes;
 
 /// A box sends one chunk at a time until it holds this many, then two, and so on: few boxes hold
 /// anything at first, and what they hold spreads fastest one chunk after another.
@@ -29,23 +25,13 @@
 /// A queue from which an ask is moved to an idle box.
 const LONG_QUEUE: u32 = 3;
 
-/// First pause after the origin refused or failed, where chunks are drawn as they are assigned.
-const FIRST_DRAW_PAUSE: Duration = Duration::from_millis(60);
-
 /// Rounds in which offers to other domains are repeated, after each change of the list of boxes:
 /// whoever began late or missed a note hears of them again.
 const OFFER_ROUNDS: u32 = 8;
 
-/// Rounds in which they are repeated at least after a chunk has entered the domain: the note of a chunk
-/// that comes late, after an outage of the origin, may be lost as well.
-const LATE_OFFER_ROUNDS: u32 = 2;
-
 /// How many times longer than usual chunks take over a link that has become narrow.
 const NARROW_LINK: u32 = 4;
 
-/// Most doublings of that pause: an origin that is back must not wait for half a second more.
-const MOST_DOUBLINGS: u32 = 3;
-
 /// One fetch in progress.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct OpenFetch {
@@ -414,44 +400,6 @@
         }
     }
 
-    /// Takes a verified chunk in and tells those who need to know.
-    pub(super) fn accept(
-        &mut self,
-        now: Moment,
-        chunk: ChunkIndex,
-        source: ChunkSource,
-        actions: &mut Vec<SwarmAction>,
-    ) {
-        self.note_transfer(now, chunk);
-        self.close(chunk, source);
-        self.patience = (self.patience / 2).max(1);
-        if source == ChunkSource::Origin {
-            self.draw_failures = 0;
-        }
-        if let ChunkSource::Peer(peer) = source {
-            self.peers.praise(peer);
-        }
-        if self.held.insert(chunk) {
-            self.window.note_arrival(now);
-            self.arrivals.push_back(now);
-            if self.arrivals.len() > RATE_CHUNKS {
-                self.arrivals.pop_front();
-            }
-            self.announce(now, chunk, source, actions);
-        }
-        self.check_complete(actions);
-        self.pursue(now, actions);
-    }
-
-    /// Notes how long a chunk took to come over this box's link.
-    fn note_transfer(&mut self, now: Moment, chunk: ChunkIndex) {
-        let started = self.open.get(&chunk).and_then(|fetch| fetch.started);
-        let Some(started) = started else { return };
-        // Chunks that come at the same time share the link.
-        let took = now.since(started) / self.coming().max(1) as u32;
-        self.transfer = (self.transfer * 2 + took) / 3;
-    }
-
     /// Whether chunks come so slowly that this box's link must be narrower than it was said to be.
     ///
     /// Then one chunk at a time goes each way: whatever else uses the link would wait behind them.
@@ -460,121 +408,6 @@
         self.settings.draws == DrawOrder::Assigned && self.transfer > narrow
     }
 
-    pub(super) fn announce(
-        &mut self,
-        now: Moment,
-        chunk: ChunkIndex,
-        source: ChunkSource,
-        actions: &mut Vec<SwarmAction>,
-    ) {
-        let seekers = self.imports.settle(chunk);
-        let onward = self.import_origin(source).map(|from| {
-            self.brought.insert(chunk, from);
-            self.offer_rounds = self.offer_rounds.max(LATE_OFFER_ROUNDS);
-            self.seats.onward(chunk, from)
-        });
-        let offer = |to| SwarmAction::Tell { to, note: SwarmNote::Offer(chunk) };
-        actions.extend(onward.into_iter().flatten().chain(seekers).map(offer));
-        self.fresh.push(chunk);
-        let early = self.held.count() < EARLY_TELLS;
-        if early || self.peers.copies(chunk) < TELL_AT_ONCE {
-            self.tell_fresh(now, actions);
-        }
-    }
-
-    /// How a chunk entered this domain; none if it was in it already.
-    pub(super) fn import_origin(&self, source: ChunkSource) -> Option<ImportOrigin> {
-        let ChunkSource::Peer(peer) = source else { return Some(ImportOrigin::Outside) };
-        let seat = self.seats.seat(peer)?;
-        let me = self.seats.me();
-        match (seat.domain == me.domain, seat.region == me.region) {
-            (true, _) => None,
-            (false, true) => Some(ImportOrigin::Sibling),
-            (false, false) => Some(ImportOrigin::OtherRegion),
-        }
-    }
-
-    pub(super) fn tell_fresh(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
-        if self.fresh.is_empty() {
-            return;
-        }
-        self.told = now;
-        let fresh = std::mem::take(&mut self.fresh);
-        let note = || SwarmNote::Have(fresh.clone());
-        actions.extend(self.peers.keys().map(|to| SwarmAction::Tell { to, note: note() }));
-    }
-
-    pub(super) fn check_complete(&mut self, actions: &mut Vec<SwarmAction>) {
-        if self.complete || !self.held.is_full() {
-            return;
-        }
-        self.complete = true;
-        let open = std::mem::take(&mut self.open);
-        actions.extend(
-            open.into_iter()
-                .map(|(chunk, fetch)| SwarmAction::Cancel { chunk, source: fetch.source }),
-        );
-        actions.push(SwarmAction::Complete);
-    }
-
-    pub(super) fn fail(
-        &mut self,
-        now: Moment,
-        chunk: ChunkIndex,
-        source: ChunkSource,
-        failure: FetchFailure,
-        actions: &mut Vec<SwarmAction>,
-    ) {
-        self.close(chunk, source);
-        match source {
-            ChunkSource::Peer(peer) => self.blame(now, peer, chunk, failure),
-            ChunkSource::Origin => self.postpone(now, chunk, DrawPool::Origin, failure),
-            ChunkSource::Store => self.postpone(now, chunk, DrawPool::Store, failure),
-        }
-        self.pursue(now, actions);
-    }
-
-    pub(super) fn blame(
-        &mut self,
-        now: Moment,
-        peer: PeerKey,
-        chunk: ChunkIndex,
-        failure: FetchFailure,
-    ) {
-        match failure {
-            FetchFailure::Corrupt => {
-                self.peers.note_corrupt(peer);
-                if self.peers.is_corrupter(peer) {
-                    self.imports.forget(peer);
-                }
-            }
-            FetchFailure::Busy => self.peers.note_busy(now, peer),
-            FetchFailure::Absent => self.peers.drop_chunk(peer, chunk),
-            FetchFailure::Unreachable => self.peers.note_trouble(now, peer),
-        }
-    }
-
-    /// Corrupt bytes are fetched again at once; any other failure waits.
-    pub(super) fn postpone(
-        &mut self,
-        now: Moment,
-        chunk: ChunkIndex,
-        pool: DrawPool,
-        failure: FetchFailure,
-    ) {
-        if failure == FetchFailure::Corrupt {
-            return;
-        }
-        self.draws.postpone(now, chunk, pool);
-        self.draw_due = now + FIRST_DRAW_PAUSE * (1 << self.draw_failures.min(MOST_DOUBLINGS));
-        self.has_failed = true;
-        self.draw_failures += 1;
-        if pool == DrawPool::Origin {
-            self.window.note_failure(now);
-            self.imports.wait_anew(now);
-        }
-    }
-
     pub(super) fn close(&mut self, chunk: ChunkIndex, source: ChunkSource) {
         if self.open.get(&chunk).is_none_or(|fetch| fetch.source != source) {
             return;
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -14,21 +14,24 @@
     time::Duration,
 };
 
-use headlatch_types::{
-    id::{DomainId, ModelName},
-    traffic::{PlanVersion, WeightVersion},
-};
+use headlatch_types::traffic::PlanVersion;
 
 use super::{
     engine_model::EngineLoad,
     fact_age::ChangeMark,
-    leaving::LeavingNotice,
     plan_readers::{ReaderView, reader_rank},
-    relays::{DomainRoster, DrainSum, RELAYS, RosterMember},
-    suspects::SuspectNotice,
+    relays::DrainSum,
 };
 use crate::time::Moment;
 
+mod notice;
+mod relayed;
+
+pub use notice::{
+    DomainKey, DrainNotice, DrainReport, LoadNotice, PeerKind, PeerNotice, ServerNotice,
+    WantedNotice,
+};
+
 /// Silence after which a peer of the own failure domain counts as gone: three notices are lost.
 pub const PEER_SILENCE: Duration = Duration::from_millis(1600);
 
@@ -57,11 +60,6 @@
 /// when it changes, and every 300 ms.
 const DRAIN_SUM_LIFE: Duration = Duration::from_millis(700);
 
-/// Age up to which an entry of another failure domain is thought to relay there: its relays tell who
-/// lives every 0.5 s, and members tell them as often. Where all relays of a failure domain die, its
-/// members tell everybody, and others there are heard of sooner than those are dropped.
-const FRESH_RELAY: Duration = Duration::from_millis(2000);
-
 /// How much earlier a notice of another life may have been heard than the last word of its sender's
 /// address: relays tell both, by ways of different length.
 const LIFE_SLACK: Duration = Duration::from_millis(200);
@@ -69,158 +67,6 @@
 /// Peers named in a notice at most: an address takes 8 bytes.
 pub const NAMED_PEERS: usize = 48;
 
-/// Short key of a failure domain, in notices.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct DomainKey(pub u32);
-
-impl From<&DomainId> for DomainKey {
-    fn from(domain: &DomainId) -> Self {
-        let key = domain.key();
-        Self((key ^ (key >> 32)) as u32)
-    }
-}
-
-impl std::fmt::Display for DomainKey {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(formatter, "{:08x}", self.0)
-    }
-}
-
-/// What a process does.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
-pub enum PeerKind {
-    /// It takes requests in.
-    #[default]
-    Entry,
-    /// It looks after a server.
-    Agent,
-}
-
-/// What an agent tells of its server.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ServerNotice {
-    /// Its address.
-    pub address: SocketAddr,
-    /// Version that it holds whole, if it does.
-    pub whole: Option<WeightVersion>,
-    /// It is changing weights and takes nothing new.
-    pub changing: bool,
-    /// It is ready to change to this version, or has.
-    pub staged: Option<WeightVersion>,
-    /// Its agent hands on pieces of this version.
-    pub sharing: Option<WeightVersion>,
-    /// Its zone.
-    pub zone: DomainId,
-    /// Its service; empty if that is not known.
-    pub service: String,
-}
-
-/// Requests in progress at one server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LoadNotice {
-    /// Key of the server.
-    pub server: u32,
-    /// What is in progress there.
-    pub load: EngineLoad,
-}
-
-/// A version of weights that is wanted.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct WantedNotice {
-    /// The model.
-    pub model: ModelName,
-    /// The version.
-    pub version: WeightVersion,
-    /// How long the sender has known it.
-    pub age: Duration,
-}
-
-/// An entry's word that it sends nothing to a server that is about to change.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct DrainNotice {
-    /// Address of the server.
-    pub server: SocketAddr,
-    /// Requests of the entry that have not begun there.
-    pub waiting: u32,
-    /// Streams of the entry that nobody could go on with if they were cut now.
-    pub kept: u32,
-}
-
-/// What all entries together say of a server that is about to change.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct DrainReport {
-    /// Entries that live and have not confirmed that they send nothing more.
-    pub unconfirmed: usize,
-    /// Requests that have not begun there.
-    pub waiting: u32,
-    /// Streams that nobody could go on with if they were cut now.
-    pub kept: u32,
-}
-
-/// One notice.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PeerNotice {
-    /// Where the sender hears notices.
-    pub from: SocketAddr,
-    /// What it does.
-    pub kind: PeerKind,
-    /// Its failure domain.
-    pub domain: DomainKey,
-    /// Drawn at its start, so that a restarted one is not taken for an old one.
-    pub life: u64,
-    /// Rises with every notice of a life.
-    pub sequence: u64,
-    /// Version of the plan that it has.
-    pub plan: u64,
-    /// The newest change of servers that it has taken in; zero if it tells none.
-    pub servers: ChangeMark,
-    /// Servers that it has heard to be leaving a short time ago.
-    pub leaving: Vec<LeavingNotice>,
-    /// Requests under which servers ended.
-    pub suspects: Vec<SuspectNotice>,
-    /// Its calls to the store are answered, as far as it knows.
-    pub reads_store: bool,
-    /// Others that it hears.
-    pub peers: Vec<SocketAddr>,
-    /// What it has in progress.
-    pub loads: Vec<LoadNotice>,
-    /// `loads` leaves out servers where nothing changed, and nothing else is told.
-    pub changes_only: bool,
-    /// What all entries of its failure domain have in progress, if it tells that.
-    pub domain_loads: Option<Vec<LoadNotice>>,
-    /// Servers that it sends nothing to because they are about to change.
-    pub drains: Vec<DrainNotice>,
-    /// Its server, if it looks after one.
-    pub server: Option<ServerNotice>,
-    /// The newest wanted version of each model, as far as it knows.
-    pub wanted: Vec<WantedNotice>,
-}
-
-impl PeerNotice {
-    /// The first notice of a process that has nothing to tell but that it lives.
-    pub fn empty(from: SocketAddr, kind: PeerKind, domain: DomainKey) -> Self {
-        Self {
-            from,
-            kind,
-            domain,
-            life: 1,
-            sequence: 1,
-            plan: 0,
-            servers: ChangeMark::default(),
-            leaving: Vec::new(),
-            suspects: Vec::new(),
-            reads_store: true,
-            peers: Vec::new(),
-            loads: Vec::new(),
-            changes_only: false,
-            domain_loads: None,
-            drains: Vec::new(),
-            server: None,
-            wanted: Vec::new(),
-        }
-    }
-}
-
 /// A peer.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -351,64 +197,6 @@
         outcome
     }
 
-    /// Takes in the facts of a notice that a relay has handed on, whose sender was heard `age` ago.
-    ///
-    /// What the sender has in progress stays as it is: that is told directly.
-    pub fn hear_relayed(
-        &mut self,
-        now: Moment,
-        notice: PeerNotice,
-        age: Duration,
-    ) -> NoticeOutcome {
-        if notice.from == self.own {
-            return NoticeOutcome::default();
-        }
-        let heard = now - age;
-        let after_silence = self.note_domain(now, heard, notice.domain);
-        self.candidates.remove(&notice.from);
-        self.note_domain_loads(heard, &notice);
-        let before = self.peers.get(&notice.from);
-        if !before.is_none_or(|peer| is_newer(peer, &notice, heard)) {
-            if let Some(peer) = self.peers.get_mut(&notice.from)
-                && peer.notice.life == notice.life
-            {
-                peer.heard = peer.heard.max(heard);
-            }
-            return NoticeOutcome { after_silence, ..NoticeOutcome::default() };
-        }
-        let outcome = outcome_of(before, &notice, after_silence);
-        let last = before.filter(|peer| peer.notice.life == notice.life);
-        let peer = Peer {
-            heard: before.map_or(heard, |peer| peer.heard.max(heard)),
-            facts_sequence: notice.sequence,
-            notice: with_direct_part(last, notice),
-        };
-        self.peers.insert(peer.notice.from, peer);
-        outcome
-    }
-
-    /// Takes in who lives in a failure domain; tells whether somebody new is among them.
-    pub fn hear_roster(&mut self, now: Moment, roster: &DomainRoster) -> bool {
-        let limit = self.silence_limit(roster.domain);
-        let living = roster.members.iter().filter(|member| member.age <= limit);
-        let mut joined = false;
-        for member in living.filter(|member| member.address != self.own) {
-            let heard = now - member.age;
-            self.candidates.remove(&member.address);
-            match self.peers.get_mut(&member.address) {
-                Some(peer) => peer.heard = peer.heard.max(heard),
-                None => {
-                    joined = true;
-                    let empty = PeerNotice::empty(member.address, member.kind, roster.domain);
-                    let notice = PeerNotice { life: 0, sequence: 0, ..empty };
-                    let peer = Peer { notice, heard, facts_sequence: 0 };
-                    self.peers.insert(member.address, peer);
-                }
-            }
-        }
-        joined
-    }
-
     /// Notes that something was said in a failure domain at `heard`; tells whether nobody had been
     /// heard for some time before.
     fn note_domain(&mut self, now: Moment, heard: Moment, domain: DomainKey) -> bool {
@@ -429,16 +217,6 @@
         self.domain_loads.insert(notice.domain, loads);
     }
 
-    /// Takes in what the entries of a failure domain say of the own server.
-    pub fn hear_drain_sum(&mut self, now: Moment, domain: DomainKey, sum: DrainSum) {
-        self.drain_sums.insert(domain, (now, sum));
-    }
-
-    /// Forgets what entries have said of the own server: it is about to change once more.
-    pub fn clear_drain_sums(&mut self) {
-        self.drain_sums.clear();
-    }
-
     /// Silence after which a peer of `domain` counts as gone.
     fn silence_limit(&self, domain: DomainKey) -> Duration {
         match domain == self.domain {
@@ -452,73 +230,6 @@
         self.peers.contains_key(&address)
     }
 
-    /// Rank of this entry among those of its failure domain if it is to relay: where there are few
-    /// processes, nobody is.
-    pub fn relay_rank(&self) -> Option<usize> {
-        let before = self.near_entries().filter(|peer| peer.notice.from < self.own);
-        let rank = before.take(RELAYS).count();
-        (rank < RELAYS && self.peers.len() >= self.mesh_limit).then_some(rank)
-    }
-
-    /// The entries of each other failure domain in the order in which they relay there: by address, of
-    /// those that were heard of lately, or of all if none was.
-    pub fn far_entries(&self, now: Moment) -> Vec<Vec<SocketAddr>> {
-        let mut relays: BTreeMap<DomainKey, (Vec<SocketAddr>, Vec<SocketAddr>)> = BTreeMap::new();
-        let entries = self.living().filter(|peer| peer.notice.kind == PeerKind::Entry);
-        for peer in entries.filter(|peer| !self.is_near(peer)) {
-            let (fresh, old) = relays.entry(peer.notice.domain).or_default();
-            let is_fresh = now.since(peer.heard) <= FRESH_RELAY;
-            let known = if is_fresh { fresh } else { old };
-            known.push(peer.notice.from);
-        }
-        let chosen = relays.into_values();
-        chosen.map(|(fresh, old)| if fresh.is_empty() { old } else { fresh }).collect()
-    }
-
-    /// Whether somebody of the own failure domain was heard a moment ago, so that silence of others is
-    /// not this process's own.
-    pub fn hears_near(&self, now: Moment) -> bool {
-        let heard = self.domains_heard.get(&self.domain);
-        heard.is_some_and(|heard| now.since(*heard) <= DOMAIN_SILENCE)
-    }
-
-    /// Peers to name to one that has just been found in `domain`: those that relay there first.
-    ///
-    /// Where relays tell who lives, only they name anybody: after a loss of power everybody finds
-    /// everybody within a second, and names from all entries to all processes are more than the links
-    /// between regions carry.
-    pub fn named_to(&self, domain: DomainKey, turn: usize) -> Vec<SocketAddr> {
-        if self.peers.len() >= self.mesh_limit && self.relay_rank().is_none() {
-            return Vec::new();
-        }
-        let entries = self.living().filter(|peer| peer.notice.kind == PeerKind::Entry);
-        let relays = entries.filter(|peer| peer.notice.domain == domain).take(RELAYS);
-        let mut named: Vec<SocketAddr> = relays.map(|peer| peer.notice.from).collect();
-        let others = self.named(turn).into_iter().filter(|address| !named.contains(address));
-        let others: Vec<SocketAddr> = others.take(NAMED_PEERS - RELAYS).collect();
-        named.extend(others);
-        named
-    }
-
-    /// Who lives in a failure domain, this process among them if it is the own one.
-    pub fn roster(&self, now: Moment, domain: DomainKey, own: PeerKind) -> DomainRoster {
-        let members = self.living().filter(|peer| peer.notice.domain == domain);
-        let members = members.map(|peer| RosterMember {
-            address: peer.notice.from,
-            kind: peer.notice.kind,
-            age: now.since(peer.heard),
-        });
-        let own = RosterMember { address: self.own, kind: own, age: Duration::ZERO };
-        let own = (domain == self.domain).then_some(own);
-        DomainRoster { domain, members: members.chain(own).collect() }
-    }
-
-    /// Failure domains from which somebody lives, but for the own one.
-    pub fn far_domains(&self) -> BTreeSet<DomainKey> {
-        let domains = self.living().map(|peer| peer.notice.domain);
-        domains.filter(|domain| *domain != self.domain).collect()
-    }
-
     /// What the entries of each other failure domain have in progress.
     pub fn domain_loads(&self) -> impl Iterator<Item = &DomainLoads> {
         self.domain_loads.values()
