Keep what the origin has done to a box in its window of draws

Cause: pause, failures in a row, whether the origin has ever failed and the window were four fields of the planner, with two constants for doublings in two files. Change: DrawWindow owns them. A failing weight store no longer counts as a failure of the origin; no burst whose chunks are assigned has one. Behaviour as before. Measured: the tests of core pass (debug).

--- a/crates/core/src/burst/planner.rs
+++ b/crates/core/src/burst/planner.rs
@@ -83,12 +83,6 @@
     pub(super) brought: BTreeMap<ChunkIndex, ImportOrigin>,
     /// Rounds in which offers are still repeated.
     pub(super) offer_rounds: u32,
-    /// Before this the origin is left alone: it has refused or failed.
-    pub(super) draw_due: Moment,
-    /// Whether the origin has ever failed this box.
-    pub(super) has_failed: bool,
-    /// Draws that failed one after another.
-    pub(super) draw_failures: u32,
     /// How many of the missing chunks may be drawn now, over all boxes.
     pub(super) window: DrawWindow,
 }
@@ -124,9 +118,6 @@
             transfer: Duration::ZERO,
             brought: BTreeMap::new(),
             offer_rounds: OFFER_ROUNDS,
-            draw_due: now,
-            has_failed: false,
-            draw_failures: 0,
             window: DrawWindow::new(now),
             settings,
         }
--- a/crates/core/src/burst/planner/outcomes.rs
+++ b/crates/core/src/burst/planner/outcomes.rs
@@ -1,7 +1,5 @@
 //! What a planner does when a fetch has brought its chunk or has failed.
 
-use std::time::Duration;
-
 use headlatch_types::ChunkIndex;
 
 use super::SwarmPlanner;
@@ -19,16 +17,10 @@
 /// A box tells of its first chunks at once: waiting would add to every doubling of their copies.
 const EARLY_TELLS: u32 = 32;
 
-/// Rounds in which they are repeated at least after a chunk has entered the domain: the note of a chunk
-/// that comes late, after an outage of the origin, may be lost as well.
+/// Rounds in which offers to other domains are repeated at least after a chunk has entered this one: the
+/// note of a chunk that comes late, after an outage of the origin, may be lost as well.
 const LATE_OFFER_ROUNDS: u32 = 2;
 
-/// First pause after the origin refused or failed, where chunks are drawn as they are assigned.
-const FIRST_DRAW_PAUSE: Duration = Duration::from_millis(60);
-
-/// Most doublings of that pause: an origin that is back must not wait for half a second more.
-const MOST_DOUBLINGS: u32 = 3;
-
 impl SwarmPlanner {
     /// Takes a verified chunk in and tells those who need to know.
     pub(in crate::burst) fn accept(
@@ -42,7 +34,7 @@
         self.close(chunk, source);
         self.patience = (self.patience / 2).max(1);
         if source == ChunkSource::Origin {
-            self.draw_failures = 0;
+            self.window.note_drawn();
         }
         if let ChunkSource::Peer(peer) = source {
             self.peers.praise(peer);
@@ -174,9 +166,6 @@
             return;
         }
         self.draws.postpone(now, chunk, pool);
-        self.draw_due = now + FIRST_DRAW_PAUSE * (1 << self.draw_failures.min(MOST_DOUBLINGS));
-        self.has_failed = true;
-        self.draw_failures += 1;
         if pool == DrawPool::Origin {
             self.window.note_failure(now);
             self.imports.wait_anew(now);
--- a/crates/core/src/burst/pursuit.rs
+++ b/crates/core/src/burst/pursuit.rs
@@ -81,7 +81,7 @@
     /// window wait: boxes that all drew at once after an outage would share the origin's link so finely
     /// that no draw came to its end.
     fn draw_assigned(&mut self, now: Moment, actions: &mut Vec<SwarmAction>) {
-        if self.complete || now < self.draw_due || self.is_drawing() {
+        if self.complete || !self.window.is_open(now) || self.is_drawing() {
             return;
         }
         if let Some(chunk) = self.next_assigned(now) {
@@ -120,7 +120,7 @@
     /// From when on an assigned chunk may be drawn: a few are drawn at the same time, so that the first
     /// come soon and spread while the others are drawn. Once the origin has failed the window alone tells.
     pub(super) fn draw_slot(&self, chunk: ChunkIndex) -> Moment {
-        if self.has_failed {
+        if self.window.has_failed() {
             return self.begun;
         }
         self.begun + self.settings.origin_chunk_time * chunk.0.saturating_sub(DRAWS_AT_ONCE)
--- a/crates/core/src/burst/upkeep.rs
+++ b/crates/core/src/burst/upkeep.rs
@@ -24,9 +24,6 @@
 /// Part of the chunks of which fewer are missing when a transfer is about to end, in percent.
 const ENDING_PERCENT: u32 = 15;
 
-/// Most doublings of the patience with an origin that fails.
-const MOST_DOUBLINGS: u32 = 4;
-
 /// Boxes of a domain that look after the same chunk while nothing comes: more would ask an origin that
 /// is down, and all draw the same chunks when it is back.
 const STALLED_RANKS: usize = 2;
@@ -152,7 +149,7 @@
                 actions.extend(to.into_iter().map(seek));
             }
             Remedy::Draw(chunk) if self.settings.draws == DrawOrder::Assigned => {
-                if !self.is_drawing() && now >= self.draw_due {
+                if !self.is_drawing() && self.window.is_open(now) {
                     self.fetch(now, chunk, ChunkSource::Origin, actions);
                 }
             }
@@ -221,7 +218,7 @@
         let (here, missing): (Vec<ChunkIndex>, Vec<ChunkIndex>) =
             chunks.into_iter().partition(is_here);
         let is_ending = missing.len() as u32 * 100 < self.settings.chunks * ENDING_PERCENT;
-        let is_stalled = now.since(self.window.progressed()) > self.stalled_patience();
+        let is_stalled = self.window.is_stalled(now, self.stalled_patience());
         let may_ask = |chunk: &ChunkIndex| self.imports.rank(*chunk) < STALLED_RANKS;
         let is_passed = |chunk: &ChunkIndex| {
             here.len() - here.partition_point(|other| other < chunk) >= CHUNKS_AHEAD as usize
@@ -238,13 +235,9 @@
         self.draw_slot(chunk) + self.settings.origin_chunk_time * (2 * DRAWS_AT_ONCE)
     }
 
-    /// How long nothing may come while assigned chunks are missing. It doubles with each draw that failed:
-    /// an origin that is down is asked by the drawers of the first chunks, and is not to be met by everybody
-    /// else when it is back.
+    /// How long nothing may come while assigned chunks are missing and the origin does not fail.
     fn stalled_patience(&self) -> Duration {
-        let patience =
-            self.settings.origin_chunk_time * CHUNKS_AHEAD + self.settings.pace.seek_patience;
-        patience * (1 << self.draw_failures.min(MOST_DOUBLINGS))
+        self.settings.origin_chunk_time * CHUNKS_AHEAD + self.settings.pace.seek_patience
     }
 
     /// How long the draw order may stand still before it is taken to have been lost.
