Tell in one place which peers are in reach of agents

Cause: seats of a transfer and turns of a change each left out failure domains that are silent, with the same lines. Change: PeerTable::in_reach. Behaviour as before.

--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -45,6 +45,9 @@
 /// heard every 1.5 s, and one of them ten times a second.
 const DOMAIN_SILENCE: Duration = Duration::from_millis(500);
 
+/// The same where agents count on each other: they hear other failure domains less often than entries do.
+const AGENT_DOMAIN_SILENCE: Duration = Duration::from_millis(1000);
+
 /// Silence of everybody after which this process itself may have stopped for a while, or be cut
 /// off, and judges nobody.
 const OWN_SILENCE: Duration = Duration::from_millis(250);
@@ -268,8 +271,16 @@
         self.domains_silent_for(now, DOMAIN_SILENCE)
     }
 
+    /// Peers that live and whose failure domain has been heard within [`AGENT_DOMAIN_SILENCE`]. Agents of
+    /// others draw nothing for this one and have no turn before it: whoever counted on them would wait until
+    /// each of them is given up.
+    pub fn in_reach(&self, now: Moment) -> impl Iterator<Item = &Peer> {
+        let silent = self.domains_silent_for(now, AGENT_DOMAIN_SILENCE);
+        self.living().filter(move |peer| !silent.contains(&peer.notice.domain))
+    }
+
     /// Other failure domains from which nothing has come for `silence`.
-    pub fn domains_silent_for(&self, now: Moment, silence: Duration) -> BTreeSet<DomainKey> {
+    fn domains_silent_for(&self, now: Moment, silence: Duration) -> BTreeSet<DomainKey> {
         let last = self.domains_heard.values().max();
         if last.is_none_or(|last| now.since(*last) > OWN_SILENCE) {
             return BTreeSet::new();
--- a/crates/daemon/src/direct/change.rs
+++ b/crates/daemon/src/direct/change.rs
@@ -15,10 +15,7 @@
 use headlatch_types::traffic::WeightVersion;
 use serde_json::json;
 
-use super::{
-    agent::{AgentState, lock},
-    seats,
-};
+use super::agent::{AgentState, lock};
 use crate::decisions;
 
 /// How often a server that is being emptied is looked at.
@@ -33,11 +30,8 @@
 ) -> bool {
     let own = state.settings.node.control;
     let peers = lock(&state.peers);
-    // Whoever is cut off is not heard to have changed, and would keep the others waiting.
-    let cut_off = peers.domains_silent_for(state.node.now(), seats::DOMAIN_SILENCE);
     let agents: Vec<(u64, &ServerNotice)> = peers
-        .living()
-        .filter(|peer| !cut_off.contains(&peer.notice.domain))
+        .in_reach(state.node.now())
         .filter_map(|peer| {
             let server = peer.notice.server.as_ref()?;
             Some((state.seat_key(peer.notice.from).0, server))
--- a/crates/daemon/src/direct/seats.rs
+++ b/crates/daemon/src/direct/seats.rs
@@ -16,21 +16,13 @@
 use super::agent::{AgentState, lock};
 use crate::agent::swarm::peer_key;
 
-/// Silence of a whole failure domain after which its agents draw nothing for others and have no turn before
-/// them: whoever still counts on them would wait until each of them is given up.
-pub(super) const DOMAIN_SILENCE: Duration = Duration::from_millis(1000);
-
 /// The agents of this server's service, this one among them: all of them come to hold the wanted
 /// version, also those that have not begun yet.
 pub(super) fn seats(state: &AgentState) -> Vec<(PeerSeat, SocketAddr)> {
     let service = state.settings.service.as_deref().unwrap_or_default();
     let own = (own_seat(state), state.settings.node.control);
     let peers = lock(&state.peers);
-    let cut_off = peers.domains_silent_for(state.node.now(), DOMAIN_SILENCE);
-    let others = peers.living().filter_map(|peer| {
-        if cut_off.contains(&peer.notice.domain) {
-            return None;
-        }
+    let others = peers.in_reach(state.node.now()).filter_map(|peer| {
         let server = peer.notice.server.as_ref()?;
         let seat = seat(state, peer.notice.from, &server.zone);
         (server.service == service).then_some((seat, peer.notice.from))
