Share what tests of engines, draws and entries begin with, and part the tests of drains

Cause: the same engine figures, the same reading of draws in two tests each; core/tests/direct.rs held the tests of drains as well. Change: three support modules, core/tests/draining.rs; assertions as they were, 27 tests before and after. Measured: the tests of core pass (debug).

--- a/crates/core/tests/burst_peers.rs
+++ b/crates/core/tests/burst_peers.rs
@@ -12,6 +12,11 @@
 };
 use headlatch_types::ChunkIndex;
 
+#[path = "support/draws.rs"]
+mod draws;
+
+use draws::drawn;
+
 const CHUNKS: u32 = 4;
 const PEER: PeerKey = PeerKey(2);
 
@@ -47,15 +52,6 @@
         .any(|action| matches!(action, SwarmAction::Fetch { source: from, .. } if *from == source))
 }
 
-/// Chunks that are to be drawn from the origin.
-fn drawn(actions: &[SwarmAction]) -> Vec<ChunkIndex> {
-    let chunk = |action: &SwarmAction| match action {
-        SwarmAction::Fetch { chunk, source: ChunkSource::Origin } => Some(*chunk),
-        _ => None,
-    };
-    actions.iter().filter_map(chunk).collect()
-}
-
 #[gtest]
 fn a_box_that_was_out_of_reach_is_asked_again_as_soon_as_it_is_heard() {
     let (mut planner, _) = planner();
--- a/crates/core/tests/burst_window.rs
+++ b/crates/core/tests/burst_window.rs
@@ -15,6 +15,11 @@
 };
 use headlatch_types::ChunkIndex;
 
+#[path = "support/draws.rs"]
+mod draws;
+
+use draws::drawn;
+
 const CHUNKS: u32 = 96;
 const BOXES: u64 = 76;
 const TICK: Duration = Duration::from_millis(50);
@@ -39,15 +44,6 @@
     SwarmPlanner::begin(settings(), 1, seat(number), held, Moment::ZERO)
 }
 
-/// Chunks that are to be drawn from the origin.
-fn drawn(actions: &[SwarmAction]) -> Vec<ChunkIndex> {
-    let draw = |action: &SwarmAction| match action {
-        SwarmAction::Fetch { chunk, source: ChunkSource::Origin } => Some(*chunk),
-        _ => None,
-    };
-    actions.iter().filter_map(draw).collect()
-}
-
 #[gtest]
 fn an_origin_that_is_down_is_asked_for_the_first_chunks_alone() {
     let seats: Vec<PeerSeat> = (0..BOXES).map(seat).collect();
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -1,48 +1,33 @@
 //! Decisions of entries that call servers directly.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use googletest::prelude::*;
 use headlatch_core::{
     direct::{
-        draining::{DrainView, QueueReport, may_change},
         engine_model::{EngineLoad, EngineWork, first_token},
         event_split::EventSplitter,
         fact_age::ChangeMark,
         leaving::LeavingNotice,
-        peers::{
-            DomainKey, DrainNotice, DrainReport, LoadNotice, PEER_SILENCE, PeerKind, PeerNotice,
-            PeerTable, ServerNotice,
-        },
+        peers::{DomainKey, PEER_SILENCE, PeerKind, PeerTable, ServerNotice},
         retry_share::{EntryStart, RetryBudget, RetryShare},
         route_table::{Denial, RouteTable, pick_target},
         server_table::{
-            ContinuationLimits, EngineQuery, ServerChoice, ServerOutcome, ServerQuery, ServerTable,
-            server_key,
+            EngineQuery, ServerChoice, ServerOutcome, ServerQuery, ServerTable, server_key,
         },
         weight_deadline::WeightDeadlines,
     },
     time::Moment,
 };
-use headlatch_types::{
-    id::{DomainId, ModelName},
-    traffic::{
-        EngineFigures, HeldLayers, HeldModel, PlanVersion, Route, RouteKind, RouteTarget, ServerId,
-        ServerRecord, Tenant, TrafficPlan, WeightVersion,
-    },
+use headlatch_types::traffic::{
+    EngineFigures, PlanVersion, Route, RouteKind, RouteTarget, ServerId, ServerRecord, Tenant,
+    TrafficPlan, WeightVersion,
 };
 
-fn at(millis: u64) -> Moment {
-    Moment::ZERO + Duration::from_millis(millis)
-}
+#[path = "support/entry.rs"]
+mod entry;
 
-fn millis(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
+use entry::{at, millis, model, notice, server, table};
 
 fn route(name: &str, prefix: &str) -> Route {
     Route {
@@ -175,10 +160,6 @@
     }
 }
 
-fn model() -> ModelName {
-    "m".parse().expect("a name")
-}
-
 #[gtest]
 fn old_weights_get_nothing_from_a_fixed_time_before_the_end_on() {
     let mut weights = WeightDeadlines::default();
@@ -236,32 +217,6 @@
     expect_that!(first_token(&figures(), full, work(1000)), gt(idle + millis(200)));
 }
 
-fn server(name: &str, zone: &str, version: u64) -> ServerRecord {
-    let layers = vec![HeldLayers { from: 0, until: 16, version: WeightVersion(version) }];
-    let held = HeldModel { model: model(), version: WeightVersion(version), layers };
-    ServerRecord {
-        id: ServerId(name.into()),
-        born: None,
-        service: "llm".into(),
-        address: format!("127.0.0.1:{}", 1000 + server_key(&ServerId(name.into())) % 60_000)
-            .parse()
-            .expect("an address"),
-        zone: zone.parse().expect("a name"),
-        slots: 16,
-        draining: false,
-        models: vec![held],
-    }
-}
-
-fn table(servers: &[ServerRecord]) -> ServerTable {
-    let zone = |name: &str| -> DomainId { name.parse().expect("a name") };
-    let region = |name: &str| name.parse().expect("a name");
-    let regions = HashMap::from([(zone("z1"), region("r1")), (zone("z2"), region("r2"))]);
-    let mut table = ServerTable::new(zone("z1"), regions);
-    servers.iter().for_each(|server| table.set(at(0), server.clone(), ChangeMark(1)));
-    table
-}
-
 fn choose(table: &ServerTable, now: Moment, least: Option<u64>, tried: &[ServerId]) -> String {
     let figures = figures();
     let engine = EngineQuery { figures: &figures, work: work(500), continues: false };
@@ -343,147 +298,6 @@
     expect_that!(choose(&table, at(0), None, &[]), eq("nobody"));
 }
 
-#[gtest]
-fn an_entry_confirms_that_a_changing_server_gets_nothing() {
-    let record = server("a", "z1", 1);
-    let mut table = table(std::slice::from_ref(&record));
-    let id = ServerId("a".into());
-    table.begin(&id, 100);
-    table.begin(&id, 0);
-    expect_that!(table.drains(at(0), &BTreeMap::new()), is_empty());
-    let changing = ServerNotice {
-        address: record.address,
-        whole: Some(WeightVersion(1)),
-        changing: true,
-        staged: None,
-        sharing: None,
-        zone: record.zone.clone(),
-        service: "llm".to_owned(),
-    };
-    table.set_notice(record.address, Some(changing));
-    let drain = |waiting| vec![DrainNotice { server: record.address, waiting, kept: 0 }];
-    expect_that!(table.drains(at(0), &BTreeMap::new()), eq(&drain(2)));
-    table.note_read(&id, 100);
-    table.note_read(&id, 0);
-    expect_that!(table.drains(at(0), &BTreeMap::new()), eq(&drain(0)));
-}
-
-/// An entry with streams at one server of a service, and `elsewhere` requests at its other server.
-fn table_with_streams(elsewhere: u32) -> (ServerTable, ServerId, ServerRecord) {
-    let (one, other) = (server("a", "z1", 1), server("b", "z1", 1));
-    let mut table = table(&[one.clone(), other.clone()]);
-    let id = ServerId("a".into());
-    for _ in 0..3 {
-        table.begin(&id, 100);
-        table.note_read(&id, 100);
-    }
-    for _ in 0..elsewhere {
-        table.begin(&other.id, 0);
-    }
-    let changing = ServerNotice {
-        address: one.address,
-        whole: Some(WeightVersion(1)),
-        changing: true,
-        staged: None,
-        sharing: None,
-        zone: one.zone.clone(),
-        service: "llm".to_owned(),
-    };
-    table.set_notice(one.address, Some(changing));
-    (table, id, one)
-}
-
-fn kept_streams(table: &ServerTable, limits: ContinuationLimits) -> u32 {
-    let limits = [("llm".into(), limits)].into();
-    table.drains(at(0), &limits).iter().map(|drain| drain.kept).sum()
-}
-
-#[gtest]
-fn an_entry_tells_which_streams_nobody_could_go_on_with() {
-    let limits = ContinuationLimits { layers: 0, least: None, retries: 10 };
-    let (mut table, id, record) = table_with_streams(0);
-    expect_that!(kept_streams(&table, limits), eq(0));
-    // One has no attempt left.
-    table.begin_last(&id);
-    expect_that!(kept_streams(&table, limits), eq(1));
-    table.end_last(&id);
-    expect_that!(kept_streams(&table, limits), eq(0));
-    // Retries are used up; the others' weights are too old.
-    expect_that!(kept_streams(&table, ContinuationLimits { retries: 2, ..limits }), eq(3));
-    let least = Some(WeightVersion(2));
-    expect_that!(kept_streams(&table, ContinuationLimits { least, ..limits }), eq(3));
-    // The other server has no room.
-    let room = record.slots + 6;
-    let (full, ..) = table_with_streams(room - 2);
-    expect_that!(kept_streams(&full, limits), eq(3));
-    let (free, ..) = table_with_streams(room - 3);
-    expect_that!(kept_streams(&free, limits), eq(0));
-}
-
-#[gtest]
-fn a_change_waits_for_streams_that_nobody_could_go_on_with() {
-    let entries = DrainReport { kept: 1, ..DrainReport::default() };
-    let view = |waited, active| DrainView {
-        waited: millis(waited),
-        is_first: false,
-        requests: Some(QueueReport { queued: 0, active }),
-        entries,
-    };
-    expect_that!(may_change(&view(900, 1)), eq(false));
-    expect_that!(may_change(&view(1400, 9)), eq(false));
-    // The last one has ended, and its entry has not told yet.
-    expect_that!(may_change(&view(900, 0)), eq(true));
-    expect_that!(may_change(&view(1500, 9)), eq(true));
-    // What waits to begin is waited for as before.
-    let waiting = DrainReport { waiting: 1, ..entries };
-    expect_that!(may_change(&DrainView { entries: waiting, ..view(1500, 9) }), eq(false));
-}
-
-#[gtest]
-fn every_living_entry_must_confirm_a_drain() {
-    let mut peers = PeerTable::new("10.0.0.1:7".parse().expect("an address"), DomainKey(1));
-    let server = "10.0.0.9:80".parse().expect("an address");
-    let confirmed = |from, waiting| PeerNotice {
-        drains: vec![DrainNotice { server, waiting, kept: waiting }],
-        ..notice(from, 1, 2, 0)
-    };
-    peers.hear(at(0), notice("10.0.0.2:7", 1, 1, 0));
-    peers.hear(at(0), confirmed("10.0.0.3:7", 2));
-    peers.hear(at(0), PeerNotice { kind: PeerKind::Agent, ..notice("10.0.0.4:7", 1, 1, 0) });
-    let report = peers.drain_report(server);
-    expect_that!(report, eq(DrainReport { unconfirmed: 1, waiting: 2, kept: 2 }));
-    peers.hear(at(10), confirmed("10.0.0.2:7", 0));
-    expect_that!(peers.drain_report(server).unconfirmed, eq(0));
-}
-
-#[gtest]
-fn nothing_may_wait_at_a_server_that_changes() {
-    let confirmed = DrainReport::default();
-    let view = |waited, queued, active, entries| DrainView {
-        waited: millis(waited),
-        is_first: false,
-        requests: Some(QueueReport { queued, active }),
-        entries,
-    };
-    expect_that!(may_change(&view(100, 0, 1, confirmed)), eq(true));
-    expect_that!(may_change(&view(100, 0, 5, confirmed)), eq(false));
-    expect_that!(may_change(&view(900, 0, 5, confirmed)), eq(true));
-    expect_that!(may_change(&view(900, 1, 5, confirmed)), eq(false));
-    let waiting = DrainReport { unconfirmed: 0, waiting: 1, kept: 0 };
-    expect_that!(may_change(&view(900, 0, 0, waiting)), eq(false));
-    let silent = DrainReport { unconfirmed: 1, waiting: 0, kept: 0 };
-    expect_that!(may_change(&view(900, 0, 0, silent)), eq(false));
-    // Whoever is silent for longer than an entry may be is gone.
-    expect_that!(may_change(&view(1800, 0, 0, silent)), eq(true));
-    let unknown = DrainView { requests: None, ..view(900, 0, 0, confirmed) };
-    expect_that!(may_change(&unknown), eq(false));
-    // The first of all waits less for what runs, and as long for what waits.
-    let first = DrainView { is_first: true, ..view(300, 0, 9, confirmed) };
-    expect_that!(may_change(&first), eq(true));
-    let first = DrainView { is_first: true, ..view(300, 1, 9, confirmed) };
-    expect_that!(may_change(&first), eq(false));
-}
-
 #[gtest]
 fn a_lost_server_is_let_in_again_by_one_request() {
     let mut table = table(&[server("a", "z1", 1)]);
@@ -527,17 +341,6 @@
     expect_that!(choose(&table, at(100_000), None, &[]), eq("nobody"));
 }
 
-fn notice(from: &str, life: u64, sequence: u64, in_flight: u32) -> PeerNotice {
-    let load = EngineLoad { in_flight, waiting_tokens: 0 };
-    PeerNotice {
-        life,
-        sequence,
-        plan: 1,
-        loads: vec![LoadNotice { server: 7, load }],
-        ..PeerNotice::empty(from.parse().expect("an address"), PeerKind::Entry, DomainKey(1))
-    }
-}
-
 #[gtest]
 fn old_notices_change_nothing_and_silent_peers_are_dropped() {
     let mut peers = PeerTable::new("10.0.0.1:7".parse().expect("an address"), DomainKey(1));
--- /dev/null
+++ b/crates/core/tests/draining.rs
@@ -0,0 +1,157 @@
+//! What is waited for before a server changes its weights.
+
+use std::collections::BTreeMap;
+
+use googletest::prelude::*;
+use headlatch_core::direct::{
+    draining::{DrainView, QueueReport, may_change},
+    peers::{DomainKey, DrainNotice, DrainReport, PeerKind, PeerNotice, PeerTable, ServerNotice},
+    server_table::{ContinuationLimits, ServerTable},
+};
+use headlatch_types::traffic::{ServerId, ServerRecord, WeightVersion};
+
+#[path = "support/entry.rs"]
+mod entry;
+
+use entry::{at, millis, notice, server, table};
+
+#[gtest]
+fn an_entry_confirms_that_a_changing_server_gets_nothing() {
+    let record = server("a", "z1", 1);
+    let mut table = table(std::slice::from_ref(&record));
+    let id = ServerId("a".into());
+    table.begin(&id, 100);
+    table.begin(&id, 0);
+    expect_that!(table.drains(at(0), &BTreeMap::new()), is_empty());
+    let changing = ServerNotice {
+        address: record.address,
+        whole: Some(WeightVersion(1)),
+        changing: true,
+        staged: None,
+        sharing: None,
+        zone: record.zone.clone(),
+        service: "llm".to_owned(),
+    };
+    table.set_notice(record.address, Some(changing));
+    let drain = |waiting| vec![DrainNotice { server: record.address, waiting, kept: 0 }];
+    expect_that!(table.drains(at(0), &BTreeMap::new()), eq(&drain(2)));
+    table.note_read(&id, 100);
+    table.note_read(&id, 0);
+    expect_that!(table.drains(at(0), &BTreeMap::new()), eq(&drain(0)));
+}
+
+/// An entry with streams at one server of a service, and `elsewhere` requests at its other server.
+fn table_with_streams(elsewhere: u32) -> (ServerTable, ServerId, ServerRecord) {
+    let (one, other) = (server("a", "z1", 1), server("b", "z1", 1));
+    let mut table = table(&[one.clone(), other.clone()]);
+    let id = ServerId("a".into());
+    for _ in 0..3 {
+        table.begin(&id, 100);
+        table.note_read(&id, 100);
+    }
+    for _ in 0..elsewhere {
+        table.begin(&other.id, 0);
+    }
+    let changing = ServerNotice {
+        address: one.address,
+        whole: Some(WeightVersion(1)),
+        changing: true,
+        staged: None,
+        sharing: None,
+        zone: one.zone.clone(),
+        service: "llm".to_owned(),
+    };
+    table.set_notice(one.address, Some(changing));
+    (table, id, one)
+}
+
+fn kept_streams(table: &ServerTable, limits: ContinuationLimits) -> u32 {
+    let limits = [("llm".into(), limits)].into();
+    table.drains(at(0), &limits).iter().map(|drain| drain.kept).sum()
+}
+
+#[gtest]
+fn an_entry_tells_which_streams_nobody_could_go_on_with() {
+    let limits = ContinuationLimits { layers: 0, least: None, retries: 10 };
+    let (mut table, id, record) = table_with_streams(0);
+    expect_that!(kept_streams(&table, limits), eq(0));
+    // One has no attempt left.
+    table.begin_last(&id);
+    expect_that!(kept_streams(&table, limits), eq(1));
+    table.end_last(&id);
+    expect_that!(kept_streams(&table, limits), eq(0));
+    // Retries are used up; the others' weights are too old.
+    expect_that!(kept_streams(&table, ContinuationLimits { retries: 2, ..limits }), eq(3));
+    let least = Some(WeightVersion(2));
+    expect_that!(kept_streams(&table, ContinuationLimits { least, ..limits }), eq(3));
+    // The other server has no room.
+    let room = record.slots + 6;
+    let (full, ..) = table_with_streams(room - 2);
+    expect_that!(kept_streams(&full, limits), eq(3));
+    let (free, ..) = table_with_streams(room - 3);
+    expect_that!(kept_streams(&free, limits), eq(0));
+}
+
+#[gtest]
+fn a_change_waits_for_streams_that_nobody_could_go_on_with() {
+    let entries = DrainReport { kept: 1, ..DrainReport::default() };
+    let view = |waited, active| DrainView {
+        waited: millis(waited),
+        is_first: false,
+        requests: Some(QueueReport { queued: 0, active }),
+        entries,
+    };
+    expect_that!(may_change(&view(900, 1)), eq(false));
+    expect_that!(may_change(&view(1400, 9)), eq(false));
+    // The last one has ended, and its entry has not told yet.
+    expect_that!(may_change(&view(900, 0)), eq(true));
+    expect_that!(may_change(&view(1500, 9)), eq(true));
+    // What waits to begin is waited for as before.
+    let waiting = DrainReport { waiting: 1, ..entries };
+    expect_that!(may_change(&DrainView { entries: waiting, ..view(1500, 9) }), eq(false));
+}
+
+#[gtest]
+fn every_living_entry_must_confirm_a_drain() {
+    let mut peers = PeerTable::new("10.0.0.1:7".parse().expect("an address"), DomainKey(1));
+    let server = "10.0.0.9:80".parse().expect("an address");
+    let confirmed = |from, waiting| PeerNotice {
+        drains: vec![DrainNotice { server, waiting, kept: waiting }],
+        ..notice(from, 1, 2, 0)
+    };
+    peers.hear(at(0), notice("10.0.0.2:7", 1, 1, 0));
+    peers.hear(at(0), confirmed("10.0.0.3:7", 2));
+    peers.hear(at(0), PeerNotice { kind: PeerKind::Agent, ..notice("10.0.0.4:7", 1, 1, 0) });
+    let report = peers.drain_report(server);
+    expect_that!(report, eq(DrainReport { unconfirmed: 1, waiting: 2, kept: 2 }));
+    peers.hear(at(10), confirmed("10.0.0.2:7", 0));
+    expect_that!(peers.drain_report(server).unconfirmed, eq(0));
+}
+
+#[gtest]
+fn nothing_may_wait_at_a_server_that_changes() {
+    let confirmed = DrainReport::default();
+    let view = |waited, queued, active, entries| DrainView {
+        waited: millis(waited),
+        is_first: false,
+        requests: Some(QueueReport { queued, active }),
+        entries,
+    };
+    expect_that!(may_change(&view(100, 0, 1, confirmed)), eq(true));
+    expect_that!(may_change(&view(100, 0, 5, confirmed)), eq(false));
+    expect_that!(may_change(&view(900, 0, 5, confirmed)), eq(true));
+    expect_that!(may_change(&view(900, 1, 5, confirmed)), eq(false));
+    let waiting = DrainReport { unconfirmed: 0, waiting: 1, kept: 0 };
+    expect_that!(may_change(&view(900, 0, 0, waiting)), eq(false));
+    let silent = DrainReport { unconfirmed: 1, waiting: 0, kept: 0 };
+    expect_that!(may_change(&view(900, 0, 0, silent)), eq(false));
+    // Whoever is silent for longer than an entry may be is gone.
+    expect_that!(may_change(&view(1800, 0, 0, silent)), eq(true));
+    let unknown = DrainView { requests: None, ..view(900, 0, 0, confirmed) };
+    expect_that!(may_change(&unknown), eq(false));
+    // The first of all waits less for what runs, and as long for what waits.
+    let first = DrainView { is_first: true, ..view(300, 0, 9, confirmed) };
+    expect_that!(may_change(&first), eq(true));
+    let first = DrainView { is_first: true, ..view(300, 1, 9, confirmed) };
+    expect_that!(may_change(&first), eq(false));
+}
--- a/crates/core/tests/shedding.rs
+++ b/crates/core/tests/shedding.rs
@@ -10,19 +10,12 @@
     },
     time::Moment,
 };
-use headlatch_types::{request::RequestDigest, traffic::EngineFigures};
+use headlatch_types::request::RequestDigest;
 
-fn figures() -> EngineFigures {
-    EngineFigures {
-        slots: 16,
-        step_ms: 9.64,
-        stride: 5,
-        read_per_second: 20_700.0,
-        usual_prompt: 895,
-        usual_answer: 92,
-        ..EngineFigures::default()
-    }
-}
+#[path = "support/figures.rs"]
+mod figures;
+
+use figures::figures;
 
 fn at(millis: u64) -> Moment {
     Moment::ZERO + Duration::from_millis(millis)
--- a/crates/core/tests/sizes.rs
+++ b/crates/core/tests/sizes.rs
@@ -37,6 +37,11 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
+#[path = "support/figures.rs"]
+mod figures;
+
+use figures::figures;
+
 /// Least share of a size class, relative to that of its kind: the aim, well above the half below
 /// which users call large requests unserved.
 const LEAST_RELATIVE: f64 = 0.75;
@@ -168,19 +173,6 @@
     rate: f64,
 }
 
-fn figures() -> EngineFigures {
-    EngineFigures {
-        slots: 16,
-        step_ms: 9.64,
-        stride: 5,
-        read_per_second: 20_700.0,
-        layers: 16,
-        usual_prompt: 895,
-        usual_answer: 92,
-        ..EngineFigures::default()
-    }
-}
-
 fn server(index: usize) -> ServerRecord {
     let layers = vec![HeldLayers { from: 0, until: 16, version: WeightVersion(1) }];
     let model = "m".parse().expect("a name");
--- /dev/null
+++ b/crates/core/tests/support/entry.rs
@@ -0,0 +1,72 @@
+//! Servers, peers and times as tests of entries use them.
+
+use std::{collections::HashMap, time::Duration};
+
+use headlatch_core::{
+    direct::{
+        engine_model::EngineLoad,
+        fact_age::ChangeMark,
+        peers::{DomainKey, LoadNotice, PeerKind, PeerNotice},
+        server_table::{ServerTable, server_key},
+    },
+    time::Moment,
+};
+use headlatch_types::{
+    id::{DomainId, ModelName},
+    traffic::{HeldLayers, HeldModel, ServerId, ServerRecord, WeightVersion},
+};
+
+/// A moment, in milliseconds.
+pub fn at(millis: u64) -> Moment {
+    Moment::ZERO + Duration::from_millis(millis)
+}
+
+/// A time, in milliseconds.
+pub fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// The model of every engine.
+pub fn model() -> ModelName {
+    "m".parse().expect("a name")
+}
+
+/// An engine that holds a version whole.
+pub fn server(name: &str, zone: &str, version: u64) -> ServerRecord {
+    let layers = vec![HeldLayers { from: 0, until: 16, version: WeightVersion(version) }];
+    let held = HeldModel { model: model(), version: WeightVersion(version), layers };
+    ServerRecord {
+        id: ServerId(name.into()),
+        born: None,
+        service: "llm".into(),
+        address: format!("127.0.0.1:{}", 1000 + server_key(&ServerId(name.into())) % 60_000)
+            .parse()
+            .expect("an address"),
+        zone: zone.parse().expect("a name"),
+        slots: 16,
+        draining: false,
+        models: vec![held],
+    }
+}
+
+/// Servers as seen from `z1`, in a region with `z2`.
+pub fn table(servers: &[ServerRecord]) -> ServerTable {
+    let zone = |name: &str| -> DomainId { name.parse().expect("a name") };
+    let region = |name: &str| name.parse().expect("a name");
+    let regions = HashMap::from([(zone("z1"), region("r1")), (zone("z2"), region("r2"))]);
+    let mut table = ServerTable::new(zone("z1"), regions);
+    servers.iter().for_each(|server| table.set(at(0), server.clone(), ChangeMark(1)));
+    table
+}
+
+/// A notice of an entry with requests at one server.
+pub fn notice(from: &str, life: u64, sequence: u64, in_flight: u32) -> PeerNotice {
+    let load = EngineLoad { in_flight, waiting_tokens: 0 };
+    PeerNotice {
+        life,
+        sequence,
+        plan: 1,
+        loads: vec![LoadNotice { server: 7, load }],
+        ..PeerNotice::empty(from.parse().expect("an address"), PeerKind::Entry, DomainKey(1))
+    }
+}
--- /dev/null
+++ b/crates/core/tests/support/figures.rs
@@ -0,0 +1,17 @@
+//! Figures of an engine as tests of load use them.
+
+use headlatch_types::traffic::EngineFigures;
+
+/// An engine of sixteen slots.
+pub fn figures() -> EngineFigures {
+    EngineFigures {
+        slots: 16,
+        step_ms: 9.64,
+        stride: 5,
+        read_per_second: 20_700.0,
+        layers: 16,
+        usual_prompt: 895,
+        usual_answer: 92,
+        ..EngineFigures::default()
+    }
+}
