Run requests only in the regions that their route names

Cause: routes of the platform's configuration have `allowed_regions`, and nothing read it.

`ServerTable::choose` asks it first for every server, so that retries, streams that go on elsewhere, second servers beside silent ones and failure domains out of reach cannot leave it. A newer plan moves what is sent again. Who has no allowed server is refused at once. Shedding and the room for streams of a changing server are counted by region where regions are named.

--- a/crates/core/src/direct/route_table.rs
+++ b/crates/core/src/direct/route_table.rs
@@ -11,6 +11,7 @@
     /// Routes by host, longest prefix first.
     hosts: HashMap<String, Vec<usize>>,
     tenants: HashMap<String, usize>,
+    names: HashMap<Arc<str>, usize>,
 }
 
 /// Why a request is not let in.
@@ -36,7 +37,9 @@
         let tenants = keys
             .flat_map(|(index, tenant)| tenant.keys.iter().map(move |key| (key.clone(), index)))
             .collect();
-        Self { plan, hosts, tenants }
+        let named = plan.routes.iter().enumerate();
+        let names = named.map(|(index, route)| (route.name.clone(), index)).collect();
+        Self { plan, hosts, tenants, names }
     }
 
     /// The plan.
@@ -57,6 +60,11 @@
         found.ok_or(Denial::NoRoute)
     }
 
+    /// The route with a name.
+    pub fn route_named(&self, name: &str) -> Option<&Route> {
+        self.names.get(name).map(|index| &self.plan.routes[*index])
+    }
+
     /// The tenant of a request on `route` with `key`; none if the route asks for no key.
     pub fn tenant(&self, route: &Route, key: Option<&str>) -> Result<Option<&Tenant>, Denial> {
         if self.plan.tenants.is_empty() {
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -71,6 +71,8 @@
     /// Its life, by its id and birth.
     life: LifeKey,
     domain: DomainKey,
+    /// Its region, if that is known.
+    region: Option<RegionId>,
     own: EngineLoad,
     /// Requests of this entry that have not begun there.
     waiting: u32,
@@ -140,6 +142,7 @@
                 let _ = self.leaving.note_ready(now, key, revision);
             }
         }
+        let region = self.regions.get(&record.zone).cloned();
         if let Some(state) = self.servers.get_mut(&record.id) {
             let moved = state.record.service != record.service;
             let life = life_key(&record);
@@ -147,6 +150,8 @@
                 state.forget_life();
             }
             state.life = life;
+            state.domain = DomainKey::from(&record.zone);
+            state.region = region;
             state.record = record;
             if !moved {
                 return;
@@ -156,6 +161,7 @@
                 key,
                 life: life_key(&record),
                 domain: DomainKey::from(&record.zone),
+                region,
                 own: EngineLoad::default(),
                 waiting: 0,
                 last_streams: 0,
--- a/crates/core/src/direct/server_table/changing.rs
+++ b/crates/core/src/direct/server_table/changing.rs
@@ -6,9 +6,12 @@
     sync::Arc,
 };
 
-use headlatch_types::traffic::{ServerId, WeightVersion};
+use headlatch_types::{
+    id::RegionId,
+    traffic::{ServerId, WeightVersion},
+};
 
-use super::{ServerTable, continued_limit, has_weights, is_changing};
+use super::{ServerState, ServerTable, continued_limit, has_weights, is_changing};
 use crate::{direct::peers::DrainNotice, time::Moment};
 
 /// What limits the continuation of streams of one service.
@@ -20,6 +23,8 @@
     pub least: Option<WeightVersion>,
     /// Retries that this entry may still send.
     pub retries: usize,
+    /// Some of the streams may go on only within their region.
+    pub within_region: bool,
 }
 
 impl ServerTable {
@@ -55,10 +60,27 @@
     /// of it comes to them at once.
     fn can_move(&self, now: Moment, service: &str, limits: &ContinuationLimits) -> bool {
         let ids = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
-        let servers = ids.iter().filter_map(|id| self.servers.get(id));
-        let (changing, others): (Vec<_>, Vec<_>) = servers.partition(|state| is_changing(state));
-        let moving: u32 = changing.iter().map(|state| self.load(state).in_flight).sum();
-        let own: u32 = changing.iter().map(|state| state.own.in_flight).sum();
+        let servers: Vec<&ServerState> = ids.iter().filter_map(|id| self.servers.get(id)).collect();
+        let changing = servers.iter().filter(|state| is_changing(state));
+        let own: u32 = changing.map(|state| state.own.in_flight).sum();
+        if limits.retries < own as usize {
+            return false;
+        }
+        if !limits.within_region {
+            return self.has_room(now, &servers, limits);
+        }
+        let mut regions: BTreeMap<Option<&RegionId>, Vec<&ServerState>> = BTreeMap::new();
+        for state in servers {
+            regions.entry(state.region.as_ref()).or_default().push(state);
+        }
+        regions.values().all(|servers| self.has_room(now, servers, limits))
+    }
+
+    /// Whether those of `servers` that are not changing have room for what runs at the others.
+    fn has_room(&self, now: Moment, servers: &[&ServerState], limits: &ContinuationLimits) -> bool {
+        let (changing, others): (Vec<&ServerState>, Vec<&ServerState>) =
+            servers.iter().copied().partition(|state| is_changing(state));
+        let moving: u32 = changing.into_iter().map(|state| self.load(state).in_flight).sum();
         let takes = others.into_iter().filter(|state| {
             let rests = state.blocked_until > now;
             !rests && !self.is_leaving(state) && has_weights(state, limits.layers, limits.least)
@@ -66,7 +88,7 @@
         let room = takes
             .map(|state| continued_limit(state).saturating_sub(self.load(state).in_flight))
             .sum::<u32>();
-        room >= moving && limits.retries >= own as usize
+        room >= moving
     }
 
     /// Notes that a stream which has begun at a server may not be sent to another one any more.
--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -4,7 +4,7 @@
 
 use headlatch_types::{
     id::DomainId,
-    traffic::{EngineFigures, ServerId, WeightVersion},
+    traffic::{AllowedRegions, EngineFigures, ServerId, WeightVersion},
 };
 
 use super::{
@@ -68,6 +68,8 @@
     pub service: &'a str,
     /// What is asked of an engine; none for plain services.
     pub engine: Option<EngineQuery<'a>>,
+    /// Regions whose servers may run it.
+    pub regions: &'a AllowedRegions,
     /// The least version of weights that may answer.
     pub least: Option<WeightVersion>,
     /// Servers that have been tried.
@@ -192,6 +194,18 @@
         }
     }
 
+    /// Whether a server may run a request, whatever its load and state. Every choice asks it first.
+    fn is_allowed(&self, state: &ServerState, query: &ServerQuery<'_>) -> bool {
+        query.regions.allows(state.region.as_ref())
+    }
+
+    /// Whether a request may run in the own failure domain, so that servers of others are left to the
+    /// entries there.
+    fn may_stay_near(&self, query: &ServerQuery<'_>) -> bool {
+        let own = self.zone.as_ref().and_then(|zone| self.regions.get(zone));
+        query.regions.allows(own)
+    }
+
     fn choose_among(
         &self,
         now: Moment,
@@ -202,15 +216,20 @@
         let mut best: Option<(f64, &ServerState)> = None;
         let mut full = FullServers::default();
         let mut least_wait: Option<(Duration, EngineLoad)> = None;
+        let stays_near = self.may_stay_near(query);
         for (index, id) in ids.iter().enumerate() {
             let Some(state) = self.servers.get(id) else { continue };
-            if !may_be_used(state) {
+            if !self.is_allowed(state, query) || !may_be_used(state) {
                 continue;
             }
             let order = query.draw.rotate_left(index as u32 % 64) % 1024;
             let drawn = (query.draw.rotate_left(31) ^ u64::from(state.key)) % 1024;
             let is_new = query.engine.is_some_and(|engine| !engine.continues);
-            if is_new && !self.is_near(state) && !self.may_go_far(drawn as f64 / 1024.0) {
+            if is_new
+                && stays_near
+                && !self.is_near(state)
+                && !self.may_go_far(drawn as f64 / 1024.0)
+            {
                 full.left_to_near += 1;
                 continue;
             }
@@ -351,7 +370,7 @@
         let slots = state.record.slots.max(1);
         match query.engine {
             Some(engine) if engine.continues => continued_limit(state),
-            Some(_) if self.is_near(state) => slots + ENGINE_QUEUE,
+            Some(_) if self.is_near(state) || !self.may_stay_near(query) => slots + ENGINE_QUEUE,
             Some(_) => (slots * (100 - FAR_RESERVE_PERCENT) / 100).max(1),
             None => slots * PLAIN_LOAD,
         }
--- a/crates/core/src/direct/shedding.rs
+++ b/crates/core/src/direct/shedding.rs
@@ -6,12 +6,15 @@
 //! at the best engine so short that long prompts fit as well.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
     sync::Arc,
     time::Duration,
 };
 
-use headlatch_types::{request::RequestDigest, traffic::EngineFigures};
+use headlatch_types::{
+    request::RequestDigest,
+    traffic::{AllowedRegions, EngineFigures},
+};
 
 use super::engine_model::{EngineLoad, EngineWork, first_token, usual_reading};
 use crate::time::Moment;
@@ -90,6 +93,8 @@
 pub struct NewRequest<'a> {
     /// The service.
     pub service: &'a Arc<str>,
+    /// Regions whose engines may run it.
+    pub regions: &'a AllowedRegions,
     /// The engines' figures.
     pub figures: &'a EngineFigures,
     /// Time in which its first token is wanted; zero if that is not said.
@@ -98,13 +103,14 @@
     pub lot: RequestLot,
 }
 
-/// Refuses a part of the new requests of each service.
+/// Refuses a part of the new requests of each service. Requests that may run in some regions only have
+/// a share of their own: what they wait for is the room there.
 #[derive(Debug, Default)]
 pub struct LoadShedder {
-    services: HashMap<Arc<str>, ServiceShare>,
+    services: HashMap<Arc<str>, BTreeMap<AllowedRegions, ServiceShare>>,
 }
 
-/// What is refused of one service's requests.
+/// What is refused of the requests of one service that may run in the same regions.
 #[derive(Debug, Default)]
 struct ServiceShare {
     objectives: ObjectiveWindow,
@@ -122,7 +128,7 @@
         request: &NewRequest<'_>,
         room: EngineRoom,
     ) -> Option<f64> {
-        let service = self.services.entry(request.service.clone()).or_default();
+        let service = self.share_of(now, request);
         service.objectives.note(request.objective);
         // A rare kind with a shorter objective still: its own requests are judged by prediction.
         let shortest = service.objectives.shortest().unwrap_or_default();
@@ -139,6 +145,15 @@
         }
         (request.lot.0 < share).then_some(share)
     }
+
+    fn share_of(&mut self, now: Moment, request: &NewRequest<'_>) -> &mut ServiceShare {
+        let shares = self.services.entry(request.service.clone()).or_default();
+        if !shares.contains_key(request.regions) {
+            // Changes of the plan must not leave one behind for each set that routes once had.
+            shares.retain(|_, share| now.since(share.updated) < LOT_TIME);
+        }
+        shares.entry(request.regions.clone()).or_default()
+    }
 }
 
 impl ServiceShare {
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -20,8 +20,8 @@
     time::Moment,
 };
 use headlatch_types::traffic::{
-    EngineFigures, PlanVersion, Route, RouteKind, RouteTarget, ServerId, ServerRecord, Tenant,
-    TrafficPlan, WeightVersion,
+    AllowedRegions, EngineFigures, PlanVersion, Route, RouteKind, RouteTarget, ServerId,
+    ServerRecord, Tenant, TrafficPlan, WeightVersion,
 };
 
 #[path = "support/entry.rs"]
@@ -43,6 +43,7 @@
         max_attempts: 2,
         anonymous: false,
         resumable: true,
+        allowed_regions: AllowedRegions::Anywhere,
     }
 }
 
@@ -223,6 +224,7 @@
     let query = ServerQuery {
         service: "llm",
         engine: Some(engine),
+        regions: &AllowedRegions::Anywhere,
         least: least.map(WeightVersion),
         tried,
         draw: 5,
--- a/crates/core/tests/draining.rs
+++ b/crates/core/tests/draining.rs
@@ -72,7 +72,7 @@
 
 #[gtest]
 fn an_entry_tells_which_streams_nobody_could_go_on_with() {
-    let limits = ContinuationLimits { layers: 0, least: None, retries: 10 };
+    let limits = ContinuationLimits { layers: 0, least: None, retries: 10, within_region: false };
     let (mut table, id, record) = table_with_streams(0);
     expect_that!(kept_streams(&table, limits), eq(0));
     // One has no attempt left.
--- a/crates/core/tests/load_notices.rs
+++ b/crates/core/tests/load_notices.rs
@@ -17,7 +17,7 @@
     time::Moment,
 };
 use headlatch_types::traffic::{
-    EngineFigures, HeldLayers, HeldModel, ServerId, ServerRecord, WeightVersion,
+    AllowedRegions, EngineFigures, HeldLayers, HeldModel, ServerId, ServerRecord, WeightVersion,
 };
 
 const NEAR: DomainKey = DomainKey(1);
@@ -168,6 +168,7 @@
     let query = ServerQuery {
         service: "llm",
         engine: Some(EngineQuery { figures, work, continues: false }),
+        regions: &AllowedRegions::Anywhere,
         least: None,
         tried: &[],
         draw,
--- a/crates/core/tests/server_lives.rs
+++ b/crates/core/tests/server_lives.rs
@@ -10,7 +10,7 @@
     },
     time::Moment,
 };
-use headlatch_types::traffic::{BirthTime, ServerId, ServerRecord, WeightVersion};
+use headlatch_types::traffic::{AllowedRegions, BirthTime, ServerId, ServerRecord, WeightVersion};
 
 fn record(born: u64) -> ServerRecord {
     ServerRecord {
@@ -30,7 +30,14 @@
 }
 
 fn choose(table: &ServerTable, now: Moment) -> Option<ChosenServer> {
-    let query = ServerQuery { service: "s", engine: None, least: None, tried: &[], draw: 1 };
+    let query = ServerQuery {
+        service: "s",
+        engine: None,
+        regions: &AllowedRegions::Anywhere,
+        least: None,
+        tried: &[],
+        draw: 1,
+    };
     match table.choose(now, &query) {
         ServerChoice::Server(server) => Some(server),
         _ => None,
--- a/crates/core/tests/shedding.rs
+++ b/crates/core/tests/shedding.rs
@@ -10,7 +10,7 @@
     },
     time::Moment,
 };
-use headlatch_types::request::RequestDigest;
+use headlatch_types::{request::RequestDigest, traffic::AllowedRegions};
 
 #[path = "support/figures.rs"]
 mod figures;
@@ -32,8 +32,13 @@
     let contents = 0..4000;
     let count = contents.end as f64;
     let refused = contents.filter(|content| {
-        let new =
-            NewRequest { service: &service, figures: &figures, objective, lot: lot(*content) };
+        let new = NewRequest {
+            service: &service,
+            regions: &AllowedRegions::Anywhere,
+            figures: &figures,
+            objective,
+            lot: lot(*content),
+        };
         shedder.refuses(at(from + content * 2), &new, room).is_some()
     });
     refused.count() as f64 / count
@@ -78,8 +83,13 @@
     for content in 0..2000 {
         let mut ask = |objective| {
             let objective = Duration::from_millis(objective);
-            let new =
-                NewRequest { service: &service, figures: &figures, objective, lot: lot(content) };
+            let new = NewRequest {
+                service: &service,
+                regions: &AllowedRegions::Anywhere,
+                figures: &figures,
+                objective,
+                lot: lot(content),
+            };
             shedder.refuses(at(content * 4), &new, room).is_some()
         };
         let _ = ask(400);
@@ -91,7 +101,13 @@
     let mut shedder = LoadShedder::default();
     for content in 0..2000 {
         let objective = Duration::from_millis(if content % 100 == 0 { 400 } else { 10_000 });
-        let new = NewRequest { service: &service, figures: &figures, objective, lot: lot(content) };
+        let new = NewRequest {
+            service: &service,
+            regions: &AllowedRegions::Anywhere,
+            figures: &figures,
+            objective,
+            lot: lot(content),
+        };
         let refused = shedder.refuses(at(content * 4), &new, room);
         if content > 1000 && objective.as_secs() == 10 {
             expect_that!(refused, none(), "{content}");
@@ -132,6 +148,12 @@
     let (service, figures): (Arc<str>, _) = ("other".into(), figures());
     let objective = Duration::from_millis(400);
     let room = EngineRoom::Best(EngineLoad { in_flight: 15, waiting_tokens: 0 });
-    let new = NewRequest { service: &service, figures: &figures, objective, lot: lot(1) };
+    let new = NewRequest {
+        service: &service,
+        regions: &AllowedRegions::Anywhere,
+        figures: &figures,
+        objective,
+        lot: lot(1),
+    };
     expect_that!(shedder.refuses(at(8000), &new, room), none());
 }
--- a/crates/core/tests/sizes.rs
+++ b/crates/core/tests/sizes.rs
@@ -33,7 +33,9 @@
 use headlatch_types::{
     id::DomainId,
     request::RequestDigest,
-    traffic::{EngineFigures, HeldLayers, HeldModel, ServerId, ServerRecord, WeightVersion},
+    traffic::{
+        AllowedRegions, EngineFigures, HeldLayers, HeldModel, ServerId, ServerRecord, WeightVersion,
+    },
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -291,6 +293,7 @@
         let query = ServerQuery {
             service: "llm",
             engine: Some(engine),
+            regions: &AllowedRegions::Anywhere,
             least: None,
             tried: &[],
             draw: self.random.random(),
@@ -298,6 +301,7 @@
         let choice = self.tables[job.entry].choose(self.now, &query);
         let new = NewRequest {
             service: &"llm".into(),
+            regions: &AllowedRegions::Anywhere,
             figures: &self.figures,
             objective: work.objective,
             lot: RequestLot::new(job.content, self.now.since(Moment::ZERO)),
--- a/crates/core/tests/support/entry.rs
+++ b/crates/core/tests/support/entry.rs
@@ -1,5 +1,8 @@
 //! Servers, peers and times as tests of entries use them.
 
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
 use std::{collections::HashMap, time::Duration};
 
 use headlatch_core::{
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -15,7 +15,7 @@
 use headlatch_http::ConnectionChoice;
 use headlatch_types::{
     RunVerdict,
-    traffic::ServerId,
+    traffic::{AllowedRegions, ServerId},
     verdict::{Repeatability, RetryPermit},
 };
 use http::{Response, StatusCode, header};
@@ -39,6 +39,9 @@
 /// Cause of a refusal by lot while engines are full.
 const LOAD_SHED: &str = "load_shed";
 
+/// Cause of a refusal where no server of the regions that may run a request can.
+const NOT_ALLOWED: &str = "no_server_in_allowed_regions";
+
 /// Servers that one request reaches at most, those that refused it among them.
 const MOST_ARRIVALS: u32 = 4;
 
@@ -161,7 +164,18 @@
         decisions::note("routing", event, fields);
     }
 
-    fn choose(&self) -> ServerChoice {
+    /// The regions whose servers may run this request: those of its route in the plan in force, which may
+    /// be newer than the one that let it in.
+    fn allowed_regions(&self) -> AllowedRegions {
+        let route = &self.request.route;
+        let routes = self.state.routes();
+        let newer = routes.filter(|routes| routes.plan().version.0 != self.request.plan);
+        let newer =
+            newer.and_then(|routes| Some(routes.route_named(&route.name)?.allowed_regions.clone()));
+        newer.unwrap_or_else(|| route.allowed_regions.clone())
+    }
+
+    fn choose(&self, regions: &AllowedRegions) -> ServerChoice {
         let engine = self.request.engine.as_ref().zip(self.request.work());
         let query = ServerQuery {
             service: &self.request.service,
@@ -170,6 +184,7 @@
                 work,
                 continues: self.begun,
             }),
+            regions,
             least: attempt::least_version(&self.state, &self.request),
             tried: &self.tried,
             draw: rand::rng().random(),
@@ -179,13 +194,14 @@
 
     /// The part of the new requests that is refused, if this one belongs to it. What has been sent once
     /// has been let in.
-    fn shed_share(&self, choice: &ServerChoice) -> Option<f64> {
+    fn shed_share(&self, regions: &AllowedRegions, choice: &ServerChoice) -> Option<f64> {
         let (figures, work) = self.request.engine.as_ref().zip(self.request.work())?;
         if !self.tried.is_empty() {
             return None;
         }
         let request = NewRequest {
             service: &self.request.service,
+            regions,
             figures,
             objective: work.objective,
             lot: RequestLot::new(self.request.digests.without_query, unix_time()),
@@ -231,8 +247,9 @@
         if !self.has_attempts() {
             return Err("attempts_used");
         }
-        let choice = self.choose();
-        if let Some(share) = self.shed_share(&choice) {
+        let regions = self.allowed_regions();
+        let choice = self.choose(&regions);
+        if let Some(share) = self.shed_share(&regions, &choice) {
             self.log("load_shed", json!({ "share": share }));
             return Err(LOAD_SHED);
         }
@@ -242,7 +259,11 @@
                 self.log("servers_full", describe_full(&full));
                 return Err("servers_full");
             }
-            ServerChoice::Nobody => return Err("no_server"),
+            ServerChoice::Nobody if regions == AllowedRegions::Anywhere => return Err("no_server"),
+            ServerChoice::Nobody => {
+                self.log(NOT_ALLOWED, json!({ "allowed_regions": regions.to_string() }));
+                return Err(NOT_ALLOWED);
+            }
         };
         if self.arrivals > 0 {
             let entries = self.state.entries();
@@ -258,6 +279,7 @@
             "waiting_tokens": server.own.waiting_tokens + server.others.waiting_tokens,
             "predicted_ms": server.predicted.map(|time| time.as_millis() as u64),
             "limit": server.limit, "version": server.version, "least": attempt::least_version(&self.state, &self.request),
+            "allowed_regions": regions.to_string(),
         });
         if self.tried.is_empty() {
             self.count(RequestStep::Admitted);
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -598,7 +598,8 @@
         let least = models.filter_map(|model| self.weights().least(now, model, time)).max();
         let entries = self.entries();
         let retries = self.retries().left(now, service, entries);
-        Some(ContinuationLimits { layers: engine.layers, least, retries })
+        let within_region = routes.plan().restricts_regions(service);
+        Some(ContinuationLimits { layers: engine.layers, least, retries, within_region })
     }
 
     /// Takes in what others have in progress; tells whether what agents tell is to be taken in anew
--- /dev/null
+++ b/crates/daemon/tests/allowed_regions.rs
@@ -0,0 +1,146 @@
+//! An entry between two regions: what may run in one of them only reaches no server of the other,
+//! whatever fails, also after the plan has moved it.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use googletest::prelude::*;
+use headlatch_daemon::direct::entry::DirectEntry;
+use headlatch_outside::facts::{Fact, FactTopic};
+use headlatch_types::traffic::{AllowedRegions, Route, RouteKind, TrafficPlan};
+use http::StatusCode;
+use support::{
+    TestHeaders, TestStore, ask, header, plan, record, route,
+    server::{Script, TestServer},
+    settings,
+};
+
+fn answer(head: &str, status: &str, further: &str) -> Vec<u8> {
+    let id = header(head, "x-id").unwrap_or_default();
+    format!("HTTP/1.1 {status}\r\nx-id: {id}\r\nx-sign: s\r\n{further}content-length: 0\r\n\r\n")
+        .into_bytes()
+}
+
+fn serves(head: &str) -> Vec<u8> {
+    answer(head, "200 OK", "")
+}
+
+fn refuses(head: &str) -> Vec<u8> {
+    answer(head, "503 Service Unavailable", "x-not-run: 1\r\n")
+}
+
+fn fails(head: &str) -> Vec<u8> {
+    answer(head, "500 Internal Server Error", "")
+}
+
+fn breaks_off(_head: &str) -> Vec<u8> {
+    Vec::new()
+}
+
+/// A stream that breaks off after its first event.
+fn cuts_stream(head: &str) -> Vec<u8> {
+    let id = header(head, "x-id").unwrap_or_default();
+    let event = "id: 1\ndata: a\n\n";
+    format!(
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\ncontent-type: text/event-stream\r\n\
+         transfer-encoding: chunked\r\n\r\n{:x}\r\n{event}\r\n",
+        event.len()
+    )
+    .into_bytes()
+}
+
+fn plan_in(version: u64, region: &str) -> TrafficPlan {
+    let regions = AllowedRegions::Only([region.parse().expect("a name")].into());
+    let kinds = [RouteKind::Repeatable, RouteKind::Once, RouteKind::Stream];
+    let routes = kinds.into_iter().zip(["safe", "once", "stream"]);
+    let routes =
+        routes.map(|(kind, name)| Route { allowed_regions: regions.clone(), ..route(name, kind) });
+    TrafficPlan { routes: routes.collect(), ..plan(version) }
+}
+
+struct Setting {
+    entry: DirectEntry,
+    store: Arc<TestStore>,
+    near: TestServer,
+    far: TestServer,
+}
+
+impl Setting {
+    /// An entry in `r1`, and routes whose requests may run in `r2` alone.
+    async fn new(near: Script, far: Script) -> Self {
+        let store = Arc::new(TestStore::default());
+        let (near, far) = (TestServer::start(near).await, TestServer::start(far).await);
+        store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan_in(5, "r2"))));
+        let servers = [("i1", near.address, "z1"), ("i2", far.address, "z2")];
+        for (name, address, zone) in servers {
+            store.set(FactTopic::Servers, name, Fact::Server(record(name, address, zone)));
+        }
+        let mut settings = settings();
+        let zone = ("z2".parse().expect("a name"), "r2".parse().expect("a name"));
+        settings.direct.zones.extend([zone]);
+        let entry = DirectEntry::start(settings, store.clone(), Arc::new(TestHeaders)).await;
+        let entry = entry.expect("it starts");
+        while !entry.state.is_ready() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        Self { entry, store, near, far }
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn what_may_run_in_one_region_reaches_no_other_whatever_fails() {
+    for far in [serves, refuses, fails, breaks_off, cuts_stream] {
+        let setting = Setting::new(serves, far).await;
+        for path in ["/safe/x", "/once/x", "/stream/x"] {
+            // Whatever comes of it, also a connection that closes.
+            let _ = ask(setting.entry.address, path, "k").await;
+        }
+        expect_that!(setting.far.seen(), not(is_empty()));
+        expect_that!(setting.near.seen(), is_empty());
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn where_no_allowed_server_is_the_refusal_says_so_and_when_to_return() {
+    let setting = Setting::new(serves, refuses).await;
+    let refused = ask(setting.entry.address, "/safe/x", "k").await.expect("an answer");
+    expect_that!(refused.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(&refused.body[..], eq(b"no_server_in_allowed_regions\n"));
+    expect_that!(refused.headers.contains_key("retry-after"), eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_newer_plan_moves_requests_to_another_region() {
+    let setting = Setting::new(serves, serves).await;
+    ask(setting.entry.address, "/safe/x", "k").await.expect("an answer");
+    setting.store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan_in(6, "r1"))));
+    while setting.entry.state.plan_version().0 < 6 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    ask(setting.entry.address, "/safe/x", "k").await.expect("an answer");
+    expect_that!((setting.near.seen().len(), setting.far.seen().len()), eq((1, 1)));
+}
+
+/// A request that was let in by an older plan is sent again by the regions of the newer one.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_sent_again_follows_the_plan_in_force() {
+    let setting = Setting::new(serves, |_| {
+        std::thread::sleep(Duration::from_millis(600));
+        Vec::new()
+    })
+    .await;
+    let (address, store) = (setting.entry.address, setting.store.clone());
+    let asked = tokio::spawn(async move { ask(address, "/safe/x", "k").await });
+    while setting.far.seen().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan_in(6, "r1"))));
+    let answered = asked.await.expect("it ends").expect("an answer");
+    expect_that!(answered.status, eq(StatusCode::OK));
+    expect_that!(setting.near.seen().len(), eq(1));
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -26,8 +26,8 @@
     ByteProgress,
     settings::DaemonSettings,
     traffic::{
-        ClientLimits, PlanVersion, Route, RouteKind, RouteTarget, ServerId, ServerRecord, Tenant,
-        TrafficPlan,
+        AllowedRegions, ClientLimits, PlanVersion, Route, RouteKind, RouteTarget, ServerId,
+        ServerRecord, Tenant, TrafficPlan,
     },
 };
 use http::{HeaderMap, Method, StatusCode};
@@ -178,6 +178,7 @@
         max_attempts: 2,
         anonymous: false,
         resumable: true,
+        allowed_regions: AllowedRegions::Anywhere,
     }
 }
 
--- a/crates/types/src/traffic.rs
+++ b/crates/types/src/traffic.rs
@@ -3,12 +3,17 @@
 //! These are the checked forms. An adapter builds them from whatever an outside system says; the
 //! rest of headlatch never sees the raw form.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    id::{DomainId, ModelName},
+    id::{DomainId, ModelName, RegionId},
     reading::InputError,
 };
 
@@ -58,6 +63,40 @@
     pub weight: u32,
 }
 
+/// The regions whose endpoints may run a route's requests.
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum AllowedRegions {
+    /// Any endpoint may.
+    #[default]
+    Anywhere,
+    /// Only endpoints in these regions may; with none named, no endpoint may.
+    Only(BTreeSet<RegionId>),
+}
+
+impl AllowedRegions {
+    /// Whether an endpoint in `region` may run the requests. Where regions are named, an endpoint whose
+    /// region is not known may not.
+    pub fn allows(&self, region: Option<&RegionId>) -> bool {
+        match self {
+            Self::Anywhere => true,
+            Self::Only(regions) => region.is_some_and(|region| regions.contains(region)),
+        }
+    }
+}
+
+impl std::fmt::Display for AllowedRegions {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Anywhere => f.write_str("anywhere"),
+            Self::Only(regions) => {
+                let names: Vec<&str> = regions.iter().map(RegionId::as_str).collect();
+                f.write_str(&names.join(","))
+            }
+        }
+    }
+}
+
 /// One route.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
@@ -85,6 +124,8 @@
     pub anonymous: bool,
     /// Whether a stream may be continued on another server.
     pub resumable: bool,
+    /// Regions whose endpoints may run its requests.
+    pub allowed_regions: AllowedRegions,
 }
 
 impl Route {
@@ -215,6 +256,14 @@
         self.routes.iter().filter(|route| sends(route)).all(Route::repeatable)
     }
 
+    /// Whether some of the requests to a service may run in some regions only.
+    pub fn restricts_regions(&self, service: &str) -> bool {
+        let sends = |route: &Route| route.targets.iter().any(|one| &*one.service == service);
+        let mut restricted =
+            self.routes.iter().filter(|route| route.allowed_regions != AllowedRegions::Anywhere);
+        restricted.any(sends)
+    }
+
     /// What agents need of the plan: engines, the origin, and for each service one of the routes that
     /// keep its requests from being cut. Whole plans of a megabyte, read by every agent of a region
     /// after a loss of power, fill its link for half a minute.
--- a/crates/types/tests/agent_plan.rs
+++ b/crates/types/tests/agent_plan.rs
@@ -2,7 +2,8 @@
 
 use googletest::prelude::*;
 use headlatch_types::traffic::{
-    OriginPlan, PlanVersion, Route, RouteKind, RouteTarget, ServicePlan, Tenant, TrafficPlan,
+    AllowedRegions, OriginPlan, PlanVersion, Route, RouteKind, RouteTarget, ServicePlan, Tenant,
+    TrafficPlan,
 };
 
 fn route(name: &str, kind: RouteKind, service: &str) -> Route {
@@ -19,6 +20,7 @@
         max_attempts: 1,
         anonymous: false,
         resumable: true,
+        allowed_regions: AllowedRegions::Anywhere,
     }
 }
 
