Tell whoever starts all wanted versions whose time is not over

Cause: an entry that started 4 s after version 2 and 2.4 s after version 3 was named was told version 3 alone, with an age of 488 ms, and counted the end of version 1 from that: a request began on version 1 13,440 ms after version 2 was acknowledged. Two faults of one class, a newcomer that is told a summary: `newest_wanted` told the newest version, `learn_late` dropped an older one that came later; and relays handed on ages as they were when they heard them, however long ago.

Change: notices carry the newest version whose time is over and all after it; older versions are taken in whenever they come; ages go on while a relay keeps a notice. Agents keep wanted versions in the same type as entries, so that an age from before their own start is not cut off at it.

--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -79,12 +79,19 @@
     pub heard: Moment,
     /// Number of the notice that its facts are from; what it has in progress may be newer.
     facts_sequence: u64,
+    /// When these facts came here; who lives is told more often.
+    facts_heard: Moment,
 }
 
 impl Peer {
-    /// The facts of its last notice, as they are handed on: without what it tells others directly.
-    pub fn facts(&self) -> PeerNotice {
+    /// The facts of its last notice, as they are handed on: without what it tells others directly, and
+    /// with ages as they are now.
+    pub fn facts(&self, now: Moment) -> PeerNotice {
+        let rested = now.since(self.facts_heard);
+        let wanted = self.notice.wanted.iter().cloned();
+        let wanted = wanted.map(|one| WantedNotice { age: one.age + rested, ..one });
         PeerNotice {
+            wanted: wanted.collect(),
             sequence: self.facts_sequence,
             peers: Vec::new(),
             loads: Vec::new(),
@@ -189,14 +196,15 @@
             return NoticeOutcome { after_silence, ..NoticeOutcome::default() };
         }
         let outcome = outcome_of(before, &notice, after_silence);
-        let kept_facts = before.filter(|_| notice.changes_only).map(|peer| peer.facts_sequence);
+        let kept_facts = before.filter(|_| notice.changes_only);
+        let kept_facts = kept_facts.map(|peer| (peer.facts_sequence, peer.facts_heard));
         let notice = match before {
             Some(peer) if notice.changes_only => with_changes(&peer.notice, notice),
             _ => notice,
         };
         self.note_domain_loads(now, &notice);
-        let facts_sequence = kept_facts.unwrap_or(notice.sequence);
-        self.peers.insert(notice.from, Peer { notice, heard: now, facts_sequence });
+        let (facts_sequence, facts_heard) = kept_facts.unwrap_or((notice.sequence, now));
+        self.peers.insert(notice.from, Peer { notice, heard: now, facts_sequence, facts_heard });
         outcome
     }
 
--- a/crates/core/src/direct/peers/notice.rs
+++ b/crates/core/src/direct/peers/notice.rs
@@ -134,7 +134,7 @@
     pub drains: Vec<DrainNotice>,
     /// Its server, if it looks after one.
     pub server: Option<ServerNotice>,
-    /// The newest wanted version of each model, as far as it knows.
+    /// The wanted versions that decide until when older ones may be used, as far as it knows.
     pub wanted: Vec<WantedNotice>,
 }
 
--- a/crates/core/src/direct/peers/relayed.rs
+++ b/crates/core/src/direct/peers/relayed.rs
@@ -51,6 +51,7 @@
         let peer = Peer {
             heard: before.map_or(heard, |peer| peer.heard.max(heard)),
             facts_sequence: notice.sequence,
+            facts_heard: now,
             notice: with_direct_part(last, notice),
         };
         self.peers.insert(peer.notice.from, peer);
@@ -71,7 +72,7 @@
                     joined = true;
                     let empty = PeerNotice::empty(member.address, member.kind, roster.domain);
                     let notice = PeerNotice { life: 0, sequence: 0, ..empty };
-                    let peer = Peer { notice, heard, facts_sequence: 0 };
+                    let peer = Peer { notice, heard, facts_sequence: 0, facts_heard: now };
                     self.peers.insert(member.address, peer);
                 }
             }
--- a/crates/core/src/direct/weight_deadline.rs
+++ b/crates/core/src/direct/weight_deadline.rs
@@ -4,6 +4,7 @@
 
 use headlatch_types::{id::ModelName, traffic::WeightVersion};
 
+use super::peers::WantedNotice;
 use crate::time::Moment;
 
 /// Time before the deadline from which on older weights are sent nothing more: what is sent may wait on
@@ -37,20 +38,35 @@
     }
 }
 
-/// The wanted versions of each model, with the moments at which they were learnt.
+/// A wanted version and how long it has been wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WantedVersion {
+    /// The version.
+    pub version: WeightVersion,
+    /// Time since it was named, as far as this process or others know.
+    pub elapsed: Duration,
+}
+
+/// Versions of a model that are remembered.
+const MOST_VERSIONS: usize = 16;
+
+/// The wanted versions of each model, oldest first, with the moments at which they were learnt.
 #[derive(Debug, Default)]
 pub struct WeightDeadlines {
     models: HashMap<ModelName, Vec<Wanted>>,
 }
 
 impl WeightDeadlines {
-    /// Takes in a wanted version; older ones are passed over. Tells whether it is news.
+    /// Takes in a wanted version. Tells whether it is news.
     pub fn learn(&mut self, now: Moment, model: &ModelName, version: WeightVersion) -> bool {
         self.learn_late(now, model, version, Duration::ZERO)
     }
 
     /// Takes in a wanted version that somebody else has known for `age`, also where it is known
     /// here for less long: a process that has just started must not begin to count anew.
+    ///
+    /// An older version than those known is taken in as well. What a server holds may be used until the
+    /// first newer version is due, not the newest.
     pub fn learn_late(
         &mut self,
         now: Moment,
@@ -64,20 +80,38 @@
             known.age += late;
             return false;
         }
-        if wanted.last().is_some_and(|last| last.version >= version) {
+        let place = wanted.partition_point(|one| one.version < version);
+        if place == 0 && wanted.len() == MOST_VERSIONS {
             return false;
         }
-        wanted.push(Wanted { version, learnt: now, age });
+        wanted.insert(place, Wanted { version, learnt: now, age });
+        if wanted.len() > MOST_VERSIONS {
+            wanted.remove(0);
+        }
         true
     }
 
-    /// The newest wanted version of each model, and how long it has been wanted.
-    pub fn newest_wanted(&self, now: Moment) -> Vec<(ModelName, WeightVersion, Duration)> {
-        let newest = self.models.iter().filter_map(|(model, wanted)| {
-            let last = wanted.last()?;
-            Some((model.clone(), last.version, last.elapsed(now)))
+    /// What others are told, where servers have `time` to change: the newest version whose time is over
+    /// and all that came after it. The newest alone would have a process that has just started count the
+    /// end of older weights from it, which is too late.
+    pub fn notices(&self, now: Moment, time: Duration) -> Vec<WantedNotice> {
+        let told = self.models.iter().flat_map(|(model, wanted)| {
+            let over = wanted.iter().rposition(|one| one.elapsed(now) >= time);
+            wanted[over.unwrap_or(0)..].iter().map(|one| WantedNotice {
+                model: model.clone(),
+                version: one.version,
+                age: one.elapsed(now),
+            })
         });
-        newest.collect()
+        told.collect()
+    }
+
+    /// The wanted versions of a model, oldest first.
+    pub fn versions(&self, now: Moment, model: &ModelName) -> Vec<WantedVersion> {
+        let wanted = self.models.get(model).into_iter().flatten();
+        wanted
+            .map(|one| WantedVersion { version: one.version, elapsed: one.elapsed(now) })
+            .collect()
     }
 
     /// The newest wanted version of a model.
@@ -105,7 +139,8 @@
         version: WeightVersion,
         time: Duration,
     ) -> Option<Duration> {
-        let newer = self.models.get(model)?.iter().find(|one| one.version > version)?;
-        Some(time.saturating_sub(WORK_RESERVE).saturating_sub(newer.elapsed(now)))
+        let newer = self.models.get(model)?.iter().filter(|one| one.version > version);
+        let elapsed = newer.map(|one| one.elapsed(now)).max()?;
+        Some(time.saturating_sub(WORK_RESERVE).saturating_sub(elapsed))
     }
 }
--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -14,7 +14,10 @@
 use error_stack::{Report, ResultExt};
 use headlatch_core::{
     burst::PeerKey,
-    direct::peers::{DomainKey, PeerTable, ServerNotice, WantedNotice},
+    direct::{
+        peers::{DomainKey, PeerTable, ServerNotice, WantedNotice},
+        weight_deadline::{WantedVersion, WeightDeadlines},
+    },
     membership::NodeKind,
     time::Moment,
 };
@@ -66,9 +69,6 @@
 /// them by itself, and what is waited for here as well comes late.
 const DOWN_PERCENT: u64 = 300;
 
-/// Wanted versions that are remembered.
-const MOST_WANTED: usize = 8;
-
 /// What an agent is given to work with.
 #[derive(Debug, Clone)]
 pub struct AgentOutside {
@@ -89,8 +89,8 @@
     pub(super) node: Arc<NodeContext>,
     /// The other processes.
     pub(super) peers: Mutex<PeerTable>,
-    /// Wanted versions with the moments at which they were learnt, oldest first.
-    wanted: Mutex<HashMap<ModelName, Vec<(WeightVersion, Moment)>>>,
+    /// Wanted versions.
+    wanted: Mutex<WeightDeadlines>,
     /// What is told of the server.
     pub(super) notice: Mutex<ServerNotice>,
     /// What is told of the server has changed.
@@ -268,9 +268,9 @@
 }
 
 impl AgentState {
-    /// Wanted versions of a model with the moments at which they were learnt, oldest first.
-    pub(super) fn wanted(&self, model: &ModelName) -> Vec<(WeightVersion, Moment)> {
-        lock(&self.wanted).get(model).cloned().unwrap_or_default()
+    /// Wanted versions of a model, oldest first.
+    pub(super) fn wanted(&self, model: &ModelName) -> Vec<WantedVersion> {
+        lock(&self.wanted).versions(self.node.now(), model)
     }
 
     fn hear_weights(&self, news: FactNews) {
@@ -291,32 +291,23 @@
 
     /// Takes in a version that has been wanted for `age`.
     fn learn_wanted(&self, model: &ModelName, version: WeightVersion, age: Duration) {
-        let since = self.node.now() - age;
         let mut wanted = lock(&self.wanted);
-        let versions = wanted.entry(model.clone()).or_default();
-        let before = versions.last().map(|(version, _)| *version);
-        if before.is_some_and(|before| before >= version) {
+        let before = wanted.newest(model);
+        if !wanted.learn_late(self.node.now(), model, version, age) {
             return;
         }
-        versions.push((version, since));
-        if versions.len() > MOST_WANTED {
-            versions.remove(0);
-        }
         drop(wanted);
-        let fields = json!({ "model": model, "version": version, "before": before });
+        let age_ms = age.as_millis() as u64;
+        let fields =
+            json!({ "model": model, "version": version, "before": before, "age_ms": age_ms });
         decisions::note("weights", "version_wanted", fields);
         self.wanted_news.notify_one();
     }
 
     /// The versions that this agent knows to be wanted, for others.
     pub(super) fn wanted_notices(&self) -> Vec<WantedNotice> {
-        let now = self.node.now();
-        let wanted = lock(&self.wanted);
-        let newest = wanted.iter().filter_map(|(model, versions)| {
-            let (version, since) = versions.last()?;
-            Some(WantedNotice { model: model.clone(), version: *version, age: now.since(*since) })
-        });
-        newest.collect()
+        let time = self.settings.direct.weights_time;
+        lock(&self.wanted).notices(self.node.now(), time)
     }
 
     /// Takes in how many agents are known; the time for which that has not changed.
--- a/crates/daemon/src/direct/change.rs
+++ b/crates/daemon/src/direct/change.rs
@@ -9,7 +9,6 @@
         staging::{TurnView, has_turn},
     },
     hash::ranking,
-    time::Moment,
 };
 use headlatch_outside::engine::EngineStage;
 use headlatch_types::traffic::WeightVersion;
@@ -21,11 +20,11 @@
 /// How often a server that is being emptied is looked at.
 const DRAIN_LOOK: Duration = Duration::from_millis(40);
 
-/// Whether this server may change to `version` now, which was learnt at `since`.
+/// Whether this server may change to `version` now, which was named `elapsed` ago.
 pub(super) fn is_turn(
     state: &AgentState,
     version: WeightVersion,
-    since: Moment,
+    elapsed: Duration,
     serves: bool,
 ) -> bool {
     let own = state.settings.node.control;
@@ -50,8 +49,7 @@
             changing: server.changing,
         })
         .collect();
-    let waited = state.node.now().since(since);
-    has_turn(rank(own), serves, waited, state.settings.direct.weights_time, &others)
+    has_turn(rank(own), serves, elapsed, state.settings.direct.weights_time, &others)
 }
 
 /// How much is to be waited for.
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -101,7 +101,7 @@
     pub drains: Vec<DrainNotice>,
     /// Its server.
     pub server: Option<ServerNotice>,
-    /// The newest wanted version of each model, as far as it knows.
+    /// The wanted versions that decide until when older ones may be used, as far as it knows.
     pub wanted: Vec<WantedNotice>,
     /// Entries must hear it although a datagram may be lost: it is told again at every occasion.
     pub repeated: bool,
--- a/crates/daemon/src/direct/relay_mail.rs
+++ b/crates/daemon/src/direct/relay_mail.rs
@@ -235,7 +235,7 @@
 fn far_loads(view: &RelayView<'_>) -> Vec<RelayedNotice> {
     let told = view.peers.domain_loads();
     let relayed = told.filter_map(|told| {
-        let facts = view.peers.peer(told.teller)?.facts();
+        let facts = view.peers.peer(told.teller)?.facts(view.now);
         let notice = PeerNotice { domain_loads: Some(told.loads.clone()), ..facts };
         Some(RelayedNotice { notice, age: view.now.since(told.heard) })
     });
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -12,7 +12,7 @@
             EngineLife, GivenOrder, StageStep, StageView, VersionChoice, next_step, next_version,
         },
         transfer_rate::{TransferRate, TransferView},
-        weight_deadline::sending_time,
+        weight_deadline::{WantedVersion, sending_time},
     },
     time::Moment,
 };
@@ -86,7 +86,8 @@
 struct Goal {
     model: ModelName,
     version: WeightVersion,
-    since: Moment,
+    /// Time since it was named.
+    elapsed: Duration,
     whole: Option<WeightVersion>,
 }
 
@@ -196,31 +197,35 @@
         let whole = held.and_then(|held| held.whole_version(layers));
         // The version that the server names may be newer than any that was heard of.
         let named = held.map_or(FIRST_VERSION, |held| held.version);
-        let (version, since) = self.next_version(&model, whole).unwrap_or((named, Moment::ZERO));
-        Some(Goal { model, version, since, whole })
+        let running = self.state.node.now().since(Moment::ZERO);
+        let unnamed = WantedVersion { version: named, elapsed: running };
+        let WantedVersion { version, elapsed } =
+            self.next_version(&model, whole).unwrap_or(unnamed);
+        Some(Goal { model, version, elapsed, whole })
     }
 
-    /// The version to bring in next, and when it was learnt; none if nobody names one.
+    /// The version to bring in next; none if nobody names one.
     fn next_version(
         &self,
         model: &ModelName,
         whole: Option<WeightVersion>,
-    ) -> Option<(WeightVersion, Moment)> {
+    ) -> Option<WantedVersion> {
+        let now = self.state.node.now();
         let wanted = self.state.wanted(model);
         let begun = self.order.filter(|order| order.answer == Some(OrderAnswer::Begun));
         let reached = whole.max(begun.map(|order| order.version));
         let time = self.state.settings.direct.weights_time;
-        let missing = wanted.iter().filter(|(version, _)| reached.is_none_or(|at| *version > at));
+        let missing = wanted.iter().filter(|one| reached.is_none_or(|at| one.version > at));
         let choices: Vec<VersionChoice> = missing
-            .map(|(version, learnt)| VersionChoice {
-                version: *version,
-                due: *learnt + sending_time(time),
-                transfer: self.transfer_time(*version),
+            .map(|one| VersionChoice {
+                version: one.version,
+                due: now + sending_time(time) - one.elapsed,
+                transfer: self.transfer_time(one.version),
             })
             .collect();
-        let next = next_version(self.state.node.now(), &choices);
-        let next = next.or_else(|| wanted.last().map(|(version, _)| *version))?;
-        wanted.iter().find(|(version, _)| *version == next).copied()
+        let next = next_version(now, &choices);
+        let next = next.or_else(|| wanted.last().map(|one| one.version))?;
+        wanted.into_iter().find(|one| one.version == next)
     }
 
     /// Time until the missing pieces of a version are here, by the pace at which they have come lately.
@@ -281,8 +286,8 @@
     fn note_done(&mut self, goal: &Goal) {
         self.state.tell(|notice| notice.staged = Some(goal.version));
         if self.order.take().is_some() {
-            let since = self.state.node.now().since(goal.since).as_millis() as u64;
-            let fields = json!({ "version": goal.version, "after_ms": since });
+            let after = goal.elapsed.as_millis() as u64;
+            let fields = json!({ "version": goal.version, "after_ms": after });
             decisions::note("weights", "in_force", fields);
         }
     }
@@ -304,7 +309,8 @@
 
     /// Begins to bring in the newest version while another one waits in the stage for its turn.
     async fn begin_next(&mut self, goal: &Goal) {
-        let Some((newest, _)) = self.state.wanted(&goal.model).last().copied() else { return };
+        let Some(newest) = self.state.wanted(&goal.model).last().copied() else { return };
+        let newest = newest.version;
         let is_staged = self.work.as_ref().is_some_and(VersionWork::is_staged);
         let is_begun = self.next_work.as_ref().is_some_and(|work| work.is_for(&goal.model, newest));
         if newest <= goal.version || !is_staged || is_begun {
@@ -380,7 +386,7 @@
 
     async fn step(&mut self, goal: &Goal, report: &StageReport) -> NextLook {
         let serves = goal.whole.is_some();
-        let turn = change::is_turn(&self.state, goal.version, goal.since, serves);
+        let turn = change::is_turn(&self.state, goal.version, goal.elapsed, serves);
         let Some(work) = &self.work else { return NextLook::Soon };
         if work.pieces.version != goal.version {
             return NextLook::Soon;
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -424,11 +424,8 @@
 
     /// The versions that this entry knows to be wanted, for others.
     pub fn wanted_notices(&self) -> Vec<WantedNotice> {
-        let wanted = self.weights().newest_wanted(self.now());
-        wanted
-            .into_iter()
-            .map(|(model, version, age)| WantedNotice { model, version, age })
-            .collect()
+        let time = self.settings.direct.weights_time;
+        self.weights().notices(self.now(), time)
     }
 
     /// Has everything read anew from the store: this entry was cut off or stood still, and what
