Empty failure domains on order, and spare servers that come back cold

Cause: nothing read the order to empty a failure domain, nor for how long a server is cold and how many requests a second it bears then.

Change: entries that read the store follow the orders where the settings say that there are any, and tell the whole set in notices with the place in the store's history that it is of, so that a newcomer knows as much as who told it. Servers there are eligible for nothing new, continued streams among them. A cold server gets a rate that holds over all entries: each uses its part, beginning at a moment of its own.

Measured: core/tests/evacuation.rs (a cold server gets 12 to 19 requests a second of 17 at 1, 7, 34 and 546 entries that all have more for it), daemon/tests/allowed_regions.rs over sockets.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod draining;
 pub mod engine_model;
+pub mod evacuation;
 pub mod event_split;
 pub mod fact_age;
 pub mod leaving;
--- a/crates/core/src/direct/peers/notice.rs
+++ b/crates/core/src/direct/peers/notice.rs
@@ -8,7 +8,8 @@
 };
 
 use crate::direct::{
-    engine_model::EngineLoad, fact_age::ChangeMark, leaving::LeavingNotice, suspects::SuspectNotice,
+    engine_model::EngineLoad, evacuation::EvacuatedDomains, fact_age::ChangeMark,
+    leaving::LeavingNotice, suspects::SuspectNotice,
 };
 
 /// Short key of a failure domain, in notices.
@@ -136,6 +137,8 @@
     pub server: Option<ServerNotice>,
     /// The wanted versions that decide until when older ones may be used, as far as it knows.
     pub wanted: Vec<WantedNotice>,
+    /// Failure domains that are being emptied, as far as it knows.
+    pub evacuated: EvacuatedDomains,
 }
 
 impl PeerNotice {
@@ -159,6 +162,7 @@
             drains: Vec::new(),
             server: None,
             wanted: Vec::new(),
+            evacuated: EvacuatedDomains::default(),
         }
     }
 }
--- a/crates/core/src/direct/relay_outbox.rs
+++ b/crates/core/src/direct/relay_outbox.rs
@@ -9,7 +9,7 @@
 use headlatch_types::{id::ModelName, traffic::WeightVersion};
 
 use super::{
-    peers::{Peer, PeerKind, PeerNotice, PeerTable, ServerNotice},
+    peers::{DomainKey, Peer, PeerKind, PeerNotice, PeerTable, ServerNotice},
     relays::RelayedNotice,
 };
 use crate::time::Moment;
@@ -26,6 +26,7 @@
     reads_store: bool,
     server: Option<ServerNotice>,
     wanted: Vec<(ModelName, WeightVersion)>,
+    evacuated: BTreeSet<DomainKey>,
 }
 
 impl ToldFacts {
@@ -37,6 +38,7 @@
             reads_store: notice.reads_store,
             server: notice.server.clone(),
             wanted: wanted.collect(),
+            evacuated: notice.evacuated.domains.clone(),
         }
     }
 
@@ -46,6 +48,7 @@
             && self.plan == notice.plan
             && self.reads_store == notice.reads_store
             && self.server == notice.server
+            && self.evacuated == notice.evacuated.domains
             && wanted.eq(self.wanted.iter().map(|(model, version)| (model, *version)))
     }
 }
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -12,6 +12,7 @@
     traffic::{ServerId, ServerRecord, WeightVersion},
 };
 
+use self::cold::ColdSpan;
 use super::{
     engine_model::EngineLoad,
     fact_age::ChangeMark,
@@ -23,8 +24,11 @@
 
 mod changing;
 mod choice;
+mod cold;
 
 pub use changing::ContinuationLimits;
+pub use cold::ColdRates;
+
 pub use choice::{ChosenServer, EngineQuery, FullServers, ServerChoice, ServerQuery};
 
 /// The same for streams that are continued.
@@ -74,6 +78,8 @@
     /// Its region, if that is known.
     region: Option<RegionId>,
     own: EngineLoad,
+    /// It is cold, as it said when it came back.
+    cold: Option<ColdSpan>,
     /// Requests of this entry that have not begun there.
     waiting: u32,
     /// Streams of this entry that may not be sent to another server any more.
@@ -98,10 +104,13 @@
     others: HashMap<u32, EngineLoad>,
     /// Failure domains that are out of reach.
     silent: BTreeSet<DomainKey>,
+    /// Failure domains that are being emptied.
+    evacuated: BTreeSet<DomainKey>,
     /// Servers that leave.
     leaving: LeavingServers,
     /// Entries that live.
     entries: usize,
+    cold_rates: ColdRates,
     zone: Option<DomainId>,
     regions: HashMap<DomainId, RegionId>,
 }
@@ -152,6 +161,7 @@
             state.life = life;
             state.domain = DomainKey::from(&record.zone);
             state.region = region;
+            state.cold = ColdSpan::new(now, Duration::from_millis(record.cold_ms), state.cold);
             state.record = record;
             if !moved {
                 return;
@@ -163,6 +173,7 @@
                 domain: DomainKey::from(&record.zone),
                 region,
                 own: EngineLoad::default(),
+                cold: ColdSpan::new(now, Duration::from_millis(record.cold_ms), None),
                 waiting: 0,
                 last_streams: 0,
                 untold: false,
@@ -237,6 +248,16 @@
         news
     }
 
+    /// Takes in how much cold servers are sent at most.
+    pub fn set_cold_rates(&mut self, rates: ColdRates) {
+        self.cold_rates = rates;
+    }
+
+    /// Takes in which failure domains are being emptied.
+    pub fn set_evacuated_domains(&mut self, evacuated: BTreeSet<DomainKey>) {
+        self.evacuated = evacuated;
+    }
+
     /// Takes in what other entries have in progress at one server.
     pub fn set_other(&mut self, server: u32, load: EngineLoad) {
         self.others.insert(server, load);
@@ -282,12 +303,27 @@
         state.record.draining || self.leaving.is_leaving(state.key)
     }
 
+    /// Whether a server takes nothing new, by its own word or because its failure domain is being emptied.
+    fn takes_nothing(&self, state: &ServerState) -> bool {
+        self.is_leaving(state) || self.evacuated.contains(&state.domain)
+    }
+
+    /// Whether a server is cold and has had this entry's part of what it may be sent.
+    fn is_spared(&self, now: Moment, state: &ServerState) -> bool {
+        let rate = self.cold_rates.services.get(&state.record.service);
+        let Some((cold, rate)) = state.cold.zip(rate.copied()) else { return false };
+        !cold.may_send(now, rate, self.entries, self.cold_rates.phase)
+    }
+
     /// Notes that a request with a prompt of `tokens` has been sent to a server.
     pub fn begin(&mut self, id: &ServerId, tokens: u64) {
         if let Some(state) = self.servers.get_mut(id) {
             state.own.in_flight += 1;
             state.own.waiting_tokens += tokens;
             state.waiting += 1;
+            if let Some(cold) = &mut state.cold {
+                cold.note_sent();
+            }
             // Whoever sees an engine idle sends to it: what it has to read must be known at once.
             state.untold |= tokens > 0;
             state.changed = true;
@@ -353,6 +389,7 @@
         self.failure_share = 0.0;
         self.blocked_until = Moment::ZERO;
         self.notice = None;
+        self.cold = None;
     }
 }
 
--- a/crates/core/src/direct/server_table/changing.rs
+++ b/crates/core/src/direct/server_table/changing.rs
@@ -83,7 +83,7 @@
         let moving: u32 = changing.into_iter().map(|state| self.load(state).in_flight).sum();
         let takes = others.into_iter().filter(|state| {
             let rests = state.blocked_until > now;
-            !rests && !self.is_leaving(state) && has_weights(state, limits.layers, limits.least)
+            !rests && !self.takes_nothing(state) && has_weights(state, limits.layers, limits.least)
         });
         let room = takes
             .map(|state| continued_limit(state).saturating_sub(self.load(state).in_flight))
--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -301,7 +301,7 @@
         query: &ServerQuery<'_>,
     ) -> Result<f64, PassedOver> {
         let record = &state.record;
-        if self.is_leaving(state) || query.tried.contains(&record.id) {
+        if self.takes_nothing(state) || query.tried.contains(&record.id) {
             return Err(PassedOver::Unfit);
         }
         if let Some(engine) = query.engine
@@ -322,7 +322,7 @@
         }
         let in_flight = self.load(state).in_flight;
         let limit = self.limit(state, query);
-        if in_flight >= limit {
+        if in_flight >= limit || self.is_spared(now, state) {
             return Err(PassedOver::Full);
         }
         let load = f64::from(in_flight) / f64::from(limit);
--- /dev/null
+++ b/crates/core/tests/evacuation.rs
@@ -0,0 +1,129 @@
+//! Servers of a failure domain that is being emptied, and servers that come back cold.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use googletest::prelude::*;
+use headlatch_core::direct::{
+    engine_model::EngineWork,
+    evacuation::EvacuatedDomains,
+    fact_age::ChangeMark,
+    peers::DomainKey,
+    server_table::{ColdRates, EngineQuery, ServerChoice, ServerOutcome, ServerQuery, ServerTable},
+};
+use headlatch_types::{
+    id::DomainId,
+    traffic::{AllowedRegions, ServerRecord},
+};
+
+#[path = "support/entry.rs"]
+mod entry;
+#[path = "support/figures.rs"]
+mod figures;
+
+use entry::{at, server, table};
+use figures::figures;
+
+/// Requests a second that a cold server is sent at most, by all entries.
+const COLD_RATE: f64 = 17.0;
+
+fn domain(name: &str) -> DomainKey {
+    DomainKey::from(&name.parse::<DomainId>().expect("a name"))
+}
+
+fn choose(table: &ServerTable, now: u64, continues: bool) -> Option<String> {
+    let figures = figures();
+    let work = EngineWork::new(&figures, Some(500), Duration::from_millis(400));
+    let query = ServerQuery {
+        service: "llm",
+        engine: Some(EngineQuery { figures: &figures, work, continues }),
+        regions: &AllowedRegions::Anywhere,
+        least: None,
+        tried: &[],
+        draw: now,
+    };
+    match table.choose(at(now), &query) {
+        ServerChoice::Server(server) => Some(server.id.to_string()),
+        _ => None,
+    }
+}
+
+#[gtest]
+fn a_failure_domain_that_is_being_emptied_gets_nothing_new() {
+    let mut table = table(&[server("near", "z1", 1), server("far", "z2", 1)]);
+    table.set_entries(1);
+    expect_that!(choose(&table, 0, false), some(eq("near")));
+    table.set_evacuated_domains([domain("z1")].into());
+    for continues in [false, true] {
+        expect_that!(choose(&table, 0, continues), some(eq("far")));
+    }
+    // Nobody else is there: nothing goes back.
+    table.set_silent_domains([domain("z2")].into());
+    table.set_evacuated_domains([domain("z1"), domain("z2")].into());
+    expect_that!(choose(&table, 0, false), none());
+    table.set_evacuated_domains(BTreeSet::new());
+    expect_that!(choose(&table, 0, false), some(eq("near")));
+}
+
+#[gtest]
+fn the_set_of_the_latest_place_counts_whoever_tells_it() {
+    let set = |mark, names: &[&str]| EvacuatedDomains {
+        mark: ChangeMark(mark),
+        domains: names.iter().map(|name| domain(name)).collect(),
+    };
+    let mut known = EvacuatedDomains::default();
+    expect_that!(known.take(&set(5, &["z1"])), eq(true));
+    // An older list comes late, and one of a later place says the same.
+    expect_that!(known.take(&set(4, &[])), eq(false));
+    expect_that!(known.take(&set(6, &["z1"])), eq(false));
+    let next = known.with_changes(ChangeMark(9), [(domain("z1"), false), (domain("z2"), true)]);
+    expect_that!(next, eq(&set(9, &["z2"])));
+    expect_that!(known.take(&next), eq(true));
+    expect_that!(known, eq(&next));
+}
+
+fn cold_table(phase: f64, entries: usize) -> ServerTable {
+    let cold = ServerRecord { cold_ms: 3_000, ..server("cold", "z1", 1) };
+    let mut table = table(&[cold]);
+    table.set_entries(entries);
+    let services = [("llm".into(), COLD_RATE)].into();
+    table.set_cold_rates(ColdRates { services, phase });
+    table
+}
+
+/// Requests that a server is sent in each second after its return, by `entries` entries that all have
+/// more for it than it may be sent.
+fn sent_by_second(entries: usize) -> Vec<usize> {
+    let mut tables: Vec<ServerTable> =
+        (0..entries).map(|index| cold_table(index as f64 / entries as f64, entries)).collect();
+    let mut sent = vec![0; 3];
+    for now in (0..3_000).step_by(10) {
+        for table in &mut tables {
+            if choose(table, now, false).is_some() {
+                let id = headlatch_types::traffic::ServerId("cold".into());
+                table.begin(&id, 0);
+                table.end(at(now), &id, ServerOutcome::Answered);
+                sent[now as usize / 1000] += 1;
+            }
+        }
+    }
+    sent
+}
+
+#[gtest]
+fn a_cold_server_gets_no_more_a_second_than_it_bears_however_many_entries_there_are() {
+    for entries in [1, 7, 34, 546] {
+        for sent in sent_by_second(entries) {
+            expect_that!(sent, all!(ge(12), le(COLD_RATE as usize + 2)), "{entries} entries");
+        }
+    }
+}
+
+#[gtest]
+fn a_server_that_is_warm_or_without_a_bound_is_chosen_at_once() {
+    let table = cold_table(0.0, 34);
+    expect_that!(choose(&table, 0, false), none());
+    expect_that!(choose(&table, 3_000, false), some(eq("cold")));
+    let mut unbounded = cold_table(0.0, 34);
+    unbounded.set_cold_rates(ColdRates::default());
+    expect_that!(choose(&unbounded, 0, false), some(eq("cold")));
+}
--- a/crates/core/tests/load_notices.rs
+++ b/crates/core/tests/load_notices.rs
@@ -140,6 +140,7 @@
         zone: zone.parse().expect("a name"),
         slots: 10,
         draining: false,
+        cold_ms: 0,
         models: vec![HeldModel {
             model: "m0".parse().expect("a name"),
             version,
--- a/crates/core/tests/server_copy.rs
+++ b/crates/core/tests/server_copy.rs
@@ -16,6 +16,7 @@
         zone: "z1".parse().expect("a name"),
         slots: 8,
         draining,
+        cold_ms: 0,
         models: Vec::new(),
     }
 }
--- a/crates/core/tests/server_lives.rs
+++ b/crates/core/tests/server_lives.rs
@@ -21,6 +21,7 @@
         zone: "z1".parse().expect("a name"),
         slots: 4,
         draining: false,
+        cold_ms: 0,
         models: Vec::new(),
     }
 }
--- a/crates/core/tests/sizes.rs
+++ b/crates/core/tests/sizes.rs
@@ -187,6 +187,7 @@
         zone: "z".parse().expect("a name"),
         slots: 16,
         draining: false,
+        cold_ms: 0,
         models: vec![held],
     }
 }
--- a/crates/core/tests/support/entry.rs
+++ b/crates/core/tests/support/entry.rs
@@ -48,6 +48,7 @@
         zone: zone.parse().expect("a name"),
         slots: 16,
         draining: false,
+        cold_ms: 0,
         models: vec![held],
     }
 }
--- a/crates/daemon/src/direct/entry.rs
+++ b/crates/daemon/src/direct/entry.rs
@@ -162,7 +162,14 @@
             take: EntryState::hear_weights,
         },
     ];
-    topics.into_iter().map(|reading| reading.follow(state.clone(), store.clone())).collect()
+    let evacuations = state.settings.direct.reads_evacuations.then(|| TopicReading {
+        topic: FactTopic::Evacuations,
+        nudge: state.evacuations_nudge.clone(),
+        gate: Arc::new(TopicGate(state.clone())),
+        take: EntryState::hear_evacuations,
+    });
+    let topics = topics.into_iter().chain(evacuations);
+    topics.map(|reading| reading.follow(state.clone(), store.clone())).collect()
 }
 
 /// How an entry follows one topic of the store.
--- a/crates/daemon/src/direct/entry_notices.rs
+++ b/crates/daemon/src/direct/entry_notices.rs
@@ -274,6 +274,7 @@
         leaving: state.servers().recently_leaving(state.now()),
         suspects: state.quarantine.notices(state.now()),
         reads_store: state.plan.reads_store(state.now()),
+        evacuated: state.evacuated(),
         ..NoticeBody::default()
     }
 }
@@ -301,6 +302,7 @@
         state.hear_peer_plan(PlanVersion(notice.plan));
     }
     state.hear_leaving(&notice.leaving);
+    state.take_evacuated(&notice.evacuated);
     state.quarantine.hear(state.now(), &notice.suspects);
     state.hear_peer_servers(notice.servers);
     if outcome.joined {
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -28,6 +28,9 @@
 /// The same for wanted weights, which are due after eight seconds and more.
 const WEIGHTS_WATCH_TIME: Duration = Duration::from_millis(3000);
 
+/// The same for failure domains that are being emptied, which get nothing new five seconds later.
+const EVACUATIONS_WATCH_TIME: Duration = Duration::from_millis(2500);
+
 /// Least part of these times that is drawn, so that nodes do not call together, in percent.
 const LEAST_WATCH_PERCENT: u32 = 85;
 
@@ -64,7 +67,7 @@
     match (topic, duty) {
         (FactTopic::Servers, ReaderDuty::Watches) => SERVERS_REST,
         (FactTopic::Servers, ReaderDuty::StandsBy) => STANDBY_SERVERS_REST,
-        (FactTopic::Plan | FactTopic::Weights, _) => Duration::ZERO,
+        (FactTopic::Plan | FactTopic::Weights | FactTopic::Evacuations, _) => Duration::ZERO,
     }
 }
 
@@ -73,6 +76,7 @@
     let most = match (duty, topic) {
         (ReaderDuty::StandsBy, _) => return STANDBY_WATCH_TIME,
         (ReaderDuty::Watches, FactTopic::Weights) => WEIGHTS_WATCH_TIME,
+        (ReaderDuty::Watches, FactTopic::Evacuations) => EVACUATIONS_WATCH_TIME,
         (ReaderDuty::Watches, FactTopic::Plan | FactTopic::Servers) => WATCH_TIME,
     };
     most * rand::rng().random_range(LEAST_WATCH_PERCENT..=100) / 100
@@ -81,7 +85,7 @@
 /// Time for which a list may be silent, with jitter so that nodes do not call together.
 fn silence_before(topic: FactTopic) -> Duration {
     let most = match topic {
-        FactTopic::Plan | FactTopic::Servers => LIST_SILENCE,
+        FactTopic::Plan | FactTopic::Servers | FactTopic::Evacuations => LIST_SILENCE,
         FactTopic::Weights => WEIGHTS_SILENCE,
     };
     most.mul_f64(rand::rng().random_range(0.7..=1.0))
--- a/crates/daemon/src/direct/notice_codec.rs
+++ b/crates/daemon/src/direct/notice_codec.rs
@@ -7,6 +7,7 @@
 
 use headlatch_core::direct::{
     engine_model::EngineLoad,
+    evacuation::EvacuatedDomains,
     fact_age::ChangeMark,
     leaving::LeavingNotice,
     peers::{DomainKey, DrainNotice, LoadNotice, PeerKind, PeerNotice, ServerNotice, WantedNotice},
@@ -91,6 +92,19 @@
     })
 }
 
+fn encode_evacuated(evacuated: &EvacuatedDomains) -> Option<wire::NoticeEvacuated> {
+    let EvacuatedDomains { mark, domains } = evacuated;
+    (*mark > ChangeMark::default()).then(|| wire::NoticeEvacuated {
+        mark: mark.0,
+        domains: domains.iter().map(|domain| domain.0).collect(),
+    })
+}
+
+fn decode_evacuated(told: wire::NoticeEvacuated) -> EvacuatedDomains {
+    let domains = told.domains.into_iter().map(DomainKey);
+    EvacuatedDomains { mark: ChangeMark(told.mark), domains: domains.collect() }
+}
+
 fn encode_wanted(wanted: &WantedNotice) -> wire::NoticeWanted {
     wire::NoticeWanted {
         model: wanted.model.to_string(),
@@ -153,6 +167,7 @@
         domain_loads: domain_loads.iter().map(encode_load).collect(),
         tells_domain: notice.domain_loads.is_some(),
         wanted: notice.wanted.iter().map(encode_wanted).collect(),
+        evacuated: encode_evacuated(&notice.evacuated),
     }
 }
 
@@ -202,5 +217,6 @@
         drains: message.drains.iter().filter_map(drain).collect(),
         server,
         wanted: message.wanted.iter().filter_map(decode_wanted).collect(),
+        evacuated: message.evacuated.map(decode_evacuated).unwrap_or_default(),
     })
 }
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -1,8 +1,9 @@
 //! Writes a process's notices and decides whom they go to.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use headlatch_core::direct::{
+    evacuation::EvacuatedDomains,
     fact_age::ChangeMark,
     leaving::LeavingNotice,
     peers::{
@@ -76,7 +77,7 @@
     tick: u64,
     last_loads: Vec<LoadNotice>,
     last_server: Option<ServerNotice>,
-    last_facts: (u64, Vec<LeavingNotice>, Vec<SuspectNotice>),
+    last_facts: TickFacts,
     last_drains: Vec<DrainNotice>,
 }
 
@@ -103,6 +104,8 @@
     pub server: Option<ServerNotice>,
     /// The wanted versions that decide until when older ones may be used, as far as it knows.
     pub wanted: Vec<WantedNotice>,
+    /// Failure domains that are being emptied, as far as it knows.
+    pub evacuated: EvacuatedDomains,
     /// Entries must hear it although a datagram may be lost: it is told again at every occasion.
     pub repeated: bool,
 }
@@ -134,7 +137,7 @@
     repeated: bool,
     /// The loads are not what they were.
     loads: bool,
-    /// The plan, which servers leave, or which requests are suspected, is not what it was.
+    /// What every entry must hear of the store is not what it was.
     facts: bool,
     /// Which servers get nothing, or what waits at them, is not what it was.
     drains: bool,
@@ -144,6 +147,26 @@
     far: bool,
 }
 
+/// What every entry hears at once when it changes.
+#[derive(Debug, Default, PartialEq)]
+struct TickFacts {
+    plan: u64,
+    leaving: Vec<LeavingNotice>,
+    suspects: Vec<SuspectNotice>,
+    evacuated: BTreeSet<DomainKey>,
+}
+
+impl TickFacts {
+    fn of(body: &NoticeBody) -> Self {
+        Self {
+            plan: body.plan,
+            leaving: body.leaving.clone(),
+            suspects: body.suspects.clone(),
+            evacuated: body.evacuated.domains.clone(),
+        }
+    }
+}
+
 impl NoticeWriter {
     /// The writer of a process that has just started.
     pub fn new(from: SocketAddr, kind: PeerKind, domain: DomainKey) -> Self {
@@ -162,14 +185,14 @@
             tick: 0,
             last_loads: Vec::new(),
             last_server: None,
-            last_facts: (0, Vec::new(), Vec::new()),
+            last_facts: TickFacts::default(),
             last_drains: Vec::new(),
         }
     }
 
     fn begin_tick(&mut self, body: &NoticeBody) -> TickDue {
         self.tick += 1;
-        let facts = (body.plan, body.leaving.clone(), body.suspects.clone());
+        let facts = TickFacts::of(body);
         let due = TickDue {
             news: body.server != self.last_server,
             repeated: body.repeated,
@@ -302,6 +325,7 @@
             suspects: body.suspects.clone(),
             reads_store: body.reads_store,
             drains: body.drains.clone(),
+            evacuated: body.evacuated.clone(),
             domain_loads: Some(loads),
             ..NoticeBody::default()
         };
@@ -360,6 +384,7 @@
             drains: body.drains,
             server: body.server,
             wanted: body.wanted,
+            evacuated: body.evacuated,
         }
     }
 }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -12,6 +12,7 @@
 
 use headlatch_core::{
     direct::{
+        evacuation::EvacuatedDomains,
         fact_age::{ChangeMark, FactAge},
         leaving::LeavingNotice,
         peers::{DomainKey, DrainNotice, PeerKind, PeerTable, WantedNotice},
@@ -19,7 +20,7 @@
         retry_share::{EntryStart, RetryBudget, RetryShare},
         route_table::RouteTable,
         server_copy::{GoneServer, MarkedRecord, ServerChanges, ServerCopy},
-        server_table::{ContinuationLimits, ServerTable},
+        server_table::{ColdRates, ContinuationLimits, ServerTable},
         shedding::LoadShedder,
         size_class::SizeRanks,
         weight_deadline::WeightDeadlines,
@@ -33,9 +34,10 @@
 };
 use headlatch_types::{
     direct_settings::{DirectEntrySettings, RawRetry},
-    id::ModelName,
+    id::{DomainId, ModelName},
     traffic::{PlanVersion, ServerId, TrafficPlan, WeightVersion},
 };
+use rand::Rng;
 use serde_json::json;
 use tokio::{sync::Notify, time::Instant};
 
@@ -72,6 +74,8 @@
     /// The list of servers has been read.
     pub servers_known: AtomicBool,
     begun: Instant,
+    /// Where this entry begins among others with what each does in its turn, from 0 to 1.
+    phase: f64,
     clock: NodeClock,
     /// Suspended time that the parts of this entry have been told of.
     told_sleep: Mutex<Duration>,
@@ -81,6 +85,7 @@
     pub quarantine: QuarantineDesk,
     servers: Mutex<ServerTable>,
     weights: Mutex<WeightDeadlines>,
+    evacuated: Mutex<EvacuatedDomains>,
     retries: Mutex<RetryShare>,
     /// Which part of the requests is refused while engines are full.
     shedder: Mutex<LoadShedder>,
@@ -95,6 +100,8 @@
     pub servers_nudge: Arc<Notify>,
     /// Has the wanted weights read anew.
     pub weights_nudge: Arc<Notify>,
+    /// Has the evacuations read anew.
+    pub evacuations_nudge: Arc<Notify>,
     /// Another entry has taken in a change of servers that is missing here.
     pub servers_offered: Notify,
     /// The list of servers, for other entries.
@@ -247,12 +254,14 @@
             stopping: AtomicBool::new(false),
             servers_known: AtomicBool::new(false),
             begun: Instant::now(),
+            phase: rand::rng().random(),
             clock,
             told_sleep: Mutex::default(),
             plan: PlanCopy::default(),
             quarantine: QuarantineDesk::default(),
             servers: Mutex::new(servers),
             weights: Mutex::default(),
+            evacuated: Mutex::default(),
             retries: Mutex::new(RetryShare::new(budget, start)),
             shedder: Mutex::default(),
             sizes: Mutex::default(),
@@ -261,6 +270,7 @@
             plan_nudge: Arc::default(),
             servers_nudge: Arc::default(),
             weights_nudge: Arc::default(),
+            evacuations_nudge: Arc::default(),
             servers_offered: Notify::new(),
             server_copy: Mutex::default(),
             servers_age: Mutex::default(),
@@ -358,8 +368,13 @@
     /// Takes over a plan if it is newer than the one in force.
     pub fn take_plan(&self, plan: TrafficPlan, source: &str) {
         let version = plan.version;
+        let bounded = plan.services.iter().filter(|(_, service)| service.cold_per_second > 0.0);
+        let bounded =
+            bounded.map(|(name, service)| (name.as_str().into(), service.cold_per_second));
+        let rates = ColdRates { services: bounded.collect(), phase: self.phase };
         if self.plan.take(self.now(), plan, source) {
             self.metrics.set_revision(version.0);
+            self.servers().set_cold_rates(rates);
         }
     }
 
@@ -422,6 +437,51 @@
         }
     }
 
+    /// The failure domains that are being emptied, as far as this entry knows.
+    pub fn evacuated(&self) -> EvacuatedDomains {
+        lock(&self.evacuated).clone()
+    }
+
+    /// Takes in news about evacuations.
+    pub fn hear_evacuations(&self, news: FactNews) {
+        let mark = news.covered();
+        let (base, facts) = match news {
+            FactNews::All(list) => {
+                (EvacuatedDomains::default(), list.facts.into_iter().map(FactChange::Set).collect())
+            }
+            FactNews::Changes(changes) => (self.evacuated(), changes.changes),
+        };
+        let changes = facts.into_iter().filter_map(|change| match change {
+            FactChange::Set(NamedFact { fact: Ok(Fact::Evacuation(domain)), .. }) => {
+                Some((DomainKey::from(&domain), true))
+            }
+            FactChange::Set(NamedFact { name, fact, .. }) => {
+                let error = fact.err().map(|error| error.to_string());
+                decisions::warn(
+                    "evacuations",
+                    "unreadable",
+                    json!({ "name": name, "error": error }),
+                );
+                None
+            }
+            FactChange::Gone { name, .. } => {
+                let domain: DomainId = name.parse().ok()?;
+                Some((DomainKey::from(&domain), false))
+            }
+        });
+        self.take_evacuated(&base.with_changes(mark, changes));
+    }
+
+    /// Takes over the failure domains that are being emptied where that is newer than what is known.
+    pub fn take_evacuated(&self, told: &EvacuatedDomains) {
+        if !lock(&self.evacuated).take(told) {
+            return;
+        }
+        let names: Vec<String> = told.domains.iter().map(DomainKey::to_string).collect();
+        decisions::note("evacuations", "in_force", json!({ "domains": names, "at": told.mark.0 }));
+        self.servers().set_evacuated_domains(told.domains.clone());
+    }
+
     /// The versions that this entry knows to be wanted, for others.
     pub fn wanted_notices(&self) -> Vec<WantedNotice> {
         let time = self.settings.direct.weights_time;
@@ -435,6 +495,7 @@
         self.plan_nudge.notify_one();
         self.servers_nudge.notify_one();
         self.weights_nudge.notify_one();
+        self.evacuations_nudge.notify_one();
     }
 
     /// Takes in news about servers from the store.
--- a/crates/daemon/tests/allowed_regions.rs
+++ b/crates/daemon/tests/allowed_regions.rs
@@ -69,7 +69,11 @@
 impl Setting {
     /// An entry in `r1`, and routes whose requests may run in `r2` alone.
     async fn new(near: Script, far: Script) -> Self {
-        let store = Arc::new(TestStore::default());
+        Self::with_store(near, far, TestStore::default()).await
+    }
+
+    async fn with_store(near: Script, far: Script, store: TestStore) -> Self {
+        let store = Arc::new(store);
         let (near, far) = (TestServer::start(near).await, TestServer::start(far).await);
         store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan_in(5, "r2"))));
         let servers = [("i1", near.address, "z1"), ("i2", far.address, "z2")];
@@ -79,6 +83,7 @@
         let mut settings = settings();
         let zone = ("z2".parse().expect("a name"), "r2".parse().expect("a name"));
         settings.direct.zones.extend([zone]);
+        settings.direct.reads_evacuations = true;
         let entry = DirectEntry::start(settings, store.clone(), Arc::new(TestHeaders)).await;
         let entry = entry.expect("it starts");
         while !entry.state.is_ready() {
@@ -144,3 +149,29 @@
     expect_that!(answered.status, eq(StatusCode::OK));
     expect_that!(setting.near.seen().len(), eq(1));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_failure_domain_that_is_being_emptied_gets_nothing() {
+    let store = TestStore::default();
+    let emptied = Fact::Evacuation("z1".parse().expect("a name"));
+    store.set(FactTopic::Evacuations, "z1", emptied);
+    let setting = Setting::with_store(serves, serves, store).await;
+    setting.store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(6))));
+    let is_known = || {
+        let state = &setting.entry.state;
+        state.plan_version().0 == 6 && !state.evacuated().domains.is_empty()
+    };
+    for _ in 0..400 {
+        if is_known() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    expect_that!(is_known(), eq(true));
+    for path in ["/safe/x", "/once/x", "/stream/x"] {
+        let answer = ask(setting.entry.address, path, "k").await.expect("an answer");
+        expect_that!(answer.status, eq(StatusCode::OK));
+    }
+    expect_that!((setting.near.seen().len(), setting.far.seen().len()), eq((0, 3)));
+}
--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -220,7 +220,7 @@
     ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
         let fact = match topic {
             FactTopic::Plan => Some(Fact::Plan(Box::new(plan()))),
-            FactTopic::Servers => None,
+            FactTopic::Servers | FactTopic::Evacuations => None,
             FactTopic::Weights => lock(&self.wanted)
                 .map(|version| Fact::Weights(WantedWeights { model: model(), version })),
         };
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -207,6 +207,7 @@
         zone: zone.parse().expect("a name"),
         slots: 4,
         draining: false,
+        cold_ms: 0,
         models: Vec::new(),
     }
 }
--- a/crates/outside/src/facts.rs
+++ b/crates/outside/src/facts.rs
@@ -4,6 +4,7 @@
 
 use headlatch_types::{
     ByteProgress, InputError,
+    id::DomainId,
     traffic::{ServerRecord, TrafficPlan, WantedWeights},
 };
 
@@ -28,6 +29,8 @@
     Servers,
     /// The versions of weights that are wanted.
     Weights,
+    /// The failure domains that are being emptied.
+    Evacuations,
 }
 
 impl FactTopic {
@@ -37,6 +40,7 @@
             Self::Plan => "plan",
             Self::Servers => "servers",
             Self::Weights => "weights",
+            Self::Evacuations => "evacuations",
         }
     }
 }
@@ -50,6 +54,8 @@
     Server(ServerRecord),
     /// A wanted version.
     Weights(WantedWeights),
+    /// A failure domain that is being emptied.
+    Evacuation(DomainId),
 }
 
 /// A fact with its name in the store.
--- a/crates/types/src/direct_settings.rs
+++ b/crates/types/src/direct_settings.rs
@@ -30,6 +30,10 @@
     /// Time in which all servers change to new weights, in milliseconds.
     #[serde(default = "default_weights_ms")]
     pub weights_ms: u64,
+    /// Time after which a failure domain that is to be emptied gets nothing new, in milliseconds; left out,
+    /// failure domains are not emptied on order, and the store is not asked for that.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuate_ms: Option<u64>,
     /// The whole system starts for the first time: nobody waits for it yet, so that processes find
     /// each other before they read the store.
     #[serde(default)]
@@ -61,6 +65,9 @@
     }
 }
 
+/// Least time in which a failure domain is to get nothing new, in milliseconds.
+const LEAST_EVACUATE_MS: u64 = 4_000;
+
 fn default_weights_ms() -> u64 {
     30_000
 }
@@ -81,6 +88,8 @@
     pub retry: RawRetry,
     /// Time in which all servers change to new weights.
     pub weights_time: Duration,
+    /// Failure domains may be ordered to be emptied.
+    pub reads_evacuations: bool,
     /// The whole system starts for the first time.
     pub first_start: bool,
     /// Processes up to which everybody tells everybody.
@@ -146,6 +155,13 @@
         let message = "0 leaves no time to change weights; give milliseconds";
         return Err(InputError::new("direct.weights_ms", message));
     }
+    if let Some(millis) = raw.evacuate_ms.filter(|millis| *millis < LEAST_EVACUATE_MS) {
+        let message = format!(
+            "{millis} ms is less than a change of the store takes to reach all entries; give \
+             {LEAST_EVACUATE_MS} or more"
+        );
+        return Err(InputError::new("direct.evacuate_ms", message));
+    }
     let metrics = raw.metrics.as_deref().map(|text| address("direct.metrics", text)).transpose()?;
     let weights_time = Duration::from_millis(raw.weights_ms);
     Ok(DirectSettings {
@@ -153,6 +169,7 @@
         seeds,
         retry: raw.retry,
         weights_time,
+        reads_evacuations: raw.evacuate_ms.is_some(),
         first_start: raw.first_start,
         mesh_limit: raw.mesh_limit,
         metrics,
--- a/crates/types/src/traffic.rs
+++ b/crates/types/src/traffic.rs
@@ -201,6 +201,9 @@
 pub struct ServicePlan {
     /// Connections that one of its servers accepts from all callers together; 0 if it is not said.
     pub max_connections: u32,
+    /// Requests a second that one of its servers is sent at most while it is cold; 0 for no bound.
+    #[serde(default)]
+    pub cold_per_second: f64,
     /// Its model engines, if it has any.
     pub engine: Option<EngineFigures>,
     /// It hands out weights from here, if it does.
@@ -384,6 +387,9 @@
     pub slots: u32,
     /// Whether it is about to leave.
     pub draining: bool,
+    /// Time for which it was still cold from its start when this was told, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
     /// Models that it holds; none listed for a plain service.
     pub models: Vec<HeldModel>,
 }
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -68,6 +68,17 @@
     pub age_ms: u64,
 }
 
+/// Failure domains that are being emptied.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct NoticeEvacuated {
+    /// Place in the store's history that the set is of.
+    #[prost(uint64, tag = "1")]
+    pub mark: u64,
+    /// Keys of the failure domains.
+    #[prost(fixed32, repeated, tag = "2")]
+    pub domains: Vec<u32>,
+}
+
 /// Word that a server is leaving, or back.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct NoticeLeaving {
@@ -145,7 +156,7 @@
     /// Whether its calls to the store are answered, as far as it knows.
     #[prost(bool, tag = "14")]
     pub reads_store: bool,
-    /// The newest wanted version of each model.
+    /// Wanted versions that decide until when older ones may be used.
     #[prost(message, repeated, tag = "15")]
     pub wanted: Vec<NoticeWanted>,
     /// Revision of the newest change of servers that it has taken in; 0 if it tells none.
@@ -157,4 +168,7 @@
     /// Requests under which servers ended.
     #[prost(message, repeated, tag = "18")]
     pub suspects: Vec<NoticeSuspect>,
+    /// Failure domains that are being emptied; none if nothing is known of that.
+    #[prost(message, optional, tag = "19")]
+    pub evacuated: Option<NoticeEvacuated>,
 }
