Bound what callers that read slowly and large bodies take of an entry

Cause: bodies were read whole whatever else was held (4 MB each, on boxes of 112 MB), and a caller that read nothing kept its answer, the connection to its server and its place there for as long as it liked.

Change: bodies of requests take a fifth of the process's memory at most over all requests, those of answers as much; a request beyond that is refused before its body comes, an answer waits at its server. A caller that takes nothing for 10 s (a setting) is let go, upon which its server's connection closes. Streams were passed on by pull before and still are.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -208,9 +208,9 @@
             version: None,
             priority: None,
         };
-        let headers = outgoing_headers(state, request, &facts, &request.body);
+        let headers = outgoing_headers(state, request, &facts, &request.body.bytes);
         let (method, uri) = (request.method.clone(), request.uri.clone());
-        let sent = connection.send(method, uri, headers, request.body.clone());
+        let sent = connection.send(method, uri, headers, request.body.bytes.clone());
         let sent = tokio::time::timeout_at(request.deadline, sent).await;
         let response = match sent {
             Err(_) => {
--- /dev/null
+++ b/crates/daemon/src/direct/body_memory.rs
@@ -0,0 +1,121 @@
+//! Bounds the memory that bodies take over all requests of an entry.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use headlatch_types::quantity::ByteSize;
+use http::{StatusCode, header, request::Parts};
+use http_body::Body;
+use http_body_util::BodyExt;
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::Instant,
+};
+
+use super::answer::GivenUp;
+
+/// Bytes that one permit stands for.
+const PERMIT_BYTES: usize = 1 << 10;
+
+/// Time to come back where bodies take all the memory that they may.
+const FULL_REST: Duration = Duration::from_millis(700);
+
+/// Part of an entry's memory that bodies of requests may take, as a divisor; those of answers may take as
+/// much. The rest is for connections, the plan and the list of servers.
+pub const MEMORY_PARTS: u64 = 5;
+
+/// The memory that bodies may take.
+#[derive(Debug, Clone)]
+pub struct BodyMemory {
+    permits: Arc<Semaphore>,
+}
+
+/// A body and its part of the memory, which is free again when the last copy of this is dropped.
+#[derive(Debug, Clone, Default)]
+pub struct HeldBody {
+    /// The bytes.
+    pub bytes: Bytes,
+    _permit: Option<Arc<OwnedSemaphorePermit>>,
+}
+
+fn permits(bytes: usize) -> u32 {
+    bytes.div_ceil(PERMIT_BYTES).min(u32::MAX as usize) as u32
+}
+
+impl BodyMemory {
+    /// At most `size` for all bodies together.
+    pub fn new(size: ByteSize) -> Self {
+        let permits = (size.bytes() as usize / PERMIT_BYTES).min(Semaphore::MAX_PERMITS);
+        Self { permits: Arc::new(Semaphore::new(permits)) }
+    }
+
+    /// Reads the body of a request, `most` bytes at most. A body whose length is announced is refused
+    /// before anything of it is read where there is no room for it.
+    pub async fn read_request<B>(
+        &self,
+        parts: &Parts,
+        mut body: B,
+        most: usize,
+        until: Instant,
+    ) -> Result<HeldBody, GivenUp>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        let too_long = || GivenUp::denied(StatusCode::PAYLOAD_TOO_LARGE, "body_too_long");
+        let announced = announced_length(parts);
+        if announced > most {
+            return Err(too_long());
+        }
+        let mut held = self.take_now(announced)?;
+        let mut bytes = BytesMut::with_capacity(announced);
+        let mut counted = announced;
+        loop {
+            let frame = tokio::time::timeout_at(until, body.frame()).await;
+            let late = |_| GivenUp::denied(StatusCode::REQUEST_TIMEOUT, "body_too_slow");
+            let Some(frame) = frame.map_err(late)? else { break };
+            let broken = |_| GivenUp::denied(StatusCode::BAD_REQUEST, "body_broken");
+            let Ok(data) = frame.map_err(broken)?.into_data() else { continue };
+            if bytes.len() + data.len() > most {
+                return Err(too_long());
+            }
+            bytes.extend_from_slice(&data);
+            if bytes.len() > counted {
+                let further = self.take_now(bytes.len() - counted)?;
+                held = merge(held, further);
+                counted = bytes.len();
+            }
+        }
+        Ok(HeldBody { bytes: bytes.freeze(), _permit: held.map(Arc::new) })
+    }
+
+    /// Waits until there is room for `bytes` more.
+    pub async fn take(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
+        self.permits.clone().acquire_many_owned(permits(bytes)).await.ok()
+    }
+
+    fn take_now(&self, bytes: usize) -> Result<Option<OwnedSemaphorePermit>, GivenUp> {
+        if bytes == 0 {
+            return Ok(None);
+        }
+        let taken = self.permits.clone().try_acquire_many_owned(permits(bytes));
+        taken.map(Some).map_err(|_| GivenUp::refused("memory_full", FULL_REST))
+    }
+}
+
+fn merge(
+    held: Option<OwnedSemaphorePermit>,
+    further: Option<OwnedSemaphorePermit>,
+) -> Option<OwnedSemaphorePermit> {
+    match (held, further) {
+        (Some(mut held), Some(further)) => {
+            held.merge(further);
+            Some(held)
+        }
+        (held, further) => held.or(further),
+    }
+}
+
+fn announced_length(parts: &Parts) -> usize {
+    let length = parts.headers.get(header::CONTENT_LENGTH);
+    length.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0)
+}
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -19,6 +19,7 @@
     verdict::{Repeatability, RetryPermit},
 };
 use http::{Response, StatusCode, header};
+use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use rand::Rng;
 use serde_json::json;
@@ -157,7 +158,7 @@
             "request": self.request.id, "route": self.request.route.name,
             "service": self.request.service, "plan": self.request.plan, "held_ms": held_ms,
             "attempt": self.arrivals, "content": self.request.digests.whole.to_string(),
-            "body_bytes": self.request.body.len(), "prompt_tokens": self.request.facts.prompt_tokens,
+            "body_bytes": self.request.body.bytes.len(), "prompt_tokens": self.request.facts.prompt_tokens,
             "answer_tokens": self.request.facts.answer_tokens,
             "more": fields,
         });
@@ -437,8 +438,16 @@
         let ServerAnswer { response, connection, in_flight, .. } = answer;
         let server = in_flight.server().clone();
         let (mut parts, body) = response.into_parts();
+        // What is waited for is not read, so that the server keeps it.
+        let announced = body.size_hint().lower().min(MOST_ANSWER as u64) as usize;
+        let memory = self.state.answer_memory.take(announced);
         let collected = Limited::new(body, MOST_ANSWER).collect();
+        let collected = async { (memory.await, collected.await) };
         let collected = tokio::time::timeout_at(self.request.deadline, collected).await;
+        let (memory, collected) = match collected {
+            Ok((memory, collected)) => (memory, Ok(collected)),
+            Err(late) => (None, Err(late)),
+        };
         let body = match collected {
             Ok(Ok(body)) => body.to_bytes(),
             other => {
@@ -466,7 +475,12 @@
         parts.headers.remove(header::CONTENT_LENGTH);
         let fields = json!({ "server": self.tried.last(), "status": parts.status.as_u16() });
         self.finish("answered", self.state.now().since(self.arrived), fields);
-        Ok(Response::from_parts(parts, whole(body)))
+        let body = whole(body).map_frame(move |frame| {
+            // Counted until the caller has taken it.
+            let _ = &memory;
+            frame
+        });
+        Ok(Response::from_parts(parts, body.boxed_unsync()))
     }
 
     /// Writes down the end of the request, whose answer began `first` after it came.
--- a/crates/daemon/src/direct/front.rs
+++ b/crates/daemon/src/direct/front.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use headlatch_core::direct::request_digest::RequestDigest;
-use headlatch_http::StopSignal;
+use headlatch_http::{StopSignal, stall::StallGuard};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -46,6 +46,7 @@
 /// Serves callers until `signal`; then connections end as soon as their answers are out.
 pub async fn serve(state: Arc<EntryState>, listener: TcpListener, mut signal: StopSignal) {
     let shutdown = GracefulShutdown::new();
+    let stall = state.settings.direct.stall;
     loop {
         let stream = tokio::select! {
             stream = accept(&listener) => stream,
@@ -62,7 +63,7 @@
             .header_read_timeout(Duration::from_millis(limits.idle_ms) + REST_SLACK)
             .max_buf_size(limits.head_bytes.max(LEAST_HEAD))
             .keep_alive(true)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(StallGuard::new(stream, stall)), service);
         let watched = shutdown.watch(connection);
         tokio::spawn(async move {
             // A caller that goes away is no error of ours.
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -5,7 +5,6 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use headlatch_core::direct::{
     engine_model::EngineWork,
     request_digest::{RequestContent, RequestDigests},
@@ -21,7 +20,7 @@
 use http::{
     HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request::Parts,
 };
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use rand::Rng;
 use serde_json::json;
@@ -29,6 +28,7 @@
 
 use super::{
     answer::{AnswerBody, GivenUp},
+    body_memory::HeldBody,
     exchange,
     state::EntryState,
 };
@@ -57,7 +57,7 @@
     /// Headers as they came.
     pub headers: HeaderMap,
     /// Body.
-    pub body: Bytes,
+    pub body: HeldBody,
     /// Whether the caller announced a body, if an empty one.
     pub announced_body: bool,
     /// Its route.
@@ -161,13 +161,14 @@
     let caller = facts.deadline.map(|time| LimitedTime::new(time, TimeLimit::Caller));
     let held = LimitedTime::new(timeout, TimeLimit::Route).least(caller);
     let deadline = arrived + held.time;
-    let body = read_body(body, limits.body_bytes, deadline).await?;
+    let read = state.request_memory.read_request(&parts, body, limits.body_bytes, deadline);
+    let body = read.await?;
     let target = pick_target(&route, rand::rng().random());
     let service = target.map(|target| target.service.clone());
     let service = service.ok_or_else(|| GivenUp::refused("no_service", NO_PLAN_REST))?;
     let engine = routes.plan().services.get(&*service).and_then(|service| service.engine.clone());
-    let digests = digests_of(&parts, tenant.as_deref(), &body);
-    let size = state.sizes().note(&route.name, ByteSize::from_bytes(body.len() as u64));
+    let digests = digests_of(&parts, tenant.as_deref(), &body.bytes);
+    let size = state.sizes().note(&route.name, ByteSize::from_bytes(body.bytes.len() as u64));
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri = path.parse().map_err(|_| GivenUp::denied(StatusCode::BAD_REQUEST, "bad_path"))?;
     Ok(RequestPlan {
@@ -262,18 +263,6 @@
     })
 }
 
-async fn read_body(body: Incoming, most: usize, until: Instant) -> Result<Bytes, GivenUp> {
-    let collected = Limited::new(body, most).collect();
-    match tokio::time::timeout_at(until, collected).await {
-        Err(_) => Err(GivenUp::denied(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(GivenUp::denied(StatusCode::PAYLOAD_TOO_LARGE, "body_too_long"))
-        }
-        Ok(Err(_)) => Err(GivenUp::denied(StatusCode::BAD_REQUEST, "body_broken")),
-    }
-}
-
 impl RequestPlan {
     /// What it asks of an engine; none for plain services.
     pub fn work(&self) -> Option<EngineWork> {
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -5,6 +5,7 @@
 mod agent_plan;
 pub mod answer;
 pub mod attempt;
+pub mod body_memory;
 pub mod change;
 pub mod datagram;
 pub mod entry;
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -35,6 +35,7 @@
 use headlatch_types::{
     direct_settings::{DirectEntrySettings, RawRetry},
     id::{DomainId, ModelName},
+    quantity::ByteSize,
     traffic::{PlanVersion, ServerId, TrafficPlan, WeightVersion},
 };
 use rand::Rng;
@@ -42,6 +43,7 @@
 use tokio::{sync::Notify, time::Instant};
 
 use super::{
+    body_memory::{BodyMemory, MEMORY_PARTS},
     facts::{FactNews, ReadGate, ReaderDuty, set_facts},
     plan_copy::PlanCopy,
     quarantine::QuarantineDesk,
@@ -67,6 +69,10 @@
     pub connections: Connections,
     /// Metrics.
     pub metrics: NodeMetrics,
+    /// Memory for bodies of requests.
+    pub request_memory: BodyMemory,
+    /// Memory for bodies of answers.
+    pub answer_memory: BodyMemory,
     /// Requests that are held.
     pub in_progress: AtomicUsize,
     /// A stop has been asked for.
@@ -239,6 +245,7 @@
             false => EntryStart::Again,
         };
         let zones = settings.direct.zones.clone();
+        let body_memory = ByteSize::from_bytes(settings.direct.memory.bytes() / MEMORY_PARTS);
         let servers = ServerTable::new(settings.node.domain.clone(), zones);
         let mut peers =
             PeerTable::new(settings.node.control, DomainKey::from(&settings.node.domain));
@@ -250,6 +257,8 @@
             headers,
             connections: Connections::default(),
             metrics: NodeMetrics::default(),
+            request_memory: BodyMemory::new(body_memory),
+            answer_memory: BodyMemory::new(body_memory),
             in_progress: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
             servers_known: AtomicBool::new(false),
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod connections;
 pub mod pace;
 pub mod server;
+pub mod stall;
 pub mod stop;
 
 pub use client::{CallError, HttpCaller};
--- /dev/null
+++ b/crates/http/src/stall.rs
@@ -0,0 +1,95 @@
+//! Ends connections whose other side has stopped reading.
+
+use std::{
+    future::Future,
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    time::{Sleep, sleep},
+};
+
+/// A stream whose writes fail once its reader has taken nothing for some time. Without it an answer that
+/// nobody reads holds its buffers, and the connection that it comes from, for as long as the reader likes.
+#[derive(Debug)]
+pub struct StallGuard<S> {
+    stream: S,
+    patience: Duration,
+    /// Runs while a write waits.
+    waiting: Option<Pin<Box<Sleep>>>,
+}
+
+impl<S> StallGuard<S> {
+    /// Guards `stream`; a write may wait for `patience`.
+    pub fn new(stream: S, patience: Duration) -> Self {
+        Self { stream, patience, waiting: None }
+    }
+
+    /// Has a write that waits fail when its time is over.
+    fn guard<T>(
+        &mut self,
+        context: &mut Context<'_>,
+        written: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if written.is_ready() {
+            self.waiting = None;
+            return written;
+        }
+        let patience = self.patience;
+        let waiting = self.waiting.get_or_insert_with(|| Box::pin(sleep(patience)));
+        match waiting.as_mut().poll(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(()) => {
+                let message = format!("nothing was read for {} ms", patience.as_millis());
+                Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, message)))
+            }
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for StallGuard<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for StallGuard<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.guard(context, written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.guard(context, written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        self.guard(context, flushed)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/types/src/direct_settings.rs
+++ b/crates/types/src/direct_settings.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     id::{DomainId, RegionId},
+    quantity::ByteSize,
     reading::{InputError, parse_at},
     settings::{LinkSettings, NodeSettings, RawEndpoint, RawSettings},
 };
@@ -34,6 +35,14 @@
     /// failure domains are not emptied on order, and the store is not asked for that.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub evacuate_ms: Option<u64>,
+    /// Memory that the process may take: bodies of requests take a fifth of it at most, those of answers as
+    /// much.
+    #[serde(default = "default_memory")]
+    pub memory: ByteSize,
+    /// Time for which a caller may take nothing of its answer before its connection is closed, in
+    /// milliseconds.
+    #[serde(default = "default_stall_ms")]
+    pub stall_ms: u64,
     /// The whole system starts for the first time: nobody waits for it yet, so that processes find
     /// each other before they read the store.
     #[serde(default)]
@@ -68,6 +77,18 @@
 /// Least time in which a failure domain is to get nothing new, in milliseconds.
 const LEAST_EVACUATE_MS: u64 = 4_000;
 
+/// Least memory that a process runs in.
+const LEAST_MEMORY: ByteSize = ByteSize::from_mib(16);
+
+fn default_memory() -> ByteSize {
+    ByteSize::from_mib(256)
+}
+
+/// Longer than usual deadlines: who reads slowly is not cut off by it, who reads nothing is.
+fn default_stall_ms() -> u64 {
+    10_000
+}
+
 fn default_weights_ms() -> u64 {
     30_000
 }
@@ -88,6 +109,10 @@
     pub retry: RawRetry,
     /// Time in which all servers change to new weights.
     pub weights_time: Duration,
+    /// Memory that the process may take.
+    pub memory: ByteSize,
+    /// Time for which a caller may take nothing of its answer.
+    pub stall: Duration,
     /// Failure domains may be ordered to be emptied.
     pub reads_evacuations: bool,
     /// The whole system starts for the first time.
@@ -155,6 +180,15 @@
         let message = "0 leaves no time to change weights; give milliseconds";
         return Err(InputError::new("direct.weights_ms", message));
     }
+    if raw.memory < LEAST_MEMORY {
+        let message =
+            format!("{} is too little to run in; give {LEAST_MEMORY} or more", raw.memory);
+        return Err(InputError::new("direct.memory", message));
+    }
+    if raw.stall_ms == 0 {
+        let message = "0 leaves callers no time to read; give milliseconds";
+        return Err(InputError::new("direct.stall_ms", message));
+    }
     if let Some(millis) = raw.evacuate_ms.filter(|millis| *millis < LEAST_EVACUATE_MS) {
         let message = format!(
             "{millis} ms is less than a change of the store takes to reach all entries; give \
@@ -169,6 +203,8 @@
         seeds,
         retry: raw.retry,
         weights_time,
+        memory: raw.memory,
+        stall: Duration::from_millis(raw.stall_ms),
         reads_evacuations: raw.evacuate_ms.is_some(),
         first_start: raw.first_start,
         mesh_limit: raw.mesh_limit,
