Have processes that start together read the store in turns

Cause: 300 processes that were killed at once did not serve within 30 s beside 3,002 servers. Each entry that lacked the plan or the servers 1.5 s after its start read the whole list for itself: 300 times 1.2 MB over links between regions that carry 3 MB a second. Agents read the wanted versions and the plan alike. Besides, an entry worked out the index of all servers anew for each record, and found the records of a list by walking it: work by pairs of servers.

Change: the first two entries of a failure domain whose calls are answered read after 1.5 s, the next two 1.5 s later, and so on; whoever has the facts from a neighbour by then reads nothing. Agents go by turns as well. The index follows single records; lists are looked up by id.

--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -352,6 +352,19 @@
         self.near_entries().filter(|peer| peer.notice.from < self.own).count() as u32
     }
 
+    /// Entries of the own failure domain whose calls to the store are answered and that come before this
+    /// one in the order of addresses.
+    pub fn readers_before(&self) -> usize {
+        let readers = self.near_entries().filter(|peer| peer.notice.reads_store);
+        readers.filter(|peer| peer.notice.from < self.own).count()
+    }
+
+    /// Agents of the own failure domain that come before this one in the order of addresses.
+    pub fn agents_before(&self) -> usize {
+        let agents = self.living().filter(|peer| peer.notice.kind == PeerKind::Agent);
+        agents.filter(|peer| self.is_near(peer) && peer.notice.from < self.own).count()
+    }
+
     /// Whether this entry is one of those of its failure domain that read the plan.
     pub fn is_plan_reader(&self) -> bool {
         self.reader_rank().is_some()
--- a/crates/core/src/direct/plan_readers.rs
+++ b/crates/core/src/direct/plan_readers.rs
@@ -3,11 +3,21 @@
 //! A plan may take hundreds of kilobytes, and links between regions carry a few megabytes a second:
 //! where every entry reads it by itself, a change reaches them seconds late.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 /// Entries of a failure domain that read the plan: one may stop, or lose the store, unseen.
 const PLAN_READERS: usize = 2;
 
+/// Time after its start from which a process reads by itself what nobody has handed it, where `before`
+/// others of its failure domain do so before it and the first of them after `first`.
+///
+/// After a loss of power all of them lack everything at once. The store and the links to its region carry
+/// a few megabytes a second: where each read the list of thousands of servers for itself, nobody would have
+/// it for half a minute.
+pub fn turn_time(first: Duration, before: usize) -> Duration {
+    first * (1 + before / PLAN_READERS) as u32
+}
+
 /// An entry of the own failure domain that lives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReaderView {
--- a/crates/core/src/direct/server_copy.rs
+++ b/crates/core/src/direct/server_copy.rs
@@ -1,7 +1,7 @@
 //! The list of servers as entries hand it to each other: two entries of a failure domain read it from
 //! the store, and the others have what has changed from them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use headlatch_types::traffic::{ServerId, ServerRecord};
 use serde::{Deserialize, Serialize};
@@ -82,9 +82,10 @@
         self.covered = self.covered.max(changes.covered);
         self.newest = self.newest.max(changes.newest);
         if changes.whole {
-            let listed = |id: &ServerId| changes.set.iter().any(|marked| marked.record.id == *id);
+            let listed: HashSet<&ServerId> =
+                changes.set.iter().map(|marked| &marked.record.id).collect();
             let missing: Vec<ServerId> =
-                self.records.keys().filter(|id| !listed(id)).cloned().collect();
+                self.records.keys().filter(|id| !listed.contains(id)).cloned().collect();
             let revision = changes.covered;
             missing.into_iter().for_each(|id| self.remove(GoneServer { revision, id }));
             // What came and went before this list is not known.
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -1,7 +1,7 @@
 //! The servers that an entry knows, and the choice among them.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -153,7 +153,7 @@
         }
         let region = self.regions.get(&record.zone).cloned();
         if let Some(state) = self.servers.get_mut(&record.id) {
-            let moved = state.record.service != record.service;
+            let before = state.record.service.clone();
             let life = life_key(&record);
             if state.life != life {
                 state.forget_life();
@@ -163,8 +163,10 @@
             state.region = region;
             state.cold = ColdSpan::new(now, Duration::from_millis(record.cold_ms), state.cold);
             state.record = record;
-            if !moved {
-                return;
+            let (id, service) = (state.record.id.clone(), state.record.service.clone());
+            if before != service {
+                self.unlist(&before, &id);
+                self.list(service, id);
             }
         } else {
             let state = ServerState {
@@ -185,34 +187,48 @@
                 notice: None,
                 record,
             };
-            self.servers.insert(state.record.id.clone(), state);
+            let (id, service) = (state.record.id.clone(), state.record.service.clone());
+            self.servers.insert(id.clone(), state);
+            self.list(service, id);
         }
-        self.index();
     }
 
     /// Takes out a server that is gone as of `revision`.
     pub fn remove(&mut self, now: Moment, id: &ServerId, revision: ChangeMark) -> bool {
         let _ = self.leaving.note_leaving(now, server_key(id), revision);
         self.leaving.forget_old(now);
-        let removed = self.servers.remove(id).is_some();
-        self.index();
-        removed
+        let removed = self.servers.remove(id);
+        if let Some(state) = &removed {
+            self.unlist(&state.record.service, id);
+        }
+        removed.is_some()
     }
 
     /// Takes out every server but those in `listed`, the list as of `revision`.
     pub fn keep_only(&mut self, now: Moment, listed: &[ServerId], revision: ChangeMark) {
+        let listed: HashSet<&ServerId> = listed.iter().collect();
         for id in self.servers.keys().filter(|id| !listed.contains(id)) {
             let _ = self.leaving.note_leaving(now, server_key(id), revision);
         }
         self.leaving.forget_old(now);
         self.servers.retain(|id, _| listed.contains(id));
-        self.index();
+        self.services.values_mut().for_each(|ids| ids.retain(|id| listed.contains(id)));
+        self.services.retain(|_, ids| !ids.is_empty());
+    }
+
+    /// Lists a server under its service, in the order of ids.
+    fn list(&mut self, service: Arc<str>, id: ServerId) {
+        let ids = self.services.entry(service).or_default();
+        if let Err(place) = ids.binary_search(&id) {
+            ids.insert(place, id);
+        }
     }
 
-    fn index(&mut self) {
-        self.services.clear();
-        for (id, state) in &self.servers {
-            self.services.entry(state.record.service.clone()).or_default().push(id.clone());
+    fn unlist(&mut self, service: &str, id: &ServerId) {
+        let Some(ids) = self.services.get_mut(service) else { return };
+        ids.retain(|listed| listed != id);
+        if ids.is_empty() {
+            self.services.remove(service);
         }
     }
 
@@ -287,6 +303,13 @@
         }
     }
 
+    /// Takes in what the agents that live tell of their servers, by address.
+    pub fn set_notices(&mut self, mut notices: HashMap<SocketAddr, ServerNotice>) {
+        for state in self.servers.values_mut() {
+            state.notice = notices.remove(&state.record.address);
+        }
+    }
+
     /// What this entry has in progress, for others.
     pub fn own_loads(&self) -> Vec<LoadNotice> {
         let busy = self.servers.values().filter(|state| state.own.in_flight > 0);
--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -4,10 +4,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{
-        Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, atomic::AtomicBool},
     time::Duration,
 };
 
@@ -16,6 +13,7 @@
     burst::PeerKey,
     direct::{
         peers::{DomainKey, PeerTable, ServerNotice, WantedNotice},
+        plan_readers::turn_time,
         weight_deadline::{WantedVersion, WeightDeadlines},
     },
     membership::NodeKind,
@@ -182,7 +180,7 @@
         let plan = Arc::new(AgentPlan::default());
         let stager = Stager::new(state.clone(), outside.clone(), plan.clone(), transfers);
         let (watched, weights_nudge) = (state.clone(), state.weights_nudge.clone());
-        let gate = WantedGate { state: state.clone(), answered: AtomicBool::new(false) };
+        let gate = WantedGate { state: state.clone() };
         let gate = Arc::new(gate);
         let (planned, told) = (state.clone(), state.clone());
         let (plan_store, store) = (outside.store.clone(), outside.store);
@@ -233,33 +231,33 @@
     }
 }
 
-/// Time after a first start of the whole system in which an agent waits to hear of an entry that
-/// reads the store.
+/// Time after a first start of the whole system in which the first agents of a failure domain wait to
+/// hear of an entry that reads the store; the others follow in turns.
 const SETTLING_TIME: Duration = Duration::from_millis(1500);
 
-/// Opens at a start, when an empty server waits for its weights, and later where no entry of the
-/// failure domain is known that reads the store: entries tell agents which versions are wanted, and
-/// every call is priced.
+/// The same after a start beside others, where an empty server waits for its weights.
+const RESTART_SETTLING_TIME: Duration = Duration::from_millis(400);
+
+/// Opens where no entry of the failure domain is known that reads the store: entries tell agents which
+/// versions are wanted, and every call is priced.
 #[derive(Debug)]
 struct WantedGate {
     state: Arc<AgentState>,
-    /// A call has been answered.
-    answered: AtomicBool,
 }
 
 impl ReadGate for WantedGate {
     fn is_open(&self) -> bool {
         let state = &self.state;
-        if !self.answered.load(Ordering::Relaxed) && !state.settings.direct.first_start {
-            return true;
-        }
-        let settled = state.node.now() >= Moment::ZERO + SETTLING_TIME;
-        settled && !lock(&state.peers).has_near_reader()
+        let first = match state.settings.direct.first_start {
+            true => SETTLING_TIME,
+            false => RESTART_SETTLING_TIME,
+        };
+        let peers = lock(&state.peers);
+        let settled = Moment::ZERO + turn_time(first, peers.agents_before());
+        state.node.now() >= settled && !peers.has_near_reader()
     }
 
-    fn note(&self, answered: bool) {
-        self.answered.fetch_or(answered, Ordering::Relaxed);
-    }
+    fn note(&self, _answered: bool) {}
 
     /// Entries of all failure domains tell agents which versions are wanted.
     fn duty(&self) -> ReaderDuty {
--- a/crates/daemon/src/direct/agent_plan.rs
+++ b/crates/daemon/src/direct/agent_plan.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use headlatch_core::direct::peers::PeerKind;
+use headlatch_core::direct::{peers::PeerKind, plan_readers::turn_time};
 use headlatch_http::Connections;
 use headlatch_outside::facts::{Fact, FactStore, FactTopic, Freshness};
 use headlatch_types::{
@@ -39,7 +39,7 @@
 /// Time after which the store is asked for the plan where no entry is known that has one.
 const LONELY_PATIENCE: Duration = Duration::from_millis(500);
 
-/// Time after which it is asked in any case: entries that have just started as well have the plan
+/// Time after which the first agents of a failure domain ask it in any case, the others in turns: entries that have just started as well have the plan
 /// within two seconds. A whole plan may take a megabyte, and there are dozens of agents a region.
 const STORE_PATIENCE: Duration = Duration::from_millis(3000);
 
@@ -141,7 +141,8 @@
 ) -> Option<Arc<TrafficPlan>> {
     tokio::time::sleep(LONELY_PATIENCE).await;
     if holder_of_newer(state, PlanVersion::default()).is_some() || knows_entries(state) {
-        tokio::time::sleep(STORE_PATIENCE - LONELY_PATIENCE).await;
+        let before = lock(&state.peers).agents_before();
+        tokio::time::sleep(turn_time(STORE_PATIENCE, before) - LONELY_PATIENCE).await;
     }
     let list = reader.list(freshness).await;
     let plans = set_facts(FactNews::All(list)).into_iter().filter_map(|fact| match fact {
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -1,7 +1,7 @@
 //! What an entry believes, shared by its parts.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
@@ -16,6 +16,7 @@
         fact_age::{ChangeMark, FactAge},
         leaving::LeavingNotice,
         peers::{DomainKey, DrainNotice, PeerKind, PeerTable, WantedNotice},
+        plan_readers::turn_time,
         plan_source::HolderView,
         retry_share::{EntryStart, RetryBudget, RetryShare},
         route_table::RouteTable,
@@ -147,14 +148,15 @@
 /// plan takes itself for one that reads the store.
 const STEADY_TIME: Duration = Duration::from_millis(300);
 
-/// Time after a start from which an entry that still lacks the plan reads it by itself.
+/// Time after a start from which the first entries that still lack the plan or the servers read them by
+/// themselves; the others follow in turns.
 const OWN_READING_TIME: Duration = Duration::from_millis(1500);
 
 impl ReadGate for EntryState {
     fn is_open(&self) -> bool {
-        let lacks = self.routes().is_none() || !self.servers_known.load(Ordering::Relaxed);
+        let lacks = self.lacks_facts();
         let since = self.begun.elapsed();
-        if lacks && since >= OWN_READING_TIME {
+        if lacks && since >= self.own_reading_time() {
             return true;
         }
         // Callers wait, unless the whole system starts for the first time.
@@ -369,6 +371,23 @@
         !self.is_stopping() && self.servers_known.load(Ordering::Relaxed) && self.routes().is_some()
     }
 
+    /// Whether this entry has no plan or no list of servers yet.
+    fn lacks_facts(&self) -> bool {
+        self.routes().is_none() || !self.servers_known.load(Ordering::Relaxed)
+    }
+
+    /// Time after the start from which this entry reads by itself what nobody has handed it.
+    fn own_reading_time(&self) -> Duration {
+        turn_time(OWN_READING_TIME, self.peers().readers_before())
+    }
+
+    /// Whether others are to read the store before this entry does, which has just started.
+    fn awaits_turn(&self) -> bool {
+        self.lacks_facts()
+            && !self.peers().is_plan_reader()
+            && self.begun.elapsed() < self.own_reading_time()
+    }
+
     /// The version of the plan in force.
     pub fn plan_version(&self) -> PlanVersion {
         self.plan.version()
@@ -391,7 +410,7 @@
     /// from a peer; where it stays so, this entry's watch has missed something.
     pub fn hear_peer_plan(&self, version: PlanVersion) {
         let is_reader = self.peers().is_plan_reader();
-        if self.plan.note_told(self.now(), version, is_reader) {
+        if self.plan.note_told(self.now(), version, is_reader) && !self.awaits_turn() {
             self.plan_nudge.notify_one();
         }
     }
@@ -541,12 +560,14 @@
             let fields = json!({ "servers": listed.len(), "at": changes.covered.0 });
             decisions::note("servers", "listed", fields);
         }
-        changes.set.iter().cloned().for_each(|marked| self.set_server(marked));
+        // One entry of a failure domain writes them down for all of them.
+        let notes = self.peers().speaks_for_domain();
+        changes.set.iter().cloned().for_each(|marked| self.set_server(marked, notes));
         changes.gone.iter().for_each(|gone| self.remove_server(gone));
         if changes.whole {
             self.servers_known.store(true, Ordering::Relaxed);
         }
-        let wanted: Vec<SocketAddr> =
+        let wanted: HashSet<SocketAddr> =
             self.servers().records().map(|record| record.address).collect();
         self.connections.retain(|address| wanted.contains(address));
     }
@@ -583,7 +604,9 @@
         }
         let is_late = age.behind(now).is_some_and(|behind| behind >= SERVERS_PATIENCE);
         let patience = if rank == Some(1) { SECOND_PATIENCE } else { SERVERS_PATIENCE };
-        if (is_late || rank.is_some()) && age.take_due(now, patience) {
+        let is_due = (is_late || rank.is_some()) && age.take_due(now, patience);
+        drop(age);
+        if is_due && !self.awaits_turn() {
             self.servers_nudge.notify_one();
         }
     }
@@ -602,23 +625,22 @@
         }
     }
 
-    fn set_server(&self, marked: MarkedRecord) {
+    fn set_server(&self, marked: MarkedRecord, notes: bool) {
         let MarkedRecord { revision, record } = marked;
-        let fields = json!({
-            "server": record.id, "service": record.service, "address": record.address,
-            "zone": record.zone, "draining": record.draining, "slots": record.slots,
-            "models": record.models, "revision": revision.0,
-        });
+        if notes {
+            let fields = json!({
+                "server": record.id, "service": record.service, "address": record.address,
+                "zone": record.zone, "draining": record.draining, "slots": record.slots,
+                "models": record.models, "cold_ms": record.cold_ms, "revision": revision.0,
+            });
+            decisions::note("servers", "set", fields);
+        }
         if !record.models.is_empty() {
             let machine = SocketAddr::new(record.address.ip(), self.settings.node.control.port());
             self.peers().suggest(self.now(), machine);
         }
         self.servers().set(self.now(), record, revision);
         self.notices_stale.store(true, Ordering::Relaxed);
-        // One entry of a failure domain writes it down for all of them.
-        if self.peers().speaks_for_domain() {
-            decisions::note("servers", "set", fields);
-        }
     }
 
     fn remove_server(&self, gone: &GoneServer) {
@@ -724,10 +746,6 @@
             let told = peers.living().filter_map(|peer| peer.notice.server.clone());
             told.map(|notice| (notice.address, notice)).collect()
         };
-        let mut servers = self.servers();
-        let addresses: Vec<SocketAddr> = servers.records().map(|record| record.address).collect();
-        for address in addresses {
-            servers.set_notice(address, notices.get(&address).cloned());
-        }
+        self.servers().set_notices(notices);
     }
 }
