Take a copy for late only where no changes come

Cause, from the logs of the fleet: while the servers of a start came into the store over six seconds, every entry that had what there was each 0.3 s was behind somebody all the while, took its watch for lost after 1.4 s and read the whole list.

Change: patience counts from the last changes that were taken in, from wherever for those that have them from neighbours, from the store for readers. An answer that brings nothing is no progress.

Measured: core/tests/fact_age.rs: six seconds of changes read anew by nobody (by patience from the first change: after 1.4 s by all); a blind watch is noticed as before."

--- a/crates/core/src/direct/fact_age.rs
+++ b/crates/core/src/direct/fact_age.rs
@@ -42,12 +42,21 @@
     untold_since: Option<Moment>,
     /// When the store was last to be read because of that.
     due: Option<Moment>,
+    /// When changes were last taken in, from wherever.
+    progressed: Option<Moment>,
+    /// When the store last told changes.
+    store_progressed: Option<Moment>,
 }
 
 impl FactAge {
     /// The store has said everything up to `covered`, of which `newest` is the last change.
     pub fn confirm_from_store(&mut self, now: Moment, covered: ChangeMark, newest: ChangeMark) {
+        let before = self.confirmed_to;
         self.confirmed_to = self.confirmed_to.max(covered).max(newest);
+        if self.confirmed_to > before {
+            self.progressed = Some(now);
+            self.store_progressed = Some(now);
+        }
         self.covered = self.covered.max(self.confirmed_to);
         self.newest = self.newest.max(newest);
         self.confirmed = Some(now);
@@ -63,8 +72,12 @@
 
     /// Another process has handed over everything up to `covered`, of which `newest` is the last
     /// change.
-    pub fn take_list_from_peer(&mut self, covered: ChangeMark, newest: ChangeMark) {
+    pub fn take_list_from_peer(&mut self, now: Moment, covered: ChangeMark, newest: ChangeMark) {
+        let before = self.covered;
         self.covered = self.covered.max(covered).max(newest);
+        if self.covered > before {
+            self.progressed = Some(now);
+        }
         self.newest = self.newest.max(newest);
         self.settle();
     }
@@ -110,6 +123,13 @@
         self.behind_since.map(|since| now.since(since))
     }
 
+    /// How long a change has been missing while none was taken in. Where changes come one after the other,
+    /// a process that takes them in is always a little behind, and misses nothing.
+    pub fn stalled(&self, now: Moment) -> Option<Duration> {
+        let since = self.behind_since?;
+        Some(now.since(self.progressed.map_or(since, |at| at.max(since))))
+    }
+
     /// Since when the store has not told a change that others know, although it was read or
     /// watched; none if there is no such change.
     pub fn untold_since(&self) -> Option<Moment> {
@@ -117,9 +137,11 @@
     }
 
     /// Whether the store is to be read anew because it has not told a change for `patience`; once
-    /// in that time.
+    /// in that time, and not while the store goes on telling others.
     pub fn take_due(&mut self, now: Moment, patience: Duration) -> bool {
-        let waits = self.due.max(self.untold_since);
+        let untold =
+            self.untold_since.map(|since| self.store_progressed.map_or(since, |at| at.max(since)));
+        let waits = self.due.max(untold);
         let is_due = waits.is_some_and(|since| now.since(since) >= patience);
         if is_due {
             self.due = Some(now);
--- a/crates/core/tests/fact_age.rs
+++ b/crates/core/tests/fact_age.rs
@@ -46,3 +46,45 @@
     expect_that!(age.age(at(200)), some(eq(Duration::from_millis(200))));
     expect_that!(age.newest_told(), eq(mark(6)));
 }
+
+/// The servers of a fleet came into the store over six seconds. Every entry that took in what there was
+/// each 0.3 s was behind all the while, took its watch for lost after 1.4 s, and read the whole list: over
+/// the link of one region nothing else came through for the rest of the day.
+#[gtest]
+fn who_takes_in_changes_that_come_one_after_the_other_is_behind_and_not_late() {
+    let patience = Duration::from_millis(1_400);
+    let (mut reader, mut other) = (FactAge::default(), FactAge::default());
+    let mut read = Vec::new();
+    for tenth in 0..60u64 {
+        let now = at(tenth * 100);
+        reader.note_told(now, mark(tenth + 5));
+        other.note_told(now, mark(tenth + 5));
+        if tenth % 8 == 0 {
+            reader.confirm_from_store(now, mark(tenth + 1), mark(tenth + 1));
+        }
+        if tenth % 3 == 0 {
+            other.take_list_from_peer(now, mark(tenth + 1), mark(tenth + 1));
+        }
+        if reader.take_due(now, patience) {
+            read.push(tenth);
+        }
+        expect_that!(other.behind(now).is_some(), eq(true));
+        expect_that!(other.stalled(now), some(lt(patience)));
+    }
+    expect_that!(read, is_empty());
+    // Nothing comes any more.
+    expect_that!(other.stalled(at(7_200)), some(ge(patience)));
+    expect_that!(reader.take_due(at(7_200), patience), eq(true));
+}
+
+#[gtest]
+fn answers_of_the_store_that_bring_nothing_are_no_progress() {
+    let patience = Duration::from_millis(1_400);
+    let mut age = FactAge::default();
+    age.confirm_from_store(at(0), mark(5), mark(5));
+    age.note_told(at(100), mark(9));
+    // A watch that is blind ends again and again where it began.
+    age.confirm_from_store(at(1_000), mark(5), mark(5));
+    expect_that!(age.take_due(at(1_400), patience), eq(false));
+    expect_that!(age.take_due(at(1_500), patience), eq(true));
+}
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -540,7 +540,7 @@
         }
         let (covered, newest) = (changes.covered, changes.newest);
         self.apply_servers(changes);
-        lock(&self.servers_age).take_list_from_peer(covered, newest);
+        lock(&self.servers_age).take_list_from_peer(self.now(), covered, newest);
     }
 
     /// What has changed of the list of servers for an entry that knows everything up to `after`.
@@ -602,7 +602,7 @@
         if age.behind(now).is_some() {
             self.servers_offered.notify_one();
         }
-        let is_late = age.behind(now).is_some_and(|behind| behind >= SERVERS_PATIENCE);
+        let is_late = age.stalled(now).is_some_and(|stalled| stalled >= SERVERS_PATIENCE);
         let patience = if rank == Some(1) { SECOND_PATIENCE } else { SERVERS_PATIENCE };
         let is_due = (is_late || rank.is_some()) && age.take_due(now, patience);
         drop(age);
