Read the store after a restart once the known entries stand still

Hypothesis: after a loss of power entries find each other within some tenths of a second; one that looks 0.15 s after its start knows few, and takes itself for one of the first. Change: it waits until nobody else was found for 0.15 s, and 0.6 s where it knows nobody.

--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -144,10 +144,17 @@
 /// that few of dozens of entries read a plan of up to a megabyte over one link between regions.
 const RESTART_SETTLING_TIME: Duration = Duration::from_millis(150);
 
+/// The same where nobody is heard: after a loss of power hundreds of processes find each other at first
+/// through a few that have just started as well.
+const RESTART_ALONE_TIME: Duration = Duration::from_millis(600);
+
 /// Time for which the number of known entries must have stood still before an entry that lacks the
 /// plan takes itself for one that reads the store.
 const STEADY_TIME: Duration = Duration::from_millis(300);
 
+/// The same where others run or have run: two ticks in which nobody else was found.
+const RESTART_STEADY_TIME: Duration = Duration::from_millis(150);
+
 /// Time after a start from which the first entries that still lack the plan or the servers read them by
 /// themselves; the others follow in turns.
 const OWN_READING_TIME: Duration = Duration::from_millis(1500);
@@ -161,9 +168,12 @@
         }
         // Callers wait, unless the whole system starts for the first time.
         let known = *lock(&self.known_entries);
+        let steady = self.now().since(known.1);
         let settled = match self.settings.direct.first_start {
-            true => since >= SETTLING_TIME && self.now().since(known.1) >= STEADY_TIME,
-            false => since >= RESTART_SETTLING_TIME,
+            true => since >= SETTLING_TIME && steady >= STEADY_TIME,
+            // Nobody is known: others may have started at the same moment.
+            false if known.0 <= 1 => since >= RESTART_ALONE_TIME,
+            false => since >= RESTART_SETTLING_TIME && steady >= RESTART_STEADY_TIME,
         };
         let has_read = !lacks;
         (settled || has_read) && self.peers().is_plan_reader()
