Let an answer larger than the memory for answers come alone

Cause: an answer that announces more than all the memory for answers waited for room that there could never be, until its deadline (processes of less than 80 MiB). Change: it waits for all of that memory instead.

Measured: daemon/tests/slow_readers.rs, 4 MiB in a process of 16 MiB.

--- a/crates/daemon/src/direct/body_memory.rs
+++ b/crates/daemon/src/direct/body_memory.rs
@@ -28,6 +28,8 @@
 #[derive(Debug, Clone)]
 pub struct BodyMemory {
     permits: Arc<Semaphore>,
+    /// Permits in all.
+    all: u32,
 }
 
 /// A body and its part of the memory, which is free again when the last copy of this is dropped.
@@ -45,8 +47,9 @@
 impl BodyMemory {
     /// At most `size` for all bodies together.
     pub fn new(size: ByteSize) -> Self {
-        let permits = (size.bytes() as usize / PERMIT_BYTES).min(Semaphore::MAX_PERMITS);
-        Self { permits: Arc::new(Semaphore::new(permits)) }
+        let all = u32::try_from(size.bytes() / PERMIT_BYTES as u64).unwrap_or(u32::MAX);
+        let permits = (all as usize).min(Semaphore::MAX_PERMITS);
+        Self { permits: Arc::new(Semaphore::new(permits)), all }
     }
 
     /// Reads the body of a request, `most` bytes at most. A body whose length is announced is refused
@@ -88,9 +91,10 @@
         Ok(HeldBody { bytes: bytes.freeze(), _permit: held.map(Arc::new) })
     }
 
-    /// Waits until there is room for `bytes` more.
+    /// Waits until there is room for `bytes` more, or for as much of them as there can be.
     pub async fn take(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
-        self.permits.clone().acquire_many_owned(permits(bytes)).await.ok()
+        let wanted = permits(bytes).min(self.all);
+        self.permits.clone().acquire_many_owned(wanted).await.ok()
     }
 
     fn take_now(&self, bytes: usize) -> Result<Option<OwnedSemaphorePermit>, GivenUp> {
--- a/crates/daemon/tests/slow_readers.rs
+++ b/crates/daemon/tests/slow_readers.rs
@@ -30,6 +30,9 @@
 /// Events of a long stream: 64 MiB.
 const EVENTS: usize = 4096;
 
+/// Bytes of an answer that is larger than the memory for answers in the smallest process.
+const LARGE_BYTES: usize = 4 << 20;
+
 /// Streams a long answer to paths that ask for one, and tells when one could not be sent to its end.
 #[derive(Clone)]
 struct LongStreams {
@@ -40,6 +43,11 @@
     async fn answer(&self, stream: &mut TcpStream, head: &str) -> std::io::Result<()> {
         let id = header(head, "x-id").unwrap_or_default();
         let begin = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\n");
+        if head.contains("/large") {
+            let begin = format!("{begin}content-length: {LARGE_BYTES}\r\n\r\n");
+            stream.write_all(begin.as_bytes()).await?;
+            return stream.write_all(&vec![b'x'; LARGE_BYTES]).await;
+        }
         if !head.contains("/long") {
             let whole = format!("{begin}content-length: 5\r\n\r\nwhole");
             return stream.write_all(whole.as_bytes()).await;
@@ -199,3 +207,14 @@
     again.write_all(&body).await.expect("it is read");
     expect_that!(status(&mut again).await, eq("HTTP/1.1 200"));
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_larger_than_the_memory_for_answers_comes_alone() {
+    let setting = Setting::new(|settings| {
+        settings.direct.memory = ByteSize::from_mib(16);
+    })
+    .await;
+    let answer = ask(setting.entry.address, "/safe/large", "k").await.expect("an answer");
+    expect_that!(answer.body.len(), eq(LARGE_BYTES));
+}
