--- a/crates/daemon/tests/allowed_regions.rs
+++ b/crates/daemon/tests/allowed_regions.rs
@@ -12,9 +12,10 @@
 use http::StatusCode;
 use support::{
     TestHeaders, TestStore, ask, header, plan, record, route,
-    server::{Script, TestServer},
+    server::{AnswerPlan, Script, TestServer},
     settings,
 };
+use tokio::{net::TcpStream, sync::watch};
 
 fn answer(head: &str, status: &str, further: &str) -> Vec<u8> {
     let id = header(head, "x-id").unwrap_or_default();
@@ -72,7 +73,7 @@
         Self::with_store(near, far, TestStore::default()).await
     }
 
-    async fn with_store(near: Script, far: Script, store: TestStore) -> Self {
+    async fn with_store(near: impl AnswerPlan, far: impl AnswerPlan, store: TestStore) -> Self {
         let store = Arc::new(store);
         let (near, far) = (TestServer::start(near).await, TestServer::start(far).await);
         store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan_in(5, "r2"))));
@@ -130,21 +131,38 @@
     expect_that!((setting.near.seen().len(), setting.far.seen().len()), eq((1, 1)));
 }
 
+/// Breaks off once it is told to.
+#[derive(Clone)]
+struct HeldBreak {
+    released: watch::Receiver<bool>,
+}
+
+impl AnswerPlan for HeldBreak {
+    async fn answer(&self, _stream: &mut TcpStream, _head: &str) -> std::io::Result<()> {
+        let mut released = self.released.clone();
+        // The test has ended where nobody can tell it any more.
+        let _ = released.wait_for(|released| *released).await;
+        Ok(())
+    }
+}
+
 /// A request that was let in by an older plan is sent again by the regions of the newer one.
 #[gtest]
-#[tokio::test(flavor = "multi_thread")]
+#[tokio::test]
 async fn what_is_sent_again_follows_the_plan_in_force() {
-    let setting = Setting::new(serves, |_| {
-        std::thread::sleep(Duration::from_millis(600));
-        Vec::new()
-    })
-    .await;
+    let (release, released) = watch::channel(false);
+    let script: Script = serves;
+    let setting = Setting::with_store(script, HeldBreak { released }, TestStore::default()).await;
     let (address, store) = (setting.entry.address, setting.store.clone());
     let asked = tokio::spawn(async move { ask(address, "/safe/x", "k").await });
     while setting.far.seen().is_empty() {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan_in(6, "r1"))));
+    while setting.entry.state.plan_version().0 < 6 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    release.send(true).expect("the server waits for it");
     let answered = asked.await.expect("it ends").expect("an answer");
     expect_that!(answered.status, eq(StatusCode::OK));
     expect_that!(setting.near.seen().len(), eq(1));
@@ -156,7 +174,7 @@
     let store = TestStore::default();
     let emptied = Fact::Evacuation("z1".parse().expect("a name"));
     store.set(FactTopic::Evacuations, "z1", emptied);
-    let setting = Setting::with_store(serves, serves, store).await;
+    let setting = Setting::with_store(serves as Script, serves as Script, store).await;
     setting.store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(6))));
     let is_known = || {
         let state = &setting.entry.state;
