--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod agent;
 pub mod entries;
 pub mod kept;
+pub mod long_streams;
 pub mod mortal;
 pub mod paced;
 pub mod server;
--- /dev/null
+++ b/crates/daemon/tests/unread_streams.rs
@@ -0,0 +1,36 @@
+//! Streams that nobody reads. The test measures the memory of its process, so that it stands alone.
+
+mod support;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use support::{ask, long_streams::Setting};
+use tokio::time::Instant;
+
+/// Memory of this process, in MiB.
+fn resident_mib() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").expect("it can be read");
+    let pages: u64 = text.split(' ').nth(1).and_then(|text| text.parse().ok()).expect("a number");
+    (pages * 4096) >> 20
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_do_not_read_take_little_memory_and_delay_nobody() {
+    let setting = Setting::new(|_| {}).await;
+    let before = resident_mib();
+    let mut callers = Vec::new();
+    for _ in 0..60 {
+        callers.push(setting.silent_caller("/stream/long").await);
+    }
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let begun = Instant::now();
+    for _ in 0..20 {
+        let answer = ask(setting.entry.address, "/safe/x", "k").await.expect("an answer");
+        expect_that!(&answer.body[..], eq(b"whole"));
+    }
+    expect_that!(begun.elapsed(), lt(Duration::from_secs(2)));
+    // Each has 64 MiB to come.
+    expect_that!(resident_mib().saturating_sub(before), lt(60));
+}
