Tell every record at an address what its agent tells

Cause, found in reading the change: since notices are taken in by one pass, the first of two records at an address took the notice and the second lost what was known of it, each second. A server that was started again under another id is listed beside its former self for a while.

Measured: core/tests/draining.rs, one test, fails with the pass that takes the notice out (one record of two), passes now.

--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -304,9 +304,10 @@
     }
 
     /// Takes in what the agents that live tell of their servers, by address.
-    pub fn set_notices(&mut self, mut notices: HashMap<SocketAddr, ServerNotice>) {
+    pub fn set_notices(&mut self, notices: &HashMap<SocketAddr, ServerNotice>) {
         for state in self.servers.values_mut() {
-            state.notice = notices.remove(&state.record.address);
+            // A server that was started again may be listed twice at its address for a while.
+            state.notice = notices.get(&state.record.address).cloned();
         }
     }
 
--- a/crates/core/tests/draining.rs
+++ b/crates/core/tests/draining.rs
@@ -155,3 +155,22 @@
     let first = DrainView { is_first: true, ..view(300, 1, 9, confirmed) };
     expect_that!(may_change(&first), eq(false));
 }
+
+/// A server that was started again under another id is listed beside its former self for a while.
+#[gtest]
+fn what_an_agent_tells_holds_for_every_record_at_its_address() {
+    let former = server("a", "z1", 1);
+    let again = ServerRecord { address: former.address, ..server("b", "z1", 1) };
+    let mut table = table(&[former.clone(), again]);
+    let told = ServerNotice {
+        address: former.address,
+        whole: Some(WeightVersion(1)),
+        changing: true,
+        staged: None,
+        sharing: None,
+        zone: former.zone.clone(),
+        service: "llm".to_owned(),
+    };
+    table.set_notices(&[(former.address, told)].into());
+    expect_that!(table.drains(at(0), &BTreeMap::new()).len(), eq(2));
+}
--- a/crates/core/tests/many_servers.rs
+++ b/crates/core/tests/many_servers.rs
@@ -50,7 +50,7 @@
     let mut table = table(&servers);
     let ids: Vec<ServerId> = servers.iter().map(|record| record.id.clone()).collect();
     table.keep_only(at(1), &ids, ChangeMark(2));
-    table.set_notices(HashMap::new());
+    table.set_notices(&HashMap::new());
     let mut copy = ServerCopy::default();
     for covered in 1..4 {
         let changes = copy.news_of(listed(&servers, covered));
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -756,6 +756,6 @@
             let told = peers.living().filter_map(|peer| peer.notice.server.clone());
             told.map(|notice| (notice.address, notice)).collect()
         };
-        self.servers().set_notices(notices);
+        self.servers().set_notices(&notices);
     }
 }
