--- a/crates/core/src/direct/plan_readers.rs
+++ b/crates/core/src/direct/plan_readers.rs
@@ -11,9 +11,8 @@
 /// Time after its start from which a process reads by itself what nobody has handed it, where `before`
 /// others of its failure domain do so before it and the first of them after `first`.
 ///
-/// After a loss of power all of them lack everything at once. The store and the links to its region carry
-/// a few megabytes a second: where each read the list of thousands of servers for itself, nobody would have
-/// it for half a minute.
+/// After a loss of power all of them lack everything at once. If each read the list of servers for itself,
+/// the link to the store's region would be full of copies of it.
 pub fn turn_time(first: Duration, before: usize) -> Duration {
     first * (1 + before / PLAN_READERS) as u32
 }
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -27,9 +27,8 @@
 mod cold;
 
 pub use changing::ContinuationLimits;
-pub use cold::ColdRates;
-
 pub use choice::{ChosenServer, EngineQuery, FullServers, ServerChoice, ServerQuery};
+pub use cold::ColdRates;
 
 /// The same for streams that are continued.
 const CONTINUED_QUEUE: u32 = 6;
@@ -112,6 +111,8 @@
     entries: usize,
     cold_rates: ColdRates,
     zone: Option<DomainId>,
+    /// The own region, if that is known.
+    region: Option<RegionId>,
     regions: HashMap<DomainId, RegionId>,
 }
 
@@ -134,7 +135,8 @@
 impl ServerTable {
     /// No servers yet, seen from `zone`.
     pub fn new(zone: DomainId, regions: HashMap<DomainId, RegionId>) -> Self {
-        Self { zone: Some(zone), regions, ..Self::default() }
+        let region = regions.get(&zone).cloned();
+        Self { zone: Some(zone), region, regions, ..Self::default() }
     }
 
     /// Takes in a server's record.
@@ -153,7 +155,8 @@
         }
         let region = self.regions.get(&record.zone).cloned();
         if let Some(state) = self.servers.get_mut(&record.id) {
-            let before = state.record.service.clone();
+            let moved = (state.record.service != record.service)
+                .then(|| (state.record.service.clone(), record.service.clone()));
             let life = life_key(&record);
             if state.life != life {
                 state.forget_life();
@@ -162,9 +165,9 @@
             state.domain = DomainKey::from(&record.zone);
             state.region = region;
             state.cold = ColdSpan::new(now, Duration::from_millis(record.cold_ms), state.cold);
+            let id = record.id.clone();
             state.record = record;
-            let (id, service) = (state.record.id.clone(), state.record.service.clone());
-            if before != service {
+            if let Some((before, service)) = moved {
                 self.unlist(&before, &id);
                 self.list(service, id);
             }
@@ -333,7 +336,7 @@
     }
 
     /// Whether a server is cold and has had this entry's part of what it may be sent.
-    fn is_spared(&self, now: Moment, state: &ServerState) -> bool {
+    fn is_throttled(&self, now: Moment, state: &ServerState) -> bool {
         let rate = self.cold_rates.services.get(&state.record.service);
         let Some((cold, rate)) = state.cold.zip(rate.copied()) else { return false };
         !cold.may_send(now, rate, self.entries, self.cold_rates.phase)
--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -202,8 +202,7 @@
     /// Whether a request may run in the own failure domain, so that servers of others are left to the
     /// entries there.
     fn may_stay_near(&self, query: &ServerQuery<'_>) -> bool {
-        let own = self.zone.as_ref().and_then(|zone| self.regions.get(zone));
-        query.regions.allows(own)
+        query.regions.allows(self.region.as_ref())
     }
 
     fn choose_among(
@@ -322,7 +321,7 @@
         }
         let in_flight = self.load(state).in_flight;
         let limit = self.limit(state, query);
-        if in_flight >= limit || self.is_spared(now, state) {
+        if in_flight >= limit || self.is_throttled(now, state) {
             return Err(PassedOver::Full);
         }
         let load = f64::from(in_flight) / f64::from(limit);
--- a/crates/core/tests/allowed_regions.rs
+++ b/crates/core/tests/allowed_regions.rs
@@ -26,7 +26,7 @@
 #[path = "support/figures.rs"]
 mod figures;
 
-use entry::{at, server};
+use entry::{at, changing, server};
 use figures::figures;
 
 /// Failure domains with their regions; the region of `z4` is not known.
@@ -232,15 +232,7 @@
     let mut table = table_in("z1", &[one.clone(), other]);
     table.begin(&one.id, 100);
     table.note_read(&one.id, 100);
-    let changing = headlatch_core::direct::peers::ServerNotice {
-        address: one.address,
-        whole: Some(WeightVersion(1)),
-        changing: true,
-        staged: None,
-        sharing: None,
-        zone: one.zone.clone(),
-        service: "llm".to_owned(),
-    };
+    let changing = changing(&one);
     table.set_notice(one.address, Some(changing));
     let kept = |within_region| {
         let limits = ContinuationLimits { layers: 0, least: None, retries: 10, within_region };
--- a/crates/core/tests/draining.rs
+++ b/crates/core/tests/draining.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use headlatch_core::direct::{
     draining::{DrainView, QueueReport, may_change},
-    peers::{DomainKey, DrainNotice, DrainReport, PeerKind, PeerNotice, PeerTable, ServerNotice},
+    peers::{DomainKey, DrainNotice, DrainReport, PeerKind, PeerNotice, PeerTable},
     server_table::{ContinuationLimits, ServerTable},
 };
 use headlatch_types::traffic::{ServerId, ServerRecord, WeightVersion};
@@ -13,7 +13,7 @@
 #[path = "support/entry.rs"]
 mod entry;
 
-use entry::{at, millis, notice, server, table};
+use entry::{at, changing, millis, notice, server, table};
 
 #[gtest]
 fn an_entry_confirms_that_a_changing_server_gets_nothing() {
@@ -23,15 +23,7 @@
     table.begin(&id, 100);
     table.begin(&id, 0);
     expect_that!(table.drains(at(0), &BTreeMap::new()), is_empty());
-    let changing = ServerNotice {
-        address: record.address,
-        whole: Some(WeightVersion(1)),
-        changing: true,
-        staged: None,
-        sharing: None,
-        zone: record.zone.clone(),
-        service: "llm".to_owned(),
-    };
+    let changing = changing(&record);
     table.set_notice(record.address, Some(changing));
     let drain = |waiting| vec![DrainNotice { server: record.address, waiting, kept: 0 }];
     expect_that!(table.drains(at(0), &BTreeMap::new()), eq(&drain(2)));
@@ -52,15 +44,7 @@
     for _ in 0..elsewhere {
         table.begin(&other.id, 0);
     }
-    let changing = ServerNotice {
-        address: one.address,
-        whole: Some(WeightVersion(1)),
-        changing: true,
-        staged: None,
-        sharing: None,
-        zone: one.zone.clone(),
-        service: "llm".to_owned(),
-    };
+    let changing = changing(&one);
     table.set_notice(one.address, Some(changing));
     (table, id, one)
 }
@@ -162,15 +146,7 @@
     let former = server("a", "z1", 1);
     let again = ServerRecord { address: former.address, ..server("b", "z1", 1) };
     let mut table = table(&[former.clone(), again]);
-    let told = ServerNotice {
-        address: former.address,
-        whole: Some(WeightVersion(1)),
-        changing: true,
-        staged: None,
-        sharing: None,
-        zone: former.zone.clone(),
-        service: "llm".to_owned(),
-    };
+    let told = changing(&former);
     table.set_notices(&[(former.address, told)].into());
     expect_that!(table.drains(at(0), &BTreeMap::new()).len(), eq(2));
 }
--- a/crates/core/tests/many_servers.rs
+++ b/crates/core/tests/many_servers.rs
@@ -1,7 +1,6 @@
 //! What an entry does with a list of thousands of servers, and who reads such a list after all processes
-//! have started at once. 300 processes that were killed together served nothing for half a minute beside
-//! 3,002 servers: each entry read the whole list for itself 1.5 s later, over links that carry three
-//! megabytes a second, and worked out the index of all servers anew for each of them.
+//! have started at once. Each entry that lacked the list read it for itself, and worked out the index of all
+//! servers anew for each of them.
 
 use std::{
     collections::HashMap,
--- a/crates/core/tests/support/entry.rs
+++ b/crates/core/tests/support/entry.rs
@@ -9,7 +9,7 @@
     direct::{
         engine_model::EngineLoad,
         fact_age::ChangeMark,
-        peers::{DomainKey, LoadNotice, PeerKind, PeerNotice},
+        peers::{DomainKey, LoadNotice, PeerKind, PeerNotice, ServerNotice},
         server_table::{ServerTable, server_key},
     },
     time::Moment,
@@ -53,6 +53,19 @@
     }
 }
 
+/// What an agent tells of an engine that is about to change.
+pub fn changing(record: &ServerRecord) -> ServerNotice {
+    ServerNotice {
+        address: record.address,
+        whole: Some(WeightVersion(1)),
+        changing: true,
+        staged: None,
+        sharing: None,
+        zone: record.zone.clone(),
+        service: record.service.to_string(),
+    }
+}
+
 /// Servers as seen from `z1`, in a region with `z2`.
 pub fn table(servers: &[ServerRecord]) -> ServerTable {
     let zone = |name: &str| -> DomainId { name.parse().expect("a name") };
--- a/crates/daemon/src/direct/agent_plan.rs
+++ b/crates/daemon/src/direct/agent_plan.rs
@@ -39,8 +39,9 @@
 /// Time after which the store is asked for the plan where no entry is known that has one.
 const LONELY_PATIENCE: Duration = Duration::from_millis(500);
 
-/// Time after which the first agents of a failure domain ask it in any case, the others in turns: entries that have just started as well have the plan
-/// within two seconds. A whole plan may take a megabyte, and there are dozens of agents a region.
+/// Time after which the first agents of a failure domain ask it in any case, the others in turns: entries
+/// that have just started as well have the plan before that. A whole plan may take a megabyte, and there
+/// are dozens of agents a region.
 const STORE_PATIENCE: Duration = Duration::from_millis(3000);
 
 /// Pause between two entries that are asked.
--- a/crates/daemon/src/direct/body_memory.rs
+++ b/crates/daemon/src/direct/body_memory.rs
@@ -69,9 +69,9 @@
         if announced > most {
             return Err(too_long());
         }
-        let mut held = self.take_now(announced)?;
+        let mut counted = permits(announced);
+        let mut held = self.take_now(counted)?;
         let mut bytes = BytesMut::with_capacity(announced);
-        let mut counted = announced;
         loop {
             let frame = tokio::time::timeout_at(until, body.frame()).await;
             let late = |_| GivenUp::denied(StatusCode::REQUEST_TIMEOUT, "body_too_slow");
@@ -82,11 +82,9 @@
                 return Err(too_long());
             }
             bytes.extend_from_slice(&data);
-            if bytes.len() > counted {
-                let further = self.take_now(bytes.len() - counted)?;
-                held = merge(held, further);
-                counted = bytes.len();
-            }
+            let needed = permits(bytes.len()).max(counted);
+            held = merge(held, self.take_now(needed - counted)?);
+            counted = needed;
         }
         Ok(HeldBody { bytes: bytes.freeze(), _permit: held.map(Arc::new) })
     }
@@ -97,11 +95,11 @@
         self.permits.clone().acquire_many_owned(wanted).await.ok()
     }
 
-    fn take_now(&self, bytes: usize) -> Result<Option<OwnedSemaphorePermit>, GivenUp> {
-        if bytes == 0 {
+    fn take_now(&self, permits: u32) -> Result<Option<OwnedSemaphorePermit>, GivenUp> {
+        if permits == 0 {
             return Ok(None);
         }
-        let taken = self.permits.clone().try_acquire_many_owned(permits(bytes));
+        let taken = self.permits.clone().try_acquire_many_owned(permits);
         taken.map(Some).map_err(|_| GivenUp::refused("memory_full", FULL_REST))
     }
 }
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -26,7 +26,7 @@
 use tokio::time::Instant;
 
 use super::{
-    answer::{AnswerBody, GivenUp, strip_connection, whole},
+    answer::{AnswerBody, BodyFailure, GivenUp, strip_connection, whole},
     attempt::{self, AttemptFailure, ServerAnswer, is_failure},
     handler::RequestPlan,
     relay, server_end,
@@ -442,14 +442,13 @@
         let announced = body.size_hint().lower().min(MOST_ANSWER as u64) as usize;
         let memory = self.state.answer_memory.take(announced);
         let collected = Limited::new(body, MOST_ANSWER).collect();
-        let collected = async { (memory.await, collected.await) };
-        let collected = tokio::time::timeout_at(self.request.deadline, collected).await;
-        let (memory, collected) = match collected {
-            Ok((memory, collected)) => (memory, Ok(collected)),
-            Err(late) => (None, Err(late)),
+        let collected = async {
+            let memory = memory.await;
+            Ok::<_, BodyFailure>((memory, collected.await?))
         };
-        let body = match collected {
-            Ok(Ok(body)) => body.to_bytes(),
+        let collected = tokio::time::timeout_at(self.request.deadline, collected).await;
+        let (memory, body) = match collected {
+            Ok(Ok((memory, body))) => (memory, body.to_bytes()),
             other => {
                 in_flight.end(ServerOutcome::Lost);
                 let detail = match other {
