Part state.rs and exchange.rs by job

Change: who reads the store and when, the list of servers, and failure domains that are being emptied stand in files of their own below state.rs; answers that are not streams below exchange.rs. Moved, nothing else changed.

--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -18,15 +18,13 @@
     traffic::{AllowedRegions, ServerId},
     verdict::{Repeatability, RetryPermit},
 };
-use http::{Response, StatusCode, header};
-use http_body::Body;
-use http_body_util::{BodyExt, Limited};
+use http::{Response, StatusCode};
 use rand::Rng;
 use serde_json::json;
 use tokio::time::Instant;
 
 use super::{
-    answer::{AnswerBody, BodyFailure, GivenUp, strip_connection, whole},
+    answer::{AnswerBody, GivenUp},
     attempt::{self, AttemptFailure, ServerAnswer, is_failure},
     handler::RequestPlan,
     relay, server_end,
@@ -34,6 +32,8 @@
 };
 use crate::{decisions, metrics::RequestStep, timer::unix_time};
 
+mod collect;
+
 /// Cause of a refusal of what servers ended under.
 const QUARANTINED: &str = "quarantined";
 
@@ -46,9 +46,6 @@
 /// Servers that one request reaches at most, those that refused it among them.
 const MOST_ARRIVALS: u32 = 4;
 
-/// Largest answer that is not a stream.
-const MOST_ANSWER: usize = 16 << 20;
-
 /// Least time to come back when every server is full, in milliseconds.
 const FULL_REST_MS: u64 = 700;
 
@@ -430,58 +427,6 @@
         self.log("stream_cut", fields);
     }
 
-    /// Reads an answer that is not a stream and makes it the caller's.
-    async fn collect(
-        &mut self,
-        answer: ServerAnswer,
-    ) -> Result<Response<AnswerBody>, AttemptFailure> {
-        let ServerAnswer { response, connection, in_flight, .. } = answer;
-        let server = in_flight.server().clone();
-        let (mut parts, body) = response.into_parts();
-        // What is waited for is not read, so that the server keeps it.
-        let announced = body.size_hint().lower().min(MOST_ANSWER as u64) as usize;
-        let memory = self.state.answer_memory.take(announced);
-        let collected = Limited::new(body, MOST_ANSWER).collect();
-        let collected = async {
-            let memory = memory.await;
-            Ok::<_, BodyFailure>((memory, collected.await?))
-        };
-        let collected = tokio::time::timeout_at(self.request.deadline, collected).await;
-        let (memory, body) = match collected {
-            Ok(Ok((memory, body))) => (memory, body.to_bytes()),
-            other => {
-                in_flight.end(ServerOutcome::Lost);
-                let detail = match other {
-                    Ok(Err(error)) => {
-                        self.note_break(&server, EndedRun::Begun).await;
-                        error.to_string()
-                    }
-                    _ => "it did not end in time".to_owned(),
-                };
-                return Err(AttemptFailure {
-                    verdict: RunVerdict::MayHaveRun,
-                    outcome: ServerOutcome::Lost,
-                    cause: attempt::ANSWER_CUT,
-                    detail,
-                    arrived: true,
-                });
-            }
-        };
-        let failed = is_failure(parts.status);
-        in_flight.end(if failed { ServerOutcome::Failed } else { ServerOutcome::Answered });
-        self.state.connections.put_back(connection);
-        strip_connection(&mut parts.headers);
-        parts.headers.remove(header::CONTENT_LENGTH);
-        let fields = json!({ "server": self.tried.last(), "status": parts.status.as_u16() });
-        self.finish("answered", self.state.now().since(self.arrived), fields);
-        let body = whole(body).map_frame(move |frame| {
-            // Counted until the caller has taken it.
-            let _ = &memory;
-            frame
-        });
-        Ok(Response::from_parts(parts, body.boxed_unsync()))
-    }
-
     /// Writes down the end of the request, whose answer began `first` after it came.
     pub fn finish(&self, event: &str, first: Duration, fields: serde_json::Value) {
         self.state.metrics.count_request(RunVerdict::Ran);
--- /dev/null
+++ b/crates/daemon/src/direct/exchange/collect.rs
@@ -0,0 +1,71 @@
+//! Answers that are not streams: read whole before anything of them is passed on.
+
+use headlatch_core::direct::{server_table::ServerOutcome, suspects::EndedRun};
+use headlatch_types::RunVerdict;
+use http::{Response, header};
+use http_body::Body;
+use http_body_util::{BodyExt, Limited};
+use serde_json::json;
+
+use super::Exchange;
+use crate::direct::{
+    answer::{AnswerBody, BodyFailure, strip_connection, whole},
+    attempt::{self, AttemptFailure, ServerAnswer, is_failure},
+};
+
+/// Largest answer that is not a stream.
+const MOST_ANSWER: usize = 16 << 20;
+
+impl Exchange {
+    /// Reads an answer that is not a stream and makes it the caller's.
+    pub(super) async fn collect(
+        &mut self,
+        answer: ServerAnswer,
+    ) -> Result<Response<AnswerBody>, AttemptFailure> {
+        let ServerAnswer { response, connection, in_flight, .. } = answer;
+        let server = in_flight.server().clone();
+        let (mut parts, body) = response.into_parts();
+        // What is waited for is not read, so that the server keeps it.
+        let announced = body.size_hint().lower().min(MOST_ANSWER as u64) as usize;
+        let memory = self.state.answer_memory.take(announced);
+        let collected = Limited::new(body, MOST_ANSWER).collect();
+        let collected = async {
+            let memory = memory.await;
+            Ok::<_, BodyFailure>((memory, collected.await?))
+        };
+        let collected = tokio::time::timeout_at(self.request.deadline, collected).await;
+        let (memory, body) = match collected {
+            Ok(Ok((memory, body))) => (memory, body.to_bytes()),
+            other => {
+                in_flight.end(ServerOutcome::Lost);
+                let detail = match other {
+                    Ok(Err(error)) => {
+                        self.note_break(&server, EndedRun::Begun).await;
+                        error.to_string()
+                    }
+                    _ => "it did not end in time".to_owned(),
+                };
+                return Err(AttemptFailure {
+                    verdict: RunVerdict::MayHaveRun,
+                    outcome: ServerOutcome::Lost,
+                    cause: attempt::ANSWER_CUT,
+                    detail,
+                    arrived: true,
+                });
+            }
+        };
+        let failed = is_failure(parts.status);
+        in_flight.end(if failed { ServerOutcome::Failed } else { ServerOutcome::Answered });
+        self.state.connections.put_back(connection);
+        strip_connection(&mut parts.headers);
+        parts.headers.remove(header::CONTENT_LENGTH);
+        let fields = json!({ "server": self.tried.last(), "status": parts.status.as_u16() });
+        self.finish("answered", self.state.now().since(self.arrived), fields);
+        let body = whole(body).map_frame(move |frame| {
+            // Counted until the caller has taken it.
+            let _ = &memory;
+            frame
+        });
+        Ok(Response::from_parts(parts, body.boxed_unsync()))
+    }
+}
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -1,7 +1,7 @@
 //! What an entry believes, shared by its parts.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
@@ -13,14 +13,12 @@
 use headlatch_core::{
     direct::{
         evacuation::EvacuatedDomains,
-        fact_age::{ChangeMark, FactAge},
-        leaving::LeavingNotice,
+        fact_age::FactAge,
         peers::{DomainKey, DrainNotice, PeerKind, PeerTable, WantedNotice},
-        plan_readers::turn_time,
         plan_source::HolderView,
         retry_share::{EntryStart, RetryBudget, RetryShare},
         route_table::RouteTable,
-        server_copy::{GoneServer, MarkedRecord, ServerChanges, ServerCopy},
+        server_copy::ServerCopy,
         server_table::{ColdRates, ContinuationLimits, ServerTable},
         shedding::LoadShedder,
         size_class::SizeRanks,
@@ -29,15 +27,12 @@
     time::Moment,
 };
 use headlatch_http::Connections;
-use headlatch_outside::{
-    facts::{Fact, FactChange, NamedFact},
-    headers::HeaderForm,
-};
+use headlatch_outside::{facts::Fact, headers::HeaderForm};
 use headlatch_types::{
     direct_settings::{DirectEntrySettings, RawRetry},
-    id::{DomainId, ModelName},
+    id::ModelName,
     quantity::ByteSize,
-    traffic::{PlanVersion, ServerId, TrafficPlan, WeightVersion},
+    traffic::{PlanVersion, TrafficPlan, WeightVersion},
 };
 use rand::Rng;
 use serde_json::json;
@@ -45,19 +40,17 @@
 
 use super::{
     body_memory::{BodyMemory, MEMORY_PARTS},
-    facts::{FactNews, ReadGate, ReaderDuty, set_facts},
+    facts::{FactNews, set_facts},
     plan_copy::PlanCopy,
     quarantine::QuarantineDesk,
 };
 use crate::{decisions, metrics::NodeMetrics, timer::NodeClock};
 
-/// Time for which this entry may know fewer changes of servers than a peer before it reads them
-/// anew: longer than its watch rests after each change and a slow store takes to answer. That a server
-/// leaves is told at once besides.
-const SERVERS_PATIENCE: Duration = Duration::from_millis(1400);
+mod evacuations;
+mod reading;
+mod servers;
 
-/// The same for the second reader of a failure domain, whose watch rests for 2 s.
-const SECOND_PATIENCE: Duration = Duration::from_millis(3200);
+pub use reading::TopicGate;
 
 /// The state of one entry.
 #[derive(Debug)]
@@ -136,109 +129,6 @@
 /// Least time of suspension after which everything is read anew: less is borne by every wait.
 const LEAST_SLEEP: Duration = Duration::from_millis(300);
 
-/// Time after the first start of the whole system in which an entry waits to hear of others before it
-/// reads the store: each would take itself for the first.
-const SETTLING_TIME: Duration = Duration::from_millis(400);
-
-/// The same where others run or have run: who is named by the first answers has answered by then, so
-/// that few of dozens of entries read a plan of up to a megabyte over one link between regions.
-const RESTART_SETTLING_TIME: Duration = Duration::from_millis(150);
-
-/// The same where nobody is heard: after a loss of power hundreds of processes find each other at first
-/// through a few that have just started as well.
-const RESTART_ALONE_TIME: Duration = Duration::from_millis(600);
-
-/// Time for which the number of known entries must have stood still before an entry that lacks the
-/// plan takes itself for one that reads the store.
-const STEADY_TIME: Duration = Duration::from_millis(300);
-
-/// The same where others run or have run: two ticks in which nobody else was found.
-const RESTART_STEADY_TIME: Duration = Duration::from_millis(150);
-
-/// Time after a start from which the first entries that still lack the plan or the servers read them by
-/// themselves; the others follow in turns.
-const OWN_READING_TIME: Duration = Duration::from_millis(1500);
-
-impl ReadGate for EntryState {
-    fn is_open(&self) -> bool {
-        let lacks = self.lacks_facts();
-        let since = self.begun.elapsed();
-        if lacks && since >= self.own_reading_time() {
-            return true;
-        }
-        // Callers wait, unless the whole system starts for the first time.
-        let known = *lock(&self.known_entries);
-        let steady = self.now().since(known.1);
-        let settled = match self.settings.direct.first_start {
-            true => since >= SETTLING_TIME && steady >= STEADY_TIME,
-            // Nobody is known: others may have started at the same moment.
-            false if known.0 <= 1 => since >= RESTART_ALONE_TIME,
-            false => since >= RESTART_SETTLING_TIME && steady >= RESTART_STEADY_TIME,
-        };
-        let has_read = !lacks;
-        (settled || has_read) && self.peers().is_plan_reader()
-    }
-
-    fn note(&self, answered: bool) {
-        self.plan.note_store(answered);
-    }
-
-    fn duty(&self) -> ReaderDuty {
-        match self.peers().reader_rank() {
-            Some(0) => ReaderDuty::Watches,
-            _ => ReaderDuty::StandsBy,
-        }
-    }
-}
-
-/// Opens as the plan's gate does, for topics whose calls say nothing about the plan.
-#[derive(Debug)]
-pub struct TopicGate(pub Arc<EntryState>);
-
-impl ReadGate for TopicGate {
-    fn is_open(&self) -> bool {
-        self.0.is_open()
-    }
-
-    fn note(&self, _answered: bool) {}
-
-    fn duty(&self) -> ReaderDuty {
-        self.0.duty()
-    }
-}
-
-/// News of servers as changes; what cannot be read is written down and left out.
-fn server_changes(news: FactNews, newest: ChangeMark) -> ServerChanges {
-    let covered = news.covered();
-    let (whole, facts) = match news {
-        FactNews::All(list) => (true, list.facts.into_iter().map(FactChange::Set).collect()),
-        FactNews::Changes(changes) => (false, changes.changes),
-    };
-    let mut told = ServerChanges { covered, newest, whole, ..ServerChanges::default() };
-    for fact in facts {
-        match fact {
-            FactChange::Set(NamedFact { revision, fact: Ok(Fact::Server(record)), .. }) => {
-                told.set.push(MarkedRecord { revision: ChangeMark(revision.0), record });
-            }
-            FactChange::Set(NamedFact { fact: Ok(_), .. }) => {}
-            FactChange::Set(NamedFact { name, revision, fact: Err(error) }) => {
-                let fields = json!({ "name": name, "error": error.to_string() });
-                decisions::warn("servers", "unreadable", fields);
-                // What was there before says nothing any more of what is there now.
-                if !name.is_empty() {
-                    let (id, revision) = (ServerId(name.into()), ChangeMark(revision.0));
-                    told.gone.push(GoneServer { revision, id });
-                }
-            }
-            FactChange::Gone { name, revision } => {
-                let (id, revision) = (ServerId(name.into()), ChangeMark(revision.0));
-                told.gone.push(GoneServer { revision, id });
-            }
-        }
-    }
-    told
-}
-
 impl EntryState {
     /// The state of an entry that has just started.
     pub fn new(settings: DirectEntrySettings, headers: Arc<dyn HeaderForm>) -> Arc<Self> {
@@ -381,23 +271,6 @@
         !self.is_stopping() && self.servers_known.load(Ordering::Relaxed) && self.routes().is_some()
     }
 
-    /// Whether this entry has no plan or no list of servers yet.
-    fn lacks_facts(&self) -> bool {
-        self.routes().is_none() || !self.servers_known.load(Ordering::Relaxed)
-    }
-
-    /// Time after the start from which this entry reads by itself what nobody has handed it.
-    fn own_reading_time(&self) -> Duration {
-        turn_time(OWN_READING_TIME, self.peers().readers_before())
-    }
-
-    /// Whether others are to read the store before this entry does, which has just started.
-    fn awaits_turn(&self) -> bool {
-        self.lacks_facts()
-            && !self.peers().is_plan_reader()
-            && self.begun.elapsed() < self.own_reading_time()
-    }
-
     /// The version of the plan in force.
     pub fn plan_version(&self) -> PlanVersion {
         self.plan.version()
@@ -475,51 +348,6 @@
         }
     }
 
-    /// The failure domains that are being emptied, as far as this entry knows.
-    pub fn evacuated(&self) -> EvacuatedDomains {
-        lock(&self.evacuated).clone()
-    }
-
-    /// Takes in news about evacuations.
-    pub fn hear_evacuations(&self, news: FactNews) {
-        let mark = news.covered();
-        let (base, facts) = match news {
-            FactNews::All(list) => {
-                (EvacuatedDomains::default(), list.facts.into_iter().map(FactChange::Set).collect())
-            }
-            FactNews::Changes(changes) => (self.evacuated(), changes.changes),
-        };
-        let changes = facts.into_iter().filter_map(|change| match change {
-            FactChange::Set(NamedFact { fact: Ok(Fact::Evacuation(domain)), .. }) => {
-                Some((DomainKey::from(&domain), true))
-            }
-            FactChange::Set(NamedFact { name, fact, .. }) => {
-                let error = fact.err().map(|error| error.to_string());
-                decisions::warn(
-                    "evacuations",
-                    "unreadable",
-                    json!({ "name": name, "error": error }),
-                );
-                None
-            }
-            FactChange::Gone { name, .. } => {
-                let domain: DomainId = name.parse().ok()?;
-                Some((DomainKey::from(&domain), false))
-            }
-        });
-        self.take_evacuated(&base.with_changes(mark, changes));
-    }
-
-    /// Takes over the failure domains that are being emptied where that is newer than what is known.
-    pub fn take_evacuated(&self, told: &EvacuatedDomains) {
-        if !lock(&self.evacuated).take(told) {
-            return;
-        }
-        let names: Vec<String> = told.domains.iter().map(DomainKey::to_string).collect();
-        decisions::note("evacuations", "in_force", json!({ "domains": names, "at": told.mark.0 }));
-        self.servers().set_evacuated_domains(told.domains.clone());
-    }
-
     /// The versions that this entry knows to be wanted, for others.
     pub fn wanted_notices(&self) -> Vec<WantedNotice> {
         let time = self.settings.direct.weights_time;
@@ -536,52 +364,6 @@
         self.evacuations_nudge.notify_one();
     }
 
-    /// Takes in news about servers from the store.
-    pub fn hear_servers(&self, news: FactNews) {
-        let (covered, newest) = (news.covered(), news.newest());
-        self.apply_servers(server_changes(news, newest));
-        lock(&self.servers_age).confirm_from_store(self.now(), covered, newest);
-    }
-
-    /// Takes in what another entry has told of servers.
-    pub fn take_server_changes(&self, changes: ServerChanges) {
-        if changes.covered <= self.servers_age().covered() {
-            return;
-        }
-        let (covered, newest) = (changes.covered, changes.newest);
-        self.apply_servers(changes);
-        lock(&self.servers_age).take_list_from_peer(self.now(), covered, newest);
-    }
-
-    /// What has changed of the list of servers for an entry that knows everything up to `after`.
-    pub fn server_changes(&self, after: ChangeMark) -> Option<ServerChanges> {
-        lock(&self.server_copy).changes_after(after)
-    }
-
-    fn apply_servers(&self, changes: ServerChanges) {
-        let mut copy = lock(&self.server_copy);
-        let changes = copy.news_of(changes);
-        copy.take(&changes);
-        drop(copy);
-        if changes.whole {
-            let listed: Vec<ServerId> =
-                changes.set.iter().map(|marked| marked.record.id.clone()).collect();
-            self.servers().keep_only(self.now(), &listed, changes.covered);
-            let fields = json!({ "servers": listed.len(), "at": changes.covered.0 });
-            decisions::note("servers", "listed", fields);
-        }
-        // One entry of a failure domain writes them down for all of them.
-        let notes = self.peers().speaks_for_domain();
-        changes.set.iter().cloned().for_each(|marked| self.set_server(marked, notes));
-        changes.gone.iter().for_each(|gone| self.remove_server(gone));
-        if changes.whole {
-            self.servers_known.store(true, Ordering::Relaxed);
-        }
-        let wanted: HashSet<SocketAddr> =
-            self.servers().records().map(|record| record.address).collect();
-        self.connections.retain(|address| wanted.contains(address));
-    }
-
     /// How current the list of servers is.
     pub fn servers_age(&self) -> FactAge {
         *lock(&self.servers_age)
@@ -597,68 +379,6 @@
         }
     }
 
-    /// The newest change of servers that this entry has taken in.
-    pub fn newest_servers(&self) -> ChangeMark {
-        lock(&self.servers_age).newest()
-    }
-
-    /// A peer has taken in changes of servers up to `newest`; where this entry goes on knowing
-    /// less, its watch has missed something.
-    pub fn hear_peer_servers(&self, newest: ChangeMark) {
-        let now = self.now();
-        let rank = self.peers().reader_rank();
-        let mut age = lock(&self.servers_age);
-        age.note_told(now, newest);
-        if age.behind(now).is_some() {
-            self.servers_offered.notify_one();
-        }
-        let is_late = age.stalled(now).is_some_and(|stalled| stalled >= SERVERS_PATIENCE);
-        let patience = if rank == Some(1) { SECOND_PATIENCE } else { SERVERS_PATIENCE };
-        let is_due = (is_late || rank.is_some()) && age.take_due(now, patience);
-        drop(age);
-        if is_due && !self.awaits_turn() {
-            self.servers_nudge.notify_one();
-        }
-    }
-
-    /// Servers that peers have heard to be leaving: they get nothing more here either.
-    pub fn hear_leaving(&self, leaving: &[LeavingNotice]) {
-        let now = self.now();
-        for notice in leaving {
-            if self.servers().note_told(now, *notice) {
-                let fields = json!({
-                    "server_key": notice.server, "revision": notice.revision.0,
-                    "returned": notice.returned,
-                });
-                decisions::note("servers", "leaving_told", fields);
-            }
-        }
-    }
-
-    fn set_server(&self, marked: MarkedRecord, notes: bool) {
-        let MarkedRecord { revision, record } = marked;
-        if notes {
-            let fields = json!({
-                "server": record.id, "service": record.service, "address": record.address,
-                "zone": record.zone, "draining": record.draining, "slots": record.slots,
-                "models": record.models, "cold_ms": record.cold_ms, "revision": revision.0,
-            });
-            decisions::note("servers", "set", fields);
-        }
-        if !record.models.is_empty() {
-            let machine = SocketAddr::new(record.address.ip(), self.settings.node.control.port());
-            self.peers().suggest(self.now(), machine);
-        }
-        self.servers().set(self.now(), record, revision);
-        self.notices_stale.store(true, Ordering::Relaxed);
-    }
-
-    fn remove_server(&self, gone: &GoneServer) {
-        if self.servers().remove(self.now(), &gone.id, gone.revision) {
-            decisions::note("servers", "gone", json!({ "server": gone.id }));
-        }
-    }
-
     /// The least version of a service's weights that a request may start on now.
     pub fn least_version(&self, model: Option<&str>) -> Option<WeightVersion> {
         let model: ModelName = model?.parse().ok()?;
--- /dev/null
+++ b/crates/daemon/src/direct/state/evacuations.rs
@@ -0,0 +1,56 @@
+//! Failure domains that are being emptied, as the store and other entries tell it.
+
+use headlatch_core::direct::{evacuation::EvacuatedDomains, peers::DomainKey};
+use headlatch_outside::facts::{Fact, FactChange, NamedFact};
+use headlatch_types::id::DomainId;
+use serde_json::json;
+
+use super::{EntryState, lock};
+use crate::{decisions, direct::facts::FactNews};
+
+impl EntryState {
+    /// The failure domains that are being emptied, as far as this entry knows.
+    pub fn evacuated(&self) -> EvacuatedDomains {
+        lock(&self.evacuated).clone()
+    }
+
+    /// Takes in news about evacuations.
+    pub fn hear_evacuations(&self, news: FactNews) {
+        let mark = news.covered();
+        let (base, facts) = match news {
+            FactNews::All(list) => {
+                (EvacuatedDomains::default(), list.facts.into_iter().map(FactChange::Set).collect())
+            }
+            FactNews::Changes(changes) => (self.evacuated(), changes.changes),
+        };
+        let changes = facts.into_iter().filter_map(|change| match change {
+            FactChange::Set(NamedFact { fact: Ok(Fact::Evacuation(domain)), .. }) => {
+                Some((DomainKey::from(&domain), true))
+            }
+            FactChange::Set(NamedFact { name, fact, .. }) => {
+                let error = fact.err().map(|error| error.to_string());
+                decisions::warn(
+                    "evacuations",
+                    "unreadable",
+                    json!({ "name": name, "error": error }),
+                );
+                None
+            }
+            FactChange::Gone { name, .. } => {
+                let domain: DomainId = name.parse().ok()?;
+                Some((DomainKey::from(&domain), false))
+            }
+        });
+        self.take_evacuated(&base.with_changes(mark, changes));
+    }
+
+    /// Takes over the failure domains that are being emptied where that is newer than what is known.
+    pub fn take_evacuated(&self, told: &EvacuatedDomains) {
+        if !lock(&self.evacuated).take(told) {
+            return;
+        }
+        let names: Vec<String> = told.domains.iter().map(DomainKey::to_string).collect();
+        decisions::note("evacuations", "in_force", json!({ "domains": names, "at": told.mark.0 }));
+        self.servers().set_evacuated_domains(told.domains.clone());
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/direct/state/servers.rs
@@ -0,0 +1,165 @@
+//! The list of servers, as the store and other entries tell it.
+
+use std::{collections::HashSet, net::SocketAddr, sync::atomic::Ordering, time::Duration};
+
+use headlatch_core::direct::{
+    fact_age::ChangeMark,
+    leaving::LeavingNotice,
+    server_copy::{GoneServer, MarkedRecord, ServerChanges},
+};
+use headlatch_outside::facts::{Fact, FactChange, NamedFact};
+use headlatch_types::traffic::ServerId;
+use serde_json::json;
+
+use super::{EntryState, lock};
+use crate::{decisions, direct::facts::FactNews};
+
+/// Time for which this entry may know fewer changes of servers than a peer before it reads them
+/// anew: longer than its watch rests after each change and a slow store takes to answer. That a server
+/// leaves is told at once besides.
+const SERVERS_PATIENCE: Duration = Duration::from_millis(1400);
+
+/// The same for the second reader of a failure domain, whose watch rests for 2 s.
+const SECOND_PATIENCE: Duration = Duration::from_millis(3200);
+
+/// News of servers as changes; what cannot be read is written down and left out.
+fn server_changes(news: FactNews, newest: ChangeMark) -> ServerChanges {
+    let covered = news.covered();
+    let (whole, facts) = match news {
+        FactNews::All(list) => (true, list.facts.into_iter().map(FactChange::Set).collect()),
+        FactNews::Changes(changes) => (false, changes.changes),
+    };
+    let mut told = ServerChanges { covered, newest, whole, ..ServerChanges::default() };
+    for fact in facts {
+        match fact {
+            FactChange::Set(NamedFact { revision, fact: Ok(Fact::Server(record)), .. }) => {
+                told.set.push(MarkedRecord { revision: ChangeMark(revision.0), record });
+            }
+            FactChange::Set(NamedFact { fact: Ok(_), .. }) => {}
+            FactChange::Set(NamedFact { name, revision, fact: Err(error) }) => {
+                let fields = json!({ "name": name, "error": error.to_string() });
+                decisions::warn("servers", "unreadable", fields);
+                // What was there before says nothing any more of what is there now.
+                if !name.is_empty() {
+                    let (id, revision) = (ServerId(name.into()), ChangeMark(revision.0));
+                    told.gone.push(GoneServer { revision, id });
+                }
+            }
+            FactChange::Gone { name, revision } => {
+                let (id, revision) = (ServerId(name.into()), ChangeMark(revision.0));
+                told.gone.push(GoneServer { revision, id });
+            }
+        }
+    }
+    told
+}
+
+impl EntryState {
+    /// Takes in news about servers from the store.
+    pub fn hear_servers(&self, news: FactNews) {
+        let (covered, newest) = (news.covered(), news.newest());
+        self.apply_servers(server_changes(news, newest));
+        lock(&self.servers_age).confirm_from_store(self.now(), covered, newest);
+    }
+
+    /// Takes in what another entry has told of servers.
+    pub fn take_server_changes(&self, changes: ServerChanges) {
+        if changes.covered <= self.servers_age().covered() {
+            return;
+        }
+        let (covered, newest) = (changes.covered, changes.newest);
+        self.apply_servers(changes);
+        lock(&self.servers_age).take_list_from_peer(self.now(), covered, newest);
+    }
+
+    /// What has changed of the list of servers for an entry that knows everything up to `after`.
+    pub fn server_changes(&self, after: ChangeMark) -> Option<ServerChanges> {
+        lock(&self.server_copy).changes_after(after)
+    }
+
+    fn apply_servers(&self, changes: ServerChanges) {
+        let mut copy = lock(&self.server_copy);
+        let changes = copy.news_of(changes);
+        copy.take(&changes);
+        drop(copy);
+        if changes.whole {
+            let listed: Vec<ServerId> =
+                changes.set.iter().map(|marked| marked.record.id.clone()).collect();
+            self.servers().keep_only(self.now(), &listed, changes.covered);
+            let fields = json!({ "servers": listed.len(), "at": changes.covered.0 });
+            decisions::note("servers", "listed", fields);
+        }
+        // One entry of a failure domain writes them down for all of them.
+        let notes = self.peers().speaks_for_domain();
+        changes.set.iter().cloned().for_each(|marked| self.set_server(marked, notes));
+        changes.gone.iter().for_each(|gone| self.remove_server(gone));
+        if changes.whole {
+            self.servers_known.store(true, Ordering::Relaxed);
+        }
+        let wanted: HashSet<SocketAddr> =
+            self.servers().records().map(|record| record.address).collect();
+        self.connections.retain(|address| wanted.contains(address));
+    }
+
+    /// The newest change of servers that this entry has taken in.
+    pub fn newest_servers(&self) -> ChangeMark {
+        lock(&self.servers_age).newest()
+    }
+
+    /// A peer has taken in changes of servers up to `newest`; where this entry goes on knowing
+    /// less, its watch has missed something.
+    pub fn hear_peer_servers(&self, newest: ChangeMark) {
+        let now = self.now();
+        let rank = self.peers().reader_rank();
+        let mut age = lock(&self.servers_age);
+        age.note_told(now, newest);
+        if age.behind(now).is_some() {
+            self.servers_offered.notify_one();
+        }
+        let is_late = age.stalled(now).is_some_and(|stalled| stalled >= SERVERS_PATIENCE);
+        let patience = if rank == Some(1) { SECOND_PATIENCE } else { SERVERS_PATIENCE };
+        let is_due = (is_late || rank.is_some()) && age.take_due(now, patience);
+        drop(age);
+        if is_due && !self.awaits_turn() {
+            self.servers_nudge.notify_one();
+        }
+    }
+
+    /// Servers that peers have heard to be leaving: they get nothing more here either.
+    pub fn hear_leaving(&self, leaving: &[LeavingNotice]) {
+        let now = self.now();
+        for notice in leaving {
+            if self.servers().note_told(now, *notice) {
+                let fields = json!({
+                    "server_key": notice.server, "revision": notice.revision.0,
+                    "returned": notice.returned,
+                });
+                decisions::note("servers", "leaving_told", fields);
+            }
+        }
+    }
+
+    fn set_server(&self, marked: MarkedRecord, notes: bool) {
+        let MarkedRecord { revision, record } = marked;
+        if notes {
+            let fields = json!({
+                "server": record.id, "service": record.service, "address": record.address,
+                "zone": record.zone, "draining": record.draining, "slots": record.slots,
+                "models": record.models, "cold_ms": record.cold_ms, "revision": revision.0,
+            });
+            decisions::note("servers", "set", fields);
+        }
+        if !record.models.is_empty() {
+            let machine = SocketAddr::new(record.address.ip(), self.settings.node.control.port());
+            self.peers().suggest(self.now(), machine);
+        }
+        self.servers().set(self.now(), record, revision);
+        self.notices_stale.store(true, Ordering::Relaxed);
+    }
+
+    fn remove_server(&self, gone: &GoneServer) {
+        if self.servers().remove(self.now(), &gone.id, gone.revision) {
+            decisions::note("servers", "gone", json!({ "server": gone.id }));
+        }
+    }
+}
