Count and log headers of answers that nothing reads

Whether an entry had heard a limit that a server named could not be told from logs or metrics: what HeaderForm does not know was dropped without a trace.

No decision changes.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -232,6 +232,7 @@
                 return Err(failure);
             }
         };
+        state.note_unread_headers(&server.id, response.headers());
         let (response, connection) = check_answer(state, request, response, connection)?;
         return Ok((response, connection, given));
     }
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -28,4 +28,5 @@
 pub mod stager;
 pub mod state;
 pub mod transfer;
+mod unread_headers;
 pub mod weights;
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -43,6 +43,7 @@
     facts::{FactNews, set_facts},
     plan_copy::PlanCopy,
     quarantine::QuarantineDesk,
+    unread_headers::UnreadHeaders,
 };
 use crate::{decisions, metrics::NodeMetrics, timer::NodeClock};
 
@@ -112,6 +113,8 @@
     known_entries: Mutex<(usize, Moment)>,
     /// Servers have come for which agents may have told something.
     notices_stale: AtomicBool,
+    /// Headers of answers that nothing reads.
+    unread_headers: Mutex<UnreadHeaders>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -187,6 +190,7 @@
             servers_age: Mutex::default(),
             known_entries: Mutex::default(),
             notices_stale: AtomicBool::new(false),
+            unread_headers: Mutex::default(),
             settings,
         })
     }
@@ -251,6 +255,11 @@
         lock(&self.sizes)
     }
 
+    /// Headers of answers that nothing reads.
+    pub fn unread_headers(&self) -> MutexGuard<'_, UnreadHeaders> {
+        lock(&self.unread_headers)
+    }
+
     /// The other processes.
     pub fn peers(&self) -> MutexGuard<'_, PeerTable> {
         lock(&self.peers)
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -59,6 +59,7 @@
     revision: IntGauge,
     nodes: IntGaugeVec,
     fact_ages: IntGaugeVec,
+    unread_headers: IntCounterVec,
     in_progress: IntGauge,
 }
 
@@ -82,6 +83,11 @@
             counter("headlatch_chunk_failures_total", "Failed fetches by cause.", &["cause"]);
         let control_bytes =
             counter("headlatch_gossip_bytes_total", "Bytes of gossip by way.", &["way"]);
+        let unread_headers = counter(
+            "headlatch_unread_headers_total",
+            "Headers of servers' answers that nothing reads, by name.",
+            &["header"],
+        );
         let latency = HistogramOpts::new("headlatch_first_byte_seconds", "Time to the first byte.")
             .buckets(LATENCY_BUCKETS.to_vec());
         let first_byte = HistogramVec::new(latency, &["kind"]);
@@ -112,6 +118,7 @@
             revision,
             nodes,
             fact_ages,
+            unread_headers,
             in_progress,
         }
     }
@@ -144,6 +151,16 @@
         self.steps.with_label_values(&[route, size.as_str(), step.as_str()]).get()
     }
 
+    /// Counts a header of an answer that nothing reads.
+    pub fn count_unread_header(&self, name: &str) {
+        self.unread_headers.with_label_values(&[name]).inc();
+    }
+
+    /// Headers of answers counted under this name so far.
+    pub fn unread_headers(&self, name: &str) -> u64 {
+        self.unread_headers.with_label_values(&[name]).get()
+    }
+
     /// Notes the time to the first byte of an answer.
     pub fn observe_first_byte(&self, kind: &str, seconds: f64) {
         self.first_byte.with_label_values(&[kind]).observe(seconds);
--- a/crates/daemon/tests/support/entries.rs
+++ b/crates/daemon/tests/support/entries.rs
@@ -7,6 +7,7 @@
 };
 
 use headlatch_daemon::direct::entry::DirectEntry;
+use headlatch_outside::headers::HeaderForm;
 use headlatch_types::direct_settings::DirectEntrySettings;
 use tokio::runtime::Runtime;
 
@@ -31,11 +32,21 @@
 impl EntryProcess {
     /// Starts the entry of this number, of `count`.
     pub fn start(number: u8, count: u8, store: Arc<TestStore>, kept: Arc<KeptList>) -> Self {
+        Self::start_with(number, count, store, kept, Arc::new(TestHeaders))
+    }
+
+    /// Starts it with a header form of its own.
+    pub fn start_with(
+        number: u8,
+        count: u8,
+        store: Arc<TestStore>,
+        kept: Arc<KeptList>,
+        headers: Arc<dyn HeaderForm>,
+    ) -> Self {
         let mut own: DirectEntrySettings = settings();
         own.node.control = place(number);
         own.direct.seeds = (1..=count).filter(|one| *one != number).map(place).collect();
         let runtime = Runtime::new().expect("a runtime");
-        let headers = Arc::new(TestHeaders);
         let entry = runtime.block_on(DirectEntry::start_keeping(own, store, headers, kept));
         Self { runtime, entry: entry.expect("it starts") }
     }
@@ -54,7 +65,19 @@
 
 /// Starts entries and waits until they know each other.
 pub fn start_all(count: u8, store: &Arc<TestStore>, kept: &Arc<KeptList>) -> Vec<EntryProcess> {
-    let start = |number| EntryProcess::start(number, count, store.clone(), kept.clone());
+    start_all_with(count, store, kept, &(Arc::new(TestHeaders) as Arc<dyn HeaderForm>))
+}
+
+/// Starts entries with a header form of their own and waits until they know each other.
+pub fn start_all_with(
+    count: u8,
+    store: &Arc<TestStore>,
+    kept: &Arc<KeptList>,
+    headers: &Arc<dyn HeaderForm>,
+) -> Vec<EntryProcess> {
+    let start = |number| {
+        EntryProcess::start_with(number, count, store.clone(), kept.clone(), headers.clone())
+    };
     let entries: Vec<EntryProcess> = (1..=count).map(start).collect();
     while !entries.iter().all(|one| one.knows(count.into())) {
         std::thread::sleep(Duration::from_millis(20));
--- /dev/null
+++ b/crates/daemon/tests/support/speaking.rs
@@ -0,0 +1,97 @@
+//! Servers that say something of themselves in the heads of their answers, in the platform's own words.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
+
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    time::Instant,
+};
+
+use super::{header, read_head};
+
+/// What a server answers every request with.
+#[derive(Debug, Clone, Default)]
+struct AnswerWords {
+    /// It turns requests away.
+    refuses: bool,
+    /// Further lines of the head.
+    lines: Vec<String>,
+}
+
+/// A server that answers at once, on connections that stay open.
+#[derive(Debug, Clone)]
+pub struct SpeakingServer {
+    /// Where it listens.
+    pub address: SocketAddr,
+    words: Arc<Mutex<AnswerWords>>,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+}
+
+impl SpeakingServer {
+    /// Starts a server on a free port that says nothing of itself.
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        let server = Self { address, words: Arc::default(), arrivals: Arc::default() };
+        let served = server.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(served.clone().serve(stream));
+            }
+        });
+        server
+    }
+
+    /// Serves requests from now on with these lines in the heads of its answers.
+    pub fn say(&self, lines: &[&str]) {
+        self.set(false, lines);
+    }
+
+    /// Turns requests away from now on with these lines in the heads of its answers.
+    pub fn refuse(&self, lines: &[&str]) {
+        self.set(true, lines);
+    }
+
+    fn set(&self, refuses: bool, lines: &[&str]) {
+        let lines = lines.iter().map(|line| (*line).to_owned()).collect();
+        *self.words.lock().expect("no test panics with it") = AnswerWords { refuses, lines };
+    }
+
+    /// When requests have come.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.arrivals.lock().expect("no test panics with it").clone()
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        while let Some(head) = read_head(&mut stream).await {
+            self.arrivals.lock().expect("no test panics with it").push(Instant::now());
+            let answer = self.answer(header(&head, "request-id").unwrap_or_default());
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, id: &str) -> String {
+        let AnswerWords { refuses, lines } =
+            self.words.lock().expect("no test panics with it").clone();
+        let status = match refuses {
+            true => "503 Service Unavailable\r\nnot-executed: 1",
+            false => "200 OK\r\nresponse-stamp: s",
+        };
+        let lines: String = lines.iter().map(|line| format!("{line}\r\n")).collect();
+        format!("HTTP/1.1 {status}\r\nrequest-id: {id}\r\n{lines}content-length: 2\r\n\r\nok")
+    }
+}
+
+/// The most arrivals in any span of this length that begins at `from` or later.
+pub fn most_in_span(arrivals: &[Instant], span: std::time::Duration, from: Instant) -> usize {
+    let within =
+        |first: Instant| arrivals.iter().filter(move |at| **at >= first && **at < first + span);
+    let first = arrivals.iter().filter(|at| **at >= from);
+    first.map(|first| within(*first).count()).max().unwrap_or(0)
+}
--- a/crates/outside/src/headers.rs
+++ b/crates/outside/src/headers.rs
@@ -3,7 +3,7 @@
 use std::{fmt, time::Duration};
 
 use headlatch_types::traffic::{ServerId, WeightVersion};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderName, StatusCode};
 
 /// What a request's head says.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -62,6 +62,10 @@
     fn write_request(&self, headers: &mut HeaderMap, facts: &SendFacts);
     /// Reads an answer's head.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
+    /// Names in an answer's head that belong neither to HTTP nor to this form: nothing reads what they say.
+    fn unread_in_answer(&self, _headers: &HeaderMap) -> Vec<HeaderName> {
+        Vec::new()
+    }
     /// Marks an answer of our own as belonging to a request.
     fn write_answer(&self, headers: &mut HeaderMap, request: &str);
 }
