Keep the limit that a server names over all entries together

Callers saw nothing; a server in need that had named 2 requests a second got 23 in 4 s from entries that it had told (17 allowed). Cause: no field of AnswerFacts for the word, so that load alone decided. Class: a word that others say and nobody reads.

Change: PlatformHeaders reads the limit once into a checked RequestRate (of several the least; an unreadable one is logged, counted, and leaves the known limit in force, or one request a second). NamedLimits keeps it by the life of the server, newest word first; entries tell each other for 5 s, with its age. One holder for each request a second, by rendezvous among the entries nearest to the server, has an equal part in a token bucket; the next entry in rank asks once where no word has come for 5 s. Eligibility asks it in ServerTable::cost, for every way to a server, and the token is taken right before sending, so that two requests cannot use the same one. Where words keep a request from all servers, it is refused at once, with a time to return that the limits allow.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -8,6 +8,7 @@
 pub mod fact_age;
 pub mod leaving;
 pub mod manifest_source;
+pub mod named_limits;
 pub mod peers;
 pub mod plan_readers;
 pub mod plan_source;
--- a/crates/core/src/direct/peers/notice.rs
+++ b/crates/core/src/direct/peers/notice.rs
@@ -9,7 +9,7 @@
 
 use crate::direct::{
     engine_model::EngineLoad, evacuation::EvacuatedDomains, fact_age::ChangeMark,
-    leaving::LeavingNotice, suspects::SuspectNotice,
+    leaving::LeavingNotice, named_limits::LimitNotice, suspects::SuspectNotice,
 };
 
 /// Short key of a failure domain, in notices.
@@ -119,6 +119,8 @@
     pub servers: ChangeMark,
     /// Servers that it has heard to be leaving a short time ago.
     pub leaving: Vec<LeavingNotice>,
+    /// Limits that servers have named a short time ago.
+    pub limits: Vec<LimitNotice>,
     /// Requests under which servers ended.
     pub suspects: Vec<SuspectNotice>,
     /// Its calls to the store are answered, as far as it knows.
@@ -153,6 +155,7 @@
             plan: 0,
             servers: ChangeMark::default(),
             leaving: Vec::new(),
+            limits: Vec::new(),
             suspects: Vec::new(),
             reads_store: true,
             peers: Vec::new(),
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -17,6 +17,7 @@
     engine_model::EngineLoad,
     fact_age::ChangeMark,
     leaving::{LeavingNotice, LeavingServers},
+    named_limits::NamedLimits,
     peers::{DomainKey, LoadNotice, ServerNotice},
     suspects::LifeKey,
 };
@@ -25,6 +26,7 @@
 mod changing;
 mod choice;
 mod cold;
+mod limits;
 
 pub use changing::ContinuationLimits;
 pub use choice::{ChosenServer, EngineQuery, FullServers, ServerChoice, ServerQuery};
@@ -107,6 +109,8 @@
     evacuated: BTreeSet<DomainKey>,
     /// Servers that leave.
     leaving: LeavingServers,
+    /// Limits that servers have named.
+    limits: NamedLimits,
     /// Entries that live.
     entries: usize,
     cold_rates: ColdRates,
@@ -159,6 +163,7 @@
                 .then(|| (state.record.service.clone(), record.service.clone()));
             let life = life_key(&record);
             if state.life != life {
+                self.limits.forget(state.life);
                 state.forget_life();
             }
             state.life = life;
@@ -202,6 +207,7 @@
         self.leaving.forget_old(now);
         let removed = self.servers.remove(id);
         if let Some(state) = &removed {
+            self.limits.forget(state.life);
             self.unlist(&state.record.service, id);
         }
         removed.is_some()
--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -4,6 +4,7 @@
 
 use headlatch_types::{
     id::DomainId,
+    quantity::RequestRate,
     traffic::{AllowedRegions, EngineFigures, ServerId, WeightVersion},
 };
 
@@ -110,6 +111,8 @@
     pub limit: u32,
     /// Version that it is thought to hold.
     pub version: Option<WeightVersion>,
+    /// Requests a second that it takes from all entries, by its own word.
+    pub named_limit: Option<RequestRate>,
 }
 
 /// The outcome of a choice.
@@ -145,6 +148,8 @@
     pub late: u32,
     /// Servers of other failure domains that were left to entries nearer by.
     pub left_to_near: u32,
+    /// Servers whose named limit leaves nothing to this entry now.
+    pub by_named_limit: u32,
     /// The earliest of the late predictions.
     pub least_predicted: Option<Duration>,
     /// Load of the engine with the shortest wait among the late ones.
@@ -154,7 +159,7 @@
 impl FullServers {
     /// Whether there is any.
     fn any(self) -> bool {
-        self.limited + self.late + self.left_to_near > 0
+        self.limited + self.late + self.left_to_near + self.by_named_limit > 0
     }
 
     fn note_late(&mut self, predicted: Duration) {
@@ -171,6 +176,8 @@
     Unfit,
     /// It is sent no more at the moment.
     Full,
+    /// It has named a limit of which this entry may use nothing now.
+    NamedLimit,
     /// Its first token is predicted for then, too late.
     Late(Duration),
 }
@@ -251,6 +258,7 @@
                     }
                 }
                 Err(PassedOver::Full) => full.limited += 1,
+                Err(PassedOver::NamedLimit) => full.by_named_limit += 1,
                 Err(PassedOver::Late(predicted)) => full.note_late(predicted),
                 Err(PassedOver::Unfit) => {}
             }
@@ -277,6 +285,7 @@
             least_load: None,
             limit: self.limit(state, query),
             version: whole_version(state, layers),
+            named_limit: self.limits.limit(state.life),
         }
     }
 
@@ -319,6 +328,9 @@
         if state.failures > 0 && state.own.in_flight > 0 {
             return Err(PassedOver::Unfit);
         }
+        if self.limits.wait(now, state.life) != Some(Duration::ZERO) {
+            return Err(PassedOver::NamedLimit);
+        }
         let in_flight = self.load(state).in_flight;
         let limit = self.limit(state, query);
         if in_flight >= limit || self.is_throttled(now, state) {
--- /dev/null
+++ b/crates/core/tests/named_limits.rs
@@ -0,0 +1,300 @@
+//! A limit that a server names binds all entries together, in fleets of any size.
+
+use std::{net::SocketAddr, time::Duration};
+
+use googletest::prelude::*;
+use headlatch_core::{
+    direct::{
+        fact_age::ChangeMark,
+        named_limits::{EntryKey, EntryPeer, LimitNotice, NamedLimits},
+        peers::DomainKey,
+        server_table::{ServerChoice, ServerQuery, ServerTable},
+        suspects::LifeKey,
+    },
+    time::Moment,
+};
+use headlatch_types::{
+    id::DomainId,
+    quantity::RequestRate,
+    traffic::{AllowedRegions, ServerId, ServerRecord},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+const STEP: Duration = Duration::from_millis(20);
+const TELL_PAUSE: Duration = Duration::from_millis(500);
+const SPAN: Duration = Duration::from_secs(4);
+
+fn rate(text: &str) -> RequestRate {
+    text.parse().expect("a rate")
+}
+
+fn domain(number: usize) -> DomainId {
+    format!("z{number}").parse().expect("a name")
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 7700))
+}
+
+fn record(number: usize, zone: DomainId) -> ServerRecord {
+    ServerRecord {
+        id: ServerId(format!("i{number}").into()),
+        born: None,
+        service: "s".into(),
+        address: address(number),
+        zone,
+        slots: 16,
+        draining: false,
+        cold_ms: 0,
+        models: Vec::new(),
+    }
+}
+
+/// Entries of a fleet before one server with a limit, which stands in the first failure domain.
+struct Fleet {
+    now: Moment,
+    tables: Vec<ServerTable>,
+    peers: Vec<EntryPeer>,
+    /// Entries that each entry does not know.
+    unknown: Vec<Vec<EntryKey>>,
+    life: LifeKey,
+    random: SmallRng,
+    sent: Vec<Moment>,
+}
+
+impl Fleet {
+    /// `domains` have entries, the first `served` of them a server of the service each.
+    fn new(entries: usize, domains: usize, served: usize, seed: u64) -> Self {
+        let zone = |number: usize| domain(number % domains);
+        let peer = |number| EntryPeer {
+            key: address(number).into(),
+            domain: DomainKey::from(&zone(number)),
+        };
+        let table = |number| {
+            let mut table = ServerTable::new(zone(number), Default::default());
+            let records = (0..served).map(|server| record(server, zone(server)));
+            records.for_each(|record| table.set(Moment::ZERO, record, ChangeMark(1)));
+            table
+        };
+        let tables: Vec<ServerTable> = (0..entries).map(table).collect();
+        let query = ServerQuery {
+            service: "s",
+            engine: None,
+            regions: &AllowedRegions::Anywhere,
+            least: None,
+            tried: &[],
+            draw: 1,
+        };
+        let ServerChoice::Server(server) = tables[0].choose(Moment::ZERO, &query) else {
+            panic!("a server is free")
+        };
+        Self {
+            now: Moment::ZERO + Duration::from_secs(1),
+            tables,
+            peers: (0..entries).map(peer).collect(),
+            unknown: vec![Vec::new(); entries],
+            life: server.life,
+            random: SmallRng::seed_from_u64(seed),
+            sent: Vec::new(),
+        }
+    }
+
+    /// All entries hear of the limit.
+    fn name(&mut self, limit: RequestRate) {
+        for table in &mut self.tables {
+            table.hear_limit(self.now, self.life, Some(limit), self.now);
+        }
+        self.share();
+    }
+
+    fn share(&mut self) {
+        for (number, table) in self.tables.iter_mut().enumerate() {
+            let known = self.peers.iter().filter(|peer| !self.unknown[number].contains(&peer.key));
+            let known: Vec<EntryPeer> = known.copied().collect();
+            table.share_limits(self.now, self.peers[number].key, &known);
+        }
+    }
+
+    /// Callers come for `time`, to each entry `per_second` of them, or to none where `idle` says so.
+    fn run(&mut self, time: Duration, per_second: f64, idle: impl Fn(usize) -> bool) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now = self.now + STEP;
+            if self.now.micros().is_multiple_of(TELL_PAUSE.as_micros() as u64) {
+                self.tell();
+            }
+            for number in 0..self.tables.len() {
+                let comes = self.random.random_bool(per_second * STEP.as_secs_f64());
+                if comes && !idle(number) && self.tables[number].take_allowance(self.now, self.life)
+                {
+                    self.sent.push(self.now);
+                    let limit = self.tables[number].named_limit(self.life);
+                    self.tables[number].hear_limit(self.now, self.life, limit, self.now);
+                }
+            }
+        }
+    }
+
+    /// Entries tell each other what they have heard.
+    fn tell(&mut self) {
+        let heard = self.tables.iter().flat_map(|table| table.recent_limits(self.now));
+        let Some(newest) = heard.min_by_key(|notice| notice.age) else { return };
+        for table in &mut self.tables {
+            table.hear_told_limit(self.now, newest);
+        }
+    }
+
+    /// Entries that may send something within the next seconds, as they do by themselves.
+    fn holders(&mut self, time: Duration) -> Vec<usize> {
+        let until = self.now + time;
+        let mut holders = Vec::new();
+        while self.now < until {
+            self.now = self.now + STEP;
+            let (now, life) = (self.now, self.life);
+            let sends = |number: &usize| self.tables[*number].take_allowance(now, life);
+            let found: Vec<usize> = (0..self.peers.len()).filter(sends).collect();
+            holders.extend(found);
+        }
+        holders.sort_unstable();
+        holders.dedup();
+        holders
+    }
+
+    fn most_in_span(&self) -> usize {
+        let within = |first: Moment| {
+            self.sent.iter().filter(|at| **at >= first && **at < first + SPAN).count()
+        };
+        self.sent.iter().map(|first| within(*first)).max().unwrap_or(0)
+    }
+}
+
+/// Requests that all entries together may send in four seconds.
+fn allowed(limit: RequestRate) -> usize {
+    (limit.per_second() * 1.5 * SPAN.as_secs_f64()) as usize + 5
+}
+
+const SIZES: [(usize, usize); 3] = [(7, 3), (100, 3), (546, 6)];
+const LIMITS: [&str; 5] = ["0.3", "1", "1.2", "2", "12"];
+
+#[gtest]
+fn the_limit_holds_over_fleets_of_any_size_and_most_of_it_is_used() {
+    for (entries, domains) in SIZES {
+        for limit in LIMITS.map(rate) {
+            for seed in 0..3 {
+                let mut fleet = Fleet::new(entries, domains, domains, seed);
+                fleet.name(limit);
+                fleet.run(Duration::from_secs(60), 10.0, |_| false);
+                let case = format!("{entries} entries, {limit} a second, seed {seed}");
+                expect_that!(fleet.most_in_span(), le(allowed(limit)), "{case}");
+                let used = fleet.sent.len() as f64 / 60.0 / limit.per_second();
+                expect_that!(used, ge(0.8), "{case}");
+            }
+        }
+    }
+}
+
+/// What nobody has used for long must not be sent by everybody at the next moment.
+#[gtest]
+fn a_wave_after_a_long_rest_stays_within_the_limit() {
+    for (entries, domains) in SIZES {
+        for limit in LIMITS.map(rate) {
+            let mut fleet = Fleet::new(entries, domains, domains, 7);
+            fleet.name(limit);
+            fleet.run(Duration::from_secs(600), 0.0, |_| true);
+            fleet.run(Duration::from_secs(12), 20.0, |_| false);
+            let case = format!("{entries} entries, {limit} a second");
+            expect_that!(fleet.most_in_span(), le(allowed(limit)), "{case}");
+        }
+    }
+}
+
+#[gtest]
+fn entries_that_know_different_others_keep_the_limit_all_the_same() {
+    for (entries, domains) in SIZES {
+        for limit in LIMITS.map(rate) {
+            for seed in 0..3 {
+                let mut fleet = Fleet::new(entries, domains, domains, seed);
+                let mut random = SmallRng::seed_from_u64(seed);
+                for number in 0..entries {
+                    let others = fleet.peers.iter().map(|peer| peer.key);
+                    let others = others.filter(|key| *key != fleet.peers[number].key);
+                    let unknown = others.filter(|_| random.random_bool(0.1)).collect();
+                    fleet.unknown[number] = unknown;
+                }
+                fleet.name(limit);
+                fleet.run(Duration::from_secs(40), 10.0, |_| false);
+                let case = format!("{entries} entries, {limit} a second, seed {seed}");
+                expect_that!(fleet.most_in_span(), le(allowed(limit)), "{case}");
+            }
+        }
+    }
+}
+
+#[gtest]
+fn a_server_whose_holders_have_no_callers_is_used_by_others() {
+    let limit = rate("2");
+    let mut fleet = Fleet::new(40, 1, 1, 3);
+    fleet.name(limit);
+    let holders = fleet.holders(Duration::from_secs(4));
+    expect_that!(holders.len(), eq(2));
+    fleet.run(Duration::from_secs(120), 10.0, |number| holders.contains(&number));
+    expect_that!(fleet.sent.len(), ge(10));
+    expect_that!(fleet.most_in_span(), le(allowed(limit)));
+}
+
+/// Callers of failure domains without a server of the service depend on those of others.
+#[gtest]
+fn failure_domains_without_a_server_have_a_share_in_those_of_others() {
+    let mut fleet = Fleet::new(9, 3, 1, 5);
+    fleet.name(rate("12"));
+    fleet.run(Duration::from_secs(10), 10.0, |number| number.is_multiple_of(3));
+    let far = fleet.sent.len() as f64 / 10.0 / 12.0;
+    expect_that!(far, ge(0.5));
+    let mut fleet = Fleet::new(9, 3, 3, 5);
+    fleet.name(rate("12"));
+    fleet.run(Duration::from_secs(4), 10.0, |number| number.is_multiple_of(3));
+    expect_that!(fleet.sent, is_empty());
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::ZERO + Duration::from_millis(millis)
+}
+
+#[gtest]
+fn a_limit_ends_with_a_newer_answer_a_newer_word_of_others_or_the_life_of_its_server() {
+    let (life, limit) = (LifeKey(7), rate("2"));
+    let mut limits = NamedLimits::default();
+    // Servers that never named one cost nothing.
+    expect_that!(limits.hear(at(5), life, None, at(1)), eq(false));
+    expect_that!(limits.is_empty(), eq(true));
+    expect_that!(limits.hear(at(10), life, Some(limit), at(8)), eq(true));
+    expect_that!(limits.hear(at(20), life, Some(limit), at(18)), eq(false));
+    expect_that!(limits.wait(at(20), life), none());
+    // An answer to what was sent before may have begun before.
+    expect_that!(limits.hear(at(30), life, None, at(9)), eq(false));
+    expect_that!(limits.limit(life), some(eq(limit)));
+    expect_that!(limits.hear(at(40), life, None, at(35)), eq(true));
+    expect_that!(limits.wait(at(40), life), some(eq(Duration::ZERO)));
+    // Another entry heard the limit before that, or after.
+    let told = |age| LimitNotice { life, limit: Some(limit), age: Duration::from_millis(age) };
+    expect_that!(limits.hear_told(at(60), told(30)), eq(false));
+    expect_that!(limits.hear_told(at(70), told(5)), eq(true));
+    limits.forget(life);
+    expect_that!(limits.wait(at(80), life), some(eq(Duration::ZERO)));
+}
+
+#[gtest]
+fn words_of_limits_are_told_with_their_age_and_for_a_short_time() {
+    let (life, limit) = (LifeKey(7), rate("2"));
+    let mut limits = NamedLimits::default();
+    limits.hear(at(1000), life, Some(limit), at(1000));
+    let age = Duration::from_millis(700);
+    expect_that!(limits.recent(at(1700)), eq(&vec![LimitNotice { life, limit: Some(limit), age }]));
+    expect_that!(limits.recent(at(7000)), is_empty());
+    // An entry that has just started cannot tell how old it is.
+    let mut young = NamedLimits::default();
+    let told = LimitNotice { life, limit: Some(limit), age: Duration::from_secs(3) };
+    expect_that!(young.hear_told(at(500), told), eq(true));
+    expect_that!(young.recent(at(600)), is_empty());
+    expect_that!(young.limit(life), some(eq(limit)));
+}
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -15,7 +15,7 @@
     time_limit::{LimitedTime, TimeLimit},
 };
 use headlatch_http::{ConnectionChoice, HeldConnection};
-use headlatch_outside::headers::SendFacts;
+use headlatch_outside::headers::{AnswerFacts, SendFacts};
 use headlatch_types::{RunVerdict, traffic::WeightVersion};
 use http::{HeaderMap, Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -49,12 +49,18 @@
 }
 
 impl InFlight {
-    /// Counts a request at `server` with a prompt of `tokens`.
-    pub fn begin(state: Arc<EntryState>, server: ChosenServer, tokens: u64) -> Self {
-        state.servers().begin(&server.id, tokens);
+    /// Counts a request at `server` with a prompt of `tokens`; none if the server's limit allows it no
+    /// more since it was chosen.
+    pub fn begin(state: Arc<EntryState>, server: ChosenServer, tokens: u64) -> Option<Self> {
+        let mut servers = state.servers();
+        if !servers.take_allowance(state.now(), server.life) {
+            return None;
+        }
+        servers.begin(&server.id, tokens);
+        drop(servers);
         state.tell_loads();
         let [read, last, ended] = [(); 3].map(|()| AtomicBool::new(false));
-        Self { state, server, tokens, read, last, ended }
+        Some(Self { state, server, tokens, read, last, ended })
     }
 
     /// Notes that the server has read the prompt.
@@ -135,6 +141,12 @@
         Self { outcome: ServerOutcome::Abandoned, ..Self::lost(cause, String::new()) }
     }
 
+    /// Nothing was sent, for this cause.
+    fn not_sent(cause: &'static str) -> Self {
+        let (verdict, outcome) = (RunVerdict::NotRun, ServerOutcome::Abandoned);
+        Self { verdict, outcome, cause, detail: String::new(), arrived: false }
+    }
+
     /// Whether the server closed the connection while it had the request.
     pub fn is_break(&self) -> bool {
         [BROKEN_OFF, ANSWER_CUT].contains(&self.cause)
@@ -174,7 +186,8 @@
     choice: ConnectionChoice,
 ) -> Result<ServerAnswer, AttemptFailure> {
     let tokens = request.work().map_or(0, |work| work.prompt);
-    let in_flight = InFlight::begin(state.clone(), server, tokens);
+    let in_flight = InFlight::begin(state.clone(), server, tokens)
+        .ok_or_else(|| AttemptFailure::not_sent("named_limit"))?;
     let sent = send_counted(state, request, in_flight.server(), last_event, choice).await;
     match sent {
         Ok((response, connection, given)) => {
@@ -210,6 +223,7 @@
         };
         let headers = outgoing_headers(state, request, &facts, &request.body.bytes);
         let (method, uri) = (request.method.clone(), request.uri.clone());
+        let sent_at = state.now();
         let sent = connection.send(method, uri, headers, request.body.bytes.clone());
         let sent = tokio::time::timeout_at(request.deadline, sent).await;
         let response = match sent {
@@ -233,7 +247,11 @@
             }
         };
         state.note_unread_headers(&server.id, response.headers());
-        let (response, connection) = check_answer(state, request, response, connection)?;
+        let facts = state.headers.read_answer(response.status(), response.headers());
+        if facts.id.as_ref() == Some(&request.id) && !facts.misdirected {
+            state.hear_words(server, sent_at, &facts);
+        }
+        let (response, connection) = check_answer(request, facts, response, connection)?;
         return Ok((response, connection, given));
     }
 }
@@ -283,12 +301,11 @@
 
 /// Tells an answer to this request from refusals and from answers to others.
 fn check_answer(
-    state: &Arc<EntryState>,
     request: &RequestPlan,
+    facts: AnswerFacts,
     response: Response<Incoming>,
     connection: HeldConnection,
 ) -> Result<(Response<Incoming>, HeldConnection), AttemptFailure> {
-    let facts = state.headers.read_answer(response.status(), response.headers());
     if facts.id.as_ref().is_some_and(|id| *id != request.id) {
         let detail = format!("the answer is to request {}", facts.id.unwrap_or_default());
         return Err(AttemptFailure::lost("answer_of_another", detail));
--- a/crates/daemon/src/direct/entry_notices.rs
+++ b/crates/daemon/src/direct/entry_notices.rs
@@ -233,7 +233,7 @@
                 let body = NoticeBody { loads, ..body };
                 // Whoever names nobody leaves the rest to relays as well.
                 let leaving = if names.is_empty() { Vec::new() } else { body.leaving };
-                let body = NoticeBody { leaving, ..body };
+                let body = NoticeBody { leaving, limits: Vec::new(), ..body };
                 NoticeMail { bytes: self.writer.write(body, names), targets: vec![to] }
             }
             ReplyDue::Relays => {
@@ -268,12 +268,17 @@
 
 /// What an entry tells of its copies of the store's facts.
 fn facts_body(state: &EntryState) -> NoticeBody {
+    let now = state.now();
+    let servers = state.servers();
+    let (leaving, limits) = (servers.recently_leaving(now), servers.recent_limits(now));
+    drop(servers);
     NoticeBody {
         plan: state.plan_version().0,
         servers: state.newest_servers(),
-        leaving: state.servers().recently_leaving(state.now()),
-        suspects: state.quarantine.notices(state.now()),
-        reads_store: state.plan.reads_store(state.now()),
+        leaving,
+        limits,
+        suspects: state.quarantine.notices(now),
+        reads_store: state.plan.reads_store(now),
         evacuated: state.evacuated(),
         ..NoticeBody::default()
     }
@@ -302,6 +307,7 @@
         state.hear_peer_plan(PlanVersion(notice.plan));
     }
     state.hear_leaving(&notice.leaving);
+    state.hear_told_limits(&notice.limits);
     state.take_evacuated(&notice.evacuated);
     state.quarantine.hear(state.now(), &notice.suspects);
     state.hear_peer_servers(notice.servers);
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -254,6 +254,7 @@
         let server = match choice {
             ServerChoice::Server(server) => server,
             ServerChoice::Full(full) => {
+                self.state.metrics.count_passed_over("limit", full.by_named_limit);
                 self.log("servers_full", describe_full(&full));
                 return Err("servers_full");
             }
@@ -276,7 +277,7 @@
             "server": server.id, "own": server.own.in_flight, "others": server.others.in_flight,
             "waiting_tokens": server.own.waiting_tokens + server.others.waiting_tokens,
             "predicted_ms": server.predicted.map(|time| time.as_millis() as u64),
-            "limit": server.limit, "version": server.version, "least": attempt::least_version(&self.state, &self.request),
+            "limit": server.limit, "named_limit": server.named_limit, "version": server.version, "least": attempt::least_version(&self.state, &self.request),
             "allowed_regions": regions.to_string(),
         });
         if self.tried.is_empty() {
@@ -402,7 +403,7 @@
         let verdict = self.verdict.unwrap_or(RunVerdict::NotRun);
         let given_up = match verdict {
             RunVerdict::NotRun if cause == QUARANTINED => GivenUp::refused(cause, QUARANTINE_TIME),
-            RunVerdict::NotRun => GivenUp::refused(cause, full_rest()),
+            RunVerdict::NotRun => GivenUp::refused(cause, self.time_to_come_back()),
             _ if cause == "deadline" => GivenUp::unsure(StatusCode::GATEWAY_TIMEOUT, cause),
             _ => GivenUp::unsure(StatusCode::BAD_GATEWAY, cause),
         };
@@ -419,6 +420,12 @@
         given_up
     }
 
+    /// Time after which the caller of a request that has not run may come back.
+    fn time_to_come_back(&self) -> Duration {
+        let rest = self.state.servers().rest_of_service(self.state.now(), &self.request.service);
+        full_rest().max(rest.unwrap_or_default())
+    }
+
     /// Writes down that a begun answer ends before it is whole: the caller's connection closes.
     pub fn cut(&self, cause: &'static str, fields: serde_json::Value) {
         self.state.metrics.count_request(RunVerdict::MayHaveRun);
@@ -445,6 +452,7 @@
 fn describe_full(full: &FullServers) -> serde_json::Value {
     json!({
         "limited": full.limited, "late": full.late, "left_to_near": full.left_to_near,
+        "by_named_limit": full.by_named_limit,
         "least_predicted_ms": full.least_predicted.map(|time| time.as_millis() as u64),
     })
 }
--- a/crates/daemon/src/direct/notice_codec.rs
+++ b/crates/daemon/src/direct/notice_codec.rs
@@ -10,11 +10,12 @@
     evacuation::EvacuatedDomains,
     fact_age::ChangeMark,
     leaving::LeavingNotice,
+    named_limits::LimitNotice,
     peers::{DomainKey, DrainNotice, LoadNotice, PeerKind, PeerNotice, ServerNotice, WantedNotice},
     request_digest::RequestDigest,
     suspects::{EndedRun, LifeKey, SuspectNotice},
 };
-use headlatch_types::traffic::WeightVersion;
+use headlatch_types::{quantity::RequestRate, traffic::WeightVersion};
 use headlatch_wire as wire;
 use prost::Message;
 
@@ -57,6 +58,21 @@
     let wire::NoticeLeaving { server, revision, returned } = *leaving;
     LeavingNotice { server, revision: ChangeMark(revision), returned }
 }
+fn encode_limit(notice: &LimitNotice) -> wire::NoticeLimit {
+    wire::NoticeLimit {
+        life: notice.life.0,
+        limit_milli: notice.limit.map(RequestRate::milli),
+        age_ms: notice.age.as_millis() as u32,
+    }
+}
+
+fn decode_limit(notice: &wire::NoticeLimit) -> LimitNotice {
+    LimitNotice {
+        life: LifeKey(notice.life),
+        limit: notice.limit_milli.map(RequestRate::from_milli),
+        age: Duration::from_millis(notice.age_ms.into()),
+    }
+}
 
 /// Words of [`wire::NoticeSuspect`].
 const ENDED_SILENT: u32 = 0;
@@ -156,6 +172,7 @@
         plan: notice.plan,
         servers: notice.servers.0,
         leaving: notice.leaving.iter().map(encode_leaving).collect(),
+        limits: notice.limits.iter().map(encode_limit).collect(),
         suspects: notice.suspects.iter().map(encode_suspect).collect(),
         reads_store: notice.reads_store,
         peers: notice.peers.iter().map(address_bytes).collect(),
@@ -208,6 +225,7 @@
         plan: message.plan,
         servers: ChangeMark(message.servers),
         leaving: message.leaving.iter().map(decode_leaving).collect(),
+        limits: message.limits.iter().map(decode_limit).collect(),
         suspects: message.suspects.iter().filter_map(decode_suspect).collect(),
         reads_store: message.reads_store,
         peers: message.peers.iter().filter_map(|bytes| address_of(bytes)).collect(),
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -6,12 +6,14 @@
     evacuation::EvacuatedDomains,
     fact_age::ChangeMark,
     leaving::LeavingNotice,
+    named_limits::LimitNotice,
     peers::{
         DomainKey, DrainNotice, LoadNotice, NAMED_PEERS, Peer, PeerKind, PeerNotice, PeerTable,
         ServerNotice, WantedNotice,
     },
-    suspects::SuspectNotice,
+    suspects::{LifeKey, SuspectNotice},
 };
+use headlatch_types::quantity::RequestRate;
 use rand::Rng;
 use tokio::net::UdpSocket;
 
@@ -90,6 +92,8 @@
     pub servers: ChangeMark,
     /// Servers that it has heard to be leaving a short time ago.
     pub leaving: Vec<LeavingNotice>,
+    /// Limits that servers have named a short time ago.
+    pub limits: Vec<LimitNotice>,
     /// Requests under which servers ended.
     pub suspects: Vec<SuspectNotice>,
     /// Its calls to the store are answered, as far as it knows.
@@ -152,6 +156,7 @@
 struct TickFacts {
     plan: u64,
     leaving: Vec<LeavingNotice>,
+    limits: BTreeSet<(LifeKey, Option<RequestRate>)>,
     suspects: Vec<SuspectNotice>,
     evacuated: BTreeSet<DomainKey>,
 }
@@ -161,6 +166,7 @@
         Self {
             plan: body.plan,
             leaving: body.leaving.clone(),
+            limits: body.limits.iter().map(|notice| (notice.life, notice.limit)).collect(),
             suspects: body.suspects.clone(),
             evacuated: body.evacuated.domains.clone(),
         }
@@ -322,6 +328,7 @@
             plan: body.plan,
             servers: body.servers,
             leaving,
+            limits: body.limits.clone(),
             suspects: body.suspects.clone(),
             reads_store: body.reads_store,
             drains: body.drains.clone(),
@@ -375,6 +382,7 @@
             plan: body.plan,
             servers: body.servers,
             leaving: body.leaving,
+            limits: body.limits,
             suspects: body.suspects,
             reads_store: body.reads_store,
             peers: named,
--- a/crates/daemon/src/direct/relay_mail.rs
+++ b/crates/daemon/src/direct/relay_mail.rs
@@ -174,8 +174,8 @@
         let mut for_agents = due.agents.clone();
         // Agents need only who lives, and what is wanted.
         if !rosters.is_empty() {
-            let (leaving, suspects) = (Vec::new(), Vec::new());
-            let facts = PeerNotice { leaving, suspects, ..own.notice.clone() };
+            let (leaving, limits, suspects) = (Vec::new(), Vec::new(), Vec::new());
+            let facts = PeerNotice { leaving, limits, suspects, ..own.notice.clone() };
             for_agents.push(RelayedNotice { notice: facts, age: own.age });
         }
         let mut for_entries = [due.agents.as_slice(), &due.entries, &[own]].concat();
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -49,6 +49,7 @@
 
 mod evacuations;
 mod reading;
+mod server_words;
 mod servers;
 
 pub use reading::TopicGate;
@@ -433,15 +434,21 @@
     /// Takes in what others have in progress; tells whether what agents tell is to be taken in anew
     /// as well, since some are gone or some servers are new.
     pub fn refresh_loads(&self) -> bool {
-        let (loads, gone, silent, entries) = {
+        let has_limits = self.servers().has_limits();
+        let (loads, gone, silent, entries, holders) = {
             let mut peers = self.peers();
             let gone = peers.expire(self.now());
             let entries = peers.entries(PeerKind::Entry);
-            (peers.loads(), gone, peers.silent_domains(self.now()), entries)
+            let holders = if has_limits { self.entry_peers(&peers) } else { Vec::new() };
+            (peers.loads(), gone, peers.silent_domains(self.now()), entries, holders)
         };
         let mut servers = self.servers();
         servers.set_others(loads);
         servers.set_entries(entries);
+        if servers.has_limits() {
+            servers.share_limits(self.now(), self.settings.node.control.into(), &holders);
+        }
+        self.metrics.set_named_limits(servers.named_limits());
         let mut known = lock(&self.known_entries);
         if known.0 != entries {
             *known = (entries, self.now());
--- /dev/null
+++ b/crates/daemon/src/direct/state/server_words.rs
@@ -0,0 +1,68 @@
+//! What servers say of themselves in the heads of their answers.
+
+use headlatch_core::{
+    direct::{
+        named_limits::{EntryPeer, LimitNotice, UNREADABLE_LIMIT},
+        peers::{DomainKey, PeerKind, PeerTable},
+        server_table::ChosenServer,
+    },
+    time::Moment,
+};
+use headlatch_outside::headers::{AnswerFacts, HeadValue};
+use headlatch_types::quantity::RequestRate;
+use serde_json::json;
+
+use super::EntryState;
+use crate::decisions;
+
+impl EntryState {
+    /// Takes in what a server says of itself in an answer to what was sent at `sent`.
+    pub fn hear_words(&self, server: &ChosenServer, sent: Moment, facts: &AnswerFacts) {
+        let limit = match facts.limit {
+            HeadValue::Said(limit) => Some(limit),
+            HeadValue::Unreadable => Some(self.limit_in_place_of_unreadable(server)),
+            // Only the server itself signs: what stands between may leave words out.
+            HeadValue::Absent if facts.signed => None,
+            HeadValue::Absent => return,
+        };
+        if self.servers().hear_limit(self.now(), server.life, limit, sent) {
+            let fields =
+                json!({ "server": server.id, "life": server.life.to_string(), "limit": limit });
+            decisions::note("servers", "limit_named", fields);
+        }
+    }
+
+    /// The limit that goes on, as far as one is known.
+    fn limit_in_place_of_unreadable(&self, server: &ChosenServer) -> RequestRate {
+        self.metrics.count_unreadable_word("limit");
+        let limit = self.servers().named_limit(server.life).unwrap_or(UNREADABLE_LIMIT);
+        decisions::warn(
+            "servers",
+            "unreadable_limit",
+            json!({ "server": server.id, "taken": limit }),
+        );
+        limit
+    }
+
+    /// Limits that other entries have heard.
+    pub fn hear_told_limits(&self, notices: &[LimitNotice]) {
+        let now = self.now();
+        for notice in notices {
+            if self.servers().hear_told_limit(now, *notice) {
+                let (life, age_ms) = (notice.life.to_string(), notice.age.as_millis() as u64);
+                let fields = json!({ "life": life, "limit": notice.limit, "age_ms": age_ms });
+                decisions::note("servers", "limit_told", fields);
+            }
+        }
+    }
+
+    /// The entries that live, this one among them.
+    pub(super) fn entry_peers(&self, peers: &PeerTable) -> Vec<EntryPeer> {
+        let node = &self.settings.node;
+        let own = EntryPeer { key: node.control.into(), domain: DomainKey::from(&node.domain) };
+        let living = peers.living().filter(|peer| peer.notice.kind == PeerKind::Entry);
+        let others = living
+            .map(|peer| EntryPeer { key: peer.notice.from.into(), domain: peer.notice.domain });
+        std::iter::once(own).chain(others).collect()
+    }
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -60,6 +60,9 @@
     nodes: IntGaugeVec,
     fact_ages: IntGaugeVec,
     unread_headers: IntCounterVec,
+    unreadable_words: IntCounterVec,
+    named_limits: IntGauge,
+    passed_over: IntCounterVec,
     in_progress: IntGauge,
 }
 
@@ -88,6 +91,16 @@
             "Headers of servers' answers that nothing reads, by name.",
             &["header"],
         );
+        let unreadable_words = counter(
+            "headlatch_unreadable_words_total",
+            "Words of servers in their answers that cannot be read, by kind.",
+            &["word"],
+        );
+        let passed_over = counter(
+            "headlatch_servers_passed_over_total",
+            "Servers that a refused request was kept from by their own words, by kind.",
+            &["word"],
+        );
         let latency = HistogramOpts::new("headlatch_first_byte_seconds", "Time to the first byte.")
             .buckets(LATENCY_BUCKETS.to_vec());
         let first_byte = HistogramVec::new(latency, &["kind"]);
@@ -105,6 +118,7 @@
             register(&registry, gauge)
         };
         let revision = gauge("headlatch_revision", "Revision of the configuration in force.");
+        let named_limits = gauge("headlatch_named_limits", "Servers that name a limit now.");
         let in_progress = gauge("headlatch_in_progress", "Requests in progress.");
         Self {
             registry,
@@ -119,6 +133,9 @@
             nodes,
             fact_ages,
             unread_headers,
+            unreadable_words,
+            named_limits,
+            passed_over,
             in_progress,
         }
     }
@@ -161,6 +178,26 @@
         self.unread_headers.with_label_values(&[name]).get()
     }
 
+    /// Counts a word of a server that cannot be read.
+    pub fn count_unreadable_word(&self, word: &str) {
+        self.unreadable_words.with_label_values(&[word]).inc();
+    }
+
+    /// Words of servers of this kind that could not be read so far.
+    pub fn unreadable_words(&self, word: &str) -> u64 {
+        self.unreadable_words.with_label_values(&[word]).get()
+    }
+
+    /// Sets the number of servers that name a limit.
+    pub fn set_named_limits(&self, count: usize) {
+        self.named_limits.set(count as i64);
+    }
+
+    /// Counts servers that a refused request was kept from by their own words.
+    pub fn count_passed_over(&self, word: &str, count: u32) {
+        self.passed_over.with_label_values(&[word]).inc_by(count.into());
+    }
+
     /// Notes the time to the first byte of an answer.
     pub fn observe_first_byte(&self, kind: &str, seconds: f64) {
         self.first_byte.with_label_values(&[kind]).observe(seconds);
--- a/crates/daemon/tests/named_limits.rs
+++ b/crates/daemon/tests/named_limits.rs
@@ -2,7 +2,13 @@
 
 mod support;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
+    time::Duration,
+};
 
 use googletest::prelude::*;
 use headlatch_outside::{
@@ -21,6 +27,9 @@
 
 const ENTRIES: u8 = 3;
 
+/// Numbers of entries that are taken: tests run beside each other.
+static TAKEN: AtomicU8 = AtomicU8::new(0);
+
 /// Entries before servers of one service.
 struct Setting {
     callers: Runtime,
@@ -40,7 +49,9 @@
             store.set(FactTopic::Servers, &name, Fact::Server(record(&name, server.address, "z1")));
         }
         let headers: Arc<dyn HeaderForm> = Arc::new(PlatformHeaders);
-        let entries = start_all_with(ENTRIES, &store, &Arc::default(), &headers);
+        let first = TAKEN.fetch_add(ENTRIES, Ordering::Relaxed) + 1;
+        let numbers = first..=first + ENTRIES - 1;
+        let entries = start_all_with(numbers, &store, &Arc::default(), &headers);
         Self { callers, entries, servers }
     }
 
@@ -97,3 +108,48 @@
     expect_that!(most, ge(4));
     expect_that!(served, ge(0.99));
 }
+
+#[gtest]
+fn requests_beyond_the_limits_of_all_servers_are_refused_at_once_with_a_time_to_come_back() {
+    let setting = Setting::new(1);
+    let limited = &setting.servers[0];
+    limited.say(&["server-limit: 0.5"]);
+    let (served, refused) = setting.press(Duration::from_millis(100), Duration::from_secs(6));
+    expect_that!(served + refused, ge(0.99));
+    expect_that!(refused, ge(0.5));
+    let address = setting.entries[0].entry.address;
+    let begun = Instant::now();
+    let lines = [("request-id", "last"), ("api-key", "k")];
+    let answer = setting.callers.block_on(ask_with(address, "/safe/a", &lines));
+    let answer = answer.expect("an answer");
+    expect_that!(begun.elapsed(), lt(Duration::from_millis(300)));
+    expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    let rest = answer.headers.get("retry-after").and_then(|value| value.to_str().ok());
+    // The server takes one request in two seconds.
+    expect_that!(rest.and_then(|rest| rest.parse::<f64>().ok()), some(ge(2.0)));
+}
+
+#[gtest]
+fn a_server_that_names_no_limit_any_more_is_used_by_all_entries_again() {
+    let setting = Setting::new(1);
+    let server = &setting.servers[0];
+    server.say(&["server-limit: 1"]);
+    setting.press(Duration::from_millis(100), Duration::from_secs(3));
+    let before = server.arrivals().len();
+    server.say(&[]);
+    setting.press(Duration::from_millis(100), Duration::from_secs(5));
+    expect_that!(server.arrivals().len() - before, ge(60));
+}
+
+#[gtest]
+fn a_limit_that_cannot_be_read_is_counted_and_taken_for_a_small_one() {
+    let setting = Setting::new(2);
+    let limited = &setting.servers[0];
+    limited.say(&["server-limit: a few"]);
+    setting.press(Duration::from_millis(100), Duration::from_secs(4));
+    let unreadable = |entry: &EntryProcess| entry.entry.state.metrics.unreadable_words("limit");
+    expect_that!(setting.entries.iter().map(unreadable).sum::<u64>(), ge(1));
+    let from = limited.arrivals()[0] + Duration::from_secs(2);
+    let late = limited.arrivals().iter().filter(|at| **at >= from).count();
+    expect_that!(late, le(6));
+}
--- a/crates/daemon/tests/notice_writer.rs
+++ b/crates/daemon/tests/notice_writer.rs
@@ -8,6 +8,7 @@
         engine_model::EngineLoad,
         fact_age::ChangeMark,
         leaving::{LeavingNotice, MOST_LEAVING},
+        named_limits::{LimitNotice, MOST_LIMITS},
         peers::{
             DomainKey, LoadNotice, NAMED_PEERS, PeerKind, PeerNotice, PeerTable, WantedNotice,
         },
@@ -16,7 +17,7 @@
     time::Moment,
 };
 use headlatch_daemon::direct::notices::{MOST_DATAGRAM, NoticeBody, NoticeWriter, decode, encode};
-use headlatch_types::{request::RequestDigest, traffic::WeightVersion};
+use headlatch_types::{quantity::RequestRate, request::RequestDigest, traffic::WeightVersion};
 
 const NEAR: DomainKey = DomainKey(1);
 const FAR: DomainKey = DomainKey(2);
@@ -132,11 +133,18 @@
     expect_that!(decode(&encode(&notice)), some(eq(&notice)));
     let suspecting = PeerNotice { suspects: suspects(), ..notice.clone() };
     expect_that!(decode(&encode(&suspecting)), some(eq(&suspecting)));
+    let limit = |limit| LimitNotice { life: LifeKey(7), limit, age: Duration::from_millis(1234) };
+    let limits = vec![limit(None), limit(Some(RequestRate::from_milli(1200)))];
+    let limiting = PeerNotice { limits, ..notice.clone() };
+    expect_that!(decode(&encode(&limiting)), some(eq(&limiting)));
     let full = PeerNotice { peers: vec![address(NEAR, 4); NAMED_PEERS], ..notice };
     expect_that!(encode(&full).len(), lt(700));
     let word = LeavingNotice { server: u32::MAX, revision: ChangeMark(1 << 40), returned: false };
     let leaving = PeerNotice { leaving: vec![word; MOST_LEAVING], ..full };
     expect_that!(encode(&leaving).len(), lt(MOST_DATAGRAM / 4));
+    let limit = limit(Some(RequestRate::from_milli(u64::MAX)));
+    let limits = PeerNotice { limits: vec![limit; MOST_LIMITS], ..leaving };
+    expect_that!(encode(&limits).len(), lt(MOST_DATAGRAM / 2));
     expect_that!(decode(b"no notice"), none());
 }
 
--- a/crates/daemon/tests/silent_sources.rs
+++ b/crates/daemon/tests/silent_sources.rs
@@ -111,7 +111,7 @@
     fn write_request(&self, _headers: &mut HeaderMap, _facts: &SendFacts) {}
 
     fn read_answer(&self, _status: StatusCode, _headers: &HeaderMap) -> AnswerFacts {
-        AnswerFacts { id: None, not_run: false, misdirected: false, signed: false }
+        AnswerFacts::default()
     }
 
     fn write_answer(&self, _headers: &mut HeaderMap, _request: &str) {}
--- a/crates/daemon/tests/support/entries.rs
+++ b/crates/daemon/tests/support/entries.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
+    ops::RangeInclusive,
     sync::Arc,
     time::Duration,
 };
@@ -32,20 +33,20 @@
 impl EntryProcess {
     /// Starts the entry of this number, of `count`.
     pub fn start(number: u8, count: u8, store: Arc<TestStore>, kept: Arc<KeptList>) -> Self {
-        Self::start_with(number, count, store, kept, Arc::new(TestHeaders))
+        Self::start_with(number, 1..=count, store, kept, Arc::new(TestHeaders))
     }
 
-    /// Starts it with a header form of its own.
+    /// Starts the entry of this number, of those of `numbers`, with a header form of its own.
     pub fn start_with(
         number: u8,
-        count: u8,
+        numbers: RangeInclusive<u8>,
         store: Arc<TestStore>,
         kept: Arc<KeptList>,
         headers: Arc<dyn HeaderForm>,
     ) -> Self {
         let mut own: DirectEntrySettings = settings();
         own.node.control = place(number);
-        own.direct.seeds = (1..=count).filter(|one| *one != number).map(place).collect();
+        own.direct.seeds = numbers.filter(|one| *one != number).map(place).collect();
         let runtime = Runtime::new().expect("a runtime");
         let entry = runtime.block_on(DirectEntry::start_keeping(own, store, headers, kept));
         Self { runtime, entry: entry.expect("it starts") }
@@ -65,21 +66,22 @@
 
 /// Starts entries and waits until they know each other.
 pub fn start_all(count: u8, store: &Arc<TestStore>, kept: &Arc<KeptList>) -> Vec<EntryProcess> {
-    start_all_with(count, store, kept, &(Arc::new(TestHeaders) as Arc<dyn HeaderForm>))
+    start_all_with(1..=count, store, kept, &(Arc::new(TestHeaders) as Arc<dyn HeaderForm>))
 }
 
-/// Starts entries with a header form of their own and waits until they know each other.
+/// Starts entries of these numbers with a header form of their own and waits until they know each other.
 pub fn start_all_with(
-    count: u8,
+    numbers: RangeInclusive<u8>,
     store: &Arc<TestStore>,
     kept: &Arc<KeptList>,
     headers: &Arc<dyn HeaderForm>,
 ) -> Vec<EntryProcess> {
     let start = |number| {
-        EntryProcess::start_with(number, count, store.clone(), kept.clone(), headers.clone())
+        let (store, kept) = (store.clone(), kept.clone());
+        EntryProcess::start_with(number, numbers.clone(), store, kept, headers.clone())
     };
-    let entries: Vec<EntryProcess> = (1..=count).map(start).collect();
-    while !entries.iter().all(|one| one.knows(count.into())) {
+    let entries: Vec<EntryProcess> = numbers.clone().map(start).collect();
+    while !entries.iter().all(|one| one.knows(numbers.len())) {
         std::thread::sleep(Duration::from_millis(20));
     }
     entries
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -75,7 +75,8 @@
     fn read_answer(&self, _status: StatusCode, headers: &HeaderMap) -> AnswerFacts {
         let id = headers.get("x-id").and_then(|value| value.to_str().ok()).map(str::to_owned);
         let not_run = headers.contains_key("x-not-run");
-        AnswerFacts { id, not_run, misdirected: false, signed: headers.contains_key("x-sign") }
+        let signed = headers.contains_key("x-sign");
+        AnswerFacts { id, not_run, signed, ..AnswerFacts::default() }
     }
 
     fn write_answer(&self, headers: &mut HeaderMap, request: &str) {
--- a/crates/outside/src/headers.rs
+++ b/crates/outside/src/headers.rs
@@ -2,7 +2,10 @@
 
 use std::{fmt, time::Duration};
 
-use headlatch_types::traffic::{ServerId, WeightVersion};
+use headlatch_types::{
+    quantity::RequestRate,
+    traffic::{ServerId, WeightVersion},
+};
 use http::{HeaderMap, HeaderName, StatusCode};
 
 /// What a request's head says.
@@ -41,6 +44,18 @@
     pub priority: Option<u8>,
 }
 
+/// What a head says of one matter.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum HeadValue<T> {
+    /// Nothing.
+    #[default]
+    Absent,
+    /// This.
+    Said(T),
+    /// Something that cannot be read.
+    Unreadable,
+}
+
 /// What an answer's head says.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct AnswerFacts {
@@ -52,6 +67,8 @@
     pub misdirected: bool,
     /// The answer is signed by a server.
     pub signed: bool,
+    /// Requests a second that the server takes from all entries together.
+    pub limit: HeadValue<RequestRate>,
 }
 
 /// The headers in which one platform says these things.
--- a/crates/types/src/quantity.rs
+++ b/crates/types/src/quantity.rs
@@ -8,10 +8,11 @@
 
 /// Text that is not a size or rate.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("\"{text}\" is not a {what}; write a whole number and a unit, such as \"{example}\"")]
+#[error("\"{text}\" is not a {what}; write {form}, such as \"{example}\"")]
 pub struct QuantityError {
     text: String,
     what: &'static str,
+    form: &'static str,
     example: &'static str,
 }
 
@@ -80,6 +81,7 @@
         parse_bytes(text).map(Self).ok_or_else(|| QuantityError {
             text: text.to_owned(),
             what: "size",
+            form: "a whole number and a unit",
             example: "64MiB",
         })
     }
@@ -133,6 +135,7 @@
         bytes.map(Self).ok_or_else(|| QuantityError {
             text: text.to_owned(),
             what: "rate",
+            form: "a whole number and a unit",
             example: "10MiB/s",
         })
     }
@@ -140,6 +143,53 @@
 
 string_serde!(ByteRate, QuantityError);
 
+/// Requests a second, to a thousandth of one, written like `1.2`.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct RequestRate(u64);
+
+impl RequestRate {
+    /// A rate of `milli` thousandths of a request a second.
+    pub const fn from_milli(milli: u64) -> Self {
+        Self(milli)
+    }
+
+    /// Thousandths of a request a second.
+    pub const fn milli(self) -> u64 {
+        self.0
+    }
+
+    /// Requests a second.
+    pub fn per_second(self) -> f64 {
+        self.0 as f64 / 1000.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.per_second())
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = QuantityError;
+    fn from_str(text: &str) -> Result<Self, QuantityError> {
+        let rate: Option<f64> = text.trim().parse().ok();
+        let rate = rate.filter(|rate| rate.is_finite() && *rate >= 0.0);
+        // Rounded down: a limit is never taken for more than it says.
+        rate.map(|rate| Self((rate * 1000.0) as u64)).ok_or_else(|| QuantityError {
+            text: text.to_owned(),
+            what: "number of requests a second",
+            form: "a decimal number that is not negative",
+            example: "1.2",
+        })
+    }
+}
+
+string_serde!(RequestRate, QuantityError);
+
 /// Text that is not a whole number where one is due.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("\"{0}\" is not a whole number")]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use bundle::{BundleDrain, BundleNotice, BundleRoster, PeerBundle};
 pub use notice::{
-    NoticeDrain, NoticeEvacuated, NoticeLeaving, NoticeLoad, NoticeServer, NoticeSuspect,
-    NoticeWanted, PeerNotice,
+    NoticeDrain, NoticeEvacuated, NoticeLeaving, NoticeLimit, NoticeLoad, NoticeServer,
+    NoticeSuspect, NoticeWanted, PeerNotice,
 };
 pub use piece_list::PieceList;
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -111,6 +111,20 @@
     pub left_s: u32,
 }
 
+/// Word of a limit that a server names.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct NoticeLimit {
+    /// Key of the life of the server.
+    #[prost(fixed32, tag = "1")]
+    pub life: u32,
+    /// Thousandths of a request a second; none if the server names no limit any more.
+    #[prost(uint64, optional, tag = "2")]
+    pub limit_milli: Option<u64>,
+    /// Milliseconds since the server said so.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
+
 /// A notice.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerNotice {
@@ -171,4 +185,7 @@
     /// Failure domains that are being emptied; none if nothing is known of that.
     #[prost(message, optional, tag = "19")]
     pub evacuated: Option<NoticeEvacuated>,
+    /// Limits that servers have named a short time ago.
+    #[prost(message, repeated, tag = "20")]
+    pub limits: Vec<NoticeLimit>,
 }
