Believe a server that says in its answers that it leaves

Callers of a server that leaves while the store is silent could lose what they had begun there when it ended. Cause: leaving was known from the store alone; the word in the answer was read by nobody, and the record went on saying ready.

It counts as leaving in ServerTable::is_leaving, which every choice asks, and is asked again once a connection has come up.

--- a/crates/core/src/direct/leaving.rs
+++ b/crates/core/src/direct/leaving.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::fact_age::ChangeMark;
+use super::{fact_age::ChangeMark, suspects::LifeKey};
 use crate::time::Moment;
 
 /// Time for which a leaving server is told: longer than a failure domain that is out of reach for a
@@ -110,3 +110,56 @@
         self.servers.retain(|_, marks| !marks.is_leaving() || now.since(marks.learnt) <= MEMORY);
     }
 }
+
+/// Servers that have said in their answers that they leave. The store may not have heard it, and may go on
+/// saying that they are ready: such a word holds for the rest of the server's life.
+#[derive(Debug, Clone, Default)]
+pub struct LeavingLives {
+    lives: BTreeMap<LifeKey, LeavingLife>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LeavingLife {
+    /// When this entry came to know it.
+    learnt: Moment,
+    /// When it was last known to be listed.
+    listed: Moment,
+}
+
+impl LeavingLives {
+    /// Takes in that a server leaves; tells whether that is news.
+    pub fn note(&mut self, now: Moment, life: LifeKey) -> bool {
+        let is_news = !self.lives.contains_key(&life);
+        self.lives.entry(life).or_insert(LeavingLife { learnt: now, listed: now });
+        is_news
+    }
+
+    /// Whether no server has said so.
+    pub fn is_empty(&self) -> bool {
+        self.lives.is_empty()
+    }
+
+    /// Whether a server leaves.
+    pub fn contains(&self, life: LifeKey) -> bool {
+        self.lives.contains_key(&life)
+    }
+
+    /// Servers known for a short time to leave, for other entries; the newest first.
+    pub fn recent(&self, now: Moment) -> Vec<LifeKey> {
+        let fresh = self.lives.iter().filter(|(_, life)| now.since(life.learnt) <= TELL_TIME);
+        let mut fresh: Vec<(Moment, LifeKey)> =
+            fresh.map(|(key, life)| (life.learnt, *key)).collect();
+        fresh.sort_by_key(|(learnt, key)| (std::cmp::Reverse(*learnt), *key));
+        fresh.into_iter().take(MOST_LEAVING).map(|(_, key)| key).collect()
+    }
+
+    /// Forgets lives that have not been listed for long.
+    pub fn forget_old(&mut self, now: Moment, is_listed: impl Fn(LifeKey) -> bool) {
+        self.lives.retain(|key, life| {
+            if is_listed(*key) {
+                life.listed = now;
+            }
+            now.since(life.listed) <= MEMORY
+        });
+    }
+}
--- a/crates/core/src/direct/peers/notice.rs
+++ b/crates/core/src/direct/peers/notice.rs
@@ -8,8 +8,12 @@
 };
 
 use crate::direct::{
-    engine_model::EngineLoad, evacuation::EvacuatedDomains, fact_age::ChangeMark,
-    leaving::LeavingNotice, named_limits::LimitNotice, suspects::SuspectNotice,
+    engine_model::EngineLoad,
+    evacuation::EvacuatedDomains,
+    fact_age::ChangeMark,
+    leaving::LeavingNotice,
+    named_limits::LimitNotice,
+    suspects::{LifeKey, SuspectNotice},
 };
 
 /// Short key of a failure domain, in notices.
@@ -119,6 +123,8 @@
     pub servers: ChangeMark,
     /// Servers that it has heard to be leaving a short time ago.
     pub leaving: Vec<LeavingNotice>,
+    /// Servers that have said in their answers a short time ago that they leave.
+    pub leaving_lives: Vec<LifeKey>,
     /// Limits that servers have named a short time ago.
     pub limits: Vec<LimitNotice>,
     /// Requests under which servers ended.
@@ -155,6 +161,7 @@
             plan: 0,
             servers: ChangeMark::default(),
             leaving: Vec::new(),
+            leaving_lives: Vec::new(),
             limits: Vec::new(),
             suspects: Vec::new(),
             reads_store: true,
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -16,7 +16,7 @@
 use super::{
     engine_model::EngineLoad,
     fact_age::ChangeMark,
-    leaving::{LeavingNotice, LeavingServers},
+    leaving::{LeavingLives, LeavingNotice, LeavingServers},
     named_limits::NamedLimits,
     peers::{DomainKey, LoadNotice, ServerNotice},
     suspects::LifeKey,
@@ -109,6 +109,8 @@
     evacuated: BTreeSet<DomainKey>,
     /// Servers that leave.
     leaving: LeavingServers,
+    /// Servers that have said so in their answers.
+    leaving_lives: LeavingLives,
     /// Limits that servers have named.
     limits: NamedLimits,
     /// Entries that live.
@@ -205,6 +207,7 @@
     pub fn remove(&mut self, now: Moment, id: &ServerId, revision: ChangeMark) -> bool {
         let _ = self.leaving.note_leaving(now, server_key(id), revision);
         self.leaving.forget_old(now);
+        self.forget_old_lives(now);
         let removed = self.servers.remove(id);
         if let Some(state) = &removed {
             self.limits.forget(state.life);
@@ -213,6 +216,13 @@
         removed.is_some()
     }
 
+    fn forget_old_lives(&mut self, now: Moment) {
+        if !self.leaving_lives.is_empty() {
+            let lives: HashSet<LifeKey> = self.servers.values().map(|state| state.life).collect();
+            self.leaving_lives.forget_old(now, |life| lives.contains(&life));
+        }
+    }
+
     /// Takes out every server but those in `listed`, the list as of `revision`.
     pub fn keep_only(&mut self, now: Moment, listed: &[ServerId], revision: ChangeMark) {
         let listed: HashSet<&ServerId> = listed.iter().collect();
@@ -220,6 +230,7 @@
             let _ = self.leaving.note_leaving(now, server_key(id), revision);
         }
         self.leaving.forget_old(now);
+        self.forget_old_lives(now);
         self.servers.retain(|id, _| listed.contains(id));
         self.services.values_mut().for_each(|ids| ids.retain(|id| listed.contains(id)));
         self.services.retain(|_, ids| !ids.is_empty());
@@ -251,6 +262,22 @@
         self.leaving.recent(now)
     }
 
+    /// A server has said that it leaves, to this entry or another; tells whether that is news.
+    pub fn note_leaving_life(&mut self, now: Moment, life: LifeKey) -> bool {
+        self.leaving_lives.note(now, life)
+    }
+
+    /// Servers that have said a short time ago that they leave, for other entries.
+    pub fn recently_leaving_lives(&self, now: Moment) -> Vec<LifeKey> {
+        self.leaving_lives.recent(now)
+    }
+
+    /// Whether a server that was chosen may still be sent the request.
+    pub fn may_still_send(&self, server: &ChosenServer) -> bool {
+        let state = self.servers.get(&server.id);
+        state.is_some_and(|state| state.life == server.life && !self.takes_nothing(state))
+    }
+
     /// The records.
     pub fn records(&self) -> impl Iterator<Item = &ServerRecord> {
         self.servers.values().map(|state| &state.record)
@@ -333,7 +360,9 @@
 
     /// Whether a server takes nothing new because it will end.
     fn is_leaving(&self, state: &ServerState) -> bool {
-        state.record.draining || self.leaving.is_leaving(state.key)
+        state.record.draining
+            || self.leaving.is_leaving(state.key)
+            || self.leaving_lives.contains(state.life)
     }
 
     /// Whether a server takes nothing new, by its own word or because its failure domain is being emptied.
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -7,9 +7,11 @@
     direct::{
         fact_age::ChangeMark,
         leaving::{LeavingNotice, LeavingServers, MOST_LEAVING},
+        server_table::{ServerChoice, ServerQuery, ServerTable},
     },
     time::Moment,
 };
+use headlatch_types::traffic::{AllowedRegions, BirthTime, ServerId, ServerRecord};
 
 fn at(millis: u64) -> Moment {
     Moment::ZERO + Duration::from_millis(millis)
@@ -95,3 +97,54 @@
     reads.note_ready(at(2000), 8, mark(3));
     expect_that!(reads.recent(at(2100)).len(), eq(1));
 }
+
+#[gtest]
+fn a_server_that_said_it_leaves_leaves_until_its_life_is_over_whatever_the_store_says() {
+    let record = |born, draining| ServerRecord {
+        id: ServerId("i1".into()),
+        born: Some(BirthTime(born)),
+        service: "s".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: "z1".parse().expect("a name"),
+        slots: 4,
+        draining,
+        cold_ms: 0,
+        models: Vec::new(),
+    };
+    let query = ServerQuery {
+        service: "s",
+        engine: None,
+        regions: &AllowedRegions::Anywhere,
+        least: None,
+        tried: &[],
+        draw: 1,
+    };
+    let chosen = |table: &ServerTable, now| match table.choose(now, &query) {
+        ServerChoice::Server(server) => Some(server),
+        _ => None,
+    };
+    let mut table = ServerTable::new("z1".parse().expect("a name"), Default::default());
+    table.set(at(0), record(1000, false), mark(1));
+    let server = chosen(&table, at(0)).expect("a server");
+    expect_that!(table.may_still_send(&server), eq(true));
+    expect_that!(table.note_leaving_life(at(10), server.life), eq(true));
+    expect_that!(table.note_leaving_life(at(20), server.life), eq(false));
+    expect_that!(table.recently_leaving_lives(at(30)), eq(&vec![server.life]));
+    expect_that!(table.recently_leaving_lives(at(9000)), is_empty());
+    // What was chosen before is not sent either.
+    expect_that!(table.may_still_send(&server), eq(false));
+    // The store says for long that it is ready, with newer marks too.
+    for (millis, revision) in [(40, 1), (5_000, 7), (70_000, 9)] {
+        table.set(at(millis), record(1000, false), mark(revision));
+        table.keep_only(at(millis), &[ServerId("i1".into())], mark(revision));
+        expect_that!(chosen(&table, at(millis)), none());
+        expect_that!(table.ends_as_planned(&server.id), eq(true));
+    }
+    // Its record lapses and is back.
+    table.remove(at(80_000), &server.id, mark(10));
+    table.set(at(80_100), record(1000, false), mark(11));
+    expect_that!(chosen(&table, at(80_100)), none());
+    // It starts again.
+    table.set(at(81_000), record(2000, false), mark(12));
+    expect_that!(chosen(&table, at(81_000)), some(anything()));
+}
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -211,6 +211,11 @@
     loop {
         let begun = Instant::now();
         let (mut connection, fresh) = connect(state, server, choice, request.deadline).await?;
+        // It may have said something since it was chosen, which a connection takes time to come up after.
+        if !state.servers().may_still_send(server) {
+            state.connections.put_back(connection);
+            return Err(AttemptFailure::not_sent("server_leaves"));
+        }
         let given = time_given(state, request, server);
         let facts = SendFacts {
             deadline: Some(given.time),
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -92,6 +92,8 @@
     pub servers: ChangeMark,
     /// Servers that it has heard to be leaving a short time ago.
     pub leaving: Vec<LeavingNotice>,
+    /// Servers that have said in their answers a short time ago that they leave.
+    pub leaving_lives: Vec<LifeKey>,
     /// Limits that servers have named a short time ago.
     pub limits: Vec<LimitNotice>,
     /// Requests under which servers ended.
@@ -156,6 +158,7 @@
 struct TickFacts {
     plan: u64,
     leaving: Vec<LeavingNotice>,
+    leaving_lives: Vec<LifeKey>,
     limits: BTreeSet<(LifeKey, Option<RequestRate>)>,
     suspects: Vec<SuspectNotice>,
     evacuated: BTreeSet<DomainKey>,
@@ -166,6 +169,7 @@
         Self {
             plan: body.plan,
             leaving: body.leaving.clone(),
+            leaving_lives: body.leaving_lives.clone(),
             limits: body.limits.iter().map(|notice| (notice.life, notice.limit)).collect(),
             suspects: body.suspects.clone(),
             evacuated: body.evacuated.domains.clone(),
@@ -328,6 +332,7 @@
             plan: body.plan,
             servers: body.servers,
             leaving,
+            leaving_lives: body.leaving_lives.clone(),
             limits: body.limits.clone(),
             suspects: body.suspects.clone(),
             reads_store: body.reads_store,
@@ -382,6 +387,7 @@
             plan: body.plan,
             servers: body.servers,
             leaving: body.leaving,
+            leaving_lives: body.leaving_lives,
             limits: body.limits,
             suspects: body.suspects,
             reads_store: body.reads_store,
--- a/crates/daemon/src/direct/relay_mail.rs
+++ b/crates/daemon/src/direct/relay_mail.rs
@@ -174,8 +174,13 @@
         let mut for_agents = due.agents.clone();
         // Agents need only who lives, and what is wanted.
         if !rosters.is_empty() {
-            let (leaving, limits, suspects) = (Vec::new(), Vec::new(), Vec::new());
-            let facts = PeerNotice { leaving, limits, suspects, ..own.notice.clone() };
+            let facts = PeerNotice {
+                leaving: Vec::new(),
+                leaving_lives: Vec::new(),
+                limits: Vec::new(),
+                suspects: Vec::new(),
+                ..own.notice.clone()
+            };
             for_agents.push(RelayedNotice { notice: facts, age: own.age });
         }
         let mut for_entries = [due.agents.as_slice(), &due.entries, &[own]].concat();
--- a/crates/daemon/src/direct/state/server_words.rs
+++ b/crates/daemon/src/direct/state/server_words.rs
@@ -5,6 +5,7 @@
         named_limits::{EntryPeer, LimitNotice, UNREADABLE_LIMIT},
         peers::{DomainKey, PeerKind, PeerTable},
         server_table::ChosenServer,
+        suspects::LifeKey,
     },
     time::Moment,
 };
@@ -18,6 +19,38 @@
 impl EntryState {
     /// Takes in what a server says of itself in an answer to what was sent at `sent`.
     pub fn hear_words(&self, server: &ChosenServer, sent: Moment, facts: &AnswerFacts) {
+        self.hear_leaving_word(server, facts.leaving);
+        self.hear_limit(server, sent, facts);
+    }
+
+    /// Takes in whether a server says that it leaves; what cannot be read is taken for a yes.
+    fn hear_leaving_word(&self, server: &ChosenServer, leaving: HeadValue<bool>) {
+        match leaving {
+            HeadValue::Absent | HeadValue::Said(false) => return,
+            HeadValue::Said(true) => {}
+            HeadValue::Unreadable => self.metrics.count_unreadable_word("leaving"),
+        }
+        if self.servers().note_leaving_life(self.now(), server.life) {
+            let fields = json!({ "server": server.id, "life": server.life.to_string() });
+            decisions::note("servers", "leaving_said", fields);
+        }
+    }
+
+    /// Servers that have told other entries that they leave.
+    pub fn hear_leaving_lives(&self, lives: &[LifeKey]) {
+        let now = self.now();
+        for life in lives {
+            if self.servers().note_leaving_life(now, *life) {
+                decisions::note(
+                    "servers",
+                    "leaving_said_elsewhere",
+                    json!({ "life": life.to_string() }),
+                );
+            }
+        }
+    }
+
+    fn hear_limit(&self, server: &ChosenServer, sent: Moment, facts: &AnswerFacts) {
         let limit = match facts.limit {
             HeadValue::Said(limit) => Some(limit),
             HeadValue::Unreadable => Some(self.limit_in_place_of_unreadable(server)),
--- a/crates/daemon/tests/server_words.rs
+++ b/crates/daemon/tests/server_words.rs
@@ -7,10 +7,19 @@
 use googletest::prelude::*;
 use headlatch_daemon::direct::entry::DirectEntry;
 use headlatch_http::CallAnswer;
-use headlatch_outside::facts::{Fact, FactTopic};
+use headlatch_outside::{
+    facts::{Fact, FactTopic},
+    headers::HeaderForm,
+};
 use headlatch_platform::PlatformHeaders;
 use http::StatusCode;
-use support::{TestStore, ask_with, plan, record, settings, speaking::SpeakingServer};
+use support::{
+    TestStore, ask_with,
+    entries::{EntryProcess, start_all_with},
+    plan, record, settings,
+    speaking::SpeakingServer,
+};
+use tokio::runtime::Runtime;
 
 /// An entry before servers of one service, all of which its store lists as ready.
 struct Setting {
@@ -68,3 +77,60 @@
     expect_that!(statuses, each(eq(&StatusCode::OK)));
     expect_that!(leaving.arrivals().len(), eq(before));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_word_of_leaving_that_cannot_be_read_is_counted_and_taken_for_one() {
+    let setting = Setting::new(2).await;
+    let leaving = &setting.servers[0];
+    leaving.say(&["server-leaving: soon"]);
+    while leaving.arrivals().is_empty() {
+        setting.ask("/safe/a").await;
+    }
+    setting.ask_often(20).await;
+    expect_that!(leaving.arrivals().len(), eq(1));
+    expect_that!(setting.entry.state.metrics.unreadable_words("leaving"), eq(1));
+}
+
+/// Its callers come back at once to somebody who may know better.
+#[gtest]
+#[tokio::test]
+async fn a_service_whose_servers_all_leave_refuses_at_once() {
+    let setting = Setting::new(2).await;
+    setting.servers.iter().for_each(|server| server.say(&["server-leaving: 1"]));
+    setting.ask_often(4).await;
+    let begun = tokio::time::Instant::now();
+    let answer = setting.ask("/once/a").await;
+    expect_that!(begun.elapsed(), lt(Duration::from_millis(200)));
+    expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(answer.headers.contains_key("retry-after"), eq(true));
+}
+
+#[gtest]
+fn a_server_that_has_told_one_entry_that_it_leaves_gets_nothing_from_others() {
+    let callers = Runtime::new().expect("a runtime");
+    let store = Arc::new(TestStore::default());
+    store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(5))));
+    let servers = [(); 2].map(|()| callers.block_on(SpeakingServer::start()));
+    for (number, server) in servers.iter().enumerate() {
+        let name = format!("i{number}");
+        store.set(FactTopic::Servers, &name, Fact::Server(record(&name, server.address, "z1")));
+    }
+    let headers: Arc<dyn HeaderForm> = Arc::new(PlatformHeaders);
+    let entries = start_all_with(1..=2, &store, &Arc::default(), &headers);
+    let ask = |entry: &EntryProcess| {
+        let lines = [("request-id", "r1"), ("api-key", "k")];
+        let asked = ask_with(entry.entry.address, "/safe/a", &lines);
+        callers.block_on(asked).expect("an answer").status
+    };
+    servers[0].say(&["server-leaving: 1"]);
+    while servers[0].arrivals().is_empty() {
+        ask(&entries[0]);
+    }
+    std::thread::sleep(Duration::from_millis(800));
+    for _ in 0..30 {
+        expect_that!(ask(&entries[1]), eq(StatusCode::OK));
+    }
+    expect_that!(servers[0].arrivals().len(), eq(1));
+    entries.into_iter().for_each(EntryProcess::kill);
+}
--- a/crates/outside/src/headers.rs
+++ b/crates/outside/src/headers.rs
@@ -69,6 +69,8 @@
     pub signed: bool,
     /// Requests a second that the server takes from all entries together.
     pub limit: HeadValue<RequestRate>,
+    /// The server is leaving.
+    pub leaving: HeadValue<bool>,
 }
 
 /// The headers in which one platform says these things.
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -188,4 +188,7 @@
     /// Limits that servers have named a short time ago.
     #[prost(message, repeated, tag = "20")]
     pub limits: Vec<NoticeLimit>,
+    /// Keys of the lives of servers that have said a short time ago that they leave.
+    #[prost(fixed32, repeated, tag = "21")]
+    pub leaving_lives: Vec<u32>,
 }
