--- a/crates/daemon/tests/server_words.rs
+++ b/crates/daemon/tests/server_words.rs
@@ -134,3 +134,23 @@
     expect_that!(servers[0].arrivals().len(), eq(1));
     entries.into_iter().for_each(EntryProcess::kill);
 }
+
+#[gtest]
+#[tokio::test]
+async fn resting_server_gets_no_request_before_the_time_it_asked_for() {
+    let setting = Setting::new(4).await;
+    let resting = &setting.servers[..3];
+    resting.iter().for_each(|server| server.refuse(&["retry-after: 1.5"]));
+    while resting.iter().any(|server| server.arrivals().is_empty()) {
+        setting.ask("/safe/a").await;
+    }
+    let told: Vec<_> = resting.iter().map(|server| server.arrivals()).collect();
+    let statuses = setting.ask_often(60).await;
+    // The one that is left serves all of them.
+    expect_that!(statuses, each(eq(&StatusCode::OK)));
+    for (server, told) in resting.iter().zip(&told) {
+        let until = told[0] + Duration::from_millis(1500);
+        let early = server.arrivals().iter().filter(|at| **at < until).count();
+        expect_that!(early, eq(1));
+    }
+}
