Leave a server that turns a request away alone for as long as it asks

Callers were turned away by up to four servers in turn, each of which had asked for rest. Cause: the time in the answer was read by nobody; a pause of 80 ms, doubled up to 1.28 s, stood in its place.

Change: PlatformHeaders reads the time (of several the longest; one that cannot be read, a date too, is counted and taken for 5 s). It holds for the server's life at the entry that was asked, by its own clock, for every request; it is asked for by every choice and again once a connection has come up. After it one request at a time finds out whether the server is well. Where all servers rest, callers are refused at once, with the time to the first end of a rest.

Tests of core, daemon and platform pass.

--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -68,6 +68,28 @@
     Abandoned,
 }
 
+/// Why a server that was chosen is not sent the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendBar {
+    /// It is not listed any more, or was started again.
+    Gone,
+    /// It takes nothing new.
+    Leaving,
+    /// It has asked this entry for rest.
+    Resting,
+}
+
+impl SendBar {
+    /// The cause, for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Gone => "server_gone",
+            Self::Leaving => "server_leaves",
+            Self::Resting => "server_rests",
+        }
+    }
+}
+
 /// A server with what this entry knows of it.
 #[derive(Debug, Clone)]
 struct ServerState {
@@ -93,6 +115,8 @@
     refusals: u32,
     failure_share: f64,
     blocked_until: Moment,
+    /// End of the last rest that it asked this entry for; none once it has answered after it.
+    rest_until: Option<Moment>,
     /// What its agent told, and when.
     notice: Option<ServerNotice>,
 }
@@ -194,6 +218,7 @@
                 refusals: 0,
                 failure_share: 0.0,
                 blocked_until: Moment::ZERO,
+                rest_until: None,
                 notice: None,
                 record,
             };
@@ -272,10 +297,24 @@
         self.leaving_lives.recent(now)
     }
 
+    /// A server has turned a request of this entry away and wants nothing from it for `rest`.
+    pub fn note_rest(&mut self, now: Moment, server: &ChosenServer, rest: Duration) {
+        let state = self.servers.get_mut(&server.id).filter(|state| state.life == server.life);
+        if let Some(state) = state {
+            // Answers may overtake each other, and each time holds.
+            state.rest_until = state.rest_until.max(Some(now + rest));
+        }
+    }
+
     /// Whether a server that was chosen may still be sent the request.
-    pub fn may_still_send(&self, server: &ChosenServer) -> bool {
-        let state = self.servers.get(&server.id);
-        state.is_some_and(|state| state.life == server.life && !self.takes_nothing(state))
+    pub fn check_chosen(&self, now: Moment, server: &ChosenServer) -> Result<(), SendBar> {
+        let state = self.servers.get(&server.id).filter(|state| state.life == server.life);
+        match state {
+            None => Err(SendBar::Gone),
+            Some(state) if self.takes_nothing(state) => Err(SendBar::Leaving),
+            Some(state) if !state.rest(now).is_zero() => Err(SendBar::Resting),
+            Some(_) => Ok(()),
+        }
     }
 
     /// The records.
@@ -422,6 +461,7 @@
             ServerOutcome::Answered => {
                 state.failures = 0;
                 state.refusals = 0;
+                state.rest_until = state.rest_until.filter(|until| *until > now);
                 note_failure(state, 0.0);
             }
             ServerOutcome::Failed => {
@@ -443,6 +483,16 @@
 }
 
 impl ServerState {
+    /// Time for which this entry may send it nothing, as it has asked.
+    fn rest(&self, now: Moment) -> Duration {
+        self.rest_until.map_or(Duration::ZERO, |until| until.since(now))
+    }
+
+    /// Whether it rests, or has rested and a first request since then finds out whether it is well again.
+    fn is_resting(&self, now: Moment) -> bool {
+        !self.rest(now).is_zero() || (self.rest_until.is_some() && self.waiting > 0)
+    }
+
     /// Forgets what is known of the server's life so far, which has ended. What this entry has in
     /// progress there ends by itself.
     fn forget_life(&mut self) {
@@ -450,6 +500,7 @@
         self.refusals = 0;
         self.failure_share = 0.0;
         self.blocked_until = Moment::ZERO;
+        self.rest_until = None;
         self.notice = None;
         self.cold = None;
     }
--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -150,6 +150,8 @@
     pub left_to_near: u32,
     /// Servers whose named limit leaves nothing to this entry now.
     pub by_named_limit: u32,
+    /// Servers that have asked this entry for rest.
+    pub resting: u32,
     /// The earliest of the late predictions.
     pub least_predicted: Option<Duration>,
     /// Load of the engine with the shortest wait among the late ones.
@@ -159,7 +161,8 @@
 impl FullServers {
     /// Whether there is any.
     fn any(self) -> bool {
-        self.limited + self.late + self.left_to_near + self.by_named_limit > 0
+        let by_word = self.by_named_limit + self.resting;
+        self.limited + self.late + self.left_to_near + by_word > 0
     }
 
     fn note_late(&mut self, predicted: Duration) {
@@ -178,6 +181,8 @@
     Full,
     /// It has named a limit of which this entry may use nothing now.
     NamedLimit,
+    /// It has asked this entry for rest.
+    Resting,
     /// Its first token is predicted for then, too late.
     Late(Duration),
 }
@@ -258,6 +263,7 @@
                     }
                 }
                 Err(PassedOver::Full) => full.limited += 1,
+                Err(PassedOver::Resting) => full.resting += 1,
                 Err(PassedOver::NamedLimit) => full.by_named_limit += 1,
                 Err(PassedOver::Late(predicted)) => full.note_late(predicted),
                 Err(PassedOver::Unfit) => {}
@@ -320,6 +326,9 @@
         if is_changing(state) {
             return Err(PassedOver::Unfit);
         }
+        if state.is_resting(now) {
+            return Err(PassedOver::Resting);
+        }
         if state.blocked_until > now {
             let refused = state.refusals > 0 && state.failures == 0;
             return Err(if refused { PassedOver::Full } else { PassedOver::Unfit });
--- a/crates/core/src/direct/server_table/limits.rs
+++ b/crates/core/src/direct/server_table/limits.rs
@@ -86,11 +86,14 @@
         let ids = self.services.get(service)?;
         let usable = ids.iter().filter_map(|id| self.servers.get(id));
         let usable = usable.filter(|state| !self.takes_nothing(state));
-        let rest = |life| match self.limits.wait(now, life) {
+        let pause = |life| match self.limits.wait(now, life) {
             Some(Duration::ZERO) => Duration::ZERO,
             _ => self.limits.pause(life),
         };
-        usable.map(|state| rest(state.life)).min().filter(|rest| !rest.is_zero())
+        usable
+            .map(|state| pause(state.life).max(state.rest(now)))
+            .min()
+            .filter(|rest| !rest.is_zero())
     }
 }
 
--- a/crates/core/tests/server_lives.rs
+++ b/crates/core/tests/server_lives.rs
@@ -1,12 +1,16 @@
 //! A server that starts again under the id that it had holds and knows nothing of before: what an entry
 //! keeps by its id must not outlast its life.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use headlatch_core::{
     direct::{
         fact_age::ChangeMark,
         peers::ServerNotice,
-        server_table::{ChosenServer, ServerChoice, ServerOutcome, ServerQuery, ServerTable},
+        server_table::{
+            ChosenServer, SendBar, ServerChoice, ServerOutcome, ServerQuery, ServerTable,
+        },
     },
     time::Moment,
 };
@@ -96,3 +100,33 @@
     table.set(at(1), record(2000), ChangeMark(2));
     expect_that!(choose(&table, at(1)), some(anything()));
 }
+
+#[gtest]
+fn the_rest_that_a_server_asked_for_holds_for_its_life_and_ends_with_one_request_at_a_time() {
+    let mut table = table();
+    let server = choose(&table, at(0)).expect("a server");
+    table.note_rest(at(0), &server, Duration::from_secs(3));
+    // An answer that was overtaken asks for less.
+    table.note_rest(at(10), &server, Duration::from_secs(1));
+    expect_that!(choose(&table, at(2_900)), none());
+    expect_that!(table.check_chosen(at(2_900), &server), err(eq(SendBar::Resting)));
+    expect_that!(table.rest_of_service(at(2_000), "s"), some(eq(Duration::from_secs(1))));
+    // What was in progress before ends well meanwhile.
+    table.begin(&server.id, 0);
+    table.note_read(&server.id, 0);
+    table.end_at(at(2_500), &server, ServerOutcome::Answered);
+    expect_that!(choose(&table, at(2_900)), none());
+    expect_that!(choose(&table, at(3_000)), some(anything()));
+    table.begin(&server.id, 0);
+    expect_that!(choose(&table, at(3_010)), none());
+    table.note_read(&server.id, 0);
+    table.end_at(at(3_020), &server, ServerOutcome::Answered);
+    table.begin(&server.id, 0);
+    expect_that!(choose(&table, at(3_030)), some(anything()));
+    table.note_rest(at(3_040), &server, Duration::from_secs(60));
+    table.set(at(3_050), record(2000), ChangeMark(2));
+    expect_that!(choose(&table, at(3_060)), some(anything()));
+    // An answer of the life that has ended says nothing of this one.
+    table.note_rest(at(3_070), &server, Duration::from_secs(60));
+    expect_that!(choose(&table, at(3_080)), some(anything()));
+}
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -212,9 +212,10 @@
         let begun = Instant::now();
         let (mut connection, fresh) = connect(state, server, choice, request.deadline).await?;
         // It may have said something since it was chosen, which a connection takes time to come up after.
-        if !state.servers().may_still_send(server) {
+        let checked = state.servers().check_chosen(state.now(), server);
+        if let Err(bar) = checked {
             state.connections.put_back(connection);
-            return Err(AttemptFailure::not_sent("server_leaves"));
+            return Err(AttemptFailure::not_sent(bar.as_str()));
         }
         let given = time_given(state, request, server);
         let facts = SendFacts {
@@ -253,7 +254,7 @@
         };
         state.note_unread_headers(&server.id, response.headers());
         let facts = state.headers.read_answer(response.status(), response.headers());
-        if facts.id.as_ref() == Some(&request.id) && !facts.misdirected {
+        if facts.id.as_ref().is_none_or(|id| *id == request.id) && !facts.misdirected {
             state.hear_words(server, sent_at, &facts);
         }
         let (response, connection) = check_answer(request, facts, response, connection)?;
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -255,6 +255,7 @@
             ServerChoice::Server(server) => server,
             ServerChoice::Full(full) => {
                 self.state.metrics.count_passed_over("limit", full.by_named_limit);
+                self.state.metrics.count_passed_over("rest", full.resting);
                 self.log("servers_full", describe_full(&full));
                 return Err("servers_full");
             }
@@ -452,7 +453,7 @@
 fn describe_full(full: &FullServers) -> serde_json::Value {
     json!({
         "limited": full.limited, "late": full.late, "left_to_near": full.left_to_near,
-        "by_named_limit": full.by_named_limit,
+        "by_named_limit": full.by_named_limit, "resting": full.resting,
         "least_predicted_ms": full.least_predicted.map(|time| time.as_millis() as u64),
     })
 }
--- a/crates/daemon/src/direct/state/server_words.rs
+++ b/crates/daemon/src/direct/state/server_words.rs
@@ -1,5 +1,7 @@
 //! What servers say of themselves in the heads of their answers.
 
+use std::time::Duration;
+
 use headlatch_core::{
     direct::{
         named_limits::{EntryPeer, LimitNotice, UNREADABLE_LIMIT},
@@ -16,10 +18,14 @@
 use super::EntryState;
 use crate::decisions;
 
+/// Rest of a server that asks for a time that cannot be read.
+const UNREADABLE_REST: Duration = Duration::from_secs(5);
+
 impl EntryState {
     /// Takes in what a server says of itself in an answer to what was sent at `sent`.
     pub fn hear_words(&self, server: &ChosenServer, sent: Moment, facts: &AnswerFacts) {
         self.hear_leaving_word(server, facts.leaving);
+        self.hear_rest(server, facts.rest);
         self.hear_limit(server, sent, facts);
     }
 
@@ -50,6 +56,20 @@
         }
     }
 
+    fn hear_rest(&self, server: &ChosenServer, rest: HeadValue<Duration>) {
+        let rest = match rest {
+            HeadValue::Absent => return,
+            HeadValue::Said(rest) => rest,
+            HeadValue::Unreadable => {
+                self.metrics.count_unreadable_word("rest");
+                UNREADABLE_REST
+            }
+        };
+        self.servers().note_rest(self.now(), server, rest);
+        let fields = json!({ "server": server.id, "rest_ms": rest.as_millis() as u64 });
+        decisions::note("servers", "rest_asked", fields);
+    }
+
     fn hear_limit(&self, server: &ChosenServer, sent: Moment, facts: &AnswerFacts) {
         let limit = match facts.limit {
             HeadValue::Said(limit) => Some(limit),
--- a/crates/daemon/tests/server_words.rs
+++ b/crates/daemon/tests/server_words.rs
@@ -154,3 +154,33 @@
         expect_that!(early, eq(1));
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_service_whose_servers_all_rest_refuses_at_once_until_then() {
+    let setting = Setting::new(2).await;
+    setting.servers.iter().for_each(|server| server.refuse(&["retry-after: 4"]));
+    setting.ask_often(3).await;
+    let begun = tokio::time::Instant::now();
+    let answer = setting.ask("/safe/a").await;
+    expect_that!(begun.elapsed(), lt(Duration::from_millis(200)));
+    expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    let rest = answer.headers.get("retry-after").and_then(|value| value.to_str().ok());
+    expect_that!(rest.and_then(|rest| rest.parse::<f64>().ok()), some(all![ge(3.0), le(4.0)]));
+    let arrivals = setting.servers.iter().map(|server| server.arrivals().len());
+    expect_that!(arrivals.sum::<usize>(), eq(2));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_rest_that_cannot_be_read_is_counted_and_kept_for_some_seconds() {
+    let setting = Setting::new(2).await;
+    let resting = &setting.servers[0];
+    resting.refuse(&["retry-after: Thu, 03 Dec 2026 10:00:00 GMT"]);
+    while resting.arrivals().is_empty() {
+        setting.ask("/safe/a").await;
+    }
+    setting.ask_often(30).await;
+    expect_that!(resting.arrivals().len(), eq(1));
+    expect_that!(setting.entry.state.metrics.unreadable_words("rest"), eq(1));
+}
--- a/crates/outside/src/headers.rs
+++ b/crates/outside/src/headers.rs
@@ -71,6 +71,8 @@
     pub limit: HeadValue<RequestRate>,
     /// The server is leaving.
     pub leaving: HeadValue<bool>,
+    /// Time for which the server, which turns the request away, wants nothing more from this entry.
+    pub rest: HeadValue<Duration>,
 }
 
 /// The headers in which one platform says these things.
