Count the words of servers that change what they are sent

headlatch_server_words_total by kind, beside the lines that name server and life: an operator could see that a word could not be read, but not how often one was. No decision changes.

--- a/crates/daemon/src/direct/state/server_words.rs
+++ b/crates/daemon/src/direct/state/server_words.rs
@@ -18,6 +18,11 @@
 use super::EntryState;
 use crate::decisions;
 
+/// Kinds of words, in metrics.
+const LEAVING: &str = "leaving";
+const REST: &str = "rest";
+const LIMIT: &str = "limit";
+
 /// Rest of a server that asks for a time that cannot be read.
 const UNREADABLE_REST: Duration = Duration::from_secs(5);
 
@@ -34,9 +39,10 @@
         match leaving {
             HeadValue::Absent | HeadValue::Said(false) => return,
             HeadValue::Said(true) => {}
-            HeadValue::Unreadable => self.metrics.count_unreadable_word("leaving"),
+            HeadValue::Unreadable => self.metrics.count_unreadable_word(LEAVING),
         }
         if self.servers().note_leaving_life(self.now(), server.life) {
+            self.metrics.count_server_word(LEAVING);
             let fields = json!({ "server": server.id, "life": server.life.to_string() });
             decisions::note("servers", "leaving_said", fields);
         }
@@ -47,11 +53,8 @@
         let now = self.now();
         for life in lives {
             if self.servers().note_leaving_life(now, *life) {
-                decisions::note(
-                    "servers",
-                    "leaving_said_elsewhere",
-                    json!({ "life": life.to_string() }),
-                );
+                let fields = json!({ "life": life.to_string() });
+                decisions::note("servers", "leaving_said_elsewhere", fields);
             }
         }
     }
@@ -61,10 +64,11 @@
             HeadValue::Absent => return,
             HeadValue::Said(rest) => rest,
             HeadValue::Unreadable => {
-                self.metrics.count_unreadable_word("rest");
+                self.metrics.count_unreadable_word(REST);
                 UNREADABLE_REST
             }
         };
+        self.metrics.count_server_word(REST);
         self.servers().note_rest(self.now(), server, rest);
         let fields = json!({ "server": server.id, "rest_ms": rest.as_millis() as u64 });
         decisions::note("servers", "rest_asked", fields);
@@ -79,21 +83,19 @@
             HeadValue::Absent => return,
         };
         if self.servers().hear_limit(self.now(), server.life, limit, sent) {
-            let fields =
-                json!({ "server": server.id, "life": server.life.to_string(), "limit": limit });
+            self.metrics.count_server_word(LIMIT);
+            let life = server.life.to_string();
+            let fields = json!({ "server": server.id, "life": life, "limit": limit });
             decisions::note("servers", "limit_named", fields);
         }
     }
 
     /// The limit that goes on, as far as one is known.
     fn limit_in_place_of_unreadable(&self, server: &ChosenServer) -> RequestRate {
-        self.metrics.count_unreadable_word("limit");
+        self.metrics.count_unreadable_word(LIMIT);
         let limit = self.servers().named_limit(server.life).unwrap_or(UNREADABLE_LIMIT);
-        decisions::warn(
-            "servers",
-            "unreadable_limit",
-            json!({ "server": server.id, "taken": limit }),
-        );
+        let fields = json!({ "server": server.id, "taken": limit });
+        decisions::warn("servers", "unreadable_limit", fields);
         limit
     }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -60,6 +60,7 @@
     nodes: IntGaugeVec,
     fact_ages: IntGaugeVec,
     unread_headers: IntCounterVec,
+    server_words: IntCounterVec,
     unreadable_words: IntCounterVec,
     named_limits: IntGauge,
     passed_over: IntCounterVec,
@@ -91,6 +92,11 @@
             "Headers of servers' answers that nothing reads, by name.",
             &["header"],
         );
+        let server_words = counter(
+            "headlatch_server_words_total",
+            "Words of servers in their answers that change what they are sent, by kind.",
+            &["word"],
+        );
         let unreadable_words = counter(
             "headlatch_unreadable_words_total",
             "Words of servers in their answers that cannot be read, by kind.",
@@ -133,6 +139,7 @@
             nodes,
             fact_ages,
             unread_headers,
+            server_words,
             unreadable_words,
             named_limits,
             passed_over,
@@ -178,6 +185,11 @@
         self.unread_headers.with_label_values(&[name]).get()
     }
 
+    /// Counts a word of a server that changes what it is sent.
+    pub fn count_server_word(&self, word: &str) {
+        self.server_words.with_label_values(&[word]).inc();
+    }
+
     /// Counts a word of a server that cannot be read.
     pub fn count_unreadable_word(&self, word: &str) {
         self.unreadable_words.with_label_values(&[word]).inc();
