Leave servers that name a limit out of what streams can move to, and count only usable servers as near

Found by looking for other places that ask what a server takes: before a change of weights an entry said that its streams could go on at a server that takes two requests a second, so that they would have been cut. And a failure domain all of whose servers leave had no share in the limits of others.

a_server_that_names_a_limit_has_no_room_for_streams_of_others failed before (0 streams kept of 3) and passes.

--- a/crates/core/src/direct/server_table/changing.rs
+++ b/crates/core/src/direct/server_table/changing.rs
@@ -83,7 +83,11 @@
         let moving: u32 = changing.into_iter().map(|state| self.load(state).in_flight).sum();
         let takes = others.into_iter().filter(|state| {
             let rests = state.blocked_until > now;
-            !rests && !self.takes_nothing(state) && has_weights(state, limits.layers, limits.least)
+            let is_limited = self.limits.limit(state.life).is_some();
+            !rests
+                && !is_limited
+                && !self.takes_nothing(state)
+                && has_weights(state, limits.layers, limits.least)
         });
         let room = takes
             .map(|state| continued_limit(state).saturating_sub(self.load(state).in_flight))
--- a/crates/core/src/direct/server_table/limits.rs
+++ b/crates/core/src/direct/server_table/limits.rs
@@ -66,7 +66,9 @@
             let service = &state.record.service;
             let near = candidates.near(service, state.domain, || {
                 let ids = self.services.get(service).into_iter().flatten();
-                ids.filter_map(|id| self.servers.get(id)).map(|server| server.domain).collect()
+                let servers = ids.filter_map(|id| self.servers.get(id));
+                let usable = servers.filter(|server| !self.takes_nothing(server));
+                usable.map(|server| server.domain).collect()
             });
             let share = LimitShare::new(state.life, limit, own, near);
             self.limits.set_share(now, state.life, share);
--- a/crates/core/tests/draining.rs
+++ b/crates/core/tests/draining.rs
@@ -6,9 +6,12 @@
 use headlatch_core::direct::{
     draining::{DrainView, QueueReport, may_change},
     peers::{DomainKey, DrainNotice, DrainReport, PeerKind, PeerNotice, PeerTable},
-    server_table::{ContinuationLimits, ServerTable},
+    server_table::{ChosenServer, ContinuationLimits, ServerChoice, ServerQuery, ServerTable},
+};
+use headlatch_types::{
+    quantity::RequestRate,
+    traffic::{AllowedRegions, ServerId, ServerRecord, WeightVersion},
 };
-use headlatch_types::traffic::{ServerId, ServerRecord, WeightVersion};
 
 #[path = "support/entry.rs"]
 mod entry;
@@ -76,6 +79,31 @@
     expect_that!(kept_streams(&free, limits), eq(0));
 }
 
+/// The server that the streams would have to go on at.
+fn other_server(table: &ServerTable) -> ChosenServer {
+    let query = ServerQuery {
+        service: "llm",
+        engine: None,
+        regions: &AllowedRegions::Anywhere,
+        least: None,
+        tried: &[],
+        draw: 1,
+    };
+    match table.choose(at(0), &query) {
+        ServerChoice::Server(server) => server,
+        other => panic!("the other server is free, not {other:?}"),
+    }
+}
+
+#[gtest]
+fn a_server_that_names_a_limit_has_no_room_for_streams_of_others() {
+    let limits = ContinuationLimits { layers: 0, least: None, retries: 10, within_region: false };
+    let (mut table, ..) = table_with_streams(0);
+    let other = other_server(&table);
+    table.hear_limit(at(0), other.life, Some(RequestRate::from_milli(2000)), at(0));
+    expect_that!(kept_streams(&table, limits), eq(3));
+}
+
 #[gtest]
 fn a_change_waits_for_streams_that_nobody_could_go_on_with() {
     let entries = DrainReport { kept: 1, ..DrainReport::default() };
