--- a/crates/core/tests/draining.rs
+++ b/crates/core/tests/draining.rs
@@ -104,6 +104,15 @@
     expect_that!(kept_streams(&table, limits), eq(3));
 }
 
+#[gtest]
+fn a_server_that_asks_for_rest_has_no_room_for_streams_of_others() {
+    let limits = ContinuationLimits { layers: 0, least: None, retries: 10, within_region: false };
+    let (mut table, ..) = table_with_streams(0);
+    let other = other_server(&table);
+    table.note_rest(at(0), &other, millis(500));
+    expect_that!(kept_streams(&table, limits), eq(3));
+}
+
 #[gtest]
 fn a_change_waits_for_streams_that_nobody_could_go_on_with() {
     let entries = DrainReport { kept: 1, ..DrainReport::default() };
