--- a/crates/core/src/direct/leaving.rs
+++ b/crates/core/src/direct/leaving.rs
@@ -111,40 +111,40 @@
     }
 }
 
-/// Servers that have said in their answers that they leave. The store may not have heard it, and may go on
-/// saying that they are ready: such a word holds for the rest of the server's life.
+/// Servers that have announced in their answers that they drain. This holds for the rest of a server's life,
+/// whatever its record says: the store may not have been told.
 #[derive(Debug, Clone, Default)]
-pub struct LeavingLives {
-    lives: BTreeMap<LifeKey, LeavingLife>,
+pub struct DrainingLives {
+    lives: BTreeMap<LifeKey, DrainingLife>,
 }
 
 #[derive(Debug, Clone, Copy)]
-struct LeavingLife {
-    /// When this entry came to know it.
+struct DrainingLife {
+    /// When this entry learnt of it.
     learnt: Moment,
     /// When it was last known to be listed.
     listed: Moment,
 }
 
-impl LeavingLives {
-    /// Takes in that a server leaves; tells whether that is news.
+impl DrainingLives {
+    /// Adds a server; returns whether it is new.
     pub fn note(&mut self, now: Moment, life: LifeKey) -> bool {
         let is_news = !self.lives.contains_key(&life);
-        self.lives.entry(life).or_insert(LeavingLife { learnt: now, listed: now });
+        self.lives.entry(life).or_insert(DrainingLife { learnt: now, listed: now });
         is_news
     }
 
-    /// Whether no server has said so.
+    /// Whether there is none.
     pub fn is_empty(&self) -> bool {
         self.lives.is_empty()
     }
 
-    /// Whether a server leaves.
+    /// Whether a server drains.
     pub fn contains(&self, life: LifeKey) -> bool {
         self.lives.contains_key(&life)
     }
 
-    /// Servers known for a short time to leave, for other entries; the newest first.
+    /// Servers to gossip, the newest first.
     pub fn recent(&self, now: Moment) -> Vec<LifeKey> {
         let fresh = self.lives.iter().filter(|(_, life)| now.since(life.learnt) <= TELL_TIME);
         let mut fresh: Vec<(Moment, LifeKey)> =
@@ -153,7 +153,7 @@
         fresh.into_iter().take(MOST_LEAVING).map(|(_, key)| key).collect()
     }
 
-    /// Forgets lives that have not been listed for long.
+    /// Forgets servers that have not been listed for some time.
     pub fn forget_old(&mut self, now: Moment, is_listed: impl Fn(LifeKey) -> bool) {
         self.lives.retain(|key, life| {
             if is_listed(*key) {
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -97,7 +97,7 @@
             loads: Vec::new(),
             drains: Vec::new(),
             leaving: Vec::new(),
-            leaving_lives: Vec::new(),
+            draining_lives: Vec::new(),
             limits: Vec::new(),
             suspects: Vec::new(),
             domain_loads: None,
--- a/crates/core/src/direct/peers/notice.rs
+++ b/crates/core/src/direct/peers/notice.rs
@@ -12,7 +12,7 @@
     evacuation::EvacuatedDomains,
     fact_age::ChangeMark,
     leaving::LeavingNotice,
-    named_limits::LimitNotice,
+    rate_limits::LimitNotice,
     suspects::{LifeKey, SuspectNotice},
 };
 
@@ -123,9 +123,9 @@
     pub servers: ChangeMark,
     /// Servers that it has heard to be leaving a short time ago.
     pub leaving: Vec<LeavingNotice>,
-    /// Servers that have said in their answers a short time ago that they leave.
-    pub leaving_lives: Vec<LifeKey>,
-    /// Limits that servers have named a short time ago.
+    /// Servers that have announced in their answers that they drain.
+    pub draining_lives: Vec<LifeKey>,
+    /// Rate limits that servers have advertised.
     pub limits: Vec<LimitNotice>,
     /// Requests under which servers ended.
     pub suspects: Vec<SuspectNotice>,
@@ -161,7 +161,7 @@
             plan: 0,
             servers: ChangeMark::default(),
             leaving: Vec::new(),
-            leaving_lives: Vec::new(),
+            draining_lives: Vec::new(),
             limits: Vec::new(),
             suspects: Vec::new(),
             reads_store: true,
--- a/crates/core/src/direct/named_limits.rs
+++ b/crates/core/src/direct/rate_limits.rs
@@ -1,9 +1,8 @@
-//! Limits on requests a second that servers name in their answers, for all entries together.
+//! Rate limits that servers advertise in their answers, for all entries together.
 //!
-//! A few entries hold the limit of a server and divide it evenly; the others send it nothing. Holders are
-//! chosen by rendezvous hashing, and their number is in proportion to the limit: what all of them may send at
-//! once, and a membership that one of them knows late, then stay within a fixed part of it in a fleet of any
-//! size.
+//! A few entries, the holders, divide the limit of a server evenly between token buckets; the others send it
+//! nothing. Holders are chosen by rendezvous hashing. Their number is in proportion to the limit, so that the
+//! combined burst and the effect of stale membership do not grow with the fleet.
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
@@ -15,29 +14,29 @@
 /// Holders for each request a second of a limit.
 const HOLDERS_PER_REQUEST: f64 = 1.0;
 
-/// Time whose requests a holder may send at once, if that is more than one.
+/// Capacity of a token bucket, as the time that fills it; at least one token.
 const BURST_TIME: Duration = Duration::from_millis(500);
 
-/// Rate at which a server that takes nothing is asked whether that still holds.
-const LEAST_RATE: RequestRate = RequestRate::from_milli(100);
+/// Least rate that is used, so that the end of a limit of zero is noticed.
+const PROBE_RATE: RequestRate = RequestRate::from_milli(100);
 
-/// Limit of a server that has named one that cannot be read, and none before.
-pub const UNREADABLE_LIMIT: RequestRate = RequestRate::from_milli(1000);
+/// Limit in place of a malformed one where no earlier one is known.
+pub const FALLBACK_LIMIT: RequestRate = RequestRate::from_milli(1000);
 
-/// Time without a word from a server after which the next entry may send one request in a holder's place:
-/// holders may have no callers, or be cut off from the server.
-const HOLDER_SILENCE: Duration = Duration::from_secs(5);
+/// Time without an answer of the server after which the next standby may send one request: holders may
+/// have no callers, or be cut off from the server.
+const STANDBY_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Age up to which a word is told to other entries: several notices.
-const TELL_TIME: Duration = Duration::from_secs(5);
+/// Age up to which a limit is gossiped.
+const GOSSIP_TIME: Duration = Duration::from_secs(5);
 
-/// Time after which nothing is remembered of a life that is not listed.
-const MEMORY: Duration = Duration::from_secs(60);
+/// Time for which limits of unlisted servers are kept.
+const RETENTION: Duration = Duration::from_secs(60);
 
-/// Limits that are told in one notice at most.
+/// Most limits in one notice.
 pub const MOST_LIMITS: usize = 64;
 
-/// An entry's place among all entries.
+/// Key of an entry for rendezvous hashing.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct EntryKey(pub u64);
 
@@ -57,34 +56,34 @@
 /// An entry that may hold limits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EntryPeer {
-    /// Its place.
+    /// Its key.
     pub key: EntryKey,
     /// Its failure domain.
     pub domain: DomainKey,
 }
 
-/// Word of a server's limit, as entries tell each other.
+/// A server's rate limit, as entries gossip it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LimitNotice {
     /// The life of the server.
     pub life: LifeKey,
-    /// The limit; none if the server names none any more.
+    /// The limit; none if it was lifted.
     pub limit: Option<RequestRate>,
-    /// Time since the server said so.
+    /// Time since the server advertised it.
     pub age: Duration,
 }
 
-/// What an entry may use of one limit.
+/// An entry's share in one limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LimitShare {
-    /// Entries that rank before this one.
+    /// Candidates that rank before this entry.
     pub rank: u32,
     /// Entries that hold the limit.
     pub holders: u32,
 }
 
 impl LimitShare {
-    /// The share of the entry `own` in the limit of a server; none if it is not among the candidates.
+    /// The share of the entry `own` in the limit of a server; none if it is no candidate.
     pub fn new(
         life: LifeKey,
         limit: RequestRate,
@@ -103,27 +102,27 @@
         self.rank < self.holders
     }
 
-    /// Time without a word from the server after which this entry may send one request.
-    fn standby_time(self) -> Option<Duration> {
+    /// Time without an answer of the server after which this entry may send one request.
+    fn standby_timeout(self) -> Option<Duration> {
         let turn = self.rank - self.holders.min(self.rank) + 1;
-        (self.rank < self.holders * 2).then(|| HOLDER_SILENCE * turn)
+        (self.rank < self.holders * 2).then(|| STANDBY_TIMEOUT * turn)
     }
 }
 
 /// The limit of one server.
 #[derive(Debug, Clone)]
-struct NamedLimit {
+struct RateLimit {
     limit: Option<RequestRate>,
-    /// When the server said so, to this entry or another.
+    /// When the server advertised it, to any entry.
     heard: Moment,
     share: Option<LimitShare>,
-    /// Requests that may be sent, as of `counted`.
+    /// Tokens as of `counted`.
     tokens: f64,
     counted: Moment,
     sent: Moment,
 }
 
-impl NamedLimit {
+impl RateLimit {
     fn new(now: Moment, limit: Option<RequestRate>, heard: Moment) -> Self {
         Self { limit, heard, share: None, tokens: 0.0, counted: now, sent: Moment::ZERO }
     }
@@ -131,7 +130,7 @@
     /// Requests a second that this entry may send.
     fn rate(&self) -> f64 {
         let holder = self.share.filter(|share| share.is_holder());
-        let limit = self.limit.unwrap_or_default().max(LEAST_RATE);
+        let limit = self.limit.unwrap_or_default().max(PROBE_RATE);
         holder.map_or(0.0, |share| limit.per_second() / f64::from(share.holders))
     }
 
@@ -154,7 +153,7 @@
         let was_holder = self.share.is_some_and(LimitShare::is_holder);
         self.share = share;
         if let Some(share) = share.filter(|share| share.is_holder() && !was_holder) {
-            // Holders begin one after the other.
+            // Staggers the first requests of the holders.
             self.tokens = f64::from(share.rank) / f64::from(share.holders);
         }
     }
@@ -169,19 +168,19 @@
             let missing = (1.0 - self.tokens(now)).max(0.0);
             return Some(Duration::from_secs_f64(missing / self.rate()));
         }
-        let due = self.heard.max(self.sent) + share.standby_time()?;
+        let due = self.heard.max(self.sent) + share.standby_timeout()?;
         Some(due.since(now))
     }
 }
 
-/// The limits that servers have named.
+/// The rate limits of all servers.
 #[derive(Debug, Clone, Default)]
-pub struct NamedLimits {
-    lives: HashMap<LifeKey, NamedLimit>,
+pub struct RateLimits {
+    lives: HashMap<LifeKey, RateLimit>,
 }
 
-impl NamedLimits {
-    /// Whether no server has named one.
+impl RateLimits {
+    /// Whether no limit is known.
     pub fn is_empty(&self) -> bool {
         self.lives.is_empty()
     }
@@ -191,14 +190,14 @@
         self.lives.get(&life)?.limit
     }
 
-    /// Servers that name a limit now.
+    /// Number of servers with a limit.
     pub fn count(&self) -> usize {
         self.lives.values().filter(|named| named.limit.is_some()).count()
     }
 
-    /// Takes in that a server names `limit`, or none, in an answer to what was sent at `sent`; tells whether
-    /// that is news.
-    pub fn hear(
+    /// Records the limit, or its absence, in an answer to a request sent at `sent`; returns whether it
+    /// changed.
+    pub fn record(
         &mut self,
         now: Moment,
         life: LifeKey,
@@ -207,15 +206,15 @@
     ) -> bool {
         match (self.lives.get(&life), limit) {
             (None, None) => return false,
-            // The answer may have begun before the limit was named.
+            // The answer may have begun before the limit was advertised.
             (Some(named), None) if named.limit.is_some() && named.heard >= sent => return false,
             _ => {}
         }
         self.take(now, life, limit, now)
     }
 
-    /// Takes in what another entry tells; tells whether that is news.
-    pub fn hear_told(&mut self, now: Moment, notice: LimitNotice) -> bool {
+    /// Merges the limit that another entry has heard of; returns whether it changed.
+    pub fn merge(&mut self, now: Moment, notice: LimitNotice) -> bool {
         self.take(now, notice.life, notice.limit, now - notice.age)
     }
 
@@ -234,13 +233,13 @@
             }
             Some(_) => false,
             None => {
-                self.lives.insert(life, NamedLimit::new(now, limit, heard));
+                self.lives.insert(life, RateLimit::new(now, limit, heard));
                 limit.is_some()
             }
         }
     }
 
-    /// Sets what this entry may use of a server's limit.
+    /// Sets this entry's share in a server's limit.
     pub fn set_share(&mut self, now: Moment, life: LifeKey, share: Option<LimitShare>) {
         if let Some(named) = self.lives.get_mut(&life) {
             named.set_share(now, share);
@@ -254,12 +253,12 @@
 
     /// Time between two requests that all entries together may send a server; zero without a limit.
     pub fn pause(&self, life: LifeKey) -> Duration {
-        let limit = self.limit(life).map(|limit| limit.max(LEAST_RATE));
+        let limit = self.limit(life).map(|limit| limit.max(PROBE_RATE));
         limit.map_or(Duration::ZERO, |limit| Duration::from_secs_f64(1.0 / limit.per_second()))
     }
 
-    /// Takes one request out of this entry's share, if that allows one now.
-    pub fn take_one(&mut self, now: Moment, life: LifeKey) -> bool {
+    /// Takes a token for one request, if there is one.
+    pub fn try_acquire(&mut self, now: Moment, life: LifeKey) -> bool {
         let Some(named) = self.lives.get_mut(&life) else { return true };
         if named.wait(now) != Some(Duration::ZERO) {
             return false;
@@ -270,33 +269,33 @@
         true
     }
 
-    /// The limits named a short time ago, for other entries; the newest first.
+    /// Limits to gossip, the newest first.
     pub fn recent(&self, now: Moment) -> Vec<LimitNotice> {
-        let told = self.lives.iter().filter(|(_, named)| {
-            // What is older than this entry has no age that it could tell.
-            named.heard > Moment::ZERO && now.since(named.heard) <= TELL_TIME
+        let recent = self.lives.iter().filter(|(_, named)| {
+            // The age of what is older than this process is unknown.
+            named.heard > Moment::ZERO && now.since(named.heard) <= GOSSIP_TIME
         });
-        let notice = |(life, named): (&LifeKey, &NamedLimit)| LimitNotice {
+        let notice = |(life, named): (&LifeKey, &RateLimit)| LimitNotice {
             life: *life,
             limit: named.limit,
             age: now.since(named.heard),
         };
-        let mut notices: Vec<LimitNotice> = told.map(notice).collect();
+        let mut notices: Vec<LimitNotice> = recent.map(notice).collect();
         notices.sort_by_key(|notice| (notice.age, notice.life.0));
         notices.truncate(MOST_LIMITS);
         notices
     }
 
-    /// Forgets a life that has ended.
+    /// Forgets the limit of a server that has ended.
     pub fn forget(&mut self, life: LifeKey) {
         self.lives.remove(&life);
     }
 
-    /// Forgets lives that are not listed, and limits that were lifted, once their words are old.
+    /// Forgets limits that were lifted or whose servers are not listed, after some time.
     pub fn forget_old(&mut self, now: Moment, is_listed: impl Fn(LifeKey) -> bool) {
         self.lives.retain(|life, named| {
             let is_kept = named.limit.is_some() && is_listed(*life);
-            is_kept || now.since(named.heard) <= MEMORY
+            is_kept || now.since(named.heard) <= RETENTION
         });
     }
 }
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -16,9 +16,9 @@
 use super::{
     engine_model::EngineLoad,
     fact_age::ChangeMark,
-    leaving::{LeavingLives, LeavingNotice, LeavingServers},
-    named_limits::NamedLimits,
+    leaving::{DrainingLives, LeavingNotice, LeavingServers},
     peers::{DomainKey, LoadNotice, ServerNotice},
+    rate_limits::RateLimits,
     suspects::LifeKey,
 };
 use crate::time::Moment;
@@ -68,24 +68,24 @@
     Abandoned,
 }
 
-/// Why a server that was chosen is not sent the request.
+/// Why a chosen server is not sent the request after all.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SendBar {
-    /// It is not listed any more, or was started again.
+pub enum Ineligible {
+    /// It is no longer listed, or has restarted.
     Gone,
-    /// It takes nothing new.
-    Leaving,
-    /// It has asked this entry for rest.
-    Resting,
+    /// It is draining.
+    Draining,
+    /// It has asked this entry to back off.
+    BackingOff,
 }
 
-impl SendBar {
+impl Ineligible {
     /// The cause, for logs.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Gone => "server_gone",
-            Self::Leaving => "server_leaves",
-            Self::Resting => "server_rests",
+            Self::Draining => "server_draining",
+            Self::BackingOff => "server_backoff",
         }
     }
 }
@@ -115,8 +115,8 @@
     refusals: u32,
     failure_share: f64,
     blocked_until: Moment,
-    /// End of the last rest that it asked this entry for; none once it has answered after it.
-    rest_until: Option<Moment>,
+    /// End of the backoff that it has asked this entry for; none once it has answered after that.
+    backoff_until: Option<Moment>,
     /// What its agent told, and when.
     notice: Option<ServerNotice>,
 }
@@ -133,10 +133,10 @@
     evacuated: BTreeSet<DomainKey>,
     /// Servers that leave.
     leaving: LeavingServers,
-    /// Servers that have said so in their answers.
-    leaving_lives: LeavingLives,
-    /// Limits that servers have named.
-    limits: NamedLimits,
+    /// Servers that have announced it in their answers.
+    draining_lives: DrainingLives,
+    /// Rate limits that servers have advertised.
+    limits: RateLimits,
     /// Entries that live.
     entries: usize,
     cold_rates: ColdRates,
@@ -218,7 +218,7 @@
                 refusals: 0,
                 failure_share: 0.0,
                 blocked_until: Moment::ZERO,
-                rest_until: None,
+                backoff_until: None,
                 notice: None,
                 record,
             };
@@ -232,7 +232,7 @@
     pub fn remove(&mut self, now: Moment, id: &ServerId, revision: ChangeMark) -> bool {
         let _ = self.leaving.note_leaving(now, server_key(id), revision);
         self.leaving.forget_old(now);
-        self.forget_old_lives(now);
+        self.prune_draining_lives(now);
         let removed = self.servers.remove(id);
         if let Some(state) = &removed {
             self.limits.forget(state.life);
@@ -241,10 +241,10 @@
         removed.is_some()
     }
 
-    fn forget_old_lives(&mut self, now: Moment) {
-        if !self.leaving_lives.is_empty() {
+    fn prune_draining_lives(&mut self, now: Moment) {
+        if !self.draining_lives.is_empty() {
             let lives: HashSet<LifeKey> = self.servers.values().map(|state| state.life).collect();
-            self.leaving_lives.forget_old(now, |life| lives.contains(&life));
+            self.draining_lives.forget_old(now, |life| lives.contains(&life));
         }
     }
 
@@ -255,7 +255,7 @@
             let _ = self.leaving.note_leaving(now, server_key(id), revision);
         }
         self.leaving.forget_old(now);
-        self.forget_old_lives(now);
+        self.prune_draining_lives(now);
         self.servers.retain(|id, _| listed.contains(id));
         self.services.values_mut().for_each(|ids| ids.retain(|id| listed.contains(id)));
         self.services.retain(|_, ids| !ids.is_empty());
@@ -287,32 +287,32 @@
         self.leaving.recent(now)
     }
 
-    /// A server has said that it leaves, to this entry or another; tells whether that is news.
-    pub fn note_leaving_life(&mut self, now: Moment, life: LifeKey) -> bool {
-        self.leaving_lives.note(now, life)
+    /// Marks a server that has announced in an answer that it drains; returns whether that is new.
+    pub fn mark_draining(&mut self, now: Moment, life: LifeKey) -> bool {
+        self.draining_lives.note(now, life)
     }
 
-    /// Servers that have said a short time ago that they leave, for other entries.
-    pub fn recently_leaving_lives(&self, now: Moment) -> Vec<LifeKey> {
-        self.leaving_lives.recent(now)
+    /// Draining servers to gossip.
+    pub fn recently_draining_lives(&self, now: Moment) -> Vec<LifeKey> {
+        self.draining_lives.recent(now)
     }
 
-    /// A server has turned a request of this entry away and wants nothing from it for `rest`.
-    pub fn note_rest(&mut self, now: Moment, server: &ChosenServer, rest: Duration) {
+    /// Keeps requests of this entry from a server for `backoff`, as it has asked.
+    pub fn start_backoff(&mut self, now: Moment, server: &ChosenServer, backoff: Duration) {
         let state = self.servers.get_mut(&server.id).filter(|state| state.life == server.life);
         if let Some(state) = state {
-            // Answers may overtake each other, and each time holds.
-            state.rest_until = state.rest_until.max(Some(now + rest));
+            // A shorter time in a late answer does not end a longer one.
+            state.backoff_until = state.backoff_until.max(Some(now + backoff));
         }
     }
 
-    /// Whether a server that was chosen may still be sent the request.
-    pub fn check_chosen(&self, now: Moment, server: &ChosenServer) -> Result<(), SendBar> {
+    /// Whether a chosen server may still be sent the request.
+    pub fn check_eligibility(&self, now: Moment, server: &ChosenServer) -> Result<(), Ineligible> {
         let state = self.servers.get(&server.id).filter(|state| state.life == server.life);
         match state {
-            None => Err(SendBar::Gone),
-            Some(state) if self.takes_nothing(state) => Err(SendBar::Leaving),
-            Some(state) if !state.rest(now).is_zero() => Err(SendBar::Resting),
+            None => Err(Ineligible::Gone),
+            Some(state) if self.takes_nothing(state) => Err(Ineligible::Draining),
+            Some(state) if !state.backoff(now).is_zero() => Err(Ineligible::BackingOff),
             Some(_) => Ok(()),
         }
     }
@@ -401,7 +401,7 @@
     fn is_leaving(&self, state: &ServerState) -> bool {
         state.record.draining
             || self.leaving.is_leaving(state.key)
-            || self.leaving_lives.contains(state.life)
+            || self.draining_lives.contains(state.life)
     }
 
     /// Whether a server takes nothing new, by its own word or because its failure domain is being emptied.
@@ -461,7 +461,7 @@
             ServerOutcome::Answered => {
                 state.failures = 0;
                 state.refusals = 0;
-                state.rest_until = state.rest_until.filter(|until| *until > now);
+                state.backoff_until = state.backoff_until.filter(|until| *until > now);
                 note_failure(state, 0.0);
             }
             ServerOutcome::Failed => {
@@ -483,14 +483,14 @@
 }
 
 impl ServerState {
-    /// Time for which this entry may send it nothing, as it has asked.
-    fn rest(&self, now: Moment) -> Duration {
-        self.rest_until.map_or(Duration::ZERO, |until| until.since(now))
+    /// Rest of the backoff that it has asked for.
+    fn backoff(&self, now: Moment) -> Duration {
+        self.backoff_until.map_or(Duration::ZERO, |until| until.since(now))
     }
 
-    /// Whether it rests, or has rested and a first request since then finds out whether it is well again.
-    fn is_resting(&self, now: Moment) -> bool {
-        !self.rest(now).is_zero() || (self.rest_until.is_some() && self.waiting > 0)
+    /// Whether it backs off, or its first request after that is still unanswered.
+    fn is_backing_off(&self, now: Moment) -> bool {
+        !self.backoff(now).is_zero() || (self.backoff_until.is_some() && self.waiting > 0)
     }
 
     /// Forgets what is known of the server's life so far, which has ended. What this entry has in
@@ -500,7 +500,7 @@
         self.refusals = 0;
         self.failure_share = 0.0;
         self.blocked_until = Moment::ZERO;
-        self.rest_until = None;
+        self.backoff_until = None;
         self.notice = None;
         self.cold = None;
     }
--- a/crates/core/src/direct/server_table/changing.rs
+++ b/crates/core/src/direct/server_table/changing.rs
@@ -82,7 +82,7 @@
             servers.iter().copied().partition(|state| is_changing(state));
         let moving: u32 = changing.into_iter().map(|state| self.load(state).in_flight).sum();
         let takes = others.into_iter().filter(|state| {
-            let rests = state.blocked_until > now || state.is_resting(now);
+            let rests = state.blocked_until > now || state.is_backing_off(now);
             let is_limited = self.limits.limit(state.life).is_some();
             !rests
                 && !is_limited
--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -111,8 +111,8 @@
     pub limit: u32,
     /// Version that it is thought to hold.
     pub version: Option<WeightVersion>,
-    /// Requests a second that it takes from all entries, by its own word.
-    pub named_limit: Option<RequestRate>,
+    /// Its rate limit for all entries together.
+    pub rate_limit: Option<RequestRate>,
 }
 
 /// The outcome of a choice.
@@ -148,10 +148,10 @@
     pub late: u32,
     /// Servers of other failure domains that were left to entries nearer by.
     pub left_to_near: u32,
-    /// Servers whose named limit leaves nothing to this entry now.
-    pub by_named_limit: u32,
-    /// Servers that have asked this entry for rest.
-    pub resting: u32,
+    /// Servers whose rate limit leaves no token to this entry now.
+    pub rate_limited: u32,
+    /// Servers that have asked this entry to back off.
+    pub backing_off: u32,
     /// The earliest of the late predictions.
     pub least_predicted: Option<Duration>,
     /// Load of the engine with the shortest wait among the late ones.
@@ -161,8 +161,8 @@
 impl FullServers {
     /// Whether there is any.
     fn any(self) -> bool {
-        let by_word = self.by_named_limit + self.resting;
-        self.limited + self.late + self.left_to_near + by_word > 0
+        let by_signal = self.rate_limited + self.backing_off;
+        self.limited + self.late + self.left_to_near + by_signal > 0
     }
 
     fn note_late(&mut self, predicted: Duration) {
@@ -179,10 +179,10 @@
     Unfit,
     /// It is sent no more at the moment.
     Full,
-    /// It has named a limit of which this entry may use nothing now.
-    NamedLimit,
-    /// It has asked this entry for rest.
-    Resting,
+    /// Its rate limit leaves no token to this entry now.
+    RateLimited,
+    /// It has asked this entry to back off.
+    BackingOff,
     /// Its first token is predicted for then, too late.
     Late(Duration),
 }
@@ -263,8 +263,8 @@
                     }
                 }
                 Err(PassedOver::Full) => full.limited += 1,
-                Err(PassedOver::Resting) => full.resting += 1,
-                Err(PassedOver::NamedLimit) => full.by_named_limit += 1,
+                Err(PassedOver::BackingOff) => full.backing_off += 1,
+                Err(PassedOver::RateLimited) => full.rate_limited += 1,
                 Err(PassedOver::Late(predicted)) => full.note_late(predicted),
                 Err(PassedOver::Unfit) => {}
             }
@@ -291,7 +291,7 @@
             least_load: None,
             limit: self.limit(state, query),
             version: whole_version(state, layers),
-            named_limit: self.limits.limit(state.life),
+            rate_limit: self.limits.limit(state.life),
         }
     }
 
@@ -326,8 +326,8 @@
         if is_changing(state) {
             return Err(PassedOver::Unfit);
         }
-        if state.is_resting(now) {
-            return Err(PassedOver::Resting);
+        if state.is_backing_off(now) {
+            return Err(PassedOver::BackingOff);
         }
         if state.blocked_until > now {
             let refused = state.refusals > 0 && state.failures == 0;
@@ -338,7 +338,7 @@
             return Err(PassedOver::Unfit);
         }
         if self.limits.wait(now, state.life) != Some(Duration::ZERO) {
-            return Err(PassedOver::NamedLimit);
+            return Err(PassedOver::RateLimited);
         }
         let in_flight = self.load(state).in_flight;
         let limit = self.limit(state, query);
--- a/crates/core/src/direct/server_table/limits.rs
+++ b/crates/core/src/direct/server_table/limits.rs
@@ -1,4 +1,4 @@
-//! Limits that servers name, as far as the table decides by them.
+//! Rate limits of servers, applied to the table.
 
 use std::{
     collections::{BTreeSet, HashMap, HashSet},
@@ -11,53 +11,53 @@
 use super::ServerTable;
 use crate::{
     direct::{
-        named_limits::{EntryKey, EntryPeer, LimitNotice, LimitShare},
         peers::DomainKey,
+        rate_limits::{EntryKey, EntryPeer, LimitNotice, LimitShare},
         suspects::LifeKey,
     },
     time::Moment,
 };
 
 impl ServerTable {
-    /// Takes in that a server names `limit`, or none, in an answer to what was sent at `sent`; tells whether
-    /// that is news.
-    pub fn hear_limit(
+    /// Records the rate limit, or its absence, in an answer to a request sent at `sent`; returns whether it
+    /// changed.
+    pub fn record_limit(
         &mut self,
         now: Moment,
         life: LifeKey,
         limit: Option<RequestRate>,
         sent: Moment,
     ) -> bool {
-        self.limits.hear(now, life, limit, sent)
+        self.limits.record(now, life, limit, sent)
     }
 
-    /// Another entry has heard what limit a server names; tells whether that is news.
-    pub fn hear_told_limit(&mut self, now: Moment, notice: LimitNotice) -> bool {
-        self.limits.hear_told(now, notice)
+    /// Merges a rate limit that another entry has heard of; returns whether it changed.
+    pub fn merge_limit(&mut self, now: Moment, notice: LimitNotice) -> bool {
+        self.limits.merge(now, notice)
     }
 
-    /// Limits that were named a short time ago, for other entries.
+    /// Rate limits to gossip.
     pub fn recent_limits(&self, now: Moment) -> Vec<LimitNotice> {
         self.limits.recent(now)
     }
 
-    /// The limit that a server names.
-    pub fn named_limit(&self, life: LifeKey) -> Option<RequestRate> {
+    /// The rate limit of a server.
+    pub fn rate_limit(&self, life: LifeKey) -> Option<RequestRate> {
         self.limits.limit(life)
     }
 
-    /// Servers that name a limit.
-    pub fn named_limits(&self) -> usize {
+    /// Number of servers with a rate limit.
+    pub fn rate_limits(&self) -> usize {
         self.limits.count()
     }
 
-    /// Whether any server has named a limit, so that [`Self::share_limits`] is due.
+    /// Whether any rate limit is known, so that [`Self::assign_limit_shares`] is due.
     pub fn has_limits(&self) -> bool {
         !self.limits.is_empty()
     }
 
-    /// Divides the limits among `entries`, those that live, this entry `own` among them.
-    pub fn share_limits(&mut self, now: Moment, own: EntryKey, entries: &[EntryPeer]) {
+    /// Assigns this entry `own` its shares in all limits; `entries` are the living ones, this one included.
+    pub fn assign_limit_shares(&mut self, now: Moment, own: EntryKey, entries: &[EntryPeer]) {
         let mut candidates = CandidateLists::new(entries);
         let mut listed = HashSet::new();
         for state in self.servers.values() {
@@ -76,15 +76,13 @@
         self.limits.forget_old(now, |life| listed.contains(&life));
     }
 
-    /// Takes one request out of this entry's share of a server's limit, right before it is sent; false if
-    /// that allows none.
-    pub fn take_allowance(&mut self, now: Moment, life: LifeKey) -> bool {
-        self.limits.take_one(now, life)
+    /// Takes a token for one request to a server, right before it is sent.
+    pub fn try_acquire(&mut self, now: Moment, life: LifeKey) -> bool {
+        self.limits.try_acquire(now, life)
     }
 
-    /// Time after which one of the servers of a service takes a request again at some entry, where their
-    /// own words keep this one from all of them.
-    pub fn rest_of_service(&self, now: Moment, service: &str) -> Option<Duration> {
+    /// Time until some server of the service is free again, where rate limits or backoffs exclude all.
+    pub fn retry_after(&self, now: Moment, service: &str) -> Option<Duration> {
         let ids = self.services.get(service)?;
         let usable = ids.iter().filter_map(|id| self.servers.get(id));
         let usable = usable.filter(|state| !self.takes_nothing(state));
@@ -93,13 +91,13 @@
             _ => self.limits.pause(life),
         };
         usable
-            .map(|state| pause(state.life).max(state.rest(now)))
+            .map(|state| pause(state.life).max(state.backoff(now)))
             .min()
             .filter(|rest| !rest.is_zero())
     }
 }
 
-/// Entries that may hold limits of a service's servers.
+/// Candidates for the limits of each service's servers.
 struct CandidateLists<'a> {
     entries: &'a [EntryPeer],
     domains: HashMap<Arc<str>, BTreeSet<DomainKey>>,
@@ -111,8 +109,8 @@
         Self { entries, domains: HashMap::new(), lists: HashMap::new() }
     }
 
-    /// Entries of the server's own failure domain, and of those where the service has no server: the
-    /// others have nearer ones. All entries if there are none of these.
+    /// Entries of the server's failure domain and of those without a usable server of the service; all
+    /// entries if there are none.
     fn near(
         &mut self,
         service: &Arc<str>,
--- a/crates/core/tests/draining.rs
+++ b/crates/core/tests/draining.rs
@@ -96,20 +96,20 @@
 }
 
 #[gtest]
-fn a_server_that_names_a_limit_has_no_room_for_streams_of_others() {
+fn a_rate_limited_server_has_no_room_for_streams_of_others() {
     let limits = ContinuationLimits { layers: 0, least: None, retries: 10, within_region: false };
     let (mut table, ..) = table_with_streams(0);
     let other = other_server(&table);
-    table.hear_limit(at(0), other.life, Some(RequestRate::from_milli(2000)), at(0));
+    table.record_limit(at(0), other.life, Some(RequestRate::from_milli(2000)), at(0));
     expect_that!(kept_streams(&table, limits), eq(3));
 }
 
 #[gtest]
-fn a_server_that_asks_for_rest_has_no_room_for_streams_of_others() {
+fn a_server_in_backoff_has_no_room_for_streams_of_others() {
     let limits = ContinuationLimits { layers: 0, least: None, retries: 10, within_region: false };
     let (mut table, ..) = table_with_streams(0);
     let other = other_server(&table);
-    table.note_rest(at(0), &other, millis(500));
+    table.start_backoff(at(0), &other, millis(500));
     expect_that!(kept_streams(&table, limits), eq(3));
 }
 
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -7,7 +7,7 @@
     direct::{
         fact_age::ChangeMark,
         leaving::{LeavingNotice, LeavingServers, MOST_LEAVING},
-        server_table::{SendBar, ServerChoice, ServerQuery, ServerTable},
+        server_table::{Ineligible, ServerChoice, ServerQuery, ServerTable},
     },
     time::Moment,
 };
@@ -99,7 +99,7 @@
 }
 
 #[gtest]
-fn a_server_that_said_it_leaves_leaves_until_its_life_is_over_whatever_the_store_says() {
+fn a_drain_announcement_holds_for_the_life_of_its_server_whatever_the_store_says() {
     let record = |born, draining| ServerRecord {
         id: ServerId("i1".into()),
         born: Some(BirthTime(born)),
@@ -126,13 +126,13 @@
     let mut table = ServerTable::new("z1".parse().expect("a name"), Default::default());
     table.set(at(0), record(1000, false), mark(1));
     let server = chosen(&table, at(0)).expect("a server");
-    expect_that!(table.check_chosen(at(0), &server), ok(anything()));
-    expect_that!(table.note_leaving_life(at(10), server.life), eq(true));
-    expect_that!(table.note_leaving_life(at(20), server.life), eq(false));
-    expect_that!(table.recently_leaving_lives(at(30)), eq(&vec![server.life]));
-    expect_that!(table.recently_leaving_lives(at(9000)), is_empty());
+    expect_that!(table.check_eligibility(at(0), &server), ok(anything()));
+    expect_that!(table.mark_draining(at(10), server.life), eq(true));
+    expect_that!(table.mark_draining(at(20), server.life), eq(false));
+    expect_that!(table.recently_draining_lives(at(30)), eq(&vec![server.life]));
+    expect_that!(table.recently_draining_lives(at(9000)), is_empty());
     // What was chosen before is not sent either.
-    expect_that!(table.check_chosen(at(30), &server), err(eq(SendBar::Leaving)));
+    expect_that!(table.check_eligibility(at(30), &server), err(eq(Ineligible::Draining)));
     // The store says for long that it is ready, with newer marks too.
     for (millis, revision) in [(40, 1), (5_000, 7), (70_000, 9)] {
         table.set(at(millis), record(1000, false), mark(revision));
--- a/crates/core/tests/named_limits.rs
+++ b/crates/core/tests/rate_limits.rs
@@ -1,4 +1,4 @@
-//! A limit that a server names binds all entries together, in fleets of any size.
+//! A rate limit of a server holds for all entries together, in fleets of any size.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -6,8 +6,8 @@
 use headlatch_core::{
     direct::{
         fact_age::ChangeMark,
-        named_limits::{EntryKey, EntryPeer, LimitNotice, NamedLimits},
         peers::DomainKey,
+        rate_limits::{EntryKey, EntryPeer, LimitNotice, RateLimits},
         server_table::{ServerChoice, ServerQuery, ServerTable},
         suspects::LifeKey,
     },
@@ -21,7 +21,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 const STEP: Duration = Duration::from_millis(20);
-const TELL_PAUSE: Duration = Duration::from_millis(500);
+const GOSSIP_PAUSE: Duration = Duration::from_millis(500);
 const SPAN: Duration = Duration::from_secs(4);
 
 fn rate(text: &str) -> RequestRate {
@@ -99,10 +99,10 @@
         }
     }
 
-    /// All entries hear of the limit.
-    fn name(&mut self, limit: RequestRate) {
+    /// All entries learn of the limit.
+    fn advertise(&mut self, limit: RequestRate) {
         for table in &mut self.tables {
-            table.hear_limit(self.now, self.life, Some(limit), self.now);
+            table.record_limit(self.now, self.life, Some(limit), self.now);
         }
         self.share();
     }
@@ -111,7 +111,7 @@
         for (number, table) in self.tables.iter_mut().enumerate() {
             let known = self.peers.iter().filter(|peer| !self.unknown[number].contains(&peer.key));
             let known: Vec<EntryPeer> = known.copied().collect();
-            table.share_limits(self.now, self.peers[number].key, &known);
+            table.assign_limit_shares(self.now, self.peers[number].key, &known);
         }
     }
 
@@ -120,27 +120,26 @@
         let until = self.now + time;
         while self.now < until {
             self.now = self.now + STEP;
-            if self.now.micros().is_multiple_of(TELL_PAUSE.as_micros() as u64) {
-                self.tell();
+            if self.now.micros().is_multiple_of(GOSSIP_PAUSE.as_micros() as u64) {
+                self.gossip();
             }
             for number in 0..self.tables.len() {
                 let comes = self.random.random_bool(per_second * STEP.as_secs_f64());
-                if comes && !idle(number) && self.tables[number].take_allowance(self.now, self.life)
-                {
+                if comes && !idle(number) && self.tables[number].try_acquire(self.now, self.life) {
                     self.sent.push(self.now);
-                    let limit = self.tables[number].named_limit(self.life);
-                    self.tables[number].hear_limit(self.now, self.life, limit, self.now);
+                    let limit = self.tables[number].rate_limit(self.life);
+                    self.tables[number].record_limit(self.now, self.life, limit, self.now);
                 }
             }
         }
     }
 
-    /// Entries tell each other what they have heard.
-    fn tell(&mut self) {
+    /// Entries gossip what they know.
+    fn gossip(&mut self) {
         let heard = self.tables.iter().flat_map(|table| table.recent_limits(self.now));
         let Some(newest) = heard.min_by_key(|notice| notice.age) else { return };
         for table in &mut self.tables {
-            table.hear_told_limit(self.now, newest);
+            table.merge_limit(self.now, newest);
         }
     }
 
@@ -151,7 +150,7 @@
         while self.now < until {
             self.now = self.now + STEP;
             let (now, life) = (self.now, self.life);
-            let sends = |number: &usize| self.tables[*number].take_allowance(now, life);
+            let sends = |number: &usize| self.tables[*number].try_acquire(now, life);
             let found: Vec<usize> = (0..self.peers.len()).filter(sends).collect();
             holders.extend(found);
         }
@@ -182,7 +181,7 @@
         for limit in LIMITS.map(rate) {
             for seed in 0..3 {
                 let mut fleet = Fleet::new(entries, domains, domains, seed);
-                fleet.name(limit);
+                fleet.advertise(limit);
                 fleet.run(Duration::from_secs(60), 10.0, |_| false);
                 let case = format!("{entries} entries, {limit} a second, seed {seed}");
                 expect_that!(fleet.most_in_span(), le(allowed(limit)), "{case}");
@@ -193,13 +192,12 @@
     }
 }
 
-/// What nobody has used for long must not be sent by everybody at the next moment.
 #[gtest]
-fn a_wave_after_a_long_rest_stays_within_the_limit() {
+fn a_burst_after_idle_time_stays_within_the_limit() {
     for (entries, domains) in SIZES {
         for limit in LIMITS.map(rate) {
             let mut fleet = Fleet::new(entries, domains, domains, 7);
-            fleet.name(limit);
+            fleet.advertise(limit);
             fleet.run(Duration::from_secs(600), 0.0, |_| true);
             fleet.run(Duration::from_secs(12), 20.0, |_| false);
             let case = format!("{entries} entries, {limit} a second");
@@ -209,7 +207,7 @@
 }
 
 #[gtest]
-fn entries_that_know_different_others_keep_the_limit_all_the_same() {
+fn entries_with_different_membership_keep_the_limit() {
     for (entries, domains) in SIZES {
         for limit in LIMITS.map(rate) {
             for seed in 0..3 {
@@ -221,7 +219,7 @@
                     let unknown = others.filter(|_| random.random_bool(0.1)).collect();
                     fleet.unknown[number] = unknown;
                 }
-                fleet.name(limit);
+                fleet.advertise(limit);
                 fleet.run(Duration::from_secs(40), 10.0, |_| false);
                 let case = format!("{entries} entries, {limit} a second, seed {seed}");
                 expect_that!(fleet.most_in_span(), le(allowed(limit)), "{case}");
@@ -231,10 +229,10 @@
 }
 
 #[gtest]
-fn a_server_whose_holders_have_no_callers_is_used_by_others() {
+fn standbys_use_a_server_whose_holders_are_idle() {
     let limit = rate("2");
     let mut fleet = Fleet::new(40, 1, 1, 3);
-    fleet.name(limit);
+    fleet.advertise(limit);
     let holders = fleet.holders(Duration::from_secs(4));
     expect_that!(holders.len(), eq(2));
     fleet.run(Duration::from_secs(120), 10.0, |number| holders.contains(&number));
@@ -242,16 +240,15 @@
     expect_that!(fleet.most_in_span(), le(allowed(limit)));
 }
 
-/// Callers of failure domains without a server of the service depend on those of others.
 #[gtest]
 fn failure_domains_without_a_server_have_a_share_in_those_of_others() {
     let mut fleet = Fleet::new(9, 3, 1, 5);
-    fleet.name(rate("12"));
+    fleet.advertise(rate("12"));
     fleet.run(Duration::from_secs(10), 10.0, |number| number.is_multiple_of(3));
     let far = fleet.sent.len() as f64 / 10.0 / 12.0;
     expect_that!(far, ge(0.5));
     let mut fleet = Fleet::new(9, 3, 3, 5);
-    fleet.name(rate("12"));
+    fleet.advertise(rate("12"));
     fleet.run(Duration::from_secs(4), 10.0, |number| number.is_multiple_of(3));
     expect_that!(fleet.sent, is_empty());
 }
@@ -261,40 +258,38 @@
 }
 
 #[gtest]
-fn a_limit_ends_with_a_newer_answer_a_newer_word_of_others_or_the_life_of_its_server() {
+fn a_limit_ends_with_a_newer_answer_newer_gossip_or_the_life_of_its_server() {
     let (life, limit) = (LifeKey(7), rate("2"));
-    let mut limits = NamedLimits::default();
-    // Servers that never named one cost nothing.
-    expect_that!(limits.hear(at(5), life, None, at(1)), eq(false));
+    let mut limits = RateLimits::default();
+    expect_that!(limits.record(at(5), life, None, at(1)), eq(false));
     expect_that!(limits.is_empty(), eq(true));
-    expect_that!(limits.hear(at(10), life, Some(limit), at(8)), eq(true));
-    expect_that!(limits.hear(at(20), life, Some(limit), at(18)), eq(false));
+    expect_that!(limits.record(at(10), life, Some(limit), at(8)), eq(true));
+    expect_that!(limits.record(at(20), life, Some(limit), at(18)), eq(false));
     expect_that!(limits.wait(at(20), life), none());
     // An answer to what was sent before may have begun before.
-    expect_that!(limits.hear(at(30), life, None, at(9)), eq(false));
+    expect_that!(limits.record(at(30), life, None, at(9)), eq(false));
     expect_that!(limits.limit(life), some(eq(limit)));
-    expect_that!(limits.hear(at(40), life, None, at(35)), eq(true));
+    expect_that!(limits.record(at(40), life, None, at(35)), eq(true));
     expect_that!(limits.wait(at(40), life), some(eq(Duration::ZERO)));
-    // Another entry heard the limit before that, or after.
     let told = |age| LimitNotice { life, limit: Some(limit), age: Duration::from_millis(age) };
-    expect_that!(limits.hear_told(at(60), told(30)), eq(false));
-    expect_that!(limits.hear_told(at(70), told(5)), eq(true));
+    expect_that!(limits.merge(at(60), told(30)), eq(false));
+    expect_that!(limits.merge(at(70), told(5)), eq(true));
     limits.forget(life);
     expect_that!(limits.wait(at(80), life), some(eq(Duration::ZERO)));
 }
 
 #[gtest]
-fn words_of_limits_are_told_with_their_age_and_for_a_short_time() {
+fn limits_are_gossiped_with_their_age_for_a_short_time() {
     let (life, limit) = (LifeKey(7), rate("2"));
-    let mut limits = NamedLimits::default();
-    limits.hear(at(1000), life, Some(limit), at(1000));
+    let mut limits = RateLimits::default();
+    limits.record(at(1000), life, Some(limit), at(1000));
     let age = Duration::from_millis(700);
     expect_that!(limits.recent(at(1700)), eq(&vec![LimitNotice { life, limit: Some(limit), age }]));
     expect_that!(limits.recent(at(7000)), is_empty());
-    // An entry that has just started cannot tell how old it is.
-    let mut young = NamedLimits::default();
+    // The age is unknown to an entry that has just started.
+    let mut young = RateLimits::default();
     let told = LimitNotice { life, limit: Some(limit), age: Duration::from_secs(3) };
-    expect_that!(young.hear_told(at(500), told), eq(true));
+    expect_that!(young.merge(at(500), told), eq(true));
     expect_that!(young.recent(at(600)), is_empty());
     expect_that!(young.limit(life), some(eq(limit)));
 }
--- a/crates/core/tests/server_lives.rs
+++ b/crates/core/tests/server_lives.rs
@@ -9,7 +9,7 @@
         fact_age::ChangeMark,
         peers::ServerNotice,
         server_table::{
-            ChosenServer, SendBar, ServerChoice, ServerOutcome, ServerQuery, ServerTable,
+            ChosenServer, Ineligible, ServerChoice, ServerOutcome, ServerQuery, ServerTable,
         },
     },
     time::Moment,
@@ -102,15 +102,15 @@
 }
 
 #[gtest]
-fn the_rest_that_a_server_asked_for_holds_for_its_life_and_ends_with_one_request_at_a_time() {
+fn a_backoff_holds_for_the_life_of_its_server_and_ends_with_one_request_at_a_time() {
     let mut table = table();
     let server = choose(&table, at(0)).expect("a server");
-    table.note_rest(at(0), &server, Duration::from_secs(3));
-    // An answer that was overtaken asks for less.
-    table.note_rest(at(10), &server, Duration::from_secs(1));
+    table.start_backoff(at(0), &server, Duration::from_secs(3));
+    // A late answer asks for less.
+    table.start_backoff(at(10), &server, Duration::from_secs(1));
     expect_that!(choose(&table, at(2_900)), none());
-    expect_that!(table.check_chosen(at(2_900), &server), err(eq(SendBar::Resting)));
-    expect_that!(table.rest_of_service(at(2_000), "s"), some(eq(Duration::from_secs(1))));
+    expect_that!(table.check_eligibility(at(2_900), &server), err(eq(Ineligible::BackingOff)));
+    expect_that!(table.retry_after(at(2_000), "s"), some(eq(Duration::from_secs(1))));
     // What was in progress before ends well meanwhile.
     table.begin(&server.id, 0);
     table.note_read(&server.id, 0);
@@ -123,10 +123,10 @@
     table.end_at(at(3_020), &server, ServerOutcome::Answered);
     table.begin(&server.id, 0);
     expect_that!(choose(&table, at(3_030)), some(anything()));
-    table.note_rest(at(3_040), &server, Duration::from_secs(60));
+    table.start_backoff(at(3_040), &server, Duration::from_secs(60));
     table.set(at(3_050), record(2000), ChangeMark(2));
     expect_that!(choose(&table, at(3_060)), some(anything()));
     // An answer of the life that has ended says nothing of this one.
-    table.note_rest(at(3_070), &server, Duration::from_secs(60));
+    table.start_backoff(at(3_070), &server, Duration::from_secs(60));
     expect_that!(choose(&table, at(3_080)), some(anything()));
 }
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -49,11 +49,10 @@
 }
 
 impl InFlight {
-    /// Counts a request at `server` with a prompt of `tokens`; none if the server's limit allows it no
-    /// more since it was chosen.
+    /// Counts a request at `server` with a prompt of `tokens`; none if its rate limit has no token left.
     pub fn begin(state: Arc<EntryState>, server: ChosenServer, tokens: u64) -> Option<Self> {
         let mut servers = state.servers();
-        if !servers.take_allowance(state.now(), server.life) {
+        if !servers.try_acquire(state.now(), server.life) {
             return None;
         }
         servers.begin(&server.id, tokens);
@@ -187,7 +186,7 @@
 ) -> Result<ServerAnswer, AttemptFailure> {
     let tokens = request.work().map_or(0, |work| work.prompt);
     let in_flight = InFlight::begin(state.clone(), server, tokens)
-        .ok_or_else(|| AttemptFailure::not_sent("named_limit"))?;
+        .ok_or_else(|| AttemptFailure::not_sent("rate_limited"))?;
     let sent = send_counted(state, request, in_flight.server(), last_event, choice).await;
     match sent {
         Ok((response, connection, given)) => {
@@ -211,11 +210,11 @@
     loop {
         let begun = Instant::now();
         let (mut connection, fresh) = connect(state, server, choice, request.deadline).await?;
-        // It may have said something since it was chosen, which a connection takes time to come up after.
-        let checked = state.servers().check_chosen(state.now(), server);
-        if let Err(bar) = checked {
+        // Its state may have changed while the connection came up.
+        let checked = state.servers().check_eligibility(state.now(), server);
+        if let Err(ineligible) = checked {
             state.connections.put_back(connection);
-            return Err(AttemptFailure::not_sent(bar.as_str()));
+            return Err(AttemptFailure::not_sent(ineligible.as_str()));
         }
         let given = time_given(state, request, server);
         let facts = SendFacts {
@@ -252,10 +251,10 @@
                 return Err(failure);
             }
         };
-        state.note_unread_headers(&server.id, response.headers());
+        state.record_unknown_headers(&server.id, response.headers());
         let facts = state.headers.read_answer(response.status(), response.headers());
         if facts.id.as_ref().is_none_or(|id| *id == request.id) && !facts.misdirected {
-            state.hear_words(server, sent_at, &facts);
+            state.apply_signals(server, sent_at, &facts);
         }
         let (response, connection) = check_answer(request, facts, response, connection)?;
         return Ok((response, connection, given));
--- a/crates/daemon/src/direct/entry_notices.rs
+++ b/crates/daemon/src/direct/entry_notices.rs
@@ -234,7 +234,7 @@
                 // Whoever names nobody leaves the rest to relays as well.
                 let leaving = if names.is_empty() { Vec::new() } else { body.leaving };
                 let body =
-                    NoticeBody { leaving, leaving_lives: Vec::new(), limits: Vec::new(), ..body };
+                    NoticeBody { leaving, draining_lives: Vec::new(), limits: Vec::new(), ..body };
                 NoticeMail { bytes: self.writer.write(body, names), targets: vec![to] }
             }
             ReplyDue::Relays => {
@@ -272,13 +272,13 @@
     let now = state.now();
     let servers = state.servers();
     let (leaving, limits) = (servers.recently_leaving(now), servers.recent_limits(now));
-    let leaving_lives = servers.recently_leaving_lives(now);
+    let draining_lives = servers.recently_draining_lives(now);
     drop(servers);
     NoticeBody {
         plan: state.plan_version().0,
         servers: state.newest_servers(),
         leaving,
-        leaving_lives,
+        draining_lives,
         limits,
         suspects: state.quarantine.notices(now),
         reads_store: state.plan.reads_store(now),
@@ -310,8 +310,8 @@
         state.hear_peer_plan(PlanVersion(notice.plan));
     }
     state.hear_leaving(&notice.leaving);
-    state.hear_leaving_lives(&notice.leaving_lives);
-    state.hear_told_limits(&notice.limits);
+    state.merge_draining(&notice.draining_lives);
+    state.merge_limits(&notice.limits);
     state.take_evacuated(&notice.evacuated);
     state.quarantine.hear(state.now(), &notice.suspects);
     state.hear_peer_servers(notice.servers);
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -254,8 +254,8 @@
         let server = match choice {
             ServerChoice::Server(server) => server,
             ServerChoice::Full(full) => {
-                self.state.metrics.count_passed_over("limit", full.by_named_limit);
-                self.state.metrics.count_passed_over("rest", full.resting);
+                self.state.metrics.count_excluded("rate_limit", full.rate_limited);
+                self.state.metrics.count_excluded("retry_after", full.backing_off);
                 self.log("servers_full", describe_full(&full));
                 return Err("servers_full");
             }
@@ -278,7 +278,7 @@
             "server": server.id, "own": server.own.in_flight, "others": server.others.in_flight,
             "waiting_tokens": server.own.waiting_tokens + server.others.waiting_tokens,
             "predicted_ms": server.predicted.map(|time| time.as_millis() as u64),
-            "limit": server.limit, "named_limit": server.named_limit, "version": server.version, "least": attempt::least_version(&self.state, &self.request),
+            "limit": server.limit, "rate_limit": server.rate_limit, "version": server.version, "least": attempt::least_version(&self.state, &self.request),
             "allowed_regions": regions.to_string(),
         });
         if self.tried.is_empty() {
@@ -423,7 +423,7 @@
 
     /// Time after which the caller of a request that has not run may come back.
     fn time_to_come_back(&self) -> Duration {
-        let rest = self.state.servers().rest_of_service(self.state.now(), &self.request.service);
+        let rest = self.state.servers().retry_after(self.state.now(), &self.request.service);
         full_rest().max(rest.unwrap_or_default())
     }
 
@@ -453,7 +453,7 @@
 fn describe_full(full: &FullServers) -> serde_json::Value {
     json!({
         "limited": full.limited, "late": full.late, "left_to_near": full.left_to_near,
-        "by_named_limit": full.by_named_limit, "resting": full.resting,
+        "rate_limited": full.rate_limited, "backing_off": full.backing_off,
         "least_predicted_ms": full.least_predicted.map(|time| time.as_millis() as u64),
     })
 }
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -28,5 +28,5 @@
 pub mod stager;
 pub mod state;
 pub mod transfer;
-mod unread_headers;
+mod unknown_headers;
 pub mod weights;
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -6,11 +6,11 @@
     evacuation::EvacuatedDomains,
     fact_age::ChangeMark,
     leaving::LeavingNotice,
-    named_limits::LimitNotice,
     peers::{
         DomainKey, DrainNotice, LoadNotice, NAMED_PEERS, Peer, PeerKind, PeerNotice, PeerTable,
         ServerNotice, WantedNotice,
     },
+    rate_limits::LimitNotice,
     suspects::{LifeKey, SuspectNotice},
 };
 use headlatch_types::quantity::RequestRate;
@@ -92,9 +92,9 @@
     pub servers: ChangeMark,
     /// Servers that it has heard to be leaving a short time ago.
     pub leaving: Vec<LeavingNotice>,
-    /// Servers that have said in their answers a short time ago that they leave.
-    pub leaving_lives: Vec<LifeKey>,
-    /// Limits that servers have named a short time ago.
+    /// Servers that have announced in their answers that they drain.
+    pub draining_lives: Vec<LifeKey>,
+    /// Rate limits that servers have advertised.
     pub limits: Vec<LimitNotice>,
     /// Requests under which servers ended.
     pub suspects: Vec<SuspectNotice>,
@@ -158,7 +158,7 @@
 struct TickFacts {
     plan: u64,
     leaving: Vec<LeavingNotice>,
-    leaving_lives: Vec<LifeKey>,
+    draining_lives: Vec<LifeKey>,
     limits: BTreeSet<(LifeKey, Option<RequestRate>)>,
     suspects: Vec<SuspectNotice>,
     evacuated: BTreeSet<DomainKey>,
@@ -169,7 +169,7 @@
         Self {
             plan: body.plan,
             leaving: body.leaving.clone(),
-            leaving_lives: body.leaving_lives.clone(),
+            draining_lives: body.draining_lives.clone(),
             limits: body.limits.iter().map(|notice| (notice.life, notice.limit)).collect(),
             suspects: body.suspects.clone(),
             evacuated: body.evacuated.domains.clone(),
@@ -332,7 +332,7 @@
             plan: body.plan,
             servers: body.servers,
             leaving,
-            leaving_lives: body.leaving_lives.clone(),
+            draining_lives: body.draining_lives.clone(),
             limits: body.limits.clone(),
             suspects: body.suspects.clone(),
             reads_store: body.reads_store,
@@ -387,7 +387,7 @@
             plan: body.plan,
             servers: body.servers,
             leaving: body.leaving,
-            leaving_lives: body.leaving_lives,
+            draining_lives: body.draining_lives,
             limits: body.limits,
             suspects: body.suspects,
             reads_store: body.reads_store,
--- a/crates/daemon/src/direct/relay_mail.rs
+++ b/crates/daemon/src/direct/relay_mail.rs
@@ -176,7 +176,7 @@
         if !rosters.is_empty() {
             let facts = PeerNotice {
                 leaving: Vec::new(),
-                leaving_lives: Vec::new(),
+                draining_lives: Vec::new(),
                 limits: Vec::new(),
                 suspects: Vec::new(),
                 ..own.notice.clone()
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -43,13 +43,13 @@
     facts::{FactNews, set_facts},
     plan_copy::PlanCopy,
     quarantine::QuarantineDesk,
-    unread_headers::UnreadHeaders,
+    unknown_headers::UnknownHeaders,
 };
 use crate::{decisions, metrics::NodeMetrics, timer::NodeClock};
 
 mod evacuations;
 mod reading;
-mod server_words;
+mod server_signals;
 mod servers;
 
 pub use reading::TopicGate;
@@ -114,8 +114,8 @@
     known_entries: Mutex<(usize, Moment)>,
     /// Servers have come for which agents may have told something.
     notices_stale: AtomicBool,
-    /// Headers of answers that nothing reads.
-    unread_headers: Mutex<UnreadHeaders>,
+    /// Unknown headers in answers of servers.
+    unknown_headers: Mutex<UnknownHeaders>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -191,7 +191,7 @@
             servers_age: Mutex::default(),
             known_entries: Mutex::default(),
             notices_stale: AtomicBool::new(false),
-            unread_headers: Mutex::default(),
+            unknown_headers: Mutex::default(),
             settings,
         })
     }
@@ -256,9 +256,9 @@
         lock(&self.sizes)
     }
 
-    /// Headers of answers that nothing reads.
-    pub fn unread_headers(&self) -> MutexGuard<'_, UnreadHeaders> {
-        lock(&self.unread_headers)
+    /// Unknown headers in answers of servers.
+    pub fn unknown_headers(&self) -> MutexGuard<'_, UnknownHeaders> {
+        lock(&self.unknown_headers)
     }
 
     /// The other processes.
@@ -446,9 +446,9 @@
         servers.set_others(loads);
         servers.set_entries(entries);
         if servers.has_limits() {
-            servers.share_limits(self.now(), self.settings.node.control.into(), &holders);
+            servers.assign_limit_shares(self.now(), self.settings.node.control.into(), &holders);
         }
-        self.metrics.set_named_limits(servers.named_limits());
+        self.metrics.set_rate_limits(servers.rate_limits());
         let mut known = lock(&self.known_entries);
         if known.0 != entries {
             *known = (entries, self.now());
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -59,10 +59,10 @@
     revision: IntGauge,
     nodes: IntGaugeVec,
     fact_ages: IntGaugeVec,
-    unread_headers: IntCounterVec,
-    server_words: IntCounterVec,
-    unreadable_words: IntCounterVec,
-    named_limits: IntGauge,
+    unknown_headers: IntCounterVec,
+    server_signals: IntCounterVec,
+    malformed_signals: IntCounterVec,
+    rate_limits: IntGauge,
     passed_over: IntCounterVec,
     in_progress: IntGauge,
 }
@@ -87,25 +87,25 @@
             counter("headlatch_chunk_failures_total", "Failed fetches by cause.", &["cause"]);
         let control_bytes =
             counter("headlatch_gossip_bytes_total", "Bytes of gossip by way.", &["way"]);
-        let unread_headers = counter(
-            "headlatch_unread_headers_total",
-            "Headers of servers' answers that nothing reads, by name.",
+        let unknown_headers = counter(
+            "headlatch_unknown_headers_total",
+            "Unknown headers in answers of servers, by name.",
             &["header"],
         );
-        let server_words = counter(
-            "headlatch_server_words_total",
-            "Words of servers in their answers that change what they are sent, by kind.",
-            &["word"],
+        let server_signals = counter(
+            "headlatch_server_signals_total",
+            "Signals in answers of servers that change routing, by kind.",
+            &["signal"],
         );
-        let unreadable_words = counter(
-            "headlatch_unreadable_words_total",
-            "Words of servers in their answers that cannot be read, by kind.",
-            &["word"],
+        let malformed_signals = counter(
+            "headlatch_malformed_signals_total",
+            "Malformed signals in answers of servers, by kind.",
+            &["signal"],
         );
         let passed_over = counter(
-            "headlatch_servers_passed_over_total",
-            "Servers that a refused request was kept from by their own words, by kind.",
-            &["word"],
+            "headlatch_servers_excluded_total",
+            "Servers excluded by their signals when a request was refused, by kind.",
+            &["signal"],
         );
         let latency = HistogramOpts::new("headlatch_first_byte_seconds", "Time to the first byte.")
             .buckets(LATENCY_BUCKETS.to_vec());
@@ -124,7 +124,7 @@
             register(&registry, gauge)
         };
         let revision = gauge("headlatch_revision", "Revision of the configuration in force.");
-        let named_limits = gauge("headlatch_named_limits", "Servers that name a limit now.");
+        let rate_limits = gauge("headlatch_rate_limited_servers", "Servers with a rate limit.");
         let in_progress = gauge("headlatch_in_progress", "Requests in progress.");
         Self {
             registry,
@@ -138,10 +138,10 @@
             revision,
             nodes,
             fact_ages,
-            unread_headers,
-            server_words,
-            unreadable_words,
-            named_limits,
+            unknown_headers,
+            server_signals,
+            malformed_signals,
+            rate_limits,
             passed_over,
             in_progress,
         }
@@ -175,39 +175,39 @@
         self.steps.with_label_values(&[route, size.as_str(), step.as_str()]).get()
     }
 
-    /// Counts a header of an answer that nothing reads.
-    pub fn count_unread_header(&self, name: &str) {
-        self.unread_headers.with_label_values(&[name]).inc();
+    /// Counts an unknown header of an answer.
+    pub fn count_unknown_header(&self, name: &str) {
+        self.unknown_headers.with_label_values(&[name]).inc();
     }
 
-    /// Headers of answers counted under this name so far.
-    pub fn unread_headers(&self, name: &str) -> u64 {
-        self.unread_headers.with_label_values(&[name]).get()
+    /// Unknown headers counted under this name so far.
+    pub fn unknown_headers(&self, name: &str) -> u64 {
+        self.unknown_headers.with_label_values(&[name]).get()
     }
 
-    /// Counts a word of a server that changes what it is sent.
-    pub fn count_server_word(&self, word: &str) {
-        self.server_words.with_label_values(&[word]).inc();
+    /// Counts a signal of a server that changes routing.
+    pub fn count_server_signal(&self, signal: &str) {
+        self.server_signals.with_label_values(&[signal]).inc();
     }
 
-    /// Counts a word of a server that cannot be read.
-    pub fn count_unreadable_word(&self, word: &str) {
-        self.unreadable_words.with_label_values(&[word]).inc();
+    /// Counts a malformed signal of a server.
+    pub fn count_malformed_signal(&self, signal: &str) {
+        self.malformed_signals.with_label_values(&[signal]).inc();
     }
 
-    /// Words of servers of this kind that could not be read so far.
-    pub fn unreadable_words(&self, word: &str) -> u64 {
-        self.unreadable_words.with_label_values(&[word]).get()
+    /// Malformed signals of this kind so far.
+    pub fn malformed_signals(&self, signal: &str) -> u64 {
+        self.malformed_signals.with_label_values(&[signal]).get()
     }
 
-    /// Sets the number of servers that name a limit.
-    pub fn set_named_limits(&self, count: usize) {
-        self.named_limits.set(count as i64);
+    /// Sets the number of servers with a rate limit.
+    pub fn set_rate_limits(&self, count: usize) {
+        self.rate_limits.set(count as i64);
     }
 
-    /// Counts servers that a refused request was kept from by their own words.
-    pub fn count_passed_over(&self, word: &str, count: u32) {
-        self.passed_over.with_label_values(&[word]).inc_by(count.into());
+    /// Counts servers that their signals excluded when a request was refused.
+    pub fn count_excluded(&self, signal: &str, count: u32) {
+        self.passed_over.with_label_values(&[signal]).inc_by(count.into());
     }
 
     /// Notes the time to the first byte of an answer.
--- a/crates/daemon/tests/notice_writer.rs
+++ b/crates/daemon/tests/notice_writer.rs
@@ -8,10 +8,10 @@
         engine_model::EngineLoad,
         fact_age::ChangeMark,
         leaving::{LeavingNotice, MOST_LEAVING},
-        named_limits::{LimitNotice, MOST_LIMITS},
         peers::{
             DomainKey, LoadNotice, NAMED_PEERS, PeerKind, PeerNotice, PeerTable, WantedNotice,
         },
+        rate_limits::{LimitNotice, MOST_LIMITS},
         suspects::{EndedRun, LifeKey, MOST_TOLD, SuspectNotice},
     },
     time::Moment,
@@ -135,8 +135,8 @@
     expect_that!(decode(&encode(&suspecting)), some(eq(&suspecting)));
     let limit = |limit| LimitNotice { life: LifeKey(7), limit, age: Duration::from_millis(1234) };
     let limits = vec![limit(None), limit(Some(RequestRate::from_milli(1200)))];
-    let leaving_lives = vec![LifeKey(7), LifeKey(u32::MAX)];
-    let limiting = PeerNotice { limits, leaving_lives, ..notice.clone() };
+    let draining_lives = vec![LifeKey(7), LifeKey(u32::MAX)];
+    let limiting = PeerNotice { limits, draining_lives, ..notice.clone() };
     expect_that!(decode(&encode(&limiting)), some(eq(&limiting)));
     let full = PeerNotice { peers: vec![address(NEAR, 4); NAMED_PEERS], ..notice };
     expect_that!(encode(&full).len(), lt(700));
--- a/crates/daemon/tests/named_limits.rs
+++ b/crates/daemon/tests/rate_limits.rs
@@ -1,4 +1,4 @@
-//! A server in need names a limit in its answers: entries that know of it keep it together.
+//! A rate limit that a server advertises in its answers holds for all entries together.
 
 mod support;
 
@@ -21,7 +21,7 @@
     TestStore, ask_with,
     entries::{EntryProcess, start_all_with},
     plan, record,
-    speaking::{SpeakingServer, most_in_span},
+    signaling::{SignalingServer, most_in_span},
 };
 use tokio::{runtime::Runtime, time::Instant};
 
@@ -34,7 +34,7 @@
 struct Setting {
     callers: Runtime,
     entries: Vec<EntryProcess>,
-    servers: Vec<SpeakingServer>,
+    servers: Vec<SignalingServer>,
 }
 
 impl Setting {
@@ -42,8 +42,8 @@
         let callers = Runtime::new().expect("a runtime");
         let store = Arc::new(TestStore::default());
         store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(5))));
-        let servers: Vec<SpeakingServer> =
-            (0..servers).map(|_| callers.block_on(SpeakingServer::start())).collect();
+        let servers: Vec<SignalingServer> =
+            (0..servers).map(|_| callers.block_on(SignalingServer::start())).collect();
         for (number, server) in servers.iter().enumerate() {
             let name = format!("i{number}");
             store.set(FactTopic::Servers, &name, Fact::Server(record(&name, server.address, "z1")));
@@ -104,13 +104,12 @@
     let from = named + Duration::from_secs(3);
     let most = most_in_span(&limited.arrivals(), Duration::from_secs(4), from);
     expect_that!(most, le(allowed(2.0)));
-    // It still works for as much as it has named.
     expect_that!(most, ge(4));
     expect_that!(served, ge(0.99));
 }
 
 #[gtest]
-fn requests_beyond_the_limits_of_all_servers_are_refused_at_once_with_a_time_to_come_back() {
+fn requests_beyond_all_rate_limits_are_refused_at_once_with_a_retry_after() {
     let setting = Setting::new(1);
     let limited = &setting.servers[0];
     limited.say(&["server-limit: 0.5"]);
@@ -130,7 +129,7 @@
 }
 
 #[gtest]
-fn a_server_that_names_no_limit_any_more_is_used_by_all_entries_again() {
+fn a_lifted_rate_limit_leaves_the_server_to_all_entries() {
     let setting = Setting::new(1);
     let server = &setting.servers[0];
     server.say(&["server-limit: 1"]);
@@ -142,12 +141,13 @@
 }
 
 #[gtest]
-fn a_limit_that_cannot_be_read_is_counted_and_taken_for_a_small_one() {
+fn a_malformed_rate_limit_is_counted_and_replaced_by_a_low_one() {
     let setting = Setting::new(2);
     let limited = &setting.servers[0];
     limited.say(&["server-limit: a few"]);
     setting.press(Duration::from_millis(100), Duration::from_secs(4));
-    let unreadable = |entry: &EntryProcess| entry.entry.state.metrics.unreadable_words("limit");
+    let unreadable =
+        |entry: &EntryProcess| entry.entry.state.metrics.malformed_signals("rate_limit");
     expect_that!(setting.entries.iter().map(unreadable).sum::<u64>(), ge(1));
     let from = limited.arrivals()[0] + Duration::from_secs(2);
     let late = limited.arrivals().iter().filter(|at| **at >= from).count();
--- a/crates/daemon/tests/server_words.rs
+++ b/crates/daemon/tests/server_signals.rs
@@ -1,4 +1,4 @@
-//! What servers say of themselves in their answers binds an entry whatever the store says.
+//! Drain announcements and backoffs in answers of servers hold whatever the store says.
 
 mod support;
 
@@ -17,14 +17,14 @@
     TestStore, ask_with,
     entries::{EntryProcess, start_all_with},
     plan, record, settings,
-    speaking::SpeakingServer,
+    signaling::SignalingServer,
 };
 use tokio::runtime::Runtime;
 
 /// An entry before servers of one service, all of which its store lists as ready.
 struct Setting {
     entry: DirectEntry,
-    servers: Vec<SpeakingServer>,
+    servers: Vec<SignalingServer>,
 }
 
 impl Setting {
@@ -33,7 +33,7 @@
         store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(5))));
         let mut servers = Vec::new();
         for number in 0..count {
-            let server = SpeakingServer::start().await;
+            let server = SignalingServer::start().await;
             let name = format!("i{number}");
             store.set(FactTopic::Servers, &name, Fact::Server(record(&name, server.address, "z1")));
             servers.push(server);
@@ -80,7 +80,7 @@
 
 #[gtest]
 #[tokio::test]
-async fn a_word_of_leaving_that_cannot_be_read_is_counted_and_taken_for_one() {
+async fn a_malformed_drain_announcement_is_counted_and_believed() {
     let setting = Setting::new(2).await;
     let leaving = &setting.servers[0];
     leaving.say(&["server-leaving: soon"]);
@@ -89,13 +89,12 @@
     }
     setting.ask_often(20).await;
     expect_that!(leaving.arrivals().len(), eq(1));
-    expect_that!(setting.entry.state.metrics.unreadable_words("leaving"), eq(1));
+    expect_that!(setting.entry.state.metrics.malformed_signals("draining"), eq(1));
 }
 
-/// Its callers come back at once to somebody who may know better.
 #[gtest]
 #[tokio::test]
-async fn a_service_whose_servers_all_leave_refuses_at_once() {
+async fn a_service_whose_servers_all_drain_refuses_at_once() {
     let setting = Setting::new(2).await;
     setting.servers.iter().for_each(|server| server.say(&["server-leaving: 1"]));
     setting.ask_often(4).await;
@@ -107,11 +106,11 @@
 }
 
 #[gtest]
-fn a_server_that_has_told_one_entry_that_it_leaves_gets_nothing_from_others() {
+fn a_drain_announcement_to_one_entry_holds_for_others() {
     let callers = Runtime::new().expect("a runtime");
     let store = Arc::new(TestStore::default());
     store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(5))));
-    let servers = [(); 2].map(|()| callers.block_on(SpeakingServer::start()));
+    let servers = [(); 2].map(|()| callers.block_on(SignalingServer::start()));
     for (number, server) in servers.iter().enumerate() {
         let name = format!("i{number}");
         store.set(FactTopic::Servers, &name, Fact::Server(record(&name, server.address, "z1")));
@@ -146,7 +145,6 @@
     }
     let told: Vec<_> = resting.iter().map(|server| server.arrivals()).collect();
     let statuses = setting.ask_often(60).await;
-    // The one that is left serves all of them.
     expect_that!(statuses, each(eq(&StatusCode::OK)));
     for (server, told) in resting.iter().zip(&told) {
         let until = told[0] + Duration::from_millis(1500);
@@ -157,7 +155,7 @@
 
 #[gtest]
 #[tokio::test]
-async fn a_service_whose_servers_all_rest_refuses_at_once_until_then() {
+async fn a_service_whose_servers_all_back_off_refuses_until_the_first_is_free() {
     let setting = Setting::new(2).await;
     setting.servers.iter().for_each(|server| server.refuse(&["retry-after: 4"]));
     setting.ask_often(3).await;
@@ -173,7 +171,7 @@
 
 #[gtest]
 #[tokio::test]
-async fn a_rest_that_cannot_be_read_is_counted_and_kept_for_some_seconds() {
+async fn a_malformed_retry_after_is_counted_and_replaced_by_some_seconds() {
     let setting = Setting::new(2).await;
     let resting = &setting.servers[0];
     resting.refuse(&["retry-after: Thu, 03 Dec 2026 10:00:00 GMT"]);
@@ -182,5 +180,5 @@
     }
     setting.ask_often(30).await;
     expect_that!(resting.arrivals().len(), eq(1));
-    expect_that!(setting.entry.state.metrics.unreadable_words("rest"), eq(1));
+    expect_that!(setting.entry.state.metrics.malformed_signals("retry_after"), eq(1));
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -10,7 +10,7 @@
 pub mod mortal;
 pub mod paced;
 pub mod server;
-pub mod speaking;
+pub mod signaling;
 
 use std::{net::SocketAddr, sync::Mutex, time::Duration};
 
--- a/crates/daemon/tests/support/speaking.rs
+++ b/crates/daemon/tests/support/signaling.rs
@@ -1,4 +1,4 @@
-//! Servers that say something of themselves in the heads of their answers, in the platform's own words.
+//! Servers that send rate limits, drain announcements and backoffs in the headers of their answers.
 
 use std::{
     net::SocketAddr,
@@ -15,28 +15,28 @@
 
 /// What a server answers every request with.
 #[derive(Debug, Clone, Default)]
-struct AnswerWords {
-    /// It turns requests away.
+struct AnswerScript {
+    /// It refuses all requests.
     refuses: bool,
-    /// Further lines of the head.
+    /// Further header lines.
     lines: Vec<String>,
 }
 
 /// A server that answers at once, on connections that stay open.
 #[derive(Debug, Clone)]
-pub struct SpeakingServer {
+pub struct SignalingServer {
     /// Where it listens.
     pub address: SocketAddr,
-    words: Arc<Mutex<AnswerWords>>,
+    script: Arc<Mutex<AnswerScript>>,
     arrivals: Arc<Mutex<Vec<Instant>>>,
 }
 
-impl SpeakingServer {
-    /// Starts a server on a free port that says nothing of itself.
+impl SignalingServer {
+    /// Starts a server on a free port that sends no signals.
     pub async fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let address = listener.local_addr().expect("it is bound");
-        let server = Self { address, words: Arc::default(), arrivals: Arc::default() };
+        let server = Self { address, script: Arc::default(), arrivals: Arc::default() };
         let served = server.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -46,19 +46,19 @@
         server
     }
 
-    /// Serves requests from now on with these lines in the heads of its answers.
+    /// Serves requests from now on, with these header lines in its answers.
     pub fn say(&self, lines: &[&str]) {
         self.set(false, lines);
     }
 
-    /// Turns requests away from now on with these lines in the heads of its answers.
+    /// Refuses requests from now on, with these header lines in its answers.
     pub fn refuse(&self, lines: &[&str]) {
         self.set(true, lines);
     }
 
     fn set(&self, refuses: bool, lines: &[&str]) {
         let lines = lines.iter().map(|line| (*line).to_owned()).collect();
-        *self.words.lock().expect("no test panics with it") = AnswerWords { refuses, lines };
+        *self.script.lock().expect("no test panics with it") = AnswerScript { refuses, lines };
     }
 
     /// When requests have come.
@@ -77,8 +77,8 @@
     }
 
     fn answer(&self, id: &str) -> String {
-        let AnswerWords { refuses, lines } =
-            self.words.lock().expect("no test panics with it").clone();
+        let AnswerScript { refuses, lines } =
+            self.script.lock().expect("no test panics with it").clone();
         let status = match refuses {
             true => "503 Service Unavailable\r\nnot-executed: 1",
             false => "200 OK\r\nresponse-stamp: s",
--- a/crates/daemon/tests/unread_headers.rs
+++ b/crates/daemon/tests/unknown_headers.rs
@@ -1,4 +1,4 @@
-//! A server may say more in its answers than this version understands: operators hear of it by name.
+//! Unknown headers in answers of servers are visible to operators by name.
 
 mod support;
 
@@ -8,14 +8,14 @@
 use headlatch_daemon::direct::entry::DirectEntry;
 use headlatch_outside::facts::{Fact, FactTopic};
 use headlatch_platform::PlatformHeaders;
-use support::{TestStore, ask_with, plan, record, settings, speaking::SpeakingServer};
+use support::{TestStore, ask_with, plan, record, settings, signaling::SignalingServer};
 
 #[gtest]
 #[tokio::test]
-async fn a_header_that_nothing_reads_is_counted_by_name() {
+async fn an_unknown_header_is_counted_by_name() {
     let store = Arc::new(TestStore::default());
     store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(5))));
-    let server = SpeakingServer::start().await;
+    let server = SignalingServer::start().await;
     server.say(&["server-mood: low", "content-type: text/plain", "keep-alive: timeout=5"]);
     store.set(FactTopic::Servers, "i0", Fact::Server(record("i0", server.address, "z1")));
     let entry = DirectEntry::start(settings(), store, Arc::new(PlatformHeaders)).await;
@@ -29,8 +29,8 @@
         ask_with(entry.address, "/safe/a", &lines).await.expect("an answer");
     }
     let metrics = &entry.state.metrics;
-    expect_that!(metrics.unread_headers("server-mood"), eq(3));
+    expect_that!(metrics.unknown_headers("server-mood"), eq(3));
     for known in ["content-type", "keep-alive", "request-id", "response-stamp", "other"] {
-        expect_that!(metrics.unread_headers(known), eq(0), "{known}");
+        expect_that!(metrics.unknown_headers(known), eq(0), "{known}");
     }
 }
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -364,11 +364,11 @@
             Some(_) => ExchangeError::unsent("the connection had closed", false),
             None => ExchangeError::lost(error.error().to_string()),
         })?;
-        self.note_rest(answer.headers());
+        self.start_backoff(answer.headers());
         Ok(answer)
     }
 
-    fn note_rest(&mut self, headers: &HeaderMap) {
+    fn start_backoff(&mut self, headers: &HeaderMap) {
         let closes = headers
             .get(header::CONNECTION)
             .and_then(|value| value.to_str().ok())
--- a/crates/outside/src/headers.rs
+++ b/crates/outside/src/headers.rs
@@ -44,16 +44,16 @@
     pub priority: Option<u8>,
 }
 
-/// What a head says of one matter.
+/// A header value, parsed once.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum HeadValue<T> {
-    /// Nothing.
+pub enum ParsedHeader<T> {
+    /// The header is missing.
     #[default]
     Absent,
-    /// This.
-    Said(T),
-    /// Something that cannot be read.
-    Unreadable,
+    /// Its value.
+    Valid(T),
+    /// It is there, but its value cannot be parsed.
+    Malformed,
 }
 
 /// What an answer's head says.
@@ -67,12 +67,12 @@
     pub misdirected: bool,
     /// The answer is signed by a server.
     pub signed: bool,
-    /// Requests a second that the server takes from all entries together.
-    pub limit: HeadValue<RequestRate>,
-    /// The server is leaving.
-    pub leaving: HeadValue<bool>,
-    /// Time for which the server, which turns the request away, wants nothing more from this entry.
-    pub rest: HeadValue<Duration>,
+    /// Rate limit of the server, for all entries together.
+    pub rate_limit: ParsedHeader<RequestRate>,
+    /// The server is draining.
+    pub draining: ParsedHeader<bool>,
+    /// Time for which the server, which refused the request, wants no other from this entry.
+    pub retry_after: ParsedHeader<Duration>,
 }
 
 /// The headers in which one platform says these things.
@@ -83,8 +83,8 @@
     fn write_request(&self, headers: &mut HeaderMap, facts: &SendFacts);
     /// Reads an answer's head.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
-    /// Names in an answer's head that belong neither to HTTP nor to this form: nothing reads what they say.
-    fn unread_in_answer(&self, _headers: &HeaderMap) -> Vec<HeaderName> {
+    /// Names of headers in an answer that neither HTTP nor this form defines.
+    fn unknown_in_answer(&self, _headers: &HeaderMap) -> Vec<HeaderName> {
         Vec::new()
     }
     /// Marks an answer of our own as belonging to a request.
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -111,16 +111,16 @@
     pub left_s: u32,
 }
 
-/// Word of a limit that a server names.
+/// A rate limit that a server advertises.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct NoticeLimit {
     /// Key of the life of the server.
     #[prost(fixed32, tag = "1")]
     pub life: u32,
-    /// Thousandths of a request a second; none if the server names no limit any more.
+    /// Thousandths of a request a second; none if the limit was lifted.
     #[prost(uint64, optional, tag = "2")]
     pub limit_milli: Option<u64>,
-    /// Milliseconds since the server said so.
+    /// Milliseconds since the server advertised it.
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
 }
@@ -185,10 +185,10 @@
     /// Failure domains that are being emptied; none if nothing is known of that.
     #[prost(message, optional, tag = "19")]
     pub evacuated: Option<NoticeEvacuated>,
-    /// Limits that servers have named a short time ago.
+    /// Rate limits that servers have advertised.
     #[prost(message, repeated, tag = "20")]
     pub limits: Vec<NoticeLimit>,
-    /// Keys of the lives of servers that have said a short time ago that they leave.
+    /// Keys of the lives of servers that have announced that they drain.
     #[prost(fixed32, repeated, tag = "21")]
-    pub leaving_lives: Vec<u32>,
+    pub draining_lives: Vec<u32>,
 }
