--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -27,10 +27,12 @@
 mod choice;
 mod cold;
 mod limits;
+mod signals;
 
 pub use changing::ContinuationLimits;
 pub use choice::{ChosenServer, EngineQuery, FullServers, ServerChoice, ServerQuery};
 pub use cold::ColdRates;
+pub use signals::Ineligible;
 
 /// The same for streams that are continued.
 const CONTINUED_QUEUE: u32 = 6;
@@ -68,28 +70,6 @@
     Abandoned,
 }
 
-/// Why a chosen server is not sent the request after all.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ineligible {
-    /// It is no longer listed, or has restarted.
-    Gone,
-    /// It is draining.
-    Draining,
-    /// It has asked this entry to back off.
-    BackingOff,
-}
-
-impl Ineligible {
-    /// The cause, for logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Gone => "server_gone",
-            Self::Draining => "server_draining",
-            Self::BackingOff => "server_backoff",
-        }
-    }
-}
-
 /// A server with what this entry knows of it.
 #[derive(Debug, Clone)]
 struct ServerState {
@@ -241,13 +221,6 @@
         removed.is_some()
     }
 
-    fn prune_draining_lives(&mut self, now: Moment) {
-        if !self.draining_lives.is_empty() {
-            let lives: HashSet<LifeKey> = self.servers.values().map(|state| state.life).collect();
-            self.draining_lives.forget_old(now, |life| lives.contains(&life));
-        }
-    }
-
     /// Takes out every server but those in `listed`, the list as of `revision`.
     pub fn keep_only(&mut self, now: Moment, listed: &[ServerId], revision: ChangeMark) {
         let listed: HashSet<&ServerId> = listed.iter().collect();
@@ -287,36 +260,6 @@
         self.leaving.recent(now)
     }
 
-    /// Marks a server that has announced in an answer that it drains; returns whether that is new.
-    pub fn mark_draining(&mut self, now: Moment, life: LifeKey) -> bool {
-        self.draining_lives.note(now, life)
-    }
-
-    /// Draining servers to gossip.
-    pub fn recently_draining_lives(&self, now: Moment) -> Vec<LifeKey> {
-        self.draining_lives.recent(now)
-    }
-
-    /// Keeps requests of this entry from a server for `backoff`, as it has asked.
-    pub fn start_backoff(&mut self, now: Moment, server: &ChosenServer, backoff: Duration) {
-        let state = self.servers.get_mut(&server.id).filter(|state| state.life == server.life);
-        if let Some(state) = state {
-            // A shorter time in a late answer does not end a longer one.
-            state.backoff_until = state.backoff_until.max(Some(now + backoff));
-        }
-    }
-
-    /// Whether a chosen server may still be sent the request.
-    pub fn check_eligibility(&self, now: Moment, server: &ChosenServer) -> Result<(), Ineligible> {
-        let state = self.servers.get(&server.id).filter(|state| state.life == server.life);
-        match state {
-            None => Err(Ineligible::Gone),
-            Some(state) if self.takes_nothing(state) => Err(Ineligible::Draining),
-            Some(state) if !state.backoff(now).is_zero() => Err(Ineligible::BackingOff),
-            Some(_) => Ok(()),
-        }
-    }
-
     /// The records.
     pub fn records(&self) -> impl Iterator<Item = &ServerRecord> {
         self.servers.values().map(|state| &state.record)
@@ -483,16 +426,6 @@
 }
 
 impl ServerState {
-    /// Rest of the backoff that it has asked for.
-    fn backoff(&self, now: Moment) -> Duration {
-        self.backoff_until.map_or(Duration::ZERO, |until| until.since(now))
-    }
-
-    /// Whether it backs off, or its first request after that is still unanswered.
-    fn is_backing_off(&self, now: Moment) -> bool {
-        !self.backoff(now).is_zero() || (self.backoff_until.is_some() && self.waiting > 0)
-    }
-
     /// Forgets what is known of the server's life so far, which has ended. What this entry has in
     /// progress there ends by itself.
     fn forget_life(&mut self) {
