--- /dev/null
+++ b/crates/core/src/direct/admission/mod.rs
@@ -0,0 +1,5 @@
+//! Admission of new requests while engines are busy: which are refused, and in which order the others are
+//! sent on.
+
+pub mod shedding;
+pub mod urgency;
--- a/crates/core/src/direct/shedding.rs
+++ b/crates/core/src/direct/admission/shedding.rs
@@ -17,8 +17,10 @@
     traffic::{AllowedRegions, EngineCapacity},
 };
 
-use super::engine_model::{EngineLoad, EngineWork, time_to_first_token, usual_prefill_time};
-use crate::time::Moment;
+use crate::{
+    direct::engine_model::{EngineLoad, EngineWork, time_to_first_token, usual_prefill_time},
+    time::Moment,
+};
 
 /// Share of the objective, in percent, within which the first token of an admitted request should
 /// arrive. Predictions are based on loads that are slightly out of date.
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -1,6 +1,7 @@
 //! Decision logic of entries that call servers directly and of agents that stage weights in pieces:
 //! routing, server selection, retries and admission.
 
+pub mod admission;
 pub mod draining;
 pub mod engine_model;
 pub mod evacuation;
@@ -19,7 +20,6 @@
 pub mod route_table;
 pub mod server_copy;
 pub mod server_table;
-pub mod shedding;
 pub mod size_class;
 pub mod staging;
 pub mod stream_timing;
--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -14,8 +14,8 @@
 };
 use crate::{
     direct::{
+        admission::shedding::EngineHeadroom,
         engine_model::{EngineLoad, EngineWork, time_to_first_token},
-        shedding::EngineHeadroom,
         suspects::LifeKey,
     },
     time::Moment,
--- a/crates/core/tests/allowed_regions.rs
+++ b/crates/core/tests/allowed_regions.rs
@@ -6,13 +6,13 @@
 
 use googletest::prelude::*;
 use headlatch_core::direct::{
+    admission::shedding::{EngineHeadroom, LoadShedder, NewRequest, ShedRank},
     engine_model::{EngineLoad, EngineWork},
     peers::DomainKey,
     server_table::{
         ContinuationLimits, EngineQuery, ServerChoice, ServerOutcome, ServerQuery, ServerTable,
         server_key,
     },
-    shedding::{EngineHeadroom, LoadShedder, NewRequest, ShedRank},
 };
 use headlatch_types::{
     id::{DomainId, RegionId},
--- a/crates/core/tests/shedding.rs
+++ b/crates/core/tests/shedding.rs
@@ -5,8 +5,8 @@
 use googletest::prelude::*;
 use headlatch_core::{
     direct::{
+        admission::shedding::{EngineHeadroom, LoadShedder, NewRequest, RANK_PERIOD, ShedRank},
         engine_model::EngineLoad,
-        shedding::{EngineHeadroom, LoadShedder, NewRequest, RANK_PERIOD, ShedRank},
     },
     time::Moment,
 };
--- a/crates/core/tests/sizes.rs
+++ b/crates/core/tests/sizes.rs
@@ -21,12 +21,12 @@
 use googletest::prelude::*;
 use headlatch_core::{
     direct::{
+        admission::shedding::{LoadShedder, NewRequest, ShedRank},
         engine_model::{EngineLoad, EngineWork},
         fact_age::ChangeMark,
         server_table::{
             ChosenServer, EngineQuery, ServerChoice, ServerOutcome, ServerQuery, ServerTable,
         },
-        shedding::{LoadShedder, NewRequest, ShedRank},
         size_class::SizeClass,
     },
     time::Moment,
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -4,10 +4,10 @@
 
 use headlatch_core::{
     direct::{
+        admission::shedding::{NewRequest, ShedRank},
         server_table::{
             ChosenServer, EngineQuery, ExclusionCounts, ServerChoice, ServerOutcome, ServerQuery,
         },
-        shedding::{NewRequest, ShedRank},
         suspects::{ProgressAtEnd, QUARANTINE_TIME},
     },
     time::Moment,
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -7,6 +7,7 @@
 };
 
 use headlatch_core::direct::{
+    admission::urgency::UrgencyRank,
     engine_model::EngineWork,
     request_digest::{RequestContent, RequestDigests},
     route_table::{Denial, RouteTable, pick_target},
@@ -87,6 +88,8 @@
     pub digests: RequestDigests,
     /// Size class of the body among recent requests of the route.
     pub size: SizeClass,
+    /// Urgency among the requests of the service; `None` if the service does not distinguish urgencies.
+    pub urgency: Option<UrgencyRank>,
 }
 
 /// Keeps a request in the count of requests in progress.
@@ -194,6 +197,7 @@
         facts,
         digests,
         size,
+        urgency: None,
     })
 }
 
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -12,6 +12,7 @@
 
 use headlatch_core::{
     direct::{
+        admission::shedding::LoadShedder,
         evacuation::EvacuatedDomains,
         fact_age::FactAge,
         peers::{DomainKey, DrainNotice, PeerKind, PeerTable, WantedNotice},
@@ -20,7 +21,6 @@
         route_table::RouteTable,
         server_copy::ServerCopy,
         server_table::{ColdRates, ContinuationLimits, ServerTable},
-        shedding::LoadShedder,
         size_class::SizeRanks,
         weight_deadline::WeightDeadlines,
     },
