Hold the regions that organisations allow, beside those of routes

Cause: a plan may restrict an organisation's requests to some regions. The field was dropped when the plan was read, so that such a restriction would have been ignored without a word.

Change: Tenant::allowed_regions. A request may run where both its route and its organisation allow it, by the plan in force at each attempt; regions without overlap allow no server. Streams of a service count as bound to their region where an organisation is restricted.

--- a/crates/core/src/direct/route_table.rs
+++ b/crates/core/src/direct/route_table.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use headlatch_types::traffic::{Route, RouteTarget, Tenant, TrafficPlan};
+use headlatch_types::traffic::{AllowedRegions, Route, RouteTarget, Tenant, TrafficPlan};
 
 /// A traffic plan with indexes by host, path, key and route name.
 #[derive(Debug, Clone, Default)]
@@ -12,6 +12,7 @@
     hosts: HashMap<String, Vec<usize>>,
     organisations: HashMap<String, usize>,
     names: HashMap<Arc<str>, usize>,
+    organisation_names: HashMap<Arc<str>, usize>,
 }
 
 /// Why a request is rejected.
@@ -41,7 +42,10 @@
             .collect();
         let named = plan.routes.iter().enumerate();
         let names = named.map(|(index, route)| (route.name.clone(), index)).collect();
-        Self { plan, hosts, organisations, names }
+        let called = plan.tenants.iter().enumerate();
+        let organisation_names =
+            called.map(|(index, organisation)| (organisation.name.clone(), index)).collect();
+        Self { plan, hosts, organisations, names, organisation_names }
     }
 
     /// The indexed plan.
@@ -67,6 +71,19 @@
         self.names.get(name).map(|index| &self.plan.routes[*index])
     }
 
+    /// Regions whose endpoints may run the requests of an organisation on a route; `organisation` is `None` for
+    /// anonymous requests. Returns none if the plan lacks the route or the organisation.
+    pub fn allowed_regions(
+        &self,
+        route: &str,
+        organisation: Option<&str>,
+    ) -> Option<AllowedRegions> {
+        let of_route = &self.route_named(route)?.allowed_regions;
+        let Some(name) = organisation else { return Some(of_route.clone()) };
+        let index = *self.organisation_names.get(name)?;
+        Some(of_route.intersection(&self.plan.tenants[index].allowed_regions))
+    }
+
     /// Finds the organisation of a request by its API key. Returns none if the plan has no organisations, or
     /// if the key is missing or unknown and the route allows anonymous requests.
     pub fn organisation(
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -48,7 +48,12 @@
 }
 
 fn plan(routes: Vec<Route>) -> TrafficPlan {
-    let tenant = Tenant { name: "t".into(), keys: vec!["k".to_owned()], priority: None };
+    let tenant = Tenant {
+        name: "t".into(),
+        keys: vec!["k".to_owned()],
+        priority: None,
+        allowed_regions: AllowedRegions::Anywhere,
+    };
     TrafficPlan { version: PlanVersion(1), routes, tenants: vec![tenant], ..TrafficPlan::default() }
 }
 
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -162,15 +162,15 @@
         decisions::info("routing", event, fields);
     }
 
-    /// The regions in which this request may run, taken from its route in the current plan, which
-    /// may be newer than the plan that admitted the request.
+    /// The regions in which this request may run, by the plan in force, which may be newer than the one that
+    /// admitted it.
     fn allowed_regions(&self) -> AllowedRegions {
-        let route = &self.request.route;
+        let request = &self.request;
         let routes = self.state.routes();
-        let newer = routes.filter(|routes| routes.plan().version.0 != self.request.plan);
-        let newer =
-            newer.and_then(|routes| Some(routes.route_named(&route.name)?.allowed_regions.clone()));
-        newer.unwrap_or_else(|| route.allowed_regions.clone())
+        let current = routes.and_then(|routes| {
+            routes.allowed_regions(&request.route.name, request.tenant.as_deref())
+        });
+        current.unwrap_or_else(|| request.allowed_regions.clone())
     }
 
     fn choose(&self, regions: &AllowedRegions) -> ServerChoice {
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -17,7 +17,7 @@
 use headlatch_outside::headers::RequestMetadata;
 use headlatch_types::{
     quantity::ByteSize,
-    traffic::{EngineCapacity, Route, RouteKind},
+    traffic::{AllowedRegions, EngineCapacity, Route, RouteKind},
 };
 use http::{
     HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request::Parts,
@@ -70,6 +70,8 @@
     pub repeatable: bool,
     /// Tenant that the key belongs to.
     pub tenant: Option<String>,
+    /// Regions in which it may run, by the plan that admitted it.
+    pub allowed_regions: AllowedRegions,
     /// Performance figures of the engine; `None` for services without engines.
     pub engine: Option<EngineCapacity>,
     /// When the request arrived.
@@ -157,7 +159,7 @@
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
     let (routes, found) = find_target(state, &parts, facts.key.as_deref()).await?;
-    let RouteMatch { route, tenant } = found;
+    let RouteMatch { route, tenant, allowed_regions } = found;
     let declares_body = parts.headers.contains_key(header::CONTENT_LENGTH)
         || parts.headers.contains_key(header::TRANSFER_ENCODING);
     let limits = routes.plan().limits;
@@ -188,6 +190,7 @@
         route,
         service,
         tenant,
+        allowed_regions,
         engine,
         arrived,
         deadline,
@@ -206,6 +209,7 @@
 struct RouteMatch {
     route: Route,
     tenant: Option<String>,
+    allowed_regions: AllowedRegions,
 }
 
 /// Finds the route and tenant of a request, and the route table that they were found in.
@@ -247,7 +251,12 @@
     let tenant = routes.organisation(route, key);
     let tenant =
         tenant.map_err(|_| ErrorResponse::denied(StatusCode::UNAUTHORIZED, "unknown_key"))?;
-    Ok(RouteMatch { route: route.clone(), tenant: tenant.map(|tenant| tenant.name.to_string()) })
+    let allowed_regions = match tenant {
+        Some(tenant) => route.allowed_regions.intersection(&tenant.allowed_regions),
+        None => route.allowed_regions.clone(),
+    };
+    let (route, tenant) = (route.clone(), tenant.map(|tenant| tenant.name.to_string()));
+    Ok(RouteMatch { route, tenant, allowed_regions })
 }
 
 fn host_of<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> &'a str {
--- a/crates/daemon/tests/allowed_regions.rs
+++ b/crates/daemon/tests/allowed_regions.rs
@@ -1,5 +1,5 @@
 //! An entry between two regions: what may run in one of them only reaches no server of the other,
-//! whatever fails, also after the plan has moved it.
+//! whatever fails, also after the plan has moved it. Routes and organisations may both be restricted.
 
 mod support;
 
@@ -15,7 +15,7 @@
     server::{Responder, Script, TestServer},
     settings,
 };
-use tokio::{net::TcpStream, sync::watch};
+use tokio::{io::AsyncWriteExt, net::TcpStream, sync::watch};
 
 fn answer(head: &str, status: &str, further: &str) -> Vec<u8> {
     let id = header(head, "x-id").unwrap_or_default();
@@ -51,13 +51,37 @@
     .into_bytes()
 }
 
-fn plan_in(version: u64, region: &str) -> TrafficPlan {
-    let regions = AllowedRegions::Only([region.parse().expect("a name")].into());
+/// What the plan restricts to a region.
+#[derive(Debug, Clone, Copy)]
+enum Restricted {
+    Routes,
+    Organisation,
+}
+
+const BOTH: [Restricted; 2] = [Restricted::Routes, Restricted::Organisation];
+
+fn only(region: &str) -> AllowedRegions {
+    AllowedRegions::Only([region.parse().expect("a name")].into())
+}
+
+fn plan_in(restricted: Restricted, version: u64, region: &str) -> TrafficPlan {
+    match restricted {
+        Restricted::Routes => plan_with(version, &only(region), &AllowedRegions::Anywhere),
+        Restricted::Organisation => plan_with(version, &AllowedRegions::Anywhere, &only(region)),
+    }
+}
+
+/// A plan whose routes and whose only organisation allow these regions.
+fn plan_with(version: u64, regions: &AllowedRegions, organisation: &AllowedRegions) -> TrafficPlan {
     let kinds = [RouteKind::Repeatable, RouteKind::Once, RouteKind::Stream];
     let routes = kinds.into_iter().zip(["safe", "once", "stream"]);
     let routes =
         routes.map(|(kind, name)| Route { allowed_regions: regions.clone(), ..route(name, kind) });
-    TrafficPlan { routes: routes.collect(), ..plan(version) }
+    let mut plan = TrafficPlan { routes: routes.collect(), ..plan(version) };
+    for tenant in &mut plan.tenants {
+        tenant.allowed_regions = organisation.clone();
+    }
+    plan
 }
 
 struct Setting {
@@ -69,14 +93,19 @@
 
 impl Setting {
     /// An entry in `r1`, and routes whose requests may run in `r2` alone.
-    async fn new(near: Script, far: Script) -> Self {
-        Self::with_store(near, far, TestStore::default()).await
+    async fn new(restricted: Restricted, near: Script, far: Script) -> Self {
+        Self::with_plan(near, far, TestStore::default(), plan_in(restricted, 5, "r2")).await
     }
 
-    async fn with_store(near: impl Responder, far: impl Responder, store: TestStore) -> Self {
+    async fn with_plan(
+        near: impl Responder,
+        far: impl Responder,
+        store: TestStore,
+        plan: TrafficPlan,
+    ) -> Self {
         let store = Arc::new(store);
         let (near, far) = (TestServer::start(near).await, TestServer::start(far).await);
-        store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan_in(5, "r2"))));
+        store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan)));
         let servers = [("i1", near.address, "z1"), ("i2", far.address, "z2")];
         for (name, address, zone) in servers {
             store.set(FactTopic::Servers, name, Fact::Server(record(name, address, zone)));
@@ -92,13 +121,23 @@
         }
         Self { entry, store, near, far }
     }
+
+    /// Puts a newer plan in force.
+    async fn apply(&self, plan: TrafficPlan) {
+        let version = plan.version;
+        self.store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan)));
+        while self.entry.state.plan_version() < version {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
 }
 
 #[gtest]
 #[tokio::test]
 async fn what_may_run_in_one_region_reaches_no_other_whatever_fails() {
-    for far in [serves, refuses, fails, breaks_off, cuts_stream] {
-        let setting = Setting::new(serves, far).await;
+    let scripts: [Script; 5] = [serves, refuses, fails, breaks_off, cuts_stream];
+    for (restricted, far) in BOTH.into_iter().flat_map(|one| scripts.map(|script| (one, script))) {
+        let setting = Setting::new(restricted, serves, far).await;
         for path in ["/safe/x", "/once/x", "/stream/x"] {
             // Whatever comes of it, also a connection that closes.
             let _ = ask(setting.entry.address, path, "k").await;
@@ -111,7 +150,24 @@
 #[gtest]
 #[tokio::test]
 async fn where_no_allowed_server_is_the_refusal_says_so_and_when_to_return() {
-    let setting = Setting::new(serves, refuses).await;
+    for restricted in BOTH {
+        let setting = Setting::new(restricted, serves, refuses).await;
+        expect_refusal_for_regions(&setting).await;
+    }
+}
+
+/// A route and an organisation without a region in common must not fall back to either of them.
+#[gtest]
+#[tokio::test]
+async fn regions_without_overlap_allow_no_server() {
+    let plan = plan_with(5, &only("r1"), &only("r2"));
+    let store = TestStore::default();
+    let setting = Setting::with_plan(serves as Script, serves as Script, store, plan).await;
+    expect_refusal_for_regions(&setting).await;
+    expect_that!((setting.near.seen().len(), setting.far.seen().len()), eq((0, 0)));
+}
+
+async fn expect_refusal_for_regions(setting: &Setting) {
     let refused = ask(setting.entry.address, "/safe/x", "k").await.expect("an answer");
     expect_that!(refused.status, eq(StatusCode::SERVICE_UNAVAILABLE));
     expect_that!(&refused.body[..], eq(b"no_server_in_allowed_regions\n"));
@@ -121,24 +177,25 @@
 #[gtest]
 #[tokio::test]
 async fn a_newer_plan_moves_requests_to_another_region() {
-    let setting = Setting::new(serves, serves).await;
-    ask(setting.entry.address, "/safe/x", "k").await.expect("an answer");
-    setting.store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan_in(6, "r1"))));
-    while setting.entry.state.plan_version().0 < 6 {
-        tokio::time::sleep(Duration::from_millis(5)).await;
+    for restricted in BOTH {
+        let setting = Setting::new(restricted, serves, serves).await;
+        ask(setting.entry.address, "/safe/x", "k").await.expect("an answer");
+        setting.apply(plan_in(restricted, 6, "r1")).await;
+        ask(setting.entry.address, "/safe/x", "k").await.expect("an answer");
+        expect_that!((setting.near.seen().len(), setting.far.seen().len()), eq((1, 1)));
     }
-    ask(setting.entry.address, "/safe/x", "k").await.expect("an answer");
-    expect_that!((setting.near.seen().len(), setting.far.seen().len()), eq((1, 1)));
 }
 
-/// Breaks off once it is told to.
+/// Sends the beginning of an answer and breaks off once it is told to.
 #[derive(Clone)]
 struct HeldBreak {
+    begins: Script,
     released: watch::Receiver<bool>,
 }
 
 impl Responder for HeldBreak {
-    async fn answer(&self, _stream: &mut TcpStream, _head: &str) -> std::io::Result<()> {
+    async fn answer(&self, stream: &mut TcpStream, head: &str) -> std::io::Result<()> {
+        stream.write_all(&(self.begins)(head)).await?;
         let mut released = self.released.clone();
         // The test has ended where nobody can tell it any more.
         let _ = released.wait_for(|released| *released).await;
@@ -146,26 +203,45 @@
     }
 }
 
+/// Sends a request that the far server breaks off after the plan has moved it to the near region.
+async fn break_off_after_move(
+    restricted: Restricted,
+    path: &'static str,
+    begins: Script,
+) -> Setting {
+    let (release, released) = watch::channel(false);
+    let (near, far): (Script, HeldBreak) = (serves, HeldBreak { begins, released });
+    let plan = plan_in(restricted, 5, "r2");
+    let setting = Setting::with_plan(near, far, TestStore::default(), plan).await;
+    let address = setting.entry.address;
+    let asked = tokio::spawn(async move { ask(address, path, "k").await });
+    while setting.far.seen().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    setting.apply(plan_in(restricted, 6, "r1")).await;
+    release.send(true).expect("the server waits for it");
+    let _ = asked.await.expect("it ends");
+    setting
+}
+
 /// A request that was let in by an older plan is sent again by the regions of the newer one.
 #[gtest]
 #[tokio::test]
 async fn what_is_sent_again_follows_the_plan_in_force() {
-    let (release, released) = watch::channel(false);
-    let script: Script = serves;
-    let setting = Setting::with_store(script, HeldBreak { released }, TestStore::default()).await;
-    let (address, store) = (setting.entry.address, setting.store.clone());
-    let asked = tokio::spawn(async move { ask(address, "/safe/x", "k").await });
-    while setting.far.seen().is_empty() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
+    for restricted in BOTH {
+        let setting = break_off_after_move(restricted, "/safe/x", breaks_off).await;
+        expect_that!((setting.near.seen().len(), setting.far.seen().len()), eq((1, 1)));
     }
-    store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan_in(6, "r1"))));
-    while setting.entry.state.plan_version().0 < 6 {
-        tokio::time::sleep(Duration::from_millis(5)).await;
+}
+
+/// A running stream must not be resumed in a region that the plan has forbidden since it began.
+#[gtest]
+#[tokio::test]
+async fn a_stream_is_resumed_by_the_plan_in_force() {
+    for restricted in BOTH {
+        let setting = break_off_after_move(restricted, "/stream/x", cuts_stream).await;
+        expect_that!((setting.near.seen().len(), setting.far.seen().len()), eq((1, 1)));
     }
-    release.send(true).expect("the server waits for it");
-    let answered = asked.await.expect("it ends").expect("an answer");
-    expect_that!(answered.status, eq(StatusCode::OK));
-    expect_that!(setting.near.seen().len(), eq(1));
 }
 
 #[gtest]
@@ -174,7 +250,8 @@
     let store = TestStore::default();
     let emptied = Fact::Evacuation("z1".parse().expect("a name"));
     store.set(FactTopic::Evacuations, "z1", emptied);
-    let setting = Setting::with_store(serves as Script, serves as Script, store).await;
+    let plan_before = plan_in(Restricted::Routes, 5, "r2");
+    let setting = Setting::with_plan(serves as Script, serves as Script, store, plan_before).await;
     setting.store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(6))));
     let is_known = || {
         let state = &setting.entry.state;
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -195,7 +195,12 @@
             Route { objective_ms: 300, ..route("quick", RouteKind::Repeatable) },
         ],
         limits: ClientLimits { body_bytes: 1000, ..ClientLimits::default() },
-        tenants: vec![Tenant { name: "t".into(), keys: vec!["k".to_owned()], priority: None }],
+        tenants: vec![Tenant {
+            name: "t".into(),
+            keys: vec!["k".to_owned()],
+            priority: None,
+            allowed_regions: AllowedRegions::Anywhere,
+        }],
         ..TrafficPlan::default()
     }
 }
--- a/crates/types/src/traffic.rs
+++ b/crates/types/src/traffic.rs
@@ -83,6 +83,16 @@
             Self::Only(regions) => region.is_some_and(|region| regions.contains(region)),
         }
     }
+
+    /// The regions that both allow. Without a region in common, no endpoint may run the requests.
+    pub fn intersection(&self, other: &Self) -> Self {
+        match (self, other) {
+            (Self::Anywhere, regions) | (regions, Self::Anywhere) => regions.clone(),
+            (Self::Only(one), Self::Only(another)) => {
+                Self::Only(one.intersection(another).cloned().collect())
+            }
+        }
+    }
 }
 
 impl std::fmt::Display for AllowedRegions {
@@ -158,6 +168,9 @@
     pub keys: Vec<String>,
     /// Priority, which overrides that of the route.
     pub priority: Option<u8>,
+    /// Regions whose endpoints may run its requests; the route must allow them as well.
+    #[serde(default)]
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Capacity of a service's model engines, as far as it is known.
@@ -260,12 +273,12 @@
         self.routes.iter().filter(|route| sends(route)).all(Route::repeatable)
     }
 
-    /// Whether a route to a service is restricted to some regions.
+    /// Whether some requests to a service are restricted to some regions, by their route or organisation.
     pub fn restricts_regions(&self, service: &str) -> bool {
+        let is_restricted = |regions: &AllowedRegions| *regions != AllowedRegions::Anywhere;
         let sends = |route: &Route| route.targets.iter().any(|one| &*one.service == service);
-        let mut restricted =
-            self.routes.iter().filter(|route| route.allowed_regions != AllowedRegions::Anywhere);
-        restricted.any(sends)
+        self.tenants.iter().any(|tenant| is_restricted(&tenant.allowed_regions))
+            || self.routes.iter().any(|route| is_restricted(&route.allowed_regions) && sends(route))
     }
 
     /// The part of the plan that agents need: services with engines or an origin and, for each of them, one
--- a/crates/types/tests/agent_plan.rs
+++ b/crates/types/tests/agent_plan.rs
@@ -32,7 +32,12 @@
     };
     let weights = ServicePlan { origin: Some(origin), ..ServicePlan::default() };
     let services = [("weights", weights), ("plain", ServicePlan::default())];
-    let tenant = Tenant { name: "t".into(), keys: vec!["k".into()], priority: None };
+    let tenant = Tenant {
+        name: "t".into(),
+        keys: vec!["k".into()],
+        priority: None,
+        allowed_regions: AllowedRegions::Anywhere,
+    };
     TrafficPlan {
         version: PlanVersion(7),
         routes: (0..1_000).map(|nth| route(&format!("r{nth}"), kind, "weights")).collect(),
