Report unknown fields of plans and server records

Cause: a field that a newer platform adds, which may be a limit or a restriction, was skipped in silence; nobody would have learned of it before a rule breaks.

Change: the adapter returns the paths of fields that it neither reads nor lists as unused; entries log each path once (store unknown_field) and count it (headlatch_unknown_fields_total, 64 names at most). serde_ignored finds them while the JSON is read, so that nothing is parsed twice.

Checked: clippy; tests of types and platform; unknown_names, direct_entry, lost_watches and suspended of the daemon.

--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -29,5 +29,5 @@
 pub mod state;
 pub mod transfer;
 pub mod transfer_peers;
-mod unknown_headers;
+mod unknown_names;
 pub mod weights;
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -27,7 +27,10 @@
     time::Moment,
 };
 use headlatch_http::Connections;
-use headlatch_outside::{facts::Fact, headers::HeaderFormat};
+use headlatch_outside::{
+    facts::{Fact, FactTopic},
+    headers::HeaderFormat,
+};
 use headlatch_types::{
     direct_settings::{DirectEntrySettings, RawRetry},
     id::ModelName,
@@ -43,7 +46,7 @@
     facts::{FactUpdate, readable_facts},
     plan_copy::PlanCopy,
     quarantine::Quarantine,
-    unknown_headers::UnknownHeaders,
+    unknown_names::UnknownNames,
 };
 use crate::{decisions, metrics::NodeMetrics, timer::NodeClock};
 
@@ -115,7 +118,9 @@
     /// Servers were added, for which agents may already have sent notices.
     notices_stale: AtomicBool,
     /// Unknown headers seen in responses of servers.
-    unknown_headers: Mutex<UnknownHeaders>,
+    unknown_headers: Mutex<UnknownNames>,
+    /// Unknown fields seen in facts from the store.
+    unknown_fields: Mutex<UnknownNames>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -194,6 +199,7 @@
             known_entries: Mutex::default(),
             notices_stale: AtomicBool::new(false),
             unknown_headers: Mutex::default(),
+            unknown_fields: Mutex::default(),
             settings,
         })
     }
@@ -259,10 +265,15 @@
     }
 
     /// Locks the unknown headers seen in responses of servers.
-    pub fn unknown_headers(&self) -> MutexGuard<'_, UnknownHeaders> {
+    pub fn unknown_headers(&self) -> MutexGuard<'_, UnknownNames> {
         lock(&self.unknown_headers)
     }
 
+    /// Locks the unknown fields seen in facts from the store.
+    pub fn unknown_fields(&self) -> MutexGuard<'_, UnknownNames> {
+        lock(&self.unknown_fields)
+    }
+
     /// Locks the table of other processes.
     pub fn peers(&self) -> MutexGuard<'_, PeerTable> {
         lock(&self.peers)
@@ -327,6 +338,7 @@
 
     /// Applies a plan update from the store.
     pub fn apply_plan_update(&self, update: FactUpdate) {
+        self.record_unknown_fields(FactTopic::Plan, &update);
         for fact in readable_facts(update) {
             if let Fact::Plan(plan) = fact {
                 self.apply_plan(*plan, "store");
--- a/crates/daemon/src/direct/state/servers.rs
+++ b/crates/daemon/src/direct/state/servers.rs
@@ -7,7 +7,7 @@
     leaving::LeavingNotice,
     server_copy::{RemovedServer, RevisionedRecord, ServerChanges},
 };
-use headlatch_outside::facts::{Fact, FactChange, NamedFact};
+use headlatch_outside::facts::{Fact, FactChange, FactTopic, NamedFact};
 use headlatch_types::traffic::ServerId;
 use serde_json::json;
 
@@ -37,7 +37,7 @@
                 converted.set.push(RevisionedRecord { revision: ChangeMark(revision.0), record });
             }
             FactChange::Set(NamedFact { fact: Ok(_), .. }) => {}
-            FactChange::Set(NamedFact { name, revision, fact: Err(error) }) => {
+            FactChange::Set(NamedFact { name, revision, fact: Err(error), .. }) => {
                 let fields = json!({ "name": name, "error": error.to_string() });
                 decisions::warn("servers", "unreadable", fields);
                 // The previous record of the server is no longer valid either.
@@ -58,6 +58,7 @@
 impl EntryState {
     /// Applies an update of the list of servers from the store.
     pub fn apply_servers_update(&self, update: FactUpdate) {
+        self.record_unknown_fields(FactTopic::Servers, &update);
         let (covered, newest) = (update.covered(), update.newest());
         self.apply_servers(server_changes(update, newest));
         lock(&self.servers_age).confirm_from_store(self.now(), covered, newest);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -60,6 +60,7 @@
     nodes: IntGaugeVec,
     fact_ages: IntGaugeVec,
     unknown_headers: IntCounterVec,
+    unknown_fields: IntCounterVec,
     server_signals: IntCounterVec,
     malformed_signals: IntCounterVec,
     rate_limits: IntGauge,
@@ -92,6 +93,11 @@
             "Unknown headers in answers of servers, by name.",
             &["header"],
         );
+        let unknown_fields = counter(
+            "headlatch_unknown_fields_total",
+            "Unknown fields of facts from the store, by path.",
+            &["field"],
+        );
         let server_signals = counter(
             "headlatch_server_signals_total",
             "Signals in answers of servers that change routing, by kind.",
@@ -139,6 +145,7 @@
             nodes,
             fact_ages,
             unknown_headers,
+            unknown_fields,
             server_signals,
             malformed_signals,
             rate_limits,
@@ -175,6 +182,16 @@
         self.steps.with_label_values(&[route, size.as_str(), step.as_str()]).get()
     }
 
+    /// Counts an unknown field of a fact from the store.
+    pub fn count_unknown_field(&self, path: &str) {
+        self.unknown_fields.with_label_values(&[path]).inc();
+    }
+
+    /// Number of unknown fields counted under a path.
+    pub fn unknown_fields(&self, path: &str) -> u64 {
+        self.unknown_fields.with_label_values(&[path]).get()
+    }
+
     /// Counts an unknown header in a server's response.
     pub fn count_unknown_header(&self, name: &str) {
         self.unknown_headers.with_label_values(&[name]).inc();
--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -2,7 +2,7 @@
 //! orders it sends.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
@@ -231,6 +231,7 @@
             name: "one".to_owned(),
             revision: StoreRevision(1),
             fact: Ok(fact),
+            unknown_fields: BTreeSet::new(),
         });
         let facts = named.into_iter().collect();
         let mut plans = lock(&self.plans);
--- a/crates/daemon/tests/lost_watches.rs
+++ b/crates/daemon/tests/lost_watches.rs
@@ -3,6 +3,7 @@
 //! nothing else reveals the loss. All tests run in virtual time.
 
 use std::{
+    collections::BTreeSet,
     ops::Range,
     sync::{
         Arc, Mutex,
@@ -105,6 +106,7 @@
         name: "m".to_owned(),
         revision: StoreRevision(revision),
         fact: Ok(Fact::Weights(wanted)),
+        unknown_fields: BTreeSet::new(),
     }
 }
 
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -12,7 +12,7 @@
 pub mod server;
 pub mod signaling;
 
-use std::{net::SocketAddr, sync::Mutex, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Mutex, time::Duration};
 
 use bytes::Bytes;
 use headlatch_http::{CallResponse, Connections};
@@ -100,7 +100,12 @@
     /// Changes a fact.
     pub fn set(&self, topic: FactTopic, name: &str, fact: Fact) {
         let revision = StoreRevision(1);
-        let fact = NamedFact { name: name.to_owned(), revision, fact: Ok(fact) };
+        let fact = NamedFact {
+            name: name.to_owned(),
+            revision,
+            fact: Ok(fact),
+            unknown_fields: BTreeSet::new(),
+        };
         self.replace_silently(topic, fact);
         self.changed.notify_waiters();
     }
--- a/crates/daemon/tests/suspended.rs
+++ b/crates/daemon/tests/suspended.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::{
+    collections::BTreeSet,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -91,6 +92,7 @@
         name: "main".to_owned(),
         revision: StoreRevision(2),
         fact: Ok(Fact::Plan(Box::new(plan(6)))),
+        unknown_fields: BTreeSet::new(),
     };
     store.replace_silently(FactTopic::Plan, newer);
     source.suspend(10_000);
--- a/crates/daemon/tests/unknown_headers.rs
+++ b/crates/daemon/tests/unknown_names.rs
@@ -1,4 +1,4 @@
-//! Unknown headers in responses of servers are visible to operators by name.
+//! Unknown headers in responses of servers and unknown fields of facts are visible to operators by name.
 
 mod support;
 
@@ -6,8 +6,9 @@
 
 use googletest::prelude::*;
 use headlatch_daemon::direct::entry::DirectEntry;
-use headlatch_outside::facts::{Fact, FactTopic};
+use headlatch_outside::facts::{Fact, FactTopic, NamedFact, StoreRevision};
 use headlatch_platform::PlatformHeaders;
+use headlatch_types::reading::from_json_with_unknown;
 use support::{TestStore, ask_with, plan, record, settings, signaling::SignalingServer};
 
 #[gtest]
@@ -34,3 +35,31 @@
         expect_that!(metrics.unknown_headers(known), eq(0), "{known}");
     }
 }
+
+/// Has none of the fields of a plan, so that each of them is unknown.
+#[derive(Debug, serde::Deserialize)]
+struct NoFields {}
+
+#[gtest]
+#[tokio::test]
+async fn an_unknown_field_of_the_plan_is_counted_by_path() {
+    let store = Arc::new(TestStore::default());
+    let text = r#"{"version":5,"routes":[],"tide":1}"#;
+    let read = from_json_with_unknown::<NoFields>(text, &["version"]);
+    let (_, unknown_fields) = read.expect("valid JSON");
+    let fact = NamedFact {
+        name: "main".to_owned(),
+        revision: StoreRevision(1),
+        fact: Ok(Fact::Plan(Box::new(plan(5)))),
+        unknown_fields,
+    };
+    store.replace_silently(FactTopic::Plan, fact);
+    let entry = DirectEntry::start(settings(), store, Arc::new(PlatformHeaders)).await;
+    let entry = entry.expect("entry starts");
+    while entry.state.plan_version().0 < 5 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let metrics = &entry.state.metrics;
+    expect_that!(metrics.unknown_fields("plan.tide"), ge(1));
+    expect_that!(metrics.unknown_fields("plan.version"), eq(0));
+}
--- a/crates/types/src/reading.rs
+++ b/crates/types/src/reading.rs
@@ -1,6 +1,6 @@
 //! Parsing of JSON input with errors that name the offending field.
 
-use std::fmt;
+use std::{collections::BTreeSet, fmt};
 
 use serde::de::DeserializeOwned;
 
@@ -38,6 +38,61 @@
     Ok(value)
 }
 
+/// Path of a field in JSON input, without the positions of list elements: `routes[].kind`.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FieldPath(String);
+
+impl FieldPath {
+    /// Converts a path whose list elements are given by position, as in `routes.0.kind`.
+    fn from_positions(path: &str) -> Self {
+        let is_position = |part: &str| part.bytes().all(|byte| byte.is_ascii_digit());
+        let mut fields = String::new();
+        // Optional fields appear as a question mark.
+        for part in path.split('.').filter(|part| *part != "?") {
+            match is_position(part) {
+                true => fields.push_str("[]"),
+                false if fields.is_empty() => fields.push_str(part),
+                false => fields.extend([".", part]),
+            }
+        }
+        Self(fields)
+    }
+
+    /// The path as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for FieldPath {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Reads `text` as JSON of type `T`, and returns the paths of the fields that `T` does not have, without those in
+/// `unused`. An error carries the path of the field.
+pub fn from_json_with_unknown<T: DeserializeOwned>(
+    text: &str,
+    unused: &[&str],
+) -> Result<(T, BTreeSet<FieldPath>), InputError> {
+    let mut unknown = BTreeSet::new();
+    let mut record = |path: serde_ignored::Path<'_>| {
+        let path = FieldPath::from_positions(&path.to_string());
+        if !unused.contains(&path.as_str()) {
+            unknown.insert(path);
+        }
+    };
+    let mut source = serde_json::Deserializer::from_str(text);
+    let value = serde_path_to_error::deserialize(serde_ignored::Deserializer::new(
+        &mut source,
+        &mut record,
+    ))
+    .map_err(|error| InputError::new(error.path().to_string(), error.inner().to_string()))?;
+    source.end().map_err(|error| InputError::new("", error.to_string()))?;
+    Ok((value, unknown))
+}
+
 /// Parses the text at `path` into a checked type.
 pub(crate) fn parse_at<T>(path: impl Into<String>, text: &str) -> Result<T, InputError>
 where
