Add the urgency of a request from the priorities of organisation and route

Cause: plans give priorities to routes and organisations, but no type orders requests by both.

Change: RequestUrgency in headlatch_types::traffic, ordered by the organisation's priority, then the route's; an organisation without a priority counts as 5.

--- a/crates/types/src/traffic.rs
+++ b/crates/types/src/traffic.rs
@@ -17,6 +17,10 @@
     reading::InputError,
 };
 
+mod urgency;
+
+pub use urgency::{RequestUrgency, UrgencyError};
+
 /// Version of a traffic plan; the version in force never decreases.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
