Shed the least urgent requests first and tell servers the urgency

Cause: priorities of routes and organisations were not used. Load shedding took the same share of all requests, and servers, which order waiting requests by priority, were told none.

Change: UrgencyRanks maps the urgencies of a service's requests to ranks, once per plan, where the service has engines and routes to it differ in priority. OfferedTokens (admission/rank_shares) distributes the share to shed over the ranks by their offered prompt tokens of the last seconds: the least urgent first, at most two thirds of a rank, and evenly once all have lost as much. The rank is sent to servers and stands in the decision log; the log tells the urgencies of each plan, and headlatch_requests_by_urgency_total counts refused, timely and late requests by service and rank. Lengths of prompts count up to 16 usual ones, since they are claims of callers.

Changed on trial: even shares, no bound of two thirds, ranks of earlier plans and ranks of inactive services taken as they are; each made one of the new tests fail.

--- a/crates/core/src/direct/admission/shedding.rs
+++ b/crates/core/src/direct/admission/shedding.rs
@@ -1,4 +1,5 @@
-//! Load shedding while engines are full: rejects the same share of requests of all sizes and kinds.
+//! Load shedding while engines are full: rejects the same share of requests of all sizes and kinds, or,
+//! where a service distinguishes urgencies, of all sizes and kinds of a rank.
 //!
 //! Rejecting every request that would miss its objective starves long prompts: their own prefill is
 //! part of the prediction, so short prompts fill each gap before them, and kinds with a long
@@ -17,6 +18,10 @@
     traffic::{AllowedRegions, EngineCapacity},
 };
 
+use super::{
+    rank_shares::OfferedTokens,
+    urgency::{ServiceUrgencies, UrgencyRank},
+};
 use crate::{
     direct::engine_model::{EngineLoad, EngineWork, time_to_first_token, usual_prefill_time},
     time::Moment,
@@ -49,6 +54,10 @@
 /// kind with a short objective must not leave engines empty.
 const RARE_DIVISOR: usize = 20;
 
+/// Longest prompt that counts towards the tokens offered by a rank, in usual prompts. Lengths are claims
+/// of callers; a false one must not change what the other ranks lose.
+const MAX_COUNTED_PROMPT: u64 = 16;
+
 /// Time for which a content keeps its rank. Several times usual deadlines, so that a retry gets the
 /// same rank, and short enough that no content is rejected for long.
 pub const RANK_PERIOD: Duration = Duration::from_secs(30);
@@ -105,12 +114,18 @@
     pub objective: Duration,
     /// Its rank in the order of rejection.
     pub rank: ShedRank,
+    /// Its urgency; `None` if the plan that admitted it does not distinguish urgencies of the service.
+    pub urgency: Option<UrgencyRank>,
+    /// Number of prompt tokens.
+    pub prompt_tokens: u64,
 }
 
 /// Rejects a share of each service's new requests. Requests restricted to the same regions have a
-/// share of their own, since they wait for capacity there.
+/// share of their own, since they wait for capacity there; within it, less urgent ranks are rejected
+/// first.
 #[derive(Debug, Default)]
 pub struct LoadShedder {
+    urgencies: ServiceUrgencies,
     services: HashMap<Arc<str>, BTreeMap<AllowedRegions, ServiceShare>>,
 }
 
@@ -121,19 +136,39 @@
     /// Smoothed share to reject, from 0 to 1.
     share: f64,
     updated: Moment,
+    offered: OfferedTokens,
 }
 
 impl LoadShedder {
-    /// Records a new request and the engines' headroom. Returns the rejected share, from 0 to 1, if
-    /// this request is rejected.
+    /// Applies the urgencies of a newer plan to the requests from now on. What was observed about ranks
+    /// that no longer exist is discarded.
+    pub fn set_urgencies(&mut self, urgencies: ServiceUrgencies) {
+        for (service, shares) in &mut self.services {
+            let (before, after) = (self.urgencies.ranks(service), urgencies.ranks(service));
+            for share in shares.values_mut() {
+                share.offered = match (before, after) {
+                    (Some(before), Some(after)) => share.offered.with_ranks(before, after),
+                    _ => OfferedTokens::default(),
+                };
+            }
+        }
+        self.urgencies = urgencies;
+    }
+
+    /// Records a new request and the engines' headroom. Returns the rejected share of its rank, from 0
+    /// to 1, if this request is rejected.
     pub fn refuses(
         &mut self,
         now: Moment,
         request: &NewRequest<'_>,
         room: EngineHeadroom,
     ) -> Option<f64> {
+        let urgency = self.rank_in_force(request);
         let service = self.share_of(now, request);
         service.objectives.record(request.objective);
+        if let Some(urgency) = urgency {
+            service.offered.record(now, urgency, counted_tokens(request));
+        }
         // Requests with an even shorter but rare objective are judged by prediction alone.
         let shortest = service.objectives.shortest().unwrap_or_default();
         let target = match room {
@@ -147,9 +182,16 @@
         {
             return None;
         }
+        let share = urgency.map_or(share, |urgency| service.offered.share_of(urgency, share));
         (request.rank.0 < share).then_some(share)
     }
 
+    /// The rank of a request under the plan in force, which may be newer than the plan that admitted it.
+    fn rank_in_force(&self, request: &NewRequest<'_>) -> Option<UrgencyRank> {
+        let ranks = self.urgencies.ranks(request.service)?;
+        request.urgency.map(|rank| rank.min(ranks.least()))
+    }
+
     fn share_of(&mut self, now: Moment, request: &NewRequest<'_>) -> &mut ServiceShare {
         let shares = self.services.entry(request.service.clone()).or_default();
         if !shares.contains_key(request.regions) {
@@ -171,6 +213,12 @@
     }
 }
 
+/// Prompt tokens of a request, as far as they count for its rank.
+fn counted_tokens(request: &NewRequest<'_>) -> u64 {
+    let usual = EngineWork::new(request.figures, None, request.objective).prompt;
+    request.prompt_tokens.min(usual.saturating_mul(MAX_COUNTED_PROMPT))
+}
+
 /// Whether an engine would start a request at once, in which case the smoothed share is out of
 /// date.
 fn is_half_idle(figures: &EngineCapacity, load: EngineLoad) -> bool {
--- a/crates/core/src/direct/route_table.rs
+++ b/crates/core/src/direct/route_table.rs
@@ -4,6 +4,8 @@
 
 use headlatch_types::traffic::{Route, RouteTarget, Tenant, TrafficPlan};
 
+use super::admission::urgency::ServiceUrgencies;
+
 /// A traffic plan with indexes by host, path, key and route name.
 #[derive(Debug, Clone, Default)]
 pub struct RouteTable {
@@ -12,6 +14,7 @@
     hosts: HashMap<String, Vec<usize>>,
     organisations: HashMap<String, usize>,
     names: HashMap<Arc<str>, usize>,
+    urgencies: ServiceUrgencies,
 }
 
 /// Why a request is rejected.
@@ -41,7 +44,8 @@
             .collect();
         let named = plan.routes.iter().enumerate();
         let names = named.map(|(index, route)| (route.name.clone(), index)).collect();
-        Self { plan, hosts, organisations, names }
+        let urgencies = ServiceUrgencies::new(&plan);
+        Self { plan, hosts, organisations, names, urgencies }
     }
 
     /// The indexed plan.
@@ -49,6 +53,11 @@
         &self.plan
     }
 
+    /// The services of the plan that distinguish urgencies.
+    pub fn urgencies(&self) -> &ServiceUrgencies {
+        &self.urgencies
+    }
+
     /// Finds the route of the host with the longest prefix of the path.
     pub fn route(&self, host: &str, path: &str) -> Result<&Route, Denial> {
         let host = host.to_ascii_lowercase();
--- a/crates/core/tests/allowed_regions.rs
+++ b/crates/core/tests/allowed_regions.rs
@@ -220,7 +220,15 @@
         for (count, (regions, room)) in refused.iter_mut().zip(both) {
             let rank = ShedRank::new(RequestDigest(content), Duration::from_secs(1_000_000));
             let objective = Duration::from_millis(500);
-            let new = NewRequest { service: &service, regions, figures: &figures, objective, rank };
+            let new = NewRequest {
+                service: &service,
+                regions,
+                figures: &figures,
+                objective,
+                rank,
+                urgency: None,
+                prompt_tokens: 800,
+            };
             *count += usize::from(shedder.refuses(at(content * 5), &new, room).is_some());
         }
     }
--- a/crates/core/tests/shedding.rs
+++ b/crates/core/tests/shedding.rs
@@ -38,6 +38,8 @@
             figures: &figures,
             objective,
             rank: rank(*content),
+            urgency: None,
+            prompt_tokens: 800,
         };
         shedder.refuses(at(from + content * 2), &new, room).is_some()
     });
@@ -89,6 +91,8 @@
                 figures: &figures,
                 objective,
                 rank: rank(content),
+                urgency: None,
+                prompt_tokens: 800,
             };
             shedder.refuses(at(content * 4), &new, room).is_some()
         };
@@ -107,6 +111,8 @@
             figures: &figures,
             objective,
             rank: rank(content),
+            urgency: None,
+            prompt_tokens: 800,
         };
         let refused = shedder.refuses(at(content * 4), &new, room);
         if content > 1000 && objective.as_secs() == 10 {
@@ -155,6 +161,8 @@
         figures: &figures,
         objective,
         rank: rank(1),
+        urgency: None,
+        prompt_tokens: 800,
     };
     expect_that!(shedder.refuses(at(8000), &new, room), none());
 }
--- a/crates/core/tests/sizes.rs
+++ b/crates/core/tests/sizes.rs
@@ -306,6 +306,8 @@
             figures: &self.figures,
             objective: work.objective,
             rank: ShedRank::new(job.content, self.now.since(Moment::ZERO)),
+            urgency: None,
+            prompt_tokens: job.prompt,
         };
         let shed = self.shedders[job.entry].refuses(self.now, &new, choice.engine_headroom());
         match choice {
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use headlatch_core::direct::{
+    admission::urgency::UrgencyRank,
     engine_model::completion_time,
     server_table::{ChosenServer, ServerOutcome},
     time_limit::{LimitedTime, TimeLimit},
@@ -225,7 +226,7 @@
             // A server never returns to older weights, and one that has already switched would
             // refuse the request.
             version: None,
-            priority: None,
+            priority: request.urgency.map(UrgencyRank::value),
         };
         let headers = outgoing_headers(state, request, &facts, &request.body.bytes);
         let (method, uri) = (request.method.clone(), request.uri.clone());
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -146,6 +146,7 @@
     fn count_step(&self, step: RequestStep) {
         let request = &self.request;
         self.state.metrics.count_step(&request.route.name, request.size, step);
+        self.state.metrics.count_urgency(&request.service, request.urgency, step);
     }
 
     /// Writes a routing decision about this request to the decision log.
@@ -157,6 +158,7 @@
             "attempt": self.sends, "content": self.request.digests.whole.to_string(),
             "body_bytes": self.request.body.bytes.len(), "prompt_tokens": self.request.facts.prompt_tokens,
             "answer_tokens": self.request.facts.answer_tokens,
+            "urgency_rank": self.request.urgency,
             "more": fields,
         });
         decisions::info("routing", event, fields);
@@ -203,6 +205,8 @@
             figures,
             objective: work.objective,
             rank: ShedRank::new(self.request.digests.without_query, unix_time()),
+            urgency: self.request.urgency,
+            prompt_tokens: work.prompt,
         };
         self.state.shedder().refuses(self.state.now(), &request, choice.engine_headroom())
     }
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -17,7 +17,7 @@
 use headlatch_outside::headers::RequestMetadata;
 use headlatch_types::{
     quantity::ByteSize,
-    traffic::{EngineCapacity, Route, RouteKind},
+    traffic::{EngineCapacity, RequestUrgency, Route, RouteKind},
 };
 use http::{
     HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request::Parts,
@@ -157,7 +157,7 @@
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
     let (routes, found) = find_target(state, &parts, facts.key.as_deref()).await?;
-    let RouteMatch { route, tenant } = found;
+    let RouteMatch { route, tenant, urgency } = found;
     let declares_body = parts.headers.contains_key(header::CONTENT_LENGTH)
         || parts.headers.contains_key(header::TRANSFER_ENCODING);
     let limits = routes.plan().limits;
@@ -171,6 +171,7 @@
     let service = target.map(|target| target.service.clone());
     let service =
         service.ok_or_else(|| ErrorResponse::refused("no_service", NO_PLAN_RETRY_AFTER))?;
+    let urgency = routes.urgencies().rank(&service, urgency);
     let engine = routes.plan().services.get(&*service).and_then(|service| service.engine.clone());
     let digests = digests_of(&parts, tenant.as_deref(), &body.bytes);
     let size = state.sizes().record(&route.name, ByteSize::from_bytes(body.bytes.len() as u64));
@@ -197,15 +198,16 @@
         facts,
         digests,
         size,
-        urgency: None,
+        urgency,
     })
 }
 
-/// Route and tenant of a request.
+/// Route, tenant and urgency of a request.
 #[derive(Debug, Clone)]
 struct RouteMatch {
     route: Route,
     tenant: Option<String>,
+    urgency: RequestUrgency,
 }
 
 /// Finds the route and tenant of a request, and the route table that they were found in.
@@ -247,7 +249,11 @@
     let tenant = routes.organisation(route, key);
     let tenant =
         tenant.map_err(|_| ErrorResponse::denied(StatusCode::UNAUTHORIZED, "unknown_key"))?;
-    Ok(RouteMatch { route: route.clone(), tenant: tenant.map(|tenant| tenant.name.to_string()) })
+    Ok(RouteMatch {
+        urgency: RequestUrgency::new(tenant, route),
+        route: route.clone(),
+        tenant: tenant.map(|tenant| tenant.name.to_string()),
+    })
 }
 
 fn host_of<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> &'a str {
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -51,6 +51,7 @@
 mod reading;
 mod server_signals;
 mod servers;
+mod urgencies;
 
 pub use reading::TopicGate;
 
@@ -298,6 +299,7 @@
         if self.plan.apply(self.now(), plan, source) {
             self.metrics.set_revision(version.0);
             self.servers().set_cold_rates(rates);
+            self.apply_urgencies();
         }
     }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics in the Prometheus text format.
 
-use headlatch_core::direct::size_class::SizeClass;
+use headlatch_core::direct::{admission::urgency::UrgencyRank, size_class::SizeClass};
 use headlatch_types::RunVerdict;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
@@ -52,6 +52,7 @@
     requests: IntCounterVec,
     refusals: IntCounterVec,
     steps: IntCounterVec,
+    urgencies: IntCounterVec,
     first_byte: HistogramVec,
     chunk_bytes: IntCounterVec,
     chunk_failures: IntCounterVec,
@@ -81,6 +82,11 @@
             "Requests by route, size within the route, and step.",
             &["route", "size", "step"],
         );
+        let urgencies = counter(
+            "headlatch_requests_by_urgency_total",
+            "Requests of services that distinguish urgencies, by service, rank (0 to 9, 0 the most urgent) and step.",
+            &["service", "rank", "step"],
+        );
         let chunk_bytes =
             counter("headlatch_chunk_bytes_total", "Bytes of chunks by way.", &["way"]);
         let chunk_failures =
@@ -131,6 +137,7 @@
             requests,
             refusals,
             steps,
+            urgencies,
             first_byte,
             chunk_bytes,
             chunk_failures,
@@ -175,6 +182,23 @@
         self.steps.with_label_values(&[route, size.as_str(), step.as_str()]).get()
     }
 
+    /// Counts a request that was refused, in time or late by its service and urgency. Other steps, and
+    /// requests without an urgency, are not counted. Labels are bounded: services of plans, ten ranks and
+    /// three steps.
+    pub fn count_urgency(&self, service: &str, rank: Option<UrgencyRank>, step: RequestStep) {
+        let counted = [RequestStep::Refused, RequestStep::InTime, RequestStep::Late];
+        if let Some(rank) = rank.filter(|_| counted.contains(&step)) {
+            let labels = [service, &rank.to_string(), step.as_str()];
+            self.urgencies.with_label_values(&labels).inc();
+        }
+    }
+
+    /// Number of requests to `service` with `rank` that were counted for `step`.
+    pub fn urgencies(&self, service: &str, rank: UrgencyRank, step: RequestStep) -> u64 {
+        let labels = [service, &rank.to_string(), step.as_str()];
+        self.urgencies.with_label_values(&labels).get()
+    }
+
     /// Counts an unknown header in a server's response.
     pub fn count_unknown_header(&self, name: &str) {
         self.unknown_headers.with_label_values(&[name]).inc();
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -59,11 +59,13 @@
         let server = facts.server.as_ref().map(|server| server.to_string());
         let deadline = facts.deadline.map(|time| time.as_millis().to_string());
         let tenant = facts.tenant.clone();
+        let priority = facts.priority.map(|priority| priority.to_string());
         let lines = [
             ("x-last", last),
             ("x-tenant", tenant),
             ("x-server", server),
             ("x-deadline", deadline),
+            ("x-priority", priority),
         ];
         for (name, value) in lines {
             if let Some(value) = value.and_then(|value| value.parse().ok()) {
