--- a/crates/client/src/commands/explain.rs
+++ b/crates/client/src/commands/explain.rs
@@ -95,7 +95,9 @@
         other => other.to_owned(),
     };
     let service = match decision.fields.get("service") {
-        Some(service) => format!(" (service {}, plan {})", plain(service), text("plan")),
+        Some(service) => {
+            format!(" (service {}, plan {}{})", plain(service), text("plan"), rank(decision))
+        }
         None => format!(" (plan {})", text("plan")),
     };
     let more = decision.fields.get("more").and_then(Value::as_object);
@@ -103,6 +105,12 @@
     format!("{after:>9.1} ms  {what}{service}{more}")
 }
 
+/// The urgency of the request, if its service distinguishes urgencies.
+fn rank(decision: &Decision) -> String {
+    let rank = decision.fields.get("urgency_rank").and_then(Value::as_u64);
+    rank.map(|rank| format!(", urgency {rank}")).unwrap_or_default()
+}
+
 fn next_attempt(decision: &Decision) -> u64 {
     decision.fields.get("attempt").and_then(Value::as_u64).unwrap_or_default() + 1
 }
--- a/crates/client/tests/command_line.rs
+++ b/crates/client/tests/command_line.rs
@@ -123,6 +123,26 @@
     assert_that!(unknown.status.code(), some(eq(2)));
 }
 
+/// Guards against an urgency that is not told, or that is told for services without any.
+#[test]
+fn explain_tells_the_urgency_of_services_that_have_one() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let log = folder.path().join("entry.log");
+    let line = |steady: u64, rank: Value| {
+        serde_json::json!({
+            "time_ms": 5, "steady_us": steady, "part": "routing", "event": "given_up",
+            "request": "r1", "service": "llm", "plan": 7, "urgency_rank": rank,
+        })
+    };
+    let lines = [line(1000, 2.into()).to_string(), line(2000, Value::Null).to_string()];
+    fs::write(&log, lines.join("\n")).expect("a file");
+    let told = run(&["explain", "r1", plain(&log)]);
+    let text = String::from_utf8_lossy(&told.stdout).into_owned();
+    let lines: Vec<&str> = text.lines().collect();
+    assert_that!(lines[0], contains_substring("given up (service llm, plan 7, urgency 2)"));
+    assert_that!(lines[1], contains_substring("given up (service llm, plan 7)"));
+}
+
 #[test]
 fn shares_are_told_by_route_and_size() {
     let folder = tempfile::tempdir().expect("a folder");
