--- a/crates/core/src/direct/route_table.rs
+++ b/crates/core/src/direct/route_table.rs
@@ -4,6 +4,8 @@
 
 use headlatch_types::traffic::{AllowedRegions, Route, RouteTarget, Tenant, TrafficPlan};
 
+use super::admission::urgency::ServiceUrgencies;
+
 /// A traffic plan with indexes by host, path, key and route name.
 #[derive(Debug, Clone, Default)]
 pub struct RouteTable {
@@ -13,6 +15,7 @@
     organisations: HashMap<String, usize>,
     names: HashMap<Arc<str>, usize>,
     organisation_names: HashMap<Arc<str>, usize>,
+    urgencies: ServiceUrgencies,
 }
 
 /// Why a request is rejected.
@@ -45,7 +48,8 @@
         let called = plan.tenants.iter().enumerate();
         let organisation_names =
             called.map(|(index, organisation)| (organisation.name.clone(), index)).collect();
-        Self { plan, hosts, organisations, names, organisation_names }
+        let urgencies = ServiceUrgencies::new(&plan);
+        Self { plan, hosts, organisations, names, organisation_names, urgencies }
     }
 
     /// The indexed plan.
@@ -53,6 +57,11 @@
         &self.plan
     }
 
+    /// The services of the plan that distinguish urgencies.
+    pub fn urgencies(&self) -> &ServiceUrgencies {
+        &self.urgencies
+    }
+
     /// Finds the route of the host with the longest prefix of the path.
     pub fn route(&self, host: &str, path: &str) -> Result<&Route, Denial> {
         let host = host.to_ascii_lowercase();
