Add the decision logic of an admission queue and of retry times

Cause: a request for which no engine has room is refused at once, with a Retry-After that does not depend on the load.

Change: AdmissionQueue decides which requests may wait, in which order they are sent and which must be refused; DrainRate predicts the wait, UsualDeadlines recognizes retrying callers, and ReturnTime sets the Retry-After. Requests restricted to some regions have a lane of their own, as for load shedding. Nothing uses the new modules yet.

--- a/crates/core/src/direct/admission/mod.rs
+++ b/crates/core/src/direct/admission/mod.rs
@@ -1,5 +1,9 @@
 //! Admission of new requests while engines are busy: which are refused, and in which order the others are
 //! sent on.
 
+pub mod caller;
+pub mod drain_rate;
+pub mod queue;
+pub mod return_time;
 pub mod shedding;
 pub mod urgency;
