Let requests of distinguished urgency wait for a server

Cause: a request for which no engine has room was refused at once, even where a slot became free within its objective, and with a Retry-After that did not depend on the load.

Change: waiting.rs holds new requests whose urgency is set in the admission queue and hands exchange.rs a server once one has room. Heads are tried when a load or a server changes and every 20 ms. A waiting request is sent only where it is predicted to be in time: the selection itself allows 150 % of the objective, which would fill engines until all of their requests are late. Refusals for lack of room take their Retry-After from ReturnTime. A request without urgency takes the same path as before.

--- a/crates/core/src/direct/admission/queue.rs
+++ b/crates/core/src/direct/admission/queue.rs
@@ -66,6 +66,13 @@
         has_objective.then(|| self.arrived + self.objective - self.first_token)
     }
 
+    /// Whether the request may be sent to a server that is predicted to return the first token after
+    /// `predicted`: it arrives in time, or no server could return it in time any more.
+    pub fn accepts(&self, now: Moment, predicted: Duration) -> bool {
+        let in_time = now + predicted <= self.arrived + self.objective;
+        self.objective.is_zero() || in_time || !self.can_be_in_time(now)
+    }
+
     fn can_be_in_time(&self, now: Moment) -> bool {
         self.latest_in_time().is_none_or(|latest| now <= latest)
     }
--- a/crates/core/tests/admission_queue.rs
+++ b/crates/core/tests/admission_queue.rs
@@ -178,7 +178,27 @@
     expect_that!(queue.head(later, &lane("llm")), some(eq(tickets[0])));
 }
 
-/// Guards against an entry with a cut-off failure domain that refuses what other regions could serve.
+/// Guards against a queue that stays long, or is served late, while a failure domain with half of the
+/// engines is cut off and after it has returned.
+#[gtest]
+fn a_failure_domain_that_is_cut_off_costs_its_share_of_requests_only() {
+    let kinds = contended_kinds();
+    let mut entry = SimulatedEntry::new(offered(&kinds) * 1.1);
+    entry.run(&kinds, 0..3000);
+    entry.per_second /= 2.0;
+    entry.run(&kinds, 3000..8000);
+    expect_that!(entry.outcomes[0].in_time_share(), ge(0.9), "{:?}", entry.outcomes);
+    let late = |outcomes: &[Outcomes]| outcomes.iter().map(|kind| kind.late).sum::<u32>();
+    expect_that!(late(&entry.outcomes), eq(0), "{:?}", entry.outcomes);
+    entry.per_second *= 2.0;
+    entry.run(&kinds, 8000..10_000);
+    expect_that!(entry.outcomes[0].refused + entry.outcomes[1].refused, le(1));
+    entry.run(&kinds, 10_000..14_000);
+    let refused: u32 = entry.outcomes.iter().map(|kind| kind.refused).sum();
+    expect_that!((refused, late(&entry.outcomes)), eq((0, 0)), "{:?}", entry.outcomes);
+}
+
+/// Guards against requests bound to a region without room that keep others from regions with room.
 #[gtest]
 fn requests_of_a_region_without_room_do_not_hold_up_others() {
     let mut queue = AdmissionQueue::default();
@@ -300,3 +320,15 @@
     expect_that!(queue.due(at(5000)), is_empty());
     expect_that!(queue.due(at(5001)), elements_are![eq(&(ticket, QueueBound::Deadline))]);
 }
+
+/// Guards against waiting requests that fill the engines until all of their requests are late.
+#[gtest]
+fn a_waiting_request_is_sent_only_where_it_is_in_time_unless_it_is_late_anyway() {
+    let millis = Duration::from_millis;
+    let new = request(at(0));
+    expect_that!(new.accepts(at(100), millis(300)), eq(true));
+    expect_that!(new.accepts(at(100), millis(301)), eq(false));
+    expect_that!(retrying(at(0), 1).accepts(at(1000), millis(900)), eq(true));
+    let unbound = QueuedRequest { objective: Duration::ZERO, ..new };
+    expect_that!(unbound.accepts(at(100), millis(900)), eq(true));
+}
--- a/crates/daemon/src/direct/entry.rs
+++ b/crates/daemon/src/direct/entry.rs
@@ -22,6 +22,7 @@
     facts::{FactUpdate, ReadGate, follow},
     front, plan_sync, quarantine_keeper, server_sync,
     state::{EntryState, TopicGate},
+    waiting,
 };
 use crate::{decisions, error::DaemonError, supervisor::supervise};
 
@@ -108,6 +109,8 @@
         tasks.push(supervise("plan_sync", move || plan_sync::run(state_planned.clone())));
         let state_served = state.clone();
         tasks.push(supervise("server_sync", move || server_sync::run(state_served.clone())));
+        let state_waited = state.clone();
+        tasks.push(supervise("waiting", move || waiting::run(state_waited.clone())));
         if let Some(metrics) = metrics {
             let listener = front::bind(metrics).await?;
             tasks.push(tokio::spawn(front::serve_admin(state.clone(), listener)));
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -5,9 +5,7 @@
 use headlatch_core::{
     direct::{
         admission::shedding::{NewRequest, ShedRank},
-        server_table::{
-            ChosenServer, EngineQuery, ExclusionCounts, ServerChoice, ServerOutcome, ServerQuery,
-        },
+        server_table::{ChosenServer, EngineQuery, ServerChoice, ServerOutcome, ServerQuery},
         suspects::{ProgressAtEnd, QUARANTINE_TIME},
     },
     time::Moment,
@@ -29,6 +27,7 @@
     handler::AdmittedRequest,
     relay, server_end,
     state::EntryState,
+    waiting,
 };
 use crate::{decisions, metrics::RequestStep, timer::unix_time};
 
@@ -38,7 +37,7 @@
 const QUARANTINED: &str = "quarantined";
 
 /// Refusal cause: the request was drawn for load shedding while engines are full.
-const LOAD_SHED: &str = "load_shed";
+pub(super) const LOAD_SHED: &str = "load_shed";
 
 /// Refusal cause: no server in the regions allowed for the request can run it.
 const NO_SERVER_IN_ALLOWED_REGIONS: &str = "no_server_in_allowed_regions";
@@ -46,12 +45,6 @@
 /// Maximum number of servers that one request reaches, including those that refuse it.
 const MAX_SENDS: u32 = 4;
 
-/// Minimum `Retry-After` when every server is full, in milliseconds.
-const OVERLOAD_RETRY_AFTER_MS: u64 = 700;
-
-/// Random addition to the `Retry-After`, so that callers do not return at the same moment.
-const OVERLOAD_RETRY_JITTER_MS: u64 = 1000;
-
 /// Time that a repeatable request waits for a response before another server is tried, as a
 /// multiple of the route's latency objective.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 3;
@@ -69,7 +62,8 @@
     pub state: Arc<EntryState>,
     /// The admitted request.
     pub request: AdmittedRequest,
-    tried: Vec<ServerId>,
+    /// Servers that the request was sent to.
+    pub(super) tried: Vec<ServerId>,
     /// Server for the next attempt, selected while the previous one had not responded.
     pub reserved: Option<ChosenServer>,
     /// Attempts that reached a server.
@@ -108,7 +102,8 @@
     };
     exchange.count_step(RequestStep::Received);
     loop {
-        let server = exchange.next_server().map_err(|cause| exchange.give_up(cause))?;
+        let server = waiting::next_server(&mut exchange).await;
+        let server = server.map_err(|cause| exchange.give_up(cause))?;
         let answer = match exchange.send(server, None).await {
             Ok(answer) => answer,
             Err(failure) => {
@@ -164,7 +159,7 @@
 
     /// The regions in which this request may run, taken from its route in the current plan, which
     /// may be newer than the plan that admitted the request.
-    fn allowed_regions(&self) -> AllowedRegions {
+    pub(super) fn allowed_regions(&self) -> AllowedRegions {
         let route = &self.request.route;
         let routes = self.state.routes();
         let newer = routes.filter(|routes| routes.plan().version.0 != self.request.plan);
@@ -173,7 +168,8 @@
         newer.unwrap_or_else(|| route.allowed_regions.clone())
     }
 
-    fn choose(&self, regions: &AllowedRegions) -> ServerChoice {
+    /// Selects among the servers with the random number `draw`.
+    pub(super) fn choose(&self, regions: &AllowedRegions, draw: u64) -> ServerChoice {
         let engine = self.request.engine.as_ref().zip(self.request.engine_work());
         let query = ServerQuery {
             service: &self.request.service,
@@ -185,14 +181,18 @@
             regions,
             min_version: attempt::min_version(&self.state, &self.request),
             tried: &self.tried,
-            random: rand::rng().random(),
+            random: draw,
         };
         self.state.servers().choose(self.state.now(), &query)
     }
 
     /// The fraction of new requests that is shed, if this request is among them. A request that has
     /// been sent once is not shed.
-    fn shed_share(&self, regions: &AllowedRegions, choice: &ServerChoice) -> Option<f64> {
+    pub(super) fn shed_share(
+        &self,
+        regions: &AllowedRegions,
+        choice: &ServerChoice,
+    ) -> Option<f64> {
         let (figures, work) = self.request.engine.as_ref().zip(self.request.engine_work())?;
         if !self.tried.is_empty() {
             return None;
@@ -231,7 +231,8 @@
         }
     }
 
-    fn pick_server(&self) -> Result<ChosenServer, &'static str> {
+    /// Checks whether another attempt may be made now.
+    pub(super) fn check_attempt(&self) -> Result<(), &'static str> {
         // The same content may have crashed servers at other entries or under an earlier request
         // id, which the attempts of this request do not show.
         let (now, digests) = (self.state.now(), &self.request.digests);
@@ -242,24 +243,33 @@
         if self.request.time_left(&self.state) <= least {
             return Err("deadline");
         }
-        if !self.has_attempts() {
-            return Err("attempts_used");
-        }
+        if self.has_attempts() { Ok(()) } else { Err("attempts_used") }
+    }
+
+    fn pick_server(&self) -> Result<ChosenServer, &'static str> {
+        self.check_attempt()?;
         let regions = self.allowed_regions();
-        let choice = self.choose(&regions);
+        let choice = self.choose(&regions, rand::rng().random());
         if let Some(share) = self.shed_share(&regions, &choice) {
             self.log("load_shed", json!({ "share": share }));
             return Err(LOAD_SHED);
         }
+        self.accept(choice, &regions)
+    }
+
+    /// Takes the selected server for the next attempt, or the cause why there is none.
+    pub(super) fn accept(
+        &self,
+        choice: ServerChoice,
+        regions: &AllowedRegions,
+    ) -> Result<ChosenServer, &'static str> {
         let server = match choice {
             ServerChoice::Server(server) => server,
             ServerChoice::Full(full) => {
-                self.state.metrics.count_excluded("rate_limit", full.rate_limited);
-                self.state.metrics.count_excluded("retry_after", full.backing_off);
-                self.log("servers_full", full_servers_fields(&full));
-                return Err("servers_full");
+                waiting::log_full(self, &full);
+                return Err(waiting::SERVERS_FULL);
             }
-            ServerChoice::Unavailable if regions == AllowedRegions::Anywhere => {
+            ServerChoice::Unavailable if *regions == AllowedRegions::Anywhere => {
                 return Err("no_server");
             }
             ServerChoice::Unavailable => {
@@ -412,7 +422,7 @@
             RunVerdict::NotRun if cause == QUARANTINED => {
                 ErrorResponse::refused(cause, QUARANTINE_TIME)
             }
-            RunVerdict::NotRun => ErrorResponse::refused(cause, self.retry_after()),
+            RunVerdict::NotRun => waiting::refusal(self, cause),
             _ if cause == "deadline" => {
                 ErrorResponse::outcome_unknown(StatusCode::GATEWAY_TIMEOUT, cause)
             }
@@ -431,12 +441,6 @@
         given_up
     }
 
-    /// `Retry-After` for a request that has not run.
-    fn retry_after(&self) -> Duration {
-        let rest = self.state.servers().retry_after(self.state.now(), &self.request.service);
-        overload_retry_after().max(rest.unwrap_or_default())
-    }
-
     /// Records that a response was cut off after it began; the caller's connection is closed.
     pub fn record_cut(&self, cause: &'static str, fields: serde_json::Value) {
         self.state.metrics.count_request(RunVerdict::MayHaveRun);
@@ -459,17 +463,3 @@
         self.log(event, fields);
     }
 }
-
-/// Counts of servers by the reason that they could not take the request, for logs.
-fn full_servers_fields(full: &ExclusionCounts) -> serde_json::Value {
-    json!({
-        "limited": full.limited, "late": full.late, "left_to_near": full.reserved_for_local,
-        "rate_limited": full.rate_limited, "backing_off": full.backing_off,
-        "least_predicted_ms": full.earliest_predicted.map(|time| time.as_millis() as u64),
-    })
-}
-
-fn overload_retry_after() -> Duration {
-    let spread = rand::rng().random_range(0..OVERLOAD_RETRY_JITTER_MS);
-    Duration::from_millis(OVERLOAD_RETRY_AFTER_MS + spread)
-}
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -44,6 +44,12 @@
 /// time to try another entry.
 const NEWER_PLAN_WAIT: Duration = Duration::from_millis(300);
 
+/// Denial cause: no route matches the request.
+pub(super) const NO_ROUTE: &str = "no_route";
+
+/// Denial cause: the API key is missing or belongs to no organisation.
+pub(super) const UNKNOWN_KEY: &str = "unknown_key";
+
 /// Deadline of a request when neither the caller nor the route sets one.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
@@ -110,10 +116,19 @@
 
 /// Handles one request.
 pub async fn handle(state: Arc<EntryState>, request: Request<Incoming>) -> Response<AnswerBody> {
+    handle_with(state, request, |admitted| admitted).await
+}
+
+/// Same as [`handle`], with `adjust` applied to the request once it has been admitted.
+pub async fn handle_with(
+    state: Arc<EntryState>,
+    request: Request<Incoming>,
+    adjust: impl FnOnce(AdmittedRequest) -> AdmittedRequest,
+) -> Response<AnswerBody> {
     let held = InProgressGuard::new(state.clone());
     let facts = state.headers.read_request(request.headers());
     let id = facts.id.clone().unwrap_or_default();
-    let admitted = admit(&state, request, facts).await;
+    let admitted = admit(&state, request, facts).await.map(adjust);
     let answered = match admitted {
         Ok(plan) => exchange::run(&state, plan).await,
         Err(given_up) => {
@@ -246,10 +261,23 @@
     let route = find_route(routes, &parts.headers, &parts.uri)?;
     let tenant = routes.organisation(route, key);
     let tenant =
-        tenant.map_err(|_| ErrorResponse::denied(StatusCode::UNAUTHORIZED, "unknown_key"))?;
+        tenant.map_err(|_| ErrorResponse::denied(StatusCode::UNAUTHORIZED, UNKNOWN_KEY))?;
     Ok(RouteMatch { route: route.clone(), tenant: tenant.map(|tenant| tenant.name.to_string()) })
 }
 
+/// Checks a request that has waited against the current plan, which may be newer than the one that admitted
+/// it; returns the cause if it would be denied now.
+pub(super) fn check_still_admitted(
+    state: &EntryState,
+    request: &AdmittedRequest,
+) -> Result<(), &'static str> {
+    let routes = state.routes().filter(|routes| routes.plan().version.0 != request.plan);
+    let Some(routes) = routes else { return Ok(()) };
+    let route = routes.route_named(&request.route.name).ok_or(NO_ROUTE)?;
+    let organisation = routes.organisation(route, request.facts.key.as_deref());
+    organisation.map(|_| ()).map_err(|_| UNKNOWN_KEY)
+}
+
 fn host_of<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> &'a str {
     let host = headers.get(header::HOST).and_then(|value| value.to_str().ok());
     host.or_else(|| uri.host()).unwrap_or_default()
@@ -272,8 +300,8 @@
     uri: &Uri,
 ) -> Result<&'a Route, ErrorResponse> {
     routes.route(host_of(headers, uri), uri.path()).map_err(|denial| match denial {
-        Denial::NoRoute => ErrorResponse::denied(StatusCode::NOT_FOUND, "no_route"),
-        Denial::UnknownKey => ErrorResponse::denied(StatusCode::UNAUTHORIZED, "unknown_key"),
+        Denial::NoRoute => ErrorResponse::denied(StatusCode::NOT_FOUND, NO_ROUTE),
+        Denial::UnknownKey => ErrorResponse::denied(StatusCode::UNAUTHORIZED, UNKNOWN_KEY),
     })
 }
 
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -30,4 +30,5 @@
 pub mod transfer;
 pub mod transfer_peers;
 mod unknown_headers;
+pub mod waiting;
 pub mod weights;
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -44,6 +44,7 @@
     plan_copy::PlanCopy,
     quarantine::Quarantine,
     unknown_headers::UnknownHeaders,
+    waiting::WaitingRoom,
 };
 use crate::{decisions, metrics::NodeMetrics, timer::NodeClock};
 
@@ -91,6 +92,8 @@
     retries: Mutex<RetryShare>,
     /// Decides which fraction of the requests is shed while engines are full.
     shedder: Mutex<LoadShedder>,
+    /// Requests that wait for a server.
+    pub waiting: WaitingRoom,
     /// Recent request sizes by route.
     sizes: Mutex<SizeRanks>,
     peers: Mutex<PeerTable>,
@@ -181,6 +184,7 @@
             evacuated: Mutex::default(),
             retries: Mutex::new(RetryShare::new(budget, start)),
             shedder: Mutex::default(),
+            waiting: WaitingRoom::default(),
             sizes: Mutex::default(),
             peers: Mutex::new(peers),
             loads_changed: Notify::new(),
@@ -465,6 +469,7 @@
         let names: Vec<String> = silent.iter().map(DomainKey::to_string).collect();
         let changed = servers.set_unreachable_domains(silent);
         drop(servers);
+        self.waiting.wake();
         if changed {
             decisions::info("peers", "domains_out_of_reach", json!({ "domains": names }));
         }
@@ -484,11 +489,14 @@
         drop(peers);
         let mut table = self.servers();
         loads.into_iter().for_each(|(key, load)| table.set_other_load(key, load));
+        drop(table);
+        self.waiting.wake();
     }
 
     /// Triggers a notice about changed loads at busy servers to the other entries of the failure
     /// domain.
     pub fn notify_load_changes(&self) {
+        self.waiting.wake();
         if self.servers().has_urgent_load_changes() {
             self.loads_changed.notify_one();
         }
@@ -502,5 +510,6 @@
             told.map(|notice| (notice.address, notice)).collect()
         };
         self.servers().set_notices(&notices);
+        self.waiting.wake();
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics in the Prometheus text format.
 
-use headlatch_core::direct::size_class::SizeClass;
+use headlatch_core::direct::{admission::urgency::UrgencyRank, size_class::SizeClass};
 use headlatch_types::RunVerdict;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
@@ -65,6 +65,8 @@
     rate_limits: IntGauge,
     excluded_servers: IntCounterVec,
     in_progress: IntGauge,
+    waiting: IntGaugeVec,
+    queue_outcomes: IntCounterVec,
 }
 
 impl Default for NodeMetrics {
@@ -107,12 +109,23 @@
             "Servers excluded by their signals when a request was refused, by kind.",
             &["signal"],
         );
+        let queue_outcomes = counter(
+            "headlatch_queue_outcomes_total",
+            "Requests that left the admission queue, by service, rank and outcome.",
+            &["service", "rank", "outcome"],
+        );
         let latency = HistogramOpts::new("headlatch_first_byte_seconds", "Time to the first byte.")
             .buckets(LATENCY_BUCKETS.to_vec());
         let first_byte = HistogramVec::new(latency, &["kind"]);
         let first_byte = register(&registry, first_byte.expect("the name is fixed and valid"));
         let nodes = IntGaugeVec::new(Opts::new("headlatch_nodes", "Nodes known."), &["state"]);
         let nodes = register(&registry, nodes.expect("the name is fixed and valid"));
+        let waiting = Opts::new(
+            "headlatch_waiting_requests",
+            "Requests in the admission queue, by service and rank.",
+        );
+        let waiting = IntGaugeVec::new(waiting, &["service", "rank"]);
+        let waiting = register(&registry, waiting.expect("the name is fixed and valid"));
         let ages = Opts::new(
             "headlatch_fact_age_milliseconds",
             "Time since the store last said that nothing of a topic is missing.",
@@ -144,6 +157,8 @@
             rate_limits,
             excluded_servers,
             in_progress,
+            waiting,
+            queue_outcomes,
         }
     }
 }
@@ -250,6 +265,26 @@
         self.in_progress.set(count as i64);
     }
 
+    /// Changes the number of requests in the admission queue by `change`.
+    pub fn add_waiting(&self, service: &str, rank: UrgencyRank, change: i64) {
+        self.waiting.with_label_values(&[service, &rank.to_string()]).add(change);
+    }
+
+    /// Number of requests in the admission queue.
+    pub fn waiting(&self, service: &str, rank: UrgencyRank) -> i64 {
+        self.waiting.with_label_values(&[service, &rank.to_string()]).get()
+    }
+
+    /// Counts a request that left the admission queue, or was refused on arrival there.
+    pub fn count_queue_outcome(&self, service: &str, rank: UrgencyRank, outcome: &str) {
+        self.queue_outcomes.with_label_values(&[service, &rank.to_string(), outcome]).inc();
+    }
+
+    /// Number of requests that left the admission queue with this outcome.
+    pub fn queue_outcomes(&self, service: &str, rank: UrgencyRank, outcome: &str) -> u64 {
+        self.queue_outcomes.with_label_values(&[service, &rank.to_string(), outcome]).get()
+    }
+
     /// Number of requests counted with `verdict`.
     pub fn requests(&self, verdict: RunVerdict) -> u64 {
         self.requests.with_label_values(&[verdict.as_str()]).get()
--- /dev/null
+++ b/crates/daemon/tests/waiting.rs
@@ -0,0 +1,309 @@
+//! An entry in front of one full engine: which requests wait for it, and how they leave the queue.
+
+mod support;
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use googletest::prelude::*;
+use headlatch_core::direct::admission::urgency::UrgencyRank;
+use headlatch_daemon::direct::{
+    entry::DirectEntry, handler, handler::AdmittedRequest, state::EntryState,
+};
+use headlatch_http::CallResponse;
+use headlatch_outside::facts::{Fact, FactTopic};
+use headlatch_types::traffic::{
+    EngineCapacity, HeldModel, Route, RouteKind, ServerRecord, ServicePlan, TrafficPlan,
+    WeightVersion,
+};
+use http::{Request, StatusCode};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use support::{
+    TestHeaders, TestStore, ask_with, paced::EventPace, plan, record, route, server::TestServer,
+    settings,
+};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+    time::Instant,
+};
+
+/// Slots of the engine.
+const SLOTS: u32 = 4;
+
+/// Requests that the engine gets at most: two more than its slots may queue there.
+const ENGINE_LIMIT: usize = 6;
+
+type Answer = std::result::Result<CallResponse, String>;
+
+/// An entry in front of one engine, with a listener that gives requests the rank in their header `x-rank`.
+struct Fixture {
+    state: Arc<EntryState>,
+    entry: DirectEntry,
+    address: SocketAddr,
+    engine: TestServer,
+    store: Arc<TestStore>,
+    model: HeldModel,
+}
+
+impl Fixture {
+    /// Streams of the engine take 20 times `gap`.
+    async fn new(gap: Duration) -> Self {
+        let engine = TestServer::start(EventPace { gap, ..EventPace::default() }).await;
+        let model = "m".parse().expect("valid name");
+        let model = HeldModel { model, version: WeightVersion(1), layers: Vec::new() };
+        let store = Arc::new(TestStore::default());
+        let mut own = settings();
+        own.node.drain = Duration::from_secs(8);
+        let state = EntryState::new(own, Arc::new(TestHeaders));
+        let server =
+            ServerRecord { models: vec![model.clone()], ..record("i1", engine.address, "z1") };
+        store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(engine_plan(5))));
+        store.set(FactTopic::Servers, "i1", Fact::Server(server));
+        let entry =
+            DirectEntry::start_on(state.clone(), store.clone()).await.expect("entry starts");
+        while !state.is_ready() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let address = listen(state.clone()).await;
+        Self { state, entry, address, engine, store, model }
+    }
+
+    /// Sends a request; without a rank its service does not distinguish urgencies.
+    fn ask(&self, path: &str, rank: Option<usize>) -> JoinHandle<Answer> {
+        let (address, path) = (self.address, path.to_owned());
+        tokio::spawn(async move {
+            let rank = rank.map(|rank| rank.to_string()).unwrap_or_default();
+            let lines = [("x-key", "k"), ("x-id", path.as_str()), ("x-rank", rank.as_str())];
+            ask_with(address, &path, &lines).await
+        })
+    }
+
+    /// Sends as many requests as the engine takes and returns once all have arrived there.
+    async fn fill(&self) -> Vec<JoinHandle<Answer>> {
+        let mut answers = Vec::new();
+        for number in 0..ENGINE_LIMIT {
+            answers.push(self.ask(&format!("/stream/fill-{number}"), None));
+            until(|| self.engine.seen().len() == number + 1).await;
+        }
+        answers
+    }
+
+    async fn until_waiting(&self, count: usize) {
+        until(|| self.state.waiting.count() == count).await;
+    }
+
+    fn outcomes(&self, rank: usize, outcome: &str) -> u64 {
+        self.state.metrics.queue_outcomes("s", UrgencyRank::new(rank), outcome)
+    }
+}
+
+/// Polls until `is_true`, for 5 s at most.
+async fn until(is_true: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !is_true() {
+        assert!(begun.elapsed() < Duration::from_secs(5), "the condition has not become true");
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+fn engine_plan(version: u64) -> TrafficPlan {
+    let figures = EngineCapacity {
+        slots: SLOTS,
+        step_ms: 7.0,
+        stride: 7,
+        read_per_second: 30_000.0,
+        usual_prompt: 300,
+        usual_answer: 20,
+        ..EngineCapacity::default()
+    };
+    let service = ServicePlan { engine: Some(figures), ..ServicePlan::default() };
+    let brief = Route { objective_ms: 400, timeout_ms: 1500, ..route("brief", RouteKind::Stream) };
+    let routes = vec![route("stream", RouteKind::Stream), brief];
+    TrafficPlan { services: [("s".into(), service)].into(), routes, ..plan(version) }
+}
+
+fn with_rank(mut admitted: AdmittedRequest) -> AdmittedRequest {
+    let rank = admitted.headers.get("x-rank").and_then(|rank| rank.to_str().ok()?.parse().ok());
+    admitted.urgency = rank.map(UrgencyRank::new);
+    admitted
+}
+
+async fn listen(state: Arc<EntryState>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+    let address = listener.local_addr().expect("listener is bound");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let state = state.clone();
+            let service = service_fn(move |request: Request<Incoming>| {
+                let state = state.clone();
+                async move { Ok::<_, Infallible>(handler::handle_with(state, request, with_rank).await) }
+            });
+            tokio::spawn(async move {
+                // Connection errors are caused by callers that disconnect.
+                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    });
+    address
+}
+
+async fn answer(asked: JoinHandle<Answer>) -> CallResponse {
+    asked.await.expect("task does not panic").expect("response")
+}
+
+fn retry_after(answer: &CallResponse) -> Option<f64> {
+    answer.headers.get("retry-after")?.to_str().ok()?.parse().ok()
+}
+
+/// Guards against refusals while a slot becomes free within the objective.
+#[gtest]
+#[tokio::test]
+async fn a_request_waits_for_a_freed_slot_and_is_served() {
+    let fixture = Fixture::new(Duration::from_millis(30)).await;
+    let filled = fixture.fill().await;
+    let asked = fixture.ask("/stream/waits", Some(1));
+    fixture.until_waiting(1).await;
+    expect_that!(fixture.state.metrics.waiting("s", UrgencyRank::new(1)), eq(1));
+    expect_that!(answer(asked).await.status, eq(StatusCode::OK));
+    for one in filled {
+        expect_that!(answer(one).await.status, eq(StatusCode::OK));
+    }
+    expect_that!(fixture.outcomes(1, "sent"), eq(1));
+    expect_that!(fixture.state.metrics.waiting("s", UrgencyRank::new(1)), eq(0));
+    expect_that!(fixture.state.waiting.count(), eq(0));
+}
+
+/// Guards against a queue for services that do not distinguish urgencies: they are served as before.
+#[gtest]
+#[tokio::test]
+async fn a_request_without_urgency_is_refused_at_once_with_a_fixed_retry_after() {
+    let fixture = Fixture::new(Duration::from_millis(50)).await;
+    let _filled = fixture.fill().await;
+    let begun = Instant::now();
+    for number in 0..8 {
+        let refused = answer(fixture.ask(&format!("/brief/{number}"), None)).await;
+        expect_that!(refused.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+        expect_that!(retry_after(&refused), some(all![ge(0.7), le(1.7)]));
+        let cause = String::from_utf8_lossy(&refused.body).into_owned();
+        expect_that!(cause, any![eq("servers_full\n"), eq("load_shed\n")]);
+    }
+    expect_that!(begun.elapsed(), lt(Duration::from_millis(500)));
+    expect_that!(fixture.engine.seen().len(), eq(ENGINE_LIMIT));
+    expect_that!(
+        fixture.state.metrics.text(),
+        not(contains_substring("headlatch_queue_outcomes_total{"))
+    );
+}
+
+/// Guards against a request that is not urgent being sent first because it came first.
+#[gtest]
+#[tokio::test]
+async fn a_more_urgent_request_is_sent_first() {
+    let fixture = Fixture::new(Duration::from_millis(30)).await;
+    let filled = fixture.fill().await;
+    let patient = fixture.ask("/stream/patient", Some(3));
+    fixture.until_waiting(1).await;
+    let urgent = fixture.ask("/stream/urgent", Some(0));
+    fixture.until_waiting(2).await;
+    for one in filled.into_iter().chain([patient, urgent]) {
+        expect_that!(answer(one).await.status, eq(StatusCode::OK));
+    }
+    let seen = fixture.engine.seen();
+    let place = |path: &str| seen.iter().position(|head| head.contains(path));
+    expect_that!(place("/stream/urgent"), some(lt(place("/stream/patient").expect("it is sent"))));
+}
+
+/// Guards against tickets of callers that disconnect, and against sending their requests to an engine.
+#[gtest]
+#[tokio::test]
+async fn a_caller_that_closes_its_connection_leaves_the_queue_at_once() {
+    let fixture = Fixture::new(Duration::from_millis(60)).await;
+    let filled = fixture.fill().await;
+    let mut stream = TcpStream::connect(fixture.address).await.expect("entry listens");
+    let head = "GET /stream/gone HTTP/1.1\r\nhost: a.example\r\nx-key: k\r\nx-id: gone\r\nx-rank: 1\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.expect("connection is open");
+    fixture.until_waiting(1).await;
+    let closed = Instant::now();
+    drop(stream);
+    fixture.until_waiting(0).await;
+    expect_that!(closed.elapsed(), lt(Duration::from_millis(300)));
+    expect_that!(fixture.outcomes(1, "left"), eq(1));
+    for one in filled {
+        expect_that!(answer(one).await.status, eq(StatusCode::OK));
+    }
+    expect_that!(fixture.engine.seen().len(), eq(ENGINE_LIMIT));
+}
+
+/// Guards against a planned stop that cuts off waiting requests although there is time to serve them.
+#[gtest]
+#[tokio::test]
+async fn a_planned_stop_serves_the_requests_that_wait() {
+    // The engine is busy until after the entry has stopped to accept connections, 2.7 s after the request.
+    let fixture = Fixture::new(Duration::from_millis(170)).await;
+    let _filled = fixture.fill().await;
+    let asked = fixture.ask("/stream/waits", Some(1));
+    fixture.until_waiting(1).await;
+    let state = fixture.state.clone();
+    let stopped = tokio::spawn(fixture.entry.leave());
+    expect_that!(answer(asked).await.status, eq(StatusCode::OK));
+    stopped.await.expect("task does not panic");
+    expect_that!(state.waiting.count(), eq(0));
+    expect_that!(state.metrics.queue_outcomes("s", UrgencyRank::new(1), "sent"), eq(1));
+}
+
+/// Guards against requests held until their deadline, and against a time that callers do not honour.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_would_be_late_is_refused_with_the_retry_after_of_return_time() {
+    let fixture = Fixture::new(Duration::from_millis(100)).await;
+    let _filled = fixture.fill().await;
+    let begun = Instant::now();
+    let refused = answer(fixture.ask("/brief/late", Some(1))).await;
+    expect_that!(begun.elapsed(), lt(Duration::from_millis(800)));
+    expect_that!(refused.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(String::from_utf8_lossy(&refused.body), eq("queue_late\n"));
+    // At most a third of the 1.5 s that the route allows, less the time waited.
+    expect_that!(retry_after(&refused), some(all![ge(0.1), le(0.5)]));
+    expect_that!(fixture.outcomes(1, "late"), eq(1));
+}
+
+/// Guards against waiting requests that are sent although a newer plan would deny them.
+#[gtest]
+#[tokio::test]
+async fn a_request_whose_route_is_removed_while_it_waits_is_denied() {
+    let fixture = Fixture::new(Duration::from_millis(60)).await;
+    let _filled = fixture.fill().await;
+    let asked = fixture.ask("/stream/waits", Some(1));
+    fixture.until_waiting(1).await;
+    let newer = TrafficPlan { routes: Vec::new(), ..engine_plan(6) };
+    fixture.store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(newer)));
+    let denied = answer(asked).await;
+    expect_that!(denied.status, eq(StatusCode::NOT_FOUND));
+    expect_that!(retry_after(&denied), none());
+    expect_that!(fixture.outcomes(1, "refused"), eq(1));
+}
+
+/// Guards against requests that wait for a server which has left.
+#[gtest]
+#[tokio::test]
+async fn waiting_requests_are_refused_once_all_servers_leave() {
+    let fixture = Fixture::new(Duration::from_millis(100)).await;
+    let _filled = fixture.fill().await;
+    let asked: Vec<_> =
+        (0..3).map(|nth| fixture.ask(&format!("/stream/{nth}"), Some(nth))).collect();
+    fixture.until_waiting(3).await;
+    let models = vec![fixture.model.clone()];
+    let server = record("i1", fixture.engine.address, "z1");
+    let server = ServerRecord { models, draining: true, ..server };
+    let begun = Instant::now();
+    fixture.store.set(FactTopic::Servers, "i1", Fact::Server(server));
+    for one in asked {
+        let refused = answer(one).await;
+        expect_that!(refused.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+        expect_that!(String::from_utf8_lossy(&refused.body), eq("no_server\n"));
+        expect_that!(retry_after(&refused), some(all![ge(0.7), le(1.7)]));
+    }
+    expect_that!(begun.elapsed(), lt(Duration::from_millis(1500)));
+}
