--- a/crates/client/src/commands/explain.rs
+++ b/crates/client/src/commands/explain.rs
@@ -82,6 +82,9 @@
     let text = |name: &str| decision.fields.get(name).map(plain).unwrap_or_default();
     let what = match decision.event.as_str() {
         "denied" => format!("denied with {} because of {}", text("status"), text("cause")),
+        "queued" => "waits in the admission queue".to_owned(),
+        "dequeued" => "leaves the admission queue for a server".to_owned(),
+        "queue_left" => "the caller disconnected while the request waited".to_owned(),
         "server_chosen" => format!("sent, attempt {}", next_attempt(decision)),
         "attempt_failed" => "a sending failed".to_owned(),
         "server_failed" => "the server answered that it failed".to_owned(),
--- a/crates/client/tests/command_line.rs
+++ b/crates/client/tests/command_line.rs
@@ -123,6 +123,46 @@
     assert_that!(unknown.status.code(), some(eq(2)));
 }
 
+/// Guards against lines of the admission queue that are shown without their inputs or out of order.
+#[test]
+fn explain_shows_how_a_request_waited() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let log = folder.path().join("entry.log");
+    let line = |steady: u64, event: &str, request: &str, more: Value| {
+        serde_json::json!({
+            "time_ms": 5, "steady_us": steady, "level": "info", "part": "routing", "event": event,
+            "request": request, "service": "llm", "plan": 7, "attempt": 0, "more": more,
+        })
+        .to_string()
+    };
+    let queued = serde_json::json!({ "position": 3, "predicted_wait_ms": 120, "rank": 2 });
+    let refused = serde_json::json!({ "cause": "queue_late", "retry_after_ms": 900 });
+    let lines = [
+        line(1000, "queued", "r1", queued.clone()),
+        line(91_000, "dequeued", "r1", serde_json::json!({ "waited_ms": 90 })),
+        line(91_100, "server_chosen", "r1", Value::Null),
+        line(1000, "queued", "r2", queued),
+        line(301_000, "given_up", "r2", refused),
+        line(5000, "queue_left", "r3", serde_json::json!({ "waited_ms": 4 })),
+    ];
+    fs::write(&log, lines.join("\n")).expect("a file");
+    let explain = |request: &str| {
+        let output = run(&["explain", request, plain(&log)]);
+        String::from_utf8_lossy(&output.stdout).lines().map(str::to_owned).collect::<Vec<_>>()
+    };
+    let served = explain("r1");
+    let queued = "waits in the admission queue (service llm, plan 7): \
+                  position 3, predicted wait ms 120, rank 2";
+    assert_that!(served[0], contains_substring(queued));
+    assert_that!(served[1], contains_substring("90.0 ms  leaves the admission queue for a server"));
+    assert_that!(served[1], contains_substring("waited ms 90"));
+    assert_that!(served[2], contains_substring("sent, attempt 1"));
+    let refused = explain("r2");
+    assert_that!(refused[1], contains_substring("given up"));
+    assert_that!(refused[1], contains_substring("cause queue_late, retry after ms 900"));
+    assert_that!(explain("r3")[0], contains_substring("the caller disconnected"));
+}
+
 #[test]
 fn shares_are_told_by_route_and_size() {
     let folder = tempfile::tempdir().expect("a folder");
