--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -30,4 +30,5 @@
 pub mod transfer;
 pub mod transfer_peers;
 mod unknown_names;
+pub mod waiting;
 pub mod weights;
