--- a/crates/core/src/direct/admission/mod.rs
+++ b/crates/core/src/direct/admission/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod drain_rate;
+pub mod fair_share;
 pub mod queue;
 pub mod rank_shares;
 pub mod return_time;
