Split the stager by what its parts do

Change: the choice of the version (goal), the start of transfers (fetching) and the server's stage (stage) are modules of their own. No behaviour changes.

--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -1,41 +1,32 @@
 //! Brings one server to the target version of its weights, one step per poll.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use headlatch_core::{
     direct::{
-        manifest_source::{ManifestSource, ManifestView, manifest_source},
-        staging::{
-            EngineLife, GivenOrder, StageStep, StageView, VersionChoice, next_step, next_version,
-        },
-        transfer_rate::{TransferRate, TransferView},
-        weight_deadline::{WantedVersion, dispatch_time},
+        staging::{EngineLife, GivenOrder, StageStep, StageView, next_step},
+        transfer_rate::TransferRate,
     },
     time::Moment,
 };
-use headlatch_outside::engine::{
-    EngineStage, OrderAnswer, OrderSequence, RunningRequests, StageReport, StartOrder,
-};
-use headlatch_types::{
-    id::ModelName,
-    quantity::{ByteRate, ByteSize},
-    traffic::WeightVersion,
-};
+use headlatch_outside::engine::{OrderAnswer, StageReport};
+use headlatch_types::traffic::WeightVersion;
 use serde_json::json;
 
 use super::{
     agent::{AgentDependencies, AgentState, lock},
     agent_plan::AgentPlan,
-    change::{self, DrainConditions},
-    facts::retry_delay,
+    change,
     transfer::{TransferManager, VersionTransfer},
-    transfer_peers,
 };
 use crate::decisions;
 
+mod fetching;
+mod goal;
+mod stage;
+
+use goal::Goal;
+
 /// Poll interval while a transfer or a version switch is in progress.
 const BUSY_POLL_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -45,22 +36,6 @@
 /// Minimum time between two progress log records of a transfer.
 const PROGRESS_LOG_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Maximum number of pieces written to the stage per poll.
-const PIECES_PER_STEP: usize = 16;
-
-/// Maximum age of a stage check when the order is sent. After an older check all pieces are
-/// verified again, since staged pieces can become corrupt.
-const CHECK_VALIDITY: Duration = Duration::from_millis(1500);
-
-/// Assumed size of a copy before the first manifest has been read.
-const DEFAULT_COPY_SIZE: ByteSize = ByteSize::from_mib(2);
-
-/// Assumed number of pieces in a copy before the first manifest has been read.
-const DEFAULT_PIECE_COUNT: u32 = 96;
-
-/// Target version if neither a peer, the store nor the server names one.
-const DEFAULT_VERSION: WeightVersion = WeightVersion(1);
-
 /// Transfers and stages the target version of the weights of one server, and orders the server to
 /// load it.
 pub struct Stager {
@@ -84,16 +59,6 @@
     fence: u64,
 }
 
-/// Target state of the server.
-#[derive(Debug, Clone)]
-struct Goal {
-    model: ModelName,
-    version: WeightVersion,
-    /// Time since the version became the target.
-    elapsed: Duration,
-    loaded: Option<WeightVersion>,
-}
-
 /// When to poll again.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum NextPoll {
@@ -192,73 +157,6 @@
         }
     }
 
-    /// Returns the target state, or `None` while neither the server nor the plan names a model.
-    fn goal(&self, report: &StageReport) -> Option<Goal> {
-        let held = report.models.first();
-        let model =
-            held.map(|held| held.model.clone()).or_else(|| self.plan.model(self.service()))?;
-        let layers = self.layers();
-        let loaded = held.and_then(|held| held.whole_version(layers));
-        // The server may report a newer version than any known target.
-        let named = held.map_or(DEFAULT_VERSION, |held| held.version);
-        let running = self.state.node.now().since(Moment::ZERO);
-        let fallback = WantedVersion { version: named, elapsed: running };
-        let WantedVersion { version, elapsed } =
-            self.next_version(&model, loaded).unwrap_or(fallback);
-        Some(Goal { model, version, elapsed, loaded })
-    }
-
-    /// Returns the version to load next, or `None` if no target version is known.
-    fn next_version(
-        &self,
-        model: &ModelName,
-        loaded: Option<WeightVersion>,
-    ) -> Option<WantedVersion> {
-        let now = self.state.node.now();
-        let wanted = self.state.wanted(model);
-        let accepted = self.order.filter(|order| order.answer == Some(OrderAnswer::Begun));
-        let reached = loaded.max(accepted.map(|order| order.version));
-        let time = self.state.settings.direct.weights_time;
-        let missing = wanted.iter().filter(|target| reached.is_none_or(|at| target.version > at));
-        let choices: Vec<VersionChoice> = missing
-            .map(|target| VersionChoice {
-                version: target.version,
-                due: now + dispatch_time(time) - target.elapsed,
-                transfer: self.transfer_time(target.version),
-            })
-            .collect();
-        let next = next_version(now, &choices);
-        let next = next.or_else(|| wanted.last().map(|target| target.version))?;
-        wanted.into_iter().find(|target| target.version == next)
-    }
-
-    /// Estimates the time until all missing pieces of a version have arrived, from the recent
-    /// transfer rate.
-    fn transfer_time(&self, version: WeightVersion) -> Duration {
-        let transfers = self.transfer.iter().chain(&self.next_transfer);
-        let transfer = transfers.clone().find(|transfer| transfer.pieces.version == version);
-        let latest = transfers.last();
-        let copy = latest.map_or(DEFAULT_COPY_SIZE, |transfer| transfer.manifest.total());
-        let pieces = latest
-            .map_or(DEFAULT_PIECE_COUNT, |transfer| transfer.pieces.digests.len().max(1) as u32);
-        let origin = self.plan.origin().map(|origin| origin.bytes_per_second.max(1));
-        let origin = origin.map(|rate| ByteRate::from_bytes_per_second(rate).time_for(copy));
-        let link = self.state.settings.link.rate.time_for(copy);
-        self.rate.time_left(&TransferView {
-            version,
-            held: transfer.map_or(0, |transfer| transfer.swarm.held() as u32),
-            pieces,
-            piece_time: link.max(origin.unwrap_or_default()) / pieces,
-        })
-    }
-
-    /// Updates the transfer rate from the progress of the current transfer.
-    fn record_progress(&mut self) {
-        let Some(transfer) = &self.transfer else { return };
-        let now = self.state.node.now();
-        self.rate.record(now, transfer.pieces.version, transfer.swarm.held() as u32);
-    }
-
     fn service(&self) -> Option<&str> {
         self.state.settings.service.as_deref()
     }
@@ -298,107 +196,6 @@
         }
     }
 
-    /// Starts the transfer of the target version unless it is in progress.
-    async fn ensure_transfer(&mut self, goal: &Goal) {
-        if self.transfer.as_ref().is_some_and(|transfer| transfer.is_for(&goal.model, goal.version))
-        {
-            return;
-        }
-        if self
-            .next_transfer
-            .as_ref()
-            .is_some_and(|transfer| transfer.is_for(&goal.model, goal.version))
-        {
-            self.transfer = self.next_transfer.take();
-            return;
-        }
-        if let Some(transfer) = self.start_transfer(&goal.model, goal.version, false).await {
-            self.transfer = Some(transfer);
-            self.next_transfer = None;
-        }
-    }
-
-    /// Starts the transfer of the newest version while an older one is staged and waits for the
-    /// server's turn to switch.
-    async fn ensure_next_transfer(&mut self, goal: &Goal) {
-        let Some(newest) = self.state.wanted(&goal.model).last().copied() else { return };
-        let newest = newest.version;
-        let is_staged = self.transfer.as_ref().is_some_and(VersionTransfer::is_staged);
-        let is_started = self
-            .next_transfer
-            .as_ref()
-            .is_some_and(|transfer| transfer.is_for(&goal.model, newest));
-        if newest <= goal.version || !is_staged || is_started {
-            return;
-        }
-        self.next_transfer = self.start_transfer(&goal.model, newest, true).await;
-    }
-
-    async fn start_transfer(
-        &mut self,
-        model: &ModelName,
-        version: WeightVersion,
-        is_next: bool,
-    ) -> Option<VersionTransfer> {
-        let now = self.state.node.now();
-        let origin = self.plan.origin()?;
-        if now < self.manifest_retry_at {
-            return None;
-        }
-        let source = self.manifest_source(version);
-        match self.transfers.manifest(source, &origin, model, version).await {
-            Ok(None) => None,
-            Ok(Some(pieces)) => {
-                let transfer = self.transfers.begin(&origin, pieces, is_next).await;
-                self.manifest_failures = 0;
-                self.manifest_requested = None;
-                self.record_start(&transfer, is_next);
-                Some(transfer)
-            }
-            Err(error) => {
-                self.manifest_failures += 1;
-                self.manifest_retry_at = now + retry_delay(self.manifest_failures);
-                if source == ManifestSource::Origin {
-                    self.plan.request_refresh();
-                }
-                let fields = json!({
-                    "version": version, "source": format!("{source:?}"), "error": error.to_string(),
-                });
-                decisions::warn("weights", "no_manifest", fields);
-                None
-            }
-        }
-    }
-
-    /// Selects the source from which to read the manifest of a version now.
-    fn manifest_source(&mut self, version: WeightVersion) -> ManifestSource {
-        let now = self.state.node.now();
-        let wanted = self.manifest_requested.filter(|(wanted, _)| *wanted == version);
-        let (_, since) = *self.manifest_requested.insert(wanted.unwrap_or((version, now)));
-        let readers = transfer_peers::manifest_readers(&self.state, version);
-        manifest_source(&ManifestView {
-            rank: readers.rank,
-            domain_rank: readers.near_rank,
-            steady: readers.steady,
-            is_alone: readers.is_alone,
-            waited: now.since(since),
-            failures: self.manifest_failures,
-            holders: &readers.holders,
-            holders_in_domain: readers.holders_near,
-        })
-    }
-
-    fn record_start(&self, transfer: &VersionTransfer, is_next: bool) {
-        let version = transfer.pieces.version;
-        let fields = json!({
-            "model": transfer.pieces.model, "version": version, "pieces": transfer.stage.placed.len(),
-            "staged": transfer.stage.placed.iter().filter(|placed| **placed).count(),
-            "next": is_next,
-        });
-        decisions::info("weights", "begun", fields);
-        self.state.update_notice(|notice| notice.sharing = Some(version));
-    }
-
     async fn step(&mut self, goal: &Goal, report: &StageReport) -> NextPoll {
         let serves = goal.loaded.is_some();
         let turn = change::is_turn(&self.state, goal.version, goal.elapsed, serves);
@@ -452,130 +249,4 @@
         });
         decisions::info("weights", "progress", fields);
     }
-
-    /// Writes up to [`PIECES_PER_STEP`] received pieces to the stage.
-    async fn stage_pieces(&mut self, held: &[bool]) {
-        let Some(transfer) = &mut self.transfer else { return };
-        let missing =
-            (0..held.len()).filter(|piece| held[*piece] && !transfer.stage.placed[*piece]);
-        let missing: Vec<usize> = missing.take(PIECES_PER_STEP).collect();
-        for piece in missing {
-            let Some(data) = self.transfers.piece(transfer, piece) else { continue };
-            match self.dependencies.engine.put(&transfer.pieces.model, piece as u32, data).await {
-                Ok(()) => transfer.stage.placed[piece] = true,
-                Err(error) => {
-                    let fields = json!({ "piece": piece, "error": error.to_string() });
-                    return decisions::warn("weights", "not_staged", fields);
-                }
-            }
-        }
-        if transfer.is_staged() {
-            let version = transfer.pieces.version;
-            let after = self.state.node.now().since(transfer.started).as_millis() as u64;
-            let fields = json!({ "version": version, "after_ms": after });
-            decisions::info("weights", "staged", fields);
-            self.state.update_notice(|notice| notice.staged = Some(version));
-        }
-    }
-
-    /// Drains the server, verifies all staged pieces in the meantime, and sends the order.
-    async fn switch_version(&mut self, goal: &Goal, sequence: OrderSequence) {
-        let engine = self.dependencies.engine.clone();
-        let conditions = DrainConditions {
-            serves: goal.loaded.is_some(),
-            is_first: change::is_first(&self.state, goal.version),
-        };
-        let Some(transfer) = &self.transfer else { return };
-        let draining_server = change::drain(&self.state, &*engine, conditions);
-        let (corrupt, ()) =
-            tokio::join!(verify_stage(&*engine, transfer, self.state.node.now()), draining_server);
-        self.record_check(corrupt);
-        if !self.is_freshly_checked() {
-            let Some(transfer) = &self.transfer else { return };
-            let corrupt = verify_stage(&*engine, transfer, self.state.node.now()).await;
-            self.record_check(corrupt);
-        }
-        if self.is_freshly_checked() {
-            self.send_order(goal, sequence).await;
-        } else {
-            // Corrupt pieces are staged again; the server keeps serving until then.
-            self.state.update_notice(|notice| notice.changing = false);
-        }
-        self.state.draining.store(false, Ordering::Relaxed);
-    }
-
-    async fn send_order(&mut self, goal: &Goal, sequence: OrderSequence) {
-        self.fence += 1;
-        let order = StartOrder {
-            model: goal.model.clone(),
-            version: goal.version,
-            fence: self.fence,
-            expected: sequence,
-            running: self.running_requests(),
-        };
-        let given = self.state.node.now();
-        let answer = self.dependencies.engine.start(order).await;
-        let fields = json!({
-            "version": goal.version, "fence": self.fence, "expected": sequence.0,
-            "answer": format!("{answer:?}"),
-        });
-        decisions::info("engine", "ordered", fields);
-        let answer = answer.ok();
-        self.order = Some(GivenOrder { version: goal.version, given, answer, expected: sequence });
-    }
-
-    /// Records the result of a check. Corrupt pieces are marked as missing, so that they are staged
-    /// again.
-    fn record_check(&mut self, check: StageCheck) {
-        let Some(transfer) = &mut self.transfer else { return };
-        if check.corrupt.is_empty() {
-            transfer.stage.checked = Some(check.started);
-            return;
-        }
-        let fields = json!({ "version": transfer.pieces.version, "pieces": check.corrupt });
-        decisions::warn("weights", "stage_spoilt", fields);
-        for piece in check.corrupt {
-            transfer.stage.placed[piece] = false;
-        }
-    }
-
-    fn is_freshly_checked(&self) -> bool {
-        let Some(transfer) = &self.transfer else { return false };
-        let now = self.state.node.now();
-        let fresh = |checked| now.since(checked) <= CHECK_VALIDITY;
-        transfer.is_staged() && transfer.stage.checked.is_some_and(fresh)
-    }
-
-    /// Cuts running requests at a switch only if all of them can be resumed on another server.
-    /// Waiting for them instead takes seconds in which the server accepts no new requests.
-    fn running_requests(&self) -> RunningRequests {
-        match self.plan.may_interrupt(self.service()) {
-            true => RunningRequests::Cut,
-            false => RunningRequests::Finish,
-        }
-    }
-}
-
-/// Result of reading all staged pieces back.
-#[derive(Debug)]
-struct StageCheck {
-    started: Moment,
-    corrupt: Vec<usize>,
-}
-
-/// Reads all staged pieces back and compares their digests with the manifest.
-async fn verify_stage(
-    engine: &dyn EngineStage,
-    transfer: &VersionTransfer,
-    started: Moment,
-) -> StageCheck {
-    let mut corrupt = Vec::new();
-    for (piece, place) in transfer.manifest.chunks().iter().enumerate() {
-        let read = engine.get(&transfer.pieces.model, piece as u32).await;
-        let is_intact = read.is_ok_and(|data| transfer.manifest.kind().of(&data) == place.digest);
-        if !is_intact {
-            corrupt.push(piece);
-        }
-    }
-    StageCheck { started, corrupt }
 }
