Log the choice between versions with its inputs, and estimates beside what they came to

Cause: agents skipped a version of which a third had arrived, and no log line showed the estimates that led to it, nor how long the transfer then took.

Change: weights version_chosen gives for each wanted version the pieces held here and known in the fleet, the estimate with its parts, and the due time; weights transfer_estimated compares a completed transfer with its estimate. Estimates carry their parts. The choice itself moves from staging to version_choice. origin_outage recognises an outage from what one box observes; nothing uses it yet. Choices are as before.

--- a/crates/core/src/direct/transfer_rate.rs
+++ b/crates/core/src/direct/transfer_rate.rs
@@ -1,12 +1,14 @@
-//! Estimates how long a version's missing pieces take to arrive, from the rate of recent arrivals.
+//! Estimates how long a version's missing pieces take to arrive.
 //!
-//! Measuring the rate covers bottlenecks that are not configured: an origin narrower than a box's
-//! own link, a slow origin, or a link shared with requests.
+//! Handles origins narrower than a box's own link, slow origins and links shared with requests, by
+//! measuring the rate of recent arrivals, and outages of the origin, in which no rate can be
+//! measured and only what is needed after its return can be compared.
 
 use std::{collections::VecDeque, time::Duration};
 
 use headlatch_types::traffic::WeightVersion;
 
+use super::origin_outage::OriginState;
 use crate::time::Moment;
 
 /// Time window over which the rate is measured.
@@ -27,18 +29,70 @@
 pub struct TransferView {
     /// The version.
     pub version: WeightVersion,
-    /// Number of pieces held.
+    /// Number of pieces held by this box.
     pub held: u32,
+    /// Number of pieces that this box or another one is known to hold.
+    pub known: u32,
     /// Total number of pieces.
     pub pieces: u32,
-    /// Time to send one piece over the narrowest known link.
-    pub piece_time: Duration,
+    /// Time in which the origin sends one piece.
+    pub origin_piece_time: Duration,
+    /// Time in which this box's link transfers one piece.
+    pub link_piece_time: Duration,
 }
 
 impl TransferView {
     fn missing(&self) -> u32 {
         self.pieces.saturating_sub(self.held)
     }
+
+    /// Number of pieces that no box is known to hold.
+    fn unknown(&self) -> u32 {
+        self.pieces.saturating_sub(self.known.max(self.held))
+    }
+
+    /// Time to send one piece over the narrower of the two links.
+    fn piece_time(&self) -> Duration {
+        self.origin_piece_time.max(self.link_piece_time)
+    }
+}
+
+/// What an estimate is based on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EstimateBasis {
+    /// No piece is missing.
+    Complete,
+    /// The configured rates of the links.
+    LinkRates,
+    /// The rate at which pieces have been arriving.
+    ArrivalRate,
+    /// What is needed once the origin has returned from an outage.
+    AfterOutage,
+}
+
+/// Estimated time until the missing pieces of a version have arrived, with its parts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TransferEstimate {
+    /// What the estimate is based on.
+    pub basis: EstimateBasis,
+    /// Time for which the origin's link is needed.
+    pub origin: Duration,
+    /// Time for which this box's own link is needed.
+    pub link: Duration,
+    /// Time for the last pieces to spread.
+    pub spread: Duration,
+    /// The estimate. In an outage of the origin, it counts from the origin's return.
+    pub total: Duration,
+}
+
+impl TransferEstimate {
+    const COMPLETE: Self = Self {
+        basis: EstimateBasis::Complete,
+        origin: Duration::ZERO,
+        link: Duration::ZERO,
+        spread: Duration::ZERO,
+        total: Duration::ZERO,
+    };
 }
 
 /// Measured rate of the current transfer.
@@ -61,18 +115,25 @@
         }
     }
 
-    /// Estimated time until the missing pieces have arrived.
-    ///
-    /// While nothing arrives, as in an outage, this is the time that the links would need from now
-    /// on.
-    pub fn time_left(&self, view: &TransferView) -> Duration {
-        let missing = view.missing();
-        if missing == 0 {
-            return Duration::ZERO;
+    /// Estimates the time until the missing pieces have arrived.
+    pub fn estimate(&self, view: &TransferView, origin: OriginState) -> TransferEstimate {
+        match (view.missing(), origin) {
+            (0, _) => TransferEstimate::COMPLETE,
+            (_, OriginState::Reachable) => self.estimate_from_rates(view),
+            (_, OriginState::Down) => estimate_after_outage(view),
         }
-        let predicted = view.piece_time * missing * RELAY_OVERHEAD_PERCENT / 100;
-        let measured = self.piece_interval(view.version).map(|piece_time| piece_time * missing);
-        measured.unwrap_or(predicted).max(view.piece_time * missing) + SPREAD_TIME
+    }
+
+    fn estimate_from_rates(&self, view: &TransferView) -> TransferEstimate {
+        let missing = view.missing();
+        let (origin, link) = (view.origin_piece_time * missing, view.link_piece_time * missing);
+        let narrowest = view.piece_time() * missing;
+        let (basis, time) = match self.piece_interval(view.version) {
+            Some(interval) => (EstimateBasis::ArrivalRate, interval * missing),
+            None => (EstimateBasis::LinkRates, narrowest * RELAY_OVERHEAD_PERCENT / 100),
+        };
+        let total = time.max(narrowest) + SPREAD_TIME;
+        TransferEstimate { basis, origin, link, spread: SPREAD_TIME, total }
     }
 
     /// Recent average time between two pieces; `None` if too few have arrived.
@@ -83,3 +144,13 @@
         (received >= MIN_PIECES).then(|| until.since(*from) / received)
     }
 }
+
+/// The time needed once the origin has returned. Only pieces that no box holds need the origin, so a
+/// version that the other boxes hold completely does not wait for it.
+fn estimate_after_outage(view: &TransferView) -> TransferEstimate {
+    let origin = view.origin_piece_time * view.unknown();
+    let link = view.link_piece_time * view.missing();
+    let total = origin + link + SPREAD_TIME;
+    let basis = EstimateBasis::AfterOutage;
+    TransferEstimate { basis, origin, link, spread: SPREAD_TIME, total }
+}
--- a/crates/core/tests/staging.rs
+++ b/crates/core/tests/staging.rs
@@ -5,10 +5,8 @@
 use googletest::prelude::*;
 use headlatch_core::{
     direct::{
-        staging::{
-            GivenOrder, StageState, StageStep, StageView, TurnView, VersionChoice, has_turn,
-            next_step, next_version,
-        },
+        staging::{GivenOrder, StageState, StageStep, StageView, TurnView, has_turn, next_step},
+        version_choice::{VersionChoice, next_version},
         weight_deadline::dispatch_time,
     },
     time::Moment,
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -9,6 +9,7 @@
 pub mod registry;
 pub mod serve;
 pub mod swarm;
+mod swarm_progress;
 pub mod watch;
 pub mod weights;
 
--- a/crates/daemon/src/agent/swarm.rs
+++ b/crates/daemon/src/agent/swarm.rs
@@ -3,10 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
+    sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
@@ -28,6 +25,7 @@
     chunk_cache::ChunkCache,
     fetch::{ChunkReader, PeerFetchRequest, fetch_from_peer},
     notes::NoteSender,
+    swarm_progress::{KnownChunks, SwarmState},
 };
 use crate::{
     decisions,
@@ -79,14 +77,6 @@
     _task: Arc<AbortOnDrop>,
 }
 
-/// Progress counters updated by a driver.
-#[derive(Debug, Default)]
-struct SwarmState {
-    held: AtomicU64,
-    bytes: AtomicU64,
-    complete: AtomicBool,
-}
-
 /// Aborts a task on drop.
 #[derive(Debug)]
 struct AbortOnDrop(AbortHandle);
@@ -103,6 +93,21 @@
         self.state.held.load(Ordering::Relaxed)
     }
 
+    /// Number of chunks that this box or a peer is known to hold.
+    pub fn known(&self) -> u32 {
+        self.state.known.load(Ordering::Relaxed)
+    }
+
+    /// Number of chunks that this transfer has read from the origin.
+    pub fn origin_reads(&self) -> u64 {
+        self.state.origin_reads.load(Ordering::Relaxed)
+    }
+
+    /// Number of origin reads that could not reach it, since the last one that could.
+    pub fn origin_failures(&self) -> u32 {
+        self.state.origin_failures.load(Ordering::Relaxed)
+    }
+
     /// Bytes fetched by this transfer.
     pub fn bytes(&self) -> u64 {
         self.state.bytes.load(Ordering::Relaxed)
@@ -149,6 +154,7 @@
     manifest: Arc<Manifest>,
     tick: Duration,
     planner: SwarmPlanner,
+    known: KnownChunks,
     inputs: mpsc::Receiver<DriverInput>,
     input_sender: mpsc::Sender<DriverInput>,
     state: Arc<SwarmState>,
@@ -180,6 +186,9 @@
     });
     let salt = manifest.digest().key();
     let tick = settings.timings.tick;
+    state.held.store(held.count().into(), Ordering::Relaxed);
+    state.known.store(held.count(), Ordering::Relaxed);
+    let known = KnownChunks::new(held.clone());
     let planner = SwarmPlanner::begin(settings, salt, own_location, held, context.node.now());
     let driver = SwarmDriver {
         context,
@@ -187,6 +196,7 @@
         tick,
         manifest: manifest.clone(),
         planner,
+        known,
         inputs,
         input_sender: sender.clone(),
         state: state.clone(),
@@ -233,6 +243,7 @@
 
     fn handle_event(&mut self, event: SwarmEvent) {
         self.remove_ended(&event);
+        self.known.observe(&event);
         let actions = self.planner.handle(self.context.node.now(), event);
         let mut notes: HashMap<PeerKey, Vec<SwarmNote>> = HashMap::new();
         for action in actions {
@@ -243,6 +254,7 @@
         }
         notes.into_iter().for_each(|(to, notes)| self.send_notes(to, notes));
         self.state.held.store(self.planner.progress().held.into(), Ordering::Relaxed);
+        self.state.known.store(self.known.count(), Ordering::Relaxed);
     }
 
     fn remove_ended(&mut self, event: &SwarmEvent) {
@@ -366,6 +378,7 @@
         let started = self.context.node.now();
         let result = self.fetch_and_store(answers).await;
         if source == ChunkSource::Origin {
+            self.state.count_origin_read(result.err());
             self.record_origin_read(started, result.err());
         }
         let event = match result {
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -3,10 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use headlatch_core::{
-    direct::{
-        staging::{EngineLife, GivenOrder, StageStep, StageView, next_step},
-        transfer_rate::TransferRate,
-    },
+    direct::staging::{EngineLife, GivenOrder, StageStep, StageView, next_step},
     time::Moment,
 };
 use headlatch_outside::engine::{OrderAnswer, StageReport};
@@ -21,10 +18,12 @@
 };
 use crate::decisions;
 
+mod estimates;
 mod fetching;
 mod goal;
 mod stage;
 
+use estimates::VersionSelection;
 use goal::Goal;
 
 /// Poll interval while a transfer or a version switch is in progress.
@@ -55,7 +54,7 @@
     /// Version whose manifest is needed, and the time since when.
     manifest_requested: Option<(WeightVersion, Moment)>,
     next_progress_log: Moment,
-    rate: TransferRate,
+    selection: VersionSelection,
     fence: u64,
 }
 
@@ -92,7 +91,7 @@
             manifest_retry_at: Moment::ZERO,
             manifest_requested: None,
             next_progress_log: Moment::ZERO,
-            rate: TransferRate::default(),
+            selection: VersionSelection::default(),
             fence: 0,
         }
     }
--- a/crates/daemon/src/direct/stager/fetching.rs
+++ b/crates/daemon/src/direct/stager/fetching.rs
@@ -63,7 +63,8 @@
         match self.transfers.manifest(source, &origin, model, version).await {
             Ok(None) => None,
             Ok(Some(pieces)) => {
-                let transfer = self.transfers.begin(&origin, pieces, is_next).await;
+                let mut transfer = self.transfers.begin(&origin, pieces, is_next).await;
+                transfer.estimated = self.initial_estimate(&transfer);
                 self.manifest_failures = 0;
                 self.manifest_requested = None;
                 self.record_start(&transfer, is_next);
--- a/crates/daemon/src/direct/stager/goal.rs
+++ b/crates/daemon/src/direct/stager/goal.rs
@@ -4,26 +4,15 @@
 
 use headlatch_core::{
     direct::{
-        staging::{VersionChoice, next_version},
-        transfer_rate::TransferView,
+        version_choice::{VersionChoice, next_version},
         weight_deadline::{WantedVersion, dispatch_time},
     },
     time::Moment,
 };
 use headlatch_outside::engine::{OrderAnswer, StageReport};
-use headlatch_types::{
-    id::ModelName,
-    quantity::{ByteRate, ByteSize},
-    traffic::WeightVersion,
-};
-
-use super::Stager;
+use headlatch_types::{id::ModelName, traffic::WeightVersion};
 
-/// Assumed size of a copy before the first manifest has been read.
-const DEFAULT_COPY_SIZE: ByteSize = ByteSize::from_mib(2);
-
-/// Assumed number of pieces in a copy before the first manifest has been read.
-const DEFAULT_PIECE_COUNT: u32 = 96;
+use super::{Stager, estimates::VersionCandidate};
 
 /// Target version if neither a peer, the store nor the server names one.
 const DEFAULT_VERSION: WeightVersion = WeightVersion(1);
@@ -40,7 +29,7 @@
 
 impl Stager {
     /// Returns the target state, or `None` while neither the server nor the plan names a model.
-    pub(super) fn goal(&self, report: &StageReport) -> Option<Goal> {
+    pub(super) fn goal(&mut self, report: &StageReport) -> Option<Goal> {
         let held = report.models.first();
         let model =
             held.map(|held| held.model.clone()).or_else(|| self.plan.model(self.service()))?;
@@ -57,7 +46,7 @@
 
     /// Returns the version to load next, or `None` if no target version is known.
     fn next_version(
-        &self,
+        &mut self,
         model: &ModelName,
         loaded: Option<WeightVersion>,
     ) -> Option<WantedVersion> {
@@ -67,42 +56,16 @@
         let reached = loaded.max(accepted.map(|order| order.version));
         let time = self.state.settings.direct.weights_time;
         let missing = wanted.iter().filter(|target| reached.is_none_or(|at| target.version > at));
-        let choices: Vec<VersionChoice> = missing
-            .map(|target| VersionChoice {
-                version: target.version,
-                due: now + dispatch_time(time) - target.elapsed,
-                transfer: self.transfer_time(target.version),
+        let candidates: Vec<VersionCandidate> = missing
+            .map(|target| {
+                let due = now + dispatch_time(time) - target.elapsed;
+                self.candidate(target.version, due)
             })
             .collect();
-        let next = next_version(now, &choices);
-        let next = next.or_else(|| wanted.last().map(|target| target.version))?;
+        let choices: Vec<VersionChoice> = candidates.iter().map(VersionCandidate::choice).collect();
+        let chosen = next_version(now, &choices);
+        self.selection.log_choice(now, chosen, &candidates);
+        let next = chosen.or_else(|| wanted.last().map(|target| target.version))?;
         wanted.into_iter().find(|target| target.version == next)
     }
-
-    /// Estimates the time until all missing pieces of a version have arrived, from the recent
-    /// transfer rate.
-    fn transfer_time(&self, version: WeightVersion) -> Duration {
-        let transfers = self.transfer.iter().chain(&self.next_transfer);
-        let transfer = transfers.clone().find(|transfer| transfer.pieces.version == version);
-        let latest = transfers.last();
-        let copy = latest.map_or(DEFAULT_COPY_SIZE, |transfer| transfer.manifest.total());
-        let pieces = latest
-            .map_or(DEFAULT_PIECE_COUNT, |transfer| transfer.pieces.digests.len().max(1) as u32);
-        let origin = self.plan.origin().map(|origin| origin.bytes_per_second.max(1));
-        let origin = origin.map(|rate| ByteRate::from_bytes_per_second(rate).time_for(copy));
-        let link = self.state.settings.link.rate.time_for(copy);
-        self.rate.time_left(&TransferView {
-            version,
-            held: transfer.map_or(0, |transfer| transfer.swarm.held() as u32),
-            pieces,
-            piece_time: link.max(origin.unwrap_or_default()) / pieces,
-        })
-    }
-
-    /// Updates the transfer rate from the progress of the current transfer.
-    pub(super) fn record_progress(&mut self) {
-        let Some(transfer) = &self.transfer else { return };
-        let now = self.state.node.now();
-        self.rate.record(now, transfer.pieces.version, transfer.swarm.held() as u32);
-    }
 }
--- a/crates/daemon/src/direct/transfer.rs
+++ b/crates/daemon/src/direct/transfer.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use headlatch_core::{
     burst::{DrawMode, PeerLocation, SwarmEvent, SwarmSettings, SwarmTimings},
-    direct::{manifest_source::ManifestSource, staging::StageState},
+    direct::{
+        manifest_source::ManifestSource, staging::StageState, transfer_rate::TransferEstimate,
+    },
     time::Moment,
 };
 use headlatch_http::pace::LinkPacer;
@@ -58,6 +60,8 @@
     pub stage: StageState,
     /// Start time.
     pub started: Moment,
+    /// What was estimated at the start; `None` once the transfer has been compared with it.
+    pub estimated: Option<TransferEstimate>,
 }
 
 impl VersionTransfer {
@@ -66,6 +70,11 @@
         self.pieces.version == version && self.pieces.model == *model
     }
 
+    /// Number of pieces.
+    pub fn piece_count(&self) -> u32 {
+        self.pieces.digests.len() as u32
+    }
+
     /// Whether all pieces have been written to the stage.
     pub fn is_staged(&self) -> bool {
         self.stage.placed.iter().all(|placed| *placed)
@@ -185,7 +194,7 @@
         self.hub.add(swarm.clone());
         self.retain_recent(manifest.digest());
         let started = self.state.node.now();
-        VersionTransfer { pieces, manifest, swarm, stage, started }
+        VersionTransfer { pieces, manifest, swarm, stage, started, estimated: None }
     }
 
     fn retain_recent(&mut self, digest: Digest) {
