Keep the pieces and the progress of a skipped version

Cause: an agent that skipped a version in favour of a newer one abandoned its transfer. Choosing it again meant reading its manifest anew, perhaps from an origin that was down, and its estimate started from no pieces.

Change: a skipped transfer is kept until a newer version is in force here, or until newer versions need its memory (three copies, as before). It is served to peers but not fetched further; chosen again, it resumes with the pieces in memory. New log events skipped and resumed. A resumed older version does not withdraw the offer of a newer one's manifest.

--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -47,6 +47,9 @@
     /// Transfer of the version after it. Its pieces are fetched while the stage still holds the
     /// current one.
     next_transfer: Option<VersionTransfer>,
+    /// Transfers of skipped versions newer than the loaded one. They continue where they stopped if
+    /// their version is chosen again.
+    skipped: Vec<VersionTransfer>,
     order: Option<GivenOrder>,
     life: EngineLife,
     manifest_failures: u32,
@@ -85,6 +88,7 @@
             plan,
             transfer: None,
             next_transfer: None,
+            skipped: Vec::new(),
             order: None,
             life: EngineLife::default(),
             manifest_failures: 0,
@@ -134,6 +138,7 @@
         // Also needed once the server has loaded the target version: this agent then sends pieces
         // to agents that lack them.
         self.transfers.publish_seats();
+        self.drop_obsolete(&goal);
         self.ensure_transfer(&goal).await;
         self.ensure_next_transfer(&goal).await;
         if goal.loaded.is_some_and(|loaded| loaded >= goal.version) {
--- a/crates/daemon/src/direct/stager/estimates.rs
+++ b/crates/daemon/src/direct/stager/estimates.rs
@@ -126,7 +126,7 @@
     }
 
     fn transfer_view(&self, version: WeightVersion) -> TransferView {
-        let mut transfers = self.transfer.iter().chain(&self.next_transfer);
+        let mut transfers = self.transfer.iter().chain(&self.next_transfer).chain(&self.skipped);
         let transfer = transfers.find(|transfer| transfer.pieces.version == version);
         self.view_of(version, transfer)
     }
--- a/crates/daemon/src/direct/stager/fetching.rs
+++ b/crates/daemon/src/direct/stager/fetching.rs
@@ -12,26 +12,52 @@
 use crate::decisions;
 
 impl Stager {
-    /// Starts the transfer of the target version unless it is in progress.
+    /// Drops skipped transfers that are no longer of use: a newer version is in force here, or their
+    /// pieces have been dropped in favour of newer versions.
+    pub(super) fn drop_obsolete(&mut self, goal: &Goal) {
+        let transfers = &self.transfers;
+        self.skipped.retain(|transfer| {
+            let is_newer = goal.loaded.is_none_or(|loaded| transfer.pieces.version > loaded);
+            is_newer && transfers.is_retained(transfer)
+        });
+    }
+
+    /// Starts or resumes the transfer of the target version unless it is in progress.
     pub(super) async fn ensure_transfer(&mut self, goal: &Goal) {
-        if self.transfer.as_ref().is_some_and(|transfer| transfer.is_for(&goal.model, goal.version))
-        {
+        let is_target = |transfer: &VersionTransfer| transfer.is_for(&goal.model, goal.version);
+        if self.transfer.as_ref().is_some_and(is_target) {
             return;
         }
-        if self
-            .next_transfer
-            .as_ref()
-            .is_some_and(|transfer| transfer.is_for(&goal.model, goal.version))
-        {
-            self.transfer = self.next_transfer.take();
+        if self.next_transfer.as_ref().is_some_and(is_target) {
+            let next = self.next_transfer.take();
+            let before = std::mem::replace(&mut self.transfer, next);
+            self.keep_skipped(before, goal);
             return;
         }
-        if let Some(transfer) = self.start_transfer(&goal.model, goal.version, false).await {
-            self.transfer = Some(transfer);
-            self.next_transfer = None;
+        if let Some(transfer) = self.obtain_transfer(&goal.model, goal.version, false).await {
+            let before = self.transfer.replace(transfer);
+            self.keep_skipped(before, goal);
+            let next = self.next_transfer.take();
+            self.keep_skipped(next, goal);
         }
     }
 
+    /// Keeps a transfer whose version is newer than the loaded one, so that it can be resumed.
+    fn keep_skipped(&mut self, transfer: Option<VersionTransfer>, goal: &Goal) {
+        let Some(transfer) = transfer else { return };
+        let version = transfer.pieces.version;
+        let is_ordered = self.order.is_some_and(|order| order.version == version);
+        if is_ordered || goal.loaded.is_some_and(|loaded| loaded >= version) {
+            return;
+        }
+        let fields = json!({
+            "version": version, "held": transfer.swarm.held(), "pieces": transfer.piece_count(),
+            "in_favour_of": goal.version,
+        });
+        decisions::info("weights", "skipped", fields);
+        self.skipped.push(transfer);
+    }
+
     /// Starts the transfer of the newest version while an older one is staged and waits for the
     /// server's turn to switch.
     pub(super) async fn ensure_next_transfer(&mut self, goal: &Goal) {
@@ -45,7 +71,25 @@
         if newest <= goal.version || !is_staged || is_started {
             return;
         }
-        self.next_transfer = self.start_transfer(&goal.model, newest, true).await;
+        self.next_transfer = self.obtain_transfer(&goal.model, newest, true).await;
+    }
+
+    /// Resumes the transfer of a version if it was skipped, and starts it otherwise.
+    async fn obtain_transfer(
+        &mut self,
+        model: &ModelName,
+        version: WeightVersion,
+        is_next: bool,
+    ) -> Option<VersionTransfer> {
+        let skipped = self.skipped.iter().position(|transfer| transfer.is_for(model, version));
+        let (Some(skipped), Some(origin)) = (skipped, self.plan.origin()) else {
+            return self.start_transfer(model, version, is_next).await;
+        };
+        let skipped = self.skipped.remove(skipped);
+        let mut transfer = self.transfers.begin(&origin, skipped.pieces, is_next).await;
+        transfer.estimated = self.initial_estimate(&transfer);
+        self.record_start("resumed", &transfer, is_next);
+        Some(transfer)
     }
 
     async fn start_transfer(
@@ -67,7 +111,7 @@
                 transfer.estimated = self.initial_estimate(&transfer);
                 self.manifest_failures = 0;
                 self.manifest_requested = None;
-                self.record_start(&transfer, is_next);
+                self.record_start("begun", &transfer, is_next);
                 Some(transfer)
             }
             Err(error) => {
@@ -103,14 +147,15 @@
         })
     }
 
-    fn record_start(&self, transfer: &VersionTransfer, is_next: bool) {
+    fn record_start(&self, event: &'static str, transfer: &VersionTransfer, is_next: bool) {
         let version = transfer.pieces.version;
         let fields = json!({
             "model": transfer.pieces.model, "version": version, "pieces": transfer.stage.placed.len(),
             "staged": transfer.stage.placed.iter().filter(|placed| **placed).count(),
-            "next": is_next,
+            "held": transfer.swarm.held(), "next": is_next,
         });
-        decisions::info("weights", "begun", fields);
-        self.state.update_notice(|notice| notice.sharing = Some(version));
+        decisions::info("weights", event, fields);
+        // A resumed older version does not withdraw the offer of a newer one's manifest.
+        self.state.update_notice(|notice| notice.sharing = notice.sharing.max(Some(version)));
     }
 }
--- a/crates/daemon/src/direct/transfer.rs
+++ b/crates/daemon/src/direct/transfer.rs
@@ -37,7 +37,8 @@
 const SURVEY_SAMPLE: u32 = 3;
 
 /// Number of transfers retained to serve their pieces to other agents: the version that is served,
-/// the one that is staged, and the next one.
+/// the one that is staged, and the next one. If several versions are skipped within seconds, the
+/// oldest one is dropped, since memory holds three copies.
 const MAX_RETAINED_TRANSFERS: usize = 3;
 
 /// Boxes of the own failure domain that are notified of every piece. More of them use a large part
@@ -167,7 +168,7 @@
         }
     }
 
-    /// Starts the transfer of a version. With `is_next`, the stage holds another version that is
+    /// Starts the transfer of a version, or resumes it with the pieces in memory. With `is_next`, the stage holds another version that is
     /// still needed, so it is not surveyed for pieces of this one.
     pub async fn begin(
         &mut self,
@@ -197,6 +198,11 @@
         VersionTransfer { pieces, manifest, swarm, stage, started, estimated: None }
     }
 
+    /// Whether the pieces of a transfer are still in memory.
+    pub fn is_retained(&self, transfer: &VersionTransfer) -> bool {
+        self.retained.contains(&transfer.manifest.digest())
+    }
+
     fn retain_recent(&mut self, digest: Digest) {
         self.retained.retain(|retained| *retained != digest);
         self.retained.push(digest);
