Take an outage of the origin into account when versions are compared

Cause: during an outage, estimates assumed the configured rate from the current moment on, and the standstill counted as slow arrivals until eight pieces no longer lay in the window.

Change: agents recognise an outage (no new piece known in the fleet for 1 s, or two failed fetches and 0.3 s). Until it ends, versions are compared by what they need after the return: the origin's time for pieces that no box is known to hold, the own link's time for pieces missing here, and the spread time. A choice changes only if the other version is better by 0.3 s. The rate is measured up to the last arrival and anew after an outage. The deadlines of versions before the chosen one count. New log events origin_down, origin_back, origin_not_needed; version_chosen gives the cost of each candidate. change_cost and weight_deadline are as before.

--- a/crates/core/src/direct/transfer_rate.rs
+++ b/crates/core/src/direct/transfer_rate.rs
@@ -115,6 +115,12 @@
         }
     }
 
+    /// Discards the measurement. An outage within the window would count as a slow origin: after the
+    /// return, a version seemed to need three times as long as it did.
+    pub fn restart(&mut self) {
+        self.held.clear();
+    }
+
     /// Estimates the time until the missing pieces have arrived.
     pub fn estimate(&self, view: &TransferView, origin: OriginState) -> TransferEstimate {
         match (view.missing(), origin) {
@@ -136,10 +142,12 @@
         TransferEstimate { basis, origin, link, spread: SPREAD_TIME, total }
     }
 
-    /// Recent average time between two pieces; `None` if too few have arrived.
+    /// Recent average time between two pieces; `None` if too few have arrived. Measured until the
+    /// last arrival: until a standstill is known as an outage, it would count as a slow origin.
     fn piece_interval(&self, version: WeightVersion) -> Option<Duration> {
         let (from, before) = self.held.front().filter(|_| self.version == Some(version))?;
-        let (until, after) = self.held.back()?;
+        let (_, last) = self.held.back()?;
+        let (until, after) = self.held.iter().find(|(_, held)| held == last)?;
         let received = after.saturating_sub(*before);
         (received >= MIN_PIECES).then(|| until.since(*from) / received)
     }
--- a/crates/core/src/direct/version_choice.rs
+++ b/crates/core/src/direct/version_choice.rs
@@ -39,20 +39,69 @@
     TURN_TIME.saturating_sub(covered) + here.since(due)
 }
 
-/// The version to fetch next, from the wanted versions, oldest first.
+/// The least by which another version must be better for a choice to change. Boxes learn of an
+/// outage at different times and hold different numbers of pieces; a fleet that is split between
+/// versions fetches both.
+const CHANGE_THRESHOLD: Duration = Duration::from_millis(300);
+
+/// Cost of completing the version at `first` among the wanted versions, oldest first, and the newest
+/// after it. Older weights stop receiving requests when the first of the versions that they miss is
+/// due.
+fn order_cost(now: Moment, wanted: &[VersionChoice], first: usize) -> Option<Duration> {
+    let (newest, one) = (wanted.last()?, wanted.get(first)?);
+    let first_due = |versions: &[VersionChoice]| versions.iter().map(|one| one.due).min();
+    let (until_first, after_first) = wanted.split_at(first + 1);
+    let due = first_due(until_first)?;
+    let Some(newest_due) = first_due(after_first) else {
+        return Some(change_cost(now + newest.transfer + SKIP_MARGIN, due));
+    };
+    let here = now + one.transfer;
+    Some(change_cost(here, due) + change_cost(here + newest.transfer, newest_due))
+}
+
+/// Cost of completing `version` first, as time in which a server does not serve; `None` if it is not
+/// among the wanted versions, oldest first.
+pub fn completion_cost(
+    now: Moment,
+    wanted: &[VersionChoice],
+    version: WeightVersion,
+) -> Option<Duration> {
+    let first = wanted.iter().position(|one| one.version == version)?;
+    order_cost(now, wanted, first)
+}
+
+/// The version to complete first, from the wanted versions, oldest first, regardless of any earlier
+/// choice.
 ///
-/// Handles versions announced in quick succession. The newest satisfies the deadlines of all of
-/// them, but if it arrives too late for an older one, servers would have to stop serving at that
-/// deadline. An older version goes first if both changes together cost less.
+/// The newest satisfies the deadlines of all of them, but if it arrives too late for an older one,
+/// servers would have to stop serving at that deadline. An older version goes first if both changes
+/// together cost less.
 pub fn next_version(now: Moment, wanted: &[VersionChoice]) -> Option<WeightVersion> {
-    let (newest, older) = wanted.split_last()?;
-    let first_due = older.iter().map(|one| one.due).fold(newest.due, Moment::min);
-    let skipping = change_cost(now + newest.transfer + SKIP_MARGIN, first_due);
-    let with_older = |one: &VersionChoice| {
-        let here = now + one.transfer;
-        change_cost(here, one.due) + change_cost(here + newest.transfer, newest.due)
-    };
-    let best = older.iter().min_by_key(|one| with_older(one));
-    let older_first = best.filter(|one| with_older(one) < skipping);
-    Some(older_first.map_or(newest.version, |one| one.version))
+    // Of equal costs, the newest version is chosen: it needs one change.
+    let costs = (0..wanted.len())
+        .rev()
+        .filter_map(|first| Some((order_cost(now, wanted, first)?, wanted[first].version)));
+    costs.min_by_key(|(cost, _)| *cost).map(|(_, version)| version)
+}
+
+/// Chooses the version to complete first, and keeps to the choice while no other one is clearly
+/// better.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct VersionChooser {
+    chosen: Option<WeightVersion>,
+}
+
+impl VersionChooser {
+    /// Chooses from the wanted versions that the server lacks, oldest first; `None` if there are
+    /// none.
+    pub fn choose(&mut self, now: Moment, wanted: &[VersionChoice]) -> Option<WeightVersion> {
+        let best = next_version(now, wanted);
+        let cost = |version| completion_cost(now, wanted, version);
+        let before = self.chosen.and_then(|chosen| Some((chosen, cost(chosen)?)));
+        let kept = before
+            .zip(best.and_then(cost))
+            .filter(|((_, kept), best)| kept.saturating_sub(*best) < CHANGE_THRESHOLD);
+        self.chosen = kept.map(|((chosen, _), _)| chosen).or(best);
+        self.chosen
+    }
 }
--- a/crates/core/tests/transfer_rate.rs
+++ b/crates/core/tests/transfer_rate.rs
@@ -105,3 +105,21 @@
     expect_that!(estimate.basis, eq(EstimateBasis::Complete));
     expect_that!(estimate.total, eq(Duration::ZERO));
 }
+
+/// Guards against a transfer that seems to need three times as long as it does when its origin has
+/// just gone down or returned: the standstill counted as slow arrivals, and agents changed to
+/// another version and back within 60 ms.
+#[gtest]
+fn a_standstill_does_not_count_as_a_slow_origin() {
+    let mut rate = transfer_in_progress(45, 40);
+    let before = time_left(&rate, &view(2, 40));
+    (1..=12).for_each(|tick| rate.record(at(1800 + 60 * tick), WeightVersion(2), 40));
+    expect_that!(time_left(&rate, &view(2, 40)), eq(before));
+    rate.restart();
+    for held in 40..60 {
+        rate.record(at(9000 + 45 * u64::from(held)), WeightVersion(2), held);
+        let time = time_left(&rate, &view(2, held));
+        let links = time_left(&TransferRate::default(), &view(2, held));
+        expect_that!(time, le(links), "{held} pieces held");
+    }
+}
--- a/crates/daemon/src/direct/stager/estimates.rs
+++ b/crates/daemon/src/direct/stager/estimates.rs
@@ -4,9 +4,9 @@
 
 use headlatch_core::{
     direct::{
-        origin_outage::OriginState,
+        origin_outage::{OriginSigns, OriginState, OriginWatch},
         transfer_rate::{TransferEstimate, TransferRate, TransferView},
-        version_choice::VersionChoice,
+        version_choice::{VersionChoice, VersionChooser, completion_cost},
     },
     time::Moment,
 };
@@ -32,6 +32,10 @@
 #[derive(Debug, Default)]
 pub(super) struct VersionSelection {
     rate: TransferRate,
+    origin: OriginWatch,
+    /// When the present outage of the origin was recognised.
+    down_since: Option<Moment>,
+    chooser: VersionChooser,
     /// The choice logged last.
     logged: Option<WeightVersion>,
     next_log: Moment,
@@ -51,7 +55,7 @@
         VersionChoice { version: self.view.version, due: self.due, transfer: self.estimate.total }
     }
 
-    fn fields(&self, now: Moment) -> Value {
+    fn fields(&self, now: Moment, wanted: &[VersionChoice]) -> Value {
         let due_in = match self.due > now {
             true => self.due.since(now).as_millis() as i64,
             false => -(now.since(self.due).as_millis() as i64),
@@ -63,6 +67,8 @@
         fields["known"] = json!(view.known);
         fields["pieces"] = json!(view.pieces);
         fields["due_in_ms"] = json!(due_in);
+        let cost = completion_cost(now, wanted, view.version).unwrap_or_default();
+        fields["cost_ms"] = json!(cost.as_millis() as u64);
         fields
     }
 }
@@ -77,13 +83,25 @@
 }
 
 impl VersionSelection {
+    /// Chooses the version to complete first; `None` if there are no candidates.
+    pub(super) fn choose(
+        &mut self,
+        now: Moment,
+        candidates: &[VersionCandidate],
+    ) -> Option<WeightVersion> {
+        let wanted: Vec<VersionChoice> = candidates.iter().map(VersionCandidate::choice).collect();
+        let chosen = self.chooser.choose(now, &wanted);
+        self.log_choice(now, chosen, (candidates, &wanted));
+        chosen
+    }
+
     /// Logs the choice if it differs from the one logged last. A choice that changes again within
     /// [`CHOICE_LOG_INTERVAL`] is logged after it if it still stands.
-    pub(super) fn log_choice(
+    fn log_choice(
         &mut self,
         now: Moment,
         chosen: Option<WeightVersion>,
-        candidates: &[VersionCandidate],
+        (candidates, wanted): (&[VersionCandidate], &[VersionChoice]),
     ) {
         if chosen == self.logged || now < self.next_log {
             return;
@@ -91,16 +109,49 @@
         let before = std::mem::replace(&mut self.logged, chosen);
         let Some(version) = chosen else { return };
         self.next_log = now + CHOICE_LOG_INTERVAL;
-        let candidates: Vec<Value> = candidates.iter().map(|one| one.fields(now)).collect();
-        let fields = json!({ "version": version, "before": before, "candidates": candidates });
+        let candidates: Vec<Value> = candidates.iter().map(|one| one.fields(now, wanted)).collect();
+        let fields = json!({
+            "version": version, "before": before, "candidates": candidates,
+            "origin": format!("{:?}", self.origin.state()),
+        });
         decisions::info("weights", "version_chosen", fields);
     }
+
+    /// Updates what is known of the origin. The rate measured before an outage begins or ends does
+    /// not apply after it.
+    fn watch_origin(&mut self, now: Moment, signs: Option<OriginSigns>) {
+        let Some(state) = self.origin.record(now, signs) else { return };
+        self.rate.restart();
+        let since = self.down_since.take();
+        let lasted = since.map(|since| now.since(since).as_millis() as u64);
+        if state == OriginState::Down {
+            self.down_since = Some(now);
+        }
+        match (state, signs) {
+            (OriginState::Down, Some(signs)) => {
+                let fields = json!({
+                    "version": signs.version, "known": signs.known, "pieces": signs.pieces,
+                    "failures": signs.failures,
+                });
+                decisions::warn("weights", "origin_down", fields);
+            }
+            (OriginState::Reachable, Some(signs)) => {
+                let fields = json!({ "version": signs.version, "lasted_ms": lasted });
+                decisions::info("weights", "origin_back", fields);
+            }
+            (_, None) => {
+                decisions::info("weights", "origin_not_needed", json!({ "lasted_ms": lasted }));
+            }
+        }
+    }
 }
 
 impl Stager {
     /// Updates the measured rate, and compares transfers that have completed with their estimates.
     pub(super) fn record_progress(&mut self) {
         let now = self.state.node.now();
+        let signs = self.origin_signs();
+        self.selection.watch_origin(now, signs);
         if let Some(transfer) = &self.transfer {
             let held = transfer.swarm.held() as u32;
             self.selection.rate.record(now, transfer.pieces.version, held);
@@ -113,7 +164,7 @@
     /// A wanted version with its estimate; older weights stop receiving requests at `due`.
     pub(super) fn candidate(&self, version: WeightVersion, due: Moment) -> VersionCandidate {
         let view = self.transfer_view(version);
-        let estimate = self.selection.rate.estimate(&view, OriginState::Reachable);
+        let estimate = self.estimate(&view);
         VersionCandidate { view, estimate, due }
     }
 
@@ -121,10 +172,31 @@
     pub(super) fn initial_estimate(&self, transfer: &VersionTransfer) -> Option<TransferEstimate> {
         let view = self.view_of(transfer.pieces.version, Some(transfer));
         let is_complete = view.held >= view.pieces;
-        let estimate = || self.selection.rate.estimate(&view, OriginState::Reachable);
+        let estimate = || self.estimate(&view);
         (!is_complete).then(estimate)
     }
 
+    fn estimate(&self, view: &TransferView) -> TransferEstimate {
+        self.selection.rate.estimate(view, self.selection.origin.state())
+    }
+
+    /// What this box observes of the origin; `None` while no transfer is in progress.
+    fn origin_signs(&self) -> Option<OriginSigns> {
+        let mut transfers = self.transfer.iter().chain(&self.next_transfer);
+        let is_open =
+            |transfer: &&VersionTransfer| transfer.swarm.held() < u64::from(transfer.piece_count());
+        let transfer = transfers.find(is_open)?;
+        let view = self.view_of(transfer.pieces.version, Some(transfer));
+        Some(OriginSigns {
+            version: view.version,
+            known: view.known,
+            pieces: view.pieces,
+            reads: transfer.swarm.origin_reads(),
+            failures: transfer.swarm.origin_failures(),
+            piece_time: view.origin_piece_time,
+        })
+    }
+
     fn transfer_view(&self, version: WeightVersion) -> TransferView {
         let mut transfers = self.transfer.iter().chain(&self.next_transfer).chain(&self.skipped);
         let transfer = transfers.find(|transfer| transfer.pieces.version == version);
--- a/crates/daemon/src/direct/stager/goal.rs
+++ b/crates/daemon/src/direct/stager/goal.rs
@@ -3,10 +3,7 @@
 use std::time::Duration;
 
 use headlatch_core::{
-    direct::{
-        version_choice::{VersionChoice, next_version},
-        weight_deadline::{WantedVersion, dispatch_time},
-    },
+    direct::weight_deadline::{WantedVersion, dispatch_time},
     time::Moment,
 };
 use headlatch_outside::engine::{OrderAnswer, StageReport};
@@ -62,9 +59,7 @@
                 self.candidate(target.version, due)
             })
             .collect();
-        let choices: Vec<VersionChoice> = candidates.iter().map(VersionCandidate::choice).collect();
-        let chosen = next_version(now, &choices);
-        self.selection.log_choice(now, chosen, &candidates);
+        let chosen = self.selection.choose(now, &candidates);
         let next = chosen.or_else(|| wanted.last().map(|target| target.version))?;
         wanted.into_iter().find(|target| target.version == next)
     }
