Test that an agent skips a version whose origin went down

Cause: no test led an agent through a skipped transfer.

Change: direct_agent has an origin that stops sending one version halfway while a newer one can be fetched. The test does not make the agent resume the skipped version; resumed_transfers covers that for the transfer alone.

--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -150,6 +150,8 @@
 /// An origin that returns corrupt pieces or refuses requests as scripted.
 #[derive(Debug, Default)]
 struct TestOrigin {
+    /// Pieces of this version from this number on cannot be reached.
+    unreachable: Mutex<Option<(WeightVersion, u32)>>,
     corrupt: Mutex<Vec<u32>>,
     refusals: Mutex<u32>,
     piece_requests: Mutex<u32>,
@@ -188,6 +190,10 @@
         number: u32,
     ) -> OutsideFuture<'a, std::result::Result<Bytes, StageFailure>> {
         *lock(&self.piece_requests) += 1;
+        if lock(&self.unreachable).is_some_and(|(of, from)| of == version && number >= from) {
+            let failure = StageFailure::Unreachable("connection refused".to_owned());
+            return Box::pin(async { Err(failure) });
+        }
         let mut corrupt = lock(&self.corrupt);
         let at = corrupt.iter().position(|one| *one == number);
         let is_corrupt = at.map(|at| corrupt.remove(at)).is_some();
@@ -362,6 +368,31 @@
     );
 }
 
+/// Guards against an agent that waits for a version that its origin does not send any more while a
+/// newer one can be had.
+#[gtest]
+#[tokio::test]
+async fn a_version_whose_origin_went_down_is_skipped_in_favour_of_a_newer_one() {
+    let origin = TestOrigin::default();
+    *lock(&origin.unreachable) = Some((WeightVersion(2), PIECES / 2));
+    let fixture = Fixture::new(TestEngine::default(), origin).await;
+    fixture.wait_until_loaded(1).await;
+    fixture.set_target_version(2);
+    let half_fetched = async {
+        while *lock(&fixture.origin.piece_requests) < PIECES + PIECES / 2 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    expect_that!(tokio::time::timeout(LOAD_TIMEOUT, half_fetched).await.is_ok(), eq(true));
+    fixture.set_target_version(3);
+    let loaded = tokio::time::timeout(LOAD_TIMEOUT, fixture.wait_until_loaded(3)).await;
+    expect_that!(loaded.is_ok(), eq(true), "version 3 is not loaded");
+    let state = lock(&fixture.engine.state);
+    let orders: Vec<u64> = state.orders.iter().map(|order| order.version.0).collect();
+    expect_that!(orders, elements_are![eq(&1), eq(&3)]);
+    expect_that!(state.accepted_invalid_stage, eq(false));
+}
+
 #[gtest]
 #[tokio::test]
 async fn corrupt_and_refused_pieces_are_fetched_again() {
