--- a/crates/daemon/src/direct/transfer.rs
+++ b/crates/daemon/src/direct/transfer.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use headlatch_core::{
     burst::{DrawMode, PeerLocation, SwarmEvent, SwarmSettings, SwarmTimings},
-    direct::{manifest_source::ManifestSource, staging::StageState},
+    direct::{
+        manifest_source::ManifestSource, staging::StageState, transfer_rate::TransferEstimate,
+    },
     time::Moment,
 };
 use headlatch_http::pace::LinkPacer;
@@ -35,7 +37,8 @@
 const SURVEY_SAMPLE: u32 = 3;
 
 /// Number of transfers retained to serve their pieces to other agents: the version that is served,
-/// the one that is staged, and the next one.
+/// the one that is staged, and the next one. If several versions are skipped within seconds, the
+/// oldest one is dropped, since memory holds three copies.
 const MAX_RETAINED_TRANSFERS: usize = 3;
 
 /// Boxes of the own failure domain that are notified of every piece. More of them use a large part
@@ -58,6 +61,8 @@
     pub stage: StageState,
     /// Start time.
     pub started: Moment,
+    /// What was estimated at the start; `None` once the transfer has been compared with it.
+    pub estimated: Option<TransferEstimate>,
 }
 
 impl VersionTransfer {
@@ -66,6 +71,11 @@
         self.pieces.version == version && self.pieces.model == *model
     }
 
+    /// Number of pieces.
+    pub fn piece_count(&self) -> u32 {
+        self.pieces.digests.len() as u32
+    }
+
     /// Whether all pieces have been written to the stage.
     pub fn is_staged(&self) -> bool {
         self.stage.placed.iter().all(|placed| *placed)
@@ -158,7 +168,7 @@
         }
     }
 
-    /// Starts the transfer of a version. With `is_next`, the stage holds another version that is
+    /// Starts the transfer of a version, or resumes it with the pieces in memory. With `is_next`, the stage holds another version that is
     /// still needed, so it is not surveyed for pieces of this one.
     pub async fn begin(
         &mut self,
@@ -185,7 +195,12 @@
         self.hub.add(swarm.clone());
         self.retain_recent(manifest.digest());
         let started = self.state.node.now();
-        VersionTransfer { pieces, manifest, swarm, stage, started }
+        VersionTransfer { pieces, manifest, swarm, stage, started, estimated: None }
+    }
+
+    /// Whether the pieces of a transfer are still in memory.
+    pub fn is_retained(&self, transfer: &VersionTransfer) -> bool {
+        self.retained.contains(&transfer.manifest.digest())
     }
 
     fn retain_recent(&mut self, digest: Digest) {
