Read the pace of a server from its report

Cause: a server tells in its report by how much it is slower than configured, but no code reads it.

An invalid value leaves the report readable: it counts as none, with the reason in pace_error.

--- a/crates/outside/src/engine.rs
+++ b/crates/outside/src/engine.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use headlatch_types::{
     id::ModelName,
+    pace::{PaceError, ServerPace},
     traffic::{HeldModel, StartTime, WeightVersion},
 };
 
@@ -29,6 +30,10 @@
     pub queued: u32,
     /// Running requests.
     pub active: u32,
+    /// Its pace, if it reports a valid one.
+    pub pace: Option<ServerPace>,
+    /// Why its reported pace is invalid and counts as none.
+    pub pace_error: Option<PaceError>,
 }
 
 /// SHA-256 digest of a piece.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod id;
 pub mod manifest;
+pub mod pace;
 pub mod progress;
 pub mod quantity;
 pub mod reading;
