Route requests by the speed of the servers

Cause: predictions use the configured figures for every server, though some are several times slower for seconds and keep getting an even share of the requests.

Change: with direct.observed_speed, agents publish the pace that their server reports (tag 8 of NoticeServer, at once when it changed by a fifth, withdrawn 2 s after the last report), and entries compare first tokens of their own failure domain with predictions made from the highest load heard of until then. The larger factor multiplies the predicted times; up to 1.25 counts as 1. server_slow and server_recovered are logged, headlatch_slow_servers counts slow servers.

An observation is left out where the request may have waited for a slot, the machine was suspended, or the server is cold or about to change weights. The slowest of the recent responses does not count, requests that waited at the same time count once, and ratios are relative to the median of the service.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -19,6 +19,7 @@
 pub mod retry_share;
 pub mod route_table;
 pub mod server_copy;
+pub mod server_speed;
 pub mod server_table;
 pub mod size_class;
 pub mod staging;
--- a/crates/core/src/direct/peers/notice.rs
+++ b/crates/core/src/direct/peers/notice.rs
@@ -4,6 +4,7 @@
 
 use headlatch_types::{
     id::{DomainId, ModelName},
+    pace::ServerPace,
     traffic::WeightVersion,
 };
 
@@ -60,6 +61,8 @@
     pub zone: DomainId,
     /// Service of the server; empty if unknown.
     pub service: String,
+    /// Pace that the server reports, if any.
+    pub pace: Option<ServerPace>,
 }
 
 /// In-flight requests at one server.
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -19,6 +19,7 @@
     leaving::{DrainingLives, LeavingNotice, LeavingServers},
     peers::{DomainKey, LoadNotice, ServerNotice},
     rate_limits::RateLimits,
+    server_speed::{ServerSpeed, SpeedObserver},
     suspects::LifeKey,
 };
 use crate::time::Moment;
@@ -27,6 +28,7 @@
 mod cold;
 mod limits;
 mod signals;
+mod speed;
 mod weight_changes;
 
 pub use choice::{ChosenServer, EngineQuery, ExclusionCounts, ServerChoice, ServerQuery};
@@ -99,6 +101,8 @@
     backoff_until: Option<Moment>,
     /// Latest notice from its agent.
     notice: Option<ServerNotice>,
+    /// Speed that this entry observes.
+    speed: ServerSpeed,
 }
 
 /// All known servers with their load, health and rate limits.
@@ -120,6 +124,8 @@
     /// Number of live entries.
     entries: usize,
     cold_rates: ColdRates,
+    /// Compares first tokens with predictions; `None` if server speeds are not taken into account.
+    speeds: Option<SpeedObserver>,
     zone: Option<DomainId>,
     /// Region of this entry, if known.
     region: Option<RegionId>,
@@ -200,6 +206,7 @@
                 blocked_until: Moment::ZERO,
                 backoff_until: None,
                 notice: None,
+                speed: ServerSpeed::default(),
                 record,
             };
             let (id, service) = (state.record.id.clone(), state.record.service.clone());
@@ -269,6 +276,9 @@
 
     /// Replaces the load that other entries have at each server, by server key.
     pub fn set_other_loads(&mut self, others: HashMap<u32, EngineLoad>) {
+        if let Some(speeds) = &mut self.speeds {
+            speeds.raise_all_others(&others);
+        }
         self.others = others;
     }
 
@@ -296,6 +306,9 @@
 
     /// Sets the load that other entries have at one server.
     pub fn set_other_load(&mut self, server: u32, load: EngineLoad) {
+        if let Some(speeds) = &mut self.speeds {
+            speeds.raise_others(server, load);
+        }
         self.others.insert(server, load);
     }
 
@@ -319,7 +332,7 @@
     /// Sets the agent's notice for the servers at an address; `None` if the agent is gone.
     pub fn set_notice(&mut self, address: SocketAddr, notice: Option<ServerNotice>) {
         for state in self.servers.values_mut().filter(|state| state.record.address == address) {
-            state.notice = notice.clone();
+            state.apply_notice(notice.clone());
         }
     }
 
@@ -327,7 +340,7 @@
     pub fn set_notices(&mut self, notices: &HashMap<SocketAddr, ServerNotice>) {
         for state in self.servers.values_mut() {
             // A restarted server may be listed under both its old and new ID at one address for a while.
-            state.notice = notices.get(&state.record.address).cloned();
+            state.apply_notice(notices.get(&state.record.address).cloned());
         }
     }
 
@@ -367,6 +380,9 @@
             state.own.in_flight += 1;
             state.own.waiting_tokens += tokens;
             state.waiting += 1;
+            if let Some(speeds) = &mut self.speeds {
+                speeds.raise_own(state.key, state.own);
+            }
             if let Some(cold) = &mut state.cold {
                 cold.record_sent();
             }
@@ -438,6 +454,7 @@
         self.backoff_until = None;
         self.notice = None;
         self.cold = None;
+        self.speed.forget();
     }
 }
 
--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -4,6 +4,7 @@
 
 use headlatch_types::{
     id::DomainId,
+    pace::ServerPace,
     quantity::RequestRate,
     traffic::{AllowedRegions, EngineCapacity, ServerId, WeightVersion},
 };
@@ -105,6 +106,8 @@
     pub others: EngineLoad,
     /// Predicted time to first token; `None` for plain services.
     pub predicted: Option<Duration>,
+    /// Factor by which the server is slower than configured; `None` if it is not.
+    pub slow_by: Option<ServerPace>,
     /// Load of the engine with the shortest predicted wait, not necessarily this one; `None` for plain
     /// services.
     pub shortest_wait_load: Option<EngineLoad>,
@@ -253,7 +256,7 @@
             }
             let cost = self.cost(now, state, query);
             if let (Ok(_) | Err(Exclusion::Late(_)), Some(engine)) = (cost, query.engine) {
-                let (wait, load) = (self.predict(state, engine), self.load(state));
+                let (wait, load) = (self.predict(now, state, engine), self.load(state));
                 if least_wait.is_none_or(|(least, _)| wait < least) {
                     least_wait = Some((wait, load));
                 }
@@ -280,7 +283,7 @@
         match best {
             Some((_, state)) => ServerChoice::Server(ChosenServer {
                 shortest_wait_load,
-                ..self.chosen(state, query)
+                ..self.chosen(now, state, query)
             }),
             None if full.any() => {
                 ServerChoice::Full(ExclusionCounts { shortest_wait_load, ..full })
@@ -290,7 +293,7 @@
     }
 
     /// Builds the selection result for a server.
-    fn chosen(&self, state: &ServerState, query: &ServerQuery<'_>) -> ChosenServer {
+    fn chosen(&self, now: Moment, state: &ServerState, query: &ServerQuery<'_>) -> ChosenServer {
         let layers = query.engine.map_or(0, |engine| engine.figures.layers);
         ChosenServer {
             id: state.record.id.clone(),
@@ -298,7 +301,8 @@
             address: state.record.address,
             own: state.own,
             others: self.others.get(&state.key).copied().unwrap_or_default(),
-            predicted: query.engine.map(|engine| self.predict(state, engine)),
+            predicted: query.engine.map(|engine| self.predict(now, state, engine)),
+            slow_by: self.slow_by(now, state),
             shortest_wait_load: None,
             limit: self.limit(state, query),
             version: loaded_version(state, layers),
@@ -316,8 +320,13 @@
     }
 
     /// Predicts the time to first token at a server.
-    fn predict(&self, state: &ServerState, engine: EngineQuery<'_>) -> Duration {
-        time_to_first_token(engine.figures, self.load(state), engine.work)
+    fn predict(&self, now: Moment, state: &ServerState, engine: EngineQuery<'_>) -> Duration {
+        let configured = time_to_first_token(engine.figures, self.load(state), engine.work);
+        match self.slow_by(now, state) {
+            // Prefill and steps take longer by the same factor.
+            Some(pace) => configured.mul_f64(pace.factor()),
+            None => configured,
+        }
     }
 
     /// Returns the cost of sending a request to a server, or why the server is excluded.
@@ -361,7 +370,7 @@
         let load = f64::from(in_flight) / f64::from(limit);
         let late = match query.engine {
             None => 0.0,
-            Some(engine) => self.lateness(state, engine)?,
+            Some(engine) => self.lateness(now, state, engine)?,
         };
         let failing = (state.failure_share - TOLERATED_FAILURE_SHARE).max(0.0) * FAILURE_COST;
         let failing = failing + if is_about_to_change(state) { CHANGE_COST } else { 0.0 };
@@ -370,13 +379,18 @@
 
     /// Returns the predicted time to first token as a share of the objective, or [`Exclusion::Late`] if it
     /// exceeds [`MAX_PREDICTED_PERCENT`].
-    fn lateness(&self, state: &ServerState, engine: EngineQuery<'_>) -> Result<f64, Exclusion> {
+    fn lateness(
+        &self,
+        now: Moment,
+        state: &ServerState,
+        engine: EngineQuery<'_>,
+    ) -> Result<f64, Exclusion> {
         let objective = engine.work.objective;
         if objective.is_zero() {
             return Ok(0.0);
         }
         let may_be_late = engine.continues;
-        let predicted = self.predict(state, engine);
+        let predicted = self.predict(now, state, engine);
         // An idle engine takes any request, including a prompt that is too long for its objective.
         let idle = self.load(state).waiting_tokens == 0;
         if !may_be_late && !idle && predicted > objective * MAX_PREDICTED_PERCENT / 100 {
@@ -396,7 +410,7 @@
     }
 
     /// Returns whether a server is in the own failure domain.
-    fn is_local(&self, state: &ServerState) -> bool {
+    pub(super) fn is_local(&self, state: &ServerState) -> bool {
         self.zone.as_ref().is_none_or(|zone| *zone == state.record.zone)
     }
 
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -294,6 +294,7 @@
         sharing: None,
         zone: record.zone.clone(),
         service: "llm".to_owned(),
+        pace: None,
     };
     table.set_notice(record.address, Some(notice(Some(1), true)));
     expect_that!(choose(&table, at(0), None, &[]), eq("unavailable"));
--- a/crates/core/tests/server_lives.rs
+++ b/crates/core/tests/server_lives.rs
@@ -94,6 +94,7 @@
         sharing: None,
         zone: "z1".parse().expect("a name"),
         service: "s".to_owned(),
+        pace: None,
     };
     table.set_notice(notice.address, Some(notice));
     expect_that!(choose(&table, at(0)), none(), "it is changing");
--- a/crates/core/tests/support/entry.rs
+++ b/crates/core/tests/support/entry.rs
@@ -63,6 +63,7 @@
         sharing: None,
         zone: record.zone.clone(),
         service: record.service.to_string(),
+        pace: None,
     }
 }
 
--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -14,6 +14,7 @@
     direct::{
         peers::{DomainKey, PeerTable, ServerNotice, WantedNotice},
         plan_readers::fallback_read_delay,
+        server_speed::PacePublisher,
         weight_deadline::{WantedVersion, WeightDeadlines},
     },
     membership::NodeKind,
@@ -21,7 +22,7 @@
 };
 use headlatch_http::{HttpLimits, HttpServer, StopHandle, pace::LinkPacer};
 use headlatch_outside::{
-    engine::{EngineStage, PieceOrigin},
+    engine::{EngineStage, PieceOrigin, StageReport},
     facts::{Fact, FactStore, FactTopic},
 };
 use headlatch_types::{
@@ -92,6 +93,8 @@
     wanted: Mutex<WeightDeadlines>,
     /// State of the server as published in notices.
     pub(super) notice: Mutex<ServerNotice>,
+    /// Decides which paces of the server are published.
+    pace: Mutex<PacePublisher>,
     /// Wakes the notice task when `notice` has changed.
     pub(super) notice_changed: tokio::sync::Notify,
     /// Set while the server is drained for a version switch. Notices to entries are repeated
@@ -152,6 +155,7 @@
             sharing: None,
             zone: settings.node.domain.clone(),
             service: settings.service.clone().unwrap_or_default(),
+            pace: None,
         };
         let fields = json!({
             "node": settings.node.box_id, "zone": settings.node.domain, "control": control,
@@ -163,6 +167,7 @@
             peers: Mutex::new(peers),
             wanted: Mutex::default(),
             notice: Mutex::new(notice),
+            pace: Mutex::default(),
             notice_changed: tokio::sync::Notify::new(),
             draining: AtomicBool::new(false),
             weights_refresh: Arc::default(),
@@ -330,6 +335,27 @@
         *lock(&self.seat_keys).entry(control).or_insert_with(|| agent_peer_key(control))
     }
 
+    /// Publishes the pace in a report of the server, if the entries use it; `restarted` tells that the
+    /// report is the first one of a new server process.
+    pub(super) fn record_pace(&self, report: &StageReport, restarted: bool) {
+        if !self.settings.direct.observed_speed {
+            return;
+        }
+        let mut paces = lock(&self.pace);
+        if restarted {
+            paces.forget();
+        }
+        let pace = paces.record(self.node.now(), report.pace);
+        drop(paces);
+        self.update_notice(|notice| notice.pace = pace);
+    }
+
+    /// Withdraws the published pace if the server has not been heard for a while.
+    pub(super) fn expire_pace(&self) {
+        let pace = lock(&self.pace).current(self.node.now());
+        self.update_notice(|notice| notice.pace = pace);
+    }
+
     /// Changes the published state of the server, and sends notices at once if it differs.
     pub(super) fn update_notice(&self, change: impl FnOnce(&mut ServerNotice)) {
         let mut notice = lock(&self.notice);
--- a/crates/daemon/src/direct/agent_notices.rs
+++ b/crates/daemon/src/direct/agent_notices.rs
@@ -54,6 +54,7 @@
         let now = state.node.now();
         lock(&state.peers).expire(now);
         self.relays.expire(now);
+        state.expire_pace();
         let server = Some(lock(&state.notice).clone());
         let repeated = state.draining.load(Ordering::Relaxed);
         let wanted = state.wanted_notices();
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -2,17 +2,21 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
 
 use bytes::Bytes;
-use headlatch_core::direct::{
-    engine_model::completion_time,
-    server_table::{ChosenServer, ServerOutcome},
-    time_limit::{LimitedTime, TimeLimit},
+use headlatch_core::{
+    direct::{
+        engine_model::completion_time,
+        server_speed::{FirstToken, WatchTicket},
+        server_table::{ChosenServer, ServerOutcome},
+        time_limit::{LimitedTime, TimeLimit},
+    },
+    time::Moment,
 };
 use headlatch_http::{ActiveConnection, ConnectionChoice};
 use headlatch_outside::headers::{ForwardMetadata, ResponseMetadata};
@@ -46,6 +50,17 @@
     /// The request can't be retried on another server any more.
     final_attempt: AtomicBool,
     ended: AtomicBool,
+    /// When the request was sent, if its first token shows the speed of the server.
+    sent: OnceLock<SentMark>,
+}
+
+/// Time at which a request was sent, and the watch of the load that it meets.
+#[derive(Debug, Clone, Copy)]
+struct SentMark {
+    at: Moment,
+    /// Time for which the machine had been suspended before.
+    suspended: Duration,
+    watch: WatchTicket,
 }
 
 impl InFlight {
@@ -60,7 +75,33 @@
         drop(servers);
         state.notify_load_changes();
         let [prompt_read, final_attempt, ended] = [(); 3].map(|()| AtomicBool::new(false));
-        Some(Self { state, server, tokens, prompt_read, final_attempt, ended })
+        let sent = OnceLock::new();
+        Some(Self { state, server, tokens, prompt_read, final_attempt, ended, sent })
+    }
+
+    /// Records that the request is being sent. Its first token shows the speed of the server if the
+    /// response streams tokens from the start and the caller has given the length of the prompt.
+    fn mark_sent(&self, request: &AdmittedRequest, last_event: Option<u64>) {
+        let is_comparable = request.is_stream() && request.facts.prompt_tokens.is_some();
+        if !is_comparable || last_event.is_some() || self.sent.get().is_some() {
+            return;
+        }
+        if let Some(watch) = self.state.servers().watch_first_token(&self.server.id) {
+            let (at, suspended) = (self.state.now(), self.state.suspended_time());
+            // Only this task marks the request.
+            let _ = self.sent.set(SentMark { at, suspended, watch });
+        }
+    }
+
+    /// Records the arrival of the first token.
+    pub fn note_first_token(&self, request: &AdmittedRequest) {
+        let (Some(sent), Some(figures)) = (self.sent.get(), &request.engine) else { return };
+        let Some(work) = request.engine_work() else { return };
+        let now = self.state.now();
+        let suspended = self.state.suspended_time().saturating_sub(sent.suspended);
+        let token = FirstToken { figures, work, elapsed: now.since(sent.at), suspended };
+        let mut servers = self.state.servers();
+        servers.record_first_token(now, &self.server, sent.watch, sent.at, &token);
     }
 
     /// Records that the server has processed the prompt.
@@ -90,6 +131,9 @@
             if self.final_attempt.load(Ordering::Relaxed) {
                 self.state.servers().end_pinned_stream(&self.server.id);
             }
+            if let Some(sent) = self.sent.get() {
+                self.state.servers().end_watch(&self.server.id, sent.watch);
+            }
             self.state.servers().end_chosen(self.state.now(), &self.server, outcome);
             self.state.notify_load_changes();
         }
@@ -187,7 +231,7 @@
     let tokens = request.engine_work().map_or(0, |work| work.prompt);
     let in_flight = InFlight::begin(state.clone(), server, tokens)
         .ok_or_else(|| AttemptFailure::not_sent("rate_limited"))?;
-    let sent = send_counted(state, request, in_flight.server(), last_event, choice).await;
+    let sent = send_counted(state, request, &in_flight, last_event, choice).await;
     match sent {
         Ok((response, connection, time_limit)) => {
             in_flight.note_read();
@@ -203,10 +247,11 @@
 async fn send_counted(
     state: &Arc<EntryState>,
     request: &AdmittedRequest,
-    server: &ChosenServer,
+    in_flight: &InFlight,
     last_event: Option<u64>,
     mut choice: ConnectionChoice,
 ) -> Result<(Response<Incoming>, ActiveConnection, LimitedTime), AttemptFailure> {
+    let server = in_flight.server();
     loop {
         let begun = Instant::now();
         let (mut connection, fresh) = connect(state, server, choice, request.deadline).await?;
@@ -230,6 +275,7 @@
         let headers = outgoing_headers(state, request, &facts, &request.body.bytes);
         let (method, uri) = (request.method.clone(), request.uri.clone());
         let sent_at = state.now();
+        in_flight.mark_sent(request, last_event);
         let sent = connection.send(method, uri, headers, request.body.bytes.clone());
         let sent = tokio::time::timeout_at(request.deadline, sent).await;
         let response = match sent {
@@ -283,7 +329,9 @@
     let model = request.facts.model.as_deref();
     let Some(work_time) = state.work_time(model, server.version) else { return left };
     let first = server.predicted.unwrap_or_default();
-    let whole = completion_time(figures, first, request.facts.answer_tokens);
+    let decode = completion_time(figures, Duration::ZERO, request.facts.answer_tokens);
+    let decode = server.slow_by.map_or(decode, |pace| decode.mul_f64(pace.factor()));
+    let whole = first + decode;
     let time = work_time.max(whole * MIN_ANSWER_TIME_PERCENT / 100);
     left.shorter(Some(LimitedTime::new(time, TimeLimit::Weights)))
 }
--- a/crates/daemon/src/direct/notice_codec.rs
+++ b/crates/daemon/src/direct/notice_codec.rs
@@ -15,7 +15,7 @@
     request_digest::RequestDigest,
     suspects::{LifeKey, ProgressAtEnd, SuspectNotice},
 };
-use headlatch_types::{quantity::RequestRate, traffic::WeightVersion};
+use headlatch_types::{pace::ServerPace, quantity::RequestRate, traffic::WeightVersion};
 use headlatch_wire as wire;
 use prost::Message;
 
@@ -159,6 +159,7 @@
         sharing: server.sharing.unwrap_or_default().0,
         zone: server.zone.to_string(),
         service: server.service.clone(),
+        pace: server.pace.map_or(0, ServerPace::hundredths),
     });
     let drain = |drain: &DrainNotice| wire::NoticeDrain {
         server: address_bytes(&drain.server),
@@ -212,6 +213,7 @@
             sharing: version(server.sharing),
             zone: server.zone.parse().ok()?,
             service: server.service,
+            pace: ServerPace::from_hundredths(server.pace).ok(),
         }),
     };
     let drain = |drain: &wire::NoticeDrain| {
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -82,6 +82,8 @@
     next_progress_log: Moment,
     rate: TransferRate,
     fence: u64,
+    /// The server has reported an invalid pace, which has been logged.
+    invalid_pace_logged: bool,
 }
 
 /// Target state of the server.
@@ -129,6 +131,7 @@
             next_progress_log: Moment::ZERO,
             rate: TransferRate::default(),
             fence: 0,
+            invalid_pace_logged: false,
         }
     }
 
@@ -161,7 +164,9 @@
                 return NextPoll::Busy;
             }
         };
-        self.detect_restart(&report);
+        let restarted = self.detect_restart(&report);
+        self.state.record_pace(&report, restarted);
+        self.log_invalid_pace(&report, restarted);
         self.record_progress();
         let Some(goal) = self.goal(&report) else {
             return NextPoll::Busy;
@@ -180,9 +185,10 @@
     }
 
     /// Drops the pending order if the server has restarted, since it does not survive a restart.
-    fn detect_restart(&mut self, report: &StageReport) {
+    /// Returns whether it has.
+    fn detect_restart(&mut self, report: &StageReport) -> bool {
         if !self.life.has_restarted(report) {
-            return;
+            return false;
         }
         let order = self.order.take().map(|order| order.version);
         let fields = json!({ "born": report.started_at, "ordered": order });
@@ -190,6 +196,17 @@
         for transfer in self.transfer.iter_mut().chain(&mut self.next_transfer) {
             transfer.stage.checked = None;
         }
+        true
+    }
+
+    /// Logs an invalid pace once per server process.
+    fn log_invalid_pace(&mut self, report: &StageReport, restarted: bool) {
+        self.invalid_pace_logged &= !restarted;
+        if let Some(error) = &report.pace_error
+            && !std::mem::replace(&mut self.invalid_pace_logged, true)
+        {
+            decisions::warn("engine", "invalid_pace", json!({ "error": error.to_string() }));
+        }
     }
 
     /// Returns the target state, or `None` while neither the server nor the plan names a model.
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -50,6 +50,7 @@
 mod evacuations;
 mod reading;
 mod server_signals;
+mod server_speeds;
 mod servers;
 
 pub use reading::TopicGate;
@@ -154,7 +155,8 @@
         let zones = settings.direct.zones.clone();
         let body_memory =
             ByteSize::from_bytes(settings.direct.memory.bytes() / BODY_MEMORY_DIVISOR);
-        let servers = ServerTable::new(settings.node.domain.clone(), zones);
+        let mut servers = ServerTable::new(settings.node.domain.clone(), zones);
+        servers.set_observed_speed(settings.direct.observed_speed);
         let mut peers =
             PeerTable::new(settings.node.control, DomainKey::from(&settings.node.domain));
         for seed in &settings.direct.seeds {
@@ -468,6 +470,7 @@
         if changed {
             decisions::info("peers", "domains_out_of_reach", json!({ "domains": names }));
         }
+        self.update_speeds();
         for peer in &gone {
             decisions::info("peers", "lost", json!({ "peer": peer }));
         }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -63,6 +63,7 @@
     server_signals: IntCounterVec,
     malformed_signals: IntCounterVec,
     rate_limits: IntGauge,
+    slow_servers: IntGauge,
     excluded_servers: IntCounterVec,
     in_progress: IntGauge,
 }
@@ -125,6 +126,7 @@
         };
         let revision = gauge("headlatch_revision", "Revision of the configuration in force.");
         let rate_limits = gauge("headlatch_rate_limited_servers", "Servers with a rate limit.");
+        let slow_servers = gauge("headlatch_slow_servers", "Servers that count as slow.");
         let in_progress = gauge("headlatch_in_progress", "Requests in progress.");
         Self {
             registry,
@@ -142,6 +144,7 @@
             server_signals,
             malformed_signals,
             rate_limits,
+            slow_servers,
             excluded_servers,
             in_progress,
         }
@@ -205,6 +208,11 @@
         self.rate_limits.set(count as i64);
     }
 
+    /// Sets the number of servers that currently count as slow.
+    pub fn set_slow_servers(&self, count: usize) {
+        self.slow_servers.set(count as i64);
+    }
+
     /// Counts servers that were excluded by their signals when a request was refused.
     pub fn count_excluded(&self, signal: &str, count: u32) {
         self.excluded_servers.with_label_values(&[signal]).inc_by(count.into());
--- a/crates/daemon/tests/relays.rs
+++ b/crates/daemon/tests/relays.rs
@@ -94,6 +94,7 @@
         sharing: None,
         zone: format!("z{domain}").parse().expect("a name"),
         service: "s".to_owned(),
+        pace: None,
     };
     Process {
         address: at,
--- a/crates/daemon/tests/support/agent.rs
+++ b/crates/daemon/tests/support/agent.rs
@@ -25,6 +25,7 @@
         sharing: None,
         zone: "z1".parse().expect("valid zone name"),
         service: "s".to_owned(),
+        pace: None,
     };
     let notice = PeerNotice {
         server: Some(changing),
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -38,6 +38,9 @@
     /// Its service.
     #[prost(string, tag = "7")]
     pub service: String,
+    /// Its pace in hundredths: over 100, it is slower than configured; 0 for none.
+    #[prost(uint32, tag = "8")]
+    pub pace: u32,
 }
 
 /// An entry's word that it sends nothing to a server that is about to change.
