Test that requests chosen for an earlier server process are not observed

Cause: removing the check of the server process from record_first_token made no test fail: a single late response never marks a server.

--- a/crates/core/tests/server_speed.rs
+++ b/crates/core/tests/server_speed.rs
@@ -303,13 +303,17 @@
     let record = records().remove(0);
     table.set_notice(record.address, Some(notice(&record, Some(pace(5.0)))));
     expect_that!(slow_by(&table, now, "s0"), some(anything()));
-    let late = chosen(&table, now, "s0");
-    let late = send(&mut table, now, late, PROMPT);
+    let earlier = chosen(&table, now, "s0");
     let restarted = ServerRecord { started_at: Some(StartTime(77)), ..record };
     table.set(now, restarted, ChangeMark(2));
     expect_that!(slow_by(&table, now, "s0"), none());
-    answer(&mut table, now + millis(900), &late, Duration::ZERO);
-    expect_that!(slow_by(&table, now + millis(900), "s0"), none());
+    // Responses to requests that were meant for the earlier process say nothing about this one.
+    for _ in 0..4 {
+        let request = send(&mut table, now, earlier.clone(), PROMPT);
+        now = now + idle_time(PROMPT, 5.0);
+        answer(&mut table, now, &request, Duration::ZERO);
+    }
+    expect_that!(slow_by(&table, now, "s0"), none());
 }
 
 #[gtest]
