Read the manifest of a newer version before it is needed

Cause: an agent that passes to a newer version during an outage of the origin had no manifest of it.

Change: agents that may read manifests from the origin read that of the newest target version while they fetch an older one. The transfer uses it, so that no manifest is read twice.

--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -6,7 +6,7 @@
     direct::staging::{EngineLife, GivenOrder, StageStep, StageView, next_step},
     time::Moment,
 };
-use headlatch_outside::engine::{OrderAnswer, StageReport};
+use headlatch_outside::engine::{OrderAnswer, PieceManifest, StageReport};
 use headlatch_types::traffic::WeightVersion;
 use serde_json::json;
 
@@ -21,6 +21,7 @@
 mod estimates;
 mod fetching;
 mod goal;
+mod manifests;
 mod stage;
 
 use estimates::VersionSelection;
@@ -56,6 +57,9 @@
     manifest_retry_at: Moment,
     /// Version whose manifest is needed, and the time since when.
     manifest_requested: Option<(WeightVersion, Moment)>,
+    /// Manifest of the newest target version, read before its transfer.
+    prefetched: Option<PieceManifest>,
+    next_prefetch: Moment,
     next_progress_log: Moment,
     selection: VersionSelection,
     fence: u64,
@@ -96,6 +100,8 @@
             manifest_failures: 0,
             manifest_retry_at: Moment::ZERO,
             manifest_requested: None,
+            prefetched: None,
+            next_prefetch: Moment::ZERO,
             next_progress_log: Moment::ZERO,
             selection: VersionSelection::default(),
             fence: 0,
@@ -146,6 +152,7 @@
         self.drop_obsolete(&goal);
         self.ensure_transfer(&goal).await;
         self.ensure_next_transfer(&goal).await;
+        self.prefetch_manifest(&goal).await;
         if goal.loaded.is_some_and(|loaded| loaded >= goal.version) {
             self.record_completion(&goal);
             return NextPoll::Idle;
--- a/crates/daemon/src/direct/stager/fetching.rs
+++ b/crates/daemon/src/direct/stager/fetching.rs
@@ -1,14 +1,9 @@
 //! Starts the transfers of one server's versions.
 
-use headlatch_core::direct::manifest_source::{ManifestSource, ManifestView, manifest_source};
 use headlatch_types::{id::ModelName, traffic::WeightVersion};
 use serde_json::json;
 
-use super::{
-    super::{facts::retry_delay, transfer::VersionTransfer, transfer_peers},
-    Stager,
-    goal::Goal,
-};
+use super::{super::transfer::VersionTransfer, Stager, goal::Goal};
 use crate::decisions;
 
 impl Stager {
@@ -98,53 +93,12 @@
         version: WeightVersion,
         is_next: bool,
     ) -> Option<VersionTransfer> {
-        let now = self.state.node.now();
         let origin = self.plan.origin()?;
-        if now < self.manifest_retry_at {
-            return None;
-        }
-        let source = self.manifest_source(version);
-        match self.transfers.manifest(source, &origin, model, version).await {
-            Ok(None) => None,
-            Ok(Some(pieces)) => {
-                let mut transfer = self.transfers.begin(&origin, pieces, is_next).await;
-                transfer.estimated = self.initial_estimate(&transfer);
-                self.manifest_failures = 0;
-                self.manifest_requested = None;
-                self.record_start("begun", &transfer, is_next);
-                Some(transfer)
-            }
-            Err(error) => {
-                self.manifest_failures += 1;
-                self.manifest_retry_at = now + retry_delay(self.manifest_failures);
-                if source == ManifestSource::Origin {
-                    self.plan.request_refresh();
-                }
-                let fields = json!({
-                    "version": version, "source": format!("{source:?}"), "error": error.to_string(),
-                });
-                decisions::warn("weights", "no_manifest", fields);
-                None
-            }
-        }
-    }
-
-    /// Selects the source from which to read the manifest of a version now.
-    fn manifest_source(&mut self, version: WeightVersion) -> ManifestSource {
-        let now = self.state.node.now();
-        let wanted = self.manifest_requested.filter(|(wanted, _)| *wanted == version);
-        let (_, since) = *self.manifest_requested.insert(wanted.unwrap_or((version, now)));
-        let readers = transfer_peers::manifest_readers(&self.state, version);
-        manifest_source(&ManifestView {
-            rank: readers.rank,
-            domain_rank: readers.near_rank,
-            steady: readers.steady,
-            is_alone: readers.is_alone,
-            waited: now.since(since),
-            failures: self.manifest_failures,
-            holders: &readers.holders,
-            holders_in_domain: readers.holders_near,
-        })
+        let pieces = self.obtain_manifest(&origin, model, version).await?;
+        let mut transfer = self.transfers.begin(&origin, pieces, is_next).await;
+        transfer.estimated = self.initial_estimate(&transfer);
+        self.record_start("begun", &transfer, is_next);
+        Some(transfer)
     }
 
     fn record_start(&self, event: &'static str, transfer: &VersionTransfer, is_next: bool) {
--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -4,7 +4,10 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -152,6 +155,10 @@
 struct TestOrigin {
     /// Pieces of this version from this number on cannot be reached.
     unreachable: Mutex<Option<(WeightVersion, u32)>>,
+    /// Requests for pieces of this version from this number on get no answer.
+    silent: Mutex<Option<(WeightVersion, u32)>>,
+    /// All manifest requests fail.
+    refuses_manifests: AtomicBool,
     corrupt: Mutex<Vec<u32>>,
     refusals: Mutex<u32>,
     piece_requests: Mutex<u32>,
@@ -172,7 +179,7 @@
         let model = model.clone();
         let manifest = PieceManifest { model, version, piece_bytes: 32, layers: LAYERS, digests };
         let mut lost = lock(&self.failed_manifests);
-        let is_lost = *lost > 0;
+        let is_lost = *lost > 0 || self.refuses_manifests.load(Ordering::Relaxed);
         *lost = lost.saturating_sub(1);
         Box::pin(async move {
             match is_lost {
@@ -194,6 +201,9 @@
             let failure = StageFailure::Unreachable("connection refused".to_owned());
             return Box::pin(async { Err(failure) });
         }
+        if lock(&self.silent).is_some_and(|(of, from)| of == version && number >= from) {
+            return Box::pin(std::future::pending());
+        }
         let mut corrupt = lock(&self.corrupt);
         let at = corrupt.iter().position(|one| *one == number);
         let is_corrupt = at.map(|at| corrupt.remove(at)).is_some();
@@ -394,6 +404,30 @@
     expect_that!(state.accepted_invalid_stage, eq(false));
 }
 
+/// A version announced before an outage must not wait for the end of the outage because its manifest was not read in
+/// time.
+#[gtest]
+#[tokio::test]
+async fn the_manifest_of_a_newer_version_is_read_before_it_is_needed() {
+    let origin = TestOrigin::default();
+    *lock(&origin.silent) = Some((WeightVersion(2), PIECES / 2));
+    let fixture = Fixture::new(TestEngine::default(), origin).await;
+    fixture.wait_until_loaded(1).await;
+    fixture.set_target_version(2);
+    let half_fetched = async {
+        while *lock(&fixture.origin.piece_requests) < PIECES + PIECES / 2 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    expect_that!(tokio::time::timeout(LOAD_TIMEOUT, half_fetched).await.is_ok(), eq(true));
+    fixture.set_target_version(3);
+    // Less than the time without a piece after which the origin counts as down.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    fixture.origin.refuses_manifests.store(true, Ordering::Relaxed);
+    let loaded = tokio::time::timeout(LOAD_TIMEOUT, fixture.wait_until_loaded(3)).await;
+    expect_that!(loaded.is_ok(), eq(true), "version 3 is not loaded");
+}
+
 #[gtest]
 #[tokio::test]
 async fn corrupt_and_refused_pieces_are_fetched_again() {
