Reject relayed plans without the regions of organisations

`Tenant::allowed_regions` defaulted to no restriction. A plan relayed by an older entry, whose plans lack the field, was therefore read as unrestricted, and the store's copy of the same version was passed over.

The field is now required: such a plan is an error, the last good plan stays in force, and the plan is read from the store.

Checked: the new test in direct_entry fails before the change (the plan is accepted) and passes after it, with the 23 others there; clippy, fmt, platform-names.

--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -3,11 +3,14 @@
 
 mod support;
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use headlatch_core::direct::{fact_age::ChangeMark, peers::DrainNotice};
+use headlatch_core::direct::{
+    fact_age::ChangeMark,
+    peers::{DomainKey, DrainNotice, PeerKind, PeerNotice},
+};
 use headlatch_daemon::direct::{entry::DirectEntry, facts::FactUpdate, plan_sync};
 use headlatch_http::{CallResponse, Connections};
 use headlatch_outside::{
@@ -20,7 +23,8 @@
 use headlatch_standins::half_deaf::HalfDeafServer;
 use headlatch_types::{
     ByteProgress, InputError,
-    traffic::{PlanVersion, ServerRecord, TrafficPlan},
+    id::DomainId,
+    traffic::{AllowedRegions, PlanVersion, ServerRecord, TrafficPlan},
 };
 use http::{HeaderMap, Method, StatusCode};
 use support::{
@@ -375,6 +379,63 @@
     expect_that!(fetched.map(|plan| plan.version), ok(eq(&PlanVersion(7))));
 }
 
+/// A peer that sends the same plan to every caller.
+async fn plan_peer(plan: serde_json::Value) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+    let address = listener.local_addr().expect("listener is bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            if support::read_head(&mut stream).await.is_none() {
+                continue;
+            }
+            let text = plan.to_string();
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", text.len());
+            // The caller may have gone already.
+            let _ = stream.write_all((head + &text).as_bytes()).await;
+        }
+    });
+    address
+}
+
+/// An older entry relays plans without the regions of organisations. Reading such a plan as unrestricted would
+/// send requests to forbidden regions, and the complete copy of the same version in the store would be ignored.
+#[gtest]
+#[tokio::test]
+async fn a_relayed_plan_without_regions_of_organisations_is_rejected() {
+    let fixture = Fixture::new(complete_answer, complete_answer).await;
+    let mut relayed = serde_json::to_value(plan(7)).expect("plan serializes");
+    let tenant = relayed["tenants"][0].as_object_mut().expect("an organisation");
+    tenant.remove("allowed_regions").expect("the field is relayed");
+    let peer = plan_peer(relayed).await;
+    let error = plan_sync::fetch(&Connections::default(), peer).await.expect_err("it is rejected");
+    expect_that!(error, contains_substring("tenants[0]"));
+    expect_that!(error, contains_substring("allowed_regions"));
+
+    let state = &fixture.entry.state;
+    let domain: DomainId = "z2".parse().expect("valid name");
+    for sequence in 1..=10 {
+        let empty = PeerNotice::empty(peer, PeerKind::Entry, DomainKey::from(&domain));
+        state.peers().receive(state.now(), PeerNotice { sequence, plan: 7, ..empty });
+        state.record_peer_plan_version(PlanVersion(7));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    expect_that!(state.plan_version(), eq(PlanVersion(5)));
+
+    let mut complete = plan(7);
+    let regions = AllowedRegions::Only(["r2".parse().expect("valid name")].into());
+    complete.tenants[0].allowed_regions = regions.clone();
+    fixture.store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(complete)));
+    let read = async {
+        while state.plan_version() < PlanVersion(7) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let read = tokio::time::timeout(Duration::from_secs(5), read).await;
+    expect_that!(read.is_ok(), eq(true), "the plan is not read from the store");
+    let routes = state.routes().expect("a plan is active");
+    expect_that!(routes.plan().tenants[0].allowed_regions, eq(&regions));
+}
+
 /// The watch of servers misses a change that other entries have applied. Drain times are 2 s, so
 /// this entry must have the change within that time.
 #[gtest]
--- a/crates/types/src/traffic.rs
+++ b/crates/types/src/traffic.rs
@@ -172,8 +172,8 @@
     pub keys: Vec<String>,
     /// Priority, which overrides that of the route.
     pub priority: Option<u8>,
-    /// Regions whose endpoints may run its requests; the route must allow them as well.
-    #[serde(default)]
+    /// Regions whose endpoints may run its requests; the route must allow them as well. Required in plans from
+    /// other entries: a missing list must not be read as unrestricted.
     pub allowed_regions: AllowedRegions,
 }
 
