Keep the regions of the route when a newer plan drops the organisation

An attempt used the regions of the plan that admitted its request if the newer plan lacked the organisation, even if the newer plan restricted the route, so that it could reach a region that the route no longer allowed.

`RouteTable::allowed_regions` now takes the regions that admitted the request. They are intersected with those of the current route if only the organisation is missing, and used alone if the route is gone.

Checked: the new test in daemon/tests/allowed_regions.rs fails before the change (a retry and a resumed stream reach the forbidden region) and passes after it, with the 7 others there; core/tests/direct.rs and core/tests/allowed_regions.rs; clippy, fmt, platform-names.

--- a/crates/core/src/direct/route_table.rs
+++ b/crates/core/src/direct/route_table.rs
@@ -80,17 +80,22 @@
         self.names.get(name).map(|index| &self.plan.routes[*index])
     }
 
-    /// Regions whose endpoints may run the requests of an organisation on a route; `organisation` is `None` for
-    /// anonymous requests. Returns none if the plan lacks the route or the organisation.
+    /// Regions whose endpoints may run a request of an organisation on a route that was admitted for the regions
+    /// `admitted`, maybe by an older plan; `organisation` is `None` for anonymous requests.
+    ///
+    /// If this plan lacks the organisation, the route's regions still apply, within those of `admitted`. If it
+    /// lacks the route, `admitted` applies.
     pub fn allowed_regions(
         &self,
         route: &str,
         organisation: Option<&str>,
-    ) -> Option<AllowedRegions> {
-        let of_route = &self.route_named(route)?.allowed_regions;
-        let Some(name) = organisation else { return Some(of_route.clone()) };
-        let index = *self.organisation_names.get(name)?;
-        Some(of_route.intersection(&self.plan.tenants[index].allowed_regions))
+        admitted: &AllowedRegions,
+    ) -> AllowedRegions {
+        let Some(route) = self.route_named(route) else { return admitted.clone() };
+        let Some(name) = organisation else { return route.allowed_regions.clone() };
+        let index = self.organisation_names.get(name);
+        let tenant = index.map(|index| &self.plan.tenants[*index].allowed_regions);
+        route.allowed_regions.intersection(tenant.unwrap_or(admitted))
     }
 
     /// Finds the organisation of a request by its API key. Returns none if the plan has no organisations, or
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -78,6 +78,30 @@
     expect_that!(table.organisation(&open, None).map(|one| one.is_none()), ok(eq(true)));
 }
 
+/// A newer plan may drop an organisation or a route whose requests are in progress. Guards against ignoring what
+/// the newer plan still says of the route, and against allowing regions that the admitting plan did not.
+#[gtest]
+fn regions_of_admitted_requests_follow_what_the_plan_still_has() {
+    let only = |names: &[&str]| {
+        AllowedRegions::Only(names.iter().map(|name| name.parse().expect("valid name")).collect())
+    };
+    let mut plan =
+        plan(vec![Route { allowed_regions: only(&["r1", "r2", "r3"]), ..route("one", "/a/") }]);
+    plan.tenants[0].allowed_regions = only(&["r1", "r4"]);
+    let table = RouteTable::new(Arc::new(plan));
+    let admitted = only(&["r2", "r4"]);
+    let regions = |route, organisation| table.allowed_regions(route, organisation, &admitted);
+    expect_that!(regions("one", Some("t")), eq(&only(&["r1"])));
+    expect_that!(regions("one", None), eq(&only(&["r1", "r2", "r3"])));
+    expect_that!(regions("one", Some("dropped")), eq(&only(&["r2"])));
+    expect_that!(regions("dropped", Some("t")), eq(&admitted));
+    let unrestricted = AllowedRegions::Anywhere;
+    expect_that!(
+        table.allowed_regions("one", Some("dropped"), &unrestricted),
+        eq(&only(&["r1", "r2", "r3"]))
+    );
+}
+
 #[gtest]
 fn targets_are_picked_by_weight() {
     let mut one = route("one", "/a/");
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -163,11 +163,9 @@
     /// admitted it.
     pub(super) fn allowed_regions(&self) -> AllowedRegions {
         let request = &self.request;
-        let routes = self.state.routes();
-        let current = routes.and_then(|routes| {
-            routes.allowed_regions(&request.route.name, request.tenant.as_deref())
-        });
-        current.unwrap_or_else(|| request.allowed_regions.clone())
+        let (route, admitted) = (&request.route.name, &request.allowed_regions);
+        let Some(routes) = self.state.routes() else { return admitted.clone() };
+        routes.allowed_regions(route, request.tenant.as_deref(), admitted)
     }
 
     /// Selects among the servers with the random number `draw`.
--- a/crates/daemon/tests/allowed_regions.rs
+++ b/crates/daemon/tests/allowed_regions.rs
@@ -208,17 +208,28 @@
     restricted: Restricted,
     path: &'static str,
     begins: Script,
+) -> Setting {
+    let (plan, newer) = (plan_in(restricted, 5, "r2"), plan_in(restricted, 6, "r1"));
+    break_off_after(plan, newer, path, [serves, begins]).await
+}
+
+/// Sends a request under one plan, whose answer is held after what the near or the far server begins with, and
+/// breaks it off once the newer plan is in force.
+async fn break_off_after(
+    plan: TrafficPlan,
+    newer: TrafficPlan,
+    path: &'static str,
+    begins: [Script; 2],
 ) -> Setting {
     let (release, released) = watch::channel(false);
-    let (near, far): (Script, HeldBreak) = (serves, HeldBreak { begins, released });
-    let plan = plan_in(restricted, 5, "r2");
+    let [near, far] = begins.map(|begins| HeldBreak { begins, released: released.clone() });
     let setting = Setting::with_plan(near, far, TestStore::default(), plan).await;
     let address = setting.entry.address;
     let asked = tokio::spawn(async move { ask(address, path, "k").await });
-    while setting.far.seen().is_empty() {
+    while setting.near.seen().is_empty() && setting.far.seen().is_empty() {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    setting.apply(plan_in(restricted, 6, "r1")).await;
+    setting.apply(newer).await;
     release.send(true).expect("the server waits for it");
     let _ = asked.await.expect("it ends");
     setting
@@ -244,6 +255,23 @@
     }
 }
 
+/// Guards against the regions of the older plan where the newer one lacks the organisation: they would send the
+/// request again to a region that its route no longer allows.
+#[gtest]
+#[tokio::test]
+async fn a_plan_without_the_organisation_still_restricts_the_route() {
+    let anywhere = AllowedRegions::Anywhere;
+    for (path, begins) in [("/safe/x", breaks_off as Script), ("/stream/x", cuts_stream)] {
+        let both =
+            AllowedRegions::Only(["r1", "r2"].map(|name| name.parse().expect("a name")).into());
+        let mut newer = plan_with(6, &only("r3"), &anywhere);
+        newer.tenants[0].name = "another".into();
+        let plan = plan_with(5, &both, &anywhere);
+        let setting = break_off_after(plan, newer, path, [begins, serves]).await;
+        expect_that!((setting.near.seen().len(), setting.far.seen().len()), eq((1, 0)), "{path}");
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_failure_domain_that_is_being_emptied_gets_nothing() {
