Reject plans with two organisations of the same name

The regions of a request in progress are looked up by the name of its organisation, so that with two of the same name one of them got the regions of the other. `TrafficPlan::check` rejects such a plan with the path of the second name, and the last good plan stays in force.

Checked: the new test in types/tests/plan_regions.rs fails before the change and passes after it; clippy, fmt, platform-names. The two tests of `restricts_regions` there pass before and after.

--- a/crates/types/src/traffic.rs
+++ b/crates/types/src/traffic.rs
@@ -262,11 +262,19 @@
 }
 
 impl TrafficPlan {
-    /// Checks the routes.
+    /// Checks the routes and the names of tenants.
     pub fn check(&self) -> Result<(), InputError> {
         for (index, route) in self.routes.iter().enumerate() {
             check_route(&format!("routes[{index}]"), route)?;
         }
+        // The regions of a request in progress are looked up by the tenant's name.
+        let mut names = BTreeSet::new();
+        for (index, tenant) in self.tenants.iter().enumerate() {
+            if !names.insert(&tenant.name) {
+                let message = format!("\"{}\" names an earlier tenant; rename one", tenant.name);
+                return Err(InputError::new(format!("tenants[{index}].name"), message));
+            }
+        }
         Ok(())
     }
 
