Name the organisations in the route table's index by what they are

The local `called` held the organisations of the plan with their indexes. The index of names is built from `named_tenants` now; no behaviour changes.

--- a/crates/core/src/direct/route_table.rs
+++ b/crates/core/src/direct/route_table.rs
@@ -45,9 +45,9 @@
             .collect();
         let named = plan.routes.iter().enumerate();
         let names = named.map(|(index, route)| (route.name.clone(), index)).collect();
-        let called = plan.tenants.iter().enumerate();
+        let named_tenants = plan.tenants.iter().enumerate();
         let organisation_names =
-            called.map(|(index, organisation)| (organisation.name.clone(), index)).collect();
+            named_tenants.map(|(index, organisation)| (organisation.name.clone(), index)).collect();
         let urgencies = ServiceUrgencies::new(&plan);
         Self { plan, hosts, organisations, names, organisation_names, urgencies }
     }
