Say why one restricted organisation restricts all services

`TrafficPlan::restricts_regions` does not know which services an organisation uses. Its comment now says that one restricted organisation makes all of them count as restricted, and that this only lowers the number of streams that are planned to move.

Checked: types/tests/plan_regions.rs, which has it true with a restricted organisation and false without; clippy, fmt, platform-names.

--- a/crates/types/src/traffic.rs
+++ b/crates/types/src/traffic.rs
@@ -286,6 +286,9 @@
     }
 
     /// Whether some requests to a service are restricted to some regions, by their route or organisation.
+    ///
+    /// Organisations are not bound to services, so one restricted organisation makes every service count as
+    /// restricted. This is safe: a restricted service only plans to move fewer streams during a drain.
     pub fn restricts_regions(&self, service: &str) -> bool {
         let is_restricted = |regions: &AllowedRegions| *regions != AllowedRegions::Anywhere;
         let sends = |route: &Route| route.targets.iter().any(|one| &*one.service == service);
