Report invalid region names by their path

An invalid name in `allowed_regions` of a route or an organisation allowed nothing without a word to the operator.

It still allows nothing, so that the plan stays usable. The counting moves to `FieldCounter`, for other input than facts.

--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -29,6 +29,6 @@
 pub mod state;
 pub mod transfer;
 pub mod transfer_peers;
-mod unknown_names;
+pub mod unknown_names;
 pub mod waiting;
 pub mod weights;
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -46,7 +46,7 @@
     facts::{FactUpdate, readable_facts},
     plan_copy::PlanCopy,
     quarantine::Quarantine,
-    unknown_names::UnknownNames,
+    unknown_names::{FieldCounter, UnknownNames},
     waiting::WaitingRoom,
 };
 use crate::{decisions, metrics::NodeMetrics, timer::NodeClock};
@@ -123,8 +123,8 @@
     notices_stale: AtomicBool,
     /// Unknown headers seen in responses of servers.
     unknown_headers: Mutex<UnknownNames>,
-    /// Unknown fields seen in facts from the store.
-    unknown_fields: Mutex<UnknownNames>,
+    /// Unknown and invalid fields seen in facts from the store.
+    pub(super) field_counter: FieldCounter,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -204,7 +204,7 @@
             known_entries: Mutex::default(),
             notices_stale: AtomicBool::new(false),
             unknown_headers: Mutex::default(),
-            unknown_fields: Mutex::default(),
+            field_counter: FieldCounter::default(),
             settings,
         })
     }
@@ -274,11 +274,6 @@
         lock(&self.unknown_headers)
     }
 
-    /// Locks the unknown fields seen in facts from the store.
-    pub fn unknown_fields(&self) -> MutexGuard<'_, UnknownNames> {
-        lock(&self.unknown_fields)
-    }
-
     /// Locks the table of other processes.
     pub fn peers(&self) -> MutexGuard<'_, PeerTable> {
         lock(&self.peers)
@@ -344,7 +339,7 @@
 
     /// Applies a plan update from the store.
     pub fn apply_plan_update(&self, update: FactUpdate) {
-        self.record_unknown_fields(FactTopic::Plan, &update);
+        self.record_field_issues(FactTopic::Plan, &update);
         for fact in readable_facts(update) {
             if let Fact::Plan(plan) = fact {
                 self.apply_plan(*plan, "store");
--- a/crates/daemon/src/direct/state/servers.rs
+++ b/crates/daemon/src/direct/state/servers.rs
@@ -58,7 +58,7 @@
 impl EntryState {
     /// Applies an update of the list of servers from the store.
     pub fn apply_servers_update(&self, update: FactUpdate) {
-        self.record_unknown_fields(FactTopic::Servers, &update);
+        self.record_field_issues(FactTopic::Servers, &update);
         let (covered, newest) = (update.covered(), update.newest());
         self.apply_servers(server_changes(update, newest));
         lock(&self.servers_age).confirm_from_store(self.now(), covered, newest);
--- a/crates/daemon/src/direct/unknown_names.rs
+++ b/crates/daemon/src/direct/unknown_names.rs
@@ -1,15 +1,18 @@
-//! Unknown headers in responses of servers and unknown fields of facts from the store, which may carry
-//! signals that this version does not support.
+//! Unknown headers in responses of servers and unknown fields of JSON input, which may carry signals that this
+//! version does not support, and invalid fields of JSON input.
 
-use std::collections::HashSet;
+use std::{collections::HashSet, sync::Mutex};
 
 use headlatch_outside::facts::{FactChange, FactTopic, NamedFact};
-use headlatch_types::{reading::FieldPath, traffic::ServerId};
+use headlatch_types::{
+    reading::{FieldIssues, FieldPath},
+    traffic::ServerId,
+};
 use http::HeaderMap;
 use serde_json::json;
 
-use super::{facts::FactUpdate, state::EntryState};
-use crate::decisions;
+use super::{agent::lock, facts::FactUpdate, state::EntryState};
+use crate::{decisions, metrics::NodeMetrics};
 
 /// Maximum number of names that get a label of their own.
 const MAX_NAMES: usize = 64;
@@ -24,15 +27,17 @@
 }
 
 /// A name as it is counted.
-struct CountedName<'a> {
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CountedName<'a> {
     /// Value of the metric's label.
-    label: &'a str,
+    pub label: &'a str,
     /// Whether the name is to be logged, which happens once.
-    is_new: bool,
+    pub is_new: bool,
 }
 
 impl UnknownNames {
-    fn record<'a>(&mut self, name: &'a str) -> CountedName<'a> {
+    /// Records a name; only the first [`MAX_NAMES`] different names get a label of their own and are logged.
+    pub fn record<'a>(&mut self, name: &'a str) -> CountedName<'a> {
         if self.names.contains(name) {
             return CountedName { label: name, is_new: false };
         }
@@ -44,6 +49,55 @@
     }
 }
 
+/// JSON input whose fields are counted.
+#[derive(Debug, Clone, Copy)]
+pub struct FieldSource<'a> {
+    /// Part of the decision log.
+    pub part: &'a str,
+    /// Kind of the input, which precedes the path of its fields.
+    pub kind: &'a str,
+    /// Name of the object that was read.
+    pub name: &'a str,
+}
+
+/// Counts fields that are unknown or invalid, and logs each path once.
+#[derive(Debug, Default)]
+pub struct FieldCounter {
+    unknown: Mutex<UnknownNames>,
+    invalid: Mutex<UnknownNames>,
+}
+
+impl FieldCounter {
+    /// Counts and logs the fields of `source` that were not used.
+    pub fn record(&self, metrics: &NodeMetrics, source: FieldSource<'_>, issues: &FieldIssues) {
+        for path in &issues.unknown {
+            record_path(&self.unknown, source, "unknown_field", path, |label| {
+                metrics.count_unknown_field(label);
+            });
+        }
+        for path in &issues.invalid {
+            record_path(&self.invalid, source, "invalid_field", path, |label| {
+                metrics.count_invalid_field(label);
+            });
+        }
+    }
+}
+
+fn record_path(
+    names: &Mutex<UnknownNames>,
+    source: FieldSource<'_>,
+    event: &str,
+    path: &FieldPath,
+    count: impl FnOnce(&str),
+) {
+    let path = format!("{}.{path}", source.kind);
+    let counted = lock(names).record(&path);
+    count(counted.label);
+    if counted.is_new {
+        decisions::warn(source.part, event, json!({ "field": path, "name": source.name }));
+    }
+}
+
 impl EntryState {
     /// Counts the unknown headers of a response and logs each name once.
     pub fn record_unknown_headers(&self, server: &ServerId, headers: &HeaderMap) {
@@ -57,8 +111,8 @@
         }
     }
 
-    /// Counts the unknown fields of facts from the store and logs each path once.
-    pub fn record_unknown_fields(&self, topic: FactTopic, update: &FactUpdate) {
+    /// Counts the unknown and invalid fields of facts from the store and logs each path once.
+    pub fn record_field_issues(&self, topic: FactTopic, update: &FactUpdate) {
         let listed: Vec<&NamedFact> = match update {
             FactUpdate::All(list) => list.facts.iter().collect(),
             FactUpdate::Changes(changes) => changes
@@ -71,19 +125,8 @@
                 .collect(),
         };
         for fact in listed {
-            for path in &fact.unknown_fields {
-                self.record_unknown_field(topic, fact, path);
-            }
-        }
-    }
-
-    fn record_unknown_field(&self, topic: FactTopic, fact: &NamedFact, path: &FieldPath) {
-        let path = format!("{}.{path}", topic.as_str());
-        let counted = self.unknown_fields().record(&path);
-        self.metrics.count_unknown_field(counted.label);
-        if counted.is_new {
-            let fields = json!({ "field": path, "name": fact.name });
-            decisions::warn("store", "unknown_field", fields);
+            let source = FieldSource { part: "store", kind: topic.as_str(), name: &fact.name };
+            self.field_counter.record(&self.metrics, source, &fact.field_issues);
         }
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -62,6 +62,7 @@
     fact_ages: IntGaugeVec,
     unknown_headers: IntCounterVec,
     unknown_fields: IntCounterVec,
+    invalid_fields: IntCounterVec,
     server_signals: IntCounterVec,
     malformed_signals: IntCounterVec,
     rate_limits: IntGauge,
@@ -106,6 +107,11 @@
             "Unknown fields of facts from the store, by path.",
             &["field"],
         );
+        let invalid_fields = counter(
+            "headlatch_invalid_fields_total",
+            "Fields of facts from the store with an invalid value, by path.",
+            &["field"],
+        );
         let server_signals = counter(
             "headlatch_server_signals_total",
             "Signals in answers of servers that change routing, by kind.",
@@ -166,6 +172,7 @@
             fact_ages,
             unknown_headers,
             unknown_fields,
+            invalid_fields,
             server_signals,
             malformed_signals,
             rate_limits,
@@ -214,6 +221,16 @@
         self.unknown_fields.with_label_values(&[path]).get()
     }
 
+    /// Counts a field of a fact from the store whose value is invalid.
+    pub fn count_invalid_field(&self, path: &str) {
+        self.invalid_fields.with_label_values(&[path]).inc();
+    }
+
+    /// Number of invalid fields counted under a path.
+    pub fn invalid_fields(&self, path: &str) -> u64 {
+        self.invalid_fields.with_label_values(&[path]).get()
+    }
+
     /// Counts a request that was refused, in time or late by its service and urgency. Other steps, and
     /// requests without an urgency, are not counted. Labels are bounded: services of plans, ten ranks and
     /// three steps.
--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -2,7 +2,7 @@
 //! orders it sends.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
@@ -32,6 +32,7 @@
 use headlatch_types::{
     ByteProgress, Digest,
     id::ModelName,
+    reading::FieldIssues,
     settings::DaemonSettings,
     traffic::{
         EngineCapacity, HeldLayers, HeldModel, OriginPlan, ServicePlan, StartTime, TargetWeights,
@@ -231,7 +232,7 @@
             name: "one".to_owned(),
             revision: StoreRevision(1),
             fact: Ok(fact),
-            unknown_fields: BTreeSet::new(),
+            field_issues: FieldIssues::default(),
         });
         let facts = named.into_iter().collect();
         let mut plans = lock(&self.plans);
--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use googletest::prelude::*;
@@ -24,6 +24,7 @@
 use headlatch_types::{
     ByteProgress, InputError,
     id::DomainId,
+    reading::FieldIssues,
     traffic::{AllowedRegions, PlanVersion, ServerRecord, TrafficPlan},
 };
 use http::{HeaderMap, Method, StatusCode};
@@ -319,7 +320,7 @@
         name: "main".to_owned(),
         revision: StoreRevision(2),
         fact: Ok(Fact::Plan(Box::new(plan(7)))),
-        unknown_fields: BTreeSet::new(),
+        field_issues: FieldIssues::default(),
     };
     fixture.store.replace_silently(FactTopic::Plan, newer);
     while fixture.entry.state.plan_version() != PlanVersion(7) {
@@ -447,7 +448,7 @@
         name: "i1".to_owned(),
         revision: StoreRevision(9),
         fact: Ok(Fact::Server(draining)),
-        unknown_fields: BTreeSet::new(),
+        field_issues: FieldIssues::default(),
     };
     fixture.store.replace_silently(FactTopic::Servers, changed);
     for _ in 0..15 {
@@ -468,7 +469,7 @@
         name: "i1".to_owned(),
         revision: StoreRevision(revision),
         fact: Err(InputError::new("state".to_owned(), "it is none".to_owned())),
-        unknown_fields: BTreeSet::new(),
+        field_issues: FieldIssues::default(),
     };
     let state = &fixture.entry.state;
     let changes = |fact| {
--- a/crates/daemon/tests/lost_watches.rs
+++ b/crates/daemon/tests/lost_watches.rs
@@ -3,7 +3,6 @@
 //! nothing else reveals the loss. All tests run in virtual time.
 
 use std::{
-    collections::BTreeSet,
     ops::Range,
     sync::{
         Arc, Mutex,
@@ -22,8 +21,11 @@
         StoreFailure, StoreRevision,
     },
 };
-use headlatch_types::ByteProgress;
-use headlatch_types::traffic::{TargetWeights, WeightVersion};
+use headlatch_types::{
+    ByteProgress,
+    reading::FieldIssues,
+    traffic::{TargetWeights, WeightVersion},
+};
 use tokio::time::Instant;
 
 /// Time after which the platform's client abandons a call, in addition to the wait time of the
@@ -106,7 +108,7 @@
         name: "m".to_owned(),
         revision: StoreRevision(revision),
         fact: Ok(Fact::Weights(wanted)),
-        unknown_fields: BTreeSet::new(),
+        field_issues: FieldIssues::default(),
     }
 }
 
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -12,7 +12,7 @@
 pub mod server;
 pub mod signaling;
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Mutex, time::Duration};
+use std::{net::SocketAddr, sync::Mutex, time::Duration};
 
 use bytes::Bytes;
 use headlatch_http::{CallResponse, Connections};
@@ -26,6 +26,7 @@
 };
 use headlatch_types::{
     ByteProgress,
+    reading::FieldIssues,
     settings::DaemonSettings,
     traffic::{
         AllowedRegions, ClientLimits, PlanVersion, Route, RouteKind, RouteTarget, ServerId,
@@ -106,7 +107,7 @@
             name: name.to_owned(),
             revision,
             fact: Ok(fact),
-            unknown_fields: BTreeSet::new(),
+            field_issues: FieldIssues::default(),
         };
         self.replace_silently(topic, fact);
         self.changed.notify_waiters();
--- a/crates/daemon/tests/suspended.rs
+++ b/crates/daemon/tests/suspended.rs
@@ -4,7 +4,6 @@
 mod support;
 
 use std::{
-    collections::BTreeSet,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -19,7 +18,7 @@
     timer::{KernelSuspendClock, NodeClock, SuspendSource, SystemTimer, TimerService},
 };
 use headlatch_outside::facts::{Fact, FactTopic, NamedFact, StoreRevision};
-use headlatch_types::traffic::PlanVersion;
+use headlatch_types::{reading::FieldIssues, traffic::PlanVersion};
 use support::{TestHeaders, TestStore, plan, settings};
 
 /// Suspended time set by a test, in milliseconds.
@@ -92,7 +91,7 @@
         name: "main".to_owned(),
         revision: StoreRevision(2),
         fact: Ok(Fact::Plan(Box::new(plan(6)))),
-        unknown_fields: BTreeSet::new(),
+        field_issues: FieldIssues::default(),
     };
     store.replace_silently(FactTopic::Plan, newer);
     source.suspend(10_000);
--- a/crates/daemon/tests/unknown_names.rs
+++ b/crates/daemon/tests/unknown_names.rs
@@ -8,7 +8,7 @@
 use headlatch_daemon::direct::entry::DirectEntry;
 use headlatch_outside::facts::{Fact, FactTopic, NamedFact, StoreRevision};
 use headlatch_platform::PlatformHeaders;
-use headlatch_types::reading::from_json_with_unknown;
+use headlatch_types::reading::{FieldIssues, FieldPath, from_json_with_unknown};
 use support::{TestStore, ask_with, plan, record, settings, signaling::SignalingServer};
 
 #[gtest]
@@ -42,16 +42,17 @@
 
 #[gtest]
 #[tokio::test]
-async fn an_unknown_field_of_the_plan_is_counted_by_path() {
+async fn unknown_and_invalid_fields_of_the_plan_are_counted_by_path() {
     let store = Arc::new(TestStore::default());
     let text = r#"{"version":5,"routes":[],"tide":1}"#;
     let read = from_json_with_unknown::<NoFields>(text, &["version"]);
-    let (_, unknown_fields) = read.expect("valid JSON");
+    let (_, unknown) = read.expect("valid JSON");
+    let invalid = [FieldPath::new("tenants[].allowed_regions[]")].into();
     let fact = NamedFact {
         name: "main".to_owned(),
         revision: StoreRevision(1),
         fact: Ok(Fact::Plan(Box::new(plan(5)))),
-        unknown_fields,
+        field_issues: FieldIssues { unknown, invalid },
     };
     store.replace_silently(FactTopic::Plan, fact);
     let entry = DirectEntry::start(settings(), store, Arc::new(PlatformHeaders)).await;
@@ -62,4 +63,6 @@
     let metrics = &entry.state.metrics;
     expect_that!(metrics.unknown_fields("plan.tide"), ge(1));
     expect_that!(metrics.unknown_fields("plan.version"), eq(0));
+    expect_that!(metrics.invalid_fields("plan.tenants[].allowed_regions[]"), ge(1));
+    expect_that!(metrics.invalid_fields("plan.tide"), eq(0));
 }
--- a/crates/outside/src/facts.rs
+++ b/crates/outside/src/facts.rs
@@ -1,11 +1,11 @@
 //! Interface to the store that holds the plan, the servers, the target versions and the evacuations.
 
-use std::{collections::BTreeSet, fmt, time::Duration};
+use std::{fmt, time::Duration};
 
 use headlatch_types::{
     ByteProgress, InputError,
     id::DomainId,
-    reading::FieldPath,
+    reading::FieldIssues,
     traffic::{ServerRecord, TargetWeights, TrafficPlan},
 };
 
@@ -68,8 +68,8 @@
     pub revision: StoreRevision,
     /// The fact, or why it cannot be read.
     pub fact: Result<Fact, InputError>,
-    /// Fields that headlatch does not know.
-    pub unknown_fields: BTreeSet<FieldPath>,
+    /// Its fields that are unknown or invalid.
+    pub field_issues: FieldIssues,
 }
 
 /// All facts of a topic.
--- a/crates/types/src/reading.rs
+++ b/crates/types/src/reading.rs
@@ -58,6 +58,11 @@
         Self(fields)
     }
 
+    /// A path in the form `routes[].kind`.
+    pub fn new(path: impl Into<String>) -> Self {
+        Self(path.into())
+    }
+
     /// The path as text.
     pub fn as_str(&self) -> &str {
         &self.0
@@ -70,6 +75,15 @@
     }
 }
 
+/// Fields of JSON input that were not used although the input as a whole was accepted.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct FieldIssues {
+    /// Fields that headlatch does not know.
+    pub unknown: BTreeSet<FieldPath>,
+    /// Fields whose value is invalid.
+    pub invalid: BTreeSet<FieldPath>,
+}
+
 /// Reads `text` as JSON of type `T`, and returns the paths of the fields that `T` does not have, without those in
 /// `unused`. An error carries the path of the field.
 pub fn from_json_with_unknown<T: DeserializeOwned>(
