Report unknown fields of reports of servers

Fields that no code reads were reported for plans and server records, but reports of servers were read without a look at them.

The report's unknown fields are returned with `StageReport`; the agent logs each path once (`engine unknown_field`) and counts it (`headlatch_unknown_fields_total`) with the same `FieldCounter` as entries.

--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -21,7 +21,7 @@
 };
 use headlatch_http::{HttpLimits, HttpServer, StopHandle, pace::LinkPacer};
 use headlatch_outside::{
-    engine::{EngineStage, PieceOrigin},
+    engine::{EngineStage, PieceOrigin, StageReport},
     facts::{Fact, FactStore, FactTopic},
 };
 use headlatch_types::{
@@ -44,11 +44,13 @@
     stager::Stager,
     transfer::{TransferManager, TransferResources},
     transfer_peers::agent_peer_key,
+    unknown_names::{FieldCounter, FieldSource},
 };
 use crate::{
     agent::{bind_control, chunk_cache::ChunkCache, registry::SwarmRegistry},
     decisions,
     error::DaemonError,
+    metrics::NodeMetrics,
     node::{
         NodeContext,
         admin::{self, ReadyFlag},
@@ -106,6 +108,8 @@
     agent_count: Mutex<(usize, Moment)>,
     /// Wakes the stager when the target version changes.
     pub(super) wanted_changed: tokio::sync::Notify,
+    /// Unknown fields seen in reports of the server.
+    field_counter: FieldCounter,
 }
 
 /// Locks a mutex. A mutex poisoned by a panic is used as it is.
@@ -169,6 +173,7 @@
             seat_keys: Mutex::default(),
             agent_count: Mutex::default(),
             wanted_changed: tokio::sync::Notify::new(),
+            field_counter: FieldCounter::default(),
             settings,
         });
         let vault = Arc::new(ChunkCache::new(PIECE_CACHE_SIZE));
@@ -210,6 +215,11 @@
         Ok(Self { state, stop, tasks })
     }
 
+    /// Its metrics.
+    pub fn metrics(&self) -> &NodeMetrics {
+        &self.state.node.metrics
+    }
+
     /// Stops at once, without draining: an agent handles no requests that a caller waits for.
     pub fn leave(self) {
         let whole = lock(&self.state.notice).whole;
@@ -273,6 +283,16 @@
 }
 
 impl AgentState {
+    /// Counts the unknown fields of a report of the server and logs each path once.
+    pub(super) fn record_unknown_fields(&self, report: &StageReport) {
+        let source = FieldSource {
+            part: "engine",
+            kind: "report",
+            name: self.settings.service.as_deref().unwrap_or_default(),
+        };
+        self.field_counter.record_unknown(&self.node.metrics, source, &report.unknown_fields);
+    }
+
     /// Returns the target versions of a model, oldest first.
     pub(super) fn wanted(&self, model: &ModelName) -> Vec<WantedVersion> {
         lock(&self.wanted).versions(self.node.now(), model)
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -161,6 +161,7 @@
                 return NextPoll::Busy;
             }
         };
+        self.state.record_unknown_fields(&report);
         self.detect_restart(&report);
         self.record_progress();
         let Some(goal) = self.goal(&report) else {
--- a/crates/daemon/src/direct/unknown_names.rs
+++ b/crates/daemon/src/direct/unknown_names.rs
@@ -1,7 +1,10 @@
 //! Unknown headers in responses of servers and unknown fields of JSON input, which may carry signals that this
 //! version does not support, and invalid fields of JSON input.
 
-use std::{collections::HashSet, sync::Mutex};
+use std::{
+    collections::{BTreeSet, HashSet},
+    sync::Mutex,
+};
 
 use headlatch_outside::facts::{FactChange, FactTopic, NamedFact};
 use headlatch_types::{
@@ -70,17 +73,27 @@
 impl FieldCounter {
     /// Counts and logs the fields of `source` that were not used.
     pub fn record(&self, metrics: &NodeMetrics, source: FieldSource<'_>, issues: &FieldIssues) {
-        for path in &issues.unknown {
-            record_path(&self.unknown, source, "unknown_field", path, |label| {
-                metrics.count_unknown_field(label);
-            });
-        }
+        self.record_unknown(metrics, source, &issues.unknown);
         for path in &issues.invalid {
             record_path(&self.invalid, source, "invalid_field", path, |label| {
                 metrics.count_invalid_field(label);
             });
         }
     }
+
+    /// Counts and logs the fields of `source` that are unknown.
+    pub fn record_unknown(
+        &self,
+        metrics: &NodeMetrics,
+        source: FieldSource<'_>,
+        paths: &BTreeSet<FieldPath>,
+    ) {
+        for path in paths {
+            record_path(&self.unknown, source, "unknown_field", path, |label| {
+                metrics.count_unknown_field(label);
+            });
+        }
+    }
 }
 
 fn record_path(
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -104,7 +104,7 @@
         );
         let unknown_fields = counter(
             "headlatch_unknown_fields_total",
-            "Unknown fields of facts from the store, by path.",
+            "Unknown fields of facts from the store and of reports of servers, by path.",
             &["field"],
         );
         let invalid_fields = counter(
@@ -211,7 +211,7 @@
         self.steps.with_label_values(&[route, size.as_str(), step.as_str()]).get()
     }
 
-    /// Counts an unknown field of a fact from the store.
+    /// Counts an unknown field of a fact from the store or of a report of a server.
     pub fn count_unknown_field(&self, path: &str) {
         self.unknown_fields.with_label_values(&[path]).inc();
     }
--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -2,7 +2,7 @@
 //! orders it sends.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
@@ -32,7 +32,7 @@
 use headlatch_types::{
     ByteProgress, Digest,
     id::ModelName,
-    reading::FieldIssues,
+    reading::{FieldIssues, FieldPath},
     settings::DaemonSettings,
     traffic::{
         EngineCapacity, HeldLayers, HeldModel, OriginPlan, ServicePlan, StartTime, TargetWeights,
@@ -75,6 +75,8 @@
     active: u32,
     /// Start time of the engine, if it reports one.
     born: Option<StartTime>,
+    /// Unknown fields of its reports.
+    unknown_fields: BTreeSet<FieldPath>,
     /// Whether an order was accepted while the stage was incomplete or corrupt.
     accepted_invalid_stage: bool,
 }
@@ -91,8 +93,14 @@
         let sequence = OrderSequence(state.sequence);
         let active = state.active;
         let born = state.born;
-        let report =
-            StageReport { models, sequence, active, started_at: born, ..StageReport::default() };
+        let report = StageReport {
+            models,
+            sequence,
+            active,
+            started_at: born,
+            unknown_fields: state.unknown_fields.clone(),
+            ..StageReport::default()
+        };
         Box::pin(async move { Ok(report) })
     }
 
@@ -278,7 +286,7 @@
     engine: Arc<TestEngine>,
     origin: Arc<TestOrigin>,
     store: Arc<TestStore>,
-    _agent: DirectAgent,
+    agent: DirectAgent,
 }
 
 impl Fixture {
@@ -317,7 +325,7 @@
             origin: origin.clone(),
         };
         let agent = DirectAgent::start(settings, Arc::new(SystemTimer::default()), outside).await;
-        Self { engine, origin, store, _agent: agent.expect("agent starts") }
+        Self { engine, origin, store, agent: agent.expect("agent starts") }
     }
 
     async fn wait_until_loaded(&self, version: u64) {
@@ -346,6 +354,22 @@
     expect_that!(fences.is_sorted_by(|a, b| a < b), eq(true));
 }
 
+/// A signal that a newer server adds to its reports must not be ignored in silence.
+#[gtest]
+#[tokio::test]
+async fn unknown_fields_of_reports_are_counted_by_path() {
+    let engine = TestEngine::default();
+    let paths = ["tide", "models[].mood"].map(FieldPath::new);
+    lock(&engine.state).unknown_fields.extend(paths);
+    let fixture = Fixture::new(engine, TestOrigin::default()).await;
+    fixture.wait_until_loaded(1).await;
+    let metrics = fixture.agent.metrics();
+    for path in ["report.tide", "report.models[].mood"] {
+        expect_that!(metrics.unknown_fields(path), ge(1), "{path}");
+    }
+    expect_that!(metrics.unknown_fields("other"), eq(0));
+}
+
 /// Generous upper bound for an agent to load a version when nothing blocks it.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(10);
 
--- a/crates/outside/src/engine.rs
+++ b/crates/outside/src/engine.rs
@@ -1,10 +1,11 @@
 //! Model engines to which weights are uploaded in pieces, and the origin of those pieces.
 
-use std::{fmt, net::SocketAddr};
+use std::{collections::BTreeSet, fmt, net::SocketAddr};
 
 use bytes::Bytes;
 use headlatch_types::{
     id::ModelName,
+    reading::FieldPath,
     traffic::{HeldModel, StartTime, WeightVersion},
 };
 
@@ -29,6 +30,8 @@
     pub queued: u32,
     /// Running requests.
     pub active: u32,
+    /// Fields of the report that headlatch does not know.
+    pub unknown_fields: BTreeSet<FieldPath>,
 }
 
 /// SHA-256 digest of a piece.
