Test the limit of unknown names

Nothing checked that the 65th name is counted under `other`, that each name is marked for the log once, or that unknown and invalid fields have limits of their own. Names beyond the limit are counted and not logged.

--- a/crates/daemon/tests/unknown_names.rs
+++ b/crates/daemon/tests/unknown_names.rs
@@ -5,7 +5,13 @@
 use std::{sync::Arc, time::Duration};
 
 use googletest::prelude::*;
-use headlatch_daemon::direct::entry::DirectEntry;
+use headlatch_daemon::{
+    direct::{
+        entry::DirectEntry,
+        unknown_names::{CountedName, FieldCounter, FieldSource, UnknownNames},
+    },
+    metrics::NodeMetrics,
+};
 use headlatch_outside::facts::{Fact, FactTopic, NamedFact, StoreRevision};
 use headlatch_platform::PlatformHeaders;
 use headlatch_types::reading::{FieldIssues, FieldPath, from_json_with_unknown};
@@ -36,6 +42,46 @@
     }
 }
 
+/// Number of names that get a label of their own.
+const LABELLED_NAMES: usize = 64;
+
+/// Guards against a server or a store that sends ever new names: they must fill neither the metrics nor the log.
+#[gtest]
+fn names_beyond_the_limit_are_counted_together_and_each_name_is_logged_once() {
+    let mut names = UnknownNames::default();
+    let listed: Vec<String> = (0..=LABELLED_NAMES).map(|number| format!("n{number}")).collect();
+    let (labelled, beyond) = listed.split_at(LABELLED_NAMES);
+    for name in labelled {
+        expect_that!(names.record(name), eq(CountedName { label: name, is_new: true }));
+    }
+    for name in labelled {
+        expect_that!(names.record(name), eq(CountedName { label: name, is_new: false }));
+    }
+    for _ in 0..2 {
+        let counted = names.record(&beyond[0]);
+        expect_that!(counted, eq(CountedName { label: "other", is_new: false }));
+    }
+}
+
+/// Guards against a limit that the metric does not follow, and against one that unknown and invalid fields share.
+#[gtest]
+fn the_65th_path_of_a_field_is_counted_under_other() {
+    let (counter, metrics) = (FieldCounter::default(), NodeMetrics::default());
+    let path = |number| FieldPath::new(format!("n{number}"));
+    let unknown = (0..=LABELLED_NAMES).map(path).collect();
+    let issues = FieldIssues { unknown, invalid: [path(LABELLED_NAMES)].into() };
+    let source = FieldSource { part: "store", kind: "plan", name: "main" };
+    for _ in 0..2 {
+        counter.record(&metrics, source, &issues);
+    }
+    // Paths are recorded in their order as text, of which "n9" is the last.
+    expect_that!(metrics.unknown_fields("other"), eq(2));
+    expect_that!(metrics.unknown_fields("plan.n9"), eq(0));
+    expect_that!(metrics.unknown_fields("plan.n64"), eq(2));
+    expect_that!(metrics.invalid_fields("other"), eq(0));
+    expect_that!(metrics.invalid_fields("plan.n64"), eq(2));
+}
+
 /// Has none of the fields of a plan, so that each of them is unknown.
 #[derive(Debug, serde::Deserialize)]
 struct NoFields {}
