--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -138,6 +138,7 @@
                 return NextPoll::Busy;
             }
         };
+        self.state.record_unknown_fields(&report);
         let restarted = self.detect_restart(&report);
         self.state.record_pace(&report, restarted);
         self.log_invalid_pace(&report, restarted);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -62,6 +62,7 @@
     fact_ages: IntGaugeVec,
     unknown_headers: IntCounterVec,
     unknown_fields: IntCounterVec,
+    invalid_fields: IntCounterVec,
     server_signals: IntCounterVec,
     malformed_signals: IntCounterVec,
     rate_limits: IntGauge,
@@ -104,7 +105,12 @@
         );
         let unknown_fields = counter(
             "headlatch_unknown_fields_total",
-            "Unknown fields of facts from the store, by path.",
+            "Unknown fields of facts from the store and of reports of servers, by path.",
+            &["field"],
+        );
+        let invalid_fields = counter(
+            "headlatch_invalid_fields_total",
+            "Fields of facts from the store with an invalid value, by path.",
             &["field"],
         );
         let server_signals = counter(
@@ -168,6 +174,7 @@
             fact_ages,
             unknown_headers,
             unknown_fields,
+            invalid_fields,
             server_signals,
             malformed_signals,
             rate_limits,
@@ -207,7 +214,7 @@
         self.steps.with_label_values(&[route, size.as_str(), step.as_str()]).get()
     }
 
-    /// Counts an unknown field of a fact from the store.
+    /// Counts an unknown field of a fact from the store or of a report of a server.
     pub fn count_unknown_field(&self, path: &str) {
         self.unknown_fields.with_label_values(&[path]).inc();
     }
@@ -217,6 +224,16 @@
         self.unknown_fields.with_label_values(&[path]).get()
     }
 
+    /// Counts a field of a fact from the store whose value is invalid.
+    pub fn count_invalid_field(&self, path: &str) {
+        self.invalid_fields.with_label_values(&[path]).inc();
+    }
+
+    /// Number of invalid fields counted under a path.
+    pub fn invalid_fields(&self, path: &str) -> u64 {
+        self.invalid_fields.with_label_values(&[path]).get()
+    }
+
     /// Counts a request that was refused, in time or late by its service and urgency. Other steps, and
     /// requests without an urgency, are not counted. Labels are bounded: services of plans, ten ranks and
     /// three steps.
--- a/crates/outside/src/engine.rs
+++ b/crates/outside/src/engine.rs
@@ -1,11 +1,12 @@
 //! Model engines to which weights are uploaded in pieces, and the origin of those pieces.
 
-use std::{fmt, net::SocketAddr};
+use std::{collections::BTreeSet, fmt, net::SocketAddr};
 
 use bytes::Bytes;
 use headlatch_types::{
     id::ModelName,
     pace::{PaceError, ServerPace},
+    reading::FieldPath,
     traffic::{HeldModel, StartTime, WeightVersion},
 };
 
@@ -34,6 +35,8 @@
     pub pace: Option<ServerPace>,
     /// Why its reported pace is invalid and counts as none.
     pub pace_error: Option<PaceError>,
+    /// Fields of the report that headlatch does not know.
+    pub unknown_fields: BTreeSet<FieldPath>,
 }
 
 /// SHA-256 digest of a piece.
--- a/crates/types/src/traffic.rs
+++ b/crates/types/src/traffic.rs
@@ -172,8 +172,8 @@
     pub keys: Vec<String>,
     /// Priority, which overrides that of the route.
     pub priority: Option<u8>,
-    /// Regions whose endpoints may run its requests; the route must allow them as well.
-    #[serde(default)]
+    /// Regions whose endpoints may run its requests; the route must allow them as well. Required in plans from
+    /// other entries: a missing list must not be read as unrestricted.
     pub allowed_regions: AllowedRegions,
 }
 
@@ -262,11 +262,19 @@
 }
 
 impl TrafficPlan {
-    /// Checks the routes.
+    /// Checks the routes and the names of tenants.
     pub fn check(&self) -> Result<(), InputError> {
         for (index, route) in self.routes.iter().enumerate() {
             check_route(&format!("routes[{index}]"), route)?;
         }
+        // The regions of a request in progress are looked up by the tenant's name.
+        let mut names = BTreeSet::new();
+        for (index, tenant) in self.tenants.iter().enumerate() {
+            if !names.insert(&tenant.name) {
+                let message = format!("\"{}\" names an earlier tenant; rename one", tenant.name);
+                return Err(InputError::new(format!("tenants[{index}].name"), message));
+            }
+        }
         Ok(())
     }
 
@@ -278,6 +286,9 @@
     }
 
     /// Whether some requests to a service are restricted to some regions, by their route or organisation.
+    ///
+    /// Organisations are not bound to services, so one restricted organisation makes every service count as
+    /// restricted. This is safe: a restricted service only plans to move fewer streams during a drain.
     pub fn restricts_regions(&self, service: &str) -> bool {
         let is_restricted = |regions: &AllowedRegions| *regions != AllowedRegions::Anywhere;
         let sends = |route: &Route| route.targets.iter().any(|one| &*one.service == service);
