Measure the queue's rate only while requests wait

Cause: the wait was predicted from all that was sent, also while engines had room. One prompt of 800 tokens a second gave a rate of 300 to 800 tokens a second, so that the second of two requests that came together was refused as late.

Change: only time with waiting requests and what is sent in it count for the average, and the rate is unknown until four such requests have been sent within the last second. A request that waited is recorded before it leaves the queue. The comment of a_server_that_leaves_shortens_the_queue gave a wrong time and share.

--- a/crates/core/src/direct/admission/queue.rs
+++ b/crates/core/src/direct/admission/queue.rs
@@ -233,7 +233,9 @@
             return QueueDecision::Refuse(QueueBound::Length);
         }
         self.last_ticket += 1;
-        self.lane(now, &new.request.lane).waiting.push(new);
+        let lane = self.lane(now, &new.request.lane);
+        lane.drain.begin_waiting(now);
+        lane.waiting.push(new);
         QueueDecision::Wait(ticket)
     }
 
@@ -257,10 +259,13 @@
     }
 
     /// Removes a request that is sent or whose caller has disconnected; no effect if it does not wait.
-    pub fn remove(&mut self, ticket: QueueTicket) {
+    pub fn remove(&mut self, now: Moment, ticket: QueueTicket) {
         self.displaced.retain(|displaced| *displaced != ticket);
-        for lane in self.lanes.values_mut() {
+        for lane in self.lanes.values_mut().filter(|lane| !lane.waiting.is_empty()) {
             lane.waiting.retain(|one| one.ticket != ticket);
+            if lane.waiting.is_empty() {
+                lane.drain.end_waiting(now);
+            }
         }
     }
 
@@ -271,16 +276,19 @@
         for lane in self.lanes.values() {
             due.extend(self.due_in(now, lane));
         }
-        due.iter().for_each(|(ticket, _)| self.remove(*ticket));
+        due.iter().for_each(|(ticket, _)| self.remove(now, *ticket));
         due
     }
 
-    /// Records that a request of `lane` with a prompt of `tokens` is sent, whether it waited or not.
+    /// Records that a request of `lane` with a prompt of `tokens` is sent, whether it waited or not. One that
+    /// waited must be recorded before it is removed.
     pub fn record_sent(&mut self, now: Moment, lane: &QueueLane, tokens: PromptTokens) {
-        self.lane(now, lane).drain.record_sent(now, tokens);
+        if let Some(lane) = self.lanes.get_mut(lane) {
+            lane.drain.record_sent(now, tokens);
+        }
     }
 
-    /// Rate at which prompt tokens of `lane` are being sent.
+    /// Rate at which prompt tokens of `lane` are being sent; zero while it is unknown.
     pub fn rate(&self, now: Moment, lane: &QueueLane) -> TokenRate {
         self.lanes.get(lane).map_or(TokenRate::default(), |lane| lane.drain.rate(now))
     }
@@ -288,9 +296,7 @@
     fn lane(&mut self, now: Moment, lane: &QueueLane) -> &mut LaneState {
         if !self.lanes.contains_key(lane) {
             // Plan changes must not leave a stale lane behind for each set of regions.
-            self.lanes.retain(|_, state| {
-                !state.waiting.is_empty() || state.drain.rate(now) > TokenRate::default()
-            });
+            self.lanes.retain(|_, state| !state.waiting.is_empty() || state.drain.is_recent(now));
         }
         self.lanes.entry(lane.clone()).or_default()
     }
@@ -319,7 +325,7 @@
         let last = lane.waiting.iter().max_by(|one, other| self.compare(now, one, other));
         let last = last.filter(|last| new.request.urgency_at(now) < last.request.urgency_at(now));
         let Some(ticket) = last.map(|last| last.ticket) else { return false };
-        self.remove(ticket);
+        self.remove(now, ticket);
         self.displaced.push(ticket);
         true
     }
--- a/crates/core/tests/admission_queue.rs
+++ b/crates/core/tests/admission_queue.rs
@@ -113,7 +113,7 @@
     let urgent = wait(&mut queue, at(20), ranked(at(20), 0));
     let order = std::iter::from_fn(|| {
         let ticket = queue.head(at(30), &lane("llm"))?;
-        queue.remove(ticket);
+        queue.remove(at(30), ticket);
         Some(ticket)
     });
     expect_that!(order.collect::<Vec<_>>(), elements_are![eq(&urgent), eq(&again), eq(&new)]);
@@ -129,7 +129,7 @@
     expect_that!(queue.would_overtake(now, &ranked(now, 9)), eq(false));
     let in_time = wait(&mut queue, now, ranked(now, 9));
     expect_that!(queue.head(now, &lane("llm")), some(eq(in_time)));
-    queue.remove(in_time);
+    queue.remove(now, in_time);
     expect_that!(queue.head(now, &lane("llm")), some(eq(late)));
     // Its deadline is at 4.5 s.
     expect_that!(queue.due(at(3499)), is_empty());
@@ -167,7 +167,7 @@
     let now = at(10_000);
     send_steadily(&mut queue, now, 8000);
     let tickets: Vec<_> = (0..4).map(|_| wait(&mut queue, now, request(now))).collect();
-    // Half of the rate is left after 0.3 s in which little is sent.
+    // e^-0.2, or 82 %, of the rate is left after 0.2 s in which nothing is sent.
     let later = at(10_200);
     let due = queue.due(later);
     expect_that!(
@@ -219,7 +219,7 @@
         (0..MAX_WAITING).map(|_| wait(&mut queue, at(0), ranked(at(0), 1))).collect();
     let refused = QueueDecision::Refuse(QueueBound::Length);
     expect_that!(queue.offer(at(1), ranked(at(1), 1)), eq(refused));
-    tickets.into_iter().for_each(|ticket| queue.remove(ticket));
+    tickets.into_iter().for_each(|ticket| queue.remove(at(1), ticket));
     expect_that!(queue.is_empty(), eq(true));
     expect_that!(queue.due(at(2)), is_empty());
     wait(&mut queue, at(2), ranked(at(2), 1));
@@ -247,14 +247,14 @@
     let urgent = wait(&mut queue, at(499), ranked(at(499), 2));
     let other = wait(&mut queue, at(499), QueuedRequest { objective, ..retrying(at(499), 3) });
     // The other one has an earlier deadline, until the patient one is raised to rank 2.
-    queue.remove(urgent);
+    queue.remove(at(499), urgent);
     expect_that!(queue.head(at(499), &lane("llm")), some(eq(other)));
     expect_that!(queue.head(at(500), &lane("llm")), some(eq(patient)));
     // A request that has rank 2 anyway still goes first.
     let urgent = wait(&mut queue, at(500), ranked(at(500), 2));
     expect_that!(queue.head(at(500), &lane("llm")), some(eq(urgent)));
     expect_that!(queue.would_overtake(at(500), &ranked(at(500), 2)), eq(true));
-    queue.remove(urgent);
+    queue.remove(at(500), urgent);
     expect_that!(queue.would_overtake(at(500), &ranked(at(500), 2)), eq(false));
     expect_that!(queue.would_overtake(at(500), &ranked(at(500), 3)), eq(true));
 }
@@ -267,7 +267,7 @@
     // The newer plan has the ranks 0 and 1 only.
     let after = wait(&mut queue, at(100), ranked(at(100), 1));
     expect_that!(queue.head(at(100), &lane("llm")), some(eq(after)));
-    queue.remove(after);
+    queue.remove(at(100), after);
     expect_that!(queue.head(at(100), &lane("llm")), some(eq(before)));
 }
 
@@ -280,7 +280,7 @@
     let first = wait(&mut queue, at(2), of("c", ranked(at(2), 0)));
     let order = std::iter::from_fn(|| {
         let ticket = queue.head(at(3), &lane("llm"))?;
-        queue.remove(ticket);
+        queue.remove(at(3), ticket);
         Some(ticket)
     });
     expect_that!(order.collect::<Vec<_>>(), elements_are![eq(&first), eq(&second), eq(&last)]);
@@ -295,12 +295,51 @@
     let second = wait(&mut queue, now, ranked(now, 2));
     let place = queue.place(now, second).expect("it waits");
     expect_that!((place.ahead, place.predicted_wait), eq((1, None)));
+    let mut queue = AdmissionQueue::default();
     send_steadily(&mut queue, now, 8000);
+    wait(&mut queue, now, ranked(now, 2));
+    let second = wait(&mut queue, now, ranked(now, 2));
     let place = queue.place(now, second).expect("it waits");
     let wait = place.predicted_wait.expect("the rate is known");
     expect_that!(wait, all![ge(Duration::from_millis(95)), le(Duration::from_millis(105))]);
 }
 
+/// Guards against refusals by the rate of arrivals, while engines could take far more.
+#[gtest]
+fn requests_that_come_together_after_single_ones_are_not_refused() {
+    let mut queue = AdmissionQueue::default();
+    for second in 0..10 {
+        queue.record_sent(at(second * 1000), &lane("llm"), PromptTokens(800));
+    }
+    wait(&mut queue, at(10_000), request(at(10_000)));
+    wait(&mut queue, at(10_000), request(at(10_000)));
+    // The one prompt sent while another request waits does not show the rate of the engines either.
+    queue.record_sent(at(10_200), &lane("llm"), PromptTokens(800));
+    wait(&mut queue, at(10_200), request(at(10_200)));
+}
+
+/// Guards against a rate that falls in the time between two load bursts in which no request waits.
+#[gtest]
+fn only_time_with_waiting_requests_counts_for_the_rate() {
+    let mut queue = AdmissionQueue::default();
+    for burst in 0..3 {
+        let now = at(1000 + burst * 300);
+        for _ in 0..3 {
+            wait(&mut queue, now, request(now));
+        }
+        for sent in 1..=3 {
+            let sent_at = now + Duration::from_millis(sent * 20);
+            queue.record_sent(sent_at, &lane("llm"), PromptTokens(800));
+            let ticket = queue.head(sent_at, &lane("llm")).expect("a request waits");
+            queue.remove(sent_at, ticket);
+        }
+    }
+    // 800 tokens each 20 ms.
+    let rate = queue.rate(at(1700), &lane("llm")).per_second();
+    expect_that!(rate, all![ge(39_000.0), le(41_000.0)]);
+    expect_that!(queue.rate(at(2700), &lane("llm")).per_second(), eq(0.0));
+}
+
 /// Guards against an entry that was idle and refuses the first requests of a burst as too late.
 #[gtest]
 fn a_rate_of_long_ago_does_not_predict_the_wait() {
--- a/crates/core/tests/support/waiting.rs
+++ b/crates/core/tests/support/waiting.rs
@@ -58,12 +58,18 @@
     }
 }
 
-/// Makes the queue believe that prompt tokens were sent at `per_second` for the last 10 s.
+/// Makes the queue believe that prompt tokens were sent at `per_second` for the last 10 s, in which a request
+/// has always been waiting.
 pub fn send_steadily(queue: &mut AdmissionQueue, until: Moment, per_second: u64) {
+    let begun = until - Duration::from_secs(10);
+    let objective = Duration::ZERO;
+    let deadline = until + Duration::from_secs(10);
+    let ticket = wait(queue, begun, QueuedRequest { objective, deadline, ..request(begun) });
     for step in 0..1000 {
         let sent_at = until - Duration::from_millis(10) * (1000 - step);
         queue.record_sent(sent_at, &lane("llm"), PromptTokens(per_second / 100));
     }
+    queue.remove(until, ticket);
 }
 
 /// Requests of one kind that arrive at regular intervals.
@@ -203,9 +209,9 @@
         while self.room > 0.0
             && let Some(ticket) = self.queue.head(now, &lane("llm"))
         {
-            self.queue.remove(ticket);
             let (index, request) = self.take(ticket);
             self.send(now, index, &request);
+            self.queue.remove(now, ticket);
         }
         due.into_iter().map(|(_, bound)| bound).collect()
     }
--- a/crates/daemon/src/direct/waiting.rs
+++ b/crates/daemon/src/direct/waiting.rs
@@ -239,7 +239,7 @@
     fn drop(&mut self) {
         let entry = &self.exchange.state;
         let mut state = entry.waiting.lock();
-        state.queue.remove(self.ticket);
+        state.queue.remove(entry.now(), self.ticket);
         state.signals.remove(&self.ticket);
         drop(state);
         entry.waiting.count.fetch_sub(1, Ordering::Relaxed);
@@ -270,7 +270,7 @@
 ) -> Result<ChosenServer, &'static str> {
     exchange.check_attempt()?;
     let (entry, now) = (&exchange.state, exchange.state.now());
-    let (lane, tokens) = (request.lane.clone(), request.tokens);
+    let lane = request.lane.clone();
     let choice = exchange.choose(&lane.regions, rand::rng().random());
     let share = exchange.shed_share(&lane.regions, &choice);
     let must_wait = match (&choice, share) {
@@ -289,11 +289,11 @@
         (ServerChoice::Server(_), None) => entry.waiting.lock().queue.would_overtake(now, &request),
         (ServerChoice::Unavailable, None) => false,
     };
-    let server = match must_wait {
-        true => wait(exchange, request).await?,
-        false => exchange.accept(choice, &lane.regions)?,
-    };
-    entry.waiting.lock().queue.record_sent(entry.now(), &lane, tokens);
+    if must_wait {
+        return wait(exchange, request).await;
+    }
+    let server = exchange.accept(choice, &lane.regions)?;
+    entry.waiting.lock().queue.record_sent(now, &lane, request.tokens);
     Ok(server)
 }
 
@@ -320,6 +320,9 @@
             Ok(None) => {}
             Ok(Some(server)) => {
                 waiter.outcome = QueueOutcome::Sent;
+                let (entry, request) = (&exchange.state, &waiter.request);
+                let mut state = entry.waiting.lock();
+                state.queue.record_sent(entry.now(), &request.lane, request.tokens);
                 return Ok(server);
             }
             Err(cause) => {
