Keep the order of urgency between lanes with common servers

Cause: requests were compared within their lane only, so that an unurgent request bound to one region took the free server there from an urgent one that may run anywhere.

Change: a request is held up by the more urgent ones of all lanes whose regions contain its own, and the first request of a lane is not tried while one of a containing lane goes before it.

--- a/crates/core/src/direct/admission/queue.rs
+++ b/crates/core/src/direct/admission/queue.rs
@@ -36,6 +36,13 @@
     pub regions: AllowedRegions,
 }
 
+impl QueueLane {
+    /// Whether requests of this lane can use every server that those of `other` can use.
+    pub fn contains(&self, other: &Self) -> bool {
+        self.service == other.service && self.regions.intersection(&other.regions) == other.regions
+    }
+}
+
 /// A request that asks to wait.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QueuedRequest {
@@ -212,12 +219,13 @@
         self.len() == 0
     }
 
-    /// Whether sending `request` now would overtake a waiting request that is at least as urgent. A
-    /// waiting request that is already late does not hold up one that can be in time.
+    /// Whether sending `request` now would overtake a waiting request that is at least as urgent and could
+    /// use the same server. A waiting request that is already late does not hold up one that can be in time.
     pub fn would_overtake(&self, now: Moment, request: &QueuedRequest) -> bool {
-        let waiting = self.lanes.get(&request.lane).map(|lane| lane.waiting.as_slice());
         let own = request.urgency_at(now);
-        waiting.unwrap_or_default().iter().any(|other| other.request.urgency_at(now) <= own)
+        let lanes = self.lanes.iter().filter(|(lane, _)| lane.contains(&request.lane));
+        let mut waiting = lanes.flat_map(|(_, state)| &state.waiting);
+        waiting.any(|other| other.request.urgency_at(now) <= own)
     }
 
     /// Decides whether `request` may wait, and adds it if so. If the queue is full, it may take the place of
@@ -241,13 +249,24 @@
 
     /// The waiting request of `lane` that is sent next.
     pub fn head(&self, now: Moment, lane: &QueueLane) -> Option<QueueTicket> {
-        let waiting = self.lanes.get(lane)?.waiting.iter();
-        Some(waiting.min_by(|one, other| self.compare(now, one, other))?.ticket)
+        Some(self.first(now, self.lanes.get(lane)?)?.ticket)
     }
 
-    /// The waiting requests that are sent next, one for each lane.
+    /// The waiting requests that are sent next, at most one for each lane. The first request of a lane is
+    /// not among them while one of a lane that contains it goes before it.
     pub fn heads(&self, now: Moment) -> Vec<QueueTicket> {
-        self.lanes.keys().filter_map(|lane| self.head(now, lane)).collect()
+        let firsts = self.lanes.values().filter_map(|lane| self.first(now, lane));
+        let firsts: Vec<&WaitingRequest> = firsts.collect();
+        let goes_before = |one: &WaitingRequest, other: &WaitingRequest| {
+            one.request.lane.contains(&other.request.lane)
+                && self.compare(now, one, other) == Ordering::Less
+        };
+        let heads = firsts.iter().filter(|own| !firsts.iter().any(|one| goes_before(one, own)));
+        heads.map(|head| head.ticket).collect()
+    }
+
+    fn first<'a>(&self, now: Moment, lane: &'a LaneState) -> Option<&'a WaitingRequest> {
+        lane.waiting.iter().min_by(|one, other| self.compare(now, one, other))
     }
 
     /// The place of a waiting request.
--- a/crates/core/tests/admission_queue.rs
+++ b/crates/core/tests/admission_queue.rs
@@ -198,14 +198,41 @@
     expect_that!((refused, late(&entry.outcomes)), eq((0, 0)), "{:?}", entry.outcomes);
 }
 
+/// The request, allowed to run in these regions only.
+fn within(regions: &[&str], request: QueuedRequest) -> QueuedRequest {
+    let regions: BTreeSet<_> =
+        regions.iter().map(|name| name.parse().expect("valid name")).collect();
+    let lane = QueueLane { service: "llm".into(), regions: AllowedRegions::Only(regions) };
+    QueuedRequest { lane, ..request }
+}
+
+/// Guards against unurgent requests bound to a region that take its servers from urgent ones which may run
+/// there as well.
+#[gtest]
+fn requests_of_a_region_do_not_overtake_more_urgent_ones_of_more_regions() {
+    let mut queue = AdmissionQueue::default();
+    let urgent = wait(&mut queue, at(0), request(at(0)));
+    expect_that!(queue.would_overtake(at(1), &within(&["r1"], ranked(at(1), 9))), eq(true));
+    let bound = wait(&mut queue, at(1), within(&["r1"], ranked(at(1), 9)));
+    let other = wait(&mut queue, at(1), within(&["r1", "r2"], ranked(at(1), 5)));
+    expect_that!(queue.heads(at(2)), elements_are![eq(&urgent)]);
+    queue.remove(at(2), urgent);
+    expect_that!(queue.heads(at(2)), elements_are![eq(&other)]);
+    expect_that!(queue.would_overtake(at(2), &within(&["r2"], ranked(at(2), 9))), eq(true));
+    // A region that only one of them may use, and another service.
+    expect_that!(queue.would_overtake(at(2), &within(&["r2", "r3"], ranked(at(2), 9))), eq(false));
+    let service = QueueLane { service: "other".into(), regions: AllowedRegions::Anywhere };
+    let elsewhere = QueuedRequest { lane: service, ..ranked(at(2), 9) };
+    expect_that!(queue.would_overtake(at(2), &elsewhere), eq(false));
+    queue.remove(at(3), other);
+    expect_that!(queue.heads(at(3)), elements_are![eq(&bound)]);
+}
+
 /// Guards against requests bound to a region without room that keep others from regions with room.
 #[gtest]
 fn requests_of_a_region_without_room_do_not_hold_up_others() {
     let mut queue = AdmissionQueue::default();
-    let regions = BTreeSet::from(["r1".parse().expect("valid name")]);
-    let within = QueueLane { service: "llm".into(), regions: AllowedRegions::Only(regions) };
-    let bound = QueuedRequest { lane: within.clone(), ..request(at(0)) };
-    let ticket = wait(&mut queue, at(0), bound);
+    let ticket = wait(&mut queue, at(0), within(&["r1"], request(at(0))));
     expect_that!(queue.would_overtake(at(1), &ranked(at(1), 9)), eq(false));
     let free = wait(&mut queue, at(1), ranked(at(1), 9));
     expect_that!(queue.heads(at(2)), unordered_elements_are![eq(&ticket), eq(&free)]);
