Choose among the servers in time for waiting requests

Cause: the server for a waiting request was chosen for the full objective and checked afterwards. If the cheapest server missed the remaining time, the request waited on, although a dearer one could be in time.

Change: the selection gets the remaining objective and excludes all servers that are predicted to miss it, idle ones as well. A request that no server can serve in time any more is placed as before.

Checked: admission_queue, direct, sizes, load_notices, allowed_regions and evacuation of the core; waiting and urgency of the daemon.

--- a/crates/core/src/direct/admission/queue.rs
+++ b/crates/core/src/direct/admission/queue.rs
@@ -73,11 +73,11 @@
         has_objective.then(|| self.arrived + self.objective - self.first_token)
     }
 
-    /// Whether the request may be sent to a server that is predicted to return the first token after
-    /// `predicted`: it arrives in time, or no server could return it in time any more.
-    pub fn accepts(&self, now: Moment, predicted: Duration) -> bool {
-        let in_time = now + predicted <= self.arrived + self.objective;
-        self.objective.is_zero() || in_time || !self.can_be_in_time(now)
+    /// Time in which a server must be predicted to return the first token for the request to be sent there;
+    /// `None` if it has no objective or no server could return the first token in time any more.
+    pub fn objective_left(&self, now: Moment) -> Option<Duration> {
+        let left = (self.arrived + self.objective).since(now);
+        (self.can_be_in_time(now) && !left.is_zero()).then_some(left)
     }
 
     fn can_be_in_time(&self, now: Moment) -> bool {
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -29,7 +29,9 @@
 mod signals;
 mod weight_changes;
 
-pub use choice::{ChosenServer, EngineQuery, ExclusionCounts, ServerChoice, ServerQuery};
+pub use choice::{
+    ChosenServer, EngineQuery, ExclusionCounts, FirstTokenBound, ServerChoice, ServerQuery,
+};
 pub use cold::ColdRates;
 pub use signals::Ineligible;
 pub use weight_changes::ContinuationLimits;
--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -88,6 +88,18 @@
     pub work: EngineWork,
     /// Whether the request continues a stream that a caller is reading, so that a late answer beats none.
     pub continues: bool,
+    /// Servers that are excluded because they would return the first token too late.
+    pub bound: FirstTokenBound,
+}
+
+/// Bound of the predicted time to first token of a new request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum FirstTokenBound {
+    /// [`MAX_PREDICTED_PERCENT`] of the objective; idle engines take any request.
+    #[default]
+    Usual,
+    /// The objective, also at idle engines: the request can wait until a server is in time.
+    Objective,
 }
 
 /// A selected server with the data behind the decision.
@@ -369,7 +381,7 @@
     }
 
     /// Returns the predicted time to first token as a share of the objective, or [`Exclusion::Late`] if it
-    /// exceeds [`MAX_PREDICTED_PERCENT`].
+    /// exceeds the bound.
     fn lateness(&self, state: &ServerState, engine: EngineQuery<'_>) -> Result<f64, Exclusion> {
         let objective = engine.work.objective;
         if objective.is_zero() {
@@ -377,9 +389,15 @@
         }
         let may_be_late = engine.continues;
         let predicted = self.predict(state, engine);
-        // An idle engine takes any request, including a prompt that is too long for its objective.
-        let idle = self.load(state).waiting_tokens == 0;
-        if !may_be_late && !idle && predicted > objective * MAX_PREDICTED_PERCENT / 100 {
+        let is_late = match engine.bound {
+            // An idle engine takes any request, including a prompt that is too long for its objective.
+            FirstTokenBound::Usual => {
+                let idle = self.load(state).waiting_tokens == 0;
+                !idle && predicted > objective * MAX_PREDICTED_PERCENT / 100
+            }
+            FirstTokenBound::Objective => predicted > objective,
+        };
+        if !may_be_late && is_late {
             return Err(Exclusion::Late(predicted));
         }
         Ok(predicted.as_secs_f64() / objective.as_secs_f64())
--- a/crates/core/tests/admission_queue.rs
+++ b/crates/core/tests/admission_queue.rs
@@ -390,11 +390,13 @@
 /// Guards against waiting requests that fill the engines until all of their requests are late.
 #[gtest]
 fn a_waiting_request_is_sent_only_where_it_is_in_time_unless_it_is_late_anyway() {
-    let millis = Duration::from_millis;
+    let left = |request: &QueuedRequest, now| request.objective_left(at(now));
     let new = request(at(0));
-    expect_that!(new.accepts(at(100), millis(300)), eq(true));
-    expect_that!(new.accepts(at(100), millis(301)), eq(false));
-    expect_that!(retrying(at(0), 1).accepts(at(1000), millis(900)), eq(true));
+    expect_that!(left(&new, 100), some(eq(Duration::from_millis(300))));
+    expect_that!(left(&new, 340), some(eq(Duration::from_millis(60))));
+    // The first token takes 60 ms at an idle engine.
+    expect_that!(left(&new, 341), none());
+    expect_that!(left(&retrying(at(0), 1), 1000), none());
     let unbound = QueuedRequest { objective: Duration::ZERO, ..new };
-    expect_that!(unbound.accepts(at(100), millis(900)), eq(true));
+    expect_that!(left(&unbound, 100), none());
 }
--- a/crates/core/tests/allowed_regions.rs
+++ b/crates/core/tests/allowed_regions.rs
@@ -132,7 +132,12 @@
         let table = self.table(&records);
         let (figures, regions) = (figures(), self.allowed());
         let work = EngineWork::new(&figures, Some(500), Duration::from_millis(400));
-        let engine = EngineQuery { figures: &figures, work, continues: self.continues };
+        let engine = EngineQuery {
+            figures: &figures,
+            work,
+            continues: self.continues,
+            bound: Default::default(),
+        };
         let tried: Vec<ServerId> =
             self.tried.iter().map(|index| ServerId(format!("s{index}").into())).collect();
         let query = ServerQuery {
@@ -170,7 +175,8 @@
 fn choose(table: &ServerTable, regions: &AllowedRegions, draw: u64) -> String {
     let figures = figures();
     let work = EngineWork::new(&figures, Some(500), Duration::from_millis(400));
-    let engine = Some(EngineQuery { figures: &figures, work, continues: false });
+    let engine =
+        Some(EngineQuery { figures: &figures, work, continues: false, bound: Default::default() });
     let (least, tried) = (None, &[][..]);
     let query =
         ServerQuery { service: "llm", engine, regions, min_version: least, tried, random: draw };
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -13,7 +13,8 @@
         retry_share::{EntryStart, RetryBudget, RetryShare},
         route_table::{Denial, RouteTable, pick_target},
         server_table::{
-            EngineQuery, ServerChoice, ServerOutcome, ServerQuery, ServerTable, server_key,
+            EngineQuery, FirstTokenBound, ServerChoice, ServerOutcome, ServerQuery, ServerTable,
+            server_key,
         },
         weight_deadline::WeightDeadlines,
     },
@@ -227,8 +228,19 @@
 }
 
 fn choose(table: &ServerTable, now: Moment, least: Option<u64>, tried: &[ServerId]) -> String {
+    choose_for(table, now, work(500), FirstTokenBound::Usual, least, tried)
+}
+
+fn choose_for(
+    table: &ServerTable,
+    now: Moment,
+    work: EngineWork,
+    bound: FirstTokenBound,
+    least: Option<u64>,
+    tried: &[ServerId],
+) -> String {
     let figures = figures();
-    let engine = EngineQuery { figures: &figures, work: work(500), continues: false };
+    let engine = EngineQuery { figures: &figures, work, continues: false, bound };
     let query = ServerQuery {
         service: "llm",
         engine: Some(engine),
@@ -256,6 +268,22 @@
     expect_that!(choose(&table, at(1), None, &[]), eq("near"));
 }
 
+/// Guards against waiting requests that wait on for the cheapest server although another would be in time.
+#[gtest]
+fn a_server_that_would_be_late_for_a_waiting_request_is_excluded() {
+    let mut table = table(&[server("near", "z1", 1), server("far", "z2", 1)]);
+    table.begin(&ServerId("near".into()), 1000);
+    let choose_within = |time, bound| {
+        let work = EngineWork { objective: millis(time), ..work(500) };
+        choose_for(&table, at(0), work, bound, None, &[])
+    };
+    expect_that!(choose_within(400, FirstTokenBound::Objective), eq("near"));
+    expect_that!(choose_within(150, FirstTokenBound::Objective), eq("far"));
+    // Even the idle server needs 82 ms.
+    expect_that!(choose_within(80, FirstTokenBound::Objective), eq("full"));
+    expect_that!(choose_within(80, FirstTokenBound::Usual), eq("far"));
+}
+
 #[gtest]
 fn load_of_other_entries_counts() {
     let mut table = table(&[server("near", "z1", 1)]);
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -35,7 +35,7 @@
     let work = EngineWork::new(&figures, Some(500), Duration::from_millis(400));
     let query = ServerQuery {
         service: "llm",
-        engine: Some(EngineQuery { figures: &figures, work, continues }),
+        engine: Some(EngineQuery { figures: &figures, work, continues, bound: Default::default() }),
         regions: &AllowedRegions::Anywhere,
         min_version: None,
         tried: &[],
--- a/crates/core/tests/load_notices.rs
+++ b/crates/core/tests/load_notices.rs
@@ -181,7 +181,7 @@
     let work = EngineWork::new(figures, Some(100), Duration::from_millis(400));
     let query = ServerQuery {
         service: "llm",
-        engine: Some(EngineQuery { figures, work, continues: false }),
+        engine: Some(EngineQuery { figures, work, continues: false, bound: Default::default() }),
         regions: &AllowedRegions::Anywhere,
         min_version: None,
         tried: &[],
--- a/crates/core/tests/sizes.rs
+++ b/crates/core/tests/sizes.rs
@@ -290,7 +290,12 @@
     fn ask(&mut self, job: Job) {
         let kind = job.kind;
         let work = EngineWork { prompt: job.prompt, objective: KINDS[kind].objective };
-        let engine = EngineQuery { figures: &self.figures, work, continues: false };
+        let engine = EngineQuery {
+            figures: &self.figures,
+            work,
+            continues: false,
+            bound: Default::default(),
+        };
         let query = ServerQuery {
             service: "llm",
             engine: Some(engine),
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -5,7 +5,7 @@
 use headlatch_core::{
     direct::{
         admission::shedding::{NewRequest, ShedRank},
-        server_table::{ChosenServer, EngineQuery, ServerChoice, ServerOutcome, ServerQuery},
+        server_table::{ChosenServer, ServerChoice, ServerOutcome, ServerQuery},
         suspects::{ProgressAtEnd, QUARANTINE_TIME},
     },
     time::Moment,
@@ -170,16 +170,16 @@
         current.unwrap_or_else(|| request.allowed_regions.clone())
     }
 
-    /// Selects among the servers with the random number `draw`.
-    pub(super) fn choose(&self, regions: &AllowedRegions, draw: u64) -> ServerChoice {
-        let engine = self.request.engine.as_ref().zip(self.request.engine_work());
+    /// Selects among the servers with the random number `draw`; with `objective_left`, among those in time.
+    pub(super) fn choose(
+        &self,
+        regions: &AllowedRegions,
+        draw: u64,
+        objective_left: Option<Duration>,
+    ) -> ServerChoice {
         let query = ServerQuery {
             service: &self.request.service,
-            engine: engine.map(|(figures, work)| EngineQuery {
-                figures,
-                work,
-                continues: self.answer_begun,
-            }),
+            engine: self.request.engine_query(self.answer_begun, objective_left),
             regions,
             min_version: attempt::min_version(&self.state, &self.request),
             tried: &self.tried,
@@ -253,7 +253,7 @@
     fn pick_server(&self) -> Result<ChosenServer, &'static str> {
         self.check_attempt()?;
         let regions = self.allowed_regions();
-        let choice = self.choose(&regions, rand::rng().random());
+        let choice = self.choose(&regions, rand::rng().random(), None);
         if let Some(share) = self.shed_share(&regions, &choice) {
             self.log("load_shed", json!({ "share": share }));
             return Err(LOAD_SHED);
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -11,6 +11,7 @@
     engine_model::EngineWork,
     request_digest::{RequestContent, RequestDigests},
     route_table::{Denial, RouteTable, pick_target},
+    server_table::{EngineQuery, FirstTokenBound},
     size_class::SizeClass,
     time_limit::{LimitedTime, TimeLimit},
 };
@@ -327,6 +328,22 @@
         Some(EngineWork::new(figures, self.facts.prompt_tokens, self.route.objective()))
     }
 
+    /// What a server is selected for; `None` for services without engines. With `objective_left`, only servers
+    /// that are predicted to return the first token within that time are selected.
+    pub fn engine_query(
+        &self,
+        continues: bool,
+        objective_left: Option<Duration>,
+    ) -> Option<EngineQuery<'_>> {
+        let (figures, work) = self.engine.as_ref().zip(self.engine_work())?;
+        let usual = EngineQuery { figures, work, continues, bound: FirstTokenBound::Usual };
+        Some(objective_left.map_or(usual, |objective| EngineQuery {
+            work: EngineWork { objective, ..work },
+            bound: FirstTokenBound::Objective,
+            ..usual
+        }))
+    }
+
     /// Time left until the deadline as the caller counts it, including suspensions of the machine.
     pub fn time_left(&self, state: &EntryState) -> Duration {
         let left = self.deadline.saturating_duration_since(Instant::now());
--- a/crates/daemon/src/direct/waiting.rs
+++ b/crates/daemon/src/direct/waiting.rs
@@ -214,14 +214,9 @@
         if now.since(self.draw.1) >= NOTICE_INTERVAL {
             self.draw = (rand::rng().random(), now);
         }
-        let choice = exchange.choose(&regions, self.draw.0);
+        let choice = exchange.choose(&regions, self.draw.0, self.request.objective_left(now));
         match &choice {
             ServerChoice::Full(_) => return Ok(None),
-            ServerChoice::Server(server)
-                if !self.request.accepts(now, server.predicted.unwrap_or_default()) =>
-            {
-                return Ok(None);
-            }
             ServerChoice::Server(_) => {
                 let waited_ms = now.since(self.since).as_millis() as u64;
                 exchange.log(
@@ -271,7 +266,7 @@
     exchange.check_attempt()?;
     let (entry, now) = (&exchange.state, exchange.state.now());
     let lane = request.lane.clone();
-    let choice = exchange.choose(&lane.regions, rand::rng().random());
+    let choice = exchange.choose(&lane.regions, rand::rng().random(), None);
     let share = exchange.shed_share(&lane.regions, &choice);
     let must_wait = match (&choice, share) {
         // Even a request that is drawn for load shedding may wait: the queue predicts whether it would be
