Let requests wait after an attempt that sent nothing

Cause: a request lost the right to wait as soon as a server had been tried, also if that server could not be connected, had become ineligible or had no token of its rate limit left, so that nothing was sent.

Change: a request may wait while no server has received it and none is reserved for it. Servers that were tried stay excluded.

Checked: waiting of the daemon; the new test got 503 with the earlier sources.

--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -67,7 +67,7 @@
     /// Server for the next attempt, selected while the previous one had not responded.
     pub reserved: Option<ChosenServer>,
     /// Attempts that reached a server.
-    sends: u32,
+    pub(super) sends: u32,
     /// Attempts that reached a server and may have run.
     possible_runs: u32,
     verdict: Option<RunVerdict>,
--- a/crates/daemon/src/direct/waiting.rs
+++ b/crates/daemon/src/direct/waiting.rs
@@ -329,10 +329,11 @@
 }
 
 /// The request as the queue sees it; `None` if it may not wait, because its service does not distinguish
-/// urgencies or because it has been sent before.
+/// urgencies or because it has been sent before. An attempt that sent nothing does not count.
 fn queued_request(exchange: &Exchange) -> Option<QueuedRequest> {
     let (request, now) = (&exchange.request, exchange.state.now());
-    let rank = request.urgency.filter(|_| exchange.tried.is_empty())?;
+    let is_unsent = exchange.sends == 0 && exchange.reserved.is_none();
+    let rank = request.urgency.filter(|_| is_unsent)?;
     let (figures, work) = request.engine.as_ref().zip(request.engine_work())?;
     let caller = request
         .facts
--- a/crates/daemon/tests/waiting.rs
+++ b/crates/daemon/tests/waiting.rs
@@ -307,3 +307,24 @@
     }
     expect_that!(begun.elapsed(), lt(Duration::from_millis(1500)));
 }
+
+/// Guards against requests that may not wait any more because a server could not be connected.
+#[gtest]
+#[tokio::test]
+async fn a_request_waits_after_an_attempt_that_sent_nothing() {
+    let fixture = Fixture::new(Duration::from_millis(30)).await;
+    let filled = fixture.fill().await;
+    let closed = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+    let address = closed.local_addr().expect("listener is bound");
+    drop(closed);
+    let server =
+        ServerRecord { models: vec![fixture.model.clone()], ..record("i2", address, "z1") };
+    fixture.store.set(FactTopic::Servers, "i2", Fact::Server(server));
+    until(|| fixture.state.servers().records().count() == 2).await;
+    let asked = fixture.ask("/stream/waits", Some(1));
+    expect_that!(answer(asked).await.status, eq(StatusCode::OK));
+    expect_that!(fixture.outcomes(1, "sent"), eq(1));
+    for one in filled {
+        expect_that!(answer(one).await.status, eq(StatusCode::OK));
+    }
+}
