Try a few lanes at a time, and only when load may have fallen

Cause: every signal tried the first request of each lane, and each try looks at all servers of the service. The begin of a request, which only raises a load, was such a signal as well. Entries may have a fifth of a processor.

Change: waiting requests are woken at the end of a prefill or a request and by notices, not at the begin of a request. A round tries at most four lanes in order of urgency; with more lanes, those that were not tried in the last rounds come first. The urgency of each request is worked out once when a lane is sorted; a cached key for sort_by_cached_key could not include the order of organisations, which compares pairs.

--- a/crates/core/src/direct/admission/queue.rs
+++ b/crates/core/src/direct/admission/queue.rs
@@ -19,6 +19,10 @@
 /// receives about 16 requests per second, so that more would wait past any objective.
 pub const MAX_WAITING: usize = 128;
 
+/// Maximum number of lanes whose first requests look for a server at a time: each one looks at all servers
+/// of its service, and entries may have a fifth of a processor.
+pub const MAX_TRIED_LANES: usize = 4;
+
 /// Minimum time between the expected start of a late request and its deadline, in which an engine can
 /// still return an answer of usual length.
 const LATE_START_MARGIN: Duration = Duration::from_secs(1);
@@ -181,6 +185,12 @@
     request: QueuedRequest,
 }
 
+impl WaitingRequest {
+    fn urgency_at(&self, now: Moment) -> (bool, usize, UrgencyRank) {
+        self.request.urgency_at(now)
+    }
+}
+
 #[derive(Debug, Default)]
 struct LaneState {
     waiting: Vec<WaitingRequest>,
@@ -193,6 +203,8 @@
     lanes: BTreeMap<QueueLane, LaneState>,
     /// Requests that gave their place to a more urgent one and have not been returned by `due`.
     displaced: Vec<QueueTicket>,
+    /// Requests that `next_heads` has returned and does not return again before the others.
+    tried_heads: Vec<QueueTicket>,
     last_ticket: u64,
     order: Box<dyn OrganisationOrder>,
 }
@@ -206,7 +218,8 @@
 impl AdmissionQueue {
     /// Creates an empty queue with an order among organisations.
     pub fn new(order: Box<dyn OrganisationOrder>) -> Self {
-        Self { lanes: BTreeMap::new(), displaced: Vec::new(), last_ticket: 0, order }
+        let (displaced, tried_heads) = (Vec::new(), Vec::new());
+        Self { lanes: BTreeMap::new(), displaced, tried_heads, last_ticket: 0, order }
     }
 
     /// Number of waiting requests.
@@ -225,7 +238,7 @@
         let own = request.urgency_at(now);
         let lanes = self.lanes.iter().filter(|(lane, _)| lane.contains(&request.lane));
         let mut waiting = lanes.flat_map(|(_, state)| &state.waiting);
-        waiting.any(|other| other.request.urgency_at(now) <= own)
+        waiting.any(|other| other.urgency_at(now) <= own)
     }
 
     /// Decides whether `request` may wait, and adds it if so. If the queue is full, it may take the place of
@@ -252,17 +265,37 @@
         Some(self.first(now, self.lanes.get(lane)?)?.ticket)
     }
 
-    /// The waiting requests that are sent next, at most one for each lane. The first request of a lane is
-    /// not among them while one of a lane that contains it goes before it.
+    /// The waiting requests that are sent next, at most one for each lane, the most urgent first. The first
+    /// request of a lane is not among them while one of a lane that contains it goes before it.
     pub fn heads(&self, now: Moment) -> Vec<QueueTicket> {
         let firsts = self.lanes.values().filter_map(|lane| self.first(now, lane));
-        let firsts: Vec<&WaitingRequest> = firsts.collect();
-        let goes_before = |one: &WaitingRequest, other: &WaitingRequest| {
-            one.request.lane.contains(&other.request.lane)
-                && self.compare(now, one, other) == Ordering::Less
-        };
-        let heads = firsts.iter().filter(|own| !firsts.iter().any(|one| goes_before(one, own)));
-        heads.map(|head| head.ticket).collect()
+        let mut firsts: Vec<&WaitingRequest> = firsts.collect();
+        firsts.sort_by(|one, other| self.compare(now, one, other));
+        let heads = firsts.iter().enumerate().filter(|(index, own)| {
+            let mut before = firsts[..*index].iter();
+            !before.any(|one| one.request.lane.contains(&own.request.lane))
+        });
+        heads.map(|(_, head)| head.ticket).collect()
+    }
+
+    /// The next waiting requests that should look for a server: at most [`MAX_TRIED_LANES`] of
+    /// [`Self::heads`], first those that were not returned since all others have been.
+    pub fn next_heads(&mut self, now: Moment) -> Vec<QueueTicket> {
+        let heads = self.heads(now);
+        if heads.len() <= MAX_TRIED_LANES {
+            self.tried_heads.clear();
+            return heads;
+        }
+        let (tried, mut next): (Vec<_>, Vec<_>) =
+            heads.into_iter().partition(|head| self.tried_heads.contains(head));
+        if next.len() > MAX_TRIED_LANES {
+            next.truncate(MAX_TRIED_LANES);
+            self.tried_heads.extend(&next);
+        } else {
+            next.extend(tried.into_iter().take(MAX_TRIED_LANES - next.len()));
+            self.tried_heads.clone_from(&next);
+        }
+        next
     }
 
     fn first<'a>(&self, now: Moment, lane: &'a LaneState) -> Option<&'a WaitingRequest> {
@@ -322,13 +355,16 @@
 
     /// The requests of a lane that must be refused now. A refused request does not count as ahead of
     /// those behind it.
-    fn due_in(&self, now: Moment, lane: &LaneState) -> Vec<(QueueTicket, QueueBound)> {
-        let mut waiting: Vec<&WaitingRequest> = lane.waiting.iter().collect();
-        waiting.sort_by(|one, other| self.compare(now, one, other));
+    fn due_in<'a>(&self, now: Moment, lane: &'a LaneState) -> Vec<(QueueTicket, QueueBound)> {
+        let with_urgency = |one: &'a WaitingRequest| (one.urgency_at(now), one);
+        let mut waiting: Vec<_> = lane.waiting.iter().map(with_urgency).collect();
+        waiting.sort_by(|(first, one), (second, other)| {
+            first.cmp(second).then_with(|| self.compare_equally_urgent(one, other))
+        });
         let rate = lane.drain.rate(now);
         let mut ahead = PromptTokens::default();
         let mut due = Vec::new();
-        for one in waiting {
+        for (_, one) in waiting {
             let wait = rate.time_for(ahead).unwrap_or_default();
             match one.request.check_start(now + wait) {
                 Ok(()) => ahead = ahead + one.request.tokens,
@@ -342,7 +378,7 @@
     fn displace_for(&mut self, now: Moment, new: &WaitingRequest) -> bool {
         let Some(lane) = self.lanes.get(&new.request.lane) else { return false };
         let last = lane.waiting.iter().max_by(|one, other| self.compare(now, one, other));
-        let last = last.filter(|last| new.request.urgency_at(now) < last.request.urgency_at(now));
+        let last = last.filter(|last| new.urgency_at(now) < last.urgency_at(now));
         let Some(ticket) = last.map(|last| last.ticket) else { return false };
         self.remove(now, ticket);
         self.displaced.push(ticket);
@@ -366,11 +402,15 @@
 
     /// Compares two requests of a lane; the lesser one is sent first.
     fn compare(&self, now: Moment, one: &WaitingRequest, other: &WaitingRequest) -> Ordering {
+        let urgency = one.urgency_at(now).cmp(&other.urgency_at(now));
+        urgency.then_with(|| self.compare_equally_urgent(one, other))
+    }
+
+    fn compare_equally_urgent(&self, one: &WaitingRequest, other: &WaitingRequest) -> Ordering {
         let (first, second) = (&one.request, &other.request);
-        let urgency = first.urgency_at(now).cmp(&second.urgency_at(now));
         let organisations =
-            || self.order.compare(first.organisation.as_deref(), second.organisation.as_deref());
+            self.order.compare(first.organisation.as_deref(), second.organisation.as_deref());
         let deadline = || first.deadline.cmp(&second.deadline);
-        urgency.then_with(organisations).then_with(deadline).then(one.ticket.cmp(&other.ticket))
+        organisations.then_with(deadline).then(one.ticket.cmp(&other.ticket))
     }
 }
--- a/crates/core/tests/admission_queue.rs
+++ b/crates/core/tests/admission_queue.rs
@@ -228,6 +228,33 @@
     expect_that!(queue.heads(at(3)), elements_are![eq(&bound)]);
 }
 
+/// Guards against an entry with a small share of a processor that tries all of many lanes at every change of
+/// load, and against lanes that are never tried.
+#[gtest]
+fn a_few_lanes_are_tried_at_a_time_in_order_of_urgency() {
+    let mut queue = AdmissionQueue::default();
+    let tickets: Vec<_> = [5, 3, 1, 0, 2, 4]
+        .map(|rank| {
+            let region = format!("r{rank}");
+            (rank, wait(&mut queue, at(0), within(&[&region], ranked(at(0), rank))))
+        })
+        .into();
+    let mut next = || -> Vec<usize> {
+        let heads = queue.next_heads(at(1));
+        let rank = |head| tickets.iter().find(|(_, ticket)| *ticket == head).map(|(rank, _)| *rank);
+        heads.into_iter().filter_map(rank).collect()
+    };
+    expect_that!(next(), eq(&vec![0, 1, 2, 3]));
+    expect_that!(next(), eq(&vec![4, 5, 0, 1]));
+    expect_that!(next(), eq(&vec![2, 3, 0, 1]));
+    expect_that!(next(), eq(&vec![4, 5, 0, 1]));
+    queue.remove(at(2), tickets[0].1);
+    queue.remove(at(2), tickets[1].1);
+    let few = queue.next_heads(at(2));
+    expect_that!(few.len(), eq(4));
+    expect_that!(queue.next_heads(at(2)), eq(&few));
+}
+
 /// Guards against requests bound to a region without room that keep others from regions with room.
 #[gtest]
 fn requests_of_a_region_without_room_do_not_hold_up_others() {
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -69,6 +69,7 @@
         if !self.prompt_read.swap(true, Ordering::Relaxed) {
             self.state.servers().finish_prefill(&self.server.id, self.tokens);
             self.state.notify_load_changes();
+            self.state.waiting.wake();
         }
     }
 
@@ -93,6 +94,7 @@
             }
             self.state.servers().end_chosen(self.state.now(), &self.server, outcome);
             self.state.notify_load_changes();
+            self.state.waiting.wake();
         }
     }
 }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -510,7 +510,6 @@
     /// Triggers a notice about changed loads at busy servers to the other entries of the failure
     /// domain.
     pub fn notify_load_changes(&self) {
-        self.waiting.wake();
         if self.servers().has_urgent_load_changes() {
             self.loads_changed.notify_one();
         }
--- a/crates/daemon/src/direct/waiting.rs
+++ b/crates/daemon/src/direct/waiting.rs
@@ -93,7 +93,8 @@
         self.count.load(Ordering::Relaxed)
     }
 
-    /// Has the first waiting requests look for a server, because a load or a server has changed.
+    /// Has the first waiting requests look for a server, because a load may have fallen or a server has
+    /// changed.
     pub fn wake(&self) {
         if self.count() > 0 {
             self.changed.notify_one();
@@ -110,7 +111,7 @@
                 signal.try_now.notify_one();
             }
         }
-        for ticket in state.queue.heads(now) {
+        for ticket in state.queue.next_heads(now) {
             state.signals.get(&ticket).iter().for_each(|signal| signal.try_now.notify_one());
         }
     }
