Do not count requests that wait as a full load for shedding

Cause: a choice without a server with room moved the shed share towards everything, also where the request then waited. Requests that found room afterwards were shed, while those that had found none waited.

Change: where a service distinguishes urgencies, such a choice does not count as a load at all, because the queue refuses what would be late; its tokens and objective are recorded as before. Services without urgency are shed as before.

Checked: urgent_shedding, shedding, shedding_unchanged and sizes of the core; waiting, urgency and load_shedding of the daemon. The new test also shows that the earlier count sheds at least 10 of 20 requests that find room.

--- a/crates/core/src/direct/admission/shedding.rs
+++ b/crates/core/src/direct/admission/shedding.rs
@@ -97,6 +97,10 @@
     Unusable,
     /// Every engine has the maximum number of requests.
     Full,
+    /// No engine has room, and the request waits for one. Not counted as a load: the admission queue refuses
+    /// what would be late, and shedding for the same lack of room would refuse requests that find room while
+    /// those that found none wait.
+    Awaited,
     /// Load of the engine with the shortest wait.
     Best(EngineLoad),
 }
@@ -172,7 +176,7 @@
         // Requests with an even shorter but rare objective are judged by prediction alone.
         let shortest = service.objectives.shortest().unwrap_or_default();
         let target = match room {
-            EngineHeadroom::Unusable => return None,
+            EngineHeadroom::Unusable | EngineHeadroom::Awaited => return None,
             EngineHeadroom::Full => 1.0,
             EngineHeadroom::Best(load) => target_share(request.figures, load, shortest),
         };
--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -140,12 +140,14 @@
 }
 
 impl ServerChoice {
-    /// Returns the remaining capacity of the candidate engines.
-    pub fn engine_headroom(&self) -> EngineHeadroom {
+    /// Returns the remaining capacity of the candidate engines; `may_wait` is whether the request waits if
+    /// they are full.
+    pub fn engine_headroom(&self, may_wait: bool) -> EngineHeadroom {
         match self {
             Self::Server(server) => {
                 server.shortest_wait_load.map_or(EngineHeadroom::Unusable, EngineHeadroom::Best)
             }
+            Self::Full(_) if may_wait => EngineHeadroom::Awaited,
             Self::Full(full) => {
                 full.shortest_wait_load.map_or(EngineHeadroom::Full, EngineHeadroom::Best)
             }
--- a/crates/core/tests/sizes.rs
+++ b/crates/core/tests/sizes.rs
@@ -314,7 +314,7 @@
             urgency: None,
             prompt_tokens: job.prompt,
         };
-        let shed = self.shedders[job.entry].refuses(self.now, &new, choice.engine_headroom());
+        let shed = self.shedders[job.entry].refuses(self.now, &new, choice.engine_headroom(false));
         match choice {
             ServerChoice::Server(server) if shed.is_none() => {
                 self.tables[job.entry].begin(&server.id, job.prompt);
--- a/crates/core/tests/urgent_shedding.rs
+++ b/crates/core/tests/urgent_shedding.rs
@@ -17,6 +17,7 @@
             urgency::{ServiceUrgencies, UrgencyRank},
         },
         engine_model::EngineLoad,
+        server_table::{ExclusionCounts, ServerChoice},
     },
     time::Moment,
 };
@@ -247,3 +248,35 @@
     expect_that!(earlier, all![gt(200), lt(1_400)]);
     expect_that!(in_force, all![gt(20), lt(140)]);
 }
+
+/// Guards against requests that find room and are shed because earlier ones found none, while those wait.
+#[gtest]
+fn requests_that_wait_for_full_engines_do_not_raise_the_shed_share() {
+    let (service, figures): (Arc<str>, _) = ("llm".into(), figures());
+    let full = ServerChoice::Full(ExclusionCounts { limited: 45, ..ExclusionCounts::default() });
+    // At this load nothing is shed, but the smoothed share still counts.
+    let with_room = EngineHeadroom::Best(EngineLoad { in_flight: SLOTS - 1, waiting_tokens: 0 });
+    let shed_after = |may_wait| {
+        let mut shedder = LoadShedder::default();
+        shedder.set_urgencies(ServiceUrgencies::new(&plan(&[0, 1, 2], &[None])));
+        let mut refused = |millis: u64, room| {
+            let new = NewRequest {
+                service: &service,
+                regions: &AllowedRegions::Anywhere,
+                figures: &figures,
+                objective: Duration::from_millis(400),
+                rank: ShedRank::new(RequestDigest(millis), Duration::from_secs(1_000)),
+                urgency: Some(UrgencyRank::new(2)),
+                prompt_tokens: 1_000,
+            };
+            let now = Moment::ZERO + Duration::from_millis(millis);
+            shedder.refuses(now, &new, room).is_some()
+        };
+        for millis in (0..2_000).step_by(10) {
+            let _ = refused(millis, full.engine_headroom(may_wait));
+        }
+        (2_000..2_200).step_by(10).filter(|millis| refused(*millis, with_room)).count()
+    };
+    expect_that!(shed_after(true), eq(0));
+    expect_that!(shed_after(false), ge(10));
+}
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -208,7 +208,8 @@
             urgency: self.request.urgency,
             prompt_tokens: work.prompt,
         };
-        self.state.shedder().refuses(self.state.now(), &request, choice.engine_headroom())
+        let headroom = choice.engine_headroom(request.urgency.is_some());
+        self.state.shedder().refuses(self.state.now(), &request, headroom)
     }
 
     /// Whether one more attempt is allowed.
@@ -255,7 +256,7 @@
         let regions = self.allowed_regions();
         let choice = self.choose(&regions, rand::rng().random(), None);
         if let Some(share) = self.shed_share(&regions, &choice) {
-            self.log("load_shed", json!({ "share": share }));
+            self.log(LOAD_SHED, json!({ "share": share }));
             return Err(LOAD_SHED);
         }
         self.accept(choice, &regions)
@@ -285,8 +286,7 @@
             }
         };
         if self.sends > 0 {
-            let entries = self.state.entries();
-            let now = self.state.now();
+            let (now, entries) = (self.state.now(), self.state.entries());
             if !self.state.retries().try_take(now, &self.request.service, entries) {
                 return Err("retry_budget");
             }
