Displace the least urgent waiting request of all lanes

Cause: the bound of 128 waiting requests is shared, but a request could take the place of one of its own lane only, so that unurgent requests of one region kept urgent ones of others out.

Change: the least urgent request of all lanes is displaced.

Checked: admission_queue of the core; the new test failed with the earlier sources.

--- a/crates/core/src/direct/admission/queue.rs
+++ b/crates/core/src/direct/admission/queue.rs
@@ -242,7 +242,7 @@
     }
 
     /// Decides whether `request` may wait, and adds it if so. If the queue is full, it may take the place of
-    /// a less urgent request of the same lane, which the next call of [`Self::due`] returns.
+    /// a less urgent request, which the next call of [`Self::due`] returns.
     pub fn offer(&mut self, now: Moment, request: QueuedRequest) -> QueueDecision {
         let ticket = QueueTicket(self.last_ticket + 1);
         let new = WaitingRequest { ticket, request };
@@ -374,10 +374,10 @@
         due
     }
 
-    /// Gives the place of the last request of the lane to `new`, if that one is more urgent.
+    /// Gives the place of the least urgent request of all lanes to `new`, if that one is more urgent.
     fn displace_for(&mut self, now: Moment, new: &WaitingRequest) -> bool {
-        let Some(lane) = self.lanes.get(&new.request.lane) else { return false };
-        let last = lane.waiting.iter().max_by(|one, other| self.compare(now, one, other));
+        let waiting = self.lanes.values().flat_map(|lane| &lane.waiting);
+        let last = waiting.max_by(|one, other| self.compare(now, one, other));
         let last = last.filter(|last| new.urgency_at(now) < last.urgency_at(now));
         let Some(ticket) = last.map(|last| last.ticket) else { return false };
         self.remove(now, ticket);
@@ -400,7 +400,7 @@
         self.rate(now, &request.request.lane).time_for(ahead)
     }
 
-    /// Compares two requests of a lane; the lesser one is sent first.
+    /// Compares two waiting requests; the lesser one is sent first.
     fn compare(&self, now: Moment, one: &WaitingRequest, other: &WaitingRequest) -> Ordering {
         let urgency = one.urgency_at(now).cmp(&other.urgency_at(now));
         urgency.then_with(|| self.compare_equally_urgent(one, other))
--- a/crates/core/tests/admission_queue.rs
+++ b/crates/core/tests/admission_queue.rs
@@ -292,6 +292,22 @@
     expect_that!(queue.head(at(1), &lane("llm")), some(eq(urgent)));
 }
 
+/// Guards against a queue filled by unurgent requests of one region that keeps urgent ones of others out.
+#[gtest]
+fn an_urgent_request_takes_the_place_of_the_least_urgent_one_of_all_lanes() {
+    let mut queue = AdmissionQueue::default();
+    let least = wait(&mut queue, at(0), within(&["r1"], ranked(at(0), 3)));
+    for _ in 1..MAX_WAITING {
+        wait(&mut queue, at(0), within(&["r1"], ranked(at(0), 2)));
+    }
+    let urgent = wait(&mut queue, at(1), within(&["r2"], ranked(at(1), 0)));
+    expect_that!(queue.len(), eq(MAX_WAITING));
+    expect_that!(queue.due(at(1)), elements_are![eq(&(least, QueueBound::Length))]);
+    expect_that!(queue.heads(at(1)).first(), some(eq(&urgent)));
+    let refused = QueueDecision::Refuse(QueueBound::Length);
+    expect_that!(queue.offer(at(2), within(&["r2"], ranked(at(2), 2))), eq(refused));
+}
+
 /// Guards against unurgent requests that starve under a steady stream of more urgent ones.
 #[gtest]
 fn a_waiting_request_is_raised_by_a_rank_for_each_half_objective() {
