Let a request wait in the test of the queue's rate

Change: the test says that requests wait. Its limits are unchanged, and one more bounds the rate from both sides while it falls.

Checked: return_time of the core.

--- a/crates/core/tests/return_time.rs
+++ b/crates/core/tests/return_time.rs
@@ -119,10 +119,12 @@
 fn the_rate_follows_what_is_sent_within_seconds() {
     let mut rate = DrainRate::default();
     expect_that!(rate.rate(at(0)).per_second(), eq(0.0));
+    rate.begin_waiting(at(0));
     for millis in (0..5000).step_by(10) {
         rate.record_sent(at(millis), PromptTokens(80));
     }
     expect_that!(rate.rate(at(5000)).per_second(), all![ge(7600.0), le(8400.0)]);
+    expect_that!(rate.rate(at(5900)).per_second(), all![ge(3000.0), le(3500.0)]);
     expect_that!(rate.rate(at(6000)).per_second(), le(3200.0));
     expect_that!(rate.rate(at(8000)).per_second(), eq(0.0));
 }
