Spread refused callers that have little time left

Cause: where a third of the remaining time is below 0.7 s, the earliest and the latest Retry-After were the same, so that all such callers returned at one moment.

Change: the earliest time is half of the latest one there.

Checked: return_time and admission_queue of the core; the new test failed with the earlier sources.

--- a/crates/core/src/direct/admission/return_time.rs
+++ b/crates/core/src/direct/admission/return_time.rs
@@ -73,7 +73,8 @@
         // The end of the interval is bounded, not the result: otherwise many callers would return at the
         // bound together.
         let latest = (self.overloaded_for(now, service) + MIN_TIME).min(most);
-        let earliest = MIN_TIME.min(latest);
+        // Callers with little time left are spread as well: a third of it may be below the minimum.
+        let earliest = if latest < MIN_TIME { latest / 2 } else { MIN_TIME };
         let time = earliest + (latest - earliest).mul_f64(draw.clamp(0.0, 1.0));
         round_down(time).max(round_up(bounds.asked))
     }
--- a/crates/core/tests/return_time.rs
+++ b/crates/core/tests/return_time.rs
@@ -66,6 +66,17 @@
     }
 }
 
+/// Guards against callers with little time left that all return at the same moment.
+#[gtest]
+fn callers_with_little_time_are_spread_as_well() {
+    let times = overloaded(5000);
+    let bounds = ReturnBounds { remaining: Duration::from_millis(1200), ..PATIENT };
+    let time = |draw| times.time(at(5000), "llm", bounds, draw);
+    expect_that!(time(0.0), eq(Duration::from_millis(200)));
+    expect_that!(time(0.5), eq(Duration::from_millis(300)));
+    expect_that!(time(1.0), eq(Duration::from_millis(400)));
+}
+
 /// Guards against callers that return earlier than a server has asked for.
 #[gtest]
 fn the_time_that_servers_ask_for_takes_precedence() {
