Name the waiting requests and the end of an overload for what they are

Change: WaitingRequests, WaitingState and OVERLOAD_END_TIME; the former two move to a module of their own with the signals. No change of behaviour.

--- a/crates/core/src/direct/admission/return_time.rs
+++ b/crates/core/src/direct/admission/return_time.rs
@@ -17,7 +17,7 @@
 const REMAINING_DIVISOR: u32 = 3;
 
 /// Time without a request that found no room after which an overload has ended.
-const OVERLOAD_GAP: Duration = Duration::from_secs(1);
+const OVERLOAD_END_TIME: Duration = Duration::from_secs(1);
 
 /// Unit of the time in a response, in microseconds: `Retry-After` has two decimals.
 const UNIT_MICROS: u64 = 10_000;
@@ -48,11 +48,11 @@
     /// Records that a request to `service` found no room.
     pub fn record_overload(&mut self, now: Moment, service: &Arc<str>) {
         if !self.services.contains_key(service) {
-            self.services.retain(|_, overload| now.since(overload.last) < OVERLOAD_GAP);
+            self.services.retain(|_, overload| now.since(overload.last) < OVERLOAD_END_TIME);
         }
         let begun = Overload { since: now, last: now };
         let overload = self.services.entry(service.clone()).or_insert(begun);
-        if now.since(overload.last) >= OVERLOAD_GAP {
+        if now.since(overload.last) >= OVERLOAD_END_TIME {
             overload.since = now;
         }
         overload.last = overload.last.max(now);
@@ -61,7 +61,7 @@
     /// Time for which `service` has been overloaded; zero if it is not.
     pub fn overloaded_for(&self, now: Moment, service: &str) -> Duration {
         let current = self.services.get(service);
-        let current = current.filter(|overload| now.since(overload.last) < OVERLOAD_GAP);
+        let current = current.filter(|overload| now.since(overload.last) < OVERLOAD_END_TIME);
         current.map_or(Duration::ZERO, |overload| now.since(overload.since))
     }
 
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -47,7 +47,7 @@
     plan_copy::PlanCopy,
     quarantine::Quarantine,
     unknown_names::UnknownNames,
-    waiting::WaitingRoom,
+    waiting::WaitingRequests,
 };
 use crate::{decisions, metrics::NodeMetrics, timer::NodeClock};
 
@@ -97,7 +97,7 @@
     /// Decides which fraction of the requests is shed while engines are full.
     shedder: Mutex<LoadShedder>,
     /// Requests that wait for a server.
-    pub waiting: WaitingRoom,
+    pub waiting: WaitingRequests,
     /// Recent request sizes by route.
     sizes: Mutex<SizeRanks>,
     peers: Mutex<PeerTable>,
@@ -190,7 +190,7 @@
             evacuated: Mutex::default(),
             retries: Mutex::new(RetryShare::new(budget, start)),
             shedder: Mutex::default(),
-            waiting: WaitingRoom::default(),
+            waiting: WaitingRequests::default(),
             sizes: Mutex::default(),
             peers: Mutex::new(peers),
             loads_changed: Notify::new(),
--- a/crates/daemon/src/direct/waiting.rs
+++ b/crates/daemon/src/direct/waiting.rs
@@ -4,24 +4,17 @@
 //! or are refused, and the times of other refusals do not depend on the load.
 
 use std::{
-    collections::HashMap,
-    sync::{
-        Arc, Mutex, MutexGuard, OnceLock,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
 use headlatch_core::{
     direct::{
         admission::{
-            caller::{CallerKind, UsualDeadlines},
+            caller::CallerKind,
             drain_rate::PromptTokens,
-            queue::{
-                AdmissionQueue, QueueBound, QueueDecision, QueueLane, QueuePlace, QueueTicket,
-                QueuedRequest,
-            },
-            return_time::{ReturnBounds, ReturnTime},
+            queue::{QueueBound, QueueDecision, QueueLane, QueuePlace, QueueTicket, QueuedRequest},
+            return_time::ReturnBounds,
         },
         engine_model::{EngineLoad, time_to_first_token},
         server_table::{ChosenServer, ExclusionCounts, ServerChoice},
@@ -31,16 +24,19 @@
 use http::StatusCode;
 use rand::Rng;
 use serde_json::json;
-use tokio::sync::Notify;
 
 use super::{
     answer::ErrorResponse,
     exchange::{Exchange, LOAD_SHED},
     handler,
     notices::NOTICE_INTERVAL,
-    state::EntryState,
 };
 
+mod requests;
+
+use requests::WaitSignal;
+pub use requests::{WaitingRequests, run};
+
 /// Refusal cause: every server is at its limit or would answer too late.
 pub(super) const SERVERS_FULL: &str = "servers_full";
 
@@ -50,89 +46,6 @@
 /// Random addition to it, so that callers do not return at the same moment.
 const FIXED_RETRY_JITTER_MS: u64 = 1000;
 
-/// Interval at which the first waiting requests are tried while no change of load is known.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
-
-/// Minimum interval between two tries: entries receive up to several notices per millisecond, and each try
-/// looks at all servers of the service.
-const MIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
-
-/// Signal to one waiting request.
-#[derive(Debug, Default)]
-struct WaitSignal {
-    /// The request is the next one of its lane and should look for a server.
-    try_now: Notify,
-    /// The request must be refused.
-    refused: OnceLock<QueueBound>,
-}
-
-#[derive(Debug, Default)]
-struct RoomState {
-    queue: AdmissionQueue,
-    signals: HashMap<QueueTicket, Arc<WaitSignal>>,
-    deadlines: UsualDeadlines,
-    return_times: ReturnTime,
-}
-
-/// The waiting requests of one entry.
-#[derive(Debug, Default)]
-pub struct WaitingRoom {
-    state: Mutex<RoomState>,
-    count: AtomicUsize,
-    /// Signalled when a waiting request may find a server or must be refused.
-    changed: Notify,
-}
-
-impl WaitingRoom {
-    fn lock(&self) -> MutexGuard<'_, RoomState> {
-        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-    }
-
-    /// Number of waiting requests.
-    pub fn count(&self) -> usize {
-        self.count.load(Ordering::Relaxed)
-    }
-
-    /// Has the first waiting requests look for a server, because a load may have fallen or a server has
-    /// changed.
-    pub fn wake(&self) {
-        if self.count() > 0 {
-            self.changed.notify_one();
-        }
-    }
-
-    /// Signals the requests that must be refused and those that are sent next.
-    fn signal(&self, now: Moment) {
-        let mut state = self.lock();
-        for (ticket, bound) in state.queue.due(now) {
-            if let Some(signal) = state.signals.get(&ticket) {
-                // A second bound does not change the refusal.
-                let _ = signal.refused.set(bound);
-                signal.try_now.notify_one();
-            }
-        }
-        for ticket in state.queue.next_heads(now) {
-            state.signals.get(&ticket).iter().for_each(|signal| signal.try_now.notify_one());
-        }
-    }
-}
-
-/// Signals waiting requests whenever a load changes, and at regular intervals while any request waits.
-pub async fn run(state: Arc<EntryState>) {
-    let room = &state.waiting;
-    loop {
-        room.signal(state.now());
-        if room.count() == 0 {
-            room.changed.notified().await;
-            continue;
-        }
-        tokio::time::sleep(MIN_POLL_INTERVAL).await;
-        let rest = POLL_INTERVAL - MIN_POLL_INTERVAL;
-        // Both a change and the end of the interval lead to the next try.
-        let _ = tokio::time::timeout(rest, room.changed.notified()).await;
-    }
-}
-
 /// How a request left the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum QueueOutcome {
@@ -177,8 +90,8 @@
         exchange: &'a Exchange,
         request: QueuedRequest,
     ) -> Result<(Self, Option<QueuePlace>), QueueBound> {
-        let (room, now) = (&exchange.state.waiting, exchange.state.now());
-        let mut state = room.lock();
+        let (waiting, now) = (&exchange.state.waiting, exchange.state.now());
+        let mut state = waiting.lock();
         let ticket = match state.queue.offer(now, request.clone()) {
             QueueDecision::Wait(ticket) => ticket,
             QueueDecision::Refuse(bound) => return Err(bound),
@@ -187,8 +100,8 @@
         state.signals.insert(ticket, signal.clone());
         let place = state.queue.place(now, ticket);
         drop(state);
-        room.count.fetch_add(1, Ordering::Relaxed);
-        room.changed.notify_one();
+        waiting.count.fetch_add(1, Ordering::Relaxed);
+        waiting.changed.notify_one();
         exchange.state.metrics.add_waiting(&request.lane.service, request.rank, 1);
         let (outcome, draw) = (QueueOutcome::Left, (rand::rng().random(), now));
         Ok((Self { exchange, request, ticket, signal, since: now, outcome, draw }, place))
