Refuse waiting requests together once none can be served

Cause: when all servers or a route were gone, waiting requests noticed it one after the other, 5 ms apart, as each became the first of its lane.

Change: a request that finds no server at all has its whole lane check, and a plan change has all waiting requests check once. A request that only checks is not sent, so that it overtakes nobody.

Checked: waiting of the daemon.

--- a/crates/core/src/direct/admission/queue.rs
+++ b/crates/core/src/direct/admission/queue.rs
@@ -260,6 +260,11 @@
         QueueDecision::Wait(ticket)
     }
 
+    /// The waiting requests of `lane`.
+    pub fn tickets(&self, lane: &QueueLane) -> impl Iterator<Item = QueueTicket> {
+        self.lanes.get(lane).into_iter().flat_map(|lane| &lane.waiting).map(|one| one.ticket)
+    }
+
     /// The waiting request of `lane` that is sent next.
     pub fn head(&self, now: Moment, lane: &QueueLane) -> Option<QueueTicket> {
         Some(self.first(now, self.lanes.get(lane)?)?.ticket)
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -315,6 +315,7 @@
             self.metrics.set_revision(version.0);
             self.servers().set_cold_rates(rates);
             self.apply_urgencies();
+            self.waiting.recheck_all();
         }
     }
 
--- a/crates/daemon/src/direct/waiting.rs
+++ b/crates/daemon/src/direct/waiting.rs
@@ -120,6 +120,7 @@
     fn try_server(&mut self) -> Result<Option<ChosenServer>, &'static str> {
         let exchange = self.exchange;
         let now = exchange.state.now();
+        let is_next = self.signal.is_next.swap(false, Ordering::Relaxed);
         handler::check_still_admitted(&exchange.state, &exchange.request)?;
         exchange.check_attempt()?;
         let regions = exchange.allowed_regions();
@@ -131,6 +132,8 @@
         let choice = exchange.choose(&regions, self.draw.0, self.request.objective_left(now));
         match &choice {
             ServerChoice::Full(_) => return Ok(None),
+            // A request that only checks must not overtake more urgent ones.
+            ServerChoice::Server(_) if !is_next => return Ok(None),
             ServerChoice::Server(_) => {
                 let waited_ms = now.since(self.since).as_millis() as u64;
                 exchange.log(
@@ -138,7 +141,8 @@
                     json!({ "waited_ms": waited_ms, "rank": self.request.rank.value() }),
                 );
             }
-            ServerChoice::Unavailable => {}
+            // The others of the lane would find no server either.
+            ServerChoice::Unavailable => exchange.state.waiting.recheck_lane(&self.request.lane),
         }
         exchange.accept(choice, &regions).map(Some)
     }
--- a/crates/daemon/src/direct/waiting/requests.rs
+++ b/crates/daemon/src/direct/waiting/requests.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard, OnceLock,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -12,7 +12,7 @@
 use headlatch_core::{
     direct::admission::{
         caller::UsualDeadlines,
-        queue::{AdmissionQueue, QueueBound, QueueTicket},
+        queue::{AdmissionQueue, QueueBound, QueueLane, QueueTicket},
         return_time::ReturnTime,
     },
     time::Moment,
@@ -31,8 +31,10 @@
 /// Signal to one waiting request.
 #[derive(Debug, Default)]
 pub(super) struct WaitSignal {
-    /// The request is the next one of its lane and should look for a server.
+    /// The request should look for a server, or at least check whether one exists.
     pub(super) try_now: Notify,
+    /// The request is the next one of its lane and may be sent.
+    pub(super) is_next: AtomicBool,
     /// The request must be refused.
     pub(super) refused: OnceLock<QueueBound>,
 }
@@ -83,7 +85,23 @@
             }
         }
         for ticket in state.queue.next_heads(now) {
-            state.signals.get(&ticket).iter().for_each(|signal| signal.try_now.notify_one());
+            if let Some(signal) = state.signals.get(&ticket) {
+                signal.is_next.store(true, Ordering::Relaxed);
+                signal.try_now.notify_one();
+            }
+        }
+    }
+
+    /// Has all waiting requests check whether they are still admitted, because the plan has changed.
+    pub fn recheck_all(&self) {
+        self.lock().signals.values().for_each(|signal| signal.try_now.notify_one());
+    }
+
+    /// Has the waiting requests of `lane` check whether any server is left for them.
+    pub(super) fn recheck_lane(&self, lane: &QueueLane) {
+        let state = self.lock();
+        for signal in state.queue.tickets(lane).filter_map(|one| state.signals.get(&one)) {
+            signal.try_now.notify_one();
         }
     }
 }
--- a/crates/daemon/tests/waiting.rs
+++ b/crates/daemon/tests/waiting.rs
@@ -308,6 +308,49 @@
     expect_that!(begun.elapsed(), lt(Duration::from_millis(1500)));
 }
 
+/// Guards against requests that are refused one after the other, so that the last of many hold their callers for
+/// long although no server is left.
+#[gtest]
+#[tokio::test]
+async fn many_waiting_requests_are_refused_together_once_no_server_is_left() {
+    let fixture = Fixture::new(Duration::from_millis(100)).await;
+    let _filled = fixture.fill().await;
+    let asked: Vec<_> =
+        (0..100).map(|nth| fixture.ask(&format!("/stream/{nth}"), Some(1))).collect();
+    fixture.until_waiting(100).await;
+    let server = record("i1", fixture.engine.address, "z1");
+    let models = vec![fixture.model.clone()];
+    let server = ServerRecord { models, draining: true, ..server };
+    let begun = Instant::now();
+    fixture.store.set(FactTopic::Servers, "i1", Fact::Server(server));
+    fixture.until_waiting(0).await;
+    // One by one they take 5 ms each.
+    expect_that!(begun.elapsed(), lt(Duration::from_millis(250)));
+    for one in asked {
+        let refused = answer(one).await;
+        expect_that!(String::from_utf8_lossy(&refused.body), eq("no_server\n"));
+    }
+}
+
+/// Guards against requests of a removed route that wait on behind others.
+#[gtest]
+#[tokio::test]
+async fn many_waiting_requests_are_denied_together_once_their_route_is_removed() {
+    let fixture = Fixture::new(Duration::from_millis(100)).await;
+    let _filled = fixture.fill().await;
+    let asked: Vec<_> =
+        (0..100).map(|nth| fixture.ask(&format!("/stream/{nth}"), Some(1))).collect();
+    fixture.until_waiting(100).await;
+    let newer = TrafficPlan { routes: Vec::new(), ..engine_plan(6) };
+    let begun = Instant::now();
+    fixture.store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(newer)));
+    fixture.until_waiting(0).await;
+    expect_that!(begun.elapsed(), lt(Duration::from_millis(250)));
+    for one in asked {
+        expect_that!(answer(one).await.status, eq(StatusCode::NOT_FOUND));
+    }
+}
+
 /// Guards against requests that may not wait any more because a server could not be connected.
 #[gtest]
 #[tokio::test]
