--- a/crates/core/src/direct/admission/queue.rs
+++ b/crates/core/src/direct/admission/queue.rs
@@ -19,6 +19,10 @@
 /// receives about 16 requests per second, so that more would wait past any objective.
 pub const MAX_WAITING: usize = 128;
 
+/// Maximum number of lanes whose first requests look for a server at a time: each one looks at all servers
+/// of its service, and entries may have a fifth of a processor.
+pub const MAX_TRIED_LANES: usize = 4;
+
 /// Minimum time between the expected start of a late request and its deadline, in which an engine can
 /// still return an answer of usual length.
 const LATE_START_MARGIN: Duration = Duration::from_secs(1);
@@ -36,6 +40,13 @@
     pub regions: AllowedRegions,
 }
 
+impl QueueLane {
+    /// Whether requests of this lane can use every server that those of `other` can use.
+    pub fn contains(&self, other: &Self) -> bool {
+        self.service == other.service && self.regions.intersection(&other.regions) == other.regions
+    }
+}
+
 /// A request that asks to wait.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QueuedRequest {
@@ -66,11 +77,11 @@
         has_objective.then(|| self.arrived + self.objective - self.first_token)
     }
 
-    /// Whether the request may be sent to a server that is predicted to return the first token after
-    /// `predicted`: it arrives in time, or no server could return it in time any more.
-    pub fn accepts(&self, now: Moment, predicted: Duration) -> bool {
-        let in_time = now + predicted <= self.arrived + self.objective;
-        self.objective.is_zero() || in_time || !self.can_be_in_time(now)
+    /// Time in which a server must be predicted to return the first token for the request to be sent there;
+    /// `None` if it has no objective or no server could return the first token in time any more.
+    pub fn objective_left(&self, now: Moment) -> Option<Duration> {
+        let left = (self.arrived + self.objective).since(now);
+        (self.can_be_in_time(now) && !left.is_zero()).then_some(left)
     }
 
     fn can_be_in_time(&self, now: Moment) -> bool {
@@ -174,6 +185,12 @@
     request: QueuedRequest,
 }
 
+impl WaitingRequest {
+    fn urgency_at(&self, now: Moment) -> (bool, usize, UrgencyRank) {
+        self.request.urgency_at(now)
+    }
+}
+
 #[derive(Debug, Default)]
 struct LaneState {
     waiting: Vec<WaitingRequest>,
@@ -186,6 +203,8 @@
     lanes: BTreeMap<QueueLane, LaneState>,
     /// Requests that gave their place to a more urgent one and have not been returned by `due`.
     displaced: Vec<QueueTicket>,
+    /// Requests that `next_heads` has returned and does not return again before the others.
+    tried_heads: Vec<QueueTicket>,
     last_ticket: u64,
     order: Box<dyn OrganisationOrder>,
 }
@@ -199,7 +218,8 @@
 impl AdmissionQueue {
     /// Creates an empty queue with an order among organisations.
     pub fn new(order: Box<dyn OrganisationOrder>) -> Self {
-        Self { lanes: BTreeMap::new(), displaced: Vec::new(), last_ticket: 0, order }
+        let (displaced, tried_heads) = (Vec::new(), Vec::new());
+        Self { lanes: BTreeMap::new(), displaced, tried_heads, last_ticket: 0, order }
     }
 
     /// Number of waiting requests.
@@ -212,16 +232,17 @@
         self.len() == 0
     }
 
-    /// Whether sending `request` now would overtake a waiting request that is at least as urgent. A
-    /// waiting request that is already late does not hold up one that can be in time.
+    /// Whether sending `request` now would overtake a waiting request that is at least as urgent and could
+    /// use the same server. A waiting request that is already late does not hold up one that can be in time.
     pub fn would_overtake(&self, now: Moment, request: &QueuedRequest) -> bool {
-        let waiting = self.lanes.get(&request.lane).map(|lane| lane.waiting.as_slice());
         let own = request.urgency_at(now);
-        waiting.unwrap_or_default().iter().any(|other| other.request.urgency_at(now) <= own)
+        let lanes = self.lanes.iter().filter(|(lane, _)| lane.contains(&request.lane));
+        let mut waiting = lanes.flat_map(|(_, state)| &state.waiting);
+        waiting.any(|other| other.urgency_at(now) <= own)
     }
 
     /// Decides whether `request` may wait, and adds it if so. If the queue is full, it may take the place of
-    /// a less urgent request of the same lane, which the next call of [`Self::due`] returns.
+    /// a less urgent request, which the next call of [`Self::due`] returns.
     pub fn offer(&mut self, now: Moment, request: QueuedRequest) -> QueueDecision {
         let ticket = QueueTicket(self.last_ticket + 1);
         let new = WaitingRequest { ticket, request };
@@ -233,19 +254,57 @@
             return QueueDecision::Refuse(QueueBound::Length);
         }
         self.last_ticket += 1;
-        self.lane(now, &new.request.lane).waiting.push(new);
+        let lane = self.lane(now, &new.request.lane);
+        lane.drain.begin_waiting(now);
+        lane.waiting.push(new);
         QueueDecision::Wait(ticket)
     }
 
+    /// The waiting requests of `lane`.
+    pub fn tickets(&self, lane: &QueueLane) -> impl Iterator<Item = QueueTicket> {
+        self.lanes.get(lane).into_iter().flat_map(|lane| &lane.waiting).map(|one| one.ticket)
+    }
+
     /// The waiting request of `lane` that is sent next.
     pub fn head(&self, now: Moment, lane: &QueueLane) -> Option<QueueTicket> {
-        let waiting = self.lanes.get(lane)?.waiting.iter();
-        Some(waiting.min_by(|one, other| self.compare(now, one, other))?.ticket)
+        Some(self.first(now, self.lanes.get(lane)?)?.ticket)
     }
 
-    /// The waiting requests that are sent next, one for each lane.
+    /// The waiting requests that are sent next, at most one for each lane, the most urgent first. The first
+    /// request of a lane is not among them while one of a lane that contains it goes before it.
     pub fn heads(&self, now: Moment) -> Vec<QueueTicket> {
-        self.lanes.keys().filter_map(|lane| self.head(now, lane)).collect()
+        let firsts = self.lanes.values().filter_map(|lane| self.first(now, lane));
+        let mut firsts: Vec<&WaitingRequest> = firsts.collect();
+        firsts.sort_by(|one, other| self.compare(now, one, other));
+        let heads = firsts.iter().enumerate().filter(|(index, own)| {
+            let mut before = firsts[..*index].iter();
+            !before.any(|one| one.request.lane.contains(&own.request.lane))
+        });
+        heads.map(|(_, head)| head.ticket).collect()
+    }
+
+    /// The next waiting requests that should look for a server: at most [`MAX_TRIED_LANES`] of
+    /// [`Self::heads`], first those that were not returned since all others have been.
+    pub fn next_heads(&mut self, now: Moment) -> Vec<QueueTicket> {
+        let heads = self.heads(now);
+        if heads.len() <= MAX_TRIED_LANES {
+            self.tried_heads.clear();
+            return heads;
+        }
+        let (tried, mut next): (Vec<_>, Vec<_>) =
+            heads.into_iter().partition(|head| self.tried_heads.contains(head));
+        if next.len() > MAX_TRIED_LANES {
+            next.truncate(MAX_TRIED_LANES);
+            self.tried_heads.extend(&next);
+        } else {
+            next.extend(tried.into_iter().take(MAX_TRIED_LANES - next.len()));
+            self.tried_heads.clone_from(&next);
+        }
+        next
+    }
+
+    fn first<'a>(&self, now: Moment, lane: &'a LaneState) -> Option<&'a WaitingRequest> {
+        lane.waiting.iter().min_by(|one, other| self.compare(now, one, other))
     }
 
     /// The place of a waiting request.
@@ -257,10 +316,13 @@
     }
 
     /// Removes a request that is sent or whose caller has disconnected; no effect if it does not wait.
-    pub fn remove(&mut self, ticket: QueueTicket) {
+    pub fn remove(&mut self, now: Moment, ticket: QueueTicket) {
         self.displaced.retain(|displaced| *displaced != ticket);
-        for lane in self.lanes.values_mut() {
+        for lane in self.lanes.values_mut().filter(|lane| !lane.waiting.is_empty()) {
             lane.waiting.retain(|one| one.ticket != ticket);
+            if lane.waiting.is_empty() {
+                lane.drain.end_waiting(now);
+            }
         }
     }
 
@@ -271,16 +333,19 @@
         for lane in self.lanes.values() {
             due.extend(self.due_in(now, lane));
         }
-        due.iter().for_each(|(ticket, _)| self.remove(*ticket));
+        due.iter().for_each(|(ticket, _)| self.remove(now, *ticket));
         due
     }
 
-    /// Records that a request of `lane` with a prompt of `tokens` is sent, whether it waited or not.
+    /// Records that a request of `lane` with a prompt of `tokens` is sent, whether it waited or not. One that
+    /// waited must be recorded before it is removed.
     pub fn record_sent(&mut self, now: Moment, lane: &QueueLane, tokens: PromptTokens) {
-        self.lane(now, lane).drain.record_sent(now, tokens);
+        if let Some(lane) = self.lanes.get_mut(lane) {
+            lane.drain.record_sent(now, tokens);
+        }
     }
 
-    /// Rate at which prompt tokens of `lane` are being sent.
+    /// Rate at which prompt tokens of `lane` are being sent; zero while it is unknown.
     pub fn rate(&self, now: Moment, lane: &QueueLane) -> TokenRate {
         self.lanes.get(lane).map_or(TokenRate::default(), |lane| lane.drain.rate(now))
     }
@@ -288,22 +353,23 @@
     fn lane(&mut self, now: Moment, lane: &QueueLane) -> &mut LaneState {
         if !self.lanes.contains_key(lane) {
             // Plan changes must not leave a stale lane behind for each set of regions.
-            self.lanes.retain(|_, state| {
-                !state.waiting.is_empty() || state.drain.rate(now) > TokenRate::default()
-            });
+            self.lanes.retain(|_, state| !state.waiting.is_empty() || state.drain.is_recent(now));
         }
         self.lanes.entry(lane.clone()).or_default()
     }
 
     /// The requests of a lane that must be refused now. A refused request does not count as ahead of
     /// those behind it.
-    fn due_in(&self, now: Moment, lane: &LaneState) -> Vec<(QueueTicket, QueueBound)> {
-        let mut waiting: Vec<&WaitingRequest> = lane.waiting.iter().collect();
-        waiting.sort_by(|one, other| self.compare(now, one, other));
+    fn due_in<'a>(&self, now: Moment, lane: &'a LaneState) -> Vec<(QueueTicket, QueueBound)> {
+        let with_urgency = |one: &'a WaitingRequest| (one.urgency_at(now), one);
+        let mut waiting: Vec<_> = lane.waiting.iter().map(with_urgency).collect();
+        waiting.sort_by(|(first, one), (second, other)| {
+            first.cmp(second).then_with(|| self.compare_equally_urgent(one, other))
+        });
         let rate = lane.drain.rate(now);
         let mut ahead = PromptTokens::default();
         let mut due = Vec::new();
-        for one in waiting {
+        for (_, one) in waiting {
             let wait = rate.time_for(ahead).unwrap_or_default();
             match one.request.check_start(now + wait) {
                 Ok(()) => ahead = ahead + one.request.tokens,
@@ -313,13 +379,13 @@
         due
     }
 
-    /// Gives the place of the last request of the lane to `new`, if that one is more urgent.
+    /// Gives the place of the least urgent request of all lanes to `new`, if that one is more urgent.
     fn displace_for(&mut self, now: Moment, new: &WaitingRequest) -> bool {
-        let Some(lane) = self.lanes.get(&new.request.lane) else { return false };
-        let last = lane.waiting.iter().max_by(|one, other| self.compare(now, one, other));
-        let last = last.filter(|last| new.request.urgency_at(now) < last.request.urgency_at(now));
+        let waiting = self.lanes.values().flat_map(|lane| &lane.waiting);
+        let last = waiting.max_by(|one, other| self.compare(now, one, other));
+        let last = last.filter(|last| new.urgency_at(now) < last.urgency_at(now));
         let Some(ticket) = last.map(|last| last.ticket) else { return false };
-        self.remove(ticket);
+        self.remove(now, ticket);
         self.displaced.push(ticket);
         true
     }
@@ -339,13 +405,17 @@
         self.rate(now, &request.request.lane).time_for(ahead)
     }
 
-    /// Compares two requests of a lane; the lesser one is sent first.
+    /// Compares two waiting requests; the lesser one is sent first.
     fn compare(&self, now: Moment, one: &WaitingRequest, other: &WaitingRequest) -> Ordering {
+        let urgency = one.urgency_at(now).cmp(&other.urgency_at(now));
+        urgency.then_with(|| self.compare_equally_urgent(one, other))
+    }
+
+    fn compare_equally_urgent(&self, one: &WaitingRequest, other: &WaitingRequest) -> Ordering {
         let (first, second) = (&one.request, &other.request);
-        let urgency = first.urgency_at(now).cmp(&second.urgency_at(now));
         let organisations =
-            || self.order.compare(first.organisation.as_deref(), second.organisation.as_deref());
+            self.order.compare(first.organisation.as_deref(), second.organisation.as_deref());
         let deadline = || first.deadline.cmp(&second.deadline);
-        urgency.then_with(organisations).then_with(deadline).then(one.ticket.cmp(&other.ticket))
+        organisations.then_with(deadline).then(one.ticket.cmp(&other.ticket))
     }
 }
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -31,7 +31,9 @@
 mod speed;
 mod weight_changes;
 
-pub use choice::{ChosenServer, EngineQuery, ExclusionCounts, ServerChoice, ServerQuery};
+pub use choice::{
+    ChosenServer, EngineQuery, ExclusionCounts, FirstTokenBound, ServerChoice, ServerQuery,
+};
 pub use cold::ColdRates;
 pub use signals::Ineligible;
 pub use weight_changes::ContinuationLimits;
--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -89,6 +89,18 @@
     pub work: EngineWork,
     /// Whether the request continues a stream that a caller is reading, so that a late answer beats none.
     pub continues: bool,
+    /// Servers that are excluded because they would return the first token too late.
+    pub bound: FirstTokenBound,
+}
+
+/// Bound of the predicted time to first token of a new request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum FirstTokenBound {
+    /// [`MAX_PREDICTED_PERCENT`] of the objective; idle engines take any request.
+    #[default]
+    Usual,
+    /// The objective, also at idle engines: the request can wait until a server is in time.
+    Objective,
 }
 
 /// A selected server with the data behind the decision.
@@ -131,12 +143,14 @@
 }
 
 impl ServerChoice {
-    /// Returns the remaining capacity of the candidate engines.
-    pub fn engine_headroom(&self) -> EngineHeadroom {
+    /// Returns the remaining capacity of the candidate engines; `may_wait` is whether the request waits if
+    /// they are full.
+    pub fn engine_headroom(&self, may_wait: bool) -> EngineHeadroom {
         match self {
             Self::Server(server) => {
                 server.shortest_wait_load.map_or(EngineHeadroom::Unusable, EngineHeadroom::Best)
             }
+            Self::Full(_) if may_wait => EngineHeadroom::Awaited,
             Self::Full(full) => {
                 full.shortest_wait_load.map_or(EngineHeadroom::Full, EngineHeadroom::Best)
             }
@@ -378,7 +392,7 @@
     }
 
     /// Returns the predicted time to first token as a share of the objective, or [`Exclusion::Late`] if it
-    /// exceeds [`MAX_PREDICTED_PERCENT`].
+    /// exceeds the bound.
     fn lateness(
         &self,
         now: Moment,
@@ -391,9 +405,15 @@
         }
         let may_be_late = engine.continues;
         let predicted = self.predict(now, state, engine);
-        // An idle engine takes any request, including a prompt that is too long for its objective.
-        let idle = self.load(state).waiting_tokens == 0;
-        if !may_be_late && !idle && predicted > objective * MAX_PREDICTED_PERCENT / 100 {
+        let is_late = match engine.bound {
+            // An idle engine takes any request, including a prompt that is too long for its objective.
+            FirstTokenBound::Usual => {
+                let idle = self.load(state).waiting_tokens == 0;
+                !idle && predicted > objective * MAX_PREDICTED_PERCENT / 100
+            }
+            FirstTokenBound::Objective => predicted > objective,
+        };
+        if !may_be_late && is_late {
             return Err(Exclusion::Late(predicted));
         }
         Ok(predicted.as_secs_f64() / objective.as_secs_f64())
--- a/crates/core/tests/return_time.rs
+++ b/crates/core/tests/return_time.rs
@@ -66,6 +66,17 @@
     }
 }
 
+/// Guards against callers with little time left that all return at the same moment.
+#[gtest]
+fn callers_with_little_time_are_spread_as_well() {
+    let times = overloaded(5000);
+    let bounds = ReturnBounds { remaining: Duration::from_millis(1200), ..PATIENT };
+    let time = |draw| times.time(at(5000), "llm", bounds, draw);
+    expect_that!(time(0.0), eq(Duration::from_millis(200)));
+    expect_that!(time(0.5), eq(Duration::from_millis(300)));
+    expect_that!(time(1.0), eq(Duration::from_millis(400)));
+}
+
 /// Guards against callers that return earlier than a server has asked for.
 #[gtest]
 fn the_time_that_servers_ask_for_takes_precedence() {
@@ -119,10 +130,12 @@
 fn the_rate_follows_what_is_sent_within_seconds() {
     let mut rate = DrainRate::default();
     expect_that!(rate.rate(at(0)).per_second(), eq(0.0));
+    rate.begin_waiting(at(0));
     for millis in (0..5000).step_by(10) {
         rate.record_sent(at(millis), PromptTokens(80));
     }
     expect_that!(rate.rate(at(5000)).per_second(), all![ge(7600.0), le(8400.0)]);
+    expect_that!(rate.rate(at(5900)).per_second(), all![ge(3000.0), le(3500.0)]);
     expect_that!(rate.rate(at(6000)).per_second(), le(3200.0));
     expect_that!(rate.rate(at(8000)).per_second(), eq(0.0));
 }
--- a/crates/core/tests/server_speed.rs
+++ b/crates/core/tests/server_speed.rs
@@ -11,7 +11,8 @@
         peers::ServerNotice,
         server_speed::SpeedSource,
         server_table::{
-            ChosenServer, EngineQuery, ServerChoice, ServerQuery, ServerTable, server_key,
+            ChosenServer, EngineQuery, FirstTokenBound, ServerChoice, ServerQuery, ServerTable,
+            server_key,
         },
     },
     time::Moment,
@@ -35,7 +36,12 @@
 /// Chooses a server with the given random number.
 fn choose(table: &ServerTable, now: Moment, random: u64) -> ChosenServer {
     let figures = figures();
-    let engine = EngineQuery { figures: &figures, work: work(&figures, PROMPT), continues: false };
+    let engine = EngineQuery {
+        figures: &figures,
+        work: work(&figures, PROMPT),
+        continues: false,
+        bound: FirstTokenBound::Usual,
+    };
     let query = ServerQuery {
         service: "llm",
         engine: Some(engine),
@@ -55,7 +61,12 @@
     let others: Vec<ServerId> = records().into_iter().map(|record| record.id).collect();
     let others: Vec<ServerId> = others.into_iter().filter(|id| &*id.0 != name).collect();
     let figures = figures();
-    let engine = EngineQuery { figures: &figures, work: work(&figures, PROMPT), continues: false };
+    let engine = EngineQuery {
+        figures: &figures,
+        work: work(&figures, PROMPT),
+        continues: false,
+        bound: FirstTokenBound::Usual,
+    };
     let query = ServerQuery {
         service: "llm",
         engine: Some(engine),
--- a/crates/core/tests/sizes.rs
+++ b/crates/core/tests/sizes.rs
@@ -290,7 +290,12 @@
     fn ask(&mut self, job: Job) {
         let kind = job.kind;
         let work = EngineWork { prompt: job.prompt, objective: KINDS[kind].objective };
-        let engine = EngineQuery { figures: &self.figures, work, continues: false };
+        let engine = EngineQuery {
+            figures: &self.figures,
+            work,
+            continues: false,
+            bound: Default::default(),
+        };
         let query = ServerQuery {
             service: "llm",
             engine: Some(engine),
@@ -309,7 +314,7 @@
             urgency: None,
             prompt_tokens: job.prompt,
         };
-        let shed = self.shedders[job.entry].refuses(self.now, &new, choice.engine_headroom());
+        let shed = self.shedders[job.entry].refuses(self.now, &new, choice.engine_headroom(false));
         match choice {
             ServerChoice::Server(server) if shed.is_none() => {
                 self.tables[job.entry].begin(&server.id, job.prompt);
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -5,7 +5,7 @@
 use headlatch_core::{
     direct::{
         admission::shedding::{NewRequest, ShedRank},
-        server_table::{ChosenServer, EngineQuery, ServerChoice, ServerOutcome, ServerQuery},
+        server_table::{ChosenServer, ServerChoice, ServerOutcome, ServerQuery},
         suspects::{ProgressAtEnd, QUARANTINE_TIME},
     },
     time::Moment,
@@ -67,7 +67,7 @@
     /// Server for the next attempt, selected while the previous one had not responded.
     pub reserved: Option<ChosenServer>,
     /// Attempts that reached a server.
-    sends: u32,
+    pub(super) sends: u32,
     /// Attempts that reached a server and may have run.
     possible_runs: u32,
     verdict: Option<RunVerdict>,
@@ -168,16 +168,16 @@
         routes.allowed_regions(route, request.tenant.as_deref(), admitted)
     }
 
-    /// Selects among the servers with the random number `draw`.
-    pub(super) fn choose(&self, regions: &AllowedRegions, draw: u64) -> ServerChoice {
-        let engine = self.request.engine.as_ref().zip(self.request.engine_work());
+    /// Selects among the servers with the random number `draw`; with `objective_left`, among those in time.
+    pub(super) fn choose(
+        &self,
+        regions: &AllowedRegions,
+        draw: u64,
+        objective_left: Option<Duration>,
+    ) -> ServerChoice {
         let query = ServerQuery {
             service: &self.request.service,
-            engine: engine.map(|(figures, work)| EngineQuery {
-                figures,
-                work,
-                continues: self.answer_begun,
-            }),
+            engine: self.request.engine_query(self.answer_begun, objective_left),
             regions,
             min_version: attempt::min_version(&self.state, &self.request),
             tried: &self.tried,
@@ -206,7 +206,8 @@
             urgency: self.request.urgency,
             prompt_tokens: work.prompt,
         };
-        self.state.shedder().refuses(self.state.now(), &request, choice.engine_headroom())
+        let headroom = choice.engine_headroom(request.urgency.is_some());
+        self.state.shedder().refuses(self.state.now(), &request, headroom)
     }
 
     /// Whether one more attempt is allowed.
@@ -251,9 +252,9 @@
     fn pick_server(&self) -> Result<ChosenServer, &'static str> {
         self.check_attempt()?;
         let regions = self.allowed_regions();
-        let choice = self.choose(&regions, rand::rng().random());
+        let choice = self.choose(&regions, rand::rng().random(), None);
         if let Some(share) = self.shed_share(&regions, &choice) {
-            self.log("load_shed", json!({ "share": share }));
+            self.log(LOAD_SHED, json!({ "share": share }));
             return Err(LOAD_SHED);
         }
         self.accept(choice, &regions)
@@ -283,8 +284,7 @@
             }
         };
         if self.sends > 0 {
-            let entries = self.state.entries();
-            let now = self.state.now();
+            let (now, entries) = (self.state.now(), self.state.entries());
             if !self.state.retries().try_take(now, &self.request.service, entries) {
                 return Err("retry_budget");
             }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -47,7 +47,7 @@
     plan_copy::PlanCopy,
     quarantine::Quarantine,
     unknown_names::{FieldCounter, UnknownNames},
-    waiting::WaitingRoom,
+    waiting::WaitingRequests,
 };
 use crate::{decisions, metrics::NodeMetrics, timer::NodeClock};
 
@@ -98,7 +98,7 @@
     /// Decides which fraction of the requests is shed while engines are full.
     shedder: Mutex<LoadShedder>,
     /// Requests that wait for a server.
-    pub waiting: WaitingRoom,
+    pub waiting: WaitingRequests,
     /// Recent request sizes by route.
     sizes: Mutex<SizeRanks>,
     peers: Mutex<PeerTable>,
@@ -192,7 +192,7 @@
             evacuated: Mutex::default(),
             retries: Mutex::new(RetryShare::new(budget, start)),
             shedder: Mutex::default(),
-            waiting: WaitingRoom::default(),
+            waiting: WaitingRequests::default(),
             sizes: Mutex::default(),
             peers: Mutex::new(peers),
             loads_changed: Notify::new(),
@@ -312,6 +312,7 @@
             self.metrics.set_revision(version.0);
             self.servers().set_cold_rates(rates);
             self.apply_urgencies();
+            self.waiting.recheck_all();
         }
     }
 
@@ -508,7 +509,6 @@
     /// Triggers a notice about changed loads at busy servers to the other entries of the failure
     /// domain.
     pub fn notify_load_changes(&self) {
-        self.waiting.wake();
         if self.servers().has_urgent_load_changes() {
             self.loads_changed.notify_one();
         }
--- a/crates/daemon/src/direct/waiting.rs
+++ b/crates/daemon/src/direct/waiting.rs
@@ -4,24 +4,17 @@
 //! or are refused, and the times of other refusals do not depend on the load.
 
 use std::{
-    collections::HashMap,
-    sync::{
-        Arc, Mutex, MutexGuard, OnceLock,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
 use headlatch_core::{
     direct::{
         admission::{
-            caller::{CallerKind, UsualDeadlines},
+            caller::CallerKind,
             drain_rate::PromptTokens,
-            queue::{
-                AdmissionQueue, QueueBound, QueueDecision, QueueLane, QueuePlace, QueueTicket,
-                QueuedRequest,
-            },
-            return_time::{ReturnBounds, ReturnTime},
+            queue::{QueueBound, QueueDecision, QueueLane, QueuePlace, QueueTicket, QueuedRequest},
+            return_time::ReturnBounds,
         },
         engine_model::{EngineLoad, time_to_first_token},
         server_table::{ChosenServer, ExclusionCounts, ServerChoice},
@@ -31,16 +24,19 @@
 use http::StatusCode;
 use rand::Rng;
 use serde_json::json;
-use tokio::sync::Notify;
 
 use super::{
     answer::ErrorResponse,
     exchange::{Exchange, LOAD_SHED},
     handler,
     notices::NOTICE_INTERVAL,
-    state::EntryState,
 };
 
+mod requests;
+
+use requests::WaitSignal;
+pub use requests::{WaitingRequests, run};
+
 /// Refusal cause: every server is at its limit or would answer too late.
 pub(super) const SERVERS_FULL: &str = "servers_full";
 
@@ -50,88 +46,6 @@
 /// Random addition to it, so that callers do not return at the same moment.
 const FIXED_RETRY_JITTER_MS: u64 = 1000;
 
-/// Interval at which the first waiting requests are tried while no change of load is known.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
-
-/// Minimum interval between two tries: entries receive up to several notices per millisecond, and each try
-/// looks at all servers of the service.
-const MIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
-
-/// Signal to one waiting request.
-#[derive(Debug, Default)]
-struct WaitSignal {
-    /// The request is the next one of its lane and should look for a server.
-    try_now: Notify,
-    /// The request must be refused.
-    refused: OnceLock<QueueBound>,
-}
-
-#[derive(Debug, Default)]
-struct RoomState {
-    queue: AdmissionQueue,
-    signals: HashMap<QueueTicket, Arc<WaitSignal>>,
-    deadlines: UsualDeadlines,
-    return_times: ReturnTime,
-}
-
-/// The waiting requests of one entry.
-#[derive(Debug, Default)]
-pub struct WaitingRoom {
-    state: Mutex<RoomState>,
-    count: AtomicUsize,
-    /// Signalled when a waiting request may find a server or must be refused.
-    changed: Notify,
-}
-
-impl WaitingRoom {
-    fn lock(&self) -> MutexGuard<'_, RoomState> {
-        self.state.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-    }
-
-    /// Number of waiting requests.
-    pub fn count(&self) -> usize {
-        self.count.load(Ordering::Relaxed)
-    }
-
-    /// Has the first waiting requests look for a server, because a load or a server has changed.
-    pub fn wake(&self) {
-        if self.count() > 0 {
-            self.changed.notify_one();
-        }
-    }
-
-    /// Signals the requests that must be refused and those that are sent next.
-    fn signal(&self, now: Moment) {
-        let mut state = self.lock();
-        for (ticket, bound) in state.queue.due(now) {
-            if let Some(signal) = state.signals.get(&ticket) {
-                // A second bound does not change the refusal.
-                let _ = signal.refused.set(bound);
-                signal.try_now.notify_one();
-            }
-        }
-        for ticket in state.queue.heads(now) {
-            state.signals.get(&ticket).iter().for_each(|signal| signal.try_now.notify_one());
-        }
-    }
-}
-
-/// Signals waiting requests whenever a load changes, and at regular intervals while any request waits.
-pub async fn run(state: Arc<EntryState>) {
-    let room = &state.waiting;
-    loop {
-        room.signal(state.now());
-        if room.count() == 0 {
-            room.changed.notified().await;
-            continue;
-        }
-        tokio::time::sleep(MIN_POLL_INTERVAL).await;
-        let rest = POLL_INTERVAL - MIN_POLL_INTERVAL;
-        // Both a change and the end of the interval lead to the next try.
-        let _ = tokio::time::timeout(rest, room.changed.notified()).await;
-    }
-}
-
 /// How a request left the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum QueueOutcome {
@@ -176,8 +90,8 @@
         exchange: &'a Exchange,
         request: QueuedRequest,
     ) -> Result<(Self, Option<QueuePlace>), QueueBound> {
-        let (room, now) = (&exchange.state.waiting, exchange.state.now());
-        let mut state = room.lock();
+        let (waiting, now) = (&exchange.state.waiting, exchange.state.now());
+        let mut state = waiting.lock();
         let ticket = match state.queue.offer(now, request.clone()) {
             QueueDecision::Wait(ticket) => ticket,
             QueueDecision::Refuse(bound) => return Err(bound),
@@ -186,8 +100,8 @@
         state.signals.insert(ticket, signal.clone());
         let place = state.queue.place(now, ticket);
         drop(state);
-        room.count.fetch_add(1, Ordering::Relaxed);
-        room.changed.notify_one();
+        waiting.count.fetch_add(1, Ordering::Relaxed);
+        waiting.changed.notify_one();
         exchange.state.metrics.add_waiting(&request.lane.service, request.rank, 1);
         let (outcome, draw) = (QueueOutcome::Left, (rand::rng().random(), now));
         Ok((Self { exchange, request, ticket, signal, since: now, outcome, draw }, place))
@@ -206,6 +120,7 @@
     fn try_server(&mut self) -> Result<Option<ChosenServer>, &'static str> {
         let exchange = self.exchange;
         let now = exchange.state.now();
+        let is_next = self.signal.is_next.swap(false, Ordering::Relaxed);
         handler::check_still_admitted(&exchange.state, &exchange.request)?;
         exchange.check_attempt()?;
         let regions = exchange.allowed_regions();
@@ -214,14 +129,11 @@
         if now.since(self.draw.1) >= NOTICE_INTERVAL {
             self.draw = (rand::rng().random(), now);
         }
-        let choice = exchange.choose(&regions, self.draw.0);
+        let choice = exchange.choose(&regions, self.draw.0, self.request.objective_left(now));
         match &choice {
             ServerChoice::Full(_) => return Ok(None),
-            ServerChoice::Server(server)
-                if !self.request.accepts(now, server.predicted.unwrap_or_default()) =>
-            {
-                return Ok(None);
-            }
+            // A request that only checks must not overtake more urgent ones.
+            ServerChoice::Server(_) if !is_next => return Ok(None),
             ServerChoice::Server(_) => {
                 let waited_ms = now.since(self.since).as_millis() as u64;
                 exchange.log(
@@ -229,7 +141,8 @@
                     json!({ "waited_ms": waited_ms, "rank": self.request.rank.value() }),
                 );
             }
-            ServerChoice::Unavailable => {}
+            // The others of the lane would find no server either.
+            ServerChoice::Unavailable => exchange.state.waiting.recheck_lane(&self.request.lane),
         }
         exchange.accept(choice, &regions).map(Some)
     }
@@ -239,7 +152,7 @@
     fn drop(&mut self) {
         let entry = &self.exchange.state;
         let mut state = entry.waiting.lock();
-        state.queue.remove(self.ticket);
+        state.queue.remove(entry.now(), self.ticket);
         state.signals.remove(&self.ticket);
         drop(state);
         entry.waiting.count.fetch_sub(1, Ordering::Relaxed);
@@ -270,8 +183,8 @@
 ) -> Result<ChosenServer, &'static str> {
     exchange.check_attempt()?;
     let (entry, now) = (&exchange.state, exchange.state.now());
-    let (lane, tokens) = (request.lane.clone(), request.tokens);
-    let choice = exchange.choose(&lane.regions, rand::rng().random());
+    let lane = request.lane.clone();
+    let choice = exchange.choose(&lane.regions, rand::rng().random(), None);
     let share = exchange.shed_share(&lane.regions, &choice);
     let must_wait = match (&choice, share) {
         // Even a request that is drawn for load shedding may wait: the queue predicts whether it would be
@@ -289,11 +202,11 @@
         (ServerChoice::Server(_), None) => entry.waiting.lock().queue.would_overtake(now, &request),
         (ServerChoice::Unavailable, None) => false,
     };
-    let server = match must_wait {
-        true => wait(exchange, request).await?,
-        false => exchange.accept(choice, &lane.regions)?,
-    };
-    entry.waiting.lock().queue.record_sent(entry.now(), &lane, tokens);
+    if must_wait {
+        return wait(exchange, request).await;
+    }
+    let server = exchange.accept(choice, &lane.regions)?;
+    entry.waiting.lock().queue.record_sent(now, &lane, request.tokens);
     Ok(server)
 }
 
@@ -320,6 +233,9 @@
             Ok(None) => {}
             Ok(Some(server)) => {
                 waiter.outcome = QueueOutcome::Sent;
+                let (entry, request) = (&exchange.state, &waiter.request);
+                let mut state = entry.waiting.lock();
+                state.queue.record_sent(entry.now(), &request.lane, request.tokens);
                 return Ok(server);
             }
             Err(cause) => {
@@ -331,10 +247,11 @@
 }
 
 /// The request as the queue sees it; `None` if it may not wait, because its service does not distinguish
-/// urgencies or because it has been sent before.
+/// urgencies or because it has been sent before. An attempt that sent nothing does not count.
 fn queued_request(exchange: &Exchange) -> Option<QueuedRequest> {
     let (request, now) = (&exchange.request, exchange.state.now());
-    let rank = request.urgency.filter(|_| exchange.tried.is_empty())?;
+    let is_unsent = exchange.sends == 0 && exchange.reserved.is_none();
+    let rank = request.urgency.filter(|_| is_unsent)?;
     let (figures, work) = request.engine.as_ref().zip(request.engine_work())?;
     let caller = request
         .facts
--- a/crates/daemon/tests/waiting.rs
+++ b/crates/daemon/tests/waiting.rs
@@ -307,3 +307,67 @@
     }
     expect_that!(begun.elapsed(), lt(Duration::from_millis(1500)));
 }
+
+/// Guards against requests that are refused one after the other, so that the last of many hold their callers for
+/// long although no server is left.
+#[gtest]
+#[tokio::test]
+async fn many_waiting_requests_are_refused_together_once_no_server_is_left() {
+    let fixture = Fixture::new(Duration::from_millis(100)).await;
+    let _filled = fixture.fill().await;
+    let asked: Vec<_> =
+        (0..100).map(|nth| fixture.ask(&format!("/stream/{nth}"), Some(1))).collect();
+    fixture.until_waiting(100).await;
+    let server = record("i1", fixture.engine.address, "z1");
+    let models = vec![fixture.model.clone()];
+    let server = ServerRecord { models, draining: true, ..server };
+    let begun = Instant::now();
+    fixture.store.set(FactTopic::Servers, "i1", Fact::Server(server));
+    fixture.until_waiting(0).await;
+    // One by one they take 5 ms each.
+    expect_that!(begun.elapsed(), lt(Duration::from_millis(250)));
+    for one in asked {
+        let refused = answer(one).await;
+        expect_that!(String::from_utf8_lossy(&refused.body), eq("no_server\n"));
+    }
+}
+
+/// Guards against requests of a removed route that wait on behind others.
+#[gtest]
+#[tokio::test]
+async fn many_waiting_requests_are_denied_together_once_their_route_is_removed() {
+    let fixture = Fixture::new(Duration::from_millis(100)).await;
+    let _filled = fixture.fill().await;
+    let asked: Vec<_> =
+        (0..100).map(|nth| fixture.ask(&format!("/stream/{nth}"), Some(1))).collect();
+    fixture.until_waiting(100).await;
+    let newer = TrafficPlan { routes: Vec::new(), ..engine_plan(6) };
+    let begun = Instant::now();
+    fixture.store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(newer)));
+    fixture.until_waiting(0).await;
+    expect_that!(begun.elapsed(), lt(Duration::from_millis(250)));
+    for one in asked {
+        expect_that!(answer(one).await.status, eq(StatusCode::NOT_FOUND));
+    }
+}
+
+/// Guards against requests that may not wait any more because a server could not be connected.
+#[gtest]
+#[tokio::test]
+async fn a_request_waits_after_an_attempt_that_sent_nothing() {
+    let fixture = Fixture::new(Duration::from_millis(30)).await;
+    let filled = fixture.fill().await;
+    let closed = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+    let address = closed.local_addr().expect("listener is bound");
+    drop(closed);
+    let server =
+        ServerRecord { models: vec![fixture.model.clone()], ..record("i2", address, "z1") };
+    fixture.store.set(FactTopic::Servers, "i2", Fact::Server(server));
+    until(|| fixture.state.servers().records().count() == 2).await;
+    let asked = fixture.ask("/stream/waits", Some(1));
+    expect_that!(answer(asked).await.status, eq(StatusCode::OK));
+    expect_that!(fixture.outcomes(1, "sent"), eq(1));
+    for one in filled {
+        expect_that!(answer(one).await.status, eq(StatusCode::OK));
+    }
+}
