Test the admission queue with routes of different priority

Cause: handler::handle_with was a public function for tests only, which replaced the rank of admitted requests.

Change: it is removed. The tests of waiting requests use a plan whose routes differ in priority and the entry's own listener; the test of a service without urgency uses a plan with a single priority.

Checked: waiting of the daemon.

--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -119,19 +119,10 @@
 
 /// Handles one request.
 pub async fn handle(state: Arc<EntryState>, request: Request<Incoming>) -> Response<AnswerBody> {
-    handle_with(state, request, |admitted| admitted).await
-}
-
-/// Same as [`handle`], with `adjust` applied to the request once it has been admitted.
-pub async fn handle_with(
-    state: Arc<EntryState>,
-    request: Request<Incoming>,
-    adjust: impl FnOnce(AdmittedRequest) -> AdmittedRequest,
-) -> Response<AnswerBody> {
     let held = InProgressGuard::new(state.clone());
     let facts = state.headers.read_request(request.headers());
     let id = facts.id.clone().unwrap_or_default();
-    let admitted = admit(&state, request, facts).await.map(adjust);
+    let admitted = admit(&state, request, facts).await;
     let answered = match admitted {
         Ok(plan) => exchange::run(&state, plan).await,
         Err(given_up) => {
--- a/crates/daemon/tests/waiting.rs
+++ b/crates/daemon/tests/waiting.rs
@@ -2,22 +2,18 @@
 
 mod support;
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use googletest::prelude::*;
 use headlatch_core::direct::admission::urgency::UrgencyRank;
-use headlatch_daemon::direct::{
-    entry::DirectEntry, handler, handler::AdmittedRequest, state::EntryState,
-};
+use headlatch_daemon::direct::{entry::DirectEntry, state::EntryState};
 use headlatch_http::CallResponse;
 use headlatch_outside::facts::{Fact, FactTopic};
 use headlatch_types::traffic::{
     EngineCapacity, HeldModel, Route, RouteKind, ServerRecord, ServicePlan, TrafficPlan,
     WeightVersion,
 };
-use http::{Request, StatusCode};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
+use http::StatusCode;
 use support::{
     TestHeaders, TestStore, ask_with, paced::EventPace, plan, record, route, server::TestServer,
     settings,
@@ -37,7 +33,7 @@
 
 type Answer = std::result::Result<CallResponse, String>;
 
-/// An entry in front of one engine, with a listener that gives requests the rank in their header `x-rank`.
+/// An entry in front of one engine, with a route for each rank.
 struct Fixture {
     state: Arc<EntryState>,
     entry: DirectEntry,
@@ -50,6 +46,10 @@
 impl Fixture {
     /// Streams of the engine take 20 times `gap`.
     async fn new(gap: Duration) -> Self {
+        Self::with_plan(gap, engine_plan(5)).await
+    }
+
+    async fn with_plan(gap: Duration, plan: TrafficPlan) -> Self {
         let engine = TestServer::start(EventPace { gap, ..EventPace::default() }).await;
         let model = "m".parse().expect("valid name");
         let model = HeldModel { model, version: WeightVersion(1), layers: Vec::new() };
@@ -59,24 +59,26 @@
         let state = EntryState::new(own, Arc::new(TestHeaders));
         let server =
             ServerRecord { models: vec![model.clone()], ..record("i1", engine.address, "z1") };
-        store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(engine_plan(5))));
+        store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan)));
         store.set(FactTopic::Servers, "i1", Fact::Server(server));
         let entry =
             DirectEntry::start_on(state.clone(), store.clone()).await.expect("entry starts");
         while !state.is_ready() {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        let address = listen(state.clone()).await;
+        let address = entry.address;
         Self { state, entry, address, engine, store, model }
     }
 
-    /// Sends a request; without a rank its service does not distinguish urgencies.
+    /// Sends a request to the route of a rank, or to the path as it is.
     fn ask(&self, path: &str, rank: Option<usize>) -> JoinHandle<Answer> {
-        let (address, path) = (self.address, path.to_owned());
+        let address = self.address;
+        let path = match rank {
+            Some(rank) => path.replace("/stream/", &format!("/stream/rank-{rank}/")),
+            None => path.to_owned(),
+        };
         tokio::spawn(async move {
-            let rank = rank.map(|rank| rank.to_string()).unwrap_or_default();
-            let lines = [("x-key", "k"), ("x-id", path.as_str()), ("x-rank", rank.as_str())];
-            ask_with(address, &path, &lines).await
+            ask_with(address, &path, &[("x-key", "k"), ("x-id", path.as_str())]).await
         })
     }
 
@@ -109,6 +111,12 @@
 }
 
 fn engine_plan(version: u64) -> TrafficPlan {
+    plan_with(version, [0, 1, 2, 3])
+}
+
+/// A plan whose routes `stream-0` to `stream-3` have these priorities; `brief` has that of `stream-1`, `stream`
+/// that of `stream-3`.
+fn plan_with(version: u64, priorities: [u8; 4]) -> TrafficPlan {
     let figures = EngineCapacity {
         slots: SLOTS,
         step_ms: 7.0,
@@ -119,36 +127,20 @@
         ..EngineCapacity::default()
     };
     let service = ServicePlan { engine: Some(figures), ..ServicePlan::default() };
+    let mut routes: Vec<Route> = (0..)
+        .zip(priorities)
+        .map(|(nth, priority)| Route {
+            path_prefix: format!("/stream/rank-{nth}/"),
+            priority,
+            ..route(&format!("stream-{nth}"), RouteKind::Stream)
+        })
+        .collect();
+    routes.push(Route { priority: priorities[3], ..route("stream", RouteKind::Stream) });
     let brief = Route { objective_ms: 400, timeout_ms: 1500, ..route("brief", RouteKind::Stream) };
-    let routes = vec![route("stream", RouteKind::Stream), brief];
+    routes.push(Route { priority: priorities[1], ..brief });
     TrafficPlan { services: [("s".into(), service)].into(), routes, ..plan(version) }
 }
 
-fn with_rank(mut admitted: AdmittedRequest) -> AdmittedRequest {
-    let rank = admitted.headers.get("x-rank").and_then(|rank| rank.to_str().ok()?.parse().ok());
-    admitted.urgency = rank.map(UrgencyRank::new);
-    admitted
-}
-
-async fn listen(state: Arc<EntryState>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
-    let address = listener.local_addr().expect("listener is bound");
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let state = state.clone();
-            let service = service_fn(move |request: Request<Incoming>| {
-                let state = state.clone();
-                async move { Ok::<_, Infallible>(handler::handle_with(state, request, with_rank).await) }
-            });
-            tokio::spawn(async move {
-                // Connection errors are caused by callers that disconnect.
-                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
-            });
-        }
-    });
-    address
-}
-
 async fn answer(asked: JoinHandle<Answer>) -> CallResponse {
     asked.await.expect("task does not panic").expect("response")
 }
@@ -179,7 +171,7 @@
 #[gtest]
 #[tokio::test]
 async fn a_request_without_urgency_is_refused_at_once_with_a_fixed_retry_after() {
-    let fixture = Fixture::new(Duration::from_millis(50)).await;
+    let fixture = Fixture::with_plan(Duration::from_millis(50), plan_with(5, [1; 4])).await;
     let _filled = fixture.fill().await;
     let begun = Instant::now();
     for number in 0..8 {
@@ -212,7 +204,7 @@
     }
     let seen = fixture.engine.seen();
     let place = |path: &str| seen.iter().position(|head| head.contains(path));
-    expect_that!(place("/stream/urgent"), some(lt(place("/stream/patient").expect("it is sent"))));
+    expect_that!(place("/urgent"), some(lt(place("/patient").expect("it is sent"))));
 }
 
 /// Guards against tickets of callers that disconnect, and against sending their requests to an engine.
@@ -222,7 +214,8 @@
     let fixture = Fixture::new(Duration::from_millis(60)).await;
     let filled = fixture.fill().await;
     let mut stream = TcpStream::connect(fixture.address).await.expect("entry listens");
-    let head = "GET /stream/gone HTTP/1.1\r\nhost: a.example\r\nx-key: k\r\nx-id: gone\r\nx-rank: 1\r\n\r\n";
+    let head =
+        "GET /stream/rank-1/gone HTTP/1.1\r\nhost: a.example\r\nx-key: k\r\nx-id: gone\r\n\r\n";
     stream.write_all(head.as_bytes()).await.expect("connection is open");
     fixture.until_waiting(1).await;
     let closed = Instant::now();
@@ -260,7 +253,7 @@
     let fixture = Fixture::new(Duration::from_millis(100)).await;
     let _filled = fixture.fill().await;
     let begun = Instant::now();
-    let refused = answer(fixture.ask("/brief/late", Some(1))).await;
+    let refused = answer(fixture.ask("/brief/late", None)).await;
     expect_that!(begun.elapsed(), lt(Duration::from_millis(800)));
     expect_that!(refused.status, eq(StatusCode::SERVICE_UNAVAILABLE));
     expect_that!(String::from_utf8_lossy(&refused.body), eq("queue_late\n"));
