Rank waiting requests under the plan in force

Cause: a waiting request kept the rank of the plan that admitted it, so that it was compared by another scale than requests that arrived after a plan change. The test of a plan change gave ranks by hand and could not show that.

Change: a plan change has waiting requests look up their rank in the plan in force; a request whose service no longer distinguishes urgencies keeps the one it has. a_plan_that_changes_priorities_keeps_the_order_of_waiting_requests now changes the ranks of requests that wait.

Checked: admission_queue of the core; waiting of the daemon, whose new test failed without the look-up.

--- a/crates/core/src/direct/admission/queue.rs
+++ b/crates/core/src/direct/admission/queue.rs
@@ -315,6 +315,14 @@
         Some(QueuePlace { ahead, predicted_wait: self.predicted_wait(now, request) })
     }
 
+    /// Changes the rank of a waiting request, because a newer plan has other priorities.
+    pub fn set_rank(&mut self, ticket: QueueTicket, rank: UrgencyRank) {
+        let mut waiting = self.lanes.values_mut().flat_map(|lane| &mut lane.waiting);
+        if let Some(one) = waiting.find(|one| one.ticket == ticket) {
+            one.request.rank = rank;
+        }
+    }
+
     /// Removes a request that is sent or whose caller has disconnected; no effect if it does not wait.
     pub fn remove(&mut self, now: Moment, ticket: QueueTicket) {
         self.displaced.retain(|displaced| *displaced != ticket);
--- a/crates/core/tests/admission_queue.rs
+++ b/crates/core/tests/admission_queue.rs
@@ -6,6 +6,7 @@
 use headlatch_core::direct::admission::{
     drain_rate::PromptTokens,
     queue::{AdmissionQueue, MAX_WAITING, QueueBound, QueueDecision, QueueLane, QueuedRequest},
+    urgency::UrgencyRank,
 };
 use headlatch_types::traffic::AllowedRegions;
 use rstest::rstest;
@@ -329,16 +330,27 @@
     expect_that!(queue.would_overtake(at(500), &ranked(at(500), 3)), eq(true));
 }
 
-/// Guards against ranks of an earlier plan that are lost or sent out of turn once a plan has fewer ranks.
+/// Guards against waiting requests that keep the rank of an earlier plan beside new ones with ranks of the plan
+/// in force.
 #[gtest]
 fn a_plan_that_changes_priorities_keeps_the_order_of_waiting_requests() {
     let mut queue = AdmissionQueue::default();
-    let before = wait(&mut queue, at(0), ranked(at(0), 7));
-    // The newer plan has the ranks 0 and 1 only.
+    let urgent = wait(&mut queue, at(0), ranked(at(0), 2));
+    let patient = wait(&mut queue, at(0), ranked(at(0), 7));
+    // The newer plan has the ranks 0 to 2 only.
+    queue.set_rank(patient, UrgencyRank::new(2));
+    queue.set_rank(urgent, UrgencyRank::new(0));
     let after = wait(&mut queue, at(100), ranked(at(100), 1));
-    expect_that!(queue.head(at(100), &lane("llm")), some(eq(after)));
-    queue.remove(at(100), after);
-    expect_that!(queue.head(at(100), &lane("llm")), some(eq(before)));
+    expect_that!(queue.would_overtake(at(100), &ranked(at(100), 2)), eq(true));
+    let order = std::iter::from_fn(|| {
+        let ticket = queue.head(at(100), &lane("llm"))?;
+        queue.remove(at(100), ticket);
+        Some(ticket)
+    });
+    expect_that!(order.collect::<Vec<_>>(), elements_are![eq(&urgent), eq(&after), eq(&patient)]);
+    // The request has left; its rank no longer matters.
+    queue.set_rank(urgent, UrgencyRank::new(1));
+    expect_that!(queue.is_empty(), eq(true));
 }
 
 /// Guards against an order among organisations that overrides urgency.
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -285,6 +285,15 @@
     organisation.map(|_| ()).map_err(|_| UNKNOWN_KEY)
 }
 
+/// The rank of a request under the plan in force; `None` if that plan lacks its route or does not distinguish
+/// urgencies of its service.
+pub(super) fn rank_in_force(state: &EntryState, request: &AdmittedRequest) -> Option<UrgencyRank> {
+    let routes = state.routes()?;
+    let route = routes.route_named(&request.route.name)?;
+    let organisation = routes.organisation(route, request.facts.key.as_deref()).ok()?;
+    routes.urgencies().rank(&request.service, RequestUrgency::new(organisation, route))
+}
+
 fn host_of<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> &'a str {
     let host = headers.get(header::HOST).and_then(|value| value.to_str().ok());
     host.or_else(|| uri.host()).unwrap_or_default()
--- a/crates/daemon/src/direct/waiting.rs
+++ b/crates/daemon/src/direct/waiting.rs
@@ -115,6 +115,17 @@
         }
     }
 
+    /// Applies the rank under the plan in force, which may be newer than the one that admitted the request.
+    fn update_rank(&mut self) {
+        let (entry, request) = (&self.exchange.state, &mut self.request);
+        let rank = handler::rank_in_force(entry, &self.exchange.request);
+        let Some(rank) = rank.filter(|rank| *rank != request.rank) else { return };
+        entry.waiting.lock().queue.set_rank(self.ticket, rank);
+        entry.metrics.add_waiting(&request.lane.service, request.rank, -1);
+        entry.metrics.add_waiting(&request.lane.service, rank, 1);
+        request.rank = rank;
+    }
+
     /// Looks for a server; `None` if the request has to wait on. Everything that excludes a server or the
     /// request is checked as it is now.
     fn try_server(&mut self) -> Result<Option<ChosenServer>, &'static str> {
@@ -122,6 +133,7 @@
         let now = exchange.state.now();
         let is_next = self.signal.is_next.swap(false, Ordering::Relaxed);
         handler::check_still_admitted(&exchange.state, &exchange.request)?;
+        self.update_rank();
         exchange.check_attempt()?;
         let regions = exchange.allowed_regions();
         // Each draw stands for one arrival: new ones between two notices would multiply the requests to
--- a/crates/daemon/tests/waiting.rs
+++ b/crates/daemon/tests/waiting.rs
@@ -207,6 +207,28 @@
     expect_that!(place("/urgent"), some(lt(place("/patient").expect("it is sent"))));
 }
 
+/// Guards against waiting requests that are sent in the order of an earlier plan.
+#[gtest]
+#[tokio::test]
+async fn a_plan_that_changes_priorities_changes_the_order_of_waiting_requests() {
+    let fixture = Fixture::new(Duration::from_millis(60)).await;
+    let filled = fixture.fill().await;
+    let asked = [fixture.ask("/stream/patient", Some(0)), fixture.ask("/stream/urgent", Some(2))];
+    fixture.until_waiting(2).await;
+    let waiting = |rank| fixture.state.metrics.waiting("s", UrgencyRank::new(rank));
+    expect_that!([0, 1, 2, 3].map(waiting), eq([1, 0, 1, 0]));
+    let newer = plan_with(6, [3, 2, 1, 0]);
+    fixture.store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(newer)));
+    until(|| [0, 1, 2, 3].map(waiting) == [0, 1, 0, 1]).await;
+    for one in filled.into_iter().chain(asked) {
+        expect_that!(answer(one).await.status, eq(StatusCode::OK));
+    }
+    let seen = fixture.engine.seen();
+    let place = |path: &str| seen.iter().position(|head| head.contains(path));
+    expect_that!(place("/urgent"), some(lt(place("/patient").expect("it is sent"))));
+    expect_that!([0, 1, 2, 3].map(waiting), eq([0; 4]));
+}
+
 /// Guards against tickets of callers that disconnect, and against sending their requests to an engine.
 #[gtest]
 #[tokio::test]
