--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -119,19 +119,10 @@
 
 /// Handles one request.
 pub async fn handle(state: Arc<EntryState>, request: Request<Incoming>) -> Response<AnswerBody> {
-    handle_with(state, request, |admitted| admitted).await
-}
-
-/// Same as [`handle`], with `adjust` applied to the request once it has been admitted.
-pub async fn handle_with(
-    state: Arc<EntryState>,
-    request: Request<Incoming>,
-    adjust: impl FnOnce(AdmittedRequest) -> AdmittedRequest,
-) -> Response<AnswerBody> {
     let held = InProgressGuard::new(state.clone());
     let facts = state.headers.read_request(request.headers());
     let id = facts.id.clone().unwrap_or_default();
-    let admitted = admit(&state, request, facts).await.map(adjust);
+    let admitted = admit(&state, request, facts).await;
     let answered = match admitted {
         Ok(plan) => exchange::run(&state, plan).await,
         Err(given_up) => {
@@ -294,6 +285,15 @@
     organisation.map(|_| ()).map_err(|_| UNKNOWN_KEY)
 }
 
+/// The rank of a request under the plan in force; `None` if that plan lacks its route or does not distinguish
+/// urgencies of its service.
+pub(super) fn rank_in_force(state: &EntryState, request: &AdmittedRequest) -> Option<UrgencyRank> {
+    let routes = state.routes()?;
+    let route = routes.route_named(&request.route.name)?;
+    let organisation = routes.organisation(route, request.facts.key.as_deref()).ok()?;
+    routes.urgencies().rank(&request.service, RequestUrgency::new(organisation, route))
+}
+
 fn host_of<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> &'a str {
     let host = headers.get(header::HOST).and_then(|value| value.to_str().ok());
     host.or_else(|| uri.host()).unwrap_or_default()
