--- a/crates/core/tests/even_servers.rs
+++ b/crates/core/tests/even_servers.rs
@@ -7,7 +7,9 @@
 use headlatch_core::{
     direct::{
         engine_model::EngineLoad,
-        server_table::{EngineQuery, FirstTokenBound, ServerChoice, ServerOutcome, ServerQuery, server_key},
+        server_table::{
+            EngineQuery, FirstTokenBound, ServerChoice, ServerOutcome, ServerQuery, server_key,
+        },
     },
     time::Moment,
 };
@@ -58,8 +60,12 @@
         }
         let figures = figures();
         let prompt = random.random_range(10..3_000);
-        let engine =
-            EngineQuery { figures: &figures, work: work(&figures, prompt), continues: false, bound: FirstTokenBound::Usual };
+        let engine = EngineQuery {
+            figures: &figures,
+            work: work(&figures, prompt),
+            continues: false,
+            bound: FirstTokenBound::Usual,
+        };
         let query = ServerQuery {
             service: "llm",
             engine: Some(engine),
