Take the bounds of two burst tests from the origin's and the links' rates

Cause: the time bounds of the new tests came from what was measured (5.8 s, and four times the time on the link between regions).

Change: both are 1.3 times what the links need, as in the other tests of that file.

--- a/crates/bench/tests/burst_outage.rs
+++ b/crates/bench/tests/burst_outage.rs
@@ -145,8 +145,8 @@
         let report = play_fleet(boxes, seed, "--outage-ms 6000 --region-copies 4");
         assert_eq!(report.unfinished, 0, "{boxes} boxes, seed {seed}: {report:?}");
         assert!(report.origin_copies <= MOST_COPIES, "{boxes} boxes, seed {seed}: {report:?}");
-        // The outage, and four times the time of two thirds of a copy on a link between regions.
-        let bound = OUTAGE_SECONDS + 43.0 / 4.0 * 2.0 / 3.0 * 4.0;
+        // Two thirds of a copy pass the link into each region, which carries four copies in 43 s.
+        let bound = OUTAGE_SECONDS + 43.0 / 4.0 * 2.0 / 3.0 * MOST_TIME;
         assert!(report.seconds_to_n <= bound, "{boxes} boxes, seed {seed}: {report:?}");
     }
 }
@@ -159,6 +159,7 @@
         let report = play_fleet(boxes, seed, "--region-copies 55 --faults cut");
         assert_eq!(report.unfinished, 0, "{boxes} boxes, seed {seed}: {report:?}");
         assert!(report.origin_copies <= MOST_COPIES, "{boxes} boxes, seed {seed}: {report:?}");
-        assert!(report.seconds_to_n <= 5.8, "{boxes} boxes, seed {seed}: {report:?}");
+        let bound = COPY_SECONDS[0] * MOST_TIME;
+        assert!(report.seconds_to_n <= bound, "{boxes} boxes, seed {seed}: {report:?}");
     }
 }
