Keep the next transfer until a newer one has begun

Cause: the transfer of the next version was overwritten by the result of the attempt to begin a newer one: with nothing if the manifest could not be had, and without keeping the old transfer for resumption otherwise.

Change: it is replaced only once the newer transfer has been obtained, and then kept among the skipped ones. The log record of a skipped transfer names the version in whose favour it was skipped.

Checked: tests direct_agent and resumed_transfers, rustfmt and Clippy. No test covers the replacement itself yet.

--- a/crates/daemon/src/direct/stager/fetching.rs
+++ b/crates/daemon/src/direct/stager/fetching.rs
@@ -26,19 +26,25 @@
         if self.next_transfer.as_ref().is_some_and(is_target) {
             let next = self.next_transfer.take();
             let before = std::mem::replace(&mut self.transfer, next);
-            self.keep_skipped(before, goal);
+            self.keep_skipped(before, goal, goal.version);
             return;
         }
         if let Some(transfer) = self.obtain_transfer(&goal.model, goal.version, false).await {
             let before = self.transfer.replace(transfer);
-            self.keep_skipped(before, goal);
+            self.keep_skipped(before, goal, goal.version);
             let next = self.next_transfer.take();
-            self.keep_skipped(next, goal);
+            self.keep_skipped(next, goal, goal.version);
         }
     }
 
-    /// Keeps a transfer whose version is newer than the loaded one, so that it can be resumed.
-    fn keep_skipped(&mut self, transfer: Option<VersionTransfer>, goal: &Goal) {
+    /// Keeps a transfer that is skipped in favour of the version `preferred`, so that it can be resumed, if its
+    /// version is newer than the loaded one.
+    fn keep_skipped(
+        &mut self,
+        transfer: Option<VersionTransfer>,
+        goal: &Goal,
+        preferred: WeightVersion,
+    ) {
         let Some(transfer) = transfer else { return };
         let version = transfer.pieces.version;
         let is_ordered = self.order.is_some_and(|order| order.version == version);
@@ -47,7 +53,7 @@
         }
         let fields = json!({
             "version": version, "held": transfer.swarm.held(), "pieces": transfer.piece_count(),
-            "in_favour_of": goal.version,
+            "in_favour_of": preferred,
         });
         decisions::info("weights", "skipped", fields);
         self.skipped.push(transfer);
@@ -66,7 +72,11 @@
         if newest <= goal.version || !is_staged || is_started {
             return;
         }
-        self.next_transfer = self.obtain_transfer(&goal.model, newest, true).await;
+        // Without a manifest of the newest version, the transfer in progress goes on.
+        if let Some(transfer) = self.obtain_transfer(&goal.model, newest, true).await {
+            let before = self.next_transfer.replace(transfer);
+            self.keep_skipped(before, goal, newest);
+        }
     }
 
     /// Resumes the transfer of a version if it was skipped, and starts it otherwise.
