Read manifests ahead on two agents of a failure domain only

Cause: the limit of agents that may read a manifest from the origin grows with the time since the announcement, and no holder is published while manifests are only read ahead. All agents could read one from the origin within seconds.

Change: only the first two agents of a failure domain read ahead, never while the origin is known to be down, nor once the older version is staged. A manifest counts as present only for the same model, and also if its transfer is the current one.

Checked: tests direct_agent and resumed_transfers, rustfmt and Clippy. The limit itself has no test of its own, since the fixture has one agent.

--- a/crates/daemon/src/direct/stager/estimates.rs
+++ b/crates/daemon/src/direct/stager/estimates.rs
@@ -83,6 +83,11 @@
 }
 
 impl VersionSelection {
+    /// What is known of the origin.
+    pub(super) fn origin_state(&self) -> OriginState {
+        self.origin.state()
+    }
+
     /// Chooses the version to complete first; `None` if there are no candidates.
     pub(super) fn choose(
         &mut self,
--- a/crates/daemon/src/direct/stager/manifests.rs
+++ b/crates/daemon/src/direct/stager/manifests.rs
@@ -4,6 +4,7 @@
 
 use headlatch_core::direct::{
     manifest_source::{ManifestSource, ManifestView, manifest_source},
+    origin_outage::OriginState,
     weight_deadline::WantedVersion,
 };
 use headlatch_outside::engine::PieceManifest;
@@ -14,7 +15,11 @@
 use serde_json::json;
 
 use super::{
-    super::{facts::retry_delay, transfer::VersionTransfer, transfer_peers},
+    super::{
+        facts::retry_delay,
+        transfer::VersionTransfer,
+        transfer_peers::{self, ManifestReaders},
+    },
     Stager,
     goal::Goal,
 };
@@ -27,21 +32,32 @@
 /// Minimum time between two attempts to read a manifest that is not needed yet.
 const PREFETCH_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Number of agents of a failure domain that read a manifest before it is needed. Two readers survive the loss of
+/// one; if all agents read it, manifests would take about 0.07 copies of the origin's link.
+const PREFETCH_READERS: usize = 2;
+
 impl Stager {
     /// Reads the manifest of the newest target version while an older one is fetched.
     ///
     /// Without it, an agent that changes to the newest version during an outage of the origin could not start before
-    /// the origin is back, and would go on to fetch the older one until then. Only agents that may read from the
-    /// origin do this; the others get the manifest from them.
+    /// the origin is back, and would go on to fetch the older one until then. Only the first [`PREFETCH_READERS`] agents of
+    /// a failure domain do this; the others get the manifest from them. It is not done while the origin is down, nor
+    /// once the older version is staged, since the transfer of the newest one starts then.
     pub(super) async fn prefetch_manifest(&mut self, goal: &Goal) {
         let Some(newest) = self.state.wanted(&goal.model).last().copied() else { return };
         if newest.version <= goal.version || self.has_manifest(&goal.model, newest.version) {
             return;
         }
+        if self.selection.origin_state() == OriginState::Down
+            || self.transfer.as_ref().is_some_and(VersionTransfer::is_staged)
+        {
+            return;
+        }
         let now = self.state.node.now();
         let Some(origin) = self.plan.origin().filter(|_| now >= self.next_prefetch) else { return };
-        let source = self.source_of(newest, 0);
-        if source != ManifestSource::Origin {
+        let readers = transfer_peers::manifest_readers(&self.state, newest.version);
+        let source = source_of(&readers, newest, 0);
+        if source != ManifestSource::Origin || readers.near_rank >= PREFETCH_READERS {
             return;
         }
         self.next_prefetch = now + PREFETCH_INTERVAL;
@@ -54,11 +70,12 @@
 
     fn has_manifest(&self, model: &ModelName, version: WeightVersion) -> bool {
         let is_it = |transfer: &VersionTransfer| transfer.is_for(model, version);
-        let is_prefetched =
-            self.prefetched.as_ref().is_some_and(|pieces| pieces.version == version);
-        is_prefetched
-            || self.next_transfer.as_ref().is_some_and(is_it)
-            || self.skipped.iter().any(is_it)
+        let is_prefetched = self
+            .prefetched
+            .as_ref()
+            .is_some_and(|pieces| pieces.version == version && pieces.model == *model);
+        let mut transfers = self.transfer.iter().chain(&self.next_transfer).chain(&self.skipped);
+        is_prefetched || transfers.any(is_it)
     }
 
     /// The manifest of a version, read now if it has not been before; `None` if it cannot be had yet.
@@ -80,7 +97,8 @@
         let requested = self.manifest_requested.filter(|(wanted, _)| *wanted == version);
         let (_, since) = *self.manifest_requested.insert(requested.unwrap_or((version, now)));
         let wanted = WantedVersion { version, elapsed: now.since(since) };
-        let source = self.source_of(wanted, self.manifest_failures);
+        let readers = transfer_peers::manifest_readers(&self.state, version);
+        let source = source_of(&readers, wanted, self.manifest_failures);
         match self.transfers.manifest(source, origin, model, version).await {
             Ok(None) => None,
             Ok(Some(pieces)) => {
@@ -102,20 +120,19 @@
             }
         }
     }
+}
 
-    /// Where to read the manifest of a version that has been needed for `wanted.elapsed`, after `failures` failed
-    /// attempts.
-    fn source_of(&self, wanted: WantedVersion, failures: u32) -> ManifestSource {
-        let readers = transfer_peers::manifest_readers(&self.state, wanted.version);
-        manifest_source(&ManifestView {
-            rank: readers.rank,
-            domain_rank: readers.near_rank,
-            steady: readers.steady,
-            is_alone: readers.is_alone,
-            waited: wanted.elapsed,
-            failures,
-            holders: &readers.holders,
-            holders_in_domain: readers.holders_near,
-        })
-    }
+/// Where to read the manifest of a version that has been needed for `wanted.elapsed`, after `failures` failed
+/// attempts.
+fn source_of(readers: &ManifestReaders, wanted: WantedVersion, failures: u32) -> ManifestSource {
+    manifest_source(&ManifestView {
+        rank: readers.rank,
+        domain_rank: readers.near_rank,
+        steady: readers.steady,
+        is_alone: readers.is_alone,
+        waited: wanted.elapsed,
+        failures,
+        holders: &readers.holders,
+        holders_in_domain: readers.holders_near,
+    })
 }
