Limit the allowance for a late newest version to its estimate

Cause: the allowance for a transfer that may take longer than estimated was also added for a newest version that had arrived completely. Around the first due time the older version was chosen, and servers changed twice.

Change: the allowance is at most the estimated time of the transfer.

Checked: tests version_choice, transfer_rate, origin_outage and staging; the new test fails with the full allowance. rustfmt and Clippy.

--- a/crates/core/src/direct/version_choice.rs
+++ b/crates/core/src/direct/version_choice.rs
@@ -21,8 +21,9 @@
     pub transfer: Duration,
 }
 
-/// Allowance for a transfer that has not started and may take longer than estimated. A version is
-/// skipped in favour of a newer one only if the newer one is in time even then.
+/// Largest allowance for a transfer that may take longer than estimated. A version is skipped in
+/// favour of a newer one only if the newer one is in time even then. The allowance is at most the
+/// estimate itself, since a version that has arrived completely cannot be late.
 const SKIP_MARGIN: Duration = Duration::from_millis(1500);
 
 /// Share of capacity, in percent, that may be unavailable while servers take turns. A fleet sized
@@ -53,7 +54,8 @@
     let (until_first, after_first) = wanted.split_at(first + 1);
     let due = first_due(until_first)?;
     let Some(newest_due) = first_due(after_first) else {
-        return Some(change_cost(now + newest.transfer + SKIP_MARGIN, due));
+        let margin = newest.transfer.min(SKIP_MARGIN);
+        return Some(change_cost(now + newest.transfer + margin, due));
     };
     let here = now + one.transfer;
     Some(change_cost(here, due) + change_cost(here + newest.transfer, newest_due))
--- a/crates/core/tests/version_choice.rs
+++ b/crates/core/tests/version_choice.rs
@@ -161,6 +161,18 @@
     expect_that!(next_version(at(0), without_the_first), some(eq(WeightVersion(4))));
 }
 
+/// Guards against two changes of every server when one is enough: an allowance for a late transfer was
+/// added even for a newest version that had arrived completely.
+#[gtest]
+fn of_two_complete_versions_the_newest_is_chosen_around_the_first_due_time() {
+    let complete = [wanted(2, 8000, 0), wanted(3, 12_000, 0)];
+    for now in (3000..12_000).step_by(100) {
+        expect_that!(next_version(at(now), &complete), some(eq(WeightVersion(3))), "at {now}");
+        let mut chooser = VersionChooser::default();
+        expect_that!(chooser.choose(at(now), &complete), some(eq(WeightVersion(3))), "at {now}");
+    }
+}
+
 /// Guards against a choice that flaps while two versions cost about the same.
 #[gtest]
 fn a_choice_changes_only_if_another_one_is_better_by_three_tenths_of_a_second() {
