Retain the transfer in use, and versions whose order was refused

Cause: of the retained transfers the one begun longest ago was dropped, which may be the one whose pieces are being staged. A skipped transfer was discarded if its version had been ordered, even if the server had refused the order.

Change: the transfer that begins and the current one are always retained; of the others the lowest version is dropped. A skipped transfer is discarded only if the server has begun to load its version.

Checked: tests direct_agent and resumed_transfers, rustfmt and Clippy. No test covers either rule yet.

--- a/crates/daemon/src/direct/stager/fetching.rs
+++ b/crates/daemon/src/direct/stager/fetching.rs
@@ -1,5 +1,6 @@
 //! Starts the transfers of one server's versions.
 
+use headlatch_outside::engine::OrderAnswer;
 use headlatch_types::{id::ModelName, traffic::WeightVersion};
 use serde_json::json;
 
@@ -47,7 +48,10 @@
     ) {
         let Some(transfer) = transfer else { return };
         let version = transfer.pieces.version;
-        let is_ordered = self.order.is_some_and(|order| order.version == version);
+        // The server does not load a version whose order it has refused.
+        let is_ordered = self.order.is_some_and(|order| {
+            order.version == version && order.answer == Some(OrderAnswer::Begun)
+        });
         if is_ordered || goal.loaded.is_some_and(|loaded| loaded >= version) {
             return;
         }
@@ -91,7 +95,8 @@
             return self.start_transfer(model, version, is_next).await;
         };
         let skipped = self.skipped.remove(skipped);
-        let mut transfer = self.transfers.begin(&origin, skipped.pieces, is_next).await;
+        let current = self.transfer.as_ref().filter(|_| is_next);
+        let mut transfer = self.transfers.begin(&origin, skipped.pieces, current).await;
         transfer.estimated = self.initial_estimate(&transfer);
         self.record_start("resumed", &transfer, is_next);
         Some(transfer)
@@ -105,7 +110,8 @@
     ) -> Option<VersionTransfer> {
         let origin = self.plan.origin()?;
         let pieces = self.obtain_manifest(&origin, model, version).await?;
-        let mut transfer = self.transfers.begin(&origin, pieces, is_next).await;
+        let current = self.transfer.as_ref().filter(|_| is_next);
+        let mut transfer = self.transfers.begin(&origin, pieces, current).await;
         transfer.estimated = self.initial_estimate(&transfer);
         self.record_start("begun", &transfer, is_next);
         Some(transfer)
--- a/crates/daemon/src/direct/transfer.rs
+++ b/crates/daemon/src/direct/transfer.rs
@@ -38,7 +38,7 @@
 
 /// Number of transfers retained to serve their pieces to other agents: the version that is served,
 /// the one that is staged, and the next one. If several versions are skipped within seconds, the
-/// oldest one is dropped, since memory holds three copies.
+/// lowest one that is not in use is dropped, since memory holds three copies.
 const MAX_RETAINED_TRANSFERS: usize = 3;
 
 /// Boxes of the own failure domain that are notified of every piece. More of them use a large part
@@ -99,7 +99,7 @@
     dependencies: AgentDependencies,
     hub: Arc<SwarmRegistry>,
     resources: TransferResources,
-    retained: Vec<Digest>,
+    retained: Vec<(WeightVersion, Digest)>,
     /// Seats last published to the transfers.
     published_seats: Vec<(PeerLocation, SocketAddr)>,
 }
@@ -168,24 +168,25 @@
         }
     }
 
-    /// Starts the transfer of a version, or resumes it with the pieces in memory. With `is_next`, the stage holds another version that is
-    /// still needed, so it is not surveyed for pieces of this one.
+    /// Starts the transfer of a version, or resumes it with the pieces in memory. If the stage holds another version
+    /// that is still needed, `current` is its transfer: the stage is not surveyed for pieces of this one, and the
+    /// pieces of that transfer stay in memory.
     pub async fn begin(
         &mut self,
         origin: &OriginPlan,
         pieces: PieceManifest,
-        is_next: bool,
+        current: Option<&VersionTransfer>,
     ) -> VersionTransfer {
         let version = pieces.version;
         let manifest = Arc::new(burst_manifest(&pieces));
-        let stage = match is_next {
-            true => StageState {
+        let stage = match current {
+            Some(_) => StageState {
                 version: Some(version),
                 placed: vec![false; pieces.digests.len()],
                 checked: None,
                 surveyed: true,
             },
-            false => self.survey(&pieces, &manifest).await,
+            None => self.survey(&pieces, &manifest).await,
         };
         self.hub.all().iter().for_each(|swarm| {
             swarm.try_send(DriverInput::Event(SwarmEvent::Superseded));
@@ -193,22 +194,30 @@
         let swarm = self.start_swarm(&pieces, &manifest, origin);
         swarm.try_send(DriverInput::Peers(transfer_peers::transfer_peers(&self.state)));
         self.hub.add(swarm.clone());
-        self.retain_recent(manifest.digest());
+        let current = current.map(|transfer| transfer.manifest.digest());
+        self.retain_recent(version, manifest.digest(), current);
         let started = self.state.node.now();
         VersionTransfer { pieces, manifest, swarm, stage, started, estimated: None }
     }
 
     /// Whether the pieces of a transfer are still in memory.
     pub fn is_retained(&self, transfer: &VersionTransfer) -> bool {
-        self.retained.contains(&transfer.manifest.digest())
+        self.retained.iter().any(|(_, digest)| *digest == transfer.manifest.digest())
     }
 
-    fn retain_recent(&mut self, digest: Digest) {
-        self.retained.retain(|retained| *retained != digest);
-        self.retained.push(digest);
-        let surplus = self.retained.len().saturating_sub(MAX_RETAINED_TRANSFERS);
-        self.retained.drain(..surplus);
-        self.hub.retain(|digest| self.retained.contains(digest));
+    /// Retains the transfer of `digest`. Of those beyond [`MAX_RETAINED_TRANSFERS`], the lowest versions are dropped,
+    /// but neither this transfer nor the `current` one: a resumed version may be lower than the skipped ones.
+    fn retain_recent(&mut self, version: WeightVersion, digest: Digest, current: Option<Digest>) {
+        self.retained.retain(|(_, retained)| *retained != digest);
+        self.retained.push((version, digest));
+        while self.retained.len() > MAX_RETAINED_TRANSFERS {
+            let is_unused = |one: &Digest| *one != digest && Some(*one) != current;
+            let unused = self.retained.iter().enumerate().filter(|(_, (_, one))| is_unused(one));
+            let Some((lowest, _)) = unused.min_by_key(|(_, (version, _))| *version) else { break };
+            self.retained.remove(lowest);
+        }
+        let retained = &self.retained;
+        self.hub.retain(|digest| retained.iter().any(|(_, one)| one == digest));
     }
 
     fn start_swarm(
