Confirm the end of an outage by a second rise of the known pieces

Cause: a single rise of the number of known pieces ended an outage, although it may come from notes of peers while the origin sends nothing.

Change: a piece read by this box ends an outage at once; a rise of the known pieces only if they rise again at least 100 ms later.

--- a/crates/core/src/direct/origin_outage.rs
+++ b/crates/core/src/direct/origin_outage.rs
@@ -27,6 +27,10 @@
 /// Time after the start of a transfer in which pieces that become known may have been fetched before.
 const SETTLING_TIME: Duration = Duration::from_millis(500);
 
+/// Time after which a second rise of the number of known pieces confirms that an outage has ended. A
+/// single rise may come from notes of pieces that others had fetched before.
+const CONFIRMATION_TIME: Duration = Duration::from_millis(100);
+
 /// Whether the origin sends pieces.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum OriginState {
@@ -60,6 +64,8 @@
     started: Moment,
     /// When a piece last arrived from the origin, or the transfer started.
     progressed: Moment,
+    /// When the number of known pieces first rose during the present outage.
+    rose: Option<Moment>,
 }
 
 /// Tracks whether the origin is down, from what one box observes.
@@ -87,13 +93,21 @@
     }
 
     fn observe(&mut self, now: Moment, signs: OriginSigns) {
-        let new = WatchedTransfer { signs, started: now, progressed: now };
+        let new = WatchedTransfer { signs, started: now, progressed: now, rose: None };
         let same = self.transfer.filter(|last| last.signs.version == signs.version);
         let mut watched = same.unwrap_or(new);
         let settling = now.since(watched.started) < SETTLING_TIME;
         let arrived = signs.known > watched.signs.known && !settling;
-        if arrived || signs.reads > watched.signs.reads {
+        let read = signs.reads > watched.signs.reads;
+        let confirmed = match self.state {
+            OriginState::Reachable => arrived,
+            OriginState::Down => {
+                arrived && now.since(*watched.rose.get_or_insert(now)) >= CONFIRMATION_TIME
+            }
+        };
+        if confirmed || read {
             watched.progressed = now;
+            watched.rose = None;
             self.state = OriginState::Reachable;
         }
         // A version that is known completely needs nothing from the origin, so that silence says
