Count the pieces of a version that another agent has completely

Cause: without a transfer of a version none of its pieces counted as known, so that an estimate during an outage waited for the origin although other boxes held the version.

Change: all pieces are known if a live agent of the service announces the version as staged or loaded.

No test covers the rule yet, since the fixture has one agent.

--- a/crates/daemon/src/direct/stager/estimates.rs
+++ b/crates/daemon/src/direct/stager/estimates.rs
@@ -16,7 +16,10 @@
 };
 use serde_json::{Value, json};
 
-use super::{super::transfer::VersionTransfer, Stager};
+use super::{
+    super::{transfer::VersionTransfer, transfer_peers},
+    Stager,
+};
 use crate::decisions;
 
 /// Assumed size of a copy before the first manifest has been read.
@@ -209,7 +212,7 @@
     }
 
     /// The state of a version's transfer. One that has not started is assumed to be as large as the
-    /// latest one.
+    /// latest one, and all its pieces are known if another agent has the version completely.
     fn view_of(&self, version: WeightVersion, transfer: Option<&VersionTransfer>) -> TransferView {
         let latest = self.next_transfer.as_ref().or(self.transfer.as_ref());
         let sample = transfer.or(latest);
@@ -220,7 +223,11 @@
         TransferView {
             version,
             held: transfer.map_or(0, |transfer| transfer.swarm.held() as u32),
-            known: transfer.map_or(0, |transfer| transfer.swarm.known()),
+            known: match transfer {
+                Some(transfer) => transfer.swarm.known(),
+                None if transfer_peers::is_held_by_peer(&self.state, version) => pieces,
+                None => 0,
+            },
             pieces,
             origin_piece_time: origin.unwrap_or_default() / pieces,
             link_piece_time: self.state.settings.link.rate.time_for(copy) / pieces,
--- a/crates/daemon/src/direct/transfer_peers.rs
+++ b/crates/daemon/src/direct/transfer_peers.rs
@@ -78,6 +78,15 @@
     }
 }
 
+/// Whether a live agent of this server's service has all pieces of `version`, staged or loaded.
+pub(super) fn is_held_by_peer(state: &AgentState, version: WeightVersion) -> bool {
+    let service = state.settings.service.as_deref().unwrap_or_default();
+    let peers = lock(&state.peers);
+    peers.living().filter_map(|peer| peer.notice.server.as_ref()).any(|server| {
+        server.service == service && [server.staged, server.whole].contains(&Some(version))
+    })
+}
+
 /// Returns the location of this agent.
 pub(super) fn own_location(state: &AgentState) -> PeerLocation {
     let node = &state.settings.node;
