Predict once per server and choice

Every choice predicted twice per server, and once more for the chosen one, and each prediction computed the weight of every observation twice.

The observed factor is 1 at once if there are fewer than two observations or none above 1, and the weights are computed once. The cost of a server includes its prediction, which is used again for the shortest wait and for the result. Decisions do not change.

--- a/crates/core/src/direct/server_speed.rs
+++ b/crates/core/src/direct/server_speed.rs
@@ -142,11 +142,20 @@
     /// The factor that this entry observes: a weighted average in which the slowest response does not
     /// count, as it may have been a long prompt that other entries have not announced.
     fn observed(&self, now: Moment) -> f64 {
-        let recent = self.recent.iter().map(|one| (weight(now, one.at), one.ratio));
-        let recent = recent.filter(|(weight, _)| *weight >= NEGLIGIBLE_WEIGHT);
-        let slowest = recent.clone().enumerate().max_by(|a, b| a.1.1.total_cmp(&b.1.1));
+        // The usual case in a fleet of even servers, and every choice asks for each server's factor.
+        if self.recent.len() < 2 || self.recent.iter().all(|one| one.ratio <= 1.0) {
+            return 1.0;
+        }
+        let mut recent = [(0.0, 1.0); MAX_OBSERVATIONS];
+        for (one, observation) in recent.iter_mut().zip(&self.recent) {
+            let weight = weight(now, observation.at);
+            if weight >= NEGLIGIBLE_WEIGHT {
+                *one = (weight, observation.ratio);
+            }
+        }
+        let slowest = recent.iter().enumerate().max_by(|a, b| a.1.1.total_cmp(&b.1.1));
         let slowest = slowest.map(|(index, _)| index);
-        let others = recent.enumerate().filter(|(index, _)| Some(*index) != slowest);
+        let others = recent.iter().enumerate().filter(|(index, _)| Some(*index) != slowest);
         let (excess, total) = others.fold((0.0, 0.0), |(excess, total), (_, (weight, ratio))| {
             (excess + weight * (ratio - 1.0), total + weight)
         });
--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -248,7 +248,7 @@
         may_be_used: impl Fn(&ServerState) -> bool,
     ) -> ServerChoice {
         let ids = self.services.get(query.service).map(Vec::as_slice).unwrap_or_default();
-        let mut best: Option<(f64, &ServerState)> = None;
+        let mut best: Option<(f64, Option<Duration>, &ServerState)> = None;
         let mut full = ExclusionCounts::default();
         let mut least_wait: Option<(Duration, EngineLoad)> = None;
         let may_run_locally = self.may_run_locally(query);
@@ -269,21 +269,25 @@
                 continue;
             }
             let cost = self.cost(now, state, query);
-            if let (Ok(_) | Err(Exclusion::Late(_)), Some(engine)) = (cost, query.engine) {
-                let (wait, load) = (self.predict(now, state, engine), self.load(state));
-                if least_wait.is_none_or(|(least, _)| wait < least) {
-                    least_wait = Some((wait, load));
-                }
+            let wait = match cost {
+                Ok((_, predicted)) => predicted,
+                Err(Exclusion::Late(predicted)) => Some(predicted),
+                Err(_) => None,
+            };
+            if let Some(wait) = wait
+                && least_wait.is_none_or(|(least, _)| wait < least)
+            {
+                least_wait = Some((wait, self.load(state)));
             }
             match cost {
-                Ok(cost) => {
+                Ok((cost, predicted)) => {
                     let spread = match self.is_local(state) {
                         true => LOCAL_COST_JITTER,
                         false => REMOTE_COST_JITTER,
                     };
                     let cost = cost + spread * order as f64 / 1024.0;
-                    if best.is_none_or(|(least, _)| cost < least) {
-                        best = Some((cost, state));
+                    if best.is_none_or(|(least, ..)| cost < least) {
+                        best = Some((cost, predicted, state));
                     }
                 }
                 Err(Exclusion::Full) => full.limited += 1,
@@ -295,8 +299,9 @@
         }
         let shortest_wait_load = least_wait.map(|(_, load)| load);
         match best {
-            Some((_, state)) => ServerChoice::Server(ChosenServer {
+            Some((_, predicted, state)) => ServerChoice::Server(ChosenServer {
                 shortest_wait_load,
+                predicted,
                 ..self.chosen(now, state, query)
             }),
             None if full.any() => {
@@ -306,7 +311,7 @@
         }
     }
 
-    /// Builds the selection result for a server.
+    /// Builds the selection result for a server, without the predicted and the shortest wait.
     fn chosen(&self, now: Moment, state: &ServerState, query: &ServerQuery<'_>) -> ChosenServer {
         let layers = query.engine.map_or(0, |engine| engine.figures.layers);
         ChosenServer {
@@ -315,7 +320,7 @@
             address: state.record.address,
             own: state.own,
             others: self.others.get(&state.key).copied().unwrap_or_default(),
-            predicted: query.engine.map(|engine| self.predict(now, state, engine)),
+            predicted: None,
             slow_by: self.slow_by(now, state),
             shortest_wait_load: None,
             limit: self.limit(state, query),
@@ -343,13 +348,14 @@
         }
     }
 
-    /// Returns the cost of sending a request to a server, or why the server is excluded.
+    /// Returns the cost of sending a request to a server and the predicted time to first token (`None` for
+    /// plain services), or why the server is excluded.
     fn cost(
         &self,
         now: Moment,
         state: &ServerState,
         query: &ServerQuery<'_>,
-    ) -> Result<f64, Exclusion> {
+    ) -> Result<(f64, Option<Duration>), Exclusion> {
         let record = &state.record;
         if self.is_excluded(state) || query.tried.contains(&record.id) {
             return Err(Exclusion::Unusable);
@@ -382,29 +388,29 @@
             return Err(Exclusion::Full);
         }
         let load = f64::from(in_flight) / f64::from(limit);
-        let late = match query.engine {
-            None => 0.0,
-            Some(engine) => self.lateness(now, state, engine)?,
+        let predicted = query.engine.map(|engine| self.predict(now, state, engine));
+        let late = match (query.engine, predicted) {
+            (Some(engine), Some(predicted)) => self.lateness(state, engine, predicted)?,
+            _ => 0.0,
         };
         let failing = (state.failure_share - TOLERATED_FAILURE_SHARE).max(0.0) * FAILURE_COST;
         let failing = failing + if is_about_to_change(state) { CHANGE_COST } else { 0.0 };
-        Ok(load + late + self.distance(&record.zone) + failing)
+        Ok((load + late + self.distance(&record.zone) + failing, predicted))
     }
 
     /// Returns the predicted time to first token as a share of the objective, or [`Exclusion::Late`] if it
     /// exceeds the bound.
     fn lateness(
         &self,
-        now: Moment,
         state: &ServerState,
         engine: EngineQuery<'_>,
+        predicted: Duration,
     ) -> Result<f64, Exclusion> {
         let objective = engine.work.objective;
         if objective.is_zero() {
             return Ok(0.0);
         }
         let may_be_late = engine.continues;
-        let predicted = self.predict(now, state, engine);
         let is_late = match engine.bound {
             // An idle engine takes any request, including a prompt that is too long for its objective.
             FirstTokenBound::Usual => {
