Do not count short prompts as evidence of a server's normal speed

A delay below 100 ms was recorded as a ratio of 1. A server that is five times slower delays prompts below about 500 tokens by less than that, so that its responses to them hid its responses to long ones.

Such a response is no observation of its server any more if the prediction is below 100 ms as well. It still counts towards the usual ratio of the service, since with short prompts alone there would be nothing to compare a slow server with.

--- a/crates/core/src/direct/server_speed.rs
+++ b/crates/core/src/direct/server_speed.rs
@@ -279,8 +279,9 @@
     }
 
     /// Compares a first token of a server with its prediction at `load`, the highest load meanwhile.
-    /// Returns by how much it took longer than the median of the service's servers; `None` if its time does not show the speed of
-    /// the server, since the request may have waited for a slot or the machine was suspended.
+    /// Returns by how much it took longer than the median of the service's servers; `None` if its time
+    /// does not show the speed of the server, since the request may have waited for a slot, the machine
+    /// was suspended, or the prediction is so short that a slow server would have been in time.
     pub fn compare(
         &mut self,
         service: &Arc<str>,
@@ -299,7 +300,8 @@
         if predicted.is_zero() {
             return None;
         }
-        let ratio = match token.elapsed.saturating_sub(predicted) < MIN_DELAY {
+        let is_in_time = token.elapsed.saturating_sub(predicted) < MIN_DELAY;
+        let ratio = match is_in_time {
             true => 1.0,
             false => token.elapsed.as_secs_f64() / predicted.as_secs_f64(),
         };
@@ -312,6 +314,12 @@
         ratios.push_back((server, ratio));
         let mut sorted: Vec<f64> = ratios.iter().map(|(_, ratio)| *ratio).collect();
         sorted.sort_by(f64::total_cmp);
+        // Even twice the time would have been within the delay that shows nothing. The ratio still
+        // counts towards the usual one, without which no server of a service with short prompts could
+        // be compared.
+        if is_in_time && predicted < MIN_DELAY {
+            return None;
+        }
         // Rounded up, so that no server is marked before two faster ones are known.
         Some(ratio / sorted[sorted.len() / 2])
     }
--- a/crates/core/tests/server_speed.rs
+++ b/crates/core/tests/server_speed.rs
@@ -90,9 +90,20 @@
 
 /// Runs one request alone at a server that is slower by `factor`; returns when it ended.
 fn run_alone(table: &mut ServerTable, now: Moment, name: &str, factor: f64) -> Moment {
+    run_prompt(table, now, name, PROMPT, factor)
+}
+
+/// Runs one request of the given prompt size, like [`run_alone`].
+fn run_prompt(
+    table: &mut ServerTable,
+    now: Moment,
+    name: &str,
+    prompt: u64,
+    factor: f64,
+) -> Moment {
     let server = chosen(table, now, name);
-    let request = send(table, now, server, PROMPT);
-    let end = now + idle_time(PROMPT, factor);
+    let request = send(table, now, server, prompt);
+    let end = now + idle_time(prompt, factor);
     answer(table, end, &request, Duration::ZERO);
     end
 }
@@ -199,6 +210,22 @@
     }
 }
 
+/// Guards against responses to short prompts, whose delay at a slow server is too small to show,
+/// that count as evidence of normal speed.
+#[gtest]
+fn a_slow_server_among_short_prompts_is_marked_by_the_long_ones() {
+    let mut table = warm_table();
+    let mut now = at(1_000);
+    for _ in 0..4 {
+        for _ in 0..5 {
+            now = run_prompt(&mut table, now, "s0", 100, 5.0);
+        }
+        now = run_alone(&mut table, now, "s0", 5.0);
+    }
+    let factor = slow_by(&table, now, "s0").expect("it is slow").factor();
+    expect_that!(factor, all!(ge(2.5), le(5.1)));
+}
+
 #[gtest]
 fn one_long_prompt_does_not_mark_a_server() {
     let mut table = warm_table();
