Drop the usual ratio of a service with its observations

The ratios of the servers that responded last had no time. After a pause, ratios from a time when the entry saw all responses late set the median and hid a slow server.

--- a/crates/core/src/direct/server_speed.rs
+++ b/crates/core/src/direct/server_speed.rs
@@ -59,6 +59,10 @@
 /// of slow ones not to matter, and few enough to follow a load of this entry that changes.
 const USUAL_SERVERS: usize = 15;
 
+/// Number of other servers whose ratios are kept whatever their age: with fewer, a slow server that
+/// alone responds for some seconds would set the usual ratio itself.
+const MIN_USUAL_SERVERS: usize = 2;
+
 /// Source of a server's factor.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SpeedSource {
@@ -109,6 +113,14 @@
     ratio: f64,
 }
 
+/// Latest ratio of observed to predicted time of a server.
+#[derive(Debug, Clone, Copy)]
+struct ServerRatio {
+    server: u32,
+    at: Moment,
+    ratio: f64,
+}
+
 /// Speed of one server process as observed by this entry.
 #[derive(Debug, Clone, Default)]
 pub struct ServerSpeed {
@@ -225,8 +237,8 @@
 pub struct SpeedObserver {
     watches: HashMap<u32, Vec<LoadWatch>>,
     tickets: u64,
-    /// Latest ratio of observed to predicted time of the servers that responded last, by service.
-    ratios: HashMap<Arc<str>, VecDeque<(u32, f64)>>,
+    /// Ratios of the servers that responded last, by service.
+    ratios: HashMap<Arc<str>, VecDeque<ServerRatio>>,
 }
 
 fn highest(one: EngineLoad, other: EngineLoad) -> EngineLoad {
@@ -284,6 +296,7 @@
     /// was suspended, or the prediction is so short that a slow server would have been in time.
     pub fn compare(
         &mut self,
+        now: Moment,
         service: &Arc<str>,
         server: u32,
         token: &FirstToken<'_>,
@@ -307,12 +320,17 @@
         };
         let ratios = self.ratios.entry(service.clone()).or_default();
         // One ratio per server: a slow server that gets many requests must not become the usual one.
-        ratios.retain(|(other, _)| *other != server);
+        ratios.retain(|one| one.server != server);
+        // Ratios from before a pause would hide a slow server if this entry was busier then.
+        let is_old = |one: &ServerRatio| weight(now, one.at) < NEGLIGIBLE_WEIGHT;
+        while ratios.len() > MIN_USUAL_SERVERS && ratios.front().is_some_and(is_old) {
+            ratios.pop_front();
+        }
         if ratios.len() == USUAL_SERVERS {
             ratios.pop_front();
         }
-        ratios.push_back((server, ratio));
-        let mut sorted: Vec<f64> = ratios.iter().map(|(_, ratio)| *ratio).collect();
+        ratios.push_back(ServerRatio { server, at: now, ratio });
+        let mut sorted: Vec<f64> = ratios.iter().map(|one| one.ratio).collect();
         sorted.sort_by(f64::total_cmp);
         // Even twice the time would have been within the delay that shows nothing. The ratio still
         // counts towards the usual one, without which no server of a service with short prompts could
--- a/crates/core/src/direct/server_table/speed.rs
+++ b/crates/core/src/direct/server_table/speed.rs
@@ -56,7 +56,7 @@
         }
         let (service, key) = (state.record.service.clone(), state.key);
         let Some(speeds) = &mut self.speeds else { return };
-        let ratio = speeds.compare(&service, key, token, load);
+        let ratio = speeds.compare(now, &service, key, token, load);
         if let (Some(ratio), Some(state)) = (ratio, self.servers.get_mut(&server.id)) {
             state.speed.record(now, sent, ratio);
         }
--- a/crates/core/tests/server_speed.rs
+++ b/crates/core/tests/server_speed.rs
@@ -226,6 +226,24 @@
     expect_that!(factor, all!(ge(2.5), le(5.1)));
 }
 
+/// Guards against a usual ratio from before a pause, when this entry saw all responses late.
+#[gtest]
+fn late_responses_before_a_pause_do_not_hide_a_slow_server() {
+    let mut table = observing_table();
+    for index in 0..SERVERS {
+        run_alone(&mut table, at(0), &format!("s{index}"), 4.0);
+    }
+    let mut now = at(10_000);
+    for name in ["s1", "s2", "s3"] {
+        now = run_alone(&mut table, now, name, 1.0);
+    }
+    for _ in 0..4 {
+        now = run_alone(&mut table, now, "s0", 5.0);
+    }
+    let factor = slow_by(&table, now, "s0").expect("it is slow").factor();
+    expect_that!(factor, all!(ge(3.0), le(5.1)));
+}
+
 #[gtest]
 fn one_long_prompt_does_not_mark_a_server() {
     let mut table = warm_table();
