--- a/crates/core/src/direct/server_speed.rs
+++ b/crates/core/src/direct/server_speed.rs
@@ -59,6 +59,10 @@
 /// of slow ones not to matter, and few enough to follow a load of this entry that changes.
 const USUAL_SERVERS: usize = 15;
 
+/// Number of other servers whose ratios are kept whatever their age: with fewer, a slow server that
+/// alone responds for some seconds would set the usual ratio itself.
+const MIN_USUAL_SERVERS: usize = 2;
+
 /// Source of a server's factor.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SpeedSource {
@@ -109,6 +113,14 @@
     ratio: f64,
 }
 
+/// Latest ratio of observed to predicted time of a server.
+#[derive(Debug, Clone, Copy)]
+struct ServerRatio {
+    server: u32,
+    at: Moment,
+    ratio: f64,
+}
+
 /// Speed of one server process as observed by this entry.
 #[derive(Debug, Clone, Default)]
 pub struct ServerSpeed {
@@ -142,11 +154,20 @@
     /// The factor that this entry observes: a weighted average in which the slowest response does not
     /// count, as it may have been a long prompt that other entries have not announced.
     fn observed(&self, now: Moment) -> f64 {
-        let recent = self.recent.iter().map(|one| (weight(now, one.at), one.ratio));
-        let recent = recent.filter(|(weight, _)| *weight >= NEGLIGIBLE_WEIGHT);
-        let slowest = recent.clone().enumerate().max_by(|a, b| a.1.1.total_cmp(&b.1.1));
+        // The usual case in a fleet of even servers, and every choice asks for each server's factor.
+        if self.recent.len() < 2 || self.recent.iter().all(|one| one.ratio <= 1.0) {
+            return 1.0;
+        }
+        let mut recent = [(0.0, 1.0); MAX_OBSERVATIONS];
+        for (one, observation) in recent.iter_mut().zip(&self.recent) {
+            let weight = weight(now, observation.at);
+            if weight >= NEGLIGIBLE_WEIGHT {
+                *one = (weight, observation.ratio);
+            }
+        }
+        let slowest = recent.iter().enumerate().max_by(|a, b| a.1.1.total_cmp(&b.1.1));
         let slowest = slowest.map(|(index, _)| index);
-        let others = recent.enumerate().filter(|(index, _)| Some(*index) != slowest);
+        let others = recent.iter().enumerate().filter(|(index, _)| Some(*index) != slowest);
         let (excess, total) = others.fold((0.0, 0.0), |(excess, total), (_, (weight, ratio))| {
             (excess + weight * (ratio - 1.0), total + weight)
         });
@@ -216,8 +237,8 @@
 pub struct SpeedObserver {
     watches: HashMap<u32, Vec<LoadWatch>>,
     tickets: u64,
-    /// Latest ratio of observed to predicted time of the servers that responded last, by service.
-    ratios: HashMap<Arc<str>, VecDeque<(u32, f64)>>,
+    /// Ratios of the servers that responded last, by service.
+    ratios: HashMap<Arc<str>, VecDeque<ServerRatio>>,
 }
 
 fn highest(one: EngineLoad, other: EngineLoad) -> EngineLoad {
@@ -270,10 +291,12 @@
     }
 
     /// Compares a first token of a server with its prediction at `load`, the highest load meanwhile.
-    /// Returns by how much it took longer than the median of the service's servers; `None` if its time does not show the speed of
-    /// the server, since the request may have waited for a slot or the machine was suspended.
+    /// Returns by how much it took longer than the median of the service's servers; `None` if its time
+    /// does not show the speed of the server, since the request may have waited for a slot, the machine
+    /// was suspended, or the prediction is so short that a slow server would have been in time.
     pub fn compare(
         &mut self,
+        now: Moment,
         service: &Arc<str>,
         server: u32,
         token: &FirstToken<'_>,
@@ -290,19 +313,31 @@
         if predicted.is_zero() {
             return None;
         }
-        let ratio = match token.elapsed.saturating_sub(predicted) < MIN_DELAY {
+        let is_in_time = token.elapsed.saturating_sub(predicted) < MIN_DELAY;
+        let ratio = match is_in_time {
             true => 1.0,
             false => token.elapsed.as_secs_f64() / predicted.as_secs_f64(),
         };
         let ratios = self.ratios.entry(service.clone()).or_default();
         // One ratio per server: a slow server that gets many requests must not become the usual one.
-        ratios.retain(|(other, _)| *other != server);
+        ratios.retain(|one| one.server != server);
+        // Ratios from before a pause would hide a slow server if this entry was busier then.
+        let is_old = |one: &ServerRatio| weight(now, one.at) < NEGLIGIBLE_WEIGHT;
+        while ratios.len() > MIN_USUAL_SERVERS && ratios.front().is_some_and(is_old) {
+            ratios.pop_front();
+        }
         if ratios.len() == USUAL_SERVERS {
             ratios.pop_front();
         }
-        ratios.push_back((server, ratio));
-        let mut sorted: Vec<f64> = ratios.iter().map(|(_, ratio)| *ratio).collect();
+        ratios.push_back(ServerRatio { server, at: now, ratio });
+        let mut sorted: Vec<f64> = ratios.iter().map(|one| one.ratio).collect();
         sorted.sort_by(f64::total_cmp);
+        // Even twice the time would have been within the delay that shows nothing. The ratio still
+        // counts towards the usual one, without which no server of a service with short prompts could
+        // be compared.
+        if is_in_time && predicted < MIN_DELAY {
+            return None;
+        }
         // Rounded up, so that no server is marked before two faster ones are known.
         Some(ratio / sorted[sorted.len() / 2])
     }
