Use the pace that servers report, and no observation of response times

Cause: two tests of fleets of even speed failed.

Change: an entry uses the pace that a server's agent publishes and nothing else; the comparison of first tokens with predictions is removed, with its tests. Single late responses and common delays stay as tests of even servers. The setting direct.observed_speed is direct.server_pace.

--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -19,7 +19,6 @@
     leaving::{DrainingLives, LeavingNotice, LeavingServers},
     peers::{DomainKey, LoadNotice, ServerNotice},
     rate_limits::RateLimits,
-    server_speed::{ServerSpeed, SpeedObserver},
     suspects::LifeKey,
 };
 use crate::time::Moment;
@@ -103,8 +102,8 @@
     backoff_until: Option<Moment>,
     /// Latest notice from its agent.
     notice: Option<ServerNotice>,
-    /// Speed that this entry observes.
-    speed: ServerSpeed,
+    /// Whether it counted as slow when speed changes were last taken.
+    was_slow: bool,
 }
 
 /// All known servers with their load, health and rate limits.
@@ -126,8 +125,8 @@
     /// Number of live entries.
     entries: usize,
     cold_rates: ColdRates,
-    /// Compares first tokens with predictions; `None` if server speeds are not taken into account.
-    speeds: Option<SpeedObserver>,
+    /// Whether predictions take the pace of the servers into account.
+    uses_pace: bool,
     zone: Option<DomainId>,
     /// Region of this entry, if known.
     region: Option<RegionId>,
@@ -208,7 +207,7 @@
                 blocked_until: Moment::ZERO,
                 backoff_until: None,
                 notice: None,
-                speed: ServerSpeed::default(),
+                was_slow: false,
                 record,
             };
             let (id, service) = (state.record.id.clone(), state.record.service.clone());
@@ -278,9 +277,6 @@
 
     /// Replaces the load that other entries have at each server, by server key.
     pub fn set_other_loads(&mut self, others: HashMap<u32, EngineLoad>) {
-        if let Some(speeds) = &mut self.speeds {
-            speeds.raise_all_others(&others);
-        }
         self.others = others;
     }
 
@@ -308,9 +304,6 @@
 
     /// Sets the load that other entries have at one server.
     pub fn set_other_load(&mut self, server: u32, load: EngineLoad) {
-        if let Some(speeds) = &mut self.speeds {
-            speeds.raise_others(server, load);
-        }
         self.others.insert(server, load);
     }
 
@@ -334,7 +327,7 @@
     /// Sets the agent's notice for the servers at an address; `None` if the agent is gone.
     pub fn set_notice(&mut self, address: SocketAddr, notice: Option<ServerNotice>) {
         for state in self.servers.values_mut().filter(|state| state.record.address == address) {
-            state.apply_notice(notice.clone());
+            state.notice = notice.clone();
         }
     }
 
@@ -342,7 +335,7 @@
     pub fn set_notices(&mut self, notices: &HashMap<SocketAddr, ServerNotice>) {
         for state in self.servers.values_mut() {
             // A restarted server may be listed under both its old and new ID at one address for a while.
-            state.apply_notice(notices.get(&state.record.address).cloned());
+            state.notice = notices.get(&state.record.address).cloned();
         }
     }
 
@@ -382,9 +375,6 @@
             state.own.in_flight += 1;
             state.own.waiting_tokens += tokens;
             state.waiting += 1;
-            if let Some(speeds) = &mut self.speeds {
-                speeds.raise_own(state.key, state.own);
-            }
             if let Some(cold) = &mut state.cold {
                 cold.record_sent();
             }
@@ -456,7 +446,6 @@
         self.backoff_until = None;
         self.notice = None;
         self.cold = None;
-        self.speed.forget();
     }
 }
 
--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -302,7 +302,7 @@
             Some((_, predicted, state)) => ServerChoice::Server(ChosenServer {
                 shortest_wait_load,
                 predicted,
-                ..self.chosen(now, state, query)
+                ..self.chosen(state, query)
             }),
             None if full.any() => {
                 ServerChoice::Full(ExclusionCounts { shortest_wait_load, ..full })
@@ -312,7 +312,7 @@
     }
 
     /// Builds the selection result for a server, without the predicted and the shortest wait.
-    fn chosen(&self, now: Moment, state: &ServerState, query: &ServerQuery<'_>) -> ChosenServer {
+    fn chosen(&self, state: &ServerState, query: &ServerQuery<'_>) -> ChosenServer {
         let layers = query.engine.map_or(0, |engine| engine.figures.layers);
         ChosenServer {
             id: state.record.id.clone(),
@@ -321,7 +321,7 @@
             own: state.own,
             others: self.others.get(&state.key).copied().unwrap_or_default(),
             predicted: None,
-            slow_by: self.slow_by(now, state),
+            slow_by: self.slow_by(state),
             shortest_wait_load: None,
             limit: self.limit(state, query),
             version: loaded_version(state, layers),
@@ -339,9 +339,9 @@
     }
 
     /// Predicts the time to first token at a server.
-    fn predict(&self, now: Moment, state: &ServerState, engine: EngineQuery<'_>) -> Duration {
+    fn predict(&self, state: &ServerState, engine: EngineQuery<'_>) -> Duration {
         let configured = time_to_first_token(engine.figures, self.load(state), engine.work);
-        match self.slow_by(now, state) {
+        match self.slow_by(state) {
             // Prefill and steps take longer by the same factor.
             Some(pace) => configured.mul_f64(pace.factor()),
             None => configured,
@@ -388,7 +388,7 @@
             return Err(Exclusion::Full);
         }
         let load = f64::from(in_flight) / f64::from(limit);
-        let predicted = query.engine.map(|engine| self.predict(now, state, engine));
+        let predicted = query.engine.map(|engine| self.predict(state, engine));
         let late = match (query.engine, predicted) {
             (Some(engine), Some(predicted)) => self.lateness(state, engine, predicted)?,
             _ => 0.0,
--- a/crates/core/src/direct/server_table/cold.rs
+++ b/crates/core/src/direct/server_table/cold.rs
@@ -35,11 +35,6 @@
         Some(Self { until: now + rest, ..before.unwrap_or(first) })
     }
 
-    /// Returns whether the period has ended.
-    pub fn has_ended(&self, now: Moment) -> bool {
-        now >= self.until
-    }
-
     /// Records that a request was sent to the server.
     pub fn record_sent(&mut self) {
         self.sent += 1;
--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -358,7 +358,7 @@
     /// Publishes the pace in a report of the server, if the entries use it; `restarted` tells that the
     /// report is the first one of a new server process.
     pub(super) fn record_pace(&self, report: &StageReport, restarted: bool) {
-        if !self.settings.direct.observed_speed {
+        if !self.settings.direct.server_pace {
             return;
         }
         let mut paces = lock(&self.pace);
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -2,22 +2,18 @@
 
 use std::{
     sync::{
-        Arc, OnceLock,
+        Arc,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
 
 use bytes::Bytes;
-use headlatch_core::{
-    direct::{
-        admission::urgency::UrgencyRank,
-        engine_model::completion_time,
-        server_speed::{FirstToken, WatchTicket},
-        server_table::{ChosenServer, ServerOutcome},
-        time_limit::{LimitedTime, TimeLimit},
-    },
-    time::Moment,
+use headlatch_core::direct::{
+    admission::urgency::UrgencyRank,
+    engine_model::completion_time,
+    server_table::{ChosenServer, ServerOutcome},
+    time_limit::{LimitedTime, TimeLimit},
 };
 use headlatch_http::{ActiveConnection, ConnectionChoice};
 use headlatch_outside::headers::{ForwardMetadata, ResponseMetadata};
@@ -51,17 +47,6 @@
     /// The request can't be retried on another server any more.
     final_attempt: AtomicBool,
     ended: AtomicBool,
-    /// When the request was sent, if its first token shows the speed of the server.
-    sent: OnceLock<SentMark>,
-}
-
-/// Time at which a request was sent, and the watch of the load that it meets.
-#[derive(Debug, Clone, Copy)]
-struct SentMark {
-    at: Moment,
-    /// Time for which the machine had been suspended before.
-    suspended: Duration,
-    watch: WatchTicket,
 }
 
 impl InFlight {
@@ -76,33 +61,7 @@
         drop(servers);
         state.notify_load_changes();
         let [prompt_read, final_attempt, ended] = [(); 3].map(|()| AtomicBool::new(false));
-        let sent = OnceLock::new();
-        Some(Self { state, server, tokens, prompt_read, final_attempt, ended, sent })
-    }
-
-    /// Records that the request is being sent. Its first token shows the speed of the server if the
-    /// response streams tokens from the start and the caller has given the length of the prompt.
-    fn mark_sent(&self, request: &AdmittedRequest, last_event: Option<u64>) {
-        let is_comparable = request.is_stream() && request.facts.prompt_tokens.is_some();
-        if !is_comparable || last_event.is_some() || self.sent.get().is_some() {
-            return;
-        }
-        if let Some(watch) = self.state.servers().watch_first_token(&self.server.id) {
-            let (at, suspended) = (self.state.now(), self.state.suspended_time());
-            // Only this task marks the request.
-            let _ = self.sent.set(SentMark { at, suspended, watch });
-        }
-    }
-
-    /// Records the arrival of the first token.
-    pub fn note_first_token(&self, request: &AdmittedRequest) {
-        let (Some(sent), Some(figures)) = (self.sent.get(), &request.engine) else { return };
-        let Some(work) = request.engine_work() else { return };
-        let now = self.state.now();
-        let suspended = self.state.suspended_time().saturating_sub(sent.suspended);
-        let token = FirstToken { figures, work, elapsed: now.since(sent.at), suspended };
-        let mut servers = self.state.servers();
-        servers.record_first_token(now, &self.server, sent.watch, sent.at, &token);
+        Some(Self { state, server, tokens, prompt_read, final_attempt, ended })
     }
 
     /// Records that the server has processed the prompt.
@@ -133,9 +92,6 @@
             if self.final_attempt.load(Ordering::Relaxed) {
                 self.state.servers().end_pinned_stream(&self.server.id);
             }
-            if let Some(sent) = self.sent.get() {
-                self.state.servers().end_watch(&self.server.id, sent.watch);
-            }
             self.state.servers().end_chosen(self.state.now(), &self.server, outcome);
             self.state.notify_load_changes();
             self.state.waiting.wake();
@@ -278,7 +234,6 @@
         let headers = outgoing_headers(state, request, &facts, &request.body.bytes);
         let (method, uri) = (request.method.clone(), request.uri.clone());
         let sent_at = state.now();
-        in_flight.mark_sent(request, last_event);
         let sent = connection.send(method, uri, headers, request.body.bytes.clone());
         let sent = tokio::time::timeout_at(request.deadline, sent).await;
         let response = match sent {
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -259,9 +259,6 @@
     /// Complete events in `data` that have not been forwarded yet.
     fn new_events(&mut self, source: &mut StreamSource, data: &[u8]) -> Vec<StreamEvent> {
         let mut events = source.splitter.push(data);
-        if !source.has_events && !events.is_empty() {
-            source.in_flight.note_first_token(&self.exchange.request);
-        }
         source.has_events |= !events.is_empty();
         let last = self.last_event;
         events.retain(|event| match (event.id, last) {
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -165,7 +165,7 @@
         let body_memory =
             ByteSize::from_bytes(settings.direct.memory.bytes() / BODY_MEMORY_DIVISOR);
         let mut servers = ServerTable::new(settings.node.domain.clone(), zones);
-        servers.set_observed_speed(settings.direct.observed_speed);
+        servers.set_uses_pace(settings.direct.server_pace);
         let mut peers =
             PeerTable::new(settings.node.control, DomainKey::from(&settings.node.domain));
         for seed in &settings.direct.seeds {
--- a/crates/types/src/direct_settings.rs
+++ b/crates/types/src/direct_settings.rs
@@ -51,10 +51,10 @@
     /// domain relay.
     #[serde(default = "default_mesh_limit")]
     pub mesh_limit: usize,
-    /// Whether requests are routed by the observed speed of the servers in addition to their configured
+    /// Whether requests are routed by the pace that servers report in addition to their configured
     /// figures. Entries and agents must both have it set.
     #[serde(default)]
-    pub observed_speed: bool,
+    pub server_pace: bool,
     /// Address for metrics; none if left out.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub metrics: Option<String>,
@@ -124,8 +124,8 @@
     pub first_start: bool,
     /// Largest number of processes that exchange state in a full mesh.
     pub mesh_limit: usize,
-    /// Whether requests are routed by the observed speed of the servers.
-    pub observed_speed: bool,
+    /// Whether requests are routed by the pace that servers report.
+    pub server_pace: bool,
     /// Address for metrics.
     pub metrics: Option<SocketAddr>,
 }
@@ -214,7 +214,7 @@
         reads_evacuations: raw.evacuate_ms.is_some(),
         first_start: raw.first_start,
         mesh_limit: raw.mesh_limit,
-        observed_speed: raw.observed_speed,
+        server_pace: raw.server_pace,
         metrics,
     })
 }
