Wrap long lines, and drop an unmeasured figure from a comment

Cause: the share of the origin's link that manifests take was not measured here.

Change: the comment gives the reason alone; the log fields of a chosen server stand on lines of their own. No behaviour changes.

Checked: format and clippy of the daemon.

--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -295,7 +295,9 @@
             "server": server.id, "own": server.own.in_flight, "others": server.others.in_flight,
             "waiting_tokens": server.own.waiting_tokens + server.others.waiting_tokens,
             "predicted_ms": server.predicted.map(|time| time.as_millis() as u64),
-            "slow_by": server.slow_by.map(|pace| pace.factor()), "limit": server.limit, "rate_limit": server.rate_limit, "version": server.version, "least": attempt::min_version(&self.state, &self.request),
+            "slow_by": server.slow_by.map(|pace| pace.factor()), "limit": server.limit,
+            "rate_limit": server.rate_limit, "version": server.version,
+            "least": attempt::min_version(&self.state, &self.request),
             "allowed_regions": regions.to_string(),
         });
         if self.tried.is_empty() {
--- a/crates/daemon/src/direct/stager/manifests.rs
+++ b/crates/daemon/src/direct/stager/manifests.rs
@@ -33,16 +33,17 @@
 const PREFETCH_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Number of agents of a failure domain that read a manifest before it is needed. Two readers survive the loss of
-/// one; if all agents read it, manifests would take about 0.07 copies of the origin's link.
+/// one; reads by all agents would delay the pieces of the older version on the origin's link.
 const PREFETCH_READERS: usize = 2;
 
 impl Stager {
     /// Reads the manifest of the newest target version while an older one is fetched.
     ///
-    /// Without it, an agent that changes to the newest version during an outage of the origin could not start before
-    /// the origin is back, and would go on to fetch the older one until then. Only the first [`PREFETCH_READERS`] agents of
-    /// a failure domain do this; the others get the manifest from them. It is not done while the origin is down, nor
-    /// once the older version is staged, since the transfer of the newest one starts then.
+    /// Without it, an agent that changes to the newest version during an outage of the origin could not start
+    /// before the origin is back, and would go on to fetch the older one until then. The first
+    /// [`PREFETCH_READERS`] agents of a failure domain do this; the others get the manifest from them. It is not
+    /// done while the origin is down, nor once the older version is staged, since the transfer of the newest one
+    /// starts then.
     pub(super) async fn prefetch_manifest(&mut self, goal: &Goal) {
         let Some(newest) = self.state.wanted(&goal.model).last().copied() else { return };
         if newest.version <= goal.version || self.has_manifest(&goal.model, newest.version) {
