Log the position of each list that is read from the store

Change: each list is logged with its position, the newest revision in it and what the process had read before; a list from before that is a warning, `revisions_went_back`. Lists are rare (one a topic at a start and after each lost watch). Checked: lost_watches, read_gate, silent_sources and narrow_links of the daemon, which follow topics, pass: 5, 3, 4 and 3 tests.

--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -206,10 +206,12 @@
     mut apply: impl FnMut(FactUpdate) + Send,
 ) {
     let mut reader = FactReader::new(store, topic, refresh, gate);
+    let mut at = StoreRevision::default();
     loop {
         reader.wait_until_open().await;
         let list = reader.list(Freshness::Current).await;
-        let mut at = list.at;
+        log_list(topic, at, &list);
+        at = list.at;
         apply(FactUpdate::All(list));
         while let Some(changes) = reader.watch(at).await {
             at = changes.at;
@@ -223,6 +225,19 @@
     }
 }
 
+/// Logs the position of a list, and whether it is before what this process has read already.
+fn log_list(topic: FactTopic, before: StoreRevision, list: &FactList) {
+    let (topic, at) = (topic.as_str(), list.at.0);
+    let newest = list.facts.iter().map(|fact| fact.revision.0).max();
+    let fields = json!({
+        "topic": topic, "at": at, "before": before.0, "facts": list.facts.len(), "newest": newest,
+    });
+    match list.at < before {
+        true => decisions::warn("store", "revisions_went_back", fields),
+        false => decisions::info("store", "listed", fields),
+    }
+}
+
 /// Reads one topic from the store.
 pub(super) struct FactReader {
     store: Arc<dyn FactStore>,
