--- a/crates/daemon/tests/rate_limits.rs
+++ b/crates/daemon/tests/rate_limits.rs
@@ -20,6 +20,7 @@
 use support::{
     TestStore, ask_with,
     entries::{EntryProcess, start_all_with},
+    kept::KeptList,
     plan, record,
     signaling::{SignalingServer, max_in_window},
 };
@@ -51,7 +52,7 @@
         let headers: Arc<dyn HeaderFormat> = Arc::new(PlatformHeaders);
         let first = NUMBERS_USED.fetch_add(ENTRIES, Ordering::Relaxed) + 1;
         let numbers = first..=first + ENTRIES - 1;
-        let entries = start_all_with(numbers, &store, &Arc::default(), &headers);
+        let entries = start_all_with(numbers, &store, &Arc::<KeptList>::default(), &headers);
         Self { callers, entries, servers }
     }
 
--- a/crates/daemon/tests/server_signals.rs
+++ b/crates/daemon/tests/server_signals.rs
@@ -16,6 +16,7 @@
 use support::{
     TestStore, ask_with,
     entries::{EntryProcess, start_all_with},
+    kept::KeptList,
     plan, record, settings,
     signaling::SignalingServer,
 };
@@ -116,7 +117,7 @@
         store.set(FactTopic::Servers, &name, Fact::Server(record(&name, server.address, "z1")));
     }
     let headers: Arc<dyn HeaderFormat> = Arc::new(PlatformHeaders);
-    let entries = start_all_with(1..=2, &store, &Arc::default(), &headers);
+    let entries = start_all_with(1..=2, &store, &Arc::<KeptList>::default(), &headers);
     let ask = |entry: &EntryProcess| {
         let lines = [("request-id", "r1"), ("api-key", "k")];
         let asked = ask_with(entry.entry.address, "/safe/a", &lines);
--- a/crates/daemon/tests/support/entries.rs
+++ b/crates/daemon/tests/support/entries.rs
@@ -8,7 +8,7 @@
 };
 
 use headlatch_daemon::direct::entry::DirectEntry;
-use headlatch_outside::headers::HeaderFormat;
+use headlatch_outside::{facts::FactStore, headers::HeaderFormat, quarantine::QuarantineStore};
 use headlatch_types::direct_settings::DirectEntrySettings;
 use tokio::runtime::Runtime;
 
@@ -40,8 +40,8 @@
     pub fn start_with(
         number: u8,
         numbers: RangeInclusive<u8>,
-        store: Arc<TestStore>,
-        kept: Arc<KeptList>,
+        store: Arc<impl FactStore + 'static>,
+        kept: Arc<impl QuarantineStore + 'static>,
         headers: Arc<dyn HeaderFormat>,
     ) -> Self {
         let mut own: DirectEntrySettings = settings();
@@ -73,8 +73,8 @@
 /// Starts entries of these numbers with a header form of their own and waits until they know each other.
 pub fn start_all_with(
     numbers: RangeInclusive<u8>,
-    store: &Arc<TestStore>,
-    kept: &Arc<KeptList>,
+    store: &Arc<impl FactStore + 'static>,
+    kept: &Arc<impl QuarantineStore + 'static>,
     headers: &Arc<dyn HeaderFormat>,
 ) -> Vec<EntryProcess> {
     let start = |number| {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod long_streams;
 pub mod mortal;
 pub mod paced;
+pub mod rollback_store;
 pub mod server;
 pub mod signaling;
 
--- /dev/null
+++ b/crates/daemon/tests/support/rollback_store.rs
@@ -0,0 +1,258 @@
+//! A store that speaks the platform's protocol and can come back from an older copy of itself: its
+//! revisions go back and are given out again, and `Store-Era` rises by one.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time::Instant,
+};
+
+use super::{header, read_head};
+
+/// Objects by kind and name, each with its revision.
+type Objects = BTreeMap<(String, String), (u64, Value)>;
+
+/// One change: its revision, the kind and name, and the new content, or `None` for a removal.
+#[derive(Debug, Clone)]
+struct Change {
+    revision: u64,
+    kind: String,
+    name: String,
+    spec: Option<Value>,
+}
+
+/// What the store holds at one moment.
+#[derive(Debug, Clone, Default)]
+pub struct StoreCopy {
+    revision: u64,
+    objects: Objects,
+    history: Vec<Change>,
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    copy: StoreCopy,
+    era: u64,
+    /// Closes each connection without an answer.
+    away: bool,
+    /// Answers nothing on connections of these client addresses.
+    calls: Vec<String>,
+}
+
+/// A store on a free port.
+#[derive(Debug, Clone)]
+pub struct RollbackStore {
+    /// Listen address.
+    pub address: SocketAddr,
+    state: Arc<Mutex<StoreState>>,
+    changed: Arc<watch::Sender<()>>,
+}
+
+/// Status and body of an answer.
+type Answer = (u16, Value);
+
+impl RollbackStore {
+    /// Starts an empty store in era 0.
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+        let address = listener.local_addr().expect("listener is bound");
+        let store =
+            Self { address, state: Arc::default(), changed: Arc::new(watch::channel(()).0) };
+        let served = store.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(served.clone().serve(stream));
+            }
+        });
+        store
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StoreState> {
+        self.state.lock().expect("lock is not poisoned")
+    }
+
+    /// Adds or replaces an object and returns its revision.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) -> u64 {
+        self.write(kind, name, Some(spec))
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) -> u64 {
+        self.write(kind, name, None)
+    }
+
+    fn write(&self, kind: &str, name: &str, spec: Option<Value>) -> u64 {
+        let mut state = self.lock();
+        let copy = &mut state.copy;
+        copy.revision += 1;
+        let (revision, key) = (copy.revision, (kind.to_owned(), name.to_owned()));
+        match spec.clone() {
+            Some(spec) => copy.objects.insert(key, (revision, spec)),
+            None => copy.objects.remove(&key),
+        };
+        copy.history.push(Change { revision, kind: kind.to_owned(), name: name.to_owned(), spec });
+        drop(state);
+        self.changed.send_replace(());
+        revision
+    }
+
+    /// Names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let state = self.lock();
+        let keys = state.copy.objects.keys().filter(|(one, _)| one == kind);
+        keys.map(|(_, name)| name.clone()).collect()
+    }
+
+    /// What the store holds now.
+    pub fn copy(&self) -> StoreCopy {
+        self.lock().copy.clone()
+    }
+
+    /// Goes away: open calls and new ones end without an answer.
+    pub fn go_away(&self) {
+        self.lock().away = true;
+        self.changed.send_replace(());
+    }
+
+    /// Comes back from `copy`, in the next era.
+    pub fn come_back_from(&self, copy: StoreCopy) {
+        let mut state = self.lock();
+        state.copy = copy;
+        state.era += 1;
+        state.away = false;
+    }
+
+    /// Request lines so far, by method and path.
+    pub fn calls(&self) -> Vec<String> {
+        self.lock().calls.clone()
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        let Some(head) = read_head(&mut stream).await else { return };
+        let line = head.lines().next().unwrap_or_default().to_owned();
+        let length = header(&head.to_lowercase(), "content-length").and_then(|n| n.parse().ok());
+        let mut body = vec![0; length.unwrap_or(0)];
+        if stream.read_exact(&mut body).await.is_err() {
+            return;
+        }
+        self.lock().calls.push(line.clone());
+        let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let Some(((status, body), era)) = self.answer(&line, &body).await else { return };
+        let body = body.to_string();
+        let head = format!(
+            "HTTP/1.1 {status} X\r\nstore-era: {era}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        // The caller may have disconnected.
+        let _ = stream.write_all(&[head.as_bytes(), body.as_bytes()].concat()).await;
+    }
+
+    /// The answer with the era in which it is given; `None` while the store is away.
+    async fn answer(&self, line: &str, body: &Value) -> Option<(Answer, u64)> {
+        let mut words = line.split(' ');
+        let (method, target) = (words.next()?, words.next()?);
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        let mut parts = path.strip_prefix("/objects/")?.split('/');
+        let (kind, name) = (parts.next()?, parts.next());
+        let watched = query.split('&').find_map(|pair| pair.strip_prefix("watch="));
+        if let Some(after) = watched.and_then(|after| after.parse().ok()) {
+            let wait = query.split('&').find_map(|pair| pair.strip_prefix("wait_ms="));
+            let wait = Duration::from_millis(wait.and_then(|wait| wait.parse().ok()).unwrap_or(0));
+            return self.watch(kind, after, wait).await;
+        }
+        let era = self.present_era()?;
+        let own_name = || body["metadata"]["name"].as_str().unwrap_or_default().to_owned();
+        let answer = match (method, name) {
+            ("GET", None) => self.list(kind),
+            ("POST", None) if self.names(kind).contains(&own_name()) => (409, json!({})),
+            ("POST", None) => {
+                let revision = self.put(kind, &own_name(), body["spec"].clone());
+                (201, json!({ "revision": revision }))
+            }
+            ("PUT", Some(name)) => {
+                (200, json!({ "revision": self.put(kind, name, body["spec"].clone()) }))
+            }
+            ("DELETE", Some(name)) => (200, json!({ "revision": self.remove(kind, name) })),
+            _ => (404, json!({})),
+        };
+        Some((answer, era))
+    }
+
+    /// The era; `None` while the store is away.
+    fn present_era(&self) -> Option<u64> {
+        let state = self.lock();
+        (!state.away).then_some(state.era)
+    }
+
+    fn list(&self, kind: &str) -> Answer {
+        let state = self.lock();
+        let objects = state.copy.objects.iter().filter(|((one, _), _)| one == kind);
+        let items: Vec<Value> =
+            objects.map(|((_, name), (revision, spec))| object(name, *revision, spec)).collect();
+        (200, json!({ "items": items, "more": false, "at": state.copy.revision }))
+    }
+
+    async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Option<(Answer, u64)> {
+        let until = Instant::now() + wait;
+        let mut changed = self.changed.subscribe();
+        loop {
+            {
+                let state = self.lock();
+                if state.away {
+                    return None;
+                }
+                let at = state.copy.revision;
+                if after > at {
+                    return Some(((410, json!({})), state.era));
+                }
+                let later = state.copy.history.iter().filter(|change| change.revision > after);
+                let events: Vec<Value> =
+                    later.filter(|change| change.kind == kind).map(event).collect();
+                if !events.is_empty() || Instant::now() >= until {
+                    return Some(((200, json!({ "events": events, "at": at })), state.era));
+                }
+            }
+            // The time limit ends the watch without events.
+            let _ = tokio::time::timeout_at(until, changed.changed()).await;
+        }
+    }
+}
+
+fn object(name: &str, revision: u64, spec: &Value) -> Value {
+    json!({ "metadata": { "name": name, "revision": revision }, "spec": spec })
+}
+
+fn event(change: &Change) -> Value {
+    let spec = change.spec.clone().unwrap_or(json!({}));
+    json!({ "gone": change.spec.is_none(), "object": object(&change.name, change.revision, &spec) })
+}
+
+/// Content of a server record in the platform's words.
+pub fn server_spec(address: SocketAddr, zone: &str, state: &str, cold_ms: u64) -> Value {
+    json!({
+        "service": "s", "address": address, "zone": zone, "version": "v1", "slots": 4, "state": state,
+        "cold_remaining_ms": cold_ms, "sequence": 1,
+    })
+}
+
+/// Content of a configuration in the platform's words: a repeatable route `/safe/` on the service `s`.
+pub fn config_spec(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [{
+            "name": "safe", "host": "a.example", "path_prefix": "/safe/", "kind": "safe",
+            "timeout_ms": 15000, "target_latency_ms": 5000, "priority": 1, "max_attempts": 2,
+            "allow_anonymous": true, "service": "s",
+        }],
+        "services": [{ "name": "s", "health_path": "/health", "max_connections": 100 }],
+    })
+}
