--- a/crates/core/src/direct/evacuation.rs
+++ b/crates/core/src/direct/evacuation.rs
@@ -4,15 +4,16 @@
 //! that read the store gossip the complete set together with its store revision, so that a newly started entry
 //! needs only one notice.
 
+use headlatch_types::store::StoreRevision;
 use std::collections::BTreeSet;
 
-use super::{fact_age::ChangeMark, peers::DomainKey};
+use super::peers::DomainKey;
 
 /// The set of evacuated failure domains as of one store revision.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct EvacuatedDomains {
     /// Store revision; zero if nothing is known.
-    pub mark: ChangeMark,
+    pub mark: StoreRevision,
     /// Evacuated failure domains.
     pub domains: BTreeSet<DomainKey>,
 }
@@ -33,7 +34,7 @@
     /// being evacuated.
     pub fn with_changes(
         &self,
-        mark: ChangeMark,
+        mark: StoreRevision,
         changes: impl IntoIterator<Item = (DomainKey, bool)>,
     ) -> Self {
         let mut domains = self.domains.clone();
--- a/crates/core/src/direct/fact_age.rs
+++ b/crates/core/src/direct/fact_age.rs
@@ -4,36 +4,22 @@
 //! newest change that it has applied, and a process that has read the store only up to an older change knows
 //! that it has missed one.
 
-use std::{fmt, time::Duration};
-
-use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 use crate::time::Moment;
 
-/// Position of a change within its topic: a version of the plan, or a revision of the store.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct ChangeMark(pub u64);
-
-impl fmt::Display for ChangeMark {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}", self.0)
-    }
-}
-
-/// Freshness of the copy of one topic.
+/// Freshness of the copy of one topic. `M` is the position of a change: a version of the plan, or a revision of
+/// the store.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct FactAge {
+pub struct FactAge<M> {
     /// Position up to which no change is missing.
-    covered: ChangeMark,
+    covered: M,
     /// Position up to which the store itself has confirmed that no change is missing.
-    confirmed_to: ChangeMark,
+    confirmed_to: M,
     /// The newest change that has been applied.
-    newest: ChangeMark,
+    newest: M,
     /// The newest change that other processes report as applied.
-    peer_newest: ChangeMark,
+    peer_newest: M,
     /// When the store last confirmed that no change is missing.
     confirmed_at: Option<Moment>,
     /// Since when a change is known to be missing.
@@ -48,9 +34,9 @@
     last_store_progress: Option<Moment>,
 }
 
-impl FactAge {
+impl<M: Copy + Ord + Default> FactAge<M> {
     /// Records that the store has delivered all changes up to `covered`, the last of which is `newest`.
-    pub fn confirm_from_store(&mut self, now: Moment, covered: ChangeMark, newest: ChangeMark) {
+    pub fn confirm_from_store(&mut self, now: Moment, covered: M, newest: M) {
         let before = self.confirmed_to;
         self.confirmed_to = self.confirmed_to.max(covered).max(newest);
         if self.confirmed_to > before {
@@ -64,14 +50,14 @@
     }
 
     /// Records a change received from another process.
-    pub fn take_from_peer(&mut self, newest: ChangeMark) {
+    pub fn take_from_peer(&mut self, newest: M) {
         self.covered = self.covered.max(newest);
         self.newest = self.newest.max(newest);
         self.clear_resolved();
     }
 
     /// Records that another process has sent all changes up to `covered`, the last of which is `newest`.
-    pub fn take_list_from_peer(&mut self, now: Moment, covered: ChangeMark, newest: ChangeMark) {
+    pub fn take_list_from_peer(&mut self, now: Moment, covered: M, newest: M) {
         let before = self.covered;
         self.covered = self.covered.max(covered).max(newest);
         if self.covered > before {
@@ -82,12 +68,12 @@
     }
 
     /// Position up to which no change is missing.
-    pub fn covered(&self) -> ChangeMark {
+    pub fn covered(&self) -> M {
         self.covered
     }
 
     /// Records that another process has applied `newest`.
-    pub fn record_peer_position(&mut self, now: Moment, newest: ChangeMark) {
+    pub fn record_peer_position(&mut self, now: Moment, newest: M) {
         self.peer_newest = self.peer_newest.max(newest);
         if self.peer_newest > self.covered {
             self.behind_since.get_or_insert(now);
@@ -108,12 +94,12 @@
     }
 
     /// The newest applied change, for publication to other processes.
-    pub fn newest(&self) -> ChangeMark {
+    pub fn newest(&self) -> M {
         self.newest
     }
 
     /// The newest change that any process is known to have applied.
-    pub fn newest_told(&self) -> ChangeMark {
+    pub fn newest_told(&self) -> M {
         self.peer_newest.max(self.newest)
     }
 
--- a/crates/core/src/direct/leaving.rs
+++ b/crates/core/src/direct/leaving.rs
@@ -5,9 +5,10 @@
 //! revision. A newer record of a ready server overrides this and is gossiped as well, since a server whose
 //! record expired may return.
 
+use headlatch_types::store::StoreRevision;
 use std::{collections::BTreeMap, time::Duration};
 
-use super::{fact_age::ChangeMark, suspects::LifeKey};
+use super::suspects::LifeKey;
 use crate::time::Moment;
 
 /// Time for which a leaving server is gossiped: long enough to reach a failure domain after a short network
@@ -26,7 +27,7 @@
     /// Server key.
     pub server: u32,
     /// Store revision of the change.
-    pub revision: ChangeMark,
+    pub revision: StoreRevision,
     /// Whether the server is ready again after it was leaving or deregistered.
     pub returned: bool,
 }
@@ -34,8 +35,8 @@
 /// Latest store revisions at which a server was ready and leaving.
 #[derive(Debug, Clone, Copy, Default)]
 struct ServerMarks {
-    ready: ChangeMark,
-    leaving: Option<ChangeMark>,
+    ready: StoreRevision,
+    leaving: Option<StoreRevision>,
     /// Time at which this entry learned of the latest change between ready and leaving.
     learned_at: Moment,
 }
@@ -56,7 +57,7 @@
 
 impl LeavingServers {
     /// Records that a server was ready as of `revision`; returns whether it was leaving before.
-    pub fn record_ready(&mut self, now: Moment, server: u32, revision: ChangeMark) -> bool {
+    pub fn record_ready(&mut self, now: Moment, server: u32, revision: StoreRevision) -> bool {
         let marks = self.servers.entry(server).or_default();
         let before = marks.is_leaving();
         marks.ready = marks.ready.max(revision);
@@ -76,7 +77,7 @@
     }
 
     /// Records that a server was leaving or deregistered as of `revision`; returns whether its state changed.
-    pub fn record_leaving(&mut self, now: Moment, server: u32, revision: ChangeMark) -> bool {
+    pub fn record_leaving(&mut self, now: Moment, server: u32, revision: StoreRevision) -> bool {
         let marks = self.servers.entry(server).or_default();
         let before = marks.is_leaving();
         marks.leaving = marks.leaving.max(Some(revision));
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -16,11 +16,10 @@
     time::Duration,
 };
 
-use headlatch_types::traffic::PlanVersion;
+use headlatch_types::{store::StoreRevision, traffic::PlanVersion};
 
 use super::{
     engine_model::EngineLoad,
-    fact_age::ChangeMark,
     plan_readers::{ReaderCandidate, reader_rank},
     relays::DrainSum,
 };
@@ -404,7 +403,7 @@
 
     /// Entries that have applied a change of the server list after `mark`, in the local failure domain if
     /// `near` is set, otherwise in all other domains.
-    pub fn newer_servers(&self, mark: ChangeMark, near: bool) -> Vec<SocketAddr> {
+    pub fn newer_servers(&self, mark: StoreRevision, near: bool) -> Vec<SocketAddr> {
         let entries = self.living().filter(|peer| peer.notice.kind == PeerKind::Entry);
         let newer = entries.filter(|peer| peer.notice.servers > mark);
         newer.filter(|peer| near == self.is_near(peer)).map(|peer| peer.notice.from).collect()
--- a/crates/core/src/direct/peers/notice.rs
+++ b/crates/core/src/direct/peers/notice.rs
@@ -5,13 +5,13 @@
 use headlatch_types::{
     id::{DomainId, ModelName},
     pace::ServerPace,
+    store::StoreRevision,
     traffic::WeightVersion,
 };
 
 use crate::direct::{
     engine_model::EngineLoad,
     evacuation::EvacuatedDomains,
-    fact_age::ChangeMark,
     leaving::LeavingNotice,
     rate_limits::LimitNotice,
     suspects::{LifeKey, SuspectNotice},
@@ -123,7 +123,7 @@
     /// Version of the plan that the sender uses.
     pub plan: u64,
     /// The newest change of the server list that the sender has applied; zero if it reports none.
-    pub servers: ChangeMark,
+    pub servers: StoreRevision,
     /// Servers that were recently reported as leaving.
     pub leaving: Vec<LeavingNotice>,
     /// Servers that have announced in a response that they are draining.
@@ -162,7 +162,7 @@
             incarnation: 1,
             sequence: 1,
             plan: 0,
-            servers: ChangeMark::default(),
+            servers: StoreRevision::default(),
             leaving: Vec::new(),
             draining_lives: Vec::new(),
             limits: Vec::new(),
--- a/crates/core/src/direct/plan_source.rs
+++ b/crates/core/src/direct/plan_source.rs
@@ -14,9 +14,10 @@
 //!
 //! The worst case is 1.8 s; usually the first two steps suffice.
 
+use headlatch_types::traffic::PlanVersion;
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
-use super::fact_age::{ChangeMark, FactAge};
+use super::fact_age::FactAge;
 use crate::time::Moment;
 
 /// Time that an entry with a watch on the store waits for it before it asks a local peer: across regions,
@@ -56,7 +57,7 @@
 /// Sources of newer plans for one entry.
 #[derive(Debug, Clone, Default)]
 pub struct PlanSource {
-    age: FactAge,
+    age: FactAge<PlanVersion>,
     /// Holders whose fetch has failed since this entry fell behind.
     failed: BTreeSet<SocketAddr>,
     /// Since when this entry has been a plan reader.
@@ -65,18 +66,18 @@
 
 impl PlanSource {
     /// Freshness of the plan.
-    pub fn age(&self) -> &FactAge {
+    pub fn age(&self) -> &FactAge<PlanVersion> {
         &self.age
     }
 
     /// Records that the store has returned `version` as the newest plan.
-    pub fn confirm_from_store(&mut self, now: Moment, version: ChangeMark) {
+    pub fn confirm_from_store(&mut self, now: Moment, version: PlanVersion) {
         self.age.confirm_from_store(now, version, version);
         self.clear_failures(now);
     }
 
     /// Records that a plan has been applied, from any source.
-    pub fn take_from_peer(&mut self, now: Moment, version: ChangeMark) {
+    pub fn take_from_peer(&mut self, now: Moment, version: PlanVersion) {
         self.age.take_from_peer(version);
         self.clear_failures(now);
     }
@@ -88,7 +89,7 @@
     }
 
     /// Records that another entry has the plan of `version`.
-    pub fn record_peer_position(&mut self, now: Moment, version: ChangeMark) {
+    pub fn record_peer_position(&mut self, now: Moment, version: PlanVersion) {
         self.age.record_peer_position(now, version);
     }
 
--- a/crates/core/src/direct/server_copy.rs
+++ b/crates/core/src/direct/server_copy.rs
@@ -3,11 +3,12 @@
 
 use std::collections::{BTreeMap, HashSet};
 
-use headlatch_types::traffic::{ServerId, ServerRecord};
+use headlatch_types::{
+    store::StoreRevision,
+    traffic::{ServerId, ServerRecord},
+};
 use serde::{Deserialize, Serialize};
 
-use super::fact_age::ChangeMark;
-
 /// Maximum number of removed servers that are kept for other entries. An entry that is further behind
 /// receives the full list.
 const MAX_REMOVED: usize = 512;
@@ -16,7 +17,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RevisionedRecord {
     /// Store revision of the last change of the record.
-    pub revision: ChangeMark,
+    pub revision: StoreRevision,
     /// The server record.
     pub record: ServerRecord,
 }
@@ -25,7 +26,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RemovedServer {
     /// Store revision of the removal, or of the last change before it.
-    pub revision: ChangeMark,
+    pub revision: StoreRevision,
     /// Identifier of the server.
     pub id: ServerId,
 }
@@ -34,9 +35,9 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerChanges {
     /// Position up to which no change is missing.
-    pub covered: ChangeMark,
+    pub covered: StoreRevision,
     /// The newest known change.
-    pub newest: ChangeMark,
+    pub newest: StoreRevision,
     /// `set` is the full list: servers that it lacks have been removed.
     pub whole: bool,
     /// New and changed servers.
@@ -48,13 +49,13 @@
 /// The list of servers of one entry, from which other entries are updated.
 #[derive(Debug, Clone, Default)]
 pub struct ServerCopy {
-    covered: ChangeMark,
-    newest: ChangeMark,
+    covered: StoreRevision,
+    newest: StoreRevision,
     records: BTreeMap<ServerId, RevisionedRecord>,
     /// Removed servers, each with the position up to which changes were known at its removal.
-    gone: BTreeMap<ServerId, (ChangeMark, RemovedServer)>,
+    gone: BTreeMap<ServerId, (StoreRevision, RemovedServer)>,
     /// Removals before this position are not kept.
-    removals_known_after: ChangeMark,
+    removals_known_after: StoreRevision,
 }
 
 impl ServerCopy {
@@ -90,7 +91,7 @@
             let revision = changes.covered;
             missing.into_iter().for_each(|id| self.remove(RemovedServer { revision, id }));
             // Removals before the first full list are unknown.
-            if self.removals_known_after == ChangeMark::default() {
+            if self.removals_known_after == StoreRevision::default() {
                 self.removals_known_after = changes.covered;
             }
         }
@@ -114,8 +115,8 @@
 
     /// Changes for an entry that knows everything up to `after`; none before the first full list has been
     /// received.
-    pub fn changes_after(&self, after: ChangeMark) -> Option<ServerChanges> {
-        if self.covered == ChangeMark::default() {
+    pub fn changes_after(&self, after: StoreRevision) -> Option<ServerChanges> {
+        if self.covered == StoreRevision::default() {
             return None;
         }
         let whole = after < self.removals_known_after;
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -9,13 +9,13 @@
 
 use headlatch_types::{
     id::{DomainId, RegionId},
+    store::StoreRevision,
     traffic::{ServerId, ServerRecord, WeightVersion},
 };
 
 use self::cold::ColdPeriod;
 use super::{
     engine_model::EngineLoad,
-    fact_age::ChangeMark,
     leaving::{DrainingLives, LeavingNotice, LeavingServers},
     peers::{DomainKey, LoadNotice, ServerNotice},
     rate_limits::RateLimits,
@@ -159,7 +159,7 @@
     /// Inserts or updates a server's record.
     ///
     /// `revision` is the store revision of the record.
-    pub fn set(&mut self, now: Moment, record: ServerRecord, revision: ChangeMark) {
+    pub fn set(&mut self, now: Moment, record: ServerRecord, revision: StoreRevision) {
         let key = server_key(&record.id);
         match record.draining {
             true => {
@@ -217,7 +217,7 @@
     }
 
     /// Removes a server that was deregistered as of `revision`; returns whether it was in the table.
-    pub fn remove(&mut self, now: Moment, id: &ServerId, revision: ChangeMark) -> bool {
+    pub fn remove(&mut self, now: Moment, id: &ServerId, revision: StoreRevision) -> bool {
         let _ = self.leaving.record_leaving(now, server_key(id), revision);
         self.leaving.forget_old(now);
         self.prune_draining_lives(now);
@@ -230,7 +230,7 @@
     }
 
     /// Removes all servers except those in `listed`, the complete list as of `revision`.
-    pub fn retain_listed(&mut self, now: Moment, listed: &[ServerId], revision: ChangeMark) {
+    pub fn retain_listed(&mut self, now: Moment, listed: &[ServerId], revision: StoreRevision) {
         let listed: HashSet<&ServerId> = listed.iter().collect();
         for id in self.servers.keys().filter(|id| !listed.contains(id)) {
             let _ = self.leaving.record_leaving(now, server_key(id), revision);
--- a/crates/core/tests/allowed_regions.rs
+++ b/crates/core/tests/allowed_regions.rs
@@ -17,6 +17,7 @@
 use headlatch_types::{
     id::{DomainId, RegionId},
     request::RequestDigest,
+    store::StoreRevision,
     traffic::{AllowedRegions, ServerId, ServerRecord, WeightVersion},
 };
 use proptest::prelude::{Just, ProptestConfig, Strategy, any, prop, proptest};
@@ -46,7 +47,7 @@
     let regions = known
         .map(|(zone, region)| (zone.parse().expect("a name"), region.parse().expect("a name")));
     let mut table = ServerTable::new(zone.parse().expect("a name"), regions.collect());
-    let mark = headlatch_core::direct::fact_age::ChangeMark(1);
+    let mark = StoreRevision::from_wire(1);
     servers.iter().for_each(|server| table.set(at(0), server.clone(), mark));
     table.set_entries(20);
     table
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -7,7 +7,6 @@
     direct::{
         engine_model::{EngineLoad, EngineWork, time_to_first_token},
         event_split::EventSplitter,
-        fact_age::ChangeMark,
         leaving::LeavingNotice,
         peers::{DomainKey, NEAR_PEER_TIMEOUT, PeerKind, PeerTable, ServerNotice},
         retry_share::{EntryStart, RetryBudget, RetryShare},
@@ -20,9 +19,12 @@
     },
     time::Moment,
 };
-use headlatch_types::traffic::{
-    AllowedRegions, EngineCapacity, PlanVersion, Route, RouteKind, RouteTarget, ServerId,
-    ServerRecord, Tenant, TrafficPlan, WeightVersion,
+use headlatch_types::{
+    store::StoreRevision,
+    traffic::{
+        AllowedRegions, EngineCapacity, PlanVersion, Route, RouteKind, RouteTarget, ServerId,
+        ServerRecord, Tenant, TrafficPlan, WeightVersion,
+    },
 };
 
 #[path = "support/entry.rs"]
@@ -390,7 +392,7 @@
     let mut table = table(&[server("a", "z1", 1)]);
     let leaving_notice = |revision, returned| LeavingNotice {
         server: server_key(&ServerId("a".into())),
-        revision: ChangeMark(revision),
+        revision: StoreRevision::from_wire(revision),
         returned,
     };
     expect_that!(table.merge_leaving(at(0), leaving_notice(5, false)), eq(true));
@@ -399,8 +401,8 @@
     expect_that!(choose(&table, at(30), None, &[]), eq("a"));
     // A draining record applies for as long as it is stored, even after gossip state has expired.
     let draining = ServerRecord { draining: true, ..server("a", "z1", 1) };
-    table.set(at(40), draining, ChangeMark(9));
-    table.remove(at(100_000), &ServerId("other".into()), ChangeMark(10));
+    table.set(at(40), draining, StoreRevision::from_wire(9));
+    table.remove(at(100_000), &ServerId("other".into()), StoreRevision::from_wire(10));
     expect_that!(choose(&table, at(100_000), None, &[]), eq("unavailable"));
 }
 
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -6,12 +6,12 @@
 use headlatch_core::direct::{
     engine_model::EngineWork,
     evacuation::EvacuatedDomains,
-    fact_age::ChangeMark,
     peers::DomainKey,
     server_table::{ColdRates, EngineQuery, ServerChoice, ServerOutcome, ServerQuery, ServerTable},
 };
 use headlatch_types::{
     id::DomainId,
+    store::StoreRevision,
     traffic::{AllowedRegions, ServerRecord},
 };
 
@@ -67,7 +67,7 @@
 #[gtest]
 fn evacuation_set_with_latest_revision_wins() {
     let set = |mark, names: &[&str]| EvacuatedDomains {
-        mark: ChangeMark(mark),
+        mark: StoreRevision::from_wire(mark),
         domains: names.iter().map(|name| domain(name)).collect(),
     };
     let mut known = EvacuatedDomains::default();
@@ -75,7 +75,8 @@
     // A late, older set is ignored, and a newer set with the same content is no change.
     expect_that!(known.merge(&set(4, &[])), eq(false));
     expect_that!(known.merge(&set(6, &["z1"])), eq(false));
-    let next = known.with_changes(ChangeMark(9), [(domain("z1"), false), (domain("z2"), true)]);
+    let next = known
+        .with_changes(StoreRevision::from_wire(9), [(domain("z1"), false), (domain("z2"), true)]);
     expect_that!(next, eq(&set(9, &["z2"])));
     expect_that!(known.merge(&next), eq(true));
     expect_that!(known, eq(&next));
--- a/crates/core/tests/fact_age.rs
+++ b/crates/core/tests/fact_age.rs
@@ -1,19 +1,17 @@
 //! Detection of an outdated copy of a topic.
 
+use headlatch_types::store::StoreRevision;
 use std::time::Duration;
 
 use googletest::prelude::*;
-use headlatch_core::{
-    direct::fact_age::{ChangeMark, FactAge},
-    time::Moment,
-};
+use headlatch_core::{direct::fact_age::FactAge, time::Moment};
 
 fn at(millis: u64) -> Moment {
     Moment::ZERO + Duration::from_millis(millis)
 }
 
-fn mark(number: u64) -> ChangeMark {
-    ChangeMark(number)
+fn mark(number: u64) -> StoreRevision {
+    StoreRevision::from_wire(number)
 }
 
 #[gtest]
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -5,20 +5,22 @@
 use googletest::prelude::*;
 use headlatch_core::{
     direct::{
-        fact_age::ChangeMark,
         leaving::{LeavingNotice, LeavingServers, MAX_LEAVING_NOTICES},
         server_table::{Ineligible, ServerChoice, ServerQuery, ServerTable},
     },
     time::Moment,
 };
-use headlatch_types::traffic::{AllowedRegions, ServerId, ServerRecord, StartTime};
+use headlatch_types::{
+    store::StoreRevision,
+    traffic::{AllowedRegions, ServerId, ServerRecord, StartTime},
+};
 
 fn at(millis: u64) -> Moment {
     Moment::ZERO + Duration::from_millis(millis)
 }
 
-fn mark(number: u64) -> ChangeMark {
-    ChangeMark(number)
+fn mark(number: u64) -> StoreRevision {
+    StoreRevision::from_wire(number)
 }
 
 #[gtest]
--- a/crates/core/tests/load_notices.rs
+++ b/crates/core/tests/load_notices.rs
@@ -6,7 +6,6 @@
 use headlatch_core::{
     direct::{
         engine_model::{EngineLoad, EngineWork},
-        fact_age::ChangeMark,
         peers::{
             DomainKey, FAR_PEER_TIMEOUT, LoadNotice, NEAR_PEER_TIMEOUT, PeerKind, PeerNotice,
             PeerTable,
@@ -17,8 +16,12 @@
     },
     time::Moment,
 };
-use headlatch_types::traffic::{
-    AllowedRegions, EngineCapacity, HeldLayers, HeldModel, ServerId, ServerRecord, WeightVersion,
+use headlatch_types::{
+    store::StoreRevision,
+    traffic::{
+        AllowedRegions, EngineCapacity, HeldLayers, HeldModel, ServerId, ServerRecord,
+        WeightVersion,
+    },
 };
 
 const NEAR: DomainKey = DomainKey(1);
@@ -196,7 +199,7 @@
 
 fn table(records: &[ServerRecord]) -> ServerTable {
     let mut table = ServerTable::new("z1".parse().expect("a name"), Default::default());
-    records.iter().for_each(|record| table.set(at(0), record.clone(), ChangeMark(1)));
+    records.iter().for_each(|record| table.set(at(0), record.clone(), StoreRevision::from_wire(1)));
     table
 }
 
--- a/crates/core/tests/many_servers.rs
+++ b/crates/core/tests/many_servers.rs
@@ -9,11 +9,13 @@
 
 use googletest::prelude::*;
 use headlatch_core::direct::{
-    fact_age::ChangeMark,
     plan_readers::fallback_read_delay,
     server_copy::{RevisionedRecord, ServerChanges, ServerCopy},
 };
-use headlatch_types::traffic::{ServerId, ServerRecord};
+use headlatch_types::{
+    store::StoreRevision,
+    traffic::{ServerId, ServerRecord},
+};
 
 #[path = "support/entry.rs"]
 mod entry;
@@ -32,12 +34,12 @@
 
 fn listed(servers: &[ServerRecord], covered: u64) -> ServerChanges {
     let marked = |record: &ServerRecord| RevisionedRecord {
-        revision: ChangeMark(1),
+        revision: StoreRevision::from_wire(1),
         record: record.clone(),
     };
     ServerChanges {
-        covered: ChangeMark(covered),
-        newest: ChangeMark(1),
+        covered: StoreRevision::from_wire(covered),
+        newest: StoreRevision::from_wire(1),
         whole: true,
         set: servers.iter().map(marked).collect(),
         gone: Vec::new(),
@@ -50,7 +52,7 @@
     let servers = servers(SERVERS);
     let mut table = table(&servers);
     let ids: Vec<ServerId> = servers.iter().map(|record| record.id.clone()).collect();
-    table.retain_listed(at(1), &ids, ChangeMark(2));
+    table.retain_listed(at(1), &ids, StoreRevision::from_wire(2));
     table.set_notices(&HashMap::new());
     let mut copy = ServerCopy::default();
     for covered in 1..4 {
@@ -65,8 +67,8 @@
 fn service_index_follows_added_moved_and_removed_servers() {
     let mut table = table(&servers(3));
     let moved = ServerRecord { service: "other".into(), ..server("s00001", "z1", 1) };
-    table.set(at(1), moved, ChangeMark(2));
-    table.remove(at(2), &ServerId("s00000".into()), ChangeMark(3));
+    table.set(at(1), moved, StoreRevision::from_wire(2));
+    table.remove(at(2), &ServerId("s00000".into()), StoreRevision::from_wire(3));
     let chosen = |service: &str| {
         let regions = headlatch_types::traffic::AllowedRegions::Anywhere;
         let query = headlatch_core::direct::server_table::ServerQuery {
--- a/crates/core/tests/plan_source.rs
+++ b/crates/core/tests/plan_source.rs
@@ -1,13 +1,11 @@
 //! Selection of the peer from which an outdated entry fetches a plan.
 
+use headlatch_types::traffic::PlanVersion;
 use std::{net::SocketAddr, time::Duration};
 
 use googletest::prelude::*;
 use headlatch_core::{
-    direct::{
-        fact_age::ChangeMark,
-        plan_source::{PlanHolders, PlanSource},
-    },
+    direct::plan_source::{PlanHolders, PlanSource},
     time::Moment,
 };
 
@@ -21,8 +19,8 @@
 
 fn behind() -> PlanSource {
     let mut source = PlanSource::default();
-    source.confirm_from_store(at(0), ChangeMark(5));
-    source.record_peer_position(at(0), ChangeMark(6));
+    source.confirm_from_store(at(0), PlanVersion(5));
+    source.record_peer_position(at(0), PlanVersion(6));
     source
 }
 
@@ -34,7 +32,7 @@
 #[gtest]
 fn no_holder_is_asked_without_a_newer_plan() {
     let mut source = behind();
-    source.confirm_from_store(at(10), ChangeMark(6));
+    source.confirm_from_store(at(10), PlanVersion(6));
     expect_that!(source.holder(at(5000), &view(&[1], &[2]), 0), none());
     expect_that!(source.take_due_read(at(5000), true), eq(false));
 }
@@ -67,10 +65,10 @@
     expect_that!(source.is_watch_overdue(at(390)), eq(false));
     expect_that!(source.is_watch_overdue(at(400)), eq(true));
     // A plan from a local peer leaves the watch overdue, and the store must still be read.
-    source.take_from_peer(at(500), ChangeMark(6));
+    source.take_from_peer(at(500), PlanVersion(6));
     expect_that!(source.is_watch_overdue(at(600)), eq(true));
     expect_that!(source.take_due_read(at(900), true), eq(true));
-    source.confirm_from_store(at(950), ChangeMark(6));
+    source.confirm_from_store(at(950), PlanVersion(6));
     expect_that!(source.is_watch_overdue(at(5000)), eq(false));
     expect_that!(source.take_due_read(at(5000), true), eq(false));
 }
@@ -79,7 +77,7 @@
 fn new_reader_is_not_overdue_before_its_first_read() {
     let mut source = behind();
     source.record_role(at(100), false);
-    source.take_from_peer(at(200), ChangeMark(6));
+    source.take_from_peer(at(200), PlanVersion(6));
     expect_that!(source.is_watch_overdue(at(3000)), eq(false));
     source.record_role(at(3000), true);
     expect_that!(source.is_watch_overdue(at(3300)), eq(false));
@@ -110,6 +108,6 @@
     expect_that!(reads(false), eq(&vec![1500, 2400]));
     // An entry that is not a reader and has received the plan from a peer does not read the store.
     let mut updated = behind();
-    updated.take_from_peer(at(100), ChangeMark(6));
+    updated.take_from_peer(at(100), PlanVersion(6));
     expect_that!(updated.take_due_read(at(5000), false), eq(false));
 }
--- a/crates/core/tests/rate_limits.rs
+++ b/crates/core/tests/rate_limits.rs
@@ -5,7 +5,6 @@
 use googletest::prelude::*;
 use headlatch_core::{
     direct::{
-        fact_age::ChangeMark,
         peers::DomainKey,
         rate_limits::{EntryKey, EntryPeer, LimitNotice, RateLimits},
         server_table::{ServerChoice, ServerQuery, ServerTable},
@@ -16,6 +15,7 @@
 use headlatch_types::{
     id::DomainId,
     quantity::RequestRate,
+    store::StoreRevision,
     traffic::{AllowedRegions, ServerId, ServerRecord},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -73,7 +73,7 @@
         let table = |number| {
             let mut table = ServerTable::new(zone(number), Default::default());
             let records = (0..served).map(|server| record(server, zone(server)));
-            records.for_each(|record| table.set(Moment::ZERO, record, ChangeMark(1)));
+            records.for_each(|record| table.set(Moment::ZERO, record, StoreRevision::from_wire(1)));
             table
         };
         let tables: Vec<ServerTable> = (0..entries).map(table).collect();
--- a/crates/core/tests/server_copy.rs
+++ b/crates/core/tests/server_copy.rs
@@ -1,11 +1,13 @@
 //! Replication of the list of servers between entries.
 
 use googletest::prelude::*;
-use headlatch_core::direct::{
-    fact_age::ChangeMark,
-    server_copy::{RemovedServer, RevisionedRecord, ServerChanges, ServerCopy},
+use headlatch_core::direct::server_copy::{
+    RemovedServer, RevisionedRecord, ServerChanges, ServerCopy,
+};
+use headlatch_types::{
+    store::StoreRevision,
+    traffic::{ServerId, ServerRecord},
 };
-use headlatch_types::traffic::{ServerId, ServerRecord};
 
 fn record(id: &str, draining: bool) -> ServerRecord {
     ServerRecord {
@@ -22,17 +24,23 @@
 }
 
 fn marked(id: &str, revision: u64) -> RevisionedRecord {
-    RevisionedRecord { revision: ChangeMark(revision), record: record(id, false) }
+    RevisionedRecord { revision: StoreRevision::from_wire(revision), record: record(id, false) }
 }
 
 fn changes(covered: u64, whole: bool, set: Vec<RevisionedRecord>, gone: &[&str]) -> ServerChanges {
     let gone = gone.iter().map(|id| RemovedServer {
         // The store reports the revision of the last change before the removal.
-        revision: ChangeMark(1),
+        revision: StoreRevision::from_wire(1),
         id: ServerId((*id).into()),
     });
-    let newest = ChangeMark(covered);
-    ServerChanges { covered: ChangeMark(covered), newest, whole, set, gone: gone.collect() }
+    let newest = StoreRevision::from_wire(covered);
+    ServerChanges {
+        covered: StoreRevision::from_wire(covered),
+        newest,
+        whole,
+        set,
+        gone: gone.collect(),
+    }
 }
 
 fn ids(changes: &ServerChanges) -> Vec<String> {
@@ -41,7 +49,7 @@
 
 #[gtest]
 fn no_changes_are_returned_before_the_first_list() {
-    expect_that!(ServerCopy::default().changes_after(ChangeMark(0)), none());
+    expect_that!(ServerCopy::default().changes_after(StoreRevision::from_wire(0)), none());
 }
 
 #[gtest]
@@ -50,12 +58,12 @@
     copy.take(&changes(10, true, vec![marked("a", 1), marked("b", 2)], &[]));
     copy.take(&changes(12, false, vec![marked("c", 12)], &[]));
     copy.take(&changes(14, false, Vec::new(), &["a"]));
-    let update = copy.changes_after(ChangeMark(10)).expect("a list is here");
+    let update = copy.changes_after(StoreRevision::from_wire(10)).expect("a list is here");
     expect_that!(update.whole, eq(false));
     expect_that!(ids(&update), elements_are![eq("c")]);
     expect_that!(update.gone.len(), eq(1));
-    expect_that!(update.covered, eq(ChangeMark(14)));
-    let update = copy.changes_after(ChangeMark(14)).expect("a list is here");
+    expect_that!(update.covered, eq(StoreRevision::from_wire(14)));
+    let update = copy.changes_after(StoreRevision::from_wire(14)).expect("a list is here");
     expect_that!(ids(&update), is_empty());
     expect_that!(update.gone.len(), eq(0));
 }
@@ -64,7 +72,7 @@
 fn new_entry_receives_the_full_list() {
     let mut copy = ServerCopy::default();
     copy.take(&changes(10, true, vec![marked("a", 1), marked("b", 2)], &[]));
-    let update = copy.changes_after(ChangeMark(0)).expect("a list is here");
+    let update = copy.changes_after(StoreRevision::from_wire(0)).expect("a list is here");
     expect_that!(update.whole, eq(true));
     expect_that!(ids(&update), elements_are![eq("a"), eq("b")]);
 }
@@ -74,10 +82,10 @@
     let mut copy = ServerCopy::default();
     copy.take(&changes(10, true, vec![marked("a", 1), marked("b", 2)], &[]));
     copy.take(&changes(20, true, vec![marked("b", 2)], &[]));
-    let update = copy.changes_after(ChangeMark(10)).expect("a list is here");
+    let update = copy.changes_after(StoreRevision::from_wire(10)).expect("a list is here");
     expect_that!(update.gone.first().map(|gone| gone.id.0.to_string()), some(eq("a")));
     copy.take(&changes(25, false, vec![marked("a", 25)], &[]));
-    let update = copy.changes_after(ChangeMark(10)).expect("a list is here");
+    let update = copy.changes_after(StoreRevision::from_wire(10)).expect("a list is here");
     expect_that!(update.gone.len(), eq(0));
     expect_that!(ids(&update), elements_are![eq("a")]);
 }
--- a/crates/core/tests/server_lives.rs
+++ b/crates/core/tests/server_lives.rs
@@ -6,7 +6,6 @@
 use googletest::prelude::*;
 use headlatch_core::{
     direct::{
-        fact_age::ChangeMark,
         peers::ServerNotice,
         server_table::{
             ChosenServer, Ineligible, ServerChoice, ServerOutcome, ServerQuery, ServerTable,
@@ -14,7 +13,10 @@
     },
     time::Moment,
 };
-use headlatch_types::traffic::{AllowedRegions, ServerId, ServerRecord, StartTime, WeightVersion};
+use headlatch_types::{
+    store::StoreRevision,
+    traffic::{AllowedRegions, ServerId, ServerRecord, StartTime, WeightVersion},
+};
 
 fn record(born: u64) -> ServerRecord {
     ServerRecord {
@@ -52,7 +54,7 @@
 fn table() -> ServerTable {
     let zone = "z1".parse().expect("a name");
     let mut table = ServerTable::new(zone, Default::default());
-    table.set(at(0), record(1000), ChangeMark(1));
+    table.set(at(0), record(1000), StoreRevision::from_wire(1));
     table
 }
 
@@ -60,9 +62,9 @@
 fn each_process_has_its_own_key() {
     let mut table = table();
     let first = choose(&table, at(0)).expect("a server");
-    table.set(at(1), record(1000), ChangeMark(2));
+    table.set(at(1), record(1000), StoreRevision::from_wire(2));
     expect_that!(choose(&table, at(1)).expect("a server").life, eq(first.life));
-    table.set(at(2), record(2000), ChangeMark(3));
+    table.set(at(2), record(2000), StoreRevision::from_wire(3));
     expect_that!(choose(&table, at(2)).expect("a server").life, not(eq(first.life)));
 }
 
@@ -75,7 +77,7 @@
         table.end_chosen(at(10), &first, ServerOutcome::Lost);
     }
     expect_that!(choose(&table, at(100)), none());
-    table.set(at(100), record(2000), ChangeMark(2));
+    table.set(at(100), record(2000), StoreRevision::from_wire(2));
     expect_that!(choose(&table, at(100)), some(anything()));
     // A late failure of a request to the earlier process does not count against the new one.
     table.begin(&first.id, 0);
@@ -98,7 +100,7 @@
     };
     table.set_notice(notice.address, Some(notice));
     expect_that!(choose(&table, at(0)), none(), "it is changing");
-    table.set(at(1), record(2000), ChangeMark(2));
+    table.set(at(1), record(2000), StoreRevision::from_wire(2));
     expect_that!(choose(&table, at(1)), some(anything()));
 }
 
@@ -125,7 +127,7 @@
     table.begin(&server.id, 0);
     expect_that!(choose(&table, at(3_030)), some(anything()));
     table.start_backoff(at(3_040), &server, Duration::from_secs(60));
-    table.set(at(3_050), record(2000), ChangeMark(2));
+    table.set(at(3_050), record(2000), StoreRevision::from_wire(2));
     expect_that!(choose(&table, at(3_060)), some(anything()));
     // A response of the earlier process does not affect the new one.
     table.start_backoff(at(3_070), &server, Duration::from_secs(60));
--- a/crates/core/tests/server_speed.rs
+++ b/crates/core/tests/server_speed.rs
@@ -5,7 +5,6 @@
 use headlatch_core::{
     direct::{
         engine_model::time_to_first_token,
-        fact_age::ChangeMark,
         server_table::{
             ChosenServer, EngineQuery, FirstTokenBound, ServerChoice, ServerOutcome, ServerQuery,
             ServerTable,
@@ -15,6 +14,7 @@
 };
 use headlatch_types::{
     pace::ServerPace,
+    store::StoreRevision,
     traffic::{AllowedRegions, ServerId, ServerRecord, StartTime},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -161,7 +161,7 @@
     table.set_notice(record.address, Some(notice(&record, Some(pace(5.0)))));
     expect_that!(slow_by(&table, at(1_000), "s0"), some(eq(pace(5.0))));
     let restarted = ServerRecord { started_at: Some(StartTime(77)), ..record };
-    table.set(at(1_000), restarted, ChangeMark(2));
+    table.set(at(1_000), restarted, StoreRevision::from_wire(2));
     expect_that!(slow_by(&table, at(1_000), "s0"), none());
 }
 
--- a/crates/core/tests/sizes.rs
+++ b/crates/core/tests/sizes.rs
@@ -23,7 +23,6 @@
     direct::{
         admission::shedding::{LoadShedder, NewRequest, ShedRank},
         engine_model::{EngineLoad, EngineWork},
-        fact_age::ChangeMark,
         server_table::{
             ChosenServer, EngineQuery, ServerChoice, ServerOutcome, ServerQuery, ServerTable,
         },
@@ -34,6 +33,7 @@
 use headlatch_types::{
     id::DomainId,
     request::RequestDigest,
+    store::StoreRevision,
     traffic::{
         AllowedRegions, EngineCapacity, HeldLayers, HeldModel, ServerId, ServerRecord,
         WeightVersion,
@@ -214,7 +214,7 @@
         let table = || {
             let mut table = ServerTable::new(zone.clone(), HashMap::new());
             for index in 0..engines {
-                table.set(Moment::ZERO, server(index), ChangeMark(1));
+                table.set(Moment::ZERO, server(index), StoreRevision::from_wire(1));
             }
             table.set_entries(entries);
             table
--- a/crates/core/tests/support/entry.rs
+++ b/crates/core/tests/support/entry.rs
@@ -8,7 +8,6 @@
 use headlatch_core::{
     direct::{
         engine_model::EngineLoad,
-        fact_age::ChangeMark,
         peers::{DomainKey, LoadNotice, PeerKind, PeerNotice, ServerNotice},
         server_table::{ServerTable, server_key},
     },
@@ -16,6 +15,7 @@
 };
 use headlatch_types::{
     id::{DomainId, ModelName},
+    store::StoreRevision,
     traffic::{HeldLayers, HeldModel, ServerId, ServerRecord, WeightVersion},
 };
 
@@ -73,7 +73,7 @@
     let region = |name: &str| name.parse().expect("a name");
     let regions = HashMap::from([(zone("z1"), region("r1")), (zone("z2"), region("r2"))]);
     let mut table = ServerTable::new(zone("z1"), regions);
-    servers.iter().for_each(|server| table.set(at(0), server.clone(), ChangeMark(1)));
+    servers.iter().for_each(|server| table.set(at(0), server.clone(), StoreRevision::from_wire(1)));
     table
 }
 
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -4,12 +4,11 @@
 use std::{sync::Arc, time::Duration};
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use headlatch_core::direct::fact_age::ChangeMark;
 use headlatch_outside::facts::{
     Fact, FactChange, FactChanges, FactList, FactStore, FactTopic, Freshness, NamedFact,
-    StoreFailure, StoreRevision,
+    StoreFailure,
 };
-use headlatch_types::ByteProgress;
+use headlatch_types::{ByteProgress, store::StoreRevision};
 use rand::Rng;
 use serde_json::json;
 use tokio::{sync::Notify, time::Instant};
@@ -162,22 +161,22 @@
 
 impl FactUpdate {
     /// Revision up to which the update is complete.
-    pub fn covered(&self) -> ChangeMark {
+    pub fn covered(&self) -> StoreRevision {
         match self {
-            Self::All(list) => ChangeMark(list.at.0),
-            Self::Changes(changes) => ChangeMark(changes.at.0),
+            Self::All(list) => list.at,
+            Self::Changes(changes) => changes.at,
         }
     }
 
     /// Revision of the newest change in the update.
-    pub fn newest(&self) -> ChangeMark {
-        let revision = |fact: &NamedFact| ChangeMark(fact.revision.0);
+    pub fn newest(&self) -> StoreRevision {
+        let revision = |fact: &NamedFact| fact.revision;
         let newest = match self {
             Self::All(list) => list.facts.iter().map(revision).max(),
             Self::Changes(changes) => {
                 let marks = changes.changes.iter().map(|change| match change {
                     FactChange::Set(fact) => revision(fact),
-                    FactChange::Gone { revision, .. } => ChangeMark(revision.0),
+                    FactChange::Gone { revision, .. } => *revision,
                 });
                 marks.max()
             }
@@ -227,10 +226,10 @@
 
 /// Logs the position of a list, and whether it is before what this process has read already.
 fn log_list(topic: FactTopic, before: StoreRevision, list: &FactList) {
-    let (topic, at) = (topic.as_str(), list.at.0);
-    let newest = list.facts.iter().map(|fact| fact.revision.0).max();
+    let (topic, at) = (topic.as_str(), list.at.number());
+    let newest = list.facts.iter().map(|fact| fact.revision.number()).max();
     let fields = json!({
-        "topic": topic, "at": at, "before": before.0, "facts": list.facts.len(), "newest": newest,
+        "topic": topic, "at": at, "before": before.number(), "facts": list.facts.len(), "newest": newest,
     });
     match list.at < before {
         true => decisions::warn("store", "revisions_went_back", fields),
@@ -388,7 +387,7 @@
         }
         let fields = json!({
             "topic": self.topic.as_str(), "open_ms": begun.elapsed().as_millis() as u64,
-            "changes": changes.changes.len(), "at": changes.at.0,
+            "changes": changes.changes.len(), "at": changes.at.number(),
         });
         decisions::info("store", "watch_brought", fields);
     }
--- a/crates/daemon/src/direct/notice_codec.rs
+++ b/crates/daemon/src/direct/notice_codec.rs
@@ -8,14 +8,15 @@
 use headlatch_core::direct::{
     engine_model::EngineLoad,
     evacuation::EvacuatedDomains,
-    fact_age::ChangeMark,
     leaving::LeavingNotice,
     peers::{DomainKey, DrainNotice, LoadNotice, PeerKind, PeerNotice, ServerNotice, WantedNotice},
     rate_limits::LimitNotice,
     request_digest::RequestDigest,
     suspects::{LifeKey, ProgressAtEnd, SuspectNotice},
 };
-use headlatch_types::{pace::ServerPace, quantity::RequestRate, traffic::WeightVersion};
+use headlatch_types::{
+    pace::ServerPace, quantity::RequestRate, store::StoreRevision, traffic::WeightVersion,
+};
 use headlatch_wire as wire;
 use prost::Message;
 
@@ -51,12 +52,12 @@
 
 fn encode_leaving(leaving: &LeavingNotice) -> wire::NoticeLeaving {
     let LeavingNotice { server, revision, returned } = *leaving;
-    wire::NoticeLeaving { server, revision: revision.0, returned }
+    wire::NoticeLeaving { server, revision: revision.to_wire(), returned }
 }
 
 fn decode_leaving(leaving: &wire::NoticeLeaving) -> LeavingNotice {
     let wire::NoticeLeaving { server, revision, returned } = *leaving;
-    LeavingNotice { server, revision: ChangeMark(revision), returned }
+    LeavingNotice { server, revision: StoreRevision::from_wire(revision), returned }
 }
 fn encode_limit(notice: &LimitNotice) -> wire::NoticeLimit {
     wire::NoticeLimit {
@@ -112,15 +113,15 @@
 
 fn encode_evacuated(evacuated: &EvacuatedDomains) -> Option<wire::NoticeEvacuated> {
     let EvacuatedDomains { mark, domains } = evacuated;
-    (*mark > ChangeMark::default()).then(|| wire::NoticeEvacuated {
-        mark: mark.0,
+    (*mark > StoreRevision::default()).then(|| wire::NoticeEvacuated {
+        mark: mark.to_wire(),
         domains: domains.iter().map(|domain| domain.0).collect(),
     })
 }
 
 fn decode_evacuated(encoded: wire::NoticeEvacuated) -> EvacuatedDomains {
     let domains = encoded.domains.into_iter().map(DomainKey);
-    EvacuatedDomains { mark: ChangeMark(encoded.mark), domains: domains.collect() }
+    EvacuatedDomains { mark: StoreRevision::from_wire(encoded.mark), domains: domains.collect() }
 }
 
 fn encode_wanted(wanted: &WantedNotice) -> wire::NoticeWanted {
@@ -173,7 +174,7 @@
         life: notice.incarnation,
         sequence: notice.sequence,
         plan: notice.plan,
-        servers: notice.servers.0,
+        servers: notice.servers.to_wire(),
         leaving: notice.leaving.iter().map(encode_leaving).collect(),
         draining_lives: notice.draining_lives.iter().map(|life| life.0).collect(),
         limits: notice.limits.iter().map(encode_limit).collect(),
@@ -228,7 +229,7 @@
         incarnation: message.life,
         sequence: message.sequence,
         plan: message.plan,
-        servers: ChangeMark(message.servers),
+        servers: StoreRevision::from_wire(message.servers),
         leaving: message.leaving.iter().map(decode_leaving).collect(),
         draining_lives: message.draining_lives.iter().copied().map(LifeKey).collect(),
         limits: message.limits.iter().map(decode_limit).collect(),
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -4,7 +4,6 @@
 
 use headlatch_core::direct::{
     evacuation::EvacuatedDomains,
-    fact_age::ChangeMark,
     leaving::LeavingNotice,
     peers::{
         DomainKey, DrainNotice, LoadNotice, MAX_ADVERTISED_PEERS, Peer, PeerKind, PeerNotice,
@@ -13,7 +12,7 @@
     rate_limits::LimitNotice,
     suspects::{LifeKey, SuspectNotice},
 };
-use headlatch_types::quantity::RequestRate;
+use headlatch_types::{quantity::RequestRate, store::StoreRevision};
 use rand::Rng;
 use tokio::net::UdpSocket;
 
@@ -90,7 +89,7 @@
     /// Version of the process's plan.
     pub plan: u64,
     /// Newest change of servers that it has applied.
-    pub servers: ChangeMark,
+    pub servers: StoreRevision,
     /// Servers recently reported as leaving.
     pub leaving: Vec<LeavingNotice>,
     /// Servers that announced in their responses that they are draining.
--- a/crates/daemon/src/direct/plan_copy.rs
+++ b/crates/daemon/src/direct/plan_copy.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use headlatch_core::{
     direct::{
-        fact_age::{ChangeMark, FactAge},
+        fact_age::FactAge,
         plan_source::{PlanHolders, PlanSource},
         route_table::RouteTable,
     },
@@ -97,7 +97,7 @@
     }
 
     /// Returns how current the plan is.
-    pub fn age(&self) -> FactAge {
+    pub fn age(&self) -> FactAge<PlanVersion> {
         *self.source().age()
     }
 
@@ -120,7 +120,7 @@
         let version = plan.version;
         *routes = Some(Arc::new(RouteTable::new(Arc::new(plan))));
         drop(routes);
-        self.source().take_from_peer(now, ChangeMark(version.0));
+        self.source().take_from_peer(now, version);
         self.applied.notify_waiters();
         decisions::info("plan", "in_force", fields);
         true
@@ -128,7 +128,7 @@
 
     /// Records that the store has no plan newer than the active one.
     pub fn confirm(&self, now: Moment) {
-        let version = ChangeMark(self.version().0);
+        let version = self.version();
         self.source().confirm_from_store(now, version);
     }
 
@@ -148,7 +148,7 @@
     pub fn record_peer_version(&self, now: Moment, version: PlanVersion, is_reader: bool) -> bool {
         let mut source = self.source();
         source.record_role(now, is_reader);
-        source.record_peer_position(now, ChangeMark(version.0));
+        source.record_peer_position(now, version);
         let reads = source.take_due_read(now, is_reader);
         let is_behind = source.age().behind(now).is_some();
         drop(source);
--- a/crates/daemon/src/direct/server_sync.rs
+++ b/crates/daemon/src/direct/server_sync.rs
@@ -1,10 +1,11 @@
 //! Replicates the list of servers between entries: entries that do not read the store fetch changes
 //! from those of their failure domain that do.
 
+use headlatch_types::store::StoreRevision;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use headlatch_core::direct::{fact_age::ChangeMark, server_copy::ServerChanges};
+use headlatch_core::direct::server_copy::ServerChanges;
 use headlatch_http::{CallRequest, Connections};
 use http::StatusCode;
 use rand::seq::IndexedRandom;
@@ -41,7 +42,7 @@
 /// known yet.
 pub(super) fn answer(state: &EntryState, path: &str) -> Option<Bytes> {
     let after: u64 = path.strip_prefix(SERVERS_PATH)?.parse().ok()?;
-    let changes = state.server_changes(ChangeMark(after))?;
+    let changes = state.server_changes(StoreRevision::from_wire(after))?;
     match serde_json::to_vec(&changes) {
         Ok(text) => Some(text.into()),
         Err(error) => {
@@ -89,9 +90,9 @@
 async fn fetch(
     connections: &Connections,
     address: SocketAddr,
-    after: ChangeMark,
+    after: StoreRevision,
 ) -> Result<ServerChanges, String> {
-    let path = format!("{SERVERS_PATH}{after}");
+    let path = format!("{SERVERS_PATH}{}", after.to_wire());
     // An idle connection may have been dropped without notice, so none is reused.
     let request = CallRequest::get(path).closing().with_idle_timeout(FETCH_SILENCE_TIMEOUT);
     let call = connections.call(address, request, MAX_RESPONSE_BYTES, FETCH_TIMEOUT);
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -35,6 +35,7 @@
     direct_settings::{DirectEntrySettings, RawRetry},
     id::ModelName,
     quantity::ByteSize,
+    store::StoreRevision,
     traffic::{PlanVersion, TrafficPlan, WeightVersion},
 };
 use rand::Rng;
@@ -117,7 +118,7 @@
     /// Copy of the list of servers that is served to other entries.
     server_copy: Mutex<ServerCopy>,
     /// Freshness of the list of servers.
-    servers_age: Mutex<FactAge>,
+    servers_age: Mutex<FactAge<StoreRevision>>,
     /// Number of known entries, and when it last changed.
     known_entries: Mutex<(usize, Moment)>,
     /// Servers were added, for which agents may already have sent notices.
@@ -394,15 +395,16 @@
     }
 
     /// Freshness of the list of servers.
-    pub fn servers_age(&self) -> FactAge {
+    pub fn servers_age(&self) -> FactAge<StoreRevision> {
         *lock(&self.servers_age)
     }
 
     /// Updates the metrics of how old the plan and the list of servers are.
     pub fn update_age_metrics(&self) {
         let now = self.now();
-        for (topic, age) in [("plan", self.plan.age()), ("servers", self.servers_age())] {
-            if let Some(age) = age.age(now) {
+        let ages = [("plan", self.plan.age().age(now)), ("servers", self.servers_age().age(now))];
+        for (topic, age) in ages {
+            if let Some(age) = age {
                 self.metrics.set_fact_age(topic, age.as_millis() as u64);
             }
         }
--- a/crates/daemon/src/direct/state/evacuations.rs
+++ b/crates/daemon/src/direct/state/evacuations.rs
@@ -53,7 +53,7 @@
         decisions::info(
             "evacuations",
             "in_force",
-            json!({ "domains": names, "at": reported.mark.0 }),
+            json!({ "domains": names, "at": reported.mark.number() }),
         );
         self.servers().set_evacuated_domains(reported.domains.clone());
     }
--- a/crates/daemon/src/direct/state/servers.rs
+++ b/crates/daemon/src/direct/state/servers.rs
@@ -3,12 +3,11 @@
 use std::{collections::HashSet, net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
 use headlatch_core::direct::{
-    fact_age::ChangeMark,
     leaving::LeavingNotice,
     server_copy::{RemovedServer, RevisionedRecord, ServerChanges},
 };
 use headlatch_outside::facts::{Fact, FactChange, FactTopic, NamedFact};
-use headlatch_types::traffic::ServerId;
+use headlatch_types::{store::StoreRevision, traffic::ServerId};
 use serde_json::json;
 
 use super::{EntryState, lock};
@@ -24,7 +23,7 @@
 
 /// Converts an update from the store to server changes; records that can't be parsed are logged and
 /// left out.
-fn server_changes(update: FactUpdate, newest: ChangeMark) -> ServerChanges {
+fn server_changes(update: FactUpdate, newest: StoreRevision) -> ServerChanges {
     let covered = update.covered();
     let (whole, facts) = match update {
         FactUpdate::All(list) => (true, list.facts.into_iter().map(FactChange::Set).collect()),
@@ -34,7 +33,7 @@
     for fact in facts {
         match fact {
             FactChange::Set(NamedFact { revision, fact: Ok(Fact::Server(record)), .. }) => {
-                converted.set.push(RevisionedRecord { revision: ChangeMark(revision.0), record });
+                converted.set.push(RevisionedRecord { revision, record });
             }
             FactChange::Set(NamedFact { fact: Ok(_), .. }) => {}
             FactChange::Set(NamedFact { name, revision, fact: Err(error), .. }) => {
@@ -42,13 +41,11 @@
                 decisions::warn("servers", "unreadable", fields);
                 // The previous record of the server is no longer valid either.
                 if !name.is_empty() {
-                    let (id, revision) = (ServerId(name.into()), ChangeMark(revision.0));
-                    converted.gone.push(RemovedServer { revision, id });
+                    converted.gone.push(RemovedServer { revision, id: ServerId(name.into()) });
                 }
             }
             FactChange::Gone { name, revision } => {
-                let (id, revision) = (ServerId(name.into()), ChangeMark(revision.0));
-                converted.gone.push(RemovedServer { revision, id });
+                converted.gone.push(RemovedServer { revision, id: ServerId(name.into()) });
             }
         }
     }
@@ -75,7 +72,7 @@
     }
 
     /// Server changes since `after`, for another entry.
-    pub fn server_changes(&self, after: ChangeMark) -> Option<ServerChanges> {
+    pub fn server_changes(&self, after: StoreRevision) -> Option<ServerChanges> {
         lock(&self.server_copy).changes_after(after)
     }
 
@@ -88,7 +85,7 @@
             let listed: Vec<ServerId> =
                 changes.set.iter().map(|marked| marked.record.id.clone()).collect();
             self.servers().retain_listed(self.now(), &listed, changes.covered);
-            let fields = json!({ "servers": listed.len(), "at": changes.covered.0 });
+            let fields = json!({ "servers": listed.len(), "at": changes.covered.number() });
             decisions::info("servers", "listed", fields);
         }
         // Only one entry of each failure domain logs the changes.
@@ -104,13 +101,13 @@
     }
 
     /// Mark of the newest server change that this entry has applied.
-    pub fn newest_servers(&self) -> ChangeMark {
+    pub fn newest_servers(&self) -> StoreRevision {
         lock(&self.servers_age).newest()
     }
 
     /// Records that a peer has applied server changes up to `newest`. If this entry stays behind,
     /// its watch has missed a change and the list is reread.
-    pub fn record_peer_servers_mark(&self, newest: ChangeMark) {
+    pub fn record_peer_servers_mark(&self, newest: StoreRevision) {
         let now = self.now();
         let rank = self.peers().reader_rank();
         let mut age = lock(&self.servers_age);
@@ -134,7 +131,7 @@
         for notice in leaving {
             if self.servers().merge_leaving(now, *notice) {
                 let fields = json!({
-                    "server_key": notice.server, "revision": notice.revision.0,
+                    "server_key": notice.server, "revision": notice.revision.number(),
                     "returned": notice.returned,
                 });
                 decisions::info("servers", "leaving_told", fields);
@@ -148,7 +145,7 @@
             let fields = json!({
                 "server": record.id, "service": record.service, "address": record.address,
                 "zone": record.zone, "draining": record.draining, "slots": record.slots,
-                "models": record.models, "cold_ms": record.cold_ms, "revision": revision.0,
+                "models": record.models, "cold_ms": record.cold_ms, "revision": revision.number(),
             });
             decisions::info("servers", "set", fields);
         }
--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -29,7 +29,6 @@
     },
     facts::{
         Fact, FactChanges, FactList, FactStore, FactTopic, Freshness, NamedFact, StoreFailure,
-        StoreRevision,
     },
 };
 use headlatch_types::{
@@ -37,6 +36,7 @@
     id::ModelName,
     reading::{FieldIssues, FieldPath},
     settings::DaemonSettings,
+    store::StoreRevision,
     traffic::{
         EngineCapacity, HeldLayers, HeldModel, OriginPlan, ServicePlan, StartTime, TargetWeights,
         TrafficPlan, WeightVersion,
@@ -254,7 +254,7 @@
         };
         let named = fact.map(|fact| NamedFact {
             name: "one".to_owned(),
-            revision: StoreRevision(1),
+            revision: StoreRevision::from_wire(1),
             fact: Ok(fact),
             field_issues: FieldIssues::default(),
         });
@@ -267,7 +267,7 @@
             if is_silent {
                 std::future::pending::<()>().await;
             }
-            Ok(FactList { facts, at: StoreRevision(1) })
+            Ok(FactList { facts, at: StoreRevision::from_wire(1) })
         })
     }
 
--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -7,17 +7,14 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use headlatch_core::direct::{
-    fact_age::ChangeMark,
-    peers::{DomainKey, DrainNotice, PeerKind, PeerNotice},
-};
+use headlatch_core::direct::peers::{DomainKey, DrainNotice, PeerKind, PeerNotice};
 use headlatch_daemon::direct::{entry::DirectEntry, facts::FactUpdate, plan_sync};
 use headlatch_http::{CallResponse, Connections};
 use headlatch_outside::{
     OutsideFuture,
     facts::{
         Fact, FactChange, FactChanges, FactList, FactStore, FactTopic, Freshness, NamedFact,
-        StoreFailure, StoreRevision,
+        StoreFailure,
     },
 };
 use headlatch_standins::half_deaf::HalfDeafServer;
@@ -25,6 +22,7 @@
     ByteProgress, InputError,
     id::DomainId,
     reading::FieldIssues,
+    store::StoreRevision,
     traffic::{AllowedRegions, PlanVersion, ServerRecord, TrafficPlan},
 };
 use http::{HeaderMap, Method, StatusCode};
@@ -318,7 +316,7 @@
     // The store changes without notifying the watch.
     let newer = NamedFact {
         name: "main".to_owned(),
-        revision: StoreRevision(2),
+        revision: StoreRevision::from_wire(2),
         fact: Ok(Fact::Plan(Box::new(plan(7)))),
         field_issues: FieldIssues::default(),
     };
@@ -446,13 +444,13 @@
     let draining = ServerRecord { draining: true, ..record("i1", fixture.first.address, "z1") };
     let changed = NamedFact {
         name: "i1".to_owned(),
-        revision: StoreRevision(9),
+        revision: StoreRevision::from_wire(9),
         fact: Ok(Fact::Server(draining)),
         field_issues: FieldIssues::default(),
     };
     fixture.store.replace_silently(FactTopic::Servers, changed);
     for _ in 0..15 {
-        fixture.entry.state.record_peer_servers_mark(ChangeMark(9));
+        fixture.entry.state.record_peer_servers_mark(StoreRevision::from_wire(9));
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
     let leaving = fixture.entry.state.servers().records().any(|record| record.draining);
@@ -467,14 +465,14 @@
     let fixture = Fixture::new(complete_answer, complete_answer).await;
     let unreadable = |revision| NamedFact {
         name: "i1".to_owned(),
-        revision: StoreRevision(revision),
+        revision: StoreRevision::from_wire(revision),
         fact: Err(InputError::new("state".to_owned(), "it is none".to_owned())),
         field_issues: FieldIssues::default(),
     };
     let state = &fixture.entry.state;
     let changes = |fact| {
         let changes = vec![FactChange::Set(fact)];
-        FactUpdate::Changes(FactChanges { changes, at: StoreRevision(9) })
+        FactUpdate::Changes(FactChanges { changes, at: StoreRevision::from_wire(9) })
     };
     let knows = || state.servers().records().any(|record| &*record.id.0 == "i1");
     expect_that!(knows(), eq(true));
@@ -484,7 +482,7 @@
     expect_that!(answer.status, eq(StatusCode::OK));
     expect_that!(fixture.first.seen(), is_empty());
     // Other entries are told that the server is gone.
-    let told = state.server_changes(ChangeMark(1)).expect("list of servers");
+    let told = state.server_changes(StoreRevision::from_wire(1)).expect("list of servers");
     expect_that!(told.gone.iter().any(|gone| &*gone.id.0 == "i1"), eq(true));
     let record = Fact::Server(record("i1", fixture.first.address, "z1"));
     let good = NamedFact { fact: Ok(record), ..unreadable(7) };
@@ -580,7 +578,8 @@
     let other = DirectEntry::start(settings(), Arc::new(SilentStore), Arc::new(TestHeaders)).await;
     let other = other.expect("entry starts");
     other.state.apply_plan(plan(5), "peer");
-    let changes = fixture.entry.state.server_changes(ChangeMark(0)).expect("list of servers");
+    let changes =
+        fixture.entry.state.server_changes(StoreRevision::from_wire(0)).expect("list of servers");
     expect_that!(changes.whole, eq(true));
     other.state.merge_server_changes(changes.clone());
     expect_that!(other.state.is_ready(), eq(true));
@@ -588,7 +587,7 @@
     expect_that!(answer.status, eq(StatusCode::OK));
     // The entry announces and forwards what it has received.
     expect_that!(other.state.newest_servers(), eq(changes.newest));
-    let handed = other.state.server_changes(ChangeMark(0)).expect("list of servers");
+    let handed = other.state.server_changes(StoreRevision::from_wire(0)).expect("list of servers");
     expect_that!(handed.set.len(), eq(changes.set.len()));
 }
 
--- a/crates/daemon/tests/lost_watches.rs
+++ b/crates/daemon/tests/lost_watches.rs
@@ -12,18 +12,18 @@
 };
 
 use googletest::prelude::*;
-use headlatch_core::direct::fact_age::ChangeMark;
 use headlatch_daemon::direct::facts::{AlwaysOpen, FactUpdate, ReadGate, ReaderRole, follow};
 use headlatch_outside::{
     OutsideFuture,
     facts::{
         Fact, FactChange, FactChanges, FactList, FactStore, FactTopic, Freshness, NamedFact,
-        StoreFailure, StoreRevision,
+        StoreFailure,
     },
 };
 use headlatch_types::{
     ByteProgress,
     reading::FieldIssues,
+    store::StoreRevision,
     traffic::{TargetWeights, WeightVersion},
 };
 use tokio::time::Instant;
@@ -106,7 +106,7 @@
     };
     NamedFact {
         name: "m".to_owned(),
-        revision: StoreRevision(revision),
+        revision: StoreRevision::from_wire(revision),
         fact: Ok(Fact::Weights(wanted)),
         field_issues: FieldIssues::default(),
     }
@@ -126,7 +126,7 @@
                 return Err(client_timeout(started, Duration::ZERO).await);
             }
             let revision = self.revision();
-            Ok(FactList { facts: vec![fact(revision)], at: StoreRevision(revision) })
+            Ok(FactList { facts: vec![fact(revision)], at: StoreRevision::from_wire(revision) })
         })
     }
 
@@ -140,15 +140,18 @@
         self.watches.fetch_add(1, Ordering::Relaxed);
         Box::pin(async move {
             let started = Instant::now();
-            let next = self.changes.get(after.0 as usize).copied();
+            let next = self.changes.get(after.number() as usize).copied();
             let ready = next.unwrap_or(started + wait).clamp(started, started + wait);
             if self.answer_at(started, ready).await == CallOutcome::Lost {
                 return Err(client_timeout(started, wait).await);
             }
             let revision = self.revision();
-            let is_news = revision > after.0;
+            let is_news = revision > after.number();
             let changes = is_news.then(|| FactChange::Set(fact(revision)));
-            Ok(FactChanges { changes: changes.into_iter().collect(), at: StoreRevision(revision) })
+            Ok(FactChanges {
+                changes: changes.into_iter().collect(),
+                at: StoreRevision::from_wire(revision),
+            })
         })
     }
 }
@@ -164,7 +167,7 @@
     gate: Arc<dyn ReadGate>,
 ) -> Option<Duration> {
     let last = *store.changes.last().expect("store has at least one change");
-    let wanted = ChangeMark(store.changes.len() as u64);
+    let wanted = StoreRevision::from_wire(store.changes.len() as u64);
     let known: Arc<Mutex<Option<Instant>>> = Arc::default();
     let observed = known.clone();
     let take = move |news: FactUpdate| {
--- a/crates/daemon/tests/narrow_links.rs
+++ b/crates/daemon/tests/narrow_links.rs
@@ -14,9 +14,9 @@
 use headlatch_daemon::direct::facts::{AlwaysOpen, FactUpdate, follow};
 use headlatch_outside::{
     OutsideFuture,
-    facts::{FactChanges, FactList, FactStore, FactTopic, Freshness, StoreFailure, StoreRevision},
+    facts::{FactChanges, FactList, FactStore, FactTopic, Freshness, StoreFailure},
 };
-use headlatch_types::ByteProgress;
+use headlatch_types::{ByteProgress, store::StoreRevision};
 use tokio::{sync::mpsc, time::Instant};
 
 /// Size of a plan of about 1,500 routes, in bytes.
@@ -89,7 +89,7 @@
     ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
         Box::pin(async move {
             self.transfer(&progress).await?;
-            Ok(FactList { facts: Vec::new(), at: StoreRevision(1) })
+            Ok(FactList { facts: Vec::new(), at: StoreRevision::from_wire(1) })
         })
     }
 
@@ -102,14 +102,14 @@
     ) -> OutsideFuture<'_, std::result::Result<FactChanges, StoreFailure>> {
         Box::pin(async move {
             let end = Instant::now() + wait;
-            let changed = self.changed.filter(|at| after.0 < 2 && *at <= end);
+            let changed = self.changed.filter(|at| after.number() < 2 && *at <= end);
             let Some(changed) = changed else {
                 tokio::time::sleep(wait).await;
                 return Ok(FactChanges { changes: Vec::new(), at: after });
             };
             tokio::time::sleep_until(changed).await;
             self.transfer(&progress).await?;
-            Ok(FactChanges { changes: Vec::new(), at: StoreRevision(2) })
+            Ok(FactChanges { changes: Vec::new(), at: StoreRevision::from_wire(2) })
         })
     }
 }
@@ -175,7 +175,7 @@
         let store = Arc::new(NarrowStore { changed: Some(changed), ..NarrowStore::new(1) });
         let (notify_read, mut read) = mpsc::unbounded_channel();
         let take = move |news: FactUpdate| {
-            if news.covered().0 >= 2 {
+            if news.covered().number() >= 2 {
                 notify_read.send(()).expect("the test waits");
             }
         };
--- a/crates/daemon/tests/notice_writer.rs
+++ b/crates/daemon/tests/notice_writer.rs
@@ -7,7 +7,6 @@
 use headlatch_core::{
     direct::{
         engine_model::EngineLoad,
-        fact_age::ChangeMark,
         leaving::{LeavingNotice, MAX_LEAVING_NOTICES},
         peers::{
             DomainKey, LoadNotice, MAX_ADVERTISED_PEERS, PeerKind, PeerNotice, PeerTable,
@@ -21,7 +20,9 @@
 use headlatch_daemon::direct::notices::{
     MAX_DATAGRAM_BYTES, NoticeBody, NoticeWriter, decode, encode,
 };
-use headlatch_types::{quantity::RequestRate, request::RequestDigest, traffic::WeightVersion};
+use headlatch_types::{
+    quantity::RequestRate, request::RequestDigest, store::StoreRevision, traffic::WeightVersion,
+};
 
 const NEAR: DomainKey = DomainKey(1);
 const FAR: DomainKey = DomainKey(2);
@@ -121,9 +122,13 @@
 fn a_notice_reads_as_it_was_written() {
     let notice = PeerNotice {
         plan: 12,
-        servers: ChangeMark(1 << 40),
+        servers: StoreRevision::from_wire(1 << 40),
         leaving: [false, true]
-            .map(|returned| LeavingNotice { server: 7, revision: ChangeMark(9), returned })
+            .map(|returned| LeavingNotice {
+                server: 7,
+                revision: StoreRevision::from_wire(9),
+                returned,
+            })
             .to_vec(),
         reads_store: true,
         peers: vec![address(NEAR, 4), "[::1]:9".parse().expect("an address")],
@@ -146,8 +151,11 @@
     expect_that!(decode(&encode(&limiting)), some(eq(&limiting)));
     let full = PeerNotice { peers: vec![address(NEAR, 4); MAX_ADVERTISED_PEERS], ..notice };
     expect_that!(encode(&full).len(), lt(700));
-    let notice_of_leaving =
-        LeavingNotice { server: u32::MAX, revision: ChangeMark(1 << 40), returned: false };
+    let notice_of_leaving = LeavingNotice {
+        server: u32::MAX,
+        revision: StoreRevision::from_wire(1 << 40),
+        returned: false,
+    };
     let leaving = PeerNotice { leaving: vec![notice_of_leaving; MAX_LEAVING_NOTICES], ..full };
     expect_that!(encode(&leaving).len(), lt(MAX_DATAGRAM_BYTES / 4));
     let limit = limit(Some(RequestRate::from_milli(u64::MAX)));
@@ -179,7 +187,8 @@
 
 /// Returns 64 leaving servers, the most that a notice holds; every full notice includes them.
 fn leaving() -> Vec<LeavingNotice> {
-    let notice = |server| LeavingNotice { server, revision: ChangeMark(9), returned: false };
+    let notice =
+        |server| LeavingNotice { server, revision: StoreRevision::from_wire(9), returned: false };
     (0..MAX_LEAVING_NOTICES as u32).map(notice).collect()
 }
 
--- a/crates/daemon/tests/panics.rs
+++ b/crates/daemon/tests/panics.rs
@@ -15,12 +15,10 @@
 use headlatch_daemon::direct::entry::DirectEntry;
 use headlatch_outside::{
     OutsideFuture,
-    facts::{
-        Fact, FactChanges, FactList, FactStore, FactTopic, Freshness, StoreFailure, StoreRevision,
-    },
+    facts::{Fact, FactChanges, FactList, FactStore, FactTopic, Freshness, StoreFailure},
     headers::{ForwardMetadata, HeaderFormat, RequestMetadata, ResponseMetadata},
 };
-use headlatch_types::ByteProgress;
+use headlatch_types::{ByteProgress, store::StoreRevision};
 use http::{HeaderMap, StatusCode};
 use support::{
     TestHeaders, TestStore, ask_with, mortal::MortalServer, paced::EventPace, plan, record,
--- a/crates/daemon/tests/read_gate.rs
+++ b/crates/daemon/tests/read_gate.rs
@@ -12,9 +12,9 @@
 use headlatch_daemon::direct::facts::{FactUpdate, ReadGate, ReaderRole, follow};
 use headlatch_outside::{
     OutsideFuture,
-    facts::{FactChanges, FactList, FactStore, FactTopic, Freshness, StoreFailure, StoreRevision},
+    facts::{FactChanges, FactList, FactStore, FactTopic, Freshness, StoreFailure},
 };
-use headlatch_types::ByteProgress;
+use headlatch_types::{ByteProgress, store::StoreRevision};
 use tokio::sync::Notify;
 
 /// A store that counts its calls, and fails every list while `fails` is set.
@@ -48,7 +48,7 @@
         Box::pin(async move {
             match fails {
                 true => Err(StoreFailure::Unreachable("it is down".to_owned())),
-                false => Ok(FactList { facts: Vec::new(), at: StoreRevision(1) }),
+                false => Ok(FactList { facts: Vec::new(), at: StoreRevision::from_wire(1) }),
             }
         })
     }
--- a/crates/daemon/tests/silent_sources.rs
+++ b/crates/daemon/tests/silent_sources.rs
@@ -18,13 +18,14 @@
 };
 use headlatch_outside::{
     OutsideFuture,
-    facts::{FactChanges, FactList, FactStore, FactTopic, Freshness, StoreFailure, StoreRevision},
+    facts::{FactChanges, FactList, FactStore, FactTopic, Freshness, StoreFailure},
     headers::{ForwardMetadata, HeaderFormat, RequestMetadata, ResponseMetadata},
 };
 use headlatch_types::{
     ByteProgress,
     id::DomainId,
     settings::DaemonSettings,
+    store::StoreRevision,
     traffic::{PlanVersion, TrafficPlan},
 };
 use http::{HeaderMap, StatusCode};
@@ -50,7 +51,7 @@
         let answers = Instant::now() >= self.answers_from;
         Box::pin(async move {
             if answers {
-                return Ok(FactList { facts: Vec::new(), at: StoreRevision(1) });
+                return Ok(FactList { facts: Vec::new(), at: StoreRevision::from_wire(1) });
             }
             tokio::time::sleep(CLIENT_TIMEOUT).await;
             Err(StoreFailure::Unreachable("no answer in time".to_owned()))
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -21,7 +21,6 @@
     OutsideFuture,
     facts::{
         Fact, FactChanges, FactList, FactStore, FactTopic, Freshness, NamedFact, StoreFailure,
-        StoreRevision,
     },
     headers::{ForwardMetadata, HeaderFormat, RequestMetadata, ResponseMetadata},
 };
@@ -29,6 +28,7 @@
     ByteProgress,
     reading::FieldIssues,
     settings::DaemonSettings,
+    store::StoreRevision,
     traffic::{
         AllowedRegions, ClientLimits, PlanVersion, Route, RouteKind, RouteTarget, ServerId,
         ServerRecord, Tenant, TrafficPlan,
@@ -103,7 +103,7 @@
 impl TestStore {
     /// Changes a fact.
     pub fn set(&self, topic: FactTopic, name: &str, fact: Fact) {
-        let revision = StoreRevision(1);
+        let revision = StoreRevision::from_wire(1);
         let fact = NamedFact {
             name: name.to_owned(),
             revision,
@@ -132,7 +132,7 @@
         let facts = self.facts.lock().expect("no test panics with it");
         let facts = facts.iter().filter(|(kept, _)| *kept == topic);
         let facts = facts.map(|(_, fact)| fact.clone()).collect();
-        Box::pin(async move { Ok(FactList { facts, at: StoreRevision(1) }) })
+        Box::pin(async move { Ok(FactList { facts, at: StoreRevision::from_wire(1) }) })
     }
 
     fn watch(
--- a/crates/daemon/tests/suspended.rs
+++ b/crates/daemon/tests/suspended.rs
@@ -17,8 +17,8 @@
     direct::{entry::DirectEntry, state::EntryState},
     timer::{KernelSuspendClock, NodeClock, SuspendSource, SystemTimer, TimerService},
 };
-use headlatch_outside::facts::{Fact, FactTopic, NamedFact, StoreRevision};
-use headlatch_types::{reading::FieldIssues, traffic::PlanVersion};
+use headlatch_outside::facts::{Fact, FactTopic, NamedFact};
+use headlatch_types::{reading::FieldIssues, store::StoreRevision, traffic::PlanVersion};
 use support::{TestHeaders, TestStore, plan, settings};
 
 /// Suspended time set by a test, in milliseconds.
@@ -89,7 +89,7 @@
     }
     let newer = NamedFact {
         name: "main".to_owned(),
-        revision: StoreRevision(2),
+        revision: StoreRevision::from_wire(2),
         fact: Ok(Fact::Plan(Box::new(plan(6)))),
         field_issues: FieldIssues::default(),
     };
--- a/crates/daemon/tests/unknown_names.rs
+++ b/crates/daemon/tests/unknown_names.rs
@@ -12,9 +12,12 @@
     },
     metrics::NodeMetrics,
 };
-use headlatch_outside::facts::{Fact, FactTopic, NamedFact, StoreRevision};
+use headlatch_outside::facts::{Fact, FactTopic, NamedFact};
 use headlatch_platform::PlatformHeaders;
-use headlatch_types::reading::{FieldIssues, FieldPath, from_json_with_unknown};
+use headlatch_types::{
+    reading::{FieldIssues, FieldPath, from_json_with_unknown},
+    store::StoreRevision,
+};
 use support::{TestStore, ask_with, plan, record, settings, signaling::SignalingServer};
 
 #[gtest]
@@ -96,7 +99,7 @@
     let invalid = [FieldPath::new("tenants[].allowed_regions[]")].into();
     let fact = NamedFact {
         name: "main".to_owned(),
-        revision: StoreRevision(1),
+        revision: StoreRevision::from_wire(1),
         fact: Ok(Fact::Plan(Box::new(plan(5)))),
         field_issues: FieldIssues { unknown, invalid },
     };
--- a/crates/outside/src/facts.rs
+++ b/crates/outside/src/facts.rs
@@ -6,21 +6,12 @@
     ByteProgress, InputError,
     id::DomainId,
     reading::FieldIssues,
+    store::StoreRevision,
     traffic::{ServerRecord, TargetWeights, TrafficPlan},
 };
 
 use crate::OutsideFuture;
 
-/// Position in the store's history.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct StoreRevision(pub u64);
-
-impl fmt::Display for StoreRevision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
 /// A kind of fact that can be listed and watched.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum FactTopic {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod request;
 pub mod settings;
 pub mod status;
+pub mod store;
 pub mod traffic;
 pub mod verdict;
 
