Order what is read from the store by its era first

Cause: the store came back from a copy some seconds old and gave out its revisions again.

Fix: the platform's client reads the era of each response and gives it to every position in it. A later era is newer than all of an earlier one, at every reader and in notices alike, so nobody in the old era looks ahead and nobody right looks behind. A watch or a list that meets another era is begun anew; what a process learns from its peers ends its own watches of the old era within 0.2 s. An unreadable era counts as the newest seen, and is counted.

A newer era does not make the store's older copy right: what was known of leaving servers is carried over. It holds against every record up to the first position read in the new era, for the life of a server that announced draining, and else until the server writes again or for 5 s, in which the record of one that has ended expires. Late notices of peers that are behind count the same way.

--- a/crates/core/src/direct/leaving.rs
+++ b/crates/core/src/direct/leaving.rs
@@ -4,8 +4,12 @@
 //! the store is stalled. Each entry therefore gossips for a while which servers are leaving as of which store
 //! revision. A newer record of a ready server overrides this and is gossiped as well, since a server whose
 //! record expired may return.
+//!
+//! A store that comes back from an older copy lists servers as they were before they left. What was known is
+//! therefore carried over into the new era of the store: it holds against everything in the copy, and against
+//! late notices from entries that are still in the earlier era.
 
-use headlatch_types::store::StoreRevision;
+use headlatch_types::store::{StoreEra, StoreRevision};
 use std::{collections::BTreeMap, time::Duration};
 
 use super::suspects::LifeKey;
@@ -18,6 +22,10 @@
 /// Time for which the state of a deregistered server is kept: longer than the lifetime of a watch.
 const RETENTION: Duration = Duration::from_secs(60);
 
+/// Time for which a server whose leaving was carried over stays excluded although the store lists it as ready. A
+/// server that has ended misses three heartbeats by then, and its record expires.
+const CARRIED_HOLD: Duration = Duration::from_secs(5);
+
 /// Maximum number of servers in one notice; each takes about 12 bytes.
 pub const MAX_LEAVING_NOTICES: usize = 64;
 
@@ -36,7 +44,11 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct ServerMarks {
     ready: StoreRevision,
+    /// Latest revision at which it was ready in the eras before that of `ready`.
+    ready_in_earlier_era: StoreRevision,
     leaving: Option<StoreRevision>,
+    /// Time at which `leaving` was carried over into a newer era of the store.
+    carried_at: Option<Moment>,
     /// Time at which this entry learned of the latest change between ready and leaving.
     learned_at: Moment,
 }
@@ -47,12 +59,36 @@
     fn is_leaving(&self) -> bool {
         self.leaving.is_some_and(|leaving| leaving >= self.ready)
     }
+
+    fn set_ready(&mut self, revision: StoreRevision) {
+        if revision.era() > self.ready.era() {
+            self.ready_in_earlier_era = self.ready;
+        }
+        self.ready = self.ready.max(revision);
+    }
+
+    /// Latest revision at which it was ready before `era`.
+    fn ready_before(&self, era: StoreEra) -> StoreRevision {
+        match self.ready.era() < era {
+            true => self.ready,
+            false => self.ready_in_earlier_era,
+        }
+    }
+
+    /// Carries the state over into the era that begins at `start`.
+    fn carry_over(&mut self, now: Moment, start: StoreRevision) {
+        self.leaving = self.leaving.max(Some(start));
+        self.carried_at = Some(now);
+    }
 }
 
 /// State of servers that are or were leaving.
 #[derive(Debug, Clone, Default)]
 pub struct LeavingServers {
     servers: BTreeMap<u32, ServerMarks>,
+    /// First position known in the newest era of the store. Records up to it may come from the older copy that
+    /// the era began with.
+    era_start: StoreRevision,
 }
 
 impl LeavingServers {
@@ -60,7 +96,7 @@
     pub fn record_ready(&mut self, now: Moment, server: u32, revision: StoreRevision) -> bool {
         let marks = self.servers.entry(server).or_default();
         let before = marks.is_leaving();
-        marks.ready = marks.ready.max(revision);
+        marks.set_ready(revision);
         let changed = before && !marks.is_leaving();
         if changed {
             marks.learned_at = now;
@@ -80,7 +116,11 @@
     pub fn record_leaving(&mut self, now: Moment, server: u32, revision: StoreRevision) -> bool {
         let marks = self.servers.entry(server).or_default();
         let before = marks.is_leaving();
-        marks.leaving = marks.leaving.max(Some(revision));
+        match revision.era() < self.era_start.era() {
+            true if revision < marks.ready_before(self.era_start.era()) => {}
+            true => marks.carry_over(now, self.era_start),
+            false => marks.leaving = marks.leaving.max(Some(revision)),
+        }
         let changed = marks.is_leaving() && !before;
         if changed {
             marks.learned_at = now;
@@ -88,6 +128,31 @@
         changed
     }
 
+    /// Carries the known state over into the era of the store that begins at `start`, the first position known in
+    /// it.
+    pub fn begin_era(&mut self, now: Moment, start: StoreRevision) {
+        self.era_start = start;
+        let left_before = |marks: &&mut ServerMarks| {
+            marks.is_leaving() && marks.leaving.is_some_and(|at| at.era() < start.era())
+        };
+        self.servers
+            .values_mut()
+            .filter(left_before)
+            .for_each(|marks| marks.carry_over(now, start));
+    }
+
+    /// Lets servers return whose leaving was carried over, if the store still lists them as ready after the hold
+    /// time.
+    pub fn release_carried(&mut self, now: Moment) {
+        let era = self.era_start.era();
+        for marks in self.servers.values_mut() {
+            let is_due = marks.carried_at.is_some_and(|at| now.since(at) > CARRIED_HOLD);
+            if is_due && marks.ready.era() == era {
+                (marks.leaving, marks.carried_at) = (None, None);
+            }
+        }
+    }
+
     /// Returns whether a server is leaving.
     pub fn is_leaving(&self, server: u32) -> bool {
         self.servers.get(&server).is_some_and(ServerMarks::is_leaving)
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -16,7 +16,10 @@
     time::Duration,
 };
 
-use headlatch_types::{store::StoreRevision, traffic::PlanVersion};
+use headlatch_types::{
+    store::{StoreEra, StoreRevision},
+    traffic::PlanVersion,
+};
 
 use super::{
     engine_model::EngineLoad,
@@ -409,6 +412,11 @@
         newer.filter(|peer| near == self.is_near(peer)).map(|peer| peer.notice.from).collect()
     }
 
+    /// The newest era of the store that a live peer has reported.
+    pub fn newest_era(&self) -> StoreEra {
+        self.living().map(|peer| peer.notice.servers.era()).max().unwrap_or_default()
+    }
+
     /// Whether an entry of the local failure domain is known to read the store.
     pub fn has_near_reader(&self) -> bool {
         let mut known = self.near_entries().filter(|peer| peer.notice.incarnation != 0);
--- a/crates/core/src/direct/server_copy.rs
+++ b/crates/core/src/direct/server_copy.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashSet};
 
 use headlatch_types::{
-    store::StoreRevision,
+    store::{StoreEra, StoreRevision},
     traffic::{ServerId, ServerRecord},
 };
 use serde::{Deserialize, Serialize};
@@ -79,6 +79,11 @@
         ServerChanges { whole, set, gone, ..changes }
     }
 
+    /// Era of the store that the list is of; `None` before the first full list.
+    pub fn era(&self) -> Option<StoreEra> {
+        (self.covered != StoreRevision::default()).then(|| self.covered.era())
+    }
+
     /// Applies changes.
     pub fn take(&mut self, changes: &ServerChanges) {
         self.covered = self.covered.max(changes.covered);
@@ -119,7 +124,8 @@
         if self.covered == StoreRevision::default() {
             return None;
         }
-        let whole = after < self.removals_known_after;
+        // What an older copy of the store lacks is not among the removed servers.
+        let whole = after.era() < self.covered.era() || after < self.removals_known_after;
         let set = self.records.values().filter(|marked| whole || marked.revision > after);
         let gone = self.gone.values().filter(|(at, _)| !whole && *at > after);
         Some(ServerChanges {
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -242,6 +242,21 @@
         self.services.retain(|_, ids| !ids.is_empty());
     }
 
+    /// Carries what is known of leaving servers over into a newer era of the store, which begins at `start`: its
+    /// records may be older than what is known.
+    pub fn begin_era(&mut self, now: Moment, start: StoreRevision) {
+        self.leaving.begin_era(now, start);
+        // A server that has announced draining never takes it back, whatever it registers after the rollback.
+        for state in self.servers.values().filter(|state| state.record.draining) {
+            let _ = self.draining_lives.note(now, state.life);
+        }
+    }
+
+    /// Lets servers return whose leaving before the current era of the store is no longer certain.
+    pub fn release_carried(&mut self, now: Moment) {
+        self.leaving.release_carried(now);
+    }
+
     /// Adds a server to the index of its service, ordered by ID.
     fn list(&mut self, service: Arc<str>, id: ServerId) {
         let ids = self.services.entry(service).or_default();
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -11,7 +11,7 @@
     time::Moment,
 };
 use headlatch_types::{
-    store::StoreRevision,
+    store::{StoreEra, StoreRevision},
     traffic::{AllowedRegions, ServerId, ServerRecord, StartTime},
 };
 
@@ -19,6 +19,11 @@
     Moment::ZERO + Duration::from_millis(millis)
 }
 
+/// A position in a later era of the store.
+fn in_era(era: u16, number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra::new(era), number).expect("revision in range")
+}
+
 fn mark(number: u64) -> StoreRevision {
     StoreRevision::from_wire(number)
 }
@@ -153,3 +158,91 @@
     table.set(at(81_000), record(2000, false), mark(12));
     expect_that!(chosen(&table, at(81_000)), some(anything()));
 }
+
+/// Incident 0015: revisions of a store that came back older are smaller than those given out before.
+#[gtest]
+fn server_that_leaves_in_a_later_era_is_leaving() {
+    let mut servers = LeavingServers::default();
+    servers.record_ready(at(0), 7, mark(150));
+    servers.begin_era(at(1000), in_era(1, 84));
+    servers.record_ready(at(1000), 7, in_era(1, 80));
+    expect_that!(servers.is_leaving(7), eq(false));
+    expect_that!(servers.record_leaving(at(2000), 7, in_era(1, 90)), eq(true));
+    // A peer that is still in the earlier era does not bring it back.
+    servers.merge(at(2100), LeavingNotice { server: 7, revision: mark(151), returned: true });
+    expect_that!(servers.is_leaving(7), eq(true));
+}
+
+#[gtest]
+fn record_of_the_older_copy_does_not_end_leaving_state_but_a_later_one_does() {
+    let mut servers = LeavingServers::default();
+    servers.record_ready(at(0), 7, mark(100));
+    servers.record_leaving(at(500), 7, mark(110));
+    servers.begin_era(at(1000), in_era(1, 84));
+    // The copy is from before the server left.
+    servers.record_ready(at(1000), 7, in_era(1, 80));
+    expect_that!(servers.is_leaving(7), eq(true));
+    expect_that!(servers.record_ready(at(2000), 7, in_era(1, 90)), eq(true));
+    expect_that!(servers.is_leaving(7), eq(false));
+}
+
+#[gtest]
+fn carried_leaving_state_of_a_listed_server_ends_after_the_hold_time() {
+    let mut servers = LeavingServers::default();
+    for server in [7, 8] {
+        servers.record_leaving(at(500), server, mark(110));
+    }
+    servers.begin_era(at(1000), in_era(1, 84));
+    servers.record_ready(at(1000), 7, in_era(1, 80));
+    servers.release_carried(at(5900));
+    expect_that!(servers.is_leaving(7), eq(true));
+    servers.release_carried(at(6100));
+    expect_that!(servers.is_leaving(7), eq(false));
+    // It is not listed in the new era.
+    expect_that!(servers.is_leaving(8), eq(true));
+    // A second rollback does not revive the state.
+    servers.begin_era(at(7000), in_era(2, 60));
+    expect_that!(servers.is_leaving(7), eq(false));
+}
+
+/// Entries that have not read the store since the rollback still send notices of the earlier era.
+#[gtest]
+fn late_notice_of_an_earlier_era_counts_unless_it_was_outdated_there() {
+    let mut servers = LeavingServers::default();
+    servers.record_ready(at(0), 7, mark(100));
+    servers.record_ready(at(0), 8, mark(120));
+    servers.begin_era(at(1000), in_era(1, 84));
+    servers.record_ready(at(1000), 7, in_era(1, 80));
+    servers.record_ready(at(1000), 8, in_era(1, 81));
+    expect_that!(servers.record_leaving(at(1100), 7, mark(110)), eq(true));
+    expect_that!(servers.record_leaving(at(1100), 8, mark(110)), eq(false));
+    // A server that has written in the new era is judged by that.
+    servers.record_ready(at(1200), 9, in_era(1, 95));
+    expect_that!(servers.record_leaving(at(1300), 9, mark(130)), eq(false));
+}
+
+#[gtest]
+fn draining_record_of_an_earlier_era_holds_for_lifetime_of_process() {
+    let record = |born, draining| ServerRecord {
+        id: ServerId("i1".into()),
+        started_at: Some(StartTime(born)),
+        service: "s".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: "z1".parse().expect("a name"),
+        slots: 4,
+        draining,
+        cold_ms: 0,
+        models: Vec::new(),
+    };
+    let id = ServerId("i1".into());
+    let mut table = ServerTable::new("z1".parse().expect("a name"), Default::default());
+    table.set(at(0), record(1000, true), mark(110));
+    table.begin_era(at(1000), in_era(1, 84));
+    table.set(at(1000), record(1000, false), in_era(1, 80));
+    expect_that!(table.is_planned_shutdown(&id), eq(true));
+    // It registers as ready before it announces draining again.
+    table.set(at(2000), record(1000, false), in_era(1, 90));
+    expect_that!(table.is_planned_shutdown(&id), eq(true));
+    table.set(at(3000), record(2000, false), in_era(1, 91));
+    expect_that!(table.is_planned_shutdown(&id), eq(false));
+}
--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -29,6 +29,7 @@
     direct_settings::DirectAgentSettings,
     id::ModelName,
     quantity::{ByteRate, ByteSize},
+    store::StoreEra,
     traffic::WeightVersion,
 };
 use headlatch_wire::node_server::NodeServer;
@@ -285,6 +286,10 @@
     fn role(&self) -> ReaderRole {
         ReaderRole::Standby
     }
+
+    fn newest_era(&self) -> StoreEra {
+        lock(&self.state.peers).newest_era()
+    }
 }
 
 impl AgentState {
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -8,7 +8,10 @@
     Fact, FactChange, FactChanges, FactList, FactStore, FactTopic, Freshness, NamedFact,
     StoreFailure,
 };
-use headlatch_types::{ByteProgress, store::StoreRevision};
+use headlatch_types::{
+    ByteProgress,
+    store::{StoreEra, StoreRevision},
+};
 use rand::Rng;
 use serde_json::json;
 use tokio::{sync::Notify, time::Instant};
@@ -103,6 +106,10 @@
     fn role(&self) -> ReaderRole {
         ReaderRole::Active
     }
+    /// The newest era of the store that this process knows of, from any source.
+    fn newest_era(&self) -> StoreEra {
+        StoreEra::default()
+    }
 }
 
 /// Role of a reader of a topic among those of its failure domain.
@@ -139,12 +146,13 @@
 /// Start-up period with the shorter poll interval.
 const STARTUP_PERIOD: Duration = Duration::from_secs(2);
 
-/// Polls a gate until a watch sent in `role` is obsolete: for [`CLOSED_GATE_POLLS`] consecutive polls,
-/// the gate was closed or a standby reader had become the active one.
-async fn watch_obsolete(gate: &dyn ReadGate, role: ReaderRole) {
+/// Polls a gate until a watch from `at` sent in `role` is obsolete: the store is known to be in a newer era,
+/// or for [`CLOSED_GATE_POLLS`] consecutive polls the gate was closed or a standby reader had become the active
+/// one.
+async fn watch_obsolete(gate: &dyn ReadGate, role: ReaderRole, at: StoreRevision) {
     let is_right = || gate.is_open() && (gate.role() == role || role == ReaderRole::Active);
     let mut polls = 0;
-    while polls < CLOSED_GATE_POLLS {
+    while polls < CLOSED_GATE_POLLS && gate.newest_era() <= at.era() {
         tokio::time::sleep(GATE_POLL_INTERVAL).await;
         polls = if is_right() { 0 } else { polls + 1 };
     }
@@ -168,7 +176,8 @@
         }
     }
 
-    /// Revision of the newest change in the update.
+    /// Revision of the newest change in the update; at least the start of its era, so that other processes learn
+    /// of the era.
     pub fn newest(&self) -> StoreRevision {
         let revision = |fact: &NamedFact| fact.revision;
         let newest = match self {
@@ -181,7 +190,7 @@
                 marks.max()
             }
         };
-        newest.unwrap_or_default()
+        newest.unwrap_or_default().max(self.covered().era().start())
     }
 }
 
@@ -206,12 +215,20 @@
 ) {
     let mut reader = FactReader::new(store, topic, refresh, gate);
     let mut at = StoreRevision::default();
+    let mut outdated_lists = 0;
     loop {
         reader.wait_until_open().await;
         let list = reader.list(Freshness::Current).await;
         log_list(topic, at, &list);
         at = list.at;
         apply(FactUpdate::All(list));
+        // A response that was delayed, or came from a part of the store that is behind.
+        if at.era() < reader.gate.newest_era() {
+            outdated_lists += 1;
+            tokio::time::sleep(retry_delay(outdated_lists)).await;
+            continue;
+        }
+        outdated_lists = 0;
         while let Some(changes) = reader.watch(at).await {
             at = changes.at;
             let is_news = !changes.changes.is_empty();
@@ -226,12 +243,13 @@
 
 /// Logs the position of a list, and whether it is before what this process has read already.
 fn log_list(topic: FactTopic, before: StoreRevision, list: &FactList) {
-    let (topic, at) = (topic.as_str(), list.at.number());
+    let at = list.at;
     let newest = list.facts.iter().map(|fact| fact.revision.number()).max();
     let fields = json!({
-        "topic": topic, "at": at, "before": before.number(), "facts": list.facts.len(), "newest": newest,
+        "topic": topic.as_str(), "at": at.number(), "era": at.era(), "before": before.number(),
+        "before_era": before.era(), "facts": list.facts.len(), "newest": newest,
     });
-    match list.at < before {
+    match at.number() < before.number() {
         true => decisions::warn("store", "revisions_went_back", fields),
         false => decisions::info("store", "listed", fields),
     }
@@ -249,6 +267,8 @@
     outage: Option<StoreOutage>,
     /// Duration of the last list.
     answer_time: Duration,
+    /// Responses with an unreadable era when this was last checked.
+    malformed_eras: u64,
 }
 
 impl FactReader {
@@ -260,7 +280,7 @@
         gate: Arc<dyn ReadGate>,
     ) -> Self {
         let (begun, answer_time) = (Instant::now(), Duration::ZERO);
-        Self { store, topic, refresh, gate, begun, outage: None, answer_time }
+        Self { store, topic, refresh, gate, begun, outage: None, answer_time, malformed_eras: 0 }
     }
 
     /// Waits until the gate opens or a refresh is requested.
@@ -336,7 +356,7 @@
                 decisions::info("store", "nudged", json!({ "topic": self.topic.as_str() }));
                 return None;
             }
-            () = watch_obsolete(&*self.gate, role) => return None,
+            () = watch_obsolete(&*self.gate, role, at) => return None,
         };
         match watched {
             Ok(changes) => {
@@ -348,6 +368,12 @@
                 decisions::info("store", "history_gone", json!({ "topic": self.topic.as_str() }));
                 None
             }
+            Err(StoreFailure::EraChanged { before, after }) => {
+                let fields =
+                    json!({ "topic": self.topic.as_str(), "era": after, "watched_era": before });
+                decisions::info("store", "watch_of_old_era", fields);
+                None
+            }
             Err(error) => {
                 let pause = self.record_failure(StoreCall::Watch, begun, &error);
                 tokio::time::sleep(pause).await;
@@ -387,13 +413,24 @@
         }
         let fields = json!({
             "topic": self.topic.as_str(), "open_ms": begun.elapsed().as_millis() as u64,
-            "changes": changes.changes.len(), "at": changes.at.number(),
+            "changes": changes.changes.len(), "at": changes.at.number(), "era": changes.at.era(),
         });
         decisions::info("store", "watch_brought", fields);
     }
 
+    /// Logs responses whose era was unreadable. They count as being of the newest known era.
+    fn log_malformed_eras(&mut self) {
+        let count = self.store.malformed_eras();
+        if count > self.malformed_eras {
+            let fields = json!({ "topic": self.topic.as_str(), "responses": count });
+            decisions::warn("store", "malformed_era", fields);
+        }
+        self.malformed_eras = count;
+    }
+
     fn record_success(&mut self) {
         self.gate.note(true);
+        self.log_malformed_eras();
         if let Some(outage) = self.outage.take() {
             outage.end();
         }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -35,7 +35,7 @@
     direct_settings::{DirectEntrySettings, RawRetry},
     id::ModelName,
     quantity::ByteSize,
-    store::StoreRevision,
+    store::{StoreEra, StoreRevision},
     traffic::{PlanVersion, TrafficPlan, WeightVersion},
 };
 use rand::Rng;
@@ -52,6 +52,7 @@
 };
 use crate::{decisions, metrics::NodeMetrics, timer::NodeClock};
 
+mod era;
 mod evacuations;
 mod reading;
 mod server_signals;
@@ -117,6 +118,10 @@
     pub newer_servers_offered: Notify,
     /// Copy of the list of servers that is served to other entries.
     server_copy: Mutex<ServerCopy>,
+    /// Newest known era of the store; `None` before the first response or notice.
+    store_era: Mutex<Option<StoreEra>>,
+    /// Signalled when the store is known to be in a newer era.
+    pub era_changed: Notify,
     /// Freshness of the list of servers.
     servers_age: Mutex<FactAge<StoreRevision>>,
     /// Number of known entries, and when it last changed.
@@ -203,6 +208,8 @@
             evacuations_refresh: Arc::default(),
             newer_servers_offered: Notify::new(),
             server_copy: Mutex::default(),
+            store_era: Mutex::default(),
+            era_changed: Notify::new(),
             servers_age: Mutex::default(),
             known_entries: Mutex::default(),
             notices_stale: AtomicBool::new(false),
@@ -344,6 +351,7 @@
     /// Applies a plan update from the store.
     pub fn apply_plan_update(&self, update: FactUpdate) {
         self.record_field_issues(FactTopic::Plan, &update);
+        self.record_era(update.covered(), "store");
         for fact in readable_facts(update) {
             if let Fact::Plan(plan) = fact {
                 self.apply_plan(*plan, "store");
@@ -355,6 +363,7 @@
     /// Applies an update of the wanted weight versions from the store.
     pub fn apply_weights_update(&self, update: FactUpdate) {
         let now = self.now();
+        self.record_era(update.covered(), "store");
         for fact in readable_facts(update) {
             let Fact::Weights(wanted) = fact else { continue };
             if self.weights().learn(now, &wanted.model, wanted.version) {
@@ -471,6 +480,7 @@
         let mut servers = self.servers();
         servers.set_other_loads(loads);
         servers.set_entries(entries);
+        servers.release_carried(self.now());
         if servers.has_limits() {
             servers.assign_limit_shares(self.now(), self.settings.node.control.into(), &holders);
         }
--- a/crates/daemon/src/direct/state/evacuations.rs
+++ b/crates/daemon/src/direct/state/evacuations.rs
@@ -16,6 +16,7 @@
 
     /// Applies an update of the evacuations from the store.
     pub fn apply_evacuations_update(&self, update: FactUpdate) {
+        self.record_era(update.covered(), "store");
         let mark = update.covered();
         let (base, facts) = match update {
             FactUpdate::All(list) => {
--- a/crates/daemon/src/direct/state/reading.rs
+++ b/crates/daemon/src/direct/state/reading.rs
@@ -6,6 +6,7 @@
 };
 
 use headlatch_core::direct::plan_readers::fallback_read_delay;
+use headlatch_types::store::StoreEra;
 
 use super::{EntryState, lock};
 use crate::direct::facts::{ReadGate, ReaderRole};
@@ -64,6 +65,10 @@
             _ => ReaderRole::Standby,
         }
     }
+
+    fn newest_era(&self) -> StoreEra {
+        EntryState::newest_era(self)
+    }
 }
 
 /// Same gate as that of the plan, for topics whose calls say nothing about the freshness of the
@@ -81,6 +86,10 @@
     fn role(&self) -> ReaderRole {
         self.0.role()
     }
+
+    fn newest_era(&self) -> StoreEra {
+        self.0.newest_era()
+    }
 }
 
 impl EntryState {
--- a/crates/daemon/src/direct/state/servers.rs
+++ b/crates/daemon/src/direct/state/servers.rs
@@ -56,6 +56,7 @@
     /// Applies an update of the list of servers from the store.
     pub fn apply_servers_update(&self, update: FactUpdate) {
         self.record_field_issues(FactTopic::Servers, &update);
+        self.record_era(update.covered(), "store");
         let (covered, newest) = (update.covered(), update.newest());
         self.apply_servers(server_changes(update, newest));
         lock(&self.servers_age).confirm_from_store(self.now(), covered, newest);
@@ -79,13 +80,17 @@
     fn apply_servers(&self, changes: ServerChanges) {
         let mut copy = lock(&self.server_copy);
         let changes = copy.newer_changes(changes);
+        let known_era = copy.era();
         copy.take(&changes);
         drop(copy);
+        if known_era.is_some_and(|era| era < changes.covered.era()) {
+            self.servers().begin_era(self.now(), changes.covered);
+        }
         if changes.whole {
             let listed: Vec<ServerId> =
                 changes.set.iter().map(|marked| marked.record.id.clone()).collect();
             self.servers().retain_listed(self.now(), &listed, changes.covered);
-            let fields = json!({ "servers": listed.len(), "at": changes.covered.number() });
+            let fields = json!({ "servers": listed.len(), "at": changes.covered.number(), "era": changes.covered.era() });
             decisions::info("servers", "listed", fields);
         }
         // Only one entry of each failure domain logs the changes.
@@ -109,6 +114,9 @@
     /// its watch has missed a change and the list is reread.
     pub fn record_peer_servers_mark(&self, newest: StoreRevision) {
         let now = self.now();
+        if newest != StoreRevision::default() {
+            self.record_era(newest, "peer");
+        }
         let rank = self.peers().reader_rank();
         let mut age = lock(&self.servers_age);
         age.record_peer_position(now, newest);
@@ -132,6 +140,7 @@
             if self.servers().merge_leaving(now, *notice) {
                 let fields = json!({
                     "server_key": notice.server, "revision": notice.revision.number(),
+                    "era": notice.revision.era(),
                     "returned": notice.returned,
                 });
                 decisions::info("servers", "leaving_told", fields);
@@ -145,7 +154,7 @@
             let fields = json!({
                 "server": record.id, "service": record.service, "address": record.address,
                 "zone": record.zone, "draining": record.draining, "slots": record.slots,
-                "models": record.models, "cold_ms": record.cold_ms, "revision": revision.number(),
+                "models": record.models, "cold_ms": record.cold_ms, "revision": revision.number(), "era": revision.era(),
             });
             decisions::info("servers", "set", fields);
         }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics in the Prometheus text format.
 
 use headlatch_core::direct::{admission::urgency::UrgencyRank, size_class::SizeClass};
-use headlatch_types::RunVerdict;
+use headlatch_types::{RunVerdict, store::StoreEra};
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     TextEncoder,
@@ -58,6 +58,8 @@
     chunk_failures: IntCounterVec,
     gossip_bytes: IntCounterVec,
     revision: IntGauge,
+    store_era: IntGauge,
+    store_events: IntCounterVec,
     nodes: IntGaugeVec,
     fact_ages: IntGaugeVec,
     unknown_headers: IntCounterVec,
@@ -128,6 +130,11 @@
             "Servers excluded by their signals when a request was refused, by kind.",
             &["signal"],
         );
+        let store_events = counter(
+            "headlatch_store_events_total",
+            "Events at the store of facts, by kind.",
+            &["event"],
+        );
         let queue_outcomes = counter(
             "headlatch_queue_outcomes_total",
             "Requests that left the admission queue, by service, rank and outcome.",
@@ -156,6 +163,10 @@
             register(&registry, gauge)
         };
         let revision = gauge("headlatch_revision", "Revision of the configuration in force.");
+        let store_era = gauge(
+            "headlatch_store_era",
+            "Newest known era of the store: rises when it is rolled back.",
+        );
         let rate_limits = gauge("headlatch_rate_limited_servers", "Servers with a rate limit.");
         let slow_servers = gauge("headlatch_slow_servers", "Servers that count as slow.");
         let in_progress = gauge("headlatch_in_progress", "Requests in progress.");
@@ -170,6 +181,8 @@
             chunk_failures,
             gossip_bytes,
             revision,
+            store_era,
+            store_events,
             nodes,
             fact_ages,
             unknown_headers,
@@ -316,6 +329,21 @@
         self.revision.set(revision as i64);
     }
 
+    /// Sets the newest known era of the store.
+    pub fn set_store_era(&self, era: StoreEra) {
+        self.store_era.set(era.number().into());
+    }
+
+    /// Counts events at the store of facts, by kind.
+    pub fn count_store_events(&self, event: &str, count: usize) {
+        self.store_events.with_label_values(&[event]).inc_by(count as u64);
+    }
+
+    /// Number of events of a kind at the store of facts.
+    pub fn store_events(&self, event: &str) -> u64 {
+        self.store_events.with_label_values(&[event]).get()
+    }
+
     /// Sets the number of nodes in `state`.
     pub fn set_nodes(&self, state: &str, count: usize) {
         self.nodes.with_label_values(&[state]).set(count as i64);
--- a/crates/daemon/tests/read_gate.rs
+++ b/crates/daemon/tests/read_gate.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU16, AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -14,7 +14,10 @@
     OutsideFuture,
     facts::{FactChanges, FactList, FactStore, FactTopic, Freshness, StoreFailure},
 };
-use headlatch_types::{ByteProgress, store::StoreRevision};
+use headlatch_types::{
+    ByteProgress,
+    store::{StoreEra, StoreRevision},
+};
 use tokio::sync::Notify;
 
 /// A store that counts its calls, and fails every list while `fails` is set.
@@ -23,6 +26,8 @@
     lists: AtomicU32,
     watches: AtomicU32,
     fails: AtomicBool,
+    /// Era of its responses.
+    era: AtomicU16,
     /// Whether a watch was cancelled.
     cancelled: Arc<AtomicBool>,
 }
@@ -45,10 +50,11 @@
     ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
         self.lists.fetch_add(1, Ordering::Relaxed);
         let fails = self.fails.load(Ordering::Relaxed);
+        let era = StoreEra::new(self.era.load(Ordering::Relaxed));
         Box::pin(async move {
             match fails {
                 true => Err(StoreFailure::Unreachable("it is down".to_owned())),
-                false => Ok(FactList { facts: Vec::new(), at: StoreRevision::from_wire(1) }),
+                false => Ok(FactList { facts: Vec::new(), at: era.start() }),
             }
         })
     }
@@ -73,6 +79,7 @@
 #[derive(Debug, Default)]
 struct TestGate {
     open: AtomicBool,
+    era: AtomicU16,
     answered: AtomicBool,
 }
 
@@ -89,6 +96,10 @@
     fn role(&self) -> ReaderRole {
         ReaderRole::Standby
     }
+
+    fn newest_era(&self) -> StoreEra {
+        StoreEra::new(self.era.load(Ordering::Relaxed))
+    }
 }
 
 struct Fixture {
@@ -161,3 +172,35 @@
     fixture.store.fails.store(false, Ordering::Relaxed);
     until(|| fixture.gate.answered.load(Ordering::Relaxed)).await;
 }
+
+/// The store would let a watch of an earlier era wait as if nothing had changed, for up to 29 s.
+#[gtest]
+#[tokio::test]
+async fn a_watch_of_an_earlier_era_is_cancelled_once_another_process_knows_a_later_one() {
+    let fixture = Fixture::start();
+    fixture.gate.open.store(true, Ordering::Relaxed);
+    until(|| fixture.calls() == (1, 1)).await;
+    fixture.store.era.store(1, Ordering::Relaxed);
+    wait_for_polls().await;
+    expect_that!(fixture.calls(), eq((1, 1)));
+    fixture.gate.era.store(1, Ordering::Relaxed);
+    until(|| fixture.calls() == (2, 2)).await;
+    wait_for_polls().await;
+    expect_that!(fixture.calls(), eq((2, 2)));
+}
+
+/// Guards against calls in quick succession to a part of the store that is behind.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_store_that_stays_in_an_earlier_era_is_listed_with_backoff_and_not_watched() {
+    let fixture = Fixture::start();
+    fixture.gate.era.store(1, Ordering::Relaxed);
+    fixture.gate.open.store(true, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    let (lists, watches) = fixture.calls();
+    expect_that!(lists, all!(ge(10), le(35)));
+    expect_that!(watches, eq(0));
+    fixture.store.era.store(1, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    expect_that!(fixture.calls().1, eq(1));
+}
--- a/crates/outside/src/facts.rs
+++ b/crates/outside/src/facts.rs
@@ -6,7 +6,7 @@
     ByteProgress, InputError,
     id::DomainId,
     reading::FieldIssues,
-    store::StoreRevision,
+    store::{StoreEra, StoreRevision},
     traffic::{ServerRecord, TargetWeights, TrafficPlan},
 };
 
@@ -111,6 +111,15 @@
     /// The requested revision is older than the history that the store keeps.
     #[error("the store no longer has that history")]
     HistoryGone,
+    /// The store has come back from an older copy since the call's revision, or while a list was read: its
+    /// revisions have been given out again.
+    #[error("the store came back from an older copy: it is in era {after}, not {before}")]
+    EraChanged {
+        /// Era of the revision or of the first page.
+        before: StoreEra,
+        /// Era of the response.
+        after: StoreEra,
+    },
     /// The store rejected the call.
     #[error("the store refuses for now: {0}")]
     Refused(String),
@@ -123,6 +132,9 @@
 }
 
 /// Lists and watches facts.
+///
+/// Revisions of results are in the era of the response. A watch fails with [`StoreFailure::EraChanged`] if
+/// that differs from the era of its revision.
 pub trait FactStore: Send + Sync + fmt::Debug {
     /// Lists all facts of a topic; `progress` counts the bytes received.
     fn list(
@@ -141,4 +153,9 @@
         wait: Duration,
         progress: ByteProgress,
     ) -> OutsideFuture<'_, Result<FactChanges, StoreFailure>>;
+
+    /// Number of responses so far whose era was unreadable.
+    fn malformed_eras(&self) -> u64 {
+        0
+    }
 }
