Keep servers that a rolled back store lacks until they could register again

Cause: a list was taken for all that there is. What the list of a new era lacks is not thereby gone.

Fix: records of an earlier era stay for 2.5 s after the first list of a new one, since servers are back within two seconds of the store's return, and are removed then; another rollback gives the time anew. The record of an earlier process of a server, which the copy may hold, does not replace a later one.

--- a/crates/core/src/direct/server_copy.rs
+++ b/crates/core/src/direct/server_copy.rs
@@ -1,7 +1,13 @@
 //! The list of servers as entries replicate it: two entries of a failure domain read it from the store,
 //! and the others receive the changes from them.
+//!
+//! A store that comes back from an older copy lacks servers that registered since. They are kept until they have
+//! had the time to register again.
 
-use std::collections::{BTreeMap, HashSet};
+use std::{
+    collections::{BTreeMap, HashSet},
+    time::Duration,
+};
 
 use headlatch_types::{
     store::{StoreEra, StoreRevision},
@@ -9,6 +15,12 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::time::Moment;
+
+/// Time for which servers are kept that the list of a new era lacks: a server registers again within two seconds
+/// of the return of the store.
+const REGISTRATION_TIME: Duration = Duration::from_millis(2500);
+
 /// Maximum number of removed servers that are kept for other entries. An entry that is further behind
 /// receives the full list.
 const MAX_REMOVED: usize = 512;
@@ -56,6 +68,8 @@
     gone: BTreeMap<ServerId, (StoreRevision, RemovedServer)>,
     /// Removals before this position are not kept.
     removals_known_after: StoreRevision,
+    /// Until when records of an earlier era than that of `covered` are kept, if there are any.
+    kept_until: Option<Moment>,
 }
 
 impl ServerCopy {
@@ -64,16 +78,23 @@
     pub fn newer_changes(&self, changes: ServerChanges) -> ServerChanges {
         let known = |id: &ServerId| self.records.get(id).map(|marked| marked.revision);
         let is_old = |id: &ServerId, revision| known(id).is_some_and(|known| known > revision);
+        // The store's older copy may list a process that has restarted since.
+        let is_earlier_life = |listed: &RevisionedRecord| {
+            let known = self.records.get(&listed.record.id);
+            let known = known.filter(|known| known.revision.era() < listed.revision.era());
+            let starts =
+                known.and_then(|known| known.record.started_at.zip(listed.record.started_at));
+            starts.is_some_and(|(known, listed)| listed < known)
+        };
         let whole = changes.whole && changes.covered >= self.covered;
         let is_gone = |marked: &RevisionedRecord| {
             let gone = self.gone.get(&marked.record.id);
             changes.covered < self.covered && gone.is_some_and(|(at, _)| marked.revision <= *at)
         };
-        let set = changes
-            .set
-            .iter()
-            .filter(|marked| !is_old(&marked.record.id, marked.revision) && !is_gone(marked));
-        let set = set.cloned().collect();
+        let is_outdated = |marked: &&RevisionedRecord| {
+            is_old(&marked.record.id, marked.revision) || is_gone(marked) || is_earlier_life(marked)
+        };
+        let set = changes.set.iter().filter(|marked| !is_outdated(marked)).cloned().collect();
         let gone = changes.gone.iter().filter(|gone| !is_old(&gone.id, gone.revision));
         let gone = gone.cloned().collect();
         ServerChanges { whole, set, gone, ..changes }
@@ -84,15 +105,25 @@
         (self.covered != StoreRevision::default()).then(|| self.covered.era())
     }
 
+    /// Identifiers of all servers in the list.
+    pub fn ids(&self) -> Vec<ServerId> {
+        self.records.keys().cloned().collect()
+    }
+
     /// Applies changes.
-    pub fn take(&mut self, changes: &ServerChanges) {
+    pub fn take(&mut self, now: Moment, changes: &ServerChanges) {
+        let known_era = self.covered.era();
         self.covered = self.covered.max(changes.covered);
         self.newest = self.newest.max(changes.newest);
         if changes.whole {
             let listed: HashSet<&ServerId> =
                 changes.set.iter().map(|marked| &marked.record.id).collect();
+            let era = self.covered.era();
+            let is_missing = |(id, marked): &(&ServerId, &RevisionedRecord)| {
+                !listed.contains(id) && marked.revision.era() == era
+            };
             let missing: Vec<ServerId> =
-                self.records.keys().filter(|id| !listed.contains(id)).cloned().collect();
+                self.records.iter().filter(is_missing).map(|(id, _)| id.clone()).collect();
             let revision = changes.covered;
             missing.into_iter().for_each(|id| self.remove(RemovedServer { revision, id }));
             // Removals before the first full list are unknown.
@@ -105,6 +136,31 @@
             self.records.insert(marked.record.id.clone(), marked.clone());
         }
         changes.gone.iter().cloned().for_each(|gone| self.remove(gone));
+        let is_kept = self.records_of_earlier_eras().next().is_some();
+        self.kept_until = is_kept.then(|| match self.kept_until {
+            Some(until) if known_era == self.covered.era() => until,
+            _ => now + REGISTRATION_TIME,
+        });
+    }
+
+    /// Servers that have not been listed since the store came back from an older copy.
+    fn records_of_earlier_eras(&self) -> impl Iterator<Item = &ServerId> {
+        let era = self.covered.era();
+        let earlier = self.records.iter().filter(move |(_, marked)| marked.revision.era() < era);
+        earlier.map(|(id, _)| id)
+    }
+
+    /// Removes the servers that have not registered again in time, and returns them.
+    pub fn remove_unregistered(&mut self, now: Moment) -> Vec<RemovedServer> {
+        if self.kept_until.is_none_or(|until| now < until) {
+            return Vec::new();
+        }
+        self.kept_until = None;
+        let revision = self.covered;
+        let removed = self.records_of_earlier_eras().cloned();
+        let removed: Vec<_> = removed.map(|id| RemovedServer { revision, id }).collect();
+        removed.iter().cloned().for_each(|gone| self.remove(gone));
+        removed
     }
 
     fn remove(&mut self, gone: RemovedServer) {
--- a/crates/core/tests/many_servers.rs
+++ b/crates/core/tests/many_servers.rs
@@ -57,7 +57,7 @@
     let mut copy = ServerCopy::default();
     for covered in 1..4 {
         let changes = copy.newer_changes(listed(&servers, covered));
-        copy.take(&changes);
+        copy.take(at(0), &changes);
     }
     expect_that!(table.records().count(), eq(SERVERS));
     expect_that!(begun.elapsed(), lt(MAX_TIME));
--- a/crates/daemon/src/direct/state/servers.rs
+++ b/crates/daemon/src/direct/state/servers.rs
@@ -81,16 +81,19 @@
         let mut copy = lock(&self.server_copy);
         let changes = copy.newer_changes(changes);
         let known_era = copy.era();
-        copy.take(&changes);
+        copy.take(self.now(), &changes);
+        let kept = if changes.whole { copy.ids() } else { Vec::new() };
         drop(copy);
         if known_era.is_some_and(|era| era < changes.covered.era()) {
             self.servers().begin_era(self.now(), changes.covered);
         }
         if changes.whole {
-            let listed: Vec<ServerId> =
-                changes.set.iter().map(|marked| marked.record.id.clone()).collect();
-            self.servers().retain_listed(self.now(), &listed, changes.covered);
-            let fields = json!({ "servers": listed.len(), "at": changes.covered.number(), "era": changes.covered.era() });
+            self.servers().retain_listed(self.now(), &kept, changes.covered);
+            let (listed, at) = (changes.set.len(), changes.covered);
+            let fields = json!({
+                "servers": listed, "unregistered": kept.len().saturating_sub(listed),
+                "at": at.number(), "era": at.era(),
+            });
             decisions::info("servers", "listed", fields);
         }
         // Only one entry of each failure domain logs the changes.
@@ -105,6 +108,18 @@
         self.connections.retain(|address| wanted.contains(address));
     }
 
+    /// Removes servers that have not registered again since the store came back from an older copy.
+    pub fn remove_unregistered_servers(&self) {
+        let removed = lock(&self.server_copy).remove_unregistered(self.now());
+        if removed.is_empty() {
+            return;
+        }
+        let ids: Vec<&ServerId> = removed.iter().map(|gone| &gone.id).collect();
+        decisions::warn("servers", "not_registered_again", json!({ "servers": ids }));
+        self.metrics.count_store_events("server_not_registered_again", removed.len());
+        removed.iter().for_each(|gone| self.remove_server(gone));
+    }
+
     /// Mark of the newest server change that this entry has applied.
     pub fn newest_servers(&self) -> StoreRevision {
         lock(&self.servers_age).newest()
