Write quarantines that the store has lost again

Callers: a request that ends servers is refused by every entry that lives, but after the store lost the record of it, a fleet that starts anew would send it to servers again.

Cause: a quarantine is written once, by the entry that saw a server end, and read once, at a start. What the system writes under its own kinds is lost with a rollback, and nobody wrote it again.

Fix: at a change of era the first reader of each failure domain lists the quarantines, after up to a second drawn at random so that the others find them, and writes those that it still refuses and the store lacks.

--- a/crates/daemon/src/direct/quarantine_keeper.rs
+++ b/crates/daemon/src/direct/quarantine_keeper.rs
@@ -1,6 +1,7 @@
-//! Persists the quarantine in the store and restores it after a start.
+//! Persists the quarantine in the store and restores it after a start. When the store comes back from an older
+//! copy, the first reader of each failure domain writes again what the copy lacks.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use headlatch_core::direct::request_digest::RequestDigest;
 use headlatch_outside::{
@@ -10,7 +11,7 @@
 use serde_json::json;
 
 use super::{
-    facts::ReadGate,
+    facts::{ReadGate, ReaderRole},
     quarantine::QuarantineWrite,
     state::{EntryState, TopicGate},
 };
@@ -23,13 +24,21 @@
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Maximum random delay before lost quarantines are written again: the reader of one failure domain writes them,
+/// and those of the others find them in the store.
+const REWRITE_SPREAD: Duration = Duration::from_millis(1000);
+
 /// Maximum number of attempts of a write, which is dropped after about 15 s. Every entry that
 /// observed a crash writes the quarantine, and all entries know it as long as one of them is alive.
 const MAX_WRITE_ATTEMPTS: u32 = 30;
 
 /// Restores the persisted quarantine and then performs pending writes; never returns.
 pub async fn run(state: Arc<EntryState>, store: Arc<dyn QuarantineStore>) {
-    tokio::join!(restore_kept(&state, &store), write_pending(&state, &store));
+    let restore_and_rewrite = async {
+        restore_kept(&state, &store).await;
+        rewrite_lost(&state, &store).await;
+    };
+    tokio::join!(restore_and_rewrite, write_pending(&state, &store));
 }
 
 async fn restore_kept(state: &Arc<EntryState>, store: &Arc<dyn QuarantineStore>) {
@@ -37,13 +46,7 @@
     while !gate.is_open() {
         tokio::time::sleep(GATE_POLL_INTERVAL).await;
     }
-    let kept = loop {
-        match store.list_quarantines().await {
-            Ok(kept) => break kept,
-            Err(failure) => log_failure("list", None, &failure),
-        }
-        tokio::time::sleep(RETRY_DELAY).await;
-    };
+    let kept = list_kept(store).await;
     decisions::info("quarantine", "read", json!({ "kept": kept.len() }));
     for QuarantineEntry { digest, until } in kept {
         let left = until.0.saturating_sub(unix_millis());
@@ -54,6 +57,41 @@
     }
 }
 
+async fn list_kept(store: &Arc<dyn QuarantineStore>) -> Vec<QuarantineEntry> {
+    loop {
+        match store.list_quarantines().await {
+            Ok(kept) => return kept,
+            Err(failure) => log_failure("list", None, &failure),
+        }
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
+}
+
+/// Writes the quarantines that the store lacks after each change of its era; never returns.
+async fn rewrite_lost(state: &Arc<EntryState>, store: &Arc<dyn QuarantineStore>) {
+    let gate = TopicGate(state.clone());
+    let mut era = state.newest_era();
+    loop {
+        era = state.later_era(era).await;
+        if !gate.is_open() || gate.role() != ReaderRole::Active {
+            continue;
+        }
+        if state.quarantine.refused(state.now()).is_empty() {
+            continue;
+        }
+        tokio::time::sleep(REWRITE_SPREAD.mul_f64(rand::random())).await;
+        let kept: HashSet<RequestDigest> =
+            list_kept(store).await.into_iter().map(|entry| entry.digest).collect();
+        let refused = state.quarantine.refused(state.now());
+        let lost: Vec<_> = refused.iter().filter(|one| !kept.contains(&one.digest)).collect();
+        let fields = json!({ "era": era, "refused": refused.len(), "lost": lost.len() });
+        decisions::info("quarantine", "written_again", fields);
+        for one in lost {
+            write(store, QuarantineWrite::Keep(one.digest, one.left)).await;
+        }
+    }
+}
+
 async fn write_pending(state: &Arc<EntryState>, store: &Arc<dyn QuarantineStore>) {
     loop {
         for pending in state.quarantine.next_writes().await {
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -121,7 +121,7 @@
     /// Newest known era of the store; `None` before the first response or notice.
     store_era: Mutex<Option<StoreEra>>,
     /// Signalled when the store is known to be in a newer era.
-    pub era_changed: Notify,
+    era_changed: Notify,
     /// Freshness of the list of servers.
     servers_age: Mutex<FactAge<StoreRevision>>,
     /// Number of known entries, and when it last changed.
--- a/crates/daemon/src/direct/state/era.rs
+++ b/crates/daemon/src/direct/state/era.rs
@@ -32,4 +32,16 @@
     pub fn newest_era(&self) -> StoreEra {
         lock(&self.store_era).unwrap_or_default()
     }
+
+    /// Waits until the store is known to be in an era later than `known`, and returns that era.
+    pub async fn later_era(&self, known: StoreEra) -> StoreEra {
+        loop {
+            let changed = self.era_changed.notified();
+            let era = self.newest_era();
+            if era > known {
+                return era;
+            }
+            changed.await;
+        }
+    }
 }
--- a/crates/daemon/tests/store_rollback.rs
+++ b/crates/daemon/tests/store_rollback.rs
@@ -311,6 +311,32 @@
     expect_that!(holds_within(Duration::from_secs(5), is_kept).await, eq(true));
 }
 
+/// All entries know the quarantine, and all would write it.
+#[gtest]
+fn lost_quarantine_is_written_by_one_entry_of_a_failure_domain() {
+    let callers = Runtime::new().expect("runtime");
+    let fleet = callers.block_on(Fleet::new(1));
+    let copy = fleet.store.copy();
+    let digest = "00000000000000ab";
+    fleet.store.put("quarantines", digest, json!({ "until_ms": u64::MAX / 2 }));
+    let headers: Arc<dyn HeaderFormat> = Arc::new(PlatformHeaders);
+    let entries = start_all_with(21..=23, &fleet.client(), &fleet.client(), &headers);
+    callers.block_on(async {
+        let knows = |process: &EntryProcess| {
+            !process.entry.state.quarantine.refused(process.entry.state.now()).is_empty()
+        };
+        let all_know = || entries.iter().all(knows);
+        expect_that!(holds_within(Duration::from_secs(5), all_know).await, eq(true));
+        fleet.roll_back(copy).await;
+        tokio::time::sleep(Duration::from_secs(5)).await;
+    });
+    let calls = fleet.store.calls();
+    let writes = calls.iter().filter(|line| line.starts_with("POST /objects/quarantines"));
+    expect_that!(writes.count(), eq(1));
+    expect_that!(fleet.store.names("quarantines"), elements_are![eq(digest)]);
+    entries.into_iter().for_each(EntryProcess::kill);
+}
+
 /// Orders to evacuate at revisions that have been given out before.
 #[gtest]
 #[tokio::test]
