Keep evacuations that a rolled back store lacks until they could be ordered again

Callers: requests went to a failure domain that the operator empties, from the moment at which the store came back from a copy without the order until it was written again.

Cause: as for servers: the list of a new era was taken for all that there is.

Each entry keeps it by itself and notices hold what the store lists, so that nobody prolongs it for another.

--- a/crates/core/src/direct/evacuation.rs
+++ b/crates/core/src/direct/evacuation.rs
@@ -3,11 +3,20 @@
 //! Servers in an evacuated failure domain get no new requests until the evacuation order is withdrawn. Entries
 //! that read the store gossip the complete set together with its store revision, so that a newly started entry
 //! needs only one notice.
+//!
+//! A store that comes back from an older copy may lack an order. Failure domains that were being evacuated
+//! therefore stay so until the operator has had the time to write the order again. Each process keeps them by
+//! itself: notices hold only what the store lists.
 
 use headlatch_types::store::StoreRevision;
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use super::peers::DomainKey;
+use crate::time::Moment;
+
+/// Time for which an order is kept that the list of a new era lacks: well below the time in which an order must
+/// be in force everywhere.
+const REWRITE_TIME: Duration = Duration::from_millis(2500);
 
 /// The set of evacuated failure domains as of one store revision.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -47,3 +56,43 @@
         Self { mark, domains }
     }
 }
+
+/// The evacuations that one process enforces.
+#[derive(Debug, Clone, Default)]
+pub struct Evacuations {
+    listed: EvacuatedDomains,
+    /// Failure domains that were evacuated in the previous era of the store, and until when they stay so.
+    kept: Option<(Moment, BTreeSet<DomainKey>)>,
+}
+
+impl Evacuations {
+    /// The set as of the newest known revision, for other processes.
+    pub fn listed(&self) -> &EvacuatedDomains {
+        &self.listed
+    }
+
+    /// Replaces the set with one of a later revision; returns whether the failure domains in force changed.
+    pub fn merge(&mut self, now: Moment, reported: &EvacuatedDomains) -> bool {
+        let before = self.in_force();
+        let is_new_era = reported.mark.era() > self.listed.mark.era();
+        if is_new_era && !before.is_empty() {
+            self.kept = Some((now + REWRITE_TIME, before.clone()));
+        }
+        self.listed.merge(reported);
+        self.in_force() != before
+    }
+
+    /// Drops orders of an earlier era that have not been written again in time; returns whether the failure domains
+    /// in force changed.
+    pub fn expire(&mut self, now: Moment) -> bool {
+        let before = self.in_force();
+        self.kept = self.kept.take().filter(|(until, _)| now < *until);
+        self.in_force() != before
+    }
+
+    /// The failure domains that get no new requests.
+    pub fn in_force(&self) -> BTreeSet<DomainKey> {
+        let kept = self.kept.iter().flat_map(|(_, domains)| domains);
+        self.listed.domains.iter().chain(kept).copied().collect()
+    }
+}
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -5,13 +5,13 @@
 use googletest::prelude::*;
 use headlatch_core::direct::{
     engine_model::EngineWork,
-    evacuation::EvacuatedDomains,
+    evacuation::{EvacuatedDomains, Evacuations},
     peers::DomainKey,
     server_table::{ColdRates, EngineQuery, ServerChoice, ServerOutcome, ServerQuery, ServerTable},
 };
 use headlatch_types::{
     id::DomainId,
-    store::StoreRevision,
+    store::{StoreEra, StoreRevision},
     traffic::{AllowedRegions, ServerRecord},
 };
 
@@ -82,6 +82,28 @@
     expect_that!(known, eq(&next));
 }
 
+/// The older copy of a store that was rolled back may lack an order.
+#[gtest]
+fn evacuation_that_a_later_era_lacks_holds_until_it_could_be_written_again() {
+    let set = |era, number, names: &[&str]| EvacuatedDomains {
+        mark: StoreRevision::new(StoreEra::new(era), number).expect("revision in range"),
+        domains: names.iter().map(|name| domain(name)).collect(),
+    };
+    let in_force = |evacuations: &Evacuations| evacuations.in_force();
+    let mut evacuations = Evacuations::default();
+    expect_that!(evacuations.merge(at(0), &set(0, 150, &["z1", "z2"])), eq(true));
+    expect_that!(evacuations.merge(at(1000), &set(1, 90, &["z3"])), eq(true));
+    expect_that!(in_force(&evacuations), eq(&["z1", "z2", "z3"].map(domain).into()));
+    // Other processes get what the store lists, and keep orders by themselves.
+    expect_that!(evacuations.listed(), eq(&set(1, 90, &["z3"])));
+    // One order is written again; a late notice of the earlier era changes nothing.
+    expect_that!(evacuations.merge(at(2000), &set(1, 92, &["z1", "z3"])), eq(false));
+    expect_that!(evacuations.merge(at(2100), &set(0, 160, &[])), eq(false));
+    expect_that!(evacuations.expire(at(3400)), eq(false));
+    expect_that!(evacuations.expire(at(3500)), eq(true));
+    expect_that!(in_force(&evacuations), eq(&["z1", "z3"].map(domain).into()));
+}
+
 fn cold_table(phase: f64, entries: usize) -> ServerTable {
     let cold = ServerRecord { cold_ms: 3_000, ..server("cold", "z1", 1) };
     let mut table = table(&[cold]);
--- a/crates/daemon/src/direct/entry_notices.rs
+++ b/crates/daemon/src/direct/entry_notices.rs
@@ -111,6 +111,7 @@
         self.ticks += 1;
         self.state.handle_suspension();
         self.state.remove_unregistered_servers();
+        self.state.expire_evacuations();
         let now = self.state.now();
         if self.state.refresh_loads() || self.ticks.is_multiple_of(REFRESH_TICKS) {
             self.state.refresh_notices();
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -13,7 +13,7 @@
 use headlatch_core::{
     direct::{
         admission::shedding::LoadShedder,
-        evacuation::EvacuatedDomains,
+        evacuation::Evacuations,
         fact_age::FactAge,
         peers::{DomainKey, DrainNotice, PeerKind, PeerTable, WantedNotice},
         plan_source::PlanHolders,
@@ -95,7 +95,7 @@
     pub quarantine: Quarantine,
     servers: Mutex<ServerTable>,
     weights: Mutex<WeightDeadlines>,
-    evacuated: Mutex<EvacuatedDomains>,
+    evacuations: Mutex<Evacuations>,
     retries: Mutex<RetryShare>,
     /// Decides which fraction of the requests is shed while engines are full.
     shedder: Mutex<LoadShedder>,
@@ -195,7 +195,7 @@
             quarantine: Quarantine::default(),
             servers: Mutex::new(servers),
             weights: Mutex::default(),
-            evacuated: Mutex::default(),
+            evacuations: Mutex::default(),
             retries: Mutex::new(RetryShare::new(budget, start)),
             shedder: Mutex::default(),
             waiting: WaitingRequests::default(),
--- a/crates/daemon/src/direct/state/evacuations.rs
+++ b/crates/daemon/src/direct/state/evacuations.rs
@@ -9,9 +9,9 @@
 use crate::{decisions, direct::facts::FactUpdate};
 
 impl EntryState {
-    /// The evacuated failure domains that this entry knows of.
+    /// The evacuated failure domains that the store lists, as far as this entry knows.
     pub fn evacuated(&self) -> EvacuatedDomains {
-        lock(&self.evacuated).clone()
+        lock(&self.evacuations).listed().clone()
     }
 
     /// Applies an update of the evacuations from the store.
@@ -47,15 +47,25 @@
 
     /// Replaces the evacuated failure domains if `reported` is newer.
     pub fn merge_evacuated(&self, reported: &EvacuatedDomains) {
-        if !lock(&self.evacuated).merge(reported) {
-            return;
+        if lock(&self.evacuations).merge(self.now(), reported) {
+            self.enforce_evacuations();
         }
-        let names: Vec<String> = reported.domains.iter().map(DomainKey::to_string).collect();
-        decisions::info(
-            "evacuations",
-            "in_force",
-            json!({ "domains": names, "at": reported.mark.number() }),
-        );
-        self.servers().set_evacuated_domains(reported.domains.clone());
+    }
+
+    /// Drops orders that the store has lost and that have not been written again in time.
+    pub fn expire_evacuations(&self) {
+        if lock(&self.evacuations).expire(self.now()) {
+            self.enforce_evacuations();
+        }
+    }
+
+    fn enforce_evacuations(&self) {
+        let evacuations = lock(&self.evacuations);
+        let (domains, at) = (evacuations.in_force(), evacuations.listed().mark);
+        drop(evacuations);
+        let names: Vec<String> = domains.iter().map(DomainKey::to_string).collect();
+        let fields = json!({ "domains": names, "at": at.number(), "era": at.era() });
+        decisions::info("evacuations", "in_force", fields);
+        self.servers().set_evacuated_domains(domains);
     }
 }
--- a/crates/daemon/tests/store_rollback.rs
+++ b/crates/daemon/tests/store_rollback.rs
@@ -358,3 +358,28 @@
     expect_that!(holds_within(EVACUATION_TIME, || domains() == 1).await, eq(true));
     expect_that!(ask(&entry).await, eq(StatusCode::OK));
 }
+
+/// The store's copy is from before the order.
+#[gtest]
+#[tokio::test]
+async fn rollback_does_not_take_back_an_evacuation_before_it_could_be_ordered_again() {
+    let fleet = Fleet::new(1).await;
+    let entry = fleet.start_entry(Some(5000)).await;
+    let copy = fleet.store.copy();
+    fleet.store.put("evacuations", "z1", json!({}));
+    let ordered = || !entry.state.evacuated().domains.is_empty();
+    expect_that!(holds_within(EVACUATION_TIME, ordered).await, eq(true));
+    fleet.roll_back(copy).await;
+    let back = Instant::now();
+    while back.elapsed() < REWRITE_TIME {
+        expect_that!(ask(&entry).await, eq(StatusCode::SERVICE_UNAVAILABLE));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    // The operator does not order it again.
+    let is_served = async {
+        while ask(&entry).await != StatusCode::OK {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    expect_that!(tokio::time::timeout(EVACUATION_TIME, is_served).await, ok(anything()));
+}
