Do not tell others that a server has not registered again

Callers: a sound server got nothing for 5 s after two rollbacks of the store within seconds.

Cause: an entry that had missed a server's registration in the newer era dropped it as not registered again, as if the store had removed it, and told the others, which took that over as a late word of the old era. That it is gone is inferred, and only by whoever lacks the registration.

Fix: such a server is dropped without a mark and without an entry among the removed servers that others receive. It is also dropped after 2 s in place of 2.5, the time after which a missing server is gone.

--- a/crates/core/src/direct/server_copy.rs
+++ b/crates/core/src/direct/server_copy.rs
@@ -17,9 +17,9 @@
 
 use crate::time::Moment;
 
-/// Time for which servers are kept that the list of a new era lacks: a server registers again within two seconds
-/// of the return of the store.
-const REGISTRATION_TIME: Duration = Duration::from_millis(2500);
+/// Time for which servers are kept that the list of a new era lacks: a server that is missing two seconds after
+/// the return of the store is gone.
+const REGISTRATION_TIME: Duration = Duration::from_millis(2000);
 
 /// Maximum number of removed servers that are kept for other entries. An entry that is further behind
 /// receives the full list.
@@ -150,16 +150,17 @@
         earlier.map(|(id, _)| id)
     }
 
-    /// Removes the servers that have not registered again in time, and returns them.
-    pub fn remove_unregistered(&mut self, now: Moment) -> Vec<RemovedServer> {
+    /// Removes the servers that have not registered again in time, and returns their identifiers.
+    ///
+    /// They are not among the removed servers that other entries receive: that they are gone is inferred, and an
+    /// entry that has missed their registration must not take them from others.
+    pub fn remove_unregistered(&mut self, now: Moment) -> Vec<ServerId> {
         if self.kept_until.is_none_or(|until| now < until) {
             return Vec::new();
         }
         self.kept_until = None;
-        let revision = self.covered;
-        let removed = self.records_of_earlier_eras().cloned();
-        let removed: Vec<_> = removed.map(|id| RemovedServer { revision, id }).collect();
-        removed.iter().cloned().for_each(|gone| self.remove(gone));
+        let removed: Vec<ServerId> = self.records_of_earlier_eras().cloned().collect();
+        removed.iter().for_each(|id| drop(self.records.remove(id)));
         removed
     }
 
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -220,6 +220,11 @@
     pub fn remove(&mut self, now: Moment, id: &ServerId, revision: StoreRevision) -> bool {
         let _ = self.leaving.record_leaving(now, server_key(id), revision);
         self.leaving.forget_old(now);
+        self.remove_unregistered(now, id)
+    }
+
+    /// Removes a server that is not known to be deregistered; returns whether it was in the table.
+    pub fn remove_unregistered(&mut self, now: Moment, id: &ServerId) -> bool {
         self.prune_draining_lives(now);
         let removed = self.servers.remove(id);
         if let Some(state) = &removed {
--- a/crates/core/tests/server_copy.rs
+++ b/crates/core/tests/server_copy.rs
@@ -166,12 +166,12 @@
     // A further list of the same era neither removes the others nor prolongs their time.
     copy.take(at(2500), &list_of_era(1, 93, &[("a", 1), ("b", 91)]));
     expect_that!(known_ids(&copy), elements_are![eq("a"), eq("b"), eq("d")]);
-    expect_that!(copy.remove_unregistered(at(3400)).len(), eq(0));
-    let removed = copy.remove_unregistered(at(3500));
-    expect_that!(
-        removed.iter().map(|gone| gone.id.0.to_string()).collect::<Vec<_>>(),
-        eq(&vec!["d".to_owned()])
-    );
+    expect_that!(copy.remove_unregistered(at(2900)).len(), eq(0));
+    let removed = copy.remove_unregistered(at(3000));
+    expect_that!(removed, elements_are![eq(&ServerId("d".into()))]);
+    // Others may know that it has registered again.
+    let update = copy.changes_after(in_era(1, 80)).expect("a list is here");
+    expect_that!(update.gone.iter().any(|gone| gone.id.0.as_ref() == "d"), eq(false));
     expect_that!(known_ids(&copy), elements_are![eq("a"), eq("b")]);
     expect_that!(copy.remove_unregistered(at(9000)).len(), eq(0));
 }
@@ -183,8 +183,8 @@
     copy.take(at(0), &changes(150, true, vec![marked("a", 140)], &[]));
     copy.take(at(1000), &list_of_era(1, 90, &[]));
     copy.take(at(3000), &list_of_era(2, 80, &[]));
-    expect_that!(copy.remove_unregistered(at(5400)).len(), eq(0));
-    expect_that!(copy.remove_unregistered(at(5500)).len(), eq(1));
+    expect_that!(copy.remove_unregistered(at(4900)).len(), eq(0));
+    expect_that!(copy.remove_unregistered(at(5000)).len(), eq(1));
 }
 
 #[gtest]
--- a/crates/daemon/src/direct/state/servers.rs
+++ b/crates/daemon/src/direct/state/servers.rs
@@ -114,10 +114,12 @@
         if removed.is_empty() {
             return;
         }
-        let ids: Vec<&ServerId> = removed.iter().map(|gone| &gone.id).collect();
-        decisions::warn("servers", "not_registered_again", json!({ "servers": ids }));
+        decisions::warn("servers", "not_registered_again", json!({ "servers": removed }));
         self.metrics.count_store_events("server_not_registered_again", removed.len());
-        removed.iter().for_each(|gone| self.remove_server(gone));
+        let mut servers = self.servers();
+        for id in &removed {
+            servers.remove_unregistered(self.now(), id);
+        }
     }
 
     /// Mark of the newest server change that this entry has applied.
