Test an entry without the store and a new one across a rollback

One entry is turned away by the store for good, another one starts in the newer era beside it: both learn of the era, and neither sends to a server that leaves at a smaller revision.

--- a/crates/daemon/tests/store_rollback.rs
+++ b/crates/daemon/tests/store_rollback.rs
@@ -9,7 +9,7 @@
 use headlatch_http::Connections;
 use headlatch_outside::headers::HeaderFormat;
 use headlatch_platform::{PlatformHeaders, PlatformStore};
-use headlatch_types::traffic::PlanVersion;
+use headlatch_types::{store::StoreEra, traffic::PlanVersion};
 use http::StatusCode;
 use serde_json::json;
 use support::{
@@ -63,9 +63,8 @@
         }
     }
 
-    /// A client of the store.
     fn client(&self) -> Arc<PlatformStore> {
-        Arc::new(PlatformStore::new(self.store.address, Arc::new(Connections::default())))
+        client_of(&self.store)
     }
 
     async fn start_entry(&self, evacuate_ms: Option<u64>) -> DirectEntry {
@@ -103,6 +102,10 @@
     }
 }
 
+fn client_of(store: &RollbackStore) -> Arc<PlatformStore> {
+    Arc::new(PlatformStore::new(store.address, Arc::new(Connections::default())))
+}
+
 async fn ask(entry: &DirectEntry) -> StatusCode {
     let asked = ask_with(entry.address, "/safe/a", &[("request-id", "r1")]).await;
     asked.expect("response").status
@@ -188,6 +191,47 @@
     entries.into_iter().for_each(EntryProcess::kill);
 }
 
+/// The store turns one entry away for good, and one starts in the new era beside it.
+#[gtest]
+fn entry_without_the_store_follows_others_into_a_new_era() {
+    let callers = Runtime::new().expect("runtime");
+    let fleet = callers.block_on(Fleet::new(2));
+    let part = callers.block_on(RollbackStore::start());
+    let copy = fleet.store.copy();
+    fleet.store.come_back_from(copy.clone());
+    part.come_back_from(copy.clone());
+    let headers: Arc<dyn HeaderFormat> = Arc::new(PlatformHeaders);
+    let start = |number, store| {
+        let (facts, quarantines) = (client_of(store), client_of(store));
+        EntryProcess::start_with(number, 31..=33, facts, quarantines, headers.clone())
+    };
+    let mut entries = vec![start(31, &fleet.store), start(32, &part)];
+    callers.block_on(async {
+        let know = || entries.iter().all(|one| one.knows(2));
+        expect_that!(holds_within(Duration::from_secs(5), know).await, eq(true));
+        fleet.rewrite(10);
+        part.go_away();
+        for process in &entries {
+            wait_until_read(&process.entry, &fleet).await;
+        }
+        fleet.roll_back(copy).await;
+        tokio::time::sleep(REWRITE_TIME).await;
+    });
+    entries.push(start(33, &fleet.store));
+    callers.block_on(async {
+        let know = || entries.iter().all(|one| one.knows(3));
+        expect_that!(holds_within(Duration::from_secs(5), know).await, eq(true));
+        fleet.list(0, "draining", 0);
+        tokio::time::sleep(DRAIN_TIME).await;
+        for process in &entries {
+            let (arrivals, _) = fleet.arrivals_of(&process.entry, 20).await;
+            expect_that!(arrivals, eq(&vec![0, 20]));
+            expect_that!(process.entry.state.newest_era(), eq(StoreEra::new(2)));
+        }
+    });
+    entries.into_iter().for_each(EntryProcess::kill);
+}
+
 /// The store's copy is from before the server said that it leaves, and the server says it again late.
 #[gtest]
 #[tokio::test]
