Let a word of the newer era outlast the hold of what was carried over

Callers: requests would reach a server that had left before a rollback of the store and says so again after it, 5 s after the rollback.

Cause: the hold of a state that was carried over ended whatever had been learnt since. Found by reading the change; the record itself keeps such a server out at entries that have it, so that only those with the notice alone were open to it.

Fix: a word newer than the first position of the era is no longer carried over, and stays. The test in leaving.rs failed before.

--- a/crates/core/src/direct/leaving.rs
+++ b/crates/core/src/direct/leaving.rs
@@ -119,7 +119,11 @@
         match revision.era() < self.era_start.era() {
             true if revision < marks.ready_before(self.era_start.era()) => {}
             true => marks.carry_over(now, self.era_start),
-            false => marks.leaving = marks.leaving.max(Some(revision)),
+            false => {
+                marks.leaving = marks.leaving.max(Some(revision));
+                // Not carried over any more if it is newer.
+                marks.carried_at = marks.carried_at.filter(|_| revision <= self.era_start);
+            }
         }
         let changed = marks.is_leaving() && !before;
         if changed {
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -205,6 +205,17 @@
     expect_that!(servers.is_leaving(7), eq(false));
 }
 
+#[gtest]
+fn word_of_the_later_era_outlasts_the_hold_time_of_carried_leaving_state() {
+    let mut servers = LeavingServers::default();
+    servers.record_leaving(at(500), 7, mark(110));
+    servers.begin_era(at(1000), in_era(1, 84));
+    servers.record_ready(at(1000), 7, in_era(1, 80));
+    servers.record_leaving(at(2000), 7, in_era(1, 90));
+    servers.release_carried(at(6100));
+    expect_that!(servers.is_leaving(7), eq(true));
+}
+
 /// Entries that have not read the store since the rollback still send notices of the earlier era.
 #[gtest]
 fn late_notice_of_an_earlier_era_counts_unless_it_was_outdated_there() {
