Gossip a carried over word with its own revision

Cause: an entry that had carried the word over told others the position to which it was carried, in the newer era. They took it for a word of that era, which nothing ends but a later record. Fix: notices have the revision of the earlier era, which others carry over by themselves; a repeated notice no longer prolongs the hold either. The test in leaving.rs failed before.

Positions are printed as revision and era, since the number on the wire tells neither.

--- a/crates/core/src/direct/leaving.rs
+++ b/crates/core/src/direct/leaving.rs
@@ -47,12 +47,21 @@
     /// Latest revision at which it was ready in the eras before that of `ready`.
     ready_in_earlier_era: StoreRevision,
     leaving: Option<StoreRevision>,
-    /// Time at which `leaving` was carried over into a newer era of the store.
-    carried_at: Option<Moment>,
+    /// Set if `leaving` was carried over into a newer era of the store.
+    carried: Option<CarriedOver>,
     /// Time at which this entry learned of the latest change between ready and leaving.
     learned_at: Moment,
 }
 
+/// How a state got into an era of the store in which it was not reported.
+#[derive(Debug, Clone, Copy)]
+struct CarriedOver {
+    /// When.
+    at: Moment,
+    /// Revision of the earlier era at which the server was leaving, which other entries need.
+    from: StoreRevision,
+}
+
 impl ServerMarks {
     /// Returns whether the server is leaving. Equal revisions mean that it was deregistered: a store without
     /// revisions for deletions reports that of the last change of the object.
@@ -75,10 +84,12 @@
         }
     }
 
-    /// Carries the state over into the era that begins at `start`.
-    fn carry_over(&mut self, now: Moment, start: StoreRevision) {
-        self.leaving = self.leaving.max(Some(start));
-        self.carried_at = Some(now);
+    /// Carries the word of `from`, of an earlier era, over into the era that begins at `start`.
+    fn carry_over(&mut self, now: Moment, from: StoreRevision, start: StoreRevision) {
+        if self.leaving.is_none_or(|leaving| leaving < start) {
+            self.leaving = Some(start);
+            self.carried = Some(CarriedOver { at: now, from });
+        }
     }
 }
 
@@ -118,11 +129,11 @@
         let before = marks.is_leaving();
         match revision.era() < self.era_start.era() {
             true if revision < marks.ready_before(self.era_start.era()) => {}
-            true => marks.carry_over(now, self.era_start),
+            true => marks.carry_over(now, revision, self.era_start),
             false => {
                 marks.leaving = marks.leaving.max(Some(revision));
                 // Not carried over any more if it is newer.
-                marks.carried_at = marks.carried_at.filter(|_| revision <= self.era_start);
+                marks.carried = marks.carried.filter(|_| revision <= self.era_start);
             }
         }
         let changed = marks.is_leaving() && !before;
@@ -136,13 +147,12 @@
     /// it.
     pub fn begin_era(&mut self, now: Moment, start: StoreRevision) {
         self.era_start = start;
-        let left_before = |marks: &&mut ServerMarks| {
-            marks.is_leaving() && marks.leaving.is_some_and(|at| at.era() < start.era())
-        };
-        self.servers
-            .values_mut()
-            .filter(left_before)
-            .for_each(|marks| marks.carry_over(now, start));
+        for marks in self.servers.values_mut().filter(|marks| marks.is_leaving()) {
+            let left_before = marks.leaving.filter(|at| at.era() < start.era());
+            if let Some(from) = left_before {
+                marks.carry_over(now, from, start);
+            }
+        }
     }
 
     /// Lets servers return whose leaving was carried over, if the store still lists them as ready after the hold
@@ -150,9 +160,9 @@
     pub fn release_carried(&mut self, now: Moment) {
         let era = self.era_start.era();
         for marks in self.servers.values_mut() {
-            let is_due = marks.carried_at.is_some_and(|at| now.since(at) > CARRIED_HOLD);
+            let is_due = marks.carried.is_some_and(|one| now.since(one.at) > CARRIED_HOLD);
             if is_due && marks.ready.era() == era {
-                (marks.leaving, marks.carried_at) = (None, None);
+                (marks.leaving, marks.carried) = (None, None);
             }
         }
     }
@@ -168,7 +178,8 @@
             self.servers.iter().filter(|(_, marks)| now.since(marks.learned_at) <= GOSSIP_TIME);
         let notice = |(server, marks): (&u32, &ServerMarks)| {
             let (leaving, returned) = (marks.leaving?, !marks.is_leaving());
-            let revision = if returned { marks.ready } else { leaving };
+            let left = marks.carried.map_or(leaving, |carried| carried.from);
+            let revision = if returned { marks.ready } else { left };
             Some(LeavingNotice { server: *server, revision, returned })
         };
         let mut leaving: Vec<LeavingNotice> = fresh.filter_map(notice).collect();
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -216,6 +216,25 @@
     expect_that!(servers.is_leaving(7), eq(true));
 }
 
+/// A carried state that is gossiped as a word of the later era would never be released by those who hear it.
+#[gtest]
+fn carried_leaving_state_is_gossiped_as_of_the_earlier_era() {
+    let (mut one, mut other) = (LeavingServers::default(), LeavingServers::default());
+    one.record_leaving(at(500), 7, mark(110));
+    for servers in [&mut one, &mut other] {
+        servers.begin_era(at(1000), in_era(1, 84));
+        servers.record_ready(at(1000), 7, in_era(1, 80));
+    }
+    let notices = one.recent(at(1100));
+    let revisions: Vec<_> = notices.iter().map(|notice| notice.revision).collect();
+    expect_that!(revisions, eq(&vec![mark(110)]));
+    for notice in notices {
+        expect_that!(other.merge(at(1100), notice), eq(true));
+    }
+    other.release_carried(at(6200));
+    expect_that!(other.is_leaving(7), eq(false));
+}
+
 /// Entries that have not read the store since the rollback still send notices of the earlier era.
 #[gtest]
 fn late_notice_of_an_earlier_era_counts_unless_it_was_outdated_there() {
--- a/crates/types/src/store.rs
+++ b/crates/types/src/store.rs
@@ -50,9 +50,7 @@
 ///
 /// On the wire it is one number with the era in its upper 16 bits, so that processes of an earlier release,
 /// which know no eras, order positions in the same way.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct StoreRevision(u64);
 
@@ -101,3 +99,9 @@
         write!(f, "{}@{}", self.number(), self.era())
     }
 }
+
+impl fmt::Debug for StoreRevision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "StoreRevision({self})")
+    }
+}
