Test the era that a process has from its peers, and read the stand-in's list at one moment

The stand-in store took the era of a list before its content, so that a rollback between the two gave an old era to new content; it reads both at once now. The test of servers that the copy lacks uses a copy without them in place of a second rollback.

--- a/crates/core/tests/newcomers.rs
+++ b/crates/core/tests/newcomers.rs
@@ -15,7 +15,7 @@
     },
     time::Moment,
 };
-use headlatch_types::traffic::WeightVersion;
+use headlatch_types::{store::StoreEra, traffic::WeightVersion};
 use proptest::prelude::{ProptestConfig, Strategy, any, prop, proptest};
 
 #[path = "support/entry.rs"]
@@ -193,3 +193,18 @@
         proptest::prop_assert_eq!(simulate(&case), Ok(()));
     }
 }
+
+/// Agents read the store only while no entry near them does, and have its era from notices.
+#[gtest]
+fn newest_era_of_live_peers_is_known_to_a_process_that_does_not_read_the_store() {
+    let address = |text: &str| text.parse().expect("an address");
+    let domain = DomainKey(1);
+    let mut agent = PeerTable::new(address("10.0.0.3:1"), domain);
+    expect_that!(agent.newest_era(), eq(StoreEra::default()));
+    for (from, era) in [("10.0.0.1:1", 2), ("10.0.0.2:1", 1)] {
+        let servers = StoreEra::new(era).start();
+        let notice = PeerNotice::empty(address(from), PeerKind::Entry, domain);
+        agent.receive(Moment::ZERO, PeerNotice { servers, ..notice });
+    }
+    expect_that!(agent.newest_era(), eq(StoreEra::new(2)));
+}
--- a/crates/daemon/tests/store_rollback.rs
+++ b/crates/daemon/tests/store_rollback.rs
@@ -287,17 +287,11 @@
 #[gtest]
 #[tokio::test]
 async fn servers_that_the_copy_lacks_serve_until_they_had_time_to_write_again() {
+    let empty = Fleet::new(0).await.store.copy();
     let fleet = Fleet::new(2).await;
-    let copy = fleet.store.copy();
-    for number in 0..2 {
-        fleet.store.remove("servers", &format!("i{number}"));
-    }
-    let without = fleet.store.copy();
-    let fleet_store = fleet.store.clone();
-    fleet_store.come_back_from(copy);
     let entry = fleet.start_entry(None).await;
     wait_until_read(&entry, &fleet).await;
-    fleet.roll_back(without).await;
+    fleet.roll_back(empty).await;
     let back = Instant::now();
     while back.elapsed() < REWRITE_TIME {
         let (_, statuses) = fleet.arrivals_of(&entry, 2).await;
--- a/crates/daemon/tests/support/rollback_store.rs
+++ b/crates/daemon/tests/support/rollback_store.rs
@@ -44,7 +44,7 @@
     era: u64,
     /// Closes each connection without an answer.
     away: bool,
-    /// Answers nothing on connections of these client addresses.
+    /// Request lines so far.
     calls: Vec<String>,
 }
 
@@ -170,9 +170,11 @@
             return self.watch(kind, after, wait).await;
         }
         let era = self.present_era()?;
+        if let ("GET", None) = (method, name) {
+            return self.list(kind);
+        }
         let own_name = || body["metadata"]["name"].as_str().unwrap_or_default().to_owned();
         let answer = match (method, name) {
-            ("GET", None) => self.list(kind),
             ("POST", None) if self.names(kind).contains(&own_name()) => (409, json!({})),
             ("POST", None) => {
                 let revision = self.put(kind, &own_name(), body["spec"].clone());
@@ -193,12 +195,17 @@
         (!state.away).then_some(state.era)
     }
 
-    fn list(&self, kind: &str) -> Answer {
+    /// The list and the era that it is of; `None` while the store is away.
+    fn list(&self, kind: &str) -> Option<(Answer, u64)> {
         let state = self.lock();
+        if state.away {
+            return None;
+        }
         let objects = state.copy.objects.iter().filter(|((one, _), _)| one == kind);
         let items: Vec<Value> =
             objects.map(|((_, name), (revision, spec))| object(name, *revision, spec)).collect();
-        (200, json!({ "items": items, "more": false, "at": state.copy.revision }))
+        let body = json!({ "items": items, "more": false, "at": state.copy.revision });
+        Some(((200, body), state.era))
     }
 
     async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Option<(Answer, u64)> {
