Log the shared parts of a request's prompt when its server ends

The header that lists them was read nowhere.

What cannot be read is counted (headlatch_unread_prompt_parts_total) and passed on unchanged like the rest. Each server_ended line has the ids. No decision reads them yet.

--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -346,6 +346,7 @@
         let fields = json!({
             "server": server.id, "life": server.life.to_string(), "run": format!("{run:?}"),
             "planned": planned, "without_query": digests.without_query.to_string(),
+            "shared_parts": self.request.facts.shared_parts.ids(),
         });
         self.log("server_ended", fields);
         if !planned {
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -122,6 +122,7 @@
     let held = InProgressGuard::new(state.clone());
     let facts = state.headers.read_request(request.headers());
     let id = facts.id.clone().unwrap_or_default();
+    state.metrics.count_unread_parts(facts.shared_parts.unread);
     let admitted = admit(&state, request, facts).await;
     let answered = match admitted {
         Ok(plan) => exchange::run(&state, plan).await,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -3,8 +3,8 @@
 use headlatch_core::direct::{admission::urgency::UrgencyRank, size_class::SizeClass};
 use headlatch_types::{RunVerdict, store::StoreEra};
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histogram buckets, in seconds.
@@ -65,6 +65,7 @@
     unknown_headers: IntCounterVec,
     unknown_fields: IntCounterVec,
     invalid_fields: IntCounterVec,
+    unread_parts: IntCounter,
     server_signals: IntCounterVec,
     malformed_signals: IntCounterVec,
     rate_limits: IntGauge,
@@ -169,6 +170,11 @@
         );
         let rate_limits = gauge("headlatch_rate_limited_servers", "Servers with a rate limit.");
         let slow_servers = gauge("headlatch_slow_servers", "Servers that count as slow.");
+        let unread_parts = IntCounter::new(
+            "headlatch_unread_prompt_parts_total",
+            "Listed parts of prompts that could not be read, or were too many.",
+        );
+        let unread_parts = register(&registry, unread_parts.expect("the name is fixed and valid"));
         let in_progress = gauge("headlatch_in_progress", "Requests in progress.");
         Self {
             registry,
@@ -188,6 +194,7 @@
             unknown_headers,
             unknown_fields,
             invalid_fields,
+            unread_parts,
             server_signals,
             malformed_signals,
             rate_limits,
@@ -264,6 +271,16 @@
         self.urgencies.with_label_values(&labels).get()
     }
 
+    /// Counts listed parts of a prompt that were not read.
+    pub fn count_unread_parts(&self, count: usize) {
+        self.unread_parts.inc_by(count as u64);
+    }
+
+    /// Number of listed parts of prompts that were not read.
+    pub fn unread_parts(&self) -> u64 {
+        self.unread_parts.get()
+    }
+
     /// Counts an unknown header in a server's response.
     pub fn count_unknown_header(&self, name: &str) {
         self.unknown_headers.with_label_values(&[name]).inc();
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -27,6 +27,7 @@
 use headlatch_types::{
     ByteProgress,
     reading::FieldIssues,
+    request::SharedParts,
     settings::DaemonSettings,
     store::StoreRevision,
     traffic::{
@@ -41,6 +42,16 @@
 #[derive(Debug)]
 pub struct TestHeaders;
 
+/// All parts but the last, separated by commas.
+fn shared_parts(listed: Option<&str>) -> SharedParts {
+    let mut shared = SharedParts::default();
+    let listed = listed.and_then(|listed| listed.rsplit_once(','));
+    for part in listed.iter().flat_map(|(shared, _own)| shared.split(',')) {
+        shared.push(part.parse().ok());
+    }
+    shared
+}
+
 impl HeaderFormat for TestHeaders {
     fn read_request(&self, headers: &HeaderMap) -> RequestMetadata {
         let text =
@@ -51,6 +62,7 @@
             deadline: Some(Duration::from_secs(20)),
             model: text("x-model"),
             answer_tokens: text("x-tokens").and_then(|tokens| tokens.parse().ok()),
+            shared_parts: shared_parts(text("x-parts").as_deref()),
             ..RequestMetadata::default()
         }
     }
--- a/crates/outside/src/headers.rs
+++ b/crates/outside/src/headers.rs
@@ -4,6 +4,7 @@
 
 use headlatch_types::{
     quantity::RequestRate,
+    request::SharedParts,
     traffic::{ServerId, WeightVersion},
 };
 use http::{HeaderMap, HeaderName, StatusCode};
@@ -25,6 +26,8 @@
     pub last_event: Option<u64>,
     /// Model that the request names.
     pub model: Option<String>,
+    /// Parts of the prompt that other requests may have as well.
+    pub shared_parts: SharedParts,
 }
 
 /// Metadata that is added to a request before it is forwarded to a server.
--- a/crates/types/src/request.rs
+++ b/crates/types/src/request.rs
@@ -20,3 +20,50 @@
         u64::from_str_radix(text, 16).map(Self)
     }
 }
+
+/// A part of a prompt, by the id that callers give it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PromptPart(pub u128);
+
+impl fmt::Display for PromptPart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl FromStr for PromptPart {
+    type Err = ParseIntError;
+
+    /// Reads hexadecimal digits in either case; leading zeros do not distinguish parts.
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// The parts of a request's prompt that other requests may have as well.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SharedParts {
+    /// The parts, each once, in their order in the prompt.
+    pub parts: Vec<PromptPart>,
+    /// Number of listed parts that could not be read, or that exceed [`MAX_SHARED_PARTS`].
+    pub unread: usize,
+}
+
+/// Maximum number of shared parts that are read of one request.
+pub const MAX_SHARED_PARTS: usize = 64;
+
+impl SharedParts {
+    /// Ids of the parts, for logs.
+    pub fn ids(&self) -> Vec<String> {
+        self.parts.iter().map(PromptPart::to_string).collect()
+    }
+
+    /// Adds a listed part; `None` stands for one that could not be read.
+    pub fn push(&mut self, part: Option<PromptPart>) {
+        match part {
+            Some(part) if self.parts.contains(&part) => {}
+            Some(part) if self.parts.len() < MAX_SHARED_PARTS => self.parts.push(part),
+            _ => self.unread += 1,
+        }
+    }
+}
