Test requests that share one harmful part, and answers that end with their connection, failing

harmful_requests.rs, with answers that have neither length nor chunks: one content ends all six servers for three allowed; a stream whose server ends is passed on as whole after a few events; so is a part of an answer that is no stream.

--- a/crates/daemon/tests/harmful_requests.rs
+++ b/crates/daemon/tests/harmful_requests.rs
@@ -44,11 +44,15 @@
     }
 
     async fn with_quarantines(count: usize, kept: Arc<KeptList>) -> Self {
+        Self::with_pace(count, kept, EventPace::default()).await
+    }
+
+    async fn with_pace(count: usize, kept: Arc<KeptList>, pace: EventPace) -> Self {
         let store = Arc::new(TestStore::default());
         store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(5))));
         let mut servers = Vec::new();
         for number in 0..count {
-            let server = MortalServer::start(EventPace::default()).await;
+            let server = MortalServer::start(pace).await;
             let name = format!("i{number}");
             let fact = Fact::Server(record(&name, server.address, "z1"));
             store.set(FactTopic::Servers, &name, fact);
@@ -104,6 +108,58 @@
     }
 }
 
+/// Answers without length or chunks end with their connections, as those of a server that crashes do.
+#[gtest]
+#[tokio::test]
+async fn a_close_delimited_answer_does_not_vouch_for_what_ended_its_server() {
+    let pace = EventPace { close_delimited: true, ..EventPace::default() };
+    let fixture = Fixture::with_pace(6, Arc::default(), pace).await;
+    for coming in 0..8 {
+        let _ = fixture.ask("/stream/harmful").await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        expect_that!(fixture.ended_servers(), le(3), "coming {coming}");
+    }
+    for number in 0..6 {
+        let answer = fixture.ask(&format!("/stream/sound{number}")).await;
+        expect_that!(is_complete(&answer), eq(true), "sound request {number}: {answer:?}");
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_close_delimited_stream_whose_server_ends_is_continued_elsewhere() {
+    let gap = Duration::from_millis(30);
+    let pace = EventPace { close_delimited: true, gap, ..EventPace::default() };
+    let fixture = Fixture::with_pace(2, Arc::default(), pace).await;
+    let end = async {
+        while fixture.servers.iter().all(|server| server.seen().is_empty()) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        tokio::time::sleep(gap * 4).await;
+        let busy = fixture.servers.iter().find(|server| !server.seen().is_empty());
+        busy.expect("a server has the request").end();
+    };
+    let (answer, ()) = tokio::join!(fixture.ask("/stream/sound"), end);
+    expect_that!(is_complete(&answer), eq(true), "{answer:?}");
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_close_delimited_answer_whose_server_ends_is_not_passed_on_as_whole() {
+    let gap = Duration::from_millis(30);
+    let pace = EventPace { close_delimited: true, gap, ..EventPace::default() };
+    let fixture = Fixture::with_pace(1, Arc::default(), pace).await;
+    let end = async {
+        while fixture.servers[0].seen().is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        tokio::time::sleep(gap * 4).await;
+        fixture.servers[0].end();
+    };
+    let (answer, ()) = tokio::join!(fixture.ask("/once/sound"), end);
+    expect_that!(answer.map(|answer| answer.status), not(ok(eq(&StatusCode::OK))));
+}
+
 fn unix_now() -> u64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     since.expect("clock is after 1970").as_millis() as u64
--- a/crates/daemon/tests/support/mortal.rs
+++ b/crates/daemon/tests/support/mortal.rs
@@ -24,6 +24,9 @@
 /// What the path of a harmful request contains.
 pub const HARMFUL: &str = "harmful";
 
+/// The part of a prompt that makes a request harmful.
+pub const HARMFUL_PART: &str = "bad";
+
 /// A server that ends, with everything that it runs, once it has begun a harmful request.
 #[derive(Debug)]
 pub struct MortalServer {
@@ -87,20 +90,23 @@
     }
 }
 
+fn is_harmful(head: &str) -> bool {
+    let has_part = |parts: &str| parts.split(',').any(|part| part == HARMFUL_PART);
+    head.lines().next().unwrap_or_default().contains(HARMFUL)
+        || header(head, "x-parts").is_some_and(has_part)
+}
+
 async fn serve(mut stream: TcpStream, pace: EventPace, life: Arc<ServerLife>) {
     let Some(head) = read_head(&mut stream).await else { return };
     life.seen.lock().expect("no test panics with it").push(head.clone());
-    if !head.lines().next().unwrap_or_default().contains(HARMFUL) {
+    if !is_harmful(&head) {
         // A caller that has gone reads nothing; that is its own affair.
         let _ = pace.answer(&mut stream, &head).await;
         let _ = stream.shutdown().await;
         return;
     }
     let id = header(&head, "x-id").unwrap_or_default();
-    let begun = format!(
-        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
-    );
-    let _ = stream.write_all(begun.as_bytes()).await;
+    let _ = stream.write_all(pace.begin(id).as_bytes()).await;
     tokio::time::sleep(HARM_TIME).await;
     life.end();
 }
--- a/crates/daemon/tests/support/paced.rs
+++ b/crates/daemon/tests/support/paced.rs
@@ -19,12 +19,27 @@
     pub pause: Option<(u64, Duration)>,
     /// It answers that it has not run the request.
     pub refuses: bool,
+    /// The answer has neither a length nor chunks and ends with its connection.
+    pub close_delimited: bool,
 }
 
 impl Default for EventPace {
     fn default() -> Self {
         let (head, gap) = (Duration::ZERO, Duration::from_millis(10));
-        Self { events: 20, head, gap, pause: None, refuses: false }
+        Self { events: 20, head, gap, pause: None, refuses: false, close_delimited: false }
+    }
+}
+
+impl EventPace {
+    /// The head of a stream.
+    pub fn begin(&self, id: &str) -> String {
+        let framing = match self.close_delimited {
+            true => "connection: close",
+            false => "transfer-encoding: chunked",
+        };
+        format!(
+            "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\ncontent-type: text/event-stream\r\n{framing}\r\n\r\n"
+        )
     }
 }
 
@@ -46,20 +61,21 @@
         return stream.write_all(refusal.as_bytes()).await;
     }
     tokio::time::sleep(pace.head).await;
-    let begun = format!(
-        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
-    );
-    stream.write_all(begun.as_bytes()).await?;
+    stream.write_all(pace.begin(id).as_bytes()).await?;
     let after = header(head, "x-last").and_then(|last| last.parse().ok()).unwrap_or(0u64);
     for event in after + 1..=pace.events {
         if Instant::now() >= until {
             return Ok(());
         }
         let text = format!("id: {event}\ndata: piece {event}\n\n");
-        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+        let chunk = match pace.close_delimited {
+            true => text,
+            false => format!("{:x}\r\n{text}\r\n", text.len()),
+        };
         stream.write_all(chunk.as_bytes()).await?;
         let longer = pace.pause.filter(|(at, _)| *at == event).map(|(_, pause)| pause);
         tokio::time::sleep(longer.unwrap_or(pace.gap)).await;
     }
-    stream.write_all(b"0\r\n\r\n").await
+    let end: &[u8] = if pace.close_delimited { b"" } else { b"0\r\n\r\n" };
+    stream.write_all(end).await
 }
