Take an answer that ends with its connection for whole only if its server lives on

Callers: a stream whose server ended was passed on as whole after a few events, or after none, where the answer had neither a length nor chunks; so was a part of an answer that is no stream. One content ended six servers of six, since each end looked like a whole answer, which clears a content of suspicion for a minute.

Cause: the end of a body was the end of the answer, whatever ended it; a process that ends closes its connections as an answer without length or chunks does.

Fix: such an end is settled by the try to connect that a broken connection gets as well. Where the server accepts, the answer is whole; its connection goes to the pool in place of the closed one. Where it has ended, or its machine does not respond, the stream is continued elsewhere after the last event, or the answer fails, and nothing is vouched for.

--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -19,6 +19,7 @@
 use headlatch_outside::headers::{ForwardMetadata, ResponseMetadata};
 use headlatch_types::{RunVerdict, traffic::WeightVersion};
 use http::{HeaderMap, Response, StatusCode, header};
+use http_body::Body;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
@@ -114,6 +115,8 @@
     pub connection: ActiveConnection,
     /// In-flight count of the request.
     pub in_flight: InFlight,
+    /// The body ends with the connection, as it does if the server crashes.
+    pub close_delimited: bool,
     /// Time limit sent to the server, counted from when the request was sent.
     pub time_limit: LimitedTime,
 }
@@ -194,7 +197,8 @@
     match sent {
         Ok((response, connection, time_limit)) => {
             in_flight.note_read();
-            Ok(ServerAnswer { response, connection, in_flight, time_limit })
+            let close_delimited = is_close_delimited(&response);
+            Ok(ServerAnswer { response, connection, in_flight, close_delimited, time_limit })
         }
         Err(failure) => {
             in_flight.end(failure.outcome);
@@ -347,6 +351,12 @@
     Ok((response, connection))
 }
 
+/// Whether neither a length nor chunks tell where the body ends.
+fn is_close_delimited(response: &Response<Incoming>) -> bool {
+    response.body().size_hint().exact().is_none()
+        && !response.headers().contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Whether a status means that the server failed, so that a repeatable request may be retried on
 /// another one.
 pub fn is_failure(status: StatusCode) -> bool {
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -25,7 +25,8 @@
     answer::{AnswerBody, ErrorResponse},
     attempt::{self, AttemptFailure, ServerAnswer, is_failure},
     handler::AdmittedRequest,
-    relay, server_end,
+    relay,
+    server_end::{self, ServerLiveness},
     state::EntryState,
     waiting,
 };
@@ -337,10 +338,19 @@
 
     /// Checks whether a server that closed the connection has ended, and reports an unplanned end to
     /// the quarantine. `run` says how much of the answer the server had sent.
-    pub async fn handle_connection_break(&self, server: &ChosenServer, run: ProgressAtEnd) {
-        if !server_end::has_ended(&self.state, server).await {
-            return;
+    pub async fn handle_connection_break(
+        &self,
+        server: &ChosenServer,
+        run: ProgressAtEnd,
+    ) -> ServerLiveness {
+        let liveness = server_end::probe(&self.state, server).await;
+        if liveness == ServerLiveness::Ended {
+            self.record_server_end(server, run);
         }
+        liveness
+    }
+
+    fn record_server_end(&self, server: &ChosenServer, run: ProgressAtEnd) {
         let digests = &self.request.digests;
         let planned = self.state.servers().is_planned_shutdown(&server.id);
         let fields = json!({
--- a/crates/daemon/src/direct/exchange/collect.rs
+++ b/crates/daemon/src/direct/exchange/collect.rs
@@ -11,6 +11,7 @@
 use crate::direct::{
     answer::{AnswerBody, BodyError, full_body, strip_hop_by_hop_headers},
     attempt::{self, AttemptFailure, ServerAnswer, is_failure},
+    server_end::ServerLiveness,
 };
 
 /// Maximum size of a response that is not a stream.
@@ -22,7 +23,7 @@
         &mut self,
         answer: ServerAnswer,
     ) -> Result<Response<AnswerBody>, AttemptFailure> {
-        let ServerAnswer { response, connection, in_flight, .. } = answer;
+        let ServerAnswer { response, connection, in_flight, close_delimited, .. } = answer;
         let server = in_flight.server().clone();
         let (mut parts, body) = response.into_parts();
         // While this waits for memory the body is not read, so that flow control leaves it at the
@@ -35,17 +36,25 @@
             Ok::<_, BodyError>((memory, collected.await?))
         };
         let collected = tokio::time::timeout_at(self.request.deadline, collected).await;
-        let (memory, body) = match collected {
-            Ok(Ok((memory, body))) => (memory, body.to_bytes()),
-            other => {
+        let whole = match collected {
+            Ok(Ok((memory, body))) if close_delimited => {
+                // A server that ends closes its connections as well.
+                match self.handle_connection_break(&server, ProgressAtEnd::Begun).await {
+                    ServerLiveness::Alive => Ok((memory, body.to_bytes())),
+                    _ => Err("connection closed by a server that has ended".to_owned()),
+                }
+            }
+            Ok(Ok((memory, body))) => Ok((memory, body.to_bytes())),
+            Ok(Err(error)) => {
+                self.handle_connection_break(&server, ProgressAtEnd::Begun).await;
+                Err(error.to_string())
+            }
+            Err(_) => Err("response incomplete at the deadline".to_owned()),
+        };
+        let (memory, body) = match whole {
+            Ok(whole) => whole,
+            Err(detail) => {
                 in_flight.end(ServerOutcome::Lost);
-                let detail = match other {
-                    Ok(Err(error)) => {
-                        self.handle_connection_break(&server, ProgressAtEnd::Begun).await;
-                        error.to_string()
-                    }
-                    _ => "response incomplete at the deadline".to_owned(),
-                };
                 return Err(AttemptFailure {
                     verdict: RunVerdict::MayHaveRun,
                     outcome: ServerOutcome::Lost,
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -30,6 +30,7 @@
     answer::{AnswerBody, BodyError, strip_hop_by_hop_headers},
     attempt::{AttemptFailure, InFlight, ServerAnswer},
     exchange::Exchange,
+    server_end::ServerLiveness,
 };
 
 /// Pause after which another server is asked in parallel, as a multiple of the route's pause
@@ -44,6 +45,8 @@
 enum StreamEnd {
     /// The stream is complete.
     Whole,
+    /// The server closed the connection after a complete event, in an answer that has no other end.
+    Closed,
     /// The server closed the connection.
     Broken,
     /// The server sent nothing for too long and another server continued the stream.
@@ -64,11 +67,14 @@
     started: Moment,
     /// The server has sent a complete event.
     has_events: bool,
+    /// The stream ends with the connection.
+    close_delimited: bool,
 }
 
 impl StreamSource {
     fn new(answer: ServerAnswer, now: Moment) -> Self {
         Self {
+            close_delimited: answer.close_delimited,
             body: answer.response.into_body(),
             connection: answer.connection,
             in_flight: answer.in_flight,
@@ -88,7 +94,12 @@
     async fn next(&mut self) -> Result<Bytes, StreamEnd> {
         loop {
             match self.body.frame().await {
-                None if self.splitter.rest().is_empty() => return Err(StreamEnd::Whole),
+                None if self.splitter.rest().is_empty() => {
+                    return Err(match self.close_delimited {
+                        true => StreamEnd::Closed,
+                        false => StreamEnd::Whole,
+                    });
+                }
                 None | Some(Err(_)) => return Err(StreamEnd::Broken),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
@@ -145,19 +156,16 @@
                     source = *other;
                     data
                 }
-                NextData::End(StreamEnd::Whole) => {
-                    source.in_flight.end(ServerOutcome::Answered);
-                    relay.finish(&source);
-                    relay.exchange.state.connections.release(source.connection);
-                    return;
-                }
                 NextData::End(end) => {
+                    let end = relay.settle_end(&source, end).await;
+                    if end == StreamEnd::Whole {
+                        source.in_flight.end(ServerOutcome::Answered);
+                        relay.finish(&source);
+                        relay.exchange.state.connections.release(source.connection);
+                        return;
+                    }
                     let log_fields = relay.log_fields(&source, end);
-                    let (server, run) = (source.in_flight.server().clone(), source.ended_run());
                     relay.abandon(source, end);
-                    if end == StreamEnd::Broken {
-                        relay.exchange.handle_connection_break(&server, run).await;
-                    }
                     let continued = relay.continue_elsewhere(end).await;
                     if let Err(cause) = continued {
                         relay.exchange.record_cut(cause, log_fields);
@@ -197,6 +205,19 @@
         }
     }
 
+    /// Finds out what a closed connection means. Only a server that lives on has ended its stream by
+    /// closing it.
+    async fn settle_end(&self, source: &StreamSource, end: StreamEnd) -> StreamEnd {
+        if ![StreamEnd::Closed, StreamEnd::Broken].contains(&end) {
+            return end;
+        }
+        let (server, run) = (source.in_flight.server(), source.ended_run());
+        match (end, self.exchange.handle_connection_break(server, run).await) {
+            (StreamEnd::Closed, ServerLiveness::Alive) => StreamEnd::Whole,
+            _ => StreamEnd::Broken,
+        }
+    }
+
     /// Asks another server in parallel while the current one is silent; `None` if neither has
     /// anything to forward.
     ///
@@ -224,7 +245,9 @@
                 biased;
                 data = source.next() => match data {
                     Ok(data) => return Some(NextData::Data(data)),
-                    Err(StreamEnd::Whole) => return Some(NextData::End(StreamEnd::Whole)),
+                    Err(end @ (StreamEnd::Whole | StreamEnd::Closed)) => {
+                        return Some(NextData::End(end));
+                    }
                     Err(end) => match hedging.await {
                         Ok(started) => (Ok(started), true),
                         Err(_) => return Some(NextData::End(end)),
@@ -339,7 +362,7 @@
         Ok(Ok(data)) => Ok((source, data)),
         ended => {
             source.in_flight.end(ServerOutcome::Lost);
-            if matches!(ended, Ok(Err(StreamEnd::Broken))) {
+            if matches!(ended, Ok(Err(StreamEnd::Broken | StreamEnd::Closed))) {
                 exchange
                     .handle_connection_break(source.in_flight.server(), source.ended_run())
                     .await;
--- a/crates/daemon/src/direct/server_end.rs
+++ b/crates/daemon/src/direct/server_end.rs
@@ -11,19 +11,29 @@
 /// between regions. The caller's request is retried on another server only after that.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// Whether nothing listens any more at the address of a server that just closed a connection.
+/// State of a server that just closed a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerLiveness {
+    /// It accepts connections.
+    Alive,
+    /// Nothing listens at its address any more.
+    Ended,
+    /// Its machine does not respond: it may be disconnected or suspended.
+    Unknown,
+}
+
+/// Tries to connect to a server that just closed a connection.
 ///
-/// Only a refused connection counts: a server whose machine is disconnected or suspended refuses
-/// nothing and is not considered ended. A connection that succeeds goes to the pool in place of the
-/// closed one.
-pub async fn has_ended(state: &Arc<EntryState>, server: &ChosenServer) -> bool {
+/// A connection that succeeds goes to the pool in place of the closed one.
+pub async fn probe(state: &Arc<EntryState>, server: &ChosenServer) -> ServerLiveness {
     let opened =
         state.connections.get(server.address, ConnectionChoice::Fresh, PROBE_TIMEOUT).await;
     match opened {
         Ok((connection, _)) => {
             state.connections.release(connection);
-            false
+            ServerLiveness::Alive
         }
-        Err(error) => error.refused,
+        Err(error) if error.refused => ServerLiveness::Ended,
+        Err(_) => ServerLiveness::Unknown,
     }
 }
