--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -25,6 +25,7 @@
 pub mod size_class;
 pub mod staging;
 pub mod stream_timing;
+pub mod suspect_parts;
 pub mod suspects;
 pub mod time_limit;
 pub mod transfer_rate;
--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -104,6 +104,7 @@
             draining_lives: Vec::new(),
             limits: Vec::new(),
             suspects: Vec::new(),
+            suspect_parts: Vec::new(),
             domain_loads: None,
             changes_only: false,
             ..self.notice.clone()
--- a/crates/core/src/direct/peers/notice.rs
+++ b/crates/core/src/direct/peers/notice.rs
@@ -14,6 +14,7 @@
     evacuation::EvacuatedDomains,
     leaving::LeavingNotice,
     rate_limits::LimitNotice,
+    suspect_parts::PartNotice,
     suspects::{LifeKey, SuspectNotice},
 };
 
@@ -132,6 +133,8 @@
     pub limits: Vec<LimitNotice>,
     /// Requests during which servers terminated.
     pub suspects: Vec<SuspectNotice>,
+    /// Prompt parts under which servers terminated.
+    pub suspect_parts: Vec<PartNotice>,
     /// Whether the store answers the calls of the sender, to its knowledge.
     pub reads_store: bool,
     /// Other peers that the sender knows.
@@ -167,6 +170,7 @@
             draining_lives: Vec::new(),
             limits: Vec::new(),
             suspects: Vec::new(),
+            suspect_parts: Vec::new(),
             reads_store: true,
             peers: Vec::new(),
             loads: Vec::new(),
--- a/crates/core/src/direct/request_digest.rs
+++ b/crates/core/src/direct/request_digest.rs
@@ -1,6 +1,7 @@
 //! Content digests that identify equal requests regardless of ids, deadlines and trace headers.
 
 pub use headlatch_types::request::RequestDigest;
+use headlatch_types::request::{PartKey, PromptPart};
 
 /// The parts of a request that its digest covers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,6 +51,23 @@
     }
 }
 
+/// Everything by which a request may be quarantined.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestIdentity {
+    /// Digests of its content.
+    pub digests: RequestDigests,
+    /// The parts of its prompt that other requests may have as well.
+    pub parts: Vec<PartKey>,
+}
+
+impl RequestIdentity {
+    /// The identity of a request for `model` with these contents.
+    pub fn new(content: &RequestContent<'_>, model: Option<&str>, parts: &[PromptPart]) -> Self {
+        let parts = parts.iter().map(|part| PartKey::of(model, *part)).collect();
+        Self { digests: RequestDigests::of(content), parts }
+    }
+}
+
 /// Hashes a part preceded by its length, so that adjacent parts cannot be confused; an absent part
 /// differs from an empty one.
 fn hash_part(hasher: &mut blake3::Hasher, part: Option<&[u8]>) {
--- a/crates/core/src/direct/suspects.rs
+++ b/crates/core/src/direct/suspects.rs
@@ -21,6 +21,8 @@
 mod completed;
 mod notices;
 
+pub(super) use notices::{ANNOUNCE_TIME, is_repeat_due, rotation};
+
 use completed::CompletedRequests;
 pub use notices::{MAX_NOTICES, SuspectNotice};
 
--- a/crates/core/src/direct/suspects/notices.rs
+++ b/crates/core/src/direct/suspects/notices.rs
@@ -10,7 +10,7 @@
 
 /// Time for which a change is included in every datagram: a dozen of them, of which several may be
 /// lost.
-const ANNOUNCE_TIME: Duration = Duration::from_millis(1200);
+pub(in crate::direct) const ANNOUNCE_TIME: Duration = Duration::from_millis(1200);
 
 /// Interval at which lasting state is announced again. An entry that has just started or was
 /// partitioned must learn it within the three seconds after which it is expected to comply.
@@ -23,6 +23,16 @@
 /// many for one.
 const ROTATION_MS: u64 = 100;
 
+/// Whether lasting state is announced at `now`.
+pub(in crate::direct) fn is_repeat_due(now: Moment) -> bool {
+    now.micros() / 1000 % REPEAT_INTERVAL_MS < REPEAT_WINDOW_MS
+}
+
+/// First notice of the datagram at `now` where `max` of them fit into each.
+pub(in crate::direct) fn rotation(now: Moment, max: usize) -> usize {
+    (now.micros() / 1000 / ROTATION_MS) as usize * max
+}
+
 /// A notice about one suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SuspectNotice {
@@ -65,8 +75,7 @@
     /// Notices to send to other entries at `now`: recent changes always, lasting state once a
     /// second. Sorted by priority; notices of equal priority rotate if they do not all fit.
     pub fn notices(&self, now: Moment) -> Vec<SuspectNotice> {
-        let millis = now.micros() / 1000;
-        let repeats = millis % REPEAT_INTERVAL_MS < REPEAT_WINDOW_MS;
+        let repeats = is_repeat_due(now);
         let is_fresh = |at: Moment| now.since(at) <= ANNOUNCE_TIME;
         let cleared = self.cleared.iter().filter(|(_, at)| is_fresh(**at));
         let cleared = cleared.map(|(digest, _)| {
@@ -78,8 +87,7 @@
                 suspect.push_notices(now, *digest, &mut notices);
             }
         }
-        let turn = (millis / ROTATION_MS) as usize * MAX_NOTICES;
-        let turn = turn.checked_rem(notices.len()).unwrap_or_default();
+        let turn = rotation(now, MAX_NOTICES).checked_rem(notices.len()).unwrap_or_default();
         notices.rotate_left(turn);
         notices.sort_by_key(|(priority, _)| *priority);
         notices.truncate(MAX_NOTICES);
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -23,7 +23,10 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use super::{answer::strip_hop_by_hop_headers, handler::AdmittedRequest, state::EntryState};
+use super::{
+    answer::strip_hop_by_hop_headers, exchange::QUARANTINED, handler::AdmittedRequest,
+    state::EntryState,
+};
 
 /// Timeout for opening a connection: a reachable server accepts within a few round trips.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -224,6 +227,11 @@
             state.connections.release(connection);
             return Err(AttemptFailure::not_sent(ineligible.as_str()));
         }
+        // So may what is known of the request.
+        if state.quarantine.refuses(state.now(), &request.identity) {
+            state.connections.release(connection);
+            return Err(AttemptFailure::not_sent(QUARANTINED));
+        }
         let time_limit = server_time_limit(state, request, server);
         let facts = ForwardMetadata {
             deadline: Some(time_limit.time),
--- a/crates/daemon/src/direct/entry_notices.rs
+++ b/crates/daemon/src/direct/entry_notices.rs
@@ -17,6 +17,7 @@
 use super::{
     datagram::{Datagram, MAX_DATAGRAM_BYTES},
     notices::{NOTICE_INTERVAL, NoticeBody, NoticeWriter, OutgoingDatagram},
+    quarantine::QuarantineNotices,
     relay_mail::{BundleWriter, RelayView},
     state::EntryState,
 };
@@ -277,13 +278,15 @@
     let (leaving, limits) = (servers.recent_leaving(now), servers.recent_limits(now));
     let draining_lives = servers.recent_draining_lives(now);
     drop(servers);
+    let QuarantineNotices { suspects, suspect_parts } = state.quarantine.notices(now);
     NoticeBody {
         plan: state.plan_version().0,
         servers: state.newest_servers(),
         leaving,
         draining_lives,
         limits,
-        suspects: state.quarantine.notices(now),
+        suspects,
+        suspect_parts,
         reads_store: state.plan.reads_store(now),
         evacuated: state.evacuated(),
         ..NoticeBody::default()
@@ -316,7 +319,7 @@
     state.merge_draining(&notice.draining_lives);
     state.merge_limits(&notice.limits);
     state.merge_evacuated(&notice.evacuated);
-    state.quarantine.merge_notices(state.now(), &notice.suspects);
+    state.quarantine.merge_notices(state.now(), &notice.suspects, &notice.suspect_parts);
     state.record_peer_servers_mark(notice.servers);
     if outcome.joined {
         decisions::info("peers", "found", json!({ "peer": notice.from }));
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -6,13 +6,14 @@
     direct::{
         admission::shedding::{NewRequest, ShedRank},
         server_table::{ChosenServer, ServerChoice, ServerOutcome, ServerQuery},
-        suspects::{ProgressAtEnd, QUARANTINE_TIME},
+        suspects::QUARANTINE_TIME,
     },
     time::Moment,
 };
 use headlatch_http::ConnectionChoice;
 use headlatch_types::{
     RunVerdict,
+    request::{PartKey, QuarantineKey},
     traffic::{AllowedRegions, ServerId},
     verdict::{Repeatability, RetryPermit},
 };
@@ -34,8 +35,8 @@
 
 mod collect;
 
-/// Refusal cause: servers have crashed while running the same content.
-const QUARANTINED: &str = "quarantined";
+/// Refusal cause: servers have crashed while running the same content, or a prompt with the same part.
+pub(super) const QUARANTINED: &str = "quarantined";
 
 /// Refusal cause: the request was drawn for load shedding while engines are full.
 pub(super) const LOAD_SHED: &str = "load_shed";
@@ -50,6 +51,10 @@
 /// multiple of the route's latency objective.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 3;
 
+/// Time that a request whose parts are suspected waits after its server has ended, before it is sent
+/// again: one round of notices, after which a verdict on the end is known.
+const VERDICT_WAIT: Duration = Duration::from_millis(150);
+
 /// Minimum time left for a retry on another server: one round trip and the first event.
 const MIN_TIME_FOR_RETRY: Duration = Duration::from_millis(20);
 
@@ -109,6 +114,9 @@
             Ok(answer) => answer,
             Err(failure) => {
                 exchange.record_failure(&failure).map_err(|cause| exchange.give_up(cause))?;
+                if failure.is_connection_break() {
+                    exchange.await_verdict().await;
+                }
                 continue;
             }
         };
@@ -132,6 +140,9 @@
             Ok(response) => return Ok(response),
             Err(failure) => {
                 exchange.record_failure(&failure).map_err(|cause| exchange.give_up(cause))?;
+                if failure.is_connection_break() {
+                    exchange.await_verdict().await;
+                }
             }
         }
     }
@@ -151,7 +162,7 @@
         let fields = json!({
             "request": self.request.id, "route": self.request.route.name,
             "service": self.request.service, "plan": self.request.plan, "held_ms": held_ms,
-            "attempt": self.sends, "content": self.request.digests.whole.to_string(),
+            "attempt": self.sends, "content": self.request.identity.digests.whole.to_string(),
             "body_bytes": self.request.body.bytes.len(), "prompt_tokens": self.request.facts.prompt_tokens,
             "answer_tokens": self.request.facts.answer_tokens,
             "urgency_rank": self.request.urgency,
@@ -203,7 +214,7 @@
             regions,
             figures,
             objective: work.objective,
-            rank: ShedRank::new(self.request.digests.without_query, unix_time()),
+            rank: ShedRank::new(self.request.identity.digests.without_query, unix_time()),
             urgency: self.request.urgency,
             prompt_tokens: work.prompt,
         };
@@ -239,8 +250,8 @@
     pub(super) fn check_attempt(&self) -> Result<(), &'static str> {
         // The same content may have crashed servers at other entries or under an earlier request
         // id, which the attempts of this request do not show.
-        let (now, digests) = (self.state.now(), &self.request.digests);
-        if self.state.quarantine.check_request(now, digests).is_some() {
+        let now = self.state.now();
+        if self.state.quarantine.check_request(now, &self.request.identity).is_some() {
             return Err(QUARANTINED);
         }
         let least = if self.sends > 0 { MIN_TIME_FOR_RETRY } else { Duration::ZERO };
@@ -330,38 +341,62 @@
             self.sends -= u32::from(!failure.reached_server);
             self.possible_runs -= u32::from(failure.verdict == RunVerdict::NotRun);
             if failure.is_connection_break() {
-                self.handle_connection_break(&server, ProgressAtEnd::Silent).await;
+                self.handle_connection_break(&server, None).await;
             }
         }
         sent
     }
 
     /// Checks whether a server that closed the connection has ended, and reports an unplanned end to
-    /// the quarantine. `run` says how much of the answer the server had sent.
+    /// the quarantine. The server had been writing on the answer since `writing_since`.
     pub async fn handle_connection_break(
         &self,
         server: &ChosenServer,
-        run: ProgressAtEnd,
+        writing_since: Option<Moment>,
     ) -> ServerLiveness {
         let liveness = server_end::probe(&self.state, server).await;
         if liveness == ServerLiveness::Ended {
-            self.record_server_end(server, run);
+            self.record_server_end(server, writing_since);
         }
         liveness
     }
 
-    fn record_server_end(&self, server: &ChosenServer, run: ProgressAtEnd) {
-        let digests = &self.request.digests;
+    fn record_server_end(&self, server: &ChosenServer, writing_since: Option<Moment>) {
+        let (now, identity) = (self.state.now(), &self.request.identity);
         let planned = self.state.servers().is_planned_shutdown(&server.id);
         let fields = json!({
-            "server": server.id, "life": server.life.to_string(), "run": format!("{run:?}"),
-            "planned": planned, "without_query": digests.without_query.to_string(),
-            "shared_parts": self.request.facts.shared_parts.ids(),
+            "server": server.id, "life": server.life.to_string(), "planned": planned,
+            "written_ms": writing_since.map(|since| now.since(since).as_millis() as u64),
+            "without_query": identity.digests.without_query.to_string(),
+            "shared_parts": self.named_parts(),
         });
         self.log("server_ended", fields);
         if !planned {
-            self.state.quarantine.record_server_end(self.state.now(), digests, server.life, run);
+            let quarantine = &self.state.quarantine;
+            quarantine.record_server_end(now, identity, server.life, writing_since);
+        }
+    }
+
+    /// Ids of the shared parts of the prompt, with the keys by which they are quarantined.
+    fn named_parts(&self) -> Vec<(String, String)> {
+        let ids = self.request.facts.shared_parts.ids().into_iter();
+        ids.zip(self.request.identity.parts.iter().map(PartKey::to_string)).collect()
+    }
+
+    /// Whether a server ended under a part of the request and none has written on it since. Such a
+    /// request goes to one server at a time.
+    pub(super) fn is_suspected(&self) -> bool {
+        self.state.quarantine.suspects_part(&self.request.identity)
+    }
+
+    /// After a server has ended under a suspected request, waits until others have told what they saw.
+    pub(super) async fn await_verdict(&self) {
+        if !self.is_suspected() {
+            return;
         }
+        let (state, identity) = (&self.state, &self.request.identity);
+        let refused = state.quarantine.wait_until_refused(|| state.now(), identity);
+        let _ = tokio::time::timeout(VERDICT_WAIT, refused).await;
     }
 
     /// Sends to `server` and waits for its response. After the timeout the attempt is abandoned
@@ -381,8 +416,8 @@
         let timeout =
             (request.route.objective() * RESPONSE_TIMEOUT_FACTOR).max(MIN_RESPONSE_TIMEOUT);
         let mut until = sent_at + timeout;
-        let (state, digests) = (&self.state, &request.digests);
-        let mut refused = pin!(state.quarantine.wait_until_refused(|| state.now(), digests));
+        let (state, identity) = (&self.state, &request.identity);
+        let mut refused = pin!(state.quarantine.wait_until_refused(|| state.now(), identity));
         loop {
             let sent = tokio::select! {
                 sent = tokio::time::timeout_at(until, &mut sending) => sent,
@@ -392,7 +427,9 @@
             if let Ok(sent) = sent {
                 return (sent, None);
             }
-            if let Ok(next) = self.pick_server() {
+            if !self.is_suspected()
+                && let Ok(next) = self.pick_server()
+            {
                 self.state.connections.close_stale(address, sent_at);
                 return (Err(AttemptFailure::no_answer()), Some(next));
             }
@@ -435,7 +472,9 @@
         let verdict = self.verdict.unwrap_or(RunVerdict::NotRun);
         let given_up = match verdict {
             RunVerdict::NotRun if cause == QUARANTINED => {
-                ErrorResponse::refused(cause, QUARANTINE_TIME)
+                let left =
+                    self.state.quarantine.check_request(self.state.now(), &self.request.identity);
+                ErrorResponse::refused(cause, left.unwrap_or(QUARANTINE_TIME))
             }
             RunVerdict::NotRun => waiting::refusal(self, cause),
             _ if cause == "deadline" => {
@@ -444,9 +483,12 @@
             _ => ErrorResponse::outcome_unknown(StatusCode::BAD_GATEWAY, cause),
         };
         let rest = given_up.retry_after.map(|rest| rest.as_millis() as u64);
+        let now = self.state.now();
+        let refused = self.state.quarantine.refused_keys(now, &self.request.identity);
+        let refused: Vec<String> = refused.iter().map(QuarantineKey::to_string).collect();
         let fields = json!({
             "cause": cause, "verdict": verdict.as_str(), "status": given_up.status.as_u16(),
-            "retry_after_ms": rest, "entries": self.state.entries(),
+            "retry_after_ms": rest, "entries": self.state.entries(), "quarantines": refused,
         });
         self.count_step(match verdict {
             RunVerdict::NotRun => RequestStep::Refused,
@@ -468,7 +510,7 @@
     /// arrived.
     pub fn finish(&self, event: &str, first: Duration, fields: serde_json::Value) {
         self.state.metrics.count_request(RunVerdict::Ran);
-        self.state.quarantine.record_whole_answer(self.state.now(), &self.request.digests);
+        self.state.quarantine.record_whole_answer(self.state.now(), &self.request.identity);
         let objective = self.request.route.objective();
         self.count_step(match objective.is_zero() || first <= objective {
             true => RequestStep::InTime,
--- a/crates/daemon/src/direct/exchange/collect.rs
+++ b/crates/daemon/src/direct/exchange/collect.rs
@@ -1,6 +1,6 @@
 //! Responses that are not streams: read completely before any part is forwarded.
 
-use headlatch_core::direct::{server_table::ServerOutcome, suspects::ProgressAtEnd};
+use headlatch_core::direct::server_table::ServerOutcome;
 use headlatch_types::RunVerdict;
 use http::{Response, header};
 use http_body::Body;
@@ -24,7 +24,7 @@
         answer: ServerAnswer,
     ) -> Result<Response<AnswerBody>, AttemptFailure> {
         let ServerAnswer { response, connection, in_flight, close_delimited, .. } = answer;
-        let server = in_flight.server().clone();
+        let (server, begun) = (in_flight.server().clone(), self.state.now());
         let (mut parts, body) = response.into_parts();
         // While this waits for memory the body is not read, so that flow control leaves it at the
         // server.
@@ -39,14 +39,14 @@
         let whole = match collected {
             Ok(Ok((memory, body))) if close_delimited => {
                 // A server that ends closes its connections as well.
-                match self.handle_connection_break(&server, ProgressAtEnd::Begun).await {
+                match self.handle_connection_break(&server, Some(begun)).await {
                     ServerLiveness::Alive => Ok((memory, body.to_bytes())),
                     _ => Err("connection closed by a server that has ended".to_owned()),
                 }
             }
             Ok(Ok((memory, body))) => Ok((memory, body.to_bytes())),
             Ok(Err(error)) => {
-                self.handle_connection_break(&server, ProgressAtEnd::Begun).await;
+                self.handle_connection_break(&server, Some(begun)).await;
                 Err(error.to_string())
             }
             Err(_) => Err("response incomplete at the deadline".to_owned()),
@@ -69,6 +69,10 @@
         self.state.connections.release(connection);
         strip_hop_by_hop_headers(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
+        if parts.status.is_success() {
+            let (quarantine, now) = (&self.state.quarantine, self.state.now());
+            quarantine.record_survival(now, &self.request.identity, begun);
+        }
         let fields = json!({ "server": self.tried.last(), "status": parts.status.as_u16() });
         self.finish("answered", self.state.now().since(self.arrived), fields);
         let body = full_body(body).map_frame(move |frame| {
--- a/crates/daemon/src/direct/front.rs
+++ b/crates/daemon/src/direct/front.rs
@@ -3,8 +3,8 @@
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use headlatch_core::direct::request_digest::RequestDigest;
 use headlatch_http::{StopSignal, stall::StallGuard};
+use headlatch_types::request::QuarantineKey;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -104,7 +104,7 @@
     }
 }
 
-/// Path of the list of quarantined requests, and prefix of the path of each of them.
+/// Path of the list of quarantines, and prefix of the path of each of them.
 const QUARANTINE_PATH: &str = "/quarantine";
 
 fn answer_admin(state: &EntryState, method: &Method, path: &str) -> Response<Full<Bytes>> {
@@ -126,28 +126,32 @@
     response
 }
 
-/// The quarantined requests as a JSON array.
+/// The quarantined requests and prompt parts as a JSON array.
 fn show_quarantine(state: &EntryState) -> String {
     let refused = state.quarantine.refused(state.now());
-    let shown = refused.iter().map(|one| {
+    let requests = refused.requests.iter().map(|one| {
         json!({
             "content": one.digest.to_string(), "left_s": one.left.as_secs(), "ends": one.ends,
         })
     });
-    format!("{}\n", serde_json::Value::from_iter(shown))
+    let parts = refused.parts.iter().map(|one| {
+        json!({ "part": one.part.to_string(), "left_s": one.left.as_secs(), "ends": one.ends })
+    });
+    format!("{}\n", serde_json::Value::from_iter(requests.chain(parts)))
 }
 
-/// Lifts the quarantine of the request whose digest ends `path`.
+/// Lifts the quarantine whose key ends `path`.
 fn lift_quarantine(state: &EntryState, path: &str) -> (StatusCode, String) {
     let name = path.trim_start_matches(QUARANTINE_PATH).trim_start_matches('/');
-    let Ok(digest) = name.parse::<RequestDigest>() else {
-        let text =
-            format!("{QUARANTINE_PATH}/{name}: expected a digest of 16 hexadecimal digits\n");
+    let Ok(key) = name.parse::<QuarantineKey>() else {
+        let text = format!(
+            "{QUARANTINE_PATH}/{name}: expected a digest of 16 hexadecimal digits, or part- and a key of 16\n"
+        );
         return (StatusCode::BAD_REQUEST, text);
     };
-    match state.quarantine.lift(state.now(), digest) {
-        true => (StatusCode::OK, format!("{digest} is served again\n")),
-        false => (StatusCode::NOT_FOUND, format!("{digest} is not refused\n")),
+    match state.quarantine.lift(state.now(), key) {
+        true => (StatusCode::OK, format!("{key} is served again\n")),
+        false => (StatusCode::NOT_FOUND, format!("{key} is not refused\n")),
     }
 }
 
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -9,7 +9,7 @@
 use headlatch_core::direct::{
     admission::urgency::UrgencyRank,
     engine_model::EngineWork,
-    request_digest::{RequestContent, RequestDigests},
+    request_digest::{RequestContent, RequestIdentity},
     route_table::{Denial, RouteTable, pick_target},
     server_table::{EngineQuery, FirstTokenBound},
     size_class::SizeClass,
@@ -93,8 +93,8 @@
     pub plan: u64,
     /// Values read from the request headers.
     pub facts: RequestMetadata,
-    /// Digests that identify the same content in other requests.
-    pub digests: RequestDigests,
+    /// What identifies the same content, and the same parts of prompts, in other requests.
+    pub identity: RequestIdentity,
     /// Size class of the body among recent requests of the route.
     pub size: SizeClass,
     /// Urgency among the requests of the service; `None` if the service does not distinguish urgencies.
@@ -183,7 +183,7 @@
         service.ok_or_else(|| ErrorResponse::refused("no_service", NO_PLAN_RETRY_AFTER))?;
     let urgency = routes.urgencies().rank(&service, urgency);
     let engine = routes.plan().services.get(&*service).and_then(|service| service.engine.clone());
-    let digests = digests_of(&parts, tenant.as_deref(), &body.bytes);
+    let identity = identity_of(&parts, &facts, tenant.as_deref(), &body.bytes);
     let size = state.sizes().record(&route.name, ByteSize::from_bytes(body.bytes.len() as u64));
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri =
@@ -207,7 +207,7 @@
         limit: held.limit,
         plan: routes.plan().version.0,
         facts,
-        digests,
+        identity,
         size,
         urgency,
     })
@@ -300,15 +300,21 @@
     host.or_else(|| uri.host()).unwrap_or_default()
 }
 
-fn digests_of(parts: &Parts, caller: Option<&str>, body: &[u8]) -> RequestDigests {
-    RequestDigests::of(&RequestContent {
+fn identity_of(
+    parts: &Parts,
+    facts: &RequestMetadata,
+    caller: Option<&str>,
+    body: &[u8],
+) -> RequestIdentity {
+    let content = RequestContent {
         caller,
         method: parts.method.as_str(),
         host: host_of(&parts.headers, &parts.uri),
         path: parts.uri.path(),
         query: parts.uri.query(),
         body,
-    })
+    };
+    RequestIdentity::new(&content, facts.model.as_deref(), &facts.shared_parts.parts)
 }
 
 fn find_route<'a>(
--- a/crates/daemon/src/direct/notice_codec.rs
+++ b/crates/daemon/src/direct/notice_codec.rs
@@ -12,10 +12,12 @@
     peers::{DomainKey, DrainNotice, LoadNotice, PeerKind, PeerNotice, ServerNotice, WantedNotice},
     rate_limits::LimitNotice,
     request_digest::RequestDigest,
+    suspect_parts::PartNotice,
     suspects::{LifeKey, ProgressAtEnd, SuspectNotice},
 };
 use headlatch_types::{
-    pace::ServerPace, quantity::RequestRate, store::StoreRevision, traffic::WeightVersion,
+    pace::ServerPace, quantity::RequestRate, request::PartKey, store::StoreRevision,
+    traffic::WeightVersion,
 };
 use headlatch_wire as wire;
 use prost::Message;
@@ -111,6 +113,50 @@
     })
 }
 
+/// Values of the field `word` of [`wire::NoticeSuspectPart`].
+const PART_ENDED: u32 = 0;
+const PART_REFUSED: u32 = 1;
+const PART_RELEASED: u32 = 2;
+const PART_SOUND: u32 = 3;
+
+fn encode_part(notice: &PartNotice) -> wire::NoticeSuspectPart {
+    let encoded = wire::NoticeSuspectPart { part: notice.part().0, ..Default::default() };
+    match *notice {
+        PartNotice::Ended { life, age, .. } => wire::NoticeSuspectPart {
+            word: PART_ENDED,
+            life: life.0,
+            age_ms: saturating_millis(age),
+            ..encoded
+        },
+        PartNotice::Refused { left, .. } => {
+            let left_s = left.as_secs().min(u32::MAX.into()) as u32;
+            wire::NoticeSuspectPart { word: PART_REFUSED, left_s, ..encoded }
+        }
+        PartNotice::Released { .. } => wire::NoticeSuspectPart { word: PART_RELEASED, ..encoded },
+        PartNotice::Sound { age, .. } => {
+            wire::NoticeSuspectPart { word: PART_SOUND, age_ms: saturating_millis(age), ..encoded }
+        }
+    }
+}
+
+fn saturating_millis(time: Duration) -> u32 {
+    time.as_millis().min(u32::MAX.into()) as u32
+}
+
+fn decode_part(encoded: &wire::NoticeSuspectPart) -> Option<PartNotice> {
+    let (part, age) = (PartKey(encoded.part), Duration::from_millis(encoded.age_ms.into()));
+    Some(match encoded.word {
+        PART_ENDED => PartNotice::Ended { part, life: LifeKey(encoded.life), age },
+        PART_REFUSED => {
+            PartNotice::Refused { part, left: Duration::from_secs(encoded.left_s.into()) }
+        }
+        PART_RELEASED => PartNotice::Released { part },
+        PART_SOUND => PartNotice::Sound { part, age },
+        // A newer process may send values that this version does not know.
+        _ => return None,
+    })
+}
+
 fn encode_evacuated(evacuated: &EvacuatedDomains) -> Option<wire::NoticeEvacuated> {
     let EvacuatedDomains { mark, domains } = evacuated;
     (*mark > StoreRevision::default()).then(|| wire::NoticeEvacuated {
@@ -179,6 +225,7 @@
         draining_lives: notice.draining_lives.iter().map(|life| life.0).collect(),
         limits: notice.limits.iter().map(encode_limit).collect(),
         suspects: notice.suspects.iter().map(encode_suspect).collect(),
+        suspect_parts: notice.suspect_parts.iter().map(encode_part).collect(),
         reads_store: notice.reads_store,
         peers: notice.peers.iter().map(address_bytes).collect(),
         loads: notice.loads.iter().map(encode_load).collect(),
@@ -234,6 +281,7 @@
         draining_lives: message.draining_lives.iter().copied().map(LifeKey).collect(),
         limits: message.limits.iter().map(decode_limit).collect(),
         suspects: message.suspects.iter().filter_map(decode_suspect).collect(),
+        suspect_parts: message.suspect_parts.iter().filter_map(decode_part).collect(),
         reads_store: message.reads_store,
         peers: message.peers.iter().filter_map(|bytes| address_of(bytes)).collect(),
         loads: message.loads.iter().map(decode_load).collect(),
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -10,6 +10,7 @@
         PeerTable, ServerNotice, WantedNotice,
     },
     rate_limits::LimitNotice,
+    suspect_parts::PartNotice,
     suspects::{LifeKey, SuspectNotice},
 };
 use headlatch_types::{quantity::RequestRate, store::StoreRevision};
@@ -98,6 +99,8 @@
     pub limits: Vec<LimitNotice>,
     /// Requests during which servers terminated.
     pub suspects: Vec<SuspectNotice>,
+    /// Prompt parts during which servers terminated.
+    pub suspect_parts: Vec<PartNotice>,
     /// Whether its calls to the store succeed, as far as it knows.
     pub reads_store: bool,
     /// Its requests in progress, by server.
@@ -161,6 +164,7 @@
     draining_lives: Vec<LifeKey>,
     limits: BTreeSet<(LifeKey, Option<RequestRate>)>,
     suspects: Vec<SuspectNotice>,
+    suspect_parts: Vec<PartNotice>,
     evacuated: BTreeSet<DomainKey>,
 }
 
@@ -172,6 +176,7 @@
             draining_lives: body.draining_lives.clone(),
             limits: body.limits.iter().map(|notice| (notice.life, notice.limit)).collect(),
             suspects: body.suspects.clone(),
+            suspect_parts: body.suspect_parts.clone(),
             evacuated: body.evacuated.domains.clone(),
         }
     }
@@ -339,6 +344,7 @@
             draining_lives: body.draining_lives.clone(),
             limits: body.limits.clone(),
             suspects: body.suspects.clone(),
+            suspect_parts: body.suspect_parts.clone(),
             reads_store: body.reads_store,
             drains: body.drains.clone(),
             evacuated: body.evacuated.clone(),
@@ -395,6 +401,7 @@
             draining_lives: body.draining_lives,
             limits: body.limits,
             suspects: body.suspects,
+            suspect_parts: body.suspect_parts,
             reads_store: body.reads_store,
             peers: advertised,
             loads: body.loads,
--- a/crates/daemon/src/direct/quarantine_keeper.rs
+++ b/crates/daemon/src/direct/quarantine_keeper.rs
@@ -3,11 +3,11 @@
 
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
-use headlatch_core::direct::request_digest::RequestDigest;
 use headlatch_outside::{
     facts::StoreFailure,
     quarantine::{QuarantineEntry, QuarantineStore, UnixMillis},
 };
+use headlatch_types::request::QuarantineKey;
 use serde_json::json;
 
 use super::{
@@ -48,11 +48,11 @@
     }
     let kept = list_kept(store).await;
     decisions::info("quarantine", "read", json!({ "kept": kept.len() }));
-    for QuarantineEntry { digest, until } in kept {
+    for QuarantineEntry { key, until } in kept {
         let left = until.0.saturating_sub(unix_millis());
         match left {
-            0 => write(store, QuarantineWrite::Lift(digest)).await,
-            _ => state.quarantine.restore(state.now(), digest, Duration::from_millis(left)),
+            0 => write(store, QuarantineWrite::Lift(key)).await,
+            _ => state.quarantine.restore(state.now(), key, Duration::from_millis(left)),
         }
     }
 }
@@ -80,14 +80,14 @@
             continue;
         }
         tokio::time::sleep(REWRITE_SPREAD.mul_f64(rand::random())).await;
-        let kept: HashSet<RequestDigest> =
-            list_kept(store).await.into_iter().map(|entry| entry.digest).collect();
+        let kept: HashSet<QuarantineKey> =
+            list_kept(store).await.into_iter().map(|entry| entry.key).collect();
         let refused = state.quarantine.refused(state.now());
-        let lost: Vec<_> = refused.iter().filter(|one| !kept.contains(&one.digest)).collect();
-        let fields = json!({ "era": era, "refused": refused.len(), "lost": lost.len() });
+        let lost: Vec<_> = refused.iter().filter(|(key, _)| !kept.contains(key)).collect();
+        let fields = json!({ "era": era, "refused": refused.iter().count(), "lost": lost.len() });
         decisions::info("quarantine", "written_again", fields);
-        for one in lost {
-            write(store, QuarantineWrite::Keep(one.digest, one.left)).await;
+        for (key, left) in lost {
+            write(store, QuarantineWrite::Keep(key, left)).await;
         }
     }
 }
@@ -102,24 +102,24 @@
 
 async fn write(store: &Arc<dyn QuarantineStore>, pending: QuarantineWrite) {
     for _ in 0..MAX_WRITE_ATTEMPTS {
-        let (digest, written) = match pending {
-            QuarantineWrite::Keep(digest, left) => {
+        let (key, written) = match pending {
+            QuarantineWrite::Keep(key, left) => {
                 let until = UnixMillis(unix_millis() + left.as_millis() as u64);
-                (digest, store.keep(QuarantineEntry { digest, until }).await)
+                (key, store.keep(QuarantineEntry { key, until }).await)
             }
-            QuarantineWrite::Lift(digest) => (digest, store.lift(digest).await),
+            QuarantineWrite::Lift(key) => (key, store.lift(key).await),
         };
         match written {
             Ok(()) => return,
-            Err(failure) => log_failure("write", Some(digest), &failure),
+            Err(failure) => log_failure("write", Some(key), &failure),
         }
         tokio::time::sleep(RETRY_DELAY).await;
     }
 }
 
-fn log_failure(call: &str, digest: Option<RequestDigest>, failure: &StoreFailure) {
-    let content = digest.map(|digest| digest.to_string());
-    let fields = json!({ "call": call, "content": content, "failure": failure.to_string() });
+fn log_failure(call: &str, key: Option<QuarantineKey>, failure: &StoreFailure) {
+    let key = key.map(|key| key.to_string());
+    let fields = json!({ "call": call, "key": key, "failure": failure.to_string() });
     decisions::warn("quarantine", "store_failed", fields);
 }
 
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -13,7 +13,7 @@
         event_split::{EventSplitter, StreamEvent},
         server_table::{ChosenServer, ServerOutcome},
         stream_timing::StreamTiming,
-        suspects::ProgressAtEnd,
+        suspect_parts::SURVIVAL_TIME,
         time_limit::LimitedTime,
     },
     time::Moment,
@@ -65,8 +65,10 @@
     time_limit: LimitedTime,
     /// When the server's response began.
     started: Moment,
-    /// The server has sent a complete event.
-    has_events: bool,
+    /// When the server sent its first complete event.
+    writing_since: Option<Moment>,
+    /// It has been recorded that the server survived the request.
+    survival_recorded: bool,
     /// The stream ends with the connection.
     close_delimited: bool,
 }
@@ -81,15 +83,11 @@
             splitter: EventSplitter::default(),
             time_limit: answer.time_limit,
             started: now,
-            has_events: false,
+            writing_since: None,
+            survival_recorded: false,
         }
     }
 
-    /// How far the server got with the request, for the report of its crash.
-    fn ended_run(&self) -> ProgressAtEnd {
-        if self.has_events { ProgressAtEnd::Begun } else { ProgressAtEnd::Silent }
-    }
-
     /// Reads the next bytes of the stream, or how it ended.
     async fn next(&mut self) -> Result<Bytes, StreamEnd> {
         loop {
@@ -211,8 +209,7 @@
         if ![StreamEnd::Closed, StreamEnd::Broken].contains(&end) {
             return end;
         }
-        let (server, run) = (source.in_flight.server(), source.ended_run());
-        match (end, self.exchange.handle_connection_break(server, run).await) {
+        match (end, break_liveness(&self.exchange, source).await) {
             (StreamEnd::Closed, ServerLiveness::Alive) => StreamEnd::Whole,
             _ => StreamEnd::Broken,
         }
@@ -224,7 +221,7 @@
     /// The silent server is kept meanwhile: dropping it first would lose the rest of its answer
     /// whenever the other server refuses, is silent too, or can't be reached.
     async fn hedge(&mut self, source: &mut StreamSource) -> Option<NextData> {
-        if !self.exchange.request.repeatable {
+        if !self.exchange.request.repeatable || self.exchange.is_suspected() {
             return None;
         }
         let server = match self.exchange.next_server() {
@@ -257,9 +254,7 @@
             }
         };
         if broken {
-            self.exchange
-                .handle_connection_break(source.in_flight.server(), source.ended_run())
-                .await;
+            let _ = break_liveness(&self.exchange, source).await;
         }
         let (other, data) = outcome.ok()?;
         Some(NextData::Replaced(Box::new(other), data))
@@ -282,7 +277,9 @@
     /// Complete events in `data` that have not been forwarded yet.
     fn new_events(&mut self, source: &mut StreamSource, data: &[u8]) -> Vec<StreamEvent> {
         let mut events = source.splitter.push(data);
-        source.has_events |= !events.is_empty();
+        if !events.is_empty() {
+            self.record_survival(source);
+        }
         let last = self.last_event;
         events.retain(|event| match (event.id, last) {
             (Some(id), Some(last)) => id > last,
@@ -298,6 +295,17 @@
         events
     }
 
+    /// Records that the server survived the request once it has written on it for long enough.
+    fn record_survival(&self, source: &mut StreamSource) {
+        let now = self.exchange.state.now();
+        let since = *source.writing_since.get_or_insert(now);
+        if !source.survival_recorded && now.since(since) >= SURVIVAL_TIME {
+            source.survival_recorded = true;
+            let (quarantine, request) = (&self.exchange.state.quarantine, &self.exchange.request);
+            quarantine.record_survival(now, &request.identity, since);
+        }
+    }
+
     /// Progress of the stream, for logs.
     fn log_fields(&self, source: &StreamSource, end: StreamEnd) -> serde_json::Value {
         let now = self.exchange.state.now();
@@ -316,9 +324,13 @@
         if !self.exchange.request.repeatable || end == StreamEnd::Deadline {
             return Err("stream_stopped");
         }
+        self.exchange.await_verdict().await;
         loop {
             let server = self.exchange.next_server()?;
             let sent = self.exchange.send(server, self.last_event).await;
+            if sent.as_ref().is_err_and(AttemptFailure::is_connection_break) {
+                self.exchange.await_verdict().await;
+            }
             if let Ok(source) =
                 accept_continuation(&mut self.exchange, sent, self.last_event, self.status)
             {
@@ -339,9 +351,17 @@
             "predicted_ms": exchange.predicted.map(|time| time.as_millis() as u64),
         });
         exchange.finish("stream_ended", first.unwrap_or(whole), fields);
+        let begun = source.writing_since.unwrap_or(source.started);
+        let quarantine = &exchange.state.quarantine;
+        quarantine.record_survival(exchange.state.now(), &exchange.request.identity, begun);
     }
 }
 
+/// Finds out whether the server of a closed connection has ended, and records it.
+async fn break_liveness(exchange: &Exchange, source: &StreamSource) -> ServerLiveness {
+    exchange.handle_connection_break(source.in_flight.server(), source.writing_since).await
+}
+
 /// Resumes the stream on `server` after event `last` and waits for the first data. If the attempt
 /// fails, the server reserved meanwhile is tried.
 async fn start_on(
@@ -363,9 +383,7 @@
         ended => {
             source.in_flight.end(ServerOutcome::Lost);
             if matches!(ended, Ok(Err(StreamEnd::Broken | StreamEnd::Closed))) {
-                exchange
-                    .handle_connection_break(source.in_flight.server(), source.ended_run())
-                    .await;
+                let _ = break_liveness(exchange, &source).await;
             }
             Err(StreamEnd::Broken)
         }
--- a/crates/daemon/src/direct/relay_mail.rs
+++ b/crates/daemon/src/direct/relay_mail.rs
@@ -182,6 +182,7 @@
                 draining_lives: Vec::new(),
                 limits: Vec::new(),
                 suspects: Vec::new(),
+                suspect_parts: Vec::new(),
                 ..own.notice.clone()
             };
             for_agents.push(RelayedNotice { notice: facts, age: own.age });
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -46,7 +46,7 @@
     body_memory::{BODY_MEMORY_DIVISOR, BodyMemory},
     facts::{FactUpdate, readable_facts},
     plan_copy::PlanCopy,
-    quarantine::Quarantine,
+    quarantine::{Quarantine, TRIAL_SPREAD},
     unknown_names::{FieldCounter, UnknownNames},
     waiting::WaitingRequests,
 };
@@ -192,7 +192,7 @@
             clock,
             handled_suspension: Mutex::default(),
             plan: PlanCopy::default(),
-            quarantine: Quarantine::default(),
+            quarantine: Quarantine::new(TRIAL_SPREAD.mul_f64(rand::random())),
             servers: Mutex::new(servers),
             weights: Mutex::default(),
             evacuations: Mutex::default(),
@@ -417,6 +417,9 @@
                 self.metrics.set_fact_age(topic, age.as_millis() as u64);
             }
         }
+        let refused = self.quarantine.refused(now);
+        self.metrics.set_quarantined("request", refused.requests.len());
+        self.metrics.set_quarantined("part", refused.parts.len());
     }
 
     /// The oldest version of a model's weights on which a request may start now.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -66,6 +66,7 @@
     unknown_fields: IntCounterVec,
     invalid_fields: IntCounterVec,
     unread_parts: IntCounter,
+    quarantined: IntGaugeVec,
     server_signals: IntCounterVec,
     malformed_signals: IntCounterVec,
     rate_limits: IntGauge,
@@ -175,6 +176,12 @@
             "Listed parts of prompts that could not be read, or were too many.",
         );
         let unread_parts = register(&registry, unread_parts.expect("the name is fixed and valid"));
+        let quarantined = Opts::new(
+            "headlatch_quarantined",
+            "Quarantined contents of requests and prompt parts, by kind.",
+        );
+        let quarantined = IntGaugeVec::new(quarantined, &["kind"]);
+        let quarantined = register(&registry, quarantined.expect("the name is fixed and valid"));
         let in_progress = gauge("headlatch_in_progress", "Requests in progress.");
         Self {
             registry,
@@ -195,6 +202,7 @@
             unknown_fields,
             invalid_fields,
             unread_parts,
+            quarantined,
             server_signals,
             malformed_signals,
             rate_limits,
@@ -281,6 +289,11 @@
         self.unread_parts.get()
     }
 
+    /// Sets the number of quarantines of a kind.
+    pub fn set_quarantined(&self, kind: &str, count: usize) {
+        self.quarantined.with_label_values(&[kind]).set(count as i64);
+    }
+
     /// Counts an unknown header in a server's response.
     pub fn count_unknown_header(&self, name: &str) {
         self.unknown_headers.with_label_values(&[name]).inc();
--- a/crates/daemon/tests/harmful_parts.rs
+++ b/crates/daemon/tests/harmful_parts.rs
@@ -21,7 +21,7 @@
     facts::{Fact, FactTopic},
     headers::HeaderFormat,
 };
-use headlatch_types::traffic::ServerRecord;
+use headlatch_types::{request::QuarantineKey, traffic::ServerRecord};
 use http::StatusCode;
 use support::{
     TestHeaders, TestStore, ask_with,
@@ -45,7 +45,6 @@
 /// Servers and entries of one test.
 struct Fleet {
     callers: Runtime,
-    store: Arc<TestStore>,
     kept: Arc<KeptList>,
     servers: Vec<MortalServer>,
     entries: Vec<EntryProcess>,
@@ -73,7 +72,7 @@
             &kept,
             &(Arc::new(TestHeaders) as Arc<dyn HeaderFormat>),
         );
-        Self { callers, store, kept, servers, entries, sent: AtomicUsize::new(0) }
+        Self { callers, kept, servers, entries, sent: AtomicUsize::new(0) }
     }
 
     fn ended(&self) -> usize {
@@ -123,6 +122,11 @@
     let sound = fleet.send_mixed(20, Duration::from_millis(30));
     expect_that!(sound, eq(20), "sound requests of the same caller and first part");
     expect_that!(fleet.ended(), eq(before));
+    let kept = fleet.kept.kept();
+    expect_that!(
+        kept.iter().filter(|one| matches!(one.key, QuarantineKey::Part(_))).count(),
+        ge(1)
+    );
     for entry in 0..3 {
         let begun = Instant::now();
         let answer = fleet.callers.block_on(fleet.ask(entry, HARMFUL_PART)).expect("response");
--- a/crates/daemon/tests/harmful_requests.rs
+++ b/crates/daemon/tests/harmful_requests.rs
@@ -18,13 +18,19 @@
 
 use googletest::prelude::*;
 use headlatch_core::direct::request_digest::{RequestContent, RequestDigests};
-use headlatch_daemon::direct::entry::DirectEntry;
+use headlatch_daemon::direct::{
+    entry::DirectEntry,
+    quarantine::{QuarantineList, QuarantineNotices},
+};
 use headlatch_http::{CallRequest, CallResponse, Connections};
 use headlatch_outside::{
     facts::{Fact, FactTopic},
     quarantine::{QuarantineEntry, UnixMillis},
 };
-use headlatch_types::{request::RequestDigest, traffic::ServerRecord};
+use headlatch_types::{
+    request::{QuarantineKey, RequestDigest},
+    traffic::ServerRecord,
+};
 use http::{HeaderMap, Method, StatusCode};
 use support::{
     TestHeaders, TestStore, ask_with, kept::KeptList, mortal::MortalServer, paced::EventPace, plan,
@@ -198,7 +204,8 @@
     };
     let _ = tokio::join!(asked, lost);
     expect_that!(fixture.ended_servers(), eq(4));
-    expect_that!(fixture.entry.state.quarantine.refused(fixture.entry.state.now()), is_empty());
+    let refused = fixture.entry.state.quarantine.refused(fixture.entry.state.now());
+    expect_that!(refused, eq(&QuarantineList::default()));
     tokio::time::sleep(Duration::from_millis(700)).await;
     for path in &paths {
         expect_that!(is_complete(&fixture.ask(path).await), eq(true), "{path}");
@@ -224,7 +231,7 @@
     let _ = tokio::join!(asked, ends);
     expect_that!(server.seen(), not(is_empty()));
     let now = fixture.entry.state.now();
-    expect_that!(fixture.entry.state.quarantine.notices(now), is_empty());
+    expect_that!(fixture.entry.state.quarantine.notices(now), eq(&QuarantineNotices::default()));
 }
 
 #[gtest]
@@ -234,7 +241,7 @@
     first.quarantine_harmful_request().await;
     expect_that!(first.ended_servers(), eq(3));
     let told = first.entry.state.quarantine.notices(first.entry.state.now());
-    second.entry.state.quarantine.merge_notices(second.entry.state.now(), &told);
+    second.entry.state.quarantine.merge_notices(second.entry.state.now(), &told.suspects, &[]);
     let answer = second.ask("/stream/harmful").await.expect("response");
     expect_that!(answer.status, eq(StatusCode::SERVICE_UNAVAILABLE));
     expect_that!(second.ended_servers(), eq(0));
@@ -272,7 +279,11 @@
         }
         let state = &fixture.entry.state;
         let left = Duration::from_secs(60);
-        state.quarantine.restore(state.now(), digest_of("/stream/sound"), left);
+        state.quarantine.restore(
+            state.now(),
+            QuarantineKey::Request(digest_of("/stream/sound")),
+            left,
+        );
     };
     let (answer, ()) = tokio::join!(fixture.ask("/stream/sound"), refuse);
     expect_that!(begun.elapsed(), lt(Duration::from_secs(2)));
@@ -293,7 +304,10 @@
     let until = kept.kept()[0].until.0;
     expect_that!(until, all![gt(unix_now() + 500_000), le(unix_now() + 600_000)]);
     drop(first);
-    let over = QuarantineEntry { digest: RequestDigest(7), until: UnixMillis(unix_now() - 1) };
+    let over = QuarantineEntry {
+        key: QuarantineKey::Request(RequestDigest(7)),
+        until: UnixMillis(unix_now() - 1),
+    };
     kept.change(|kept| kept.push(over)).expect("record is stored");
     let second = Fixture::with_quarantines(3, kept.clone()).await;
     while second.entry.state.quarantine.refused(second.entry.state.now()).is_empty() {
--- a/crates/daemon/tests/notice_writer.rs
+++ b/crates/daemon/tests/notice_writer.rs
@@ -13,6 +13,7 @@
             WantedNotice,
         },
         rate_limits::{LimitNotice, MAX_LIMIT_NOTICES},
+        suspect_parts::PartNotice,
         suspects::{LifeKey, MAX_NOTICES, ProgressAtEnd, SuspectNotice},
     },
     time::Moment,
@@ -21,7 +22,10 @@
     MAX_DATAGRAM_BYTES, NoticeBody, NoticeWriter, decode, encode,
 };
 use headlatch_types::{
-    quantity::RequestRate, request::RequestDigest, store::StoreRevision, traffic::WeightVersion,
+    quantity::RequestRate,
+    request::{PartKey, RequestDigest},
+    store::StoreRevision,
+    traffic::WeightVersion,
 };
 
 const NEAR: DomainKey = DomainKey(1);
@@ -144,6 +148,15 @@
     expect_that!(decode(&encode(&notice)), some(eq(&notice)));
     let suspecting = PeerNotice { suspects: suspects(), ..notice.clone() };
     expect_that!(decode(&encode(&suspecting)), some(eq(&suspecting)));
+    let part = PartKey(u64::MAX - 7);
+    let parts = vec![
+        PartNotice::Ended { part, life: LifeKey(0xfeed), age: Duration::from_millis(99) },
+        PartNotice::Refused { part, left: Duration::from_secs(599) },
+        PartNotice::Released { part },
+        PartNotice::Sound { part, age: Duration::from_millis(1234) },
+    ];
+    let judging = PeerNotice { suspect_parts: parts, ..notice.clone() };
+    expect_that!(decode(&encode(&judging)), some(eq(&judging)));
     let limit = |limit| LimitNotice { life: LifeKey(7), limit, age: Duration::from_millis(1234) };
     let limits = vec![limit(None), limit(Some(RequestRate::from_milli(1200)))];
     let draining_lives = vec![LifeKey(7), LifeKey(u32::MAX)];
--- a/crates/daemon/tests/support/kept.rs
+++ b/crates/daemon/tests/support/kept.rs
@@ -7,7 +7,7 @@
     facts::StoreFailure,
     quarantine::{QuarantineEntry, QuarantineStore},
 };
-use headlatch_types::request::RequestDigest;
+use headlatch_types::request::QuarantineKey;
 
 /// What a store keeps of quarantines.
 #[derive(Debug, Default)]
@@ -57,10 +57,7 @@
         Box::pin(async move { self.change(|kept| kept.push(quarantine)) })
     }
 
-    fn lift(
-        &self,
-        digest: RequestDigest,
-    ) -> OutsideFuture<'_, std::result::Result<(), StoreFailure>> {
-        Box::pin(async move { self.change(|kept| kept.retain(|one| one.digest != digest)) })
+    fn lift(&self, key: QuarantineKey) -> OutsideFuture<'_, std::result::Result<(), StoreFailure>> {
+        Box::pin(async move { self.change(|kept| kept.retain(|one| one.key != key)) })
     }
 }
--- a/crates/types/src/request.rs
+++ b/crates/types/src/request.rs
@@ -2,6 +2,8 @@
 
 use std::{fmt, num::ParseIntError, str::FromStr};
 
+use crate::digest::key_of;
+
 /// A digest of a request's caller and content: 64 bits of BLAKE3, enough to distinguish the requests of one
 /// caller. It includes the caller so that requests of different callers never match.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -67,3 +69,54 @@
         }
     }
 }
+
+/// A prompt part of one model: 64 bits of BLAKE3 over the model's name and the part. Callers and routes
+/// are not distinguished, since what a part does to a server does not depend on them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PartKey(pub u64);
+
+impl PartKey {
+    /// The key of `part` in prompts of `model`.
+    pub fn of(model: Option<&str>, part: PromptPart) -> Self {
+        let model = model.unwrap_or_default().as_bytes();
+        Self(key_of(&[&part.0.to_le_bytes()[..], model].concat()))
+    }
+}
+
+/// Prefix of the text form of a [`PartKey`]. Releases that know digests alone do not take it for one.
+const PART_PREFIX: &str = "part-";
+
+impl fmt::Display for PartKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{PART_PREFIX}{:016x}", self.0)
+    }
+}
+
+/// What requests are refused for while it is quarantined.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum QuarantineKey {
+    /// Requests of this content.
+    Request(RequestDigest),
+    /// Requests with this part in their prompts.
+    Part(PartKey),
+}
+
+impl fmt::Display for QuarantineKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Request(digest) => digest.fmt(f),
+            Self::Part(part) => part.fmt(f),
+        }
+    }
+}
+
+impl FromStr for QuarantineKey {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        match text.strip_prefix(PART_PREFIX) {
+            Some(key) => u64::from_str_radix(key, 16).map(PartKey).map(Self::Part),
+            None => text.parse().map(Self::Request),
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,6 +14,6 @@
 pub use bundle::{BundleDrain, BundleNotice, BundleRoster, PeerBundle};
 pub use notice::{
     NoticeDrain, NoticeEvacuated, NoticeLeaving, NoticeLimit, NoticeLoad, NoticeServer,
-    NoticeSuspect, NoticeWanted, PeerNotice,
+    NoticeSuspect, NoticeSuspectPart, NoticeWanted, PeerNotice,
 };
 pub use piece_list::PieceList;
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -114,6 +114,27 @@
     pub left_s: u32,
 }
 
+/// Word of a prompt part under which servers ended.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct NoticeSuspectPart {
+    /// Key of the part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// What is told: 0 a server's end, 1 that requests with the part are refused, 2 that its ends
+    /// have another cause, 3 that a server wrote on it and lived on.
+    #[prost(uint32, tag = "2")]
+    pub word: u32,
+    /// Key of the life of the server that ended.
+    #[prost(fixed32, tag = "3")]
+    pub life: u32,
+    /// Seconds for which requests with the part are still refused.
+    #[prost(uint32, tag = "4")]
+    pub left_s: u32,
+    /// Milliseconds since the server ended, or since one began to write on the part and lived on.
+    #[prost(uint32, tag = "5")]
+    pub age_ms: u32,
+}
+
 /// A rate limit that a server advertises.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct NoticeLimit {
@@ -194,4 +215,7 @@
     /// Keys of the lives of servers that have announced that they drain.
     #[prost(fixed32, repeated, tag = "21")]
     pub draining_lives: Vec<u32>,
+    /// Prompt parts under which servers ended.
+    #[prost(message, repeated, tag = "22")]
+    pub suspect_parts: Vec<NoticeSuspectPart>,
 }
