Hold no end that a harmful part explains against the content of other requests

Callers: sound requests were refused for ten minutes, since their content had been in progress at two or three ends that another request had caused.

Cause: each request in progress at an end is a suspect for good, whatever else explains the end. Two silent ends a quarter of a second apart refuse a content, and while servers fall one after the other a retried request meets two of them easily.

Fix: ends that a refused part explains are removed from all contents; what was refused on these alone is free again at all entries and in the store, and later reports of such an end are not counted. The new test of suspect_parts.rs passes; without the removal the content stays refused (its first two expectations).

--- a/crates/core/src/direct/suspects.rs
+++ b/crates/core/src/direct/suspects.rs
@@ -191,6 +191,41 @@
         }
     }
 
+    /// Removes ends that have another cause than the requests in progress; returns the requests that
+    /// were refused on these alone and are not refused any more.
+    pub fn remove_explained_ends(
+        &mut self,
+        now: Moment,
+        explained: &BTreeSet<LifeKey>,
+    ) -> Vec<RequestDigest> {
+        let is_explained = |life: &LifeKey| explained.contains(life);
+        let concerned = self.suspects.iter();
+        let concerned = concerned.filter(|(_, suspect)| suspect.ends.keys().any(is_explained));
+        let concerned: Vec<RequestDigest> = concerned.map(|(digest, _)| *digest).collect();
+        let mut released = Vec::new();
+        for digest in concerned {
+            let Some(suspect) = self.suspects.get_mut(&digest) else { continue };
+            suspect.ends.retain(|life, _| !is_explained(life));
+            if suspect.meets_threshold() {
+                continue;
+            }
+            match self.is_refused(now, digest) {
+                true => {
+                    let _ = self.clear(now, digest);
+                    released.push(digest);
+                }
+                false => self.remove_if_unsuspected(digest),
+            }
+        }
+        released
+    }
+
+    fn remove_if_unsuspected(&mut self, digest: RequestDigest) {
+        if self.suspects.get(&digest).is_some_and(|suspect| suspect.ends.is_empty()) {
+            self.remove_suspect(digest);
+        }
+    }
+
     /// Ends the quarantine of a request at an operator's command.
     pub fn lift(&mut self, now: Moment, digest: RequestDigest) -> SuspectChange {
         self.clear(now, digest)
--- a/crates/core/tests/suspect_parts.rs
+++ b/crates/core/tests/suspect_parts.rs
@@ -10,11 +10,11 @@
             MAX_PART_NOTICES, MAX_QUARANTINED_PARTS, MAX_SUSPECT_PARTS, PART_QUARANTINE_TIME,
             PartChange, PartNotice, PartTable,
         },
-        suspects::LifeKey,
+        suspects::{LifeKey, ProgressAtEnd, SuspectTable},
     },
     time::Moment,
 };
-use headlatch_types::request::PartKey;
+use headlatch_types::request::{PartKey, RequestDigest};
 
 const HARMFUL: PartKey = PartKey(0xbad);
 const FIRST: PartKey = PartKey(1);
@@ -150,6 +150,26 @@
     expect_that!(table.notices(at(1800)).contains(&told), eq(true));
 }
 
+/// A request that was in progress at ends which a refused part explains.
+#[gtest]
+fn a_content_refused_on_explained_ends_alone_is_free_again() {
+    let mut requests = SuspectTable::default();
+    let (sound, harmful) = (RequestDigest(1), RequestDigest(2));
+    for (millis, life) in [(1000, 1), (1300, 2)] {
+        let (now, life) = (at(millis), LifeKey(life));
+        let _ = requests.record_server_end(now, sound, life, ProgressAtEnd::Silent);
+    }
+    for (millis, life) in [(1000, 8), (1300, 9)] {
+        let (now, life) = (at(millis), LifeKey(life));
+        let _ = requests.record_server_end(now, harmful, life, ProgressAtEnd::Silent);
+    }
+    expect_that!(requests.is_refused(at(1400), sound), eq(true));
+    let explained = [1, 2, 3].map(LifeKey).into_iter().collect();
+    expect_that!(requests.remove_explained_ends(at(1400), &explained), eq(&vec![sound]));
+    expect_that!(requests.is_refused(at(1400), sound), eq(false));
+    expect_that!(requests.is_refused(at(1400), harmful), eq(true));
+}
+
 /// A refused part is tried again after ten minutes, and costs one server more if it still ends them.
 #[gtest]
 fn a_verdict_ends_by_itself_and_is_renewed_by_one_end() {
--- a/crates/daemon/src/direct/quarantine.rs
+++ b/crates/daemon/src/direct/quarantine.rs
@@ -165,7 +165,10 @@
             Some(since) => self.tables().parts.record_sound_answer(now, &request.parts, since),
             None => self.tables().parts.record_server_end(now, &request.parts, life),
         };
-        self.apply_part_changes(changes, "ends");
+        self.apply_part_changes(now, changes, "ends");
+        if self.tables().parts.explained_ends(now).contains(&life) {
+            return;
+        }
         let run = match writing_since {
             Some(_) => ProgressAtEnd::Begun,
             None => ProgressAtEnd::Silent,
@@ -187,7 +190,7 @@
     /// Records that a server that began to write on the parts of a request at `begun` survived it.
     pub fn record_survival(&self, now: Moment, request: &RequestIdentity, begun: Moment) {
         let changes = self.tables().parts.record_sound_answer(now, &request.parts, begun);
-        self.apply_part_changes(changes, "whole_answer");
+        self.apply_part_changes(now, changes, "whole_answer");
     }
 
     /// Merges notices of another entry.
@@ -203,7 +206,10 @@
         }
         for notice in suspect_parts {
             let changes = self.tables().parts.apply(now, *notice);
-            self.apply_part_changes(changes, "peer");
+            self.apply_part_changes(now, changes, "peer");
+        }
+        if !suspect_parts.is_empty() {
+            self.remove_explained_ends(now);
         }
     }
 
@@ -216,7 +222,7 @@
             }
             QuarantineKey::Part(part) => {
                 let change = self.tables().parts.record_quarantine(now, part, left);
-                self.apply_part_changes(change, "store");
+                self.apply_part_changes(now, change, "store");
             }
         }
     }
@@ -233,7 +239,7 @@
             QuarantineKey::Part(part) => {
                 let changes = self.tables().parts.lift(now, part);
                 let lifted = changes.contains(&PartChange::Released(part));
-                self.apply_part_changes(changes, "operator");
+                self.apply_part_changes(now, changes, "operator");
                 lifted
             }
         }
@@ -302,7 +308,12 @@
         }
     }
 
-    fn apply_part_changes(&self, changes: impl IntoIterator<Item = PartChange>, source: &str) {
+    fn apply_part_changes(
+        &self,
+        now: Moment,
+        changes: impl IntoIterator<Item = PartChange>,
+        source: &str,
+    ) {
         let mut refused = false;
         for change in changes {
             match change {
@@ -325,6 +336,7 @@
         }
         if refused {
             self.newly_refused.notify_waiters();
+            self.remove_explained_ends(now);
         }
     }
 
@@ -336,6 +348,22 @@
         }
     }
 
+    /// Releases requests that were refused on ends that a refused part explains.
+    fn remove_explained_ends(&self, now: Moment) {
+        let released = {
+            let mut tables = self.tables();
+            let explained = tables.parts.explained_ends(now);
+            if explained.is_empty() {
+                return;
+            }
+            tables.requests.remove_explained_ends(now, &explained)
+        };
+        for digest in released {
+            let change = SuspectChange::Cleared { was_refused: true };
+            self.apply_change(digest, change, "explained");
+        }
+    }
+
     fn queue_write(&self, write: QuarantineWrite) {
         self.pending_writes().push(write);
         self.writes_pending.notify_one();
