Judge parts once per datagram, and try one that was sound before again soon

A part on which servers wrote within the minute is refused for 5 s at first, and twice as long each time that three ends speak against it again; parts without a sound answer as before.

Ages in notices do not count as changes of facts. Who wrote a quarantine to the store removes it on release, whatever the reason, and nobody else does. Checked: suspect_parts.rs (13), both properties, harmful_parts.rs, harmful_requests.rs, notice_writer.rs.

--- a/crates/bench/src/harmful_parts/detectors.rs
+++ b/crates/bench/src/harmful_parts/detectors.rs
@@ -93,9 +93,7 @@
             }
         }
         for table in &mut self.0 {
-            for notice in &said {
-                let _ = table.apply(now, *notice);
-            }
+            let _ = table.apply(now, &said);
             table.remove_expired(now);
         }
     }
--- a/crates/core/src/direct/suspect_parts.rs
+++ b/crates/core/src/direct/suspect_parts.rs
@@ -56,6 +56,10 @@
 /// further evidence.
 pub const PART_QUARANTINE_TIME: Duration = Duration::from_secs(600);
 
+/// Time for which a part on which servers wrote recently is refused at first; it doubles each time that
+/// the part ends servers again. Many requests may have such a part.
+const CAUTIOUS_QUARANTINE_TIME: Duration = Duration::from_secs(5);
+
 /// Time for which notices that a part is refused are ignored as stale after it was released. Several
 /// times as long as entries announce a change.
 const STALE_NOTICE_TIME: Duration = Duration::from_secs(5);
@@ -82,7 +86,12 @@
     /// Requests with the part are refused from now on.
     Refused(PartVerdict),
     /// Requests with the part are no longer refused.
-    Released(PartKey),
+    Released {
+        /// The part.
+        part: PartKey,
+        /// Whether this entry had observed one of the ends itself.
+        seen: bool,
+    },
 }
 
 /// Why a part is refused.
@@ -97,6 +106,8 @@
     pub seen: bool,
     /// Time since a server last began to write on the part and lived on, if known.
     pub sound_age: Option<Duration>,
+    /// Time for which it is refused.
+    pub left: Duration,
 }
 
 /// A refused part, as reported to operators.
@@ -128,9 +139,13 @@
 #[derive(Debug, Clone)]
 struct PartQuarantine {
     until: Moment,
+    /// Duration of the whole quarantine.
+    time: Duration,
     /// When this entry learned of it.
     since: Moment,
     lives: BTreeSet<LifeKey>,
+    /// Whether this entry had observed one of the ends itself.
+    seen: bool,
 }
 
 /// One entry's record of prompt parts under which servers ended.
@@ -147,7 +162,7 @@
     announced_sound: BTreeMap<PartKey, Moment>,
     /// When parts were released whose ends others explain.
     released: BTreeMap<PartKey, Moment>,
-    /// Time that this entry adds to each quarantine.
+    /// Time that this entry adds to a quarantine of [`PART_QUARANTINE_TIME`], and its part to shorter ones.
     trial_delay: Duration,
 }
 
@@ -204,44 +219,52 @@
         part: PartKey,
         left: Duration,
     ) -> Option<PartChange> {
-        let until = now + left.min(PART_QUARANTINE_TIME);
+        let left = left.min(PART_QUARANTINE_TIME);
         if self.is_refused(now, part) {
             let known = self.quarantined.get_mut(&part)?;
-            known.until = known.until.max(until);
+            known.until = known.until.max(now + left);
             return None;
         }
-        if until <= now {
+        if left.is_zero() {
             return None;
         }
-        let verdict = self.verdict(now, part, BTreeSet::new());
-        self.quarantine(now, part, until, BTreeSet::new());
-        Some(PartChange::Refused(verdict))
+        Some(self.refuse(now, part, left, BTreeSet::new()))
+    }
+
+    /// Applies notices from another entry and then judges what they say.
+    pub fn apply(&mut self, now: Moment, notices: &[PartNotice]) -> Vec<PartChange> {
+        let mut changes = Vec::new();
+        let mut must_judge = false;
+        for notice in notices {
+            let (change, is_evidence) = self.apply_one(now, *notice);
+            must_judge |= is_evidence || matches!(change, Some(PartChange::Released { .. }));
+            changes.extend(change);
+        }
+        if must_judge {
+            changes.extend(self.judge(now));
+        }
+        changes
     }
 
-    /// Applies a notice from another entry.
-    pub fn apply(&mut self, now: Moment, notice: PartNotice) -> Vec<PartChange> {
+    /// Applies a notice; returns its effect and whether it is new evidence against a part.
+    fn apply_one(&mut self, now: Moment, notice: PartNotice) -> (Option<PartChange>, bool) {
         match notice {
-            PartNotice::Sound { part, age } => {
-                let changes = self.clear(now, part, now - age);
-                self.judge_after(now, changes)
-            }
+            PartNotice::Sound { part, age } => (self.clear(now, part, now - age), false),
             PartNotice::Ended { part, life, age } => {
                 self.end_times.record(now - age, life);
                 self.answer_if_sound(now, part);
-                if self.add_end(now, part, life) { self.judge(now) } else { Vec::new() }
+                (None, self.add_end(now, part, life))
             }
             PartNotice::Refused { part, left } => {
-                if self.answer_if_sound(now, part) || self.is_stale(now, part) {
-                    return Vec::new();
-                }
-                Vec::from_iter(self.record_quarantine(now, part, left))
+                let is_outdated = self.answer_if_sound(now, part) || self.is_stale(now, part);
+                let change = (!is_outdated).then(|| self.record_quarantine(now, part, left));
+                (change.flatten(), false)
             }
             PartNotice::Released { part } => {
                 // A verdict on ends that this entry knows is its own to reconsider.
                 let is_reported =
                     self.quarantined.get(&part).is_some_and(|one| one.lives.is_empty());
-                let released = if is_reported { self.release(now, part) } else { None };
-                self.judge_after(now, released)
+                (if is_reported { self.release(now, part) } else { None }, false)
             }
         }
     }
@@ -306,17 +329,10 @@
         self.sound.remove_expired(now);
     }
 
-    fn verdict(&self, now: Moment, part: PartKey, lives: BTreeSet<LifeKey>) -> PartVerdict {
-        PartVerdict {
-            part,
-            lives,
-            seen: self.suspects.get(&part).is_some_and(|suspect| suspect.seen),
-            sound_age: self.sound.last(now, part).map(|at| now.since(at)),
-        }
-    }
-
     fn refused_until(&self, part: PartKey) -> Option<Moment> {
-        self.quarantined.get(&part).map(|one| one.until + self.trial_delay)
+        let one = self.quarantined.get(&part)?;
+        let share = one.time.div_duration_f64(PART_QUARANTINE_TIME);
+        Some(one.until + self.trial_delay.mul_f64(share))
     }
 
     /// Announces that a part on which a server wrote recently was sound; returns whether that still
@@ -336,9 +352,9 @@
 
     /// Releases a part whose ends have another cause, and has that announced.
     fn release(&mut self, now: Moment, part: PartKey) -> Option<PartChange> {
-        self.quarantined.remove(&part)?;
+        let PartQuarantine { seen, .. } = self.quarantined.remove(&part)?;
         self.released.insert(part, now);
-        Some(PartChange::Released(part))
+        Some(PartChange::Released { part, seen })
     }
 
     /// Records a sound answer, which clears the part of earlier ends and of a verdict on them.
@@ -362,8 +378,9 @@
         if is_released || is_cleared {
             self.announced_sound.insert(part, now);
         }
-        is_released.then(|| self.quarantined.remove(&part))?;
-        Some(PartChange::Released(part))
+        let PartQuarantine { seen, .. } =
+            is_released.then(|| self.quarantined.remove(&part)).flatten()?;
+        Some(PartChange::Released { part, seen })
     }
 
     /// Adds an end under a part; returns whether it is new and speaks against the part.
@@ -403,12 +420,23 @@
         }
     }
 
-    fn quarantine(&mut self, now: Moment, part: PartKey, until: Moment, lives: BTreeSet<LifeKey>) {
-        self.quarantined.insert(part, PartQuarantine { until, since: now, lives });
+    fn refuse(
+        &mut self,
+        now: Moment,
+        part: PartKey,
+        time: Duration,
+        lives: BTreeSet<LifeKey>,
+    ) -> PartChange {
+        let seen = self.suspects.get(&part).is_some_and(|suspect| suspect.seen);
+        let sound_age = self.sound.last(now, part).map(|at| now.since(at));
+        let verdict = PartVerdict { part, lives: lives.clone(), seen, sound_age, left: time };
+        let until = now + time;
+        self.quarantined.insert(part, PartQuarantine { until, time, since: now, lives, seen });
         if self.quarantined.len() > MAX_QUARANTINED_PARTS {
             let first = self.quarantined.iter().min_by_key(|(_, one)| one.until);
             let first = first.map(|(part, _)| *part);
             first.map(|part| self.quarantined.remove(&part));
         }
+        PartChange::Refused(verdict)
     }
 }
--- a/crates/core/src/direct/suspect_parts/judgement.rs
+++ b/crates/core/src/direct/suspect_parts/judgement.rs
@@ -1,12 +1,12 @@
 //! Which parts the known ends speak against.
 
-use std::{cmp::Reverse, collections::BTreeSet};
+use std::{cmp::Reverse, collections::BTreeSet, time::Duration};
 
 use headlatch_types::request::PartKey;
 
 use super::{
-    MIN_END_SPAN, PART_QUARANTINE_TIME, PartChange, PartTable, REFUSAL_ENDS, SOUND_REFUSAL_ENDS,
-    TIED_REFUSAL_ENDS,
+    CAUTIOUS_QUARANTINE_TIME, MIN_END_SPAN, PART_QUARANTINE_TIME, PartChange, PartTable,
+    REFUSAL_ENDS, SOUND_REFUSAL_ENDS, TIED_REFUSAL_ENDS,
 };
 use crate::{direct::suspects::LifeKey, time::Moment};
 
@@ -57,13 +57,21 @@
                 }
                 continue;
             }
-            changes.push(PartChange::Refused(self.verdict(now, *part, lives.clone())));
-            self.quarantine(now, *part, now + PART_QUARANTINE_TIME, lives.clone());
+            let time = self.next_quarantine_time(now, *part);
+            changes.push(self.refuse(now, *part, time, lives.clone()));
         }
         changes.extend(self.release_explained(now, &explanations));
         changes
     }
 
+    fn next_quarantine_time(&self, now: Moment, part: PartKey) -> Duration {
+        match self.quarantined.get(&part) {
+            Some(before) => (before.time * 2).min(PART_QUARANTINE_TIME),
+            None if self.sound.last(now, part).is_some() => CAUTIOUS_QUARANTINE_TIME,
+            None => PART_QUARANTINE_TIME,
+        }
+    }
+
     /// Judges the remaining ends after others were cleared.
     pub(super) fn judge_after(
         &mut self,
@@ -143,8 +151,11 @@
     fn candidate(&self, now: Moment, part: PartKey) -> Option<Candidate> {
         let suspect = self.suspects.get(&part)?;
         let refused_until = self.refused_until(part);
+        let is_cautious =
+            self.quarantined.get(&part).is_some_and(|one| one.time < PART_QUARANTINE_TIME);
         let state = match refused_until {
             Some(until) if until > now => CandidateState::Refused,
+            Some(_) if is_cautious => CandidateState::Unknown,
             Some(_) => CandidateState::OnProbation,
             None if self.sound.last(now, part).is_some() => CandidateState::RecentlySound,
             None => CandidateState::Unknown,
--- a/crates/core/src/direct/suspect_parts/notices.rs
+++ b/crates/core/src/direct/suspect_parts/notices.rs
@@ -59,6 +59,19 @@
     }
 }
 
+impl PartNotice {
+    /// The notice without its times, which change from moment to moment.
+    pub fn without_times(self) -> Self {
+        let (age, left) = (Duration::ZERO, Duration::ZERO);
+        match self {
+            Self::Ended { part, life, .. } => Self::Ended { part, life, age },
+            Self::Refused { part, .. } => Self::Refused { part, left },
+            Self::Released { part } => Self::Released { part },
+            Self::Sound { part, .. } => Self::Sound { part, age },
+        }
+    }
+}
+
 /// Order in which notices are sent, most important first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum NoticePriority {
--- a/crates/core/src/direct/suspects.rs
+++ b/crates/core/src/direct/suspects.rs
@@ -192,12 +192,13 @@
     }
 
     /// Removes ends that have another cause than the requests in progress; returns the requests that
-    /// were refused on these alone and are not refused any more.
+    /// were refused on these alone and are not refused any more, with whether this entry had observed
+    /// one of the ends itself.
     pub fn remove_explained_ends(
         &mut self,
         now: Moment,
         explained: &BTreeSet<LifeKey>,
-    ) -> Vec<RequestDigest> {
+    ) -> Vec<(RequestDigest, bool)> {
         let is_explained = |life: &LifeKey| explained.contains(life);
         let concerned = self.suspects.iter();
         let concerned = concerned.filter(|(_, suspect)| suspect.ends.keys().any(is_explained));
@@ -206,13 +207,14 @@
         for digest in concerned {
             let Some(suspect) = self.suspects.get_mut(&digest) else { continue };
             suspect.ends.retain(|life, _| !is_explained(life));
+            let seen = suspect.seen;
             if suspect.meets_threshold() {
                 continue;
             }
             match self.is_refused(now, digest) {
                 true => {
                     let _ = self.clear(now, digest);
-                    released.push(digest);
+                    released.push((digest, seen));
                 }
                 false => self.remove_if_unsuspected(digest),
             }
--- a/crates/core/tests/suspect_parts.rs
+++ b/crates/core/tests/suspect_parts.rs
@@ -44,15 +44,13 @@
 fn refused(changes: &[PartChange]) -> Vec<u64> {
     let refused = changes.iter().filter_map(|change| match change {
         PartChange::Refused(verdict) => Some(verdict.part.0),
-        PartChange::Released(_) => None,
+        PartChange::Released { .. } => None,
     });
     refused.collect()
 }
 
 fn send_notices(from: &PartTable, to: &mut PartTable, millis: u64) {
-    for notice in from.notices(at(millis)) {
-        let _ = to.apply(at(millis), notice);
-    }
+    let _ = to.apply(at(millis), &from.notices(at(millis)));
 }
 
 /// Ends servers under the harmful part until it is refused, from `millis` on.
@@ -139,17 +137,38 @@
         age: Duration::from_millis(200),
     };
     for life in 1..8 {
-        let _ = table.apply(at(1600 + u64::from(life)), ended(life));
+        let _ = table.apply(at(1600 + u64::from(life)), &[ended(life)]);
     }
     expect_that!(table.is_refused(at(1700), HARMFUL), eq(true));
     expect_that!(table.is_refused(at(1700), PartKey(7)), eq(false));
     // Others that go on saying so are not believed, and hear of it.
     let stale = PartNotice::Refused { part: PartKey(7), left: Duration::from_secs(500) };
-    expect_that!(table.apply(at(1800), stale), is_empty());
+    expect_that!(table.apply(at(1800), &[stale]), is_empty());
     let told = PartNotice::Released { part: PartKey(7) };
     expect_that!(table.notices(at(1800)).contains(&told), eq(true));
 }
 
+/// A part of all requests may be held against ends that have another cause, while no sound answer is left.
+#[gtest]
+fn a_part_that_was_sound_before_is_tried_again_soon() {
+    let mut table = table();
+    sound(&mut table, 1000, FIRST.0);
+    for number in 0..8 {
+        end(&mut table, 3000 + number * 100, number as u32, &[FIRST.0]);
+    }
+    expect_that!(table.is_refused(at(3800), FIRST), eq(true));
+    expect_that!(table.is_refused(at(9000), FIRST), eq(false));
+    end(&mut table, 9100, 20, &[FIRST.0]);
+    expect_that!(table.is_refused(at(9100), FIRST), eq(false));
+    for number in 0..3 {
+        end(&mut table, 9200 + number * 200, 21 + number as u32, &[FIRST.0]);
+    }
+    expect_that!(table.is_refused(at(18_000), FIRST), eq(true), "twice as long");
+    expect_that!(table.is_refused(at(20_000), FIRST), eq(false));
+    sound(&mut table, 20_500, FIRST.0);
+    expect_that!(table.refused(at(20_500)), is_empty());
+}
+
 /// A request that was in progress at ends which a refused part explains.
 #[gtest]
 fn a_content_refused_on_explained_ends_alone_is_free_again() {
@@ -165,7 +184,7 @@
     }
     expect_that!(requests.is_refused(at(1400), sound), eq(true));
     let explained = [1, 2, 3].map(LifeKey).into_iter().collect();
-    expect_that!(requests.remove_explained_ends(at(1400), &explained), eq(&vec![sound]));
+    expect_that!(requests.remove_explained_ends(at(1400), &explained), eq(&vec![(sound, true)]));
     expect_that!(requests.is_refused(at(1400), sound), eq(false));
     expect_that!(requests.is_refused(at(1400), harmful), eq(true));
 }
@@ -193,7 +212,7 @@
     send_notices(&first, &mut second, 1350);
     expect_that!(second.is_refused(at(1400), HARMFUL), eq(true));
     let released = second.record_sound_answer(at(1900), &[HARMFUL], at(1290));
-    expect_that!(released, eq(&vec![PartChange::Released(HARMFUL)]));
+    expect_that!(released, eq(&vec![PartChange::Released { part: HARMFUL, seen: false }]));
     send_notices(&second, &mut first, 1950);
     expect_that!(first.is_refused(at(1960), HARMFUL), eq(false));
 }
@@ -226,7 +245,8 @@
     let (mut first, mut second) = (table(), table());
     refuse_harmful(&mut first, 1000);
     send_notices(&first, &mut second, 1350);
-    expect_that!(first.lift(at(1400), HARMFUL), eq(&vec![PartChange::Released(HARMFUL)]));
+    let released = PartChange::Released { part: HARMFUL, seen: true };
+    expect_that!(first.lift(at(1400), HARMFUL), eq(&vec![released]));
     expect_that!(first.lift(at(1400), HARMFUL), is_empty());
     for millis in (1450..3000).step_by(100) {
         send_notices(&first, &mut second, millis);
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -176,7 +176,7 @@
             draining_lives: body.draining_lives.clone(),
             limits: body.limits.iter().map(|notice| (notice.life, notice.limit)).collect(),
             suspects: body.suspects.clone(),
-            suspect_parts: body.suspect_parts.clone(),
+            suspect_parts: body.suspect_parts.iter().map(|one| one.without_times()).collect(),
             evacuated: body.evacuated.domains.clone(),
         }
     }
--- a/crates/daemon/src/direct/quarantine.rs
+++ b/crates/daemon/src/direct/quarantine.rs
@@ -204,11 +204,9 @@
             let change = self.tables().requests.apply(now, *notice);
             self.apply_change(notice.digest(), change, "peer");
         }
-        for notice in suspect_parts {
-            let changes = self.tables().parts.apply(now, *notice);
-            self.apply_part_changes(now, changes, "peer");
-        }
         if !suspect_parts.is_empty() {
+            let changes = self.tables().parts.apply(now, suspect_parts);
+            self.apply_part_changes(now, changes, "peer");
             self.remove_explained_ends(now);
         }
     }
@@ -238,7 +236,7 @@
             }
             QuarantineKey::Part(part) => {
                 let changes = self.tables().parts.lift(now, part);
-                let lifted = changes.contains(&PartChange::Released(part));
+                let lifted = !changes.is_empty();
                 self.apply_part_changes(now, changes, "operator");
                 lifted
             }
@@ -323,15 +321,16 @@
                     let sound_ms = verdict.sound_age.map(|age| age.as_millis() as u64);
                     let fields = json!({
                         "part": verdict.part.to_string(), "source": source, "lives": lives,
-                        "last_sound_ms": sound_ms,
+                        "last_sound_ms": sound_ms, "left_ms": verdict.left.as_millis() as u64,
                     });
                     decisions::warn("quarantine", "part_refused_from_now", fields);
-                    if verdict.seen && source != "store" {
+                    // Short quarantines end before another entry could start from the store.
+                    if verdict.seen && verdict.left == PART_QUARANTINE_TIME && source != "store" {
                         let key = QuarantineKey::Part(verdict.part);
-                        self.queue_write(QuarantineWrite::Keep(key, PART_QUARANTINE_TIME));
+                        self.queue_write(QuarantineWrite::Keep(key, verdict.left));
                     }
                 }
-                PartChange::Released(part) => self.log_release(part, source),
+                PartChange::Released { part, seen } => self.apply_release(part, seen, source),
             }
         }
         if refused {
@@ -340,10 +339,11 @@
         }
     }
 
-    fn log_release(&self, part: PartKey, source: &str) {
+    fn apply_release(&self, part: PartKey, seen: bool, source: &str) {
         let fields = json!({ "part": part.to_string(), "source": source });
         decisions::info("quarantine", "part_released", fields);
-        if source != "peer" {
+        // Whoever wrote the quarantine to the store removes it, whatever the reason.
+        if seen || source == "operator" {
             self.queue_write(QuarantineWrite::Lift(QuarantineKey::Part(part)));
         }
     }
@@ -358,9 +358,12 @@
             }
             tables.requests.remove_explained_ends(now, &explained)
         };
-        for digest in released {
-            let change = SuspectChange::Cleared { was_refused: true };
-            self.apply_change(digest, change, "explained");
+        for (digest, seen) in released {
+            let fields = json!({ "content": digest.to_string(), "source": "explained" });
+            decisions::info("quarantine", "cleared", fields);
+            if seen {
+                self.queue_write(QuarantineWrite::Lift(QuarantineKey::Request(digest)));
+            }
         }
     }
 
