Count answers to requests without shared parts as no contrast

Callers: none yet; found by reading the change. Answers of services whose requests have no parts counted among those that show which parts are in no sound answer, so that an entry in front of such a service as well could have refused the part of all requests before the first answer with it.

Fix: only answers to requests with parts count. The test of contrast fails without it, and passes (13 of suspect_parts.rs).

--- a/crates/core/src/direct/suspect_parts.rs
+++ b/crates/core/src/direct/suspect_parts.rs
@@ -181,6 +181,9 @@
         parts: &[PartKey],
         life: LifeKey,
     ) -> Vec<PartChange> {
+        if parts.is_empty() {
+            return Vec::new();
+        }
         self.end_times.record(now, life);
         for part in parts {
             if self.add_end(now, *part, life)
@@ -199,7 +202,9 @@
         parts: &[PartKey],
         begun: Moment,
     ) -> Vec<PartChange> {
-        self.sound.record_answer(begun);
+        if !parts.is_empty() {
+            self.sound.record_answer(begun);
+        }
         let cleared = parts.iter().filter_map(|part| self.clear(now, *part, begun));
         let changes: Vec<PartChange> = cleared.collect();
         self.judge_after(now, changes)
--- a/crates/core/src/direct/suspects.rs
+++ b/crates/core/src/direct/suspects.rs
@@ -69,8 +69,6 @@
 }
 
 /// How far a request had progressed on a server when the server ended.
-///
-/// The variant names are written to the `server_ended` log record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ProgressAtEnd {
     /// No output had been received.
--- a/crates/core/tests/suspect_parts.rs
+++ b/crates/core/tests/suspect_parts.rs
@@ -86,6 +86,10 @@
 #[gtest]
 fn nothing_is_refused_before_sound_answers_give_a_contrast() {
     let mut table = PartTable::default();
+    // Answers to requests without parts tell nothing.
+    for _ in 0..10 {
+        let _ = table.record_sound_answer(at(900), &[], at(900));
+    }
     for number in 0..10 {
         end(&mut table, 1000 + number * 100, number as u32, &[FIRST.0, HARMFUL.0]);
     }
