Do not announce a forgotten sound answer of a part as a new one

Callers: none yet; found by reading the change. An entry that answers an end under a part with the age of its last sound answer goes on doing so for 1.2 s. Once that answer was a minute old it was forgotten, and the age was told as zero, which cleared the part everywhere: a part that had been sound a minute before its first end could have gone on ending servers.

Fix: nothing is told then.

--- a/crates/core/src/direct/suspect_parts/notices.rs
+++ b/crates/core/src/direct/suspect_parts/notices.rs
@@ -57,9 +57,7 @@
             | Self::Sound { part, .. } => part,
         }
     }
-}
 
-impl PartNotice {
     /// The notice without its times, which change from moment to moment.
     pub fn without_times(self) -> Self {
         let (age, left) = (Duration::ZERO, Duration::ZERO);
@@ -88,9 +86,9 @@
         let is_fresh = |since: Moment| now.since(since) <= ANNOUNCE_TIME;
         let mut notices = self.refusals(now);
         let sound = self.announced_sound.iter().filter(|(_, since)| is_fresh(**since));
-        notices.extend(sound.map(|(part, _)| {
-            let age = self.sound.last(now, *part).map_or(Duration::ZERO, |at| now.since(at));
-            (NoticePriority::Cleared, PartNotice::Sound { part: *part, age })
+        notices.extend(sound.filter_map(|(part, _)| {
+            let age = now.since(self.sound.last(now, *part)?);
+            Some((NoticePriority::Cleared, PartNotice::Sound { part: *part, age }))
         }));
         let released = self.released.iter().filter(|(_, since)| is_fresh(**since));
         let released = released.map(|(part, _)| PartNotice::Released { part: *part });
--- a/crates/core/tests/suspect_parts.rs
+++ b/crates/core/tests/suspect_parts.rs
@@ -244,6 +244,18 @@
     expect_that!(learned, some(le(61_030)));
 }
 
+/// An entry that hears of an end answers with what it has seen, which may be too old to count a moment later.
+#[gtest]
+fn a_forgotten_sound_answer_is_not_announced_as_a_new_one() {
+    let mut table = table();
+    sound(&mut table, 1000, HARMFUL.0);
+    let ended = PartNotice::Ended { part: HARMFUL, life: LifeKey(1), age: Duration::ZERO };
+    let _ = table.apply(at(60_500), &[ended]);
+    let is_sound = |notice: &PartNotice| matches!(notice, PartNotice::Sound { .. });
+    expect_that!(table.notices(at(60_600)).iter().any(is_sound), eq(true));
+    expect_that!(table.notices(at(61_400)).iter().any(is_sound), eq(false));
+}
+
 #[gtest]
 fn an_operator_lifts_a_quarantine_everywhere() {
     let (mut first, mut second) = (table(), table());
