--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -13,7 +13,7 @@
 use headlatch_http::ConnectionChoice;
 use headlatch_types::{
     RunVerdict,
-    request::{PartKey, QuarantineKey},
+    request::QuarantineKey,
     traffic::{AllowedRegions, ServerId},
     verdict::{Repeatability, RetryPermit},
 };
@@ -27,13 +27,13 @@
     attempt::{self, AttemptFailure, ServerAnswer, is_failure},
     handler::AdmittedRequest,
     relay,
-    server_end::{self, ServerLiveness},
     state::EntryState,
     waiting,
 };
 use crate::{decisions, metrics::RequestStep, timer::unix_time};
 
 mod collect;
+mod server_ends;
 
 /// Refusal cause: servers have crashed while running the same content, or a prompt with the same part.
 pub(super) const QUARANTINED: &str = "quarantined";
@@ -51,10 +51,6 @@
 /// multiple of the route's latency objective.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 3;
 
-/// Time that a request whose parts are suspected waits after its server has ended, before it is sent
-/// again: one round of notices, after which a verdict on the end is known.
-const VERDICT_WAIT: Duration = Duration::from_millis(150);
-
 /// Minimum time left for a retry on another server: one round trip and the first event.
 const MIN_TIME_FOR_RETRY: Duration = Duration::from_millis(20);
 
@@ -347,58 +343,6 @@
         sent
     }
 
-    /// Checks whether a server that closed the connection has ended, and reports an unplanned end to
-    /// the quarantine. The server had been writing on the answer since `writing_since`.
-    pub async fn handle_connection_break(
-        &self,
-        server: &ChosenServer,
-        writing_since: Option<Moment>,
-    ) -> ServerLiveness {
-        let liveness = server_end::probe(&self.state, server).await;
-        if liveness == ServerLiveness::Ended {
-            self.record_server_end(server, writing_since);
-        }
-        liveness
-    }
-
-    fn record_server_end(&self, server: &ChosenServer, writing_since: Option<Moment>) {
-        let (now, identity) = (self.state.now(), &self.request.identity);
-        let planned = self.state.servers().is_planned_shutdown(&server.id);
-        let fields = json!({
-            "server": server.id, "life": server.life.to_string(), "planned": planned,
-            "written_ms": writing_since.map(|since| now.since(since).as_millis() as u64),
-            "without_query": identity.digests.without_query.to_string(),
-            "shared_parts": self.named_parts(),
-        });
-        self.log("server_ended", fields);
-        if !planned {
-            let quarantine = &self.state.quarantine;
-            quarantine.record_server_end(now, identity, server.life, writing_since);
-        }
-    }
-
-    /// Ids of the shared parts of the prompt, with the keys by which they are quarantined.
-    fn named_parts(&self) -> Vec<(String, String)> {
-        let ids = self.request.facts.shared_parts.ids().into_iter();
-        ids.zip(self.request.identity.parts.iter().map(PartKey::to_string)).collect()
-    }
-
-    /// Whether a server ended under a part of the request and none has written on it since. Such a
-    /// request goes to one server at a time.
-    pub(super) fn is_suspected(&self) -> bool {
-        self.state.quarantine.suspects_part(&self.request.identity)
-    }
-
-    /// After a server has ended under a suspected request, waits until others have told what they saw.
-    pub(super) async fn await_verdict(&self) {
-        if !self.is_suspected() {
-            return;
-        }
-        let (state, identity) = (&self.state, &self.request.identity);
-        let refused = state.quarantine.wait_until_refused(|| state.now(), identity);
-        let _ = tokio::time::timeout(VERDICT_WAIT, refused).await;
-    }
-
     /// Sends to `server` and waits for its response. After the timeout the attempt is abandoned
     /// only once another server is available: until then this one may still respond.
     async fn send_with_timeout(
