Wait until an ending server has stopped listening before its last answer counts as whole

Callers: a stream without length and chunks was passed on as whole, cut, while its server was ending; and what ended the server was vouched for.

Cause: a process that ends closes its connections and its listener one after the other. The try to connect may come between the two and be accepted.

--- a/crates/daemon/src/direct/exchange/collect.rs
+++ b/crates/daemon/src/direct/exchange/collect.rs
@@ -39,7 +39,7 @@
         let whole = match collected {
             Ok(Ok((memory, body))) if close_delimited => {
                 // A server that ends closes its connections as well.
-                match self.handle_connection_break(&server, Some(begun)).await {
+                match self.settle_close(&server, Some(begun)).await {
                     ServerLiveness::Alive => Ok((memory, body.to_bytes())),
                     _ => Err("connection closed by a server that has ended".to_owned()),
                 }
--- a/crates/daemon/src/direct/exchange/server_ends.rs
+++ b/crates/daemon/src/direct/exchange/server_ends.rs
@@ -22,6 +22,26 @@
         writing_since: Option<Moment>,
     ) -> ServerLiveness {
         let liveness = server_end::probe(&self.state, server).await;
+        self.record_liveness(server, writing_since, liveness)
+    }
+
+    /// As [`Self::handle_connection_break`], after the end of an answer that is whole only if its
+    /// server lives on.
+    pub async fn settle_close(
+        &self,
+        server: &ChosenServer,
+        writing_since: Option<Moment>,
+    ) -> ServerLiveness {
+        let liveness = server_end::probe_settled(&self.state, server).await;
+        self.record_liveness(server, writing_since, liveness)
+    }
+
+    fn record_liveness(
+        &self,
+        server: &ChosenServer,
+        writing_since: Option<Moment>,
+        liveness: ServerLiveness,
+    ) -> ServerLiveness {
         if liveness == ServerLiveness::Ended {
             self.record_server_end(server, writing_since);
         }
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -206,12 +206,17 @@
     /// Finds out what a closed connection means. Only a server that lives on has ended its stream by
     /// closing it.
     async fn settle_end(&self, source: &StreamSource, end: StreamEnd) -> StreamEnd {
-        if ![StreamEnd::Closed, StreamEnd::Broken].contains(&end) {
-            return end;
-        }
-        match (end, break_liveness(&self.exchange, source).await) {
-            (StreamEnd::Closed, ServerLiveness::Alive) => StreamEnd::Whole,
-            _ => StreamEnd::Broken,
+        let (server, writing_since) = (source.in_flight.server(), source.writing_since);
+        match end {
+            StreamEnd::Closed => match self.exchange.settle_close(server, writing_since).await {
+                ServerLiveness::Alive => StreamEnd::Whole,
+                ServerLiveness::Ended | ServerLiveness::Unknown => StreamEnd::Broken,
+            },
+            StreamEnd::Broken => {
+                let _ = break_liveness(&self.exchange, source).await;
+                end
+            }
+            StreamEnd::Whole | StreamEnd::Silent | StreamEnd::Deadline => end,
         }
     }
 
--- a/crates/daemon/tests/harmful_requests.rs
+++ b/crates/daemon/tests/harmful_requests.rs
@@ -131,6 +131,20 @@
     }
 }
 
+/// A process that ends may close its connections before it stops listening.
+#[gtest]
+#[tokio::test]
+async fn a_server_that_stops_listening_last_does_not_vouch_for_what_ended_it() {
+    let listens_on = Duration::from_millis(20);
+    let pace = EventPace { close_delimited: true, listens_on, ..EventPace::default() };
+    let fixture = Fixture::with_pace(6, Arc::default(), pace).await;
+    for coming in 0..8 {
+        let _ = fixture.ask("/stream/harmful").await;
+        tokio::time::sleep(Duration::from_millis(40)).await;
+        expect_that!(fixture.ended_servers(), le(3), "coming {coming}");
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_close_delimited_stream_whose_server_ends_is_continued_elsewhere() {
--- a/crates/daemon/tests/support/mortal.rs
+++ b/crates/daemon/tests/support/mortal.rs
@@ -108,5 +108,9 @@
     let id = header(&head, "x-id").unwrap_or_default();
     let _ = stream.write_all(pace.begin(id).as_bytes()).await;
     tokio::time::sleep(HARM_TIME).await;
+    if !pace.listens_on.is_zero() {
+        drop(stream);
+        tokio::time::sleep(pace.listens_on).await;
+    }
     life.end();
 }
--- a/crates/daemon/tests/support/paced.rs
+++ b/crates/daemon/tests/support/paced.rs
@@ -21,12 +21,22 @@
     pub refuses: bool,
     /// The answer has neither a length nor chunks and ends with its connection.
     pub close_delimited: bool,
+    /// Time for which a server that ends goes on listening after it has closed its connections.
+    pub listens_on: Duration,
 }
 
 impl Default for EventPace {
     fn default() -> Self {
         let (head, gap) = (Duration::ZERO, Duration::from_millis(10));
-        Self { events: 20, head, gap, pause: None, refuses: false, close_delimited: false }
+        Self {
+            events: 20,
+            head,
+            gap,
+            pause: None,
+            refuses: false,
+            close_delimited: false,
+            listens_on: Duration::ZERO,
+        }
     }
 }
 
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -351,6 +351,11 @@
 }
 
 impl ActiveConnection {
+    /// Whether the server has closed the connection, as far as this process has noticed.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Sends a request and returns the response with its body still to be read.
     pub async fn send(
         &mut self,
