Log cold periods, and the server, its address and its cold time with each choice

Each entry now logs cold_began and cold_ended with the source, the time for which it has known, and what it sent; server_chosen has address, cold_ms and cold_source; servers_full counts servers left out as cold, as do headlatch_servers_excluded_total{signal="cold"} and the gauge headlatch_cold_servers. No change of logic.

--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -33,7 +33,7 @@
 pub use choice::{
     ChosenServer, EngineQuery, ExclusionCounts, FirstTokenBound, ServerChoice, ServerQuery,
 };
-pub use cold::ColdRates;
+pub use cold::{ColdEvent, ColdRates, ColdSource, ColdView};
 pub use signals::Ineligible;
 pub use weight_changes::ContinuationLimits;
 
@@ -125,6 +125,8 @@
     /// Number of live entries.
     entries: usize,
     cold_rates: ColdRates,
+    /// Cold periods whose beginning has been reported in [`Self::take_cold_events`], by server process.
+    reported_cold: HashMap<LifeKey, (ServerId, ColdView)>,
     /// Whether predictions take the pace of the servers into account.
     uses_pace: bool,
     zone: Option<DomainId>,
@@ -389,6 +391,38 @@
         !cold.may_send(now, rate, self.entries, self.cold_rates.phase)
     }
 
+    /// Returns the cold period of a server; `None` if it is warm or its service has no cold rate.
+    fn cold_view(&self, now: Moment, state: &ServerState) -> Option<ColdView> {
+        let is_limited = self.cold_rates.services.contains_key(&state.record.service);
+        let view = state.cold.filter(|_| is_limited)?.view(now);
+        (!view.remaining.is_zero()).then_some(view)
+    }
+
+    /// Returns the number of cold servers whose request rate is limited.
+    pub fn cold_servers(&self, now: Moment) -> usize {
+        self.servers.values().filter(|state| self.cold_view(now, state).is_some()).count()
+    }
+
+    /// Returns the cold periods that have begun or ended since the last call.
+    pub fn take_cold_events(&mut self, now: Moment) -> Vec<ColdEvent> {
+        let cold = self.servers.values().filter_map(|state| {
+            let view = self.cold_view(now, state)?;
+            Some((state.life, (state.record.id.clone(), view)))
+        });
+        let cold: HashMap<LifeKey, (ServerId, ColdView)> = cold.collect();
+        let before = std::mem::replace(&mut self.reported_cold, cold);
+        let event = |life: LifeKey, began: bool, (server, view): &(ServerId, ColdView)| ColdEvent {
+            server: server.clone(),
+            life,
+            began,
+            view: *view,
+        };
+        let began = self.reported_cold.iter().filter(|(life, _)| !before.contains_key(life));
+        let began = began.map(|(life, known)| event(*life, true, known));
+        let ended = before.iter().filter(|(life, _)| !self.reported_cold.contains_key(life));
+        began.chain(ended.map(|(life, known)| event(*life, false, known))).collect()
+    }
+
     /// Records that a request with a prompt of `tokens` was sent to a server.
     pub fn begin(&mut self, id: &ServerId, tokens: u64) {
         if let Some(state) = self.servers.get_mut(id) {
--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -10,7 +10,7 @@
 };
 
 use super::{
-    ServerState, ServerTable, continuation_limit, has_weights, is_about_to_change, is_changing,
+    ColdView, ServerState, ServerTable, continuation_limit, has_weights, is_about_to_change, is_changing,
     loaded_version,
 };
 use crate::{
@@ -129,6 +129,8 @@
     pub version: Option<WeightVersion>,
     /// Rate limit of the server, over all entries.
     pub rate_limit: Option<RequestRate>,
+    /// Cold period of the server; `None` if it is not known to be cold.
+    pub cold: Option<ColdView>,
 }
 
 /// Result of a server selection.
@@ -162,8 +164,10 @@
 /// Number of suitable servers that were excluded, by reason.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ExclusionCounts {
-    /// Servers at their limit of requests in flight or of their cold rate, or that recently refused one.
+    /// Servers at their limit of requests in flight, or that recently refused one.
     pub limited: u32,
+    /// Cold servers whose request rate this entry has used up.
+    pub cold: u32,
     /// Servers whose predicted time to first token exceeds the bound.
     pub late: u32,
     /// Servers in other failure domains that are left to the entries there.
@@ -181,7 +185,7 @@
 impl ExclusionCounts {
     /// Returns whether any server was excluded.
     fn any(self) -> bool {
-        let by_signal = self.rate_limited + self.backing_off;
+        let by_signal = self.rate_limited + self.backing_off + self.cold;
         self.limited + self.late + self.reserved_for_local + by_signal > 0
     }
 
@@ -200,6 +204,8 @@
     Unusable,
     /// The server is at its request limit, or has recently refused a request.
     Full,
+    /// The server is cold, and this entry has used up its share of the cold rate.
+    Cold,
     /// This entry has no token for the rate limit of the server.
     RateLimited,
     /// The server has requested a backoff.
@@ -291,6 +297,7 @@
                     }
                 }
                 Err(Exclusion::Full) => full.limited += 1,
+                Err(Exclusion::Cold) => full.cold += 1,
                 Err(Exclusion::BackingOff) => full.backing_off += 1,
                 Err(Exclusion::RateLimited) => full.rate_limited += 1,
                 Err(Exclusion::Late(predicted)) => full.record_late(predicted),
@@ -302,7 +309,7 @@
             Some((_, predicted, state)) => ServerChoice::Server(ChosenServer {
                 shortest_wait_load,
                 predicted,
-                ..self.chosen(state, query)
+                ..self.chosen(now, state, query)
             }),
             None if full.any() => {
                 ServerChoice::Full(ExclusionCounts { shortest_wait_load, ..full })
@@ -312,7 +319,12 @@
     }
 
     /// Builds the selection result for a server, without the predicted and the shortest wait.
-    fn chosen(&self, state: &ServerState, query: &ServerQuery<'_>) -> ChosenServer {
+    fn chosen(
+        &self,
+        now: Moment,
+        state: &ServerState,
+        query: &ServerQuery<'_>,
+    ) -> ChosenServer {
         let layers = query.engine.map_or(0, |engine| engine.figures.layers);
         ChosenServer {
             id: state.record.id.clone(),
@@ -326,6 +338,7 @@
             limit: self.limit(state, query),
             version: loaded_version(state, layers),
             rate_limit: self.limits.limit(state.life),
+            cold: self.cold_view(now, state),
         }
     }
 
@@ -384,9 +397,12 @@
         }
         let in_flight = self.load(state).in_flight;
         let limit = self.limit(state, query);
-        if in_flight >= limit || self.is_throttled(now, state) {
+        if in_flight >= limit {
             return Err(Exclusion::Full);
         }
+        if self.is_throttled(now, state) {
+            return Err(Exclusion::Cold);
+        }
         let load = f64::from(in_flight) / f64::from(limit);
         let predicted = query.engine.map(|engine| self.predict(state, engine));
         let late = match (query.engine, predicted) {
--- a/crates/core/src/direct/server_table/cold.rs
+++ b/crates/core/src/direct/server_table/cold.rs
@@ -5,7 +5,51 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use crate::time::Moment;
+use headlatch_types::traffic::ServerId;
+
+use crate::{direct::suspects::LifeKey, time::Moment};
+
+/// Where an entry learned that a server is cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ColdSource {
+    /// The server's record, from the store or another entry's copy of it.
+    Record,
+}
+
+impl ColdSource {
+    /// Returns the source as it appears in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Record => "record",
+        }
+    }
+}
+
+/// A cold period as this entry knows it at one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ColdView {
+    /// Remaining time.
+    pub remaining: Duration,
+    /// Time since this entry learned of the period.
+    pub known_for: Duration,
+    /// Where this entry learned of the period, or of its latest extension.
+    pub source: ColdSource,
+    /// Requests that this entry has sent in the period.
+    pub sent: u32,
+}
+
+/// Beginning or end of a cold period, for logs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ColdEvent {
+    /// Server ID.
+    pub server: ServerId,
+    /// Key of the server process.
+    pub life: LifeKey,
+    /// Whether the period begins.
+    pub began: bool,
+    /// The period at that moment.
+    pub view: ColdView,
+}
 
 /// Maximum request rates of cold servers, over all entries.
 #[derive(Debug, Clone, Default)]
@@ -21,6 +65,7 @@
 pub struct ColdPeriod {
     since: Moment,
     until: Moment,
+    source: ColdSource,
     sent: u32,
 }
 
@@ -31,10 +76,20 @@
         if rest.is_zero() {
             return None;
         }
-        let first = Self { since: now, until: now, sent: 0 };
+        let first = Self { since: now, until: now, source: ColdSource::Record, sent: 0 };
         Some(Self { until: now + rest, ..before.unwrap_or(first) })
     }
 
+    /// Returns the period as known at `now`.
+    pub fn view(&self, now: Moment) -> ColdView {
+        ColdView {
+            remaining: self.until.since(now),
+            known_for: now.since(self.since),
+            source: self.source,
+            sent: self.sent,
+        }
+    }
+
     /// Records that a request was sent to the server.
     pub fn record_sent(&mut self) {
         self.sent += 1;
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -300,11 +300,13 @@
         let time_limit = attempt::server_time_limit(&self.state, &self.request, &server);
         let fields = json!({
             "given_ms": time_limit.time.as_millis() as u64, "given_by": time_limit.limit,
-            "server": server.id, "own": server.own.in_flight, "others": server.others.in_flight,
+            "server": server.id, "address": server.address, "own": server.own.in_flight, "others": server.others.in_flight,
             "waiting_tokens": server.own.waiting_tokens + server.others.waiting_tokens,
             "predicted_ms": server.predicted.map(|time| time.as_millis() as u64),
             "slow_by": server.slow_by.map(|pace| pace.factor()), "limit": server.limit,
             "rate_limit": server.rate_limit, "version": server.version,
+            "cold_ms": server.cold.map(|cold| cold.remaining.as_millis() as u64),
+            "cold_source": server.cold.map(|cold| cold.source.as_str()),
             "least": attempt::min_version(&self.state, &self.request),
             "allowed_regions": regions.to_string(),
         });
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -20,7 +20,7 @@
         retry_share::{EntryStart, RetryBudget, RetryShare},
         route_table::RouteTable,
         server_copy::ServerCopy,
-        server_table::{ColdRates, ContinuationLimits, ServerTable},
+        server_table::{ColdEvent, ColdRates, ContinuationLimits, ServerTable},
         size_class::SizeRanks,
         weight_deadline::WeightDeadlines,
     },
@@ -488,6 +488,8 @@
             servers.assign_limit_shares(self.now(), self.settings.node.control.into(), &holders);
         }
         self.metrics.set_rate_limits(servers.rate_limits());
+        self.metrics.set_cold_servers(servers.cold_servers(self.now()));
+        let cold_events = servers.take_cold_events(self.now());
         let mut known = lock(&self.known_entries);
         if known.0 != entries {
             *known = (entries, self.now());
@@ -497,6 +499,7 @@
         let changed = servers.set_unreachable_domains(silent);
         drop(servers);
         self.waiting.wake();
+        cold_events.iter().for_each(log_cold_event);
         if changed {
             decisions::info("peers", "domains_out_of_reach", json!({ "domains": names }));
         }
@@ -540,3 +543,14 @@
         self.waiting.wake();
     }
 }
+
+fn log_cold_event(event: &ColdEvent) {
+    let ColdEvent { server, life, began, view } = event;
+    let name = if *began { "cold_began" } else { "cold_ended" };
+    let fields = json!({
+        "server": server, "life": life.to_string(), "source": view.source.as_str(), "sent": view.sent,
+        "remaining_ms": view.remaining.as_millis() as u64,
+        "known_ms": view.known_for.as_millis() as u64,
+    });
+    decisions::info("servers", name, fields);
+}
--- a/crates/daemon/src/direct/waiting.rs
+++ b/crates/daemon/src/direct/waiting.rs
@@ -286,9 +286,10 @@
 pub(super) fn log_full(exchange: &Exchange, full: &ExclusionCounts) {
     exchange.state.metrics.count_excluded("rate_limit", full.rate_limited);
     exchange.state.metrics.count_excluded("retry_after", full.backing_off);
+    exchange.state.metrics.count_excluded("cold", full.cold);
     let fields = json!({
         "limited": full.limited, "late": full.late, "left_to_near": full.reserved_for_local,
-        "rate_limited": full.rate_limited, "backing_off": full.backing_off,
+        "rate_limited": full.rate_limited, "backing_off": full.backing_off, "cold": full.cold,
         "least_predicted_ms": full.earliest_predicted.map(|time| time.as_millis() as u64),
     });
     exchange.log(SERVERS_FULL, fields);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -70,6 +70,7 @@
     server_signals: IntCounterVec,
     malformed_signals: IntCounterVec,
     rate_limits: IntGauge,
+    cold_servers: IntGauge,
     slow_servers: IntGauge,
     excluded_servers: IntCounterVec,
     in_progress: IntGauge,
@@ -129,7 +130,7 @@
         );
         let excluded_servers = counter(
             "headlatch_servers_excluded_total",
-            "Servers excluded by their signals when a request was refused, by kind.",
+            "Servers excluded by their signals, or as cold, when a request was refused, by kind.",
             &["signal"],
         );
         let store_events = counter(
@@ -170,6 +171,8 @@
             "Newest known era of the store: rises when it is rolled back.",
         );
         let rate_limits = gauge("headlatch_rate_limited_servers", "Servers with a rate limit.");
+        let cold_servers =
+            gauge("headlatch_cold_servers", "Cold servers whose request rate is limited.");
         let slow_servers = gauge("headlatch_slow_servers", "Servers that count as slow.");
         let unread_parts = IntCounter::new(
             "headlatch_unread_prompt_parts_total",
@@ -206,6 +209,7 @@
             server_signals,
             malformed_signals,
             rate_limits,
+            cold_servers,
             slow_servers,
             excluded_servers,
             in_progress,
@@ -324,6 +328,11 @@
         self.rate_limits.set(count as i64);
     }
 
+    /// Sets the number of cold servers whose request rate is limited.
+    pub fn set_cold_servers(&self, count: usize) {
+        self.cold_servers.set(count as i64);
+    }
+
     /// Sets the number of servers that currently count as slow.
     pub fn set_slow_servers(&self, count: usize) {
         self.slow_servers.set(count as i64);
