--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -10,8 +10,8 @@
 };
 
 use super::{
-    ColdView, ServerState, ServerTable, continuation_limit, has_weights, is_about_to_change, is_changing,
-    loaded_version,
+    ColdView, ServerState, ServerTable, continuation_limit, has_weights, is_about_to_change,
+    is_changing, loaded_version,
 };
 use crate::{
     direct::{
@@ -319,12 +319,7 @@
     }
 
     /// Builds the selection result for a server, without the predicted and the shortest wait.
-    fn chosen(
-        &self,
-        now: Moment,
-        state: &ServerState,
-        query: &ServerQuery<'_>,
-    ) -> ChosenServer {
+    fn chosen(&self, now: Moment, state: &ServerState, query: &ServerQuery<'_>) -> ChosenServer {
         let layers = query.engine.map_or(0, |engine| engine.figures.layers);
         ChosenServer {
             id: state.record.id.clone(),
--- a/crates/daemon/tests/support/rollback_store.rs
+++ b/crates/daemon/tests/support/rollback_store.rs
@@ -4,7 +4,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -55,6 +58,8 @@
     pub address: SocketAddr,
     state: Arc<Mutex<StoreState>>,
     changed: Arc<watch::Sender<()>>,
+    /// Whether calls to this address are answered 503.
+    turns_away: Arc<AtomicBool>,
 }
 
 /// Status and body of an answer.
@@ -63,10 +68,18 @@
 impl RollbackStore {
     /// Starts an empty store in era 0.
     pub async fn start() -> Self {
+        Self::listen(Arc::default(), Arc::new(watch::channel(()).0)).await
+    }
+
+    /// Another address of the same store, which can turn its callers away by itself.
+    pub async fn second_address(&self) -> Self {
+        Self::listen(self.state.clone(), self.changed.clone()).await
+    }
+
+    async fn listen(state: Arc<Mutex<StoreState>>, changed: Arc<watch::Sender<()>>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
         let address = listener.local_addr().expect("listener is bound");
-        let store =
-            Self { address, state: Arc::default(), changed: Arc::new(watch::channel(()).0) };
+        let store = Self { address, state, changed, turns_away: Arc::default() };
         let served = store.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -123,6 +136,12 @@
         self.changed.send_replace(());
     }
 
+    /// Sets whether open calls and new ones at this address are answered 503.
+    pub fn turn_away(&self, turns_away: bool) {
+        self.turns_away.store(turns_away, Ordering::Relaxed);
+        self.changed.send_replace(());
+    }
+
     /// Comes back from `copy`, in the next era.
     pub fn come_back_from(&self, copy: StoreCopy) {
         let mut state = self.lock();
@@ -158,6 +177,9 @@
 
     /// The answer with the era in which it is given; `None` while the store is away.
     async fn answer(&self, line: &str, body: &Value) -> Option<(Answer, u64)> {
+        if self.turns_away.load(Ordering::Relaxed) {
+            return Some(((503, json!({})), self.lock().era));
+        }
         let mut words = line.split(' ');
         let (method, target) = (words.next()?, words.next()?);
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
@@ -217,6 +239,9 @@
                 if state.away {
                     return None;
                 }
+                if self.turns_away.load(Ordering::Relaxed) {
+                    return Some(((503, json!({})), state.era));
+                }
                 let at = state.copy.revision;
                 if after > at {
                     return Some(((410, json!({})), state.era));
--- a/crates/daemon/tests/support/signaling.rs
+++ b/crates/daemon/tests/support/signaling.rs
@@ -1,4 +1,4 @@
-//! Servers that send rate limits, drain announcements and backoffs in their response headers.
+//! Servers that send rate limits, drain announcements, backoffs and cold times in their response headers.
 
 use std::{
     net::SocketAddr,
@@ -13,11 +13,22 @@
 
 use super::{header, read_head};
 
+/// How a server responds to a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum AnswerKind {
+    /// Serves it.
+    #[default]
+    Served,
+    /// Refuses it.
+    Refused,
+    /// Answers that it is another server.
+    Misdirected,
+}
+
 /// How a server responds to every request.
 #[derive(Debug, Clone, Default)]
 struct AnswerScript {
-    /// Refuses all requests.
-    refuses: bool,
+    kind: AnswerKind,
     /// Additional header lines.
     lines: Vec<String>,
 }
@@ -48,17 +59,22 @@
 
     /// Serves requests from now on, with these header lines in its responses.
     pub fn serve_with(&self, lines: &[&str]) {
-        self.set(false, lines);
+        self.set(AnswerKind::Served, lines);
     }
 
     /// Refuses requests from now on, with these header lines in its responses.
     pub fn refuse_with(&self, lines: &[&str]) {
-        self.set(true, lines);
+        self.set(AnswerKind::Refused, lines);
+    }
+
+    /// Answers from now on that it is another server than the one that requests are for.
+    pub fn misdirect(&self) {
+        self.set(AnswerKind::Misdirected, &[]);
     }
 
-    fn set(&self, refuses: bool, lines: &[&str]) {
+    fn set(&self, kind: AnswerKind, lines: &[&str]) {
         let lines = lines.iter().map(|line| (*line).to_owned()).collect();
-        *self.script.lock().expect("lock is not poisoned") = AnswerScript { refuses, lines };
+        *self.script.lock().expect("lock is not poisoned") = AnswerScript { kind, lines };
     }
 
     /// Arrival times of the requests so far.
@@ -77,11 +93,12 @@
     }
 
     fn answer(&self, id: &str) -> String {
-        let AnswerScript { refuses, lines } =
+        let AnswerScript { kind, lines } =
             self.script.lock().expect("lock is not poisoned").clone();
-        let status = match refuses {
-            true => "503 Service Unavailable\r\nnot-executed: 1",
-            false => "200 OK\r\nresponse-stamp: s",
+        let status = match kind {
+            AnswerKind::Served => "200 OK\r\nresponse-stamp: s",
+            AnswerKind::Refused => "503 Service Unavailable\r\nnot-executed: 1",
+            AnswerKind::Misdirected => "421 Misdirected Request",
         };
         let lines: String = lines.iter().map(|line| format!("{line}\r\n")).collect();
         format!("HTTP/1.1 {status}\r\nrequest-id: {id}\r\n{lines}content-length: 2\r\n\r\nok")
