Limit cold servers with the limiter of advertised limits

What callers saw: a server that had just returned got up to 50 requests in a second where 30 are allowed (virtual time, 1 to 546 entries), and 103 in its second cold period.

Cause: ColdPeriod kept a count of its own. It earned from the moment at which the entry learned of the server, without a cap, so that whatever nobody could use (weights not loaded, failure domain evacuated) was spent at once; and a second period kept the start and the count of the first, so that the warm time between earned as well.

Change: a cold server is a limit with an end. rate_limits.rs enforces the lower one of the advertised limit and the cold rate: a holder for each two requests a second, chosen by rendezvous among the entries near the server, a quarter of a second's tokens each and one at least, taken when the request is sent and not when the server is chosen. cold.rs only knows which servers are cold, and until when.

evacuation.rs builds its tables with entries that know each other and takes the token that is now due before a request; its bounds are as before.

--- a/crates/core/src/direct/rate_limits.rs
+++ b/crates/core/src/direct/rate_limits.rs
@@ -1,4 +1,5 @@
-//! Distributed enforcement of rate limits that servers advertise in their responses.
+//! Distributed enforcement of rate limits: those that servers advertise in their responses, and the rate of
+//! cold servers.
 //!
 //! A limit applies to all entries together. A few entries, the holders, split the limit of a server evenly
 //! between token buckets; the others send it nothing. Holders are selected by rendezvous hashing. Their number
@@ -12,11 +13,23 @@
 use super::{peers::DomainKey, suspects::LifeKey};
 use crate::{hash::score, time::Moment};
 
-/// Number of holders per request per second of a limit.
-const HOLDERS_PER_REQUEST: f64 = 1.0;
+/// How a limit is divided among entries.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Division {
+    /// Number of holders per request per second of the limit.
+    holders_per_request: f64,
+    /// Time in which an empty token bucket fills up; its capacity is at least one token.
+    burst_time: Duration,
+}
+
+/// Division of an advertised limit.
+const ADVERTISED: Division =
+    Division { holders_per_request: 1.0, burst_time: Duration::from_millis(500) };
 
-/// Time in which an empty token bucket fills up; its capacity is at least one token.
-const BURST_TIME: Duration = Duration::from_millis(500);
+/// Division of the rate of a cold server. It must hold in any second, so that fewer holders may send at the
+/// same time.
+const COLD: Division =
+    Division { holders_per_request: 0.5, burst_time: Duration::from_millis(250) };
 
 /// Minimum request rate, so that the end of a limit of zero is detected.
 const PROBE_RATE: RequestRate = RequestRate::from_milli(100);
@@ -83,18 +96,43 @@
     pub holders: u32,
 }
 
+/// A limit and how it is divided.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitInForce {
+    rate: RequestRate,
+    division: Division,
+    /// Whether it is the rate of a cold server.
+    pub is_cold: bool,
+}
+
+impl LimitInForce {
+    fn advertised(rate: RequestRate) -> Self {
+        Self { rate, division: ADVERTISED, is_cold: false }
+    }
+
+    fn cold(rate: RequestRate) -> Self {
+        Self { rate, division: COLD, is_cold: true }
+    }
+
+    /// Returns the number of requests per second over all entries.
+    fn per_second(self) -> f64 {
+        self.rate.max(PROBE_RATE).per_second()
+    }
+}
+
 impl LimitShare {
     /// Returns the share of the entry `own` in the limit of a server; `None` if it is not a candidate.
     pub fn new(
         life: LifeKey,
-        limit: RequestRate,
+        limit: LimitInForce,
         own: EntryKey,
         candidates: &[EntryKey],
     ) -> Option<Self> {
         let most = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
         let place = |key: EntryKey| (score(u64::from(life.0), key.0), key);
         let rank = candidates.iter().filter(|key| place(**key) > place(own)).count() as u32;
-        let holders = (limit.per_second() * HOLDERS_PER_REQUEST).ceil() as u32;
+        let holders = limit.rate.per_second() * limit.division.holders_per_request;
+        let holders = holders.ceil() as u32;
         let share = Self { rank, holders: holders.clamp(1, most.max(1)) };
         candidates.contains(&own).then_some(share)
     }
@@ -114,9 +152,12 @@
 /// Rate limit state of one server process.
 #[derive(Debug, Clone)]
 struct RateLimit {
-    limit: Option<RequestRate>,
+    /// Limit that the server advertises.
+    advertised: Option<RequestRate>,
     /// Time at which the server last advertised the limit or its absence to any entry.
     advertised_at: Moment,
+    /// Rate of the server while it is cold, and until when it is.
+    cold: Option<(RequestRate, Moment)>,
     share: Option<LimitShare>,
     /// Number of tokens at time `counted`.
     tokens: f64,
@@ -125,27 +166,55 @@
 }
 
 impl RateLimit {
-    fn new(now: Moment, limit: Option<RequestRate>, advertised_at: Moment) -> Self {
-        Self { limit, advertised_at, share: None, tokens: 0.0, counted: now, sent: Moment::ZERO }
+    fn new(now: Moment) -> Self {
+        Self {
+            advertised: None,
+            advertised_at: Moment::ZERO,
+            cold: None,
+            share: None,
+            tokens: 0.0,
+            counted: now,
+            sent: Moment::ZERO,
+        }
+    }
+
+    fn has_never_advertised(&self) -> bool {
+        self.advertised.is_none() && self.advertised_at == Moment::ZERO
+    }
+
+    fn cold_rate(&self, now: Moment) -> Option<RequestRate> {
+        self.cold.filter(|(_, until)| now < *until).map(|(rate, _)| rate)
+    }
+
+    /// Returns the lower one of the advertised limit and the cold rate.
+    fn in_force(&self, now: Moment) -> Option<LimitInForce> {
+        match (self.cold_rate(now), self.advertised) {
+            (Some(cold), Some(advertised)) if advertised < cold => {
+                Some(LimitInForce::advertised(advertised))
+            }
+            (Some(cold), _) => Some(LimitInForce::cold(cold)),
+            (None, advertised) => advertised.map(LimitInForce::advertised),
+        }
     }
 
     /// Returns the number of requests per second that this entry may send.
-    fn rate(&self) -> f64 {
+    fn rate(&self, limit: LimitInForce) -> f64 {
         let holder = self.share.filter(|share| share.is_holder());
-        let limit = self.limit.unwrap_or_default().max(PROBE_RATE);
         holder.map_or(0.0, |share| limit.per_second() / f64::from(share.holders))
     }
 
     /// Returns the number of available tokens.
-    fn tokens(&self, now: Moment) -> f64 {
-        let rate = self.rate();
-        let most = (rate * BURST_TIME.as_secs_f64()).max(1.0);
+    fn tokens(&self, now: Moment, limit: LimitInForce) -> f64 {
+        let rate = self.rate(limit);
+        let most = (rate * limit.division.burst_time.as_secs_f64()).max(1.0);
         (self.tokens + rate * now.since(self.counted).as_secs_f64()).min(most)
     }
 
     /// Updates the token count to `now`, before a change of the rate or the tokens.
     fn settle(&mut self, now: Moment) {
-        self.tokens = self.tokens(now);
+        if let Some(limit) = self.in_force(now) {
+            self.tokens = self.tokens(now, limit);
+        }
         self.counted = now;
     }
 
@@ -164,16 +233,15 @@
 
     /// Returns the time until this entry may send a request; `None` if it has no share.
     fn wait(&self, now: Moment) -> Option<Duration> {
-        if self.limit.is_none() {
-            return Some(Duration::ZERO);
-        }
+        let Some(limit) = self.in_force(now) else { return Some(Duration::ZERO) };
         let share = self.share?;
         if share.is_holder() {
-            let missing = (1.0 - self.tokens(now)).max(0.0);
-            return Some(Duration::from_secs_f64(missing / self.rate()));
+            let missing = (1.0 - self.tokens(now, limit)).max(0.0);
+            return Some(Duration::from_secs_f64(missing / self.rate(limit)));
         }
-        let due = self.advertised_at.max(self.sent) + share.standby_timeout()?;
-        Some(due.since(now))
+        // A cold period is over before a standby would have its turn.
+        let timeout = share.standby_timeout().filter(|_| !limit.is_cold)?;
+        Some((self.advertised_at.max(self.sent) + timeout).since(now))
     }
 }
 
@@ -189,14 +257,34 @@
         self.lives.is_empty()
     }
 
-    /// Returns the limit of a server.
+    /// Returns the limit that a server advertises.
     pub fn limit(&self, life: LifeKey) -> Option<RequestRate> {
-        self.lives.get(&life)?.limit
+        self.lives.get(&life)?.advertised
     }
 
-    /// Returns the number of servers with a limit.
+    /// Returns the limit of a server that is enforced: the lower one of the advertised limit and the cold rate.
+    pub fn in_force(&self, now: Moment, life: LifeKey) -> Option<LimitInForce> {
+        self.lives.get(&life)?.in_force(now)
+    }
+
+    /// Returns the number of servers that advertise a limit.
     pub fn count(&self) -> usize {
-        self.lives.values().filter(|known| known.limit.is_some()).count()
+        self.lives.values().filter(|known| known.advertised.is_some()).count()
+    }
+
+    /// Limits a server to `rate` until it is warm.
+    pub fn set_cold(&mut self, now: Moment, life: LifeKey, rate: RequestRate, until: Moment) {
+        let known = self.lives.entry(life).or_insert_with(|| RateLimit::new(now));
+        known.settle(now);
+        known.cold = Some((rate, until));
+    }
+
+    /// Ends the cold rate of a server.
+    pub fn clear_cold(&mut self, now: Moment, life: LifeKey) {
+        if let Some(known) = self.lives.get_mut(&life) {
+            known.settle(now);
+            known.cold = None;
+        }
     }
 
     /// Records the limit, or its absence, in an answer to a request sent at `sent`; returns whether it
@@ -210,8 +298,9 @@
     ) -> bool {
         match (self.lives.get(&life), limit) {
             (None, None) => return false,
+            (Some(known), None) if known.has_never_advertised() => return false,
             // The response may have started before the limit was advertised.
-            (Some(known), None) if known.limit.is_some() && known.advertised_at >= sent => {
+            (Some(known), None) if known.advertised.is_some() && known.advertised_at >= sent => {
                 return false;
             }
             _ => {}
@@ -232,18 +321,13 @@
         limit: Option<RequestRate>,
         advertised_at: Moment,
     ) -> bool {
-        match self.lives.get_mut(&life) {
-            Some(known) if known.advertised_at < advertised_at => {
-                known.settle(now);
-                known.advertised_at = advertised_at;
-                std::mem::replace(&mut known.limit, limit) != limit
-            }
-            Some(_) => false,
-            None => {
-                self.lives.insert(life, RateLimit::new(now, limit, advertised_at));
-                limit.is_some()
-            }
+        let known = self.lives.entry(life).or_insert_with(|| RateLimit::new(now));
+        if !known.has_never_advertised() && known.advertised_at >= advertised_at {
+            return false;
         }
+        known.settle(now);
+        known.advertised_at = advertised_at;
+        std::mem::replace(&mut known.advertised, limit) != limit
     }
 
     /// Sets this entry's share of a server's limit.
@@ -259,8 +343,8 @@
     }
 
     /// Returns the interval between requests to a server over all entries; zero without a limit.
-    pub fn pause(&self, life: LifeKey) -> Duration {
-        let limit = self.limit(life).map(|limit| limit.max(PROBE_RATE));
+    pub fn pause(&self, now: Moment, life: LifeKey) -> Duration {
+        let limit = self.in_force(now, life);
         limit.map_or(Duration::ZERO, |limit| Duration::from_secs_f64(1.0 / limit.per_second()))
     }
 
@@ -284,7 +368,7 @@
         });
         let notice = |(life, known): (&LifeKey, &RateLimit)| LimitNotice {
             life: *life,
-            limit: known.limit,
+            limit: known.advertised,
             age: now.since(known.advertised_at),
         };
         let mut notices: Vec<LimitNotice> = recent.map(notice).collect();
@@ -301,7 +385,7 @@
     /// Removes limits that were lifted or whose servers are not listed, after the retention time.
     pub fn forget_old(&mut self, now: Moment, is_listed: impl Fn(LifeKey) -> bool) {
         self.lives.retain(|life, known| {
-            let is_kept = known.limit.is_some() && is_listed(*life);
+            let is_kept = known.in_force(now).is_some() && is_listed(*life);
             is_kept || now.since(known.advertised_at) <= RETENTION
         });
     }
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -189,8 +189,9 @@
             state.record = record;
             if let Some((before, service)) = moved {
                 self.unlist(&before, &id);
-                self.list(service, id);
+                self.list(service, id.clone());
             }
+            self.limit_cold(now, &id);
         } else {
             let state = ServerState {
                 key,
@@ -214,7 +215,8 @@
             };
             let (id, service) = (state.record.id.clone(), state.record.service.clone());
             self.servers.insert(id.clone(), state);
-            self.list(service, id);
+            self.list(service, id.clone());
+            self.limit_cold(now, &id);
         }
     }
 
@@ -315,8 +317,20 @@
     }
 
     /// Sets the request rate limits for cold servers.
-    pub fn set_cold_rates(&mut self, rates: ColdRates) {
+    pub fn set_cold_rates(&mut self, now: Moment, rates: ColdRates) {
         self.cold_rates = rates;
+        let ids: Vec<ServerId> = self.servers.keys().cloned().collect();
+        ids.iter().for_each(|id| self.limit_cold(now, id));
+    }
+
+    /// Applies the cold rate to a server, or ends it.
+    fn limit_cold(&mut self, now: Moment, id: &ServerId) {
+        let Some(state) = self.servers.get(id) else { return };
+        let rate = self.cold_rates.0.get(&state.record.service).copied();
+        match state.cold.zip(rate) {
+            Some((cold, rate)) => self.limits.set_cold(now, state.life, rate, cold.until()),
+            None => self.limits.clear_cold(now, state.life),
+        }
     }
 
     /// Sets the failure domains that are being evacuated.
@@ -384,16 +398,9 @@
         self.is_leaving(state) || self.evacuated.contains(&state.domain)
     }
 
-    /// Returns whether a server is cold and this entry has used up its share of the cold rate.
-    fn is_throttled(&self, now: Moment, state: &ServerState) -> bool {
-        let rate = self.cold_rates.services.get(&state.record.service);
-        let Some((cold, rate)) = state.cold.zip(rate.copied()) else { return false };
-        !cold.may_send(now, rate, self.entries, self.cold_rates.phase)
-    }
-
     /// Returns the cold period of a server; `None` if it is warm or its service has no cold rate.
     fn cold_view(&self, now: Moment, state: &ServerState) -> Option<ColdView> {
-        let is_limited = self.cold_rates.services.contains_key(&state.record.service);
+        let is_limited = self.cold_rates.0.contains_key(&state.record.service);
         let view = state.cold.filter(|_| is_limited)?.view(now);
         (!view.remaining.is_zero()).then_some(view)
     }
--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -388,16 +388,15 @@
             return Err(Exclusion::Unusable);
         }
         if self.limits.wait(now, state.life) != Some(Duration::ZERO) {
-            return Err(Exclusion::RateLimited);
+            let limit = self.limits.in_force(now, state.life);
+            let is_cold = limit.is_some_and(|limit| limit.is_cold);
+            return Err(if is_cold { Exclusion::Cold } else { Exclusion::RateLimited });
         }
         let in_flight = self.load(state).in_flight;
         let limit = self.limit(state, query);
         if in_flight >= limit {
             return Err(Exclusion::Full);
         }
-        if self.is_throttled(now, state) {
-            return Err(Exclusion::Cold);
-        }
         let load = f64::from(in_flight) / f64::from(limit);
         let predicted = query.engine.map(|engine| self.predict(state, engine));
         let late = match (query.engine, predicted) {
--- a/crates/core/src/direct/server_table/cold.rs
+++ b/crates/core/src/direct/server_table/cold.rs
@@ -1,11 +1,9 @@
-//! Slow start: limits the request rate to servers that have just returned.
-//!
-//! The limit applies to all entries together. Each entry uses an equal share and starts at its own phase, so
-//! that a returning server gets single requests instead of one from every entry at the same time.
+//! Slow start: which servers are cold, and until when. Their request rate is limited over all entries by
+//! [`crate::direct::rate_limits`].
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use headlatch_types::traffic::ServerId;
+use headlatch_types::{quantity::RequestRate, traffic::ServerId};
 
 use crate::{direct::suspects::LifeKey, time::Moment};
 
@@ -51,16 +49,12 @@
     pub view: ColdView,
 }
 
-/// Maximum request rates of cold servers, over all entries.
+/// Maximum request rates of cold servers, per second over all entries, by service. Services without an entry
+/// are not limited.
 #[derive(Debug, Clone, Default)]
-pub struct ColdRates {
-    /// Requests per second for one cold server, by service; services without an entry are not limited.
-    pub services: HashMap<Arc<str>, f64>,
-    /// Phase of this entry among all entries, from 0 to 1.
-    pub phase: f64,
-}
+pub struct ColdRates(pub HashMap<Arc<str>, RequestRate>);
 
-/// Cold period of a server, with the number of requests that this entry has sent in it.
+/// Cold period of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct ColdPeriod {
     since: Moment,
@@ -77,7 +71,13 @@
             return None;
         }
         let first = Self { since: now, until: now, source: ColdSource::Record, sent: 0 };
-        Some(Self { until: now + rest, ..before.unwrap_or(first) })
+        let current = before.filter(|before| now < before.until);
+        Some(Self { until: now + rest, ..current.unwrap_or(first) })
+    }
+
+    /// Returns the end of the period.
+    pub fn until(&self) -> Moment {
+        self.until
     }
 
     /// Returns the period as known at `now`.
@@ -94,15 +94,4 @@
     pub fn record_sent(&mut self) {
         self.sent += 1;
     }
-
-    /// Returns whether this entry, one of `entries`, may send another request if all of them together may send
-    /// `rate` requests per second.
-    pub fn may_send(&self, now: Moment, rate: f64, entries: usize, phase: f64) -> bool {
-        if now >= self.until {
-            return true;
-        }
-        let share = rate / entries.max(1) as f64;
-        let earned = phase + share * now.since(self.since).as_secs_f64();
-        earned >= f64::from(self.sent) + 1.0
-    }
 }
--- a/crates/core/src/direct/server_table/limits.rs
+++ b/crates/core/src/direct/server_table/limits.rs
@@ -51,7 +51,7 @@
         self.limits.count()
     }
 
-    /// Returns whether any rate limit is known, which requires [`Self::assign_limit_shares`].
+    /// Returns whether any server has a rate limit or is cold, which requires [`Self::assign_limit_shares`].
     pub fn has_limits(&self) -> bool {
         !self.limits.is_empty()
     }
@@ -62,7 +62,7 @@
         let mut listed = HashSet::new();
         for state in self.servers.values() {
             listed.insert(state.life);
-            let Some(limit) = self.limits.limit(state.life) else { continue };
+            let Some(limit) = self.limits.in_force(now, state.life) else { continue };
             let service = &state.record.service;
             let near = candidates.near(service, state.domain, || {
                 let ids = self.services.get(service).into_iter().flatten();
@@ -89,7 +89,7 @@
         let usable = usable.filter(|state| !self.is_excluded(state));
         let pause = |life| match self.limits.wait(now, life) {
             Some(Duration::ZERO) => Duration::ZERO,
-            _ => self.limits.pause(life),
+            _ => self.limits.pause(now, life),
         };
         usable
             .map(|state| pause(state.life).max(state.backoff(now)))
--- a/crates/core/tests/cold_servers.rs
+++ b/crates/core/tests/cold_servers.rs
@@ -15,6 +15,7 @@
 };
 use headlatch_types::{
     id::DomainId,
+    quantity::RequestRate,
     store::StoreRevision,
     traffic::{AllowedRegions, ServerId, ServerRecord},
 };
@@ -67,13 +68,12 @@
 }
 
 impl Entry {
-    fn start(number: usize, started: i64, entries: usize) -> Self {
+    fn start(number: usize, started: i64) -> Self {
         let address = SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 7700));
         let peer = EntryPeer { key: address.into(), domain: DomainKey::from(&zone(number)) };
         let mut table = ServerTable::new(zone(number), Default::default());
-        let services = [("s".into(), COLD_RATE)].into();
-        let phase = number as f64 / entries as f64;
-        table.set_cold_rates(ColdRates { services, phase });
+        let rate = RequestRate::from_milli((COLD_RATE * 1000.0) as u64);
+        table.set_cold_rates(Moment::ZERO, ColdRates([("s".into(), rate)].into()));
         Self { table, started, peer }
     }
 
@@ -126,7 +126,7 @@
 impl Fleet {
     fn new(count: usize) -> Self {
         let entry = |number| {
-            let mut entry = Entry::start(number, -(UPTIME as i64), count);
+            let mut entry = Entry::start(number, -(UPTIME as i64));
             let clock = entry.clock(0);
             (1..DOMAINS).for_each(|other| entry.table.set(clock, warm(other), revision(1)));
             entry
@@ -204,12 +204,15 @@
 #[gtest]
 fn cold_server_is_not_flooded_when_it_is_first_used_late() {
     for count in FLEETS {
-        let mut fleet = Fleet::new(count);
-        fleet.all_learn(COLD, 2);
-        // Its weights are not loaded yet, or its failure domain is evacuated.
-        fleet.run(2200, |_, _| false, everybody);
-        fleet.run(780, |_, _| true, everybody);
-        expect_that!(fleet.worst_second(), le(MAX_IN_A_SECOND), "{count} entries");
+        for first_use in [500, 1500, 2200] {
+            let mut fleet = Fleet::new(count);
+            fleet.all_learn(COLD, 2);
+            // Its weights are not loaded yet, or its failure domain is evacuated.
+            fleet.run(first_use, |_, _| false, everybody);
+            fleet.run(2980 - first_use, |_, _| true, everybody);
+            let case = format!("{count} entries, first use after {first_use} ms");
+            expect_that!(fleet.worst_second(), le(MAX_IN_A_SECOND), "{case}");
+        }
     }
 }
 
@@ -258,7 +261,7 @@
         fleet.run(1000, |_, _| true, everybody);
         let killed = fleet.now;
         for (number, entry) in fleet.entries.iter_mut().enumerate() {
-            *entry = Entry::start(number, killed as i64, count);
+            *entry = Entry::start(number, killed as i64);
             let clock = entry.clock(killed);
             (1..DOMAINS).for_each(|other| entry.table.set(clock, warm(other), revision(1)));
         }
@@ -309,6 +312,39 @@
     }
 }
 
+/// Callers of the first failure domain, in which all servers have just returned.
+#[gtest]
+fn cold_rates_of_a_returning_failure_domain_are_used() {
+    for count in [7, 34] {
+        let mut fleet = Fleet::new(count);
+        for entry in &mut fleet.entries {
+            let clock = entry.clock(0);
+            for number in 0..15 {
+                let address = SocketAddr::from(([10, 9, 1, number], 80));
+                let cold = record(&format!("cold{number}"), 0, COLD);
+                entry.table.set(clock, ServerRecord { address, ..cold }, revision(2));
+            }
+        }
+        let mut random = SmallRng::seed_from_u64(1);
+        let near: Vec<usize> = (0..count).step_by(DOMAINS).collect();
+        let callers = 220.0 / near.len() as f64 * STEP as f64 / 1000.0;
+        let (mut asked, mut sent) = (0, 0);
+        while fleet.now < 2900 {
+            if fleet.now.is_multiple_of(SHARES_INTERVAL) {
+                fleet.assign_shares(|_, _| true);
+            }
+            for number in &near {
+                let comes =
+                    callers.floor() as usize + usize::from(random.random_bool(callers.fract()));
+                asked += comes;
+                sent += (0..comes).filter(|_| fleet.entries[*number].send(fleet.now)).count();
+            }
+            fleet.now += STEP;
+        }
+        expect_that!(f64::from(sent as u32) / f64::from(asked as u32), ge(0.75), "{count} entries");
+    }
+}
+
 #[gtest]
 fn unchanged_record_that_is_read_again_does_not_extend_a_cold_period() {
     let mut fleet = Fleet::new(1);
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -1,16 +1,21 @@
 //! Evacuation of failure domains, and slow start of returning servers.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use googletest::prelude::*;
 use headlatch_core::direct::{
     engine_model::EngineWork,
     evacuation::{EvacuatedDomains, Evacuations},
     peers::DomainKey,
-    server_table::{ColdRates, EngineQuery, ServerChoice, ServerOutcome, ServerQuery, ServerTable},
+    rate_limits::EntryPeer,
+    server_table::{
+        ChosenServer, ColdRates, EngineQuery, ServerChoice, ServerOutcome, ServerQuery, ServerTable,
+    },
+    suspects::LifeKey,
 };
 use headlatch_types::{
     id::DomainId,
+    quantity::RequestRate,
     store::{StoreEra, StoreRevision},
     traffic::{AllowedRegions, ServerRecord},
 };
@@ -31,6 +36,14 @@
 }
 
 fn choose(table: &ServerTable, now: u64, continues: bool) -> Option<String> {
+    chosen(table, now, continues).map(|server| server.id.to_string())
+}
+
+fn chosen_life(table: &ServerTable, now: u64) -> Option<LifeKey> {
+    chosen(table, now, false).map(|server| server.life)
+}
+
+fn chosen(table: &ServerTable, now: u64, continues: bool) -> Option<ChosenServer> {
     let figures = figures();
     let work = EngineWork::new(&figures, Some(500), Duration::from_millis(400));
     let query = ServerQuery {
@@ -42,7 +55,7 @@
         random: now,
     };
     match table.choose(at(now), &query) {
-        ServerChoice::Server(server) => Some(server.id.to_string()),
+        ServerChoice::Server(server) => Some(server),
         _ => None,
     }
 }
@@ -104,12 +117,20 @@
     expect_that!(in_force(&evacuations), eq(&["z1", "z3"].map(domain).into()));
 }
 
-fn cold_table(phase: f64, entries: usize) -> ServerTable {
+fn entry_peer(number: usize) -> EntryPeer {
+    let address = SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 7700));
+    EntryPeer { key: address.into(), domain: domain("z1") }
+}
+
+/// The table of one entry, of `entries`, that has just read that a server is cold.
+fn cold_table(number: usize, entries: usize) -> ServerTable {
     let cold = ServerRecord { cold_ms: 3_000, ..server("cold", "z1", 1) };
     let mut table = table(&[cold]);
     table.set_entries(entries);
-    let services = [("llm".into(), COLD_RATE)].into();
-    table.set_cold_rates(ColdRates { services, phase });
+    let rate = RequestRate::from_milli((COLD_RATE * 1000.0) as u64);
+    table.set_cold_rates(at(0), ColdRates([("llm".into(), rate)].into()));
+    let peers: Vec<EntryPeer> = (0..entries).map(entry_peer).collect();
+    table.assign_limit_shares(at(0), peers[number].key, &peers);
     table
 }
 
@@ -117,11 +138,12 @@
 /// than they may send.
 fn sent_by_second(entries: usize) -> Vec<usize> {
     let mut tables: Vec<ServerTable> =
-        (0..entries).map(|index| cold_table(index as f64 / entries as f64, entries)).collect();
+        (0..entries).map(|number| cold_table(number, entries)).collect();
     let mut sent = vec![0; 3];
     for now in (0..3_000).step_by(10) {
         for table in &mut tables {
-            if choose(table, now, false).is_some() {
+            if let Some(life) = chosen_life(table, now) {
+                assert!(table.try_acquire(at(now), life), "a chosen server may be sent a request");
                 let id = headlatch_types::traffic::ServerId("cold".into());
                 table.begin(&id, 0);
                 table.end(at(now), &id, ServerOutcome::Answered);
@@ -143,10 +165,10 @@
 
 #[gtest]
 fn warm_or_unlimited_server_is_chosen_immediately() {
-    let table = cold_table(0.0, 34);
+    let table = cold_table(0, 34);
     expect_that!(choose(&table, 0, false), none());
     expect_that!(choose(&table, 3_000, false), some(eq("cold")));
-    let mut unbounded = cold_table(0.0, 34);
-    unbounded.set_cold_rates(ColdRates::default());
+    let mut unbounded = cold_table(0, 34);
+    unbounded.set_cold_rates(at(0), ColdRates::default());
     expect_that!(choose(&unbounded, 0, false), some(eq("cold")));
 }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -34,11 +34,10 @@
 use headlatch_types::{
     direct_settings::{DirectEntrySettings, RawRetry},
     id::ModelName,
-    quantity::ByteSize,
+    quantity::{ByteSize, RequestRate},
     store::{StoreEra, StoreRevision},
     traffic::{PlanVersion, TrafficPlan, WeightVersion},
 };
-use rand::Rng;
 use serde_json::json;
 use tokio::{sync::Notify, time::Instant};
 
@@ -84,8 +83,6 @@
     /// The list of servers has been loaded.
     pub servers_known: AtomicBool,
     started: Instant,
-    /// Random offset from 0 to 1, so that entries take turns at different times.
-    phase: f64,
     clock: NodeClock,
     /// Suspended time that has already been handled.
     handled_suspension: Mutex<Duration>,
@@ -188,7 +185,6 @@
             stopping: AtomicBool::new(false),
             servers_known: AtomicBool::new(false),
             started: Instant::now(),
-            phase: rand::rng().random(),
             clock,
             handled_suspension: Mutex::default(),
             plan: PlanCopy::default(),
@@ -312,13 +308,15 @@
     /// Applies a plan if it is newer than the current one.
     pub fn apply_plan(&self, plan: TrafficPlan, source: &str) {
         let version = plan.version;
-        let bounded = plan.services.iter().filter(|(_, service)| service.cold_per_second > 0.0);
-        let bounded =
-            bounded.map(|(name, service)| (name.as_str().into(), service.cold_per_second));
-        let rates = ColdRates { services: bounded.collect(), phase: self.phase };
+        let limited = plan.services.iter().filter(|(_, service)| service.cold_per_second > 0.0);
+        let limited = limited.map(|(name, service)| {
+            let milli = (service.cold_per_second * 1000.0) as u64;
+            (name.as_str().into(), RequestRate::from_milli(milli))
+        });
+        let rates = ColdRates(limited.collect());
         if self.plan.apply(self.now(), plan, source) {
             self.metrics.set_revision(version.0);
-            self.servers().set_cold_rates(rates);
+            self.servers().set_cold_rates(self.now(), rates);
             self.apply_urgencies();
             self.waiting.recheck_all();
         }
