Use no share of a limit in the first two seconds of a process

Cause: shares are divided among the entries that a process knows. One that has just started knows itself alone and takes the whole rate; what it sent before the restart is forgotten. Limits that servers advertise have the same fault.

Change: a holder uses no share before two seconds of uptime.

A new test in rate_limits.rs holds it for advertised limits. evacuation.rs, whose entries had started when the server returned, now has them run for a minute before; its bounds are as before.

--- a/crates/core/src/direct/rate_limits.rs
+++ b/crates/core/src/direct/rate_limits.rs
@@ -31,6 +31,10 @@
 const COLD: Division =
     Division { holders_per_request: 0.5, burst_time: Duration::from_millis(250) };
 
+/// Uptime before which an entry uses no share: it may not know the other entries yet, and what it sent before a
+/// restart still counts.
+const DISCOVERY_TIME: Duration = Duration::from_secs(2);
+
 /// Minimum request rate, so that the end of a limit of zero is detected.
 const PROBE_RATE: RequestRate = RequestRate::from_milli(100);
 
@@ -237,7 +241,8 @@
         let share = self.share?;
         if share.is_holder() {
             let missing = (1.0 - self.tokens(now, limit)).max(0.0);
-            return Some(Duration::from_secs_f64(missing / self.rate(limit)));
+            let earned = Duration::from_secs_f64(missing / self.rate(limit));
+            return Some(earned.max(DISCOVERY_TIME.saturating_sub(now.since(Moment::ZERO))));
         }
         // A cold period is over before a standby would have its turn.
         let timeout = share.standby_timeout().filter(|_| !limit.is_cold)?;
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -31,6 +31,9 @@
 /// Maximum requests per second to a cold server, over all entries.
 const COLD_RATE: f64 = 17.0;
 
+/// Uptime of the entries when a cold server returns, in milliseconds.
+const UPTIME: u64 = 60_000;
+
 fn domain(name: &str) -> DomainKey {
     DomainKey::from(&name.parse::<DomainId>().expect("a name"))
 }
@@ -125,12 +128,13 @@
 /// The table of one entry, of `entries`, that has just read that a server is cold.
 fn cold_table(number: usize, entries: usize) -> ServerTable {
     let cold = ServerRecord { cold_ms: 3_000, ..server("cold", "z1", 1) };
-    let mut table = table(&[cold]);
+    let mut table = table(&[]);
+    table.set(at(UPTIME), cold, StoreRevision::from_wire(1));
     table.set_entries(entries);
     let rate = RequestRate::from_milli((COLD_RATE * 1000.0) as u64);
-    table.set_cold_rates(at(0), ColdRates([("llm".into(), rate)].into()));
+    table.set_cold_rates(at(UPTIME), ColdRates([("llm".into(), rate)].into()));
     let peers: Vec<EntryPeer> = (0..entries).map(entry_peer).collect();
-    table.assign_limit_shares(at(0), peers[number].key, &peers);
+    table.assign_limit_shares(at(UPTIME), peers[number].key, &peers);
     table
 }
 
@@ -140,14 +144,14 @@
     let mut tables: Vec<ServerTable> =
         (0..entries).map(|number| cold_table(number, entries)).collect();
     let mut sent = vec![0; 3];
-    for now in (0..3_000).step_by(10) {
+    for now in (UPTIME..UPTIME + 3_000).step_by(10) {
         for table in &mut tables {
             if let Some(life) = chosen_life(table, now) {
                 assert!(table.try_acquire(at(now), life), "a chosen server may be sent a request");
                 let id = headlatch_types::traffic::ServerId("cold".into());
                 table.begin(&id, 0);
                 table.end(at(now), &id, ServerOutcome::Answered);
-                sent[now as usize / 1000] += 1;
+                sent[(now - UPTIME) as usize / 1000] += 1;
             }
         }
     }
@@ -166,9 +170,9 @@
 #[gtest]
 fn warm_or_unlimited_server_is_chosen_immediately() {
     let table = cold_table(0, 34);
-    expect_that!(choose(&table, 0, false), none());
-    expect_that!(choose(&table, 3_000, false), some(eq("cold")));
+    expect_that!(choose(&table, UPTIME, false), none());
+    expect_that!(choose(&table, UPTIME + 3_000, false), some(eq("cold")));
     let mut unbounded = cold_table(0, 34);
-    unbounded.set_cold_rates(at(0), ColdRates::default());
-    expect_that!(choose(&unbounded, 0, false), some(eq("cold")));
+    unbounded.set_cold_rates(at(UPTIME), ColdRates::default());
+    expect_that!(choose(&unbounded, UPTIME, false), some(eq("cold")));
 }
--- a/crates/core/tests/rate_limits.rs
+++ b/crates/core/tests/rate_limits.rs
@@ -6,7 +6,7 @@
 use headlatch_core::{
     direct::{
         peers::DomainKey,
-        rate_limits::{EntryKey, EntryPeer, LimitNotice, RateLimits},
+        rate_limits::{EntryKey, EntryPeer, LimitNotice, LimitShare, RateLimits},
         server_table::{ServerChoice, ServerQuery, ServerTable},
         suspects::LifeKey,
     },
@@ -293,3 +293,15 @@
     expect_that!(young.recent(at(600)), is_empty());
     expect_that!(young.limit(life), some(eq(limit)));
 }
+
+/// Entries that restart together each know only themselves for a moment.
+#[gtest]
+fn entry_that_has_just_started_does_not_take_a_whole_limit() {
+    let (life, limit) = (LifeKey(7), rate("12"));
+    let mut limits = RateLimits::default();
+    limits.record(at(100), life, Some(limit), at(100));
+    let alone = limits.in_force(at(100), life).expect("a limit is in force");
+    limits.set_share(at(100), life, LimitShare::new(life, alone, EntryKey(1), &[EntryKey(1)]));
+    expect_that!(limits.try_acquire(at(1900), life), eq(false));
+    expect_that!(limits.try_acquire(at(2000), life), eq(true));
+}
