Let entries that have fallen silent keep their shares of limits

What callers saw: failure domains that were cut off from each other sent 51 requests in a second to a cold server, and one isolated entry beside the others 34, where 30 are allowed (virtual time; each of them could reach the server).

Cause: shares are divided among the entries that are alive *now*, so that each side of a cut takes the whole rate. retry_share.rs has the answer already: the greatest number within its window.

Change: limits are divided among the entries that are alive or were so within ten seconds; within a minute where half of them or more are silent, since this process may then be the one that is cut off. Restarted entries come back under their address and so with their share. Advertised limits are divided in the same way.

What it costs: after entries are really lost their part of a cold server's rate rests for ten seconds. A cut of more than a minute divides anew: open.

--- a/crates/core/src/direct/rate_limits.rs
+++ b/crates/core/src/direct/rate_limits.rs
@@ -13,6 +13,10 @@
 use super::{peers::DomainKey, suspects::LifeKey};
 use crate::{hash::score, time::Moment};
 
+mod members;
+
+pub use members::LimitMembers;
+
 /// How a limit is divided among entries.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Division {
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -18,7 +18,7 @@
     engine_model::EngineLoad,
     leaving::{DrainingLives, LeavingNotice, LeavingServers},
     peers::{DomainKey, LoadNotice, ServerNotice},
-    rate_limits::RateLimits,
+    rate_limits::{LimitMembers, RateLimits},
     suspects::LifeKey,
 };
 use crate::time::Moment;
@@ -120,8 +120,9 @@
     leaving: LeavingServers,
     /// Server processes that have announced draining in a response.
     draining_lives: DrainingLives,
-    /// Rate limits that servers have advertised.
+    /// Rate limits that servers have advertised, and the rates of cold servers.
     limits: RateLimits,
+    limit_members: LimitMembers,
     /// Number of live entries.
     entries: usize,
     cold_rates: ColdRates,
--- a/crates/core/src/direct/server_table/limits.rs
+++ b/crates/core/src/direct/server_table/limits.rs
@@ -51,14 +51,14 @@
         self.limits.count()
     }
 
-    /// Returns whether any server has a rate limit or is cold, which requires [`Self::assign_limit_shares`].
-    pub fn has_limits(&self) -> bool {
-        !self.limits.is_empty()
-    }
-
-    /// Assigns this entry, `own`, its shares in all limits; `entries` are the live entries including this one.
-    pub fn assign_limit_shares(&mut self, now: Moment, own: EntryKey, entries: &[EntryPeer]) {
-        let mut candidates = CandidateLists::new(entries);
+    /// Assigns this entry, `own`, its shares in all limits; `live` are the live entries including this one. To be
+    /// called regularly, also while there are no limits.
+    pub fn assign_limit_shares(&mut self, now: Moment, own: EntryKey, live: &[EntryPeer]) {
+        let members = self.limit_members.update(now, live);
+        if self.limits.is_empty() {
+            return;
+        }
+        let mut candidates = CandidateLists::new(&members);
         let mut listed = HashSet::new();
         for state in self.servers.values() {
             listed.insert(state.life);
--- a/crates/core/tests/rate_limits.rs
+++ b/crates/core/tests/rate_limits.rs
@@ -6,7 +6,7 @@
 use headlatch_core::{
     direct::{
         peers::DomainKey,
-        rate_limits::{EntryKey, EntryPeer, LimitNotice, LimitShare, RateLimits},
+        rate_limits::{EntryKey, EntryPeer, LimitMembers, LimitNotice, LimitShare, RateLimits},
         server_table::{ServerChoice, ServerQuery, ServerTable},
         suspects::LifeKey,
     },
@@ -305,3 +305,21 @@
     expect_that!(limits.try_acquire(at(1900), life), eq(false));
     expect_that!(limits.try_acquire(at(2000), life), eq(true));
 }
+
+#[gtest]
+fn silent_entries_keep_their_shares_while_they_may_be_cut_off() {
+    let peers: Vec<EntryPeer> = (0..5)
+        .map(|number| EntryPeer {
+            key: address(number).into(),
+            domain: DomainKey::from(&domain(0)),
+        })
+        .collect();
+    let mut members = LimitMembers::default();
+    expect_that!(members.update(at(0), &peers).len(), eq(5));
+    let (majority, minority) = (&peers[..4], &peers[..1]);
+    expect_that!(members.clone().update(at(10_000), majority).len(), eq(5));
+    expect_that!(members.clone().update(at(10_001), majority).len(), eq(4));
+    // The others may go on without this entry.
+    expect_that!(members.update(at(59_999), minority).len(), eq(5));
+    expect_that!(members.update(at(60_001), minority).len(), eq(1));
+}
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -470,21 +470,18 @@
     /// Applies the loads reported by other entries. Returns whether the notices of agents must be
     /// applied again, because peers are gone or servers were added.
     pub fn refresh_loads(&self) -> bool {
-        let has_limits = self.servers().has_limits();
-        let (loads, gone, silent, entries, holders) = {
+        let (loads, gone, silent, entries, live) = {
             let mut peers = self.peers();
             let gone = peers.expire(self.now());
             let entries = peers.entries(PeerKind::Entry);
-            let holders = if has_limits { self.entry_peers(&peers) } else { Vec::new() };
-            (peers.loads(), gone, peers.unreachable_domains(self.now()), entries, holders)
+            let live = self.entry_peers(&peers);
+            (peers.loads(), gone, peers.unreachable_domains(self.now()), entries, live)
         };
         let mut servers = self.servers();
         servers.set_other_loads(loads);
         servers.set_entries(entries);
         servers.release_carried(self.now());
-        if servers.has_limits() {
-            servers.assign_limit_shares(self.now(), self.settings.node.control.into(), &holders);
-        }
+        servers.assign_limit_shares(self.now(), self.settings.node.control.into(), &live);
         self.metrics.set_rate_limits(servers.rate_limits());
         self.metrics.set_cold_servers(servers.cold_servers(self.now()));
         let cold_events = servers.take_cold_events(self.now());
