Do not begin a cold period anew with a record that is only read again

What callers saw: a server that had been warm for seconds was still limited wherever the list was read anew, as after each outage of the store.

Cause: a record's remaining time was counted from each reading of the record, not from its first one; readers list anew after 1.5 to 3 s without news.

Change: the time counts from the first reading of each revision. A new process or a copy from a peer still counts from its own receipt, which makes the period longer by the age of the copy, three seconds at most, and never shorter.

--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -77,6 +77,8 @@
 #[derive(Debug, Clone)]
 struct ServerState {
     record: ServerRecord,
+    /// Store revision of the record.
+    revision: StoreRevision,
     key: u32,
     /// Identifies the server process, derived from the server ID and start time.
     life: LifeKey,
@@ -185,9 +187,14 @@
             state.life = life;
             state.domain = DomainKey::from(&record.zone);
             state.region = region;
-            state.cold = ColdPeriod::new(now, Duration::from_millis(record.cold_ms), state.cold);
+            // A record that is read again says nothing of the time since it was written.
+            if state.revision != revision {
+                state.cold =
+                    ColdPeriod::new(now, Duration::from_millis(record.cold_ms), state.cold);
+            }
             let id = record.id.clone();
             state.record = record;
+            state.revision = revision;
             if let Some((before, service)) = moved {
                 self.unlist(&before, &id);
                 self.list(service, id.clone());
@@ -213,6 +220,7 @@
                 notice: None,
                 was_slow: false,
                 record,
+                revision,
             };
             let (id, service) = (state.record.id.clone(), state.record.service.clone());
             self.servers.insert(id.clone(), state);
