Count servers of a returning failure domain as cold until their records say more

Cause: two facts, two ways. The end of the order comes in every notice within 0.2 s; the record that says that the server is cold comes through the store or a copy. An entry that has the first and not the second takes a cold server for warm.

Change: servers of a failure domain that returns count as cold for three seconds where nothing says that they are (cold_began, source evacuation). A record with cold time replaces that; one without does not, since it may be older.

--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -189,8 +189,8 @@
             state.region = region;
             // A record that is read again says nothing of the time since it was written.
             if state.revision != revision {
-                state.cold =
-                    ColdPeriod::new(now, Duration::from_millis(record.cold_ms), state.cold);
+                let rest = Duration::from_millis(record.cold_ms);
+                state.cold = ColdPeriod::from_record(now, rest, state.cold);
             }
             let id = record.id.clone();
             state.record = record;
@@ -207,7 +207,7 @@
                 domain: DomainKey::from(&record.zone),
                 region,
                 own: EngineLoad::default(),
-                cold: ColdPeriod::new(now, Duration::from_millis(record.cold_ms), None),
+                cold: ColdPeriod::from_record(now, Duration::from_millis(record.cold_ms), None),
                 waiting: 0,
                 pinned_streams: 0,
                 has_urgent_change: false,
@@ -342,9 +342,16 @@
         }
     }
 
-    /// Sets the failure domains that are being evacuated.
-    pub fn set_evacuated_domains(&mut self, evacuated: BTreeSet<DomainKey>) {
-        self.evacuated = evacuated;
+    /// Sets the failure domains that are being evacuated. Servers of those that return count as cold.
+    pub fn set_evacuated_domains(&mut self, now: Moment, evacuated: BTreeSet<DomainKey>) {
+        let before = std::mem::replace(&mut self.evacuated, evacuated);
+        let domains: BTreeSet<DomainKey> = before.difference(&self.evacuated).copied().collect();
+        let mut returned = Vec::new();
+        for state in self.servers.values_mut().filter(|state| domains.contains(&state.domain)) {
+            state.cold = Some(ColdPeriod::after_evacuation(now, state.cold));
+            returned.push(state.record.id.clone());
+        }
+        returned.iter().for_each(|id| self.limit_cold(now, id));
     }
 
     /// Sets the load that other entries have at one server.
--- a/crates/core/src/direct/server_table/cold.rs
+++ b/crates/core/src/direct/server_table/cold.rs
@@ -7,11 +7,17 @@
 
 use crate::{direct::suspects::LifeKey, time::Moment};
 
+/// Time for which servers of a returning failure domain count as cold without a record that says so: the age
+/// that a record may have at an entry.
+const RETURN_TIME: Duration = Duration::from_secs(3);
+
 /// Where an entry learned that a server is cold.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ColdSource {
     /// The server's record, from the store or another entry's copy of it.
     Record,
+    /// The end of the evacuation of its failure domain; its record may be on its way.
+    Evacuation,
 }
 
 impl ColdSource {
@@ -19,6 +25,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Record => "record",
+            Self::Evacuation => "evacuation",
         }
     }
 }
@@ -64,15 +71,28 @@
 }
 
 impl ColdPeriod {
-    /// Creates or extends the cold period of a server that stays cold for `rest`; `before` is its previous
-    /// period. Returns `None` if the server is warm.
-    pub fn new(now: Moment, rest: Duration, before: Option<Self>) -> Option<Self> {
+    /// Applies a new record of a server that stays cold for `rest`; `before` is its previous period. Returns
+    /// `None` if the server is warm.
+    pub fn from_record(now: Moment, rest: Duration, before: Option<Self>) -> Option<Self> {
+        let current = before.filter(|before| now < before.until);
         if rest.is_zero() {
-            return None;
+            // The record may be older than the end of the evacuation.
+            return current.filter(|current| current.source != ColdSource::Record);
         }
-        let first = Self { since: now, until: now, source: ColdSource::Record, sent: 0 };
-        let current = before.filter(|before| now < before.until);
-        Some(Self { until: now + rest, ..current.unwrap_or(first) })
+        Some(Self::extend(now, rest, ColdSource::Record, current))
+    }
+
+    /// Applies the end of the evacuation of the server's failure domain.
+    pub fn after_evacuation(now: Moment, before: Option<Self>) -> Self {
+        match before.filter(|before| now < before.until) {
+            Some(current) => current,
+            None => Self::extend(now, RETURN_TIME, ColdSource::Evacuation, None),
+        }
+    }
+
+    fn extend(now: Moment, rest: Duration, source: ColdSource, current: Option<Self>) -> Self {
+        let (since, sent) = current.map_or((now, 0), |current| (current.since, current.sent));
+        Self { since, until: now + rest, source, sent }
     }
 
     /// Returns the end of the period.
--- a/crates/core/tests/cold_servers.rs
+++ b/crates/core/tests/cold_servers.rs
@@ -366,12 +366,15 @@
         fleet.all_learn(Duration::ZERO, 2);
         let first = DomainKey::from(&zone(0));
         for entry in &mut fleet.entries {
-            entry.table.set_evacuated_domains([first].into());
+            let clock = entry.clock(0);
+            entry.table.set_evacuated_domains(clock, [first].into());
         }
         fleet.run(5000, |_, _| true, everybody);
         expect_that!(fleet.sent, is_empty());
+        let now = fleet.now;
         for entry in &mut fleet.entries {
-            entry.table.set_evacuated_domains(BTreeSet::new());
+            let clock = entry.clock(now);
+            entry.table.set_evacuated_domains(clock, BTreeSet::new());
         }
         fleet.run(1200, |_, _| true, everybody);
         fleet.all_learn(COLD, 3);
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -68,15 +68,15 @@
     let mut table = table(&[server("near", "z1", 1), server("far", "z2", 1)]);
     table.set_entries(1);
     expect_that!(choose(&table, 0, false), some(eq("near")));
-    table.set_evacuated_domains([domain("z1")].into());
+    table.set_evacuated_domains(at(0), [domain("z1")].into());
     for continues in [false, true] {
         expect_that!(choose(&table, 0, continues), some(eq("far")));
     }
     // No other failure domain is available: evacuated servers still get no requests.
     table.set_unreachable_domains([domain("z2")].into());
-    table.set_evacuated_domains([domain("z1"), domain("z2")].into());
+    table.set_evacuated_domains(at(0), [domain("z1"), domain("z2")].into());
     expect_that!(choose(&table, 0, false), none());
-    table.set_evacuated_domains(BTreeSet::new());
+    table.set_evacuated_domains(at(0), BTreeSet::new());
     expect_that!(choose(&table, 0, false), some(eq("near")));
 }
 
--- a/crates/daemon/src/direct/state/evacuations.rs
+++ b/crates/daemon/src/direct/state/evacuations.rs
@@ -66,6 +66,6 @@
         let names: Vec<String> = domains.iter().map(DomainKey::to_string).collect();
         let fields = json!({ "domains": names, "at": at.number(), "era": at.era() });
         decisions::info("evacuations", "in_force", fields);
-        self.servers().set_evacuated_domains(domains);
+        self.servers().set_evacuated_domains(self.now(), domains);
     }
 }
