Read a server's own word that it is cold, and tell other entries

What callers saw: a server that said in each answer that it was cold got 231 requests in a second from three entries that the store had turned away (over sockets; 30 are allowed).

Cause: only the record in the store said that a server was cold. The word in its answers, which is there while the store, agents and neighbours are silent, had no reader.

The word sets the end of the cold period exactly and holds for its time; a record can make it longer, and a record without cold time ends only what records said. Entries tell each other for a second when a word begins a period or moves its end by more than half a second, so that notices that go round extend nothing. It binds the life of the server that said it, ten minutes at most.

The notice has a field that earlier releases skip.

--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -103,6 +103,7 @@
             leaving: Vec::new(),
             draining_lives: Vec::new(),
             limits: Vec::new(),
+            cold: Vec::new(),
             suspects: Vec::new(),
             suspect_parts: Vec::new(),
             domain_loads: None,
--- a/crates/core/src/direct/peers/notice.rs
+++ b/crates/core/src/direct/peers/notice.rs
@@ -14,6 +14,7 @@
     evacuation::EvacuatedDomains,
     leaving::LeavingNotice,
     rate_limits::LimitNotice,
+    server_table::ColdNotice,
     suspect_parts::PartNotice,
     suspects::{LifeKey, SuspectNotice},
 };
@@ -131,6 +132,8 @@
     pub draining_lives: Vec<LifeKey>,
     /// Rate limits that servers have advertised.
     pub limits: Vec<LimitNotice>,
+    /// Servers that have announced in a response that they are cold.
+    pub cold: Vec<ColdNotice>,
     /// Requests during which servers terminated.
     pub suspects: Vec<SuspectNotice>,
     /// Prompt parts under which servers terminated.
@@ -169,6 +172,7 @@
             leaving: Vec::new(),
             draining_lives: Vec::new(),
             limits: Vec::new(),
+            cold: Vec::new(),
             suspects: Vec::new(),
             suspect_parts: Vec::new(),
             reads_store: true,
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -33,7 +33,9 @@
 pub use choice::{
     ChosenServer, EngineQuery, ExclusionCounts, FirstTokenBound, ServerChoice, ServerQuery,
 };
-pub use cold::{ColdEvent, ColdRates, ColdSource, ColdView};
+pub use cold::{
+    ColdEvent, ColdNotice, ColdRates, ColdSource, ColdView, FALLBACK_COLD_TIME, MAX_COLD_NOTICES,
+};
 pub use signals::Ineligible;
 pub use weight_changes::ContinuationLimits;
 
@@ -421,6 +423,11 @@
         (!view.remaining.is_zero()).then_some(view)
     }
 
+    /// Returns the cold period of a server; `None` if it is warm, unknown, or its service has no cold rate.
+    pub fn cold_view_of(&self, now: Moment, id: &ServerId) -> Option<ColdView> {
+        self.cold_view(now, self.servers.get(id)?)
+    }
+
     /// Returns the number of cold servers whose request rate is limited.
     pub fn cold_servers(&self, now: Moment) -> usize {
         self.servers.values().filter(|state| self.cold_view(now, state).is_some()).count()
--- a/crates/core/tests/cold_servers.rs
+++ b/crates/core/tests/cold_servers.rs
@@ -417,3 +417,52 @@
     };
     expect_that!(query_newer_only(entry), eq(true));
 }
+
+/// Remaining cold time of the server as entry `number` knows it.
+fn remaining(fleet: &Fleet, number: usize) -> Duration {
+    let entry = &fleet.entries[number];
+    let server = entry.table.cold_view_of(entry.clock(fleet.now), &ServerId("cold".into()));
+    server.map_or(Duration::ZERO, |cold| cold.remaining)
+}
+
+#[gtest]
+fn own_word_of_a_server_goes_before_records_and_reaches_other_entries() {
+    let mut fleet = Fleet::new(2);
+    fleet.all_learn(Duration::ZERO, 2);
+    let server = fleet.entries[0].choose(0).expect("the server is warm");
+    let say = |fleet: &mut Fleet, cold: Duration| {
+        let entry = &mut fleet.entries[0];
+        entry.table.record_cold(entry.clock(fleet.now), &server, cold);
+    };
+    let tell = |fleet: &mut Fleet| {
+        let [from, to] = [0, 1].map(|number| fleet.entries[number].clock(fleet.now));
+        let notices = fleet.entries[0].table.recent_cold(from);
+        fleet.entries[1].table.merge_cold(to, &notices);
+        let back = fleet.entries[1].table.recent_cold(to);
+        fleet.entries[0].table.merge_cold(from, &back);
+        notices.len()
+    };
+    say(&mut fleet, COLD);
+    expect_that!(tell(&mut fleet), eq(1));
+    expect_that!([0, 1].map(|number| remaining(&fleet, number)), eq([COLD, COLD]));
+    // A record that is older than the word takes nothing back; notices that go round extend nothing.
+    fleet.now = 400;
+    fleet.all_learn(Duration::ZERO, 3);
+    tell(&mut fleet);
+    let rest = COLD - Duration::from_millis(400);
+    expect_that!([0, 1].map(|number| remaining(&fleet, number)), eq([rest, rest]));
+    // An announcement is told for a second, unless the end moves.
+    fleet.now = 1100;
+    say(&mut fleet, Duration::from_millis(1900));
+    expect_that!(tell(&mut fleet), eq(0));
+    say(&mut fleet, COLD);
+    expect_that!(tell(&mut fleet), eq(1));
+    // The server knows best that it is warm; a record may say later that it is cold again.
+    say(&mut fleet, Duration::ZERO);
+    expect_that!(remaining(&fleet, 0), eq(Duration::ZERO));
+    fleet.learn(0, COLD, 4);
+    expect_that!(remaining(&fleet, 0), eq(COLD));
+    // A value without sense does not limit the server for good.
+    say(&mut fleet, Duration::from_millis(u64::MAX));
+    expect_that!(remaining(&fleet, 0), le(Duration::from_secs(600)));
+}
--- a/crates/daemon/src/direct/entry_notices.rs
+++ b/crates/daemon/src/direct/entry_notices.rs
@@ -237,8 +237,13 @@
                 let body = NoticeBody { loads, ..body };
                 // Without addresses to advertise, the remaining facts are left to the relays too.
                 let leaving = if names.is_empty() { Vec::new() } else { body.leaving };
-                let body =
-                    NoticeBody { leaving, draining_lives: Vec::new(), limits: Vec::new(), ..body };
+                let body = NoticeBody {
+                    leaving,
+                    draining_lives: Vec::new(),
+                    limits: Vec::new(),
+                    cold: Vec::new(),
+                    ..body
+                };
                 OutgoingDatagram { bytes: self.writer.write(body, names), targets: vec![to] }
             }
             Reply::Relays => {
@@ -276,6 +281,7 @@
     let now = state.now();
     let servers = state.servers();
     let (leaving, limits) = (servers.recent_leaving(now), servers.recent_limits(now));
+    let cold = servers.recent_cold(now);
     let draining_lives = servers.recent_draining_lives(now);
     drop(servers);
     let QuarantineNotices { suspects, suspect_parts } = state.quarantine.notices(now);
@@ -285,6 +291,7 @@
         leaving,
         draining_lives,
         limits,
+        cold,
         suspects,
         suspect_parts,
         reads_store: state.plan.reads_store(now),
@@ -318,6 +325,7 @@
     state.merge_leaving(&notice.leaving);
     state.merge_draining(&notice.draining_lives);
     state.merge_limits(&notice.limits);
+    state.servers().merge_cold(state.now(), &notice.cold);
     state.merge_evacuated(&notice.evacuated);
     state.quarantine.merge_notices(state.now(), &notice.suspects, &notice.suspect_parts);
     state.record_peer_servers_mark(notice.servers);
--- a/crates/daemon/src/direct/notice_codec.rs
+++ b/crates/daemon/src/direct/notice_codec.rs
@@ -12,6 +12,7 @@
     peers::{DomainKey, DrainNotice, LoadNotice, PeerKind, PeerNotice, ServerNotice, WantedNotice},
     rate_limits::LimitNotice,
     request_digest::RequestDigest,
+    server_table::ColdNotice,
     suspect_parts::PartNotice,
     suspects::{LifeKey, ProgressAtEnd, SuspectNotice},
 };
@@ -77,6 +78,15 @@
     }
 }
 
+fn encode_cold(notice: &ColdNotice) -> wire::NoticeCold {
+    wire::NoticeCold { life: notice.life.0, remaining_ms: saturating_millis(notice.remaining) }
+}
+
+fn decode_cold(notice: &wire::NoticeCold) -> ColdNotice {
+    let remaining = Duration::from_millis(notice.remaining_ms.into());
+    ColdNotice { life: LifeKey(notice.life), remaining }
+}
+
 /// Values of the field `word` of [`wire::NoticeSuspect`].
 const ENDED_SILENT: u32 = 0;
 const ENDED_BEGUN: u32 = 1;
@@ -224,6 +234,7 @@
         leaving: notice.leaving.iter().map(encode_leaving).collect(),
         draining_lives: notice.draining_lives.iter().map(|life| life.0).collect(),
         limits: notice.limits.iter().map(encode_limit).collect(),
+        cold: notice.cold.iter().map(encode_cold).collect(),
         suspects: notice.suspects.iter().map(encode_suspect).collect(),
         suspect_parts: notice.suspect_parts.iter().map(encode_part).collect(),
         reads_store: notice.reads_store,
@@ -280,6 +291,7 @@
         leaving: message.leaving.iter().map(decode_leaving).collect(),
         draining_lives: message.draining_lives.iter().copied().map(LifeKey).collect(),
         limits: message.limits.iter().map(decode_limit).collect(),
+        cold: message.cold.iter().map(decode_cold).collect(),
         suspects: message.suspects.iter().filter_map(decode_suspect).collect(),
         suspect_parts: message.suspect_parts.iter().filter_map(decode_part).collect(),
         reads_store: message.reads_store,
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -10,6 +10,7 @@
         PeerTable, ServerNotice, WantedNotice,
     },
     rate_limits::LimitNotice,
+    server_table::ColdNotice,
     suspect_parts::PartNotice,
     suspects::{LifeKey, SuspectNotice},
 };
@@ -97,6 +98,8 @@
     pub draining_lives: Vec<LifeKey>,
     /// Rate limits that servers have advertised.
     pub limits: Vec<LimitNotice>,
+    /// Servers that announced in their responses that they are cold.
+    pub cold: Vec<ColdNotice>,
     /// Requests during which servers terminated.
     pub suspects: Vec<SuspectNotice>,
     /// Prompt parts during which servers terminated.
@@ -163,6 +166,7 @@
     leaving: Vec<LeavingNotice>,
     draining_lives: Vec<LifeKey>,
     limits: BTreeSet<(LifeKey, Option<RequestRate>)>,
+    cold: BTreeSet<LifeKey>,
     suspects: Vec<SuspectNotice>,
     suspect_parts: Vec<PartNotice>,
     evacuated: BTreeSet<DomainKey>,
@@ -175,6 +179,7 @@
             leaving: body.leaving.clone(),
             draining_lives: body.draining_lives.clone(),
             limits: body.limits.iter().map(|notice| (notice.life, notice.limit)).collect(),
+            cold: body.cold.iter().map(|notice| notice.life).collect(),
             suspects: body.suspects.clone(),
             suspect_parts: body.suspect_parts.iter().map(|one| one.without_times()).collect(),
             evacuated: body.evacuated.domains.clone(),
@@ -343,6 +348,7 @@
             leaving,
             draining_lives: body.draining_lives.clone(),
             limits: body.limits.clone(),
+            cold: body.cold.clone(),
             suspects: body.suspects.clone(),
             suspect_parts: body.suspect_parts.clone(),
             reads_store: body.reads_store,
@@ -400,6 +406,7 @@
             leaving: body.leaving,
             draining_lives: body.draining_lives,
             limits: body.limits,
+            cold: body.cold,
             suspects: body.suspects,
             suspect_parts: body.suspect_parts,
             reads_store: body.reads_store,
--- a/crates/daemon/src/direct/state/server_signals.rs
+++ b/crates/daemon/src/direct/state/server_signals.rs
@@ -6,7 +6,7 @@
     direct::{
         peers::{DomainKey, PeerKind, PeerTable},
         rate_limits::{EntryPeer, FALLBACK_LIMIT, LimitNotice},
-        server_table::ChosenServer,
+        server_table::{ChosenServer, FALLBACK_COLD_TIME},
         suspects::LifeKey,
     },
     time::Moment,
@@ -20,6 +20,7 @@
 
 /// Values of the `kind` label of the signal metrics.
 const DRAINING: &str = "draining";
+const COLD: &str = "cold";
 const RETRY_AFTER: &str = "retry_after";
 const RATE_LIMIT: &str = "rate_limit";
 
@@ -30,6 +31,7 @@
     /// Applies the signals in a response of `server` to a request that was sent at `sent`.
     pub fn apply_signals(&self, server: &ChosenServer, sent: Moment, facts: &ResponseMetadata) {
         self.apply_draining(server, facts.draining);
+        self.apply_cold(server, facts.cold);
         self.apply_retry_after(server, facts.retry_after);
         self.record_limit(server, sent, facts);
     }
@@ -59,6 +61,19 @@
         }
     }
 
+    fn apply_cold(&self, server: &ChosenServer, cold: ParsedHeader<Duration>) {
+        let remaining = match cold {
+            ParsedHeader::Absent => return,
+            ParsedHeader::Valid(remaining) => remaining,
+            ParsedHeader::Malformed => {
+                self.metrics.count_malformed_signal(COLD);
+                FALLBACK_COLD_TIME
+            }
+        };
+        self.metrics.count_server_signal(COLD);
+        self.servers().record_cold(self.now(), server, remaining);
+    }
+
     fn apply_retry_after(&self, server: &ChosenServer, retry_after: ParsedHeader<Duration>) {
         let backoff = match retry_after {
             ParsedHeader::Absent => return,
--- a/crates/daemon/tests/notice_writer.rs
+++ b/crates/daemon/tests/notice_writer.rs
@@ -13,6 +13,7 @@
             WantedNotice,
         },
         rate_limits::{LimitNotice, MAX_LIMIT_NOTICES},
+        server_table::{ColdNotice, MAX_COLD_NOTICES},
         suspect_parts::PartNotice,
         suspects::{LifeKey, MAX_NOTICES, ProgressAtEnd, SuspectNotice},
     },
@@ -160,7 +161,8 @@
     let limit = |limit| LimitNotice { life: LifeKey(7), limit, age: Duration::from_millis(1234) };
     let limits = vec![limit(None), limit(Some(RequestRate::from_milli(1200)))];
     let draining_lives = vec![LifeKey(7), LifeKey(u32::MAX)];
-    let limiting = PeerNotice { limits, draining_lives, ..notice.clone() };
+    let cold = vec![ColdNotice { life: LifeKey(9), remaining: Duration::from_millis(2984) }];
+    let limiting = PeerNotice { limits, draining_lives, cold, ..notice.clone() };
     expect_that!(decode(&encode(&limiting)), some(eq(&limiting)));
     let full = PeerNotice { peers: vec![address(NEAR, 4); MAX_ADVERTISED_PEERS], ..notice };
     expect_that!(encode(&full).len(), lt(700));
@@ -174,6 +176,9 @@
     let limit = limit(Some(RequestRate::from_milli(u64::MAX)));
     let limits = PeerNotice { limits: vec![limit; MAX_LIMIT_NOTICES], ..leaving };
     expect_that!(encode(&limits).len(), lt(MAX_DATAGRAM_BYTES / 2));
+    let cold = ColdNotice { life: LifeKey(u32::MAX), remaining: Duration::from_secs(600) };
+    let cold = PeerNotice { cold: vec![cold; MAX_COLD_NOTICES], ..limits };
+    expect_that!(encode(&cold).len(), lt(MAX_DATAGRAM_BYTES / 2));
     expect_that!(decode(b"no notice"), none());
 }
 
--- a/crates/outside/src/headers.rs
+++ b/crates/outside/src/headers.rs
@@ -74,6 +74,8 @@
     pub rate_limit: ParsedHeader<RequestRate>,
     /// The server is draining.
     pub draining: ParsedHeader<bool>,
+    /// Time for which the server stays cold.
+    pub cold: ParsedHeader<Duration>,
     /// Time for which a server that refused the request asks this entry to send no further requests.
     pub retry_after: ParsedHeader<Duration>,
 }
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -149,6 +149,17 @@
     pub age_ms: u32,
 }
 
+/// A server that says that it is cold.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct NoticeCold {
+    /// Key of the life of the server.
+    #[prost(fixed32, tag = "1")]
+    pub life: u32,
+    /// Milliseconds for which it stays cold.
+    #[prost(uint32, tag = "2")]
+    pub remaining_ms: u32,
+}
+
 /// A notice.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerNotice {
@@ -218,4 +229,7 @@
     /// Prompt parts under which servers ended.
     #[prost(message, repeated, tag = "22")]
     pub suspect_parts: Vec<NoticeSuspectPart>,
+    /// Servers that have said in their answers that they are cold.
+    #[prost(message, repeated, tag = "23")]
+    pub cold: Vec<NoticeCold>,
 }
