--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -81,6 +81,8 @@
     record: ServerRecord,
     /// Store revision of the record.
     revision: StoreRevision,
+    /// A newer record has the address: another process listens there.
+    superseded: bool,
     key: u32,
     /// Identifies the server process, derived from the server ID and start time.
     life: LifeKey,
@@ -115,6 +117,8 @@
 pub struct ServerTable {
     servers: BTreeMap<ServerId, ServerState>,
     services: HashMap<Arc<str>, Vec<ServerId>>,
+    /// Servers by address: more than one where a server has taken the place of another.
+    addresses: HashMap<SocketAddr, Vec<ServerId>>,
     others: HashMap<u32, EngineLoad>,
     /// Failure domains that are currently unreachable.
     unreachable: BTreeSet<DomainKey>,
@@ -178,6 +182,8 @@
             }
         }
         let region = self.regions.get(&record.zone).cloned();
+        let (id, address) = (record.id.clone(), record.address);
+        let address_before = self.servers.get(&id).map(|state| state.record.address);
         if let Some(state) = self.servers.get_mut(&record.id) {
             let moved = (state.record.service != record.service)
                 .then(|| (state.record.service.clone(), record.service.clone()));
@@ -223,12 +229,49 @@
                 was_slow: false,
                 record,
                 revision,
+                superseded: false,
             };
             let (id, service) = (state.record.id.clone(), state.record.service.clone());
             self.servers.insert(id.clone(), state);
             self.list(service, id.clone());
             self.limit_cold(now, &id);
         }
+        if let Some(before) = address_before.filter(|before| *before != address) {
+            self.remove_address(before, &id);
+        }
+        self.add_address(address, &id);
+        self.mark_superseded(address);
+    }
+
+    /// Finds the newest record of an address. A server that has ended stays listed for some time, while another one
+    /// may listen at its address already.
+    fn mark_superseded(&mut self, address: SocketAddr) {
+        let Some(ids) = self.addresses.get(&address) else { return };
+        let age = |state: &ServerState| (state.record.started_at, state.revision);
+        let newest = ids.iter().filter_map(|id| self.servers.get(id)).map(age).max();
+        for id in ids {
+            if let Some(state) = self.servers.get_mut(id) {
+                state.superseded = Some(age(state)) < newest;
+            }
+        }
+    }
+
+    /// Adds a server to the index by address.
+    fn add_address(&mut self, address: SocketAddr, id: &ServerId) {
+        let ids = self.addresses.entry(address).or_default();
+        if !ids.contains(id) {
+            ids.push(id.clone());
+        }
+    }
+
+    /// Removes a server from the index by address.
+    fn remove_address(&mut self, address: SocketAddr, id: &ServerId) {
+        let Some(ids) = self.addresses.get_mut(&address) else { return };
+        ids.retain(|listed| listed != id);
+        if ids.is_empty() {
+            self.addresses.remove(&address);
+        }
+        self.mark_superseded(address);
     }
 
     /// Removes a server that was deregistered as of `revision`; returns whether it was in the table.
@@ -245,6 +288,7 @@
         if let Some(state) = &removed {
             self.limits.forget(state.life);
             self.unlist(&state.record.service, id);
+            self.remove_address(state.record.address, id);
         }
         removed.is_some()
     }
@@ -260,6 +304,8 @@
         self.servers.retain(|id, _| listed.contains(id));
         self.services.values_mut().for_each(|ids| ids.retain(|id| listed.contains(id)));
         self.services.retain(|_, ids| !ids.is_empty());
+        self.addresses.values_mut().for_each(|ids| ids.retain(|id| listed.contains(id)));
+        self.addresses.retain(|_, ids| !ids.is_empty());
     }
 
     /// Carries what is known of leaving servers over into a newer era of the store, which begins at `start`: its
@@ -411,9 +457,10 @@
             || self.draining_lives.contains(state.life)
     }
 
-    /// Returns whether a server is excluded because it is leaving or its failure domain is being evacuated.
+    /// Returns whether a server is excluded because it is leaving, another one has its address, or its failure
+    /// domain is being evacuated.
     fn is_excluded(&self, state: &ServerState) -> bool {
-        self.is_leaving(state) || self.evacuated.contains(&state.domain)
+        self.is_leaving(state) || state.superseded || self.evacuated.contains(&state.domain)
     }
 
     /// Returns the cold period of a server; `None` if it is warm or its service has no cold rate.
