Let entries learn from each other which server is gone from its address

Cause: after such an answer an entry rested for 80 ms, doubled each time, by itself. Nothing is in progress for longer than the answer, so that no limit of a server holds, and the limit is one for each entry, not for all.

Change: an answer that the server is another one keeps a server from requests for one to two seconds, each entry with an offset of its own, doubled twice, or until its record or the weights that its agent reports change; entries tell each other with the age of the answer, so that one entry's try stands for all. misdirected_learned says so in the log.

--- a/crates/core/src/direct/peers.rs
+++ b/crates/core/src/direct/peers.rs
@@ -104,6 +104,7 @@
             draining_lives: Vec::new(),
             limits: Vec::new(),
             cold: Vec::new(),
+            misdirected: Vec::new(),
             suspects: Vec::new(),
             suspect_parts: Vec::new(),
             domain_loads: None,
--- a/crates/core/src/direct/peers/notice.rs
+++ b/crates/core/src/direct/peers/notice.rs
@@ -14,7 +14,7 @@
     evacuation::EvacuatedDomains,
     leaving::LeavingNotice,
     rate_limits::LimitNotice,
-    server_table::ColdNotice,
+    server_table::{ColdNotice, MisdirectedNotice},
     suspect_parts::PartNotice,
     suspects::{LifeKey, SuspectNotice},
 };
@@ -134,6 +134,8 @@
     pub limits: Vec<LimitNotice>,
     /// Servers that have announced in a response that they are cold.
     pub cold: Vec<ColdNotice>,
+    /// Servers at whose addresses others answer.
+    pub misdirected: Vec<MisdirectedNotice>,
     /// Requests during which servers terminated.
     pub suspects: Vec<SuspectNotice>,
     /// Prompt parts under which servers terminated.
@@ -173,6 +175,7 @@
             draining_lives: Vec::new(),
             limits: Vec::new(),
             cold: Vec::new(),
+            misdirected: Vec::new(),
             suspects: Vec::new(),
             suspect_parts: Vec::new(),
             reads_store: true,
--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -13,12 +13,12 @@
     traffic::{ServerId, ServerRecord, WeightVersion},
 };
 
-use self::cold::ColdPeriod;
+use self::{cold::ColdPeriod, misdirected::Misdirected};
 use super::{
     engine_model::EngineLoad,
     leaving::{DrainingLives, LeavingNotice, LeavingServers},
     peers::{DomainKey, LoadNotice, ServerNotice},
-    rate_limits::{LimitMembers, RateLimits},
+    rate_limits::{EntryKey, LimitMembers, RateLimits},
     suspects::LifeKey,
 };
 use crate::time::Moment;
@@ -26,6 +26,7 @@
 mod choice;
 mod cold;
 mod limits;
+mod misdirected;
 mod signals;
 mod speed;
 mod weight_changes;
@@ -36,6 +37,7 @@
 pub use cold::{
     ColdEvent, ColdNotice, ColdRates, ColdSource, ColdView, FALLBACK_COLD_TIME, MAX_COLD_NOTICES,
 };
+pub use misdirected::{MAX_MISDIRECTED_NOTICES, MisdirectedNotice};
 pub use signals::Ineligible;
 pub use weight_changes::ContinuationLimits;
 
@@ -83,6 +85,7 @@
     revision: StoreRevision,
     /// A newer record has the address: another process listens there.
     superseded: bool,
+    misdirected: Misdirected,
     key: u32,
     /// Identifies the server process, derived from the server ID and start time.
     life: LifeKey,
@@ -131,6 +134,8 @@
     /// Rate limits that servers have advertised, and the rates of cold servers.
     limits: RateLimits,
     limit_members: LimitMembers,
+    /// Key of this entry, once it has been assigned shares.
+    own: EntryKey,
     /// Number of live entries.
     entries: usize,
     cold_rates: ColdRates,
@@ -199,6 +204,7 @@
             if state.revision != revision {
                 let rest = Duration::from_millis(record.cold_ms);
                 state.cold = ColdPeriod::from_record(now, rest, state.cold);
+                state.misdirected.reset(now);
             }
             let id = record.id.clone();
             state.record = record;
@@ -230,6 +236,7 @@
                 record,
                 revision,
                 superseded: false,
+                misdirected: Misdirected::default(),
             };
             let (id, service) = (state.record.id.clone(), state.record.service.clone());
             self.servers.insert(id.clone(), state);
@@ -427,7 +434,7 @@
     /// Sets the agent's notice for the servers at an address; `None` if the agent is gone.
     pub fn set_notice(&mut self, address: SocketAddr, notice: Option<ServerNotice>) {
         for state in self.servers.values_mut().filter(|state| state.record.address == address) {
-            state.notice = notice.clone();
+            state.replace_notice(notice.clone());
         }
     }
 
@@ -435,7 +442,7 @@
     pub fn set_notices(&mut self, notices: &HashMap<SocketAddr, ServerNotice>) {
         for state in self.servers.values_mut() {
             // A restarted server may be listed under both its old and new ID at one address for a while.
-            state.notice = notices.get(&state.record.address).cloned();
+            state.replace_notice(notices.get(&state.record.address).cloned());
         }
     }
 
@@ -552,7 +559,8 @@
                 state.failures = 0;
                 update_failure_share(state, 1.0);
             }
-            ServerOutcome::Refused | ServerOutcome::Misdirected => {
+            ServerOutcome::Misdirected => state.misdirected.record(now),
+            ServerOutcome::Refused => {
                 state.refusals = (state.refusals + 1).min(MAX_DOUBLINGS);
                 state.blocked_until = now + REFUSAL_COOLDOWN * (1 << (state.refusals - 1));
             }
@@ -567,6 +575,16 @@
 }
 
 impl ServerState {
+    /// Replaces the notice of the server's agent.
+    fn replace_notice(&mut self, notice: Option<ServerNotice>) {
+        let weights = |notice: &Option<ServerNotice>| notice.as_ref().and_then(|one| one.whole);
+        // A server without the requested weights answers like another server.
+        if weights(&self.notice) != weights(&notice) {
+            self.misdirected.clear();
+        }
+        self.notice = notice;
+    }
+
     /// Resets the state of a server process that has ended. Requests of this entry that are still in flight
     /// are counted down as they end.
     fn forget_life(&mut self) {
@@ -577,6 +595,7 @@
         self.backoff_until = None;
         self.notice = None;
         self.cold = None;
+        self.misdirected = Misdirected::default();
     }
 }
 
--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -379,6 +379,9 @@
         if state.is_backing_off(now) {
             return Err(Exclusion::BackingOff);
         }
+        if self.is_misdirected(now, state) {
+            return Err(Exclusion::Full);
+        }
         if state.blocked_until > now {
             let refused = state.refusals > 0 && state.failures == 0;
             return Err(if refused { Exclusion::Full } else { Exclusion::Unusable });
--- a/crates/core/src/direct/server_table/limits.rs
+++ b/crates/core/src/direct/server_table/limits.rs
@@ -54,6 +54,7 @@
     /// Assigns this entry, `own`, its shares in all limits; `live` are the live entries including this one. To be
     /// called regularly, also while there are no limits.
     pub fn assign_limit_shares(&mut self, now: Moment, own: EntryKey, live: &[EntryPeer]) {
+        self.set_own(own);
         let members = self.limit_members.update(now, live);
         if self.limits.is_empty() {
             return;
--- a/crates/core/tests/cold_servers.rs
+++ b/crates/core/tests/cold_servers.rs
@@ -466,3 +466,39 @@
     say(&mut fleet, Duration::from_millis(u64::MAX));
     expect_that!(remaining(&fleet, 0), le(Duration::from_secs(600)));
 }
+
+/// Tries of all entries, which begin within 1.2 s as after failed connections, at a server that is gone.
+fn misdirected_tries(count: usize) -> Fleet {
+    let mut random = SmallRng::seed_from_u64(count as u64);
+    let begin: Vec<u64> = (0..count).map(|_| random.random_range(0..120) * STEP).collect();
+    let mut fleet = Fleet::new(count);
+    fleet.all_learn(Duration::ZERO, 2);
+    for now in (0..4000).step_by(STEP as usize) {
+        for number in 0..count {
+            let entry = &mut fleet.entries[number];
+            let Some(server) = entry.choose(now).filter(|_| begin[number] <= now) else { continue };
+            let clock = entry.clock(now);
+            entry.table.begin(&server.id, 0);
+            entry.table.end(clock, &server.id, ServerOutcome::Misdirected);
+            fleet.sent.push(now);
+        }
+        if now.is_multiple_of(100) {
+            let recent = |entry: &Entry| entry.table.recent_misdirected(entry.clock(now));
+            let recent = fleet.entries.iter().flat_map(recent);
+            let notices: Vec<_> = recent.min_by_key(|notice| notice.age).into_iter().collect();
+            for entry in &mut fleet.entries {
+                let _ = entry.table.merge_misdirected(entry.clock(now), &notices);
+            }
+        }
+    }
+    fleet
+}
+
+#[gtest]
+fn entries_that_learn_from_each_other_do_not_flood_the_server_at_the_address_of_an_earlier_one() {
+    // The last one stands for the entries of one of three failure domains, of 546.
+    for count in [1, 7, 34, 182] {
+        let fleet = misdirected_tries(count);
+        expect_that!(fleet.worst_second(), le(MAX_IN_A_SECOND), "{count} entries");
+    }
+}
--- a/crates/daemon/src/direct/entry_notices.rs
+++ b/crates/daemon/src/direct/entry_notices.rs
@@ -242,6 +242,7 @@
                     draining_lives: Vec::new(),
                     limits: Vec::new(),
                     cold: Vec::new(),
+                    misdirected: Vec::new(),
                     ..body
                 };
                 OutgoingDatagram { bytes: self.writer.write(body, names), targets: vec![to] }
@@ -281,7 +282,7 @@
     let now = state.now();
     let servers = state.servers();
     let (leaving, limits) = (servers.recent_leaving(now), servers.recent_limits(now));
-    let cold = servers.recent_cold(now);
+    let (cold, misdirected) = (servers.recent_cold(now), servers.recent_misdirected(now));
     let draining_lives = servers.recent_draining_lives(now);
     drop(servers);
     let QuarantineNotices { suspects, suspect_parts } = state.quarantine.notices(now);
@@ -292,6 +293,7 @@
         draining_lives,
         limits,
         cold,
+        misdirected,
         suspects,
         suspect_parts,
         reads_store: state.plan.reads_store(now),
@@ -326,6 +328,7 @@
     state.merge_draining(&notice.draining_lives);
     state.merge_limits(&notice.limits);
     state.servers().merge_cold(state.now(), &notice.cold);
+    state.merge_misdirected(&notice.misdirected);
     state.merge_evacuated(&notice.evacuated);
     state.quarantine.merge_notices(state.now(), &notice.suspects, &notice.suspect_parts);
     state.record_peer_servers_mark(notice.servers);
--- a/crates/daemon/src/direct/notice_codec.rs
+++ b/crates/daemon/src/direct/notice_codec.rs
@@ -12,7 +12,7 @@
     peers::{DomainKey, DrainNotice, LoadNotice, PeerKind, PeerNotice, ServerNotice, WantedNotice},
     rate_limits::LimitNotice,
     request_digest::RequestDigest,
-    server_table::ColdNotice,
+    server_table::{ColdNotice, MisdirectedNotice},
     suspect_parts::PartNotice,
     suspects::{LifeKey, ProgressAtEnd, SuspectNotice},
 };
@@ -87,6 +87,15 @@
     ColdNotice { life: LifeKey(notice.life), remaining }
 }
 
+fn encode_misdirected(notice: &MisdirectedNotice) -> wire::NoticeMisdirected {
+    wire::NoticeMisdirected { life: notice.life.0, age_ms: saturating_millis(notice.age) }
+}
+
+fn decode_misdirected(notice: &wire::NoticeMisdirected) -> MisdirectedNotice {
+    let age = Duration::from_millis(notice.age_ms.into());
+    MisdirectedNotice { life: LifeKey(notice.life), age }
+}
+
 /// Values of the field `word` of [`wire::NoticeSuspect`].
 const ENDED_SILENT: u32 = 0;
 const ENDED_BEGUN: u32 = 1;
@@ -235,6 +244,7 @@
         draining_lives: notice.draining_lives.iter().map(|life| life.0).collect(),
         limits: notice.limits.iter().map(encode_limit).collect(),
         cold: notice.cold.iter().map(encode_cold).collect(),
+        misdirected: notice.misdirected.iter().map(encode_misdirected).collect(),
         suspects: notice.suspects.iter().map(encode_suspect).collect(),
         suspect_parts: notice.suspect_parts.iter().map(encode_part).collect(),
         reads_store: notice.reads_store,
@@ -292,6 +302,7 @@
         draining_lives: message.draining_lives.iter().copied().map(LifeKey).collect(),
         limits: message.limits.iter().map(decode_limit).collect(),
         cold: message.cold.iter().map(decode_cold).collect(),
+        misdirected: message.misdirected.iter().map(decode_misdirected).collect(),
         suspects: message.suspects.iter().filter_map(decode_suspect).collect(),
         suspect_parts: message.suspect_parts.iter().filter_map(decode_part).collect(),
         reads_store: message.reads_store,
--- a/crates/daemon/src/direct/notices.rs
+++ b/crates/daemon/src/direct/notices.rs
@@ -10,7 +10,7 @@
         PeerTable, ServerNotice, WantedNotice,
     },
     rate_limits::LimitNotice,
-    server_table::ColdNotice,
+    server_table::{ColdNotice, MisdirectedNotice},
     suspect_parts::PartNotice,
     suspects::{LifeKey, SuspectNotice},
 };
@@ -100,6 +100,8 @@
     pub limits: Vec<LimitNotice>,
     /// Servers that announced in their responses that they are cold.
     pub cold: Vec<ColdNotice>,
+    /// Servers at whose addresses others answered.
+    pub misdirected: Vec<MisdirectedNotice>,
     /// Requests during which servers terminated.
     pub suspects: Vec<SuspectNotice>,
     /// Prompt parts during which servers terminated.
@@ -167,6 +169,7 @@
     draining_lives: Vec<LifeKey>,
     limits: BTreeSet<(LifeKey, Option<RequestRate>)>,
     cold: BTreeSet<LifeKey>,
+    misdirected: BTreeSet<LifeKey>,
     suspects: Vec<SuspectNotice>,
     suspect_parts: Vec<PartNotice>,
     evacuated: BTreeSet<DomainKey>,
@@ -180,6 +183,7 @@
             draining_lives: body.draining_lives.clone(),
             limits: body.limits.iter().map(|notice| (notice.life, notice.limit)).collect(),
             cold: body.cold.iter().map(|notice| notice.life).collect(),
+            misdirected: body.misdirected.iter().map(|notice| notice.life).collect(),
             suspects: body.suspects.clone(),
             suspect_parts: body.suspect_parts.iter().map(|one| one.without_times()).collect(),
             evacuated: body.evacuated.domains.clone(),
@@ -349,6 +353,7 @@
             draining_lives: body.draining_lives.clone(),
             limits: body.limits.clone(),
             cold: body.cold.clone(),
+            misdirected: body.misdirected.clone(),
             suspects: body.suspects.clone(),
             suspect_parts: body.suspect_parts.clone(),
             reads_store: body.reads_store,
@@ -407,6 +412,7 @@
             draining_lives: body.draining_lives,
             limits: body.limits,
             cold: body.cold,
+            misdirected: body.misdirected,
             suspects: body.suspects,
             suspect_parts: body.suspect_parts,
             reads_store: body.reads_store,
--- a/crates/daemon/src/direct/state/server_signals.rs
+++ b/crates/daemon/src/direct/state/server_signals.rs
@@ -6,7 +6,7 @@
     direct::{
         peers::{DomainKey, PeerKind, PeerTable},
         rate_limits::{EntryPeer, FALLBACK_LIMIT, LimitNotice},
-        server_table::{ChosenServer, FALLBACK_COLD_TIME},
+        server_table::{ChosenServer, FALLBACK_COLD_TIME, MisdirectedNotice},
         suspects::LifeKey,
     },
     time::Moment,
@@ -50,6 +50,13 @@
         }
     }
 
+    /// Merges misdirected requests reported by other entries.
+    pub fn merge_misdirected(&self, notices: &[MisdirectedNotice]) {
+        for life in self.servers().merge_misdirected(self.now(), notices) {
+            decisions::info("servers", "misdirected_learned", json!({ "life": life.to_string() }));
+        }
+    }
+
     /// Merges draining servers reported by other entries.
     pub fn merge_draining(&self, lives: &[LifeKey]) {
         let now = self.now();
--- a/crates/daemon/tests/notice_writer.rs
+++ b/crates/daemon/tests/notice_writer.rs
@@ -13,7 +13,7 @@
             WantedNotice,
         },
         rate_limits::{LimitNotice, MAX_LIMIT_NOTICES},
-        server_table::{ColdNotice, MAX_COLD_NOTICES},
+        server_table::{ColdNotice, MAX_COLD_NOTICES, MAX_MISDIRECTED_NOTICES, MisdirectedNotice},
         suspect_parts::PartNotice,
         suspects::{LifeKey, MAX_NOTICES, ProgressAtEnd, SuspectNotice},
     },
@@ -162,7 +162,8 @@
     let limits = vec![limit(None), limit(Some(RequestRate::from_milli(1200)))];
     let draining_lives = vec![LifeKey(7), LifeKey(u32::MAX)];
     let cold = vec![ColdNotice { life: LifeKey(9), remaining: Duration::from_millis(2984) }];
-    let limiting = PeerNotice { limits, draining_lives, cold, ..notice.clone() };
+    let misdirected = vec![MisdirectedNotice { life: LifeKey(11), age: Duration::from_millis(7) }];
+    let limiting = PeerNotice { limits, draining_lives, cold, misdirected, ..notice.clone() };
     expect_that!(decode(&encode(&limiting)), some(eq(&limiting)));
     let full = PeerNotice { peers: vec![address(NEAR, 4); MAX_ADVERTISED_PEERS], ..notice };
     expect_that!(encode(&full).len(), lt(700));
@@ -178,7 +179,10 @@
     expect_that!(encode(&limits).len(), lt(MAX_DATAGRAM_BYTES / 2));
     let cold = ColdNotice { life: LifeKey(u32::MAX), remaining: Duration::from_secs(600) };
     let cold = PeerNotice { cold: vec![cold; MAX_COLD_NOTICES], ..limits };
-    expect_that!(encode(&cold).len(), lt(MAX_DATAGRAM_BYTES / 2));
+    let misdirected = MisdirectedNotice { life: LifeKey(u32::MAX), age: Duration::from_secs(1) };
+    let misdirected =
+        PeerNotice { misdirected: vec![misdirected; MAX_MISDIRECTED_NOTICES], ..cold };
+    expect_that!(encode(&misdirected).len(), lt(MAX_DATAGRAM_BYTES / 2));
     expect_that!(decode(b"no notice"), none());
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use bundle::{BundleDrain, BundleNotice, BundleRoster, PeerBundle};
 pub use notice::{
-    NoticeCold, NoticeDrain, NoticeEvacuated, NoticeLeaving, NoticeLimit, NoticeLoad, NoticeServer,
-    NoticeSuspect, NoticeSuspectPart, NoticeWanted, PeerNotice,
+    NoticeCold, NoticeDrain, NoticeEvacuated, NoticeLeaving, NoticeLimit, NoticeLoad,
+    NoticeMisdirected, NoticeServer, NoticeSuspect, NoticeSuspectPart, NoticeWanted, PeerNotice,
 };
 pub use piece_list::PieceList;
--- a/crates/wire/src/notice.rs
+++ b/crates/wire/src/notice.rs
@@ -160,6 +160,17 @@
     pub remaining_ms: u32,
 }
 
+/// A server at whose address another one answers.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct NoticeMisdirected {
+    /// Key of the life of the server that a request was for.
+    #[prost(fixed32, tag = "1")]
+    pub life: u32,
+    /// Milliseconds since the answer.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
+
 /// A notice.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerNotice {
@@ -232,4 +243,7 @@
     /// Servers that have said in their answers that they are cold.
     #[prost(message, repeated, tag = "23")]
     pub cold: Vec<NoticeCold>,
+    /// Servers at whose addresses others answer.
+    #[prost(message, repeated, tag = "24")]
+    pub misdirected: Vec<NoticeMisdirected>,
 }
