--- a/crates/daemon/tests/support/signaling.rs
+++ b/crates/daemon/tests/support/signaling.rs
@@ -31,6 +31,10 @@
     kind: AnswerKind,
     /// Additional header lines.
     lines: Vec<String>,
+    /// Identifier of the server: requests for another one are answered that they are misdirected.
+    identity: Option<String>,
+    /// Until when it says that it is cold.
+    cold_until: Option<Instant>,
 }
 
 /// A server that responds at once, on connections that stay open.
@@ -74,7 +78,15 @@
 
     fn set(&self, kind: AnswerKind, lines: &[&str]) {
         let lines = lines.iter().map(|line| (*line).to_owned()).collect();
-        *self.script.lock().expect("lock is not poisoned") = AnswerScript { kind, lines };
+        *self.script.lock().expect("lock is not poisoned") =
+            AnswerScript { kind, lines, ..AnswerScript::default() };
+    }
+
+    /// Takes requests from now on only for `identity`, and says until `cold_until` that it is cold.
+    pub fn serve_as(&self, identity: &str, cold_until: Option<Instant>) {
+        let identity = Some(identity.to_owned());
+        *self.script.lock().expect("lock is not poisoned") =
+            AnswerScript { identity, cold_until, ..AnswerScript::default() };
     }
 
     /// Arrival times of the requests so far.
@@ -85,22 +97,30 @@
     async fn serve(self, mut stream: TcpStream) {
         while let Some(head) = read_head(&mut stream).await {
             self.arrivals.lock().expect("lock is not poisoned").push(Instant::now());
-            let answer = self.answer(header(&head, "request-id").unwrap_or_default());
+            let answer = self.answer(&head);
             if stream.write_all(answer.as_bytes()).await.is_err() {
                 return;
             }
         }
     }
 
-    fn answer(&self, id: &str) -> String {
-        let AnswerScript { kind, lines } =
+    fn answer(&self, head: &str) -> String {
+        let AnswerScript { kind, lines, identity, cold_until } =
             self.script.lock().expect("lock is not poisoned").clone();
+        let id = header(head, "request-id").unwrap_or_default();
+        let expected = header(head, "expect-instance");
+        let is_other = identity.is_some_and(|own| expected.is_some_and(|expected| expected != own));
         let status = match kind {
+            _ if is_other => "421 Misdirected Request",
             AnswerKind::Served => "200 OK\r\nresponse-stamp: s",
             AnswerKind::Refused => "503 Service Unavailable\r\nnot-executed: 1",
             AnswerKind::Misdirected => "421 Misdirected Request",
         };
-        let lines: String = lines.iter().map(|line| format!("{line}\r\n")).collect();
+        let cold = cold_until.map(|until| until.saturating_duration_since(Instant::now()));
+        let cold = cold.filter(|cold| !cold.is_zero());
+        let cold = cold.map(|cold| format!("cold-ms: {}\r\n", cold.as_millis()));
+        let lines: String =
+            cold.into_iter().chain(lines.iter().map(|line| format!("{line}\r\n"))).collect();
         format!("HTTP/1.1 {status}\r\nrequest-id: {id}\r\n{lines}content-length: 2\r\n\r\nok")
     }
 }
