Move cold servers and addresses out of server_table.rs, and check absence again before a request is sent

Change: server_table/cold_servers.rs and addresses.rs hold what is about these; check_eligibility answers Gone for a server whose address another one has or whose absence is known. Notices without cold or misdirected servers no longer take the table's lock.

--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -23,8 +23,10 @@
 };
 use crate::time::Moment;
 
+mod addresses;
 mod choice;
 mod cold;
+mod cold_servers;
 mod limits;
 mod misdirected;
 mod signals;
@@ -250,37 +252,6 @@
         self.mark_superseded(address);
     }
 
-    /// Finds the newest record of an address. A server that has ended stays listed for some time, while another one
-    /// may listen at its address already.
-    fn mark_superseded(&mut self, address: SocketAddr) {
-        let Some(ids) = self.addresses.get(&address) else { return };
-        let age = |state: &ServerState| (state.record.started_at, state.revision);
-        let newest = ids.iter().filter_map(|id| self.servers.get(id)).map(age).max();
-        for id in ids {
-            if let Some(state) = self.servers.get_mut(id) {
-                state.superseded = Some(age(state)) < newest;
-            }
-        }
-    }
-
-    /// Adds a server to the index by address.
-    fn add_address(&mut self, address: SocketAddr, id: &ServerId) {
-        let ids = self.addresses.entry(address).or_default();
-        if !ids.contains(id) {
-            ids.push(id.clone());
-        }
-    }
-
-    /// Removes a server from the index by address.
-    fn remove_address(&mut self, address: SocketAddr, id: &ServerId) {
-        let Some(ids) = self.addresses.get_mut(&address) else { return };
-        ids.retain(|listed| listed != id);
-        if ids.is_empty() {
-            self.addresses.remove(&address);
-        }
-        self.mark_superseded(address);
-    }
-
     /// Removes a server that was deregistered as of `revision`; returns whether it was in the table.
     pub fn remove(&mut self, now: Moment, id: &ServerId, revision: StoreRevision) -> bool {
         let _ = self.leaving.record_leaving(now, server_key(id), revision);
@@ -380,35 +351,6 @@
         changed
     }
 
-    /// Sets the request rate limits for cold servers.
-    pub fn set_cold_rates(&mut self, now: Moment, rates: ColdRates) {
-        self.cold_rates = rates;
-        let ids: Vec<ServerId> = self.servers.keys().cloned().collect();
-        ids.iter().for_each(|id| self.limit_cold(now, id));
-    }
-
-    /// Applies the cold rate to a server, or ends it.
-    fn limit_cold(&mut self, now: Moment, id: &ServerId) {
-        let Some(state) = self.servers.get(id) else { return };
-        let rate = self.cold_rates.0.get(&state.record.service).copied();
-        match state.cold.zip(rate) {
-            Some((cold, rate)) => self.limits.set_cold(now, state.life, rate, cold.until()),
-            None => self.limits.clear_cold(now, state.life),
-        }
-    }
-
-    /// Sets the failure domains that are being evacuated. Servers of those that return count as cold.
-    pub fn set_evacuated_domains(&mut self, now: Moment, evacuated: BTreeSet<DomainKey>) {
-        let before = std::mem::replace(&mut self.evacuated, evacuated);
-        let domains: BTreeSet<DomainKey> = before.difference(&self.evacuated).copied().collect();
-        let mut returned = Vec::new();
-        for state in self.servers.values_mut().filter(|state| domains.contains(&state.domain)) {
-            state.cold = Some(ColdPeriod::after_evacuation(now, state.cold));
-            returned.push(state.record.id.clone());
-        }
-        returned.iter().for_each(|id| self.limit_cold(now, id));
-    }
-
     /// Sets the load that other entries have at one server.
     pub fn set_other_load(&mut self, server: u32, load: EngineLoad) {
         self.others.insert(server, load);
@@ -470,43 +412,6 @@
         self.is_leaving(state) || state.superseded || self.evacuated.contains(&state.domain)
     }
 
-    /// Returns the cold period of a server; `None` if it is warm or its service has no cold rate.
-    fn cold_view(&self, now: Moment, state: &ServerState) -> Option<ColdView> {
-        let is_limited = self.cold_rates.0.contains_key(&state.record.service);
-        let view = state.cold.filter(|_| is_limited)?.view(now);
-        (!view.remaining.is_zero()).then_some(view)
-    }
-
-    /// Returns the cold period of a server; `None` if it is warm, unknown, or its service has no cold rate.
-    pub fn cold_view_of(&self, now: Moment, id: &ServerId) -> Option<ColdView> {
-        self.cold_view(now, self.servers.get(id)?)
-    }
-
-    /// Returns the number of cold servers whose request rate is limited.
-    pub fn cold_servers(&self, now: Moment) -> usize {
-        self.servers.values().filter(|state| self.cold_view(now, state).is_some()).count()
-    }
-
-    /// Returns the cold periods that have begun or ended since the last call.
-    pub fn take_cold_events(&mut self, now: Moment) -> Vec<ColdEvent> {
-        let cold = self.servers.values().filter_map(|state| {
-            let view = self.cold_view(now, state)?;
-            Some((state.life, (state.record.id.clone(), view)))
-        });
-        let cold: HashMap<LifeKey, (ServerId, ColdView)> = cold.collect();
-        let before = std::mem::replace(&mut self.reported_cold, cold);
-        let event = |life: LifeKey, began: bool, (server, view): &(ServerId, ColdView)| ColdEvent {
-            server: server.clone(),
-            life,
-            began,
-            view: *view,
-        };
-        let began = self.reported_cold.iter().filter(|(life, _)| !before.contains_key(life));
-        let began = began.map(|(life, known)| event(*life, true, known));
-        let ended = before.iter().filter(|(life, _)| !self.reported_cold.contains_key(life));
-        began.chain(ended.map(|(life, known)| event(*life, false, known))).collect()
-    }
-
     /// Records that a request with a prompt of `tokens` was sent to a server.
     pub fn begin(&mut self, id: &ServerId, tokens: u64) {
         if let Some(state) = self.servers.get_mut(id) {
--- a/crates/core/src/direct/server_table/misdirected.rs
+++ b/crates/core/src/direct/server_table/misdirected.rs
@@ -102,9 +102,6 @@
         now: Moment,
         notices: &[MisdirectedNotice],
     ) -> Vec<LifeKey> {
-        if notices.is_empty() {
-            return Vec::new();
-        }
         let reported: HashMap<LifeKey, Duration> =
             notices.iter().map(|notice| (notice.life, notice.age)).collect();
         let mut news = Vec::new();
--- a/crates/core/src/direct/server_table/signals.rs
+++ b/crates/core/src/direct/server_table/signals.rs
@@ -1,19 +1,14 @@
-//! Drain announcements, backoffs and cold times of servers, applied to the table.
+//! Drain announcements and backoffs of servers, applied to the table.
 
-use std::{
-    collections::{HashMap, HashSet},
-    time::Duration,
-};
+use std::{collections::HashSet, time::Duration};
 
-use super::{
-    ChosenServer, ColdNotice, MAX_COLD_NOTICES, ServerState, ServerTable, cold::ColdPeriod,
-};
+use super::{ChosenServer, ServerState, ServerTable};
 use crate::{direct::suspects::LifeKey, time::Moment};
 
 /// Reason why a selected server is not sent the request after all.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ineligible {
-    /// The server is no longer listed or has restarted.
+    /// The server is no longer listed, has restarted, or is not at its address any more.
     Gone,
     /// The server is draining.
     Draining,
@@ -52,48 +47,14 @@
         }
     }
 
-    /// Records the remaining cold time that a server has announced in a response.
-    pub fn record_cold(&mut self, now: Moment, server: &ChosenServer, remaining: Duration) {
-        let state = self.servers.get_mut(&server.id).filter(|state| state.life == server.life);
-        if let Some(state) = state {
-            state.cold = ColdPeriod::from_response(now, remaining, state.cold);
-            self.limit_cold(now, &server.id);
-        }
-    }
-
-    /// Merges cold servers reported by other entries.
-    pub fn merge_cold(&mut self, now: Moment, notices: &[ColdNotice]) {
-        if notices.is_empty() {
-            return;
-        }
-        let reported: HashMap<LifeKey, Duration> =
-            notices.iter().map(|notice| (notice.life, notice.remaining)).collect();
-        let mut merged = Vec::new();
-        for state in self.servers.values_mut() {
-            let Some(remaining) = reported.get(&state.life) else { continue };
-            state.cold = ColdPeriod::from_peer(now, *remaining, state.cold);
-            merged.push(state.record.id.clone());
-        }
-        merged.iter().for_each(|id| self.limit_cold(now, id));
-    }
-
-    /// Returns the recently announced cold servers to gossip, those that stay cold longest first.
-    pub fn recent_cold(&self, now: Moment) -> Vec<ColdNotice> {
-        let recent = self.servers.values().filter_map(|state| {
-            let remaining = state.cold?.remaining_to_gossip(now)?;
-            Some(ColdNotice { life: state.life, remaining })
-        });
-        let mut recent: Vec<ColdNotice> = recent.collect();
-        recent.sort_by_key(|notice| (std::cmp::Reverse(notice.remaining), notice.life.0));
-        recent.truncate(MAX_COLD_NOTICES);
-        recent
-    }
-
     /// Checks whether a selected server may still be sent the request.
     pub fn check_eligibility(&self, now: Moment, server: &ChosenServer) -> Result<(), Ineligible> {
         let state = self.servers.get(&server.id).filter(|state| state.life == server.life);
         match state {
             None => Err(Ineligible::Gone),
+            Some(state) if state.superseded || self.is_misdirected(now, state) => {
+                Err(Ineligible::Gone)
+            }
             Some(state) if self.is_excluded(state) => Err(Ineligible::Draining),
             Some(state) if !state.backoff(now).is_zero() => Err(Ineligible::BackingOff),
             Some(_) => Ok(()),
--- a/crates/core/tests/cold_servers.rs
+++ b/crates/core/tests/cold_servers.rs
@@ -8,7 +8,8 @@
         peers::DomainKey,
         rate_limits::EntryPeer,
         server_table::{
-            ChosenServer, ColdRates, ServerChoice, ServerOutcome, ServerQuery, ServerTable,
+            ChosenServer, ColdRates, Ineligible, ServerChoice, ServerOutcome, ServerQuery,
+            ServerTable,
         },
     },
     time::Moment,
@@ -410,7 +411,10 @@
     fleet.all_learn(Duration::ZERO, 2);
     let entry = &mut fleet.entries[0];
     let clock = entry.clock(0);
+    let earlier = entry.choose(0).expect("the server is warm");
     entry.table.set(clock, record("newer", 0, Duration::ZERO), revision(3));
+    // The connection to the earlier one was being opened.
+    expect_that!(entry.table.check_eligibility(clock, &earlier), err(eq(Ineligible::Gone)));
     expect_that!(entry.choose(0).map(|server| server.id.to_string()), some(eq("newer")));
     let query_newer_only = |entry: &Entry| {
         (0..64).filter_map(|now| entry.choose(now)).all(|server| &*server.id.0 == "newer")
@@ -474,9 +478,9 @@
     let mut fleet = Fleet::new(count);
     fleet.all_learn(Duration::ZERO, 2);
     for now in (0..4000).step_by(STEP as usize) {
-        for number in 0..count {
-            let entry = &mut fleet.entries[number];
-            let Some(server) = entry.choose(now).filter(|_| begin[number] <= now) else { continue };
+        let begun = fleet.entries.iter_mut().zip(&begin).filter(|(_, begin)| **begin <= now);
+        for (entry, _) in begun {
+            let Some(server) = entry.choose(now) else { continue };
             let clock = entry.clock(now);
             entry.table.begin(&server.id, 0);
             entry.table.end(clock, &server.id, ServerOutcome::Misdirected);
--- a/crates/daemon/src/direct/entry_notices.rs
+++ b/crates/daemon/src/direct/entry_notices.rs
@@ -327,7 +327,7 @@
     state.merge_leaving(&notice.leaving);
     state.merge_draining(&notice.draining_lives);
     state.merge_limits(&notice.limits);
-    state.servers().merge_cold(state.now(), &notice.cold);
+    state.merge_cold(&notice.cold);
     state.merge_misdirected(&notice.misdirected);
     state.merge_evacuated(&notice.evacuated);
     state.quarantine.merge_notices(state.now(), &notice.suspects, &notice.suspect_parts);
--- a/crates/daemon/src/direct/state/server_signals.rs
+++ b/crates/daemon/src/direct/state/server_signals.rs
@@ -6,7 +6,7 @@
     direct::{
         peers::{DomainKey, PeerKind, PeerTable},
         rate_limits::{EntryPeer, FALLBACK_LIMIT, LimitNotice},
-        server_table::{ChosenServer, FALLBACK_COLD_TIME, MisdirectedNotice},
+        server_table::{ChosenServer, ColdNotice, FALLBACK_COLD_TIME, MisdirectedNotice},
         suspects::LifeKey,
     },
     time::Moment,
@@ -50,8 +50,18 @@
         }
     }
 
+    /// Merges cold servers reported by other entries.
+    pub fn merge_cold(&self, notices: &[ColdNotice]) {
+        if !notices.is_empty() {
+            self.servers().merge_cold(self.now(), notices);
+        }
+    }
+
     /// Merges misdirected requests reported by other entries.
     pub fn merge_misdirected(&self, notices: &[MisdirectedNotice]) {
+        if notices.is_empty() {
+            return;
+        }
         for life in self.servers().merge_misdirected(self.now(), notices) {
             decisions::info("servers", "misdirected_learned", json!({ "life": life.to_string() }));
         }
