Move what is known of a single server out of server_table.rs

Change: the state of one server (weights, failures, load) and its constants stand in server_table/server_state.rs; a name of two locals in misdirected.rs. No change of logic.

--- a/crates/core/src/direct/server_table.rs
+++ b/crates/core/src/direct/server_table.rs
@@ -10,10 +10,14 @@
 use headlatch_types::{
     id::{DomainId, RegionId},
     store::StoreRevision,
-    traffic::{ServerId, ServerRecord, WeightVersion},
+    traffic::{ServerId, ServerRecord},
 };
 
-use self::{cold::ColdPeriod, misdirected::Misdirected};
+use self::{
+    cold::ColdPeriod,
+    misdirected::Misdirected,
+    server_state::{mark_urgent_change, update_failure_share},
+};
 use super::{
     engine_model::EngineLoad,
     leaving::{DrainingLives, LeavingNotice, LeavingServers},
@@ -29,6 +33,7 @@
 mod cold_servers;
 mod limits;
 mod misdirected;
+mod server_state;
 mod signals;
 mod speed;
 mod weight_changes;
@@ -43,16 +48,6 @@
 pub use signals::Ineligible;
 pub use weight_changes::ContinuationLimits;
 
-/// Requests queued at an engine beyond its slots where they continue an interrupted stream.
-const CONTINUATION_QUEUE: u32 = 6;
-
-/// Slot utilization, in percent, from which a load change is sent to other entries immediately. Below it
-/// the change can wait: each immediate update is a datagram to every entry of the failure domain.
-const URGENT_LOAD_PERCENT: u32 = 75;
-
-/// Weight of the latest outcome in the exponential moving average of failures.
-const FAILURE_WEIGHT: f64 = 0.2;
-
 /// Initial backoff after a server was unreachable or dropped a connection.
 const FAILURE_COOLDOWN: Duration = Duration::from_millis(300);
 
@@ -478,71 +473,3 @@
         }
     }
 }
-
-impl ServerState {
-    /// Replaces the notice of the server's agent.
-    fn replace_notice(&mut self, notice: Option<ServerNotice>) {
-        let weights = |notice: &Option<ServerNotice>| notice.as_ref().and_then(|one| one.whole);
-        // A server without the requested weights answers like another server.
-        if weights(&self.notice) != weights(&notice) {
-            self.misdirected.clear();
-        }
-        self.notice = notice;
-    }
-
-    /// Resets the state of a server process that has ended. Requests of this entry that are still in flight
-    /// are counted down as they end.
-    fn forget_life(&mut self) {
-        self.failures = 0;
-        self.refusals = 0;
-        self.failure_share = 0.0;
-        self.blocked_until = Moment::ZERO;
-        self.backoff_until = None;
-        self.notice = None;
-        self.cold = None;
-        self.misdirected = Misdirected::default();
-    }
-}
-
-/// Returns whether a server is loading other weights or draining for that.
-fn is_changing(state: &ServerState) -> bool {
-    state.notice.as_ref().is_some_and(|notice| notice.changing)
-}
-
-/// Returns whether a server has staged newer weights; the upcoming change cuts or delays running requests.
-fn is_about_to_change(state: &ServerState) -> bool {
-    state.notice.as_ref().is_some_and(|notice| notice.staged > notice.whole)
-}
-
-/// Marks a load change as urgent if the server is busy enough for other entries to need it immediately.
-fn mark_urgent_change(state: &mut ServerState, others: &HashMap<u32, EngineLoad>) {
-    let others = others.get(&state.key).copied().unwrap_or_default();
-    let in_flight = state.own.in_flight + others.in_flight;
-    let busy = in_flight * 100 >= state.record.slots.max(1) * URGENT_LOAD_PERCENT;
-    state.has_urgent_change |= busy;
-}
-
-/// Updates the moving average of failures; `failed` is 1 for a failure and 0 for a success.
-fn update_failure_share(state: &mut ServerState, failed: f64) {
-    state.failure_share += (failed - state.failure_share) * FAILURE_WEIGHT;
-}
-
-/// Returns the version that a server has loaded completely. The notice of its agent takes precedence, as it
-/// is more recent than the record in the store.
-fn loaded_version(state: &ServerState, layers: u32) -> Option<WeightVersion> {
-    match &state.notice {
-        Some(notice) => notice.whole,
-        None => state.record.models.iter().find_map(|model| model.whole_version(layers)),
-    }
-}
-
-/// Returns whether a server has loaded all layers of its model in at least version `min_version`.
-fn has_weights(state: &ServerState, layers: u32, min_version: Option<WeightVersion>) -> bool {
-    let version = loaded_version(state, layers);
-    version.is_some_and(|version| min_version.is_none_or(|min_version| version >= min_version))
-}
-
-/// Returns the maximum number of requests in flight at an engine for requests that continue a stream.
-fn continuation_limit(state: &ServerState) -> u32 {
-    state.record.slots.max(1) + CONTINUATION_QUEUE
-}
--- a/crates/core/src/direct/server_table/choice.rs
+++ b/crates/core/src/direct/server_table/choice.rs
@@ -10,8 +10,10 @@
 };
 
 use super::{
-    ColdView, ServerState, ServerTable, continuation_limit, has_weights, is_about_to_change,
-    is_changing, loaded_version,
+    ColdView, ServerState, ServerTable,
+    server_state::{
+        continuation_limit, has_weights, is_about_to_change, is_changing, loaded_version,
+    },
 };
 use crate::{
     direct::{
--- a/crates/core/src/direct/server_table/misdirected.rs
+++ b/crates/core/src/direct/server_table/misdirected.rs
@@ -69,14 +69,14 @@
         self.count += 1;
     }
 
-    /// Merges a misdirected request of another entry at `at`; returns whether it is news.
+    /// Merges a misdirected request of another entry at `at`; returns whether it is a later one.
     fn merge(&mut self, at: Moment) -> bool {
         let is_known = self.last.is_some_and(|last| at <= last + GOSSIP_TOLERANCE);
-        let is_news = !is_known && at > self.changed;
-        if is_news {
+        let is_later = !is_known && at > self.changed;
+        if is_later {
             (self.last, self.cleared) = (Some(at), false);
         }
-        is_news
+        is_later
     }
 
     /// Returns the time until which the server gets no requests; `stagger`, from 0 to 1, is this entry's own.
@@ -96,7 +96,7 @@
         state.misdirected.blocked_until(stagger).is_some_and(|until| now < until)
     }
 
-    /// Merges misdirected requests of other entries; returns the servers for which they are news.
+    /// Merges misdirected requests of other entries; returns the servers for which they are new.
     pub fn merge_misdirected(
         &mut self,
         now: Moment,
@@ -104,14 +104,14 @@
     ) -> Vec<LifeKey> {
         let reported: HashMap<LifeKey, Duration> =
             notices.iter().map(|notice| (notice.life, notice.age)).collect();
-        let mut news = Vec::new();
+        let mut learned = Vec::new();
         for state in self.servers.values_mut() {
             let Some(age) = reported.get(&state.life) else { continue };
             if state.misdirected.merge(now - *age) {
-                news.push(state.life);
+                learned.push(state.life);
             }
         }
-        news
+        learned
     }
 
     /// Returns the latest misdirected requests to gossip, newest first.
--- a/crates/core/src/direct/server_table/weight_changes.rs
+++ b/crates/core/src/direct/server_table/weight_changes.rs
@@ -11,7 +11,10 @@
     traffic::{ServerId, WeightVersion},
 };
 
-use super::{ServerState, ServerTable, continuation_limit, has_weights, is_changing};
+use super::{
+    ServerState, ServerTable,
+    server_state::{continuation_limit, has_weights, is_changing},
+};
 use crate::{direct::peers::DrainNotice, time::Moment};
 
 /// Limits on resuming the streams of one service on other servers.
--- a/crates/daemon/tests/cold_soak.rs
+++ b/crates/daemon/tests/cold_soak.rs
@@ -352,7 +352,7 @@
     check(seed.unwrap_or(1));
 }
 
-/// By hand: `cargo test -p headlatch-daemon --test cold_soak -- --ignored fifty`, four minutes on five cores.
+/// By hand: `cargo test -p headlatch-daemon --test cold_soak -- --ignored fifty`, three minutes on five cores.
 #[rstest]
 #[gtest]
 #[ignore = "a long run, by hand"]
