--- /dev/null
+++ b/review/standins/src/rig.rs
@@ -0,0 +1,271 @@
+//! A small deployment on loopback addresses: the store, servers, entries, and the record of a case.
+
+use std::{
+    env,
+    fs::{self, File},
+    io::Write,
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    http::{self, Answer, Call},
+    server::time_ms,
+    store::Store,
+};
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+pub const SIGHUP: i32 = 1;
+pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
+
+/// Time for which a process may finish after SIGTERM, as on the small deployments.
+pub const GRACE: Duration = Duration::from_secs(8);
+
+/// The record of a case: what was sent, answered and run.
+#[derive(Clone)]
+pub struct Record(Arc<Mutex<File>>);
+
+impl Record {
+    pub fn note(&self, text: &str) {
+        let _ = writeln!(self.0.lock().unwrap(), "{} {text}", time_ms());
+    }
+}
+
+/// An entry, which is ended when this is dropped.
+pub struct Entry {
+    pub name: String,
+    pub address: SocketAddr,
+    pub ready: SocketAddr,
+    child: Child,
+}
+
+/// A server, which is ended when this is dropped.
+pub struct Server {
+    pub address: SocketAddr,
+    child: Child,
+}
+
+/// Sends a signal to a process that the case started.
+fn send_signal(child: &Child, signal: i32) {
+    // SAFETY: `kill` takes two numbers; the process is a child that has not been waited for.
+    unsafe { kill(child.id() as i32, signal) };
+}
+
+impl Entry {
+    pub fn signal(&self, signal: i32) {
+        send_signal(&self.child, signal);
+    }
+
+    /// Whether the process has ended by now.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let call = Call { method: "GET", path: "/ready", headers: &[], body: b"", time: Duration::from_millis(900) };
+        http::call(self.ready, &call).status == 200
+    }
+
+    fn spawn(settings: &Path, log: &Path) -> Child {
+        let log = File::options().create(true).append(true).open(log).expect("the log of an entry");
+        let mut run = Command::new("target/release/headlatchd");
+        run.args(["entry", "--settings"]).arg(settings).stdin(Stdio::null());
+        run.stdout(log.try_clone().expect("a log")).stderr(log);
+        run.spawn().expect("headlatchd starts")
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Server {
+    /// Kills the process, as in a crash, and waits until it is gone.
+    pub fn crash(&mut self) {
+        send_signal(&self.child, SIGKILL);
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A deployment with a folder of its own.
+pub struct Rig {
+    pub store: Store,
+    pub record: Record,
+    pub folder: PathBuf,
+    pub servers_record: PathBuf,
+    store_address: SocketAddr,
+    control: u16,
+}
+
+/// A free address on `ip`.
+pub fn free(ip: &str) -> SocketAddr {
+    let listener = TcpListener::bind((ip, 0)).expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+impl Rig {
+    /// Starts the store and writes the configuration; the record goes to `case`.
+    pub fn new(case: &Path) -> Self {
+        let folder = env::temp_dir().join(format!("headlatch-review-{}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a temporary folder");
+        let record = File::create(case.join("record.txt")).expect("record.txt");
+        let (store, store_address) = Store::start("127.0.0.1");
+        let servers_record = folder.join("servers.txt");
+        // The same port of every machine is for what entries say to each other.
+        let control = free("127.0.0.1").port();
+        Self { store, record: Record(Arc::new(Mutex::new(record))), folder, servers_record, store_address, control }
+    }
+
+    /// Starts entry `number` on a loopback address of its own.
+    pub fn entry(&self, number: u8, seeds: &[u8]) -> Entry {
+        let ip = |number: u8| format!("127.0.1.{number}");
+        let (own, name) = (ip(number), format!("front-{number}"));
+        let (address, ready) = (free(&own), free(&own));
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{}:{}\"", ip(*seed), self.control)).collect();
+        let text = format!(
+            r#"{{ "box": "{name}", "domain": "zone-a", "region": "region-a", "control": "{own}:{}", "admin": "{ready}",
+  "platform": "http://{}", "log": {{ "level": "info", "format": "json" }}, "drain_seconds": {},
+  "entry": {{ "listen": "{address}" }},
+  "direct": {{ "zones": {{"zone-a": "region-a"}}, "seeds": [{}],
+    "retry": {{ "ratio": 0.2, "slack": 102, "window_seconds": 10 }}, "memory": "260MiB", "weights_ms": 8000,
+    "server_pace": true, "first_start": true }} }}
+"#,
+            self.control,
+            self.store_address,
+            GRACE.as_secs(),
+            seeds.join(","),
+        );
+        let (settings, log) = (self.folder.join(format!("{name}.json")), self.folder.join(format!("{name}.log")));
+        fs::write(&settings, text).expect("settings");
+        let child = Entry::spawn(&settings, &log);
+        Entry { name, address, ready, child }
+    }
+
+    /// Starts a server; `address` is free, or that of a server that has ended.
+    pub fn server(&self, service: &str, id: &str, address: SocketAddr) -> Server {
+        let own = env::current_exe().expect("the path of this program");
+        let mut run = Command::new(own);
+        run.arg("server").arg(address.to_string()).arg(id).arg(&self.servers_record).stdin(Stdio::null());
+        let child = run.spawn().expect("a server starts");
+        let until = Instant::now() + Duration::from_secs(3);
+        while std::net::TcpStream::connect(address).is_err() && Instant::now() < until {
+            thread::sleep(Duration::from_millis(5));
+        }
+        self.register(service, id, address, "ready", 1);
+        self.record.note(&format!("server {id} of {service} listens at {address}"));
+        Server { address, child }
+    }
+
+    /// Writes a server's entry in the store.
+    pub fn register(&self, service: &str, id: &str, address: SocketAddr, state: &str, sequence: u32) {
+        self.store.put(
+            "servers",
+            id,
+            &format!(
+                r#"{{"service":"{service}","address":"{address}","zone":"zone-a","version":"v1","slots":16,"state":"{state}","cold_remaining_ms":0,"sequence":{sequence}}}"#
+            ),
+        );
+    }
+
+    /// Writes a configuration with one unsafe and one safe route to the service `api`; `other` is a service of
+    /// another route.
+    pub fn configure(&self, version: u32) {
+        let route = |name: &str, path: &str, kind: &str, service: &str, attempts: u32| {
+            format!(
+                r#"{{"name":"{name}","host":"review.example","path_prefix":"{path}","kind":"{kind}","timeout_ms":6000,"target_latency_ms":300,"priority":1,"service":"{service}","max_attempts":{attempts},"allow_anonymous":false,"sticky_sessions":false,"resume_streams":false,"gap_target_ms":0}}"#
+            )
+        };
+        let routes = [
+            route("r-once", "/once/", "unsafe", "api", 1),
+            route("r-safe", "/safe/", "safe", "api", 2),
+            route("r-other", "/other/", "safe", "other", 2),
+        ];
+        let service = |name: &str| {
+            format!(r#"{{"name":"{name}","health_path":"/health","max_connections":100,"protocol":"h1","tls":false}}"#)
+        };
+        self.store.put(
+            "config",
+            "main",
+            &format!(
+                r#"{{"version":{version},"routes":[{}],"services":[{},{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"tenant-a","api_keys":["key-of-tenant-a"],"priority":1}}]}}"#,
+                routes.join(","),
+                service("api"),
+                service("other"),
+            ),
+        );
+    }
+
+    /// Waits until all entries are ready; returns whether they are.
+    pub fn wait_ready(&self, entries: &[Entry]) -> bool {
+        let until = Instant::now() + Duration::from_secs(15);
+        while !entries.iter().all(Entry::is_ready) {
+            if Instant::now() > until {
+                return false;
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        true
+    }
+
+    /// Sends one request as a client does, and records it.
+    pub fn request(&self, to: SocketAddr, method: &str, path: &str, id: &str, deadline: Duration) -> Answer {
+        let deadline_ms = deadline.as_millis().to_string();
+        let headers = [
+            ("Host", "review.example"),
+            ("Request-Id", id),
+            ("Deadline-Ms", deadline_ms.as_str()),
+            ("Api-Key", "key-of-tenant-a"),
+        ];
+        self.record.note(&format!("client sends {id}: {method} {path} to {to}"));
+        let answer = http::call(to, &Call { method, path, headers: &headers, body: b"", time: deadline });
+        let stamp = http::value(&answer.headers, "response-stamp").unwrap_or("none").to_owned();
+        self.record.note(&format!(
+            "client has for {id}: status {}, {} bytes, ended as whole: {}, stamp {stamp}, after {} ms {}",
+            answer.status,
+            answer.body.len(),
+            answer.whole,
+            answer.ended.duration_since(answer.sent).as_millis(),
+            answer.error,
+        ));
+        answer
+    }
+
+    /// What the servers have recorded.
+    pub fn server_lines(&self) -> Vec<String> {
+        fs::read_to_string(&self.servers_record).unwrap_or_default().lines().map(str::to_owned).collect()
+    }
+
+    /// Appends the servers' record and the entries' logs, and removes the folder.
+    pub fn finish(&self) {
+        let mut record = self.record.0.lock().unwrap();
+        for line in self.server_lines() {
+            let _ = writeln!(record, "{line}");
+        }
+        let logs = fs::read_dir(&self.folder).into_iter().flatten().flatten();
+        for log in logs.filter(|log| log.path().extension().is_some_and(|kind| kind == "log")) {
+            let _ = writeln!(record, "-- log of {}", log.file_name().to_string_lossy());
+            let _ = record.write_all(&fs::read(log.path()).unwrap_or_default());
+        }
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
