Review case 2: a restart at the same address is enough, and streams are cut too

The script needs no second service any more: the crashed server starts again at its address while the entry is frozen for 0.7 s. A stream that may not be resumed is cut and ends as complete as well.

--- a/review/standins/src/cut_answer.rs
+++ b/review/standins/src/cut_answer.rs
@@ -1,4 +1,5 @@
-//! A server crashes in the middle of an answer without a length while the entry stands still.
+//! A server crashes in the middle of an answer without a length, and starts again at its address, while the entry
+//! stands still.
 
 use std::{
     path::Path,
@@ -10,7 +11,7 @@
 use crate::{
     Outcome,
     rig::{Rig, SIGCONT, SIGSTOP},
-    server::body_of,
+    server::{body_of, events_of},
 };
 
 pub fn run(case: &Path, trouble: bool) -> Outcome {
@@ -24,31 +25,34 @@
     }
     thread::sleep(Duration::from_secs(3));
     let to = entries[0].address;
-    let calls = [("POST", "/once/parts/2500/x", "id-once"), ("GET", "/safe/parts/2500/x", "id-safe")];
+    let calls = [
+        ("POST", "/once/parts/1200/x", "id-once"),
+        ("GET", "/safe/parts/1200/x", "id-safe"),
+        ("POST", "/stream/events/1200/x", "id-stream"),
+    ];
     let clients: Vec<_> = calls
         .into_iter()
         .map(|(method, path, id)| {
             let rig = rig.clone();
-            thread::spawn(move || (id, rig.request(to, method, path, id, Duration::from_secs(6))))
+            thread::spawn(move || (id, rig.request(to, method, path, id, Duration::from_secs(4))))
         })
         .collect();
     let until = Instant::now() + Duration::from_secs(2);
     let half = |rig: &Rig| rig.server_lines().iter().filter(|line| line.contains("sent the first half")).count();
-    while half(&rig) < 2 && Instant::now() < until {
+    while half(&rig) < calls.len() && Instant::now() < until {
         thread::sleep(Duration::from_millis(5));
     }
     // The first half reaches the entry.
     thread::sleep(Duration::from_millis(100));
-    let mut other = None;
+    let mut started_again = None;
     if trouble {
         rig.record.note("the entry's machine freezes");
         entries[0].signal(SIGSTOP);
         thread::sleep(Duration::from_millis(100));
         server.crash();
         rig.record.note("server i-api-1 has crashed");
-        // `reuse_after_s` after its end the address may belong to a server of another service.
-        thread::sleep(Duration::from_millis(2100));
-        other = Some(rig.server("other", "i-other-1", server.address));
+        thread::sleep(Duration::from_millis(400));
+        started_again = Some(rig.server("api", "i-api-2", server.address));
         thread::sleep(Duration::from_millis(100));
         entries[0].signal(SIGCONT);
         rig.record.note("the entry's machine wakes");
@@ -56,16 +60,16 @@
     let mut broken = false;
     for client in clients {
         let Ok((id, answer)) = client.join() else { continue };
-        let whole = body_of(id);
+        let whole = if id == "id-stream" { events_of(id) } else { body_of(id) };
         let is_cut = answer.status == 200 && answer.whole && answer.body != whole.as_bytes();
         rig.record.note(&format!(
-            "{id}: the server's whole body has {} bytes, the client has {} and a success that ends as whole: {is_cut}",
+            "{id}: the server's whole body has {} bytes, the client has {} bytes; a short body ends as whole: {is_cut}",
             whole.len(),
             answer.body.len()
         ));
         broken |= is_cut;
     }
-    drop((entries, server, other));
+    drop((entries, server, started_again));
     rig.finish();
     if broken { Outcome::Broken } else { Outcome::Held }
 }
--- a/review/standins/src/rig.rs
+++ b/review/standins/src/rig.rs
@@ -187,18 +187,19 @@
         );
     }
 
-    /// Writes a configuration with one unsafe and one safe route to the service `api`; `other` is a service of
-    /// another route.
+    /// Writes a configuration with an unsafe, a safe and a streaming route, which may not be resumed, to the service
+    /// `api`.
     pub fn configure(&self, version: u32) {
-        let route = |name: &str, path: &str, kind: &str, service: &str, attempts: u32| {
+        let route = |name: &str, path: &str, kind: &str, times: (u32, u32, u32), attempts: u32| {
+            let (timeout, objective, pause) = times;
             format!(
-                r#"{{"name":"{name}","host":"review.example","path_prefix":"{path}","kind":"{kind}","timeout_ms":6000,"target_latency_ms":300,"priority":1,"service":"{service}","max_attempts":{attempts},"allow_anonymous":false,"sticky_sessions":false,"resume_streams":false,"gap_target_ms":0}}"#
+                r#"{{"name":"{name}","host":"review.example","path_prefix":"{path}","kind":"{kind}","timeout_ms":{timeout},"target_latency_ms":{objective},"priority":1,"service":"api","max_attempts":{attempts},"allow_anonymous":false,"sticky_sessions":false,"resume_streams":false,"gap_target_ms":{pause}}}"#
             )
         };
         let routes = [
-            route("r-once", "/once/", "unsafe", "api", 1),
-            route("r-safe", "/safe/", "safe", "api", 2),
-            route("r-other", "/other/", "safe", "other", 2),
+            route("r-once", "/once/", "unsafe", (2000, 300, 0), 1),
+            route("r-safe", "/safe/", "safe", (2000, 300, 0), 2),
+            route("r-stream", "/stream/", "streaming", (6000, 500, 400), 1),
         ];
         let service = |name: &str| {
             format!(r#"{{"name":"{name}","health_path":"/health","max_connections":100,"protocol":"h1","tls":false}}"#)
@@ -207,10 +208,9 @@
             "config",
             "main",
             &format!(
-                r#"{{"version":{version},"routes":[{}],"services":[{},{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"tenant-a","api_keys":["key-of-tenant-a"],"priority":1}}]}}"#,
+                r#"{{"version":{version},"routes":[{}],"services":[{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"tenant-a","api_keys":["key-of-tenant-a"],"priority":1}}]}}"#,
                 routes.join(","),
                 service("api"),
-                service("other"),
             ),
         );
     }
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -1,6 +1,7 @@
 //! A stand-in of a plain server. Paths tell what it does with a request:
 //! `/P/work/MS/..` answers after MS milliseconds; `/P/parts/MS/..` sends the head without a length and half of
-//! the body at once, and after MS milliseconds the other half, and then ends the connection.
+//! the body at once, and after MS milliseconds the other half, and then ends the connection. `/P/events/MS/..`
+//! does the same with a stream of events.
 
 use std::{
     fs::{File, OpenOptions},
@@ -24,6 +25,18 @@
     lines.concat()
 }
 
+/// The events that a stream for a request with this id has.
+pub fn events_of(id: &str) -> String {
+    let events: Vec<String> = (1..=10).map(|event| format!("id: {event}\ndata: {id} event {event}\n\n")).collect();
+    events.concat()
+}
+
+/// Length of the first half: whole lines or events.
+fn first_half(body: &str) -> usize {
+    let middle = body.len() / 2;
+    body[middle..].find("\n\n").or_else(|| body[middle..].find('\n').map(|at| at - 1)).map_or(middle, |at| middle + at + 2)
+}
+
 struct Server {
     id: String,
     record: Mutex<File>,
@@ -74,10 +87,15 @@
         let body = body_of(&id);
         let stamp = format!("{}.{id}", self.id);
         self.note(&format!("runs {id} {} {}", request.method, request.target));
-        if words.get(2) == Some(&"parts") {
-            let (first, second) = body.split_at(body.len() / 2);
+        let parts = match words.get(2) {
+            Some(&"parts") => Some(("text/plain", body.clone())),
+            Some(&"events") => Some(("text/event-stream", events_of(&id))),
+            _ => None,
+        };
+        if let Some((kind, body)) = parts {
+            let (first, second) = body.split_at(first_half(&body));
             let head = format!(
-                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {stamp}\r\nConnection: close\r\n\r\n{first}"
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {stamp}\r\nContent-Type: {kind}\r\nConnection: close\r\n\r\n{first}"
             );
             let _ = writer.write_all(head.as_bytes());
             self.note(&format!("sent the first half for {id}, {} of {} bytes", first.len(), body.len()));
