--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -11,6 +11,7 @@
     pub method: String,
     pub target: String,
     pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
 }
 
 /// The value of a header; names are compared without case.
@@ -64,7 +65,7 @@
     let length = value(&headers, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body)?;
-    Ok(Some(Request { method, target, headers }))
+    Ok(Some(Request { method, target, headers, body }))
 }
 
 /// Writes an answer with a length.
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,8 +4,11 @@
 
 mod cut_answer;
 mod http;
+mod model;
 mod rig;
 mod server;
+mod sha256;
+mod spoilt_manifest;
 mod stop_and_reload;
 mod store;
 
@@ -26,6 +29,7 @@
         }
         Some("stop-and-reload") => stop_and_reload::run(Path::new(&args[1]), trouble),
         Some("cut-answer") => cut_answer::run(Path::new(&args[1]), trouble),
+        Some("spoilt-manifest") => spoilt_manifest::run(Path::new(&args[1]), trouble),
         _ => Outcome::NotRun("review-standins CASE FOLDER".to_owned()),
     };
     match outcome {
--- a/review/standins/src/rig.rs
+++ b/review/standins/src/rig.rs
@@ -41,7 +41,7 @@
     }
 }
 
-/// An entry, which is ended when this is dropped.
+/// An entry or an agent, which is ended when this is dropped.
 pub struct Entry {
     pub name: String,
     pub address: SocketAddr,
@@ -76,10 +76,10 @@
         http::call(self.ready, &call).status == 200
     }
 
-    fn spawn(settings: &Path, log: &Path) -> Child {
+    fn spawn(role: &str, settings: &Path, log: &Path) -> Child {
         let log = File::options().create(true).append(true).open(log).expect("the log of an entry");
         let mut run = Command::new("target/release/headlatchd");
-        run.args(["entry", "--settings"]).arg(settings).stdin(Stdio::null());
+        run.args([role, "--settings"]).arg(settings).stdin(Stdio::null());
         run.stdout(log.try_clone().expect("a log")).stderr(log);
         run.spawn().expect("headlatchd starts")
     }
@@ -136,19 +136,48 @@
         Self { store, record: Record(Arc::new(Mutex::new(record))), folder, servers_record, store_address, control }
     }
 
-    /// Starts entry `number` on a loopback address of its own.
+    /// Starts entry `number` on a loopback address of its own, at the first start of the whole system.
     pub fn entry(&self, number: u8, seeds: &[u8]) -> Entry {
-        let ip = |number: u8| format!("127.0.1.{number}");
-        let (own, name) = (ip(number), format!("front-{number}"));
+        self.entry_with(number, seeds, true)
+    }
+
+    /// Starts entry `number`; `is_first` tells whether the whole system starts for the first time.
+    pub fn entry_with(&self, number: u8, seeds: &[u8], is_first: bool) -> Entry {
+        let (own, name) = (format!("127.0.1.{number}"), format!("front-{number}"));
         let (address, ready) = (free(&own), free(&own));
-        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{}:{}\"", ip(*seed), self.control)).collect();
+        let part = format!(
+            r#""entry": {{ "listen": "{address}" }},
+  "direct": {{ "retry": {{ "ratio": 0.2, "slack": 102, "window_seconds": 10 }}, "memory": "260MiB","#
+        );
+        self.start("entry", &own, name, (address, ready), &part, (seeds, is_first))
+    }
+
+    /// Starts the agent beside the model server at `server`.
+    pub fn agent(&self, own: &str, server: SocketAddr, seeds: &[u8], is_first: bool) -> Entry {
+        let admin = free(own);
+        let part = format!(
+            r#""agent": {{ "endpoint": {{ "kind": "engine", "address": "{server}", "service": "llm" }}, "link": {{ "rate": "7.3Mbit/s" }} }},
+  "direct": {{"#
+        );
+        self.start("agent", own, format!("side-{}", server.port()), (admin, admin), &part, (seeds, is_first))
+    }
+
+    /// Starts a process with settings as the templates of the deploy file give them.
+    fn start(
+        &self,
+        role: &str,
+        own: &str,
+        name: String,
+        (address, ready): (SocketAddr, SocketAddr),
+        part: &str,
+        (seeds, is_first): (&[u8], bool),
+    ) -> Entry {
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"127.0.1.{seed}:{}\"", self.control)).collect();
         let text = format!(
             r#"{{ "box": "{name}", "domain": "zone-a", "region": "region-a", "control": "{own}:{}", "admin": "{ready}",
   "platform": "http://{}", "log": {{ "level": "info", "format": "json" }}, "drain_seconds": {},
-  "entry": {{ "listen": "{address}" }},
-  "direct": {{ "zones": {{"zone-a": "region-a"}}, "seeds": [{}],
-    "retry": {{ "ratio": 0.2, "slack": 102, "window_seconds": 10 }}, "memory": "260MiB", "weights_ms": 8000,
-    "server_pace": true, "first_start": true }} }}
+  {part} "zones": {{"zone-a": "region-a"}}, "seeds": [{}], "weights_ms": 8000, "server_pace": true,
+    "first_start": {is_first} }} }}
 "#,
             self.control,
             self.store_address,
@@ -157,7 +186,7 @@
         );
         let (settings, log) = (self.folder.join(format!("{name}.json")), self.folder.join(format!("{name}.log")));
         fs::write(&settings, text).expect("settings");
-        let child = Entry::spawn(&settings, &log);
+        let child = Entry::spawn(role, &settings, &log);
         Entry { name, address, ready, child }
     }
 
@@ -215,6 +244,22 @@
         );
     }
 
+    /// Writes a configuration with a streaming route, which may be resumed, to the model servers `llm`, whose weights
+    /// come from `origin`.
+    pub fn configure_model(&self, version: u32, origin: SocketAddr) {
+        let model = crate::model::MODEL;
+        let engine = format!(
+            r#"{{"slots":16,"kv_capacity":317000,"kv_token_bytes":262144,"link_mbps":400000.0,"stride":5,"models":[{{"name":"{model}","pace":1.0,"load_s":4.0,"warm_s":0.3}}],"size_mb":149000.0,"adapter_slots":8,"loads_per_s":0.0,"step_ms":9.27,"per_seq_ms":0.0232,"context_per_k":0.0322,"read_per_s":20700.0,"pairs_per_m":1.18,"chunk":2048,"report_lag_ms":200.0,"loads_at_once":8,"delays":[],"usual":{{"prompt":979,"answer":92}},"layers":16,"layer_mb":4090.0,"act_bytes":16384,"pipe_mbps":0.0,"chunks":96,"chunk_bytes":24576}}"#
+        );
+        self.store.put(
+            "config",
+            "main",
+            &format!(
+                r#"{{"version":{version},"routes":[{{"name":"r-llm","host":"review.example","path_prefix":"/llm/","kind":"streaming","timeout_ms":6000,"target_latency_ms":500,"priority":1,"service":"llm","max_attempts":2,"allow_anonymous":false,"sticky_sessions":true,"resume_streams":true,"gap_target_ms":400}}],"services":[{{"name":"llm","health_path":"/health","max_connections":424,"protocol":"h1","tls":false,"engine":{engine}}},{{"name":"weights","origin":"{origin}","zone":"zone-a","link_mbps":7.3,"max_connections":48}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"tenant-a","api_keys":["key-of-tenant-a"],"priority":1}}]}}"#
+            ),
+        );
+    }
+
     /// Waits until all entries are ready; returns whether they are.
     pub fn wait_ready(&self, entries: &[Entry]) -> bool {
         let until = Instant::now() + Duration::from_secs(15);
@@ -229,13 +274,27 @@
 
     /// Sends one request as a client does, and records it.
     pub fn request(&self, to: SocketAddr, method: &str, path: &str, id: &str, deadline: Duration) -> Answer {
+        self.request_with(to, method, path, id, deadline, &[])
+    }
+
+    /// As [`Self::request`], with further headers.
+    pub fn request_with(
+        &self,
+        to: SocketAddr,
+        method: &str,
+        path: &str,
+        id: &str,
+        deadline: Duration,
+        further: &[(&str, &str)],
+    ) -> Answer {
         let deadline_ms = deadline.as_millis().to_string();
-        let headers = [
+        let mut headers = vec![
             ("Host", "review.example"),
             ("Request-Id", id),
             ("Deadline-Ms", deadline_ms.as_str()),
             ("Api-Key", "key-of-tenant-a"),
         ];
+        headers.extend(further);
         self.record.note(&format!("client sends {id}: {method} {path} to {to}"));
         let answer = http::call(to, &Call { method, path, headers: &headers, body: b"", time: deadline });
         let stamp = http::value(&answer.headers, "response-stamp").unwrap_or("none").to_owned();
