--- a/review/standins/src/stop_and_reload.rs
+++ b/review/standins/src/stop_and_reload.rs
@@ -16,7 +16,7 @@
     rig::{Entry, GRACE, Rig, SIGHUP, SIGKILL, SIGTERM},
 };
 
-const ENTRIES: u8 = 5;
+const ENTRIES: u8 = 10;
 
 /// How long a server works on a request.
 const WORK: &str = "700";
