--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -1,5 +1,5 @@
 //! A stand-in of a plain server. Paths tell what it does with a request:
-//! `/P/work/MS/..` answers after MS milliseconds; `/P/parts/MS/..` sends the head without a length and half of
+//! `/P/wait/MS/..` answers after MS milliseconds; `/P/parts/MS/..` sends the head without a length and half of
 //! the body at once, and after MS milliseconds the other half, and then ends the connection. `/P/events/MS/..`
 //! does the same with a stream of events.
 
--- a/review/standins/src/stop_and_reload.rs
+++ b/review/standins/src/stop_and_reload.rs
@@ -99,7 +99,7 @@
         };
         number += 1;
         let id = format!("{name}-{number}");
-        let path = format!("/once/work/{WORK}/x");
+        let path = format!("/once/wait/{WORK}/x");
         let answer = rig.request(to, "POST", &path, &id, Duration::from_secs(4));
         if !answer.whole && answer.error != "Connection refused (os error 111)" {
             cut.lock().unwrap().push(Cut { id, sent: answer.sent });
