Subscribe to signals once, before a daemon starts

Cause: each turn of the wait for signals subscribed to SIGTERM and SIGINT anew. A stop that came with a reload, or while the settings were read, belonged to a subscription that was dropped. Evidence: the log of the old code has `reloaded` and no `stopping`, and the process serves on, so neither the read nor the shutdown hangs. Agents and SIGINT were lost in the same way. The handlers also came after the start, so that a SIGHUP in the first milliseconds ended a process; the first path ended on any.

One receiver now is made before anything listens and owned by the only loop that waits. What arrives between two turns stays in it, and a stop goes before a reload. SIGHUP is blocked until the handlers exist. New log line: `life signal_received`.

--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -26,7 +26,7 @@
 }
 
 /// Arguments that locate the settings.
-#[derive(Debug, Args)]
+#[derive(Debug, Clone, Args)]
 pub struct SettingsArgs {
     /// Settings file, in JSON
     #[arg(long, value_name = "FILE")]
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod node;
 pub mod platform;
 pub mod run;
+pub mod signals;
 pub mod supervisor;
 pub mod timer;
 pub mod trace;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -10,7 +10,7 @@
     direct_settings::{DirectAgentSettings, DirectEntrySettings},
     settings::{DaemonSettings, NodeSettings},
 };
-use tokio::signal::unix::{SignalKind, signal};
+use serde_json::json;
 
 use crate::{
     agent::RunningAgent,
@@ -24,6 +24,7 @@
     error::{DaemonError, Failure},
     logging,
     platform::{HttpStore, SharedStore},
+    signals::{PendingReloads, ProcessSignal, SignalReceiver},
     supervisor,
     timer::{SharedTimer, SystemTimer},
     trace::SpanFactory,
@@ -37,15 +38,16 @@
         DaemonCommand::Agent(args) => (args, Some(DaemonKind::Agent)),
         DaemonCommand::Check(args) => (args, None),
     };
+    let pending = requested.map(|_| PendingReloads::block()).transpose()?;
     let settings = read_settings(args)?;
-    match requested {
+    match requested.zip(pending) {
         None => {
             println!("{}: {}", args.settings.display(), describe(&settings));
             Ok(())
         }
-        Some(requested) => {
+        Some((requested, pending)) => {
             check_kind(&args.settings, requested, &settings)?;
-            Ok(run_daemon(settings, args)?)
+            Ok(run_daemon(settings, args, pending)?)
         }
     }
 }
@@ -99,7 +101,11 @@
     }
 }
 
-fn run_daemon(settings: DaemonSettings, args: &SettingsArgs) -> Result<(), Report<DaemonError>> {
+fn run_daemon(
+    settings: DaemonSettings,
+    args: &SettingsArgs,
+    pending: PendingReloads,
+) -> Result<(), Report<DaemonError>> {
     let (node, direct) = match &settings {
         DaemonSettings::Entry(entry) => (&entry.node, false),
         DaemonSettings::Agent(agent) => (&agent.node, false),
@@ -115,37 +121,46 @@
     };
     let failure = || DaemonError::Telemetry("the runtime");
     let runtime = builder.enable_all().build().change_context_lazy(failure)?;
-    let served = runtime.block_on(serve(settings, args));
+    let served = runtime.block_on(async {
+        let signals = SignalReceiver::subscribe(pending)?;
+        let reloads = ReloadLoop { signals, args: args.clone() };
+        serve(settings, reloads).await
+    });
     decisions::flush();
     served
 }
 
-async fn serve(settings: DaemonSettings, args: &SettingsArgs) -> Result<(), Report<DaemonError>> {
+async fn serve(
+    settings: DaemonSettings,
+    mut reloads: ReloadLoop,
+) -> Result<(), Report<DaemonError>> {
     let timer: SharedTimer = Arc::new(SystemTimer::default());
     match settings {
         DaemonSettings::Entry(settings) => {
             let (store, spans) = store_and_spans(&settings.node, "headlatch-entry")?;
             let entry = RunningEntry::start(*settings, timer, store, spans.clone()).await?;
-            wait_for_stop().await?;
+            reloads.run_until_stop(|_| {}).await;
             entry.leave().await;
             spans.flush();
         }
         DaemonSettings::Agent(settings) => {
             let (store, spans) = store_and_spans(&settings.node, "headlatch-agent")?;
             let agent = RunningAgent::start(*settings, timer, store, spans.clone()).await?;
-            wait_for_stop().await?;
+            reloads.run_until_stop(|_| {}).await;
             agent.leave().await;
             spans.flush();
         }
-        DaemonSettings::DirectEntry(settings) => serve_direct_entry(*settings, args).await?,
-        DaemonSettings::DirectAgent(settings) => serve_direct_agent(*settings, timer, args).await?,
+        DaemonSettings::DirectEntry(settings) => serve_direct_entry(*settings, reloads).await?,
+        DaemonSettings::DirectAgent(settings) => {
+            serve_direct_agent(*settings, timer, reloads).await?;
+        }
     }
     Ok(())
 }
 
 async fn serve_direct_entry(
     settings: DirectEntrySettings,
-    args: &SettingsArgs,
+    mut reloads: ReloadLoop,
 ) -> Result<(), Report<DaemonError>> {
     decisions::start();
     let connections = Arc::new(Connections::default());
@@ -154,12 +169,12 @@
     let entry =
         DirectEntry::start_with_quarantines(settings, store.clone(), headers, store).await?;
     let state = entry.state.clone();
-    wait_for_stop_or_reload(args, |settings| {
+    let apply = |settings| {
         if let DaemonSettings::DirectEntry(settings) = settings {
             state.set_retry_settings(settings.direct.retry);
         }
-    })
-    .await?;
+    };
+    reloads.run_until_stop(apply).await;
     entry.leave().await;
     Ok(())
 }
@@ -167,7 +182,7 @@
 async fn serve_direct_agent(
     settings: DirectAgentSettings,
     timer: SharedTimer,
-    args: &SettingsArgs,
+    mut reloads: ReloadLoop,
 ) -> Result<(), Report<DaemonError>> {
     decisions::start();
     let connections = Arc::new(Connections::default());
@@ -178,7 +193,7 @@
         origin: Arc::new(PlatformOrigin::new(connections)),
     };
     let agent = DirectAgent::start(settings, timer, outside).await?;
-    wait_for_stop_or_reload(args, |_| {}).await?;
+    reloads.run_until_stop(|_| {}).await;
     agent.leave();
     Ok(())
 }
@@ -191,41 +206,41 @@
     Ok((store, SpanFactory::new(name, node.traces.as_ref())?))
 }
 
-async fn wait_for_stop() -> Result<(), Report<DaemonError>> {
-    let failure = || DaemonError::Telemetry("signals");
-    let mut terminate = signal(SignalKind::terminate()).change_context_lazy(failure)?;
-    let mut interrupt = signal(SignalKind::interrupt()).change_context_lazy(failure)?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
+/// Reloads the settings on SIGHUP until the daemon has to stop.
+#[derive(Debug)]
+struct ReloadLoop {
+    signals: SignalReceiver,
+    args: SettingsArgs,
 }
 
-/// Waits for a termination signal; on SIGHUP, re-reads and validates the settings and passes them
-/// to `apply`.
-///
-/// Invalid settings are logged and ignored. Listen addresses and the identity of the process do not
-/// change until the next start.
-async fn wait_for_stop_or_reload(
-    args: &SettingsArgs,
-    apply: impl Fn(DaemonSettings),
-) -> Result<(), Report<DaemonError>> {
-    let mut hangup =
-        signal(SignalKind::hangup()).change_context(DaemonError::Telemetry("signals"))?;
-    loop {
-        tokio::select! {
-            stopped = wait_for_stop() => return stopped,
-            _ = hangup.recv() => match read_settings(args) {
+impl ReloadLoop {
+    /// Waits for a termination signal; on SIGHUP, re-reads and validates the settings and passes them
+    /// to `apply`.
+    ///
+    /// Invalid settings are logged and ignored. Listen addresses and the identity of the process do
+    /// not change until the next start.
+    async fn run_until_stop(&mut self, apply: impl Fn(DaemonSettings)) {
+        loop {
+            let signal = self.signals.next().await;
+            record_signal(signal);
+            if let ProcessSignal::Stop(_) = signal {
+                return;
+            }
+            match read_settings(&self.args) {
                 Ok(settings) => {
-                    decisions::info("life", "reloaded", serde_json::json!({}));
+                    decisions::info("life", "reloaded", json!({}));
                     apply(settings);
                 }
                 Err(error) => {
-                    let fields = serde_json::json!({ "error": format!("{error:#}") });
+                    let fields = json!({ "error": format!("{error:#}") });
                     decisions::warn("life", "reload_failed", fields);
                 }
-            },
+            }
         }
     }
 }
+
+fn record_signal(signal: ProcessSignal) {
+    log::info!("received {signal}");
+    decisions::info("life", "signal_received", json!({ "signal": signal.to_string() }));
+}
