Read settings for a reload outside of the daemon's task

A reload whose settings file could not be read at once (a stalled file system; a named pipe in the test) held up a stop, and with it everything else in a daemon of direct mode, which has one thread: callers got no answer until the file did.

The file is read on a blocking thread, a stop ends the wait for it, and the runtime is shut down without waiting for that thread.

reload_that_hangs_does_not_delay_a_stop: failed for entry and agent before, passes now.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -24,7 +24,7 @@
     error::{DaemonError, Failure},
     logging,
     platform::{HttpStore, SharedStore},
-    signals::{PendingReloads, ProcessSignal, SignalReceiver},
+    signals::{PendingReloads, ProcessSignal, SignalReceiver, StopSource},
     supervisor,
     timer::{SharedTimer, SystemTimer},
     trace::SpanFactory,
@@ -126,6 +126,8 @@
         let reloads = ReloadLoop { signals, args: args.clone() };
         serve(settings, reloads).await
     });
+    // A reload that still reads the settings must not delay the exit.
+    runtime.shutdown_background();
     decisions::flush();
     served
 }
@@ -226,20 +228,45 @@
             if let ProcessSignal::Stop(_) = signal {
                 return;
             }
-            match read_settings(&self.args) {
+            match self.reload().await {
                 Ok(settings) => {
                     decisions::info("life", "reloaded", json!({}));
                     apply(settings);
                 }
-                Err(error) => {
+                Err(ReloadEnd::Failed(error)) => {
                     let fields = json!({ "error": format!("{error:#}") });
                     decisions::warn("life", "reload_failed", fields);
                 }
+                Err(ReloadEnd::Stopped(source)) => {
+                    record_signal(ProcessSignal::Stop(source));
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Reads the settings beside the daemon's tasks, since the file may be on a slow file system.
+    async fn reload(&mut self) -> Result<DaemonSettings, ReloadEnd> {
+        let args = self.args.clone();
+        let reading = tokio::task::spawn_blocking(move || read_settings(&args));
+        tokio::select! {
+            biased;
+            source = self.signals.stopped() => Err(ReloadEnd::Stopped(source)),
+            read = reading => {
+                let failure = DaemonError::Telemetry("the reading of the settings");
+                read.change_context(failure).flatten().map_err(ReloadEnd::Failed)
             }
         }
     }
 }
 
+/// Why a reload did not lead to settings.
+#[derive(Debug)]
+enum ReloadEnd {
+    Failed(Report<DaemonError>),
+    Stopped(StopSource),
+}
+
 fn record_signal(signal: ProcessSignal) {
     log::info!("received {signal}");
     decisions::info("life", "signal_received", json!({ "signal": signal.to_string() }));
--- a/crates/daemon/src/signals.rs
+++ b/crates/daemon/src/signals.rs
@@ -99,6 +99,11 @@
             _ = hangup.recv() => ProcessSignal::Reload,
         }
     }
+
+    /// Waits until the daemon has to stop, and leaves reloads pending.
+    pub async fn stopped(&mut self) -> StopSource {
+        either(&mut self.terminate, &mut self.interrupt).await
+    }
 }
 
 async fn either(terminate: &mut Signal, interrupt: &mut Signal) -> StopSource {
--- a/crates/daemon/tests/signals.rs
+++ b/crates/daemon/tests/signals.rs
@@ -239,3 +239,18 @@
     daemon.signal(Signal::SIGTERM);
     assert_that!(daemon.exit_status(), some(anything()));
 }
+
+/// A reload whose file could not be read at once delayed a stop.
+#[rstest]
+#[case(Kind::DirectEntry)]
+#[case(Kind::DirectAgent)]
+fn reload_that_hangs_does_not_delay_a_stop(#[case] kind: Kind) {
+    let mut daemon = Daemon::start(kind);
+    daemon.wait_for_event("started");
+    fs::remove_file(settings_path(&daemon.folder)).expect("it exists");
+    make_pipe(&daemon.folder);
+    daemon.signal(Signal::SIGHUP);
+    let _pipe = daemon.wait_until_read();
+    daemon.signal(Signal::SIGTERM);
+    daemon.assert_clean_exit();
+}
