Identify the process at a server's address before an answer counts as whole

Cause: an answer that ends with its connection is whole only if its server lives on, and whatever accepted a connection at the address was taken for that server. A cut path to the server hides a restart as well as a freeze does, without any suspension (new test). After a broken connection the same probe took a server that had crashed and was back for alive, and its end did not count against the request.

A crash and a new start that go unnoticed leave a gap in the answer. After one of 0.25 s or more the entry now asks the process at the address who it is: a request for a server that does not exist is turned away at once, without a slot, and the answer names the process; a health check is the second choice. Without an answer the body counts as broken off.

Evidence: tests/replaced_servers.rs, of the first 15 cases 8 failed with the check as it was (five freezes, two cuts, the broken connection); all 19 pass now, as do the whole answers of servers whose health check is refused or takes 0.7 s.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -2,6 +2,7 @@
 //! routing, server selection, retries and admission.
 
 pub mod admission;
+pub mod answer_silence;
 pub mod draining;
 pub mod engine_model;
 pub mod evacuation;
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use headlatch_core::direct::{
     admission::urgency::UrgencyRank,
+    answer_silence::SilenceMeter,
     engine_model::completion_time,
     server_table::{ChosenServer, ServerOutcome},
     time_limit::{LimitedTime, TimeLimit},
@@ -120,6 +121,8 @@
     pub in_flight: InFlight,
     /// The body ends with the connection, as it does if the server crashes.
     pub close_delimited: bool,
+    /// Silences of the server since the request was sent.
+    pub silence: SilenceMeter,
     /// Time limit sent to the server, counted from when the request was sent.
     pub time_limit: LimitedTime,
 }
@@ -198,10 +201,18 @@
         .ok_or_else(|| AttemptFailure::not_sent("rate_limited"))?;
     let sent = send_counted(state, request, &in_flight, last_event, choice).await;
     match sent {
-        Ok((response, connection, time_limit)) => {
+        Ok(begun) => {
             in_flight.note_read();
+            let BegunAnswer { response, connection, time_limit, silence } = begun;
             let close_delimited = is_close_delimited(&response);
-            Ok(ServerAnswer { response, connection, in_flight, close_delimited, time_limit })
+            Ok(ServerAnswer {
+                response,
+                connection,
+                in_flight,
+                close_delimited,
+                silence,
+                time_limit,
+            })
         }
         Err(failure) => {
             in_flight.end(failure.outcome);
@@ -210,13 +221,21 @@
     }
 }
 
+/// The head of a server's answer, with its body still to be read.
+struct BegunAnswer {
+    response: Response<Incoming>,
+    connection: ActiveConnection,
+    time_limit: LimitedTime,
+    silence: SilenceMeter,
+}
+
 async fn send_counted(
     state: &Arc<EntryState>,
     request: &AdmittedRequest,
     in_flight: &InFlight,
     last_event: Option<u64>,
     mut choice: ConnectionChoice,
-) -> Result<(Response<Incoming>, ActiveConnection, LimitedTime), AttemptFailure> {
+) -> Result<BegunAnswer, AttemptFailure> {
     let server = in_flight.server();
     loop {
         let begun = Instant::now();
@@ -274,7 +293,9 @@
             state.apply_signals(server, sent_at, &facts);
         }
         let (response, connection) = check_answer(request, facts, response, connection)?;
-        return Ok((response, connection, time_limit));
+        let mut silence = SilenceMeter::new(sent_at);
+        silence.record(state.now());
+        return Ok(BegunAnswer { response, connection, time_limit, silence });
     }
 }
 
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -5,6 +5,7 @@
 use headlatch_core::{
     direct::{
         admission::shedding::{NewRequest, ShedRank},
+        answer_silence::SilenceMeter,
         server_table::{ChosenServer, ServerChoice, ServerOutcome, ServerQuery},
         suspects::QUARANTINE_TIME,
     },
@@ -327,6 +328,7 @@
         self.predicted = self.predicted.or(server.predicted);
         self.sends += 1;
         self.possible_runs += 1;
+        let mut silence = SilenceMeter::new(self.state.now());
         let (sent, reserved) = self.send_with_timeout(server.clone(), last_event).await;
         self.reserved = reserved;
         if let Ok(answer) = &sent
@@ -339,7 +341,8 @@
             self.sends -= u32::from(!failure.reached_server);
             self.possible_runs -= u32::from(failure.verdict == RunVerdict::NotRun);
             if failure.is_connection_break() {
-                self.handle_connection_break(&server, None).await;
+                silence.record(self.state.now());
+                self.handle_connection_break(&server, None, &silence).await;
             }
         }
         sent
--- a/crates/daemon/src/direct/exchange/collect.rs
+++ b/crates/daemon/src/direct/exchange/collect.rs
@@ -4,12 +4,13 @@
 use headlatch_types::RunVerdict;
 use http::{Response, header};
 use http_body::Body;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use serde_json::json;
 
 use super::Exchange;
 use crate::direct::{
     answer::{AnswerBody, BodyError, full_body, strip_hop_by_hop_headers},
+    answer_reader::AnswerReader,
     attempt::{self, AttemptFailure, ServerAnswer, is_failure},
     server_end::ServerLiveness,
 };
@@ -23,30 +24,30 @@
         &mut self,
         answer: ServerAnswer,
     ) -> Result<Response<AnswerBody>, AttemptFailure> {
-        let ServerAnswer { response, connection, in_flight, close_delimited, .. } = answer;
+        let ServerAnswer { response, connection, in_flight, close_delimited, silence, .. } = answer;
         let (server, begun) = (in_flight.server().clone(), self.state.now());
         let (mut parts, body) = response.into_parts();
         // While this waits for memory the body is not read, so that flow control leaves it at the
         // server.
         let announced = body.size_hint().lower().min(MAX_ANSWER_BYTES as u64) as usize;
         let memory = self.state.answer_memory.reserve(announced);
-        let collected = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let mut reader = AnswerReader::new(self.state.clone(), body, silence);
         let collected = async {
             let memory = memory.await;
-            Ok::<_, BodyError>((memory, collected.await?))
+            Ok::<_, BodyError>((memory, reader.collect(MAX_ANSWER_BYTES).await?))
         };
         let collected = tokio::time::timeout_at(self.request.deadline, collected).await;
         let whole = match collected {
             Ok(Ok((memory, body))) if close_delimited => {
                 // A server that ends closes its connections as well.
-                match self.settle_close(&server, Some(begun)).await {
-                    ServerLiveness::Alive => Ok((memory, body.to_bytes())),
+                match self.settle_close(&server, Some(begun), reader.silence()).await {
+                    ServerLiveness::Alive => Ok((memory, body)),
                     _ => Err("connection closed by a server that has ended".to_owned()),
                 }
             }
-            Ok(Ok((memory, body))) => Ok((memory, body.to_bytes())),
+            Ok(Ok((memory, body))) => Ok((memory, body)),
             Ok(Err(error)) => {
-                self.handle_connection_break(&server, Some(begun)).await;
+                self.handle_connection_break(&server, Some(begun), reader.silence()).await;
                 Err(error.to_string())
             }
             Err(_) => Err("response incomplete at the deadline".to_owned()),
--- a/crates/daemon/src/direct/exchange/server_ends.rs
+++ b/crates/daemon/src/direct/exchange/server_ends.rs
@@ -2,26 +2,31 @@
 
 use std::time::Duration;
 
-use headlatch_core::{direct::server_table::ChosenServer, time::Moment};
+use headlatch_core::{
+    direct::{answer_silence::SilenceMeter, server_table::ChosenServer},
+    time::Moment,
+};
 use headlatch_types::request::PartKey;
 use serde_json::json;
 
 use super::Exchange;
-use crate::direct::server_end::{self, ServerLiveness};
+use crate::direct::server_end::{LivenessCheck, ServerLiveness};
 
 /// Time that a request whose parts are suspected waits after its server has ended, before it is sent
 /// again: one round of notices, after which a verdict on the end is known.
 const VERDICT_WAIT: Duration = Duration::from_millis(150);
 
 impl Exchange {
-    /// Checks whether a server that closed the connection has ended, and reports an unplanned end to
+    /// Checks whether a server that broke the connection has ended, and reports an unplanned end to
     /// the quarantine. The server had been writing on the answer since `writing_since`.
     pub async fn handle_connection_break(
         &self,
         server: &ChosenServer,
         writing_since: Option<Moment>,
+        silence: &SilenceMeter,
     ) -> ServerLiveness {
-        let liveness = server_end::probe(&self.state, server).await;
+        let check = self.liveness_check(server);
+        let liveness = check.after_break(silence).await;
         self.record_liveness(server, writing_since, liveness)
     }
 
@@ -31,18 +36,28 @@
         &self,
         server: &ChosenServer,
         writing_since: Option<Moment>,
+        silence: &SilenceMeter,
     ) -> ServerLiveness {
-        let liveness = server_end::probe_settled(&self.state, server).await;
+        let liveness = self.liveness_check(server).after_answer(silence).await;
         self.record_liveness(server, writing_since, liveness)
     }
 
+    fn liveness_check<'a>(&'a self, server: &'a ChosenServer) -> LivenessCheck<'a> {
+        let (state, deadline) = (&self.state, self.request.deadline);
+        let routes = state.routes();
+        let service =
+            routes.as_ref().and_then(|routes| routes.plan().services.get(&*self.request.service));
+        let health_path = service.and_then(|service| service.health_path.clone());
+        LivenessCheck { state, server, health_path, deadline }
+    }
+
     fn record_liveness(
         &self,
         server: &ChosenServer,
         writing_since: Option<Moment>,
         liveness: ServerLiveness,
     ) -> ServerLiveness {
-        if liveness == ServerLiveness::Ended {
+        if matches!(liveness, ServerLiveness::Ended | ServerLiveness::Replaced) {
             self.record_server_end(server, writing_since);
         }
         liveness
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -142,7 +142,7 @@
         state.metrics.count_request(given_up.verdict);
         state.metrics.count_refusal(given_up.cause);
         let mut response = given_up.response();
-        state.headers.write_answer(response.headers_mut(), &id);
+        state.headers.write_id(response.headers_mut(), &id);
         response
     });
     if state.is_stopping() {
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -5,6 +5,7 @@
 mod agent_notices;
 mod agent_plan;
 pub mod answer;
+mod answer_reader;
 pub mod attempt;
 pub mod body_memory;
 pub mod change;
--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -5,7 +5,7 @@
 //! slow, so another server is asked in parallel, and the first one to send data continues the
 //! stream.
 
-use std::{pin::pin, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use headlatch_core::{
@@ -22,15 +22,16 @@
 use http::{Response, StatusCode, header};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Incoming;
 use serde_json::json;
 use tokio::time::Instant;
 
 use super::{
     answer::{AnswerBody, BodyError, strip_hop_by_hop_headers},
+    answer_reader::AnswerReader,
     attempt::{AttemptFailure, InFlight, ServerAnswer},
     exchange::Exchange,
     server_end::ServerLiveness,
+    state::EntryState,
 };
 
 /// Pause after which another server is asked in parallel, as a multiple of the route's pause
@@ -57,7 +58,7 @@
 
 /// A server that a stream is read from.
 struct StreamSource {
-    body: Incoming,
+    reader: AnswerReader,
     connection: ActiveConnection,
     in_flight: InFlight,
     splitter: EventSplitter,
@@ -74,15 +75,16 @@
 }
 
 impl StreamSource {
-    fn new(answer: ServerAnswer, now: Moment) -> Self {
+    fn new(answer: ServerAnswer, state: &Arc<EntryState>) -> Self {
+        let body = answer.response.into_body();
         Self {
             close_delimited: answer.close_delimited,
-            body: answer.response.into_body(),
+            reader: AnswerReader::new(state.clone(), body, answer.silence),
             connection: answer.connection,
             in_flight: answer.in_flight,
             splitter: EventSplitter::default(),
             time_limit: answer.time_limit,
-            started: now,
+            started: state.now(),
             writing_since: None,
             survival_recorded: false,
         }
@@ -90,21 +92,13 @@
 
     /// Reads the next bytes of the stream, or how it ended.
     async fn next(&mut self) -> Result<Bytes, StreamEnd> {
-        loop {
-            match self.body.frame().await {
-                None if self.splitter.rest().is_empty() => {
-                    return Err(match self.close_delimited {
-                        true => StreamEnd::Closed,
-                        false => StreamEnd::Whole,
-                    });
-                }
-                None | Some(Err(_)) => return Err(StreamEnd::Broken),
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Ok(data);
-                    }
-                }
-            }
+        match self.reader.next().await {
+            Some(Ok(data)) => Ok(data),
+            None if self.splitter.rest().is_empty() => Err(match self.close_delimited {
+                true => StreamEnd::Closed,
+                false => StreamEnd::Whole,
+            }),
+            None | Some(Err(_)) => Err(StreamEnd::Broken),
         }
     }
 }
@@ -135,7 +129,7 @@
     let mut headers = std::mem::take(answer.response.headers_mut());
     strip_hop_by_hop_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
-    let mut source = StreamSource::new(answer, exchange.state.now());
+    let mut source = StreamSource::new(answer, &exchange.state);
     let mut relay = Relay {
         last_event: exchange.request.facts.last_event,
         status,
@@ -206,12 +200,18 @@
     /// Finds out what a closed connection means. Only a server that lives on has ended its stream by
     /// closing it.
     async fn settle_end(&self, source: &StreamSource, end: StreamEnd) -> StreamEnd {
-        let (server, writing_since) = (source.in_flight.server(), source.writing_since);
         match end {
-            StreamEnd::Closed => match self.exchange.settle_close(server, writing_since).await {
-                ServerLiveness::Alive => StreamEnd::Whole,
-                ServerLiveness::Ended | ServerLiveness::Unknown => StreamEnd::Broken,
-            },
+            StreamEnd::Closed => {
+                let (server, writing_since) = (source.in_flight.server(), source.writing_since);
+                let silence = source.reader.silence();
+                match self.exchange.settle_close(server, writing_since, silence).await {
+                    ServerLiveness::Alive => StreamEnd::Whole,
+                    ServerLiveness::Ended
+                    | ServerLiveness::Replaced
+                    | ServerLiveness::Unidentified
+                    | ServerLiveness::Unknown => StreamEnd::Broken,
+                }
+            }
             StreamEnd::Broken => {
                 let _ = break_liveness(&self.exchange, source).await;
                 end
@@ -364,7 +364,8 @@
 
 /// Finds out whether the server of a closed connection has ended, and records it.
 async fn break_liveness(exchange: &Exchange, source: &StreamSource) -> ServerLiveness {
-    exchange.handle_connection_break(source.in_flight.server(), source.writing_since).await
+    let (server, silence) = (source.in_flight.server(), source.reader.silence());
+    exchange.handle_connection_break(server, source.writing_since, silence).await
 }
 
 /// Resumes the stream on `server` after event `last` and waits for the first data. If the attempt
@@ -406,7 +407,7 @@
         Ok(answer) if answer.response.status() == status => {
             let fields = json!({ "server": answer.in_flight.server().id, "after": last });
             exchange.log("stream_continued", fields);
-            Ok(StreamSource::new(answer, exchange.state.now()))
+            Ok(StreamSource::new(answer, &exchange.state))
         }
         Ok(answer) => {
             answer.in_flight.end(ServerOutcome::Failed);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -67,6 +67,7 @@
     invalid_fields: IntCounterVec,
     unread_parts: IntCounter,
     quarantined: IntGaugeVec,
+    liveness_checks: IntCounterVec,
     server_signals: IntCounterVec,
     malformed_signals: IntCounterVec,
     rate_limits: IntGauge,
@@ -118,6 +119,11 @@
             "Fields of facts from the store with an invalid value, by path.",
             &["field"],
         );
+        let liveness_checks = counter(
+            "headlatch_server_liveness_checks_total",
+            "Checks of servers that closed a connection: after what, whether by identity, and the result.",
+            &["after", "identified", "result"],
+        );
         let server_signals = counter(
             "headlatch_server_signals_total",
             "Signals in answers of servers that change routing, by kind.",
@@ -206,6 +212,7 @@
             invalid_fields,
             unread_parts,
             quarantined,
+            liveness_checks,
             server_signals,
             malformed_signals,
             rate_limits,
@@ -313,6 +320,20 @@
         self.server_signals.with_label_values(&[signal]).inc();
     }
 
+    /// Counts a check of a server that closed a connection.
+    pub fn count_liveness_check(&self, after: &str, is_identified: bool, result: &str) {
+        self.liveness_checks
+            .with_label_values(&[after, if is_identified { "yes" } else { "no" }, result])
+            .inc();
+    }
+
+    /// Number of checks of servers with this result.
+    pub fn liveness_checks(&self, after: &str, is_identified: bool, result: &str) -> u64 {
+        self.liveness_checks
+            .with_label_values(&[after, if is_identified { "yes" } else { "no" }, result])
+            .get()
+    }
+
     /// Counts a malformed server signal.
     pub fn count_malformed_signal(&self, signal: &str) {
         self.malformed_signals.with_label_values(&[signal]).inc();
--- a/crates/daemon/tests/panics.rs
+++ b/crates/daemon/tests/panics.rs
@@ -76,8 +76,8 @@
         TestHeaders.read_answer(status, headers)
     }
 
-    fn write_answer(&self, headers: &mut HeaderMap, request: &str) {
-        TestHeaders.write_answer(headers, request);
+    fn write_id(&self, headers: &mut HeaderMap, request: &str) {
+        TestHeaders.write_id(headers, request);
     }
 }
 
--- a/crates/daemon/tests/silent_sources.rs
+++ b/crates/daemon/tests/silent_sources.rs
@@ -115,7 +115,7 @@
         ResponseMetadata::default()
     }
 
-    fn write_answer(&self, _headers: &mut HeaderMap, _request: &str) {}
+    fn write_id(&self, _headers: &mut HeaderMap, _request: &str) {}
 }
 
 fn entry() -> Arc<EntryState> {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -4,7 +4,9 @@
 #![allow(dead_code)]
 
 pub mod agent;
+pub mod cut_path;
 pub mod entries;
+pub mod instance;
 pub mod kept;
 pub mod long_streams;
 pub mod mortal;
@@ -88,14 +90,24 @@
         }
     }
 
-    fn read_answer(&self, _status: StatusCode, headers: &HeaderMap) -> ResponseMetadata {
-        let id = headers.get("x-id").and_then(|value| value.to_str().ok()).map(str::to_owned);
-        let not_run = headers.contains_key("x-not-run");
+    fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> ResponseMetadata {
+        let text =
+            |name: &str| headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned);
+        let (id, instance) = (text("x-id"), text("x-instance").map(|id| ServerId(id.into())));
+        let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+        let not_run = misdirected || headers.contains_key("x-not-run");
         let signed = headers.contains_key("x-sign");
-        ResponseMetadata { id, not_run, signed, ..ResponseMetadata::default() }
+        ResponseMetadata {
+            id,
+            not_run,
+            misdirected,
+            signed,
+            instance,
+            ..ResponseMetadata::default()
+        }
     }
 
-    fn write_answer(&self, headers: &mut HeaderMap, request: &str) {
+    fn write_id(&self, headers: &mut HeaderMap, request: &str) {
         if let Ok(value) = request.parse() {
             headers.insert("x-id", value);
         }
--- a/crates/outside/src/headers.rs
+++ b/crates/outside/src/headers.rs
@@ -70,6 +70,8 @@
     pub misdirected: bool,
     /// The response carries the stamp of a server.
     pub signed: bool,
+    /// Server that answered, where a health check names it.
+    pub instance: Option<ServerId>,
     /// Rate limit of the server, for all entries together.
     pub rate_limit: ParsedHeader<RequestRate>,
     /// The server is draining.
@@ -92,6 +94,6 @@
     fn unknown_response_headers(&self, _headers: &HeaderMap) -> Vec<HeaderName> {
         Vec::new()
     }
-    /// Sets the request id on a response that headlatch itself generates.
-    fn write_answer(&self, headers: &mut HeaderMap, request: &str);
+    /// Sets the request id on a request or response that headlatch itself generates.
+    fn write_id(&self, headers: &mut HeaderMap, request: &str);
 }
--- a/crates/types/src/traffic.rs
+++ b/crates/types/src/traffic.rs
@@ -17,8 +17,10 @@
     reading::InputError,
 };
 
+mod health_path;
 mod urgency;
 
+pub use health_path::{HealthPath, HealthPathError};
 pub use urgency::{RequestUrgency, UrgencyError};
 
 /// Version of a traffic plan; the version in force never decreases.
@@ -221,6 +223,9 @@
     /// Largest rate of requests a second to one of its servers while it is cold; 0 for no limit.
     #[serde(default)]
     pub cold_per_second: f64,
+    /// Path of its servers' health check, if they have one.
+    #[serde(default)]
+    pub health_path: Option<HealthPath>,
     /// Its model engines, if it has any.
     pub engine: Option<EngineCapacity>,
     /// The weight origin that it provides, if any.
