Reject manifests that do not describe the weights of the plan

The number of layers, by which a server counts as whole, came from the manifest first as well.

Every manifest, from the origin or another agent, prefetched or not, now has to have the plan's number of pieces and layers and size of a piece. One that has not is logged (`no_manifest` with the figures), counted (headlatch_manifests_total{outcome="rejected"}) and read again with the backoff of a failed reading.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -9,6 +9,7 @@
 pub mod event_split;
 pub mod fact_age;
 pub mod leaving;
+pub mod manifest_readings;
 pub mod manifest_source;
 pub mod origin_outage;
 pub mod peers;
--- a/crates/core/tests/load_notices.rs
+++ b/crates/core/tests/load_notices.rs
@@ -177,6 +177,7 @@
         usual_answer: 100,
         models: vec!["m0".parse().expect("a name")],
         warm_ms: 300,
+        ..EngineCapacity::default()
     }
 }
 
--- a/crates/core/tests/support/speeds.rs
+++ b/crates/core/tests/support/speeds.rs
@@ -31,6 +31,7 @@
         usual_answer: 100,
         models: Vec::new(),
         warm_ms: 0,
+        ..EngineCapacity::default()
     }
 }
 
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -192,9 +192,9 @@
 
     /// Number of layers of the model. While it is unknown, the model counts as having one layer.
     fn layers(&self) -> u32 {
-        let current = self.transfer.as_ref().map(|transfer| transfer.pieces.layers);
         let planned = self.plan.engine(self.service()).map(|engine| engine.layers);
-        current.or(planned).unwrap_or(0).max(1)
+        let current = || self.transfer.as_ref().map(|transfer| transfer.pieces.layers);
+        planned.filter(|layers| *layers > 0).or_else(current).unwrap_or(0).max(1)
     }
 
     fn publish_loaded_version(&self, goal: &Goal, report: &StageReport) {
--- a/crates/daemon/src/direct/stager/manifests.rs
+++ b/crates/daemon/src/direct/stager/manifests.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use headlatch_core::direct::{
+    manifest_readings::{ManifestMismatch, check_against_plan},
     manifest_source::{ManifestSource, ManifestView, manifest_source},
     origin_outage::OriginState,
     weight_deadline::WantedVersion,
 };
-use headlatch_outside::engine::PieceManifest;
+use headlatch_outside::engine::{PieceManifest, StageFailure};
 use headlatch_types::{
     id::ModelName,
     traffic::{OriginPlan, WeightVersion},
@@ -64,8 +65,8 @@
         self.next_prefetch = now + PREFETCH_INTERVAL;
         let read = self.transfers.manifest(source, &origin, &goal.model, newest.version);
         // A failure matters only once the manifest is needed, and is logged then.
-        if let Ok(Ok(manifest)) = tokio::time::timeout(PREFETCH_TIMEOUT, read).await {
-            self.prefetched = manifest;
+        if let Ok(Ok(Some(manifest))) = tokio::time::timeout(PREFETCH_TIMEOUT, read).await {
+            self.prefetched = self.check_manifest(&manifest).is_ok().then_some(manifest);
         }
     }
 
@@ -100,7 +101,11 @@
         let wanted = WantedVersion { version, elapsed: now.since(since) };
         let readers = transfer_peers::manifest_readers(&self.state, version);
         let source = source_of(&readers, wanted, self.manifest_failures);
-        match self.transfers.manifest(source, origin, model, version).await {
+        let read = self.transfers.manifest(source, origin, model, version).await;
+        let read = read.map_err(ManifestError::from).and_then(|read| {
+            read.map(|pieces| self.check_manifest(&pieces).map(|()| pieces)).transpose()
+        });
+        match read {
             Ok(None) => None,
             Ok(Some(pieces)) => {
                 self.manifest_failures = 0;
@@ -123,6 +128,26 @@
     }
 }
 
+impl Stager {
+    fn check_manifest(&self, manifest: &PieceManifest) -> Result<(), ManifestError> {
+        let Some(engine) = self.plan.engine(self.service()) else { return Ok(()) };
+        let checked = check_against_plan(manifest, &engine);
+        if checked.is_err() {
+            self.state.node.metrics.count_manifest("rejected");
+        }
+        Ok(checked?)
+    }
+}
+
+/// Why there is no manifest.
+#[derive(Debug, thiserror::Error)]
+enum ManifestError {
+    #[error(transparent)]
+    Failed(#[from] StageFailure),
+    #[error(transparent)]
+    Mismatch(#[from] ManifestMismatch),
+}
+
 /// Where to read the manifest of a version that has been needed for `wanted.elapsed`, after `failures` failed
 /// attempts.
 fn source_of(readers: &ManifestReaders, wanted: WantedVersion, failures: u32) -> ManifestSource {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -56,6 +56,7 @@
     first_byte: HistogramVec,
     chunk_bytes: IntCounterVec,
     chunk_failures: IntCounterVec,
+    manifests: IntCounterVec,
     gossip_bytes: IntCounterVec,
     revision: IntGauge,
     store_era: IntGauge,
@@ -102,6 +103,11 @@
             counter("headlatch_chunk_bytes_total", "Bytes of chunks by way.", &["way"]);
         let chunk_failures =
             counter("headlatch_chunk_failures_total", "Failed fetches by cause.", &["cause"]);
+        let manifests = counter(
+            "headlatch_manifests_total",
+            "Manifests of weights read from the origin or an agent, by what became of them.",
+            &["outcome"],
+        );
         let gossip_bytes =
             counter("headlatch_gossip_bytes_total", "Bytes of gossip by way.", &["way"]);
         let unknown_headers = counter(
@@ -201,6 +207,7 @@
             first_byte,
             chunk_bytes,
             chunk_failures,
+            manifests,
             gossip_bytes,
             revision,
             store_era,
@@ -379,6 +386,21 @@
         self.chunk_failures.with_label_values(&[cause]).inc();
     }
 
+    /// Number of failed chunk fetches with this cause.
+    pub fn chunk_failures(&self, cause: &str) -> u64 {
+        self.chunk_failures.with_label_values(&[cause]).get()
+    }
+
+    /// Counts a manifest that was read, by what became of it.
+    pub fn count_manifest(&self, outcome: &str) {
+        self.manifests.with_label_values(&[outcome]).inc();
+    }
+
+    /// Number of manifests with this outcome.
+    pub fn manifests(&self, outcome: &str) -> u64 {
+        self.manifests.with_label_values(&[outcome]).get()
+    }
+
     /// Counts gossip bytes, `in` or `out`.
     pub fn count_gossip(&self, way: &str, bytes: usize) {
         self.gossip_bytes.with_label_values(&[way]).inc_by(bytes as u64);
--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -2,7 +2,7 @@
 //! orders it sends.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
@@ -42,9 +42,11 @@
         TrafficPlan, WeightVersion,
     },
 };
+use rstest::rstest;
 
 const PIECES: u32 = 12;
 const LAYERS: u32 = 4;
+const PIECE_BYTES: u32 = 32;
 
 fn model() -> ModelName {
     "m".parse().expect("valid model name")
@@ -159,6 +161,27 @@
     }
 }
 
+/// What is wrong in a manifest.
+#[derive(Debug, Clone, Copy)]
+enum Spoilt {
+    HalfOfTheDigestsOnly,
+    OneDigestTooMany,
+    PieceSize,
+    Layers,
+}
+
+impl Spoilt {
+    fn apply(self, manifest: &mut PieceManifest) {
+        let digests = &mut manifest.digests;
+        match self {
+            Self::HalfOfTheDigestsOnly => digests.truncate(PIECES as usize / 2),
+            Self::OneDigestTooMany => digests.push(digests[0]),
+            Self::PieceSize => manifest.piece_bytes /= 2,
+            Self::Layers => manifest.layers /= 2,
+        }
+    }
+}
+
 /// An origin that returns corrupt pieces or refuses requests as scripted.
 #[derive(Debug, Default)]
 struct TestOrigin {
@@ -173,6 +196,9 @@
     piece_requests: Mutex<u32>,
     /// Number of manifest requests that fail.
     failed_manifests: Mutex<u32>,
+    /// What is wrong in the manifests of the next requests.
+    spoilt_manifests: Mutex<VecDeque<Spoilt>>,
+    manifest_requests: Mutex<u32>,
 }
 
 impl PieceOrigin for TestOrigin {
@@ -186,7 +212,12 @@
             .map(|number| PieceDigest(*Digest::sha256(&piece(version, number)).as_bytes()))
             .collect();
         let model = model.clone();
-        let manifest = PieceManifest { model, version, piece_bytes: 32, layers: LAYERS, digests };
+        let mut manifest =
+            PieceManifest { model, version, piece_bytes: PIECE_BYTES, layers: LAYERS, digests };
+        if let Some(spoilt) = lock(&self.spoilt_manifests).pop_front() {
+            spoilt.apply(&mut manifest);
+        }
+        *lock(&self.manifest_requests) += 1;
         let mut lost = lock(&self.failed_manifests);
         let is_lost = *lost > 0 || self.refuses_manifests.load(Ordering::Relaxed);
         *lost = lost.saturating_sub(1);
@@ -286,7 +317,13 @@
 }
 
 fn plan() -> TrafficPlan {
-    let engine = EngineCapacity { layers: LAYERS, models: vec![model()], ..Default::default() };
+    let engine = EngineCapacity {
+        layers: LAYERS,
+        pieces: PIECES,
+        piece_bytes: PIECE_BYTES,
+        models: vec![model()],
+        ..Default::default()
+    };
     let origin = OriginPlan {
         address: "127.0.0.1:1".parse().expect("valid address"),
         bytes_per_second: 10_000_000,
@@ -319,9 +356,20 @@
         origin: TestOrigin,
         store: TestStore,
         seeds: &[SocketAddr],
+    ) -> Self {
+        let any_port = "127.0.0.1:0".parse().expect("valid address");
+        Self::start(engine, Arc::new(origin), Arc::new(store), any_port, seeds).await
+    }
+
+    async fn start(
+        engine: TestEngine,
+        origin: Arc<TestOrigin>,
+        store: Arc<TestStore>,
+        control: SocketAddr,
+        seeds: &[SocketAddr],
     ) -> Self {
         let text = serde_json::json!({
-            "box": "a1", "domain": "z1", "region": "r1", "control": "127.0.0.1:0",
+            "box": control.ip().to_string(), "domain": "z1", "region": "r1", "control": control,
             "admin": "127.0.0.1:0", "platform": "http://127.0.0.1:1",
             "agent": { "endpoint":
                 { "kind": "engine", "address": "127.0.0.1:1", "service": "llm" } },
@@ -333,8 +381,7 @@
         };
         // Seeds in the settings get the agent's own port, which is an arbitrary free port here.
         settings.direct.seeds = seeds.to_vec();
-        let (engine, origin) = (Arc::new(engine), Arc::new(origin));
-        let store = Arc::new(store);
+        let engine = Arc::new(engine);
         let outside = AgentDependencies {
             store: store.clone(),
             engine: engine.clone(),
@@ -582,3 +629,29 @@
     fixture.wait_until_loaded(1).await;
     expect_that!(lock(&fixture.engine.state).accepted_invalid_stage, eq(false));
 }
+
+/// Waits until version 1 is loaded by an agent whose origin spoils its manifests like this.
+async fn load_with_manifests(spoilt: &[Spoilt]) -> Fixture {
+    let origin = TestOrigin::default();
+    lock(&origin.spoilt_manifests).extend(spoilt);
+    let fixture = Fixture::new(TestEngine::default(), origin).await;
+    let loaded = tokio::time::timeout(LOAD_TIMEOUT, fixture.wait_until_loaded(1)).await;
+    assert_that!(loaded.is_ok(), eq(true), "version 1 is not loaded");
+    assert_that!(lock(&fixture.engine.state).accepted_invalid_stage, eq(false));
+    fixture
+}
+
+/// A manifest that listed fewer digests than there are pieces led to an order for partial weights.
+#[rstest]
+#[case::once(&[Spoilt::HalfOfTheDigestsOnly])]
+#[case::three_times_alike(&[Spoilt::HalfOfTheDigestsOnly, Spoilt::HalfOfTheDigestsOnly, Spoilt::HalfOfTheDigestsOnly])]
+#[case::one_too_many(&[Spoilt::OneDigestTooMany, Spoilt::OneDigestTooMany])]
+#[case::other_layers(&[Spoilt::Layers, Spoilt::Layers])]
+#[case::other_piece_size(&[Spoilt::PieceSize, Spoilt::PieceSize])]
+#[tokio::test]
+async fn a_manifest_of_other_figures_than_the_plan_s_leads_to_no_order(#[case] spoilt: &[Spoilt]) {
+    let fixture = load_with_manifests(spoilt).await;
+    let rejected = fixture.agent.metrics().manifests("rejected");
+    assert_that!(rejected, eq(spoilt.len() as u64));
+    assert_that!(*lock(&fixture.origin.piece_requests), eq(PIECES));
+}
--- a/crates/outside/src/engine.rs
+++ b/crates/outside/src/engine.rs
@@ -40,7 +40,7 @@
 }
 
 /// SHA-256 digest of a piece.
-#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PieceDigest(pub [u8; 32]);
 
 impl fmt::Debug for PieceDigest {
--- a/crates/types/src/traffic.rs
+++ b/crates/types/src/traffic.rs
@@ -194,6 +194,12 @@
     pub read_per_second: f64,
     /// Layers of its model; 0 if unknown.
     pub layers: u32,
+    /// Pieces of its model's weights; 0 if unknown.
+    #[serde(default)]
+    pub pieces: u32,
+    /// Size of a piece, in bytes; 0 if unknown.
+    #[serde(default)]
+    pub piece_bytes: u32,
     /// Tokens of a typical prompt.
     pub usual_prompt: u64,
     /// Tokens of a typical completion.
