Back off after repeated draws of corrupt data

Cause: the planner postponed every failed draw but a corrupt one. That suits a draw spoilt on its way; it does not suit a source or a manifest that is wrong.

Other chunks are drawn meanwhile.

--- a/crates/core/src/burst/fetching.rs
+++ b/crates/core/src/burst/fetching.rs
@@ -63,7 +63,7 @@
                 drawing.push(ticket.chunk);
             } else if open.is_some() || self.is_known(now, ticket.chunk) {
                 self.forward_ticket(now, ticket, actions);
-            } else if ready {
+            } else if ready && self.corrupt_draws.may_draw(now, ticket.chunk) {
                 drawing.push(ticket.chunk);
                 self.fetch(now, ticket.chunk, source, actions);
             }
@@ -99,7 +99,9 @@
         });
         let is_due = |chunk: &ChunkIndex| now >= self.draw_slot(*chunk);
         let mut due = self.within_window(missing).take_while(is_due);
-        due.find(|chunk| self.topology.drawer(*chunk) == own)
+        due.find(|chunk| {
+            self.topology.drawer(*chunk) == own && self.corrupt_draws.may_draw(now, *chunk)
+        })
     }
 
     /// The missing chunks that fit into the draw window shared by all boxes. Overdue chunks do not count
@@ -207,8 +209,11 @@
         if !self.draws.is_extra_due(now, most) {
             return;
         }
-        let missing =
-            |chunk: &ChunkIndex| !self.held.contains(*chunk) && !self.open.contains_key(chunk);
+        let missing = |chunk: &ChunkIndex| {
+            !self.held.contains(*chunk)
+                && !self.open.contains_key(chunk)
+                && self.corrupt_draws.may_draw(now, *chunk)
+        };
         let wanted: Vec<ChunkIndex> =
             (0..self.settings.chunks).map(ChunkIndex).filter(missing).collect();
         // Near the end, a draw that shares the origin with many others would complete last.
--- a/crates/core/src/burst/maintenance.rs
+++ b/crates/core/src/burst/maintenance.rs
@@ -182,7 +182,8 @@
                 actions.extend(to.into_iter().map(seek));
             }
             Recovery::Draw(chunk) if self.settings.draw_mode == DrawMode::Assigned => {
-                if !self.is_drawing() && self.window.is_open(now) {
+                let may_draw = self.corrupt_draws.may_draw(now, chunk);
+                if !self.is_drawing() && self.window.is_open(now) && may_draw {
                     self.fetch(now, chunk, ChunkSource::Origin, actions);
                 }
             }
--- a/crates/core/src/burst/mod.rs
+++ b/crates/core/src/burst/mod.rs
@@ -7,6 +7,7 @@
 //! are described in `docs/decisions/0002-burst.md`.
 
 mod chunks;
+mod corrupt_draws;
 mod draw_window;
 mod draws;
 mod fetching;
--- a/crates/core/src/burst/planner.rs
+++ b/crates/core/src/burst/planner.rs
@@ -10,9 +10,9 @@
 
 use super::{
     ChunkSet, ChunkSource, DrawMode, DrawTicket, FetchFailure, PeerKey, PeerLocation, PeerStatus,
-    PeerTopology, SwarmAction, SwarmEvent, SwarmNote, SwarmSettings, draw_window::DrawWindow,
-    draws::DrawLedger, imports::ImportTracker, peers::PeerTable, topology::ImportOrigin,
-    uploads::UploadQueue,
+    PeerTopology, SwarmAction, SwarmEvent, SwarmNote, SwarmSettings, corrupt_draws::CorruptDraws,
+    draw_window::DrawWindow, draws::DrawLedger, imports::ImportTracker, peers::PeerTable,
+    topology::ImportOrigin, uploads::UploadQueue,
 };
 use crate::time::Moment;
 
@@ -64,6 +64,7 @@
     pub(super) held: ChunkSet,
     pub(super) open: BTreeMap<ChunkIndex, OpenFetch>,
     pub(super) draws: DrawLedger,
+    pub(super) corrupt_draws: CorruptDraws,
     pub(super) imports: ImportTracker,
     pub(super) uploads: UploadQueue,
     pub(super) rng: SmallRng,
@@ -108,6 +109,7 @@
             held,
             open: BTreeMap::new(),
             draws: DrawLedger::default(),
+            corrupt_draws: CorruptDraws::default(),
             imports: ImportTracker::default(),
             uploads,
             rng: SmallRng::seed_from_u64(seed),
--- a/crates/core/src/burst/planner/outcomes.rs
+++ b/crates/core/src/burst/planner/outcomes.rs
@@ -37,6 +37,7 @@
         self.record_transfer(now, chunk);
         self.close_fetch(chunk, source);
         self.timeout_factor = (self.timeout_factor / 2).max(1);
+        self.corrupt_draws.remove(chunk);
         if source == ChunkSource::Origin {
             self.window.record_draw();
         }
@@ -162,7 +163,7 @@
         }
     }
 
-    /// Delays the next draw after a failure, except for corrupt data, which is fetched again immediately.
+    /// Delays the next draw after a failure.
     pub(in crate::burst) fn postpone(
         &mut self,
         now: Moment,
@@ -171,7 +172,7 @@
         failure: FetchFailure,
     ) {
         if failure == FetchFailure::Corrupt {
-            return;
+            return self.corrupt_draws.record(now, chunk);
         }
         self.draws.postpone(now, chunk, pool);
         if pool == DrawPool::Origin {
--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -655,3 +655,17 @@
     assert_that!(rejected, eq(spoilt.len() as u64));
     assert_that!(*lock(&fixture.origin.piece_requests), eq(PIECES));
 }
+
+/// Corrupt data was fetched again at once and for ever.
+#[gtest]
+#[tokio::test]
+async fn a_piece_that_stays_corrupt_is_drawn_with_a_backoff() {
+    let origin = TestOrigin::default();
+    lock(&origin.corrupt).extend([3; 1000]);
+    let fixture = Fixture::new(TestEngine::default(), origin).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    expect_that!(*lock(&fixture.origin.piece_requests), le(PIECES + 10));
+    lock(&fixture.origin.corrupt).clear();
+    let loaded = tokio::time::timeout(LOAD_TIMEOUT, fixture.wait_until_loaded(1)).await;
+    expect_that!(loaded.is_ok(), eq(true), "version 1 is not loaded");
+}
