Use a manifest once two readings agree, and read a contradicted one again

Cause: one reading was taken for the manifest, though nothing attests it, and evidence against it was charged to the piece.

A manifest from the origin now counts once two readings agree on each of its digests (core/direct/manifest_readings), and only such a one is used or passed on. If the same bytes come twice for a piece that has another digest there, the manifest is doubted (`manifest_contradicted`) and read again, from agents and the origin in turn, at 0.3 s and more: a different one replaces the transfer and what is offered to others, the same one is kept. Doubted transfers that are not in progress are dropped.

--- a/crates/daemon/src/agent/swarm.rs
+++ b/crates/daemon/src/agent/swarm.rs
@@ -113,6 +113,17 @@
         self.state.bytes.load(Ordering::Relaxed)
     }
 
+    /// Whether the manifest is in doubt: the same bytes came more than once for a chunk that has another
+    /// digest there.
+    pub fn is_contradicted(&self) -> bool {
+        self.state.is_contradicted()
+    }
+
+    /// Drops the doubts about the manifest, after it has been confirmed.
+    pub fn confirm_manifest(&self) {
+        self.state.clear_contradictions();
+    }
+
     /// Whether every chunk is held and verified.
     pub fn is_complete(&self) -> bool {
         self.state.complete.load(Ordering::Relaxed)
@@ -406,8 +417,8 @@
     async fn fetch_and_store(&self, answers: mpsc::Receiver<Step>) -> Result<(), FetchFailure> {
         let place = self.manifest.chunk(self.chunk).ok_or(FetchFailure::Absent)?;
         let data = self.read(place.length as usize, answers).await?;
-        let bytes = data.len() as u64;
-        match self.context.chunk_cache.put(self.manifest.kind(), place.digest, data) {
+        let (bytes, kind) = (data.len() as u64, self.manifest.kind());
+        match self.context.chunk_cache.put(kind, place.digest, data.clone()) {
             Some(Ok(())) => {
                 self.state.bytes.fetch_add(bytes, Ordering::Relaxed);
                 self.context.node.metrics.count_chunk(source_name(self.source), bytes);
@@ -420,11 +431,26 @@
             None => {
                 let source = source_name(self.source);
                 log::warn!("burst: chunk {} from {source} failed its hash", self.chunk);
+                self.record_corrupt(place.digest, kind.of(&data));
                 Err(FetchFailure::Corrupt)
             }
         }
     }
 
+    /// Records bytes that do not match the manifest. The same bytes twice are evidence against it.
+    fn record_corrupt(&self, listed: Digest, found: Digest) {
+        if !self.state.record_corrupt(self.chunk, found) {
+            return;
+        }
+        self.context.node.metrics.count_chunk_failure("corrupt_again");
+        let fields = json!({
+            "chunk": self.chunk.0, "manifest": self.manifest.digest().to_string(),
+            "listed": listed.to_string(), "found": found.to_string(),
+            "source": source_name(self.source),
+        });
+        decisions::warn("weights", "manifest_contradicted", fields);
+    }
+
     async fn read(
         &self,
         length: usize,
--- a/crates/daemon/src/agent/swarm_progress.rs
+++ b/crates/daemon/src/agent/swarm_progress.rs
@@ -1,8 +1,15 @@
 //! Progress of one transfer, shared between its driver and the readers of its handle.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::{
+    collections::HashMap,
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    },
+};
 
 use headlatch_core::burst::{ChunkSet, ChunkSource, FetchFailure, SwarmEvent, SwarmNote};
+use headlatch_types::{ChunkIndex, Digest};
 
 /// Progress counters updated by a driver.
 #[derive(Debug, Default)]
@@ -15,9 +22,40 @@
     pub(super) origin_reads: AtomicU64,
     /// Origin reads that could not reach it, since the last one that could.
     pub(super) origin_failures: AtomicU32,
+    corrupt: Mutex<CorruptChunks>,
+}
+
+/// Chunks that did not match the manifest.
+#[derive(Debug, Default)]
+struct CorruptChunks {
+    /// Digest of the bytes that came last for a chunk.
+    last: HashMap<ChunkIndex, Digest>,
+    /// The same bytes have come twice for a chunk.
+    is_repeated: bool,
 }
 
 impl SwarmState {
+    fn corrupt(&self) -> MutexGuard<'_, CorruptChunks> {
+        self.corrupt.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Records the digest of bytes that do not match the manifest; returns whether the last ones for this
+    /// chunk were the same.
+    pub(super) fn record_corrupt(&self, chunk: ChunkIndex, found: Digest) -> bool {
+        let mut corrupt = self.corrupt();
+        let is_repeated = corrupt.last.insert(chunk, found) == Some(found);
+        corrupt.is_repeated |= is_repeated;
+        is_repeated
+    }
+
+    pub(super) fn is_contradicted(&self) -> bool {
+        self.corrupt().is_repeated
+    }
+
+    pub(super) fn clear_contradictions(&self) {
+        *self.corrupt() = CorruptChunks::default();
+    }
+
     /// Counts an origin read. A refusal shows that the origin can be reached.
     pub(super) fn count_origin_read(&self, failure: Option<FetchFailure>) {
         match failure {
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -3,7 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use headlatch_core::{
-    direct::staging::{EngineLife, GivenOrder, StageStep, StageView, next_step},
+    direct::{
+        manifest_readings::ManifestReadings,
+        staging::{EngineLife, GivenOrder, StageStep, StageView, next_step},
+    },
     time::Moment,
 };
 use headlatch_outside::engine::{OrderAnswer, PieceManifest, StageReport};
@@ -57,6 +60,11 @@
     manifest_retry_at: Moment,
     /// Version whose manifest is needed, and the time since when.
     manifest_requested: Option<(WeightVersion, Moment)>,
+    /// Readings of a manifest from the origin that do not confirm it yet.
+    readings: ManifestReadings,
+    next_recheck: Moment,
+    /// Consecutive readings of a contradicted manifest.
+    rechecks: u32,
     /// Manifest of the newest target version, read before its transfer.
     prefetched: Option<PieceManifest>,
     next_prefetch: Moment,
@@ -100,6 +108,9 @@
             manifest_failures: 0,
             manifest_retry_at: Moment::ZERO,
             manifest_requested: None,
+            readings: ManifestReadings::default(),
+            next_recheck: Moment::ZERO,
+            rechecks: 0,
             prefetched: None,
             next_prefetch: Moment::ZERO,
             next_progress_log: Moment::ZERO,
@@ -151,6 +162,7 @@
         // to agents that lack them.
         self.transfers.publish_seats();
         self.drop_obsolete(&goal);
+        self.recheck_manifests().await;
         self.ensure_transfer(&goal).await;
         self.ensure_next_transfer(&goal).await;
         self.prefetch_manifest(&goal).await;
--- a/crates/daemon/src/direct/stager/manifests.rs
+++ b/crates/daemon/src/direct/stager/manifests.rs
@@ -37,6 +37,12 @@
 /// one; reads by all agents would delay the pieces of the older version on the origin's link.
 const PREFETCH_READERS: usize = 2;
 
+/// Number of readings from the origin in a row: two that agree are enough.
+const READS_AT_ONCE: usize = 2;
+
+/// Minimum time between two readings of a manifest that the pieces contradict.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(300);
+
 impl Stager {
     /// Reads the manifest of the newest target version while an older one is fetched.
     ///
@@ -63,10 +69,10 @@
             return;
         }
         self.next_prefetch = now + PREFETCH_INTERVAL;
-        let read = self.transfers.manifest(source, &origin, &goal.model, newest.version);
+        let read = self.read_from_origin(&origin, &goal.model, newest.version);
         // A failure matters only once the manifest is needed, and is logged then.
-        if let Ok(Ok(Some(manifest))) = tokio::time::timeout(PREFETCH_TIMEOUT, read).await {
-            self.prefetched = self.check_manifest(&manifest).is_ok().then_some(manifest);
+        if let Ok(Ok(manifest)) = tokio::time::timeout(PREFETCH_TIMEOUT, read).await {
+            self.prefetched = Some(manifest);
         }
     }
 
@@ -101,11 +107,7 @@
         let wanted = WantedVersion { version, elapsed: now.since(since) };
         let readers = transfer_peers::manifest_readers(&self.state, version);
         let source = source_of(&readers, wanted, self.manifest_failures);
-        let read = self.transfers.manifest(source, origin, model, version).await;
-        let read = read.map_err(ManifestError::from).and_then(|read| {
-            read.map(|pieces| self.check_manifest(&pieces).map(|()| pieces)).transpose()
-        });
-        match read {
+        match self.read_manifest(source, origin, model, version).await {
             Ok(None) => None,
             Ok(Some(pieces)) => {
                 self.manifest_failures = 0;
@@ -126,9 +128,48 @@
             }
         }
     }
-}
 
-impl Stager {
+    /// Reads a manifest from `source`; `None` if it is to be read later. Agents pass on only confirmed
+    /// manifests.
+    async fn read_manifest(
+        &mut self,
+        source: ManifestSource,
+        origin: &OriginPlan,
+        model: &ModelName,
+        version: WeightVersion,
+    ) -> Result<Option<PieceManifest>, ManifestError> {
+        match source {
+            ManifestSource::Wait => Ok(None),
+            ManifestSource::Origin => self.read_from_origin(origin, model, version).await.map(Some),
+            ManifestSource::Peer(address) => {
+                let read = self.transfers.manifest_from_peer(address, model, version).await?;
+                self.check_manifest(&read)?;
+                Ok(Some(read))
+            }
+        }
+    }
+
+    /// Reads a manifest from the origin until two readings agree, at most twice.
+    async fn read_from_origin(
+        &mut self,
+        origin: &OriginPlan,
+        model: &ModelName,
+        version: WeightVersion,
+    ) -> Result<PieceManifest, ManifestError> {
+        for _ in 0..READS_AT_ONCE {
+            let reading = self.transfers.manifest_from_origin(origin, model, version).await?;
+            self.check_manifest(&reading)?;
+            if let Some(confirmed) = self.readings.add(reading) {
+                self.state.node.metrics.count_manifest("confirmed");
+                self.readings.clear();
+                return Ok(confirmed);
+            }
+        }
+        self.state.node.metrics.count_manifest("disputed");
+        let (readings, disputed) = (self.readings.count(), self.readings.disputed());
+        Err(ManifestError::Disputed { readings, disputed })
+    }
+
     fn check_manifest(&self, manifest: &PieceManifest) -> Result<(), ManifestError> {
         let Some(engine) = self.plan.engine(self.service()) else { return Ok(()) };
         let checked = check_against_plan(manifest, &engine);
@@ -137,6 +178,106 @@
         }
         Ok(checked?)
     }
+
+    /// Reads the manifest of the transfer in progress again if the pieces that arrive contradict it.
+    ///
+    /// A different manifest replaces the transfer. The same one is kept, and its pieces go on being fetched.
+    pub(super) async fn recheck_manifests(&mut self) {
+        self.discard_doubted();
+        let now = self.state.node.now();
+        let Some(transfer) = &self.transfer else { return };
+        if !transfer.swarm.is_contradicted() || now < self.next_recheck {
+            return;
+        }
+        let Some(origin) = self.plan.origin() else { return };
+        let (model, version) = (transfer.pieces.model.clone(), transfer.pieces.version);
+        let readers = transfer_peers::manifest_readers(&self.state, version);
+        let wanted = WantedVersion { version, elapsed: now.since(transfer.started) };
+        let source = source_of(&readers, wanted, self.rechecks);
+        if source == ManifestSource::Wait {
+            return;
+        }
+        self.rechecks += 1;
+        self.next_recheck = now + retry_delay(self.rechecks).max(RECHECK_INTERVAL);
+        let read = self.read_manifest(source, &origin, &model, version).await;
+        let Some(transfer) = &self.transfer else { return };
+        let outcome = RecheckOutcome::new(source, &transfer.pieces, read);
+        self.record_recheck(source, transfer, &outcome);
+        match outcome {
+            RecheckOutcome::Replaced(pieces) => {
+                let transfer = self.transfers.replace(&origin, transfer, pieces).await;
+                self.transfer = Some(transfer);
+                self.rechecks = 0;
+            }
+            RecheckOutcome::Confirmed => transfer.swarm.confirm_manifest(),
+            RecheckOutcome::SameAtPeer | RecheckOutcome::Failed(_) => {}
+        }
+    }
+
+    /// Ends transfers that are not in progress and whose manifests the pieces contradict. The manifests are
+    /// read anew when they are needed.
+    fn discard_doubted(&mut self) {
+        let is_doubted = |transfer: &mut VersionTransfer| transfer.swarm.is_contradicted();
+        let next = self.next_transfer.take_if(is_doubted);
+        let doubted = self.skipped.extract_if(.., is_doubted).chain(next);
+        doubted.for_each(|transfer| self.transfers.discard(&transfer));
+    }
+
+    fn record_recheck(
+        &self,
+        source: ManifestSource,
+        transfer: &VersionTransfer,
+        outcome: &RecheckOutcome,
+    ) {
+        let error = match outcome {
+            RecheckOutcome::Failed(error) => Some(error.to_string()),
+            _ => None,
+        };
+        let fields = json!({
+            "version": transfer.pieces.version, "source": format!("{source:?}"),
+            "outcome": outcome.as_str(), "manifest": transfer.manifest.digest().to_string(),
+            "error": error,
+        });
+        decisions::warn("weights", "manifest_rechecked", fields);
+        self.state.node.metrics.count_manifest(outcome.as_str());
+    }
+}
+
+/// Result of reading a contradicted manifest again.
+#[derive(Debug)]
+enum RecheckOutcome {
+    /// It was wrong; this one takes its place.
+    Replaced(PieceManifest),
+    /// Two new readings from the origin confirm it.
+    Confirmed,
+    /// Another agent has the same one, maybe from the same readings.
+    SameAtPeer,
+    /// It could not be read.
+    Failed(ManifestError),
+}
+
+impl RecheckOutcome {
+    fn new(
+        source: ManifestSource,
+        current: &PieceManifest,
+        read: Result<Option<PieceManifest>, ManifestError>,
+    ) -> Self {
+        match read {
+            Ok(Some(pieces)) if pieces != *current => Self::Replaced(pieces),
+            Ok(_) if source == ManifestSource::Origin => Self::Confirmed,
+            Ok(_) => Self::SameAtPeer,
+            Err(error) => Self::Failed(error),
+        }
+    }
+
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::Replaced(_) => "replaced",
+            Self::Confirmed => "confirmed_again",
+            Self::SameAtPeer => "same_at_peer",
+            Self::Failed(_) => "recheck_failed",
+        }
+    }
 }
 
 /// Why there is no manifest.
@@ -146,6 +287,8 @@
     Failed(#[from] StageFailure),
     #[error(transparent)]
     Mismatch(#[from] ManifestMismatch),
+    #[error("{readings} readings differ in the digests of pieces {disputed:?}")]
+    Disputed { readings: usize, disputed: Vec<usize> },
 }
 
 /// Where to read the manifest of a version that has been needed for `wanted.elapsed`, after `failures` failed
--- a/crates/daemon/src/direct/transfer.rs
+++ b/crates/daemon/src/direct/transfer.rs
@@ -5,9 +5,7 @@
 use bytes::Bytes;
 use headlatch_core::{
     burst::{DrawMode, PeerLocation, SwarmEvent, SwarmSettings, SwarmTimings},
-    direct::{
-        manifest_source::ManifestSource, staging::StageState, transfer_rate::TransferEstimate,
-    },
+    direct::{staging::StageState, transfer_rate::TransferEstimate},
     time::Moment,
 };
 use headlatch_http::pace::LinkPacer;
@@ -147,25 +145,44 @@
         places.map(|place| self.resources.vault.get(&place.digest).is_some()).collect()
     }
 
-    /// Reads the manifest of a version from `source`. Returns `None` if it is to be read later.
-    pub async fn manifest(
+    /// Reads the manifest of a version from the origin.
+    pub async fn manifest_from_origin(
         &self,
-        source: ManifestSource,
         origin: &OriginPlan,
         model: &ModelName,
         version: WeightVersion,
-    ) -> Result<Option<PieceManifest>, StageFailure> {
-        match source {
-            ManifestSource::Wait => Ok(None),
-            ManifestSource::Origin => {
-                let read = self.dependencies.origin.manifest(origin.address, model, version);
-                read.await.map(Some)
-            }
-            ManifestSource::Peer(address) => {
-                let channels = &self.state.node.channels;
-                manifest_from_peer(channels, address, model, version).await.map(Some)
-            }
-        }
+    ) -> Result<PieceManifest, StageFailure> {
+        self.dependencies.origin.manifest(origin.address, model, version).await
+    }
+
+    /// Reads the manifest of a version from another agent.
+    pub async fn manifest_from_peer(
+        &self,
+        address: SocketAddr,
+        model: &ModelName,
+        version: WeightVersion,
+    ) -> Result<PieceManifest, StageFailure> {
+        manifest_from_peer(&self.state.node.channels, address, model, version).await
+    }
+
+    /// Replaces a transfer whose manifest was wrong, so that its manifest is not passed on any more. Pieces in
+    /// the stage are checked against the new one.
+    pub async fn replace(
+        &mut self,
+        origin: &OriginPlan,
+        wrong: &VersionTransfer,
+        pieces: PieceManifest,
+    ) -> VersionTransfer {
+        let wrong = wrong.manifest.digest();
+        self.retained.retain(|(_, digest)| *digest != wrong);
+        self.begin(origin, pieces, None).await
+    }
+
+    /// Ends a transfer whose manifest is in doubt.
+    pub fn discard(&mut self, doubted: &VersionTransfer) {
+        let doubted = doubted.manifest.digest();
+        self.retained.retain(|(_, digest)| *digest != doubted);
+        self.hub.retain(|digest| *digest != doubted);
     }
 
     /// Starts the transfer of a version, or resumes it with the pieces in memory. If the stage holds another version
--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -164,8 +164,14 @@
 /// What is wrong in a manifest.
 #[derive(Debug, Clone, Copy)]
 enum Spoilt {
+    Nothing,
     HalfOfTheDigestsOnly,
     OneDigestTooMany,
+    OneDigit,
+    AnotherDigit,
+    EveryDigest,
+    TwoDigestsSwapped,
+    OneDigestRepeated,
     PieceSize,
     Layers,
 }
@@ -174,8 +180,14 @@
     fn apply(self, manifest: &mut PieceManifest) {
         let digests = &mut manifest.digests;
         match self {
+            Self::Nothing => {}
             Self::HalfOfTheDigestsOnly => digests.truncate(PIECES as usize / 2),
             Self::OneDigestTooMany => digests.push(digests[0]),
+            Self::OneDigit => digests[7].0[0] ^= 0x10,
+            Self::AnotherDigit => digests[2].0[31] ^= 0x01,
+            Self::EveryDigest => digests.iter_mut().for_each(|digest| digest.0[0] ^= 0x10),
+            Self::TwoDigestsSwapped => digests.swap(1, 8),
+            Self::OneDigestRepeated => digests[8] = digests[1],
             Self::PieceSize => manifest.piece_bytes /= 2,
             Self::Layers => manifest.layers /= 2,
         }
@@ -656,6 +668,37 @@
     assert_that!(*lock(&fixture.origin.piece_requests), eq(PIECES));
 }
 
+/// A manifest with a wrong digest kept its version out for good, and one with a digest of another piece put that
+/// piece in its place.
+#[rstest]
+#[case::digit(&[Spoilt::OneDigit])]
+#[case::digits(&[Spoilt::OneDigit, Spoilt::AnotherDigit])]
+#[case::every_digest(&[Spoilt::EveryDigest])]
+#[case::swapped(&[Spoilt::TwoDigestsSwapped])]
+#[case::repeated(&[Spoilt::OneDigestRepeated])]
+#[case::four_kinds(&[Spoilt::EveryDigest, Spoilt::OneDigit, Spoilt::TwoDigestsSwapped, Spoilt::OneDigestRepeated])]
+#[case::second_reading_only(&[Spoilt::Nothing, Spoilt::OneDigestRepeated])]
+#[tokio::test]
+async fn a_spoilt_manifest_is_not_used(#[case] spoilt: &[Spoilt]) {
+    let fixture = load_with_manifests(spoilt).await;
+    assert_that!(*lock(&fixture.origin.piece_requests), eq(PIECES));
+    assert_that!(fixture.agent.metrics().chunk_failures("corrupt"), eq(0));
+}
+
+/// Two readings that are spoilt alike kept a version out for good, and one piece was drawn a hundred times a second.
+#[rstest]
+#[case::digit(&[Spoilt::OneDigit, Spoilt::OneDigit])]
+#[case::every_digest(&[Spoilt::EveryDigest, Spoilt::EveryDigest])]
+#[case::swapped(&[Spoilt::TwoDigestsSwapped, Spoilt::TwoDigestsSwapped])]
+#[case::again_at_the_first_recheck(&[Spoilt::OneDigit, Spoilt::OneDigit, Spoilt::OneDigit, Spoilt::OneDigit])]
+#[tokio::test]
+async fn a_manifest_that_the_pieces_contradict_is_read_again(#[case] spoilt: &[Spoilt]) {
+    let fixture = load_with_manifests(spoilt).await;
+    assert_that!(fixture.agent.metrics().manifests("replaced"), eq(1));
+    // Each wrong digest costs a second and a third draw, and one more while the manifest is read again.
+    assert_that!(*lock(&fixture.origin.piece_requests), le(4 * PIECES));
+}
+
 /// Corrupt data was fetched again at once and for ever.
 #[gtest]
 #[tokio::test]
@@ -665,7 +708,34 @@
     let fixture = Fixture::new(TestEngine::default(), origin).await;
     tokio::time::sleep(Duration::from_secs(4)).await;
     expect_that!(*lock(&fixture.origin.piece_requests), le(PIECES + 10));
+    // The manifest is confirmed by each recheck, which takes two readings.
+    expect_that!(*lock(&fixture.origin.manifest_requests), all!(ge(4), le(16)));
     lock(&fixture.origin.corrupt).clear();
     let loaded = tokio::time::timeout(LOAD_TIMEOUT, fixture.wait_until_loaded(1)).await;
     expect_that!(loaded.is_ok(), eq(true), "version 1 is not loaded");
 }
+
+/// Agents passed a wrong manifest on to each other, and none of them read it again.
+#[gtest]
+#[tokio::test]
+async fn a_wrong_manifest_that_agents_share_is_read_again() {
+    let origin = Arc::new(TestOrigin::default());
+    lock(&origin.spoilt_manifests).extend([Spoilt::OneDigit; 6]);
+    let store = Arc::new(TestStore::default());
+    let listeners = ["127.0.1.1:0", "127.0.1.2:0", "127.0.1.3:0"]
+        .map(|address| std::net::TcpListener::bind(address).expect("a free port"));
+    let controls = listeners.map(|listener| listener.local_addr().expect("it is bound"));
+    let (mut agents, begun) = (Vec::new(), tokio::time::Instant::now());
+    for control in controls {
+        let (origin, store, engine) = (origin.clone(), store.clone(), TestEngine::default());
+        agents.push(Fixture::start(engine, origin, store, control, &controls).await);
+    }
+    for agent in &agents {
+        let loaded = tokio::time::timeout(LOAD_TIMEOUT, agent.wait_until_loaded(1)).await;
+        expect_that!(loaded.is_ok(), eq(true), "version 1 is not loaded");
+        expect_that!(lock(&agent.engine.state).accepted_invalid_stage, eq(false));
+    }
+    // Each agent may draw the piece twice at once, four times with a growing backoff, and then once a second.
+    let most_draws = agents.len() as u32 * (6 + begun.elapsed().as_secs() as u32);
+    expect_that!(*lock(&origin.piece_requests), le(PIECES + most_draws));
+}
