Move the fetch of a chunk out of swarm.rs

The fetch of one chunk from one source, with what it records, now has a file of its own (agent/chunk_fetch.rs); nothing else changes.

--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod chunk_cache;
+mod chunk_fetch;
 pub mod engine;
 pub mod fetch;
 pub mod loader;
