Add crowds of callers that do not behave, as tests

Each starts an entry as a process of its own, with memory and descriptors from the test's settings, and checks that the process lives, that its peak memory and its descriptors stay below these, and that an ordinary request and an ordinary stream are answered beside the crowd and after it. No times, no shares. The receive buffers of the callers are small, so that answers stay with the entry.

--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod agent;
+pub mod crowd;
 pub mod cut_path;
 pub mod entries;
 pub mod instance;
