Count an answer until its bytes are written, in a bounded window

What callers saw: 60 callers that read nothing, or 1 KB a second, of answers of 12 MiB made an entry with `direct.memory` of 64 MiB take 745 to 765 MiB; on a box with less the process ends, and with it every request in it.

Cause: the memory of an answer was reserved by its announced length (0 without one), and the share was tied to the body. A connection takes the one frame of a whole body, sees its end and drops the body with its share, while the bytes wait in its write buffer. The account followed the object and not the bytes. The count of requests in progress ended at the same early moment. Streams were in no account at all: each had read buffers of up to 408 KiB.

Change: each request reserves a window of 160 KiB before a server is asked; it, and the count of requests in progress, are held by the bytes of the answer (`Bytes::from_owner`) until the last of them is written. An answer is held as a whole, so that it can be asked for again, up to 64 KiB in its window, and up to 1 MiB while half of the budget is free. A longer one goes through the window: flow control holds up its server, and where it breaks off the caller's connection is closed before the announced end. Connections to servers read 32 KiB at a time. Nobody waits for memory: while there is none, the slowest caller that has been waited for longer than 2 s and reads less than `direct.yield_rate` gives way, and if there is none the request is refused before it is sent. `direct.min_read_rate` ends what `direct.stall_ms` alone did not: a byte now and then is no progress. The smallest `direct.memory` is 32 MiB: 16 did not hold the process and one request body.

Ways weighed: holding whole answers with a share of their own (60 slow readers then hold the budget and everybody else waits for it); a least rate alone (does not bound the sum); shares by organisation (callers without a key have none). Why it works: what is held is the number of windows, and that is bounded by the budget whatever is read.

--- a/crates/daemon/src/direct/answer.rs
+++ b/crates/daemon/src/direct/answer.rs
@@ -1,6 +1,6 @@
 //! Responses to callers.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use headlatch_types::RunVerdict;
@@ -28,6 +28,27 @@
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// Bytes of an answer, and what they keep.
+struct HeldBytes<H> {
+    bytes: Bytes,
+    _hold: Arc<H>,
+}
+
+impl<H> AsRef<[u8]> for HeldBytes<H> {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Keeps `hold` until the last byte of `body` has been written. A connection drops the body of an answer as soon as it
+/// has taken the last frame, but the bytes of a frame only once they have been written.
+pub fn hold_until_written<H: Send + Sync + 'static>(body: AnswerBody, hold: Arc<H>) -> AnswerBody {
+    body.map_frame(move |frame| {
+        frame.map_data(|bytes| Bytes::from_owner(HeldBytes { bytes, _hold: hold.clone() }))
+    })
+    .boxed_unsync()
+}
+
 /// Removes hop-by-hop headers, including those that `Connection` names.
 pub fn strip_hop_by_hop_headers(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/crates/daemon/src/direct/answer_reader.rs
+++ b/crates/daemon/src/direct/answer_reader.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use headlatch_core::direct::answer_silence::SilenceMeter;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use super::{answer::BodyError, state::EntryState};
+use super::state::EntryState;
 
 /// The body of an answer that is being read.
 #[derive(Debug)]
@@ -39,19 +39,6 @@
         }
     }
 
-    /// Reads the rest of the body, up to `max_bytes` bytes.
-    pub async fn collect(&mut self, max_bytes: usize) -> Result<Bytes, BodyError> {
-        let mut whole = BytesMut::new();
-        while let Some(data) = self.next().await {
-            let data = data?;
-            if whole.len() + data.len() > max_bytes {
-                return Err(format!("longer than {max_bytes} bytes").into());
-            }
-            whole.extend_from_slice(&data);
-        }
-        Ok(whole.freeze())
-    }
-
     /// Silences of the server so far.
     pub fn silence(&self) -> &SilenceMeter {
         &self.silence
--- a/crates/daemon/src/direct/body_memory.rs
+++ b/crates/daemon/src/direct/body_memory.rs
@@ -1,4 +1,4 @@
-//! Limits the total memory of the bodies that an entry buffers.
+//! Limits the total memory of the bodies that an entry holds.
 
 use std::{sync::Arc, time::Duration};
 
@@ -20,9 +20,11 @@
 /// `Retry-After` when the memory for bodies is used up.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(700);
 
-/// Divisor of an entry's memory that gives the budget for request bodies; response bodies have a
-/// budget of the same size. The rest is for connections, the plan and the list of servers.
-pub const BODY_MEMORY_DIVISOR: u64 = 5;
+/// Time that a connection which is being closed takes to release what it holds.
+const RELEASE_TIME: Duration = Duration::from_millis(20);
+
+/// Refusal cause: the memory for bodies is used up.
+pub(super) const MEMORY_FULL: &str = "memory_full";
 
 /// Memory budget for bodies.
 #[derive(Debug, Clone)]
@@ -32,12 +34,31 @@
     total_permits: u32,
 }
 
+/// A share of the budget, which is released when this is dropped.
+#[derive(Debug)]
+pub struct MemoryShare {
+    permit: OwnedSemaphorePermit,
+}
+
 /// A body with its share of the memory budget, which is released when the last clone is dropped.
 #[derive(Debug, Clone, Default)]
 pub struct HeldBody {
     /// Content of the body.
     pub bytes: Bytes,
-    _permit: Option<Arc<OwnedSemaphorePermit>>,
+    _share: Option<Arc<MemoryShare>>,
+}
+
+impl HeldBody {
+    /// A body that holds `share`.
+    pub fn new(bytes: Bytes, share: Option<Arc<MemoryShare>>) -> Self {
+        Self { bytes, _share: share }
+    }
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 fn permits(bytes: usize) -> u32 {
@@ -53,24 +74,28 @@
     }
 
     /// Reads a request body of at most `max_bytes`. A body with a declared length that does not fit
-    /// into the budget is refused before any of it is read.
+    /// into the budget is refused before any of it is read, unless others can `give_way`.
     pub async fn read_request<B>(
         &self,
         parts: &Parts,
         mut body: B,
         max_bytes: usize,
         deadline: Instant,
+        give_way: impl Fn() -> bool,
     ) -> Result<HeldBody, ErrorResponse>
     where
         B: Body<Data = Bytes> + Unpin,
     {
+        let full = || ErrorResponse::refused(MEMORY_FULL, FULL_RETRY_AFTER);
         let too_long = || ErrorResponse::denied(StatusCode::PAYLOAD_TOO_LARGE, "body_too_long");
         let announced = announced_length(parts);
         if announced > max_bytes {
             return Err(too_long());
         }
-        let mut reserved = permits(announced);
-        let mut held = self.try_reserve(reserved)?;
+        let mut share = None;
+        if announced > 0 {
+            share = Some(self.reserve(announced, &give_way).await.ok_or_else(full)?);
+        }
         let mut bytes = BytesMut::with_capacity(announced);
         loop {
             let frame = tokio::time::timeout_at(deadline, body.frame()).await;
@@ -82,38 +107,57 @@
                 return Err(too_long());
             }
             bytes.extend_from_slice(&data);
-            let needed = permits(bytes.len()).max(reserved);
-            held = merge(held, self.try_reserve(needed - reserved)?);
-            reserved = needed;
+            let reserved = share.as_ref().map_or(0, MemoryShare::bytes).max(announced);
+            if bytes.len() > reserved {
+                let more = self.reserve(bytes.len() - reserved, &give_way).await;
+                MemoryShare::merge(&mut share, more.ok_or_else(full)?);
+            }
         }
-        Ok(HeldBody { bytes: bytes.freeze(), _permit: held.map(Arc::new) })
+        Ok(HeldBody::new(bytes.freeze(), share.map(Arc::new)))
     }
 
-    /// Waits for `bytes` of the budget, or for the whole budget if that is smaller.
-    pub async fn reserve(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
+    /// Reserves `bytes` of the budget, or the whole budget if that is smaller. While there is not enough, one after
+    /// the other `give_way`s; `None` once nobody does any more.
+    pub async fn reserve(&self, bytes: usize, give_way: impl Fn() -> bool) -> Option<MemoryShare> {
         let wanted = permits(bytes).min(self.total_permits);
-        self.permits.clone().acquire_many_owned(wanted).await.ok()
+        loop {
+            if let Ok(permit) = self.permits.clone().try_acquire_many_owned(wanted) {
+                return Some(MemoryShare { permit });
+            }
+            if !give_way() {
+                return None;
+            }
+            let released = self.permits.clone().acquire_many_owned(wanted);
+            if let Ok(Ok(permit)) = tokio::time::timeout(RELEASE_TIME, released).await {
+                return Some(MemoryShare { permit });
+            }
+        }
     }
 
-    fn try_reserve(&self, permits: u32) -> Result<Option<OwnedSemaphorePermit>, ErrorResponse> {
-        if permits == 0 {
-            return Ok(None);
+    /// Reserves `bytes` that are not necessary: leaves half of the budget to others.
+    pub fn try_reserve_spare(&self, bytes: usize) -> Option<MemoryShare> {
+        let wanted = permits(bytes);
+        let left = self.permits.available_permits().checked_sub(wanted as usize)?;
+        if left < self.total_permits as usize / 2 {
+            return None;
         }
-        let taken = self.permits.clone().try_acquire_many_owned(permits);
-        taken.map(Some).map_err(|_| ErrorResponse::refused("memory_full", FULL_RETRY_AFTER))
+        let permit = self.permits.clone().try_acquire_many_owned(wanted).ok()?;
+        Some(MemoryShare { permit })
     }
 }
 
-fn merge(
-    held: Option<OwnedSemaphorePermit>,
-    further: Option<OwnedSemaphorePermit>,
-) -> Option<OwnedSemaphorePermit> {
-    match (held, further) {
-        (Some(mut held), Some(further)) => {
-            held.merge(further);
-            Some(held)
+impl MemoryShare {
+    /// Size of the share.
+    pub fn bytes(&self) -> usize {
+        self.permit.num_permits() * PERMIT_BYTES
+    }
+
+    /// Adds `more` to a share.
+    pub fn merge(share: &mut Option<Self>, more: Self) {
+        match share {
+            Some(share) => share.permit.merge(more.permit),
+            None => *share = Some(more),
         }
-        (held, further) => held.or(further),
     }
 }
 
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -6,6 +6,7 @@
     direct::{
         admission::shedding::{NewRequest, ShedRank},
         answer_silence::SilenceMeter,
+        process_limits::ANSWER_WINDOW,
         server_table::{ChosenServer, ServerChoice, ServerOutcome, ServerQuery},
         suspects::QUARANTINE_TIME,
     },
@@ -26,6 +27,8 @@
 use super::{
     answer::{AnswerBody, ErrorResponse},
     attempt::{self, AttemptFailure, ServerAnswer, is_failure},
+    body_memory::{MEMORY_FULL, MemoryShare},
+    callers::CallerNeed,
     handler::AdmittedRequest,
     relay,
     state::EntryState,
@@ -34,8 +37,11 @@
 use crate::{decisions, metrics::RequestStep, timer::unix_time};
 
 mod collect;
+mod forward;
 mod server_ends;
 
+use collect::Collected;
+
 /// Refusal cause: servers have crashed while running the same content, or a prompt with the same part.
 pub(super) const QUARANTINED: &str = "quarantined";
 
@@ -78,6 +84,8 @@
     had_timeout: bool,
     /// The caller has received the response head.
     pub answer_begun: bool,
+    /// Memory for the way of the answer; `None` before the first attempt.
+    pub(super) window: Option<Arc<MemoryShare>>,
     /// When the request arrived, by this entry's clock.
     pub arrived: Moment,
     /// Predicted time to the first token of the first attempt; `None` for services without engines.
@@ -100,6 +108,7 @@
         verdict: None,
         had_timeout: false,
         answer_begun: false,
+        window: None,
         arrived: state.now(),
         predicted: None,
     };
@@ -107,6 +116,7 @@
     loop {
         let server = waiting::next_server(&mut exchange).await;
         let server = server.map_err(|cause| exchange.give_up(cause))?;
+        exchange.reserve_window().await.map_err(|cause| exchange.give_up(cause))?;
         let answer = match exchange.send(server, None).await {
             Ok(answer) => answer,
             Err(failure) => {
@@ -130,11 +140,15 @@
             exchange.verdict = Some(RunVerdict::MayHaveRun);
             continue;
         }
+        let window = exchange.window.clone();
         if exchange.request.is_stream() && status.is_success() {
-            return Ok(relay::stream(exchange, answer));
+            return Ok(hold_window(relay::stream(exchange, answer), window));
         }
         match exchange.collect(answer).await {
-            Ok(response) => return Ok(response),
+            Ok(Collected::Whole(response)) => return Ok(hold_window(response, window)),
+            Ok(Collected::Begun(begun)) => {
+                return Ok(hold_window(forward::rest(exchange, *begun), window));
+            }
             Err(failure) => {
                 exchange.record_failure(&failure).map_err(|cause| exchange.give_up(cause))?;
                 if failure.is_connection_break() {
@@ -145,7 +159,29 @@
     }
 }
 
+/// Has the answer keep its window until its last byte has been written.
+fn hold_window(
+    mut response: Response<AnswerBody>,
+    window: Option<Arc<MemoryShare>>,
+) -> Response<AnswerBody> {
+    if let Some(window) = window {
+        response.extensions_mut().insert(window);
+    }
+    response
+}
+
 impl Exchange {
+    /// Reserves memory for the answer before a server is asked for it, or returns the cause why there is none.
+    async fn reserve_window(&mut self) -> Result<(), &'static str> {
+        if self.window.is_none() {
+            let give_way = || self.state.callers.give_way(CallerNeed::AnswerMemory);
+            let size = ANSWER_WINDOW.bytes() as usize;
+            let share = self.state.answer_memory.reserve(size, give_way).await;
+            self.window = Some(Arc::new(share.ok_or(MEMORY_FULL)?));
+        }
+        Ok(())
+    }
+
     /// Counts a step of this request in the metrics.
     fn count_step(&self, step: RequestStep) {
         let request = &self.request;
--- a/crates/daemon/src/direct/front.rs
+++ b/crates/daemon/src/direct/front.rs
@@ -3,8 +3,11 @@
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use headlatch_http::{StopSignal, stall::StallGuard};
-use headlatch_types::request::QuarantineKey;
+use headlatch_http::{
+    StopSignal,
+    stall::{PeerLimit, PeerLimits, StallGuard},
+};
+use headlatch_types::{request::QuarantineKey, traffic::ClientLimits};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -48,34 +51,52 @@
 /// Serves callers until `signal` fires; then each connection closes once its responses are sent.
 pub async fn serve(state: Arc<EntryState>, listener: TcpListener, mut signal: StopSignal) {
     let shutdown = GracefulShutdown::new();
-    let stall = state.settings.direct.stall;
     loop {
         let stream = tokio::select! {
             stream = accept(&listener) => stream,
             () = signal.stopped() => break,
         };
         let limits = state.routes().map(|routes| routes.plan().limits).unwrap_or_default();
-        let handled = state.clone();
+        let guard = tokio::select! {
+            guard = state.callers.admit(usize::MAX) => guard,
+            () = signal.stopped() => break,
+        };
+        let (handled, caller) = (state.clone(), guard.caller.clone());
         let service = service_fn(move |request: Request<Incoming>| {
-            let state = handled.clone();
-            async move { Ok::<_, Infallible>(handler::handle(state, request).await) }
+            let (state, caller) = (handled.clone(), caller.clone());
+            async move { Ok::<_, Infallible>(handler::handle(state, caller, request).await) }
         });
+        let stream =
+            StallGuard::new(stream, peer_limits(&state, &limits), guard.caller.progress.clone());
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(Duration::from_millis(limits.idle_ms) + IDLE_TIMEOUT_MARGIN)
             .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER))
             .keep_alive(true)
-            .serve_connection(TokioIo::new(StallGuard::new(stream, stall)), service);
-        let watched = shutdown.watch(connection);
-        tokio::spawn(async move {
-            // Connection errors are caused by callers that disconnect.
-            let _ = watched.await;
+            .serve_connection(TokioIo::new(stream), service);
+        let (watched, id, callers) = (shutdown.watch(connection), guard.id, state.callers.clone());
+        let task = tokio::spawn(async move {
+            let _guard = guard;
+            // Other errors are caused by callers that disconnect.
+            if let Some(limit) = watched.await.err().as_ref().and_then(PeerLimit::of) {
+                callers.record_closed(limit.into());
+            }
         });
+        state.callers.set_task(id, task.abort_handle());
     }
     drop(listener);
     shutdown.shutdown().await;
 }
 
+fn peer_limits(state: &EntryState, limits: &ClientLimits) -> PeerLimits {
+    let direct = &state.settings.direct;
+    PeerLimits {
+        stall: direct.stall,
+        min_read_rate: direct.min_read_rate,
+        head_time: Duration::from_millis(limits.idle_ms) + IDLE_TIMEOUT_MARGIN,
+    }
+}
+
 /// Serves readiness, metrics and the quarantine.
 pub async fn serve_admin(state: Arc<EntryState>, listener: TcpListener) {
     serve_answers(listener, move |method, path| answer_admin(&state, method, path)).await;
--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -23,15 +23,15 @@
 use http::{
     HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request::Parts,
 };
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use rand::Rng;
 use serde_json::json;
 use tokio::time::Instant;
 
 use super::{
-    answer::{AnswerBody, ErrorResponse},
-    body_memory::HeldBody,
+    answer::{AnswerBody, ErrorResponse, hold_until_written},
+    body_memory::{HeldBody, MemoryShare},
+    callers::{CallerConnection, RequestGuard},
     exchange,
     state::EntryState,
 };
@@ -102,28 +102,43 @@
 }
 
 /// Keeps a request in the count of requests in progress.
-struct InProgressGuard(Arc<EntryState>);
+#[derive(Debug)]
+struct InProgressGuard {
+    state: Arc<EntryState>,
+    _request: RequestGuard,
+}
 
 impl InProgressGuard {
-    fn new(state: Arc<EntryState>) -> Self {
+    fn new(state: Arc<EntryState>, caller: Arc<CallerConnection>) -> Self {
         state.in_progress.fetch_add(1, Ordering::Relaxed);
-        Self(state)
+        Self { state, _request: RequestGuard::new(caller) }
     }
 }
 
 impl Drop for InProgressGuard {
     fn drop(&mut self) {
-        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+        self.state.in_progress.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
-/// Handles one request.
-pub async fn handle(state: Arc<EntryState>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let held = InProgressGuard::new(state.clone());
+/// What an answer holds until its last byte has been written to the caller's connection.
+#[derive(Debug)]
+struct AnswerHold {
+    _in_progress: InProgressGuard,
+    _window: Option<Arc<MemoryShare>>,
+}
+
+/// Handles one request of `caller`.
+pub async fn handle(
+    state: Arc<EntryState>,
+    caller: Arc<CallerConnection>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let in_progress = InProgressGuard::new(state.clone(), caller.clone());
     let facts = state.headers.read_request(request.headers());
     let id = facts.id.clone().unwrap_or_default();
     state.metrics.count_unread_parts(facts.shared_parts.unread);
-    let admitted = admit(&state, request, facts).await;
+    let admitted = admit(&state, caller, request, facts).await;
     let answered = match admitted {
         Ok(plan) => exchange::run(&state, plan).await,
         Err(given_up) => {
@@ -149,18 +164,14 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    // The request counts as in progress until the last byte of the response has been written.
-    response.map(|body| {
-        body.map_frame(move |frame| {
-            let _ = &held;
-            frame
-        })
-        .boxed_unsync()
-    })
+    let window = response.extensions_mut().remove::<Arc<MemoryShare>>();
+    let hold = Arc::new(AnswerHold { _in_progress: in_progress, _window: window });
+    response.map(|body| hold_until_written(body, hold))
 }
 
 async fn admit(
     state: &Arc<EntryState>,
+    caller: Arc<CallerConnection>,
     request: Request<Incoming>,
     facts: RequestMetadata,
 ) -> Result<AdmittedRequest, ErrorResponse> {
@@ -172,11 +183,15 @@
         || parts.headers.contains_key(header::TRANSFER_ENCODING);
     let limits = routes.plan().limits;
     let timeout = if route.timeout_ms == 0 { DEFAULT_DEADLINE } else { route.timeout() };
-    let caller = facts.deadline.map(|time| LimitedTime::new(time, TimeLimit::Caller));
-    let held = LimitedTime::new(timeout, TimeLimit::Route).shorter(caller);
+    let own = facts.deadline.map(|time| LimitedTime::new(time, TimeLimit::Caller));
+    let held = LimitedTime::new(timeout, TimeLimit::Route).shorter(own);
     let deadline = arrived + held.time;
-    let read = state.request_memory.read_request(&parts, body, limits.body_bytes, deadline);
-    let body = read.await?;
+    let give_way = || false;
+    caller.progress.begin_body(arrived);
+    let memory = &state.request_memory;
+    let read = memory.read_request(&parts, body, limits.body_bytes, deadline, give_way).await;
+    caller.progress.end_body();
+    let body = read?;
     let target = pick_target(&route, rand::rng().random());
     let service = target.map(|target| target.service.clone());
     let service =
@@ -188,6 +203,7 @@
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri =
         path.parse().map_err(|_| ErrorResponse::denied(StatusCode::BAD_REQUEST, "bad_path"))?;
+    caller.set_service(&service);
     Ok(AdmittedRequest {
         id: facts.id.clone().unwrap_or_default(),
         method: parts.method,
--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -8,6 +8,7 @@
 mod answer_reader;
 pub mod attempt;
 pub mod body_memory;
+mod callers;
 pub mod change;
 pub mod datagram;
 pub mod entry;
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -17,6 +17,7 @@
         fact_age::FactAge,
         peers::{DomainKey, DrainNotice, PeerKind, PeerTable, WantedNotice},
         plan_source::PlanHolders,
+        process_limits::{ProcessLimits, SERVER_READ_BUFFER},
         retry_share::{EntryStart, RetryBudget, RetryShare},
         route_table::RouteTable,
         server_copy::ServerCopy,
@@ -26,7 +27,7 @@
     },
     time::Moment,
 };
-use headlatch_http::Connections;
+use headlatch_http::{Connections, PoolLimits};
 use headlatch_outside::{
     facts::{Fact, FactTopic},
     headers::HeaderFormat,
@@ -34,15 +35,17 @@
 use headlatch_types::{
     direct_settings::{DirectEntrySettings, RawRetry},
     id::ModelName,
-    quantity::{ByteSize, RequestRate},
+    quantity::RequestRate,
     store::{StoreEra, StoreRevision},
     traffic::{PlanVersion, TrafficPlan, WeightVersion},
 };
+use nix::sys::resource::{Resource, getrlimit};
 use serde_json::json;
 use tokio::{sync::Notify, time::Instant};
 
 use super::{
-    body_memory::{BODY_MEMORY_DIVISOR, BodyMemory},
+    body_memory::BodyMemory,
+    callers::CallerConnections,
     facts::{FactUpdate, readable_facts},
     plan_copy::PlanCopy,
     quarantine::{Quarantine, TRIAL_SPREAD},
@@ -76,6 +79,10 @@
     pub request_memory: BodyMemory,
     /// Memory budget for response bodies.
     pub answer_memory: BodyMemory,
+    /// Connections of callers.
+    pub callers: Arc<CallerConnections>,
+    /// What callers may make this process hold.
+    pub process_limits: ProcessLimits,
     /// Number of requests in progress.
     pub in_progress: AtomicUsize,
     /// Shutdown has been requested.
@@ -135,6 +142,12 @@
     mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
+/// Largest number of open descriptors that the operating system allows this process.
+fn system_descriptors() -> usize {
+    let (soft, _) = getrlimit(Resource::RLIMIT_NOFILE).unwrap_or((FALLBACK_DESCRIPTORS, 0));
+    usize::try_from(soft).unwrap_or(usize::MAX)
+}
+
 fn retry_budget(retry: RawRetry) -> RetryBudget {
     RetryBudget {
         ratio: retry.ratio,
@@ -143,6 +156,9 @@
     }
 }
 
+/// Number of descriptors where the operating system does not say how many it allows.
+const FALLBACK_DESCRIPTORS: u64 = 1024;
+
 /// Minimum suspension that triggers a reread of everything; shorter ones are within the margin of
 /// every wait.
 const MIN_SUSPENSION: Duration = Duration::from_millis(300);
@@ -165,8 +181,10 @@
             false => EntryStart::Restart,
         };
         let zones = settings.direct.zones.clone();
-        let body_memory =
-            ByteSize::from_bytes(settings.direct.memory.bytes() / BODY_MEMORY_DIVISOR);
+        let descriptors = settings.direct.descriptors.unwrap_or_else(system_descriptors);
+        let limits = ProcessLimits::new(settings.direct.memory, descriptors);
+        let metrics = NodeMetrics::default();
+        let callers = CallerConnections::new(settings.direct.yield_rate, metrics.clone());
         let mut servers = ServerTable::new(settings.node.domain.clone(), zones);
         servers.set_uses_pace(settings.direct.server_pace);
         let mut peers =
@@ -177,10 +195,15 @@
         peers.set_mesh_limit(settings.direct.mesh_limit);
         Arc::new(Self {
             headers,
-            connections: Connections::default(),
-            metrics: NodeMetrics::default(),
-            request_memory: BodyMemory::new(body_memory),
-            answer_memory: BodyMemory::new(body_memory),
+            connections: Connections::new(PoolLimits {
+                read_buffer: SERVER_READ_BUFFER,
+                idle: limits.idle_server_connections,
+            }),
+            metrics,
+            request_memory: BodyMemory::new(limits.request_bodies),
+            answer_memory: BodyMemory::new(limits.answers),
+            callers,
+            process_limits: limits,
             in_progress: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
             servers_known: AtomicBool::new(false),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -78,6 +78,7 @@
     in_progress: IntGauge,
     waiting: IntGaugeVec,
     queue_outcomes: IntCounterVec,
+    closed_callers: IntCounterVec,
 }
 
 impl Default for NodeMetrics {
@@ -155,6 +156,11 @@
             "Requests that left the admission queue, by service, rank and outcome.",
             &["service", "rank", "outcome"],
         );
+        let closed_callers = counter(
+            "headlatch_caller_connections_closed_total",
+            "Connections of callers that this process closed, by the limit that they met.",
+            &["limit"],
+        );
         let latency = HistogramOpts::new("headlatch_first_byte_seconds", "Time to the first byte.")
             .buckets(LATENCY_BUCKETS.to_vec());
         let first_byte = HistogramVec::new(latency, &["kind"]);
@@ -229,6 +235,7 @@
             in_progress,
             waiting,
             queue_outcomes,
+            closed_callers,
         }
     }
 }
@@ -451,6 +458,11 @@
         self.waiting.with_label_values(&[service, &rank.to_string()]).get()
     }
 
+    /// Counts a connection of a caller that was closed for a limit.
+    pub fn count_closed_caller(&self, limit: &str) {
+        self.closed_callers.with_label_values(&[limit]).inc();
+    }
+
     /// Counts a request that left the admission queue, or was refused on arrival there.
     pub fn count_queue_outcome(&self, service: &str, rank: UrgencyRank, outcome: &str) {
         self.queue_outcomes.with_label_values(&[service, &rank.to_string(), outcome]).inc();
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use headlatch_types::{ByteProgress, RunVerdict};
+use headlatch_types::{ByteProgress, RunVerdict, quantity::ByteSize};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -32,6 +32,10 @@
 /// Largest number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
+/// Largest read buffer of a connection unless set otherwise. Chunks of weights and lists of servers are read with
+/// fewer calls than with a small one.
+const DEFAULT_READ_BUFFER: ByteSize = ByteSize::from_bytes(408 << 10);
+
 /// Largest request body after which a connection may be reused: a server may respond before it has read all
 /// of a longer one.
 const MAX_REUSABLE_BODY_BYTES: usize = 32 << 10;
@@ -106,13 +110,34 @@
     until: Instant,
 }
 
+/// Bounds on what the connections of a pool hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoolLimits {
+    /// Largest read buffer of a connection, and so the largest response head.
+    pub read_buffer: ByteSize,
+    /// Largest number of idle connections to all addresses together.
+    pub idle: usize,
+}
+
+impl Default for PoolLimits {
+    fn default() -> Self {
+        Self { read_buffer: DEFAULT_READ_BUFFER, idle: usize::MAX }
+    }
+}
+
 /// A pool of connections to any number of addresses.
 #[derive(Debug, Default)]
 pub struct Connections {
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    limits: PoolLimits,
 }
 
 impl Connections {
+    /// A pool with `limits`.
+    pub fn new(limits: PoolLimits) -> Self {
+        Self { idle: Mutex::default(), limits }
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
         self.idle.lock().unwrap_or_else(|broken| broken.into_inner())
     }
@@ -129,7 +154,7 @@
         {
             return Ok((held, false));
         }
-        let opened = tokio::time::timeout(time, open(address)).await;
+        let opened = tokio::time::timeout(time, open(address, self.limits.read_buffer)).await;
         let opened =
             opened.map_err(|_| ExchangeError::not_sent("no connection came up in time", true))?;
         Ok((opened?, true))
@@ -156,6 +181,9 @@
         let since = Instant::now();
         let until = since + held.idle_limit;
         let mut idle = self.lock();
+        if idle.values().map(Vec::len).sum::<usize>() >= self.limits.idle {
+            return;
+        }
         let connections = idle.entry(held.address).or_default();
         if connections.len() < MAX_IDLE_PER_ADDRESS {
             connections.push(IdleConnection { held, since, until });
@@ -324,7 +352,10 @@
     Ok(whole.freeze())
 }
 
-async fn open(address: SocketAddr) -> Result<ActiveConnection, ExchangeError> {
+async fn open(
+    address: SocketAddr,
+    read_buffer: ByteSize,
+) -> Result<ActiveConnection, ExchangeError> {
     let failure = |message: String| ExchangeError::not_sent(message, true);
     let stream = TcpStream::connect(address).await.map_err(|error| ExchangeError {
         refused: error.kind() == std::io::ErrorKind::ConnectionRefused,
@@ -333,6 +364,7 @@
     // Avoids the delay of small writes by Nagle's algorithm; a failure only costs latency.
     let _ = stream.set_nodelay(true);
     let (sender, connection) = http1::Builder::new()
+        .max_buf_size(read_buffer.bytes() as usize)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| failure(error.to_string()))?;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod connections;
 pub mod pace;
+pub mod progress;
 pub mod server;
 pub mod stall;
 pub mod stop;
@@ -11,6 +12,7 @@
 pub use client::{CallError, HttpCaller};
 pub use connections::{
     ActiveConnection, CallRequest, CallResponse, ConnectionChoice, Connections, ExchangeError,
+    PoolLimits,
 };
 pub use server::{BodyError, HttpLimits, HttpServer, read_body};
 pub use stop::{StopHandle, StopSignal};
--- a/crates/types/src/direct_settings.rs
+++ b/crates/types/src/direct_settings.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     id::{DomainId, RegionId},
-    quantity::ByteSize,
+    quantity::{ByteRate, ByteSize},
     reading::{InputError, parse_at},
     settings::{LinkSettings, NodeSettings, RawEndpoint, RawSettings},
 };
@@ -36,13 +36,24 @@
     /// If left out, evacuations are disabled and not read from the store.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub evacuate_ms: Option<u64>,
-    /// Memory limit of the process. Request bodies and response bodies may each use a fifth of it.
+    /// Memory limit of the process. Request bodies, responses, and connections of callers may each use a fifth
+    /// of it.
     #[serde(default = "default_memory")]
     pub memory: ByteSize,
-    /// Time without progress in reading a response after which a caller's connection is closed, in
-    /// milliseconds.
+    /// Largest number of open descriptors; the limit of the operating system if left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub descriptors: Option<usize>,
+    /// Time over which a caller's connection is closed if its response is read more slowly than at
+    /// `min_read_rate`, in milliseconds.
     #[serde(default = "default_stall_ms")]
     pub stall_ms: u64,
+    /// Rate of reading below which a caller's connection is closed after `stall_ms`, per second.
+    #[serde(default = "default_min_read_rate")]
+    pub min_read_rate: ByteRate,
+    /// Rate of reading or sending below which a caller's connection is closed as soon as others lack memory or a
+    /// server because of it, per second.
+    #[serde(default = "default_yield_rate")]
+    pub yield_rate: ByteRate,
     /// Whether the whole system starts for the first time. No caller waits yet, so the processes discover
     /// each other before they read the store.
     #[serde(default)]
@@ -81,8 +92,11 @@
 /// Smallest accepted `evacuate_ms`: a change in the store takes this long to reach all entries.
 const MIN_EVACUATE_MS: u64 = 4_000;
 
-/// Smallest accepted memory limit.
-const MIN_MEMORY: ByteSize = ByteSize::from_mib(16);
+/// Smallest accepted memory limit: the process itself takes 10 MiB, and a request body may have 4 MiB.
+const MIN_MEMORY: ByteSize = ByteSize::from_mib(32);
+
+/// Smallest accepted number of descriptors.
+const MIN_DESCRIPTORS: usize = 128;
 
 fn default_memory() -> ByteSize {
     ByteSize::from_mib(256)
@@ -94,6 +108,15 @@
     10_000
 }
 
+/// Below the rate of a modem. A caller that reads at this rate takes over two hours for the longest response.
+fn default_min_read_rate() -> ByteRate {
+    ByteRate::from_bytes_per_second(2 << 10)
+}
+
+fn default_yield_rate() -> ByteRate {
+    ByteRate::from_bytes_per_second(16 << 10)
+}
+
 fn default_weights_ms() -> u64 {
     30_000
 }
@@ -116,8 +139,14 @@
     pub weights_time: Duration,
     /// Memory limit of the process.
     pub memory: ByteSize,
-    /// Time without progress in reading a response after which a caller's connection is closed.
+    /// Largest number of open descriptors; the limit of the operating system if `None`.
+    pub descriptors: Option<usize>,
+    /// Time over which a caller's connection is closed if it reads more slowly than at `min_read_rate`.
     pub stall: Duration,
+    /// Rate of reading below which a caller's connection is closed after `stall`.
+    pub min_read_rate: ByteRate,
+    /// Rate below which a caller's connection is closed as soon as others lack memory or a server because of it.
+    pub yield_rate: ByteRate,
     /// Whether evacuations of failure domains are read from the store.
     pub reads_evacuations: bool,
     /// Whether the whole system starts for the first time.
@@ -191,6 +220,7 @@
         let message = format!("{} is too little memory; give {MIN_MEMORY} or more", raw.memory);
         return Err(InputError::new("direct.memory", message));
     }
+    check_caller_limits(raw)?;
     if raw.stall_ms == 0 {
         let message = "0 leaves callers no time to read; give 1 ms or more";
         return Err(InputError::new("direct.stall_ms", message));
@@ -210,7 +240,10 @@
         retry: raw.retry,
         weights_time,
         memory: raw.memory,
+        descriptors: raw.descriptors,
         stall: Duration::from_millis(raw.stall_ms),
+        min_read_rate: raw.min_read_rate,
+        yield_rate: raw.yield_rate,
         reads_evacuations: raw.evacuate_ms.is_some(),
         first_start: raw.first_start,
         mesh_limit: raw.mesh_limit,
@@ -219,6 +252,22 @@
     })
 }
 
+fn check_caller_limits(raw: &RawDirect) -> Result<(), InputError> {
+    if let Some(descriptors) = raw.descriptors.filter(|count| *count < MIN_DESCRIPTORS) {
+        let message =
+            format!("{descriptors} are too few descriptors; give {MIN_DESCRIPTORS} or more");
+        return Err(InputError::new("direct.descriptors", message));
+    }
+    if raw.yield_rate < raw.min_read_rate {
+        let message = format!(
+            "{} is less than direct.min_read_rate; give {} or more",
+            raw.yield_rate, raw.min_read_rate
+        );
+        return Err(InputError::new("direct.yield_rate", message));
+    }
+    Ok(())
+}
+
 pub(crate) fn check_direct_entry(
     raw: &RawSettings,
     node: NodeSettings,
--- a/crates/types/tests/checked_input.rs
+++ b/crates/types/tests/checked_input.rs
@@ -176,3 +176,39 @@
         }
     }
 }
+
+fn direct_settings(field: &str, value: Value) -> String {
+    let mut settings = valid_settings();
+    settings["direct"] = json!({ "zones": { "ghent": "flanders" } });
+    settings["direct"][field] = value;
+    settings.to_string()
+}
+
+#[rstest::rstest]
+#[case("memory", json!("31MiB"), "direct.memory: 31MiB is too little memory; give 32MiB or more")]
+#[case("descriptors", json!(127), "direct.descriptors: 127 are too few descriptors; give 128 or more")]
+#[case("min_read_rate", json!("0KiB/s"), "\"0KiB/s\" is not a rate")]
+#[case("yield_rate", json!("1KiB/s"), "direct.yield_rate: 1KiB/s is less than direct.min_read_rate")]
+fn limits_on_callers_out_of_range_are_rejected(
+    #[case] field: &str,
+    #[case] value: Value,
+    #[case] message: &str,
+) {
+    let parsed = DaemonSettings::parse(&direct_settings(field, value));
+    let error = parsed.expect_err("it is out of range").to_string();
+    assert!(error.contains(message), "{error}");
+}
+
+#[test]
+fn limits_on_callers_within_range_are_accepted() {
+    let values = [
+        ("memory", json!("32MiB")),
+        ("descriptors", json!(128)),
+        ("min_read_rate", json!("1B/s")),
+        ("yield_rate", json!("2KiB/s")),
+    ];
+    for (field, value) in values {
+        let parsed = DaemonSettings::parse(&direct_settings(field, value));
+        assert!(parsed.is_ok(), "{field}: {parsed:?}");
+    }
+}
