Let trickled uploads give way to request bodies of others

What callers saw: beside uploads that announce much and bring nothing, no request with a body was taken in a minute (503 `memory_full`), until the deadlines of the uploads ended them.

Cause: a share of the memory for request bodies is held for as long as its body takes, whatever comes of it.

Change: while a body finds no memory, the caller that sends, or reads its answer, most slowly below `direct.yield_rate` is closed, as for answers. A refusal still has its time to return.

Other way weighed: a least rate for every upload; it would end uploads that nobody waits for.

--- a/crates/daemon/src/direct/handler.rs
+++ b/crates/daemon/src/direct/handler.rs
@@ -31,7 +31,7 @@
 use super::{
     answer::{AnswerBody, ErrorResponse, hold_until_written},
     body_memory::{HeldBody, MemoryShare},
-    callers::{CallerConnection, RequestGuard},
+    callers::{CallerConnection, CallerNeed, RequestGuard},
     exchange,
     state::EntryState,
 };
@@ -186,7 +186,7 @@
     let own = facts.deadline.map(|time| LimitedTime::new(time, TimeLimit::Caller));
     let held = LimitedTime::new(timeout, TimeLimit::Route).shorter(own);
     let deadline = arrived + held.time;
-    let give_way = || false;
+    let give_way = || state.callers.give_way(CallerNeed::RequestMemory);
     caller.progress.begin_body(arrived);
     let memory = &state.request_memory;
     let read = memory.read_request(&parts, body, limits.body_bytes, deadline, give_way).await;
