Close connections whose request head takes longer than the plan allows

What callers saw: nothing by itself; half a head held its connection for the idle time and 2 s (17 s where the plan says 3), and with it memory and a descriptor that others lacked.

Cause: `header_timeout_ms` was read and checked by nobody; the one timer was the idle time's.

Change: the time counts from the first byte of a head and is checked where bytes are read, with a second for delays on the way; idle connections keep theirs.

--- a/crates/daemon/src/direct/front.rs
+++ b/crates/daemon/src/direct/front.rs
@@ -31,6 +31,9 @@
 /// timeout does not cross the close.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
 
+/// Added to the time limit of request heads, for delays on the way.
+const HEAD_TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
+
 pub(super) async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
@@ -93,7 +96,7 @@
     PeerLimits {
         stall: direct.stall,
         min_read_rate: direct.min_read_rate,
-        head_time: Duration::from_millis(limits.idle_ms) + IDLE_TIMEOUT_MARGIN,
+        head_time: Duration::from_millis(limits.head_ms) + HEAD_TIMEOUT_MARGIN,
     }
 }
 
