Bound connections of callers by memory and by descriptors

What callers saw: 3,500 connections that say nothing, or half a head, took an entry with 64 MiB to 88 to 129 MiB. A process without descriptors neither accepts anybody nor reaches a server or the store.

Cause: connections were in no account. A silent one costs some 20 KiB, one with a long head some 40, and their number was bounded by the descriptors alone, of which nothing was kept for the process itself.

Other ways weighed: refusing new connections (whoever came first keeps the room); a limit by address (callers come through the platform's balancer).

--- a/crates/daemon/src/direct/front.rs
+++ b/crates/daemon/src/direct/front.rs
@@ -7,7 +7,7 @@
     StopSignal,
     stall::{PeerLimit, PeerLimits, StallGuard},
 };
-use headlatch_types::{request::QuarantineKey, traffic::ClientLimits};
+use headlatch_types::{quantity::ByteSize, request::QuarantineKey, traffic::ClientLimits};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -60,8 +60,10 @@
             () = signal.stopped() => break,
         };
         let limits = state.routes().map(|routes| routes.plan().limits).unwrap_or_default();
+        let head = ByteSize::from_bytes(limits.head_bytes as u64);
+        let places = state.process_limits.caller_connections(head);
         let guard = tokio::select! {
-            guard = state.callers.admit(usize::MAX) => guard,
+            guard = state.callers.admit(places) => guard,
             () = signal.stopped() => break,
         };
         let (handled, caller) = (state.clone(), guard.caller.clone());
