Bound the events of a stream

What callers saw: one stream whose server writes one event of 64 MiB took an entry with 64 MiB to 86 MiB: a crowd of one.

Cause: only whole events are forwarded, and an event without an end was held without a bound.

Change: an event may have `direct.max_event` (1 MiB); what does not fit into the window has a share of its own. Otherwise the stream is cut (`event_too_large` or `memory_full` in `stream_cut`); it is not continued elsewhere, where the event would be the same. Other way weighed: forwarding a large event in parts; its rest could then not be continued by another server.

--- a/crates/daemon/src/direct/relay.rs
+++ b/crates/daemon/src/direct/relay.rs
@@ -29,6 +29,7 @@
     answer::{AnswerBody, BodyError, strip_hop_by_hop_headers},
     answer_reader::AnswerReader,
     attempt::{AttemptFailure, InFlight, ServerAnswer},
+    body_memory::{MEMORY_FULL, MemoryShare},
     exchange::Exchange,
     server_end::ServerLiveness,
     state::EntryState,
@@ -41,6 +42,12 @@
 /// Lower bound of that pause.
 const MIN_PAUSE_TOLERANCE: Duration = Duration::from_millis(800);
 
+/// Part of an answer's window that an incomplete event may fill without memory of its own.
+const EVENT_IN_WINDOW: usize = 32 << 10;
+
+/// Why a stream was cut: one of its events exceeds `direct.max_event`.
+const EVENT_TOO_LARGE: &str = "event_too_large";
+
 /// Why a stream from a server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StreamEnd {
@@ -54,6 +61,8 @@
     Silent,
     /// The deadline passed.
     Deadline,
+    /// An event was too large to be held until its end.
+    Event,
 }
 
 /// A server that a stream is read from.
@@ -62,6 +71,8 @@
     connection: ActiveConnection,
     in_flight: InFlight,
     splitter: EventSplitter,
+    /// Memory for an event that does not fit into the window of the answer.
+    event_memory: Option<MemoryShare>,
     /// Time limit sent to the server.
     time_limit: LimitedTime,
     /// When the server's response began.
@@ -83,6 +94,7 @@
             connection: answer.connection,
             in_flight: answer.in_flight,
             splitter: EventSplitter::default(),
+            event_memory: None,
             time_limit: answer.time_limit,
             started: state.now(),
             writing_since: None,
@@ -169,6 +181,13 @@
             for event in relay.new_events(&mut source, &data) {
                 yield Frame::data(Bytes::from(event.bytes));
             }
+            if let Err(cause) = relay.check_pending_event(&mut source) {
+                let log_fields = relay.log_fields(&source, StreamEnd::Event);
+                relay.abandon(source, StreamEnd::Event);
+                relay.exchange.record_cut(cause, log_fields);
+                Err(BodyError::from(cause))?;
+                return;
+            }
         }
     };
     let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
@@ -216,7 +235,7 @@
                 let _ = break_liveness(&self.exchange, source).await;
                 end
             }
-            StreamEnd::Whole | StreamEnd::Silent | StreamEnd::Deadline => end,
+            StreamEnd::Whole | StreamEnd::Silent | StreamEnd::Deadline | StreamEnd::Event => end,
         }
     }
 
@@ -300,6 +319,26 @@
         events
     }
 
+    /// Reserves memory for an event that is not complete; the cause if it is too large.
+    fn check_pending_event(&self, source: &mut StreamSource) -> Result<(), &'static str> {
+        let (state, pending) = (&self.exchange.state, source.splitter.rest().len());
+        if pending <= EVENT_IN_WINDOW {
+            source.event_memory = None;
+            return Ok(());
+        }
+        if pending as u64 > state.settings.direct.max_event.bytes() {
+            return Err(EVENT_TOO_LARGE);
+        }
+        // The buffer of the event may be twice as large as what it holds.
+        let reserved = source.event_memory.as_ref().map_or(0, MemoryShare::bytes);
+        let needed = 2 * pending;
+        if needed > reserved {
+            let more = state.answer_memory.try_reserve_spare(needed - reserved);
+            MemoryShare::merge(&mut source.event_memory, more.ok_or(MEMORY_FULL)?);
+        }
+        Ok(())
+    }
+
     /// Records that the server survived the request once it has written on it for long enough.
     fn record_survival(&self, source: &mut StreamSource) {
         let now = self.exchange.state.now();
--- a/crates/types/src/direct_settings.rs
+++ b/crates/types/src/direct_settings.rs
@@ -54,6 +54,9 @@
     /// server because of it, per second.
     #[serde(default = "default_yield_rate")]
     pub yield_rate: ByteRate,
+    /// Largest event of a stream.
+    #[serde(default = "default_max_event")]
+    pub max_event: ByteSize,
     /// Whether the whole system starts for the first time. No caller waits yet, so the processes discover
     /// each other before they read the store.
     #[serde(default)]
@@ -98,6 +101,12 @@
 /// Smallest accepted number of descriptors.
 const MIN_DESCRIPTORS: usize = 128;
 
+/// Smallest accepted limit on events of streams.
+const MIN_EVENT: ByteSize = ByteSize::from_bytes(4 << 10);
+
+/// Divisor of the memory that gives the largest accepted limit on events of streams.
+const EVENT_DIVISOR: u64 = 20;
+
 fn default_memory() -> ByteSize {
     ByteSize::from_mib(256)
 }
@@ -117,6 +126,10 @@
     ByteRate::from_bytes_per_second(16 << 10)
 }
 
+fn default_max_event() -> ByteSize {
+    ByteSize::from_mib(1)
+}
+
 fn default_weights_ms() -> u64 {
     30_000
 }
@@ -147,6 +160,8 @@
     pub min_read_rate: ByteRate,
     /// Rate below which a caller's connection is closed as soon as others lack memory or a server because of it.
     pub yield_rate: ByteRate,
+    /// Largest event of a stream.
+    pub max_event: ByteSize,
     /// Whether evacuations of failure domains are read from the store.
     pub reads_evacuations: bool,
     /// Whether the whole system starts for the first time.
@@ -244,6 +259,7 @@
         stall: Duration::from_millis(raw.stall_ms),
         min_read_rate: raw.min_read_rate,
         yield_rate: raw.yield_rate,
+        max_event: raw.max_event,
         reads_evacuations: raw.evacuate_ms.is_some(),
         first_start: raw.first_start,
         mesh_limit: raw.mesh_limit,
@@ -265,6 +281,15 @@
         );
         return Err(InputError::new("direct.yield_rate", message));
     }
+    let max_event = ByteSize::from_bytes(raw.memory.bytes() / EVENT_DIVISOR);
+    if raw.max_event < MIN_EVENT || raw.max_event > max_event {
+        let message = format!(
+            "{} is not between {MIN_EVENT} and a twentieth of direct.memory, {max_event}; change it or \
+             direct.memory",
+            raw.max_event
+        );
+        return Err(InputError::new("direct.max_event", message));
+    }
     Ok(())
 }
 
--- a/crates/types/tests/checked_input.rs
+++ b/crates/types/tests/checked_input.rs
@@ -189,6 +189,8 @@
 #[case("descriptors", json!(127), "direct.descriptors: 127 are too few descriptors; give 128 or more")]
 #[case("min_read_rate", json!("0KiB/s"), "\"0KiB/s\" is not a rate")]
 #[case("yield_rate", json!("1KiB/s"), "direct.yield_rate: 1KiB/s is less than direct.min_read_rate")]
+#[case("max_event", json!("1KiB"), "direct.max_event: 1KiB is not between 4KiB and")]
+#[case("max_event", json!("13MiB"), "direct.max_event: 13MiB is not between 4KiB and")]
 fn limits_on_callers_out_of_range_are_rejected(
     #[case] field: &str,
     #[case] value: Value,
@@ -206,6 +208,7 @@
         ("descriptors", json!(128)),
         ("min_read_rate", json!("1B/s")),
         ("yield_rate", json!("2KiB/s")),
+        ("max_event", json!("4KiB")),
     ];
     for (field, value) in values {
         let parsed = DaemonSettings::parse(&direct_settings(field, value));
