Let slow readers give way when every server is full

Cause, by reading: a stream that is read slowly holds a slot of its server for as long as it likes, and sixteen such streams close an endpoint. The crowd test of it (slowly_read_streams_leave_slots_to_others) held before as well, since 1 KB a second counts as no progress in ten seconds; a faster crowd would not.

Change: where no server has room for a new request, the slowest caller of its service that reads below `direct.yield_rate` is closed. The request waits or is refused as before; the place is free a moment later.

--- a/crates/daemon/src/direct/waiting.rs
+++ b/crates/daemon/src/direct/waiting.rs
@@ -27,6 +27,7 @@
 
 use super::{
     answer::ErrorResponse,
+    callers::CallerNeed,
     exchange::{Exchange, LOAD_SHED},
     handler,
     notices::NOTICE_INTERVAL,
@@ -282,8 +283,11 @@
     })
 }
 
-/// Records that no server has room for a request.
+/// Records that no server has room for a request, and has the slowest caller of the service give way.
 pub(super) fn log_full(exchange: &Exchange, full: &ExclusionCounts) {
+    if exchange.sends == 0 {
+        exchange.state.callers.give_way(CallerNeed::Server(&exchange.request.service));
+    }
     exchange.state.metrics.count_excluded("rate_limit", full.rate_limited);
     exchange.state.metrics.count_excluded("retry_after", full.backing_off);
     exchange.state.metrics.count_excluded("cold", full.cold);
