Bound connections to the admin, control and metrics listeners of entries, and send buffers

Cause, by reading: these listeners had neither a bound on their connections nor a time limit on answers that nobody reads. The kernel takes up to 4 MiB of an answer for each connection whose caller does not read, which is memory of the machine, and reports progress only in steps of a third of it, so that a slow reader looks like one that stalls.

Change: each of the listeners has a part of the process's own descriptors and the same guard as those of callers; connections without a request give way, so that a health check is always taken. Connections of callers have send buffers of 64 KiB.

--- a/crates/daemon/src/direct/entry.rs
+++ b/crates/daemon/src/direct/entry.rs
@@ -85,7 +85,7 @@
         let control = settings.node.control;
         let socket = UdpSocket::bind(control).await.change_context(DaemonError::Bind(control))?;
         let peer_listener = front::bind(control).await?;
-        let listener = front::bind(settings.listen).await?;
+        let listener = front::bind_callers(settings.listen).await?;
         let admin_listener = front::bind(settings.node.admin).await?;
         let failure = || DaemonError::Bind(settings.listen);
         let address = listener.local_addr().change_context_lazy(failure)?;
--- a/crates/daemon/src/direct/front.rs
+++ b/crates/daemon/src/direct/front.rs
@@ -3,27 +3,44 @@
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use error_stack::{Report, ResultExt};
 use headlatch_http::{
     StopSignal,
     stall::{PeerLimit, PeerLimits, StallGuard},
 };
 use headlatch_types::{quantity::ByteSize, request::QuarantineKey, traffic::ClientLimits};
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
 use serde_json::json;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-use super::{handler, state::EntryState};
+use super::{
+    answer::hold_until_written,
+    callers::{CallerConnections, RequestGuard},
+    handler,
+    state::EntryState,
+};
+use crate::error::DaemonError;
 
 /// Delay after a failed `accept`, so that running out of file descriptors does not cause a busy
 /// loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Send buffer of a caller's connection. The kernel may otherwise take megabytes of an answer that nobody reads, and
+/// reports progress of a slow reader only in steps of a third of them.
+const SEND_BUFFER_BYTES: u32 = 64 << 10;
+
+/// Connections that wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1024;
+
+/// Largest request head on listeners that are not for callers, in bytes.
+const ADMIN_HEAD_BUFFER: usize = 16 << 10;
+
 /// Minimum buffer size that hyper accepts.
 const MIN_HEAD_BUFFER: usize = 8 << 10;
 
@@ -102,31 +119,56 @@
     }
 }
 
+/// Time limit of a request head, and of a connection without a request, on listeners that are not for callers.
+const ADMIN_HEAD_TIME: Duration = Duration::from_secs(10);
+
 /// Serves readiness, metrics and the quarantine.
 pub async fn serve_admin(state: Arc<EntryState>, listener: TcpListener) {
-    serve_answers(listener, move |method, path| answer_admin(&state, method, path)).await;
+    let served = state.clone();
+    serve_answers(&state, listener, move |method, path| answer_admin(&served, method, path)).await;
 }
 
 /// Serves responses that `answer` computes from the method and path; never returns.
 pub(super) async fn serve_answers(
+    state: &EntryState,
     listener: TcpListener,
     answer: impl Fn(&Method, &str) -> Response<Full<Bytes>> + Send + Sync + 'static,
 ) {
     let answer = Arc::new(answer);
+    let direct = &state.settings.direct;
+    let callers = CallerConnections::new(direct.yield_rate, state.metrics.clone());
+    let limits = PeerLimits {
+        stall: direct.stall,
+        min_read_rate: direct.min_read_rate,
+        head_time: ADMIN_HEAD_TIME,
+    };
     loop {
         let stream = accept(&listener).await;
-        let respond = answer.clone();
+        let guard = callers.admit(state.process_limits.admin_connections).await;
+        let (respond, caller) = (answer.clone(), guard.caller.clone());
         let service = service_fn(move |request: Request<Incoming>| {
-            let answer = respond(request.method(), request.uri().path());
-            async move { Ok::<_, Infallible>(answer) }
+            let hold = Arc::new(RequestGuard::new(caller.clone()));
+            let response = respond(request.method(), request.uri().path());
+            let infallible =
+                |body: Full<Bytes>| body.map_err(|never| match never {}).boxed_unsync();
+            let response = response.map(|body| hold_until_written(infallible(body), hold));
+            async move { Ok::<_, Infallible>(response) }
         });
+        let stream = StallGuard::new(stream, limits, guard.caller.progress.clone());
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
+            .header_read_timeout(ADMIN_HEAD_TIME + IDLE_TIMEOUT_MARGIN)
+            .max_buf_size(ADMIN_HEAD_BUFFER)
             .serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(async move {
-            // Connection errors are caused by clients that disconnect.
-            let _ = connection.await;
+        let (id, ended) = (guard.id, callers.clone());
+        let task = tokio::spawn(async move {
+            let _guard = guard;
+            // Other errors are caused by clients that disconnect.
+            if let Some(limit) = connection.await.err().as_ref().and_then(PeerLimit::of) {
+                ended.record_closed(limit.into());
+            }
         });
+        callers.set_task(id, task.abort_handle());
     }
 }
 
@@ -182,9 +224,20 @@
 }
 
 /// Binds a listener.
-pub async fn bind(
-    address: SocketAddr,
-) -> Result<TcpListener, error_stack::Report<crate::error::DaemonError>> {
-    use error_stack::ResultExt;
-    TcpListener::bind(address).await.change_context(crate::error::DaemonError::Bind(address))
+pub async fn bind(address: SocketAddr) -> Result<TcpListener, Report<DaemonError>> {
+    TcpListener::bind(address).await.change_context(DaemonError::Bind(address))
+}
+
+/// Binds a listener for callers, whose connections have small send buffers.
+pub async fn bind_callers(address: SocketAddr) -> Result<TcpListener, Report<DaemonError>> {
+    listen_with_send_buffer(address).change_context(DaemonError::Bind(address))
+}
+
+fn listen_with_send_buffer(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    // Accepted connections inherit the size. Where it can't be set, only the kernel's memory is affected.
+    let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
 }
--- a/crates/daemon/src/direct/plan_sync.rs
+++ b/crates/daemon/src/direct/plan_sync.rs
@@ -44,7 +44,8 @@
 
 /// Serves the active plan and the list of servers to other processes.
 pub async fn serve(state: Arc<EntryState>, listener: TcpListener) {
-    front::serve_answers(listener, move |_, path| answer(&state, path)).await;
+    let served = state.clone();
+    front::serve_answers(&state, listener, move |_, path| answer(&served, path)).await;
 }
 
 fn answer(state: &EntryState, path: &str) -> Response<Full<Bytes>> {
