Close connections of slow readers in the first path, and bound its admin listeners

Cause, by reading: the HTTP server of the first path, and of the agents' admin listeners, had no time limit on answers that nobody reads, and up to 4,096 connections at listeners for health checks.

Change: the guard of direct mode, 2 KiB a second over 10 s; 128 connections and 5 s for a head at admin listeners. The memory of the first path's answers (64 MiB each) is still in no account.

--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -91,7 +91,7 @@
         let (listener, socket) = bind_control(settings.node.control).await?;
         let bind_failure = || DaemonError::Bind(settings.node.admin);
         let control = listener.local_addr().change_context_lazy(bind_failure)?;
-        let admin_server = HttpServer::bind(settings.node.admin, HttpLimits::default())
+        let admin_server = HttpServer::bind(settings.node.admin, HttpLimits::admin())
             .await
             .change_context_lazy(bind_failure)?;
         let admin = admin_server.address().change_context_lazy(bind_failure)?;
--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -138,7 +138,7 @@
     ) -> Result<Self, Report<DaemonError>> {
         let (listener, socket) = bind_control(settings.node.control).await?;
         let failure = || DaemonError::Bind(settings.node.admin);
-        let admin_server = HttpServer::bind(settings.node.admin, HttpLimits::default())
+        let admin_server = HttpServer::bind(settings.node.admin, HttpLimits::admin())
             .await
             .change_context_lazy(failure)?;
         let control = settings.node.control;
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -67,7 +67,7 @@
         let control_failure = || DaemonError::Bind(settings.node.control);
         let control = listener.local_addr().change_context_lazy(control_failure)?;
         let callers_server = bind_http(settings.listen, caller_limits(&settings)).await?;
-        let admin_server = bind_http(settings.node.admin, HttpLimits::default()).await?;
+        let admin_server = bind_http(settings.node.admin, HttpLimits::admin()).await?;
         let failure = || DaemonError::Bind(settings.listen);
         let listen = callers_server.address().change_context_lazy(failure)?;
         let admin = admin_server.address().change_context_lazy(failure)?;
@@ -147,5 +147,6 @@
         head_time: Duration::from_secs(settings.limits.head_seconds),
         connections: settings.limits.connections as usize,
         drain: settings.node.drain,
+        ..HttpLimits::default()
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -6,7 +6,7 @@
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use headlatch_types::quantity::ByteSize;
+use headlatch_types::quantity::{ByteRate, ByteSize};
 use http_body_util::{BodyExt, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::{
@@ -23,7 +23,11 @@
     body::Body, context::ServerContext, request::Request, response::Response, server::Router,
 };
 
-use crate::stop::StopSignal;
+use crate::{
+    progress::PeerProgress,
+    stall::{PeerLimits, StallGuard},
+    stop::StopSignal,
+};
 
 /// Pause after a failed `accept`, so that the loop does not spin when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -39,6 +43,10 @@
     pub connections: usize,
     /// Drain time for requests in progress on shutdown.
     pub drain: Duration,
+    /// Window over which a peer must read at the minimum rate while a response waits to be written.
+    pub stall: Duration,
+    /// Minimum rate of reading a response.
+    pub min_read_rate: ByteRate,
 }
 
 impl Default for HttpLimits {
@@ -48,10 +56,19 @@
             head_time: Duration::from_secs(10),
             connections: 4096,
             drain: Duration::from_secs(600),
+            stall: Duration::from_secs(10),
+            min_read_rate: ByteRate::from_bytes_per_second(2 << 10),
         }
     }
 }
 
+impl HttpLimits {
+    /// Limits of a listener for health checks and metrics.
+    pub fn admin() -> Self {
+        Self { connections: 128, head_time: Duration::from_secs(5), ..Self::default() }
+    }
+}
+
 /// A bound listener and its limits.
 #[derive(Debug)]
 pub struct HttpServer {
@@ -120,7 +137,16 @@
     router: Arc<Router>,
     limits: &HttpLimits,
 ) -> impl hyper_util::server::graceful::GracefulConnection<Error = hyper::Error> + Send + use<> {
+    // The time limit of a head is that of hyper, which applies to idle connections as well.
+    let peer_limits = PeerLimits {
+        stall: limits.stall,
+        min_read_rate: limits.min_read_rate,
+        head_time: limits.head_time,
+    };
+    let progress = Arc::new(PeerProgress::default());
+    let stream = StallGuard::new(stream, peer_limits, progress.clone());
     let service = service_fn(move |request: http::Request<Incoming>| {
+        progress.begin_request();
         let router = router.clone();
         async move { Ok::<Response, Infallible>(answer(&router, peer, request).await) }
     });
