--- a/crates/daemon/src/direct/callers.rs
+++ b/crates/daemon/src/direct/callers.rs
@@ -6,23 +6,40 @@
     time::Duration,
 };
 
-use headlatch_core::direct::slow_peers::{WaitingPeer, slowest_peer};
+use headlatch_core::direct::{
+    process_limits::ProcessLimits,
+    slow_peers::{WaitingPeer, slowest_peer},
+};
 use headlatch_http::{
     progress::{PeerProgress, PeerWait},
     stall::PeerLimit,
 };
-use headlatch_types::quantity::ByteRate;
+use headlatch_types::{direct_settings::DirectSettings, quantity::ByteRate};
+use nix::sys::resource::{Resource, getrlimit};
 use serde_json::json;
 use tokio::{sync::Notify, task::AbortHandle, time::Instant};
 
 use crate::{decisions, metrics::NodeMetrics};
 
+/// Number of descriptors where the operating system does not say how many it allows.
+const FALLBACK_DESCRIPTORS: u64 = 1024;
+
 /// Interval at which callers are judged while a connection waits for room.
 const SLOWNESS_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Shortest time between two log lines about one limit.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// What callers may make a process with these settings hold.
+pub fn process_limits(settings: &DirectSettings) -> ProcessLimits {
+    let system_descriptors = || {
+        let (soft, _) = getrlimit(Resource::RLIMIT_NOFILE).unwrap_or((FALLBACK_DESCRIPTORS, 0));
+        usize::try_from(soft).unwrap_or(usize::MAX)
+    };
+    let descriptors = settings.descriptors.unwrap_or_else(system_descriptors);
+    ProcessLimits::new(settings.memory, descriptors)
+}
+
 /// The limit for which a caller's connection was closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum CallerLimit {
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -6,7 +6,6 @@
     direct::{
         admission::shedding::{NewRequest, ShedRank},
         answer_silence::SilenceMeter,
-        process_limits::ANSWER_WINDOW,
         server_table::{ChosenServer, ServerChoice, ServerOutcome, ServerQuery},
         suspects::QUARANTINE_TIME,
     },
@@ -27,8 +26,7 @@
 use super::{
     answer::{AnswerBody, ErrorResponse},
     attempt::{self, AttemptFailure, ServerAnswer, is_failure},
-    body_memory::{MEMORY_FULL, MemoryShare},
-    callers::CallerNeed,
+    body_memory::MemoryShare,
     handler::AdmittedRequest,
     relay,
     state::EntryState,
@@ -39,8 +37,10 @@
 mod collect;
 mod forward;
 mod server_ends;
+mod window;
 
 use collect::Collected;
+use window::hold_window;
 
 /// Refusal cause: servers have crashed while running the same content, or a prompt with the same part.
 pub(super) const QUARANTINED: &str = "quarantined";
@@ -159,29 +159,7 @@
     }
 }
 
-/// Has the answer keep its window until its last byte has been written.
-fn hold_window(
-    mut response: Response<AnswerBody>,
-    window: Option<Arc<MemoryShare>>,
-) -> Response<AnswerBody> {
-    if let Some(window) = window {
-        response.extensions_mut().insert(window);
-    }
-    response
-}
-
 impl Exchange {
-    /// Reserves memory for the answer before a server is asked for it, or returns the cause why there is none.
-    async fn reserve_window(&mut self) -> Result<(), &'static str> {
-        if self.window.is_none() {
-            let give_way = || self.state.callers.give_way(CallerNeed::AnswerMemory);
-            let size = ANSWER_WINDOW.bytes() as usize;
-            let share = self.state.answer_memory.reserve(size, give_way).await;
-            self.window = Some(Arc::new(share.ok_or(MEMORY_FULL)?));
-        }
-        Ok(())
-    }
-
     /// Counts a step of this request in the metrics.
     fn count_step(&self, step: RequestStep) {
         let request = &self.request;
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -39,13 +39,12 @@
     store::{StoreEra, StoreRevision},
     traffic::{PlanVersion, TrafficPlan, WeightVersion},
 };
-use nix::sys::resource::{Resource, getrlimit};
 use serde_json::json;
 use tokio::{sync::Notify, time::Instant};
 
 use super::{
     body_memory::BodyMemory,
-    callers::CallerConnections,
+    callers::{self, CallerConnections},
     facts::{FactUpdate, readable_facts},
     plan_copy::PlanCopy,
     quarantine::{Quarantine, TRIAL_SPREAD},
@@ -142,12 +141,6 @@
     mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
-/// Largest number of open descriptors that the operating system allows this process.
-fn system_descriptors() -> usize {
-    let (soft, _) = getrlimit(Resource::RLIMIT_NOFILE).unwrap_or((FALLBACK_DESCRIPTORS, 0));
-    usize::try_from(soft).unwrap_or(usize::MAX)
-}
-
 fn retry_budget(retry: RawRetry) -> RetryBudget {
     RetryBudget {
         ratio: retry.ratio,
@@ -156,9 +149,6 @@
     }
 }
 
-/// Number of descriptors where the operating system does not say how many it allows.
-const FALLBACK_DESCRIPTORS: u64 = 1024;
-
 /// Minimum suspension that triggers a reread of everything; shorter ones are within the margin of
 /// every wait.
 const MIN_SUSPENSION: Duration = Duration::from_millis(300);
@@ -181,8 +171,7 @@
             false => EntryStart::Restart,
         };
         let zones = settings.direct.zones.clone();
-        let descriptors = settings.direct.descriptors.unwrap_or_else(system_descriptors);
-        let limits = ProcessLimits::new(settings.direct.memory, descriptors);
+        let limits = callers::process_limits(&settings.direct);
         let metrics = NodeMetrics::default();
         let callers = CallerConnections::new(settings.direct.yield_rate, metrics.clone());
         let mut servers = ServerTable::new(settings.node.domain.clone(), zones);
