--- /dev/null
+++ b/review/standins-2/src/server.rs
@@ -0,0 +1,99 @@
+//! A stand-in of a plain server, as a process of its own.
+//!
+//! `server ADDRESS ID LOG KIND`: the answers have no length (`unframed`) or one (`framed`). Each answer has twenty
+//! numbered lines and is sent in two halves with a pause between them, as a server that is still at work does.
+
+use std::fs::{File, OpenOptions};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use crate::http::{Head, Peer};
+
+/// Pause between the halves of an answer.
+pub const PAUSE: Duration = Duration::from_millis(150);
+
+/// The whole body of the answer to a request.
+pub fn whole_body(request: &str, stream: bool) -> String {
+    let lines = (1..=20).map(|line| match stream {
+        true => format!("id: {line}\ndata: {request} piece {line} of 20\n\n"),
+        false => format!("{request} line {line} of 20\n"),
+    });
+    lines.collect()
+}
+
+struct Server {
+    id: String,
+    log: Mutex<File>,
+    framed: bool,
+}
+
+impl Server {
+    fn note(&self, text: &str) {
+        let mut log = self.log.lock().unwrap();
+        let _ = writeln!(log, "{text}");
+        let _ = log.flush();
+    }
+
+    fn serve(&self, mut peer: Peer) {
+        while let Ok(Some(head)) = peer.head() {
+            let _ = peer.body(&head, false);
+            let id = head.get("request-id").unwrap_or("").to_owned();
+            let echo = format!("Request-Id: {id}\r\n");
+            if head.get("expect-instance").is_some_and(|wanted| wanted != self.id) {
+                let headers = format!("{echo}Instance-Id: {}\r\n", self.id);
+                if peer.answer("421 Misdirected Request", &headers, b"").is_err() {
+                    return;
+                }
+                continue;
+            }
+            if head.word() == "/health" {
+                if peer.answer("200 OK", &format!("{echo}Instance-Id: {}\r\n", self.id), b"ok\n").is_err() {
+                    return;
+                }
+                continue;
+            }
+            if self.run(&mut peer, &head, &id).is_err() || !self.framed {
+                return;
+            }
+        }
+    }
+
+    fn run(&self, peer: &mut Peer, head: &Head, id: &str) -> std::io::Result<()> {
+        self.note(&format!("run {id} {} by {} pid {}", head.word(), self.id, std::process::id()));
+        let stream = head.word().contains("/stream/");
+        let body = whole_body(id, stream);
+        let kind = if stream { "text/event-stream" } else { "text/plain" };
+        let framing = match self.framed {
+            true => format!("Content-Length: {}", body.len()),
+            false => "Connection: close".to_owned(),
+        };
+        let first = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {}.{id}\r\nContent-Type: {kind}\r\n{framing}\r\n\r\n",
+            self.id
+        );
+        // The first half ends after the tenth line, or the tenth event.
+        let half = if stream { body.match_indices("\n\n").nth(9).map(|(at, _)| at + 2) } else { None };
+        let half = half.or_else(|| body.match_indices('\n').nth(9).map(|(at, _)| at + 1)).unwrap_or(0);
+        peer.send(first.as_bytes())?;
+        peer.send(&body.as_bytes()[..half])?;
+        std::thread::sleep(PAUSE);
+        peer.send(&body.as_bytes()[half..])?;
+        self.note(&format!("whole {id} by {} pid {}", self.id, std::process::id()));
+        Ok(())
+    }
+}
+
+pub fn run(arguments: &[String]) -> i32 {
+    let [address, id, log, kind] = arguments else { return 2 };
+    let Ok(address) = address.parse::<SocketAddr>() else { return 2 };
+    let Ok(log) = OpenOptions::new().create(true).append(true).open(log) else { return 2 };
+    let Ok(listener) = TcpListener::bind(address) else { return 2 };
+    let server = Arc::new(Server { id: id.clone(), log: Mutex::new(log), framed: kind == "framed" });
+    for stream in listener.incoming().flatten() {
+        let server = server.clone();
+        std::thread::spawn(move || server.serve(Peer::new(stream)));
+    }
+    0
+}
