Show that an unreadable entry of another writer hides all servers

review/5: an object of the kind servers with control characters in a string makes every list and watch of the kind unreadable. Entries learn of no drain from then on, and none is ready after a kill (rule RECOVER).

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,6 +3,7 @@
 //! `review-rig-2 CASE DAEMON RECORD`: plays a case; exits with 1 if the rule was broken, with 0 if it held, and with 2
 //! if the case could not be played. TROUBLE=0 leaves the disruption out.
 
+mod foreign;
 mod http;
 mod reborn;
 mod rig;
@@ -31,6 +32,7 @@
     let setup = rig::Setup { daemon: PathBuf::from(daemon), record, trouble, folder: folder.clone() };
     setup.record.note(format!("case {case}, trouble {trouble}"));
     let broken = match case {
+        "foreign" => foreign::play(&setup),
         "reborn" => reborn::play(&setup),
         _ => None,
     };
