--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod reborn;
 mod rig;
 mod server;
+mod squeezed;
 mod store;
 
 use std::path::PathBuf;
@@ -34,6 +35,7 @@
     let broken = match case {
         "foreign" => foreign::play(&setup),
         "reborn" => reborn::play(&setup),
+        "squeezed" => squeezed::play(&setup),
         _ => None,
     };
     let (code, text) = match broken {
--- a/review/standins-2/src/rig.rs
+++ b/review/standins-2/src/rig.rs
@@ -169,6 +169,8 @@
 pub struct Link {
     pub address: SocketAddr,
     cut: Arc<AtomicBool>,
+    /// Bytes a second from the server; 0 for no limit. Up to 128 KiB are on their way.
+    rate: Arc<AtomicUsize>,
     /// Bytes that came back from the server.
     pub returned: Arc<AtomicUsize>,
 }
@@ -178,10 +180,11 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port");
         let address = listener.local_addr().expect("an address");
         let (cut, returned) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
-        let link = Self { address, cut: cut.clone(), returned: returned.clone() };
+        let rate = Arc::new(AtomicUsize::new(0));
+        let link = Self { address, cut: cut.clone(), rate: rate.clone(), returned: returned.clone() };
         std::thread::spawn(move || {
             for near in listener.incoming().flatten() {
-                let (cut, returned) = (cut.clone(), returned.clone());
+                let (cut, returned, rate) = (cut.clone(), returned.clone(), rate.clone());
                 std::thread::spawn(move || {
                     pass(&cut);
                     // A dead port resets.
@@ -190,7 +193,10 @@
                     let (Ok(from), Ok(to)) = (near.try_clone(), far.try_clone()) else { return };
                     let there = cut.clone();
                     let forward = std::thread::spawn(move || copy(from, to, &there, None));
-                    copy(far, near, &cut, Some(&returned));
+                    match rate.load(Ordering::SeqCst) {
+                        0 => copy(far, near, &cut, Some(&returned)),
+                        rate => trickle(far, near, rate, &returned),
+                    }
                     let _ = forward.join();
                 });
             }
@@ -198,6 +204,11 @@
         link
     }
 
+    /// Sets the rate of connections that are opened from now on.
+    pub fn set_rate(&self, bytes_per_second: usize) {
+        self.rate.store(bytes_per_second, Ordering::SeqCst);
+    }
+
     pub fn set_cut(&self, cut: bool) {
         self.cut.store(cut, Ordering::SeqCst);
     }
@@ -230,6 +241,29 @@
     let _ = to.shutdown(Shutdown::Write);
 }
 
+/// Copies at a rate, and goes on with what is on its way when the sender has closed.
+fn trickle(mut from: TcpStream, mut to: TcpStream, rate: usize, count: &AtomicUsize) {
+    const CHUNK: usize = 2 << 10;
+    let (sender, waiting) = std::sync::mpsc::sync_channel::<Vec<u8>>((128 << 10) / CHUNK);
+    let reader = std::thread::spawn(move || {
+        let mut buffer = [0; CHUNK];
+        while let Ok(length @ 1..) = from.read(&mut buffer) {
+            if sender.send(buffer[..length].to_vec()).is_err() {
+                return;
+            }
+        }
+    });
+    for chunk in waiting {
+        std::thread::sleep(Duration::from_secs_f64(chunk.len() as f64 / rate as f64));
+        if to.write_all(&chunk).is_err() {
+            break;
+        }
+        count.fetch_add(chunk.len(), Ordering::SeqCst);
+    }
+    let _ = to.shutdown(Shutdown::Write);
+    let _ = reader.join();
+}
+
 /// What a client got.
 #[derive(Debug, Clone)]
 pub struct Answer {
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -1,7 +1,8 @@
 //! A stand-in of a plain server, as a process of its own.
 //!
-//! `server ADDRESS ID LOG KIND`: the answers have no length (`unframed`) or one (`framed`). Each answer has twenty
-//! numbered lines and is sent in two halves with a pause between them, as a server that is still at work does.
+//! `server ADDRESS ID LOG KIND`: the answers have no length (`unframed`, `long`) or one (`framed`). Each answer has twenty
+//! numbered lines, or as many as fill 200 KiB, and is sent in two parts with a pause between them, as a server that is still
+//! at work does.
 
 use std::fs::{File, OpenOptions};
 use std::io::Write;
@@ -23,10 +24,20 @@
     lines.collect()
 }
 
+/// Size of the first part of a long answer.
+pub const FIRST_PART: usize = 120 << 10;
+
+/// The whole body of a long answer.
+pub fn long_body(request: &str) -> String {
+    let lines = (1..=4000).map(|line| format!("{request} {line:04} of 4000 {:-<24}\n", ""));
+    lines.collect()
+}
+
 struct Server {
     id: String,
     log: Mutex<File>,
     framed: bool,
+    long: bool,
 }
 
 impl Server {
@@ -63,7 +74,7 @@
     fn run(&self, peer: &mut Peer, head: &Head, id: &str) -> std::io::Result<()> {
         self.note(&format!("run {id} {} by {} pid {}", head.word(), self.id, std::process::id()));
         let stream = head.word().contains("/stream/");
-        let body = whole_body(id, stream);
+        let body = if self.long { long_body(id) } else { whole_body(id, stream) };
         let kind = if stream { "text/event-stream" } else { "text/plain" };
         let framing = match self.framed {
             true => format!("Content-Length: {}", body.len()),
@@ -76,9 +87,10 @@
         // The first half ends after the tenth line, or the tenth event.
         let half = if stream { body.match_indices("\n\n").nth(9).map(|(at, _)| at + 2) } else { None };
         let half = half.or_else(|| body.match_indices('\n').nth(9).map(|(at, _)| at + 1)).unwrap_or(0);
+        let (half, pause) = if self.long { (FIRST_PART, 4 * PAUSE) } else { (half, PAUSE) };
         peer.send(first.as_bytes())?;
         peer.send(&body.as_bytes()[..half])?;
-        std::thread::sleep(PAUSE);
+        std::thread::sleep(pause);
         peer.send(&body.as_bytes()[half..])?;
         self.note(&format!("whole {id} by {} pid {}", self.id, std::process::id()));
         Ok(())
@@ -90,7 +102,12 @@
     let Ok(address) = address.parse::<SocketAddr>() else { return 2 };
     let Ok(log) = OpenOptions::new().create(true).append(true).open(log) else { return 2 };
     let Ok(listener) = TcpListener::bind(address) else { return 2 };
-    let server = Arc::new(Server { id: id.clone(), log: Mutex::new(log), framed: kind == "framed" });
+    let server = Arc::new(Server {
+        id: id.clone(),
+        log: Mutex::new(log),
+        framed: kind == "framed",
+        long: kind == "long",
+    });
     for stream in listener.incoming().flatten() {
         let server = server.clone();
         std::thread::spawn(move || server.serve(Peer::new(stream)));
