--- a/review/standins-2/src/foreign.rs
+++ b/review/standins-2/src/foreign.rs
@@ -61,7 +61,11 @@
 
 /// Number of requests that a server has run.
 fn runs(log: &Path) -> usize {
-    fs::read_to_string(log).unwrap_or_default().lines().filter(|line| line.starts_with("run ")).count()
+    fs::read_to_string(log)
+        .unwrap_or_default()
+        .lines()
+        .filter(|line| line.starts_with("run "))
+        .count()
 }
 
 pub fn play(setup: &Setup) -> Option<bool> {
@@ -74,14 +78,18 @@
         let (address, log) = (rig::free("127.0.0.1").to_string(), setup.folder.join(id));
         let log_name = log.display().to_string();
         let output = setup.folder.join(format!("{id}.log"));
-        let process = Process::start(&program, &["server", &address, id, &log_name, "framed"], &output).ok()?;
+        let process =
+            Process::start(&program, &["server", &address, id, &log_name, "framed"], &output)
+                .ok()?;
         let born = rig::unix_ms();
         register(&store, id, &address, "ready", born);
         servers.push((id, address, log, process, born));
     }
     let places = [EntryPlace::new("127.0.0.1"), EntryPlace::new("127.0.0.2")];
     let names = ["front-zone-a-1", "front-zone-a-2"];
-    let start = |number: usize, first| rig::start_entry(setup, names[number], places[number], store_address, first);
+    let start = |number: usize, first| {
+        rig::start_entry(setup, names[number], places[number], store_address, first)
+    };
     let mut entries = vec![start(0, true)?, start(1, true)?];
     if !places.iter().all(|place| rig::wait_ready(place.admin, Duration::from_secs(20))) {
         record.note("the entries did not become ready");
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -74,8 +74,9 @@
                 let mut lines = text.trim_end().split("\r\n");
                 let first = lines.next().unwrap_or("").to_owned();
                 let headers = lines.filter_map(|line| line.split_once(':'));
-                let headers = headers
-                    .map(|(name, value)| (name.trim().to_ascii_lowercase(), value.trim().to_owned()));
+                let headers = headers.map(|(name, value)| {
+                    (name.trim().to_ascii_lowercase(), value.trim().to_owned())
+                });
                 return Ok(Some(Head { first, headers: headers.collect() }));
             }
             if self.more()? == 0 {
@@ -124,7 +125,8 @@
                     Ok(line) => line,
                     Err(end) => return (whole, end),
                 };
-                let Ok(size) = usize::from_str_radix(size.split(';').next().unwrap_or(""), 16) else {
+                let Ok(size) = usize::from_str_radix(size.split(';').next().unwrap_or(""), 16)
+                else {
                     return (whole, End::Broken);
                 };
                 if size == 0 {
@@ -165,7 +167,8 @@
     /// Answers with a length.
     pub fn answer(&mut self, status: &str, headers: &str, body: &[u8]) -> io::Result<()> {
         let length = body.len();
-        let mut text = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n").into_bytes();
+        let mut text =
+            format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n").into_bytes();
         text.extend_from_slice(body);
         self.send(&text)
     }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -30,7 +30,8 @@
         return 2;
     }
     let Ok(record) = rig::Record::create(&PathBuf::from(record)) else { return 2 };
-    let setup = rig::Setup { daemon: PathBuf::from(daemon), record, trouble, folder: folder.clone() };
+    let setup =
+        rig::Setup { daemon: PathBuf::from(daemon), record, trouble, folder: folder.clone() };
     setup.record.note(format!("case {case}, trouble {trouble}"));
     let broken = match case {
         "foreign" => foreign::play(&setup),
--- a/review/standins-2/src/reborn.rs
+++ b/review/standins-2/src/reborn.rs
@@ -45,7 +45,8 @@
     let rig_program = std::env::current_exe().ok()?;
     let start_server = |name: &str| {
         let (address, output) = (address.to_string(), setup.folder.join(name));
-        Process::start(&rig_program, &["server", &address, SERVER, &log_name, "unframed"], &output).ok()
+        Process::start(&rig_program, &["server", &address, SERVER, &log_name, "unframed"], &output)
+            .ok()
     };
     let (store, store_address) = Store::start();
     store.put("config", "main", CONFIG.as_bytes());
@@ -66,7 +67,12 @@
     // A request before the disruption shows that answers without a length arrive whole.
     let mut broken = false;
     for kind in ["lookup", "stream"] {
-        broken |= judge(setup, kind, &format!("{kind}-before"), &ask(place, kind, &format!("{kind}-before")));
+        broken |= judge(
+            setup,
+            kind,
+            &format!("{kind}-before"),
+            &ask(place, kind, &format!("{kind}-before")),
+        );
     }
     let before = link.returned.load(Ordering::SeqCst);
     let names: Vec<(&'static str, String)> = (1..=3)
--- a/review/standins-2/src/rig.rs
+++ b/review/standins-2/src/rig.rs
@@ -138,7 +138,13 @@
 }
 
 /// Starts an entry as the deploy file does.
-pub fn start_entry(setup: &Setup, name: &str, place: EntryPlace, store: SocketAddr, first: bool) -> Option<Process> {
+pub fn start_entry(
+    setup: &Setup,
+    name: &str,
+    place: EntryPlace,
+    store: SocketAddr,
+    first: bool,
+) -> Option<Process> {
     let settings = setup.folder.join(format!("{name}.json"));
     fs::write(&settings, entry_settings(name, place, store, first)).ok()?;
     let output = setup.folder.join(format!("{name}-{}.log", unix_ms()));
@@ -181,7 +187,8 @@
         let address = listener.local_addr().expect("an address");
         let (cut, returned) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
         let rate = Arc::new(AtomicUsize::new(0));
-        let link = Self { address, cut: cut.clone(), rate: rate.clone(), returned: returned.clone() };
+        let link =
+            Self { address, cut: cut.clone(), rate: rate.clone(), returned: returned.clone() };
         std::thread::spawn(move || {
             for near in listener.incoming().flatten() {
                 let (cut, returned, rate) = (cut.clone(), returned.clone(), rate.clone());
@@ -289,8 +296,14 @@
 pub fn request(entry: SocketAddr, method: &str, path: &str, headers: &str, body: &[u8]) -> Answer {
     let begun = Instant::now();
     let failed = |took| Answer { head: None, body: Vec::new(), end: End::Broken, took };
-    let Ok(mut peer) = Peer::connect(entry, Duration::from_secs(1)) else { return failed(begun.elapsed()) };
-    let length = if body.is_empty() && method == "GET" { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    let Ok(mut peer) = Peer::connect(entry, Duration::from_secs(1)) else {
+        return failed(begun.elapsed());
+    };
+    let length = if body.is_empty() && method == "GET" {
+        String::new()
+    } else {
+        format!("Content-Length: {}\r\n", body.len())
+    };
     let mut text = format!("{method} {path} HTTP/1.1\r\n{headers}{length}\r\n").into_bytes();
     text.extend_from_slice(body);
     if peer.send(&text).is_err() {
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -60,7 +60,10 @@
                 continue;
             }
             if head.word() == "/health" {
-                if peer.answer("200 OK", &format!("{echo}Instance-Id: {}\r\n", self.id), b"ok\n").is_err() {
+                if peer
+                    .answer("200 OK", &format!("{echo}Instance-Id: {}\r\n", self.id), b"ok\n")
+                    .is_err()
+                {
                     return;
                 }
                 continue;
@@ -85,8 +88,10 @@
             self.id
         );
         // The first half ends after the tenth line, or the tenth event.
-        let half = if stream { body.match_indices("\n\n").nth(9).map(|(at, _)| at + 2) } else { None };
-        let half = half.or_else(|| body.match_indices('\n').nth(9).map(|(at, _)| at + 1)).unwrap_or(0);
+        let half =
+            if stream { body.match_indices("\n\n").nth(9).map(|(at, _)| at + 2) } else { None };
+        let half =
+            half.or_else(|| body.match_indices('\n').nth(9).map(|(at, _)| at + 1)).unwrap_or(0);
         let (half, pause) = if self.long { (FIRST_PART, 4 * PAUSE) } else { (half, PAUSE) };
         peer.send(first.as_bytes())?;
         peer.send(&body.as_bytes()[..half])?;
--- a/review/standins-2/src/squeezed.rs
+++ b/review/standins-2/src/squeezed.rs
@@ -30,7 +30,8 @@
     let link = Link::start(address.parse().ok()?);
     let start = |id: &str| -> Option<Process> {
         let output = setup.folder.join(format!("{id}.log"));
-        let process = Process::start(&program, &["server", &address, id, &log_name, "long"], &output).ok()?;
+        let process =
+            Process::start(&program, &["server", &address, id, &log_name, "long"], &output).ok()?;
         std::thread::sleep(Duration::from_millis(100));
         let born = rig::unix_ms();
         let spec = format!(
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -25,7 +25,11 @@
 
 /// The value of a parameter of a query.
 fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    query.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name).map(|(_, value)| value)
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
 }
 
 fn joined(parts: impl Iterator<Item = Vec<u8>>) -> Vec<u8> {
@@ -69,7 +73,10 @@
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = self.state.lock().unwrap();
-        let Some(object) = state.objects.get_mut(kind).and_then(|objects| objects.remove(name)) else { return };
+        let Some(object) = state.objects.get_mut(kind).and_then(|objects| objects.remove(name))
+        else {
+            return;
+        };
         state.revision += 1;
         let revision = state.revision;
         state.events.push((revision, kind.to_owned(), object, true));
@@ -91,11 +98,14 @@
         let mut words = path.trim_start_matches('/').split('/').skip(1);
         let (kind, name) = (words.next().unwrap_or(""), words.next());
         if let Some(after) = parameter(query, "watch").and_then(|value| value.parse::<u64>().ok()) {
-            let wait = parameter(query, "wait_ms").and_then(|value| value.parse().ok()).unwrap_or(0);
+            let wait =
+                parameter(query, "wait_ms").and_then(|value| value.parse().ok()).unwrap_or(0);
             return ("200 OK", self.watch(kind, after, Duration::from_millis(wait)));
         }
         match (method, name) {
-            ("GET", None) => ("200 OK", self.list(kind, parameter(query, "since_revision").unwrap_or(""))),
+            ("GET", None) => {
+                ("200 OK", self.list(kind, parameter(query, "since_revision").unwrap_or("")))
+            }
             ("GET", Some(name)) => {
                 let state = self.state.lock().unwrap();
                 match state.objects.get(kind).and_then(|objects| objects.get(name)) {
@@ -110,7 +120,8 @@
             ("POST" | "PUT", _) => {
                 // Objects of the system's own kinds: they are kept as they were sent.
                 let text = String::from_utf8_lossy(body).into_owned();
-                let named = text.split("\"name\":\"").nth(1).and_then(|rest| rest.split('"').next());
+                let named =
+                    text.split("\"name\":\"").nth(1).and_then(|rest| rest.split('"').next());
                 let Some(name) = name.or(named) else { return ("400 Bad Request", b"{}".to_vec()) };
                 self.put(kind, name, b"{}");
                 ("200 OK", b"{}".to_vec())
@@ -134,7 +145,8 @@
         let until = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
         loop {
-            let found = state.events.iter().filter(|(revision, of, ..)| *revision > after && of == kind);
+            let found =
+                state.events.iter().filter(|(revision, of, ..)| *revision > after && of == kind);
             let found: Vec<Vec<u8>> = found
                 .map(|(_, _, object, gone)| {
                     let mut event = format!(r#"{{"gone":{gone},"object":"#).into_bytes();
