--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 rig=target/review-2/release/review-rig-2
 daemon=target/release/headlatchd
 [ -x "$rig" ] && [ -x "$daemon" ] || exit 2
-exec "$rig" reborn "$daemon" review/4/record.txt
+exec "$rig" grey "$daemon" review/4/record.txt
--- a/review/7/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 rig=target/review-2/release/review-rig-2
 daemon=target/release/headlatchd
 [ -x "$rig" ] && [ -x "$daemon" ] || exit 2
-exec "$rig" foreign "$daemon" review/7/record.txt
+exec "$rig" foreign "$daemon" review/8/record.txt
--- a/review/standins-2/src/foreign.rs
+++ b/review/standins-2/src/foreign.rs
@@ -88,7 +88,7 @@
     let places = [EntryPlace::new("127.0.0.1"), EntryPlace::new("127.0.0.2")];
     let names = ["front-zone-a-1", "front-zone-a-2"];
     let start = |number: usize, first| {
-        rig::start_entry(setup, names[number], places[number], store_address, first)
+        rig::start_entry(setup, names[number], places[number], &places, store_address, first)
     };
     let mut entries = vec![start(0, true)?, start(1, true)?];
     if !places.iter().all(|place| rig::wait_ready(place.admin, Duration::from_secs(20))) {
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,7 +4,9 @@
 //! if the case could not be played. TROUBLE=0 leaves the disruption out.
 
 mod foreign;
+mod grey;
 mod http;
+mod lapsed;
 mod reborn;
 mod rig;
 mod server;
@@ -35,7 +37,9 @@
     setup.record.note(format!("case {case}, trouble {trouble}"));
     let broken = match case {
         "foreign" => foreign::play(&setup),
+        "grey" => grey::play(&setup),
         "reborn" => reborn::play(&setup),
+        "lapsed" => lapsed::play(&setup),
         "squeezed" => squeezed::play(&setup),
         _ => None,
     };
--- a/review/standins-2/src/reborn.rs
+++ b/review/standins-2/src/reborn.rs
@@ -56,7 +56,7 @@
     register(&store, &link, born, 1);
     record.note(format!("server {SERVER} started, pid {}, born {born}", server.id()));
     let place = EntryPlace::new("127.0.0.1");
-    let _entry = rig::start_entry(setup, "front-zone-a-1", place, store_address, true)?;
+    let _entry = rig::start_entry(setup, "front-zone-a-1", place, &[place], store_address, true)?;
     if !rig::wait_ready(place.admin, Duration::from_secs(20)) {
         record.note("the entry did not become ready");
         return None;
--- a/review/standins-2/src/rig.rs
+++ b/review/standins-2/src/rig.rs
@@ -108,9 +108,18 @@
     }
 }
 
-/// The settings of an entry, as the template of the deploy file fills them in a small deployment.
-pub fn entry_settings(name: &str, place: EntryPlace, store: SocketAddr, first: bool) -> String {
+/// The settings of an entry, as the template of the deploy file fills them in a small deployment. The seeds are the
+/// control addresses of all entries.
+pub fn entry_settings(
+    name: &str,
+    place: EntryPlace,
+    all: &[EntryPlace],
+    store: SocketAddr,
+    first: bool,
+) -> String {
     let EntryPlace { listen, admin, control } = place;
+    let seeds: Vec<String> = all.iter().map(|one| format!("\"{}\"", one.control)).collect();
+    let seeds = seeds.join(", ");
     format!(
         r#"{{
   "box": "{name}",
@@ -124,7 +133,7 @@
   "entry": {{ "listen": "{listen}" }},
   "direct": {{
     "zones": {{"zone-a":"region-a"}},
-    "seeds": ["{control}"],
+    "seeds": [{seeds}],
     "retry": {{ "ratio": 0.2, "slack": 102, "window_seconds": 10 }},
     "memory": "260MiB",
     "descriptors": 4100,
@@ -142,11 +151,12 @@
     setup: &Setup,
     name: &str,
     place: EntryPlace,
+    all: &[EntryPlace],
     store: SocketAddr,
     first: bool,
 ) -> Option<Process> {
     let settings = setup.folder.join(format!("{name}.json"));
-    fs::write(&settings, entry_settings(name, place, store, first)).ok()?;
+    fs::write(&settings, entry_settings(name, place, all, store, first)).ok()?;
     let output = setup.folder.join(format!("{name}-{}.log", unix_ms()));
     let settings = settings.display().to_string();
     Process::start(&setup.daemon, &["entry", "--settings", &settings], &output).ok()
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -1,12 +1,13 @@
 //! A stand-in of a plain server, as a process of its own.
 //!
-//! `server ADDRESS ID LOG KIND`: the answers have no length (`unframed`, `long`) or one (`framed`). Each answer has twenty
+//! `server ADDRESS ID LOG KIND`: the answers have no length (`unframed`, `long`) or one (`framed`, `grey`). Each answer has twenty
 //! numbered lines, or as many as fill 200 KiB, and is sent in two parts with a pause between them, as a server that is still
-//! at work does.
+//! at work does. A `grey` server fails nine of twenty requests after it has run them: 503 without `Not-Executed`.
 
 use std::fs::{File, OpenOptions};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -38,6 +39,9 @@
     log: Mutex<File>,
     framed: bool,
     long: bool,
+    grey: bool,
+    /// Requests that it has run.
+    count: AtomicUsize,
 }
 
 impl Server {
@@ -74,8 +78,19 @@
         }
     }
 
+    /// Answers with a failure after the request has run. It does not state that the request has not run.
+    fn fail(&self, peer: &mut Peer, id: &str) -> std::io::Result<()> {
+        std::thread::sleep(PAUSE);
+        self.note(&format!("failed {id} by {} pid {}", self.id, std::process::id()));
+        let headers = format!("Request-Id: {id}\r\nResponse-Stamp: {}.{id}\r\n", self.id);
+        peer.answer("503 Service Unavailable", &headers, b"a part of the service did not answer\n")
+    }
+
     fn run(&self, peer: &mut Peer, head: &Head, id: &str) -> std::io::Result<()> {
         self.note(&format!("run {id} {} by {} pid {}", head.word(), self.id, std::process::id()));
+        if self.grey && self.count.fetch_add(1, Ordering::SeqCst) * 9 % 20 < 9 {
+            return self.fail(peer, id);
+        }
         let stream = head.word().contains("/stream/");
         let body = if self.long { long_body(id) } else { whole_body(id, stream) };
         let kind = if stream { "text/event-stream" } else { "text/plain" };
@@ -110,7 +125,9 @@
     let server = Arc::new(Server {
         id: id.clone(),
         log: Mutex::new(log),
-        framed: kind == "framed",
+        framed: kind == "framed" || kind == "grey",
+        grey: kind == "grey",
+        count: AtomicUsize::new(0),
         long: kind == "long",
     });
     for stream in listener.incoming().flatten() {
--- a/review/standins-2/src/squeezed.rs
+++ b/review/standins-2/src/squeezed.rs
@@ -44,7 +44,7 @@
     };
     let mut server = start("i-000000a1")?;
     let place = EntryPlace::new("127.0.0.1");
-    let _entry = rig::start_entry(setup, "front-zone-a-1", place, store_address, true)?;
+    let _entry = rig::start_entry(setup, "front-zone-a-1", place, &[place], store_address, true)?;
     if !rig::wait_ready(place.admin, Duration::from_secs(20)) {
         record.note("the entry did not become ready");
         return None;
