--- a/review/standins-2/src/grey.rs
+++ b/review/standins-2/src/grey.rs
@@ -118,7 +118,7 @@
     }
     record.note(format!("answers by status: {answers:?}"));
     record.note(format!("requests that were answered with a promise and have run: {promised}"));
-    record.note(format!("clients whose wish was carried out twice: {twice} of {}", calls.len()));
+    record.note(format!("operations that were executed twice: {twice} of {}", calls.len()));
     if answers.get("200").copied().unwrap_or(0) == 0 {
         return None;
     }
