Pass on no refusal that the server does not confirm

Callers saw: a 503 to a request that may run once, which by the entry's contract has not run and never will, so that they sent it again.

Cause: the verdict of an attempt came from the server's explicit word, the status for the caller from the server's status line. 408, 429 and 503 say nothing between servers and entries, but are promises to callers.

Evidence: the decision log has `answered` with 503 after a single attempt; the server's answer lacks the word that the request has not run.

Change: check_answer turns such an answer into a failed attempt that may have run, for every way on which answers arrive. Repeatable requests go to another server; others get 502 without the server's stamp. Which statuses promise stands once, in direct/answer.rs.

Why it works: a status that promises reaches a caller only through ErrorResponse::refused, which the verdict NotRun leads to.

--- a/crates/daemon/src/direct/answer.rs
+++ b/crates/daemon/src/direct/answer.rs
@@ -65,6 +65,20 @@
     headers.remove("proxy-connection");
 }
 
+/// Statuses by which an entry tells callers that a request has not run and never will, so that they may send it
+/// again whatever it does.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
+/// Whether callers take `status` for a promise that the request has not run.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    NOT_RUN_STATUSES.contains(&status)
+}
+
 /// Response that the entry generates itself because a request was refused or failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ErrorResponse {
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -25,7 +25,9 @@
 use tokio::time::Instant;
 
 use super::{
-    answer::strip_hop_by_hop_headers, exchange::QUARANTINED, handler::AdmittedRequest,
+    answer::{promises_not_run, strip_hop_by_hop_headers},
+    exchange::QUARANTINED,
+    handler::AdmittedRequest,
     state::EntryState,
 };
 
@@ -41,6 +43,10 @@
 /// Failure cause: the server closed the connection in the middle of its response.
 pub const ANSWER_CUT: &str = "answer_cut";
 
+/// Failure cause: the server answered with a status that callers take for a promise that the request has not run,
+/// and did not confirm it.
+const UNCONFIRMED_REFUSAL: &str = "unconfirmed_refusal";
+
 /// Keeps a request in the in-flight count of a server until the request ends or this is dropped.
 #[derive(Debug)]
 pub struct InFlight {
@@ -164,6 +170,11 @@
         [CONNECTION_CLOSED, ANSWER_CUT].contains(&self.cause)
     }
 
+    /// The server answered that it failed, which does not tell whether it ran the request.
+    fn failed(cause: &'static str, detail: String) -> Self {
+        Self { outcome: ServerOutcome::Failed, ..Self::lost(cause, detail) }
+    }
+
     fn lost(cause: &'static str, detail: String) -> Self {
         let (verdict, outcome) = (RunVerdict::MayHaveRun, ServerOutcome::Lost);
         Self { verdict, outcome, cause, detail, reached_server: true }
@@ -370,6 +381,9 @@
         let (verdict, detail) = (RunVerdict::NotRun, response.status().to_string());
         return Err(AttemptFailure { verdict, outcome, cause, detail, reached_server: true });
     }
+    if promises_not_run(response.status()) {
+        return Err(AttemptFailure::failed(UNCONFIRMED_REFUSAL, response.status().to_string()));
+    }
     if response.headers().contains_key(header::CONTENT_ENCODING) {
         return Err(AttemptFailure::lost("encoded_answer", String::new()));
     }
