--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -176,6 +176,21 @@
         }
     }
 
+    /// Number of facts in the update that could not be read.
+    pub fn unreadable(&self) -> usize {
+        let is_unreadable = |fact: &NamedFact| fact.fact.is_err();
+        match self {
+            Self::All(list) => list.facts.iter().filter(|fact| is_unreadable(fact)).count(),
+            Self::Changes(changes) => {
+                let set = changes.changes.iter().filter(|change| match change {
+                    FactChange::Set(fact) => is_unreadable(fact),
+                    FactChange::Gone { .. } => false,
+                });
+                set.count()
+            }
+        }
+    }
+
     /// Revision of the newest change in the update; at least the start of its era, so that other processes learn
     /// of the era.
     pub fn newest(&self) -> StoreRevision {
@@ -205,7 +220,8 @@
 /// whoever knows of newer data, forces a new list.
 ///
 /// A broken watch is never resumed from its last revision: a store that has lost part of its history
-/// may let it wait as if nothing had changed.
+/// may let it wait as if nothing had changed. After a change whose name could not be read the topic is listed anew,
+/// since the change may concern any fact.
 pub async fn follow(
     store: Arc<dyn FactStore>,
     topic: FactTopic,
@@ -216,6 +232,7 @@
     let mut reader = FactReader::new(store, topic, refresh, gate);
     let mut at = StoreRevision::default();
     let mut outdated_lists = 0;
+    let mut unnamed_changes = 0;
     loop {
         reader.wait_until_open().await;
         let list = reader.list(Freshness::Current).await;
@@ -232,9 +249,16 @@
         while let Some(changes) = reader.watch(at).await {
             at = changes.at;
             let is_news = !changes.changes.is_empty();
+            let has_unnamed = changes.has_unnamed();
             apply(FactUpdate::Changes(changes));
+            if has_unnamed {
+                unnamed_changes += 1;
+                tokio::time::sleep(retry_delay(unnamed_changes)).await;
+                break;
+            }
             if is_news {
                 // Batches changes in quick succession into one call.
+                unnamed_changes = 0;
                 tokio::time::sleep(batch_delay(topic, reader.gate.role())).await;
             }
         }
--- a/crates/daemon/src/direct/state/servers.rs
+++ b/crates/daemon/src/direct/state/servers.rs
@@ -58,6 +58,7 @@
         self.record_field_issues(FactTopic::Servers, &update);
         self.record_era(update.covered(), "store");
         let (covered, newest) = (update.covered(), update.newest());
+        self.metrics.count_store_events("server_unreadable", update.unreadable());
         self.apply_servers(server_changes(update, newest));
         lock(&self.servers_age).confirm_from_store(self.now(), covered, newest);
     }
--- a/crates/daemon/tests/lost_watches.rs
+++ b/crates/daemon/tests/lost_watches.rs
@@ -21,7 +21,7 @@
     },
 };
 use headlatch_types::{
-    ByteProgress,
+    ByteProgress, InputError,
     reading::FieldIssues,
     store::StoreRevision,
     traffic::{TargetWeights, WeightVersion},
@@ -60,6 +60,8 @@
     connections_lost: Option<Instant>,
     /// Times of the changes.
     changes: Vec<Instant>,
+    /// Watches return changes whose names can't be read.
+    unnamed: bool,
     lists: AtomicU32,
     watches: AtomicU32,
 }
@@ -69,7 +71,7 @@
     fn healthy(changes: Vec<Instant>) -> Self {
         let now = Instant::now();
         let (lists, watches) = (AtomicU32::default(), AtomicU32::default());
-        Self { silent: now..now, connections_lost: None, changes, lists, watches }
+        Self { silent: now..now, connections_lost: None, changes, unnamed: false, lists, watches }
     }
 
     fn revision(&self) -> u64 {
@@ -112,6 +114,11 @@
     }
 }
 
+fn unnamed_fact(revision: u64) -> NamedFact {
+    let error = InputError::new("object".to_owned(), "no JSON".to_owned());
+    NamedFact { name: String::new(), fact: Err(error), ..fact(revision) }
+}
+
 impl FactStore for FaultyStore {
     fn list(
         &self,
@@ -147,7 +154,8 @@
             }
             let revision = self.revision();
             let is_news = revision > after.number();
-            let changes = is_news.then(|| FactChange::Set(fact(revision)));
+            let changed = if self.unnamed { unnamed_fact } else { fact };
+            let changes = is_news.then(|| FactChange::Set(changed(revision)));
             Ok(FactChanges {
                 changes: changes.into_iter().collect(),
                 at: StoreRevision::from_wire(revision),
@@ -318,3 +326,43 @@
         expect_that!(watches, le(3), "{topic:?}, standby");
     }
 }
+
+/// Follows servers of a store with unnamed changes at these times, in milliseconds from now, for a minute. Returns
+/// the number of lists, and the newest revision that a list or a named change has brought.
+async fn lists_after_unnamed_changes(changes: impl Iterator<Item = u64>) -> (u32, StoreRevision) {
+    let at = |millis| Instant::now() + Duration::from_millis(millis);
+    let healthy = FaultyStore::healthy(changes.map(at).collect());
+    let store = Arc::new(FaultyStore { unnamed: true, ..healthy });
+    let known: Arc<Mutex<StoreRevision>> = Arc::default();
+    let observed = known.clone();
+    let take = move |news: FactUpdate| {
+        if let FactUpdate::All(list) = news {
+            *observed.lock().expect("mutex is not poisoned") = list.at;
+        }
+    };
+    let gate = Arc::new(AlwaysOpen);
+    let following =
+        tokio::spawn(follow(store.clone(), FactTopic::Servers, Arc::default(), gate, take));
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    following.abort();
+    let known = *known.lock().expect("mutex is not poisoned");
+    (store.lists.load(Ordering::Relaxed), known)
+}
+
+/// Guards against skipping a change for good whose name could not be read: only a list tells what it concerns.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_change_without_a_readable_name_leads_to_a_list() {
+    let (lists, known) = lists_after_unnamed_changes([5000, 20_000].into_iter()).await;
+    expect_that!(lists, eq(3));
+    expect_that!(known, eq(StoreRevision::from_wire(2)));
+}
+
+/// Guards against a list for each change of another writer who changes something ten times a second.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn many_changes_without_readable_names_lead_to_few_lists() {
+    let (lists, known) = lists_after_unnamed_changes((1..500).map(|step| step * 100)).await;
+    expect_that!(lists, le(90));
+    expect_that!(known, eq(StoreRevision::from_wire(499)));
+}
--- a/crates/outside/src/facts.rs
+++ b/crates/outside/src/facts.rs
@@ -95,6 +95,16 @@
     pub at: StoreRevision,
 }
 
+impl FactChanges {
+    /// Whether a fact has changed whose name could not be read, so that only a new list tells which one.
+    pub fn has_unnamed(&self) -> bool {
+        self.changes.iter().any(|change| match change {
+            FactChange::Set(fact) => fact.name.is_empty(),
+            FactChange::Gone { name, .. } => name.is_empty(),
+        })
+    }
+}
+
 /// Whether a list may be a few seconds old.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Freshness {
