Ask the origin for its newest version of the weights

Cause: a late write leaves an earlier version in the store. Running processes go by the highest version that they have heard of; when all have started anew, the store alone was asked, and the origin only for the number that it named: 410 for ever where that was two versions back, older weights where it was one back.

Change: the first reading of the newest version known is requested without a number, which costs no byte, since a manifest needs two readings anyway. A newer version becomes a target once a second reading, by number, confirms its manifest. Where no manifest has to be read, the first two agents of a failure domain ask once after their start.

Why it works: the origin's word outlasts all processes and does not depend on the store. Spoilt version numbers are confirmed by nobody.

--- a/crates/core/src/direct/manifest_readings.rs
+++ b/crates/core/src/direct/manifest_readings.rs
@@ -6,8 +6,11 @@
 
 use std::collections::BTreeSet;
 
-use headlatch_outside::engine::{PieceDigest, PieceManifest};
-use headlatch_types::traffic::EngineCapacity;
+use headlatch_outside::engine::{PieceDigest, PieceManifest, VersionRequest};
+use headlatch_types::{
+    id::ModelName,
+    traffic::{EngineCapacity, WeightVersion},
+};
 
 /// Maximum number of readings that are kept; older ones are dropped.
 const MAX_READINGS: usize = 6;
@@ -58,6 +61,26 @@
         self.confirmed()
     }
 
+    /// What to request next in order to confirm the manifest of `version` or of a newer one.
+    ///
+    /// The store may name a version that is not the newest any more: a late write or an older copy of it brings back
+    /// an earlier one, and a process that has just started knows of no other. The first reading of the newest
+    /// version known is therefore of whatever the origin offers as its newest.
+    pub fn next_request(
+        &self,
+        model: &ModelName,
+        version: WeightVersion,
+        is_newest_known: bool,
+    ) -> VersionRequest {
+        match self.0.last() {
+            Some(last) if last.model == *model && last.version >= version => {
+                VersionRequest::Exactly(last.version)
+            }
+            _ if is_newest_known => VersionRequest::Newest,
+            _ => VersionRequest::Exactly(version),
+        }
+    }
+
     /// Number of readings.
     pub fn count(&self) -> usize {
         self.0.len()
--- a/crates/core/tests/manifest_readings.rs
+++ b/crates/core/tests/manifest_readings.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use headlatch_core::direct::manifest_readings::{ManifestReadings, check_against_plan};
-use headlatch_outside::engine::{PieceDigest, PieceManifest};
+use headlatch_outside::engine::{PieceDigest, PieceManifest, VersionRequest};
 use headlatch_types::traffic::{EngineCapacity, WeightVersion};
 use proptest::prelude::*;
 
@@ -66,6 +66,25 @@
     expect_that!(readings.add(newer.clone()), some(eq(&newer)));
 }
 
+/// A version that the store names again after it has fallen back was requested by its number for ever.
+#[gtest]
+#[test]
+fn the_first_reading_of_the_newest_version_known_is_of_the_newest_at_the_origin() {
+    let (mut readings, model) = (ManifestReadings::default(), manifest().model);
+    let next = |readings: &ManifestReadings, version, is_newest| {
+        readings.next_request(&model, WeightVersion(version), is_newest)
+    };
+    expect_that!(next(&readings, 2, true), eq(VersionRequest::Newest));
+    expect_that!(next(&readings, 2, false), eq(VersionRequest::Exactly(WeightVersion(2))));
+    let newer = PieceManifest { version: WeightVersion(9), ..manifest() };
+    expect_that!(readings.add(newer), none());
+    // What was read is confirmed by its number, whether or not it is what was asked for.
+    expect_that!(next(&readings, 2, true), eq(VersionRequest::Exactly(WeightVersion(9))));
+    expect_that!(next(&readings, 10, true), eq(VersionRequest::Newest));
+    readings.clear();
+    expect_that!(next(&readings, 2, true), eq(VersionRequest::Newest));
+}
+
 #[gtest]
 #[test]
 fn figures_that_the_plan_lacks_are_not_checked() {
--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -325,7 +325,7 @@
     }
 
     /// Records a version that became a target `age` ago.
-    fn record_wanted(&self, model: &ModelName, version: WeightVersion, age: Duration) {
+    pub(super) fn record_wanted(&self, model: &ModelName, version: WeightVersion, age: Duration) {
         let mut wanted = lock(&self.wanted);
         let before = wanted.newest(model);
         if !wanted.learn_with_age(self.node.now(), model, version, age) {
--- a/crates/daemon/src/direct/stager.rs
+++ b/crates/daemon/src/direct/stager.rs
@@ -25,6 +25,7 @@
 mod fetching;
 mod goal;
 mod manifests;
+mod newest;
 mod stage;
 
 use estimates::VersionSelection;
@@ -65,6 +66,10 @@
     next_recheck: Moment,
     /// Consecutive readings of a contradicted manifest.
     rechecks: u32,
+    /// The origin has told its newest version since this process started.
+    is_newest_asked: bool,
+    next_newest_check: Moment,
+    newest_checks: u32,
     /// Manifest of the newest target version, read before its transfer.
     prefetched: Option<PieceManifest>,
     next_prefetch: Moment,
@@ -111,6 +116,9 @@
             readings: ManifestReadings::default(),
             next_recheck: Moment::ZERO,
             rechecks: 0,
+            is_newest_asked: false,
+            next_newest_check: Moment::ZERO,
+            newest_checks: 0,
             prefetched: None,
             next_prefetch: Moment::ZERO,
             next_progress_log: Moment::ZERO,
@@ -166,6 +174,7 @@
         self.ensure_transfer(&goal).await;
         self.ensure_next_transfer(&goal).await;
         self.prefetch_manifest(&goal).await;
+        self.check_newest(&goal).await;
         if goal.loaded.is_some_and(|loaded| loaded >= goal.version) {
             self.record_completion(&goal);
             return NextPoll::Idle;
--- a/crates/daemon/src/direct/stager/manifests.rs
+++ b/crates/daemon/src/direct/stager/manifests.rs
@@ -8,7 +8,7 @@
     origin_outage::OriginState,
     weight_deadline::WantedVersion,
 };
-use headlatch_outside::engine::{PieceManifest, StageFailure};
+use headlatch_outside::engine::{PieceManifest, StageFailure, VersionRequest};
 use headlatch_types::{
     id::ModelName,
     traffic::{OriginPlan, WeightVersion},
@@ -28,14 +28,14 @@
 
 /// Time limit for a manifest that is not needed yet. The pieces of the older version are staged by the same task
 /// and must not wait for an origin that does not answer.
-const PREFETCH_TIMEOUT: Duration = Duration::from_millis(300);
+pub(super) const PREFETCH_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Minimum time between two attempts to read a manifest that is not needed yet.
-const PREFETCH_INTERVAL: Duration = Duration::from_secs(1);
+pub(super) const PREFETCH_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Number of agents of a failure domain that read a manifest before it is needed. Two readers survive the loss of
 /// one; reads by all agents would delay the pieces of the older version on the origin's link.
-const PREFETCH_READERS: usize = 2;
+pub(super) const PREFETCH_READERS: usize = 2;
 
 /// Number of readings from the origin in a row: two that agree are enough.
 const READS_AT_ONCE: usize = 2;
@@ -114,6 +114,11 @@
                 self.manifest_requested = None;
                 Some(pieces)
             }
+            // The next poll starts the transfer of the newer version.
+            Err(ManifestError::Newer { .. }) => {
+                self.manifest_failures = 0;
+                None
+            }
             Err(error) => {
                 self.manifest_failures += 1;
                 self.manifest_retry_at = now + retry_delay(self.manifest_failures);
@@ -149,28 +154,44 @@
         }
     }
 
-    /// Reads a manifest from the origin until two readings agree, at most twice.
-    async fn read_from_origin(
+    /// Reads a manifest from the origin until two readings agree, at most twice. A confirmed manifest of a newer
+    /// version than this one is kept, and its version becomes a target.
+    pub(super) async fn read_from_origin(
         &mut self,
         origin: &OriginPlan,
         model: &ModelName,
         version: WeightVersion,
     ) -> Result<PieceManifest, ManifestError> {
+        let newest = self.state.wanted(model).last().map(|newest| newest.version);
+        let mut asks_newest = newest.is_none_or(|newest| newest <= version);
         for _ in 0..READS_AT_ONCE {
-            let reading = self.transfers.manifest_from_origin(origin, model, version).await?;
-            self.check_manifest(&reading)?;
-            if let Some(confirmed) = self.readings.add(reading) {
-                self.state.node.metrics.count_manifest("confirmed");
+            let request = self.readings.next_request(model, version, asks_newest);
+            let reading = self.transfers.manifest_from_origin(origin, model, request).await;
+            if reading.is_err() && request != VersionRequest::Exactly(version) {
+                // A reading of another version may have been spoilt in that version.
                 self.readings.clear();
+            }
+            let reading = reading?;
+            self.is_newest_asked |= request == VersionRequest::Newest;
+            if reading.version < version {
+                asks_newest = false;
+                continue;
+            }
+            self.check_manifest(&reading)?;
+            let Some(confirmed) = self.readings.add(reading) else { continue };
+            self.state.node.metrics.count_manifest("confirmed");
+            self.readings.clear();
+            if confirmed.version == version {
                 return Ok(confirmed);
             }
+            return Err(self.adopt_newer(version, confirmed));
         }
         self.state.node.metrics.count_manifest("disputed");
         let (readings, disputed) = (self.readings.count(), self.readings.disputed());
         Err(ManifestError::Disputed { readings, disputed })
     }
 
-    fn check_manifest(&self, manifest: &PieceManifest) -> Result<(), ManifestError> {
+    pub(super) fn check_manifest(&self, manifest: &PieceManifest) -> Result<(), ManifestError> {
         let Some(engine) = self.plan.engine(self.service()) else { return Ok(()) };
         let checked = check_against_plan(manifest, &engine);
         if checked.is_err() {
@@ -282,18 +303,24 @@
 
 /// Why there is no manifest.
 #[derive(Debug, thiserror::Error)]
-enum ManifestError {
+pub(super) enum ManifestError {
     #[error(transparent)]
     Failed(#[from] StageFailure),
     #[error(transparent)]
     Mismatch(#[from] ManifestMismatch),
     #[error("{readings} readings differ in the digests of pieces {disputed:?}")]
     Disputed { readings: usize, disputed: Vec<usize> },
+    #[error("the origin offers the newer version {version}")]
+    Newer { version: WeightVersion },
 }
 
 /// Where to read the manifest of a version that has been needed for `wanted.elapsed`, after `failures` failed
 /// attempts.
-fn source_of(readers: &ManifestReaders, wanted: WantedVersion, failures: u32) -> ManifestSource {
+pub(super) fn source_of(
+    readers: &ManifestReaders,
+    wanted: WantedVersion,
+    failures: u32,
+) -> ManifestSource {
     manifest_source(&ManifestView {
         rank: readers.rank,
         domain_rank: readers.near_rank,
--- a/crates/daemon/src/direct/transfer.rs
+++ b/crates/daemon/src/direct/transfer.rs
@@ -9,7 +9,7 @@
     time::Moment,
 };
 use headlatch_http::pace::LinkPacer;
-use headlatch_outside::engine::{PieceManifest, StageFailure};
+use headlatch_outside::engine::{PieceManifest, StageFailure, VersionRequest};
 use headlatch_types::{
     ChunkIndex, Digest, Manifest,
     fleet::BurstPreference,
@@ -150,7 +150,7 @@
         &self,
         origin: &OriginPlan,
         model: &ModelName,
-        version: WeightVersion,
+        version: VersionRequest,
     ) -> Result<PieceManifest, StageFailure> {
         self.dependencies.origin.manifest(origin.address, model, version).await
     }
--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -25,7 +25,7 @@
     OutsideFuture,
     engine::{
         EngineStage, OrderAnswer, OrderSequence, PieceDigest, PieceManifest, PieceOrigin,
-        StageFailure, StageReport, StartOrder,
+        StageFailure, StageReport, StartOrder, VersionRequest,
     },
     facts::{
         Fact, FactChanges, FactList, FactStore, FactTopic, Freshness, NamedFact, StoreFailure,
@@ -174,6 +174,8 @@
     OneDigestRepeated,
     PieceSize,
     Layers,
+    HigherVersion,
+    LowerVersion,
 }
 
 impl Spoilt {
@@ -190,6 +192,8 @@
             Self::OneDigestRepeated => digests[8] = digests[1],
             Self::PieceSize => manifest.piece_bytes /= 2,
             Self::Layers => manifest.layers /= 2,
+            Self::HigherVersion => manifest.version.0 += 1000,
+            Self::LowerVersion => manifest.version.0 -= 1,
         }
     }
 }
@@ -210,6 +214,8 @@
     failed_manifests: Mutex<u32>,
     /// What is wrong in the manifests of the next requests.
     spoilt_manifests: Mutex<VecDeque<Spoilt>>,
+    /// The newest version; 1 if none is set. Those two and more before it are not offered any more.
+    newest: Mutex<Option<WeightVersion>>,
     manifest_requests: Mutex<u32>,
 }
 
@@ -218,8 +224,13 @@
         &'a self,
         _origin: SocketAddr,
         model: &'a ModelName,
-        version: WeightVersion,
+        request: VersionRequest,
     ) -> OutsideFuture<'a, std::result::Result<PieceManifest, StageFailure>> {
+        let newest = lock(&self.newest).unwrap_or(WeightVersion(1));
+        let version = match request {
+            VersionRequest::Newest => newest,
+            VersionRequest::Exactly(version) => version,
+        };
         let digests = (0..PIECES)
             .map(|number| PieceDigest(*Digest::sha256(&piece(version, number)).as_bytes()))
             .collect();
@@ -236,6 +247,8 @@
         Box::pin(async move {
             match is_lost {
                 true => Err(StageFailure::Unreachable("connection refused".to_owned())),
+                false if version > newest => Err(StageFailure::Absent),
+                false if version.0 + 2 <= newest.0 => Err(StageFailure::Superseded),
                 false => Ok(manifest),
             }
         })
@@ -410,6 +423,12 @@
     }
 
     fn set_target_version(&self, version: u64) {
+        *lock(&self.origin.newest) = Some(WeightVersion(version));
+        self.set_version_in_store(version);
+    }
+
+    /// Has the store name a version that need not be the newest one.
+    fn set_version_in_store(&self, version: u64) {
         *lock(&self.store.wanted) = Some(WeightVersion(version));
         self.store.changed.notify_waiters();
     }
@@ -678,6 +697,9 @@
 #[case::repeated(&[Spoilt::OneDigestRepeated])]
 #[case::four_kinds(&[Spoilt::EveryDigest, Spoilt::OneDigit, Spoilt::TwoDigestsSwapped, Spoilt::OneDigestRepeated])]
 #[case::second_reading_only(&[Spoilt::Nothing, Spoilt::OneDigestRepeated])]
+#[case::higher_version(&[Spoilt::HigherVersion])]
+#[case::higher_version_twice(&[Spoilt::HigherVersion, Spoilt::HigherVersion])]
+#[case::lower_version(&[Spoilt::LowerVersion])]
 #[tokio::test]
 async fn a_spoilt_manifest_is_not_used(#[case] spoilt: &[Spoilt]) {
     let fixture = load_with_manifests(spoilt).await;
@@ -739,3 +761,89 @@
     let most_draws = agents.len() as u32 * (6 + begun.elapsed().as_secs() as u32);
     expect_that!(*lock(&origin.piece_requests), le(PIECES + most_draws));
 }
+
+/// An origin whose newest version is `newest`, and a store that names `named`.
+fn fallen_back(newest: u64, named: u64) -> (TestOrigin, TestStore) {
+    let (origin, store) = (TestOrigin::default(), TestStore::default());
+    *lock(&origin.newest) = Some(WeightVersion(newest));
+    *lock(&store.wanted) = Some(WeightVersion(named));
+    (origin, store)
+}
+
+fn ordered(engine: &TestEngine) -> Vec<u64> {
+    lock(&engine.state).orders.iter().map(|order| order.version.0).collect()
+}
+
+/// After a loss of power the store named a version that the origin had dropped, and no server served again; where it
+/// was one version back, older weights were loaded.
+#[rstest]
+#[case::dropped_by_the_origin(9, 4)]
+#[case::one_version_back(9, 8)]
+#[case::never_named(9, 1)]
+#[tokio::test]
+async fn a_store_that_names_an_earlier_version_does_not_bring_it_back(
+    #[case] newest: u64,
+    #[case] named: u64,
+) {
+    let (origin, store) = fallen_back(newest, named);
+    let fixture = Fixture::with_store(TestEngine::default(), origin, store, &[]).await;
+    let loaded = tokio::time::timeout(LOAD_TIMEOUT, fixture.wait_until_loaded(newest)).await;
+    assert!(loaded.is_ok(), "version {newest} is not loaded");
+    assert_eq!(ordered(&fixture.engine), [newest]);
+    assert_eq!(fixture.agent.metrics().manifests("newer"), 1);
+}
+
+/// The same where the servers kept their weights, so that no manifest had to be read.
+#[rstest]
+#[case::servers_with_the_named_version(9, 8, 8)]
+#[case::server_with_an_older_one(9, 8, 7)]
+#[tokio::test]
+async fn servers_that_hold_the_version_of_a_fallen_store_load_the_newest(
+    #[case] newest: u64,
+    #[case] named: u64,
+    #[case] held: u64,
+) {
+    let (origin, store) = fallen_back(newest, named);
+    let engine = TestEngine::default();
+    lock(&engine.state).holds = Some(WeightVersion(held));
+    let fixture = Fixture::with_store(engine, origin, store, &[]).await;
+    let loaded = tokio::time::timeout(LOAD_TIMEOUT, fixture.wait_until_loaded(newest)).await;
+    assert!(loaded.is_ok(), "version {newest} is not loaded");
+    assert_eq!(ordered(&fixture.engine), [newest]);
+}
+
+/// Guards against an origin that is behind the store, or asked in vain for its newest version, keeping a version out.
+#[gtest]
+#[tokio::test]
+async fn a_version_that_the_origin_does_not_offer_as_its_newest_is_loaded() {
+    let (origin, store) = fallen_back(3, 3);
+    lock(&origin.spoilt_manifests).extend([Spoilt::LowerVersion; 4]);
+    let fixture = Fixture::with_store(TestEngine::default(), origin, store, &[]).await;
+    let loaded = tokio::time::timeout(LOAD_TIMEOUT, fixture.wait_until_loaded(3)).await;
+    expect_that!(loaded.is_ok(), eq(true), "version 3 is not loaded");
+    expect_that!(ordered(&fixture.engine), elements_are![eq(&3)]);
+}
+
+/// One agent that asks is enough: the others are told, and entries with them.
+#[gtest]
+#[tokio::test]
+async fn agents_tell_each_other_of_a_version_that_the_store_does_not_name() {
+    let (origin, store) = fallen_back(9, 8);
+    let (origin, store) = (Arc::new(origin), Arc::new(store));
+    let listeners = ["127.0.2.1:0", "127.0.2.2:0", "127.0.2.3:0", "127.0.2.4:0", "127.0.2.5:0"]
+        .map(|address| std::net::TcpListener::bind(address).expect("a free port"));
+    let controls = listeners.map(|listener| listener.local_addr().expect("it is bound"));
+    let mut agents = Vec::new();
+    for control in controls {
+        let (origin, store, engine) = (origin.clone(), store.clone(), TestEngine::default());
+        lock(&engine.state).holds = Some(WeightVersion(8));
+        agents.push(Fixture::start(engine, origin, store, control, &controls).await);
+    }
+    for agent in &agents {
+        let loaded = tokio::time::timeout(LOAD_TIMEOUT, agent.wait_until_loaded(9)).await;
+        expect_that!(loaded.is_ok(), eq(true), "version 9 is not loaded");
+        expect_that!(ordered(&agent.engine), elements_are![eq(&9)]);
+    }
+    // Two agents ask for the newest version and confirm it; all others have the manifest from them.
+    expect_that!(*lock(&origin.manifest_requests), le(6));
+}
--- a/crates/daemon/tests/server_pace.rs
+++ b/crates/daemon/tests/server_pace.rs
@@ -26,7 +26,8 @@
 use headlatch_outside::{
     OutsideFuture,
     engine::{
-        EngineStage, OrderAnswer, PieceManifest, PieceOrigin, StageFailure, StageReport, StartOrder,
+        EngineStage, OrderAnswer, PieceManifest, PieceOrigin, StageFailure, StageReport,
+        StartOrder, VersionRequest,
     },
     facts::{Fact, FactTopic},
 };
@@ -95,7 +96,7 @@
         &'a self,
         _origin: SocketAddr,
         _model: &'a ModelName,
-        _version: WeightVersion,
+        _version: VersionRequest,
     ) -> OutsideFuture<'a, std::result::Result<PieceManifest, StageFailure>> {
         Box::pin(async { Err(StageFailure::Absent) })
     }
--- a/crates/outside/src/engine.rs
+++ b/crates/outside/src/engine.rs
@@ -64,6 +64,15 @@
     pub digests: Vec<PieceDigest>,
 }
 
+/// The version whose manifest is requested from an origin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum VersionRequest {
+    /// The newest version that the origin offers.
+    Newest,
+    /// This version.
+    Exactly(WeightVersion),
+}
+
 /// Handling of running requests when an order changes the weights.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum RunningRequests {
@@ -149,7 +158,7 @@
         &'a self,
         origin: SocketAddr,
         model: &'a ModelName,
-        version: WeightVersion,
+        version: VersionRequest,
     ) -> OutsideFuture<'a, Result<PieceManifest, StageFailure>>;
     /// Fetches a piece without verifying it.
     fn piece<'a>(
