Bound the bytes of a peer that become no part of an answer

Seen: a server that sends interim responses, or digits of a chunk size, without end is read until the deadline of the call; 1.5 GB in the users' trials, 30 s of 30 s in ours.

Cause: limits on heads and bodies bound what is kept, and the parser keeps nothing of these.

Change: each connection counts the bytes received against the parts of the answer that have been read; four read buffers and 64 KiB may be ahead, and 256 bytes with each piece of a body. It fails like a broken connection, so that the attempt may have run and the server rests.

Why it works: whatever the parser skips has been received.

--- a/crates/daemon/src/direct/answer_reader.rs
+++ b/crates/daemon/src/direct/answer_reader.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use headlatch_core::direct::answer_silence::SilenceMeter;
+use headlatch_http::ResponseBody;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use super::state::EntryState;
 
@@ -13,13 +13,13 @@
 #[derive(Debug)]
 pub struct AnswerReader {
     state: Arc<EntryState>,
-    body: Incoming,
+    body: ResponseBody,
     silence: SilenceMeter,
 }
 
 impl AnswerReader {
     /// Reads `body`, with the silences that its server has kept so far.
-    pub fn new(state: Arc<EntryState>, body: Incoming, silence: SilenceMeter) -> Self {
+    pub fn new(state: Arc<EntryState>, body: ResponseBody, silence: SilenceMeter) -> Self {
         Self { state, body, silence }
     }
 
--- a/crates/daemon/src/direct/attempt.rs
+++ b/crates/daemon/src/direct/attempt.rs
@@ -16,12 +16,11 @@
     server_table::{ChosenServer, ServerOutcome},
     time_limit::{LimitedTime, TimeLimit},
 };
-use headlatch_http::{ActiveConnection, ConnectionChoice};
+use headlatch_http::{ActiveConnection, ConnectionChoice, ResponseBody};
 use headlatch_outside::headers::{ForwardMetadata, ResponseMetadata};
 use headlatch_types::{RunVerdict, traffic::WeightVersion};
 use http::{HeaderMap, Response, StatusCode, header};
 use http_body::Body;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use super::{
@@ -120,7 +119,7 @@
 #[derive(Debug)]
 pub struct ServerAnswer {
     /// Response head, with the body still to be read.
-    pub response: Response<Incoming>,
+    pub response: Response<ResponseBody>,
     /// Connection of the response, closed on drop.
     pub connection: ActiveConnection,
     /// In-flight count of the request.
@@ -234,7 +233,7 @@
 
 /// The head of a server's answer, with its body still to be read.
 struct BegunAnswer {
-    response: Response<Incoming>,
+    response: Response<ResponseBody>,
     connection: ActiveConnection,
     time_limit: LimitedTime,
     silence: SilenceMeter,
@@ -365,9 +364,9 @@
 fn check_answer(
     request: &AdmittedRequest,
     facts: ResponseMetadata,
-    response: Response<Incoming>,
+    response: Response<ResponseBody>,
     connection: ActiveConnection,
-) -> Result<(Response<Incoming>, ActiveConnection), AttemptFailure> {
+) -> Result<(Response<ResponseBody>, ActiveConnection), AttemptFailure> {
     if facts.id.as_ref().is_some_and(|id| *id != request.id) {
         let detail = format!("the response has request id {}", facts.id.unwrap_or_default());
         return Err(AttemptFailure::lost("answer_of_another", detail));
@@ -395,7 +394,7 @@
 }
 
 /// Whether neither a length nor chunks tell where the body ends.
-fn is_close_delimited(response: &Response<Incoming>) -> bool {
+fn is_close_delimited(response: &Response<ResponseBody>) -> bool {
     response.body().size_hint().exact().is_none()
         && !response.headers().contains_key(header::TRANSFER_ENCODING)
 }
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -8,7 +8,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -16,13 +16,12 @@
 use headlatch_types::{ByteProgress, RunVerdict, quantity::ByteSize};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
-};
+use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::Instant};
 
+use crate::receive_meter::{MeteredStream, ReceiveMeter, ResponseBody};
+
 /// Longest time for which an idle connection is reused, also if the server allows more.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(8);
 
@@ -87,6 +86,7 @@
 pub struct ActiveConnection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    meter: Arc<ReceiveMeter>,
     _driver: DriverGuard,
     idle_limit: Duration,
     reusable: bool,
@@ -337,13 +337,13 @@
 
 /// Reads a body to its end; fails if no data is received for `idle_timeout`, however long the whole takes.
 async fn read_to_end(
-    mut body: Limited<Incoming>,
+    mut body: Limited<ResponseBody>,
     idle_timeout: Duration,
     progress: &ByteProgress,
 ) -> Result<Bytes, ExchangeError> {
     let mut whole = BytesMut::new();
     while let Some(frame) = with_timeout(idle_timeout, body.frame()).await? {
-        let frame = frame.map_err(|error| ExchangeError::lost(error.to_string()))?;
+        let frame = frame.map_err(|error| ExchangeError::lost(with_causes(&*error)))?;
         if let Ok(data) = frame.into_data() {
             progress.add(data.len());
             whole.extend_from_slice(&data);
@@ -352,6 +352,12 @@
     Ok(whole.freeze())
 }
 
+/// An error and what it was caused by.
+fn with_causes(error: &dyn std::error::Error) -> String {
+    let causes = std::iter::successors(error.source(), |cause| cause.source());
+    causes.fold(error.to_string(), |text, cause| format!("{text}: {cause}"))
+}
+
 async fn open(
     address: SocketAddr,
     read_buffer: ByteSize,
@@ -363,9 +369,10 @@
     })?;
     // Avoids the delay of small writes by Nagle's algorithm; a failure only costs latency.
     let _ = stream.set_nodelay(true);
+    let meter = Arc::new(ReceiveMeter::new(read_buffer));
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(read_buffer.bytes() as usize)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(MeteredStream::new(stream, meter.clone())))
         .await
         .map_err(|error| failure(error.to_string()))?;
     let task = tokio::spawn(async move {
@@ -376,6 +383,7 @@
     Ok(ActiveConnection {
         address,
         sender,
+        meter,
         _driver: driver,
         idle_limit: MAX_IDLE_TIME,
         reusable: true,
@@ -395,7 +403,7 @@
         uri: Uri,
         headers: HeaderMap,
         body: Bytes,
-    ) -> Result<Response<Incoming>, ExchangeError> {
+    ) -> Result<Response<ResponseBody>, ExchangeError> {
         if body.len() > MAX_REUSABLE_BODY_BYTES {
             self.reusable = false;
         }
@@ -403,16 +411,18 @@
         *request.method_mut() = method;
         *request.uri_mut() = uri;
         *request.headers_mut() = headers;
+        self.meter.begin_part();
         let sent = self.sender.try_send_request(request).await;
         let answer = sent.map_err(|mut error| match error.take_message() {
             Some(_) => ExchangeError::not_sent(
                 "the connection was closed before the request was sent",
                 false,
             ),
-            None => ExchangeError::lost(error.error().to_string()),
+            None => ExchangeError::lost(with_causes(error.error())),
         })?;
+        self.meter.begin_part();
         self.update_keep_alive(answer.headers());
-        Ok(answer)
+        Ok(answer.map(|body| ResponseBody::new(body, self.meter.clone())))
     }
 
     fn update_keep_alive(&mut self, headers: &HeaderMap) {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod connections;
 pub mod pace;
 pub mod progress;
+pub mod receive_meter;
 pub mod server;
 pub mod stall;
 pub mod stop;
@@ -14,5 +15,6 @@
     ActiveConnection, CallRequest, CallResponse, ConnectionChoice, Connections, ExchangeError,
     PoolLimits,
 };
+pub use receive_meter::ResponseBody;
 pub use server::{BodyError, HttpLimits, HttpServer, read_body};
 pub use stop::{StopHandle, StopSignal};
