Take only statuses from 200 to 599 for answers

Change: both clients check the status in one place. Such a response counts as a broken connection: repeatable requests go to another server, others get 502, and the server rests.

--- a/crates/daemon/tests/direct_entry.rs
+++ b/crates/daemon/tests/direct_entry.rs
@@ -59,6 +59,26 @@
     answer(head, "500 Internal Server Error", "", "broken")
 }
 
+fn status_000(head: &str) -> Vec<u8> {
+    answer(head, "000 OK", "", "odd")
+}
+
+fn status_199(head: &str) -> Vec<u8> {
+    answer(head, "199 OK", "", "odd")
+}
+
+fn switching_protocols(head: &str) -> Vec<u8> {
+    answer(head, "101 Switching Protocols", "upgrade: odd\r\nconnection: upgrade\r\n", "odd")
+}
+
+fn status_600(head: &str) -> Vec<u8> {
+    answer(head, "600 OK", "", "odd")
+}
+
+fn status_999(head: &str) -> Vec<u8> {
+    answer(head, "999 OK", "", "odd")
+}
+
 fn no_answer(_head: &str) -> Vec<u8> {
     Vec::new()
 }
@@ -224,6 +244,26 @@
     expect_that!(&answer.body[..], eq(b"broken"));
 }
 
+/// A server in trouble sends statuses such as 000 or 999, and callers got them as answers.
+#[gtest]
+#[tokio::test]
+async fn a_status_that_http_does_not_define_is_no_answer() {
+    let scripts: [Script; 5] =
+        [status_000, status_199, switching_protocols, status_600, status_999];
+    for script in scripts {
+        for path in ["/safe/x", "/stream/x"] {
+            let fixture = Fixture::new(script, any_answer).await;
+            let answer = fixture.ask(path, "k").await.expect("response");
+            expect_that!(answer.status, eq(StatusCode::OK));
+        }
+        let fixture = Fixture::new(script, any_answer).await;
+        let answer = fixture.ask("/once/x", "k").await.expect("response");
+        expect_that!(answer.status, eq(StatusCode::BAD_GATEWAY));
+        expect_that!(answer.headers.contains_key("x-sign"), eq(false));
+        expect_that!(fixture.second.seen().len(), eq(0));
+    }
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_stream_that_stops_is_continued_without_a_piece_lost_or_repeated() {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -13,7 +13,10 @@
     response::Response,
 };
 
-use crate::server::{BodyError, read_body};
+use crate::{
+    server::{BodyError, read_body},
+    status::check_status,
+};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -97,10 +100,15 @@
         let (parts, body) = request.into_parts();
         let mut builder = self.client.request(parts.method, parts.uri);
         builder.headers_mut().extend(parts.headers);
-        builder.body(body).send().await.map_err(|error| {
+        let response = builder.body(body).send().await.map_err(|error| {
             let verdict = verdict_of(&error);
             CallError { verdict, message: format!("{method} {uri}: {error}") }
-        })
+        })?;
+        check_status(response.status()).map_err(|error| CallError {
+            verdict: RunVerdict::MayHaveRun,
+            message: format!("{method} {uri}: {error}"),
+        })?;
+        Ok(response)
     }
 
     /// Sends a request and reads the whole response, of up to `max_bytes` bytes. `time` limits the wait for the
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -20,7 +20,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::Instant};
 
-use crate::receive_meter::{MeteredStream, ReceiveMeter, ResponseBody};
+use crate::{
+    receive_meter::{MeteredStream, ReceiveMeter, ResponseBody},
+    status::check_status,
+};
 
 /// Longest time for which an idle connection is reused, also if the server allows more.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(8);
@@ -420,6 +423,7 @@
             ),
             None => ExchangeError::lost(with_causes(error.error())),
         })?;
+        check_status(answer.status()).map_err(|error| ExchangeError::lost(error.to_string()))?;
         self.meter.begin_part();
         self.update_keep_alive(answer.headers());
         Ok(answer.map(|body| ResponseBody::new(body, self.meter.clone())))
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod receive_meter;
 pub mod server;
 pub mod stall;
+mod status;
 pub mod stop;
 
 pub use client::{CallError, HttpCaller};
