Answer what is in progress at the end of a planned stop

Callers saw: requests that came within the first seconds of a planned stop were passed on, and cut without an answer at the end of the grace, among them requests that may run once (LOST).

Cause: the end of the grace ended the process and not its requests; no step of a request knew of it.

Change: 0.2 s before the end of the grace each request in progress whose answer has not begun gets 502, or 503 if it was sent to no server. While an entry stops, a request that may run once and whose own time limit is later than the end is refused at once, with a short time to return. The HTTP server of the first path answers 502 at the end of its drain.

Why it works: sending, waiting and collecting all end with the same signal, and the verdict of the attempts so far decides what the caller is told.

--- a/crates/daemon/src/direct/entry.rs
+++ b/crates/daemon/src/direct/entry.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    pin::pin,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -15,7 +16,12 @@
 };
 use headlatch_types::direct_settings::DirectEntrySettings;
 use serde_json::json;
-use tokio::{net::UdpSocket, sync::Notify, task::JoinHandle};
+use tokio::{
+    net::UdpSocket,
+    sync::Notify,
+    task::JoinHandle,
+    time::{Instant, timeout_at},
+};
 
 use super::{
     entry_notices,
@@ -34,6 +40,9 @@
 /// Shutdown ends at the latest this long before the end of the grace period.
 const GRACE_RESERVE: Duration = Duration::from_millis(400);
 
+/// Time at the end of a shutdown for the answers to requests that are still in progress.
+const ANSWER_RESERVE: Duration = Duration::from_millis(200);
+
 /// Interval at which a shutdown checks whether requests are still in progress.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -121,13 +130,24 @@
     }
 
     /// Shuts down gracefully: accepts no more connections once callers have been redirected, and
-    /// waits for requests in progress.
+    /// waits for requests in progress. Those that have not ended shortly before the end of the grace period are
+    /// answered with a failure.
     pub async fn leave(self) {
         decisions::info("life", "stopping", json!({ "held": self.held() }));
-        self.state.stopping.store(true, Ordering::Relaxed);
+        let begun = Instant::now();
         let grace = self.state.settings.node.drain.saturating_sub(GRACE_RESERVE);
-        let ended = tokio::time::timeout(grace, self.drain()).await.is_ok();
-        decisions::info("life", "stopped", json!({ "in_time": ended, "held": self.held() }));
+        let answers_due = begun + grace.saturating_sub(ANSWER_RESERVE);
+        self.state.stop.begin(answers_due);
+        let mut draining = pin!(self.drain());
+        let mut ended = timeout_at(answers_due, &mut draining).await.is_ok();
+        let late = if ended { 0 } else { self.held() };
+        if !ended {
+            self.state.stop.end_requests();
+            self.stop.stop();
+            ended = timeout_at(begun + grace, &mut draining).await.is_ok();
+        }
+        let fields = json!({ "in_time": ended, "late": late, "held": self.held() });
+        decisions::info("life", "stopped", fields);
         self.tasks.iter().for_each(JoinHandle::abort);
     }
 
--- a/crates/daemon/src/direct/exchange.rs
+++ b/crates/daemon/src/direct/exchange.rs
@@ -29,7 +29,7 @@
     body_memory::MemoryShare,
     handler::AdmittedRequest,
     relay,
-    state::EntryState,
+    state::{EntryState, shutdown::STOPPING},
     waiting,
 };
 use crate::{decisions, metrics::RequestStep, timer::unix_time};
@@ -114,8 +114,8 @@
     };
     exchange.count_step(RequestStep::Received);
     loop {
-        let server = waiting::next_server(&mut exchange).await;
-        let server = server.map_err(|cause| exchange.give_up(cause))?;
+        let next = state.stop.before_end(waiting::next_server(&mut exchange)).await;
+        let server = next.flatten().map_err(|cause| exchange.give_up(cause))?;
         exchange.reserve_window().await.map_err(|cause| exchange.give_up(cause))?;
         let answer = match exchange.send(server, None).await {
             Ok(answer) => answer,
@@ -144,7 +144,8 @@
         if exchange.request.is_stream() && status.is_success() {
             return Ok(hold_window(relay::stream(exchange, answer), window));
         }
-        match exchange.collect(answer).await {
+        let collected = state.stop.before_end(exchange.collect(answer)).await;
+        match collected.unwrap_or_else(|cause| Err(AttemptFailure::stopped(cause))) {
             Ok(Collected::Whole(response)) => return Ok(hold_window(response, window)),
             Ok(Collected::Begun(begun)) => {
                 return Ok(hold_window(forward::rest(exchange, *begun), window));
@@ -269,9 +270,18 @@
         if self.request.time_left(&self.state) <= least {
             return Err("deadline");
         }
+        self.check_stop()?;
         if self.has_attempts() { Ok(()) } else { Err("attempts_used") }
     }
 
+    /// Checks whether this entry goes on for as long as an attempt may take. A request that can't be repeated is
+    /// not sent if its own time limit is later than the end of the entry.
+    fn check_stop(&self) -> Result<(), &'static str> {
+        let Some(left) = self.state.stop.time_left() else { return Ok(()) };
+        let is_late = !self.request.repeatable && self.request.time_left(&self.state) > left;
+        if left.is_zero() || is_late { Err(STOPPING) } else { Ok(()) }
+    }
+
     fn pick_server(&self) -> Result<ChosenServer, &'static str> {
         self.check_attempt()?;
         let regions = self.allowed_regions();
@@ -343,7 +353,13 @@
         self.sends += 1;
         self.possible_runs += 1;
         let mut silence = SilenceMeter::new(self.state.now());
-        let (sent, reserved) = self.send_with_timeout(server.clone(), last_event).await;
+        let state = self.state.clone();
+        let sending = self.send_with_timeout(server.clone(), last_event);
+        let (sent, reserved) = state
+            .stop
+            .before_end(sending)
+            .await
+            .unwrap_or_else(|cause| (Err(AttemptFailure::stopped(cause)), None));
         self.reserved = reserved;
         if let Ok(answer) = &sent
             && !(self.request.repeatable && self.has_attempts())
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -42,6 +42,7 @@
 use serde_json::json;
 use tokio::{sync::Notify, time::Instant};
 
+use self::shutdown::PlannedStop;
 use super::{
     body_memory::BodyMemory,
     callers::{self, CallerConnections},
@@ -59,6 +60,7 @@
 mod server_signals;
 mod server_speeds;
 mod servers;
+pub mod shutdown;
 mod urgencies;
 
 pub use reading::TopicGate;
@@ -84,8 +86,8 @@
     pub process_limits: ProcessLimits,
     /// Number of requests in progress.
     pub in_progress: AtomicUsize,
-    /// Shutdown has been requested.
-    pub stopping: AtomicBool,
+    /// Planned stop of this entry.
+    pub stop: PlannedStop,
     /// The list of servers has been loaded.
     pub servers_known: AtomicBool,
     started: Instant,
@@ -194,7 +196,7 @@
             callers,
             process_limits: limits,
             in_progress: AtomicUsize::new(0),
-            stopping: AtomicBool::new(false),
+            stop: PlannedStop::default(),
             servers_known: AtomicBool::new(false),
             started: Instant::now(),
             clock,
@@ -304,7 +306,7 @@
 
     /// Whether shutdown has been requested.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stop.is_begun()
     }
 
     /// Whether requests can be served.
--- a/crates/daemon/src/direct/waiting.rs
+++ b/crates/daemon/src/direct/waiting.rs
@@ -31,6 +31,7 @@
     exchange::{Exchange, LOAD_SHED},
     handler,
     notices::NOTICE_INTERVAL,
+    state::shutdown::STOPPING,
 };
 
 mod requests;
@@ -47,6 +48,9 @@
 /// Random addition to it, so that callers do not return at the same moment.
 const FIXED_RETRY_JITTER_MS: u64 = 1000;
 
+/// Minimum `Retry-After` of an entry that stops: others can take the request at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// How a request left the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum QueueOutcome {
@@ -313,6 +317,9 @@
     let (entry, request) = (&exchange.state, &exchange.request);
     let now = entry.now();
     let asked = entry.servers().retry_after(now, &request.service).unwrap_or_default();
+    if cause == STOPPING {
+        return STOPPING_RETRY_AFTER.max(asked);
+    }
     if request.urgency.is_none() || !is_lack_of_room(cause) {
         let jitter = rand::rng().random_range(0..FIXED_RETRY_JITTER_MS);
         return Duration::from_millis(FIXED_RETRY_AFTER_MS + jitter).max(asked);
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,10 +3,11 @@
 //! `volo_http::server::Server` is not used because it handles signals itself, cannot be stopped by its caller
 //! and drops busy connections after 30 s.
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use headlatch_types::quantity::{ByteRate, ByteSize};
+use http::StatusCode;
 use http_body_util::{BodyExt, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::{
@@ -17,6 +18,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore},
+    time::timeout,
 };
 use volo::net::Address;
 use volo_http::{
@@ -26,12 +28,15 @@
 use crate::{
     progress::PeerProgress,
     stall::{PeerLimits, StallGuard},
-    stop::StopSignal,
+    stop::{StopHandle, StopSignal},
 };
 
 /// Pause after a failed `accept`, so that the loop does not spin when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time at the end of a drain for the answers to requests that are still in progress.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// Limits of one listener.
 #[derive(Debug, Clone)]
 pub struct HttpLimits {
@@ -87,18 +92,20 @@
         self.listener.local_addr()
     }
 
-    /// Serves `router` until `signal`, then until no request is in progress or the drain ends.
+    /// Serves `router` until `signal`, then until no request is in progress or the drain ends. Requests that are
+    /// not answered shortly before that get a failure that does not tell whether they have run.
     pub async fn serve(self, router: Router, mut signal: StopSignal) {
         let router = Arc::new(router);
         let permits = Arc::new(Semaphore::new(self.limits.connections));
         let shutdown = GracefulShutdown::new();
+        let (end, ending) = StopHandle::new();
         loop {
             let accepted = tokio::select! {
                 accepted = accept(&self.listener, &permits) => accepted,
                 () = signal.stopped() => break,
             };
             let Some((stream, peer, permit)) = accepted else { continue };
-            let connection = connect(stream, peer, router.clone(), &self.limits);
+            let connection = connect(stream, peer, router.clone(), &self.limits, &ending);
             let watched = shutdown.watch(connection);
             tokio::spawn(async move {
                 let _permit = permit;
@@ -107,8 +114,12 @@
             });
         }
         drop(self.listener);
-        // Requests still in progress after the drain time are aborted.
-        let _ = tokio::time::timeout(self.limits.drain, shutdown.shutdown()).await;
+        let mut closing = pin!(shutdown.shutdown());
+        let answer_time = ANSWER_TIME.min(self.limits.drain);
+        if timeout(self.limits.drain - answer_time, &mut closing).await.is_err() {
+            end.stop();
+            let _ = timeout(answer_time, closing).await;
+        }
     }
 }
 
@@ -136,6 +147,7 @@
     peer: SocketAddr,
     router: Arc<Router>,
     limits: &HttpLimits,
+    ending: &StopSignal,
 ) -> impl hyper_util::server::graceful::GracefulConnection<Error = hyper::Error> + Send + use<> {
     // The time limit of a head is that of hyper, which applies to idle connections as well.
     let peer_limits = PeerLimits {
@@ -143,12 +155,19 @@
         min_read_rate: limits.min_read_rate,
         head_time: limits.head_time,
     };
-    let progress = Arc::new(PeerProgress::default());
+    let (progress, ending) = (Arc::new(PeerProgress::default()), ending.clone());
     let stream = StallGuard::new(stream, peer_limits, progress.clone());
     let service = service_fn(move |request: http::Request<Incoming>| {
         progress.begin_request();
-        let router = router.clone();
-        async move { Ok::<Response, Infallible>(answer(&router, peer, request).await) }
+        let (router, mut ending) = (router.clone(), ending.clone());
+        async move {
+            let answer = tokio::select! {
+                biased;
+                answer = answer(&router, peer, request) => answer,
+                () = ending.stopped() => unfinished_answer(),
+            };
+            Ok::<Response, Infallible>(answer)
+        }
     });
     http1::Builder::new()
         .timer(TokioTimer::new())
@@ -167,6 +186,13 @@
     }
 }
 
+/// Answer to a request that has not ended at the end of the drain time.
+fn unfinished_answer() -> Response {
+    let mut response = Response::new(Body::from("stopping\n"));
+    *response.status_mut() = StatusCode::BAD_GATEWAY;
+    response
+}
+
 /// Why a body could not be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum BodyError {
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -142,3 +142,22 @@
         .expect_err("the listener is closed");
     assert_eq!(error.verdict, RunVerdict::NotRun);
 }
+
+/// The connection was closed without an answer.
+#[tokio::test]
+async fn requests_in_progress_at_the_end_of_the_drain_are_answered() {
+    let begun = Arc::new(Notify::new());
+    let handler_begun = begun.clone();
+    let handler = move || async move {
+        handler_begun.notify_one();
+        std::future::pending::<Response>().await
+    };
+    let limits = HttpLimits { drain: Duration::from_secs(1), ..HttpLimits::default() };
+    let (address, stop, task) = start(Router::new().route("/slow", get(handler)), limits).await;
+    let call = tokio::spawn(exchange(address, "GET /slow HTTP/1.1\r\nhost: a\r\n\r\n"));
+    begun.notified().await;
+    stop.stop();
+    let ended = tokio::time::timeout(Duration::from_secs(2), task).await;
+    assert!(ended.is_ok(), "the drain does not end");
+    assert!(call.await.unwrap().starts_with("HTTP/1.1 502"));
+}
