--- a/crates/daemon/tests/endless_answers.rs
+++ b/crates/daemon/tests/endless_answers.rs
@@ -3,16 +3,14 @@
 
 mod support;
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
-use headlatch_daemon::direct::entry::DirectEntry;
-use headlatch_outside::facts::{Fact, FactTopic};
 use http::StatusCode;
 use rstest::rstest;
 use support::{
-    TestHeaders, TestStore, ask, header, plan, record,
+    ask, header, plan,
     server::{Responder, Script, TestServer},
-    settings,
+    two_servers::start_entry,
 };
 use tokio::{
     io::AsyncWriteExt,
@@ -70,19 +68,9 @@
     #[case] repeated: &'static str,
     #[values("/safe/a", "/stream/a", "/once/a")] path: &str,
 ) {
-    let store = Arc::new(TestStore::default());
-    store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan(5))));
     let endless = TestServer::start(EndlessServer { head, repeated }).await;
     let other = TestServer::start(sound as Script).await;
-    for (name, server, zone) in [("i1", &endless, "z1"), ("i2", &other, "z2")] {
-        let record = record(name, server.address, zone);
-        store.set(FactTopic::Servers, name, Fact::Server(record));
-    }
-    let entry = DirectEntry::start(settings(), store, Arc::new(TestHeaders)).await;
-    let entry = entry.expect("entry starts");
-    while !entry.state.is_ready() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
+    let entry = start_entry(plan(5), [&endless, &other], Duration::from_secs(1)).await;
     let begun = Instant::now();
     let answer = timeout(MAX_ANSWER, ask(entry.address, path, "k")).await;
     let answer = answer.unwrap_or_else(|_| panic!("no answer within {:?}", begun.elapsed()));
--- a/crates/daemon/tests/planned_stops.rs
+++ b/crates/daemon/tests/planned_stops.rs
@@ -9,15 +9,19 @@
 use headlatch_daemon::direct::entry::DirectEntry;
 use headlatch_http::{ConnectionChoice, Connections};
 use headlatch_outside::facts::{Fact, FactTopic};
-use headlatch_types::traffic::{Route, RouteKind};
+use headlatch_types::{
+    RunVerdict,
+    traffic::{Route, RouteKind, ServerRecord},
+};
 use http::{HeaderMap, Method, StatusCode};
 use http_body_util::BodyExt;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use rstest::rstest;
 use support::{
-    TestHeaders, TestStore, header, plan, record, route,
+    TestHeaders, TestStore, header, record, route,
     server::{Responder, TestServer},
     settings,
+    two_servers::plan_with_live_streams,
 };
 use tokio::{
     io::AsyncWriteExt,
@@ -60,17 +64,13 @@
 impl Fixture {
     async fn new() -> Self {
         let store = Arc::new(TestStore::default());
-        let mut plan = plan(5);
+        let mut plan = plan_with_live_streams();
         plan.routes.push(Route { timeout_ms: 1000, ..route("brief", RouteKind::Once) });
-        plan.routes.push(Route { resumable: false, ..route("live", RouteKind::Stream) });
         store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan)));
         let servers =
             [TestServer::start(WorkingServer).await, TestServer::start(WorkingServer).await];
         for (name, server) in ["i1", "i2"].into_iter().zip(&servers) {
-            let record = headlatch_types::traffic::ServerRecord {
-                slots: 64,
-                ..record(name, server.address, "z1")
-            };
+            let record = ServerRecord { slots: 64, ..record(name, server.address, "z1") };
             store.set(FactTopic::Servers, name, Fact::Server(record));
         }
         let mut settings = settings();
@@ -137,7 +137,7 @@
         let uri = path.parse().expect("a path");
         let answer = match connection.send(Method::GET, uri, headers, Bytes::new()).await {
             Ok(answer) => answer,
-            Err(error) if error.verdict == headlatch_types::RunVerdict::NotRun => {
+            Err(error) if error.verdict == RunVerdict::NotRun => {
                 return Outcome::NotSent;
             }
             Err(error) => return Outcome::Closed(error.message),
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -15,6 +15,7 @@
 pub mod rollback_store;
 pub mod server;
 pub mod signaling;
+pub mod two_servers;
 
 use std::{net::SocketAddr, sync::Mutex, time::Duration};
 
--- a/crates/daemon/tests/unconfirmed_refusals.rs
+++ b/crates/daemon/tests/unconfirmed_refusals.rs
@@ -3,18 +3,16 @@
 
 mod support;
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use headlatch_daemon::direct::entry::DirectEntry;
 use headlatch_http::CallResponse;
-use headlatch_outside::facts::{Fact, FactTopic};
-use headlatch_types::traffic::{Route, RouteKind};
 use http::StatusCode;
 use rstest::rstest;
 use support::{
-    TestHeaders, TestStore, ask, header, plan, record, route,
+    ask, header,
     server::{Script, TestServer},
-    settings,
+    two_servers::{plan_with_live_streams, start_entry},
 };
 
 fn answer(head: &str, status: &str, lines: &str, body: &str) -> Vec<u8> {
@@ -75,20 +73,9 @@
 impl Fixture {
     /// An entry with two servers, of which `first` is asked first.
     async fn new(first: Script, second: Script) -> Self {
-        let store = Arc::new(TestStore::default());
-        let mut plan = plan(5);
-        plan.routes.push(Route { resumable: false, ..route("live", RouteKind::Stream) });
-        store.set(FactTopic::Plan, "main", Fact::Plan(Box::new(plan)));
         let (first, second) = (TestServer::start(first).await, TestServer::start(second).await);
-        for (name, server, zone) in [("i1", &first, "z1"), ("i2", &second, "z2")] {
-            let record = record(name, server.address, zone);
-            store.set(FactTopic::Servers, name, Fact::Server(record));
-        }
-        let entry = DirectEntry::start(settings(), store, Arc::new(TestHeaders)).await;
-        let entry = entry.expect("entry starts");
-        while !entry.state.is_ready() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
+        let plan = plan_with_live_streams();
+        let entry = start_entry(plan, [&first, &second], Duration::from_secs(1)).await;
         Self { entry, first, second }
     }
 
