Percent-encode every value in the target of a call

What callers saw: after all processes had been started anew, 503 to every request for as long as another writer's entry stood at the end of a page of the servers under a name with `&`, `+`, `#`, `%`, a blank, a quote, a line feed or a letter outside ASCII.

Cause: the name behind which the next page begins went into the query as it was. With `%`, a blank, a quote, a line feed or a byte outside ASCII the call could not be made or was refused, on every try. With `&`, `+` and `#` the store read a shorter name and sent the same page again, which passed for the end of the list.

Change: a call takes a `CallTarget`, which is made of fixed text and of values that it encodes, so that a string from outside can't become part of a target unencoded. All calls of the adapter and between entries are built from it.

Why it works: all that has a meaning in a target, or none, is encoded; only letters, digits and `-._~` are sent as they are, which no server reads differently.

--- a/crates/daemon/src/direct/plan_sync.rs
+++ b/crates/daemon/src/direct/plan_sync.rs
@@ -76,7 +76,7 @@
 async fn fetch_from(
     connections: &Connections,
     address: SocketAddr,
-    path: &str,
+    path: &'static str,
 ) -> Result<TrafficPlan, String> {
     // An idle connection may have been dropped without notice, so none is reused.
     let request = CallRequest::get(path).closing().with_idle_timeout(FETCH_SILENCE_TIMEOUT);
--- a/crates/daemon/src/direct/server_sync.rs
+++ b/crates/daemon/src/direct/server_sync.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use headlatch_core::direct::server_copy::ServerChanges;
-use headlatch_http::{CallRequest, Connections};
+use headlatch_http::{CallRequest, CallTarget, Connections};
 use http::StatusCode;
 use rand::seq::IndexedRandom;
 use serde_json::json;
@@ -15,7 +15,7 @@
 use crate::decisions;
 
 /// Path of the list for other entries, followed by the revision up to which the caller is complete.
-pub(super) const SERVERS_PATH: &str = "/servers/";
+pub(super) const SERVERS_PATH: &str = "/servers";
 
 /// Timeout of a response. A list of a thousand servers takes 0.1 s at 40 Mbit/s and 3.2 s at 1 Mbit/s;
 /// a shorter timeout would restart the whole transfer.
@@ -41,7 +41,7 @@
 /// Returns the response to a request for `path`; `None` if the path is a different one or no list is
 /// known yet.
 pub(super) fn answer(state: &EntryState, path: &str) -> Option<Bytes> {
-    let after: u64 = path.strip_prefix(SERVERS_PATH)?.parse().ok()?;
+    let after: u64 = path.strip_prefix(SERVERS_PATH)?.strip_prefix('/')?.parse().ok()?;
     let changes = state.server_changes(StoreRevision::from_wire(after))?;
     match serde_json::to_vec(&changes) {
         Ok(text) => Some(text.into()),
@@ -92,9 +92,9 @@
     address: SocketAddr,
     after: StoreRevision,
 ) -> Result<ServerChanges, String> {
-    let path = format!("{SERVERS_PATH}{}", after.to_wire());
+    let target = CallTarget::new(SERVERS_PATH).segment(after.to_wire());
     // An idle connection may have been dropped without notice, so none is reused.
-    let request = CallRequest::get(path).closing().with_idle_timeout(FETCH_SILENCE_TIMEOUT);
+    let request = CallRequest::get(target).closing().with_idle_timeout(FETCH_SILENCE_TIMEOUT);
     let call = connections.call(address, request, MAX_RESPONSE_BYTES, FETCH_TIMEOUT);
     let response = call.await.map_err(|error| format!("{address}: {}", error.message))?;
     if response.status != StatusCode::OK {
--- a/crates/daemon/tests/harmful_requests.rs
+++ b/crates/daemon/tests/harmful_requests.rs
@@ -22,7 +22,7 @@
     entry::DirectEntry,
     quarantine::{QuarantineList, QuarantineNotices},
 };
-use headlatch_http::{CallRequest, CallResponse, Connections};
+use headlatch_http::{CallRequest, CallResponse, CallTarget, Connections};
 use headlatch_outside::{
     facts::{Fact, FactTopic},
     quarantine::{QuarantineEntry, UnixMillis},
@@ -336,8 +336,8 @@
     }
 }
 
-async fn admin(fixture: &Fixture, method: Method, path: &str) -> CallResponse {
-    let request = CallRequest::get(path).sending(method, HeaderMap::new(), "".into());
+async fn admin(fixture: &Fixture, method: Method, target: impl Into<CallTarget>) -> CallResponse {
+    let request = CallRequest::get(target).sending(method, HeaderMap::new(), "".into());
     let connections = Connections::default();
     let called = connections.call(fixture.entry.admin, request, 1 << 20, Duration::from_secs(5));
     called.await.expect("response")
@@ -356,9 +356,10 @@
     expect_that!(shown[0]["left_s"].as_u64(), some(ge(590)));
     let bad = admin(&fixture, Method::DELETE, "/quarantine/none").await;
     expect_that!(bad.status, eq(StatusCode::BAD_REQUEST));
-    let lifted = admin(&fixture, Method::DELETE, &format!("/quarantine/{digest}")).await;
+    let own = || CallTarget::new("/quarantine").segment(&digest);
+    let lifted = admin(&fixture, Method::DELETE, own()).await;
     expect_that!(lifted.status, eq(StatusCode::OK));
-    let again = admin(&fixture, Method::DELETE, &format!("/quarantine/{digest}")).await;
+    let again = admin(&fixture, Method::DELETE, own()).await;
     expect_that!(again.status, eq(StatusCode::NOT_FOUND));
     expect_that!(&admin(&fixture, Method::GET, "/quarantine").await.body[..], eq(b"[]\n"));
     while !kept.kept().is_empty() {
--- a/crates/daemon/tests/support/entries.rs
+++ b/crates/daemon/tests/support/entries.rs
@@ -18,7 +18,7 @@
 const CONTROL_PORT: u16 = 7700;
 
 /// An address of this process alone, so that tests beside it cannot be met.
-fn place(number: u8) -> SocketAddr {
+pub fn place(number: u8) -> SocketAddr {
     let [_, _, high, low] = std::process::id().to_be_bytes();
     SocketAddr::from((Ipv4Addr::new(127, high | 0x80, low, number), CONTROL_PORT))
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -12,6 +12,7 @@
 pub mod long_streams;
 pub mod mortal;
 pub mod paced;
+pub mod process;
 pub mod rollback_store;
 pub mod server;
 pub mod signaling;
--- a/crates/daemon/tests/support/rollback_store.rs
+++ b/crates/daemon/tests/support/rollback_store.rs
@@ -1,5 +1,5 @@
 //! A store that speaks the platform's protocol and can come back from an older copy of itself: its
-//! revisions go back and are given out again, and `Store-Era` rises by one.
+//! revisions go back and are given out again, and `Store-Era` rises by one. Its lists may have several pages.
 
 use std::{
     collections::BTreeMap,
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use headlatch_standins::RequestLine;
 use serde_json::{Value, json};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -49,6 +50,8 @@
     away: bool,
     /// Request lines so far.
     calls: Vec<String>,
+    /// Objects on a page of a list; no bound if none is set.
+    page_items: Option<usize>,
 }
 
 /// A store on a free port.
@@ -118,6 +121,11 @@
         revision
     }
 
+    /// Splits lists into pages of so many objects from now on.
+    pub fn set_page_items(&self, items: usize) {
+        self.lock().page_items = Some(items);
+    }
+
     /// Names of the objects of a kind.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = self.lock();
@@ -165,7 +173,7 @@
         }
         self.lock().calls.push(line.clone());
         let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
-        let Some(((status, body), era)) = self.answer(&line, &body).await else { return };
+        let Some(((status, body), era)) = self.answer(&head, &body).await else { return };
         let body = body.to_string();
         let head = format!(
             "HTTP/1.1 {status} X\r\nstore-era: {era}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
@@ -176,24 +184,26 @@
     }
 
     /// The answer with the era in which it is given; `None` while the store is away.
-    async fn answer(&self, line: &str, body: &Value) -> Option<(Answer, u64)> {
+    async fn answer(&self, head: &str, body: &Value) -> Option<(Answer, u64)> {
         if self.turns_away.load(Ordering::Relaxed) {
             return Some(((503, json!({})), self.lock().era));
         }
-        let mut words = line.split(' ');
-        let (method, target) = (words.next()?, words.next()?);
-        let (path, query) = target.split_once('?').unwrap_or((target, ""));
-        let mut parts = path.strip_prefix("/objects/")?.split('/');
-        let (kind, name) = (parts.next()?, parts.next());
-        let watched = query.split('&').find_map(|pair| pair.strip_prefix("watch="));
-        if let Some(after) = watched.and_then(|after| after.parse().ok()) {
-            let wait = query.split('&').find_map(|pair| pair.strip_prefix("wait_ms="));
-            let wait = Duration::from_millis(wait.and_then(|wait| wait.parse().ok()).unwrap_or(0));
+        let Some(line) = RequestLine::read(head) else {
+            return Some(((400, json!({})), self.present_era()?));
+        };
+        let (method, segments) = (line.method.as_str(), &line.segments);
+        let (kind, name) = match &segments[..] {
+            [_, kind] => (kind.as_str(), None),
+            [_, kind, name] => (kind.as_str(), Some(name.as_str())),
+            _ => return None,
+        };
+        if let Some(after) = line.number("watch") {
+            let wait = Duration::from_millis(line.number("wait_ms").unwrap_or(0));
             return self.watch(kind, after, wait).await;
         }
         let era = self.present_era()?;
         if let ("GET", None) = (method, name) {
-            return self.list(kind);
+            return self.list(kind, line.parameter("since_revision"));
         }
         let own_name = || body["metadata"]["name"].as_str().unwrap_or_default().to_owned();
         let answer = match (method, name) {
@@ -217,16 +227,21 @@
         (!state.away).then_some(state.era)
     }
 
-    /// The list and the era that it is of; `None` while the store is away.
-    fn list(&self, kind: &str) -> Option<(Answer, u64)> {
+    /// The page of a list behind the name `after` and the era that it is of; `None` while the store is away.
+    fn list(&self, kind: &str, after: Option<&str>) -> Option<(Answer, u64)> {
         let state = self.lock();
         if state.away {
             return None;
         }
-        let objects = state.copy.objects.iter().filter(|((one, _), _)| one == kind);
-        let items: Vec<Value> =
-            objects.map(|((_, name), (revision, spec))| object(name, *revision, spec)).collect();
-        let body = json!({ "items": items, "more": false, "at": state.copy.revision });
+        let listed = state.copy.objects.iter().filter(|((one, name), _)| {
+            one == kind && after.is_none_or(|after| name.as_str() > after)
+        });
+        let mut items: Vec<Value> =
+            listed.map(|((_, name), (revision, spec))| object(name, *revision, spec)).collect();
+        let most = state.page_items.unwrap_or(usize::MAX);
+        let more = items.len() > most;
+        items.truncate(most);
+        let body = json!({ "items": items, "more": more, "at": state.copy.revision });
         Some(((200, body), state.era))
     }
 
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -23,6 +23,7 @@
 use crate::{
     receive_meter::{MeteredStream, ReceiveMeter, ResponseBody},
     status::check_status,
+    target::CallTarget,
 };
 
 /// Longest time for which an idle connection is reused, also if the server allows more.
@@ -246,8 +247,8 @@
         };
         let idle_timeout = request.idle_timeout.unwrap_or(time);
         let (mut held, _) = self.get(address, choice, idle_timeout).await?;
-        let uri: Uri = request.path.parse().map_err(|error| {
-            ExchangeError::not_sent(format!("{}: {error}", request.path), false)
+        let uri: Uri = request.target.as_str().parse().map_err(|error| {
+            ExchangeError::not_sent(format!("{}: {error}", request.target), false)
         })?;
         let mut headers = request.headers;
         if let Ok(host) = address.to_string().parse() {
@@ -271,7 +272,7 @@
     /// Method.
     pub method: Method,
     /// Path and query.
-    pub path: String,
+    pub target: CallTarget,
     /// Headers.
     pub headers: HeaderMap,
     /// Body.
@@ -285,11 +286,11 @@
 }
 
 impl CallRequest {
-    /// A GET of `path`.
-    pub fn get(path: impl Into<String>) -> Self {
+    /// A GET of `target`.
+    pub fn get(target: impl Into<CallTarget>) -> Self {
         Self {
             method: Method::GET,
-            path: path.into(),
+            target: target.into(),
             headers: HeaderMap::new(),
             body: Bytes::new(),
             closes: false,
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod stall;
 mod status;
 pub mod stop;
+pub mod target;
 
 pub use client::{CallError, HttpCaller};
 pub use connections::{
@@ -19,3 +20,4 @@
 pub use receive_meter::ResponseBody;
 pub use server::{BodyError, HttpLimits, HttpServer, read_body};
 pub use stop::{StopHandle, StopSignal};
+pub use target::CallTarget;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod half_deaf;
 pub mod plain;
 pub mod platform;
+pub mod request_line;
 pub mod weights;
 
 use std::net::SocketAddr;
@@ -15,6 +16,8 @@
 use headlatch_http::{HttpLimits, HttpServer, StopHandle};
 use volo_http::server::Router;
 
+pub use request_line::RequestLine;
+
 /// A running stand-in; it stops when this is dropped.
 #[derive(Debug)]
 pub struct RunningStandIn {
