Never take a list that the store does not continue for a whole one

What callers saw: 503 `no_server` from entries that ran, as soon as another writer's entry without a readable name stood alone on a page of the servers, and from entries that started anew behind any name that the store read differently. Nothing told an operator; the entries said that they were ready.

Cause: a page without a new name ended the list, whatever `more` said. The servers behind it counted as deleted, here and, as the list was passed on as complete up to its revision, at other entries.

Where it goes on nowhere, it is `Cut`: its facts are used, nothing follows from those that are missing, and neither the list nor the watch that continues it confirms a position, to this process or to others. It is read anew after 1 s, then up to 10 s, and at once when the nameless entry changes. An entry with a cut list is ready once it knows a server.

A list with pages of two eras, or refused for now (408, 429, 5xx), fails as a whole, as before.

An operator sees `store dead_end` (the name, and what happened behind it) and `store list_cut` in the log, and counters of both, and of unreadable entries of every topic, in `headlatch_store_events_total`.

--- a/crates/core/src/direct/evacuation.rs
+++ b/crates/core/src/direct/evacuation.rs
@@ -63,6 +63,9 @@
     listed: EvacuatedDomains,
     /// Failure domains that were evacuated in the previous era of the store, and until when they stay so.
     kept: Option<(Moment, BTreeSet<DomainKey>)>,
+    /// Orders from lists that could not be read to their end. They are in force here, but other processes must not
+    /// take them for the complete set.
+    partial: EvacuatedDomains,
 }
 
 impl Evacuations {
@@ -79,9 +82,31 @@
             self.kept = Some((now + REWRITE_TIME, before.clone()));
         }
         self.listed.merge(reported);
+        if self.listed.mark >= self.partial.mark {
+            self.partial = EvacuatedDomains::default();
+        }
         self.in_force() != before
     }
 
+    /// Forgets the orders from lists that could not be read to their end, because there is a newer such list.
+    pub fn forget_partial(&mut self) {
+        self.partial = EvacuatedDomains::default();
+    }
+
+    /// Applies changes of a list that could not be read to its end: pairs of a failure domain and whether it is being
+    /// evacuated.
+    pub fn apply_partial(
+        &mut self,
+        mark: StoreRevision,
+        changes: impl IntoIterator<Item = (DomainKey, bool)>,
+    ) {
+        let changes: Vec<(DomainKey, bool)> = changes.into_iter().collect();
+        for (domain, _) in changes.iter().filter(|(_, is_evacuated)| !is_evacuated) {
+            self.listed.domains.remove(domain);
+        }
+        self.partial = self.partial.with_changes(mark, changes);
+    }
+
     /// Drops orders of an earlier era that have not been written again in time; returns whether the failure domains
     /// in force changed.
     pub fn expire(&mut self, now: Moment) -> bool {
@@ -93,6 +118,6 @@
     /// The failure domains that get no new requests.
     pub fn in_force(&self) -> BTreeSet<DomainKey> {
         let kept = self.kept.iter().flat_map(|(_, domains)| domains);
-        self.listed.domains.iter().chain(kept).copied().collect()
+        self.listed.domains.iter().chain(kept).chain(&self.partial.domains).copied().collect()
     }
 }
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -120,6 +120,29 @@
     expect_that!(in_force(&evacuations), eq(&["z1", "z3"].map(domain).into()));
 }
 
+/// Orders of a list that could not be read to its end were taken for all there are, also by other processes.
+#[gtest]
+#[test]
+fn orders_of_a_cut_list_are_in_force_and_not_reported_as_all() {
+    let (north, south) = (domain("north"), domain("south"));
+    let mark = StoreRevision::from_wire;
+    let mut evacuations = Evacuations::default();
+    let listed = EvacuatedDomains { mark: mark(5), domains: BTreeSet::from([north]) };
+    evacuations.merge(at(0), &listed);
+    evacuations.apply_partial(mark(7), [(south, true)]);
+    expect_that!(evacuations.in_force(), eq(&BTreeSet::from([north, south])));
+    expect_that!(evacuations.listed(), eq(&listed));
+    evacuations.apply_partial(mark(8), [(north, false)]);
+    expect_that!(evacuations.in_force(), eq(&BTreeSet::from([south])));
+    expect_that!(evacuations.listed().mark, eq(mark(5)));
+    evacuations.forget_partial();
+    expect_that!(evacuations.in_force(), is_empty());
+    evacuations.apply_partial(mark(9), [(south, true)]);
+    let whole = EvacuatedDomains { mark: mark(9), domains: BTreeSet::new() };
+    evacuations.merge(at(0), &whole);
+    expect_that!(evacuations.in_force(), is_empty());
+}
+
 fn entry_peer(number: usize) -> EntryPeer {
     let address = SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 7700));
     EntryPeer { key: address.into(), domain: domain("z1") }
--- a/crates/daemon/src/direct/agent.rs
+++ b/crates/daemon/src/direct/agent.rs
@@ -212,6 +212,7 @@
                 let weights_state = weights_state.clone();
                 let (store, refresh, gate) = (store.clone(), weights_refresh.clone(), gate.clone());
                 follow(store, FactTopic::Weights, refresh, gate, move |news| {
+                    news.count_odd_entries(FactTopic::Weights, &weights_state.node.metrics);
                     weights_state.record_weights(news);
                 })
             }),
--- a/crates/daemon/src/direct/agent_plan.rs
+++ b/crates/daemon/src/direct/agent_plan.rs
@@ -153,7 +153,7 @@
             .await;
     }
     let list = reader.list(freshness).await;
-    let plans = readable_facts(FactUpdate::All(list)).into_iter().filter_map(|fact| match fact {
+    let plans = readable_facts(FactUpdate::from(list)).into_iter().filter_map(|fact| match fact {
         Fact::Plan(plan) => Some(Arc::from(plan)),
         _ => None,
     });
--- a/crates/daemon/src/direct/entry.rs
+++ b/crates/daemon/src/direct/entry.rs
@@ -210,6 +210,7 @@
         supervise(topic.as_str(), move || {
             let state = state.clone();
             follow(store.clone(), topic, refresh.clone(), gate.clone(), move |update| {
+                update.count_odd_entries(topic, &state.metrics);
                 apply(&state, update);
             })
         })
--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -5,8 +5,8 @@
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use headlatch_outside::facts::{
-    Fact, FactChange, FactChanges, FactList, FactStore, FactTopic, Freshness, NamedFact,
-    StoreFailure,
+    DeadEnd, Fact, FactChange, FactChanges, FactList, FactStore, FactTopic, Freshness, ListExtent,
+    NamedFact, StoreFailure,
 };
 use headlatch_types::{
     ByteProgress,
@@ -16,7 +16,7 @@
 use serde_json::json;
 use tokio::{sync::Notify, time::Instant};
 
-use crate::decisions;
+use crate::{decisions, metrics::NodeMetrics};
 
 /// Wait of a watch sent by a standby reader, which learns of changes from the active readers.
 const STANDBY_WATCH_WAIT: Duration = Duration::from_secs(29);
@@ -52,6 +52,13 @@
 /// Upper bound of the exponential backoff.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(1500);
 
+/// Delay before the first cut list is read anew.
+const INITIAL_RELIST_DELAY: Duration = Duration::from_secs(1);
+
+/// Upper bound of the exponential delay: as long as the store does not continue the list, each call brings the same
+/// part.
+const MAX_RELIST_DELAY: Duration = Duration::from_secs(10);
+
 /// Time without data after which a list is hedged with a second call: longer than a slow store takes
 /// to respond, and well before the deadline of a change accepted in the meantime.
 const LIST_HEDGE_DELAY: Duration = Duration::from_millis(1000);
@@ -163,49 +170,99 @@
 pub enum FactUpdate {
     /// The complete list; facts that are not in it have been deleted.
     All(FactList),
-    /// Changes returned by a watch.
+    /// A list that the store did not continue. It says nothing of facts that are not in it.
+    Cut(FactList),
+    /// Changes returned by a watch that continues a complete list.
     Changes(FactChanges),
+    /// Changes returned by a watch that continues a cut list: facts may be missing all the same.
+    ChangesSinceCut(FactChanges),
+}
+
+impl From<FactList> for FactUpdate {
+    fn from(list: FactList) -> Self {
+        match list.extent {
+            ListExtent::Whole => Self::All(list),
+            ListExtent::Cut => Self::Cut(list),
+        }
+    }
 }
 
 impl FactUpdate {
-    /// Revision up to which the update is complete.
-    pub fn covered(&self) -> StoreRevision {
+    /// Position of the store at which the update was read.
+    pub fn read_at(&self) -> StoreRevision {
         match self {
-            Self::All(list) => list.at,
-            Self::Changes(changes) => changes.at,
+            Self::All(list) | Self::Cut(list) => list.at,
+            Self::Changes(changes) | Self::ChangesSinceCut(changes) => changes.at,
         }
     }
 
-    /// Number of facts in the update that could not be read.
-    pub fn unreadable(&self) -> usize {
-        let is_unreadable = |fact: &NamedFact| fact.fact.is_err();
+    /// Whether facts of the store may be missing after this update.
+    pub fn is_partial(&self) -> bool {
+        matches!(self, Self::Cut(_) | Self::ChangesSinceCut(_))
+    }
+
+    /// Revision up to which the update is complete; zero if facts may be missing.
+    pub fn covered(&self) -> StoreRevision {
+        if self.is_partial() { StoreRevision::default() } else { self.read_at() }
+    }
+
+    /// The facts that the update sets.
+    pub fn set(&self) -> impl Iterator<Item = &NamedFact> {
+        let (listed, changes) = match self {
+            Self::All(list) | Self::Cut(list) => (&list.facts[..], &[][..]),
+            Self::Changes(changes) | Self::ChangesSinceCut(changes) => {
+                (&[][..], &changes.changes[..])
+            }
+        };
+        let changed = changes.iter().filter_map(|change| match change {
+            FactChange::Set(fact) => Some(fact),
+            FactChange::Gone { .. } => None,
+        });
+        listed.iter().chain(changed)
+    }
+
+    /// The changes; a list sets each of its facts.
+    pub fn into_changes(self) -> Vec<FactChange> {
         match self {
-            Self::All(list) => list.facts.iter().filter(|fact| is_unreadable(fact)).count(),
-            Self::Changes(changes) => {
-                let set = changes.changes.iter().filter(|change| match change {
-                    FactChange::Set(fact) => is_unreadable(fact),
-                    FactChange::Gone { .. } => false,
-                });
-                set.count()
+            Self::All(list) | Self::Cut(list) => {
+                list.facts.into_iter().map(FactChange::Set).collect()
             }
+            Self::Changes(changes) | Self::ChangesSinceCut(changes) => changes.changes,
+        }
+    }
+
+    /// Counts the facts that could not be read, and the names behind which the store did not continue the list.
+    pub fn count_odd_entries(&self, topic: FactTopic, metrics: &NodeMetrics) {
+        let event = match topic {
+            FactTopic::Plan => "plan_unreadable",
+            FactTopic::Servers => "server_unreadable",
+            FactTopic::Weights => "weights_unreadable",
+            FactTopic::Evacuations => "evacuation_unreadable",
+        };
+        let unreadable = self.set().filter(|fact| fact.fact.is_err()).count();
+        metrics.count_store_events(event, unreadable);
+        if let Self::All(list) | Self::Cut(list) = self {
+            metrics.count_store_events("dead_end", list.dead_ends.len());
+            metrics.count_store_events("list_cut", usize::from(list.extent == ListExtent::Cut));
         }
     }
 
     /// Revision of the newest change in the update; at least the start of its era, so that other processes learn
-    /// of the era.
+    /// of the era. Zero if facts may be missing, so that no other process takes this one for complete.
     pub fn newest(&self) -> StoreRevision {
-        let revision = |fact: &NamedFact| fact.revision;
-        let newest = match self {
-            Self::All(list) => list.facts.iter().map(revision).max(),
-            Self::Changes(changes) => {
-                let marks = changes.changes.iter().map(|change| match change {
-                    FactChange::Set(fact) => revision(fact),
-                    FactChange::Gone { revision, .. } => *revision,
-                });
-                marks.max()
-            }
+        if self.is_partial() {
+            return StoreRevision::default();
+        }
+        let set = self.set().map(|fact| fact.revision);
+        let gone = match self {
+            Self::Changes(changes) => &changes.changes[..],
+            _ => &[],
         };
-        newest.unwrap_or_default().max(self.covered().era().start())
+        let gone = gone.iter().filter_map(|change| match change {
+            FactChange::Gone { revision, .. } => Some(*revision),
+            FactChange::Set(_) => None,
+        });
+        set.chain(gone).max().unwrap_or_default().max(self.covered().era().start())
     }
 }
 
@@ -216,12 +273,19 @@
     Duration::from_millis(rand::rng().random_range(most / 2..=most))
 }
 
+/// Delay before a list is read anew after `cut_lists` consecutive ones that the store did not continue, with jitter to
+/// spread the calls of the nodes.
+fn relist_delay(cut_lists: u32) -> Duration {
+    let doubled = INITIAL_RELIST_DELAY * (1 << cut_lists.clamp(1, 6).saturating_sub(1));
+    doubled.min(MAX_RELIST_DELAY) * rand::rng().random_range(MIN_WATCH_WAIT_PERCENT..=100) / 100
+}
+
 /// Follows `topic` indefinitely and passes updates to `apply`. A notification on `refresh`, sent by
 /// whoever knows of newer data, forces a new list.
 ///
 /// A broken watch is never resumed from its last revision: a store that has lost part of its history
 /// may let it wait as if nothing had changed. After a change whose name could not be read the topic is listed anew,
-/// since the change may concern any fact.
+/// since the change may concern any fact. A cut list is watched as well, and listed anew after a while.
 pub async fn follow(
     store: Arc<dyn FactStore>,
     topic: FactTopic,
@@ -233,12 +297,16 @@
     let mut at = StoreRevision::default();
     let mut outdated_lists = 0;
     let mut unnamed_changes = 0;
+    let mut cut_lists = 0;
     loop {
         reader.wait_until_open().await;
         let list = reader.list(Freshness::Current).await;
         log_list(topic, at, &list);
         at = list.at;
-        apply(FactUpdate::All(list));
+        let is_cut = list.extent == ListExtent::Cut;
+        cut_lists = if is_cut { cut_lists + 1 } else { 0 };
+        let relist_at = is_cut.then(|| Instant::now() + relist_delay(cut_lists));
+        apply(FactUpdate::from(list));
         // A response that was delayed, or came from a part of the store that is behind.
         if at.era() < reader.gate.newest_era() {
             outdated_lists += 1;
@@ -250,7 +318,10 @@
             at = changes.at;
             let is_news = !changes.changes.is_empty();
             let has_unnamed = changes.has_unnamed();
-            apply(FactUpdate::Changes(changes));
+            apply(match is_cut {
+                true => FactUpdate::ChangesSinceCut(changes),
+                false => FactUpdate::Changes(changes),
+            });
             if has_unnamed {
                 unnamed_changes += 1;
                 tokio::time::sleep(retry_delay(unnamed_changes)).await;
@@ -261,11 +332,15 @@
                 unnamed_changes = 0;
                 tokio::time::sleep(batch_delay(topic, reader.gate.role())).await;
             }
+            if relist_at.is_some_and(|due| due <= Instant::now()) {
+                break;
+            }
         }
     }
 }
 
-/// Logs the position of a list, and whether it is before what this process has read already.
+/// Logs the position of a list, whether it is before what this process has read already, and behind which names the
+/// store did not continue it.
 fn log_list(topic: FactTopic, before: StoreRevision, list: &FactList) {
     let at = list.at;
     let newest = list.facts.iter().map(|fact| fact.revision.number()).max();
@@ -277,6 +352,14 @@
         true => decisions::warn("store", "revisions_went_back", fields),
         false => decisions::info("store", "listed", fields),
     }
+    for DeadEnd { name, reason } in &list.dead_ends {
+        let fields = json!({ "topic": topic.as_str(), "name": name, "reason": reason });
+        decisions::warn("store", "dead_end", fields);
+    }
+    if list.extent == ListExtent::Cut {
+        let fields = json!({ "topic": topic.as_str(), "facts": list.facts.len() });
+        decisions::warn("store", "list_cut", fields);
+    }
 }
 
 /// Reads one topic from the store.
@@ -528,24 +611,14 @@
 
 /// The facts that an update sets; unreadable ones are logged and skipped.
 pub fn readable_facts(news: FactUpdate) -> Vec<Fact> {
-    let named: Vec<NamedFact> = match news {
-        FactUpdate::All(list) => list.facts,
-        FactUpdate::Changes(changes) => changes
-            .changes
-            .into_iter()
-            .filter_map(|change| match change {
-                FactChange::Set(fact) => Some(fact),
-                FactChange::Gone { .. } => None,
-            })
-            .collect(),
-    };
-    let readable = named.into_iter().filter_map(|named| match named.fact {
-        Ok(fact) => Some(fact),
-        Err(error) => {
-            let fields = json!({ "name": named.name, "error": error.to_string() });
+    let readable = news.into_changes().into_iter().filter_map(|change| match change {
+        FactChange::Set(NamedFact { fact: Ok(fact), .. }) => Some(fact),
+        FactChange::Set(NamedFact { name, fact: Err(error), .. }) => {
+            let fields = json!({ "name": name, "error": error.to_string() });
             decisions::warn("store", "unreadable", fields);
             None
         }
+        FactChange::Gone { .. } => None,
     });
     readable.collect()
 }
--- a/crates/daemon/src/direct/state.rs
+++ b/crates/daemon/src/direct/state.rs
@@ -90,6 +90,8 @@
     pub stop: PlannedStop,
     /// The list of servers has been loaded.
     pub servers_known: AtomicBool,
+    /// Servers are known from a list that the store did not continue. Requests are better sent to these than refused.
+    some_servers_known: AtomicBool,
     started: Instant,
     clock: NodeClock,
     /// Suspended time that has already been handled.
@@ -198,6 +200,7 @@
             in_progress: AtomicUsize::new(0),
             stop: PlannedStop::default(),
             servers_known: AtomicBool::new(false),
+            some_servers_known: AtomicBool::new(false),
             started: Instant::now(),
             clock,
             handled_suspension: Mutex::default(),
@@ -311,7 +314,9 @@
 
     /// Whether requests can be served.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.servers_known.load(Ordering::Relaxed) && self.routes().is_some()
+        let knows_servers = self.servers_known.load(Ordering::Relaxed)
+            || self.some_servers_known.load(Ordering::Relaxed);
+        !self.is_stopping() && knows_servers && self.routes().is_some()
     }
 
     /// Version of the current plan.
@@ -363,19 +368,24 @@
     /// Applies a plan update from the store.
     pub fn apply_plan_update(&self, update: FactUpdate) {
         self.record_field_issues(FactTopic::Plan, &update);
-        self.record_era(update.covered(), "store");
-        for fact in readable_facts(update) {
+        self.record_era(update.read_at(), "store");
+        let may_lack_plan = update.is_partial();
+        let facts = readable_facts(update);
+        let is_confirmed = !may_lack_plan || !facts.is_empty();
+        for fact in facts {
             if let Fact::Plan(plan) = fact {
                 self.apply_plan(*plan, "store");
             }
         }
-        self.plan.confirm(self.now());
+        if is_confirmed {
+            self.plan.confirm(self.now());
+        }
     }
 
     /// Applies an update of the wanted weight versions from the store.
     pub fn apply_weights_update(&self, update: FactUpdate) {
         let now = self.now();
-        self.record_era(update.covered(), "store");
+        self.record_era(update.read_at(), "store");
         for fact in readable_facts(update) {
             let Fact::Weights(wanted) = fact else { continue };
             if self.weights().learn(now, &wanted.model, wanted.version) {
--- a/crates/daemon/src/direct/state/evacuations.rs
+++ b/crates/daemon/src/direct/state/evacuations.rs
@@ -1,5 +1,7 @@
 //! Evacuated failure domains, as reported by the store and by other entries.
 
+use std::collections::BTreeSet;
+
 use headlatch_core::direct::{evacuation::EvacuatedDomains, peers::DomainKey};
 use headlatch_outside::facts::{Fact, FactChange, NamedFact};
 use headlatch_types::id::DomainId;
@@ -14,16 +16,21 @@
         lock(&self.evacuations).listed().clone()
     }
 
+    /// The failure domains that get no new requests.
+    pub fn evacuations_in_force(&self) -> BTreeSet<DomainKey> {
+        lock(&self.evacuations).in_force()
+    }
+
     /// Applies an update of the evacuations from the store.
     pub fn apply_evacuations_update(&self, update: FactUpdate) {
-        self.record_era(update.covered(), "store");
-        let mark = update.covered();
-        let (base, facts) = match update {
-            FactUpdate::All(list) => {
-                (EvacuatedDomains::default(), list.facts.into_iter().map(FactChange::Set).collect())
-            }
-            FactUpdate::Changes(changes) => (self.evacuated(), changes.changes),
+        self.record_era(update.read_at(), "store");
+        let (mark, is_partial) = (update.read_at(), update.is_partial());
+        let is_cut_list = matches!(update, FactUpdate::Cut(_));
+        let base = match &update {
+            FactUpdate::All(_) => EvacuatedDomains::default(),
+            _ => self.evacuated(),
         };
+        let facts = update.into_changes();
         let changes = facts.into_iter().filter_map(|change| match change {
             FactChange::Set(NamedFact { fact: Ok(Fact::Evacuation(domain)), .. }) => {
                 Some((DomainKey::from(&domain), true))
@@ -42,6 +49,20 @@
                 Some((DomainKey::from(&domain), false))
             }
         });
+        if is_partial {
+            let mut evacuations = lock(&self.evacuations);
+            let before = evacuations.in_force();
+            if is_cut_list {
+                evacuations.forget_partial();
+            }
+            evacuations.apply_partial(mark, changes);
+            let has_changed = evacuations.in_force() != before;
+            drop(evacuations);
+            if has_changed {
+                self.enforce_evacuations();
+            }
+            return;
+        }
         self.merge_evacuated(&base.with_changes(mark, changes));
     }
 
--- a/crates/daemon/src/direct/state/servers.rs
+++ b/crates/daemon/src/direct/state/servers.rs
@@ -24,13 +24,9 @@
 /// Converts an update from the store to server changes; records that can't be parsed are logged and
 /// left out.
 fn server_changes(update: FactUpdate, newest: StoreRevision) -> ServerChanges {
-    let covered = update.covered();
-    let (whole, facts) = match update {
-        FactUpdate::All(list) => (true, list.facts.into_iter().map(FactChange::Set).collect()),
-        FactUpdate::Changes(changes) => (false, changes.changes),
-    };
+    let (covered, whole) = (update.covered(), matches!(update, FactUpdate::All(_)));
     let mut converted = ServerChanges { covered, newest, whole, ..ServerChanges::default() };
-    for fact in facts {
+    for fact in update.into_changes() {
         match fact {
             FactChange::Set(NamedFact { revision, fact: Ok(Fact::Server(record)), .. }) => {
                 converted.set.push(RevisionedRecord { revision, record });
@@ -56,10 +52,15 @@
     /// Applies an update of the list of servers from the store.
     pub fn apply_servers_update(&self, update: FactUpdate) {
         self.record_field_issues(FactTopic::Servers, &update);
-        self.record_era(update.covered(), "store");
+        self.record_era(update.read_at(), "store");
         let (covered, newest) = (update.covered(), update.newest());
-        self.metrics.count_store_events("server_unreadable", update.unreadable());
+        let is_partial = update.is_partial();
         self.apply_servers(server_changes(update, newest));
+        if is_partial {
+            let is_any_known = self.servers().records().next().is_some();
+            self.some_servers_known.fetch_or(is_any_known, Ordering::Relaxed);
+            return;
+        }
         lock(&self.servers_age).confirm_from_store(self.now(), covered, newest);
     }
 
--- a/crates/daemon/src/direct/unknown_names.rs
+++ b/crates/daemon/src/direct/unknown_names.rs
@@ -6,7 +6,7 @@
     sync::Mutex,
 };
 
-use headlatch_outside::facts::{FactChange, FactTopic, NamedFact};
+use headlatch_outside::facts::FactTopic;
 use headlatch_types::{
     reading::{FieldIssues, FieldPath},
     traffic::ServerId,
@@ -126,18 +126,7 @@
 
     /// Counts the unknown and invalid fields of facts from the store and logs each path once.
     pub fn record_field_issues(&self, topic: FactTopic, update: &FactUpdate) {
-        let listed: Vec<&NamedFact> = match update {
-            FactUpdate::All(list) => list.facts.iter().collect(),
-            FactUpdate::Changes(changes) => changes
-                .changes
-                .iter()
-                .filter_map(|change| match change {
-                    FactChange::Set(fact) => Some(fact),
-                    FactChange::Gone { .. } => None,
-                })
-                .collect(),
-        };
-        for fact in listed {
+        for fact in update.set() {
             let source = FieldSource { part: "store", kind: topic.as_str(), name: &fact.name };
             self.field_counter.record(&self.metrics, source, &fact.field_issues);
         }
--- a/crates/daemon/tests/direct_agent.rs
+++ b/crates/daemon/tests/direct_agent.rs
@@ -323,7 +323,7 @@
             if is_silent {
                 std::future::pending::<()>().await;
             }
-            Ok(FactList { facts, at: StoreRevision::from_wire(1) })
+            Ok(FactList { facts, at: StoreRevision::from_wire(1), ..FactList::default() })
         })
     }
 
--- a/crates/daemon/tests/lost_watches.rs
+++ b/crates/daemon/tests/lost_watches.rs
@@ -133,7 +133,11 @@
                 return Err(client_timeout(started, Duration::ZERO).await);
             }
             let revision = self.revision();
-            Ok(FactList { facts: vec![fact(revision)], at: StoreRevision::from_wire(revision) })
+            Ok(FactList {
+                facts: vec![fact(revision)],
+                at: StoreRevision::from_wire(revision),
+                ..FactList::default()
+            })
         })
     }
 
--- a/crates/daemon/tests/narrow_links.rs
+++ b/crates/daemon/tests/narrow_links.rs
@@ -89,7 +89,11 @@
     ) -> OutsideFuture<'_, std::result::Result<FactList, StoreFailure>> {
         Box::pin(async move {
             self.transfer(&progress).await?;
-            Ok(FactList { facts: Vec::new(), at: StoreRevision::from_wire(1) })
+            Ok(FactList {
+                facts: Vec::new(),
+                at: StoreRevision::from_wire(1),
+                ..FactList::default()
+            })
         })
     }
 
--- a/crates/daemon/tests/odd_names.rs
+++ b/crates/daemon/tests/odd_names.rs
@@ -87,3 +87,52 @@
     assert_all_serve(&entries, "with the odd entry").await;
     assert_that!(first.seen().len() + second.seen().len(), ge(2 * ENTRIES));
 }
+
+/// The servers behind the entry were removed when its change led to a new list.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_without_a_readable_name_hides_no_server_from_running_processes() {
+    let (first, second) = (TestServer::start(WHOLE).await, TestServer::start(WHOLE).await);
+    let store = store_with([&first, &second]).await;
+    let entries = ProcessEntry::start_all(ENTRIES, store.address, true);
+    assert_all_serve(&entries, "before").await;
+    store.set_page_items(1);
+    store.put_nameless("servers", "i1");
+    for entry in &entries {
+        entry.wait_for_line("list_cut", RECOVERY_TIME).await;
+    }
+    for _ in 0..5 {
+        assert_all_serve(&entries, "with the odd entry").await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+}
+
+/// Nothing told an operator that servers were missing.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn new_processes_use_the_servers_in_front_of_an_entry_without_a_readable_name() {
+    let (first, second) = (TestServer::start(WHOLE).await, TestServer::start(WHOLE).await);
+    let store = store_with([&first, &second]).await;
+    store.set_page_items(1);
+    store.put_nameless("servers", "i2-odd");
+    let entries = ProcessEntry::start_all(ENTRIES, store.address, false);
+    assert_all_serve(&entries, "with the odd entry").await;
+    expect_that!(first.seen().len(), ge(ENTRIES));
+    for entry in &entries {
+        let line = entry.wait_for_line("dead_end", RECOVERY_TIME).await;
+        expect_that!(line, contains_substring(r#""name":"i2""#));
+        let metrics = entry.metrics().await;
+        for event in ["dead_end", "list_cut", "server_unreadable"] {
+            let counter = format!("headlatch_store_events_total{{event=\"{event}\"}}");
+            let count = metrics.lines().find_map(|line| line.strip_prefix(&counter));
+            expect_that!(count.and_then(|count| count.trim().parse::<f64>().ok()), some(ge(1.0)));
+        }
+    }
+    // Its removal tells that the list goes on.
+    store.remove("servers", "i2-odd");
+    let until = tokio::time::Instant::now() + RECOVERY_TIME;
+    while second.seen().is_empty() {
+        assert!(tokio::time::Instant::now() < until, "the second server is not used");
+        assert_all_serve(&entries, "without the odd entry").await;
+    }
+}
--- a/crates/daemon/tests/read_gate.rs
+++ b/crates/daemon/tests/read_gate.rs
@@ -54,7 +54,7 @@
         Box::pin(async move {
             match fails {
                 true => Err(StoreFailure::Unreachable("it is down".to_owned())),
-                false => Ok(FactList { facts: Vec::new(), at: era.start() }),
+                false => Ok(FactList { facts: Vec::new(), at: era.start(), ..FactList::default() }),
             }
         })
     }
--- a/crates/daemon/tests/silent_sources.rs
+++ b/crates/daemon/tests/silent_sources.rs
@@ -51,7 +51,11 @@
         let answers = Instant::now() >= self.answers_from;
         Box::pin(async move {
             if answers {
-                return Ok(FactList { facts: Vec::new(), at: StoreRevision::from_wire(1) });
+                return Ok(FactList {
+                    facts: Vec::new(),
+                    at: StoreRevision::from_wire(1),
+                    ..FactList::default()
+                });
             }
             tokio::time::sleep(CLIENT_TIMEOUT).await;
             Err(StoreFailure::Unreachable("no answer in time".to_owned()))
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -159,7 +159,9 @@
         let facts = self.facts.lock().expect("no test panics with it");
         let facts = facts.iter().filter(|(kept, _)| *kept == topic);
         let facts = facts.map(|(_, fact)| fact.clone()).collect();
-        Box::pin(async move { Ok(FactList { facts, at: StoreRevision::from_wire(1) }) })
+        Box::pin(async move {
+            Ok(FactList { facts, at: StoreRevision::from_wire(1), ..FactList::default() })
+        })
     }
 
     fn watch(
--- a/crates/daemon/tests/support/process.rs
+++ b/crates/daemon/tests/support/process.rs
@@ -76,6 +76,19 @@
         Self { address, admin, process, folder }
     }
 
+    /// Waits for a line of its decision log with this event, and returns it.
+    pub async fn wait_for_line(&self, event: &str, time: Duration) -> String {
+        let until = Instant::now() + time;
+        let mark = format!(r#""event":"{event}""#);
+        loop {
+            if let Some(line) = self.log().into_iter().find(|line| line.contains(&mark)) {
+                return line;
+            }
+            assert!(Instant::now() < until, "no {event} in the log:\n{}", self.log().join("\n"));
+            tokio::time::sleep(ASK_INTERVAL).await;
+        }
+    }
+
     /// Lines of its decision log so far.
     pub fn log(&self) -> Vec<String> {
         let text = fs::read_to_string(self.folder.path().join("log")).unwrap_or_default();
--- a/crates/daemon/tests/support/rollback_store.rs
+++ b/crates/daemon/tests/support/rollback_store.rs
@@ -101,6 +101,11 @@
         self.write(kind, name, Some(spec))
     }
 
+    /// Adds an object whose name no reader can tell; lists have it where `name` sorts.
+    pub fn put_nameless(&self, kind: &str, name: &str) -> u64 {
+        self.put(kind, name, Value::Null)
+    }
+
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) -> u64 {
         self.write(kind, name, None)
@@ -275,6 +280,9 @@
 }
 
 fn object(name: &str, revision: u64, spec: &Value) -> Value {
+    if spec.is_null() {
+        return json!({ "spec": {} });
+    }
     json!({ "metadata": { "name": name, "revision": revision }, "spec": spec })
 }
 
--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -8,6 +8,9 @@
 /// somewhere in a target, or none.
 const ENCODED: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
 
+/// Length of the longest target that can be sent, in bytes: that of the `http` crate.
+const MAX_BYTES: usize = u16::MAX as usize - 1;
+
 /// Path and query of a call. It consists of fixed text and of percent-encoded values, so that the server reads every
 /// value as it is here, whatever it contains.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -44,6 +47,11 @@
         self.text.extend(utf8_percent_encode(&value.to_string(), ENCODED));
     }
 
+    /// Whether it is too long to be sent.
+    pub fn is_too_long(&self) -> bool {
+        self.text.len() > MAX_BYTES
+    }
+
     /// The target as it is sent.
     pub fn as_str(&self) -> &str {
         &self.text
--- a/crates/outside/src/facts.rs
+++ b/crates/outside/src/facts.rs
@@ -9,6 +9,7 @@
     store::{StoreEra, StoreRevision},
     traffic::{ServerRecord, TargetWeights, TrafficPlan},
 };
+use http::StatusCode;
 
 use crate::OutsideFuture;
 
@@ -63,13 +64,36 @@
     pub field_issues: FieldIssues,
 }
 
-/// All facts of a topic.
-#[derive(Debug, Clone)]
+/// A name behind which the store did not continue a list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DeadEnd {
+    /// The name; empty for the beginning of the list.
+    pub name: String,
+    /// What happened instead.
+    pub reason: String,
+}
+
+/// How far a list was read.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ListExtent {
+    /// To its end.
+    #[default]
+    Whole,
+    /// The store has more facts, and no call returned them.
+    Cut,
+}
+
+/// The facts of a topic.
+#[derive(Debug, Clone, Default)]
 pub struct FactList {
-    /// The facts.
+    /// The facts. Of several with the same name the last one holds.
     pub facts: Vec<NamedFact>,
     /// Revision of the list.
     pub at: StoreRevision,
+    /// Whether these are all facts of the topic.
+    pub extent: ListExtent,
+    /// Names behind which the store did not continue the list. A whole list was continued behind others.
+    pub dead_ends: Vec<DeadEnd>,
 }
 
 /// One change.
@@ -130,9 +154,12 @@
         /// Era of the response.
         after: StoreEra,
     },
-    /// The store rejected the call.
+    /// The store does not carry out the call now.
     #[error("the store refuses for now: {0}")]
     Refused(String),
+    /// The store rejected the call as such: it will reject the same call again.
+    #[error("the store rejects the call: {0}")]
+    Rejected(StatusCode),
     /// The store could not be reached, or the connection was lost.
     #[error("the store does not answer: {0}")]
     Unreachable(String),
@@ -146,7 +173,8 @@
 /// Revisions of results are in the era of the response. A watch fails with [`StoreFailure::EraChanged`] if
 /// that differs from the era of its revision.
 pub trait FactStore: Send + Sync + fmt::Debug {
-    /// Lists all facts of a topic; `progress` counts the bytes received.
+    /// Lists the facts of a topic; `progress` counts the bytes received. If the store does not continue the list,
+    /// the part that could be read is returned as [`ListExtent::Cut`].
     fn list(
         &self,
         topic: FactTopic,
