Read quarantines from all pages of their list

What callers saw: after a start of all entries, requests that had ended servers before were served again if their quarantines stood behind the first page (about 500 entries), or behind an entry of another writer that ended it.

Cause: quarantines had a reader of their own, which took the first page for the whole list.

Change: they are listed by the code that lists everything else, page by page. A cut list restores what it has, and the rest once the store continues it. Names that are no quarantines are logged and counted. Quarantines are restored before expired ones are removed, which takes a call each.

--- a/crates/daemon/src/direct/facts.rs
+++ b/crates/daemon/src/direct/facts.rs
@@ -242,8 +242,7 @@
         let unreadable = self.set().filter(|fact| fact.fact.is_err()).count();
         metrics.count_store_events(event, unreadable);
         if let Self::All(list) | Self::Cut(list) = self {
-            metrics.count_store_events("dead_end", list.dead_ends.len());
-            metrics.count_store_events("list_cut", usize::from(list.extent == ListExtent::Cut));
+            count_dead_ends(metrics, list.extent, &list.dead_ends);
         }
     }
 
@@ -275,7 +274,7 @@
 
 /// Delay before a list is read anew after `cut_lists` consecutive ones that the store did not continue, with jitter to
 /// spread the calls of the nodes.
-fn relist_delay(cut_lists: u32) -> Duration {
+pub(super) fn relist_delay(cut_lists: u32) -> Duration {
     let doubled = INITIAL_RELIST_DELAY * (1 << cut_lists.clamp(1, 6).saturating_sub(1));
     doubled.min(MAX_RELIST_DELAY) * rand::rng().random_range(MIN_WATCH_WAIT_PERCENT..=100) / 100
 }
@@ -352,16 +351,26 @@
         true => decisions::warn("store", "revisions_went_back", fields),
         false => decisions::info("store", "listed", fields),
     }
-    for DeadEnd { name, reason } in &list.dead_ends {
-        let fields = json!({ "topic": topic.as_str(), "name": name, "reason": reason });
+    log_dead_ends(topic.as_str(), list.facts.len(), list.extent, &list.dead_ends);
+}
+
+/// Logs behind which names the store did not continue a list with `listed` entries, and whether it is cut.
+pub(super) fn log_dead_ends(topic: &str, listed: usize, extent: ListExtent, dead_ends: &[DeadEnd]) {
+    for DeadEnd { name, reason } in dead_ends {
+        let fields = json!({ "topic": topic, "name": name, "reason": reason });
         decisions::warn("store", "dead_end", fields);
     }
-    if list.extent == ListExtent::Cut {
-        let fields = json!({ "topic": topic.as_str(), "facts": list.facts.len() });
-        decisions::warn("store", "list_cut", fields);
+    if extent == ListExtent::Cut {
+        decisions::warn("store", "list_cut", json!({ "topic": topic, "listed": listed }));
     }
 }
 
+/// Counts what [`log_dead_ends`] logs.
+pub(super) fn count_dead_ends(metrics: &NodeMetrics, extent: ListExtent, dead_ends: &[DeadEnd]) {
+    metrics.count_store_events("dead_end", dead_ends.len());
+    metrics.count_store_events("list_cut", usize::from(extent == ListExtent::Cut));
+}
+
 /// Reads one topic from the store.
 pub(super) struct FactReader {
     store: Arc<dyn FactStore>,
--- a/crates/daemon/src/direct/quarantine_keeper.rs
+++ b/crates/daemon/src/direct/quarantine_keeper.rs
@@ -4,14 +4,14 @@
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use headlatch_outside::{
-    facts::StoreFailure,
-    quarantine::{QuarantineEntry, QuarantineStore, UnixMillis},
+    facts::{ListExtent, StoreFailure},
+    quarantine::{QuarantineEntry, QuarantineList, QuarantineStore, UnixMillis},
 };
 use headlatch_types::request::QuarantineKey;
 use serde_json::json;
 
 use super::{
-    facts::{ReadGate, ReaderRole},
+    facts::{ReadGate, ReaderRole, count_dead_ends, log_dead_ends, relist_delay},
     quarantine::QuarantineWrite,
     state::{EntryState, TopicGate},
 };
@@ -35,36 +35,66 @@
 /// Restores the persisted quarantine and then performs pending writes; never returns.
 pub async fn run(state: Arc<EntryState>, store: Arc<dyn QuarantineStore>) {
     let restore_and_rewrite = async {
-        restore_kept(&state, &store).await;
-        rewrite_lost(&state, &store).await;
+        let extent = restore_kept(&state, &store).await;
+        tokio::join!(rewrite_lost(&state, &store), restore_rest(&state, &store, extent));
     };
     tokio::join!(restore_and_rewrite, write_pending(&state, &store));
 }
 
-async fn restore_kept(state: &Arc<EntryState>, store: &Arc<dyn QuarantineStore>) {
+async fn restore_kept(state: &Arc<EntryState>, store: &Arc<dyn QuarantineStore>) -> ListExtent {
     let gate = TopicGate(state.clone());
     while !gate.is_open() {
         tokio::time::sleep(GATE_POLL_INTERVAL).await;
     }
-    let kept = list_kept(store).await;
-    decisions::info("quarantine", "read", json!({ "kept": kept.len() }));
-    for QuarantineEntry { key, until } in kept {
-        let left = until.0.saturating_sub(unix_millis());
-        match left {
-            0 => write(store, QuarantineWrite::Lift(key)).await,
-            _ => state.quarantine.restore(state.now(), key, Duration::from_millis(left)),
-        }
+    restore(state, store).await
+}
+
+/// Restores the rest of a list that the store did not continue, once it does.
+async fn restore_rest(
+    state: &Arc<EntryState>,
+    store: &Arc<dyn QuarantineStore>,
+    mut extent: ListExtent,
+) {
+    let mut cut_lists = 0;
+    while extent == ListExtent::Cut {
+        cut_lists += 1;
+        tokio::time::sleep(relist_delay(cut_lists)).await;
+        extent = restore(state, store).await;
     }
 }
 
-async fn list_kept(store: &Arc<dyn QuarantineStore>) -> Vec<QuarantineEntry> {
-    loop {
+async fn restore(state: &Arc<EntryState>, store: &Arc<dyn QuarantineStore>) -> ListExtent {
+    let QuarantineList { entries, extent, .. } = list_kept(state, store).await;
+    let now = unix_millis();
+    let (expired, active): (Vec<_>, Vec<_>) =
+        entries.into_iter().partition(|quarantine| quarantine.until.0 <= now);
+    for QuarantineEntry { key, until } in active {
+        state.quarantine.restore(state.now(), key, Duration::from_millis(until.0 - now));
+    }
+    for QuarantineEntry { key, .. } in expired {
+        write(store, QuarantineWrite::Lift(key)).await;
+    }
+    extent
+}
+
+/// Lists the quarantines in the store, retrying until it succeeds, and logs what could not be read of them.
+async fn list_kept(state: &EntryState, store: &Arc<dyn QuarantineStore>) -> QuarantineList {
+    let list = loop {
         match store.list_quarantines().await {
-            Ok(kept) => return kept,
+            Ok(list) => break list,
             Err(failure) => log_failure("list", None, &failure),
         }
         tokio::time::sleep(RETRY_DELAY).await;
+    };
+    let fields = json!({ "kept": list.entries.len(), "unreadable": list.unreadable.len() });
+    decisions::info("quarantine", "read", fields);
+    for name in &list.unreadable {
+        decisions::warn("quarantine", "unreadable", json!({ "name": name }));
     }
+    log_dead_ends("quarantines", list.entries.len(), list.extent, &list.dead_ends);
+    state.metrics.count_store_events("quarantine_unreadable", list.unreadable.len());
+    count_dead_ends(&state.metrics, list.extent, &list.dead_ends);
+    list
 }
 
 /// Writes the quarantines that the store lacks after each change of its era; never returns.
@@ -80,8 +110,9 @@
             continue;
         }
         tokio::time::sleep(REWRITE_SPREAD.mul_f64(rand::random())).await;
-        let kept: HashSet<QuarantineKey> =
-            list_kept(store).await.into_iter().map(|entry| entry.key).collect();
+        // Those that a cut list lacks are written again as well, which changes nothing in the store.
+        let kept = list_kept(state, store).await.entries;
+        let kept: HashSet<QuarantineKey> = kept.into_iter().map(|entry| entry.key).collect();
         let refused = state.quarantine.refused(state.now());
         let lost: Vec<_> = refused.iter().filter(|(key, _)| !kept.contains(key)).collect();
         let fields = json!({ "era": era, "refused": refused.iter().count(), "lost": lost.len() });
--- a/crates/daemon/tests/harmful_requests.rs
+++ b/crates/daemon/tests/harmful_requests.rs
@@ -336,6 +336,33 @@
     }
 }
 
+/// Quarantines that a list did not reach were forgotten for good.
+#[gtest]
+#[tokio::test]
+async fn the_rest_of_a_cut_list_of_quarantines_is_restored_once_it_goes_on() {
+    let kept = Arc::new(KeptList::default());
+    let until = UnixMillis(unix_now() + 500_000);
+    let keys = [7, 8].map(|digest| QuarantineKey::Request(RequestDigest(digest)));
+    let entries = keys.map(|key| QuarantineEntry { key, until });
+    kept.change(|kept| kept.extend(entries)).expect("records are stored");
+    kept.set_readable(1);
+    let fixture = Fixture::with_quarantines(3, kept.clone()).await;
+    let state = &fixture.entry.state;
+    let refused = || state.quarantine.refused(state.now()).iter().count();
+    while refused() == 0 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    expect_that!(refused(), eq(1));
+    expect_that!(state.metrics.store_events("list_cut"), ge(1));
+    kept.set_readable(usize::MAX);
+    let restored = async {
+        while refused() < 2 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    expect_that!(tokio::time::timeout(Duration::from_secs(10), restored).await, ok(anything()));
+}
+
 async fn admin(fixture: &Fixture, method: Method, target: impl Into<CallTarget>) -> CallResponse {
     let request = CallRequest::get(target).sending(method, HeaderMap::new(), "".into());
     let connections = Connections::default();
