Bound the texts of log lines and metric labels

What callers saw: nothing. An operator saw lines of the log, and labels of the metrics, as long as whatever another writer had stored (up to 1 MB each), at each reading of it; up to 64 labels of that length stayed for the life of the process.

Cause: names, error messages (which quote the value) and paths of unknown fields were written as they were. Lines and labels are bounded in number, not in length.

--- a/crates/daemon/src/decisions.rs
+++ b/crates/daemon/src/decisions.rs
@@ -2,7 +2,7 @@
 //!
 //! Lines are appended to an in-memory buffer and written by a dedicated thread. A line is dropped
 //! and counted if the buffer is full or the per-second limit is reached; the number of dropped
-//! lines is reported in a separate `lines_left_out` line.
+//! lines is reported in a separate `lines_left_out` line. Long texts are cut.
 
 use std::{
     io::Write,
@@ -18,6 +18,8 @@
 
 use crate::timer::unix_time;
 
+mod bounded_text;
+
 /// Maximum number of buffered bytes before further lines are dropped.
 const MAX_BUFFERED_BYTES: usize = 512 << 10;
 
@@ -114,7 +116,7 @@
         }
         let was_empty = buffer.bytes.is_empty();
         let before = buffer.bytes.len();
-        match serde_json::to_writer(&mut buffer.bytes, line) {
+        match bounded_text::write_json(&mut buffer.bytes, line) {
             Ok(()) => buffer.bytes.push(b'\n'),
             Err(_) => buffer.bytes.truncate(before),
         }
--- a/crates/daemon/src/direct/unknown_names.rs
+++ b/crates/daemon/src/direct/unknown_names.rs
@@ -8,7 +8,7 @@
 
 use headlatch_outside::facts::FactTopic;
 use headlatch_types::{
-    reading::{FieldIssues, FieldPath},
+    reading::{FieldIssues, FieldPath, prefix},
     traffic::ServerId,
 };
 use http::HeaderMap;
@@ -20,6 +20,9 @@
 /// Maximum number of names that get a label of their own.
 const MAX_NAMES: usize = 64;
 
+/// Longest label, in bytes.
+const MAX_NAME_BYTES: usize = 256;
+
 /// Label of all further names.
 const OTHER_NAMES: &str = "other";
 
@@ -39,8 +42,10 @@
 }
 
 impl UnknownNames {
-    /// Records a name; only the first [`MAX_NAMES`] different names get a label of their own and are logged.
+    /// Records a name; only the first [`MAX_NAMES`] different names get a label of their own and are logged. Names that
+    /// begin with the same [`MAX_NAME_BYTES`] count as one.
     pub fn record<'a>(&mut self, name: &'a str) -> CountedName<'a> {
+        let name = prefix(name, MAX_NAME_BYTES);
         if self.names.contains(name) {
             return CountedName { label: name, is_new: false };
         }
--- a/crates/daemon/tests/odd_names.rs
+++ b/crates/daemon/tests/odd_names.rs
@@ -20,6 +20,9 @@
 
 const ENTRIES: usize = 2;
 
+/// Longest line of a log or of metrics that an odd entry may lead to.
+const MAX_LINE_BYTES: usize = 8 << 10;
+
 /// A whole answer with the id of the request.
 const WHOLE: Script = |head: &str| {
     let head = head.to_lowercase();
@@ -136,3 +139,32 @@
         assert_all_serve(&entries, "without the odd entry").await;
     }
 }
+
+/// Lines and labels had the length of whatever another writer had stored, at each reading of it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn long_texts_of_odd_entries_make_short_lines_and_labels() {
+    let (first, second) = (TestServer::start(WHOLE).await, TestServer::start(WHOLE).await);
+    let store = store_with([&first, &second]).await;
+    let long = "é".repeat(100_000);
+    store.put("servers", &format!("i1{long}"), json!({ "owner": "another writer" }));
+    let escaped = "\n\u{0}\"".repeat(100_000);
+    store.put("servers", &format!("i1{escaped}"), json!({ "owner": "another writer" }));
+    let mut unknown_state = server_spec(first.address, "z1", &long, 0);
+    unknown_state["state"] = json!(long);
+    store.put("servers", "i1-state", unknown_state);
+    let mut unknown_field = server_spec(first.address, "z1", "ready", 0);
+    unknown_field[&long] = json!(1);
+    store.put("servers", "i1-field", unknown_field);
+    let entries = ProcessEntry::start_all(1, store.address, true);
+    assert_all_serve(&entries, "with the odd entries").await;
+    let entry = &entries[0];
+    let unreadable = entry.wait_for_line("unreadable", RECOVERY_TIME).await;
+    expect_that!(unreadable, contains_substring("i1"));
+    entry.wait_for_line("unknown_field", RECOVERY_TIME).await;
+    let longest = entry.log().iter().map(String::len).max();
+    expect_that!(longest, some(le(MAX_LINE_BYTES)));
+    let metrics = entry.metrics().await;
+    expect_that!(metrics.lines().map(str::len).max(), some(le(MAX_LINE_BYTES)));
+    expect_that!(metrics, contains_substring("headlatch_unknown_fields_total"));
+}
--- a/crates/types/src/reading.rs
+++ b/crates/types/src/reading.rs
@@ -38,6 +38,15 @@
     Ok(value)
 }
 
+/// The first `max_bytes` of `text` or less, up to the end of a character.
+pub fn prefix(text: &str, max_bytes: usize) -> &str {
+    let mut end = max_bytes.min(text.len());
+    while !text.is_char_boundary(end) {
+        end -= 1;
+    }
+    &text[..end]
+}
+
 /// Path of a field in JSON input, without the positions of list elements: `routes[].kind`.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct FieldPath(String);
