Read the rows of the first path's lists one by one

What callers saw: a node of the first path that started while another writer's row stood in the member list found no other node, and answered 503; `headlatch apply` and `status` failed as long as a row of another writer stood beside the reports.

The list of members, and that of objects by prefix, were decoded as a whole, so that one row with a name, an address or a type of its own hid all others.

Change: each row is decoded by itself; unreadable ones are logged with their position and counted (`headlatch_store_events_total{event="member_unreadable"}`).

That nodes answered 503 follows from the code; it was not played.

--- a/crates/client/src/commands/apply.rs
+++ b/crates/client/src/commands/apply.rs
@@ -158,6 +158,6 @@
 
 /// The status of every domain.
 pub async fn read_status(store: &SharedStore) -> Result<Vec<DomainStatus>, Report<ClientError>> {
-    let rows = store.list(STATUS_PREFIX).await.map_err(|error| platform_error(&error))?;
-    Ok(rows.iter().filter_map(|(_, value)| from_json(&value.text).ok()).collect())
+    let listed = store.list(STATUS_PREFIX).await.map_err(|error| platform_error(&error))?;
+    Ok(listed.rows.iter().filter_map(|(_, value)| from_json(&value.text).ok()).collect())
 }
--- a/crates/daemon/src/node/sync.rs
+++ b/crates/daemon/src/node/sync.rs
@@ -10,7 +10,7 @@
 use headlatch_types::quantity::ConfigRevision;
 
 use super::NodeContext;
-use crate::platform::{ObjectValue, StoreError};
+use crate::platform::{ListedRows, ObjectValue, StoreError};
 
 /// Number of nodes per failure domain that watch the platform.
 const WATCHERS: usize = 2;
@@ -87,8 +87,10 @@
     loop {
         if first || is_watcher(node) || node.table().known_nodes().next().is_none() {
             match node.store.members().await {
-                Ok(members) => {
+                Ok(ListedRows { rows: members, unreadable }) => {
                     first = false;
+                    unreadable.iter().for_each(|error| log::warn!("members: {error}"));
+                    node.metrics.count_store_events("member_unreadable", unreadable.len());
                     node.table().set_seeds(members.iter().map(|member| member.control).collect());
                 }
                 Err(error) => log::debug!("members: read failed: {error}"),
--- a/crates/daemon/src/platform/http.rs
+++ b/crates/daemon/src/platform/http.rs
@@ -4,12 +4,16 @@
 
 use bytes::Bytes;
 use headlatch_http::HttpCaller;
-use headlatch_types::{RunVerdict, quantity::ByteSize, settings::ServiceUrl};
+use headlatch_types::{
+    InputError, RunVerdict, quantity::ByteSize, reading::from_json, settings::ServiceUrl,
+};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
-use serde::Deserialize;
+use serde::{Deserialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
 
 use super::{
-    ListedMember, ObjectStore, ObjectValue, StoreError, StoreFuture, WriteCondition, WriteOutcome,
+    ListedMember, ListedRows, ObjectStore, ObjectValue, StoreError, StoreFuture, WriteCondition,
+    WriteOutcome,
 };
 
 /// Timeout for a call, in addition to the wait of a watch.
@@ -120,11 +124,27 @@
     headers.get(header::ETAG)?.to_str().ok()?.trim_matches('"').parse().ok()
 }
 
-fn read_list<'a, T: Deserialize<'a>>(status: StatusCode, body: &'a [u8]) -> Result<T, StoreError> {
+/// Reads the rows of a list one by one, since a row may be another writer's.
+fn read_rows<T: DeserializeOwned>(
+    status: StatusCode,
+    body: &[u8],
+) -> Result<ListedRows<T>, StoreError> {
     if status != StatusCode::OK {
         return Err(StoreError(format!("list returned status {status}")));
     }
-    serde_json::from_slice(body).map_err(|error| StoreError(error.to_string()))
+    let texts: Vec<Box<RawValue>> = serde_json::from_str(&String::from_utf8_lossy(body))
+        .map_err(|error| StoreError(error.to_string()))?;
+    let mut listed = ListedRows { rows: Vec::new(), unreadable: Vec::new() };
+    for (index, text) in texts.iter().enumerate() {
+        match from_json(text.get()) {
+            Ok(row) => listed.rows.push(row),
+            Err(error) => {
+                let path = format!("[{index}].{}", error.path);
+                listed.unreadable.push(InputError::new(path, error.message));
+            }
+        }
+    }
+    Ok(listed)
 }
 
 impl ObjectStore for HttpStore {
@@ -157,22 +177,22 @@
     fn list<'a>(
         &'a self,
         prefix: &'a str,
-    ) -> StoreFuture<'a, Result<Vec<(String, ObjectValue)>, StoreError>> {
+    ) -> StoreFuture<'a, Result<ListedRows<(String, ObjectValue)>, StoreError>> {
         let path = format!("v1/objects?prefix={prefix}");
         Box::pin(async move {
             let (status, _, body) = self.get(&path, CALL_TIMEOUT).await?;
-            let rows: Vec<ListedObject> = read_list(status, &body)?;
+            let ListedRows { rows, unreadable } = read_rows::<ListedObject>(status, &body)?;
             let value = |row: ListedObject| {
                 (row.key, ObjectValue { version: row.version, text: row.value })
             };
-            Ok(rows.into_iter().map(value).collect())
+            Ok(ListedRows { rows: rows.into_iter().map(value).collect(), unreadable })
         })
     }
 
-    fn members(&self) -> StoreFuture<'_, Result<Vec<ListedMember>, StoreError>> {
+    fn members(&self) -> StoreFuture<'_, Result<ListedRows<ListedMember>, StoreError>> {
         Box::pin(async move {
             let (status, _, body) = self.get("v1/members", CALL_TIMEOUT).await?;
-            read_list(status, &body)
+            read_rows(status, &body)
         })
     }
 }
--- a/crates/daemon/src/platform/mod.rs
+++ b/crates/daemon/src/platform/mod.rs
@@ -4,7 +4,10 @@
 
 use std::{future::Future, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 
-use headlatch_types::id::{BoxId, DomainId, RegionId};
+use headlatch_types::{
+    InputError,
+    id::{BoxId, DomainId, RegionId},
+};
 use serde::{Deserialize, Serialize};
 
 pub use http::HttpStore;
@@ -62,6 +65,15 @@
     pub leaving: bool,
 }
 
+/// Rows of a list, each read by itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedRows<T> {
+    /// The rows that could be read.
+    pub rows: Vec<T>,
+    /// Why the others could not be read, each with its position as path.
+    pub unreadable: Vec<InputError>,
+}
+
 /// Boxed future returned by [`ObjectStore`] methods.
 pub type StoreFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
 
@@ -88,9 +100,9 @@
     fn list<'a>(
         &'a self,
         prefix: &'a str,
-    ) -> StoreFuture<'a, Result<Vec<(String, ObjectValue)>, StoreError>>;
+    ) -> StoreFuture<'a, Result<ListedRows<(String, ObjectValue)>, StoreError>>;
     /// Reads the member list.
-    fn members(&self) -> StoreFuture<'_, Result<Vec<ListedMember>, StoreError>>;
+    fn members(&self) -> StoreFuture<'_, Result<ListedRows<ListedMember>, StoreError>>;
 }
 
 /// An object store shared by the components of a process.
