Give updates of facts a module of their own

What it says is in `direct/fact_update.rs` now. Moved without a change but that a comment no longer claims that writing a quarantine again changes nothing.

--- a/crates/daemon/src/direct/mod.rs
+++ b/crates/daemon/src/direct/mod.rs
@@ -14,6 +14,7 @@
 pub mod entry;
 pub mod entry_notices;
 pub mod exchange;
+mod fact_update;
 pub mod facts;
 pub mod front;
 pub mod handler;
--- a/crates/daemon/src/direct/quarantine_keeper.rs
+++ b/crates/daemon/src/direct/quarantine_keeper.rs
@@ -11,7 +11,8 @@
 use serde_json::json;
 
 use super::{
-    facts::{ReadGate, ReaderRole, count_dead_ends, log_dead_ends, relist_delay},
+    fact_update::{count_dead_ends, log_dead_ends},
+    facts::{ReadGate, ReaderRole, relist_delay},
     quarantine::QuarantineWrite,
     state::{EntryState, TopicGate},
 };
@@ -110,7 +111,7 @@
             continue;
         }
         tokio::time::sleep(REWRITE_SPREAD.mul_f64(rand::random())).await;
-        // Those that a cut list lacks are written again as well, which changes nothing in the store.
+        // Those that a cut list lacks are written again as well, which does no harm.
         let kept = list_kept(state, store).await.entries;
         let kept: HashSet<QuarantineKey> = kept.into_iter().map(|entry| entry.key).collect();
         let refused = state.quarantine.refused(state.now());
